--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,16 @@
+import tseslint from 'typescript-eslint';
+import js from '@eslint/js';
+
+export default tseslint.config(
+  { ignores: ['dist/', 'node_modules/', 'bench-results/'] },
+  js.configs.recommended,
+  ...tseslint.configs.recommended,
+  {
+    languageOptions: { globals: { process: 'readonly' } },
+    rules: {
+      'no-throw-literal': 'error',
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
+      '@typescript-eslint/no-unused-expressions': 'off',
+    },
+  },
+);
--- /dev/null
+++ b/lab/engine-server.ts
@@ -0,0 +1,162 @@
+/** The HTTP stand-in of a model engine: runs the engine model in real time. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { request } from 'undici';
+import type { EngineAssignment, EngineControlRequest, KvHandle } from '../src/engine/engine-protocol.js';
+import { describePrompt } from '../src/routing/completion-request.js';
+import { hashText } from '../src/shared/rendezvous-hash.js';
+import { EngineModel, tokenText, type EngineModelSettings, type EngineOutput } from './engine-model.js';
+import { readLabJson, sendLabJson } from './lab-http.js';
+
+interface WorkBody {
+  attemptId: string;
+  model: string;
+  version: number;
+  adapter: string;
+  prompt: string;
+  maximumTokens: number;
+  priority: number;
+  offset: number;
+  kv?: KvHandle;
+}
+
+interface OpenStream {
+  readonly response: ServerResponse;
+  readonly promptHash: number;
+}
+
+/** Faults that a test can set: `slowFactor` stretches steps, `refuseControl` drops control requests. */
+interface EngineFaults {
+  slowFactor?: number;
+  leaving?: boolean;
+}
+
+/** One engine process. */
+export class EngineServer {
+  readonly model: EngineModel;
+  private readonly open = new Map<string, OpenStream>();
+  private timer: NodeJS.Timeout | undefined;
+  private readonly server: Server;
+
+  constructor(
+    private readonly host: string,
+    private readonly port: number,
+    assignment: EngineAssignment,
+    settings: EngineModelSettings,
+  ) {
+    this.model = new EngineModel(settings, assignment);
+    this.server = createServer((message, response) => void this.route(message, response));
+    this.server.keepAliveTimeout = 60_000;
+  }
+
+  /** Starts to listen. */
+  listen(): Promise<void> {
+    return new Promise((resolve) => this.server.listen(this.port, this.host, resolve));
+  }
+
+  /** Closes at once, as a crash would. */
+  close(): void {
+    clearTimeout(this.timer);
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  private async route(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = message.url ?? '/';
+    if (path.startsWith('/v1/kv/')) {
+      const found = this.model.hasKv(decodeURIComponent(path.slice('/v1/kv/'.length)), performance.now());
+      sendLabJson(response, found ? 200 : 404, {});
+      return;
+    }
+    const body = await readLabJson(message);
+    if (path === '/v1/control')
+      sendLabJson(response, 200, this.model.control(body as EngineControlRequest, performance.now()));
+    else if (path === '/v1/generate') await this.work('generate', body as WorkBody, response);
+    else if (path === '/v1/prefill') await this.work('prefill', body as WorkBody, response);
+    else if (path === '/faults') this.setFaults(body as EngineFaults, response);
+    else sendLabJson(response, 404, {});
+    this.schedule();
+  }
+
+  private setFaults(faults: EngineFaults, response: ServerResponse): void {
+    if (faults.slowFactor !== undefined) this.model.slowFactor = faults.slowFactor;
+    if (faults.leaving) this.model.leave();
+    sendLabJson(response, 200, {});
+  }
+
+  private async work(stage: 'prefill' | 'generate', body: WorkBody, response: ServerResponse): Promise<void> {
+    const imported = stage === 'generate' && body.kv !== undefined;
+    if (imported && body.kv && !(await fetchKv(body.kv))) {
+      sendLabJson(response, 409, { refused: 'unknown-kv' });
+      return;
+    }
+    const prompt = describePrompt(body.prompt);
+    const { attemptId, model, version, adapter, maximumTokens, priority, offset } = body;
+    const refusal = this.model.start(
+      {
+        attemptId,
+        stage,
+        model,
+        version,
+        adapter,
+        promptTokens: prompt.tokens,
+        prefixKey: prompt.prefixKey,
+        maximumTokens,
+        priority,
+        offset,
+        imported,
+      },
+      performance.now(),
+    );
+    if (refusal) {
+      sendLabJson(response, 409, { refused: refusal });
+      return;
+    }
+    this.open.set(attemptId, { response, promptHash: hashText(body.prompt) });
+    response.writeHead(200, { 'content-type': 'application/x-ndjson' });
+    response.flushHeaders();
+    response.on('close', () => {
+      if (this.open.delete(attemptId)) this.model.cancel(attemptId, performance.now());
+    });
+  }
+
+  private schedule(): void {
+    const at = this.model.nextEventAt();
+    clearTimeout(this.timer);
+    if (at !== undefined) this.timer = setTimeout(() => this.run(), Math.max(0, at - performance.now()));
+  }
+
+  private run(): void {
+    for (const output of this.model.advance(performance.now())) this.write(output);
+    this.schedule();
+  }
+
+  private write(output: EngineOutput): void {
+    const stream = this.open.get(output.attemptId);
+    if (!stream) return;
+    if (output.kind === 'tokens') {
+      const texts = Array.from({ length: output.count }, (_, index) =>
+        tokenText(stream.promptHash, output.offset + index),
+      );
+      stream.response.write(`${JSON.stringify({ offset: output.offset, texts })}\n`);
+      return;
+    }
+    this.open.delete(output.attemptId);
+    const last =
+      output.kind === 'end'
+        ? { end: true, tokens: output.tokens, finishReason: 'stop' }
+        : { prefilled: output.handle };
+    stream.response.end(`${JSON.stringify(last)}\n`);
+  }
+}
+
+async function fetchKv(kv: KvHandle): Promise<boolean> {
+  try {
+    const { statusCode, body } = await request(
+      `http://${kv.engineAddress}/v1/kv/${encodeURIComponent(kv.handle)}`,
+    );
+    await body.dump();
+    return statusCode === 200;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/lab/launcher.ts
@@ -0,0 +1,255 @@
+/** Starts the processes of a site on loopback, for the demo and the real-process tests. Rig code. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { request } from 'undici';
+import { stringify } from 'yaml';
+import { OperatorClient } from '../src/cli/operator-client.js';
+import type { SiteProfile } from './site-profiles.js';
+
+const PRODUCT = fileURLToPath(new URL('../src/cli/main.js', import.meta.url));
+const LAB = fileURLToPath(new URL('./main.js', import.meta.url));
+const START_TIMEOUT_MS = 30_000;
+const POLL_MS = 100;
+
+/** A started process and its addresses. */
+export interface RunningProcess {
+  readonly name: string;
+  readonly child: ChildProcess;
+  readonly addresses: Readonly<Record<string, string>>;
+}
+
+/** Sizes that may differ from the profile's. */
+export interface SiteOptions {
+  readonly engines?: number;
+  readonly daemons?: number;
+  readonly applications?: number;
+  /** Settings of every daemon beyond the addresses. */
+  readonly settings?: Record<string, unknown>;
+}
+
+/** Picks free TCP ports on loopback. */
+export async function freePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from(
+      { length: count },
+      () =>
+        new Promise<ReturnType<typeof createServer>>((resolve) => {
+          const server = createServer();
+          server.listen(0, '127.0.0.1', () => resolve(server));
+        }),
+    ),
+  );
+  const ports = servers.map((server) => (server.address() as { port: number }).port);
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
+
+/** A site of separate processes. */
+export class LocalSite {
+  readonly daemons: RunningProcess[] = [];
+  readonly engines: RunningProcess[] = [];
+  readonly applications: RunningProcess[] = [];
+  platform!: RunningProcess;
+  private readonly folder = mkdtempSync(join(tmpdir(), 'pulleyledge-'));
+  private readonly children = new Set<ChildProcess>();
+
+  constructor(
+    private readonly profile: SiteProfile,
+    private readonly options: SiteOptions = {},
+  ) {}
+
+  /** Starts everything, writes the services, and waits until every daemon is ready. */
+  async start(): Promise<void> {
+    const engineCount = this.options.engines ?? this.profile.engines;
+    const daemonCount = this.options.daemons ?? this.profile.zones.length;
+    const applicationCount = this.options.applications ?? this.profile.applications;
+    const ports = await freePorts(1 + engineCount + applicationCount + daemonCount * 3);
+    const next = (): string => `127.0.0.1:${ports.pop()}`;
+    this.platform = this.launchLab('platform', ['platform'], next());
+    await this.waitFor(async () => this.post(this.platform.addresses.main, '/faults', {}));
+    for (let index = 0; index < engineCount; index += 1) await this.startEngine(index, next());
+    for (let index = 0; index < applicationCount; index += 1) await this.startApplication(index, next());
+    await this.importServices();
+    const daemons = Array.from({ length: daemonCount }, () => ({
+      caller: next(),
+      peer: next(),
+      operator: next(),
+    }));
+    daemons.forEach((addresses, index) =>
+      this.startDaemon(
+        index,
+        addresses,
+        daemons.map((other) => other.peer),
+      ),
+    );
+    await this.waitReady(this.daemons);
+    const expected = engineCount;
+    await this.waitFor(async () => {
+      for (const daemon of this.daemons) {
+        const { engines } = await new OperatorClient(daemon.addresses.operator).status();
+        if (engines.filter((engine) => engine.assignment).length < expected)
+          throw new Error('engines not known yet');
+      }
+    });
+  }
+
+  /** Caller addresses of the daemons. */
+  callers(): string[] {
+    return this.daemons.map((daemon) => daemon.addresses.caller);
+  }
+
+  /** Starts a daemon again under its old name and addresses. */
+  restartDaemon(index: number): RunningProcess {
+    const old = this.daemons[index];
+    const child = this.launchDaemon(old.name);
+    const daemon = { ...old, child };
+    this.daemons[index] = daemon;
+    return daemon;
+  }
+
+  /** Sets faults of a stand-in. */
+  setFaults(process: RunningProcess, faults: Record<string, unknown>): Promise<unknown> {
+    return this.post(process.addresses.main, '/faults', faults);
+  }
+
+  /** Waits until daemons are ready. */
+  async waitReady(daemons: readonly RunningProcess[]): Promise<void> {
+    for (const daemon of daemons) {
+      await this.waitFor(async () => {
+        const { statusCode, body } = await request(`http://${daemon.addresses.operator}/readyz`);
+        await body.dump();
+        if (statusCode !== 200) throw new Error('not ready');
+      });
+    }
+  }
+
+  /** Ends the processes that this site started, by their ids, and removes its folder. */
+  async stop(): Promise<void> {
+    const ended = [...this.children].map((child) => new Promise((resolve) => child.once('exit', resolve)));
+    for (const child of this.children) {
+      child.kill('SIGCONT');
+      child.kill('SIGKILL');
+    }
+    await Promise.all(ended);
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  /** Repeats `action` until it does not reject. */
+  async waitFor(action: () => Promise<unknown>): Promise<void> {
+    const deadline = performance.now() + START_TIMEOUT_MS;
+    for (;;) {
+      try {
+        await action();
+        return;
+      } catch (error) {
+        if (performance.now() > deadline) throw error;
+        await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+      }
+    }
+  }
+
+  private async startEngine(index: number, address: string): Promise<void> {
+    const zone = this.profile.zones[index % this.profile.zones.length];
+    const name = `engine-${index + 1}`;
+    const adapters = [
+      ...new Set(this.profile.services.map((row) => row.adapter).filter((adapter) => adapter !== '')),
+    ];
+    this.engines.push(
+      this.launchLab(
+        name,
+        ['engine', '--model', this.profile.model, '--adapters', adapters.join(',')],
+        address,
+      ),
+    );
+    await this.announce({ id: name, kind: 'engine', address, zone, cell: this.profile.name, state: 'live' });
+  }
+
+  private async startApplication(index: number, address: string): Promise<void> {
+    const zone = this.profile.zones[index % this.profile.zones.length];
+    const name = `application-${index + 1}`;
+    this.applications.push(this.launchLab(name, ['application'], address));
+    await this.announce({ id: name, kind: 'application', address, zone, cell: zone, state: 'live' });
+  }
+
+  /** Announces a machine to the platform's list. */
+  announce(machine: Record<string, unknown>): Promise<unknown> {
+    return this.post(this.platform.addresses.main, '/machine', machine);
+  }
+
+  private async importServices(): Promise<void> {
+    const writes = this.profile.services.map((row) => ({
+      table: 'services',
+      key: row.name,
+      expectedRevision: 0,
+      value: row,
+    }));
+    await this.post(this.platform.addresses.main, '/v1/table', {
+      kind: 'commit',
+      writeId: 'site-import',
+      writes,
+    });
+  }
+
+  private startDaemon(
+    index: number,
+    addresses: { caller: string; peer: string; operator: string },
+    peers: readonly string[],
+  ): void {
+    const name = `daemon-${index + 1}`;
+    const settings = {
+      name,
+      zone: this.profile.zones[index % this.profile.zones.length],
+      region: 'main',
+      callerAddress: addresses.caller,
+      peerAddress: addresses.peer,
+      operatorAddress: addresses.operator,
+      seeds: [...peers],
+      platform: [this.platform.addresses.main],
+      allocation: { roleChangeCostSeconds: this.profile.roleChangeCostSeconds },
+      ...this.options.settings,
+    };
+    writeFileSync(this.settingsPath(name), stringify(settings));
+    this.daemons.push({ name, child: this.launchDaemon(name), addresses });
+  }
+
+  private settingsPath(name: string): string {
+    return join(this.folder, `${name}.yaml`);
+  }
+
+  private launchDaemon(name: string): ChildProcess {
+    return this.launch(name, [PRODUCT, 'serve', '--settings', this.settingsPath(name)]);
+  }
+
+  private launchLab(name: string, args: readonly string[], address: string): RunningProcess {
+    return {
+      name,
+      child: this.launch(name, [LAB, ...args, '--address', address]),
+      addresses: { main: address },
+    };
+  }
+
+  /** The log file of a process. */
+  logPath(name: string): string {
+    return join(this.folder, `${name}.log`);
+  }
+
+  private launch(name: string, args: readonly string[]): ChildProcess {
+    const log = openSync(this.logPath(name), 'a');
+    const child = spawn(process.execPath, [...args], { stdio: ['ignore', log, log] });
+    this.children.add(child);
+    child.once('exit', () => this.children.delete(child));
+    return child;
+  }
+
+  private async post(address: string, path: string, value: unknown): Promise<unknown> {
+    const { body } = await request(`http://${address}${path}`, {
+      method: 'POST',
+      body: JSON.stringify(value),
+    });
+    return body.json();
+  }
+}
--- /dev/null
+++ b/lab/platform-model.ts
@@ -0,0 +1,150 @@
+/** The platform's table service and machine list as a pure state machine, with faults to inject. */
+import type { Machine, MachineListing } from '../src/platform/machine-list.js';
+import type { TableRequest, TableResult, TableRow, TableWrite } from '../src/platform/table-service.js';
+
+/** Faults of the platform. */
+export interface PlatformFaults {
+  /** No request takes effect and none is answered. */
+  down: boolean;
+  /** Requests take effect but their answers are lost, with this chance. */
+  loseAnswers: number;
+  /** Extra delay of each answer. Milliseconds. */
+  slowMs: number;
+}
+
+const REMEMBERED_WRITES = 100_000;
+
+interface RateLimit {
+  readonly perSecond: number;
+  readonly burst: number;
+}
+
+/** Default limit of the table service: transactions a second, and how many may come at once. */
+export const DEFAULT_TABLE_RATE: RateLimit = { perSecond: 200, burst: 100 };
+
+/** The emulated platform. */
+export class PlatformModel {
+  readonly faults: PlatformFaults = { down: false, loseAnswers: 0, slowMs: 0 };
+  private readonly rows = new Map<string, TableRow>();
+  private readonly outcomes = new Map<string, TableResult>();
+  private readonly machines = new Map<string, { machine: Machine; visibleAt: number }>();
+  private readonly lastChange = new Map<string, number>();
+  private revision = 0;
+  private tokens: number;
+  private refilledAt = 0;
+  /** Requests answered, for measurements. */
+  requests = 0;
+  /** Every commit to the services table, in order. */
+  readonly serviceCommits: { revision: number; at: number }[] = [];
+
+  constructor(
+    private readonly rate: RateLimit = DEFAULT_TABLE_RATE,
+    private readonly machineLagMs = 1000,
+  ) {
+    this.tokens = rate.burst;
+  }
+
+  /** Carries out a table request, or undefined when the platform is down. */
+  table(request: TableRequest, now: number): TableResult | undefined {
+    if (this.faults.down) return undefined;
+    this.requests += 1;
+    if (!this.takeToken(now))
+      return { kind: 'rateLimited', retryAfterMs: Math.ceil(1000 / this.rate.perSecond) * 10 };
+    switch (request.kind) {
+      case 'read':
+        return { kind: 'row', row: this.rows.get(`${request.table}/${request.key}`) ?? null };
+      case 'changes':
+        return this.changes(request.table, request.since);
+      case 'commit':
+        return this.commit(request.writeId, request.writes, now);
+    }
+  }
+
+  /** A row, for tests. */
+  peek(table: string, key: string): TableRow | undefined {
+    return this.rows.get(`${table}/${key}`);
+  }
+
+  /** Announces a machine; the list shows it after its lag. */
+  setMachine(machine: Machine, now: number): void {
+    const known = this.machines.get(machine.id);
+    const visibleAt = known ? now + this.machineLagMs : now;
+    if (known && now < known.visibleAt) this.machines.set(machine.id, { machine, visibleAt });
+    else if (known) this.pending.push({ machine, visibleAt });
+    else this.machines.set(machine.id, { machine, visibleAt });
+  }
+
+  /** Takes a machine off the list. */
+  removeMachine(id: string): void {
+    this.machines.delete(id);
+  }
+
+  /** The list: all cells, the engines of the cells asked for, and every application server. */
+  listMachines(cells: readonly string[], now: number): MachineListing | undefined {
+    if (this.faults.down) return undefined;
+    this.applyPending(now);
+    const all = [...this.machines.values()].map((entry) => entry.machine);
+    const zones = new Map(
+      all.filter((machine) => machine.kind === 'engine').map((machine) => [machine.cell, machine.zone]),
+    );
+    const wanted = new Set(cells);
+    return {
+      cells: [...zones].map(([name, zone]) => ({ name, zone })),
+      machines: all.filter((machine) => machine.kind === 'application' || wanted.has(machine.cell)),
+    };
+  }
+
+  private pending: { machine: Machine; visibleAt: number }[] = [];
+
+  private applyPending(now: number): void {
+    for (const { machine, visibleAt } of this.pending) {
+      if (visibleAt <= now && this.machines.has(machine.id))
+        this.machines.set(machine.id, { machine, visibleAt });
+    }
+    this.pending = this.pending.filter((entry) => entry.visibleAt > now);
+  }
+
+  private commit(writeId: string, writes: readonly TableWrite[], now: number): TableResult {
+    const earlier = this.outcomes.get(writeId);
+    if (earlier) return earlier;
+    const result = this.apply(writes, now);
+    this.outcomes.set(writeId, result);
+    if (this.outcomes.size > REMEMBERED_WRITES) {
+      const oldest = this.outcomes.keys().next();
+      if (!oldest.done) this.outcomes.delete(oldest.value);
+    }
+    return result;
+  }
+
+  private apply(writes: readonly TableWrite[], now: number): TableResult {
+    const conflicts: TableRow[] = [];
+    for (const { table, key, expectedRevision } of writes) {
+      const current = this.rows.get(`${table}/${key}`);
+      if ((current?.revision ?? 0) !== expectedRevision)
+        conflicts.push(current ?? { table, key, revision: 0, value: null });
+    }
+    if (conflicts.length > 0) return { kind: 'conflict', rows: conflicts };
+    this.revision += 1;
+    for (const { table, key, value } of writes) {
+      this.rows.set(`${table}/${key}`, { table, key, revision: this.revision, value });
+      this.lastChange.set(table, this.revision);
+    }
+    if (writes.some((write) => write.table === 'services'))
+      this.serviceCommits.push({ revision: this.revision, at: now });
+    return { kind: 'committed', revision: this.revision };
+  }
+
+  private changes(table: string, since: number): TableResult {
+    const rows = [...this.rows.values()].filter((row) => row.table === table && row.revision > since);
+    return { kind: 'changes', revision: this.lastChange.get(table) ?? 0, rows };
+  }
+
+  private takeToken(now: number): boolean {
+    const refill = ((now - this.refilledAt) / 1000) * this.rate.perSecond;
+    this.tokens = Math.min(this.rate.burst, this.tokens + Math.max(0, refill));
+    this.refilledAt = now;
+    if (this.tokens < 1) return false;
+    this.tokens -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/adapters/application-client.ts
@@ -0,0 +1,88 @@
+/** Application servers over HTTP. A connection is used for one call, so that a failure can be placed. */
+import { Agent, request } from 'undici';
+import type { ApplicationEvent } from '../routing/application-manager.js';
+import { isConnectFailure } from './connect-failure.js';
+
+/** A caller's call as it travels on. */
+export interface ApplicationPayload {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
+/** Application servers as the daemon's process uses them. */
+export interface ApplicationClient {
+  /** Starts a call; `onEvent` is called once. Returns how to cancel it. */
+  start(
+    address: string,
+    payload: ApplicationPayload,
+    remainingMs: number,
+    onEvent: (event: ApplicationEvent) => void,
+  ): () => void;
+  close(): Promise<void>;
+}
+
+/** Header with which a server says that it turned a call away before it began. */
+export const NOT_RUN_HEADER = 'pulleyledge-not-run';
+/** Header with which a server says that it is leaving. */
+export const LEAVING_HEADER = 'pulleyledge-leaving';
+
+const CONNECT_TIMEOUT_MS = 1000;
+
+/** The HTTP adapter. */
+export class HttpApplicationClient implements ApplicationClient {
+  /** Without pipelining or keep-alive a call never meets a connection that the server is closing. */
+  private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 0 });
+
+  start(
+    address: string,
+    payload: ApplicationPayload,
+    remainingMs: number,
+    onEvent: (event: ApplicationEvent) => void,
+  ): () => void {
+    const abort = new AbortController();
+    void this.run(address, payload, remainingMs, abort.signal, onEvent);
+    return () => abort.abort();
+  }
+
+  close(): Promise<void> {
+    return this.agent.destroy();
+  }
+
+  private async run(
+    address: string,
+    payload: ApplicationPayload,
+    remainingMs: number,
+    signal: AbortSignal,
+    onEvent: (event: ApplicationEvent) => void,
+  ): Promise<void> {
+    try {
+      const hasBody = payload.method !== 'GET' && payload.method !== 'HEAD';
+      const { statusCode, headers, body } = await request(`http://${address}${payload.path}`, {
+        method: payload.method as 'GET',
+        dispatcher: this.agent,
+        signal,
+        headersTimeout: remainingMs,
+        bodyTimeout: remainingMs,
+        headers: payload.headers,
+        body: hasBody ? payload.body : undefined,
+      });
+      const bytes = new Uint8Array(await body.arrayBuffer());
+      const leaving = headers[LEAVING_HEADER] === 'true';
+      if (headers[NOT_RUN_HEADER] === 'true') onEvent({ kind: 'refused', leaving });
+      else
+        onEvent({
+          kind: 'response',
+          status: statusCode,
+          contentType: String(headers['content-type'] ?? ''),
+          body: bytes,
+          leaving,
+        });
+    } catch (error) {
+      if (signal.aborted) return;
+      const reason = (error as Error).message;
+      onEvent(isConnectFailure(error) ? { kind: 'unreachable', reason } : { kind: 'broken', reason });
+    }
+  }
+}
--- /dev/null
+++ b/src/adapters/peer-codec.ts
@@ -0,0 +1,119 @@
+/** The form of messages between daemons: devalue text, one message a line, checked on arrival. */
+import { parse, stringify } from 'devalue';
+import { z } from 'zod';
+import { serviceRowSchema } from '../configuration/service-row.js';
+import type { PeerMessage } from '../daemon/daemon-messages.js';
+import { PeerProtocolError } from '../errors/index.js';
+
+const text = z.string().max(512);
+const count = z.number().finite();
+const memberUpdate = z.tuple([
+  text,
+  text,
+  text,
+  text,
+  count,
+  z.enum(['alive', 'suspect', 'leaving', 'dead']),
+]);
+const updates = z.array(memberUpdate);
+const held = z.array(z.tuple([text, count]));
+const phase = z.enum(['active', 'draining', 'changing', 'leaving']);
+const assignment = z.object({
+  role: z.enum(['prefill', 'decode', 'mixed']),
+  model: text,
+  version: count,
+  adapters: z.array(text),
+});
+const capability = z.object({
+  prefillRate: count,
+  decodeRate: count,
+  mixedPrefillRate: count,
+  mixedDecodeRate: count,
+  roleChangeMs: count,
+});
+
+/** The checked form of an engine's report; the HTTP adapter uses it too. */
+export const engineReportSchema = z.object({
+  assignment,
+  phase,
+  streams: count,
+  maximumStreams: count,
+  waitingPrefillTokens: count,
+  capability,
+  clockMs: count,
+  epoch: count,
+  sequence: count,
+});
+
+const messageSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('ping'), sequence: count, target: text, updates }),
+  z.object({ kind: z.literal('ack'), sequence: count, updates }),
+  z.object({ kind: z.literal('pingRequest'), sequence: count, target: text }),
+  z.object({ kind: z.literal('sync'), reply: z.boolean(), members: updates }),
+  z.object({ kind: z.literal('configurationPull'), sequence: count, revision: count }),
+  z.object({
+    kind: z.literal('configurationRows'),
+    sequence: count,
+    revision: count,
+    ageMs: count,
+    tableDown: z.boolean(),
+    rows: z.array(z.tuple([text, count, serviceRowSchema.nullable()])),
+  }),
+  z.object({ kind: z.literal('slotRequest'), service: text, token: count }),
+  z.object({ kind: z.literal('slotGrant'), service: text, token: count }),
+  z.object({ kind: z.literal('slotRefuse'), service: text, token: count, retryAfterMs: count }),
+  z.object({ kind: z.literal('slotCancel'), service: text, token: count }),
+  z.object({ kind: z.literal('slotRelease'), held }),
+  z.object({ kind: z.literal('slotRenew'), held }),
+  z.object({ kind: z.literal('slotHandover'), service: text, holders: held }),
+  z.object({
+    kind: z.literal('cellDigest'),
+    cell: text,
+    loads: z.array(z.tuple([text, phase, count, count, count])),
+    descriptions: z.array(z.object({ id: text, address: text, report: engineReportSchema })),
+  }),
+  z.object({
+    kind: z.literal('demandReport'),
+    cell: text,
+    demands: z.array(z.tuple([text, count, count, count])),
+  }),
+]);
+
+const helloSchema = z.object({ kind: z.literal('hello'), id: text, address: text });
+
+/** The first line on a connection: who speaks. */
+export type PeerHello = z.infer<typeof helloSchema>;
+
+/** One message as a line, without the line end. devalue escapes line ends inside strings. */
+export function encodePeerMessage(message: PeerMessage | PeerHello): string {
+  return stringify(message);
+}
+
+/**
+ * Reads a line.
+ * @throws PeerProtocolError when it is not devalue text or not a known message.
+ */
+export function decodePeerMessage(line: string): PeerMessage {
+  return decode(line, messageSchema) as PeerMessage;
+}
+
+/**
+ * Reads the first line of a connection.
+ * @throws PeerProtocolError when it is not a hello.
+ */
+export function decodePeerHello(line: string): PeerHello {
+  return decode(line, helloSchema);
+}
+
+function decode<Output>(line: string, schema: z.ZodType<Output>): Output {
+  let value: unknown;
+  try {
+    value = parse(line);
+  } catch (error) {
+    throw new PeerProtocolError((error as Error).message);
+  }
+  const result = schema.safeParse(value);
+  if (result.success) return result.data;
+  const issue = result.error.issues[0];
+  throw new PeerProtocolError(`${issue.path.join('.')}: ${issue.message}`);
+}
--- /dev/null
+++ b/src/adapters/platform-client.ts
@@ -0,0 +1,105 @@
+/** The platform's table service and machine list over HTTP. docs/PROTOCOLS.md gives the form. */
+import { Agent, request } from 'undici';
+import { z } from 'zod';
+import type { MachineListing } from '../platform/machine-list.js';
+import type { TableRequest, TableResult } from '../platform/table-service.js';
+
+/** The platform as the daemon's process uses it. Calls never reject; a failure is a result. */
+export interface PlatformClient {
+  table(request: TableRequest): Promise<TableResult>;
+  /** The machine list, or undefined when there was no answer. */
+  listMachines(cells: readonly string[]): Promise<MachineListing | undefined>;
+  close(): Promise<void>;
+}
+
+const TIMEOUT_MS = 1500;
+const CONNECT_TIMEOUT_MS = 1000;
+const DEFAULT_RETRY_AFTER_MS = 500;
+
+const rowSchema = z.object({
+  table: z.enum(['services', 'leases', 'claims']),
+  key: z.string(),
+  revision: z.number(),
+  value: z.unknown(),
+});
+
+const tableResultSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('committed'), revision: z.number() }),
+  z.object({ kind: z.literal('conflict'), rows: z.array(rowSchema) }),
+  z.object({ kind: z.literal('row'), row: rowSchema.nullable() }),
+  z.object({ kind: z.literal('changes'), revision: z.number(), rows: z.array(rowSchema) }),
+]);
+
+const listingSchema = z.object({
+  cells: z.array(z.object({ name: z.string(), zone: z.string() })),
+  machines: z.array(
+    z.object({
+      id: z.string(),
+      kind: z.enum(['engine', 'application']),
+      address: z.string(),
+      zone: z.string(),
+      cell: z.string(),
+      state: z.enum(['live', 'leaving']),
+    }),
+  ),
+});
+
+/** The HTTP adapter. Any of the addresses may be asked; they are tried in turn after a failure. */
+export class HttpPlatformClient implements PlatformClient {
+  private readonly agent = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: TIMEOUT_MS,
+    bodyTimeout: TIMEOUT_MS,
+  });
+  private current = 0;
+
+  constructor(private readonly addresses: readonly string[]) {}
+
+  async table(tableRequest: TableRequest): Promise<TableResult> {
+    try {
+      const { statusCode, headers, body } = await this.post('/v1/table', tableRequest);
+      const value: unknown = await body.json();
+      if (statusCode === 429)
+        return {
+          kind: 'rateLimited',
+          retryAfterMs: Number(headers['retry-after-ms'] ?? DEFAULT_RETRY_AFTER_MS),
+        };
+      const parsed = tableResultSchema.safeParse(value);
+      if (statusCode === 200 && parsed.success) return parsed.data as TableResult;
+      return this.failed(`status ${statusCode}`);
+    } catch (error) {
+      return this.failed((error as Error).message);
+    }
+  }
+
+  async listMachines(cells: readonly string[]): Promise<MachineListing | undefined> {
+    try {
+      const { statusCode, body } = await this.post('/v1/machines', { cells });
+      const parsed = listingSchema.safeParse(await body.json());
+      return statusCode === 200 && parsed.success ? parsed.data : undefined;
+    } catch {
+      this.current += 1;
+      return undefined;
+    }
+  }
+
+  close(): Promise<void> {
+    return this.agent.destroy();
+  }
+
+  private post(path: string, value: unknown): ReturnType<typeof request> {
+    const address = this.addresses[this.current % this.addresses.length];
+    return request(`http://${address}${path}`, {
+      method: 'POST',
+      dispatcher: this.agent,
+      signal: AbortSignal.timeout(TIMEOUT_MS),
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(value),
+    });
+  }
+
+  private failed(reason: string): TableResult {
+    this.current += 1;
+    return { kind: 'noAnswer', reason };
+  }
+}
--- /dev/null
+++ b/src/allocation/cell-coordinator.ts
@@ -0,0 +1,287 @@
+/**
+ * Carries out the allocation of one cell. While this daemon holds the cell's lease it seals every engine with
+ * the lease's epoch, asks the policy for changes, and gives fenced orders in two stages: drain, then change.
+ * Whether or not it holds the lease, it collects the engines' reports for the daemons that route to the cell.
+ */
+import type { EffectSink } from '../shared/effect-sink.js';
+import type {
+  EngineAssignment,
+  EngineControlRequest,
+  EngineControlResult,
+  EngineReport,
+  OrderAction,
+} from '../engine/engine-protocol.js';
+import type { HeldLease } from '../lease/cell-lease.js';
+import {
+  planNextChange,
+  type AllocatableEngine,
+  type AllocationSettings,
+  type ModelDemand,
+} from './role-allocator.js';
+
+/** What the coordinator asks its runner to do. */
+export type CoordinatorEffect =
+  | {
+      readonly kind: 'engineControl';
+      readonly engineId: string;
+      readonly address: string;
+      readonly request: EngineControlRequest;
+    }
+  | {
+      readonly kind: 'orderGiven';
+      readonly engineId: string;
+      readonly epoch: number;
+      readonly action: OrderAction;
+    }
+  | { readonly kind: 'changeFinished'; readonly engineId: string; readonly assignment: EngineAssignment };
+
+/** An engine of the cell as the machine list names it. */
+export interface CellEngine {
+  readonly id: string;
+  readonly address: string;
+  readonly leaving: boolean;
+}
+
+/** Durations of coordination. */
+export interface CoordinatorSettings {
+  /** Interval between reports asked of each engine. Milliseconds. Default 1000. */
+  readonly reportIntervalMs: number;
+  /** A new holder decides without an engine that has not answered its seal for this long. Milliseconds. Default 5000. */
+  readonly sealTimeoutMs: number;
+}
+
+/** Default settings. */
+export const DEFAULT_COORDINATOR_SETTINGS: CoordinatorSettings = {
+  reportIntervalMs: 1000,
+  sealTimeoutMs: 5000,
+};
+
+interface EngineState {
+  readonly id: string;
+  address: string;
+  leaving: boolean;
+  report: EngineReport | undefined;
+  reportReceivedAt: number;
+  nextReportAt: number;
+  /** Epoch that the engine confirmed; orders go only to engines sealed in the present epoch. */
+  sealedEpoch: number;
+  /** The assignment that the engine is being brought to. */
+  target: EngineAssignment | undefined;
+  /** Set while a control request is on its way. One at a time keeps orders in sequence. */
+  busy: boolean;
+  silentSince: number | undefined;
+}
+
+const REPORT_FRESH_INTERVALS = 5;
+
+/** The coordinator of one cell in one daemon. Times are monotonic milliseconds. */
+export class CellCoordinator {
+  private readonly engines = new Map<string, EngineState>();
+  private epoch = 0;
+  private epochSince = 0;
+  private lastChangeAt = -Infinity;
+  /** Changes of assignment ordered so far. */
+  changesOrdered = 0;
+
+  constructor(
+    private readonly settings: CoordinatorSettings,
+    private readonly allocation: AllocationSettings,
+    private readonly emit: EffectSink<CoordinatorEffect>,
+  ) {}
+
+  /** The engines' last reports, for digests. */
+  reports(): { id: string; address: string; report: EngineReport; receivedAt: number }[] {
+    const known: { id: string; address: string; report: EngineReport; receivedAt: number }[] = [];
+    for (const engine of this.engines.values()) {
+      const { id, address, report, reportReceivedAt } = engine;
+      if (report && engine.silentSince === undefined)
+        known.push({ id, address, report, receivedAt: reportReceivedAt });
+    }
+    return known;
+  }
+
+  /** Takes the cell's engines from the machine list. */
+  setEngines(list: readonly CellEngine[], now: number): void {
+    const listed = new Set(list.map((engine) => engine.id));
+    for (const id of [...this.engines.keys()]) if (!listed.has(id)) this.engines.delete(id);
+    for (const { id, address, leaving } of list) {
+      const known = this.engines.get(id);
+      if (known) {
+        known.address = address;
+        known.leaving = leaving;
+        continue;
+      }
+      this.engines.set(id, {
+        id,
+        address,
+        leaving,
+        report: undefined,
+        reportReceivedAt: -Infinity,
+        nextReportAt: now,
+        sealedEpoch: 0,
+        target: undefined,
+        busy: false,
+        silentSince: undefined,
+      });
+    }
+  }
+
+  /**
+   * Advances timers and, with authority, decides.
+   * @param lease the authority at `now`, or undefined without it
+   * @param demands what the services ask of the cell
+   */
+  tick(now: number, lease: HeldLease | undefined, demands: readonly ModelDemand[]): void {
+    if (lease && lease.epoch !== this.epoch) this.beginEpoch(lease.epoch, now);
+    for (const engine of this.engines.values()) {
+      if (engine.busy) continue;
+      if (lease && engine.sealedEpoch !== lease.epoch) this.seal(engine, lease.epoch, now);
+      else if (lease && this.continueChange(engine, lease, now)) continue;
+      else if (now >= engine.nextReportAt) this.askReport(engine, now);
+    }
+    if (lease && this.sealed(now)) this.decide(now, lease, demands);
+  }
+
+  /** Takes the answer to an `engineControl` effect. */
+  receiveControlResult(engineId: string, result: EngineControlResult, now: number): void {
+    const engine = this.engines.get(engineId);
+    if (!engine) return;
+    engine.busy = false;
+    switch (result.kind) {
+      case 'report':
+      case 'notApplicable':
+        this.takeReport(engine, result.report, now);
+        break;
+      case 'fenced':
+        engine.sealedEpoch = 0;
+        engine.nextReportAt = now;
+        break;
+      case 'noAnswer':
+        engine.silentSince ??= now;
+        break;
+    }
+  }
+
+  private beginEpoch(epoch: number, now: number): void {
+    this.epoch = epoch;
+    this.epochSince = now;
+    for (const engine of this.engines.values()) engine.target = undefined;
+  }
+
+  private seal(engine: EngineState, epoch: number, now: number): void {
+    if (now < engine.nextReportAt && engine.silentSince !== undefined) return;
+    this.control(engine, { kind: 'seal', epoch }, now);
+  }
+
+  private askReport(engine: EngineState, now: number): void {
+    this.control(engine, { kind: 'report' }, now);
+  }
+
+  private control(engine: EngineState, request: EngineControlRequest, now: number): void {
+    engine.busy = true;
+    engine.nextReportAt = now + this.settings.reportIntervalMs;
+    this.emit({ kind: 'engineControl', engineId: engine.id, address: engine.address, request });
+  }
+
+  private takeReport(engine: EngineState, report: EngineReport, now: number): void {
+    engine.report = report;
+    engine.reportReceivedAt = now;
+    engine.silentSince = undefined;
+    if (report.epoch > engine.sealedEpoch) engine.sealedEpoch = report.epoch;
+    const target = engine.target;
+    if (target && report.phase === 'active' && sameAssignment(report.assignment, target)) {
+      engine.target = undefined;
+      this.emit({ kind: 'changeFinished', engineId: engine.id, assignment: target });
+    }
+  }
+
+  /** Every reachable engine carries this epoch, or has been silent for the time limit. */
+  private sealed(now: number): boolean {
+    for (const engine of this.engines.values()) {
+      if (engine.sealedEpoch === this.epoch) continue;
+      const silent = engine.silentSince !== undefined && now - this.epochSince > this.settings.sealTimeoutMs;
+      if (!silent) return false;
+    }
+    return this.engines.size > 0;
+  }
+
+  /** Gives the next order of a change under way. Returns whether it did. */
+  private continueChange(engine: EngineState, lease: HeldLease, now: number): boolean {
+    const { report } = engine;
+    if (!report || !this.isFresh(engine, now)) return false;
+    if (!engine.target) {
+      // An earlier holder drained this engine and its plan is gone: put it back to work.
+      if (report.phase !== 'draining') return false;
+      return this.order(engine, lease, { kind: 'resume' }, now);
+    }
+    const hot = isHotChange(report.assignment, engine.target);
+    if (report.phase === 'active' && hot)
+      return this.order(engine, lease, { kind: 'change', assignment: engine.target }, now);
+    if (report.phase === 'active') return this.order(engine, lease, { kind: 'drain' }, now);
+    const drained = report.phase === 'draining' && report.streams === 0;
+    return drained && this.order(engine, lease, { kind: 'change', assignment: engine.target }, now);
+  }
+
+  private order(engine: EngineState, lease: HeldLease, action: OrderAction, now: number): boolean {
+    const report = engine.report;
+    if (!report || engine.sealedEpoch !== lease.epoch) return false;
+    // The report was made no later than it was received, so this expiry cannot lie after the lease's end.
+    const expiresAtClockMs = report.clockMs + (lease.validUntil - engine.reportReceivedAt);
+    const sequence = report.sequence + 1;
+    this.control(engine, { kind: 'order', epoch: lease.epoch, sequence, expiresAtClockMs, action }, now);
+    this.emit({ kind: 'orderGiven', engineId: engine.id, epoch: lease.epoch, action });
+    return true;
+  }
+
+  private decide(now: number, lease: HeldLease, demands: readonly ModelDemand[]): void {
+    if (now - this.lastChangeAt < this.allocation.minimumIntervalMs) return;
+    const candidates = this.allocatable(now);
+    const change = planNextChange(candidates, demands, this.allocation);
+    const engine = change && this.engines.get(change.engineId);
+    if (!change || !engine || engine.busy) return;
+    engine.target = change.assignment;
+    this.lastChangeAt = now;
+    if (!isHotChange(engine.report?.assignment, change.assignment)) this.changesOrdered += 1;
+    this.continueChange(engine, lease, now);
+  }
+
+  private allocatable(now: number): AllocatableEngine[] {
+    const engines: AllocatableEngine[] = [];
+    for (const engine of this.engines.values()) {
+      const { report } = engine;
+      if (!report || engine.leaving || report.phase === 'leaving') continue;
+      if (engine.sealedEpoch !== this.epoch || !this.isFresh(engine, now)) continue;
+      engines.push({
+        id: engine.id,
+        assignment: engine.target ?? report.assignment,
+        capability: report.capability,
+        streams: report.streams,
+        changing: engine.target !== undefined || report.phase !== 'active',
+      });
+    }
+    return engines;
+  }
+
+  private isFresh(engine: EngineState, now: number): boolean {
+    return now - engine.reportReceivedAt <= this.settings.reportIntervalMs * REPORT_FRESH_INTERVALS;
+  }
+}
+
+/** Whether a change only adds adapters, which an engine does while it works. */
+export function isHotChange(current: EngineAssignment | undefined, target: EngineAssignment): boolean {
+  if (!current) return false;
+  const same =
+    current.role === target.role && current.model === target.model && current.version === target.version;
+  return same && current.adapters.every((adapter) => target.adapters.includes(adapter));
+}
+
+/** Whether two assignments are the same. */
+export function sameAssignment(left: EngineAssignment, right: EngineAssignment): boolean {
+  return (
+    left.role === right.role &&
+    left.model === right.model &&
+    left.version === right.version &&
+    left.adapters.length === right.adapters.length &&
+    left.adapters.every((adapter) => right.adapters.includes(adapter))
+  );
+}
--- /dev/null
+++ b/src/allocation/role-allocator.ts
@@ -0,0 +1,319 @@
+/**
+ * The allocation policy: which role and model each engine of a cell should have. Pure: it knows nothing of
+ * leases, orders or sockets. The cell's coordinator calls it once an interval with what it knows and carries
+ * out at most the one change it answers.
+ */
+import type { EngineAssignment, EngineCapability, EngineRole } from '../engine/engine-protocol.js';
+import { servableFactor, type RoleCounts, type TokenDemand } from './throughput-model.js';
+
+/** What the policy knows of an engine. */
+export interface AllocatableEngine {
+  readonly id: string;
+  readonly assignment: EngineAssignment;
+  readonly capability: EngineCapability;
+  readonly streams: number;
+  /** True while the engine drains or changes; it then counts with its future assignment. */
+  readonly changing: boolean;
+}
+
+/** What services ask of one version of one model. */
+export interface ModelDemand extends TokenDemand {
+  readonly model: string;
+  readonly version: number;
+  readonly adapters: readonly string[];
+}
+
+/** Settings of the policy. */
+export interface AllocationSettings {
+  /** `adaptive` decides by cost, `threshold` follows the mix without hysteresis, `fixed` changes nothing. Default adaptive. */
+  readonly policy: 'adaptive' | 'threshold' | 'fixed';
+  /**
+   * What a role change costs beyond the engine time it takes, in seconds of one engine's goodput. A high
+   * value gives a calm fleet, a low one follows every shift. Default 10.
+   */
+  readonly roleChangeCostSeconds: number;
+  /** How long a shift of the mix is expected to last. Seconds. Default 60. */
+  readonly horizonSeconds: number;
+  /** Least time between two changes in a cell. Milliseconds. Default 2000. */
+  readonly minimumIntervalMs: number;
+  /** Engines of each model that always can take whole requests (mixed, or one of prefill and decode). Default 1. */
+  readonly floorPerModel: number;
+  /** Headroom worth having: the factor up to which more capacity still counts. Default 1.5. */
+  readonly headroomFactor: number;
+}
+
+/** Default settings. */
+export const DEFAULT_ALLOCATION_SETTINGS: AllocationSettings = {
+  policy: 'adaptive',
+  roleChangeCostSeconds: 10,
+  horizonSeconds: 60,
+  minimumIntervalMs: 2000,
+  floorPerModel: 1,
+  headroomFactor: 1.5,
+};
+
+/** One engine's new assignment, and what it is expected to be worth. */
+export interface PlannedChange {
+  readonly engineId: string;
+  readonly assignment: EngineAssignment;
+  /** Expected gain over the horizon less the cost, in seconds of one engine's goodput. */
+  readonly netGainSeconds: number;
+}
+
+const ROLES: readonly EngineRole[] = ['prefill', 'decode', 'mixed'];
+/** Value of capacity beyond the demand, against capacity that serves it. */
+const HEADROOM_VALUE = 0.1;
+/** A change of model takes an engine away for longer than a change of role by about this factor. */
+const MODEL_MOVE_COST_FACTOR = 3;
+
+/** The identity of a model version. */
+export function modelKey(model: string, version: number): string {
+  return `${model}@${version}`;
+}
+
+/** The next change, or undefined when none is worth its cost. */
+export function planNextChange(
+  engines: readonly AllocatableEngine[],
+  demands: readonly ModelDemand[],
+  settings: AllocationSettings,
+): PlannedChange | undefined {
+  if (settings.policy === 'fixed') return undefined;
+  return (
+    planAdapterLoad(engines, demands) ??
+    planPlacement(engines, demands, settings) ??
+    planRoleOrModel(engines, demands, settings)
+  );
+}
+
+/** The better of the best change of role and the best move of an engine between models. */
+function planRoleOrModel(
+  engines: readonly AllocatableEngine[],
+  demands: readonly ModelDemand[],
+  settings: AllocationSettings,
+): PlannedChange | undefined {
+  const role = planRole(engines, demands, settings);
+  const move = planModelMove(engines, demands, settings);
+  if (!role || !move) return role ?? move;
+  return role.netGainSeconds >= move.netGainSeconds ? role : move;
+}
+
+/** Moves an engine from the model with the most to spare, or from one that no service uses, to the neediest. */
+function planModelMove(
+  engines: readonly AllocatableEngine[],
+  demands: readonly ModelDemand[],
+  settings: AllocationSettings,
+): PlannedChange | undefined {
+  const unused = engines.find(
+    (engine) => !engine.changing && !demands.some((demand) => serves(engine, demand)),
+  );
+  const rated = demands
+    .map((demand) => rateGroup(engines, demand))
+    .sort((left, right) => left.factor - right.factor);
+  const poorest = rated[0];
+  if (!poorest) return undefined;
+  const { model, version, adapters } = poorest.demand;
+  const assignment: EngineAssignment = { role: 'mixed', model, version, adapters };
+  if (unused) return { engineId: unused.id, assignment, netGainSeconds: Infinity };
+  const richest = rated[rated.length - 1];
+  const donor = richest.group
+    .filter((engine) => !engine.changing)
+    .sort((left, right) => left.streams - right.streams)[0];
+  if (richest === poorest || !donor || !canSpare(donor, engines, demands, settings)) return undefined;
+  const gain =
+    groupValue([...poorest.group, { ...donor, assignment }], poorest.demand, settings) -
+    poorest.value(settings);
+  const loss =
+    richest.value(settings) -
+    groupValue(
+      richest.group.filter((engine) => engine !== donor),
+      richest.demand,
+      settings,
+    );
+  const gainPerSecond = gain * poorest.group.length - loss * richest.group.length;
+  const cost =
+    MODEL_MOVE_COST_FACTOR * (donor.capability.roleChangeMs / 1000 + settings.roleChangeCostSeconds);
+  const netGainSeconds = gainPerSecond * settings.horizonSeconds - cost;
+  return netGainSeconds > 0 ? { engineId: donor.id, assignment, netGainSeconds } : undefined;
+}
+
+interface RatedGroup {
+  readonly demand: ModelDemand;
+  readonly group: readonly AllocatableEngine[];
+  readonly factor: number;
+  value(settings: AllocationSettings): number;
+}
+
+function rateGroup(engines: readonly AllocatableEngine[], demand: ModelDemand): RatedGroup {
+  const group = engines.filter((engine) => serves(engine, demand));
+  const factor = group.length === 0 ? 0 : servableFactor(countRoles(group), demand, group[0].capability);
+  return { demand, group, factor, value: (settings) => groupValue(group, demand, settings) };
+}
+
+function groupValue(
+  group: readonly AllocatableEngine[],
+  demand: ModelDemand,
+  settings: AllocationSettings,
+): number {
+  return group.length === 0 ? 0 : value(countRoles(group), demand, group[0].capability, settings);
+}
+
+/** An adapter that a service needs and no engine of its model has yet. Loading one interrupts nothing. */
+function planAdapterLoad(
+  engines: readonly AllocatableEngine[],
+  demands: readonly ModelDemand[],
+): PlannedChange | undefined {
+  for (const demand of demands) {
+    for (const engine of engines) {
+      if (engine.changing || !serves(engine, demand)) continue;
+      const missing = demand.adapters.filter((adapter) => !engine.assignment.adapters.includes(adapter));
+      if (missing.length === 0) continue;
+      const assignment = { ...engine.assignment, adapters: [...engine.assignment.adapters, ...missing] };
+      return { engineId: engine.id, assignment, netGainSeconds: Infinity };
+    }
+  }
+  return undefined;
+}
+
+/** A model version without the engines of its floor takes one from the version that can best spare it. */
+function planPlacement(
+  engines: readonly AllocatableEngine[],
+  demands: readonly ModelDemand[],
+  settings: AllocationSettings,
+): PlannedChange | undefined {
+  for (const demand of demands) {
+    if (wholeRequestEngines(engines.filter((engine) => serves(engine, demand))) >= settings.floorPerModel)
+      continue;
+    const donor = engines
+      .filter((engine) => !engine.changing && canSpare(engine, engines, demands, settings))
+      .sort((left, right) => left.streams - right.streams)[0];
+    if (!donor) continue;
+    const assignment: EngineAssignment = {
+      role: 'mixed',
+      model: demand.model,
+      version: demand.version,
+      adapters: demand.adapters,
+    };
+    return { engineId: donor.id, assignment, netGainSeconds: Infinity };
+  }
+  return undefined;
+}
+
+function canSpare(
+  engine: AllocatableEngine,
+  engines: readonly AllocatableEngine[],
+  demands: readonly ModelDemand[],
+  settings: AllocationSettings,
+): boolean {
+  const own = demands.find((demand) => serves(engine, demand));
+  if (!own) return true;
+  const remaining = engines.filter((other) => other.id !== engine.id && serves(other, own));
+  return wholeRequestEngines(remaining) >= settings.floorPerModel;
+}
+
+/** The best change of one engine's role within its model. */
+function planRole(
+  engines: readonly AllocatableEngine[],
+  demands: readonly ModelDemand[],
+  settings: AllocationSettings,
+): PlannedChange | undefined {
+  let best: PlannedChange | undefined;
+  for (const demand of demands) {
+    const group = engines.filter((engine) => serves(engine, demand));
+    if (group.length < 2) continue;
+    const change =
+      settings.policy === 'threshold'
+        ? thresholdChange(group, demand)
+        : adaptiveChange(group, demand, settings);
+    if (change && (!best || change.netGainSeconds > best.netGainSeconds)) best = change;
+  }
+  return best;
+}
+
+function adaptiveChange(
+  group: readonly AllocatableEngine[],
+  demand: ModelDemand,
+  settings: AllocationSettings,
+): PlannedChange | undefined {
+  const counts = countRoles(group);
+  const capability = group[0].capability;
+  const presentValue = value(counts, demand, capability, settings);
+  let best: PlannedChange | undefined;
+  for (const engine of quietestPerRole(group)) {
+    for (const role of ROLES) {
+      if (role === engine.assignment.role) continue;
+      const next = {
+        ...counts,
+        [engine.assignment.role]: counts[engine.assignment.role] - 1,
+        [role]: counts[role] + 1,
+      };
+      if (!keepsFloor(next, settings)) continue;
+      const gainPerSecond = (value(next, demand, capability, settings) - presentValue) * group.length;
+      const cost = capability.roleChangeMs / 1000 + settings.roleChangeCostSeconds;
+      const netGainSeconds = gainPerSecond * settings.horizonSeconds - cost;
+      if (netGainSeconds > 0 && (!best || netGainSeconds > best.netGainSeconds)) {
+        best = { engineId: engine.id, assignment: { ...engine.assignment, role }, netGainSeconds };
+      }
+    }
+  }
+  return best;
+}
+
+/** The baseline: as many prefill engines as the present share of prefill work, changed whenever it differs. */
+function thresholdChange(
+  group: readonly AllocatableEngine[],
+  demand: ModelDemand,
+): PlannedChange | undefined {
+  const capability = group[0].capability;
+  const prefillEngines = demand.prefillPerSecond / capability.prefillRate;
+  const decodeEngines = demand.decodePerSecond / capability.decodeRate;
+  if (prefillEngines + decodeEngines === 0) return undefined;
+  const wanted = Math.round((group.length * prefillEngines) / (prefillEngines + decodeEngines));
+  const target = Math.min(group.length - 1, Math.max(1, wanted));
+  const counts = countRoles(group);
+  const role: EngineRole = counts.prefill < target ? 'prefill' : 'decode';
+  const needsChange = counts.prefill !== target || counts.mixed > 0;
+  const donor = quietestPerRole(group).find((engine) => engine.assignment.role !== role);
+  if (!needsChange || !donor) return undefined;
+  return { engineId: donor.id, assignment: { ...donor.assignment, role }, netGainSeconds: 0 };
+}
+
+/** Share of the demand that is carried, plus a little for headroom. */
+function value(
+  counts: RoleCounts,
+  demand: TokenDemand,
+  capability: EngineCapability,
+  settings: AllocationSettings,
+): number {
+  const factor = servableFactor(counts, demand, capability);
+  const headroom = Math.max(0, Math.min(factor, settings.headroomFactor) - 1);
+  return Math.min(factor, 1) + HEADROOM_VALUE * headroom;
+}
+
+function keepsFloor(counts: RoleCounts, settings: AllocationSettings): boolean {
+  return counts.mixed + Math.min(counts.prefill, counts.decode) >= settings.floorPerModel;
+}
+
+function wholeRequestEngines(engines: readonly AllocatableEngine[]): number {
+  const counts = countRoles(engines);
+  return counts.mixed + Math.min(counts.prefill, counts.decode);
+}
+
+function countRoles(engines: readonly AllocatableEngine[]): Record<EngineRole, number> {
+  const counts: Record<EngineRole, number> = { prefill: 0, decode: 0, mixed: 0 };
+  for (const engine of engines) counts[engine.assignment.role] += 1;
+  return counts;
+}
+
+function quietestPerRole(group: readonly AllocatableEngine[]): AllocatableEngine[] {
+  const quietest = new Map<EngineRole, AllocatableEngine>();
+  for (const engine of group) {
+    if (engine.changing) continue;
+    const current = quietest.get(engine.assignment.role);
+    if (!current || engine.streams < current.streams) quietest.set(engine.assignment.role, engine);
+  }
+  return [...quietest.values()];
+}
+
+function serves(engine: AllocatableEngine, demand: ModelDemand): boolean {
+  return engine.assignment.model === demand.model && engine.assignment.version === demand.version;
+}
--- /dev/null
+++ b/src/cli/operator-client.ts
@@ -0,0 +1,73 @@
+/** The operator commands' side of a daemon's operator server. */
+import { request } from 'undici';
+import type { DaemonStatus, RowEdit } from '../daemon/daemon-messages.js';
+import { ProtocolError, PulleyledgeError, TableUnavailableError } from '../errors/index.js';
+import type { ServicesAnswer } from '../gateway/operator-server.js';
+import type { Problem } from '../gateway/problem.js';
+
+/** A problem document received from a daemon. */
+export class RemoteProblemError extends PulleyledgeError {
+  constructor(readonly problem: Problem) {
+    super(problem.detail, {
+      code: problem.type.slice(problem.type.lastIndexOf(':') + 1),
+      status: problem.status,
+      context: problem.context,
+      retryAfterMs: problem.retryAfterMs,
+    });
+  }
+}
+
+const TIMEOUT_MS = 15_000;
+const RETRY_AFTER_MS = 2000;
+
+/** Calls one daemon's operator server. */
+export class OperatorClient {
+  constructor(private readonly address: string) {}
+
+  /** The daemon's status. */
+  status(): Promise<DaemonStatus> {
+    return this.call('GET', '/v1/status') as Promise<DaemonStatus>;
+  }
+
+  /** The services in force at the daemon. */
+  services(): Promise<ServicesAnswer> {
+    return this.call('GET', '/v1/services') as Promise<ServicesAnswer>;
+  }
+
+  /** Edits rows, all or none. Returns the revision of the accepted edit. */
+  async edit(editId: string, edits: readonly RowEdit[]): Promise<number> {
+    const { revision } = (await this.call('POST', '/v1/services', { editId, edits })) as { revision: number };
+    return revision;
+  }
+
+  private async call(method: 'GET' | 'POST', path: string, body?: unknown): Promise<unknown> {
+    const answer = await this.send(method, path, body);
+    if (answer.status === 200) return answer.value;
+    const problem = answer.value as Problem | undefined;
+    if (typeof problem?.type !== 'string') throw new ProtocolError(this.address, `status ${answer.status}`);
+    throw new RemoteProblemError(problem);
+  }
+
+  private async send(
+    method: 'GET' | 'POST',
+    path: string,
+    body?: unknown,
+  ): Promise<{ status: number; value: unknown }> {
+    try {
+      const response = await request(`http://${this.address}${path}`, {
+        method,
+        headersTimeout: TIMEOUT_MS,
+        headers: { 'content-type': 'application/json' },
+        body: body === undefined ? undefined : JSON.stringify(body),
+      });
+      return { status: response.statusCode, value: await response.body.json() };
+    } catch (error) {
+      const notRun = method === 'GET' ? 'true' : 'unknown';
+      throw new TableUnavailableError(
+        `daemon ${this.address}: ${(error as Error).message}`,
+        notRun,
+        RETRY_AFTER_MS,
+      );
+    }
+  }
+}
--- /dev/null
+++ b/src/cli/table.ts
@@ -0,0 +1,34 @@
+/** Plain tables for the terminal. */
+import Table from 'cli-table3';
+
+const BORDERLESS = {
+  top: '',
+  'top-mid': '',
+  'top-left': '',
+  'top-right': '',
+  bottom: '',
+  'bottom-mid': '',
+  'bottom-left': '',
+  'bottom-right': '',
+  left: '',
+  'left-mid': '',
+  mid: '',
+  'mid-mid': '',
+  right: '',
+  'right-mid': '',
+  middle: '  ',
+};
+
+/** Formats rows under a header. */
+export function formatTable(
+  header: readonly string[],
+  rows: readonly (readonly (string | number)[])[],
+): string {
+  const table = new Table({
+    head: [...header],
+    chars: BORDERLESS,
+    style: { head: [], border: [], 'padding-left': 0, 'padding-right': 0 },
+  });
+  for (const row of rows) table.push([...row]);
+  return table.toString();
+}
--- /dev/null
+++ b/src/configuration/configuration-replica.ts
@@ -0,0 +1,277 @@
+/**
+ * The replica of the service table that each daemon keeps. A few daemons a zone poll the table; the others
+ * pull from them. Rows only move forward in revision. The replica knows how long ago its contents were
+ * certainly current, by its own clock, and says when a daemon must not admit on them.
+ */
+import { rankByRendezvous } from '../shared/rendezvous-hash.js';
+import type { EffectSink } from '../shared/effect-sink.js';
+import type { TableRequest, TableResult } from '../platform/table-service.js';
+import type { Member } from '../membership/membership-messages.js';
+import { serviceRowSchema, type ServiceRow, type VersionedRow } from './service-row.js';
+
+/** Durations and counts of configuration spread. */
+export interface ConfigurationSettings {
+  /** Interval of a poller's reads of the table. Milliseconds. Default 1000. */
+  readonly pollIntervalMs: number;
+  /** Interval of the other daemons' pulls from a poller. Milliseconds. Default 2000. */
+  readonly pullIntervalMs: number;
+  /** Daemons of a zone that poll the table. Default 3. */
+  readonly pollersPerZone: number;
+  /** A configuration confirmed longer ago than this is not admitted on. Milliseconds. Default 10000. */
+  readonly maximumStalenessMs: number;
+}
+
+/** Default settings. */
+export const DEFAULT_CONFIGURATION_SETTINGS: ConfigurationSettings = {
+  pollIntervalMs: 1000,
+  pullIntervalMs: 2000,
+  pollersPerZone: 3,
+  maximumStalenessMs: 10_000,
+};
+
+/** A row in the short form that travels. */
+export type RowUpdate = readonly [name: string, revision: number, row: ServiceRow | null];
+
+/** Messages between replicas. */
+export type ConfigurationMessage =
+  | { readonly kind: 'configurationPull'; readonly sequence: number; readonly revision: number }
+  | {
+      readonly kind: 'configurationRows';
+      readonly sequence: number;
+      readonly revision: number;
+      /** How long before the answer the revision was certainly current. Milliseconds; -1 for never. */
+      readonly ageMs: number;
+      /** Whether the sender's own last read of the table failed. */
+      readonly tableDown: boolean;
+      readonly rows: readonly RowUpdate[];
+    };
+
+/** What the replica asks its runner to do. */
+export type ConfigurationEffect =
+  | { readonly kind: 'sendConfiguration'; readonly address: string; readonly message: ConfigurationMessage }
+  | { readonly kind: 'readTable'; readonly request: TableRequest }
+  | { readonly kind: 'configurationChanged'; readonly revision: number };
+
+/** The daemon's contact with its peers, as membership sees it. */
+export interface PeerContact {
+  readonly alive: number;
+  readonly known: number;
+  /** When a probe was last answered, or the present time for a daemon without peers. */
+  readonly lastContactAt: number;
+}
+
+/** Why a daemon may or may not admit on its configuration. */
+export type Freshness =
+  | { readonly kind: 'confirmed'; readonly ageMs: number }
+  /** The table is down for everybody in contact, and a majority is: no edit can have been accepted elsewhere. */
+  | { readonly kind: 'majorityInOutage'; readonly ageMs: number }
+  | { readonly kind: 'stale'; readonly ageMs: number }
+  | { readonly kind: 'never' };
+
+const PULL_TIMEOUT_INTERVALS = 1.5;
+
+/** The configuration state machine of one daemon. Times are monotonic milliseconds. */
+export class ConfigurationReplica {
+  private readonly rows = new Map<string, VersionedRow>();
+  private currentRevision = -1;
+  private confirmedAt = -Infinity;
+  private nextPollAt: number;
+  private nextPullAt: number;
+  private pollSentAt: number | undefined;
+  private tableDownSince: number | undefined;
+  private outageHeardAt = -Infinity;
+  private pullSequence = 0;
+  private pull: { sequence: number; sentAt: number } | undefined;
+  private unansweredPulls = 0;
+
+  constructor(
+    private readonly selfId: string,
+    private readonly settings: ConfigurationSettings,
+    private readonly emit: EffectSink<ConfigurationEffect>,
+    now: number,
+  ) {
+    this.nextPollAt = now;
+    this.nextPullAt = now;
+  }
+
+  /** The revision in force here; -1 before the first. */
+  revision(): number {
+    return this.currentRevision;
+  }
+
+  /** The row of a service, if the configuration in force has it. */
+  service(name: string): ServiceRow | undefined {
+    return this.rows.get(name)?.row ?? undefined;
+  }
+
+  /** A row with its revision. */
+  versioned(name: string): VersionedRow | undefined {
+    return this.rows.get(name);
+  }
+
+  /** Every row that is not deleted. */
+  services(): VersionedRow[] {
+    return [...this.rows.values()].filter((entry) => entry.row !== null);
+  }
+
+  /** Whether the last read of the table failed. */
+  tableDown(): boolean {
+    return this.tableDownSince !== undefined;
+  }
+
+  /** How current the configuration is known to be. */
+  freshness(now: number, contact: PeerContact): Freshness {
+    if (this.currentRevision < 0) return { kind: 'never' };
+    const ageMs = now - this.confirmedAt;
+    if (ageMs <= this.settings.maximumStalenessMs) return { kind: 'confirmed', ageMs };
+    const outageKnown = now - this.outageHeardAt <= this.settings.maximumStalenessMs;
+    const inContact = now - contact.lastContactAt <= this.settings.maximumStalenessMs / 2;
+    const majority = contact.alive * 2 > contact.known;
+    return outageKnown && inContact && majority
+      ? { kind: 'majorityInOutage', ageMs }
+      : { kind: 'stale', ageMs };
+  }
+
+  /** Advances timers. `zoneMembers` are the active daemons of the own zone, itself included. */
+  tick(now: number, zoneMembers: readonly Member[]): void {
+    const pollers = this.pollersOf(zoneMembers);
+    const isPoller = pollers.some((member) => member.id === this.selfId);
+    const fallback =
+      now - this.confirmedAt > this.settings.maximumStalenessMs / 2 || this.unansweredPulls >= 2;
+    if ((isPoller || fallback) && now >= this.nextPollAt && this.pollSentAt === undefined)
+      this.pollTable(now);
+    if (!isPoller || this.tableDown()) this.pullFromPeer(now, isPoller ? zoneMembers : pollers);
+  }
+
+  /** Reads the table as soon as the next tick, after an edit was accepted here. */
+  pollSoon(): void {
+    this.nextPollAt = 0;
+  }
+
+  /** Takes the answer to a `readTable` effect. */
+  receiveTableResult(result: TableResult, now: number): void {
+    const sentAt = this.pollSentAt ?? now;
+    this.pollSentAt = undefined;
+    if (result.kind === 'changes') {
+      this.tableDownSince = undefined;
+      this.apply(
+        result.revision,
+        result.rows.map((row) => toRowUpdate(row.key, row.revision, row.value)),
+      );
+      this.confirmedAt = Math.max(this.confirmedAt, sentAt);
+    } else if (result.kind === 'rateLimited') {
+      this.nextPollAt = Math.max(this.nextPollAt, now + result.retryAfterMs);
+    } else {
+      this.tableDownSince ??= now;
+      this.outageHeardAt = Math.max(this.outageHeardAt, sentAt);
+    }
+  }
+
+  /** Takes a message from the replica at `address`. */
+  receive(address: string, message: ConfigurationMessage, now: number): void {
+    if (message.kind === 'configurationPull') this.answerPull(address, message, now);
+    else this.receiveRows(message, now);
+  }
+
+  private answerPull(
+    address: string,
+    message: Extract<ConfigurationMessage, { kind: 'configurationPull' }>,
+    now: number,
+  ): void {
+    const newer = [...this.rows.values()].filter((entry) => entry.revision > message.revision);
+    this.emit({
+      kind: 'sendConfiguration',
+      address,
+      message: {
+        kind: 'configurationRows',
+        sequence: message.sequence,
+        revision: this.currentRevision,
+        ageMs: Number.isFinite(this.confirmedAt) ? Math.round(now - this.confirmedAt) : -1,
+        tableDown: this.tableDown(),
+        rows: newer.map((entry) => [entry.name, entry.revision, entry.row]),
+      },
+    });
+  }
+
+  private receiveRows(
+    message: Extract<ConfigurationMessage, { kind: 'configurationRows' }>,
+    now: number,
+  ): void {
+    if (this.pull?.sequence !== message.sequence) {
+      // An answer to an older pull: its rows are good, its age cannot be placed on this clock.
+      this.apply(message.revision, message.rows);
+      return;
+    }
+    const sentAt = this.pull.sentAt;
+    this.pull = undefined;
+    this.unansweredPulls = 0;
+    this.apply(message.revision, message.rows);
+    if (message.ageMs >= 0)
+      this.confirmedAt = Math.max(this.confirmedAt, Math.min(now, sentAt - message.ageMs));
+    if (message.tableDown) this.outageHeardAt = Math.max(this.outageHeardAt, sentAt);
+  }
+
+  private pollersOf(zoneMembers: readonly Member[]): Member[] {
+    const ids = zoneMembers.map((member) => member.id);
+    const chosen = new Set(rankByRendezvous('configuration-poller', ids, this.settings.pollersPerZone));
+    return zoneMembers.filter((member) => chosen.has(member.id));
+  }
+
+  private pollTable(now: number): void {
+    this.nextPollAt = now + this.settings.pollIntervalMs;
+    this.pollSentAt = now;
+    this.emit({
+      kind: 'readTable',
+      request: { kind: 'changes', table: 'services', since: Math.max(0, this.currentRevision) },
+    });
+  }
+
+  private pullFromPeer(now: number, sources: readonly Member[]): void {
+    if (now < this.nextPullAt) return;
+    const others = sources.filter((member) => member.id !== this.selfId);
+    if (others.length === 0) return;
+    if (this.pull && now - this.pull.sentAt > this.settings.pullIntervalMs * PULL_TIMEOUT_INTERVALS)
+      this.pull = undefined;
+    if (this.pull) this.unansweredPulls += 1;
+    this.nextPullAt =
+      now + (this.currentRevision < 0 ? this.settings.pullIntervalMs / 8 : this.settings.pullIntervalMs);
+    this.pullSequence += 1;
+    this.pull = { sequence: this.pullSequence, sentAt: now };
+    const index = (hashIndex(this.selfId) + this.pullSequence) % others.length;
+    const message: ConfigurationMessage = {
+      kind: 'configurationPull',
+      sequence: this.pullSequence,
+      revision: this.currentRevision,
+    };
+    this.emit({ kind: 'sendConfiguration', address: others[index].address, message });
+  }
+
+  /** The one place where rows change. A row is replaced only by one of a higher revision. */
+  private apply(revision: number, updates: readonly RowUpdate[]): void {
+    let changed = false;
+    for (const [name, rowRevision, row] of updates) {
+      const current = this.rows.get(name);
+      if (current && current.revision >= rowRevision) continue;
+      this.rows.set(name, { name, revision: rowRevision, row });
+      changed = true;
+    }
+    if (revision > this.currentRevision) {
+      this.currentRevision = revision;
+      changed = true;
+    }
+    if (changed) this.emit({ kind: 'configurationChanged', revision: this.currentRevision });
+  }
+}
+
+function hashIndex(id: string): number {
+  let sum = 0;
+  for (const character of id) sum = (sum * 31 + character.charCodeAt(0)) >>> 0;
+  return sum % 1024;
+}
+
+/** A row that does not parse is treated as deleted: it cannot be served, and it must not stop the others. */
+function toRowUpdate(name: string, revision: number, value: unknown): RowUpdate {
+  if (value === null) return [name, revision, null];
+  const parsed = serviceRowSchema.safeParse(value);
+  return [name, revision, parsed.success ? parsed.data : null];
+}
--- /dev/null
+++ b/src/daemon/admission.ts
@@ -0,0 +1,184 @@
+/**
+ * Decides at once whether a request is admitted, and gets it a slot of its service before it begins.
+ * A refusal is answered the moment it is decided and says truthfully whether the request ran.
+ */
+import type { ConfigurationReplica, Freshness } from '../configuration/configuration-replica.js';
+import type { ServiceRow } from '../configuration/service-row.js';
+import {
+  CallerCancelledError,
+  DeadlineExceededError,
+  NotReadyError,
+  SlotUnavailableError,
+  StaleConfigurationError,
+  UnknownServiceError,
+  ValidationError,
+  WaitingLimitError,
+  type PulleyledgeError,
+} from '../errors/index.js';
+import type { SlotHolder } from '../limits/slot-holder.js';
+import type { ApplicationCall, ApplicationManager } from '../routing/application-manager.js';
+import type { CompletionManager } from '../routing/completion-manager.js';
+import type { CompletionRequest } from '../routing/completion-request.js';
+import type { EffectSink } from '../shared/effect-sink.js';
+import type { DemandTracker } from './demand-tracker.js';
+
+type Work =
+  | { readonly kind: 'completion'; readonly request: CompletionRequest }
+  | { readonly kind: 'application'; readonly request: ApplicationCall };
+
+interface WaitingForSlot {
+  readonly work: Work;
+  readonly row: ServiceRow;
+  readonly since: number;
+}
+
+/** The failure of a request that was not begun. */
+export interface AdmissionEffect {
+  readonly kind: 'replyFailed';
+  readonly requestId: string;
+  readonly error: PulleyledgeError;
+  readonly tokensSent: number;
+}
+
+const NOT_READY_RETRY_AFTER_MS = 1000;
+const SLOT_RETRY_AFTER_MS = 1000;
+
+/** The parts of the daemon that admission works with. */
+export interface AdmissionParts {
+  readonly configuration: ConfigurationReplica;
+  readonly slots: SlotHolder;
+  readonly completions: CompletionManager;
+  readonly applications: ApplicationManager;
+  readonly demand: DemandTracker;
+  readonly freshness: (now: number) => Freshness;
+}
+
+/** The admission machine of one daemon. Times are monotonic milliseconds. */
+export class Admission {
+  private readonly waiting = new Map<string, WaitingForSlot>();
+  /** Services with a limit whose requests hold a slot here, by request. */
+  private readonly slotOf = new Map<string, string>();
+  private draining = false;
+
+  constructor(
+    private readonly parts: AdmissionParts,
+    private readonly emit: EffectSink<AdmissionEffect>,
+  ) {}
+
+  /** Requests that wait for a slot. */
+  waitingForSlots(): number {
+    return this.waiting.size;
+  }
+
+  /** From now on new requests are refused. */
+  closeForNew(): void {
+    this.draining = true;
+  }
+
+  /** Takes a completion from a caller. */
+  submitCompletion(request: CompletionRequest, now: number): void {
+    this.submit({ kind: 'completion', request }, now);
+  }
+
+  /** Takes an application call from a caller. */
+  submitApplication(request: ApplicationCall, now: number): void {
+    this.submit({ kind: 'application', request }, now);
+  }
+
+  /** The owner of the service's limits granted a slot. */
+  slotGranted(requestId: string, now: number): void {
+    const waiting = this.waiting.get(requestId);
+    if (!waiting) return;
+    this.waiting.delete(requestId);
+    this.slotOf.set(requestId, waiting.row.name);
+    this.begin(waiting.work, waiting.row, now);
+  }
+
+  /** The waiting limit is reached. */
+  slotRefused(requestId: string, retryAfterMs: number): void {
+    const waiting = this.waiting.get(requestId);
+    if (!waiting) return;
+    const { row } = waiting;
+    this.refuse(requestId, new WaitingLimitError(row.name, row.maximumWaiting, retryAfterMs));
+  }
+
+  /** The owner did not answer. */
+  slotTimedOut(requestId: string): void {
+    const waiting = this.waiting.get(requestId);
+    if (waiting) this.refuse(requestId, new SlotUnavailableError(waiting.row.name, SLOT_RETRY_AFTER_MS));
+  }
+
+  /** A request is over: its slot goes back. */
+  requestOver(requestId: string): void {
+    const service = this.slotOf.get(requestId);
+    if (service === undefined) return;
+    this.slotOf.delete(requestId);
+    this.parts.slots.release(service);
+  }
+
+  /** The caller went away while its request waited for a slot. Returns whether it did wait. */
+  cancel(requestId: string): boolean {
+    if (!this.waiting.has(requestId)) return false;
+    this.parts.slots.cancel(requestId);
+    this.refuse(requestId, new CallerCancelledError(requestId, 'true'));
+    return true;
+  }
+
+  /** Refuses requests that waited too long for a slot. */
+  tick(now: number): void {
+    for (const [requestId, { work, row, since }] of [...this.waiting]) {
+      const deadlineAt = work.request.receivedAt + (work.request.timeoutMs ?? row.deadlineMs);
+      if (now >= deadlineAt) this.giveUp(requestId, new DeadlineExceededError(requestId, 'true'));
+      else if (now - since > row.maximumWaitMs) {
+        this.giveUp(requestId, new WaitingLimitError(row.name, row.maximumWaiting, SLOT_RETRY_AFTER_MS));
+      }
+    }
+  }
+
+  private submit(work: Work, now: number): void {
+    const { requestId, service } = work.request;
+    const row = this.parts.configuration.service(service);
+    if (work.kind === 'completion' && row?.kind === 'completion') {
+      this.parts.demand.arrived(row, work.request.prompt.tokens, work.request.maximumTokens, now);
+    }
+    const error = this.refusalFor(work, row, now);
+    if (error || !row) {
+      this.refuse(requestId, error ?? new UnknownServiceError(service));
+      return;
+    }
+    if (row.maximumConcurrency === 0) {
+      this.begin(work, row, now);
+      return;
+    }
+    this.waiting.set(requestId, { work, row, since: now });
+    this.parts.slots.acquire(requestId, service, now);
+  }
+
+  private refusalFor(work: Work, row: ServiceRow | undefined, now: number): PulleyledgeError | undefined {
+    const freshness = this.parts.freshness(now);
+    if (this.draining) return new NotReadyError('it is stopping', NOT_READY_RETRY_AFTER_MS);
+    if (freshness.kind === 'never')
+      return new NotReadyError('no configuration is known yet', NOT_READY_RETRY_AFTER_MS);
+    if (freshness.kind === 'stale')
+      return new StaleConfigurationError(freshness.ageMs, NOT_READY_RETRY_AFTER_MS);
+    if (!row) return new UnknownServiceError(work.request.service);
+    if (row.kind !== work.kind)
+      return new ValidationError('model', `service "${row.name}" is of kind ${row.kind}`);
+    return work.kind === 'completion' ? this.parts.completions.refusalFor(work.request, row, now) : undefined;
+  }
+
+  private begin(work: Work, row: ServiceRow, now: number): void {
+    if (work.kind === 'completion') this.parts.completions.begin(work.request, row, now);
+    else this.parts.applications.begin(work.request, row, now);
+  }
+
+  private giveUp(requestId: string, error: PulleyledgeError): void {
+    this.parts.slots.cancel(requestId);
+    this.refuse(requestId, error);
+  }
+
+  private refuse(requestId: string, error: PulleyledgeError): void {
+    this.waiting.delete(requestId);
+    this.emit({ kind: 'replyFailed', requestId, error, tokensSent: 0 });
+  }
+}
--- /dev/null
+++ b/src/daemon/cell-assignment.ts
@@ -0,0 +1,65 @@
+/** Which daemon routes to which cells, and which one coordinates a cell. Every daemon computes the same. */
+import { rankByRendezvous } from '../shared/rendezvous-hash.js';
+import type { Member } from '../membership/membership-messages.js';
+import type { Cell } from '../platform/machine-list.js';
+import type { CellSettings } from './daemon-settings.js';
+
+/** The cells that a daemon routes to: some of its own zone, and some of others for when that one is full or down. */
+export function cellsOfDaemon(
+  daemon: { id: string; zone: string },
+  cells: readonly Cell[],
+  settings: CellSettings,
+): string[] {
+  const own = cells.filter((cell) => cell.zone === daemon.zone).map((cell) => cell.name);
+  const other = cells.filter((cell) => cell.zone !== daemon.zone).map((cell) => cell.name);
+  return [
+    ...rankByRendezvous(daemon.id, own, settings.ownZoneCells),
+    ...rankByRendezvous(daemon.id, other, settings.otherZoneCells),
+  ];
+}
+
+/** Computes subscriptions and coordinators, and remembers them until members or cells change. */
+export class CellAssignment {
+  private readonly subscriptions = new Map<string, string[]>();
+  private members: readonly Member[] = [];
+  private cells: readonly Cell[] = [];
+  private byCell = new Map<string, Member[]>();
+
+  constructor(private readonly settings: CellSettings) {}
+
+  /** Takes the present members and cells. */
+  update(members: readonly Member[], cells: readonly Cell[]): void {
+    if (members === this.members && cells === this.cells) return;
+    if (cells !== this.cells) this.subscriptions.clear();
+    this.members = members;
+    this.cells = cells;
+    this.byCell = new Map(cells.map((cell) => [cell.name, []]));
+    for (const member of members) {
+      for (const cell of this.cellsOf(member)) this.byCell.get(cell)?.push(member);
+    }
+  }
+
+  /** The cells of one daemon. */
+  cellsOf(member: { id: string; zone: string }): string[] {
+    let cells = this.subscriptions.get(member.id);
+    if (!cells) {
+      cells = cellsOfDaemon(member, this.cells, this.settings);
+      this.subscriptions.set(member.id, cells);
+    }
+    return cells;
+  }
+
+  /** The daemons that route to a cell. */
+  subscribersOf(cell: string): readonly Member[] {
+    return this.byCell.get(cell) ?? [];
+  }
+
+  /** The daemon that should coordinate a cell: one in its zone if there is one. */
+  coordinatorOf(cell: string): string | undefined {
+    const zone = this.cells.find((entry) => entry.name === cell)?.zone;
+    const subscribers = this.subscribersOf(cell);
+    const near = subscribers.filter((member) => member.zone === zone);
+    const candidates = (near.length > 0 ? near : subscribers).map((member) => member.id);
+    return rankByRendezvous(`coordinator/${cell}`, candidates, 1)[0];
+  }
+}
--- /dev/null
+++ b/src/daemon/cell-manager.ts
@@ -0,0 +1,284 @@
+/** All cells of one daemon, and what it learns of their engines and of application servers. */
+import type { ConfigurationReplica } from '../configuration/configuration-replica.js';
+import type { EngineControlResult } from '../engine/engine-protocol.js';
+import type { Membership } from '../membership/membership.js';
+import type { DaemonIdentity } from '../membership/membership-messages.js';
+import type { Cell, Machine, MachineListing } from '../platform/machine-list.js';
+import type { TableResult } from '../platform/table-service.js';
+import type { ApplicationManager } from '../routing/application-manager.js';
+import type { EngineDirectory, EngineView } from '../routing/engine-directory.js';
+import type { EffectSink } from '../shared/effect-sink.js';
+import { CellAssignment } from './cell-assignment.js';
+import { CellRuntime, type CellEffect } from './cell-runtime.js';
+import type { CellMessage, ControlPurpose, DaemonEffect, DemandEntry } from './daemon-messages.js';
+import type { DaemonSettings } from './daemon-settings.js';
+import type { DemandTracker } from './demand-tracker.js';
+
+/** The parts of the daemon that cells work with. */
+export interface CellManagerParts {
+  readonly directory: EngineDirectory;
+  readonly membership: Membership;
+  readonly configuration: ConfigurationReplica;
+  readonly applications: ApplicationManager;
+  readonly demand: DemandTracker;
+}
+
+/** Without a digest for this many intervals the daemon asks the engines itself. */
+const DIGEST_MISSING_INTERVALS = 3;
+/** Engines asked per interval in that case. */
+const DIRECT_REPORTS_PER_INTERVAL = 4;
+
+/** The cells of one daemon. Times are monotonic milliseconds. */
+export class CellManager {
+  private readonly runtimes = new Map<string, CellRuntime>();
+  private readonly assignment: CellAssignment;
+  private readonly lastDigestAt = new Map<string, number>();
+  private cells: readonly Cell[] = [];
+  private machines: readonly Machine[] = [];
+  private listingRequestedAt: number | undefined;
+  private nextListingAt = 0;
+  private nextDirectReportAt = 0;
+
+  constructor(
+    private readonly identity: DaemonIdentity,
+    private readonly settings: DaemonSettings,
+    private readonly parts: CellManagerParts,
+    private readonly emit: EffectSink<DaemonEffect>,
+  ) {
+    this.assignment = new CellAssignment(settings.cells);
+  }
+
+  /** Leases of the cells routed to, for status pages. */
+  leases(now: number): { cell: string; holder: string; epoch: number; heldHere: boolean }[] {
+    return [...this.runtimes.values()].map((runtime) => {
+      const held = runtime.lease.current(now);
+      const seen = runtime.lease.lastSeen();
+      const holder = held ? this.identity.id : (seen?.holder ?? '');
+      return {
+        cell: runtime.cell,
+        holder,
+        epoch: held?.epoch ?? seen?.epoch ?? 0,
+        heldHere: held !== undefined,
+      };
+    });
+  }
+
+  /** Changes of assignment ordered by this daemon. */
+  roleChanges(): number {
+    let total = 0;
+    for (const runtime of this.runtimes.values()) total += runtime.coordinator.changesOrdered;
+    return total;
+  }
+
+  /** Advances timers. `eligible` is false while the daemon stops. */
+  tick(now: number, eligible: boolean): void {
+    this.assignment.update(this.parts.membership.active(), this.cells);
+    if (now >= this.nextListingAt) this.requestListing(now);
+    for (const runtime of this.runtimes.values()) {
+      const coordinatorId = this.assignment.coordinatorOf(runtime.cell);
+      if (coordinatorId === this.identity.id) this.lastDigestAt.set(runtime.cell, now);
+      runtime.tick(now, {
+        selfId: this.identity.id,
+        coordinatorId,
+        subscriberIds: this.assignment.subscribersOf(runtime.cell).map((member) => member.id),
+        services: this.parts.configuration.services(),
+        ownDemand: () => this.demandOf(runtime.cell, now),
+        eligible,
+      });
+    }
+    if (now >= this.nextDirectReportAt) this.askEnginesWithoutDigest(now);
+  }
+
+  /** Gives every lease back. */
+  releaseAll(now: number): void {
+    for (const runtime of this.runtimes.values()) runtime.lease.release(now);
+  }
+
+  /** Takes the machine list, or undefined when it did not answer. */
+  receiveListing(listing: MachineListing | undefined, now: number): void {
+    this.listingRequestedAt = undefined;
+    if (!listing) return;
+    const sameCells = JSON.stringify(listing.cells) === JSON.stringify(this.cells);
+    if (!sameCells) this.cells = listing.cells;
+    this.machines = listing.machines;
+    this.assignment.update(this.parts.membership.active(), this.cells);
+    const wanted = this.assignment.cellsOf(this.identity);
+    for (const cell of wanted) this.ensureRuntime(cell, now);
+    for (const cell of [...this.runtimes.keys()]) if (!wanted.includes(cell)) this.runtimes.delete(cell);
+    if (!sameCells) this.nextListingAt = now;
+    this.applyMachines(now);
+  }
+
+  /** Takes an engine's answer. */
+  receiveControlResult(
+    purpose: ControlPurpose,
+    cell: string,
+    engineId: string,
+    result: EngineControlResult,
+    now: number,
+  ): void {
+    if (purpose === 'coordinator')
+      this.runtimes.get(cell)?.coordinator.receiveControlResult(engineId, result, now);
+    if (result.kind === 'report' || result.kind === 'notApplicable') {
+      const madeAt = now - this.settings.directory.reportLagMs;
+      this.parts.directory.get(engineId)?.applyReport(result.report, madeAt);
+    }
+  }
+
+  /** Takes the answer to a lease's table request. */
+  receiveLeaseResult(cell: string, result: TableResult, now: number): void {
+    this.runtimes.get(cell)?.lease.receiveTableResult(result, now);
+  }
+
+  /** Takes a digest or a demand report. */
+  receive(fromId: string, message: CellMessage, now: number): void {
+    if (message.kind === 'demandReport') {
+      this.runtimes.get(message.cell)?.receiveDemand(fromId, message.demands, now);
+      return;
+    }
+    this.lastDigestAt.set(message.cell, now);
+    const { directory } = this.parts;
+    for (const { id, report } of message.descriptions) {
+      directory
+        .get(id)
+        ?.applyReport(
+          report,
+          now - this.settings.directory.reportLagMs - this.settings.cells.digestIntervalMs,
+        );
+    }
+    for (const [id, phase, streams, waitingPrefillTokens, ageMs] of message.loads) {
+      const view = directory.get(id);
+      if (!view?.assignment || !view.capability) continue;
+      const known = {
+        assignment: view.assignment,
+        capability: view.capability,
+        maximumStreams: view.maximumStreams,
+      };
+      const report = { ...known, phase, streams, waitingPrefillTokens, clockMs: 0, epoch: 0, sequence: 0 };
+      view.applyReport(report, now - ageMs - this.settings.directory.reportLagMs);
+    }
+  }
+
+  private requestListing(now: number): void {
+    this.nextListingAt = now + this.settings.cells.machineListIntervalMs;
+    if (this.listingRequestedAt !== undefined) return;
+    this.listingRequestedAt = now;
+    this.emit({ kind: 'listMachines', cells: this.assignment.cellsOf(this.identity) });
+  }
+
+  private ensureRuntime(cell: string, now: number): void {
+    if (this.runtimes.has(cell)) return;
+    const runtime = new CellRuntime(
+      cell,
+      this.identity.id,
+      this.settings,
+      (effect) => this.onCell(effect),
+      now,
+    );
+    this.runtimes.set(cell, runtime);
+    this.lastDigestAt.set(cell, now);
+  }
+
+  private applyMachines(now: number): void {
+    const engines = this.machines.filter(
+      (machine) => machine.kind === 'engine' && this.runtimes.has(machine.cell),
+    );
+    for (const runtime of this.runtimes.values()) {
+      const own = engines.filter((machine) => machine.cell === runtime.cell);
+      runtime.setEngines(
+        own.map(({ id, address, state }) => ({ id, address, leaving: state === 'leaving' })),
+        now,
+      );
+    }
+    for (const { id, address, zone, cell, state } of engines) {
+      this.parts.directory.ensure(id, address, zone, cell).listedLeaving = state === 'leaving';
+    }
+    this.parts.directory.retain(new Set(engines.map((machine) => machine.id)));
+    const servers = this.machines.filter((machine) => machine.kind === 'application');
+    this.parts.applications.setServers(
+      servers.map(({ id, address, state }) => ({ id, address, leaving: state === 'leaving' })),
+    );
+  }
+
+  private demandOf(cell: string, now: number): DemandEntry[] {
+    let here = 0;
+    let total = 0;
+    for (const view of this.parts.directory.all()) {
+      total += 1;
+      if (view.cell === cell) here += 1;
+    }
+    return this.parts.demand.entries(now, total === 0 ? 0 : here / total);
+  }
+
+  /** Routing must not depend on a coordinator: without digests the oldest reports are renewed directly. */
+  private askEnginesWithoutDigest(now: number): void {
+    this.nextDirectReportAt = now + this.settings.cells.digestIntervalMs;
+    const limit = this.settings.cells.digestIntervalMs * DIGEST_MISSING_INTERVALS;
+    const missing: EngineView[] = [];
+    for (const view of this.parts.directory.all()) {
+      const digestAt = this.lastDigestAt.get(view.cell) ?? -Infinity;
+      const unknown = view.assignment === undefined;
+      if (unknown || now - digestAt > limit) missing.push(view);
+    }
+    missing.sort((left, right) => left.reportTime() - right.reportTime());
+    for (const view of missing.slice(0, DIRECT_REPORTS_PER_INTERVAL)) {
+      const { id, address, cell } = view;
+      this.emit({
+        kind: 'engineControl',
+        purpose: 'directory',
+        cell,
+        engineId: id,
+        address,
+        request: { kind: 'report' },
+      });
+    }
+  }
+
+  private onCell(effect: CellEffect): void {
+    switch (effect.kind) {
+      case 'engineControl':
+        this.emit({ ...effect, purpose: 'coordinator' });
+        break;
+      case 'leaseTable':
+        this.emit({
+          kind: 'tableRequest',
+          tag: { kind: 'lease', cell: effect.cell },
+          request: effect.request,
+        });
+        break;
+      case 'leaseAcquired':
+        this.emit({
+          kind: 'log',
+          event: 'lease.acquired',
+          fields: { cell: effect.cell, epoch: effect.epoch },
+        });
+        break;
+      case 'leaseLost':
+        this.emit({ kind: 'log', event: 'lease.lost', fields: { cell: effect.cell, epoch: effect.epoch } });
+        break;
+      case 'orderGiven':
+        this.emit({
+          kind: 'log',
+          event: 'order.given',
+          fields: { engine: effect.engineId, epoch: effect.epoch, action: effect.action },
+        });
+        break;
+      case 'changeFinished':
+        this.emit({
+          kind: 'log',
+          event: 'change.finished',
+          fields: { engine: effect.engineId, assignment: effect.assignment },
+        });
+        break;
+      case 'sendCell':
+        this.sendCell(effect.daemonId, effect.message);
+        break;
+    }
+  }
+
+  private sendCell(daemonId: string, message: CellMessage): void {
+    if (daemonId === this.identity.id) return;
+    const member = this.parts.membership.get(daemonId);
+    if (member) this.emit({ kind: 'sendPeer', address: member.address, message });
+  }
+}
--- /dev/null
+++ b/src/daemon/cell-runtime.ts
@@ -0,0 +1,164 @@
+/** One cell in one daemon: the lease, the coordinator, the digests and the demand reports. */
+import { CellCoordinator, type CellEngine, type CoordinatorEffect } from '../allocation/cell-coordinator.js';
+import { modelKey, type ModelDemand } from '../allocation/role-allocator.js';
+import type { VersionedRow } from '../configuration/service-row.js';
+import type { EngineReport } from '../engine/engine-protocol.js';
+import { sameAssignment } from '../allocation/cell-coordinator.js';
+import { CellLease, type LeaseEffect } from '../lease/cell-lease.js';
+import type { EffectSink } from '../shared/effect-sink.js';
+import type { CellMessage, DemandEntry, EngineDescription, EngineLoad } from './daemon-messages.js';
+import type { DaemonSettings } from './daemon-settings.js';
+
+/** What a cell asks its runner to do. */
+export type CellEffect =
+  | (CoordinatorEffect & { readonly cell: string })
+  | LeaseEffect
+  | { readonly kind: 'sendCell'; readonly daemonId: string; readonly message: CellMessage };
+
+interface DemandFrom {
+  readonly entries: readonly DemandEntry[];
+  readonly receivedAt: number;
+}
+
+const DESCRIPTION_INTERVALS = 15;
+const DEMAND_EXPIRY_INTERVALS = 3;
+const MAXIMUM_ADAPTERS_PER_ENGINE = 64;
+
+/** What a tick needs to know of the rest of the daemon. */
+export interface CellContext {
+  readonly selfId: string;
+  /** Who should coordinate the cell. */
+  readonly coordinatorId: string | undefined;
+  /** The daemons that route to the cell. */
+  readonly subscriberIds: readonly string[];
+  readonly services: readonly VersionedRow[];
+  /** What this daemon itself sees asked of the cell. */
+  readonly ownDemand: () => readonly DemandEntry[];
+  /** False while the daemon stops: it then takes no lease. */
+  readonly eligible: boolean;
+}
+
+/** The cell machine. Times are monotonic milliseconds. */
+export class CellRuntime {
+  readonly lease: CellLease;
+  readonly coordinator: CellCoordinator;
+  private readonly demandFrom = new Map<string, DemandFrom>();
+  private readonly describedAs = new Map<string, EngineReport>();
+  private nextDigestAt = 0;
+  private nextDemandAt = 0;
+  private digestCount = 0;
+  private knownSubscribers = '';
+
+  constructor(
+    readonly cell: string,
+    selfId: string,
+    private readonly settings: DaemonSettings,
+    private readonly emit: EffectSink<CellEffect>,
+    now: number,
+  ) {
+    this.lease = new CellLease(cell, selfId, settings.lease, emit, now);
+    this.coordinator = new CellCoordinator(settings.coordinator, settings.allocation, (effect) =>
+      emit({ ...effect, cell }),
+    );
+  }
+
+  /** Takes the cell's engines from the machine list. */
+  setEngines(engines: readonly CellEngine[], now: number): void {
+    this.coordinator.setEngines(engines, now);
+  }
+
+  /** Takes a demand report of another daemon. */
+  receiveDemand(daemonId: string, entries: readonly DemandEntry[], now: number): void {
+    this.demandFrom.set(daemonId, { entries, receivedAt: now });
+  }
+
+  /** Advances timers. */
+  tick(now: number, context: CellContext): void {
+    const coordinates = context.coordinatorId === context.selfId;
+    this.lease.tick(now, coordinates && context.eligible);
+    if (!coordinates) this.lease.release(now);
+    const lease = this.lease.current(now);
+    if (now >= this.nextDemandAt) this.reportDemand(now, context);
+    if (!coordinates && !lease) return;
+    this.coordinator.tick(now, lease, lease ? this.totalDemand(now, context.services) : []);
+    if (coordinates && now >= this.nextDigestAt) this.sendDigest(now, context);
+  }
+
+  private reportDemand(now: number, context: CellContext): void {
+    this.nextDemandAt = now + this.settings.cells.demandIntervalMs;
+    const entries = context.ownDemand();
+    if (context.coordinatorId === context.selfId || this.lease.current(now))
+      this.receiveDemand(context.selfId, entries, now);
+    const nothing = entries.every((entry) => entry[2] === 0 && entry[3] === 0);
+    if (context.coordinatorId === undefined || context.coordinatorId === context.selfId || nothing) return;
+    const message: CellMessage = { kind: 'demandReport', cell: this.cell, demands: entries };
+    this.emit({ kind: 'sendCell', daemonId: context.coordinatorId, message });
+  }
+
+  /** Demand of every model version that a service names, summed over the daemons heard lately. */
+  private totalDemand(now: number, services: readonly VersionedRow[]): ModelDemand[] {
+    const totals = new Map<string, { prefill: number; decode: number }>();
+    const expiry = this.settings.cells.demandIntervalMs * DEMAND_EXPIRY_INTERVALS;
+    for (const [daemonId, from] of this.demandFrom) {
+      if (now - from.receivedAt > expiry) {
+        this.demandFrom.delete(daemonId);
+        continue;
+      }
+      for (const [model, version, prefill, decode] of from.entries) {
+        const total = totals.get(modelKey(model, version)) ?? { prefill: 0, decode: 0 };
+        totals.set(modelKey(model, version), {
+          prefill: total.prefill + prefill,
+          decode: total.decode + decode,
+        });
+      }
+    }
+    return demandsOfServices(services, totals);
+  }
+
+  private sendDigest(now: number, context: CellContext): void {
+    this.nextDigestAt = now + this.settings.cells.digestIntervalMs;
+    this.digestCount += 1;
+    const subscribers = context.subscriberIds.join(' ');
+    const everything =
+      this.digestCount % DESCRIPTION_INTERVALS === 1 || subscribers !== this.knownSubscribers;
+    this.knownSubscribers = subscribers;
+    const loads: EngineLoad[] = [];
+    const descriptions: EngineDescription[] = [];
+    for (const { id, address, report, receivedAt } of this.coordinator.reports()) {
+      loads.push([
+        id,
+        report.phase,
+        report.streams,
+        report.waitingPrefillTokens,
+        Math.round(now - receivedAt),
+      ]);
+      const described = this.describedAs.get(id);
+      if (!everything && described && sameAssignment(described.assignment, report.assignment)) continue;
+      this.describedAs.set(id, report);
+      descriptions.push({ id, address, report });
+    }
+    const message: CellMessage = { kind: 'cellDigest', cell: this.cell, loads, descriptions };
+    for (const daemonId of context.subscriberIds) this.emit({ kind: 'sendCell', daemonId, message });
+  }
+}
+
+function demandsOfServices(
+  services: readonly VersionedRow[],
+  totals: ReadonlyMap<string, { prefill: number; decode: number }>,
+): ModelDemand[] {
+  const byModel = new Map<string, { model: string; version: number; adapters: Set<string> }>();
+  for (const { row } of services) {
+    if (!row || row.kind !== 'completion') continue;
+    const key = modelKey(row.model, row.version);
+    const entry = byModel.get(key) ?? { model: row.model, version: row.version, adapters: new Set<string>() };
+    if (row.adapter !== '') entry.adapters.add(row.adapter);
+    byModel.set(key, entry);
+  }
+  return [...byModel].map(([key, { model, version, adapters }]) => ({
+    model,
+    version,
+    adapters: [...adapters].sort().slice(0, MAXIMUM_ADAPTERS_PER_ENGINE),
+    prefillPerSecond: totals.get(key)?.prefill ?? 0,
+    decodePerSecond: totals.get(key)?.decode ?? 0,
+  }));
+}
--- /dev/null
+++ b/src/daemon/daemon-messages.ts
@@ -0,0 +1,170 @@
+/** What goes into the daemon's state machine and what comes out of it. */
+import type { ConfigurationMessage } from '../configuration/configuration-replica.js';
+import type { ServiceRow, VersionedRow } from '../configuration/service-row.js';
+import type {
+  AttemptEvent,
+  EngineAssignment,
+  EngineControlRequest,
+  EngineControlResult,
+  EnginePhase,
+  EngineReport,
+} from '../engine/engine-protocol.js';
+import type { PulleyledgeError } from '../errors/index.js';
+import type { LimitMessage } from '../limits/limit-messages.js';
+import type { MembershipMessage } from '../membership/membership-messages.js';
+import type { MachineListing } from '../platform/machine-list.js';
+import type { TableRequest, TableResult } from '../platform/table-service.js';
+import type { ApplicationCall, ApplicationEffect, ApplicationEvent } from '../routing/application-manager.js';
+import type { CompletionEffect } from '../routing/completion-effects.js';
+import type { CompletionRequest } from '../routing/completion-request.js';
+
+/** The load of one engine in the form that travels. */
+export type EngineLoad = readonly [
+  id: string,
+  phase: EnginePhase,
+  streams: number,
+  waitingPrefillTokens: number,
+  ageMs: number,
+];
+
+/** One engine with everything that changes seldom. */
+export interface EngineDescription {
+  readonly id: string;
+  readonly address: string;
+  readonly report: EngineReport;
+}
+
+/** What one daemon sees asked of a model version in one cell, in tokens per second. */
+export type DemandEntry = readonly [
+  model: string,
+  version: number,
+  prefillPerSecond: number,
+  decodePerSecond: number,
+];
+
+/** Messages about a cell between its coordinator and the daemons that route to it. */
+export type CellMessage =
+  /** From the coordinator: loads each time, descriptions when they changed and now and then. */
+  | {
+      readonly kind: 'cellDigest';
+      readonly cell: string;
+      readonly loads: readonly EngineLoad[];
+      readonly descriptions: readonly EngineDescription[];
+    }
+  /** To the coordinator. */
+  | { readonly kind: 'demandReport'; readonly cell: string; readonly demands: readonly DemandEntry[] };
+
+/** Everything that daemons say to each other. */
+export type PeerMessage = MembershipMessage | ConfigurationMessage | LimitMessage | CellMessage;
+
+/** An operator's edit of one row. `row` is null to delete it. */
+export interface RowEdit {
+  readonly name: string;
+  readonly expectedRevision: number;
+  readonly row: ServiceRow | null;
+}
+
+/** Which machine a table answer belongs to. */
+export type TableTag =
+  | { readonly kind: 'configuration' }
+  | { readonly kind: 'ledger' }
+  | { readonly kind: 'lease'; readonly cell: string }
+  | { readonly kind: 'edit'; readonly editId: string };
+
+/** Which part of the daemon asked an engine. */
+export type ControlPurpose = 'coordinator' | 'directory';
+
+/** What goes in. */
+export type DaemonEvent =
+  | { readonly kind: 'tick' }
+  | {
+      readonly kind: 'peerMessage';
+      readonly fromId: string;
+      readonly fromAddress: string;
+      readonly message: PeerMessage;
+    }
+  | { readonly kind: 'tableResult'; readonly tag: TableTag; readonly result: TableResult }
+  /** The machine list, or undefined when it did not answer. */
+  | { readonly kind: 'machineListing'; readonly listing: MachineListing | undefined }
+  | {
+      readonly kind: 'engineControlResult';
+      readonly purpose: ControlPurpose;
+      readonly cell: string;
+      readonly engineId: string;
+      readonly result: EngineControlResult;
+    }
+  | { readonly kind: 'submitCompletion'; readonly request: CompletionRequest }
+  | { readonly kind: 'submitApplication'; readonly call: ApplicationCall }
+  | { readonly kind: 'cancelRequest'; readonly requestId: string }
+  | {
+      readonly kind: 'attemptEvent';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly event: AttemptEvent;
+    }
+  | {
+      readonly kind: 'applicationEvent';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly event: ApplicationEvent;
+    }
+  | { readonly kind: 'editServices'; readonly editId: string; readonly edits: readonly RowEdit[] }
+  | { readonly kind: 'beginDrain' };
+
+/** What comes out. */
+export type DaemonEffect =
+  | { readonly kind: 'sendPeer'; readonly address: string; readonly message: PeerMessage }
+  | { readonly kind: 'tableRequest'; readonly tag: TableTag; readonly request: TableRequest }
+  | { readonly kind: 'listMachines'; readonly cells: readonly string[] }
+  | {
+      readonly kind: 'engineControl';
+      readonly purpose: ControlPurpose;
+      readonly cell: string;
+      readonly engineId: string;
+      readonly address: string;
+      readonly request: EngineControlRequest;
+    }
+  | { readonly kind: 'editAccepted'; readonly editId: string; readonly revision: number }
+  | { readonly kind: 'editFailed'; readonly editId: string; readonly error: PulleyledgeError }
+  | { readonly kind: 'log'; readonly event: LogEvent; readonly fields: Readonly<Record<string, unknown>> }
+  | Exclude<CompletionEffect, { kind: 'completionOver' }>
+  | Exclude<ApplicationEffect, { kind: 'applicationOver' }>;
+
+/** Stable names of log events. */
+export type LogEvent =
+  | 'member.changed'
+  | 'configuration.changed'
+  | 'lease.acquired'
+  | 'lease.lost'
+  | 'order.given'
+  | 'change.finished'
+  | 'drain.started'
+  | 'edit.accepted'
+  | 'edit.failed';
+
+/** What `pulleyledge status` shows of a daemon. */
+export interface DaemonStatus {
+  readonly id: string;
+  readonly address: string;
+  readonly zone: string;
+  readonly region: string;
+  readonly ready: boolean;
+  readonly draining: boolean;
+  readonly reason: string;
+  readonly configurationRevision: number;
+  readonly configurationAgeMs: number;
+  readonly members: readonly { id: string; address: string; zone: string; state: string }[];
+  readonly engines: readonly {
+    id: string;
+    cell: string;
+    phase: EnginePhase;
+    assignment: EngineAssignment | undefined;
+    streams: number;
+    maximumStreams: number;
+  }[];
+  readonly leases: readonly { cell: string; holder: string; epoch: number; heldHere: boolean }[];
+  readonly limits: readonly { service: string; held: number; waiting: number }[];
+  readonly requests: { readonly active: number; readonly waiting: number; readonly applicationCalls: number };
+  readonly roleChanges: number;
+  readonly services: readonly VersionedRow[];
+}
--- /dev/null
+++ b/src/daemon/daemon-settings.ts
@@ -0,0 +1,70 @@
+/** Settings of the daemon's state machine, put together from those of its parts. */
+import { DEFAULT_ALLOCATION_SETTINGS, type AllocationSettings } from '../allocation/role-allocator.js';
+import { DEFAULT_COORDINATOR_SETTINGS, type CoordinatorSettings } from '../allocation/cell-coordinator.js';
+import {
+  DEFAULT_CONFIGURATION_SETTINGS,
+  type ConfigurationSettings,
+} from '../configuration/configuration-replica.js';
+import { DEFAULT_LEASE_SETTINGS, type LeaseSettings } from '../lease/cell-lease.js';
+import { DEFAULT_LEDGER_SETTINGS, type LedgerSettings } from '../ledger/once-ledger.js';
+import { DEFAULT_LIMIT_SETTINGS, type LimitSettings } from '../limits/limit-messages.js';
+import { DEFAULT_MEMBERSHIP_SETTINGS, type MembershipSettings } from '../membership/membership.js';
+import { DEFAULT_COMPLETION_SETTINGS, type CompletionSettings } from '../routing/completion-effects.js';
+import { DEFAULT_DIRECTORY_SETTINGS, type DirectorySettings } from '../routing/engine-directory.js';
+import { DEFAULT_PICKER_SETTINGS, type PickerSettings } from '../routing/engine-picker.js';
+
+/** How a daemon takes part in cells. */
+export interface CellSettings {
+  /** Cells of the own zone that the daemon routes to. Default 2. */
+  readonly ownZoneCells: number;
+  /** Cells of other zones that the daemon routes to. Default 1. */
+  readonly otherZoneCells: number;
+  /** Interval of digests from a coordinator. Milliseconds. Default 1000. */
+  readonly digestIntervalMs: number;
+  /** Interval of demand reports to a coordinator. Milliseconds. Default 2000. */
+  readonly demandIntervalMs: number;
+  /** Interval of reads of the machine list. Milliseconds. Default 2000. */
+  readonly machineListIntervalMs: number;
+  /** Time constant of the demand estimate. Milliseconds. Default 10000. */
+  readonly demandTimeConstantMs: number;
+}
+
+/** Default settings. */
+export const DEFAULT_CELL_SETTINGS: CellSettings = {
+  ownZoneCells: 2,
+  otherZoneCells: 1,
+  digestIntervalMs: 1000,
+  demandIntervalMs: 2000,
+  machineListIntervalMs: 2000,
+  demandTimeConstantMs: 10_000,
+};
+
+/** All settings of the state machine. */
+export interface DaemonSettings {
+  readonly membership: MembershipSettings;
+  readonly configuration: ConfigurationSettings;
+  readonly lease: LeaseSettings;
+  readonly coordinator: CoordinatorSettings;
+  readonly allocation: AllocationSettings;
+  readonly limits: LimitSettings;
+  readonly ledger: LedgerSettings;
+  readonly completion: CompletionSettings;
+  readonly directory: DirectorySettings;
+  readonly picker: PickerSettings;
+  readonly cells: CellSettings;
+}
+
+/** Default settings. */
+export const DEFAULT_DAEMON_SETTINGS: DaemonSettings = {
+  membership: DEFAULT_MEMBERSHIP_SETTINGS,
+  configuration: DEFAULT_CONFIGURATION_SETTINGS,
+  lease: DEFAULT_LEASE_SETTINGS,
+  coordinator: DEFAULT_COORDINATOR_SETTINGS,
+  allocation: DEFAULT_ALLOCATION_SETTINGS,
+  limits: DEFAULT_LIMIT_SETTINGS,
+  ledger: DEFAULT_LEDGER_SETTINGS,
+  completion: DEFAULT_COMPLETION_SETTINGS,
+  directory: DEFAULT_DIRECTORY_SETTINGS,
+  picker: DEFAULT_PICKER_SETTINGS,
+  cells: DEFAULT_CELL_SETTINGS,
+};
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,423 @@
+/**
+ * The daemon's state machine: puts the parts together and routes events to them. It is run by actors in a
+ * process and by the simulator in virtual time; it reads no clock, opens no socket and draws no randomness
+ * but from what it is given.
+ */
+import { rankByRendezvous, pickByRendezvous } from '../shared/rendezvous-hash.js';
+import {
+  ConfigurationReplica,
+  type Freshness,
+  type PeerContact,
+} from '../configuration/configuration-replica.js';
+import { OnceLedger } from '../ledger/once-ledger.js';
+import type { LimitMessage } from '../limits/limit-messages.js';
+import { SlotHolder, type HolderEffect } from '../limits/slot-holder.js';
+import { SlotOwner } from '../limits/slot-owner.js';
+import { initialMember, Membership, type MembershipEffect } from '../membership/membership.js';
+import type { DaemonIdentity } from '../membership/membership-messages.js';
+import { ApplicationManager, type ApplicationEffect } from '../routing/application-manager.js';
+import type { CompletionEffect } from '../routing/completion-effects.js';
+import { CompletionManager } from '../routing/completion-manager.js';
+import { EngineDirectory } from '../routing/engine-directory.js';
+import { EnginePicker } from '../routing/engine-picker.js';
+import type { RandomSource } from '../shared/random.js';
+import { Admission } from './admission.js';
+import { CellManager } from './cell-manager.js';
+import type { DaemonEffect, DaemonEvent, DaemonStatus, PeerMessage, TableTag } from './daemon-messages.js';
+import type { DaemonSettings } from './daemon-settings.js';
+import { DemandTracker } from './demand-tracker.js';
+import { ServiceEditor } from './service-editor.js';
+import type { TableResult } from '../platform/table-service.js';
+
+/** The state machine of one daemon. Times are monotonic milliseconds on the daemon's own clock. */
+export class Daemon {
+  private outbox: DaemonEffect[] = [];
+  private readonly membership: Membership;
+  private readonly configuration: ConfigurationReplica;
+  private readonly cells: CellManager;
+  private readonly slotOwner: SlotOwner;
+  private readonly slotHolder: SlotHolder;
+  private readonly ledger: OnceLedger;
+  private readonly directory = new EngineDirectory();
+  private readonly completions: CompletionManager;
+  private readonly applications: ApplicationManager;
+  private readonly admission: Admission;
+  private readonly demand: DemandTracker;
+  private readonly editor: ServiceEditor;
+  private draining = false;
+
+  constructor(
+    private readonly identity: DaemonIdentity,
+    seeds: readonly string[],
+    settings: DaemonSettings,
+    random: RandomSource,
+    now: number,
+  ) {
+    const emit = (effect: DaemonEffect): void => void this.outbox.push(effect);
+    this.membership = new Membership(
+      initialMember(identity),
+      seeds,
+      settings.membership,
+      random,
+      this.onMembership(now),
+      now,
+    );
+    this.configuration = new ConfigurationReplica(
+      identity.id,
+      settings.configuration,
+      this.onConfiguration(),
+      now,
+    );
+    this.slotOwner = new SlotOwner(
+      settings.limits,
+      (service) => this.configuration.service(service),
+      (effect) => this.sendLimit(effect.daemonId, effect.message),
+      now,
+    );
+    this.slotHolder = new SlotHolder(
+      settings.limits,
+      (service) => this.ownerOf(service),
+      (effect) => this.onHolder(effect),
+    );
+    this.ledger = new OnceLedger(identity.id, settings.ledger, (effect) => {
+      if (effect.kind === 'ledgerTable')
+        emit({ kind: 'tableRequest', tag: { kind: 'ledger' }, request: effect.request });
+      else this.deferred.push((at) => this.onLedger(effect, at));
+    });
+    const picker = new EnginePicker(settings.picker, identity.zone, random);
+    this.completions = new CompletionManager(
+      settings.completion,
+      settings.directory,
+      this.directory,
+      picker,
+      (effect) => this.onCompletion(effect),
+    );
+    this.applications = new ApplicationManager(this.ledger, random, (effect) => this.onApplication(effect));
+    this.demand = new DemandTracker(settings.cells.demandTimeConstantMs);
+    this.cells = new CellManager(
+      identity,
+      settings,
+      {
+        directory: this.directory,
+        membership: this.membership,
+        configuration: this.configuration,
+        applications: this.applications,
+        demand: this.demand,
+      },
+      emit,
+    );
+    this.editor = new ServiceEditor((effect) => {
+      if (effect.kind === 'editTable') {
+        emit({ kind: 'tableRequest', tag: { kind: 'edit', editId: effect.editId }, request: effect.request });
+      } else emit(effect);
+    });
+    this.admission = new Admission(
+      {
+        configuration: this.configuration,
+        slots: this.slotHolder,
+        completions: this.completions,
+        applications: this.applications,
+        demand: this.demand,
+        freshness: (at) => this.freshness(at),
+      },
+      emit,
+    );
+  }
+
+  /** Effects of sub-machines that come back into the daemon; they run after the transition that made them. */
+  private readonly deferred: ((now: number) => void)[] = [];
+
+  /** Handles one event and returns what is to be done, in order. */
+  handle(event: DaemonEvent, now: number): DaemonEffect[] {
+    this.dispatch(event, now);
+    while (this.deferred.length > 0) this.deferred.shift()?.(now);
+    const effects = this.outbox;
+    this.outbox = [];
+    return effects;
+  }
+
+  /** Whether callers should send requests here. */
+  readiness(now: number): { ready: boolean; reason: string } {
+    if (this.draining) return { ready: false, reason: 'draining' };
+    if (!this.membership.joined()) return { ready: false, reason: 'no other daemon has answered yet' };
+    const freshness = this.freshness(now);
+    if (freshness.kind === 'never') return { ready: false, reason: 'no configuration is known yet' };
+    if (freshness.kind === 'stale') return { ready: false, reason: 'the configuration is stale' };
+    return { ready: true, reason: freshness.kind };
+  }
+
+  /** Requests that still run or wait here; a stopping process waits for none. */
+  requestsInHand(): number {
+    return this.completions.active() + this.applications.active() + this.admission.waitingForSlots();
+  }
+
+  /** Writes to the table still to be confirmed; a stopping process waits for them a while. */
+  writesInHand(): number {
+    return this.ledger.waiting();
+  }
+
+  /** What `status` shows. */
+  status(now: number): DaemonStatus {
+    const { ready, reason } = this.readiness(now);
+    const freshness = this.freshness(now);
+    return {
+      ...this.identity,
+      ready,
+      draining: this.draining,
+      reason,
+      configurationRevision: this.configuration.revision(),
+      configurationAgeMs: freshness.kind === 'never' ? -1 : Math.round(freshness.ageMs),
+      members: this.membership.all().map(({ id, address, zone, state }) => ({ id, address, zone, state })),
+      engines: [...this.directory.all()].map((view) => ({
+        id: view.id,
+        cell: view.cell,
+        phase: view.phase,
+        assignment: view.assignment,
+        streams: view.streams(),
+        maximumStreams: view.maximumStreams,
+      })),
+      leases: this.cells.leases(now),
+      limits: this.slotOwner.inUse(),
+      requests: {
+        active: this.completions.active(),
+        waiting: this.completions.waiting() + this.admission.waitingForSlots(),
+        applicationCalls: this.applications.active(),
+      },
+      roleChanges: this.cells.roleChanges(),
+      services: this.configuration.services(),
+    };
+  }
+
+  private dispatch(event: DaemonEvent, now: number): void {
+    switch (event.kind) {
+      case 'tick':
+        this.tick(now);
+        break;
+      case 'peerMessage':
+        this.receivePeer(event.fromId, event.fromAddress, event.message, now);
+        break;
+      case 'tableResult':
+        this.receiveTable(event.tag, event.result, now);
+        break;
+      case 'machineListing':
+        this.cells.receiveListing(event.listing, now);
+        break;
+      case 'engineControlResult':
+        this.cells.receiveControlResult(event.purpose, event.cell, event.engineId, event.result, now);
+        break;
+      case 'submitCompletion':
+        this.admission.submitCompletion(event.request, now);
+        break;
+      case 'submitApplication':
+        this.admission.submitApplication(event.call, now);
+        break;
+      case 'cancelRequest':
+        if (this.admission.cancel(event.requestId)) break;
+        this.completions.cancel(event.requestId, now);
+        this.applications.cancel(event.requestId, now);
+        break;
+      case 'attemptEvent':
+        this.completions.attemptEvent(event.requestId, event.attemptId, event.event, now);
+        break;
+      case 'applicationEvent':
+        this.applications.callEvent(event.requestId, event.attemptId, event.event, now);
+        break;
+      case 'editServices':
+        this.editor.begin(event.editId, event.edits, this.contact(now), now);
+        break;
+      case 'beginDrain':
+        this.beginDrain(now);
+        break;
+    }
+  }
+
+  private tick(now: number): void {
+    this.membership.tick(now);
+    const zoneMembers = this.membership.active().filter((member) => member.zone === this.identity.zone);
+    this.configuration.tick(now, zoneMembers);
+    this.cells.tick(now, !this.draining);
+    this.slotOwner.tick(now);
+    this.slotHolder.tick(now, (id) => this.ownerIsUp(id));
+    this.ledger.tick(now);
+    this.editor.tick(now);
+    this.admission.tick(now);
+    this.completions.tick(now);
+    this.applications.tick(now);
+  }
+
+  private receivePeer(fromId: string, fromAddress: string, message: PeerMessage, now: number): void {
+    switch (message.kind) {
+      case 'ping':
+      case 'ack':
+      case 'pingRequest':
+      case 'sync':
+        this.membership.receive(fromId, fromAddress, message, now);
+        break;
+      case 'configurationPull':
+      case 'configurationRows':
+        this.configuration.receive(fromAddress, message, now);
+        break;
+      case 'slotGrant':
+      case 'slotRefuse':
+        this.slotHolder.receive(fromId, message);
+        break;
+      case 'slotRequest':
+      case 'slotCancel':
+      case 'slotRelease':
+      case 'slotRenew':
+      case 'slotHandover':
+        this.slotOwner.receive(fromId, message, now);
+        break;
+      case 'cellDigest':
+      case 'demandReport':
+        this.cells.receive(fromId, message, now);
+        break;
+    }
+  }
+
+  private receiveTable(tag: TableTag, result: TableResult, now: number): void {
+    switch (tag.kind) {
+      case 'configuration':
+        this.configuration.receiveTableResult(result, now);
+        break;
+      case 'ledger':
+        this.ledger.receiveTableResult(result, now);
+        break;
+      case 'lease':
+        this.cells.receiveLeaseResult(tag.cell, result, now);
+        break;
+      case 'edit':
+        if (this.editor.receiveTableResult(tag.editId, result, now)) this.configuration.pollSoon();
+        break;
+    }
+  }
+
+  private beginDrain(now: number): void {
+    if (this.draining) return;
+    this.draining = true;
+    this.outbox.push({ kind: 'log', event: 'drain.started', fields: { requests: this.requestsInHand() } });
+    this.cells.releaseAll(now);
+    this.slotOwner.handOver((service) => this.successorOf(service));
+    this.membership.leave(now);
+  }
+
+  /** From now on new requests are refused; called when the listener closes, after callers had time to notice. */
+  closeForNew(): void {
+    this.admission.closeForNew();
+  }
+
+  private freshness(now: number): Freshness {
+    return this.configuration.freshness(now, this.contact(now));
+  }
+
+  private contact(now: number): PeerContact {
+    const { alive, known } = this.membership.contact();
+    return { alive, known, lastContactAt: known <= 1 ? now : this.membership.lastContact() };
+  }
+
+  private ownerOf(service: string): string | undefined {
+    return pickByRendezvous(service, this.memberIds());
+  }
+
+  private successorOf(service: string): string | undefined {
+    return rankByRendezvous(service, this.memberIds(), 2).find((id) => id !== this.identity.id);
+  }
+
+  private memberIds(): string[] {
+    return this.membership.active().map((member) => member.id);
+  }
+
+  private ownerIsUp(id: string): boolean {
+    return id === this.identity.id || this.membership.get(id)?.state === 'alive';
+  }
+
+  private sendLimit(daemonId: string, message: LimitMessage): void {
+    if (daemonId === this.identity.id) {
+      this.deferred.push((now) => this.receivePeer(daemonId, this.identity.address, message, now));
+      return;
+    }
+    const member = this.membership.get(daemonId);
+    if (member) this.outbox.push({ kind: 'sendPeer', address: member.address, message });
+  }
+
+  private onMembership(startedAt: number): (effect: MembershipEffect) => void {
+    return (effect) => {
+      if (effect.kind === 'sendMembership') {
+        this.outbox.push({ kind: 'sendPeer', address: effect.address, message: effect.message });
+        return;
+      }
+      const { member, previous } = effect;
+      this.outbox.push({
+        kind: 'log',
+        event: 'member.changed',
+        fields: { member: member.id, state: member.state, previous },
+      });
+      const joinedOrLeft =
+        member.state === 'dead' ||
+        member.state === 'leaving' ||
+        previous === undefined ||
+        previous === 'dead';
+      if (!joinedOrLeft) return;
+      this.deferred.push((now) => {
+        this.slotOwner.membershipChanged(Math.max(now, startedAt));
+        if (member.state === 'dead') this.slotOwner.daemonGone(member.id);
+      });
+    };
+  }
+
+  private onConfiguration(): ConstructorParameters<typeof ConfigurationReplica>[2] {
+    return (effect) => {
+      if (effect.kind === 'sendConfiguration') {
+        this.outbox.push({ kind: 'sendPeer', address: effect.address, message: effect.message });
+      } else if (effect.kind === 'readTable') {
+        this.outbox.push({ kind: 'tableRequest', tag: { kind: 'configuration' }, request: effect.request });
+      } else {
+        this.outbox.push({
+          kind: 'log',
+          event: 'configuration.changed',
+          fields: { revision: effect.revision },
+        });
+      }
+    };
+  }
+
+  private onHolder(effect: HolderEffect): void {
+    switch (effect.kind) {
+      case 'sendLimit':
+        this.sendLimit(effect.daemonId, effect.message);
+        break;
+      case 'slotGranted':
+        this.deferred.push((now) => this.admission.slotGranted(effect.requestId, now));
+        break;
+      case 'slotRefused':
+        this.deferred.push(() => this.admission.slotRefused(effect.requestId, effect.retryAfterMs));
+        break;
+      case 'slotTimedOut':
+        this.deferred.push(() => this.admission.slotTimedOut(effect.requestId));
+        break;
+    }
+  }
+
+  private onLedger(
+    effect: Exclude<Parameters<ConstructorParameters<typeof OnceLedger>[2]>[0], { kind: 'ledgerTable' }>,
+    now: number,
+  ): void {
+    if (effect.kind === 'claimGranted') this.applications.claimGranted(effect.requestId, now);
+    else if (effect.kind === 'claimTaken') this.applications.claimTaken(effect.requestId, effect.outcome);
+    else this.applications.claimUnavailable(effect.requestId, effect.retryAfterMs);
+  }
+
+  private onCompletion(effect: CompletionEffect): void {
+    if (effect.kind !== 'completionOver') {
+      this.outbox.push(effect);
+      return;
+    }
+    this.demand.finished(effect.service, effect.outputTokens);
+    this.admission.requestOver(effect.requestId);
+  }
+
+  private onApplication(effect: ApplicationEffect): void {
+    if (effect.kind === 'applicationOver') this.admission.requestOver(effect.requestId);
+    else this.outbox.push(effect);
+  }
+}
--- /dev/null
+++ b/src/daemon/service-editor.ts
@@ -0,0 +1,132 @@
+/**
+ * Operators' edits: compare-and-set on each row's revision, all rows of an edit or none. An edit whose answer
+ * was lost is sent again under the same write id until the table says what became of it.
+ */
+import {
+  QuorumLostError,
+  RevisionConflictError,
+  TableUnavailableError,
+  ValidationError,
+  type PulleyledgeError,
+} from '../errors/index.js';
+import type { EffectSink } from '../shared/effect-sink.js';
+import type { TableRequest, TableResult } from '../platform/table-service.js';
+import type { RowEdit } from './daemon-messages.js';
+
+/** What the editor asks its runner to do. */
+export type EditorEffect =
+  | { readonly kind: 'editTable'; readonly editId: string; readonly request: TableRequest }
+  | { readonly kind: 'editAccepted'; readonly editId: string; readonly revision: number }
+  | { readonly kind: 'editFailed'; readonly editId: string; readonly error: PulleyledgeError };
+
+interface Edit {
+  readonly editId: string;
+  readonly edits: readonly RowEdit[];
+  readonly startedAt: number;
+  repeatAt: number;
+  awaiting: boolean;
+  /** Whether an earlier sending may have taken effect. */
+  uncertain: boolean;
+}
+
+const REPEAT_INTERVAL_MS = 500;
+const EDIT_TIMEOUT_MS = 10_000;
+const RETRY_AFTER_MS = 2000;
+
+/** The editing machine of one daemon. Times are monotonic milliseconds. */
+export class ServiceEditor {
+  private readonly running = new Map<string, Edit>();
+
+  constructor(private readonly emit: EffectSink<EditorEffect>) {}
+
+  /** Starts an edit. `editId` becomes the table's write id, so an operator may repeat it safely. */
+  begin(
+    editId: string,
+    edits: readonly RowEdit[],
+    contact: { alive: number; known: number },
+    now: number,
+  ): void {
+    if (edits.length === 0) {
+      this.emit({
+        kind: 'editFailed',
+        editId,
+        error: new ValidationError('edits', 'at least one row is needed'),
+      });
+      return;
+    }
+    // Daemons in a majority go on through a table outage, so an edit must be known to one of them.
+    if (contact.alive * 2 <= contact.known) {
+      const error = new QuorumLostError(contact.alive, contact.known, RETRY_AFTER_MS);
+      this.emit({ kind: 'editFailed', editId, error });
+      return;
+    }
+    const edit: Edit = { editId, edits, startedAt: now, repeatAt: now, awaiting: false, uncertain: false };
+    this.running.set(editId, edit);
+    this.send(edit);
+  }
+
+  /** Takes the answer to an `editTable` effect. Returns whether an edit was accepted. */
+  receiveTableResult(editId: string, result: TableResult, now: number): boolean {
+    const edit = this.running.get(editId);
+    if (!edit) return false;
+    edit.awaiting = false;
+    switch (result.kind) {
+      case 'committed':
+        this.running.delete(editId);
+        this.emit({ kind: 'editAccepted', editId, revision: result.revision });
+        return true;
+      case 'conflict':
+        this.fail(edit, conflictError(edit, result));
+        return false;
+      case 'rateLimited':
+        edit.repeatAt = now + result.retryAfterMs;
+        return false;
+      default:
+        edit.uncertain = true;
+        edit.repeatAt = now + REPEAT_INTERVAL_MS;
+        return false;
+    }
+  }
+
+  /** Repeats edits without an answer, and gives up on old ones without claiming that they had no effect. */
+  tick(now: number): void {
+    for (const edit of [...this.running.values()]) {
+      if (now - edit.startedAt > EDIT_TIMEOUT_MS) {
+        const notRun = edit.uncertain || edit.awaiting ? 'unknown' : 'true';
+        this.fail(edit, new TableUnavailableError('no answer to the edit', notRun, RETRY_AFTER_MS));
+      } else if (!edit.awaiting && now >= edit.repeatAt) {
+        this.send(edit);
+      }
+    }
+  }
+
+  private send(edit: Edit): void {
+    edit.awaiting = true;
+    const writes = edit.edits.map((row) => ({
+      table: 'services' as const,
+      key: row.name,
+      expectedRevision: row.expectedRevision,
+      value: row.row,
+    }));
+    this.emit({
+      kind: 'editTable',
+      editId: edit.editId,
+      request: { kind: 'commit', writeId: edit.editId, writes },
+    });
+  }
+
+  private fail(edit: Edit, error: PulleyledgeError): void {
+    this.running.delete(edit.editId);
+    this.emit({ kind: 'editFailed', editId: edit.editId, error });
+  }
+}
+
+function conflictError(
+  edit: Edit,
+  result: Extract<TableResult, { kind: 'conflict' }>,
+): RevisionConflictError {
+  const current = result.rows[0];
+  const proposed = edit.edits.find((row) => row.name === current?.key) ?? edit.edits[0];
+  const shown = current ? { revision: current.revision, row: current.value } : null;
+  return new RevisionConflictError(proposed.name, proposed.expectedRevision, shown, proposed.row);
+}
--- /dev/null
+++ b/src/errors/already-claimed-error.ts
@@ -0,0 +1,13 @@
+import { PulleyledgeError } from './pulleyledge-error.js';
+
+/** A request that may not be repeated was claimed before; whether it ran is not recorded. */
+export class AlreadyClaimedError extends PulleyledgeError {
+  constructor(service: string, idempotencyKey: string) {
+    super(`key "${idempotencyKey}" of "${service}" was used before and its outcome is not recorded`, {
+      code: 'already-claimed',
+      status: 409,
+      notRun: 'unknown',
+      context: { service, idempotencyKey },
+    });
+  }
+}
--- /dev/null
+++ b/src/errors/not-ready-error.ts
@@ -0,0 +1,14 @@
+import { PulleyledgeError } from './pulleyledge-error.js';
+
+/** The daemon has not learnt a configuration yet, or is stopping. */
+export class NotReadyError extends PulleyledgeError {
+  constructor(reason: string, retryAfterMs: number) {
+    super(`this daemon cannot admit requests: ${reason}`, {
+      code: 'not-ready',
+      status: 503,
+      notRun: 'true',
+      context: { reason },
+      retryAfterMs,
+    });
+  }
+}
--- /dev/null
+++ b/src/errors/protocol-error.ts
@@ -0,0 +1,13 @@
+import { PulleyledgeError } from './pulleyledge-error.js';
+
+/** A back end or the platform answered in a form that its protocol does not have. */
+export class ProtocolError extends PulleyledgeError {
+  constructor(peer: string, problem: string) {
+    super(`${peer} answered against its protocol: ${problem}`, {
+      code: 'backend-protocol',
+      status: 502,
+      notRun: 'unknown',
+      context: { peer, problem },
+    });
+  }
+}
--- /dev/null
+++ b/src/errors/quorum-lost-error.ts
@@ -0,0 +1,14 @@
+import { PulleyledgeError } from './pulleyledge-error.js';
+
+/** The daemon is not in contact with a majority of daemons. */
+export class QuorumLostError extends PulleyledgeError {
+  constructor(alive: number, known: number, retryAfterMs: number) {
+    super(`only ${alive} of ${known} daemons are in contact; an edit needs a majority`, {
+      code: 'quorum-lost',
+      status: 503,
+      notRun: 'true',
+      context: { alive, known },
+      retryAfterMs,
+    });
+  }
+}
--- /dev/null
+++ b/src/errors/revision-conflict-error.ts
@@ -0,0 +1,18 @@
+import { PulleyledgeError } from './pulleyledge-error.js';
+
+/** An edit lost a race: the row has moved on. Both values are carried. */
+export class RevisionConflictError extends PulleyledgeError {
+  constructor(
+    row: string,
+    expectedRevision: number,
+    readonly current: unknown,
+    readonly proposed: unknown,
+  ) {
+    super(`row "${row}" is no longer at revision ${expectedRevision}`, {
+      code: 'revision-conflict',
+      status: 409,
+      notRun: 'true',
+      context: { row, expectedRevision, current, proposed },
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/caller-server.ts
@@ -0,0 +1,153 @@
+/** The HTTP server that callers use: completions, and application calls under a path per service. */
+import { randomUUID } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { ApplicationPayload } from '../adapters/application-client.js';
+import { NotFoundError, PulleyledgeError, ValidationError } from '../errors/index.js';
+import type { ApplicationCall } from '../routing/application-manager.js';
+import { describePrompt, type CompletionRequest } from '../routing/completion-request.js';
+import { parseChatBody, parseCompletionBody, type CompletionBody } from './completion-body.js';
+import { sendProblem } from './problem.js';
+import { readBody, readJson } from './read-body.js';
+import { StreamingReply, WholeReply, type CompletionForm, type ReplySink } from './reply-sink.js';
+
+/** Where an application answer goes. */
+export interface ApplicationSink {
+  respond(status: number, contentType: string, body: Uint8Array): void;
+  failed(error: PulleyledgeError): void;
+}
+
+/** What the server hands on. Requests are identified by their request id from then on. */
+export interface CallerHandler {
+  completion(request: CompletionRequest, sink: ReplySink): void;
+  application(call: ApplicationCall, payload: ApplicationPayload, sink: ApplicationSink): void;
+  /** The caller closed its connection before the answer was whole. */
+  cancelled(requestId: string): void;
+  /** True once the daemon stops: connections are then closed after their answer. */
+  draining(): boolean;
+}
+
+const TIMEOUT_HEADER = 'request-timeout-ms';
+const KEY_HEADER = 'idempotency-key';
+const REQUEST_ID_HEADER = 'x-request-id';
+const APPLICATION_PREFIX = '/app/';
+const MAXIMUM_KEY_LENGTH = 128;
+const FORWARDED_HEADERS = ['content-type', 'accept', 'authorization', KEY_HEADER];
+
+/** Creates the server; the caller listens. */
+export function createCallerServer(handler: CallerHandler, maximumBodyBytes: number): Server {
+  return createServer((request, response) => {
+    const requestId = randomUUID();
+    response.setHeader(REQUEST_ID_HEADER, requestId);
+    if (handler.draining()) response.setHeader('connection', 'close');
+    route(request, response, requestId, handler, maximumBodyBytes).catch((error: unknown) => {
+      if (error instanceof PulleyledgeError) sendProblem(response, error, requestId);
+      else throw error;
+    });
+  });
+}
+
+async function route(
+  request: IncomingMessage,
+  response: ServerResponse,
+  requestId: string,
+  handler: CallerHandler,
+  limit: number,
+): Promise<void> {
+  const path = (request.url ?? '/').split('?')[0];
+  if (request.method === 'POST' && path === '/v1/completions') {
+    const body = parseCompletionBody(await readJson(request, limit));
+    beginCompletion(request, response, requestId, body, 'completion', handler);
+  } else if (request.method === 'POST' && path === '/v1/chat/completions') {
+    const body = parseChatBody(await readJson(request, limit));
+    beginCompletion(request, response, requestId, body, 'chat', handler);
+  } else if (path.startsWith(APPLICATION_PREFIX)) {
+    await beginApplication(request, response, requestId, handler, limit);
+  } else {
+    throw new NotFoundError(path);
+  }
+}
+
+function beginCompletion(
+  request: IncomingMessage,
+  response: ServerResponse,
+  requestId: string,
+  body: CompletionBody,
+  form: CompletionForm,
+  handler: CallerHandler,
+): void {
+  const completion: CompletionRequest = {
+    requestId,
+    service: body.service,
+    prompt: describePrompt(body.prompt),
+    maximumTokens: body.maximumTokens,
+    receivedAt: performance.now(),
+    timeoutMs: timeoutOf(request),
+  };
+  const Reply = body.stream ? StreamingReply : WholeReply;
+  watchClose(response, requestId, handler);
+  handler.completion(completion, new Reply(response, requestId, form, body.service));
+}
+
+async function beginApplication(
+  request: IncomingMessage,
+  response: ServerResponse,
+  requestId: string,
+  handler: CallerHandler,
+  limit: number,
+): Promise<void> {
+  const url = request.url ?? '/';
+  const [service, ...rest] = url.slice(APPLICATION_PREFIX.length).split('/');
+  const timeoutMs = timeoutOf(request);
+  const idempotencyKey = keyOf(request) ?? requestId;
+  const body = await readBody(request, limit);
+  const headers: Record<string, string> = {};
+  for (const name of FORWARDED_HEADERS) {
+    const value = request.headers[name];
+    if (typeof value === 'string') headers[name] = value;
+  }
+  const call: ApplicationCall = {
+    requestId,
+    service,
+    idempotencyKey,
+    receivedAt: performance.now(),
+    timeoutMs,
+  };
+  const payload: ApplicationPayload = {
+    method: request.method ?? 'GET',
+    path: `/${service}/${rest.join('/')}`,
+    headers,
+    body,
+  };
+  watchClose(response, requestId, handler);
+  handler.application(call, payload, {
+    respond(status, contentType, bytes) {
+      response.writeHead(status, contentType === '' ? {} : { 'content-type': contentType });
+      response.end(bytes);
+    },
+    failed: (error) => sendProblem(response, error, requestId),
+  });
+}
+
+function watchClose(response: ServerResponse, requestId: string, handler: CallerHandler): void {
+  response.on('close', () => {
+    if (!response.writableFinished) handler.cancelled(requestId);
+  });
+}
+
+function timeoutOf(request: IncomingMessage): number | undefined {
+  const text = request.headers[TIMEOUT_HEADER];
+  if (text === undefined) return undefined;
+  const value = Number(text);
+  if (!Number.isFinite(value) || value <= 0)
+    throw new ValidationError(TIMEOUT_HEADER, 'must be a number of milliseconds over 0');
+  return value;
+}
+
+function keyOf(request: IncomingMessage): string | undefined {
+  const key = request.headers[KEY_HEADER];
+  if (key === undefined) return undefined;
+  if (typeof key !== 'string' || key === '' || key.length > MAXIMUM_KEY_LENGTH) {
+    throw new ValidationError(KEY_HEADER, `must have 1 to ${MAXIMUM_KEY_LENGTH} characters`);
+  }
+  return key;
+}
--- /dev/null
+++ b/src/gateway/problem.ts
@@ -0,0 +1,48 @@
+/** Failures as RFC 9457 problem documents. */
+import type { ServerResponse } from 'node:http';
+import { PulleyledgeError, type NotRun } from '../errors/index.js';
+
+/** Media type of a problem document. */
+export const PROBLEM_CONTENT_TYPE = 'application/problem+json';
+const TYPE_PREFIX = 'urn:pulleyledge:problem:';
+
+/** The members of a problem document. */
+export interface Problem {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  readonly notRun: boolean | 'unknown';
+  readonly retryAfterMs?: number;
+  readonly requestId?: string;
+  readonly context: Readonly<Record<string, unknown>>;
+}
+
+/** The problem document of a failure. */
+export function toProblem(error: PulleyledgeError, requestId?: string): Problem {
+  return {
+    type: `${TYPE_PREFIX}${error.code}`,
+    title: error.name,
+    status: error.status,
+    detail: error.message,
+    notRun: toJson(error.notRun),
+    ...(error.retryAfterMs === undefined ? {} : { retryAfterMs: Math.ceil(error.retryAfterMs) }),
+    ...(requestId === undefined ? {} : { requestId }),
+    context: error.context,
+  };
+}
+
+/** Answers with a problem document. Does nothing when the connection is gone. */
+export function sendProblem(response: ServerResponse, error: PulleyledgeError, requestId?: string): void {
+  if (response.destroyed || response.writableEnded) return;
+  const headers: Record<string, string> = { 'content-type': PROBLEM_CONTENT_TYPE };
+  // Retry-After counts whole seconds (RFC 9110); the document has the milliseconds.
+  if (error.retryAfterMs !== undefined)
+    headers['retry-after'] = String(Math.max(1, Math.ceil(error.retryAfterMs / 1000)));
+  response.writeHead(error.status, headers);
+  response.end(JSON.stringify(toProblem(error, requestId)));
+}
+
+function toJson(notRun: NotRun): boolean | 'unknown' {
+  return notRun === 'unknown' ? 'unknown' : notRun === 'true';
+}
--- /dev/null
+++ b/src/gateway/read-body.ts
@@ -0,0 +1,36 @@
+/** Reads the body of a call up to a limit. */
+import type { IncomingMessage } from 'node:http';
+import { PayloadTooLargeError, ValidationError } from '../errors/index.js';
+
+/**
+ * The whole body.
+ * @throws PayloadTooLargeError when it is longer than `limitBytes`; ValidationError when the caller broke off.
+ */
+export async function readBody(message: IncomingMessage, limitBytes: number): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  try {
+    for await (const chunk of message as AsyncIterable<Buffer>) {
+      length += chunk.length;
+      if (length > limitBytes) throw new PayloadTooLargeError(limitBytes);
+      chunks.push(chunk);
+    }
+  } catch (error) {
+    if (error instanceof PayloadTooLargeError) throw error;
+    throw new ValidationError('body', 'the connection broke before the body was whole');
+  }
+  return Buffer.concat(chunks);
+}
+
+/**
+ * The body as JSON.
+ * @throws ValidationError when it is not JSON.
+ */
+export async function readJson(message: IncomingMessage, limitBytes: number): Promise<unknown> {
+  const body = await readBody(message, limitBytes);
+  try {
+    return JSON.parse(body.toString('utf8')) as unknown;
+  } catch {
+    throw new ValidationError('body', 'it is not JSON');
+  }
+}
--- /dev/null
+++ b/src/membership/membership.ts
@@ -0,0 +1,428 @@
+/**
+ * Membership between daemons: a gossip protocol after SWIM (Das, Gupta and Motivala, 2002) with suspicion
+ * and incarnations. Probes prefer the own zone, so that most traffic stays there.
+ */
+import type { EffectSink } from '../shared/effect-sink.js';
+import type { RandomSource } from '../shared/random.js';
+import {
+  fromUpdate,
+  toUpdate,
+  type DaemonIdentity,
+  type Member,
+  type MemberState,
+  type MembershipMessage,
+  type MemberUpdate,
+} from './membership-messages.js';
+
+/** Durations and counts of the membership protocol. */
+export interface MembershipSettings {
+  /** Interval between probes. Milliseconds. Default 1000. */
+  readonly probeIntervalMs: number;
+  /** A probe without an answer after this long goes through third daemons. Milliseconds. Default 300. */
+  readonly probeTimeoutMs: number;
+  /** A suspect that does not refute within this long, times log10 of the members, is dead. Milliseconds. Default 3000. */
+  readonly suspicionMs: number;
+  /** Third daemons asked to probe. Default 3. */
+  readonly indirectProbes: number;
+  /** Updates carried on a message at most. Default 8. */
+  readonly updatesPerMessage: number;
+  /** Chance that a probe goes to the own zone. Default 0.8. */
+  readonly ownZoneChance: number;
+  /** Interval between exchanges of the whole list with one daemon. Milliseconds. Default 30000. */
+  readonly syncIntervalMs: number;
+  /** Interval between probes of a dead member, so that both sides of a healed partition meet. Milliseconds. Default 2000. */
+  readonly deadProbeIntervalMs: number;
+  /** Dead members are remembered, and count against the majority, this long. Milliseconds. Default 3600000. */
+  readonly deadRetentionMs: number;
+}
+
+/** Default settings. */
+export const DEFAULT_MEMBERSHIP_SETTINGS: MembershipSettings = {
+  probeIntervalMs: 1000,
+  probeTimeoutMs: 300,
+  suspicionMs: 3000,
+  indirectProbes: 3,
+  updatesPerMessage: 8,
+  ownZoneChance: 0.8,
+  syncIntervalMs: 30_000,
+  deadProbeIntervalMs: 2000,
+  deadRetentionMs: 3_600_000,
+};
+
+/** What the membership machine asks its runner to do. */
+export type MembershipEffect =
+  | { readonly kind: 'sendMembership'; readonly address: string; readonly message: MembershipMessage }
+  | { readonly kind: 'memberChanged'; readonly member: Member; readonly previous: MemberState | undefined };
+
+interface MemberRecord {
+  member: Member;
+  changedAt: number;
+}
+
+interface Probe {
+  readonly sequence: number;
+  readonly target: string;
+  readonly sentAt: number;
+  indirect: boolean;
+  /** Set when the probe is made for another daemon: whom to answer and with which sequence. */
+  readonly onBehalfOf?: { readonly address: string; readonly sequence: number };
+}
+
+const STATE_RANK: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, leaving: 2, dead: 3 };
+const RETRANSMIT_FACTOR = 3;
+
+/**
+ * Whether `update` overrides `current`: a higher incarnation, or the same one and a later state. A leaving
+ * daemon never comes back under its id. One wrongly declared dead comes back with a higher incarnation.
+ */
+export function overrides(update: Member, current: Member): boolean {
+  if (current.state === 'leaving') return update.state === 'dead';
+  if (update.state === 'leaving') return current.state !== 'dead' || update.incarnation > current.incarnation;
+  if (update.incarnation !== current.incarnation) return update.incarnation > current.incarnation;
+  return STATE_RANK[update.state] > STATE_RANK[current.state];
+}
+
+/** The membership state machine of one daemon. Times are monotonic milliseconds. */
+export class Membership {
+  private readonly records = new Map<string, MemberRecord>();
+  private readonly gossip = new Map<string, number>();
+  private readonly probes = new Map<number, Probe>();
+  private probeOrder: string[] = [];
+  private sequence = 0;
+  private nextProbeAt: number;
+  private nextSyncAt: number;
+  private nextDeadProbeAt = 0;
+  private joinedAt: number | undefined;
+  private lastContactAt = -Infinity;
+  private cachedActive: Member[] | undefined;
+  private cachedContact: { alive: number; known: number } | undefined;
+
+  constructor(
+    private self: Member,
+    private readonly seeds: readonly string[],
+    private readonly settings: MembershipSettings,
+    private readonly random: RandomSource,
+    private readonly emit: EffectSink<MembershipEffect>,
+    now: number,
+  ) {
+    this.records.set(self.id, { member: self, changedAt: now });
+    this.nextProbeAt = now + random.next() * settings.probeIntervalMs;
+    this.nextSyncAt = now;
+    this.enqueueGossip(self.id);
+  }
+
+  /** Every member that is not dead or leaving, itself included. */
+  active(): readonly Member[] {
+    this.cachedActive ??= [...this.records.values()]
+      .map((record) => record.member)
+      .filter((member) => member.state === 'alive' || member.state === 'suspect');
+    return this.cachedActive;
+  }
+
+  /** Every record, dead ones included. */
+  all(): readonly Member[] {
+    return [...this.records.values()].map((record) => record.member);
+  }
+
+  /** The belief about one daemon. */
+  get(id: string): Member | undefined {
+    return this.records.get(id)?.member;
+  }
+
+  /**
+   * Counts for the majority rule: daemons in good contact, and all that count. A dead daemon counts until it
+   * is forgotten or another process of its name has taken its place; a daemon that left does not count.
+   */
+  contact(): { alive: number; known: number } {
+    if (this.cachedContact) return this.cachedContact;
+    const names = new Set(this.active().map((member) => daemonName(member.id)));
+    let alive = 0;
+    let known = 0;
+    for (const { member } of this.records.values()) {
+      if (member.state === 'alive') alive += 1;
+      const missing = member.state === 'dead' && !names.has(daemonName(member.id));
+      if (member.state === 'alive' || member.state === 'suspect' || missing) known += 1;
+    }
+    this.cachedContact = { alive, known };
+    return this.cachedContact;
+  }
+
+  /** When a probe of this daemon was last answered. -Infinity before the first. */
+  lastContact(): number {
+    return this.lastContactAt;
+  }
+
+  /** Whether another daemon has answered, or there is none to ask. */
+  joined(): boolean {
+    return this.joinedAt !== undefined || this.seeds.length === 0;
+  }
+
+  /** Says to everybody that this daemon is leaving; it then gets no more work from peers. */
+  leave(now: number): void {
+    this.self = { ...this.self, state: 'leaving' };
+    this.records.set(this.self.id, { member: this.self, changedAt: now });
+    this.changed();
+    this.enqueueGossip(this.self.id);
+    for (const member of this.active()) {
+      this.send(member.address, { kind: 'sync', reply: false, members: [toUpdate(this.self)] });
+    }
+  }
+
+  /** Advances timers: probes, suspicion, anti-entropy. */
+  tick(now: number): void {
+    this.checkProbes(now);
+    this.checkSuspicion(now);
+    if (now >= this.nextProbeAt) {
+      this.nextProbeAt = now + this.settings.probeIntervalMs;
+      this.probeNext(now);
+    }
+    if (now >= this.nextDeadProbeAt) this.probeOneDead(now);
+    if (now >= this.nextSyncAt) this.syncWithOne(now);
+  }
+
+  private probeOneDead(now: number): void {
+    this.nextDeadProbeAt = now + this.settings.deadProbeIntervalMs;
+    const dead = this.all().filter((member) => member.state === 'dead');
+    if (dead.length > 0) this.probe(dead[this.random.below(dead.length)].id, now);
+  }
+
+  /** Takes a message from the daemon at `fromAddress` with id `fromId`. */
+  receive(fromId: string, fromAddress: string, message: MembershipMessage, now: number): void {
+    switch (message.kind) {
+      case 'ping':
+        this.receivePing(fromAddress, message, now);
+        break;
+      case 'ack':
+        this.receiveAck(fromId, message, now);
+        break;
+      case 'pingRequest':
+        this.probe(message.target, now, { address: fromAddress, sequence: message.sequence });
+        break;
+      case 'sync':
+        this.joinedAt ??= now;
+        this.applyAll(message.members, now);
+        if (message.reply) this.send(fromAddress, { kind: 'sync', reply: false, members: this.fullList() });
+        break;
+    }
+  }
+
+  private receivePing(
+    fromAddress: string,
+    message: Extract<MembershipMessage, { kind: 'ping' }>,
+    now: number,
+  ): void {
+    this.applyAll(message.updates, now);
+    if (message.target !== this.self.id) {
+      // Another process had this address before: say so, and who is here now.
+      const previous = this.records.get(message.target)?.member;
+      if (previous) this.apply({ ...previous, state: 'dead' }, now);
+      const news = previous
+        ? [toUpdate(this.self), toUpdate({ ...previous, state: 'dead' })]
+        : [toUpdate(this.self)];
+      this.send(fromAddress, { kind: 'sync', reply: false, members: news });
+      return;
+    }
+    this.send(fromAddress, { kind: 'ack', sequence: message.sequence, updates: this.takeGossip() });
+  }
+
+  private receiveAck(
+    fromId: string,
+    message: Extract<MembershipMessage, { kind: 'ack' }>,
+    now: number,
+  ): void {
+    this.applyAll(message.updates, now);
+    const probe = this.probes.get(message.sequence);
+    if (!probe) return;
+    this.probes.delete(message.sequence);
+    this.lastContactAt = Math.max(this.lastContactAt, probe.sentAt);
+    if (probe.onBehalfOf) {
+      this.send(probe.onBehalfOf.address, { kind: 'ack', sequence: probe.onBehalfOf.sequence, updates: [] });
+    }
+    const known = this.records.get(fromId)?.member;
+    if (known?.state === 'suspect') this.enqueueGossip(fromId);
+  }
+
+  private checkProbes(now: number): void {
+    for (const probe of [...this.probes.values()]) {
+      const age = now - probe.sentAt;
+      if (probe.onBehalfOf) {
+        if (age > this.settings.probeIntervalMs) this.probes.delete(probe.sequence);
+      } else if (!probe.indirect && age >= this.settings.probeTimeoutMs) {
+        probe.indirect = true;
+        this.askOthersToProbe(probe);
+      } else if (age >= this.settings.probeIntervalMs) {
+        this.probes.delete(probe.sequence);
+        this.suspect(probe.target, now);
+      }
+    }
+  }
+
+  private askOthersToProbe(probe: Probe): void {
+    const others = this.active().filter((member) => member.id !== this.self.id && member.id !== probe.target);
+    for (let count = 0; count < this.settings.indirectProbes && others.length > 0; count += 1) {
+      const [helper] = others.splice(this.random.below(others.length), 1);
+      this.send(helper.address, { kind: 'pingRequest', sequence: probe.sequence, target: probe.target });
+    }
+  }
+
+  private suspect(id: string, now: number): void {
+    const member = this.records.get(id)?.member;
+    if (member?.state === 'alive') this.apply({ ...member, state: 'suspect' }, now);
+    else if (member?.state === 'leaving') this.apply({ ...member, state: 'dead' }, now);
+  }
+
+  private checkSuspicion(now: number): void {
+    const scale = Math.max(1, Math.log10(this.records.size + 1));
+    for (const { member, changedAt } of [...this.records.values()]) {
+      if (member.id === this.self.id) continue;
+      const age = now - changedAt;
+      if (member.state === 'suspect' && age > this.settings.suspicionMs * scale) {
+        this.apply({ ...member, state: 'dead' }, now);
+      } else if (member.state === 'leaving' && age > this.settings.deadRetentionMs) {
+        this.forget(member.id);
+      } else if (member.state === 'dead' && age > this.settings.deadRetentionMs) {
+        this.forget(member.id);
+      }
+    }
+  }
+
+  private forget(id: string): void {
+    this.records.delete(id);
+    this.gossip.delete(id);
+    this.changed();
+  }
+
+  private probeNext(now: number): void {
+    const ownZone = this.random.next() < this.settings.ownZoneChance;
+    for (let attempt = 0; attempt < this.records.size; attempt += 1) {
+      if (this.probeOrder.length === 0) this.probeOrder = this.shuffledTargets();
+      const index = ownZone ? this.lastIndexInOwnZone() : this.probeOrder.length - 1;
+      const [id] = this.probeOrder.splice(index < 0 ? this.probeOrder.length - 1 : index, 1);
+      const member = id === undefined ? undefined : this.records.get(id)?.member;
+      if (!member || member.state === 'dead') continue;
+      this.probe(member.id, now);
+      return;
+    }
+  }
+
+  private lastIndexInOwnZone(): number {
+    for (let index = this.probeOrder.length - 1; index >= 0; index -= 1) {
+      if (this.records.get(this.probeOrder[index])?.member.zone === this.self.zone) return index;
+    }
+    return -1;
+  }
+
+  private shuffledTargets(): string[] {
+    const ids = [...this.records.keys()].filter((id) => id !== this.self.id);
+    for (let index = ids.length - 1; index > 0; index -= 1) {
+      const other = this.random.below(index + 1);
+      [ids[index], ids[other]] = [ids[other], ids[index]];
+    }
+    return ids;
+  }
+
+  private probe(target: string, now: number, onBehalfOf?: Probe['onBehalfOf']): void {
+    const member = this.records.get(target)?.member;
+    if (!member) return;
+    this.sequence += 1;
+    this.probes.set(this.sequence, {
+      sequence: this.sequence,
+      target,
+      sentAt: now,
+      indirect: false,
+      onBehalfOf,
+    });
+    // A suspect or dead daemon is told what is said of it, so that it can refute.
+    const about = member.state !== 'alive' ? [toUpdate(member)] : [];
+    this.send(member.address, {
+      kind: 'ping',
+      sequence: this.sequence,
+      target,
+      updates: [...about, ...this.takeGossip()],
+    });
+  }
+
+  private syncWithOne(now: number): void {
+    const others = this.active().filter((member) => member.id !== this.self.id);
+    const addresses = others.length > 0 ? others.map((member) => member.address) : this.seeds;
+    const candidates = addresses.filter((address) => address !== this.self.address);
+    const interval = others.length > 0 ? this.settings.syncIntervalMs : this.settings.probeIntervalMs;
+    this.nextSyncAt = now + interval * (0.75 + this.random.next() / 2);
+    if (candidates.length === 0) return;
+    const address = candidates[this.random.below(candidates.length)];
+    this.send(address, {
+      kind: 'sync',
+      reply: true,
+      members: this.joined() ? this.fullList() : [toUpdate(this.self)],
+    });
+  }
+
+  private fullList(): MemberUpdate[] {
+    return [...this.records.values()].map((record) => toUpdate(record.member));
+  }
+
+  private applyAll(updates: readonly MemberUpdate[], now: number): void {
+    for (const update of updates) this.apply(fromUpdate(update), now);
+  }
+
+  private apply(update: Member, now: number): void {
+    if (update.id === this.self.id) {
+      this.refute(update);
+      return;
+    }
+    const current = this.records.get(update.id)?.member;
+    if (current ? !overrides(update, current) : update.state === 'dead') return;
+    this.records.set(update.id, { member: update, changedAt: now });
+    this.changed();
+    this.enqueueGossip(update.id);
+    this.emit({ kind: 'memberChanged', member: update, previous: current?.state });
+  }
+
+  private refute(update: Member): void {
+    const doubted = update.state === 'suspect' || update.state === 'dead';
+    if (!doubted || update.incarnation < this.self.incarnation || this.self.state !== 'alive') return;
+    this.self = { ...this.self, incarnation: update.incarnation + 1 };
+    this.records.set(this.self.id, { member: this.self, changedAt: 0 });
+    this.changed();
+    this.enqueueGossip(this.self.id);
+  }
+
+  private changed(): void {
+    this.cachedActive = undefined;
+    this.cachedContact = undefined;
+  }
+
+  private enqueueGossip(id: string): void {
+    this.gossip.set(id, RETRANSMIT_FACTOR * Math.ceil(Math.log2(this.records.size + 2)));
+  }
+
+  /** Takes the least-sent updates, at most `updatesPerMessage`. */
+  private takeGossip(): MemberUpdate[] {
+    if (this.gossip.size === 0) return [];
+    const entries = [...this.gossip.entries()].sort((left, right) => right[1] - left[1]);
+    const taken = entries.slice(0, this.settings.updatesPerMessage);
+    const updates: MemberUpdate[] = [];
+    for (const [id, remaining] of taken) {
+      const record = this.records.get(id);
+      if (record) updates.push(toUpdate(record.member));
+      if (remaining <= 1) this.gossip.delete(id);
+      else this.gossip.set(id, remaining - 1);
+    }
+    return updates;
+  }
+
+  private send(address: string, message: MembershipMessage): void {
+    this.emit({ kind: 'sendMembership', address, message });
+  }
+}
+
+/** A daemon's first belief about itself. */
+export function initialMember(identity: DaemonIdentity): Member {
+  return { ...identity, incarnation: 1, state: 'alive' };
+}
+
+/** The name of a daemon, which its restarts share. */
+export function daemonName(id: string): string {
+  const end = id.lastIndexOf('.');
+  return end < 0 ? id : id.slice(0, end);
+}
--- /dev/null
+++ b/src/process/daemon-process.ts
@@ -0,0 +1,259 @@
+/** A daemon process: servers, adapters and actors around the state machine, and an orderly stop. */
+import type { Server } from 'node:http';
+import { pino, type Logger } from 'pino';
+import { HttpApplicationClient, type ApplicationPayload } from '../adapters/application-client.js';
+import { HttpEngineClient } from '../adapters/engine-client.js';
+import { PeerTransport, splitAddress } from '../adapters/peer-transport.js';
+import { HttpPlatformClient } from '../adapters/platform-client.js';
+import { Daemon } from '../daemon/daemon.js';
+import type { DaemonStatus, RowEdit } from '../daemon/daemon-messages.js';
+import { PulleyledgeError } from '../errors/index.js';
+import { createCallerServer, type ApplicationSink, type CallerHandler } from '../gateway/caller-server.js';
+import { createOperatorServer } from '../gateway/operator-server.js';
+import type { ReplySink } from '../gateway/reply-sink.js';
+import type { ApplicationCall } from '../routing/application-manager.js';
+import type { CompletionRequest } from '../routing/completion-request.js';
+import { daemonSettingsOf, type Settings } from '../settings/settings.js';
+import { SeededRandom } from '../shared/random.js';
+import { startDaemonActors, type DaemonActors, type ReplyEffect } from './daemon-actors.js';
+import { Metrics } from './metrics.js';
+
+interface OpenCompletion {
+  readonly sink: ReplySink;
+  readonly receivedAt: number;
+  firstTokenSeen: boolean;
+}
+
+interface OpenApplication {
+  readonly sink: ApplicationSink;
+  readonly payload: ApplicationPayload;
+}
+
+interface OpenEdit {
+  resolve(revision: number): void;
+  reject(error: PulleyledgeError): void;
+}
+
+const DRAIN_POLL_MS = 50;
+const LEDGER_FLUSH_TIMEOUT_MS = 5000;
+
+/** One daemon process. */
+export class DaemonProcess {
+  private readonly daemon: Daemon;
+  private readonly actors: DaemonActors;
+  private readonly peers: PeerTransport;
+  private readonly platform: HttpPlatformClient;
+  private readonly engines = new HttpEngineClient();
+  private readonly applications = new HttpApplicationClient();
+  private readonly callerServer: Server;
+  private readonly operatorServer: Server;
+  private readonly metrics: Metrics;
+  private readonly logger: Logger;
+  private readonly completions = new Map<string, OpenCompletion>();
+  private readonly calls = new Map<string, OpenApplication>();
+  private readonly edits = new Map<string, OpenEdit>();
+  private ticker: NodeJS.Timeout | undefined;
+  private stopping = false;
+
+  constructor(private readonly settings: Settings) {
+    const id = `${settings.name}.${Date.now().toString(36)}${process.pid.toString(36)}`;
+    const address = settings.peerAddress;
+    this.logger = pino({ level: settings.logLevel, base: { daemon: id } });
+    this.metrics = new Metrics(() => this.status());
+    const seed = (Date.now() ^ (process.pid << 16)) | 0;
+    const identity = { id, address, zone: settings.zone, region: settings.region };
+    const seeds = settings.seeds.filter((other) => other !== address);
+    this.daemon = new Daemon(
+      identity,
+      seeds,
+      daemonSettingsOf(settings),
+      new SeededRandom(seed),
+      performance.now(),
+    );
+    this.platform = new HttpPlatformClient(settings.platform);
+    this.peers = new PeerTransport(
+      { kind: 'hello', id, address },
+      {
+        onMessage: (fromId, fromAddress, message) =>
+          this.actors.dispatch({ kind: 'peerMessage', fromId, fromAddress, message }),
+        onProtocolError: (error, remote) =>
+          this.logger.warn({ event: 'peer.protocol-error', code: error.code, ...error.context, remote }),
+        onTraffic: (direction, kind, bytes) => this.metrics.peerTraffic(direction, kind, bytes),
+      },
+    );
+    this.actors = startDaemonActors({
+      daemon: this.daemon,
+      peers: this.peers,
+      platform: this.platform,
+      engines: this.engines,
+      applications: this.applications,
+      payloadOf: (requestId) => this.calls.get(requestId)?.payload,
+      onReply: (effect) => this.reply(effect),
+      onTransition: (event, milliseconds) => this.metrics.transition(event, milliseconds),
+    });
+    this.callerServer = createCallerServer(this.callerHandler(), settings.maximumBodyBytes);
+    this.operatorServer = createOperatorServer({
+      status: () => this.status(),
+      metrics: async () => ({
+        contentType: this.metrics.registry.contentType,
+        text: await this.metrics.registry.metrics(),
+      }),
+      edit: (editId, edits) => this.edit(editId, edits),
+    });
+  }
+
+  /** Opens the servers and starts the timers. */
+  async start(): Promise<void> {
+    await this.peers.listen();
+    await listen(this.operatorServer, this.settings.operatorAddress);
+    await listen(this.callerServer, this.settings.callerAddress);
+    this.ticker = setInterval(() => this.actors.dispatch({ kind: 'tick' }), this.settings.tickIntervalMs);
+    this.logger.info({
+      event: 'process.started',
+      callers: this.settings.callerAddress,
+      operators: this.settings.operatorAddress,
+    });
+  }
+
+  /**
+   * Stops without cutting a request: hands over leases, limits and membership, takes new requests a little
+   * longer, closes the listener, and ends when the last request has its answer.
+   */
+  async stop(): Promise<void> {
+    if (this.stopping) return;
+    this.stopping = true;
+    this.actors.dispatch({ kind: 'beginDrain' });
+    await delay(this.settings.drainNoticeMs);
+    this.callerServer.close();
+    this.callerServer.closeIdleConnections();
+    const deadline = performance.now() + this.settings.drainTimeoutMs;
+    while (this.openRequests() > 0 && performance.now() < deadline) await delay(DRAIN_POLL_MS);
+    this.daemon.closeForNew();
+    const flushDeadline = performance.now() + LEDGER_FLUSH_TIMEOUT_MS;
+    while (this.daemon.writesInHand() > 0 && performance.now() < flushDeadline) await delay(DRAIN_POLL_MS);
+    this.logger.info({ event: 'process.stopped', unfinished: this.openRequests() });
+    await this.close();
+  }
+
+  private async close(): Promise<void> {
+    clearInterval(this.ticker);
+    this.callerServer.closeAllConnections();
+    this.operatorServer.close();
+    this.operatorServer.closeAllConnections();
+    this.peers.close();
+    this.actors.stop();
+    await Promise.all([this.platform.close(), this.engines.close(), this.applications.close()]);
+  }
+
+  private openRequests(): number {
+    return this.completions.size + this.calls.size;
+  }
+
+  private status(): DaemonStatus {
+    return this.daemon.status(performance.now());
+  }
+
+  private edit(editId: string, edits: readonly RowEdit[]): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.edits.set(editId, { resolve, reject });
+      this.actors.dispatch({ kind: 'editServices', editId, edits });
+    });
+  }
+
+  private callerHandler(): CallerHandler {
+    return {
+      completion: (request: CompletionRequest, sink: ReplySink) => {
+        this.completions.set(request.requestId, {
+          sink,
+          receivedAt: request.receivedAt,
+          firstTokenSeen: false,
+        });
+        this.actors.dispatch({ kind: 'submitCompletion', request });
+      },
+      application: (call: ApplicationCall, payload: ApplicationPayload, sink: ApplicationSink) => {
+        this.calls.set(call.requestId, { sink, payload });
+        this.actors.dispatch({ kind: 'submitApplication', call });
+      },
+      cancelled: (requestId: string) => {
+        const open = this.completions.delete(requestId) || this.calls.delete(requestId);
+        if (open) this.actors.dispatch({ kind: 'cancelRequest', requestId });
+      },
+      draining: () => this.stopping,
+    };
+  }
+
+  private reply(effect: ReplyEffect): void {
+    switch (effect.kind) {
+      case 'replyTokens':
+        this.replyTokens(effect.requestId, effect.texts);
+        break;
+      case 'replyEnd':
+        this.completions.get(effect.requestId)?.sink.end(effect.tokens, effect.finishReason);
+        this.requestOver(effect.requestId, 'ok');
+        break;
+      case 'replyFailed':
+        this.replyFailed(effect.requestId, effect.error, effect.tokensSent);
+        break;
+      case 'replyApplication':
+        this.calls.get(effect.requestId)?.sink.respond(effect.status, effect.contentType, effect.body);
+        this.requestOver(effect.requestId, 'ok');
+        break;
+      case 'editAccepted':
+        this.edits.get(effect.editId)?.resolve(effect.revision);
+        this.edits.delete(effect.editId);
+        this.logger.info({ event: 'edit.accepted', editId: effect.editId, revision: effect.revision });
+        break;
+      case 'editFailed':
+        this.edits.get(effect.editId)?.reject(effect.error);
+        this.edits.delete(effect.editId);
+        this.logger.warn({ event: 'edit.failed', editId: effect.editId, code: effect.error.code });
+        break;
+      case 'log':
+        this.logger.info({ event: effect.event, ...effect.fields });
+        break;
+    }
+  }
+
+  private replyTokens(requestId: string, texts: readonly string[]): void {
+    const open = this.completions.get(requestId);
+    if (!open) return;
+    if (!open.firstTokenSeen) {
+      open.firstTokenSeen = true;
+      this.metrics.firstTokenAfter(performance.now() - open.receivedAt);
+    }
+    this.metrics.tokensSent(texts.length);
+    open.sink.tokens(texts);
+  }
+
+  private replyFailed(requestId: string, error: PulleyledgeError, tokensSent: number): void {
+    this.logger.info({
+      event: 'request.failed',
+      requestId,
+      code: error.code,
+      notRun: error.notRun,
+      tokensSent,
+      ...error.context,
+    });
+    this.completions.get(requestId)?.sink.failed(error, tokensSent);
+    this.calls.get(requestId)?.sink.failed(error);
+    this.requestOver(requestId, error.code);
+  }
+
+  private requestOver(requestId: string, outcome: string): void {
+    this.completions.delete(requestId);
+    this.calls.delete(requestId);
+    this.metrics.requestOver(outcome);
+  }
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+}
+
+function delay(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/src/routing/application-manager.ts
@@ -0,0 +1,340 @@
+/**
+ * Calls to application servers. A call that may not be repeated is claimed in the ledger first and sent to
+ * one server at most; it goes to another server only when no byte of it can have reached the first.
+ */
+import {
+  AlreadyClaimedError,
+  AttemptBrokenError,
+  CallerCancelledError,
+  DeadlineExceededError,
+  LedgerUnavailableError,
+  NoBackendError,
+  type NotRun,
+  type PulleyledgeError,
+} from '../errors/index.js';
+import type { ServiceRow } from '../configuration/service-row.js';
+import type { OnceLedger, RecordedOutcome } from '../ledger/once-ledger.js';
+import type { EffectSink } from '../shared/effect-sink.js';
+import type { RandomSource } from '../shared/random.js';
+import { RetryBudget } from './retry-budget.js';
+
+/** A call asked for by a caller. The runner keeps method, path, headers and body under the request id. */
+export interface ApplicationCall {
+  readonly requestId: string;
+  readonly service: string;
+  /** The caller's key, or one made here for a call without. */
+  readonly idempotencyKey: string;
+  /** Monotonic milliseconds. */
+  readonly receivedAt: number;
+  readonly timeoutMs: number | undefined;
+}
+
+/** What the manager learns of a call it sent. */
+export type ApplicationEvent =
+  /** No byte of the call reached the server. */
+  | { readonly kind: 'unreachable'; readonly reason: string }
+  /** The server itself turned the call away before it began. */
+  | { readonly kind: 'refused'; readonly leaving: boolean }
+  | {
+      readonly kind: 'response';
+      readonly status: number;
+      readonly contentType: string;
+      readonly body: Uint8Array;
+      readonly leaving: boolean;
+    }
+  | { readonly kind: 'broken'; readonly reason: string };
+
+/** What the manager asks its runner to do. */
+export type ApplicationEffect =
+  | {
+      readonly kind: 'startApplicationCall';
+      readonly attemptId: string;
+      readonly requestId: string;
+      readonly service: string;
+      readonly address: string;
+      readonly remainingMs: number;
+    }
+  | { readonly kind: 'cancelApplicationCall'; readonly attemptId: string }
+  | {
+      readonly kind: 'replyApplication';
+      readonly requestId: string;
+      readonly status: number;
+      readonly contentType: string;
+      readonly body: Uint8Array;
+    }
+  | {
+      readonly kind: 'replyFailed';
+      readonly requestId: string;
+      readonly error: PulleyledgeError;
+      readonly tokensSent: number;
+    }
+  | { readonly kind: 'applicationOver'; readonly requestId: string; readonly service: string };
+
+/** An application server as the machine list names it. */
+interface ServerView {
+  readonly id: string;
+  address: string;
+  leaving: boolean;
+  inFlight: number;
+  avoidUntil: number;
+}
+
+interface CallSession {
+  readonly call: ApplicationCall;
+  readonly row: ServiceRow;
+  readonly deadlineAt: number;
+  stage: 'claiming' | 'sending';
+  attempt: { attemptId: string; server: ServerView } | undefined;
+  attemptCount: number;
+  brokenAttempts: number;
+  mayHaveRun: boolean;
+  readonly excluded: Set<string>;
+}
+
+const MAXIMUM_BROKEN_ATTEMPTS = 3;
+const RETRY_RATIO = 0.2;
+const NO_SERVER_RETRY_AFTER_MS = 1000;
+const AVOID_AFTER_FAILURE_MS = 2000;
+const MAXIMUM_RECORDED_BODY_BYTES = 64 * 1024;
+
+/** The application-call state machine of one daemon. Times are monotonic milliseconds. */
+export class ApplicationManager {
+  private readonly sessions = new Map<string, CallSession>();
+  private readonly servers = new Map<string, ServerView>();
+  private readonly retryBudget = new RetryBudget(RETRY_RATIO);
+
+  constructor(
+    private readonly ledger: OnceLedger,
+    private readonly random: RandomSource,
+    private readonly emit: EffectSink<ApplicationEffect>,
+  ) {}
+
+  /** Calls in hand. */
+  active(): number {
+    return this.sessions.size;
+  }
+
+  /** Takes the servers from the machine list. A server that said it is leaving stays so. */
+  setServers(list: readonly { id: string; address: string; leaving: boolean }[]): void {
+    const listed = new Set(list.map((server) => server.id));
+    for (const id of [...this.servers.keys()]) if (!listed.has(id)) this.servers.delete(id);
+    for (const { id, address, leaving } of list) {
+      const known = this.servers.get(id);
+      if (known) {
+        known.address = address;
+        known.leaving ||= leaving;
+      } else {
+        this.servers.set(id, { id, address, leaving, inFlight: 0, avoidUntil: -Infinity });
+      }
+    }
+  }
+
+  /** Begins a call that has its slot. */
+  begin(call: ApplicationCall, row: ServiceRow, now: number): void {
+    this.retryBudget.requestSeen();
+    const session: CallSession = {
+      call,
+      row,
+      deadlineAt: call.receivedAt + (call.timeoutMs ?? row.deadlineMs),
+      stage: row.repeatable ? 'sending' : 'claiming',
+      attempt: undefined,
+      attemptCount: 0,
+      brokenAttempts: 0,
+      mayHaveRun: false,
+      excluded: new Set(),
+    };
+    this.sessions.set(call.requestId, session);
+    if (row.repeatable) this.send(session, now);
+    else this.ledger.claim(call.requestId, `${call.service}/${call.idempotencyKey}`, now);
+  }
+
+  /** The ledger holds the claim: the call may be sent. */
+  claimGranted(requestId: string, now: number): void {
+    const session = this.sessions.get(requestId);
+    if (!session) {
+      // The caller went away before the call was sent: it did not run, so the key may be used again.
+      this.ledger.releaseClaim(requestId, now);
+      return;
+    }
+    session.stage = 'sending';
+    this.send(session, now);
+  }
+
+  /** The key was used before. */
+  claimTaken(requestId: string, outcome: RecordedOutcome | undefined): void {
+    const session = this.sessions.get(requestId);
+    if (!session) return;
+    if (!outcome) {
+      this.fail(session, new AlreadyClaimedError(session.call.service, session.call.idempotencyKey));
+      return;
+    }
+    const body = Buffer.from(outcome.body, 'base64');
+    this.emit({
+      kind: 'replyApplication',
+      requestId,
+      status: outcome.status,
+      contentType: outcome.contentType,
+      body,
+    });
+    this.over(session);
+  }
+
+  /** The ledger could not confirm the claim; the call was not sent. */
+  claimUnavailable(requestId: string, retryAfterMs: number): void {
+    const session = this.sessions.get(requestId);
+    if (session) this.fail(session, new LedgerUnavailableError(session.call.service, retryAfterMs));
+  }
+
+  /** The caller went away. */
+  cancel(requestId: string, now: number): void {
+    const session = this.sessions.get(requestId);
+    if (!session) return;
+    this.settleClaim(session, now);
+    this.fail(session, new CallerCancelledError(requestId, notRunOf(session)));
+  }
+
+  /** Takes an event of a call that was sent. */
+  callEvent(requestId: string, attemptId: string, event: ApplicationEvent, now: number): void {
+    const session = this.sessions.get(requestId);
+    const attempt = session?.attempt;
+    if (!session || attempt?.attemptId !== attemptId) return;
+    attempt.server.inFlight -= 1;
+    session.attempt = undefined;
+    switch (event.kind) {
+      case 'unreachable':
+        attempt.server.avoidUntil = now + AVOID_AFTER_FAILURE_MS;
+        this.sendElsewhere(session, attempt.server, now);
+        break;
+      case 'refused':
+        attempt.server.leaving ||= event.leaving;
+        this.sendElsewhere(session, attempt.server, now);
+        break;
+      case 'response':
+        attempt.server.leaving ||= event.leaving;
+        this.answered(session, event, now);
+        break;
+      case 'broken':
+        this.broken(session, attempt.server, now);
+        break;
+    }
+  }
+
+  /** Advances timers. */
+  tick(now: number): void {
+    for (const session of [...this.sessions.values()]) {
+      if (now >= session.deadlineAt) {
+        this.settleClaim(session, now);
+        this.fail(session, new DeadlineExceededError(session.call.requestId, notRunOf(session)));
+      }
+    }
+  }
+
+  private send(session: CallSession, now: number): void {
+    const server = this.pickServer(session, now);
+    if (!server) {
+      this.settleClaim(session, now);
+      this.fail(
+        session,
+        new NoBackendError(session.call.service, notRunOf(session), NO_SERVER_RETRY_AFTER_MS),
+      );
+      return;
+    }
+    session.attemptCount += 1;
+    const attemptId = `${session.call.requestId}/${session.attemptCount}`;
+    session.attempt = { attemptId, server };
+    server.inFlight += 1;
+    this.emit({
+      kind: 'startApplicationCall',
+      attemptId,
+      requestId: session.call.requestId,
+      service: session.call.service,
+      address: server.address,
+      remainingMs: session.deadlineAt - now,
+    });
+  }
+
+  private pickServer(session: CallSession, now: number): ServerView | undefined {
+    const able = [...this.servers.values()].filter(
+      (server) => !server.leaving && !session.excluded.has(server.id),
+    );
+    const steady = able.filter((server) => now >= server.avoidUntil);
+    const candidates = steady.length > 0 ? steady : able;
+    if (candidates.length === 0) return undefined;
+    const first = candidates[this.random.below(candidates.length)];
+    const second = candidates[this.random.below(candidates.length)];
+    return second.inFlight < first.inFlight ? second : first;
+  }
+
+  private sendElsewhere(session: CallSession, server: ServerView, now: number): void {
+    session.excluded.add(server.id);
+    this.send(session, now);
+  }
+
+  private answered(
+    session: CallSession,
+    event: Extract<ApplicationEvent, { kind: 'response' }>,
+    now: number,
+  ): void {
+    const { requestId } = session.call;
+    const { status, contentType, body } = event;
+    if (!session.row.repeatable) this.record(requestId, status, contentType, body, now);
+    this.emit({ kind: 'replyApplication', requestId, status, contentType, body });
+    this.over(session);
+  }
+
+  private record(
+    requestId: string,
+    status: number,
+    contentType: string,
+    body: Uint8Array,
+    now: number,
+  ): void {
+    if (body.byteLength > MAXIMUM_RECORDED_BODY_BYTES) this.ledger.abandon(requestId);
+    else
+      this.ledger.recordOutcome(
+        requestId,
+        { status, contentType, body: Buffer.from(body).toString('base64') },
+        now,
+      );
+  }
+
+  private broken(session: CallSession, server: ServerView, now: number): void {
+    session.mayHaveRun = true;
+    session.brokenAttempts += 1;
+    server.avoidUntil = now + AVOID_AFTER_FAILURE_MS;
+    const allowed = session.row.repeatable && session.brokenAttempts < MAXIMUM_BROKEN_ATTEMPTS;
+    if (allowed && this.retryBudget.tryRetry()) {
+      this.sendElsewhere(session, server, now);
+      return;
+    }
+    this.settleClaim(session, now);
+    this.fail(session, new AttemptBrokenError(session.call.requestId, session.brokenAttempts, 'unknown'));
+  }
+
+  /** Before a failure is answered: a call that certainly did not run gives its key back. */
+  private settleClaim(session: CallSession, now: number): void {
+    if (session.row.repeatable || session.stage === 'claiming') return;
+    if (notRunOf(session) === 'true') this.ledger.releaseClaim(session.call.requestId, now);
+    else this.ledger.abandon(session.call.requestId);
+  }
+
+  private fail(session: CallSession, error: PulleyledgeError): void {
+    const { attempt } = session;
+    if (attempt) {
+      attempt.server.inFlight -= 1;
+      session.attempt = undefined;
+      this.emit({ kind: 'cancelApplicationCall', attemptId: attempt.attemptId });
+    }
+    this.emit({ kind: 'replyFailed', requestId: session.call.requestId, error, tokensSent: 0 });
+    this.over(session);
+  }
+
+  private over(session: CallSession): void {
+    this.sessions.delete(session.call.requestId);
+    this.emit({ kind: 'applicationOver', requestId: session.call.requestId, service: session.call.service });
+  }
+}
+
+function notRunOf(session: CallSession): NotRun {
+  return session.mayHaveRun || session.attempt ? 'unknown' : 'true';
+}
