--- /dev/null
+++ b/src/routing/completion-manager.ts
@@ -0,0 +1,428 @@
+/**
+ * Takes completions from callers, decides which run, wait or are refused, sends attempts to engines and puts
+ * the answer together. One session per request; a session has at most one live attempt. Tokens are passed on
+ * only at the exact next offset, and an answer is complete only at an engine's end marker.
+ */
+import {
+  AttemptBrokenError,
+  CallerCancelledError,
+  DeadlineExceededError,
+  NoBackendError,
+  OverloadedError,
+  type NotRun,
+  type PulleyledgeError,
+} from '../errors/index.js';
+import type { ServiceRow } from '../configuration/service-row.js';
+import type { AttemptEvent, EnginePhase, EngineRefusal, KvHandle } from '../engine/engine-protocol.js';
+import type { EffectSink } from '../shared/effect-sink.js';
+import { AdmissionQueue, type QueueItem } from './admission-queue.js';
+import type { AttemptStage, CompletionEffect, CompletionSettings } from './completion-effects.js';
+import type { CompletionRequest } from './completion-request.js';
+import type { DirectorySettings, EngineDirectory, EngineView } from './engine-directory.js';
+import type { EnginePicker, RoutePlan } from './engine-picker.js';
+import { RetryBudget } from './retry-budget.js';
+
+interface LiveAttempt {
+  readonly attemptId: string;
+  readonly engine: EngineView;
+  readonly stage: AttemptStage;
+  readonly plan: RoutePlan;
+  lastEventAt: number;
+}
+
+interface Session {
+  readonly request: CompletionRequest;
+  readonly row: ServiceRow;
+  readonly deadlineAt: number;
+  readonly item: QueueItem;
+  attempt: LiveAttempt | undefined;
+  attemptCount: number;
+  /** Attempts that an engine may have worked on. */
+  brokenAttempts: number;
+  mayHaveRun: boolean;
+  readonly produced: string[];
+  kv: KvHandle | undefined;
+  excluded: Set<string>;
+  queuedAt: number;
+  /** Engines turned it away this often in a row; it then waits a moment. */
+  refusals: number;
+  retryAt: number;
+}
+
+const MINIMUM_RETRY_AFTER_MS = 250;
+const REFUSAL_BACKOFF_MS = 50;
+const MAXIMUM_REFUSAL_BACKOFF_MS = 800;
+/** A request in the queue costs at least this many prompt tokens. */
+const MINIMUM_COST_TOKENS = 32;
+
+/** The completion state machine of one daemon. Times are monotonic milliseconds. */
+export class CompletionManager {
+  private readonly sessions = new Map<string, Session>();
+  private readonly queue = new AdmissionQueue();
+  private readonly retryBudget: RetryBudget;
+
+  constructor(
+    private readonly settings: CompletionSettings,
+    private readonly directorySettings: DirectorySettings,
+    private readonly directory: EngineDirectory,
+    private readonly picker: EnginePicker,
+    private readonly emit: EffectSink<CompletionEffect>,
+  ) {
+    this.retryBudget = new RetryBudget(settings.retryRatio);
+  }
+
+  /** Requests in hand. */
+  active(): number {
+    return this.sessions.size;
+  }
+
+  /** Requests that wait for an engine. */
+  waiting(): number {
+    return this.queue.length;
+  }
+
+  /**
+   * Why a request should be refused before it takes a slot, or undefined to go on.
+   * The wait is expected from the work queued here and at the engines.
+   */
+  refusalFor(request: CompletionRequest, row: ServiceRow, now: number): PulleyledgeError | undefined {
+    const expectedWaitMs = this.expectedWaitMs(request, row, now);
+    if (expectedWaitMs === undefined) return undefined;
+    const allowedMs = Math.min(row.maximumWaitMs, request.timeoutMs ?? row.deadlineMs);
+    if (expectedWaitMs <= allowedMs) return undefined;
+    return new OverloadedError(
+      row.name,
+      expectedWaitMs,
+      Math.max(MINIMUM_RETRY_AFTER_MS, expectedWaitMs - allowedMs),
+    );
+  }
+
+  /** Begins a request that has its slot. */
+  begin(request: CompletionRequest, row: ServiceRow, now: number): void {
+    this.retryBudget.requestSeen();
+    const cost = Math.max(MINIMUM_COST_TOKENS, request.prompt.tokens);
+    const item: QueueItem = {
+      id: request.requestId,
+      service: row.name,
+      priority: row.priority,
+      weight: row.weight,
+      cost,
+    };
+    const session: Session = {
+      request,
+      row,
+      deadlineAt: request.receivedAt + (request.timeoutMs ?? row.deadlineMs),
+      item,
+      attempt: undefined,
+      attemptCount: 0,
+      brokenAttempts: 0,
+      mayHaveRun: false,
+      produced: [],
+      kv: undefined,
+      excluded: new Set(),
+      queuedAt: now,
+      refusals: 0,
+      retryAt: 0,
+    };
+    this.sessions.set(request.requestId, session);
+    this.queue.push(item);
+    this.dispatch(now);
+  }
+
+  /** The caller went away: the work is cancelled at the engine. */
+  cancel(requestId: string, now: number): void {
+    const session = this.sessions.get(requestId);
+    if (session) this.fail(session, new CallerCancelledError(requestId, notRunOf(session)), now);
+  }
+
+  /** Takes an event of an attempt. Events of attempts that are no longer live are dropped. */
+  attemptEvent(requestId: string, attemptId: string, event: AttemptEvent, now: number): void {
+    const session = this.sessions.get(requestId);
+    const attempt = session?.attempt;
+    if (!session || attempt?.attemptId !== attemptId) return;
+    attempt.lastEventAt = now;
+    switch (event.kind) {
+      case 'unreachable':
+        attempt.engine.failed(now, this.directorySettings);
+        this.turnedAway(session, attempt, now);
+        break;
+      case 'refused':
+        this.noteRefusal(attempt.engine, event.reason, now);
+        this.turnedAway(session, attempt, now);
+        break;
+      case 'prefilled':
+        this.prefilled(session, attempt, event.kv, now);
+        break;
+      case 'tokens':
+        this.tokens(session, attempt, event.offset, event.texts, now);
+        break;
+      case 'end':
+        this.ended(session, attempt, event.tokens, event.finishReason, now);
+        break;
+      case 'broken':
+        this.broken(session, attempt, now);
+        break;
+    }
+  }
+
+  /** Advances timers and sends waiting work. */
+  tick(now: number): void {
+    for (const session of [...this.sessions.values()]) {
+      if (now >= session.deadlineAt) this.deadlinePassed(session, now);
+      else if (session.attempt) this.checkStall(session, session.attempt, now);
+      else this.checkWait(session, now);
+    }
+    this.dispatch(now);
+  }
+
+  private expectedWaitMs(request: CompletionRequest, row: ServiceRow, now: number): number | undefined {
+    let rate = 0;
+    let backlog = this.queue.costAhead(row.priority);
+    for (const engine of this.directory.all()) {
+      const { assignment } = engine;
+      if (!engine.takesWork(now) || assignment?.model !== row.model || assignment.version !== row.version)
+        continue;
+      if (assignment.role === 'decode') continue;
+      rate += engine.prefillRate();
+      backlog += engine.pendingPrefill(now);
+    }
+    return rate === 0 ? undefined : ((backlog + request.prompt.tokens) / rate) * 1000;
+  }
+
+  private checkWait(session: Session, now: number): void {
+    const waited = now - session.queuedAt;
+    const limit = Math.max(
+      session.row.maximumWaitMs,
+      session.brokenAttempts > 0 ? this.settings.attemptStallMs : 0,
+    );
+    if (waited <= limit) return;
+    const error = session.mayHaveRun
+      ? new AttemptBrokenError(session.request.requestId, session.brokenAttempts, notRunOf(session))
+      : new OverloadedError(session.row.name, waited, MINIMUM_RETRY_AFTER_MS);
+    this.fail(session, error, now);
+  }
+
+  private deadlinePassed(session: Session, now: number): void {
+    this.fail(session, new DeadlineExceededError(session.request.requestId, notRunOf(session)), now);
+  }
+
+  private checkStall(session: Session, attempt: LiveAttempt, now: number): void {
+    if (now - attempt.lastEventAt < this.settings.attemptStallMs) return;
+    this.emit({ kind: 'cancelAttempt', attemptId: attempt.attemptId, address: attempt.engine.address });
+    this.broken(session, attempt, now);
+  }
+
+  /** Sends the best waiting items while engines can take them. */
+  private dispatch(now: number): void {
+    let progress = true;
+    while (progress && this.queue.length > 0) {
+      progress = false;
+      for (const item of this.queue.heads()) {
+        const session = this.sessions.get(item.id);
+        if (!session || session.attempt || now < session.retryAt) continue;
+        if (this.trySend(session, now)) {
+          progress = true;
+          break;
+        }
+        if (!this.sessions.has(item.id)) progress = true;
+      }
+    }
+  }
+
+  private trySend(session: Session, now: number): boolean {
+    const { request, row } = session;
+    const outcome = this.picker.pick(
+      {
+        model: row.model,
+        version: row.version,
+        adapter: row.adapter,
+        promptTokens: request.prompt.tokens + session.produced.length,
+        prefixKey: request.prompt.prefixKey,
+        excluded: session.excluded,
+      },
+      this.directory.all(),
+      now,
+    );
+    if (outcome.kind === 'none') {
+      this.noEngine(session, now);
+      return false;
+    }
+    if (outcome.kind === 'busy') return false;
+    const { plan } = outcome;
+    const own = (request.prompt.tokens / (plan.prefill ?? plan.generate).prefillRate()) * 1000;
+    if (plan.expectedFirstTokenMs - own > this.settings.dispatchHorizonMs) return false;
+    this.queue.remove(request.requestId);
+    const resumable = session.kv !== undefined;
+    this.startAttempt(session, plan, plan.prefill && !resumable ? 'prefill' : 'generate', now);
+    return true;
+  }
+
+  private noEngine(session: Session, now: number): void {
+    if (session.excluded.size > 0) {
+      session.excluded = new Set();
+      this.backOff(session, now);
+      return;
+    }
+    if (now - session.queuedAt < this.settings.noBackendWaitMs) return;
+    const error = new NoBackendError(session.row.name, notRunOf(session), this.settings.noBackendWaitMs);
+    this.fail(session, error, now);
+  }
+
+  private startAttempt(session: Session, plan: RoutePlan, stage: AttemptStage, now: number): void {
+    const { request, row } = session;
+    const engine = stage === 'prefill' && plan.prefill ? plan.prefill : plan.generate;
+    session.attemptCount += 1;
+    const attemptId = `${request.requestId}/${session.attemptCount}`;
+    session.attempt = { attemptId, engine, stage, plan, lastEventAt: now };
+    const promptWork = session.kv ? 0 : request.prompt.tokens + session.produced.length;
+    engine.workSent(attemptId, promptWork, now);
+    this.emit({
+      kind: 'startAttempt',
+      start: {
+        attemptId,
+        requestId: request.requestId,
+        engineId: engine.id,
+        address: engine.address,
+        stage,
+        request,
+        row,
+        offset: session.produced.length,
+        produced: session.produced,
+        kv: session.kv,
+        remainingMs: session.deadlineAt - now,
+      },
+    });
+  }
+
+  private prefilled(session: Session, attempt: LiveAttempt, kv: KvHandle, now: number): void {
+    attempt.engine.succeeded();
+    this.endAttempt(session, attempt);
+    session.kv = kv;
+    session.mayHaveRun = true;
+    if (attempt.plan.generate.takesWork(now)) this.startAttempt(session, attempt.plan, 'generate', now);
+    else this.requeue(session, now);
+  }
+
+  private tokens(
+    session: Session,
+    attempt: LiveAttempt,
+    offset: number,
+    texts: readonly string[],
+    now: number,
+  ): void {
+    const expected = session.produced.length;
+    if (offset > expected) {
+      this.emit({ kind: 'cancelAttempt', attemptId: attempt.attemptId, address: attempt.engine.address });
+      this.broken(session, attempt, now);
+      return;
+    }
+    const fresh = texts.slice(expected - offset);
+    if (fresh.length === 0) return;
+    attempt.engine.firstToken(attempt.attemptId);
+    session.produced.push(...fresh);
+    this.emit({ kind: 'replyTokens', requestId: session.request.requestId, offset: expected, texts: fresh });
+  }
+
+  private ended(
+    session: Session,
+    attempt: LiveAttempt,
+    tokens: number,
+    finishReason: string,
+    now: number,
+  ): void {
+    if (tokens !== session.produced.length) {
+      this.broken(session, attempt, now);
+      return;
+    }
+    attempt.engine.succeeded();
+    this.endAttempt(session, attempt);
+    this.emit({ kind: 'replyEnd', requestId: session.request.requestId, tokens, finishReason });
+    this.over(session, now);
+  }
+
+  /** The engine may have worked: repeat only work that may be repeated, within the budget. */
+  private broken(session: Session, attempt: LiveAttempt, now: number): void {
+    attempt.engine.failed(now, this.directorySettings);
+    this.endAttempt(session, attempt);
+    session.mayHaveRun = true;
+    session.brokenAttempts += 1;
+    session.kv = undefined;
+    const allowed = session.row.repeatable && session.brokenAttempts < this.settings.maximumAttempts;
+    if (allowed && this.retryBudget.tryRetry()) {
+      session.excluded.add(attempt.engine.id);
+      this.requeue(session, now);
+      return;
+    }
+    const error = new AttemptBrokenError(
+      session.request.requestId,
+      session.brokenAttempts,
+      notRunOf(session),
+    );
+    this.fail(session, error, now);
+  }
+
+  /** The engine certainly did not run it: try elsewhere, without counting against the budget. */
+  private turnedAway(session: Session, attempt: LiveAttempt, now: number): void {
+    this.endAttempt(session, attempt);
+    session.excluded.add(attempt.engine.id);
+    if (attempt.stage === 'generate') session.kv = undefined;
+    session.refusals += 1;
+    if (session.refusals > 2) this.backOff(session, now);
+    this.requeue(session, now);
+  }
+
+  private backOff(session: Session, now: number): void {
+    const delay = Math.min(
+      MAXIMUM_REFUSAL_BACKOFF_MS,
+      REFUSAL_BACKOFF_MS * 2 ** Math.min(session.refusals, 6),
+    );
+    session.retryAt = now + delay;
+  }
+
+  private requeue(session: Session, now: number): void {
+    session.queuedAt = session.mayHaveRun ? now : session.queuedAt;
+    this.queue.pushFront(session.item);
+    this.dispatch(now);
+  }
+
+  private noteRefusal(engine: EngineView, reason: EngineRefusal, now: number): void {
+    const phases: Partial<Record<EngineRefusal, EnginePhase>> = {
+      draining: 'draining',
+      changing: 'changing',
+      leaving: 'leaving',
+    };
+    const phase = phases[reason];
+    if (phase) engine.markPhase(phase, now);
+  }
+
+  private endAttempt(session: Session, attempt: LiveAttempt): void {
+    attempt.engine.workDone(attempt.attemptId);
+    session.attempt = undefined;
+  }
+
+  private fail(session: Session, error: PulleyledgeError, now: number): void {
+    const { attempt } = session;
+    if (attempt) {
+      this.emit({ kind: 'cancelAttempt', attemptId: attempt.attemptId, address: attempt.engine.address });
+      this.endAttempt(session, attempt);
+    }
+    this.queue.remove(session.request.requestId);
+    const tokensSent = session.produced.length;
+    this.emit({ kind: 'replyFailed', requestId: session.request.requestId, error, tokensSent });
+    this.over(session, now);
+  }
+
+  private over(session: Session, now: number): void {
+    const { requestId } = session.request;
+    this.sessions.delete(requestId);
+    const outputTokens = session.produced.length;
+    this.emit({ kind: 'completionOver', requestId, service: session.row.name, outputTokens });
+    this.dispatch(now);
+  }
+}
+
+/** What may truthfully be said of a request: false once tokens came, true only if no engine can have begun. */
+function notRunOf(session: Session): NotRun {
+  if (session.produced.length > 0) return 'false';
+  return session.mayHaveRun || session.attempt ? 'unknown' : 'true';
+}
--- /dev/null
+++ b/src/routing/engine-directory.ts
@@ -0,0 +1,196 @@
+/**
+ * What a daemon knows of the engines that it routes to. Reports are old, so the directory adds what this
+ * daemon itself sent since, and lets the reported work run down at the engine's own rate.
+ */
+import type {
+  EngineAssignment,
+  EngineCapability,
+  EnginePhase,
+  EngineReport,
+} from '../engine/engine-protocol.js';
+
+/** Settings of the directory. */
+export interface DirectorySettings {
+  /** How old a report may be assumed to be on arrival. Milliseconds. Default 500. */
+  readonly reportLagMs: number;
+  /** An engine with this many failures in a row is ejected. Default 3. */
+  readonly ejectAfterFailures: number;
+  /** First ejection; each further one doubles it, up to eight times. Milliseconds. Default 2000. */
+  readonly ejectionMs: number;
+}
+
+/** Default settings. */
+export const DEFAULT_DIRECTORY_SETTINGS: DirectorySettings = {
+  reportLagMs: 500,
+  ejectAfterFailures: 3,
+  ejectionMs: 2000,
+};
+
+interface SentWork {
+  readonly promptTokens: number;
+  readonly sentAt: number;
+  firstTokenSeen: boolean;
+}
+
+const MAXIMUM_EJECTION_DOUBLINGS = 3;
+
+/** One engine as seen from here. */
+export class EngineView {
+  assignment: EngineAssignment | undefined;
+  capability: EngineCapability | undefined;
+  phase: EnginePhase = 'active';
+  maximumStreams = 0;
+  listedLeaving = false;
+  private reportedStreams = 0;
+  private reportedPrefill = 0;
+  private reportedAt = -Infinity;
+  private readonly sent = new Map<string, SentWork>();
+  private failures = 0;
+  private ejections = 0;
+  private ejectedUntil = -Infinity;
+
+  constructor(
+    readonly id: string,
+    public address: string,
+    readonly zone: string,
+    readonly cell: string,
+  ) {}
+
+  /** Takes a load report that was made at about `madeAt` on this daemon's clock. */
+  applyReport(report: EngineReport, madeAt: number): void {
+    if (madeAt < this.reportedAt) return;
+    this.assignment = report.assignment;
+    this.capability = report.capability;
+    this.phase = report.phase;
+    this.maximumStreams = report.maximumStreams;
+    this.reportedStreams = report.streams;
+    this.reportedPrefill = report.waitingPrefillTokens;
+    this.reportedAt = madeAt;
+  }
+
+  /** When the last report was made, on this daemon's clock; -Infinity before the first. */
+  reportTime(): number {
+    return this.reportedAt;
+  }
+
+  /** The engine itself said that it takes no new work. Holds until a newer report. */
+  markPhase(phase: EnginePhase, now: number): void {
+    this.phase = phase;
+    this.reportedAt = Math.max(this.reportedAt, now);
+  }
+
+  /** Counts work sent from here. */
+  workSent(attemptId: string, promptTokens: number, now: number): void {
+    this.sent.set(attemptId, { promptTokens, sentAt: now, firstTokenSeen: false });
+  }
+
+  /** The prompt of an attempt is computed. */
+  firstToken(attemptId: string): void {
+    const work = this.sent.get(attemptId);
+    if (work) work.firstTokenSeen = true;
+  }
+
+  /** The attempt is over. */
+  workDone(attemptId: string): void {
+    this.sent.delete(attemptId);
+  }
+
+  /** Attempts of this daemon on the engine. */
+  ownStreams(): number {
+    return this.sent.size;
+  }
+
+  /** The engine worked: earlier failures no longer count. */
+  succeeded(): void {
+    this.failures = 0;
+    this.ejections = 0;
+  }
+
+  /** The engine failed without being asked too much; after a few it is left alone for a while. */
+  failed(now: number, settings: DirectorySettings): void {
+    this.failures += 1;
+    if (this.failures < settings.ejectAfterFailures) return;
+    this.failures = 0;
+    this.ejectedUntil = now + settings.ejectionMs * 2 ** Math.min(this.ejections, MAXIMUM_EJECTION_DOUBLINGS);
+    this.ejections += 1;
+  }
+
+  /** Whether the engine may get new work. */
+  takesWork(now: number): boolean {
+    return (
+      this.phase === 'active' &&
+      !this.listedLeaving &&
+      this.assignment !== undefined &&
+      now >= this.ejectedUntil
+    );
+  }
+
+  /** Prompt tokens believed to wait on the engine. */
+  pendingPrefill(now: number): number {
+    const rate = this.prefillRate() / 1000;
+    const left = Math.max(0, this.reportedPrefill - rate * Math.max(0, now - this.reportedAt));
+    let own = 0;
+    let sinceReport = 0;
+    for (const work of this.sent.values()) {
+      if (work.firstTokenSeen) continue;
+      own += work.promptTokens;
+      if (work.sentAt > this.reportedAt) sinceReport += work.promptTokens;
+    }
+    return Math.max(left + sinceReport, own * 0.5);
+  }
+
+  /** Streams believed to be on the engine. */
+  streams(): number {
+    let sinceReport = 0;
+    for (const work of this.sent.values()) if (work.sentAt > this.reportedAt) sinceReport += 1;
+    return Math.max(this.reportedStreams + sinceReport, this.sent.size);
+  }
+
+  /** Prompt tokens per second in the present role. */
+  prefillRate(): number {
+    const { capability, assignment } = this;
+    if (!capability || !assignment) return 1;
+    if (assignment.role === 'prefill') return capability.prefillRate;
+    return assignment.role === 'mixed' ? capability.mixedPrefillRate : capability.mixedPrefillRate / 2;
+  }
+
+  /** Expected time until the first token of a prompt of this length. Milliseconds. */
+  expectedFirstTokenMs(promptTokens: number, now: number): number {
+    return ((this.pendingPrefill(now) + promptTokens) / this.prefillRate()) * 1000;
+  }
+}
+
+/** All engines that a daemon routes to. */
+export class EngineDirectory {
+  private readonly views = new Map<string, EngineView>();
+
+  /** The engine, added when unknown. */
+  ensure(id: string, address: string, zone: string, cell: string): EngineView {
+    const known = this.views.get(id);
+    if (known) {
+      known.address = address;
+      return known;
+    }
+    const view = new EngineView(id, address, zone, cell);
+    this.views.set(id, view);
+    return view;
+  }
+
+  /** The engine, if known. */
+  get(id: string): EngineView | undefined {
+    return this.views.get(id);
+  }
+
+  /** Every engine. */
+  all(): IterableIterator<EngineView> {
+    return this.views.values();
+  }
+
+  /** Forgets engines of the cells named that are no longer listed and carry no work from here. */
+  retain(listed: ReadonlySet<string>): void {
+    for (const [id, view] of this.views) {
+      if (!listed.has(id) && view.ownStreams() === 0) this.views.delete(id);
+      else if (!listed.has(id)) view.listedLeaving = true;
+    }
+  }
+}
--- /dev/null
+++ b/src/routing/retry-budget.ts
@@ -0,0 +1,24 @@
+/** Bounds retries of work that may have run to a share of the requests, so that failures do not multiply load. */
+
+const INITIAL_TOKENS = 10;
+const MAXIMUM_TOKENS = 100;
+
+/** A retry budget: each request adds a part of a token, each retry takes a whole one. */
+export class RetryBudget {
+  private tokens = INITIAL_TOKENS;
+
+  /** @param ratio retries allowed per request, in the long run */
+  constructor(private readonly ratio: number) {}
+
+  /** Counts a request. */
+  requestSeen(): void {
+    this.tokens = Math.min(MAXIMUM_TOKENS, this.tokens + this.ratio);
+  }
+
+  /** Takes a retry if the budget allows one. */
+  tryRetry(): boolean {
+    if (this.tokens < 1) return false;
+    this.tokens -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/shared/random.ts
@@ -0,0 +1,34 @@
+/** Seeded random numbers, so that the simulator and the tests repeat exactly. */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+
+/** A source of random numbers that state machines are given; they use no other. */
+export interface RandomSource {
+  /** A uniform number in [0, 1). */
+  next(): number;
+  /** A uniform whole number in [0, bound). `bound` is at least 1. */
+  below(bound: number): number;
+}
+
+/** A deterministic source: the same seed gives the same numbers. */
+export class SeededRandom implements RandomSource {
+  private readonly generator: RandomGenerator;
+
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  next(): number {
+    return uniformFloat64(this.generator);
+  }
+
+  below(bound: number): number {
+    return Math.floor(this.next() * bound);
+  }
+}
+
+/** An exponentially distributed interval with the given mean, in the unit of `mean`. */
+export function exponential(random: RandomSource, mean: number): number {
+  return -Math.log(1 - random.next()) * mean;
+}
