Simulator in virtual time, faults, and the promises as properties

Cause: the promises must be shown under failure, with broken variants that the same test catches. Ruled out: real processes for this (too slow and not repeatable); unordered delivery of a stream in the simulator (an end marker overtook tokens and 1,815 of 5,181 answers broke: a fault of the simulator, streams now keep their order). Change: virtual time, network with cuts, monitor of promises, 18 kinds of fault as data, fast-check over plans of faults; specifications of lease, drain, configuration and ledger (their bounds are still being set).

--- a/lab/engine-model.ts
+++ b/lab/engine-model.ts
@@ -352,6 +352,7 @@
   }
 
   private report(now: number): EngineReport {
+    this.snapshot(now);
     const lagged = this.laggedLoad(now);
     return {
       assignment: this.assignment,
--- /dev/null
+++ b/simulation/fault-run.ts
@@ -0,0 +1,78 @@
+/** One run of a site under load and a plan of faults, with every promise watched. */
+import { siteProfile } from '../lab/site-profiles.js';
+import type { DaemonSettings } from '../src/daemon/daemon-settings.js';
+import { FaultInjector, type Fault } from './fault-plan.js';
+import type { Violation } from './monitor.js';
+import { optionsForSite } from './site-options.js';
+import { SimulatedSite } from './simulated-site.js';
+import { Workload, type WorkloadCounts } from './workload.js';
+
+/** What to run. */
+export interface FaultRunOptions {
+  readonly site: string;
+  readonly seed: number;
+  readonly plan: readonly Fault[];
+  /** Load lasts until this time; then the run waits for the last answers. Milliseconds. */
+  readonly loadUntilMs: number;
+  readonly settings?: Partial<DaemonSettings>;
+  /** Called before the run begins, for broken variants. */
+  readonly prepare?: (site: SimulatedSite) => void;
+}
+
+/** What a run showed. */
+export interface FaultRunResult {
+  readonly violations: readonly Violation[];
+  readonly counts: WorkloadCounts;
+  /** Streams that ended with a typed error after tokens had been sent. */
+  readonly cut: number;
+  /** Requests without any answer long after the last deadline. */
+  readonly unanswered: number;
+  readonly faults: ReadonlyMap<string, number>;
+  readonly ordersAccepted: number;
+  readonly ordersRefused: number;
+  readonly worstLeavingMs: number;
+  readonly worstConfigurationLagMs: number;
+  readonly goodput: readonly number[];
+  readonly roleChanges: number;
+}
+
+/** Load starts when the site has had time to come up. Milliseconds. */
+export const WARM_UP_MS = 6000;
+const SETTLE_MS = 90_000;
+const SHIFT_MS = 20_000;
+
+/** Runs a plan. */
+export function runFaults(options: FaultRunOptions): FaultRunResult {
+  const profile = siteProfile(options.site);
+  const site = new SimulatedSite(optionsForSite(profile, options.seed, options.settings));
+  options.prepare?.(site);
+  const workload = new Workload(site, profile.services, options.seed + 1);
+  const injector = new FaultInjector(site, workload);
+  injector.schedule(options.plan);
+  site.time.runUntil(WARM_UP_MS);
+  const heavy = (atMs: number): boolean => Math.floor(atMs / SHIFT_MS) % 2 === 0;
+  const { engines } = profile;
+  workload.addCompletions({ ...profile.longWork, perSecond: (atMs) => engines * (heavy(atMs) ? 0.6 : 0.1) });
+  workload.addCompletions({ ...profile.shortWork, perSecond: (atMs) => engines * (heavy(atMs) ? 0.5 : 3) });
+  for (const row of profile.services.filter((service) => service.kind === 'application')) {
+    workload.addCalls({ service: row.name, perSecond: 3, repeatChance: 0.7 });
+  }
+  site.time.runUntil(options.loadUntilMs);
+  workload.stop();
+  site.time.runUntil(options.loadUntilMs + SETTLE_MS);
+  let roleChanges = 0;
+  for (const engine of site.engines.values()) roleChanges += engine.changes().count;
+  return {
+    violations: site.monitor.violations,
+    counts: workload.counts,
+    cut: workload.cut,
+    unanswered: workload.openRequests(),
+    faults: injector.injected,
+    ordersAccepted: site.monitor.ordersAccepted,
+    ordersRefused: site.monitor.ordersRefused,
+    worstLeavingMs: site.monitor.worstLeavingMs,
+    worstConfigurationLagMs: site.monitor.worstConfigurationLagMs,
+    goodput: workload.goodput,
+    roleChanges,
+  };
+}
--- /dev/null
+++ b/simulation/simulated-site.ts
@@ -0,0 +1,503 @@
+/** A whole site in virtual time: real daemon state machines, emulated engines and platform, and faults. */
+import { DEFAULT_ENGINE_MODEL_SETTINGS, type EngineModelSettings } from '../lab/engine-model.js';
+import { PlatformModel } from '../lab/platform-model.js';
+import { Daemon } from '../src/daemon/daemon.js';
+import type { DaemonEffect, DaemonEvent, PeerMessage } from '../src/daemon/daemon-messages.js';
+import { DEFAULT_DAEMON_SETTINGS, type DaemonSettings } from '../src/daemon/daemon-settings.js';
+import type { EngineAssignment } from '../src/engine/engine-protocol.js';
+import type { ServiceRow } from '../src/configuration/service-row.js';
+import type { Machine } from '../src/platform/machine-list.js';
+import { hashText } from '../src/shared/rendezvous-hash.js';
+import { SeededRandom } from '../src/shared/random.js';
+import type { LeaseValue } from '../src/lease/cell-lease.js';
+import { Monitor } from './monitor.js';
+import { SimulatedApplication } from './simulated-application.js';
+import { SimulatedEngine, type AttemptSink } from './simulated-engine.js';
+import { SimulatedNetwork, type Endpoint, type NetworkSettings } from './simulated-network.js';
+import { VirtualTime } from './virtual-time.js';
+
+/** Where an engine stands. */
+export interface EnginePlace {
+  readonly zone: string;
+  readonly region: string;
+  readonly cell: string;
+  readonly assignment: EngineAssignment;
+}
+
+/** A site to simulate. */
+export interface SimulationOptions {
+  readonly seed: number;
+  readonly daemons: readonly { readonly zone: string; readonly region: string }[];
+  readonly engines: readonly EnginePlace[];
+  readonly applications: readonly { readonly zone: string; readonly region: string }[];
+  readonly services: readonly ServiceRow[];
+  readonly network?: Partial<NetworkSettings>;
+  readonly settings?: Partial<DaemonSettings>;
+  readonly engineSettings?: Partial<EngineModelSettings>;
+  /** Interval of daemons' timers. Milliseconds. Default 100. */
+  readonly tickMs?: number;
+  /** Whether engines make real texts, for checking answers; without them runs are quicker. Default true. */
+  readonly realTexts?: boolean;
+  /** Sees every message between daemons, to count traffic. */
+  readonly onPeerMessage?: (from: string, to: string, message: PeerMessage) => void;
+  /** Transactions a second that the table takes. Default 200. */
+  readonly tableRate?: { readonly perSecond: number; readonly burst: number };
+  /** Promises in figures, for the monitor. Milliseconds. */
+  readonly promises?: { readonly leavingMs: number; readonly configurationMs: number };
+}
+
+const DEFAULT_NETWORK: NetworkSettings = { sameZoneMs: 0.2, otherZoneMs: 1, otherRegionMs: 35, jitter: 0.3 };
+const DEFAULT_TICK_MS = 100;
+const DEFAULT_PROMISES = { leavingMs: 5000, configurationMs: 20_000 };
+const NO_ANSWER_MS = 1500;
+const CONNECT_TIMEOUT_MS = 1000;
+const PLATFORM: Endpoint = { name: 'platform', zone: 'platform', region: 'main' };
+
+/** One simulated daemon process. */
+export interface DaemonNode extends Endpoint {
+  readonly index: number;
+  readonly address: string;
+  daemon: Daemon;
+  id: string;
+  starts: number;
+  alive: boolean;
+  pausedSince: number | undefined;
+  /** Events that arrived while the process was paused. */
+  backlog: DaemonEvent[];
+  draining: boolean;
+}
+
+/** Handles effects that answer callers and operators. */
+export type ReplyHandler = (node: DaemonNode, effect: DaemonEffect) => void;
+
+/** The simulation of a site. */
+export class SimulatedSite {
+  readonly time = new VirtualTime();
+  readonly random: SeededRandom;
+  readonly network: SimulatedNetwork;
+  readonly platform: PlatformModel;
+  readonly monitor: Monitor;
+  readonly daemons: DaemonNode[] = [];
+  readonly engines = new Map<string, SimulatedEngine>();
+  readonly applications = new Map<string, SimulatedApplication>();
+  private readonly byAddress = new Map<string, DaemonNode>();
+  private readonly settings: DaemonSettings;
+  private readonly tickMs: number;
+  private replyHandler: ReplyHandler = () => undefined;
+  /** Changes or drops events on their way to a daemon; the broken variants of tests use it. */
+  intercept: (event: DaemonEvent) => DaemonEvent | undefined = (event) => event;
+  /** Control requests of a daemon reach engines this much later, as if it slept between check and send. */
+  readonly controlDelayMs = new Map<DaemonNode, number>();
+
+  constructor(private readonly options: SimulationOptions) {
+    this.random = new SeededRandom(options.seed);
+    this.network = new SimulatedNetwork(this.time, this.random, { ...DEFAULT_NETWORK, ...options.network });
+    this.platform = new PlatformModel(options.tableRate);
+    this.monitor = new Monitor(() => this.time.now(), options.promises ?? DEFAULT_PROMISES);
+    this.settings = { ...DEFAULT_DAEMON_SETTINGS, ...options.settings };
+    this.tickMs = options.tickMs ?? DEFAULT_TICK_MS;
+    this.writeServices(options.services);
+    options.engines.forEach((place, index) => this.addEngine(place, index));
+    options.applications.forEach((place, index) => this.addApplication(place, index));
+    options.daemons.forEach((place, index) => this.addDaemon(place, index));
+  }
+
+  /** Sets who gets answers to callers and operators. */
+  onReply(handler: ReplyHandler): void {
+    this.replyHandler = handler;
+  }
+
+  /** Daemons that callers may be sent to. */
+  readyDaemons(): DaemonNode[] {
+    return this.daemons.filter((node) => this.acceptsConnections(node));
+  }
+
+  /** Whether a caller's connection to the daemon would be taken. */
+  acceptsConnections(node: DaemonNode): boolean {
+    return (
+      node.alive &&
+      node.pausedSince === undefined &&
+      !node.draining &&
+      node.daemon.readiness(this.time.now()).ready
+    );
+  }
+
+  /** Gives an event to a daemon, as its process would; a paused process gets it when it goes on. */
+  deliver(node: DaemonNode, original: DaemonEvent): void {
+    const event = this.intercept(original);
+    if (!node.alive || !event) return;
+    if (node.pausedSince !== undefined) {
+      node.backlog.push(event);
+      return;
+    }
+    for (const effect of node.daemon.handle(event, this.time.now())) this.perform(node, effect);
+  }
+
+  /** Kills a daemon process. */
+  kill(node: DaemonNode): void {
+    node.alive = false;
+    node.backlog = [];
+    node.pausedSince = undefined;
+  }
+
+  /** Starts a killed or stopped daemon again, as a new process. */
+  restart(node: DaemonNode): void {
+    this.kill(node);
+    this.boot(node);
+  }
+
+  /** Stops a daemon's process from running, as SIGSTOP does. */
+  pause(node: DaemonNode): void {
+    if (node.alive) node.pausedSince ??= this.time.now();
+  }
+
+  /** Lets it go on: everything that arrived meanwhile is handled at once. */
+  resume(node: DaemonNode): void {
+    if (node.pausedSince === undefined) return;
+    node.pausedSince = undefined;
+    const { backlog } = node;
+    node.backlog = [];
+    for (const event of backlog) this.deliver(node, event);
+  }
+
+  /** A planned stop, as SIGTERM: callers notice within `noticeMs`; the process ends when its work is done. */
+  drain(node: DaemonNode, noticeMs: number, onStopped: () => void): void {
+    this.deliver(node, { kind: 'beginDrain' });
+    const { starts } = node;
+    this.time.after(noticeMs, () => (node.draining = true));
+    const check = (): void => {
+      if (node.starts !== starts || !node.alive) return;
+      const idle = node.draining && node.daemon.requestsInHand() === 0 && node.daemon.writesInHand() === 0;
+      if (!idle) {
+        this.time.after(this.tickMs, check);
+        return;
+      }
+      this.kill(node);
+      onStopped();
+    };
+    this.time.after(noticeMs, check);
+  }
+
+  /** Announces that an engine leaves: it refuses new work, and the machine list says so after its lag. */
+  leaveEngine(engine: SimulatedEngine): void {
+    engine.model.leave();
+    this.monitor.leaving(engine.name);
+    this.platform.setMachine({ ...this.machineOf(engine), state: 'leaving' }, this.time.now());
+  }
+
+  /** Announces that an application server leaves. */
+  leaveApplication(server: SimulatedApplication): void {
+    server.leaving = true;
+    this.monitor.leaving(server.name);
+    const { name, address, zone } = server;
+    this.platform.setMachine(
+      { id: name, kind: 'application', address, zone, cell: zone, state: 'leaving' },
+      this.time.now(),
+    );
+  }
+
+  private writeServices(services: readonly ServiceRow[]): void {
+    const writes = services.map((row) => ({
+      table: 'services' as const,
+      key: row.name,
+      expectedRevision: 0,
+      value: row,
+    }));
+    if (writes.length > 0) this.platform.table({ kind: 'commit', writeId: 'initial', writes }, 0);
+  }
+
+  private addEngine(place: EnginePlace, index: number): void {
+    const name = `engine-${index + 1}`;
+    const settings = { ...DEFAULT_ENGINE_MODEL_SETTINGS, ...this.options.engineSettings };
+    const realTexts = this.options.realTexts ?? true;
+    const { zone, region, cell, assignment } = place;
+    const address = `10.1.${index >> 8}.${index & 255}:80`;
+    const engine = new SimulatedEngine(
+      name,
+      address,
+      zone,
+      region,
+      cell,
+      this.time,
+      this.monitor,
+      settings,
+      assignment,
+      realTexts,
+    );
+    this.engines.set(name, engine);
+    this.platform.setMachine(this.machineOf(engine), 0);
+  }
+
+  private machineOf(engine: SimulatedEngine): Machine {
+    return {
+      id: engine.name,
+      kind: 'engine',
+      address: engine.address,
+      zone: engine.zone,
+      cell: engine.cell,
+      state: 'live',
+    };
+  }
+
+  private addApplication(place: { zone: string; region: string }, index: number): void {
+    const server = new SimulatedApplication(
+      `application-${index + 1}`,
+      `10.2.0.${index}:80`,
+      place.zone,
+      place.region,
+      this.time,
+      this.monitor,
+    );
+    this.applications.set(server.address, server);
+    const { name, address, zone } = server;
+    this.platform.setMachine({ id: name, kind: 'application', address, zone, cell: zone, state: 'live' }, 0);
+  }
+
+  private addDaemon(place: { zone: string; region: string }, index: number): void {
+    const address = `10.0.${index >> 8}.${index & 255}:7000`;
+    const name = `daemon-${index + 1}`;
+    const node: DaemonNode = {
+      ...place,
+      name,
+      index,
+      address,
+      daemon: undefined as unknown as Daemon,
+      id: '',
+      starts: 0,
+      alive: false,
+      pausedSince: undefined,
+      backlog: [],
+      draining: false,
+    };
+    this.daemons.push(node);
+    this.byAddress.set(address, node);
+    this.boot(node);
+  }
+
+  private boot(node: DaemonNode): void {
+    node.starts += 1;
+    node.id = `${node.name}.${node.starts}`;
+    node.alive = true;
+    node.draining = false;
+    const seeds = this.options.daemons
+      .slice(0, 5)
+      .map((_place, index) => `10.0.0.${index}:7000`)
+      .filter((seed) => seed !== node.address);
+    const { id, address, zone, region, starts } = node;
+    const random = new SeededRandom(this.options.seed * 1000 + node.index * 17 + starts);
+    node.daemon = new Daemon({ id, address, zone, region }, seeds, this.settings, random, this.time.now());
+    const tick = (): void => {
+      if (node.starts !== starts || !node.alive) return;
+      if (node.pausedSince === undefined) this.deliver(node, { kind: 'tick' });
+      this.time.after(this.tickMs, tick);
+    };
+    this.time.after(this.random.next() * this.tickMs, tick);
+  }
+
+  private perform(node: DaemonNode, effect: DaemonEffect): void {
+    switch (effect.kind) {
+      case 'sendPeer':
+        this.sendPeer(node, effect.address, effect.message);
+        break;
+      case 'tableRequest':
+        this.askTable(node, effect);
+        break;
+      case 'listMachines':
+        this.askPlatform(
+          node,
+          () => this.platform.listMachines(effect.cells, this.time.now()),
+          (listing) => this.deliver(node, { kind: 'machineListing', listing }),
+        );
+        break;
+      case 'engineControl':
+        this.controlEngine(node, effect);
+        break;
+      case 'startAttempt':
+        this.startAttempt(node, effect);
+        break;
+      case 'cancelAttempt': {
+        const engine = this.engineAt(effect.address);
+        if (engine) this.network.send(node, engine, () => engine.cancel(effect.attemptId));
+        break;
+      }
+      case 'startApplicationCall':
+        this.startCall(node, effect);
+        break;
+      default:
+        this.replyHandler(node, effect);
+    }
+  }
+
+  private sendPeer(node: DaemonNode, address: string, message: PeerMessage): void {
+    const target = this.byAddress.get(address);
+    if (!target || !target.alive) return;
+    const { starts } = target;
+    const sent = this.network.send(node, target, () => {
+      if (target.starts !== starts) return;
+      this.deliver(target, { kind: 'peerMessage', fromId: node.id, fromAddress: node.address, message });
+    });
+    if (sent) this.options.onPeerMessage?.(node.id, target.id, message);
+  }
+
+  private askTable(node: DaemonNode, effect: Extract<DaemonEffect, { kind: 'tableRequest' }>): void {
+    const { tag, request } = effect;
+    this.askPlatform(
+      node,
+      () => this.platform.table(request, this.time.now()),
+      (result) =>
+        this.deliver(node, {
+          kind: 'tableResult',
+          tag,
+          result: result ?? { kind: 'noAnswer', reason: 'no answer' },
+        }),
+    );
+  }
+
+  /** A call to the platform: the answer may be lost after the effect, and a lost one shows as a time-out. */
+  private askPlatform<Answer>(
+    node: DaemonNode,
+    call: () => Answer | undefined,
+    done: (answer: Answer | undefined) => void,
+  ): void {
+    const { starts } = node;
+    let answered = false;
+    const finish = (answer: Answer | undefined): void => {
+      if (answered || node.starts !== starts) return;
+      answered = true;
+      done(answer);
+    };
+    this.time.after(NO_ANSWER_MS, () => finish(undefined));
+    this.network.send(node, PLATFORM, () => {
+      const answer = call();
+      const { faults } = this.platform;
+      if (answer === undefined || this.random.next() < faults.loseAnswers) return;
+      this.time.after(faults.slowMs, () => this.network.send(PLATFORM, node, () => finish(answer)));
+    });
+  }
+
+  private controlEngine(node: DaemonNode, effect: Extract<DaemonEffect, { kind: 'engineControl' }>): void {
+    const { purpose, cell, engineId, request } = effect;
+    const engine = this.engines.get(engineId);
+    const { starts } = node;
+    let answered = false;
+    const finish = (event: DaemonEvent): void => {
+      if (answered || node.starts !== starts) return;
+      answered = true;
+      this.deliver(node, event);
+    };
+    const noAnswer = { kind: 'noAnswer', reason: 'no answer' } as const;
+    this.time.after(NO_ANSWER_MS, () =>
+      finish({ kind: 'engineControlResult', purpose, cell, engineId, result: noAnswer }),
+    );
+    if (!engine) return;
+    const { id } = node;
+    const arrive = (): void => {
+      if (!engine.alive) return;
+      const result = engine.control(request, id, this.tableEpoch(cell));
+      this.network.send(engine, node, () =>
+        finish({ kind: 'engineControlResult', purpose, cell, engineId, result }),
+      );
+    };
+    const slept = request.kind === 'order' ? (this.controlDelayMs.get(node) ?? 0) * this.random.next() : 0;
+    this.time.after(slept, () => this.network.send(node, engine, arrive));
+  }
+
+  private tableEpoch(cell: string): number {
+    return (this.platform.peek('leases', cell)?.value as LeaseValue | undefined)?.epoch ?? 0;
+  }
+
+  private startAttempt(node: DaemonNode, effect: Extract<DaemonEffect, { kind: 'startAttempt' }>): void {
+    const { start } = effect;
+    const { attemptId, requestId, request, row } = start;
+    const engine = this.engines.get(start.engineId);
+    const { starts } = node;
+    let channel: ReturnType<SimulatedNetwork['channel']> | undefined;
+    const back: AttemptSink = (event) => {
+      if (node.starts !== starts || !node.alive || !engine) return false;
+      channel ??= this.network.channel(engine, node);
+      const sent = channel(() => {
+        if (node.starts === starts) this.deliver(node, { kind: 'attemptEvent', requestId, attemptId, event });
+      });
+      // A stream that cannot reach its daemon breaks there when the connection is given up.
+      if (!sent) this.breakLater(node, requestId, attemptId);
+      return sent;
+    };
+    if (!engine || !engine.alive || !this.network.connected(node, engine)) {
+      const delay = engine && !engine.alive ? this.network.delay(node, engine) : CONNECT_TIMEOUT_MS;
+      this.time.after(delay, () => {
+        if (node.starts === starts)
+          this.deliver(node, {
+            kind: 'attemptEvent',
+            requestId,
+            attemptId,
+            event: { kind: 'unreachable', reason: 'refused' },
+          });
+      });
+      return;
+    }
+    this.time.after(this.network.delay(node, engine), () => {
+      if (!engine.alive || !this.network.connected(node, engine)) {
+        this.breakLater(node, requestId, attemptId);
+        return;
+      }
+      const work = {
+        attemptId,
+        stage: start.stage,
+        model: row.model,
+        version: row.version,
+        adapter: row.adapter,
+        promptTokens: request.prompt.tokens,
+        prefixKey: request.prompt.prefixKey,
+        maximumTokens: request.maximumTokens,
+        priority: row.priority,
+        offset: start.offset,
+        imported: start.stage === 'generate' && start.kv !== undefined,
+      };
+      engine.start(work, requestId, hashText(request.prompt.text), back);
+    });
+  }
+
+  private breakLater(node: DaemonNode, requestId: string, attemptId: string): void {
+    const { starts } = node;
+    this.time.after(CONNECT_TIMEOUT_MS, () => {
+      if (node.starts === starts)
+        this.deliver(node, {
+          kind: 'attemptEvent',
+          requestId,
+          attemptId,
+          event: { kind: 'broken', reason: 'connection lost' },
+        });
+    });
+  }
+
+  private startCall(node: DaemonNode, effect: Extract<DaemonEffect, { kind: 'startApplicationCall' }>): void {
+    const { requestId, attemptId, address } = effect;
+    const server = this.applications.get(address);
+    const { starts } = node;
+    const deliver = (event: Extract<DaemonEvent, { kind: 'applicationEvent' }>['event']): void => {
+      if (node.starts === starts)
+        this.deliver(node, { kind: 'applicationEvent', requestId, attemptId, event });
+    };
+    const broken = (): void =>
+      this.time.after(CONNECT_TIMEOUT_MS, () => deliver({ kind: 'broken', reason: 'connection lost' }));
+    if (!server || !server.alive || !this.network.connected(node, server)) {
+      this.time.after(CONNECT_TIMEOUT_MS, () => deliver({ kind: 'unreachable', reason: 'refused' }));
+      return;
+    }
+    this.time.after(this.network.delay(node, server), () => {
+      if (!server.alive || !this.network.connected(node, server)) {
+        broken();
+        return;
+      }
+      server.call(requestId, (event) => {
+        const sent = this.network.send(server, node, () => deliver(event));
+        if (!sent) broken();
+      });
+    });
+  }
+
+  private engineAt(address: string): SimulatedEngine | undefined {
+    for (const engine of this.engines.values()) if (engine.address === address) return engine;
+    return undefined;
+  }
+}
--- /dev/null
+++ b/simulation/workload.ts
@@ -0,0 +1,319 @@
+/** Callers of a simulation: open-loop arrivals, checks of every answer, goodput. */
+import { tokenText } from '../lab/engine-model.js';
+import type { ServiceRow } from '../src/configuration/service-row.js';
+import type { DaemonEffect } from '../src/daemon/daemon-messages.js';
+import { exponential, SeededRandom } from '../src/shared/random.js';
+import { hashText } from '../src/shared/rendezvous-hash.js';
+import type { DaemonNode, SimulatedSite } from './simulated-site.js';
+
+/** A stream of completions of one service. */
+export interface CompletionLoad {
+  readonly service: string;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  /** Arrivals a second at a time in milliseconds since the start. */
+  readonly perSecond: (atMs: number) => number;
+}
+
+/** A stream of application calls of one service. */
+export interface CallLoad {
+  readonly service: string;
+  readonly perSecond: number;
+  /** Chance that the caller repeats a call whose outcome is unknown, with the same key. */
+  readonly repeatChance: number;
+}
+
+interface OpenRequest {
+  readonly node: DaemonNode;
+  readonly service: string;
+  readonly prompt: string;
+  readonly outputTokens: number;
+  readonly arrivedAt: number;
+  firstTokenAt: number | undefined;
+  texts: string[];
+  count: number;
+  readonly key: string | undefined;
+  readonly repeats: number;
+}
+
+/** What became of the requests. */
+export interface WorkloadCounts {
+  sent: number;
+  whole: number;
+  withinTargets: number;
+  failed: Map<string, number>;
+  /** Requests whose daemon was killed, so that their callers saw the connection break. */
+  lostWithDaemon: number;
+  unconnected: number;
+}
+
+/** Lengths vary around their mean by this share, evenly. */
+const LENGTH_SPREAD = 0.5;
+const CALLER_DELAY_MS = 4;
+const GOODPUT_BUCKET_MS = 1000;
+const MAXIMUM_REPEATS = 3;
+
+/** Sends load into a simulated site and checks what comes back. */
+export class Workload {
+  readonly counts: WorkloadCounts = {
+    sent: 0,
+    whole: 0,
+    withinTargets: 0,
+    failed: new Map(),
+    lostWithDaemon: 0,
+    unconnected: 0,
+  };
+  /** Requests within their targets, by the second in which they were answered. */
+  readonly goodput: number[] = [];
+  /** Arrivals by second. */
+  readonly offered: number[] = [];
+  readonly firstTokenMs: number[] = [];
+  /** Failures that a caller of a planned stop would see as cut. */
+  cut = 0;
+  private readonly open = new Map<string, OpenRequest>();
+  private readonly rows: ReadonlyMap<string, ServiceRow>;
+  private readonly random: SeededRandom;
+  private serial = 0;
+  private stopped = false;
+
+  constructor(
+    private readonly site: SimulatedSite,
+    services: readonly ServiceRow[],
+    seed: number,
+    /** Whether answers have real texts that are compared. */
+    private readonly realTexts = true,
+  ) {
+    this.rows = new Map(services.map((row) => [row.name, row]));
+    this.random = new SeededRandom(seed);
+    site.onReply((node, effect) => this.reply(node, effect));
+  }
+
+  /** Starts a stream of completions. Arrivals do not depend on how the site does. */
+  addCompletions(load: CompletionLoad): void {
+    const random = new SeededRandom(this.random.below(2 ** 30));
+    const next = (): void => {
+      if (this.stopped) return;
+      const rate = load.perSecond(this.site.time.now());
+      const wait = rate > 0 ? exponential(random, 1000 / rate) : GOODPUT_BUCKET_MS;
+      this.site.time.after(wait, () => {
+        if (rate > 0 && !this.stopped) this.sendCompletion(load, random);
+        next();
+      });
+    };
+    next();
+  }
+
+  /** Starts a stream of application calls. */
+  addCalls(load: CallLoad): void {
+    const random = new SeededRandom(this.random.below(2 ** 30));
+    const next = (): void => {
+      if (this.stopped) return;
+      this.site.time.after(exponential(random, 1000 / load.perSecond), () => {
+        if (!this.stopped) this.sendCall(load, random, undefined, 0);
+        next();
+      });
+    };
+    next();
+  }
+
+  /** No more arrivals. */
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** Requests without an answer yet. */
+  openRequests(): number {
+    return this.open.size;
+  }
+
+  /** A daemon's process is gone: its callers see their connections break. */
+  daemonKilled(node: DaemonNode): void {
+    for (const [requestId, request] of [...this.open]) {
+      if (request.node !== node) continue;
+      this.open.delete(requestId);
+      this.counts.lostWithDaemon += 1;
+      if (request.key !== undefined) this.repeatCall(request);
+    }
+  }
+
+  private chooseDaemon(random: SeededRandom): DaemonNode | undefined {
+    const ready = this.site.readyDaemons();
+    return ready.length === 0 ? undefined : ready[random.below(ready.length)];
+  }
+
+  private sendCompletion(load: CompletionLoad, random: SeededRandom): void {
+    const vary = (mean: number): number =>
+      Math.max(1, Math.round(mean * (1 - LENGTH_SPREAD + 2 * LENGTH_SPREAD * random.next())));
+    const promptTokens = vary(load.promptTokens);
+    const outputTokens = vary(load.outputTokens);
+    const target = this.arrived(random);
+    if (!target) return;
+    const { node, requestId, arrivedAt } = target;
+    const prompt = `${load.service} prompt ${this.serial}`;
+    this.open.set(requestId, {
+      node,
+      service: load.service,
+      prompt,
+      outputTokens,
+      arrivedAt,
+      firstTokenAt: undefined,
+      texts: [],
+      count: 0,
+      key: undefined,
+      repeats: 0,
+    });
+    this.site.time.after(CALLER_DELAY_MS, () => {
+      this.checkAdmission(node);
+      this.site.deliver(node, {
+        kind: 'submitCompletion',
+        request: {
+          requestId,
+          service: load.service,
+          prompt: { text: prompt, tokens: promptTokens, prefixKey: load.service },
+          maximumTokens: outputTokens,
+          receivedAt: this.site.time.now(),
+          timeoutMs: undefined,
+        },
+      });
+    });
+  }
+
+  private sendCall(load: CallLoad, random: SeededRandom, key: string | undefined, repeats: number): void {
+    const target = this.arrived(random);
+    if (!target) return;
+    const { node, requestId, arrivedAt } = target;
+    const once = this.rows.get(load.service)?.repeatable === false;
+    const idempotencyKey = key ?? `key-${this.serial}`;
+    const repeatable = once && random.next() < load.repeatChance;
+    if (once) this.site.monitor.expectOnce(requestId, idempotencyKey);
+    this.open.set(requestId, {
+      node,
+      service: load.service,
+      prompt: '',
+      outputTokens: 0,
+      arrivedAt,
+      firstTokenAt: undefined,
+      texts: [],
+      count: 0,
+      key: repeatable ? idempotencyKey : undefined,
+      repeats,
+    });
+    this.site.time.after(CALLER_DELAY_MS, () => {
+      const receivedAt = this.site.time.now();
+      this.site.deliver(node, {
+        kind: 'submitApplication',
+        call: { requestId, service: load.service, idempotencyKey, receivedAt, timeoutMs: undefined },
+      });
+    });
+  }
+
+  private arrived(
+    random: SeededRandom,
+  ): { node: DaemonNode; requestId: string; arrivedAt: number } | undefined {
+    const arrivedAt = this.site.time.now();
+    const second = Math.floor(arrivedAt / GOODPUT_BUCKET_MS);
+    this.offered[second] = (this.offered[second] ?? 0) + 1;
+    this.counts.sent += 1;
+    this.serial += 1;
+    const node = this.chooseDaemon(random);
+    if (!node) {
+      this.counts.unconnected += 1;
+      return undefined;
+    }
+    return { node, requestId: `request-${this.serial}`, arrivedAt };
+  }
+
+  /** An admission at an old revision is a broken promise; whether the daemon admits is seen from its readiness. */
+  private checkAdmission(node: DaemonNode): void {
+    if (!node.alive || node.pausedSince !== undefined) return;
+    if (!node.daemon.readiness(this.site.time.now()).ready) return;
+    this.site.monitor.admitted(
+      node.id,
+      node.daemon.configurationRevision(),
+      this.site.platform.serviceCommits,
+    );
+  }
+
+  private reply(_node: DaemonNode, effect: DaemonEffect): void {
+    switch (effect.kind) {
+      case 'replyTokens':
+        this.tokens(effect.requestId, effect.offset, effect.texts);
+        break;
+      case 'replyEnd':
+        this.ended(effect.requestId, effect.tokens);
+        break;
+      case 'replyApplication':
+        if (this.open.delete(effect.requestId)) this.good();
+        break;
+      case 'replyFailed':
+        this.failed(effect.requestId, effect.error.code, effect.tokensSent);
+        this.site.monitor.failureAnswered(effect.requestId, effect.error.notRun, effect.error.code);
+        break;
+      default:
+        break;
+    }
+  }
+
+  private tokens(requestId: string, offset: number, texts: readonly string[]): void {
+    const request = this.open.get(requestId);
+    if (!request) return;
+    request.firstTokenAt ??= this.site.time.now();
+    if (offset !== request.count)
+      this.site.monitor.violated('whole-answer', `${requestId} got offset ${offset} at ${request.count}`);
+    request.count += texts.length;
+    if (this.realTexts) request.texts.push(...texts);
+  }
+
+  private ended(requestId: string, tokens: number): void {
+    const request = this.open.get(requestId);
+    if (!request) return;
+    this.open.delete(requestId);
+    const complete = tokens === request.outputTokens && request.count === tokens;
+    if (!complete)
+      this.site.monitor.violated(
+        'whole-answer',
+        `${requestId} ended with ${request.count} of ${request.outputTokens}`,
+      );
+    if (this.realTexts) this.checkTexts(requestId, request);
+    const now = this.site.time.now();
+    const firstTokenMs = (request.firstTokenAt ?? now) - request.arrivedAt;
+    const betweenTokensMs = (now - (request.firstTokenAt ?? now)) / Math.max(1, tokens - 1);
+    this.firstTokenMs.push(firstTokenMs);
+    this.counts.whole += 1;
+    const row = this.rows.get(request.service);
+    if (row && firstTokenMs <= row.firstTokenTargetMs && betweenTokensMs <= row.betweenTokensTargetMs)
+      this.inTarget();
+  }
+
+  private checkTexts(requestId: string, request: OpenRequest): void {
+    const promptHash = hashText(request.prompt);
+    const wrong = request.texts.findIndex((text, index) => text !== tokenText(promptHash, index));
+    if (wrong >= 0)
+      this.site.monitor.violated('whole-answer', `${requestId} has a foreign token at ${wrong}`);
+  }
+
+  private good(): void {
+    this.counts.whole += 1;
+    this.inTarget();
+  }
+
+  private inTarget(): void {
+    this.counts.withinTargets += 1;
+    const second = Math.floor(this.site.time.now() / GOODPUT_BUCKET_MS);
+    this.goodput[second] = (this.goodput[second] ?? 0) + 1;
+  }
+
+  private failed(requestId: string, code: string, tokensSent: number): void {
+    const request = this.open.get(requestId);
+    this.open.delete(requestId);
+    this.counts.failed.set(code, (this.counts.failed.get(code) ?? 0) + 1);
+    if (tokensSent > 0) this.cut += 1;
+    if (request?.key !== undefined) this.repeatCall(request);
+  }
+
+  private repeatCall(request: OpenRequest): void {
+    if (request.repeats >= MAXIMUM_REPEATS) return;
+    const load: CallLoad = { service: request.service, perSecond: 0, repeatChance: 1 };
+    this.site.time.after(500, () => this.sendCall(load, this.random, request.key, request.repeats + 1));
+  }
+}
--- /dev/null
+++ b/spec/configuration.pml
@@ -0,0 +1,116 @@
+/*
+ * Spread of the configuration: a table, a replica that polls it, one that pulls from the first, answers that
+ * are delayed as long as they like, and a restart that forgets everything.
+ *
+ * Properties:
+ *   REVERT  the revision in force at a running replica never goes down
+ *   FORCE   a replica that admits knows every revision committed more than STALENESS ago
+ * Broken variants: NO_COMPARE, AGE_FROM_ARRIVAL, READY_AT_START, CONFIRM_AT_ANSWER.
+ */
+#ifndef MAXTIME
+#define MAXTIME 7
+#endif
+#define STALENESS 2
+#define REVISIONS 2
+
+byte now = 0;
+byte revision = 0;
+byte commitTime[REVISIONS + 1];
+
+/* A replica: revision in force, and the time at which it was certainly current. */
+byte inForce[2];
+byte confirmedAt[2];
+bool knows[2];
+
+/* Answers on their way to each replica: revision, time of sending the question, age at the answer. */
+chan answers0 = [2] of { byte, byte, byte };
+chan answers1 = [2] of { byte, byte, byte };
+
+active proctype Clock() {
+  do
+  :: now < MAXTIME -> now++
+  :: now == MAXTIME -> break
+  od
+}
+
+active proctype Operator() {
+  do
+  :: revision < REVISIONS -> atomic { revision++; commitTime[revision] = now }
+  :: revision == REVISIONS -> break
+  od
+}
+
+inline admit(me) {
+  atomic {
+    if
+#ifdef READY_AT_START
+    :: now - confirmedAt[me] <= STALENESS ->
+#else
+    :: knows[me] && now - confirmedAt[me] <= STALENESS ->
+#endif
+       if
+       :: inForce[me] < revision -> assert(now - commitTime[inForce[me] + 1] <= STALENESS)
+       :: else -> skip
+       fi
+    :: else -> skip
+    fi
+  }
+}
+
+inline apply(me, newRevision, at) {
+  atomic {
+#ifdef NO_COMPARE
+    assert(newRevision >= inForce[me]);
+    inForce[me] = newRevision;
+#else
+    if
+    :: newRevision > inForce[me] -> inForce[me] = newRevision
+    :: else -> skip
+    fi;
+#endif
+    knows[me] = true;
+    if
+    :: at > confirmedAt[me] -> confirmedAt[me] = at
+    :: else -> skip
+    fi
+  }
+}
+
+/* Replica 0 polls the table. Two questions may be on their way at once, and answers may cross. */
+active proctype Poller() {
+  byte r, sent, age, restarts = 0;
+  do
+  :: now == MAXTIME -> break
+  :: nfull(answers0) -> sent = now; atomic { answers0 ! revision, sent, 0 }
+  :: answers0 ?? r, sent, age ->
+#ifdef CONFIRM_AT_ANSWER
+     apply(0, r, now)
+#else
+     apply(0, r, sent)
+#endif
+  :: admit(0)
+  :: restarts == 0 -> atomic { restarts = 1; knows[0] = false; inForce[0] = 0; confirmedAt[0] = now;
+       do :: answers0 ? r, sent, age :: empty(answers0) -> break od }
+  od
+}
+
+/* Replica 1 pulls from replica 0, which says how old its knowledge is at the time of the answer. */
+active proctype Puller() {
+  byte r, sent, age;
+  do
+  :: now == MAXTIME -> break
+  :: nfull(answers1) && knows[0] ->
+     sent = now;
+     atomic { if :: knows[0] -> answers1 ! inForce[0], sent, now - confirmedAt[0] :: else -> skip fi }
+  :: answers1 ?? r, sent, age ->
+     if
+#ifdef AGE_FROM_ARRIVAL
+     :: now >= age -> apply(1, r, now - age)
+#else
+     :: sent >= age -> apply(1, r, sent - age)
+#endif
+     :: else -> apply(1, r, 0)
+     fi
+  :: admit(1)
+  od
+}
--- /dev/null
+++ b/spec/lease.pml
@@ -0,0 +1,126 @@
+/*
+ * The lease on a cell, its fencing and its expiry, with lost answers, delayed orders and pauses.
+ *
+ * Two daemons contend for one row of a table and give orders to one engine. A pause is any stretch in which a
+ * process is not scheduled, so every step boundary is a point at which a process may sleep. Time is a counter.
+ *
+ * Properties (assertions at the engine):
+ *   AUTHORITY  an accepted order carries the epoch that the table has at that moment
+ *   CONFLICT   epochs of accepted orders never go down
+ * Broken variants: NO_EXPIRY, NO_FENCE, GUESS_SUCCESS, VALID_FROM_ANSWER.
+ */
+#ifndef MAXTIME
+#define MAXTIME 5
+#endif
+#define DURATION 1
+#define MAXREVISION 3
+#define DAEMONS 2
+#define NOBODY 255
+
+byte now = 0;
+
+/* The table row. Revision and epoch move together here: a renewal raises only the revision. */
+byte rowRevision = 0;
+byte rowEpoch = 0;
+byte rowHolder = NOBODY;
+
+/* Orders on their way to the engine: epoch and expiry. They arrive in any order and at any time. */
+chan orders = [1] of { byte, byte };
+
+byte engineEpoch = 0;
+#ifdef CHECK_CONFLICT
+byte lastAcceptedEpoch = 0;
+#endif
+
+active proctype Clock() {
+  do
+  :: now < MAXTIME -> now++
+  :: now == MAXTIME -> break
+  od
+}
+
+active proctype Engine() {
+  byte epoch, expires;
+  do
+  :: atomic {
+       orders ?? epoch, expires ->
+       if
+#ifndef NO_FENCE
+       :: epoch < engineEpoch -> skip
+#endif
+#ifndef NO_EXPIRY
+       :: now >= expires -> skip
+#endif
+       :: else ->
+#ifdef CHECK_CONFLICT
+          assert(epoch >= lastAcceptedEpoch);
+          lastAcceptedEpoch = epoch
+#else
+          assert(epoch == rowEpoch)
+#endif
+       fi;
+       epoch = 0; expires = 0
+     }
+  :: now == MAXTIME -> break
+  od
+}
+
+active [DAEMONS] proctype Daemon() {
+  byte me = _pid % DAEMONS;
+  byte seenRevision = 0, seenEpoch = 0, seenHolder = NOBODY, seenSince = 0;
+  byte epoch = 0, validUntil = 0, sentAt = 0, expectRevision = 0, wantEpoch = 0;
+  bool held = false, committed = false;
+  do
+  :: now == MAXTIME -> break
+  /* A contender reads the row. */
+  :: atomic { !held && rowRevision != seenRevision ->
+       seenRevision = rowRevision; seenEpoch = rowEpoch; seenHolder = rowHolder; seenSince = now
+     }
+  /* Acquire a free or expired lease, or renew the own one: the question is sent here ... */
+  :: atomic { (held || seenHolder == NOBODY || seenHolder == me || now - seenSince > DURATION) && rowRevision < MAXREVISION ->
+       sentAt = now;
+       expectRevision = seenRevision;
+       if
+       :: held -> wantEpoch = epoch
+       :: else -> wantEpoch = seenEpoch + 1
+       fi
+     };
+     /* ... takes effect here, or not ... */
+     atomic {
+       if
+       :: rowRevision == expectRevision ->
+          rowRevision++; rowEpoch = wantEpoch; rowHolder = me; committed = true
+       :: else -> committed = false
+       fi
+     };
+     /* ... and the answer arrives here, or is lost. */
+     atomic {
+       if
+       :: committed ->
+          held = true; epoch = wantEpoch; seenRevision = expectRevision + 1; seenEpoch = wantEpoch; seenHolder = me;
+#ifdef VALID_FROM_ANSWER
+          validUntil = now + DURATION
+#else
+          validUntil = sentAt + DURATION
+#endif
+       :: !committed -> held = false
+       :: true ->                                             /* lost */
+#ifdef GUESS_SUCCESS
+          held = true; epoch = wantEpoch; validUntil = sentAt + DURATION
+#else
+          /* The same write is sent again until the table says what became of it; nothing is gained meanwhile. */
+          if
+          :: held && rowHolder == me && rowEpoch == epoch -> seenRevision = rowRevision
+          :: else -> held = false
+          fi
+#endif
+       fi;
+       sentAt = 0; expectRevision = 0; wantEpoch = 0; committed = false
+     }
+  /* Give an order: check here, and send after a sleep as long as you like. */
+  :: held && now < validUntil && nfull(orders) -> atomic { nfull(orders) -> orders ! epoch, validUntil }
+  /* Seal the engine with the present epoch. */
+  :: atomic { held && now < validUntil && epoch > engineEpoch -> engineEpoch = epoch }
+  :: atomic { held && now >= validUntil -> held = false; validUntil = 0 }
+  od
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -151,6 +151,16 @@
     return this.completions.active() + this.applications.active() + this.admission.waitingForSlots();
   }
 
+  /** Revision of the configuration in force here; -1 before the first. */
+  configurationRevision(): number {
+    return this.configuration.revision();
+  }
+
+  /** Daemons in contact and daemons known, as the majority rule counts them. */
+  membersInContact(): { alive: number; known: number } {
+    return this.membership.contact();
+  }
+
   /** Writes to the table still to be confirmed; a stopping process waits for them a while. */
   writesInHand(): number {
     return this.ledger.waiting();
--- a/src/errors/overloaded-error.ts
+++ b/src/errors/overloaded-error.ts
@@ -1,12 +1,12 @@
-import { PulleyledgeError } from './pulleyledge-error.js';
+import { PulleyledgeError, type NotRun } from './pulleyledge-error.js';
 
 /** The expected wait is over the wait that the service allows. */
 export class OverloadedError extends PulleyledgeError {
-  constructor(service: string, expectedWaitMs: number, retryAfterMs: number) {
+  constructor(service: string, expectedWaitMs: number, retryAfterMs: number, notRun: NotRun = 'true') {
     super(`service "${service}" would wait ${Math.round(expectedWaitMs)} ms, over its limit`, {
       code: 'overloaded',
       status: 503,
-      notRun: 'true',
+      notRun,
       context: { service, expectedWaitMs },
       retryAfterMs,
     });
--- a/src/routing/completion-manager.ts
+++ b/src/routing/completion-manager.ts
@@ -196,9 +196,7 @@
       session.brokenAttempts > 0 ? this.settings.attemptStallMs : 0,
     );
     if (waited <= limit) return;
-    const error = session.mayHaveRun
-      ? new AttemptBrokenError(session.request.requestId, session.brokenAttempts, notRunOf(session))
-      : new OverloadedError(session.row.name, waited, MINIMUM_RETRY_AFTER_MS);
+    const error = new OverloadedError(session.row.name, waited, MINIMUM_RETRY_AFTER_MS, notRunOf(session));
     this.fail(session, error, now);
   }
 
--- a/src/routing/engine-picker.ts
+++ b/src/routing/engine-picker.ts
@@ -31,22 +31,31 @@
 export interface PickerSettings {
   /** The engine with the prefix may be expected to take this much longer than the better of two. Milliseconds. Default 150. */
   readonly affinitySlackMs: number;
+  /** The engine with the prefix may carry this many times the mean streams of its kind. Default 1.25. */
+  readonly affinityLoadFactor: number;
+  /** What a full engine costs against an empty one, for the time between tokens. Milliseconds. Default 100. */
+  readonly fullEngineCostMs: number;
   /** Prompts up to this length are computed on a decode engine itself when that is quicker. Tokens. Default 256. */
   readonly decodePrefillTokens: number;
   /** Time to move the KV cache of a prompt, per token. Milliseconds. Default 0.02. */
   readonly kvTransferMsPerToken: number;
-  /** Preference for the own zone. Milliseconds taken off its engines' expected time. Default 5. */
-  readonly ownZoneBonusMs: number;
+  /** Preference for the own zone. Milliseconds that an engine of another zone costs more. Default 5. */
+  readonly otherZoneCostMs: number;
 }
 
 /** Default settings. */
 export const DEFAULT_PICKER_SETTINGS: PickerSettings = {
   affinitySlackMs: 150,
+  affinityLoadFactor: 1.25,
+  fullEngineCostMs: 100,
   decodePrefillTokens: 256,
   kvTransferMsPerToken: 0.02,
-  ownZoneBonusMs: 5,
+  otherZoneCostMs: 5,
 };
 
+/** Streams that an engine may have before the load bound applies. */
+const AFFINITY_FREE_STREAMS = 4;
+
 /** Whether engines of the model are known at all, for the right refusal. */
 export type PickOutcome =
   | { readonly kind: 'plan'; readonly plan: RoutePlan }
@@ -81,19 +90,18 @@
     const mixed = open.filter((engine) => engine.assignment?.role === 'mixed');
     const short = request.promptTokens <= this.settings.decodePrefillTokens;
     const candidates = short ? open.filter((engine) => engine.assignment?.role !== 'prefill') : mixed;
-    const cost = (engine: EngineView): number =>
-      this.zoned(engine, engine.expectedFirstTokenMs(request.promptTokens, now));
+    const cost = (engine: EngineView): number => this.cost(engine, request.promptTokens, now);
     const engine = this.betterOfTwo(request, candidates, cost);
-    return engine && { prefill: undefined, generate: engine, expectedFirstTokenMs: cost(engine) };
+    const expectedFirstTokenMs = engine?.expectedFirstTokenMs(request.promptTokens, now) ?? 0;
+    return engine && { prefill: undefined, generate: engine, expectedFirstTokenMs };
   }
 
   private splitPlan(request: PickRequest, open: readonly EngineView[], now: number): RoutePlan | undefined {
     const prefills = open.filter((engine) => engine.assignment?.role === 'prefill');
     const decodes = open.filter((engine) => engine.assignment?.role === 'decode');
     const mixed = open.filter((engine) => engine.assignment?.role === 'mixed');
-    const prefillCost = (engine: EngineView): number =>
-      this.zoned(engine, engine.expectedFirstTokenMs(request.promptTokens, now));
-    const decodeCost = (engine: EngineView): number => this.zoned(engine, engine.streams());
+    const prefillCost = (engine: EngineView): number => this.cost(engine, request.promptTokens, now);
+    const decodeCost = (engine: EngineView): number => this.cost(engine, 0, now);
     const prefill = this.betterOfTwo(request, prefills, prefillCost);
     const generate = this.betterOfTwo(
       { ...request, prefixKey: '' },
@@ -101,13 +109,15 @@
       decodeCost,
     );
     if (!prefill || !generate) return undefined;
-    const expectedFirstTokenMs =
-      prefillCost(prefill) + request.promptTokens * this.settings.kvTransferMsPerToken;
+    const transferMs = request.promptTokens * this.settings.kvTransferMsPerToken;
+    const expectedFirstTokenMs = prefill.expectedFirstTokenMs(request.promptTokens, now) + transferMs;
     return { prefill, generate, expectedFirstTokenMs };
   }
 
-  private zoned(engine: EngineView, cost: number): number {
-    return engine.zone === this.ownZone ? cost - this.settings.ownZoneBonusMs : cost;
+  private cost(engine: EngineView, promptTokens: number, now: number): number {
+    const fullness = engine.streams() / Math.max(1, engine.maximumStreams);
+    const far = engine.zone === this.ownZone ? 0 : this.settings.otherZoneCostMs;
+    return engine.expectedFirstTokenMs(promptTokens, now) + fullness * this.settings.fullEngineCostMs + far;
   }
 
   private betterOfTwo(
@@ -125,8 +135,16 @@
       candidates.map((engine) => engine.id),
     );
     const affine = candidates.find((engine) => engine.id === affineId);
-    const near = affine !== undefined && cost(affine) <= cost(better) + this.settings.affinitySlackMs;
-    return near ? affine : better;
+    if (!affine) return better;
+    const near = cost(affine) <= cost(better) + this.settings.affinitySlackMs;
+    return near && this.withinLoadBound(affine, candidates) ? affine : better;
+  }
+
+  private withinLoadBound(engine: EngineView, candidates: readonly EngineView[]): boolean {
+    let total = 0;
+    for (const candidate of candidates) total += candidate.streams();
+    const bound = (total / candidates.length) * this.settings.affinityLoadFactor;
+    return engine.streams() <= bound + AFFINITY_FREE_STREAMS;
   }
 }
 
