--- /dev/null
+++ b/simulation/backend-links.ts
@@ -0,0 +1,188 @@
+/** The ways from simulated daemons to engines, application servers and the platform, with their failures. */
+import type { DaemonEffect, DaemonEvent } from '../src/daemon/daemon-messages.js';
+import { hashText } from '../src/shared/rendezvous-hash.js';
+import type { LeaseValue } from '../src/lease/cell-lease.js';
+import type { AttemptSink } from './simulated-engine.js';
+import type { Endpoint, SimulatedNetwork } from './simulated-network.js';
+import type { DaemonNode, SimulatedSite } from './simulated-site.js';
+
+const NO_ANSWER_MS = 1500;
+const CONNECT_TIMEOUT_MS = 1000;
+const PLATFORM: Endpoint = { name: 'platform', zone: 'platform', region: 'main' };
+
+/** Carries daemons' requests to back ends and their answers back. */
+export class BackendLinks {
+  constructor(private readonly site: SimulatedSite) {}
+
+  /** Asks the table service. */
+  askTable(node: DaemonNode, effect: Extract<DaemonEffect, { kind: 'tableRequest' }>): void {
+    const { tag, request } = effect;
+    this.askPlatform(
+      node,
+      () => this.site.platform.table(request, this.site.time.now()),
+      (result) =>
+        this.site.deliver(node, {
+          kind: 'tableResult',
+          tag,
+          result: result ?? { kind: 'noAnswer', reason: 'no answer' },
+        }),
+    );
+  }
+
+  /** Reads the machine list. */
+  askMachines(node: DaemonNode, cells: readonly string[]): void {
+    this.askPlatform(
+      node,
+      () => this.site.platform.listMachines(cells, this.site.time.now()),
+      (listing) => this.site.deliver(node, { kind: 'machineListing', listing }),
+    );
+  }
+
+  /** A call to the platform: the answer may be lost after the effect, and a lost one shows as a time-out. */
+  private askPlatform<Answer>(
+    node: DaemonNode,
+    call: () => Answer | undefined,
+    done: (answer: Answer | undefined) => void,
+  ): void {
+    const { starts } = node;
+    let answered = false;
+    const finish = (answer: Answer | undefined): void => {
+      if (answered || node.starts !== starts) return;
+      answered = true;
+      done(answer);
+    };
+    this.site.time.after(NO_ANSWER_MS, () => finish(undefined));
+    this.site.network.send(node, PLATFORM, () => {
+      const answer = call();
+      const { faults } = this.site.platform;
+      if (answer === undefined || this.site.random.next() < faults.loseAnswers) return;
+      this.site.time.after(faults.slowMs, () => this.site.network.send(PLATFORM, node, () => finish(answer)));
+    });
+  }
+
+  /** Sends a control request to an engine. */
+  controlEngine(node: DaemonNode, effect: Extract<DaemonEffect, { kind: 'engineControl' }>): void {
+    const { purpose, cell, engineId, request } = effect;
+    const engine = this.site.engines.get(engineId);
+    const { starts } = node;
+    let answered = false;
+    const finish = (event: DaemonEvent): void => {
+      if (answered || node.starts !== starts) return;
+      answered = true;
+      this.site.deliver(node, event);
+    };
+    const noAnswer = { kind: 'noAnswer', reason: 'no answer' } as const;
+    this.site.time.after(NO_ANSWER_MS, () =>
+      finish({ kind: 'engineControlResult', purpose, cell, engineId, result: noAnswer }),
+    );
+    if (!engine) return;
+    const { id } = node;
+    const arrive = (): void => {
+      if (!engine.alive) return;
+      const result = engine.control(request, id, this.tableEpoch(cell));
+      this.site.network.send(engine, node, () =>
+        finish({ kind: 'engineControlResult', purpose, cell, engineId, result }),
+      );
+    };
+    const slept =
+      request.kind === 'order' ? (this.site.controlDelayMs.get(node) ?? 0) * this.site.random.next() : 0;
+    this.site.time.after(slept, () => this.site.network.send(node, engine, arrive));
+  }
+
+  private tableEpoch(cell: string): number {
+    return (this.site.platform.peek('leases', cell)?.value as LeaseValue | undefined)?.epoch ?? 0;
+  }
+
+  /** Starts an attempt at an engine. */
+  startAttempt(node: DaemonNode, effect: Extract<DaemonEffect, { kind: 'startAttempt' }>): void {
+    const { start } = effect;
+    const { attemptId, requestId, request, row } = start;
+    const engine = this.site.engines.get(start.engineId);
+    const { starts } = node;
+    let channel: ReturnType<SimulatedNetwork['channel']> | undefined;
+    const back: AttemptSink = (event) => {
+      if (node.starts !== starts || !node.alive || !engine) return false;
+      channel ??= this.site.network.channel(engine, node);
+      const sent = channel(() => {
+        if (node.starts === starts)
+          this.site.deliver(node, { kind: 'attemptEvent', requestId, attemptId, event });
+      });
+      // A stream that cannot reach its daemon breaks there when the connection is given up.
+      if (!sent) this.breakLater(node, requestId, attemptId);
+      return sent;
+    };
+    if (!engine || !engine.alive || !this.site.network.connected(node, engine)) {
+      const delay = engine && !engine.alive ? this.site.network.delay(node, engine) : CONNECT_TIMEOUT_MS;
+      this.site.time.after(delay, () => {
+        if (node.starts === starts)
+          this.site.deliver(node, {
+            kind: 'attemptEvent',
+            requestId,
+            attemptId,
+            event: { kind: 'unreachable', reason: 'refused' },
+          });
+      });
+      return;
+    }
+    this.site.time.after(this.site.network.delay(node, engine), () => {
+      if (!engine.alive || !this.site.network.connected(node, engine)) {
+        this.breakLater(node, requestId, attemptId);
+        return;
+      }
+      const work = {
+        attemptId,
+        stage: start.stage,
+        model: row.model,
+        version: row.version,
+        adapter: row.adapter,
+        promptTokens: request.prompt.tokens,
+        prefixKey: request.prompt.prefixKey,
+        maximumTokens: request.maximumTokens,
+        priority: row.priority,
+        offset: start.offset,
+        imported: start.stage === 'generate' && start.kv !== undefined,
+      };
+      engine.start(work, requestId, hashText(request.prompt.text), back);
+    });
+  }
+
+  private breakLater(node: DaemonNode, requestId: string, attemptId: string): void {
+    const { starts } = node;
+    this.site.time.after(CONNECT_TIMEOUT_MS, () => {
+      if (node.starts === starts)
+        this.site.deliver(node, {
+          kind: 'attemptEvent',
+          requestId,
+          attemptId,
+          event: { kind: 'broken', reason: 'connection lost' },
+        });
+    });
+  }
+
+  /** Starts a call at an application server. */
+  startCall(node: DaemonNode, effect: Extract<DaemonEffect, { kind: 'startApplicationCall' }>): void {
+    const { requestId, attemptId, address } = effect;
+    const server = this.site.applications.get(address);
+    const { starts } = node;
+    const deliver = (event: Extract<DaemonEvent, { kind: 'applicationEvent' }>['event']): void => {
+      if (node.starts === starts)
+        this.site.deliver(node, { kind: 'applicationEvent', requestId, attemptId, event });
+    };
+    const broken = (): void =>
+      this.site.time.after(CONNECT_TIMEOUT_MS, () => deliver({ kind: 'broken', reason: 'connection lost' }));
+    if (!server || !server.alive || !this.site.network.connected(node, server)) {
+      this.site.time.after(CONNECT_TIMEOUT_MS, () => deliver({ kind: 'unreachable', reason: 'refused' }));
+      return;
+    }
+    this.site.time.after(this.site.network.delay(node, server), () => {
+      if (!server.alive || !this.site.network.connected(node, server)) {
+        broken();
+        return;
+      }
+      server.call(requestId, (event) => {
+        const sent = this.site.network.send(server, node, () => deliver(event));
+        if (!sent) broken();
+      });
+    });
+  }
+}
--- a/src/process/daemon-process.ts
+++ b/src/process/daemon-process.ts
@@ -1,5 +1,6 @@
 /** A daemon process: servers, adapters and actors around the state machine, and an orderly stop. */
 import type { Server } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import { pino, type Logger } from 'pino';
 import { HttpApplicationClient, type ApplicationPayload } from '../adapters/application-client.js';
 import { HttpEngineClient } from '../adapters/engine-client.js';
@@ -124,10 +125,8 @@
     this.stopping = true;
     this.actors.dispatch({ kind: 'beginDrain' });
     await delay(this.settings.drainNoticeMs);
-    this.callerServer.close();
-    this.callerServer.closeIdleConnections();
-    const deadline = performance.now() + this.settings.drainTimeoutMs;
-    while (this.openRequests() > 0 && performance.now() < deadline) await delay(DRAIN_POLL_MS);
+    stopListening(this.callerServer);
+    await this.waitForRequests();
     this.daemon.closeForNew();
     const flushDeadline = performance.now() + LEDGER_FLUSH_TIMEOUT_MS;
     while (this.daemon.writesInHand() > 0 && performance.now() < flushDeadline) await delay(DRAIN_POLL_MS);
@@ -135,6 +134,22 @@
     await this.close();
   }
 
+  /**
+   * Waits for the last request, and as long as a caller may still send one on an idle connection: the server
+   * told it how long it keeps those open, and closing one earlier would cut a request on its way.
+   */
+  private async waitForRequests(): Promise<void> {
+    const quietAfter = performance.now() + this.callerServer.keepAliveTimeout;
+    const deadline = performance.now() + this.settings.drainTimeoutMs;
+    for (;;) {
+      const now = performance.now();
+      const connections = await openConnections(this.callerServer);
+      const quiet = this.openRequests() === 0 && (connections === 0 || now > quietAfter);
+      if (quiet || now > deadline) return;
+      await delay(DRAIN_POLL_MS);
+    }
+  }
+
   private async close(): Promise<void> {
     clearInterval(this.ticker);
     this.callerServer.closeAllConnections();
@@ -254,6 +269,15 @@
   });
 }
 
+/** Takes no new connections. `http.Server.close` would also close idle ones, on which a request may be coming. */
+function stopListening(server: Server): void {
+  NetServer.prototype.close.call(server);
+}
+
+function openConnections(server: Server): Promise<number> {
+  return new Promise((resolve) => server.getConnections((_error, count) => resolve(count)));
+}
+
 function delay(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- /dev/null
+++ b/test/bad-input.test.ts
@@ -0,0 +1,187 @@
+/** Bad input of every kind gives a typed error that names the place: no crash, no hang, nothing half done. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { decodePeerHello, decodePeerMessage, encodePeerMessage } from '../src/adapters/peer-codec.js';
+import { parseStreamLine } from '../src/adapters/engine-client.js';
+import { formatServicesCsv, parseCell, parseServicesCsv } from '../src/configuration/service-csv.js';
+import { parseServiceRow, SERVICE_COLUMNS, type ServiceRow } from '../src/configuration/service-row.js';
+import type { PeerMessage } from '../src/daemon/daemon-messages.js';
+import { PulleyledgeError, RowInvalidError, SettingsError } from '../src/errors/index.js';
+import { parseChatBody, parseCompletionBody } from '../src/gateway/completion-body.js';
+import { checkSettings } from '../src/settings/settings.js';
+import { hashText, pickByRendezvous, rankByRendezvous } from '../src/shared/rendezvous-hash.js';
+
+const SEED = 20261202;
+const RUNS = { seed: SEED, numRuns: 500 };
+
+/** Runs `action` and expects either a value or a typed error. */
+function typed<Value>(action: () => Value): Value | PulleyledgeError {
+  try {
+    return action();
+  } catch (error) {
+    expect(error).to.be.instanceOf(PulleyledgeError);
+    return error as PulleyledgeError;
+  }
+}
+
+const settings = {
+  name: 'daemon-1',
+  zone: 'pos-a',
+  callerAddress: '127.0.0.1:8000',
+  peerAddress: '127.0.0.1:8001',
+  operatorAddress: '127.0.0.1:8002',
+  platform: ['127.0.0.1:9000'],
+};
+
+describe('bad input', () => {
+  it('bodies of callers: any JSON', () => {
+    fc.assert(
+      fc.property(fc.jsonValue(), (value) => {
+        typed(() => parseCompletionBody(value));
+        typed(() => parseChatBody(value));
+      }),
+      RUNS,
+    );
+  });
+
+  it('a body names its bad field', () => {
+    const error = typed(() => parseCompletionBody({ model: 'risk-grade', prompt: 'x', max_tokens: -1 }));
+    expect((error as PulleyledgeError).context.field).to.equal('max_tokens');
+  });
+
+  it('messages between daemons: any line', () => {
+    fc.assert(
+      fc.property(fc.oneof(fc.string(), fc.json()), (line) => {
+        typed(() => decodePeerMessage(line));
+        typed(() => decodePeerHello(line));
+      }),
+      RUNS,
+    );
+  });
+
+  it('a message between daemons survives the codec, and a damaged one is refused or still well formed', () => {
+    const message: PeerMessage = {
+      kind: 'ping',
+      sequence: 4,
+      target: 'd\n"é',
+      updates: [['d', 'a', 'z', 'r', 1, 'alive']],
+    };
+    const line = encodePeerMessage(message);
+    expect(line).not.to.include('\n');
+    expect(decodePeerMessage(line)).to.deep.equal(message);
+    fc.assert(
+      fc.property(fc.nat({ max: line.length - 1 }), fc.string({ minLength: 1, maxLength: 3 }), (at, text) => {
+        typed(() => decodePeerMessage(line.slice(0, at) + text + line.slice(at + text.length)));
+      }),
+      RUNS,
+    );
+  });
+
+  it('lines of an engine: anything becomes an event', () => {
+    fc.assert(
+      fc.property(fc.oneof(fc.string(), fc.json()), (line) => {
+        expect(parseStreamLine(line, 'x').kind).to.be.oneOf(['broken', 'tokens', 'end', 'prefilled']);
+      }),
+      RUNS,
+    );
+  });
+
+  it('rows: any value', () => {
+    fc.assert(
+      fc.property(fc.jsonValue(), (value) => void typed(() => parseServiceRow(value))),
+      RUNS,
+    );
+  });
+
+  it('a bad row names row, column, value and the allowed range', () => {
+    const error = typed(() => parseServiceRow({ name: 'a', model: 'm', weight: 2000 })) as RowInvalidError;
+    expect(error.context).to.deep.equal({
+      row: 'a',
+      column: 'weight',
+      value: 2000,
+      allowed: 'a number from 0.001 to 1000',
+    });
+    const unknown = typed(() => parseServiceRow({ name: 'a', model: 'm', wieght: 1 })) as RowInvalidError;
+    expect(unknown.context.column).to.equal('wieght');
+  });
+
+  it('CSV: any text', () => {
+    fc.assert(
+      fc.property(fc.string(), (text) => void typed(() => parseServicesCsv(text))),
+      RUNS,
+    );
+    fc.assert(
+      fc.property(
+        fc.constantFrom(...SERVICE_COLUMNS),
+        fc.string(),
+        (column, text) => void typed(() => parseCell('a', column, text)),
+      ),
+      RUNS,
+    );
+  });
+
+  it('CSV goes out and comes back the same', () => {
+    const row = fc.record({
+      weight: fc.integer({ min: 1, max: 1000 }),
+      priority: fc.integer({ min: 0, max: 9 }),
+      repeatable: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(row, { maxLength: 5 }), (values) => {
+        const rows: ServiceRow[] = values.map((value, index) =>
+          parseServiceRow({ ...value, name: `s${index}`, model: 'm' }),
+        );
+        const csv = formatServicesCsv(
+          rows.map((entry, index) => ({ name: entry.name, revision: index + 1, row: entry })),
+        );
+        expect(parseServicesCsv(csv)).to.deep.equal(
+          rows.map((entry, index) => ({ row: entry, expectedRevision: index + 1 })),
+        );
+      }),
+      { seed: SEED, numRuns: 100 },
+    );
+  });
+
+  it('CSV refuses the whole file for one bad cell', () => {
+    const error = typed(() => parseServicesCsv('name,model,weight\na,m,1\nb,m,heavy\n')) as RowInvalidError;
+    expect(error.context).to.include({ row: 'b', column: 'weight', value: 'heavy' });
+  });
+
+  it('settings: defaults are filled in, unknown keys and bad values are refused by name', () => {
+    expect(checkSettings(settings).lease.durationMs).to.equal(6000);
+    const cases: [Record<string, unknown>, string][] = [
+      [{ lease: { duration: 1 } }, 'lease.duration'],
+      [{ zones: 'x' }, 'zones'],
+      [{ callerAddress: 'localhost:80' }, 'callerAddress'],
+      [{ allocation: { policy: 'clever' } }, 'allocation.policy'],
+      [{ limits: { slotLeaseMs: -5 } }, 'limits.slotLeaseMs'],
+    ];
+    for (const [change, key] of cases) {
+      const error = typed(() => checkSettings({ ...settings, ...change })) as SettingsError;
+      expect(error.context.key).to.equal(key);
+    }
+    fc.assert(
+      fc.property(fc.jsonValue(), (value) => void typed(() => checkSettings(value))),
+      RUNS,
+    );
+  });
+});
+
+describe('rendezvous hashing', () => {
+  it('a lost candidate moves only its own keys', () => {
+    const candidates = Array.from({ length: 20 }, (_, index) => `daemon-${index}`);
+    fc.assert(
+      fc.property(fc.string(), fc.nat({ max: 19 }), (key, lost) => {
+        const before = pickByRendezvous(key, candidates);
+        const after = pickByRendezvous(
+          key,
+          candidates.filter((_, index) => index !== lost),
+        );
+        if (before !== candidates[lost]) expect(after).to.equal(before);
+        else expect(after).to.equal(rankByRendezvous(key, candidates, 2)[1]);
+      }),
+      RUNS,
+    );
+    expect(hashText('a')).to.equal(hashText('a'));
+  });
+});
--- /dev/null
+++ b/test/membership.test.ts
@@ -0,0 +1,129 @@
+/** Membership: convergence, failure, refutation, healing of partitions, restarts. */
+import { expect } from 'chai';
+import {
+  DEFAULT_MEMBERSHIP_SETTINGS,
+  initialMember,
+  Membership,
+  overrides,
+} from '../src/membership/membership.js';
+import type { Member } from '../src/membership/membership-messages.js';
+import { SeededRandom } from '../src/shared/random.js';
+
+const TICK_MS = 100;
+
+/** Membership machines joined by a network with cuts. */
+class Group {
+  now = 0;
+  readonly machines = new Map<string, Membership>();
+  readonly down = new Set<string>();
+  cut: (from: string, to: string) => boolean = () => false;
+  private queue: (() => void)[] = [];
+
+  constructor(count: number) {
+    for (let index = 0; index < count; index += 1)
+      this.add(`10.0.0.${index}:7`, `d${index}.1`, `zone-${index % 3}`);
+  }
+
+  add(address: string, id: string, zone: string): void {
+    const random = new SeededRandom(this.machines.size + 1);
+    const emit: ConstructorParameters<typeof Membership>[4] = (effect) => {
+      if (effect.kind !== 'sendMembership') return;
+      this.queue.push(() => {
+        const target = this.machines.get(effect.address);
+        if (this.down.has(effect.address) || this.down.has(address) || this.cut(address, effect.address))
+          return;
+        target?.receive(id, address, effect.message, this.now);
+      });
+    };
+    const self = initialMember({ id, address, zone, region: 'main' });
+    this.machines.set(
+      address,
+      new Membership(self, ['10.0.0.0:7'], DEFAULT_MEMBERSHIP_SETTINGS, random, emit, this.now),
+    );
+  }
+
+  run(milliseconds: number): void {
+    for (const end = this.now + milliseconds; this.now < end; this.now += TICK_MS) {
+      for (const [address, machine] of this.machines) if (!this.down.has(address)) machine.tick(this.now);
+      const messages = this.queue;
+      this.queue = [];
+      for (const deliver of messages) deliver();
+    }
+  }
+
+  aliveCounts(): number[] {
+    return [...this.machines]
+      .filter(([address]) => !this.down.has(address))
+      .map(([, machine]) => machine.contact().alive);
+  }
+}
+
+describe('membership', () => {
+  it('converges from one seed', () => {
+    const group = new Group(24);
+    group.run(12_000);
+    expect(group.aliveCounts()).to.deep.equal(Array(24).fill(24));
+  });
+
+  it('everybody learns of a dead daemon after suspicion, and no live one is declared dead', () => {
+    const group = new Group(16);
+    group.run(12_000);
+    group.down.add('10.0.0.5:7');
+    group.run(20_000);
+    expect(group.aliveCounts()).to.deep.equal(Array(15).fill(15));
+    for (const [address, machine] of group.machines) {
+      if (address !== '10.0.0.5:7') expect(machine.get('d5.1')?.state).to.equal('dead');
+    }
+  });
+
+  it('a daemon that cannot be reached directly by one other stays alive through third daemons', () => {
+    const group = new Group(8);
+    group.run(10_000);
+    group.cut = (from, to) => [from, to].sort().join() === '10.0.0.1:7,10.0.0.2:7';
+    group.run(20_000);
+    expect(group.aliveCounts()).to.deep.equal(Array(8).fill(8));
+  });
+
+  it('two sides of a partition lose each other and meet again when it heals', () => {
+    const group = new Group(12);
+    group.run(10_000);
+    const left = (address: string): boolean => Number(address.split('.')[3].split(':')[0]) < 5;
+    group.cut = (from, to) => left(from) !== left(to);
+    group.run(40_000);
+    expect(group.aliveCounts()).to.deep.equal([...Array(5).fill(5), ...Array(7).fill(7)]);
+    const minority = group.machines.get('10.0.0.1:7')?.contact();
+    expect(minority).to.deep.equal({ alive: 5, known: 12 });
+    group.cut = () => false;
+    group.run(60_000);
+    expect(group.aliveCounts()).to.deep.equal(Array(12).fill(12));
+  });
+
+  it('a restarted daemon takes its old place at once and does not count twice', () => {
+    const group = new Group(6);
+    group.run(10_000);
+    group.machines.delete('10.0.0.3:7');
+    group.add('10.0.0.3:7', 'd3.2', 'zone-0');
+    group.run(12_000);
+    const contact = group.machines.get('10.0.0.1:7')?.contact();
+    expect(contact).to.deep.equal({ alive: 6, known: 6 });
+  });
+
+  it('a leaving daemon is out of the active list as soon as its word arrives, and never comes back', () => {
+    const group = new Group(6);
+    group.run(10_000);
+    group.machines.get('10.0.0.2:7')?.leave(group.now);
+    group.run(300);
+    const others = [...group.machines].filter(([address]) => address !== '10.0.0.2:7');
+    for (const [, machine] of others)
+      expect(machine.active().map((member) => member.id)).not.to.include('d2.1');
+    const leaving: Member = {
+      id: 'x',
+      address: 'x',
+      zone: 'z',
+      region: 'r',
+      incarnation: 1,
+      state: 'leaving',
+    };
+    expect(overrides({ ...leaving, state: 'alive', incarnation: 9 }, leaving)).to.equal(false);
+  });
+});
--- /dev/null
+++ b/test/real-process.test.ts
@@ -0,0 +1,234 @@
+/** A few tests on real processes, with wide margins: signals, refused and silent connections, outages. */
+import { execFile } from 'node:child_process';
+import { createServer } from 'node:net';
+import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
+import { expect } from 'chai';
+import { request } from 'undici';
+import { LocalSite } from '../lab/launcher.js';
+import { LoadGenerator, type LoadPhase } from '../lab/load-generator.js';
+import { siteProfile } from '../lab/site-profiles.js';
+import { OperatorClient } from '../src/cli/operator-client.js';
+import { SeededRandom } from '../src/shared/random.js';
+
+const PROFILE = siteProfile('trust-tt-north');
+const PRODUCT = fileURLToPath(new URL('../src/cli/main.js', import.meta.url));
+const execute = promisify(execFile);
+
+function phase(seconds: number, perSecond: number): LoadPhase {
+  const target = { firstTokenTargetMs: 30_000, betweenTokensTargetMs: 1000 };
+  return {
+    seconds,
+    classes: [
+      { service: 'policy-review', perSecond: perSecond / 4, promptTokens: 800, outputTokens: 40, ...target },
+      { service: 'eligibility', perSecond, promptTokens: 100, outputTokens: 30, ...target },
+    ],
+    calls: [{ service: 'confirmation', perSecond: 4 }],
+  };
+}
+
+function totals(load: LoadGenerator): {
+  sent: number;
+  whole: number;
+  broken: number;
+  wrong: number;
+  unanswered: number;
+  refused: number;
+} {
+  const sum = { sent: 0, whole: 0, broken: 0, wrong: 0, unanswered: 0, refused: 0 };
+  for (const result of load.results.values()) {
+    sum.sent += result.sent;
+    sum.whole += result.whole;
+    sum.broken += result.broken;
+    sum.wrong += result.wrong;
+    sum.unanswered += result.unanswered;
+    for (const count of result.refused.values()) sum.refused += count;
+  }
+  return sum;
+}
+
+async function executions(site: LocalSite): Promise<number[]> {
+  const counts: number[] = [];
+  for (const server of site.applications) {
+    const { body } = await request(`http://${server.addresses.main}/executions`);
+    counts.push(...Object.values((await body.json()) as Record<string, number>));
+  }
+  return counts;
+}
+
+async function pulleyledge(...args: string[]): Promise<{ code: number; stdout: string; stderr: string }> {
+  try {
+    const { stdout, stderr } = await execute(process.execPath, [PRODUCT, ...args]);
+    return { code: 0, stdout, stderr };
+  } catch (error) {
+    const { code, stdout, stderr } = error as { code: number; stdout: string; stderr: string };
+    return { code, stdout, stderr };
+  }
+}
+
+const pause = (milliseconds: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, milliseconds));
+
+describe('real processes', function () {
+  this.timeout(90_000);
+  let site: LocalSite;
+
+  beforeEach(async () => {
+    site = new LocalSite(PROFILE, { engines: 3, daemons: 3, applications: 2 });
+    await site.start();
+  });
+
+  afterEach(() => site.stop());
+
+  it('a rolling restart by SIGTERM under load fails no request', async () => {
+    const load = new LoadGenerator(site.callers(), new SeededRandom(1));
+    const running = load.run([phase(24, 8)]);
+    for (let index = 0; index < site.daemons.length; index += 1) {
+      const { child } = site.daemons[index];
+      const ended = new Promise<number | null>((resolve) => child.once('exit', resolve));
+      child.kill('SIGTERM');
+      expect(await ended).to.equal(0);
+      await site.waitReady([site.restartDaemon(index)]);
+    }
+    await running;
+    const sum = totals(load);
+    expect(sum.whole).to.equal(sum.sent);
+  });
+
+  it('SIGKILL of a daemon and SIGSTOP of another beyond its lease: no wrong answer, nothing run twice', async () => {
+    const load = new LoadGenerator(site.callers(), new SeededRandom(2));
+    const running = load.run([phase(20, 6)]);
+    await pause(2000);
+    site.daemons[0].child.kill('SIGKILL');
+    await pause(1000);
+    site.daemons[1].child.kill('SIGSTOP');
+    await pause(9000);
+    site.daemons[1].child.kill('SIGCONT');
+    await site.waitReady([site.restartDaemon(0)]);
+    await running;
+    const sum = totals(load);
+    expect(sum.wrong).to.equal(0);
+    expect(sum.whole).to.be.greaterThan(sum.sent / 3);
+    expect(Math.max(...(await executions(site)))).to.equal(1);
+    const statuses = await Promise.all(
+      site.daemons.map((daemon) => new OperatorClient(daemon.addresses.operator).status()),
+    );
+    expect(
+      statuses.flatMap((status) => status.leases).filter((lease) => lease.heldHere).length,
+    ).to.be.at.most(1);
+  });
+
+  it('a platform outage: completions go on, calls that may run once are refused truthfully', async () => {
+    await site.setFaults(site.platform, { down: true });
+    await pause(13_000);
+    const load = new LoadGenerator(site.callers(), new SeededRandom(3));
+    await load.run([phase(5, 8)]);
+    expect(load.result('eligibility').whole).to.equal(load.result('eligibility').sent);
+    const calls = load.result('confirmation');
+    expect(calls.whole).to.equal(0);
+    expect(calls.refused.get('ledger-unavailable')).to.equal(calls.sent);
+    expect(await executions(site)).to.deep.equal([]);
+    await site.setFaults(site.platform, { down: false });
+    await pause(3000);
+    const after = new LoadGenerator(site.callers(), new SeededRandom(4));
+    await after.run([phase(3, 8)]);
+    expect(after.result('confirmation').whole).to.equal(after.result('confirmation').sent);
+  });
+
+  it('a refused and a silent engine: requests go elsewhere', async () => {
+    const silent = createServer(() => undefined);
+    await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve));
+    const { port } = silent.address() as { port: number };
+    site.engines[0].child.kill('SIGKILL');
+    await site.announce({
+      id: 'silent',
+      kind: 'engine',
+      address: `127.0.0.1:${port}`,
+      zone: 'pos-a',
+      cell: PROFILE.name,
+      state: 'live',
+    });
+    await pause(2500);
+    const load = new LoadGenerator(site.callers(), new SeededRandom(5));
+    await load.run([phase(5, 8)]);
+    silent.close();
+    const sum = totals(load);
+    expect(sum.whole).to.equal(sum.sent);
+  });
+
+  it('operators edit the table: a change is in force at every daemon, the loser of a race sees both values', async () => {
+    const operator = site.daemons[0].addresses.operator;
+    const edited = await pulleyledge('services', 'set', 'eligibility', 'weight=7', '--operator', operator);
+    expect(edited.code, edited.stderr).to.equal(0);
+    await pause(5000);
+    for (const daemon of site.daemons) {
+      const { services } = await new OperatorClient(daemon.addresses.operator).services();
+      expect(services.find((entry) => entry.name === 'eligibility')?.row?.weight).to.equal(7);
+    }
+    const loser = await pulleyledge(
+      'services',
+      'set',
+      'eligibility',
+      'weight=9',
+      '--revision',
+      '1',
+      '--operator',
+      operator,
+    );
+    expect(loser.code).to.equal(3);
+    expect(loser.stderr).to.include('"weight": 7').and.to.include('"weight": 9');
+    const bad = await pulleyledge('services', 'set', 'eligibility', 'weight=heavy', '--operator', operator);
+    expect(bad.code).to.equal(1);
+    expect(bad.stderr).to.include('eligibility').and.to.include('weight').and.to.include('0.001 to 1000');
+  });
+
+  it('a caller that goes away frees its engine', async () => {
+    const abort = new AbortController();
+    const body = JSON.stringify({
+      model: 'eligibility',
+      prompt: 'x'.repeat(400),
+      max_tokens: 5000,
+      stream: true,
+    });
+    const answer = await request(`http://${site.callers()[0]}/v1/completions`, {
+      method: 'POST',
+      body,
+      signal: abort.signal,
+    });
+    answer.body.on('error', () => undefined);
+    await pause(1000);
+    abort.abort();
+    await site.waitFor(async () => {
+      const { requests, engines } = await new OperatorClient(site.daemons[0].addresses.operator).status();
+      const streams = engines.reduce((sum, engine) => sum + engine.streams, 0);
+      if (requests.active > 0 || streams > 0)
+        throw new Error(`${requests.active} requests, ${streams} streams`);
+    });
+  });
+
+  it('refusals are problem documents with notRun and Retry-After', async () => {
+    const send = (body: unknown): ReturnType<typeof request> =>
+      request(`http://${site.callers()[0]}/v1/completions`, { method: 'POST', body: JSON.stringify(body) });
+    const unknown = await send({ model: 'nothing', prompt: 'x' });
+    expect(unknown.statusCode).to.equal(404);
+    expect(unknown.headers['content-type']).to.equal('application/problem+json');
+    expect(await unknown.body.json()).to.include({
+      type: 'urn:pulleyledge:problem:unknown-service',
+      notRun: true,
+    });
+    const invalid = await send({ model: 'eligibility', prompt: 5 });
+    expect(await invalid.body.json()).to.deep.include({
+      status: 400,
+      notRun: true,
+      context: { field: 'prompt', problem: 'Invalid input: expected string, received number' },
+    });
+    const overload = await Promise.all(
+      Array.from({ length: 60 }, () =>
+        send({ model: 'eligibility', prompt: 'y'.repeat(40_000), max_tokens: 5 }),
+      ),
+    );
+    const refused = overload.find((answer) => answer.statusCode === 503);
+    expect(Number(refused?.headers['retry-after'])).to.be.greaterThan(0);
+    for (const answer of overload) await answer.body.dump();
+  });
+});
