Membership: islands join; coordinators spread; digests within a byte budget

Cause: a fleet of hollow daemons never converged. Found: a daemon that had joined one seed never spoke to the others, so groups around different seeds stayed apart for good; neighbouring seeds of the random source gave alike first numbers, which made two such groups of every fleet. Further: one daemon coordinated up to three cells and sent digests without bound (56 KB/s at 128 daemons); whole lists were gossiped again entry by entry. Ruled out: suspicion flapping (no change of state after 40 s at 128 daemons). Change: seeds that are not active members are synchronised with first; seeds of the random source are scrambled; coordinators are spread over the daemons; a coordinator's digests keep to 4 KB/s by being rarer; entries of a whole list are passed on only when they are news; a starting daemon is ready when it knows all listed engines or 3 s have passed.

--- a/src/allocation/cell-coordinator.ts
+++ b/src/allocation/cell-coordinator.ts
@@ -92,6 +92,7 @@
   private epoch = 0;
   private epochSince = 0;
   private lastChangeAt = -Infinity;
+  private nextDecisionAt = 0;
   /** Changes of assignment ordered so far. */
   changesOrdered = 0;
 
@@ -144,7 +145,7 @@
    * @param lease the authority at `now`, or undefined without it
    * @param demands what the services ask of the cell
    */
-  tick(now: number, lease: HeldLease | undefined, demands: readonly ModelDemand[]): void {
+  tick(now: number, lease: HeldLease | undefined, demands: () => readonly ModelDemand[]): void {
     if (lease && lease.epoch !== this.epoch) this.beginEpoch(lease.epoch, now);
     for (const engine of this.engines.values()) {
       if (engine.busy) continue;
@@ -152,7 +153,9 @@
       else if (lease && this.continueChange(engine, lease, now)) continue;
       else if (now >= engine.nextReportAt) this.askReport(engine, now);
     }
-    if (lease && this.sealed(now)) this.decide(now, lease, demands);
+    if (!lease || now < this.nextDecisionAt || !this.sealed(now)) return;
+    this.nextDecisionAt = now + this.settings.reportIntervalMs;
+    this.decide(now, lease, demands());
   }
 
   /** Takes the answer to an `engineControl` effect. */
--- a/src/daemon/cell-assignment.ts
+++ b/src/daemon/cell-assignment.ts
@@ -23,6 +23,7 @@
   private readonly subscriptions = new Map<string, string[]>();
   private members: readonly Member[] = [];
   private cells: readonly Cell[] = [];
+  private readonly coordinators = new Map<string, string>();
   private byCell = new Map<string, Member[]>();
 
   constructor(private readonly settings: CellSettings) {}
@@ -37,6 +38,7 @@
     for (const member of members) {
       for (const cell of this.cellsOf(member)) this.byCell.get(cell)?.push(member);
     }
+    this.chooseCoordinators();
   }
 
   /** The cells of one daemon. */
@@ -54,12 +56,32 @@
     return this.byCell.get(cell) ?? [];
   }
 
-  /** The daemon that should coordinate a cell: one in its zone if there is one. */
+  /** The daemon that should coordinate a cell: one in its zone if there is one, with few other cells. */
   coordinatorOf(cell: string): string | undefined {
-    const zone = this.cells.find((entry) => entry.name === cell)?.zone;
-    const subscribers = this.subscribersOf(cell);
-    const near = subscribers.filter((member) => member.zone === zone);
+    return this.coordinators.get(cell);
+  }
+
+  /** Goes through the cells in one order, so that every daemon with the same members chooses the same. */
+  private chooseCoordinators(): void {
+    this.coordinators.clear();
+    const cellsHeld = new Map<string, number>();
+    const ordered = [...this.cells].sort((left, right) => (left.name < right.name ? -1 : 1));
+    for (const cell of ordered) {
+      const ranked = this.rankedCandidates(cell);
+      let chosen: string | undefined;
+      for (const id of ranked) {
+        if (chosen === undefined || (cellsHeld.get(id) ?? 0) < (cellsHeld.get(chosen) ?? 0)) chosen = id;
+      }
+      if (chosen === undefined) continue;
+      this.coordinators.set(cell.name, chosen);
+      cellsHeld.set(chosen, (cellsHeld.get(chosen) ?? 0) + 1);
+    }
+  }
+
+  private rankedCandidates(cell: Cell): string[] {
+    const subscribers = this.subscribersOf(cell.name);
+    const near = subscribers.filter((member) => member.zone === cell.zone);
     const candidates = (near.length > 0 ? near : subscribers).map((member) => member.id);
-    return rankByRendezvous(`coordinator/${cell}`, candidates, 1)[0];
+    return rankByRendezvous(`coordinator/${cell.name}`, candidates, candidates.length);
   }
 }
--- a/src/daemon/cell-manager.ts
+++ b/src/daemon/cell-manager.ts
@@ -25,6 +25,8 @@
 
 /** Without a digest for this many intervals the daemon asks the engines itself. */
 const DIGEST_MISSING_INTERVALS = 3;
+/** A starting daemon waits this long at most to learn of every listed engine. Milliseconds. */
+const ENGINES_KNOWN_WITHIN_MS = 3000;
 /** Engines asked per interval in that case. */
 const DIRECT_REPORTS_PER_INTERVAL = 4;
 
@@ -35,7 +37,7 @@
   private readonly lastDigestAt = new Map<string, number>();
   private cells: readonly Cell[] = [];
   private machines: readonly Machine[] = [];
-  private listedOnce = false;
+  private listedSince: number | undefined;
   private listingRequestedAt: number | undefined;
   private nextListingAt = 0;
   private nextDirectReportAt = 0;
@@ -81,8 +83,8 @@
       runtime.tick(now, {
         selfId: this.identity.id,
         coordinatorId,
-        subscriberIds: this.assignment.subscribersOf(runtime.cell).map((member) => member.id),
-        services: this.parts.configuration.services(),
+        subscriberIds: () => this.assignment.subscribersOf(runtime.cell).map((member) => member.id),
+        services: () => this.parts.configuration.services(),
         ownDemand: () => this.demandOf(runtime.cell, now),
         eligible,
       });
@@ -91,10 +93,14 @@
   }
 
   /** Why requests cannot be routed yet, or undefined. A site without engines needs none. */
-  notReadyReason(): string | undefined {
-    for (const view of this.parts.directory.all()) if (view.assignment) return undefined;
-    if (this.listedOnce && this.machines.every((machine) => machine.kind !== 'engine')) return undefined;
-    return 'no engine is known yet';
+  notReadyReason(now: number): string | undefined {
+    const views = [...this.parts.directory.all()];
+    const known = views.filter((view) => view.assignment).length;
+    const listed = this.listedSince !== undefined;
+    // Routing on a part of the engines would overload them; one that never answers must not hold up the rest.
+    const waitedEnough = listed && now - (this.listedSince ?? now) > ENGINES_KNOWN_WITHIN_MS;
+    if (known === views.length && (listed || known > 0)) return undefined;
+    return known > 0 && (waitedEnough || !listed) ? undefined : 'the engines are not known yet';
   }
 
   /** Gives every lease back. */
@@ -106,7 +112,7 @@
   receiveListing(listing: MachineListing | undefined, now: number): void {
     this.listingRequestedAt = undefined;
     if (!listing) return;
-    this.listedOnce = true;
+    this.listedSince ??= now;
     const sameCells = JSON.stringify(listing.cells) === JSON.stringify(this.cells);
     if (!sameCells) this.cells = listing.cells;
     this.machines = listing.machines;
@@ -227,11 +233,12 @@
     const missing: EngineView[] = [];
     for (const view of this.parts.directory.all()) {
       const digestAt = this.lastDigestAt.get(view.cell) ?? -Infinity;
-      const unknown = view.assignment === undefined;
-      if (unknown || now - digestAt > limit) missing.push(view);
+      if (view.assignment === undefined || now - digestAt > limit) missing.push(view);
     }
     missing.sort((left, right) => left.reportTime() - right.reportTime());
-    for (const view of missing.slice(0, DIRECT_REPORTS_PER_INTERVAL)) {
+    // Engines of which nothing is known come first, all of them: a starting daemon needs them.
+    const unknown = missing.filter((view) => view.assignment === undefined).length;
+    for (const view of missing.slice(0, Math.max(unknown, DIRECT_REPORTS_PER_INTERVAL))) {
       const { id, address, cell } = view;
       this.emit({
         kind: 'engineControl',
--- a/src/daemon/cell-runtime.ts
+++ b/src/daemon/cell-runtime.ts
@@ -21,6 +21,9 @@
 }
 
 const DESCRIPTION_INTERVALS = 15;
+/** Size of a digest, measured: its frame, and each engine with its share of a description now and then. */
+const DIGEST_BYTES = 110;
+const DIGEST_BYTES_PER_ENGINE = 45;
 const DEMAND_EXPIRY_INTERVALS = 3;
 const MAXIMUM_ADAPTERS_PER_ENGINE = 64;
 
@@ -30,8 +33,8 @@
   /** Who should coordinate the cell. */
   readonly coordinatorId: string | undefined;
   /** The daemons that route to the cell. */
-  readonly subscriberIds: readonly string[];
-  readonly services: readonly VersionedRow[];
+  readonly subscriberIds: () => readonly string[];
+  readonly services: () => readonly VersionedRow[];
   /** What this daemon itself sees asked of the cell. */
   readonly ownDemand: () => readonly DemandEntry[];
   /** False while the daemon stops: it then takes no lease. */
@@ -80,7 +83,7 @@
     const lease = this.lease.current(now);
     if (now >= this.nextDemandAt) this.reportDemand(now, context);
     if (!coordinates && !lease) return;
-    this.coordinator.tick(now, lease, lease ? this.totalDemand(now, context.services) : []);
+    this.coordinator.tick(now, lease, () => this.totalDemand(now, context.services()));
     if (coordinates && now >= this.nextDigestAt) this.sendDigest(now, context);
   }
 
@@ -115,10 +118,18 @@
     return demandsOfServices(services, totals);
   }
 
+  /** More subscribers and engines make digests rarer, so that a coordinator's traffic stays bounded. */
+  private digestInterval(subscribers: number): number {
+    const bytes = subscribers * (DIGEST_BYTES + DIGEST_BYTES_PER_ENGINE * this.coordinator.reports().length);
+    const { digestIntervalMs, digestBudgetBytes } = this.settings.cells;
+    return Math.max(digestIntervalMs, (bytes / digestBudgetBytes) * 1000);
+  }
+
   private sendDigest(now: number, context: CellContext): void {
-    this.nextDigestAt = now + this.settings.cells.digestIntervalMs;
+    const subscriberIds = context.subscriberIds();
+    this.nextDigestAt = now + this.digestInterval(subscriberIds.length);
     this.digestCount += 1;
-    const subscribers = context.subscriberIds.join(' ');
+    const subscribers = subscriberIds.join(' ');
     const everything =
       this.digestCount % DESCRIPTION_INTERVALS === 1 || subscribers !== this.knownSubscribers;
     this.knownSubscribers = subscribers;
@@ -138,7 +149,7 @@
       descriptions.push({ id, address, zone, report });
     }
     const message: CellMessage = { kind: 'cellDigest', cell: this.cell, loads, descriptions };
-    for (const daemonId of context.subscriberIds) this.emit({ kind: 'sendCell', daemonId, message });
+    for (const daemonId of subscriberIds) this.emit({ kind: 'sendCell', daemonId, message });
   }
 }
 
--- a/src/daemon/daemon-settings.ts
+++ b/src/daemon/daemon-settings.ts
@@ -19,8 +19,10 @@
   readonly ownZoneCells: number;
   /** Cells of other zones that the daemon routes to. Default 1. */
   readonly otherZoneCells: number;
-  /** Interval of digests from a coordinator. Milliseconds. Default 1000. */
+  /** Shortest interval of digests from a coordinator. Milliseconds. Default 1000. */
   readonly digestIntervalMs: number;
+  /** A coordinator spends at most this on digests of a cell, by sending them less often. Bytes a second. Default 4000. */
+  readonly digestBudgetBytes: number;
   /** Interval of demand reports to a coordinator. Milliseconds. Default 2000. */
   readonly demandIntervalMs: number;
   /** Interval of reads of the machine list. Milliseconds. Default 2000. */
@@ -34,6 +36,7 @@
   ownZoneCells: 2,
   otherZoneCells: 1,
   digestIntervalMs: 1000,
+  digestBudgetBytes: 4000,
   demandIntervalMs: 2000,
   machineListIntervalMs: 2000,
   demandTimeConstantMs: 10_000,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -143,7 +143,7 @@
     const freshness = this.freshness(now);
     if (freshness.kind === 'never') return { ready: false, reason: 'no configuration is known yet' };
     if (freshness.kind === 'stale') return { ready: false, reason: 'the configuration is stale' };
-    const unroutable = this.cells.notReadyReason();
+    const unroutable = this.cells.notReadyReason(now);
     if (unroutable) return { ready: false, reason: unroutable };
     return { ready: true, reason: freshness.kind };
   }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -30,6 +30,8 @@
   readonly ownZoneChance: number;
   /** Interval between exchanges of the whole list with one daemon. Milliseconds. Default 30000. */
   readonly syncIntervalMs: number;
+  /** The same while a seed is not among the active members. Milliseconds. Default 2000. */
+  readonly strangerSyncIntervalMs: number;
   /** Interval between probes of a dead member, so that both sides of a healed partition meet. Milliseconds. Default 2000. */
   readonly deadProbeIntervalMs: number;
   /** Dead members are remembered, and count against the majority, this long. Milliseconds. Default 3600000. */
@@ -45,6 +47,7 @@
   updatesPerMessage: 8,
   ownZoneChance: 0.8,
   syncIntervalMs: 30_000,
+  strangerSyncIntervalMs: 2000,
   deadProbeIntervalMs: 2000,
   deadRetentionMs: 3_600_000,
 };
@@ -70,6 +73,8 @@
 
 const STATE_RANK: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, leaving: 2, dead: 3 };
 const RETRANSMIT_FACTOR = 3;
+/** A daemon that has just started exchanges lists this often at the short interval. */
+const EARLY_SYNCS = 5;
 
 /**
  * Whether `update` overrides `current`: a higher incarnation, or the same one and a later state. A leaving
@@ -92,6 +97,7 @@
   private nextProbeAt: number;
   private nextSyncAt: number;
   private nextDeadProbeAt = 0;
+  private syncCount = 0;
   private joinedAt: number | undefined;
   private lastContactAt = -Infinity;
   private cachedActive: Member[] | undefined;
@@ -200,7 +206,7 @@
         break;
       case 'sync':
         this.joinedAt ??= now;
-        this.applyAll(message.members, now);
+        this.applyList(fromId, message.members, now);
         if (message.reply) this.send(fromAddress, { kind: 'sync', reply: false, members: this.fullList() });
         break;
     }
@@ -342,11 +348,19 @@
     });
   }
 
+  /**
+   * Exchanges the whole list with one daemon. A seed that is not among the active members comes first: two
+   * groups that formed around different seeds would otherwise never hear of each other.
+   */
   private syncWithOne(now: number): void {
     const others = this.active().filter((member) => member.id !== this.self.id);
-    const addresses = others.length > 0 ? others.map((member) => member.address) : this.seeds;
-    const candidates = addresses.filter((address) => address !== this.self.address);
-    const interval = others.length > 0 ? this.settings.syncIntervalMs : this.settings.probeIntervalMs;
+    const known = new Set(others.map((member) => member.address));
+    const strangers = this.seeds.filter((address) => address !== this.self.address && !known.has(address));
+    const candidates = strangers.length > 0 ? strangers : [...known];
+    const early = this.syncCount < EARLY_SYNCS;
+    this.syncCount += 1;
+    const interval =
+      strangers.length > 0 || early ? this.settings.strangerSyncIntervalMs : this.settings.syncIntervalMs;
     this.nextSyncAt = now + interval * (0.75 + this.random.next() / 2);
     if (candidates.length === 0) return;
     const address = candidates[this.random.below(candidates.length)];
@@ -365,7 +379,15 @@
     for (const update of updates) this.apply(fromUpdate(update), now);
   }
 
-  private apply(update: Member, now: number): void {
+  /** Of a whole list only what is news to others is passed on: who sent it, and who went. */
+  private applyList(fromId: string, updates: readonly MemberUpdate[], now: number): void {
+    for (const update of updates) {
+      const member = fromUpdate(update);
+      this.apply(member, now, member.id === fromId || member.state !== 'alive');
+    }
+  }
+
+  private apply(update: Member, now: number, passOn = true): void {
     if (update.id === this.self.id) {
       this.refute(update);
       return;
@@ -374,7 +396,7 @@
     if (current ? !overrides(update, current) : update.state === 'dead') return;
     this.records.set(update.id, { member: update, changedAt: now });
     this.changed();
-    this.enqueueGossip(update.id);
+    if (passOn) this.enqueueGossip(update.id);
     this.emit({ kind: 'memberChanged', member: update, previous: current?.state });
   }
 
--- a/src/shared/random.ts
+++ b/src/shared/random.ts
@@ -16,7 +16,7 @@
   private readonly generator: RandomGenerator;
 
   constructor(seed: number) {
-    this.generator = xoroshiro128plus(seed);
+    this.generator = xoroshiro128plus(scramble(seed));
   }
 
   next(): number {
@@ -28,6 +28,12 @@
   }
 }
 
+/** Spreads neighbouring seeds apart; without it their first numbers are alike. */
+function scramble(seed: number): number {
+  const mixed = Math.imul(seed ^ (seed >>> 16), 0x45d9f3b);
+  return Math.imul(mixed ^ (mixed >>> 16), 0x45d9f3b) ^ (mixed >>> 13);
+}
+
 /** An exponentially distributed interval with the given mean, in the unit of `mean`. */
 export function exponential(random: RandomSource, mean: number): number {
   return -Math.log(1 - random.next()) * mean;
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -19,7 +19,10 @@
   cut: (from: string, to: string) => boolean = () => false;
   private queue: (() => void)[] = [];
 
-  constructor(count: number) {
+  constructor(
+    count: number,
+    private readonly seeds: (index: number) => string[] = () => ['10.0.0.0:7'],
+  ) {
     for (let index = 0; index < count; index += 1)
       this.add(`10.0.0.${index}:7`, `d${index}.1`, `zone-${index % 3}`);
   }
@@ -38,7 +41,14 @@
     const self = initialMember({ id, address, zone, region: 'main' });
     this.machines.set(
       address,
-      new Membership(self, ['10.0.0.0:7'], DEFAULT_MEMBERSHIP_SETTINGS, random, emit, this.now),
+      new Membership(
+        self,
+        this.seeds(Number(address.split('.')[3].split(':')[0])),
+        DEFAULT_MEMBERSHIP_SETTINGS,
+        random,
+        emit,
+        this.now,
+      ),
     );
   }
 
@@ -65,6 +75,17 @@
     expect(group.aliveCounts()).to.deep.equal(Array(24).fill(24));
   });
 
+  it('groups that formed around different seeds find each other', () => {
+    const group = new Group(12, () => ['10.0.0.0:7', '10.0.0.1:7']);
+    const left = (address: string): boolean => Number(address.split('.')[3].split(':')[0]) % 2 === 0;
+    group.cut = (from, to) => left(from) !== left(to);
+    group.run(8000);
+    expect(group.aliveCounts()).to.deep.equal(Array(12).fill(6));
+    group.cut = () => false;
+    group.run(12_000);
+    expect(group.aliveCounts()).to.deep.equal(Array(12).fill(12));
+  });
+
   it('everybody learns of a dead daemon after suspicion, and no live one is declared dead', () => {
     const group = new Group(16);
     group.run(12_000);
