A lease is given back only when no order is on its way; daemons are ready when they know their engines

Cause: two red tests. (1) A property run of the sound system broke "orders without authority have no effect": a holder that was no longer the cell's coordinator released its lease while an order that it had sent was delayed; the next holder's lease began at once and the engine, not sealed yet, accepted the old order, since its expiry was the end of the lease that had been given up. (2) A daemon was ready after the first answer of the machine list, which names cells and no engines, and refused three requests of a rolling restart as overloaded. Ruled out: the fence and the expiry (both correct for a lease that runs out); the overload estimate. Change: unanswered orders count until their expiry and hold back the release; write ids of a lease carry the time at which the daemon joined the cell, since an id used again would be answered as committed; readiness counts the listing of the chosen cells. The model has early release, with a broken variant RELEASE_EARLY. Conclusion: a real fault of the design, found by the generated plans and not by the first model; kept in both.

--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -7,7 +7,7 @@
  * Properties (assertions at the engine):
  *   AUTHORITY  an accepted order carries the epoch that the table has at that moment
  *   CONFLICT   epochs of accepted orders never go down
- * Broken variants: NO_EXPIRY, NO_FENCE, GUESS_SUCCESS, VALID_FROM_ANSWER.
+ * Broken variants: NO_EXPIRY, NO_FENCE, GUESS_SUCCESS, VALID_FROM_ANSWER, RELEASE_EARLY.
  */
 #ifndef MAXTIME
 #define MAXTIME 5
@@ -70,6 +70,7 @@
   byte seenRevision = 0, seenEpoch = 0, seenHolder = NOBODY, seenSince = 0;
   byte epoch = 0, validUntil = 0, sentAt = 0, expectRevision = 0, wantEpoch = 0;
   bool held = false, committed = false;
+  byte any;
   do
   :: now == MAXTIME -> break
   /* A contender reads the row. */
@@ -122,5 +123,14 @@
   /* Seal the engine with the present epoch. */
   :: atomic { held && now < validUntil && epoch > engineEpoch -> engineEpoch = epoch }
   :: atomic { held && now >= validUntil -> held = false; validUntil = 0 }
+  /* Give the lease back early, so that a successor need not wait; only when no order is on its way. */
+#ifdef RELEASE_EARLY
+  :: atomic { held && rowRevision == seenRevision && rowRevision < MAXREVISION ->
+#else
+  :: atomic { held && rowRevision == seenRevision && rowRevision < MAXREVISION && !(orders ?? [eval(epoch), any]) ->
+#endif
+       rowRevision++; rowHolder = NOBODY; held = false; validUntil = 0;
+       seenRevision = rowRevision; seenHolder = NOBODY
+     }
   od
 }
--- a/spec/model-check.ts
+++ b/spec/model-check.ts
@@ -45,6 +45,12 @@
     expect: 'caught',
     what: 'lease counted from the answer, not from the sending',
   },
+  {
+    file: 'lease.pml',
+    defines: ['RELEASE_EARLY'],
+    expect: 'caught',
+    what: 'lease given back while an order is on its way',
+  },
   {
     file: 'drain.pml',
     defines: [],
--- a/src/allocation/cell-coordinator.ts
+++ b/src/allocation/cell-coordinator.ts
@@ -81,6 +81,10 @@
   target: EngineAssignment | undefined;
   /** Set while a control request is on its way. One at a time keeps orders in sequence. */
   busy: boolean;
+  /** Whether that request is an order. */
+  orderInFlight: boolean;
+  /** An order without an answer may still take effect until then; 0 when there is none. */
+  unconfirmedUntil: number;
   silentSince: number | undefined;
 }
 
@@ -113,6 +117,15 @@
     return known;
   }
 
+  /**
+   * Whether the lease may be given back early: an order still on its way would otherwise reach an engine after
+   * the next holder's lease began and before its seal.
+   */
+  mayRelease(now: number): boolean {
+    for (const engine of this.engines.values()) if (engine.unconfirmedUntil > now) return false;
+    return true;
+  }
+
   /** Takes the cell's engines from the machine list. */
   setEngines(list: readonly CellEngine[], now: number): void {
     const listed = new Set(list.map((engine) => engine.id));
@@ -135,6 +148,8 @@
         sealedEpoch: 0,
         target: undefined,
         busy: false,
+        orderInFlight: false,
+        unconfirmedUntil: 0,
         silentSince: undefined,
       });
     }
@@ -163,6 +178,8 @@
     const engine = this.engines.get(engineId);
     if (!engine) return;
     engine.busy = false;
+    if (result.kind !== 'noAnswer' && engine.orderInFlight) engine.unconfirmedUntil = 0;
+    engine.orderInFlight = false;
     switch (result.kind) {
       case 'report':
       case 'notApplicable':
@@ -245,6 +262,8 @@
     const expiresAtClockMs = report.clockMs + (lease.validUntil - engine.reportReceivedAt);
     const sequence = report.sequence + 1;
     this.control(engine, { kind: 'order', epoch: lease.epoch, sequence, expiresAtClockMs, action }, now);
+    engine.orderInFlight = true;
+    engine.unconfirmedUntil = Math.max(engine.unconfirmedUntil, lease.validUntil);
     this.emit({ kind: 'orderGiven', engineId: engine.id, epoch: lease.epoch, action });
     return true;
   }
--- a/src/daemon/cell-manager.ts
+++ b/src/daemon/cell-manager.ts
@@ -103,18 +103,14 @@
     return known > 0 && (waitedEnough || !listed) ? undefined : 'the engines are not known yet';
   }
 
-  /** Gives every lease back. */
-  releaseAll(now: number): void {
-    for (const runtime of this.runtimes.values()) runtime.lease.release(now);
-  }
-
   /** Takes the machine list, or undefined when it did not answer. */
   receiveListing(listing: MachineListing | undefined, now: number): void {
     this.listingRequestedAt = undefined;
     if (!listing) return;
-    this.listedSince ??= now;
     const sameCells = JSON.stringify(listing.cells) === JSON.stringify(this.cells);
-    if (!sameCells) this.cells = listing.cells;
+    // The first answer names the cells; only the next one, for the cells chosen of them, names the engines.
+    if (sameCells) this.listedSince ??= now;
+    else this.cells = listing.cells;
     this.machines = listing.machines;
     this.assignment.update(this.parts.membership.active(), this.cells);
     const wanted = this.assignment.cellsOf(this.identity);
--- a/src/daemon/cell-runtime.ts
+++ b/src/daemon/cell-runtime.ts
@@ -79,8 +79,9 @@
   tick(now: number, context: CellContext): void {
     const coordinates = context.coordinatorId === context.selfId;
     this.lease.tick(now, coordinates && context.eligible);
-    if (!coordinates) this.lease.release(now);
-    const lease = this.lease.current(now);
+    const releasing = !coordinates || !context.eligible;
+    if (releasing && this.coordinator.mayRelease(now)) this.lease.release(now);
+    const lease = releasing ? undefined : this.lease.current(now);
     if (now >= this.nextDemandAt) this.reportDemand(now, context);
     if (!coordinates && !lease) return;
     this.coordinator.tick(now, lease, () => this.totalDemand(now, context.services()));
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -308,7 +308,7 @@
     if (this.draining) return;
     this.draining = true;
     this.outbox.push({ kind: 'log', event: 'drain.started', fields: { requests: this.requestsInHand() } });
-    this.cells.releaseAll(now);
+    this.cells.tick(now, false);
     this.slotOwner.handOver((service) => this.successorOf(service));
     this.membership.leave(now);
   }
--- a/src/lease/cell-lease.ts
+++ b/src/lease/cell-lease.ts
@@ -63,6 +63,7 @@
   private writeCount = 0;
   /** Epochs up to this one lapsed here: they are never taken up again, a new epoch is written instead. */
   private lapsedThrough = 0;
+  private readonly startedAt: number;
 
   constructor(
     private readonly cell: string,
@@ -72,6 +73,7 @@
     now: number,
   ) {
     this.nextActionAt = now;
+    this.startedAt = now;
   }
 
   /** The authority at time `now`, if any. Callers must ask before each order and must not keep the answer. */
@@ -176,7 +178,8 @@
 
   private write(now: number, value: LeaseValue): void {
     this.writeCount += 1;
-    const writeId = `lease/${this.cell}/${this.selfId}/${this.writeCount}`;
+    // The start time keeps ids apart when a daemon leaves a cell and comes back to it.
+    const writeId = `lease/${this.cell}/${this.selfId}/${this.startedAt}/${this.writeCount}`;
     const expectedRevision = this.observed?.revision ?? FIRST_REVISION;
     this.pendingWrite = { writeId, expectedRevision, value, firstSentAt: now };
     this.sendWrite(this.pendingWrite);
--- a/test/promises.test.ts
+++ b/test/promises.test.ts
@@ -9,6 +9,8 @@
 
 const SEED = 20261202;
 const LOAD_UNTIL_MS = 60_000;
+/** A broken variant must be caught in one of these runs; the sound one is run with the first. */
+const VARIANT_SEEDS = [5, 6, 7, 8, 9, 10, 11, 12];
 /** Changes roles all the time, so that orders meet every fault. */
 const RESTLESS: Partial<DaemonSettings> = {
   allocation: { ...DEFAULT_DAEMON_SETTINGS.allocation, policy: 'threshold' },
@@ -58,9 +60,9 @@
   prepare: (site: SimulatedSite) => void,
   extra: Partial<FaultRunOptions> = {},
 ): void {
-  const sound = run(plan, 5, extra.settings ? {} : extra);
+  const sound = run(plan, VARIANT_SEEDS[0], extra.settings ? {} : extra);
   expect(sound.violations, 'sound variant').to.deep.equal([]);
-  const caught = [5, 6, 7].some((seed) =>
+  const caught = VARIANT_SEEDS.some((seed) =>
     brokenPromises(run(plan, seed, { prepare, ...extra })).includes(promise),
   );
   expect(caught, 'the broken variant is caught').to.equal(true);
