--- a/bench/hollow-fleet.ts
+++ b/bench/hollow-fleet.ts
@@ -14,7 +14,14 @@
   { zone: 'zone-e', region: 'south' },
 ];
 /** Full size of each thing that is scaled. */
-export const TARGET = { daemons: 380, servers: 690, tenants: 4800, models: 6, requestsPerSecond: 4800, changesPerDay: 1500 } as const;
+export const TARGET = {
+  daemons: 380,
+  servers: 690,
+  tenants: 4800,
+  models: 6,
+  requestsPerSecond: 4800,
+  changesPerDay: 1500,
+} as const;
 /** Servers of one cell. */
 const CELL_SERVERS = 16;
 /** Bytes of TCP and IP headers on a message sent alone. */
@@ -75,7 +82,10 @@
   /** Bytes a second that the busiest and the mean daemon send and receive. */
   bytesPerSecond(seconds: number): { mean: number; worst: number } {
     const all = [...this.bytesByDaemon.values()].map((bytes) => bytes / seconds);
-    return { mean: all.reduce((sum, bytes) => sum + bytes, 0) / this.site.daemons.length, worst: Math.max(0, ...all) };
+    return {
+      mean: all.reduce((sum, bytes) => sum + bytes, 0) / this.site.daemons.length,
+      worst: Math.max(0, ...all),
+    };
   }
 
   /** Whether every living daemon holds this configuration revision. */
--- a/src/adapters/peer-codec.ts
+++ b/src/adapters/peer-codec.ts
@@ -49,6 +49,7 @@
   z.object({ kind: z.literal('ping'), sequence: count, target: text, updates }),
   z.object({ kind: z.literal('ack'), sequence: count, updates }),
   z.object({ kind: z.literal('pingRequest'), sequence: count, target: text }),
+  z.object({ kind: z.literal('syncDigest'), digest: count }),
   z.object({ kind: z.literal('sync'), reply: z.boolean(), members: updates }),
   z.object({ kind: z.literal('configurationPull'), sequence: count, revision: count }),
   z.object({
--- a/src/configuration/configuration-replica.ts
+++ b/src/configuration/configuration-replica.ts
@@ -13,9 +13,9 @@
 export interface ConfigurationSettings {
   /** Interval of a poller's reads of the table. Milliseconds. Default 1000. */
   readonly pollIntervalMs: number;
-  /** Interval of the other daemons' pulls from a poller. Milliseconds. Default 2000. */
+  /** Interval of the other daemons' pulls from a poller. Milliseconds. Default 3000. */
   readonly pullIntervalMs: number;
-  /** Daemons of a zone that poll the table. Default 3. */
+  /** Daemons of a zone that poll the table. Default 5. */
   readonly pollersPerZone: number;
   /** A configuration confirmed longer ago than this is not admitted on. Milliseconds. Default 10000. */
   readonly maximumStalenessMs: number;
@@ -24,8 +24,8 @@
 /** Default settings. */
 export const DEFAULT_CONFIGURATION_SETTINGS: ConfigurationSettings = {
   pollIntervalMs: 1000,
-  pullIntervalMs: 2000,
-  pollersPerZone: 3,
+  pullIntervalMs: 3000,
+  pollersPerZone: 5,
   maximumStalenessMs: 10_000,
 };
 
--- a/src/daemon/daemon-settings.ts
+++ b/src/daemon/daemon-settings.ts
@@ -21,7 +21,7 @@
   readonly otherZoneCells: number;
   /** Shortest interval of digests from a coordinator. Milliseconds. Default 1000. */
   readonly digestIntervalMs: number;
-  /** A coordinator spends at most this on digests of a cell, by sending them less often. Bytes a second. Default 4000. */
+  /** A coordinator spends at most this on digests of a cell, by sending them less often. Bytes a second. Default 3000. */
   readonly digestBudgetBytes: number;
   /** Interval of demand reports to a coordinator. Milliseconds. Default 2000. */
   readonly demandIntervalMs: number;
@@ -36,7 +36,7 @@
   ownZoneCells: 2,
   otherZoneCells: 1,
   digestIntervalMs: 1000,
-  digestBudgetBytes: 4000,
+  digestBudgetBytes: 3000,
   demandIntervalMs: 2000,
   machineListIntervalMs: 2000,
   demandTimeConstantMs: 10_000,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -262,6 +262,7 @@
       case 'ping':
       case 'ack':
       case 'pingRequest':
+      case 'syncDigest':
       case 'sync':
         this.membership.receive(fromId, fromAddress, message, now);
         break;
--- a/src/membership/membership-messages.ts
+++ b/src/membership/membership-messages.ts
@@ -34,6 +34,8 @@
   | { readonly kind: 'ack'; readonly sequence: number; readonly updates: readonly MemberUpdate[] }
   /** Asks a third daemon to probe `target` for the sender. */
   | { readonly kind: 'pingRequest'; readonly sequence: number; readonly target: string }
+  /** A summary of the sender's list; one that differs is answered with the whole list. */
+  | { readonly kind: 'syncDigest'; readonly digest: number }
   /** The whole list, to a daemon that joins or in anti-entropy; `reply` asks for the other's list. */
   | { readonly kind: 'sync'; readonly reply: boolean; readonly members: readonly MemberUpdate[] };
 
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -3,6 +3,7 @@
  * and incarnations. Probes prefer the own zone, so that most traffic stays there.
  */
 import type { EffectSink } from '../shared/effect-sink.js';
+import { hashText } from '../shared/rendezvous-hash.js';
 import type { RandomSource } from '../shared/random.js';
 import {
   fromUpdate,
@@ -73,6 +74,8 @@
 
 const STATE_RANK: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, leaving: 2, dead: 3 };
 const RETRANSMIT_FACTOR = 3;
+/** Daemons of the whole fleet that try a lost seed in one interval, about. */
+const STRANGER_TRIES = 3;
 /** A daemon that has just started exchanges lists this often at the short interval. */
 const EARLY_SYNCS = 5;
 
@@ -204,6 +207,11 @@
       case 'pingRequest':
         this.probe(message.target, now, { address: fromAddress, sequence: message.sequence });
         break;
+      case 'syncDigest':
+        if (message.digest !== this.digest()) {
+          this.send(fromAddress, { kind: 'sync', reply: true, members: this.fullList() });
+        }
+        break;
       case 'sync':
         this.joinedAt ??= now;
         this.applyList(fromId, message.members, now);
@@ -356,7 +364,9 @@
     const others = this.active().filter((member) => member.id !== this.self.id);
     const known = new Set(others.map((member) => member.address));
     const strangers = this.seeds.filter((address) => address !== this.self.address && !known.has(address));
-    const candidates = strangers.length > 0 ? strangers : [...known];
+    // In a large fleet a few daemons try a lost seed, not all of them at once.
+    const tryStranger = this.random.next() < STRANGER_TRIES / Math.max(1, known.size);
+    const candidates = strangers.length > 0 && tryStranger ? strangers : [...known];
     const early = this.syncCount < EARLY_SYNCS;
     this.syncCount += 1;
     const interval =
@@ -364,11 +374,22 @@
     this.nextSyncAt = now + interval * (0.75 + this.random.next() / 2);
     if (candidates.length === 0) return;
     const address = candidates[this.random.below(candidates.length)];
-    this.send(address, {
-      kind: 'sync',
-      reply: true,
-      members: this.joined() ? this.fullList() : [toUpdate(this.self)],
-    });
+    if (candidates === strangers || early || !this.joined()) {
+      const members = this.joined() ? this.fullList() : [toUpdate(this.self)];
+      this.send(address, { kind: 'sync', reply: true, members });
+    } else {
+      this.send(address, { kind: 'syncDigest', digest: this.digest() });
+    }
+  }
+
+  /** The same for the same beliefs, in whatever order they were learnt. */
+  private digest(): number {
+    let combined = 0;
+    for (const { member } of this.records.values()) {
+      if (member.state === 'dead' || member.state === 'leaving') continue;
+      combined ^= hashText(`${member.id}/${member.incarnation}/${member.state}`);
+    }
+    return combined;
   }
 
   private fullList(): MemberUpdate[] {
