Routing: own counts scaled to all daemons, fair wait estimate, output engines chosen late

Cause: with 4 daemons and old reports engines were filled beyond their streams (85 on 64) and admitted requests came late (327 of 1,244 in one phase). The coordinator skipped a decision when the chosen engine was being asked for its report, which was at every decision, since both ran at the same interval. Change: what a daemon sent since the last report counts once for each daemon that routes to the engine; the refusal estimates the wait from the fair share of the service's lane and from free streams; the engine for the output is chosen when the prompt is computed; small prompts are not held back; reports and digests every 500 ms within their byte budget.

--- a/src/allocation/cell-coordinator.ts
+++ b/src/allocation/cell-coordinator.ts
@@ -55,7 +55,7 @@
 
 /** Durations of coordination. */
 export interface CoordinatorSettings {
-  /** Interval between reports asked of each engine. Milliseconds. Default 1000. */
+  /** Interval between reports asked of each engine. Milliseconds. Default 500. */
   readonly reportIntervalMs: number;
   /** A new holder decides without an engine that has not answered its seal for this long. Milliseconds. Default 5000. */
   readonly sealTimeoutMs: number;
@@ -63,7 +63,7 @@
 
 /** Default settings. */
 export const DEFAULT_COORDINATOR_SETTINGS: CoordinatorSettings = {
-  reportIntervalMs: 1000,
+  reportIntervalMs: 500,
   sealTimeoutMs: 5000,
 };
 
@@ -273,11 +273,11 @@
     const candidates = this.allocatable(now);
     const change = planNextChange(candidates, demands, this.allocation);
     const engine = change && this.engines.get(change.engineId);
-    if (!change || !engine || engine.busy) return;
+    if (!change || !engine) return;
     engine.target = change.assignment;
     this.lastChangeAt = now;
     if (!isHotChange(engine.report?.assignment, change.assignment)) this.changesOrdered += 1;
-    this.continueChange(engine, lease, now);
+    if (!engine.busy) this.continueChange(engine, lease, now);
   }
 
   private allocatable(now: number): AllocatableEngine[] {
--- a/src/daemon/cell-manager.ts
+++ b/src/daemon/cell-manager.ts
@@ -205,6 +205,9 @@
     for (const { id, address, zone, cell, state } of engines) {
       this.parts.directory.ensure(id, address, zone, cell).listedLeaving = state === 'leaving';
     }
+    for (const view of this.parts.directory.all()) {
+      view.routingDaemons = Math.max(1, this.assignment.subscribersOf(view.cell).length);
+    }
     this.parts.directory.retain(new Set(engines.map((machine) => machine.id)));
     const servers = this.machines.filter((machine) => machine.kind === 'application');
     this.parts.applications.setServers(
--- a/src/daemon/daemon-settings.ts
+++ b/src/daemon/daemon-settings.ts
@@ -19,7 +19,7 @@
   readonly ownZoneCells: number;
   /** Cells of other zones that the daemon routes to. Default 1. */
   readonly otherZoneCells: number;
-  /** Shortest interval of digests from a coordinator. Milliseconds. Default 1000. */
+  /** Shortest interval of digests from a coordinator. Milliseconds. Default 500. */
   readonly digestIntervalMs: number;
   /** A coordinator spends at most this on digests of a cell, by sending them less often. Bytes a second. Default 3000. */
   readonly digestBudgetBytes: number;
@@ -35,7 +35,7 @@
 export const DEFAULT_CELL_SETTINGS: CellSettings = {
   ownZoneCells: 2,
   otherZoneCells: 1,
-  digestIntervalMs: 1000,
+  digestIntervalMs: 500,
   digestBudgetBytes: 3000,
   demandIntervalMs: 2000,
   machineListIntervalMs: 2000,
--- a/src/routing/admission-queue.ts
+++ b/src/routing/admission-queue.ts
@@ -35,17 +35,30 @@
     return this.laneOf.size;
   }
 
-  /** Sum of the costs of items that go before a new one of this priority. */
-  costAhead(priority: number): number {
-    if (this.laneOf.size === 0) return 0;
+  /**
+   * Cost that goes before a new item: all of better classes, and in its own class no more than its lane's share
+   * of the turns makes it wait for.
+   */
+  costAhead(item: { priority: number; service: string; weight: number }): number {
     let ahead = 0;
     for (const [level, queue] of this.classes) {
-      if (level > priority) continue;
-      for (const lane of queue.lanes.values()) for (const tagged of lane) ahead += tagged.item.cost;
+      if (level < item.priority) ahead += classCost(queue);
+      else if (level === item.priority) ahead += this.costAheadInClass(queue, item);
     }
     return ahead;
   }
 
+  private costAheadInClass(queue: PriorityClass, item: { service: string; weight: number }): number {
+    let laneCost = 0;
+    let otherWeight = 0;
+    for (const [service, lane] of queue.lanes) {
+      if (service === item.service) laneCost = lane.reduce((sum, tagged) => sum + tagged.item.cost, 0);
+      else otherWeight += lane[0].item.weight;
+    }
+    const fairWait = laneCost * (1 + otherWeight / item.weight);
+    return Math.min(classCost(queue), fairWait);
+  }
+
   /** Sum of all costs. */
   cost(): number {
     return this.totalCost;
@@ -120,3 +133,9 @@
     return lane;
   }
 }
+
+function classCost(queue: PriorityClass): number {
+  let cost = 0;
+  for (const lane of queue.lanes.values()) for (const tagged of lane) cost += tagged.item.cost;
+  return cost;
+}
--- a/src/routing/completion-manager.ts
+++ b/src/routing/completion-manager.ts
@@ -27,6 +27,7 @@
   readonly engine: EngineView;
   readonly stage: AttemptStage;
   readonly plan: RoutePlan;
+  readonly startedAt: number;
   lastEventAt: number;
 }
 
@@ -50,6 +51,8 @@
 }
 
 const MINIMUM_RETRY_AFTER_MS = 250;
+const INITIAL_STREAM_MS = 5000;
+const STREAM_SMOOTHING = 0.05;
 const REFUSAL_BACKOFF_MS = 50;
 const MAXIMUM_REFUSAL_BACKOFF_MS = 800;
 /** A request in the queue costs at least this many prompt tokens. */
@@ -60,6 +63,8 @@
   private readonly sessions = new Map<string, Session>();
   private readonly queue = new AdmissionQueue();
   private readonly retryBudget: RetryBudget;
+  /** How long a stream lasts, smoothed. Milliseconds. */
+  private streamMs = INITIAL_STREAM_MS;
 
   constructor(
     private readonly settings: CompletionSettings,
@@ -86,7 +91,7 @@
    * The wait is expected from the work queued here and at the engines.
    */
   refusalFor(request: CompletionRequest, row: ServiceRow, now: number): PulleyledgeError | undefined {
-    const expectedWaitMs = this.expectedWaitMs(request, row, now);
+    const expectedWaitMs = this.expectedWaitMs(row, now);
     if (expectedWaitMs === undefined) return undefined;
     const allowedMs = Math.min(row.maximumWaitMs, request.timeoutMs ?? row.deadlineMs);
     if (expectedWaitMs <= allowedMs) return undefined;
@@ -175,18 +180,32 @@
     this.dispatch(now);
   }
 
-  private expectedWaitMs(request: CompletionRequest, row: ServiceRow, now: number): number | undefined {
-    let rate = 0;
-    let backlog = this.queue.costAhead(row.priority);
+  /** Time until an engine would begin with the request, or undefined when no engine is known. Milliseconds. */
+  private expectedWaitMs(row: ServiceRow, now: number): number | undefined {
+    let prefillRate = 0;
+    let backlog = this.queue.costAhead({ priority: row.priority, service: row.name, weight: row.weight });
+    let streams = 0;
+    let maximumStreams = 0;
+    let routingDaemons = 1;
     for (const engine of this.directory.all()) {
       const { assignment } = engine;
       if (!engine.takesWork(now) || assignment?.model !== row.model || assignment.version !== row.version)
         continue;
-      if (assignment.role === 'decode') continue;
-      rate += engine.prefillRate();
-      backlog += engine.pendingPrefill(now);
+      routingDaemons = engine.routingDaemons;
+      if (assignment.role !== 'decode') {
+        prefillRate += engine.prefillRate();
+        backlog += engine.pendingPrefill(now);
+      }
+      if (assignment.role !== 'prefill') {
+        streams += engine.streams();
+        maximumStreams += engine.maximumStreams;
+      }
     }
-    return rate === 0 ? undefined : ((backlog + request.prompt.tokens) / rate) * 1000;
+    if (prefillRate === 0 || maximumStreams === 0) return undefined;
+    const forPrompt = (backlog / prefillRate) * 1000;
+    const queued = Math.max(0, streams + this.queue.length * routingDaemons - maximumStreams);
+    const forStream = (queued / maximumStreams) * this.streamMs;
+    return Math.max(forPrompt, forStream);
   }
 
   private checkWait(session: Session, now: number): void {
@@ -229,32 +248,37 @@
 
   private trySend(session: Session, now: number): boolean {
     const { request, row } = session;
-    const outcome = this.picker.pick(
-      {
-        model: row.model,
-        version: row.version,
-        adapter: row.adapter,
-        promptTokens: request.prompt.tokens + session.produced.length,
-        prefixKey: request.prompt.prefixKey,
-        excluded: session.excluded,
-      },
-      this.directory.all(),
-      now,
-    );
+    const wanted = {
+      model: row.model,
+      version: row.version,
+      adapter: row.adapter,
+      promptTokens: request.prompt.tokens + session.produced.length,
+      prefixKey: request.prompt.prefixKey,
+      excluded: session.excluded,
+    };
+    const engines = this.directory.all();
+    const outcome = session.kv
+      ? this.picker.pickGenerate(wanted, engines, now)
+      : this.picker.pick(wanted, engines, now);
     if (outcome.kind === 'none') {
       this.noEngine(session, now);
       return false;
     }
     if (outcome.kind === 'busy') return false;
     const { plan } = outcome;
-    const own = (request.prompt.tokens / (plan.prefill ?? plan.generate).prefillRate()) * 1000;
-    if (plan.expectedFirstTokenMs - own > this.settings.dispatchHorizonMs) return false;
+    if (!session.kv && this.shouldHoldBack(request, plan)) return false;
     this.queue.remove(request.requestId);
-    const resumable = session.kv !== undefined;
-    this.startAttempt(session, plan, plan.prefill && !resumable ? 'prefill' : 'generate', now);
+    this.startAttempt(session, plan, plan.prefill ? 'prefill' : 'generate', now);
     return true;
   }
 
+  /** Work waits here, in its fair order, rather than in the first-come queue of an engine. */
+  private shouldHoldBack(request: CompletionRequest, plan: RoutePlan): boolean {
+    if (request.prompt.tokens <= this.settings.smallPromptTokens) return false;
+    const ownMs = (request.prompt.tokens / (plan.prefill ?? plan.generate).prefillRate()) * 1000;
+    return plan.expectedFirstTokenMs - ownMs > this.settings.dispatchHorizonMs;
+  }
+
   private noEngine(session: Session, now: number): void {
     if (session.excluded.size > 0) {
       session.excluded = new Set();
@@ -271,7 +295,7 @@
     const engine = stage === 'prefill' && plan.prefill ? plan.prefill : plan.generate;
     session.attemptCount += 1;
     const attemptId = `${request.requestId}/${session.attemptCount}`;
-    session.attempt = { attemptId, engine, stage, plan, lastEventAt: now };
+    session.attempt = { attemptId, engine, stage, plan, startedAt: now, lastEventAt: now };
     const promptWork = session.kv ? 0 : request.prompt.tokens + session.produced.length;
     engine.workSent(attemptId, promptWork, now);
     this.emit({
@@ -294,11 +318,10 @@
 
   private prefilled(session: Session, attempt: LiveAttempt, kv: KvHandle, now: number): void {
     attempt.engine.succeeded();
-    this.endAttempt(session, attempt);
+    this.endAttempt(session, attempt, now);
     session.kv = kv;
     session.mayHaveRun = true;
-    if (attempt.plan.generate.takesWork(now)) this.startAttempt(session, attempt.plan, 'generate', now);
-    else this.requeue(session, now);
+    this.requeue(session, now);
   }
 
   private tokens(
@@ -333,7 +356,8 @@
       return;
     }
     attempt.engine.succeeded();
-    this.endAttempt(session, attempt);
+    this.streamMs += STREAM_SMOOTHING * (now - attempt.startedAt - this.streamMs);
+    this.endAttempt(session, attempt, now);
     this.emit({ kind: 'replyEnd', requestId: session.request.requestId, tokens, finishReason });
     this.over(session, now);
   }
@@ -341,7 +365,7 @@
   /** The engine may have worked: repeat only work that may be repeated, within the budget. */
   private broken(session: Session, attempt: LiveAttempt, now: number): void {
     attempt.engine.failed(now, this.directorySettings);
-    this.endAttempt(session, attempt);
+    this.endAttempt(session, attempt, now);
     session.mayHaveRun = true;
     session.brokenAttempts += 1;
     session.kv = undefined;
@@ -361,7 +385,7 @@
 
   /** The engine certainly did not run it: try elsewhere, without counting against the budget. */
   private turnedAway(session: Session, attempt: LiveAttempt, now: number): void {
-    this.endAttempt(session, attempt);
+    this.endAttempt(session, attempt, now);
     session.excluded.add(attempt.engine.id);
     if (attempt.stage === 'generate') session.kv = undefined;
     session.refusals += 1;
@@ -393,8 +417,8 @@
     if (phase) engine.markPhase(phase, now);
   }
 
-  private endAttempt(session: Session, attempt: LiveAttempt): void {
-    attempt.engine.workDone(attempt.attemptId);
+  private endAttempt(session: Session, attempt: LiveAttempt, now: number): void {
+    attempt.engine.workDone(attempt.attemptId, now);
     session.attempt = undefined;
   }
 
@@ -402,7 +426,7 @@
     const { attempt } = session;
     if (attempt) {
       this.emit({ kind: 'cancelAttempt', attemptId: attempt.attemptId, address: attempt.engine.address });
-      this.endAttempt(session, attempt);
+      this.endAttempt(session, attempt, now);
     }
     this.queue.remove(session.request.requestId);
     const tokensSent = session.produced.length;
--- a/src/routing/engine-directory.ts
+++ b/src/routing/engine-directory.ts
@@ -33,6 +33,8 @@
 }
 
 const MAXIMUM_EJECTION_DOUBLINGS = 3;
+/** Of the own prompts without a first token about this share is still to be computed. */
+const OWN_WORK_SHARE = 0.5;
 
 /** One engine as seen from here. */
 export class EngineView {
@@ -45,6 +47,9 @@
   private reportedPrefill = 0;
   private reportedAt = -Infinity;
   private readonly sent = new Map<string, SentWork>();
+  private finishedAt: number[] = [];
+  /** Daemons that route to the engine, this one included. They are taken to behave alike since the last report. */
+  routingDaemons = 1;
   private failures = 0;
   private ejections = 0;
   private ejectedUntil = -Infinity;
@@ -91,8 +96,8 @@
   }
 
   /** The attempt is over. */
-  workDone(attemptId: string): void {
-    this.sent.delete(attemptId);
+  workDone(attemptId: string, now: number): void {
+    if (this.sent.delete(attemptId)) this.finishedAt.push(now);
   }
 
   /** Attempts of this daemon on the engine. */
@@ -128,22 +133,24 @@
   /** Prompt tokens believed to wait on the engine. */
   pendingPrefill(now: number): number {
     const rate = this.prefillRate() / 1000;
-    const left = Math.max(0, this.reportedPrefill - rate * Math.max(0, now - this.reportedAt));
     let own = 0;
     let sinceReport = 0;
     for (const work of this.sent.values()) {
-      if (work.firstTokenSeen) continue;
-      own += work.promptTokens;
       if (work.sentAt > this.reportedAt) sinceReport += work.promptTokens;
+      if (!work.firstTokenSeen) own += work.promptTokens;
     }
-    return Math.max(left + sinceReport, own * 0.5);
+    const computed = rate * Math.max(0, now - this.reportedAt);
+    const believed = this.reportedPrefill + sinceReport * this.routingDaemons - computed;
+    return Math.max(0, believed, own * OWN_WORK_SHARE);
   }
 
   /** Streams believed to be on the engine. */
   streams(): number {
     let sinceReport = 0;
     for (const work of this.sent.values()) if (work.sentAt > this.reportedAt) sinceReport += 1;
-    return Math.max(this.reportedStreams + sinceReport, this.sent.size);
+    this.finishedAt = this.finishedAt.filter((at) => at > this.reportedAt);
+    const change = (sinceReport - this.finishedAt.length) * this.routingDaemons;
+    return Math.max(this.reportedStreams + change, this.sent.size);
   }
 
   /** Prompt tokens per second in the present role. */
--- a/src/routing/engine-picker.ts
+++ b/src/routing/engine-picker.ts
@@ -86,6 +86,23 @@
     return plan ? { kind: 'plan', plan } : { kind: 'busy' };
   }
 
+  /** The best engine for the output of a request whose KV cache is ready elsewhere. */
+  pickGenerate(request: PickRequest, engines: Iterable<EngineView>, now: number): PickOutcome {
+    const able = [...engines].filter((engine) => engine.assignment?.role !== 'prefill');
+    const serving = able.filter((engine) => serves(engine, request) && engine.takesWork(now));
+    if (serving.length === 0) return { kind: 'none' };
+    const open = serving.filter((engine) => engine.streams() < engine.maximumStreams);
+    const decodes = open.filter((engine) => engine.assignment?.role === 'decode');
+    const cost = (engine: EngineView): number => this.cost(engine, 0, now);
+    const generate = this.betterOfTwo(
+      { ...request, prefixKey: '' },
+      decodes.length > 0 ? decodes : open,
+      cost,
+    );
+    if (!generate) return { kind: 'busy' };
+    return { kind: 'plan', plan: { prefill: undefined, generate, expectedFirstTokenMs: 0 } };
+  }
+
   private directPlan(request: PickRequest, open: readonly EngineView[], now: number): RoutePlan | undefined {
     const mixed = open.filter((engine) => engine.assignment?.role === 'mixed');
     const short = request.promptTokens <= this.settings.decodePrefillTokens;
