--- /dev/null
+++ b/test/policies.test.ts
@@ -0,0 +1,305 @@
+/** Policies without sockets: fair queue, picker, allocation, smoothed rates, lease. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { capabilityOf, DEFAULT_ENGINE_MODEL_SETTINGS } from '../lab/engine-model.js';
+import { PlatformModel } from '../lab/platform-model.js';
+import {
+  DEFAULT_ALLOCATION_SETTINGS,
+  planNextChange,
+  type AllocatableEngine,
+  type ModelDemand,
+} from '../src/allocation/role-allocator.js';
+import { servableFactor } from '../src/allocation/throughput-model.js';
+import { CellLease, DEFAULT_LEASE_SETTINGS, type LeaseEffect } from '../src/lease/cell-lease.js';
+import type { EngineAssignment, EngineReport, EngineRole } from '../src/engine/engine-protocol.js';
+import { AdmissionQueue } from '../src/routing/admission-queue.js';
+import { EngineView } from '../src/routing/engine-directory.js';
+import { DEFAULT_PICKER_SETTINGS, EnginePicker, type PickRequest } from '../src/routing/engine-picker.js';
+import { RetryBudget } from '../src/routing/retry-budget.js';
+import { SeededRandom } from '../src/shared/random.js';
+
+const SEED = 20261202;
+const capability = capabilityOf(DEFAULT_ENGINE_MODEL_SETTINGS);
+
+function assignment(role: EngineRole, version = 1): EngineAssignment {
+  return { role, model: 'm', version, adapters: [] };
+}
+
+function allocatable(roles: readonly EngineRole[]): AllocatableEngine[] {
+  return roles.map((role, index) => ({
+    id: `e${index}`,
+    assignment: assignment(role),
+    capability,
+    streams: index,
+    cachedShare: 0,
+    drainMs: 5000,
+    changing: false,
+  }));
+}
+
+function demand(prefillPerSecond: number, decodePerSecond: number, version = 1): ModelDemand {
+  return { model: 'm', version, adapters: [], prefillPerSecond, decodePerSecond };
+}
+
+describe('admission queue', () => {
+  it('serves better classes first and services of a class by weight', () => {
+    const queue = new AdmissionQueue();
+    for (let index = 0; index < 40; index += 1) {
+      queue.push({ id: `light${index}`, service: 'light', priority: 5, weight: 1, cost: 100 });
+      queue.push({ id: `heavy${index}`, service: 'heavy', priority: 5, weight: 3, cost: 100 });
+    }
+    queue.push({ id: 'urgent', service: 'light-urgent', priority: 1, weight: 1, cost: 100 });
+    const order: string[] = [];
+    for (let taken = 0; taken < 21; taken += 1) {
+      const [head] = queue.heads();
+      order.push(head.service);
+      queue.remove(head.id);
+    }
+    expect(order[0]).to.equal('light-urgent');
+    expect(order.filter((service) => service === 'heavy')).to.have.length(15);
+  });
+
+  it('loses nothing and keeps its cost, whatever is pushed and removed', () => {
+    const item = fc.record({
+      service: fc.constantFrom('a', 'b', 'c'),
+      priority: fc.nat({ max: 2 }),
+      weight: fc.integer({ min: 1, max: 9 }),
+      cost: fc.integer({ min: 1, max: 500 }),
+    });
+    fc.assert(
+      fc.property(fc.array(item, { maxLength: 40 }), (items) => {
+        const queue = new AdmissionQueue();
+        items.forEach((entry, index) => queue.push({ ...entry, id: String(index) }));
+        const seen = new Set<string>();
+        while (queue.length > 0) {
+          const [head] = queue.heads();
+          seen.add(head.id);
+          expect(queue.remove(head.id)).to.equal(true);
+        }
+        expect(seen.size).to.equal(items.length);
+        expect(queue.cost()).to.equal(0);
+      }),
+      { seed: SEED, numRuns: 200 },
+    );
+  });
+});
+
+describe('engine picker', () => {
+  function view(id: string, role: EngineRole, streams: number, waitingPrefillTokens = 0): EngineView {
+    const engine = new EngineView(id, id, 'z', 'c');
+    const load: EngineReport = {
+      assignment: assignment(role),
+      phase: 'active',
+      streams,
+      maximumStreams: 64,
+      waitingPrefillTokens,
+      cachedShare: 0,
+      capability,
+      clockMs: 0,
+      epoch: 0,
+      sequence: 0,
+    };
+    engine.applyReport(load, 0);
+    return engine;
+  }
+  const request: PickRequest = {
+    model: 'm',
+    version: 1,
+    adapter: '',
+    promptTokens: 4000,
+    prefixKey: 'p',
+    excluded: new Set(),
+    exhaustive: true,
+  };
+  const picker = new EnginePicker(DEFAULT_PICKER_SETTINGS, 'z', new SeededRandom(1));
+
+  it('takes the least loaded engine, and says busy or none truthfully', () => {
+    const picked = picker.pick(request, [view('a', 'mixed', 10, 9000), view('b', 'mixed', 10, 0)], 0);
+    expect(picked.kind === 'plan' && picked.plan.generate.id).to.equal('b');
+    expect(picker.pick(request, [view('a', 'mixed', 64)], 0).kind).to.equal('busy');
+    expect(picker.pick({ ...request, version: 2 }, [view('a', 'mixed', 0)], 0).kind).to.equal('none');
+  });
+
+  it('splits a long prompt to a prefill engine only where that is expected to be sooner', () => {
+    const idle = [view('p', 'prefill', 0), view('d', 'decode', 0), view('m', 'mixed', 0, 20_000)];
+    const split = picker.pick(request, idle, 0);
+    expect(split.kind === 'plan' && split.plan.prefill?.id).to.equal('p');
+    const busy = [view('p', 'prefill', 0, 60_000), view('d', 'decode', 0), view('m', 'mixed', 0)];
+    const direct = picker.pick(request, busy, 0);
+    expect(direct.kind === 'plan' && direct.plan.prefill).to.equal(undefined);
+  });
+
+  it('never picks an engine that drains, leaves or was ejected', () => {
+    const draining = view('a', 'mixed', 0);
+    draining.markPhase('draining', 1);
+    const leaving = view('b', 'mixed', 0);
+    leaving.listedLeaving = true;
+    const failing = view('c', 'mixed', 0);
+    for (let count = 0; count < 3; count += 1)
+      failing.failed(0, { reportLagMs: 0, ejectAfterFailures: 3, ejectionMs: 2000 });
+    expect(picker.pick(request, [draining, leaving, failing], 1).kind).to.equal('none');
+    expect(picker.pick(request, [failing], 2001).kind).to.equal('plan');
+  });
+});
+
+describe('allocation policy', () => {
+  it('changes nothing when the gain does not pay for the change', () => {
+    expect(
+      planNextChange(
+        allocatable(['mixed', 'mixed', 'mixed', 'mixed']),
+        [demand(10_000, 1000)],
+        DEFAULT_ALLOCATION_SETTINGS,
+      ),
+    ).to.equal(undefined);
+  });
+
+  it('moves engines out of a role that idles while the other is overloaded', () => {
+    const change = planNextChange(
+      allocatable(['prefill', 'prefill', 'prefill', 'decode']),
+      [demand(2000, 9000)],
+      DEFAULT_ALLOCATION_SETTINGS,
+    );
+    expect(change?.assignment.role).to.be.oneOf(['decode', 'mixed']);
+    const dearer = { ...DEFAULT_ALLOCATION_SETTINGS, roleChangeCostSeconds: 10_000 };
+    expect(
+      planNextChange(allocatable(['prefill', 'prefill', 'prefill', 'decode']), [demand(2000, 9000)], dearer),
+    ).to.equal(undefined);
+  });
+
+  it('gives a new version an engine, and never takes the last of another', () => {
+    const engines = allocatable(['mixed', 'mixed']);
+    const change = planNextChange(engines, [demand(10, 10), demand(10, 10, 2)], DEFAULT_ALLOCATION_SETTINGS);
+    expect(change?.assignment.version).to.equal(2);
+    const alone = planNextChange(
+      allocatable(['mixed']),
+      [demand(10, 10), demand(10, 10, 2)],
+      DEFAULT_ALLOCATION_SETTINGS,
+    );
+    expect(alone).to.equal(undefined);
+  });
+
+  it('keeps the floor in any group, for any demand and cost', () => {
+    const roles = fc.array(fc.constantFrom<EngineRole>('prefill', 'decode', 'mixed'), {
+      minLength: 2,
+      maxLength: 8,
+    });
+    fc.assert(
+      fc.property(
+        roles,
+        fc.nat({ max: 100_000 }),
+        fc.nat({ max: 20_000 }),
+        fc.nat({ max: 50 }),
+        (present, prefill, decode, cost) => {
+          const engines = allocatable(present);
+          const change = planNextChange(engines, [demand(prefill, decode)], {
+            ...DEFAULT_ALLOCATION_SETTINGS,
+            roleChangeCostSeconds: cost,
+          });
+          if (!change) return;
+          const next = engines.map((engine) =>
+            engine.id === change.engineId ? change.assignment.role : engine.assignment.role,
+          );
+          const count = (role: EngineRole): number => next.filter((other) => other === role).length;
+          expect(count('mixed') + Math.min(count('prefill'), count('decode'))).to.be.at.least(1);
+        },
+      ),
+      { seed: SEED, numRuns: 300 },
+    );
+  });
+
+  it('more engines never carry less', () => {
+    const count = fc.nat({ max: 6 });
+    fc.assert(
+      fc.property(count, count, count, (prefill, decode, mixed) => {
+        const load = demand(20_000, 4000);
+        const factor = servableFactor({ prefill, decode, mixed }, load, capability);
+        expect(servableFactor({ prefill, decode, mixed: mixed + 1 }, load, capability)).to.be.at.least(
+          factor,
+        );
+      }),
+      { seed: SEED, numRuns: 100 },
+    );
+  });
+});
+
+describe('cell lease', () => {
+  class Contender {
+    readonly log: string[] = [];
+    readonly lease: CellLease;
+    lossy = false;
+    constructor(
+      readonly name: string,
+      private readonly platform: PlatformModel,
+    ) {
+      this.lease = new CellLease('cell', name, DEFAULT_LEASE_SETTINGS, (effect) => this.perform(effect), 0);
+    }
+    private now = 0;
+    tick(now: number): void {
+      this.now = now;
+      this.lease.tick(now, true);
+    }
+    private perform(effect: LeaseEffect): void {
+      if (effect.kind !== 'leaseTable') {
+        this.log.push(effect.kind);
+        return;
+      }
+      const result = this.platform.table(effect.request, this.now);
+      const { now } = this;
+      const lost = this.lossy || !result;
+      queueMicrotask(() =>
+        this.lease.receiveTableResult(lost ? { kind: 'noAnswer', reason: 'lost' } : result, now),
+      );
+    }
+  }
+  const step = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+
+  it('is held by one at a time, is taken over after it ran out, and a lapsed epoch never comes back', async () => {
+    const platform = new PlatformModel();
+    const first = new Contender('first', platform);
+    const second = new Contender('second', platform);
+    for (let now = 0; now <= 8000; now += 100) {
+      first.tick(now);
+      second.tick(now);
+      await step();
+      expect(first.lease.current(now) && second.lease.current(now)).to.equal(undefined);
+    }
+    const epoch = first.lease.current(8000)?.epoch;
+    expect(epoch).to.equal(1);
+    for (let now = 8100; now <= 24_000; now += 100) {
+      second.tick(now);
+      await step();
+    }
+    expect(second.lease.current(24_000)?.epoch).to.equal(2);
+    expect(first.lease.current(24_000)).to.equal(undefined);
+  });
+
+  it('resolves a lost answer by asking again under the same write id, and counts from the first sending', async () => {
+    const platform = new PlatformModel();
+    const holder = new Contender('holder', platform);
+    for (let now = 0; now <= 500; now += 100) {
+      holder.tick(now);
+      await step();
+      holder.lossy = holder.lease.lastSeen() === undefined && now >= 0;
+    }
+    expect(holder.lease.current(500)).to.equal(undefined);
+    holder.lossy = false;
+    for (let now = 600; now <= 3000; now += 100) {
+      holder.tick(now);
+      await step();
+    }
+    expect(holder.lease.current(3000)?.epoch).to.equal(1);
+    expect(platform.peek('leases', 'cell')?.revision).to.be.at.most(2);
+  });
+});
+
+describe('retry budget', () => {
+  it('bounds retries to its share of requests', () => {
+    const budget = new RetryBudget(0.2);
+    let retries = 0;
+    for (let request = 0; request < 1000; request += 1) {
+      budget.requestSeen();
+      if (budget.tryRetry()) retries += 1;
+    }
+    expect(retries).to.be.within(190, 215);
+  });
+});
--- a/test/promises.test.ts
+++ b/test/promises.test.ts
@@ -1,9 +1,10 @@
 /** The promises of the brief, under faults drawn by a generator, in virtual time. Each has a broken variant. */
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { FAULT_KINDS, type Fault, type FaultKind } from '../simulation/fault-plan.js';
+import type { Fault, FaultKind } from '../simulation/fault-plan.js';
 import { runFaults, type FaultRunOptions, type FaultRunResult } from '../simulation/fault-run.js';
 import type { PromiseName } from '../simulation/monitor.js';
+import { faultPlan } from '../simulation/plan-arbitrary.js';
 import type { SimulatedSite } from '../simulation/simulated-site.js';
 import { DEFAULT_DAEMON_SETTINGS, type DaemonSettings } from '../src/daemon/daemon-settings.js';
 
@@ -16,18 +17,6 @@
   allocation: { ...DEFAULT_DAEMON_SETTINGS.allocation, policy: 'threshold' },
 };
 
-const faultArbitrary: fc.Arbitrary<Fault> = fc.record({
-  kind: fc.constantFrom(...FAULT_KINDS),
-  atMs: fc.integer({ min: 7000, max: 45_000 }),
-  durationMs: fc.integer({ min: 1000, max: 20_000 }),
-  target: fc.nat({ max: 12 }),
-});
-
-/** Two to five faults, some at once, and each plan's first fault again later. */
-const planArbitrary = fc
-  .array(faultArbitrary, { minLength: 2, maxLength: 5 })
-  .map((plan) => [...plan, { ...plan[0], atMs: plan[0].atMs + 9000 }]);
-
 function run(plan: readonly Fault[], seed: number, extra: Partial<FaultRunOptions> = {}): FaultRunResult {
   return runFaults({
     site: 'cundinamarca',
@@ -71,7 +60,7 @@
 describe('promises under faults', () => {
   it('hold under any plan of faults, two at once and the same twice, and every request is answered', () => {
     fc.assert(
-      fc.property(planArbitrary, fc.nat({ max: 1000 }), (plan, seed) => {
+      fc.property(faultPlan, fc.nat({ max: 1000 }), (plan, seed) => {
         const result = run(plan, seed);
         expect(result.violations).to.deep.equal([]);
         expect(result.unanswered).to.equal(0);
@@ -82,7 +71,7 @@
 
   it('hold at the Trust too', () => {
     fc.assert(
-      fc.property(planArbitrary, fc.nat({ max: 1000 }), (plan, seed) => {
+      fc.property(faultPlan, fc.nat({ max: 1000 }), (plan, seed) => {
         const result = run(plan, seed, { site: 'trust-tt-north' });
         expect(result.violations).to.deep.equal([]);
         expect(result.unanswered).to.equal(0);
