A zone's only daemon learns the configuration from other zones in a table outage

Cause: found by the new test of a daemon that starts during an outage: as the only daemon of its zone it was the zone's poller and asked nobody else, so it never became ready. Ruled out: membership (it saw all four daemons) and the readiness rule (no configuration was known). Change: in an outage a poller asks other pollers, else its zone, else any active daemon. Tests of start, long outage with a cut-off daemon, and waking from a pause.

--- a/simulation/workload.ts
+++ b/simulation/workload.ts
@@ -13,6 +13,8 @@
   readonly outputTokens: number;
   /** Arrivals a second at a time in milliseconds since the start. */
   readonly perSecond: (atMs: number) => number;
+  /** Lengths vary evenly around their mean by this share. Default 0.5. */
+  readonly lengthSpread?: number;
 }
 
 /** A stream of application calls of one service. */
@@ -47,8 +49,7 @@
   unconnected: number;
 }
 
-/** Lengths vary around their mean by this share, evenly. */
-const LENGTH_SPREAD = 0.5;
+const DEFAULT_LENGTH_SPREAD = 0.5;
 const CALLER_DELAY_MS = 4;
 const GOODPUT_BUCKET_MS = 1000;
 const MAXIMUM_REPEATS = 3;
@@ -142,8 +143,9 @@
   }
 
   private sendCompletion(load: CompletionLoad, random: SeededRandom): void {
+    const spread = load.lengthSpread ?? DEFAULT_LENGTH_SPREAD;
     const vary = (mean: number): number =>
-      Math.max(1, Math.round(mean * (1 - LENGTH_SPREAD + 2 * LENGTH_SPREAD * random.next())));
+      Math.max(1, Math.round(mean * (1 - spread + 2 * spread * random.next())));
     const promptTokens = vary(load.promptTokens);
     const outputTokens = vary(load.outputTokens);
     const target = this.arrived(random);
--- a/src/configuration/configuration-replica.ts
+++ b/src/configuration/configuration-replica.ts
@@ -132,15 +132,22 @@
       : { kind: 'stale', ageMs };
   }
 
-  /** Advances timers. `zoneMembers` are the active daemons of the own zone, itself included. */
-  tick(now: number, zoneMembers: readonly Member[]): void {
+  /** Advances timers. `members` are the active daemons, itself included. */
+  tick(now: number, ownZone: string, members: readonly Member[]): void {
+    const zoneMembers = members.filter((member) => member.zone === ownZone);
     const pollers = this.pollersOf(zoneMembers);
     const isPoller = pollers.some((member) => member.id === this.selfId);
     const fallback =
       now - this.confirmedAt > this.settings.maximumStalenessMs / 2 || this.unansweredPulls >= 2;
     if ((isPoller || fallback) && now >= this.nextPollAt && this.pollSentAt === undefined)
       this.pollTable(now);
-    if (!isPoller || this.tableDown()) this.pullFromPeer(now, isPoller ? zoneMembers : pollers);
+    if (isPoller && !this.tableDown()) return;
+    // In an outage pollers ask whoever there is; a zone's only daemon asks those of other zones.
+    const others = (list: readonly Member[]): Member[] => list.filter((member) => member.id !== this.selfId);
+    const sources = [isPoller ? zoneMembers : pollers, zoneMembers, members]
+      .map(others)
+      .find((list) => list.length > 0);
+    if (sources) this.pullFromPeer(now, sources);
   }
 
   /** Reads the table as soon as the next tick, after an edit was accepted here. */
@@ -228,8 +235,6 @@
 
   private pullFromPeer(now: number, sources: readonly Member[]): void {
     if (now < this.nextPullAt) return;
-    const others = sources.filter((member) => member.id !== this.selfId);
-    if (others.length === 0) return;
     if (this.pull && now - this.pull.sentAt > this.settings.pullIntervalMs * PULL_TIMEOUT_INTERVALS)
       this.pull = undefined;
     if (this.pull) this.unansweredPulls += 1;
@@ -237,13 +242,13 @@
       now + (this.currentRevision < 0 ? this.settings.pullIntervalMs / 8 : this.settings.pullIntervalMs);
     this.pullSequence += 1;
     this.pull = { sequence: this.pullSequence, sentAt: now };
-    const index = (hashIndex(this.selfId) + this.pullSequence) % others.length;
+    const index = (hashIndex(this.selfId) + this.pullSequence) % sources.length;
     const message: ConfigurationMessage = {
       kind: 'configurationPull',
       sequence: this.pullSequence,
       revision: this.currentRevision,
     };
-    this.emit({ kind: 'sendConfiguration', address: others[index].address, message });
+    this.emit({ kind: 'sendConfiguration', address: sources[index].address, message });
   }
 
   /** The one place where rows change. A row is replaced only by one of a higher revision. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -245,8 +245,7 @@
 
   private tick(now: number): void {
     this.membership.tick(now);
-    const zoneMembers = this.membership.active().filter((member) => member.zone === this.identity.zone);
-    this.configuration.tick(now, zoneMembers);
+    this.configuration.tick(now, this.identity.zone, this.membership.active());
     this.cells.tick(now, !this.draining);
     this.slotOwner.tick(now);
     this.slotHolder.tick(now, (id) => this.ownerIsUp(id));
--- a/test/promises.test.ts
+++ b/test/promises.test.ts
@@ -5,7 +5,9 @@
 import { runFaults, type FaultRunOptions, type FaultRunResult } from '../simulation/fault-run.js';
 import type { PromiseName } from '../simulation/monitor.js';
 import { faultPlan } from '../simulation/plan-arbitrary.js';
-import type { SimulatedSite } from '../simulation/simulated-site.js';
+import { SimulatedSite } from '../simulation/simulated-site.js';
+import { optionsForSite } from '../simulation/site-options.js';
+import { siteProfile } from '../lab/site-profiles.js';
 import { DEFAULT_DAEMON_SETTINGS, type DaemonSettings } from '../src/daemon/daemon-settings.js';
 
 const SEED = 20261202;
@@ -39,6 +41,10 @@
   );
 }
 
+function bareSite(): SimulatedSite {
+  return new SimulatedSite(optionsForSite(siteProfile('cundinamarca'), 1));
+}
+
 function brokenPromises(result: FaultRunResult): PromiseName[] {
   return [...new Set(result.violations.map((violation) => violation.promise))];
 }
@@ -245,4 +251,43 @@
     const result = run(cut, 4, { settings: { ...RESTLESS, configuration } });
     expect(brokenPromises(result)).to.include('configuration-in-force');
   });
+
+  it('a daemon that starts during a table outage learns the revision from its peers before it is ready', () => {
+    const site = bareSite();
+    site.time.runUntil(8000);
+    site.platform.faults.down = true;
+    site.time.runUntil(25_000);
+    const [node] = site.daemons;
+    site.restart(node);
+    expect(node.daemon.readiness(site.time.now()).ready).to.equal(false);
+    site.time.runUntil(40_000);
+    expect(node.daemon.readiness(site.time.now())).to.deep.equal({ ready: true, reason: 'majorityInOutage' });
+    expect(node.daemon.configurationRevision()).to.equal(site.daemons[1].daemon.configurationRevision());
+  });
+
+  it('in a long outage a majority goes on; a daemon cut off from table and peers stops within the stated seconds', () => {
+    const site = bareSite();
+    site.time.runUntil(8000);
+    site.platform.faults.down = true;
+    const [alone, ...others] = site.daemons;
+    site.network.cut((from, to) => from === alone || to === alone);
+    site.time.runUntil(8000 + 11_500);
+    expect(alone.daemon.readiness(site.time.now()).ready).to.equal(false);
+    site.time.runUntil(300_000);
+    expect(alone.daemon.readiness(site.time.now()).ready).to.equal(false);
+    for (const node of others)
+      expect(node.daemon.readiness(site.time.now()).reason).to.equal('majorityInOutage');
+  });
+
+  it('a daemon that wakes from a long pause does not admit on what it knew', () => {
+    const site = bareSite();
+    site.time.runUntil(8000);
+    const [node] = site.daemons;
+    site.pause(node);
+    site.time.runUntil(40_000);
+    expect(node.daemon.readiness(site.time.now()).ready).to.equal(false);
+    site.resume(node);
+    site.time.runUntil(46_000);
+    expect(node.daemon.readiness(site.time.now()).ready).to.equal(true);
+  });
 });
