Recovery counted by arrival

Cause: the recovery bench compared goodput by the second of the answer; answers of the same arrivals fall into other seconds after any fault, so every fault "recovered" after 62 to 70 s. Change: shares of good requests by the second of arrival, against the same run without the fault.

--- a/bench/recovery.ts
+++ b/bench/recovery.ts
@@ -17,15 +17,21 @@
   return total;
 }
 
-/** Seconds from the fault until goodput stays at 95% of the run without it, in windows of 5 s. */
+/** Share of the requests that arrived in a window and were answered within their targets. */
+function goodShare(run: FaultRunResult, second: number): number {
+  return (
+    sum(run.goodArrivals, second, WINDOW_SECONDS) / Math.max(1, sum(run.offered, second, WINDOW_SECONDS))
+  );
+}
+
+/** Seconds from the fault until the share of good arrivals stays at 95% of the run without it, in windows of 5 s. */
 function recoverySeconds(faulty: FaultRunResult, sound: FaultRunResult): number {
   const first = FAULT_AT_MS / 1000;
   const last = LOAD_UNTIL_MS / 1000 - WINDOW_SECONDS;
   let recoveredAt = first;
   for (let second = first; second <= last; second += 1) {
-    const share =
-      sum(faulty.goodput, second, WINDOW_SECONDS) / Math.max(1, sum(sound.goodput, second, WINDOW_SECONDS));
-    if (share < RECOVERED_SHARE) recoveredAt = second + WINDOW_SECONDS;
+    if (goodShare(faulty, second) < RECOVERED_SHARE * goodShare(sound, second))
+      recoveredAt = second + WINDOW_SECONDS;
   }
   return recoveredAt - first;
 }
--- a/simulation/fault-run.ts
+++ b/simulation/fault-run.ts
@@ -32,7 +32,9 @@
   readonly ordersRefused: number;
   readonly worstLeavingMs: number;
   readonly worstConfigurationLagMs: number;
-  readonly goodput: readonly number[];
+  /** Requests within their targets and all requests, by the second in which they arrived. */
+  readonly goodArrivals: readonly number[];
+  readonly offered: readonly number[];
   readonly roleChanges: number;
 }
 
@@ -72,7 +74,8 @@
     ordersRefused: site.monitor.ordersRefused,
     worstLeavingMs: site.monitor.worstLeavingMs,
     worstConfigurationLagMs: site.monitor.worstConfigurationLagMs,
-    goodput: workload.goodput,
+    goodArrivals: workload.goodArrivals,
+    offered: workload.offered,
     roleChanges,
   };
 }
--- a/simulation/workload.ts
+++ b/simulation/workload.ts
@@ -66,6 +66,8 @@
   };
   /** Requests within their targets, by the second in which they were answered. */
   readonly goodput: number[] = [];
+  /** Requests within their targets, by the second in which they arrived. */
+  readonly goodArrivals: number[] = [];
   /** Arrivals by second. */
   readonly offered: number[] = [];
   readonly firstTokenMs: number[] = [];
@@ -245,7 +247,7 @@
         this.ended(effect.requestId, effect.tokens);
         break;
       case 'replyApplication':
-        if (this.open.delete(effect.requestId)) this.good();
+        this.answered(effect.requestId);
         break;
       case 'replyFailed':
         this.failed(effect.requestId, effect.error.code, effect.tokensSent);
@@ -284,7 +286,7 @@
     this.counts.whole += 1;
     const row = this.rows.get(request.service);
     if (row && firstTokenMs <= row.firstTokenTargetMs && betweenTokensMs <= row.betweenTokensTargetMs)
-      this.inTarget();
+      this.inTarget(request);
   }
 
   private checkTexts(requestId: string, request: OpenRequest): void {
@@ -294,15 +296,20 @@
       this.site.monitor.violated('whole-answer', `${requestId} has a foreign token at ${wrong}`);
   }
 
-  private good(): void {
+  private answered(requestId: string): void {
+    const request = this.open.get(requestId);
+    if (!request) return;
+    this.open.delete(requestId);
     this.counts.whole += 1;
-    this.inTarget();
+    this.inTarget(request);
   }
 
-  private inTarget(): void {
+  private inTarget(request: OpenRequest): void {
     this.counts.withinTargets += 1;
     const second = Math.floor(this.site.time.now() / GOODPUT_BUCKET_MS);
     this.goodput[second] = (this.goodput[second] ?? 0) + 1;
+    const arrival = Math.floor(request.arrivedAt / GOODPUT_BUCKET_MS);
+    this.goodArrivals[arrival] = (this.goodArrivals[arrival] ?? 0) + 1;
   }
 
   private failed(requestId: string, code: string, tokensSent: number): void {
