--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -1,5 +1,5 @@
 /** Load scenarios of the goodput bench: how the mix of long and short work shifts. */
-import { capabilityOf, DEFAULT_ENGINE_MODEL_SETTINGS } from '../lab/engine-model.js';
+import { capabilityOf, DEFAULT_ENGINE_MODEL_SETTINGS } from '../lab/engine-model-settings.js';
 import type { SiteProfile } from '../lab/site-profiles.js';
 import { servableFactor, type RoleCounts, type TokenDemand } from '../src/allocation/throughput-model.js';
 import { ValidationError } from '../src/errors/index.js';
--- a/lab/engine-model.ts
+++ b/lab/engine-model.ts
@@ -1,14 +1,9 @@
 /**
  * An emulated model engine as a pure state machine: continuous batching in steps, a prefix cache, roles,
  * fenced orders, lagging load reports. The HTTP stand-in runs it in real time, the simulator in virtual time.
- *
- * Cost constants follow the shape of published step-time measurements of a 13-billion-parameter model on one
- * server accelerator: a step has a fixed cost, a small one per output sequence and one per prompt token. The
- * numbers are round assumptions, not a claim about any product.
  */
 import type {
   EngineAssignment,
-  EngineCapability,
   EngineControlRequest,
   EngineControlResult,
   EnginePhase,
@@ -16,45 +11,7 @@
   EngineReport,
   EngineRole,
 } from '../src/engine/engine-protocol.js';
-
-/** Costs and sizes of an emulated engine. Times in milliseconds. */
-export interface EngineModelSettings {
-  readonly stepBaseMs: number;
-  readonly stepPerStreamMs: number;
-  readonly stepPerPromptTokenMs: number;
-  /** Prompt tokens computed in a step at most, by role. */
-  readonly prefillChunk: Readonly<Record<EngineRole, number>>;
-  /** Streams at once, by role. */
-  readonly maximumStreams: Readonly<Record<EngineRole, number>>;
-  readonly kvTransferMsPerToken: number;
-  readonly roleChangeMs: number;
-  readonly modelLoadMs: number;
-  readonly adapterLoadMs: number;
-  /** Load figures of a report are this old. */
-  readonly reportLagMs: number;
-  /** Prefixes kept. */
-  readonly cachedPrefixes: number;
-  /** Share of a prompt that a cached prefix saves. */
-  readonly cachedShare: number;
-  readonly kvRetentionMs: number;
-}
-
-/** Default costs and sizes. */
-export const DEFAULT_ENGINE_MODEL_SETTINGS: EngineModelSettings = {
-  stepBaseMs: 18,
-  stepPerStreamMs: 0.12,
-  stepPerPromptTokenMs: 0.09,
-  prefillChunk: { prefill: 2048, mixed: 512, decode: 128 },
-  maximumStreams: { prefill: 64, mixed: 64, decode: 96 },
-  kvTransferMsPerToken: 0.02,
-  roleChangeMs: 6000,
-  modelLoadMs: 20_000,
-  adapterLoadMs: 1000,
-  reportLagMs: 300,
-  cachedPrefixes: 64,
-  cachedShare: 0.3,
-  kvRetentionMs: 10_000,
-};
+import { capabilityOf, type EngineModelSettings } from './engine-model-settings.js';
 
 /** Work given to an engine. */
 export interface EngineWork {
@@ -104,26 +61,6 @@
 const QUEUE_ALLOWANCE = 32;
 const CACHE_SMOOTHING = 0.1;
 
-/** The rates that follow from the settings, as the engine reports them. */
-export function capabilityOf(settings: EngineModelSettings): EngineCapability {
-  const { stepBaseMs, stepPerStreamMs, stepPerPromptTokenMs, prefillChunk, maximumStreams } = settings;
-  const prefillStep = stepBaseMs + prefillChunk.prefill * stepPerPromptTokenMs;
-  const decodeStep = stepBaseMs + maximumStreams.decode * stepPerStreamMs;
-  const mixedStep =
-    stepBaseMs + prefillChunk.mixed * stepPerPromptTokenMs + maximumStreams.mixed * stepPerStreamMs;
-  const outputOnlyStep = stepBaseMs + maximumStreams.mixed * stepPerStreamMs;
-  return {
-    prefillRate: (prefillChunk.prefill / prefillStep) * 1000,
-    decodeRate: (maximumStreams.decode / decodeStep) * 1000,
-    mixedPrefillRate: (prefillChunk.mixed / mixedStep) * 1000,
-    mixedDecodeRate: (maximumStreams.mixed / mixedStep) * 1000,
-    mixedPromptOnlyRate:
-      (prefillChunk.mixed / (stepBaseMs + prefillChunk.mixed * stepPerPromptTokenMs)) * 1000,
-    mixedOutputOnlyRate: (maximumStreams.mixed / outputOnlyStep) * 1000,
-    roleChangeMs: settings.roleChangeMs,
-  };
-}
-
 /** One emulated engine. Times are milliseconds on the engine's clock. */
 export class EngineModel {
   private readonly streams = new Map<string, Stream>();
--- a/lab/engine-server.ts
+++ b/lab/engine-server.ts
@@ -4,7 +4,8 @@
 import type { EngineAssignment, EngineControlRequest, KvHandle } from '../src/engine/engine-protocol.js';
 import { describePrompt } from '../src/routing/completion-request.js';
 import { hashText } from '../src/shared/rendezvous-hash.js';
-import { EngineModel, tokenText, type EngineModelSettings, type EngineOutput } from './engine-model.js';
+import { EngineModel, tokenText, type EngineOutput } from './engine-model.js';
+import { type EngineModelSettings } from './engine-model-settings.js';
 import { readLabJson, sendLabJson } from './lab-http.js';
 
 interface WorkBody {
--- a/lab/main.ts
+++ b/lab/main.ts
@@ -6,7 +6,7 @@
 import { SeededRandom } from '../src/shared/random.js';
 import { ApplicationServer } from './application-server.js';
 import { runDemo, shiftingPhases } from './demo.js';
-import { DEFAULT_ENGINE_MODEL_SETTINGS } from './engine-model.js';
+import { DEFAULT_ENGINE_MODEL_SETTINGS } from './engine-model-settings.js';
 import { EngineServer } from './engine-server.js';
 import { LoadGenerator } from './load-generator.js';
 import { formatLoadReport } from './load-report.js';
--- a/simulation/simulated-engine.ts
+++ b/simulation/simulated-engine.ts
@@ -1,11 +1,6 @@
 /** An engine node of a simulation: the emulated engine, its crashes, and its streams to daemons. */
-import {
-  EngineModel,
-  tokenText,
-  type EngineModelSettings,
-  type EngineOutput,
-  type EngineWork,
-} from '../lab/engine-model.js';
+import { EngineModel, tokenText, type EngineOutput, type EngineWork } from '../lab/engine-model.js';
+import { type EngineModelSettings } from '../lab/engine-model-settings.js';
 import type {
   AttemptEvent,
   EngineAssignment,
--- a/simulation/simulated-site.ts
+++ b/simulation/simulated-site.ts
@@ -1,5 +1,5 @@
 /** A whole site in virtual time: real daemon state machines, emulated engines and platform, and faults. */
-import { DEFAULT_ENGINE_MODEL_SETTINGS, type EngineModelSettings } from '../lab/engine-model.js';
+import { DEFAULT_ENGINE_MODEL_SETTINGS, type EngineModelSettings } from '../lab/engine-model-settings.js';
 import { PlatformModel } from '../lab/platform-model.js';
 import { Daemon } from '../src/daemon/daemon.js';
 import type { DaemonEffect, DaemonEvent, PeerMessage } from '../src/daemon/daemon-messages.js';
--- a/src/daemon/daemon-messages.ts
+++ b/src/daemon/daemon-messages.ts
@@ -3,7 +3,6 @@
 import type { ServiceRow, VersionedRow } from '../configuration/service-row.js';
 import type {
   AttemptEvent,
-  EngineAssignment,
   EngineControlRequest,
   EngineControlResult,
   EnginePhase,
@@ -17,6 +16,7 @@
 import type { ApplicationCall, ApplicationEffect, ApplicationEvent } from '../routing/application-manager.js';
 import type { CompletionEffect } from '../routing/completion-effects.js';
 import type { CompletionRequest } from '../routing/completion-request.js';
+import type { EngineSummary } from '../routing/engine-directory.js';
 
 /** The load of one engine in the form that travels. */
 export type EngineLoad = readonly [
@@ -160,14 +160,7 @@
   readonly configurationRevision: number;
   readonly configurationAgeMs: number;
   readonly members: readonly { id: string; address: string; zone: string; state: string }[];
-  readonly engines: readonly {
-    id: string;
-    cell: string;
-    phase: EnginePhase;
-    assignment: EngineAssignment | undefined;
-    streams: number;
-    maximumStreams: number;
-  }[];
+  readonly engines: readonly EngineSummary[];
   readonly leases: readonly { cell: string; holder: string; epoch: number; heldHere: boolean }[];
   readonly limits: readonly { service: string; held: number; waiting: number }[];
   readonly requests: { readonly active: number; readonly waiting: number; readonly applicationCalls: number };
--- a/src/daemon/daemon-settings.ts
+++ b/src/daemon/daemon-settings.ts
@@ -8,7 +8,7 @@
 import { DEFAULT_LEASE_SETTINGS, type LeaseSettings } from '../lease/cell-lease.js';
 import { DEFAULT_LEDGER_SETTINGS, type LedgerSettings } from '../ledger/once-ledger.js';
 import { DEFAULT_LIMIT_SETTINGS, type LimitSettings } from '../limits/limit-messages.js';
-import { DEFAULT_MEMBERSHIP_SETTINGS, type MembershipSettings } from '../membership/membership.js';
+import { DEFAULT_MEMBERSHIP_SETTINGS, type MembershipSettings } from '../membership/membership-settings.js';
 import { DEFAULT_COMPLETION_SETTINGS, type CompletionSettings } from '../routing/completion-effects.js';
 import { DEFAULT_DIRECTORY_SETTINGS, type DirectorySettings } from '../routing/engine-directory.js';
 import { DEFAULT_PICKER_SETTINGS, type PickerSettings } from '../routing/engine-picker.js';
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,7 +3,6 @@
  * process and by the simulator in virtual time; it reads no clock, opens no socket and draws no randomness
  * but from what it is given.
  */
-import { rankByRendezvous, pickByRendezvous } from '../shared/rendezvous-hash.js';
 import {
   ConfigurationReplica,
   type Freshness,
@@ -13,7 +12,9 @@
 import type { LimitMessage } from '../limits/limit-messages.js';
 import { SlotHolder, type HolderEffect } from '../limits/slot-holder.js';
 import { SlotOwner } from '../limits/slot-owner.js';
-import { initialMember, Membership, type MembershipEffect } from '../membership/membership.js';
+import { SlotOwnership } from '../limits/slot-ownership.js';
+import { initialMember } from '../membership/member-rules.js';
+import { Membership, type MembershipEffect } from '../membership/membership.js';
 import type { DaemonIdentity } from '../membership/membership-messages.js';
 import { ApplicationManager, type ApplicationEffect } from '../routing/application-manager.js';
 import type { CompletionEffect } from '../routing/completion-effects.js';
@@ -37,6 +38,7 @@
   private readonly membership: Membership;
   private readonly configuration: ConfigurationReplica;
   private readonly cells: CellManager;
+  private readonly ownership: SlotOwnership;
   private readonly slotOwner: SlotOwner;
   private readonly slotHolder: SlotHolder;
   private readonly ledger: OnceLedger;
@@ -73,6 +75,7 @@
       this.onConfiguration(),
       now,
     );
+    this.ownership = new SlotOwnership(identity.id, this.membership);
     this.slotOwner = new SlotOwner(
       settings.limits,
       (service) => this.configuration.service(service),
@@ -81,7 +84,7 @@
     );
     this.slotHolder = new SlotHolder(
       settings.limits,
-      (service) => this.ownerOf(service),
+      (service) => this.ownership.ownerOf(service),
       (effect) => this.onHolder(effect),
     );
     this.ledger = new OnceLedger(identity.id, settings.ledger, (effect) => {
@@ -188,14 +191,7 @@
       configurationRevision: this.configuration.revision(),
       configurationAgeMs: freshness.kind === 'never' ? -1 : Math.round(freshness.ageMs),
       members: this.membership.all().map(({ id, address, zone, state }) => ({ id, address, zone, state })),
-      engines: [...this.directory.all()].map((view) => ({
-        id: view.id,
-        cell: view.cell,
-        phase: view.phase,
-        assignment: view.assignment,
-        streams: view.streams(),
-        maximumStreams: view.maximumStreams,
-      })),
+      engines: this.directory.summary(),
       leases: this.cells.leases(now),
       limits: this.slotOwner.inUse(),
       requests: {
@@ -256,7 +252,7 @@
     this.configuration.tick(now, this.identity.zone, this.membership.active());
     this.cells.tick(now, !this.draining);
     this.slotOwner.tick(now);
-    this.slotHolder.tick(now, (id) => this.ownerIsUp(id));
+    this.slotHolder.tick(now, (id) => this.ownership.isUp(id));
     this.ledger.tick(now);
     this.editor.tick(now);
     this.admission.tick(now);
@@ -317,7 +313,7 @@
     this.draining = true;
     this.outbox.push({ kind: 'log', event: 'drain.started', fields: { requests: this.requestsInHand() } });
     this.cells.tick(now, false);
-    this.slotOwner.handOver((service) => this.successorOf(service));
+    this.slotOwner.handOver((service) => this.ownership.successorOf(service));
     this.membership.leave(now);
   }
 
@@ -335,22 +331,6 @@
     return { alive, known, lastContactAt: known <= 1 ? now : this.membership.lastContact() };
   }
 
-  private ownerOf(service: string): string | undefined {
-    return pickByRendezvous(service, this.memberIds());
-  }
-
-  private successorOf(service: string): string | undefined {
-    return rankByRendezvous(service, this.memberIds(), 2).find((id) => id !== this.identity.id);
-  }
-
-  private memberIds(): string[] {
-    return this.membership.active().map((member) => member.id);
-  }
-
-  private ownerIsUp(id: string): boolean {
-    return id === this.identity.id || this.membership.get(id)?.state === 'alive';
-  }
-
   private sendLimit(daemonId: string, message: LimitMessage): void {
     if (daemonId === this.identity.id) {
       this.deferred.push((now) => this.receivePeer(daemonId, this.identity.address, message, now));
--- /dev/null
+++ b/src/membership/gossip-queue.ts
@@ -0,0 +1,35 @@
+/** What a daemon still has to tell others, least told first. */
+
+const RETRANSMIT_FACTOR = 3;
+/** A backlog is spread over about this many messages. */
+const BACKLOG_MESSAGES = 8;
+/** A message carries at most this many times the usual number of items. */
+const BACKLOG_FACTOR = 4;
+
+/** Ids of members whose state is news, each with how often it is still to be sent. */
+export class GossipQueue {
+  private readonly remaining = new Map<string, number>();
+
+  /** The state of a member is news to a group of `members`. */
+  add(id: string, members: number): void {
+    this.remaining.set(id, RETRANSMIT_FACTOR * Math.ceil(Math.log2(members + 2)));
+  }
+
+  /** The member is forgotten. */
+  remove(id: string): void {
+    this.remaining.delete(id);
+  }
+
+  /** Takes the least-sent ids for one message: `usual` of them, or more after a large change. */
+  take(usual: number): string[] {
+    if (this.remaining.size === 0) return [];
+    const entries = [...this.remaining].sort((left, right) => right[1] - left[1]);
+    const backlogShare = Math.ceil(entries.length / BACKLOG_MESSAGES);
+    const taken = entries.slice(0, Math.min(usual * BACKLOG_FACTOR, Math.max(usual, backlogShare)));
+    for (const [id, remaining] of taken) {
+      if (remaining <= 1) this.remaining.delete(id);
+      else this.remaining.set(id, remaining - 1);
+    }
+    return taken.map(([id]) => id);
+  }
+}
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -5,54 +5,18 @@
 import type { EffectSink } from '../shared/effect-sink.js';
 import { hashText } from '../shared/rendezvous-hash.js';
 import type { RandomSource } from '../shared/random.js';
+import { GossipQueue } from './gossip-queue.js';
+import { daemonName, overrides } from './member-rules.js';
+import type { MembershipSettings } from './membership-settings.js';
 import {
   fromUpdate,
   toUpdate,
-  type DaemonIdentity,
   type Member,
   type MemberState,
   type MembershipMessage,
   type MemberUpdate,
 } from './membership-messages.js';
 
-/** Durations and counts of the membership protocol. */
-export interface MembershipSettings {
-  /** Interval between probes. Milliseconds. Default 1000. */
-  readonly probeIntervalMs: number;
-  /** A probe without an answer after this long goes through third daemons. Milliseconds. Default 300. */
-  readonly probeTimeoutMs: number;
-  /** A suspect that does not refute within this long, times log10 of the members, is dead. Milliseconds. Default 3000. */
-  readonly suspicionMs: number;
-  /** Third daemons asked to probe. Default 3. */
-  readonly indirectProbes: number;
-  /** Updates carried on a message; up to four times as many while there is much to tell. Default 8. */
-  readonly updatesPerMessage: number;
-  /** Chance that a probe goes to the own zone. Default 0.8. */
-  readonly ownZoneChance: number;
-  /** Interval between exchanges of the whole list with one daemon. Milliseconds. Default 30000. */
-  readonly syncIntervalMs: number;
-  /** The same while a seed is not among the active members. Milliseconds. Default 2000. */
-  readonly strangerSyncIntervalMs: number;
-  /** Interval between probes of a dead member, so that both sides of a healed partition meet. Milliseconds. Default 2000. */
-  readonly deadProbeIntervalMs: number;
-  /** Dead members are remembered, and count against the majority, this long. Milliseconds. Default 3600000. */
-  readonly deadRetentionMs: number;
-}
-
-/** Default settings. */
-export const DEFAULT_MEMBERSHIP_SETTINGS: MembershipSettings = {
-  probeIntervalMs: 1000,
-  probeTimeoutMs: 300,
-  suspicionMs: 3000,
-  indirectProbes: 3,
-  updatesPerMessage: 8,
-  ownZoneChance: 0.8,
-  syncIntervalMs: 30_000,
-  strangerSyncIntervalMs: 2000,
-  deadProbeIntervalMs: 2000,
-  deadRetentionMs: 3_600_000,
-};
-
 /** What the membership machine asks its runner to do. */
 export type MembershipEffect =
   | { readonly kind: 'sendMembership'; readonly address: string; readonly message: MembershipMessage }
@@ -72,30 +36,15 @@
   readonly onBehalfOf?: { readonly address: string; readonly sequence: number };
 }
 
-const STATE_RANK: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, leaving: 2, dead: 3 };
-const RETRANSMIT_FACTOR = 3;
-/** A backlog of gossip is spread over about this many messages. */
-const BACKLOG_MESSAGES = 8;
 /** Daemons of the whole fleet that try a lost seed in one interval, about. */
 const STRANGER_TRIES = 3;
 /** A daemon that has just started exchanges lists this often at the short interval. */
 const EARLY_SYNCS = 5;
 
-/**
- * Whether `update` overrides `current`: a higher incarnation, or the same one and a later state. A leaving
- * daemon never comes back under its id. One wrongly declared dead comes back with a higher incarnation.
- */
-export function overrides(update: Member, current: Member): boolean {
-  if (current.state === 'leaving') return update.state === 'dead';
-  if (update.state === 'leaving') return current.state !== 'dead' || update.incarnation > current.incarnation;
-  if (update.incarnation !== current.incarnation) return update.incarnation > current.incarnation;
-  return STATE_RANK[update.state] > STATE_RANK[current.state];
-}
-
 /** The membership state machine of one daemon. Times are monotonic milliseconds. */
 export class Membership {
   private readonly records = new Map<string, MemberRecord>();
-  private readonly gossip = new Map<string, number>();
+  private readonly gossip = new GossipQueue();
   private readonly probes = new Map<number, Probe>();
   private probeOrder: string[] = [];
   private sequence = 0;
@@ -304,7 +253,7 @@
 
   private forget(id: string): void {
     this.records.delete(id);
-    this.gossip.delete(id);
+    this.gossip.remove(id);
     this.changed();
   }
 
@@ -445,26 +394,14 @@
   }
 
   private enqueueGossip(id: string): void {
-    this.gossip.set(id, RETRANSMIT_FACTOR * Math.ceil(Math.log2(this.records.size + 2)));
+    this.gossip.add(id, this.records.size);
   }
 
-  /** Takes the least-sent updates, at most `updatesPerMessage`. */
   private takeGossip(): MemberUpdate[] {
-    if (this.gossip.size === 0) return [];
-    const entries = [...this.gossip.entries()].sort((left, right) => right[1] - left[1]);
-    // After a large change, such as a healed partition, messages carry more for a while.
-    const { updatesPerMessage } = this.settings;
-    const backlogShare = Math.ceil(entries.length / BACKLOG_MESSAGES);
-    const taken = entries.slice(
-      0,
-      Math.min(updatesPerMessage * 4, Math.max(updatesPerMessage, backlogShare)),
-    );
     const updates: MemberUpdate[] = [];
-    for (const [id, remaining] of taken) {
+    for (const id of this.gossip.take(this.settings.updatesPerMessage)) {
       const record = this.records.get(id);
       if (record) updates.push(toUpdate(record.member));
-      if (remaining <= 1) this.gossip.delete(id);
-      else this.gossip.set(id, remaining - 1);
     }
     return updates;
   }
@@ -473,14 +410,3 @@
     this.emit({ kind: 'sendMembership', address, message });
   }
 }
-
-/** A daemon's first belief about itself. */
-export function initialMember(identity: DaemonIdentity): Member {
-  return { ...identity, incarnation: 1, state: 'alive' };
-}
-
-/** The name of a daemon, which its restarts share. */
-export function daemonName(id: string): string {
-  const end = id.lastIndexOf('.');
-  return end < 0 ? id : id.slice(0, end);
-}
--- a/src/routing/completion-manager.ts
+++ b/src/routing/completion-manager.ts
@@ -20,12 +20,10 @@
 import { notRunOf, type LiveAttempt, type Session } from './completion-session.js';
 import type { DirectorySettings, EngineDirectory, EngineView } from './engine-directory.js';
 import type { EnginePicker, PickOutcome, RoutePlan } from './engine-picker.js';
-import { PriorityShares } from './priority-shares.js';
 import { RetryBudget } from './retry-budget.js';
+import { WaitEstimator } from './wait-estimator.js';
 
 const MINIMUM_RETRY_AFTER_MS = 250;
-const INITIAL_STREAM_MS = 5000;
-const STREAM_SMOOTHING = 0.05;
 const REFUSAL_BACKOFF_MS = 50;
 const MAXIMUM_REFUSAL_BACKOFF_MS = 800;
 /** A request in the queue costs at least this many prompt tokens. */
@@ -36,11 +34,7 @@
   private readonly sessions = new Map<string, Session>();
   private readonly queue = new AdmissionQueue();
   private readonly retryBudget: RetryBudget;
-  /** How long a stream lasts, smoothed. Milliseconds. */
-  private streamMs = INITIAL_STREAM_MS;
-  /** How long an engine computes a prompt token, of the model asked for last. Milliseconds. */
-  private promptMsPerToken = 0;
-  private readonly promptShares = new PriorityShares();
+  private readonly waits: WaitEstimator;
 
   constructor(
     private readonly settings: CompletionSettings,
@@ -50,6 +44,7 @@
     private readonly emit: EffectSink<CompletionEffect>,
   ) {
     this.retryBudget = new RetryBudget(settings.retryRatio);
+    this.waits = new WaitEstimator(settings, directory, this.queue);
   }
 
   /** Requests in hand. */
@@ -67,9 +62,9 @@
    * The wait is expected from the work queued here and at the engines.
    */
   refusalFor(request: CompletionRequest, row: ServiceRow, now: number): PulleyledgeError | undefined {
-    const expectedWaitMs = this.expectedWaitMs(row, now);
+    const expectedWaitMs = this.waits.expectedMs(row, now);
     if (expectedWaitMs === undefined) return undefined;
-    const allowedMs = Math.min(this.allowedWaitMs(request, row), request.timeoutMs ?? row.deadlineMs);
+    const allowedMs = Math.min(this.waits.allowedMs(request, row), request.timeoutMs ?? row.deadlineMs);
     if (expectedWaitMs <= allowedMs) return undefined;
     return new OverloadedError(
       row.name,
@@ -156,52 +151,10 @@
     this.dispatch(now);
   }
 
-  /** Time until an engine would begin with the request, or undefined when no engine is known. Milliseconds. */
-  private expectedWaitMs(row: ServiceRow, now: number): number | undefined {
-    let prefillRate = 0;
-    let backlog = this.queue.costAhead({ priority: row.priority, service: row.name, weight: row.weight });
-    const before = this.promptShares.shareUpTo(row.priority, now);
-    let streams = 0;
-    let maximumStreams = 0;
-    let routingDaemons = 1;
-    let computing = 0;
-    for (const engine of this.directory.all()) {
-      const { assignment } = engine;
-      if (!engine.takesWork(now) || assignment?.model !== row.model || assignment.version !== row.version)
-        continue;
-      routingDaemons = engine.routingDaemons;
-      if (assignment.role !== 'decode') {
-        prefillRate += engine.prefillRate();
-        computing += 1;
-        backlog += engine.pendingPrefill(now) * before;
-      }
-      if (assignment.role !== 'prefill') {
-        streams += engine.streams();
-        maximumStreams += engine.maximumStreams;
-      }
-    }
-    if (prefillRate === 0 || maximumStreams === 0) return undefined;
-    this.promptMsPerToken = 1000 / (prefillRate / computing);
-    const forPrompt = (backlog / prefillRate) * 1000;
-    const queued = Math.max(0, streams + this.queue.length * routingDaemons - maximumStreams);
-    const forStream = (queued / maximumStreams) * this.streamMs;
-    return Math.max(forPrompt, forStream);
-  }
-
-  /**
-   * How long a request may wait: as its service allows, and not so long that its first token misses the target.
-   * A prompt that misses its target even on an idle engine waits as its service allows. Milliseconds.
-   */
-  private allowedWaitMs(request: CompletionRequest, row: ServiceRow): number {
-    const left =
-      row.firstTokenTargetMs * this.settings.firstTokenShare - request.prompt.tokens * this.promptMsPerToken;
-    return left > 0 ? Math.min(row.maximumWaitMs, left) : row.maximumWaitMs;
-  }
-
   private checkWait(session: Session, now: number): void {
     const waited = now - session.queuedAt;
     const limit = Math.max(
-      this.allowedWaitMs(session.request, session.row),
+      this.waits.allowedMs(session.request, session.row),
       session.brokenAttempts > 0 ? this.settings.attemptStallMs : 0,
     );
     if (waited <= limit) return;
@@ -301,7 +254,7 @@
     session.attempt = { attemptId, engine, stage, plan, startedAt: now, lastEventAt: now };
     const promptWork = session.kv ? 0 : request.prompt.tokens + session.produced.length;
     engine.workSent(attemptId, promptWork, now);
-    this.promptShares.count(row.priority, promptWork, now);
+    this.waits.promptSent(row.priority, promptWork, now);
     this.emit({
       kind: 'startAttempt',
       start: {
@@ -360,7 +313,7 @@
       return;
     }
     attempt.engine.succeeded();
-    this.streamMs += STREAM_SMOOTHING * (now - attempt.startedAt - this.streamMs);
+    this.waits.streamEnded(now - attempt.startedAt);
     this.endAttempt(session, attempt, now);
     this.emit({ kind: 'replyEnd', requestId: session.request.requestId, tokens, finishReason });
     this.over(session, now);
--- a/src/routing/engine-directory.ts
+++ b/src/routing/engine-directory.ts
@@ -180,6 +180,16 @@
   }
 }
 
+/** An engine in short, for status pages. */
+export interface EngineSummary {
+  readonly id: string;
+  readonly cell: string;
+  readonly phase: EnginePhase;
+  readonly assignment: EngineAssignment | undefined;
+  readonly streams: number;
+  readonly maximumStreams: number;
+}
+
 /** All engines that a daemon routes to. */
 export class EngineDirectory {
   constructor(private readonly settings: DirectorySettings) {}
@@ -208,6 +218,18 @@
     return this.views.values();
   }
 
+  /** Every engine in short, for status pages. */
+  summary(): EngineSummary[] {
+    return [...this.views.values()].map((view) => ({
+      id: view.id,
+      cell: view.cell,
+      phase: view.phase,
+      assignment: view.assignment,
+      streams: view.streams(),
+      maximumStreams: view.maximumStreams,
+    }));
+  }
+
   /** Forgets engines of the cells named that are no longer listed and carry no work from here. */
   retain(listed: ReadonlySet<string>): void {
     for (const [id, view] of this.views) {
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -1,11 +1,8 @@
 /** Membership: convergence, failure, refutation, healing of partitions, restarts. */
 import { expect } from 'chai';
-import {
-  DEFAULT_MEMBERSHIP_SETTINGS,
-  initialMember,
-  Membership,
-  overrides,
-} from '../src/membership/membership.js';
+import { DEFAULT_MEMBERSHIP_SETTINGS } from '../src/membership/membership-settings.js';
+import { initialMember, overrides } from '../src/membership/member-rules.js';
+import { Membership } from '../src/membership/membership.js';
 import type { Member } from '../src/membership/membership-messages.js';
 import { SeededRandom } from '../src/shared/random.js';
 
--- a/test/policies.test.ts
+++ b/test/policies.test.ts
@@ -1,7 +1,7 @@
 /** Policies without sockets: fair queue, picker, allocation, smoothed rates, lease. */
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { capabilityOf, DEFAULT_ENGINE_MODEL_SETTINGS } from '../lab/engine-model.js';
+import { capabilityOf, DEFAULT_ENGINE_MODEL_SETTINGS } from '../lab/engine-model-settings.js';
 import { PlatformModel } from '../lab/platform-model.js';
 import {
   DEFAULT_ALLOCATION_SETTINGS,
