Direct reports only when digests are missing for 3 s

Cause: at 25 subscribers a coordinator sends a digest each 1.8 s, and daemons took them for missing after 1.5 s. Change: a fixed 3 s.

--- a/src/daemon/cell-manager.ts
+++ b/src/daemon/cell-manager.ts
@@ -25,13 +25,13 @@
 
 /** After a pause messages that waited in sockets are read within this time. Milliseconds. */
 const WAKE_GRACE_MS = 1000;
-/** Without a digest for this many intervals the daemon asks the engines itself. */
-const DIGEST_MISSING_INTERVALS = 3;
+/** Without a digest for this long the daemon asks the engines itself; large cells get one each 2 s. Milliseconds. */
+const DIGEST_MISSING_MS = 3000;
 /** A starting daemon waits this long at most to learn of every listed engine. Milliseconds. */
 const ENGINES_KNOWN_WITHIN_MS = 3000;
-/** Engines asked per interval in that case. */
+/** Engines asked per interval without digests. */
 const DIRECT_REPORTS_PER_INTERVAL = 4;
-/** Without digests every engine is asked about once in this many intervals. */
+/** Without digests every engine is asked about once in this many intervals, which keeps reports fresh enough. */
 const DIRECT_REPORT_ROUNDS = 4;
 
 /** The cells of one daemon. Times are monotonic milliseconds. */
@@ -257,11 +257,10 @@
   /** Routing must not depend on a coordinator: without digests the oldest reports are renewed directly. */
   private askEnginesWithoutDigest(now: number): void {
     this.nextDirectReportAt = now + this.settings.cells.digestIntervalMs;
-    const limit = this.settings.cells.digestIntervalMs * DIGEST_MISSING_INTERVALS;
     const missing: EngineView[] = [];
     for (const view of this.parts.directory.all()) {
       const digestAt = this.lastDigestAt.get(view.cell) ?? -Infinity;
-      if (view.assignment === undefined || now - digestAt > limit) missing.push(view);
+      if (view.assignment === undefined || now - digestAt > DIGEST_MISSING_MS) missing.push(view);
     }
     missing.sort((left, right) => left.reportTime() - right.reportTime());
     // Engines of which nothing is known come first, all of them: a starting daemon needs them.
