--- a/bench/goodput.ts
+++ b/bench/goodput.ts
@@ -34,7 +34,14 @@
   const fixed = [
     ...new Set(FIXED_SHARES.map((share) => Math.min(engines - 1, Math.max(1, Math.round(share * engines))))),
   ];
-  return ['adaptive', 'threshold', 'all-mixed', 'oracle', ...fixed.map((count) => `fixed-${count}` as const)];
+  return [
+    'adaptive',
+    'adaptive-from-split',
+    'threshold',
+    'all-mixed',
+    'oracle',
+    ...fixed.map((count) => `fixed-${count}` as const),
+  ];
 }
 
 function median(values: readonly number[]): number {
