A member that joins is probed in the present round

Cause: the capacity run at 380 daemons did not settle within 120 s after a rack failed. A trial showed why: all 361 living daemons kept one dead daemon alive. It had been restarted before the rack, under a new id; each daemon goes through all members once before it begins anew (380 s), and nobody had the new id in its round. The own zone was also through after 95 s of each round. Ruled out: gossip and comparing lists (all 361 agreed, wrongly); refutation (the process was dead). Comparing lists each 10 s instead of 30 alone did not help (still wrong after 60 s). Change: a round for the own zone and one for the others, each beginning anew when it is through; a new member is inserted into the present round at random. Lists are compared each 10 s.

--- a/src/membership/membership-settings.ts
+++ b/src/membership/membership-settings.ts
@@ -14,7 +14,7 @@
   readonly updatesPerMessage: number;
   /** Chance that a probe goes to the own zone. Default 0.8. */
   readonly ownZoneChance: number;
-  /** Interval between exchanges of the whole list with one daemon. Milliseconds. Default 30000. */
+  /** Interval between exchanges of the whole list with one daemon. Milliseconds. Default 10000. */
   readonly syncIntervalMs: number;
   /** The same while a seed is not among the active members. Milliseconds. Default 2000. */
   readonly strangerSyncIntervalMs: number;
@@ -32,7 +32,7 @@
   indirectProbes: 3,
   updatesPerMessage: 8,
   ownZoneChance: 0.8,
-  syncIntervalMs: 30_000,
+  syncIntervalMs: 10_000,
   strangerSyncIntervalMs: 2000,
   deadProbeIntervalMs: 2000,
   deadRetentionMs: 3_600_000,
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -8,6 +8,7 @@
 import { GossipQueue } from './gossip-queue.js';
 import { daemonName, overrides } from './member-rules.js';
 import type { MembershipSettings } from './membership-settings.js';
+import { ProbeOrder } from './probe-order.js';
 import {
   fromUpdate,
   toUpdate,
@@ -46,7 +47,9 @@
   private readonly records = new Map<string, MemberRecord>();
   private readonly gossip = new GossipQueue();
   private readonly probes = new Map<number, Probe>();
-  private probeOrder: string[] = [];
+  /** Rounds over the own zone and over the others; each begins anew when it is through. */
+  private readonly ownZoneOrder: ProbeOrder;
+  private readonly otherZonesOrder: ProbeOrder;
   private sequence = 0;
   private nextProbeAt: number;
   private nextSyncAt: number;
@@ -65,6 +68,8 @@
     private readonly emit: EffectSink<MembershipEffect>,
     now: number,
   ) {
+    this.ownZoneOrder = new ProbeOrder(random);
+    this.otherZonesOrder = new ProbeOrder(random);
     this.records.set(self.id, { member: self, changedAt: now });
     this.nextProbeAt = now + random.next() * settings.probeIntervalMs;
     this.nextSyncAt = now;
@@ -258,32 +263,34 @@
   }
 
   private probeNext(now: number): void {
-    const ownZone = this.random.next() < this.settings.ownZoneChance;
-    for (let attempt = 0; attempt < this.records.size; attempt += 1) {
-      if (this.probeOrder.length === 0) this.probeOrder = this.shuffledTargets();
-      const index = ownZone ? this.lastIndexInOwnZone() : this.probeOrder.length - 1;
-      const [id] = this.probeOrder.splice(index < 0 ? this.probeOrder.length - 1 : index, 1);
-      const member = id === undefined ? undefined : this.records.get(id)?.member;
-      if (!member || member.state === 'dead') continue;
-      this.probe(member.id, now);
+    const preferOwnZone = this.random.next() < this.settings.ownZoneChance;
+    const orders = preferOwnZone
+      ? [this.ownZoneOrder, this.otherZonesOrder]
+      : [this.otherZonesOrder, this.ownZoneOrder];
+    for (const order of orders) {
+      const target = this.nextTarget(order);
+      if (target === undefined) continue;
+      this.probe(target, now);
       return;
     }
   }
 
-  private lastIndexInOwnZone(): number {
-    for (let index = this.probeOrder.length - 1; index >= 0; index -= 1) {
-      if (this.records.get(this.probeOrder[index])?.member.zone === this.self.zone) return index;
+  private nextTarget(order: ProbeOrder): string | undefined {
+    const inOwnZone = order === this.ownZoneOrder;
+    for (let attempt = 0; attempt <= this.records.size; attempt += 1) {
+      const id = order.next(() => this.membersToProbe(inOwnZone));
+      if (id === undefined) return undefined;
+      const state = this.records.get(id)?.member.state;
+      if (state !== undefined && state !== 'dead') return id;
     }
-    return -1;
+    return undefined;
   }
 
-  private shuffledTargets(): string[] {
-    const ids = [...this.records.keys()].filter((id) => id !== this.self.id);
-    for (let index = ids.length - 1; index > 0; index -= 1) {
-      const other = this.random.below(index + 1);
-      [ids[index], ids[other]] = [ids[other], ids[index]];
-    }
-    return ids;
+  private membersToProbe(inOwnZone: boolean): string[] {
+    const members = this.all().filter((member) => member.id !== this.self.id && member.state !== 'dead');
+    return members
+      .filter((member) => (member.zone === this.self.zone) === inOwnZone)
+      .map((member) => member.id);
   }
 
   private probe(target: string, now: number, onBehalfOf?: Probe['onBehalfOf']): void {
@@ -374,6 +381,8 @@
     if (current ? !overrides(update, current) : update.state === 'dead') return;
     this.records.set(update.id, { member: update, changedAt: now });
     this.changed();
+    if (!current)
+      (update.zone === this.self.zone ? this.ownZoneOrder : this.otherZonesOrder).insert(update.id);
     if (current?.state === 'dead' && update.state === 'alive') this.syncSoon(now);
     if (passOn) this.enqueueGossip(update.id);
     this.emit({ kind: 'memberChanged', member: update, previous: current?.state });
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -4,6 +4,7 @@
 import { initialMember, overrides } from '../src/membership/member-rules.js';
 import { Membership } from '../src/membership/membership.js';
 import type { Member } from '../src/membership/membership-messages.js';
+import { ProbeOrder } from '../src/membership/probe-order.js';
 import { SeededRandom } from '../src/shared/random.js';
 
 const TICK_MS = 100;
@@ -126,6 +127,26 @@
     expect(contact).to.deep.equal({ alive: 6, known: 6 });
   });
 
+  it('a daemon that joined late and died soon is noticed as quickly as any other', () => {
+    const group = new Group(60);
+    group.run(65_000);
+    group.add('10.0.0.60:7', 'd60.1', 'zone-0');
+    group.run(6000);
+    group.down.add('10.0.0.60:7');
+    group.run(25_000);
+    expect(group.aliveCounts()).to.deep.equal(Array(60).fill(60));
+  });
+
+  it('a member that joins during a round of probes is probed in that round', () => {
+    const order = new ProbeOrder(new SeededRandom(1));
+    const members = Array.from({ length: 100 }, (_, index) => `d${index}`);
+    for (let count = 0; count < 50; count += 1) order.next(() => [...members]);
+    order.insert('late');
+    const rest = Array.from({ length: 51 }, () => order.next(() => [...members]));
+    expect(rest).to.include('late');
+    expect(new Set(rest).size).to.equal(51);
+  });
+
   it('a leaving daemon is out of the active list as soon as its word arrives, and never comes back', () => {
     const group = new Group(6);
     group.run(10_000);
