Newcomer's reading: one rule for members that are gone, names of promises that nothing used

Cause: two branches of the suspicion timer did the same, a summary and a timer spelled the same two states, the monitor named two promises that nothing reported, a comment named a fault that does not exist, and a method held one statement. Change: as said; behaviour is the same.

--- a/lab/engine-server.ts
+++ b/lab/engine-server.ts
@@ -25,7 +25,7 @@
   readonly promptHash: number;
 }
 
-/** Faults that a test can set: `slowFactor` stretches steps, `refuseControl` drops control requests. */
+/** Faults that a test can set: `slowFactor` stretches steps, `leaving` announces a leave. */
 interface EngineFaults {
   slowFactor?: number;
   leaving?: boolean;
--- a/simulation/monitor.ts
+++ b/simulation/monitor.ts
@@ -10,9 +10,7 @@
   | 'not-run-is-true'
   | 'at-most-once'
   | 'leaving-gets-no-work'
-  | 'planned-stop-cuts-nothing'
-  | 'configuration-in-force'
-  | 'limits-hold';
+  | 'configuration-in-force';
 
 /** A promise that was broken, and when. */
 export interface Violation {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -248,9 +248,7 @@
       const age = now - changedAt;
       if (member.state === 'suspect' && age > this.settings.suspicionMs * scale) {
         this.apply({ ...member, state: 'dead' }, now);
-      } else if (member.state === 'leaving' && age > this.settings.deadRetentionMs) {
-        this.forget(member.id);
-      } else if (member.state === 'dead' && age > this.settings.deadRetentionMs) {
+      } else if (isGone(member.state) && age > this.settings.deadRetentionMs) {
         this.forget(member.id);
       }
     }
@@ -344,7 +342,7 @@
   private digest(): number {
     let combined = 0;
     for (const { member } of this.records.values()) {
-      if (member.state === 'dead' || member.state === 'leaving') continue;
+      if (isGone(member.state)) continue;
       combined ^= hashText(`${member.id}/${member.incarnation}/${member.state}`);
     }
     return combined;
@@ -419,3 +417,8 @@
     this.emit({ kind: 'sendMembership', address, message });
   }
 }
+
+/** Whether a state is one from which the same process does not serve again, unless it refutes. */
+function isGone(state: MemberState): boolean {
+  return state === 'dead' || state === 'leaving';
+}
--- a/src/routing/completion-manager.ts
+++ b/src/routing/completion-manager.ts
@@ -144,8 +144,10 @@
   /** Advances timers and sends waiting work. */
   tick(now: number): void {
     for (const session of [...this.sessions.values()]) {
-      if (now >= session.deadlineAt) this.deadlinePassed(session, now);
-      else if (session.attempt) this.checkStall(session, session.attempt, now);
+      if (now >= session.deadlineAt) {
+        const { requestId } = session.request;
+        this.fail(session, new DeadlineExceededError(requestId, notRunOf(session)), now);
+      } else if (session.attempt) this.checkStall(session, session.attempt, now);
       else this.checkWait(session, now);
     }
     this.dispatch(now);
@@ -162,10 +164,6 @@
     this.fail(session, error, now);
   }
 
-  private deadlinePassed(session: Session, now: number): void {
-    this.fail(session, new DeadlineExceededError(session.request.requestId, notRunOf(session)), now);
-  }
-
   private checkStall(session: Session, attempt: LiveAttempt, now: number): void {
     if (now - attempt.lastEventAt < this.settings.attemptStallMs) return;
     this.emit({ kind: 'cancelAttempt', attemptId: attempt.attemptId, address: attempt.engine.address });
