--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import js from '@eslint/js';
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'bench-results/'] },
+  { ignores: ['dist/', 'target/', 'journal/', 'node_modules/', 'bench-results/'] },
   js.configs.recommended,
   ...tseslint.configs.recommended,
   {
--- /dev/null
+++ b/src/adapters/backend-client.ts
@@ -0,0 +1,287 @@
+/**
+ * Sends attempts to back ends over kept connections, one pool a back end's incarnation, and tells what became
+ * of each. It knows for certain whether a request was never written: then no connection came about.
+ */
+import { Pool, type Dispatcher } from 'undici';
+import type { AttemptStart, ForwardAttemptEvent, KvSource } from '../forwarding/forward-messages.js';
+import type { HealthProbe } from '../forwarding/health-prober.js';
+import type { BackendDialect, CallerHead, RawHeaders } from './backend-dialect.js';
+import { endToEndHeaders } from './http-headers.js';
+import { EventSplitter } from './event-splitter.js';
+
+/** A caller's request as it came. */
+export interface CallerRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: RawHeaders;
+  readonly head: CallerHead;
+  readonly body: Buffer;
+}
+
+/** Takes the parts of a streamed answer. */
+export interface StreamSink {
+  /** The head; called for the first back end only. */
+  head(status: number, headers: string[]): void;
+  /** Whole events. */
+  events(bytes: Buffer, lastEventId: string | undefined): void;
+  /** The id of the last event that was passed on. */
+  lastEventId(): string | undefined;
+}
+
+/** An answer that was kept until it was whole. */
+export interface KeptAnswer {
+  readonly status: number;
+  readonly headers: string[];
+  readonly body: Buffer;
+}
+
+/** Settings of the connections. */
+export interface BackendClientSettings {
+  /** A connection that does not come up within this time counts as refused. Milliseconds. */
+  readonly connectTimeoutMs: number;
+  /** Connections to one back end. */
+  readonly connectionsPerBackend: number;
+  /** A probe or a call that frees something is given up after this. Milliseconds. */
+  readonly callTimeoutMs: number;
+}
+
+const FIRST_ERROR_STATUS = 300;
+const FIRST_SUCCESS_STATUS = 200;
+const MAXIMUM_KEPT_BYTES = 16 * 1024 * 1024;
+/** An idle connection is dropped this long before the back end would close it. Milliseconds. */
+const KEEP_ALIVE_MARGIN_MS = 1000;
+const DEFAULT_KEEP_ALIVE_MS = 4000;
+const MAXIMUM_KEEP_ALIVE_MS = 30_000;
+
+/** The client of one daemon. */
+export class BackendClient {
+  private readonly pools = new Map<string, Pool>();
+  private readonly live = new Map<string, AttemptHandler>();
+
+  constructor(
+    private readonly dialect: BackendDialect,
+    private readonly settings: BackendClientSettings,
+  ) {}
+
+  /** Sends an attempt. `onEvent` is called until the attempt is over or aborted. */
+  start(
+    start: AttemptStart,
+    request: CallerRequest,
+    sink: StreamSink,
+    onEvent: (event: ForwardAttemptEvent) => void,
+  ): void {
+    const resumed: AttemptStart = { ...start, resumeAfter: sink.lastEventId() ?? start.resumeAfter };
+    const handler = new AttemptHandler(this.dialect, resumed, request, sink, (event) => {
+      if (event.kind !== 'streamStarted' && event.kind !== 'streamProgress' && event.kind !== 'whole')
+        this.live.delete(start.attemptId);
+      onEvent(event);
+    });
+    this.live.set(start.attemptId, handler);
+    const options: Dispatcher.DispatchOptions = {
+      path: request.path,
+      method: request.method as Dispatcher.HttpMethod,
+      headers: this.dialect.requestHeaders(request.headers, resumed),
+      body: request.body.length > 0 ? request.body : null,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    };
+    try {
+      this.pool(start.backend.id, start.backend.address).dispatch(options, handler);
+    } catch (error) {
+      handler.onResponseError(null, error as Error);
+    }
+  }
+
+  /** Gives an attempt up: its connection is closed, which tells the back end. */
+  abort(attemptId: string): void {
+    const handler = this.live.get(attemptId);
+    this.live.delete(attemptId);
+    handler?.abort();
+  }
+
+  /** Hands out the whole answer of an attempt, once. */
+  take(attemptId: string): KeptAnswer | undefined {
+    const handler = this.live.get(attemptId);
+    this.live.delete(attemptId);
+    return handler?.answer;
+  }
+
+  /** Frees an exported KV cache; whether it worked does not matter. */
+  freeKv(source: KvSource): void {
+    const call = this.dialect.freeKvCall(source);
+    this.call(source.address, source.address, call.method, call.path).catch(() => undefined);
+  }
+
+  /** Asks a back end for its health. */
+  async probe(probe: HealthProbe, healthPath: string): Promise<boolean> {
+    const { id, address } = probe.backend;
+    try {
+      const answer = await this.call(`probe ${id}`, address, 'GET', healthPath);
+      return this.dialect.healthy(answer.status, answer.headers, id);
+    } catch {
+      return false;
+    }
+  }
+
+  /** Connections to a back end that is gone are closed when their requests are over. */
+  forget(backendId: string): void {
+    for (const key of [backendId, `probe ${backendId}`]) {
+      const pool = this.pools.get(key);
+      this.pools.delete(key);
+      pool?.close().catch(() => undefined);
+    }
+  }
+
+  /** Closes every connection. */
+  async close(): Promise<void> {
+    await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
+  }
+
+  private async call(
+    key: string,
+    address: string,
+    method: string,
+    path: string,
+  ): Promise<{ status: number; headers: string[] }> {
+    const pool = this.pool(key, address);
+    const answer = await pool.request({
+      method: method as Dispatcher.HttpMethod,
+      path,
+      signal: AbortSignal.timeout(this.settings.callTimeoutMs),
+      responseHeaders: 'raw',
+    });
+    await answer.body.dump();
+    return { status: answer.statusCode, headers: answer.headers as unknown as string[] };
+  }
+
+  private pool(key: string, address: string): Pool {
+    let pool = this.pools.get(key);
+    if (!pool) {
+      pool = new Pool(`http://${address}`, {
+        connections: this.settings.connectionsPerBackend,
+        pipelining: 1,
+        connect: { timeout: this.settings.connectTimeoutMs },
+        keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
+        keepAliveMaxTimeout: MAXIMUM_KEEP_ALIVE_MS,
+        keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      });
+      this.pools.set(key, pool);
+    }
+    return pool;
+  }
+}
+
+/** Follows one attempt. undici calls its methods in order. */
+class AttemptHandler implements Dispatcher.DispatchHandler {
+  answer: KeptAnswer | undefined;
+  private controller: Dispatcher.DispatchController | undefined;
+  private written = false;
+  private finished = false;
+  private status = 0;
+  private headers: string[] = [];
+  private readonly chunks: Buffer[] = [];
+  private keptBytes = 0;
+  private splitter: EventSplitter | undefined;
+
+  constructor(
+    private readonly dialect: BackendDialect,
+    private readonly start: AttemptStart,
+    private readonly request: CallerRequest,
+    private readonly sink: StreamSink,
+    private readonly tell: (event: ForwardAttemptEvent) => void,
+  ) {}
+
+  /** Stops listening and closes the connection. */
+  abort(): void {
+    this.finished = true;
+    this.controller?.abort(new Error('aborted'));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.finished) controller.abort(new Error('aborted'));
+    else this.written = true;
+  }
+
+  onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+    if (status < FIRST_SUCCESS_STATUS || this.finished) return;
+    const raw = rawHeaders(controller);
+    this.status = status;
+    const head = this.dialect.answerHead(status, raw, this.request.head, this.start.prefillOnly);
+    if (head.kind === 'foreign') this.fail({ kind: 'broken', reason: head.reason });
+    else if (head.kind === 'notExecuted') {
+      this.finished = true;
+      this.tell({ kind: 'notExecuted', status, wrongIncarnation: head.wrongIncarnation });
+    } else {
+      this.headers = endToEndHeaders(raw, NO_HEADERS);
+      if (this.start.stream && status < FIRST_ERROR_STATUS && !this.start.prefillOnly) this.beginStream();
+    }
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.finished) return;
+    if (this.splitter) this.streamData(this.splitter, chunk);
+    else {
+      this.keptBytes += chunk.length;
+      if (this.keptBytes > MAXIMUM_KEPT_BYTES)
+        this.fail({ kind: 'broken', reason: 'the answer is too long' });
+      else this.chunks.push(Buffer.from(chunk));
+    }
+  }
+
+  onResponseEnd(): void {
+    if (this.finished) return;
+    this.finished = true;
+    const body = Buffer.concat(this.chunks);
+    if (this.start.prefillOnly) {
+      this.prefillEnded(body);
+      return;
+    }
+    if (this.splitter) {
+      const remainder = this.splitter.remainder();
+      if (remainder.length > 0) this.sink.events(remainder, undefined);
+    }
+    this.answer = { status: this.status, headers: this.headers, body };
+    this.tell({ kind: 'whole', status: this.status });
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController | null, error: Error): void {
+    if (this.finished) return;
+    this.finished = true;
+    const reason = (error as NodeJS.ErrnoException).code ?? error.message;
+    this.tell(this.written ? { kind: 'broken', reason } : { kind: 'unreachable', reason });
+  }
+
+  private streamData(splitter: EventSplitter, chunk: Buffer): void {
+    const batch = splitter.push(chunk);
+    if (!batch) return;
+    this.sink.events(batch.bytes, batch.lastEventId);
+    this.tell({ kind: 'streamProgress', lastEventId: batch.lastEventId });
+  }
+
+  private beginStream(): void {
+    this.splitter = new EventSplitter();
+    this.sink.head(this.status, this.headers);
+    this.tell({ kind: 'streamStarted' });
+  }
+
+  private prefillEnded(body: Buffer): void {
+    const handle = this.status === FIRST_SUCCESS_STATUS ? this.dialect.prefillHandle(body) : undefined;
+    if (handle === undefined) this.tell({ kind: 'broken', reason: `prefill answered ${this.status}` });
+    else this.tell({ kind: 'prefilled', handle });
+  }
+
+  private fail(event: ForwardAttemptEvent): void {
+    this.finished = true;
+    this.tell(event);
+    this.controller?.abort(new Error('not the answer'));
+  }
+}
+
+const NO_HEADERS: ReadonlySet<string> = new Set();
+
+function rawHeaders(controller: Dispatcher.DispatchController): string[] {
+  const raw = controller.rawHeaders;
+  if (!Array.isArray(raw)) return [];
+  return raw.map((value) => (typeof value === 'string' ? value : value.toString('latin1')));
+}
--- /dev/null
+++ b/src/adapters/backend-dialect.ts
@@ -0,0 +1,50 @@
+/**
+ * How requests and answers are written on a given platform: names of headers and of calls. Contract: pure
+ * translation; it keeps no state, takes no decision and never throws on what a peer sent.
+ */
+import type { AttemptStart, KvSource } from '../forwarding/forward-messages.js';
+import type { PromptOutline } from '../forwarding/forward-request.js';
+
+/** Header names and values in turn, as they came. */
+export type RawHeaders = readonly string[];
+
+/** What a caller's head says of its request. */
+export interface CallerHead {
+  readonly callerId: string;
+  /** How long the caller waits. Milliseconds. */
+  readonly deadlineMs: number | undefined;
+  readonly prompt: PromptOutline | undefined;
+  /** The caller continues a stream after this event. */
+  readonly lastEventId: string | undefined;
+}
+
+/** What the head of an answer means. */
+export type AnswerHead =
+  /** The back end's own answer to this request. */
+  | { readonly kind: 'genuine' }
+  /** The back end says that it did not run the request. */
+  | { readonly kind: 'notExecuted'; readonly wrongIncarnation: boolean }
+  /** It is no answer to this request. */
+  | { readonly kind: 'foreign'; readonly reason: string };
+
+/** A call without a body. */
+export interface PlainCall {
+  readonly method: string;
+  readonly path: string;
+}
+
+/** The dialect of one platform. */
+export interface BackendDialect {
+  /** Reads the head of a caller's request. */
+  callerHead(headers: RawHeaders): CallerHead;
+  /** The headers of the request that goes to the back end, end-to-end ones of the caller included. */
+  requestHeaders(callerHeaders: RawHeaders, start: AttemptStart): string[];
+  /** Judges the head of an answer to the caller's request, or to the prefill made for it. */
+  answerHead(status: number, headers: RawHeaders, callerHead: CallerHead, prefillOnly: boolean): AnswerHead;
+  /** The handle in the body of a prefill's answer; undefined when there is none. */
+  prefillHandle(body: Buffer): string | undefined;
+  /** The call that frees an exported KV cache. */
+  freeKvCall(source: KvSource): PlainCall;
+  /** Whether the answer to a health check comes from the incarnation and is good. */
+  healthy(status: number, headers: RawHeaders, incarnation: string): boolean;
+}
--- a/src/daemon/daemon-messages.ts
+++ b/src/daemon/daemon-messages.ts
@@ -9,6 +9,7 @@
   EngineReport,
 } from '../engine/engine-protocol.js';
 import type { PulleyledgeError } from '../errors/index.js';
+import type { FleetMessage } from '../fleet/fleet-messages.js';
 import type { LimitMessage } from '../limits/limit-messages.js';
 import type { MembershipMessage } from '../membership/membership-messages.js';
 import type { MachineListing } from '../platform/machine-list.js';
@@ -61,7 +62,8 @@
   | { readonly kind: 'demandReport'; readonly cell: string; readonly demands: readonly DemandEntry[] };
 
 /** Everything that daemons say to each other. */
-export type PeerMessage = MembershipMessage | ConfigurationMessage | LimitMessage | CellMessage;
+export type PeerMessage =
+  MembershipMessage | ConfigurationMessage | LimitMessage | CellMessage | FleetMessage;
 
 /** An operator's edit of one row. `row` is null to delete it. */
 export interface RowEdit {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -288,6 +288,11 @@
       case 'demandReport':
         this.cells.receive(fromId, message, now);
         break;
+      case 'loadDigest':
+      case 'recordsPull':
+      case 'recordsSnapshot':
+        // Only forwarding daemons use these.
+        break;
     }
   }
 
--- /dev/null
+++ b/src/daemon/forwarding-daemon.ts
@@ -0,0 +1,341 @@
+/**
+ * The state machine of a daemon that forwards requests by routes: membership, the replica of the configuration
+ * and of the back ends, and the forwarding machine. It reads no clock and opens no socket.
+ */
+import {
+  DEFAULT_FLEET_REPLICA_SETTINGS,
+  FleetReplica,
+  type FleetEffect,
+  type FleetReplicaSettings,
+} from '../fleet/fleet-replica.js';
+import type { RecordCollection, RecordRead, RecordReadResult } from '../fleet/record-store.js';
+import {
+  DEFAULT_PEER_EXCHANGE_SETTINGS,
+  PeerExchange,
+  type PeerExchangeSettings,
+} from '../fleet/peer-exchange.js';
+import { BackendDirectory } from '../forwarding/backend-directory.js';
+import {
+  BackendPicker,
+  DEFAULT_BACKEND_PICKER_SETTINGS,
+  type BackendPickerSettings,
+} from '../forwarding/backend-picker.js';
+import { DEFAULT_BACKEND_HEALTH_SETTINGS, type BackendHealthSettings } from '../forwarding/backend-view.js';
+import {
+  DEFAULT_FORWARD_SETTINGS,
+  ForwardManager,
+  type ForwardSettings,
+} from '../forwarding/forward-manager.js';
+import type { ForwardAttemptEvent, ForwardEffect } from '../forwarding/forward-messages.js';
+import type { ForwardRequest } from '../forwarding/forward-request.js';
+import { HealthProber, type HealthProbe } from '../forwarding/health-prober.js';
+import { PrefixIndex } from '../forwarding/prefix-index.js';
+import { RetryAllowance, type RetryAllowanceSettings } from '../forwarding/retry-allowance.js';
+import type { RouteConfiguration } from '../forwarding/route.js';
+import { RouteTable } from '../forwarding/route-table.js';
+import { initialMember } from '../membership/member-rules.js';
+import { Membership, type MembershipEffect } from '../membership/membership.js';
+import type { DaemonIdentity } from '../membership/membership-messages.js';
+import { DEFAULT_MEMBERSHIP_SETTINGS, type MembershipSettings } from '../membership/membership-settings.js';
+import type { RandomSource } from '../shared/random.js';
+import type { PeerMessage } from './daemon-messages.js';
+
+/** Settings of a forwarding daemon, by part. */
+export interface ForwardingDaemonSettings {
+  readonly membership: MembershipSettings;
+  readonly replica: FleetReplicaSettings;
+  readonly exchange: PeerExchangeSettings;
+  readonly health: BackendHealthSettings;
+  readonly picker: BackendPickerSettings;
+  readonly forward: ForwardSettings;
+  readonly retries: RetryAllowanceSettings;
+}
+
+/** Default settings; the budget of retries has none. */
+export const DEFAULT_FORWARDING_SETTINGS: Omit<ForwardingDaemonSettings, 'retries'> = {
+  membership: DEFAULT_MEMBERSHIP_SETTINGS,
+  replica: DEFAULT_FLEET_REPLICA_SETTINGS,
+  exchange: DEFAULT_PEER_EXCHANGE_SETTINGS,
+  health: DEFAULT_BACKEND_HEALTH_SETTINGS,
+  picker: DEFAULT_BACKEND_PICKER_SETTINGS,
+  forward: DEFAULT_FORWARD_SETTINGS,
+};
+
+/** What goes in. */
+export type ForwardingEvent =
+  | { readonly kind: 'tick' }
+  | {
+      readonly kind: 'peerMessage';
+      readonly fromId: string;
+      readonly fromAddress: string;
+      readonly message: PeerMessage;
+    }
+  | { readonly kind: 'recordsRead'; readonly collection: RecordCollection; readonly result: RecordReadResult }
+  | { readonly kind: 'submit'; readonly request: ForwardRequest }
+  | { readonly kind: 'cancel'; readonly requestId: string }
+  | {
+      readonly kind: 'attempt';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly event: ForwardAttemptEvent;
+    }
+  | { readonly kind: 'probed'; readonly backendId: string; readonly well: boolean }
+  | { readonly kind: 'beginDrain' };
+
+/** A change of what the daemon believes, for the log. */
+export interface BeliefEffect {
+  readonly kind: 'belief';
+  readonly event: BeliefEvent;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Stable names of changes of belief. */
+export type BeliefEvent =
+  | 'member.changed'
+  | 'configuration.changed'
+  | 'backend.changed'
+  | 'backend.removed'
+  | 'backend.recovered'
+  | 'store.lost'
+  | 'store.regained'
+  | 'drain.started';
+
+/** What comes out. */
+export type ForwardingEffect =
+  | ForwardEffect
+  | BeliefEffect
+  | { readonly kind: 'sendPeer'; readonly address: string; readonly message: PeerMessage }
+  | { readonly kind: 'readRecords'; readonly read: RecordRead }
+  | { readonly kind: 'probeBackend'; readonly probe: HealthProbe; readonly healthPath: string }
+  | { readonly kind: 'configurationInForce'; readonly configuration: RouteConfiguration }
+  | { readonly kind: 'backendGone'; readonly backendId: string };
+
+/** Daemons assumed to share the retry budget before any peer has answered. */
+const UNKNOWN_FLEET_SIZE = 32;
+/** Part of an engine's KV cache that one daemon counts on keeping the prefixes it sent. */
+const CACHE_SHARE = 0.5;
+
+/** The state machine of one forwarding daemon. Times are monotonic milliseconds. */
+export class ForwardingDaemon {
+  private outbox: ForwardingEffect[] = [];
+  private readonly membership: Membership;
+  private readonly replica: FleetReplica;
+  private readonly directory: BackendDirectory;
+  private readonly prefixes = new PrefixIndex(CACHE_SHARE);
+  private readonly manager: ForwardManager;
+  private readonly exchange: PeerExchange;
+  private readonly prober: HealthProber;
+  private routes: RouteTable | undefined;
+  private draining = false;
+
+  constructor(
+    private readonly identity: DaemonIdentity,
+    seeds: readonly string[],
+    settings: ForwardingDaemonSettings,
+    random: RandomSource,
+    now: number,
+  ) {
+    const emit = (effect: ForwardingEffect): void => void this.outbox.push(effect);
+    this.directory = new BackendDirectory(settings.health);
+    this.membership = new Membership(
+      initialMember(identity),
+      seeds,
+      settings.membership,
+      random,
+      (effect) => this.onMembership(effect),
+      now,
+    );
+    this.replica = new FleetReplica(settings.replica, random, (effect) => this.onFleet(effect), now);
+    const picker = new BackendPicker(settings.picker, identity.zone, this.directory, this.prefixes, random);
+    this.manager = new ForwardManager(
+      settings.forward,
+      {
+        routes: () => this.routes,
+        configurationMayBeStale: (at) => this.replica.configurationMayBeStale(at),
+        daemons: () => this.daemons(),
+      },
+      picker,
+      this.prefixes,
+      new RetryAllowance(settings.retries),
+      emit,
+    );
+    this.exchange = new PeerExchange(
+      settings.exchange,
+      this.replica,
+      this.directory,
+      () => this.peerAddresses(),
+      random,
+      ({ address, message }) => emit({ kind: 'sendPeer', address, message }),
+      now,
+    );
+    this.prober = new HealthProber(this.directory, (probe) => {
+      const healthPath = this.routes?.service(probe.backend.service)?.healthPath;
+      if (healthPath !== undefined) emit({ kind: 'probeBackend', probe, healthPath });
+    });
+  }
+
+  /** Handles one event and returns what is to be done, in order. */
+  handle(event: ForwardingEvent, now: number): ForwardingEffect[] {
+    this.dispatch(event, now);
+    const effects = this.outbox;
+    this.outbox = [];
+    return effects;
+  }
+
+  /** Whether callers should be sent here. */
+  ready(): boolean {
+    return !this.draining && this.routes !== undefined && this.replica.knowsBackends();
+  }
+
+  /** Requests in hand. */
+  requestsInHand(): number {
+    return this.manager.active();
+  }
+
+  /** The version of the configuration in force; -1 before the first. */
+  configurationVersion(): number {
+    return this.routes?.configuration.version ?? -1;
+  }
+
+  /** How long ago the store last confirmed the configuration. Milliseconds. */
+  configurationAgeMs(now: number): number {
+    return this.replica.ageMs('configuration', now);
+  }
+
+  /** Daemons believed to run, this one included. */
+  members(): number {
+    return this.membership.active().length;
+  }
+
+  private dispatch(event: ForwardingEvent, now: number): void {
+    switch (event.kind) {
+      case 'tick':
+        this.tick(now);
+        break;
+      case 'peerMessage':
+        this.receivePeer(event.fromId, event.fromAddress, event.message, now);
+        break;
+      case 'recordsRead':
+        this.replica.receive(event.collection, event.result, now);
+        break;
+      case 'submit':
+        this.manager.begin(event.request, now);
+        break;
+      case 'cancel':
+        this.manager.cancel(event.requestId, now);
+        break;
+      case 'attempt':
+        this.manager.attemptEvent(event.requestId, event.attemptId, event.event, now);
+        break;
+      case 'probed':
+        this.prober.answered(event.backendId, event.well, now);
+        if (event.well) this.believe('backend.recovered', { backend: event.backendId });
+        break;
+      case 'beginDrain':
+        this.beginDrain(now);
+        break;
+    }
+  }
+
+  private tick(now: number): void {
+    this.membership.tick(now);
+    this.replica.tick(now);
+    this.exchange.tick(now);
+    this.prober.tick(now);
+    this.manager.tick(now);
+  }
+
+  private receivePeer(fromId: string, fromAddress: string, message: PeerMessage, now: number): void {
+    switch (message.kind) {
+      case 'ping':
+      case 'ack':
+      case 'pingRequest':
+      case 'syncDigest':
+      case 'sync':
+        this.membership.receive(fromId, fromAddress, message, now);
+        break;
+      case 'loadDigest':
+      case 'recordsPull':
+      case 'recordsSnapshot':
+        this.exchange.receive(fromId, fromAddress, message, now);
+        break;
+      default:
+        break;
+    }
+  }
+
+  private beginDrain(now: number): void {
+    if (this.draining) return;
+    this.draining = true;
+    this.believe('drain.started', { requests: this.requestsInHand() });
+    this.membership.leave(now);
+  }
+
+  private daemons(): number {
+    if (!this.membership.joined()) return UNKNOWN_FLEET_SIZE;
+    return Math.max(this.membership.contact().known, this.membership.active().length);
+  }
+
+  private peerAddresses(): string[] {
+    const { id } = this.identity;
+    return this.membership
+      .active()
+      .filter((member) => member.id !== id)
+      .map((member) => member.address);
+  }
+
+  private onMembership(effect: MembershipEffect): void {
+    if (effect.kind === 'sendMembership') {
+      this.outbox.push({ kind: 'sendPeer', address: effect.address, message: effect.message });
+      return;
+    }
+    const { member, previous } = effect;
+    this.believe('member.changed', { member: member.id, state: member.state, previous });
+  }
+
+  private onFleet(effect: FleetEffect): void {
+    switch (effect.kind) {
+      case 'readRecords':
+        this.outbox.push(effect);
+        break;
+      case 'configurationChanged':
+        this.routes = new RouteTable(effect.configuration);
+        this.outbox.push({ kind: 'configurationInForce', configuration: effect.configuration });
+        this.believe('configuration.changed', {
+          version: effect.configuration.version,
+          source: effect.source,
+        });
+        break;
+      case 'backendChanged':
+        this.directory.put(effect.record);
+        this.believe('backend.changed', {
+          backend: effect.record.id,
+          state: effect.record.state,
+          stage: effect.record.stage,
+          revision: effect.revision,
+          source: effect.source,
+        });
+        break;
+      case 'backendRemoved':
+        this.directory.remove(effect.id);
+        this.prefixes.forget(effect.id);
+        this.outbox.push({ kind: 'backendGone', backendId: effect.id });
+        this.believe('backend.removed', {
+          backend: effect.id,
+          revision: effect.revision,
+          source: effect.source,
+        });
+        break;
+      case 'storeLost':
+        this.believe('store.lost', { collection: effect.collection, reason: effect.reason });
+        break;
+      case 'storeRegained':
+        this.believe('store.regained', { collection: effect.collection });
+        break;
+    }
+  }
+
+  private believe(event: BeliefEvent, fields: Readonly<Record<string, unknown>>): void {
+    this.outbox.push({ kind: 'belief', event, fields });
+  }
+}
--- /dev/null
+++ b/src/forwarding/backend-directory.ts
@@ -0,0 +1,105 @@
+/** All back ends that this daemon knows, by id and by service. */
+import type { BackendRecord } from './route.js';
+import { BackendView, type BackendHealthSettings } from './backend-view.js';
+
+/** One daemon's load on one back end in the form that travels: id, requests, prompt tokens, avoided (0 or 1). */
+export type BackendLoad = readonly [id: string, inFlight: number, pendingTokens: number, avoided: number];
+
+interface PeerDigest {
+  readonly loads: ReadonlyMap<string, BackendLoad>;
+  readonly at: number;
+}
+
+/** A peer's digest counts for this long. Milliseconds. */
+const DIGEST_LIFETIME_MS = 2000;
+
+/** The directory of one daemon. Times are monotonic milliseconds. */
+export class BackendDirectory {
+  private readonly views = new Map<string, BackendView>();
+  private readonly byService = new Map<string, BackendView[]>();
+  private readonly digests = new Map<string, PeerDigest>();
+
+  constructor(private readonly settings: BackendHealthSettings) {}
+
+  /** Takes the present record of a back end. */
+  put(record: BackendRecord): void {
+    const known = this.views.get(record.id);
+    if (known) {
+      known.record = record;
+      return;
+    }
+    const view = new BackendView(record, this.settings);
+    this.views.set(record.id, view);
+    const views = this.byService.get(record.service) ?? [];
+    views.push(view);
+    this.byService.set(record.service, views);
+  }
+
+  /** Forgets a back end whose record is gone. Attempts that run there end by themselves. */
+  remove(id: string): BackendView | undefined {
+    const view = this.views.get(id);
+    if (!view) return undefined;
+    view.gone = true;
+    this.views.delete(id);
+    const others = (this.byService.get(view.record.service) ?? []).filter((other) => other !== view);
+    this.byService.set(view.record.service, others);
+    return view;
+  }
+
+  /** The back end with this id. */
+  get(id: string): BackendView | undefined {
+    return this.views.get(id);
+  }
+
+  /** Every back end of a service. */
+  ofService(service: string): readonly BackendView[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  /** Every back end. */
+  all(): IterableIterator<BackendView> {
+    return this.views.values();
+  }
+
+  /** Takes what another daemon says of its load. */
+  applyDigest(peerId: string, loads: readonly BackendLoad[], now: number): void {
+    this.digests.set(peerId, { loads: new Map(loads.map((load) => [load[0], load])), at: now });
+    this.sumPeers(now);
+  }
+
+  /** Forgets digests that are too old. */
+  expireDigests(now: number): void {
+    for (const [peerId, digest] of this.digests) {
+      if (now - digest.at > DIGEST_LIFETIME_MS) this.digests.delete(peerId);
+    }
+    this.sumPeers(now);
+  }
+
+  /** This daemon's own load, for its peers: back ends with work or trouble only. */
+  ownLoads(now: number): BackendLoad[] {
+    const loads: BackendLoad[] = [];
+    for (const view of this.views.values()) {
+      const avoided = view.avoided(now) ? 1 : 0;
+      const inFlight = view.ownInFlight();
+      if (inFlight + avoided > 0)
+        loads.push([view.record.id, inFlight, Math.round(view.ownPromptTokens()), avoided]);
+    }
+    return loads;
+  }
+
+  private sumPeers(now: number): void {
+    for (const view of this.views.values()) {
+      let inFlight = 0;
+      let pendingTokens = 0;
+      let avoiding = 0;
+      for (const digest of this.digests.values()) {
+        const load = digest.loads.get(view.record.id);
+        if (!load || now - digest.at > DIGEST_LIFETIME_MS) continue;
+        inFlight += load[1];
+        pendingTokens += load[2];
+        avoiding += load[3];
+      }
+      view.peers = { inFlight, pendingTokens, avoided: avoiding > 0 };
+    }
+  }
+}
--- /dev/null
+++ b/src/forwarding/backend-picker.ts
@@ -0,0 +1,166 @@
+/**
+ * Chooses the back end of an attempt. Plain back ends: the least loaded of a few drawn. Model engines: the one
+ * where the prompt is computed soonest, counting the tokens that wait there and those that its KV cache saves.
+ */
+import type { RandomSource } from '../shared/random.js';
+import { rankByRendezvous } from '../shared/rendezvous-hash.js';
+import type { BackendDirectory } from './backend-directory.js';
+import type { BackendView } from './backend-view.js';
+import { sharedKey, sharedTokens, type PromptOutline } from './forward-request.js';
+import type { PrefixIndex } from './prefix-index.js';
+
+/** Settings of the choice. */
+export interface BackendPickerSettings {
+  /** Back ends drawn for a choice among many. Default 3. */
+  readonly draws: number;
+  /** Shared prompts of at least so many tokens have a home. Default 1000. */
+  readonly minimumAffinityTokens: number;
+  /** How much slower a decode engine computes prompts than a prefill engine. Default 2. */
+  readonly decodePromptFactor: number;
+  /** What one request on an engine costs another, in prompt tokens. Default 60. */
+  readonly requestCostTokens: number;
+  /** What moving a KV cache costs, as a share of its tokens. Default 0.15. */
+  readonly transferShare: number;
+  /** What another zone costs, in requests per slot for plain back ends. Default 0.1. */
+  readonly otherZoneCost: number;
+}
+
+/** Default settings. */
+export const DEFAULT_BACKEND_PICKER_SETTINGS: BackendPickerSettings = {
+  draws: 3,
+  minimumAffinityTokens: 1000,
+  decodePromptFactor: 2,
+  requestCostTokens: 60,
+  transferShare: 0.15,
+  otherZoneCost: 0.1,
+};
+
+/** Where an attempt goes. */
+export interface BackendPlan {
+  readonly backend: BackendView;
+  /** Prompt tokens that are expected to be computed there. */
+  readonly promptTokens: number;
+  /** The prompt is only computed there and generated elsewhere. */
+  readonly prefillOnly: boolean;
+}
+
+/** What is wanted of a choice. */
+export interface BackendWanted {
+  readonly service: string;
+  readonly prompt: PromptOutline | undefined;
+  /** The KV cache exists already: only a decode engine will do. */
+  readonly prefilled: boolean;
+  /** Back ends that this request has been sent to. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** Chooses back ends. */
+export class BackendPicker {
+  constructor(
+    private readonly settings: BackendPickerSettings,
+    private readonly ownZone: string,
+    private readonly directory: BackendDirectory,
+    private readonly prefixes: PrefixIndex,
+    private readonly random: RandomSource,
+  ) {}
+
+  /** The best plan, or undefined when no back end of the service takes work. */
+  pick(wanted: BackendWanted, now: number): BackendPlan | undefined {
+    const candidates = this.candidates(wanted, now);
+    if (candidates.length === 0) return undefined;
+    const { prompt } = wanted;
+    const engines = candidates.some((view) => view.record.stage !== undefined);
+    if (!prompt || !engines) return this.pickPlain(candidates);
+    if (wanted.prefilled) return this.pickDecode(candidates);
+    return this.pickForPrompt(prompt, candidates);
+  }
+
+  /** Those that may take the request; the ones in trouble only when there is no other. */
+  private candidates(wanted: BackendWanted, now: number): BackendView[] {
+    const able = this.directory
+      .ofService(wanted.service)
+      .filter((view) => view.takesWork() && !wanted.excluded.has(view.record.id));
+    const sound = able.filter((view) => !view.avoided(now));
+    const trusted = sound.filter((view) => !view.peers.avoided);
+    if (trusted.length > 0) return trusted;
+    return sound.length > 0 ? sound : able;
+  }
+
+  private pickPlain(candidates: readonly BackendView[]): BackendPlan {
+    const backend = this.leastOf(candidates, (view) => {
+      const far = view.record.zone === this.ownZone ? 0 : this.settings.otherZoneCost;
+      return view.inFlight() / Math.max(1, view.record.slots) + far;
+    });
+    return { backend, promptTokens: 0, prefillOnly: false };
+  }
+
+  private pickDecode(candidates: readonly BackendView[]): BackendPlan | undefined {
+    const decodes = candidates.filter((view) => view.record.stage !== 'prefill');
+    if (decodes.length === 0) return undefined;
+    const backend = this.leastOf(decodes, (view) => this.waitingCost(view));
+    return { backend, promptTokens: 0, prefillOnly: false };
+  }
+
+  private pickForPrompt(prompt: PromptOutline, candidates: readonly BackendView[]): BackendPlan | undefined {
+    const shared = sharedTokens(prompt);
+    const decodes = candidates.filter((view) => view.record.stage !== 'prefill');
+    if (decodes.length === 0) return undefined;
+    if (
+      shared < this.settings.minimumAffinityTokens &&
+      prompt.promptTokens < 4 * this.settings.minimumAffinityTokens
+    ) {
+      const backend = this.leastOf(decodes, (view) => this.waitingCost(view));
+      return { backend, promptTokens: prompt.promptTokens, prefillOnly: false };
+    }
+    return this.pickWithAffinity(prompt, shared, candidates);
+  }
+
+  /** Every engine is weighed: the home of the shared parts saves their tokens, others must compute them. */
+  private pickWithAffinity(
+    prompt: PromptOutline,
+    shared: number,
+    candidates: readonly BackendView[],
+  ): BackendPlan {
+    const key = sharedKey(prompt);
+    const ids = candidates.map((view) => view.record.id);
+    const home = shared >= this.settings.minimumAffinityTokens ? rankByRendezvous(key, ids, 1)[0] : undefined;
+    let best: BackendPlan | undefined;
+    let bestCost = Infinity;
+    for (const backend of candidates) {
+      const cached = backend.record.id === home || this.prefixes.has(backend.record.id, key);
+      const promptTokens = prompt.promptTokens - (cached ? shared : 0);
+      const prefillOnly = backend.record.stage === 'prefill';
+      const cost = this.promptCost(backend, promptTokens, prompt.promptTokens);
+      if (cost >= bestCost) continue;
+      bestCost = cost;
+      best = { backend, promptTokens, prefillOnly };
+    }
+    return best as BackendPlan;
+  }
+
+  /** Time to the first token, in tokens of a prefill engine. */
+  private promptCost(view: BackendView, computed: number, whole: number): number {
+    if (view.record.stage === 'prefill')
+      return this.waitingCost(view) + computed + whole * this.settings.transferShare;
+    return this.waitingCost(view) + computed * this.settings.decodePromptFactor;
+  }
+
+  private waitingCost(view: BackendView): number {
+    const factor = view.record.stage === 'prefill' ? 1 : this.settings.decodePromptFactor;
+    return view.pendingTokens() * factor + view.inFlight() * this.settings.requestCostTokens;
+  }
+
+  private leastOf(candidates: readonly BackendView[], cost: (view: BackendView) => number): BackendView {
+    const drawn =
+      candidates.length <= this.settings.draws
+        ? candidates
+        : Array.from({ length: this.settings.draws }, () => candidates[this.random.below(candidates.length)]);
+    const offset = this.random.below(drawn.length);
+    let best = drawn[offset];
+    for (let index = 1; index < drawn.length; index += 1) {
+      const view = drawn[(offset + index) % drawn.length];
+      if (cost(view) < cost(best)) best = view;
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/src/forwarding/backend-view.ts
@@ -0,0 +1,159 @@
+/** One incarnation of a back end as this daemon sees it: its record, the load put on it, and how it behaves. */
+import type { BackendRecord } from './route.js';
+
+/** How a back end's failures are judged. */
+export interface BackendHealthSettings {
+  /** A back end whose failure share rises above this is avoided. Default 0.3. */
+  readonly ejectFailureShare: number;
+  /** Outcomes that one failure share looks back on, about. Default 6. */
+  readonly failureMemory: number;
+  /** How long a back end is avoided at first; doubled while it goes on failing. Milliseconds. Default 1000. */
+  readonly ejectionMs: number;
+  /** The longest such time. Milliseconds. Default 4000. */
+  readonly maximumEjectionMs: number;
+  /** A back end that has answered nothing for so long while work waits there is avoided. Milliseconds. Default 500. */
+  readonly silenceMs: number;
+}
+
+/** Default settings. */
+export const DEFAULT_BACKEND_HEALTH_SETTINGS: BackendHealthSettings = {
+  ejectFailureShare: 0.3,
+  failureMemory: 6,
+  ejectionMs: 1000,
+  maximumEjectionMs: 4000,
+  silenceMs: 500,
+};
+
+/** What other daemons say of a back end. */
+export interface PeerLoad {
+  readonly inFlight: number;
+  readonly pendingTokens: number;
+  readonly avoided: boolean;
+}
+
+interface SentAttempt {
+  readonly sentAt: number;
+  /** Prompt tokens to be computed there. */
+  readonly promptTokens: number;
+  answering: boolean;
+}
+
+/** The state of one back end. Times are monotonic milliseconds. */
+export class BackendView {
+  /** The incarnation has ended or its address belongs to another one. */
+  gone = false;
+  /** Sums over the other daemons' last digests. */
+  peers: PeerLoad = { inFlight: 0, pendingTokens: 0, avoided: false };
+  private readonly attempts = new Map<string, SentAttempt>();
+  private ownPendingTokens = 0;
+  private failureShare = 0;
+  private ejectedUntil = -Infinity;
+  private ejections = 0;
+  private lastHeardAt = -Infinity;
+  private unreachable = false;
+
+  constructor(
+    public record: BackendRecord,
+    private readonly settings: BackendHealthSettings,
+  ) {}
+
+  /** Counts an attempt with so many prompt tokens to compute. */
+  begin(attemptId: string, promptTokens: number, now: number): void {
+    this.attempts.set(attemptId, { sentAt: now, promptTokens, answering: false });
+    this.ownPendingTokens += promptTokens;
+  }
+
+  /** The attempt has begun to answer: its prompt is computed. */
+  answering(attemptId: string, now: number): void {
+    this.lastHeardAt = now;
+    const attempt = this.attempts.get(attemptId);
+    if (!attempt || attempt.answering) return;
+    attempt.answering = true;
+    this.ownPendingTokens -= attempt.promptTokens;
+  }
+
+  /** The attempt is over. */
+  end(attemptId: string): void {
+    const attempt = this.attempts.get(attemptId);
+    if (!attempt) return;
+    this.attempts.delete(attemptId);
+    if (!attempt.answering) this.ownPendingTokens -= attempt.promptTokens;
+  }
+
+  /** The back end answered as it should. */
+  succeeded(now: number): void {
+    this.lastHeardAt = now;
+    this.unreachable = false;
+    this.failureShare -= this.failureShare / this.settings.failureMemory;
+    if (this.failureShare < this.settings.ejectFailureShare / 2) this.ejections = 0;
+  }
+
+  /** The back end failed a request, turned it away though it should have room, or broke off. */
+  failed(now: number): void {
+    this.lastHeardAt = now;
+    this.failureShare += (1 - this.failureShare) / this.settings.failureMemory;
+    if (this.failureShare >= this.settings.ejectFailureShare) this.eject(now);
+  }
+
+  /** No connection could be made, or it stayed silent: nothing more is sent there until it answers a probe. */
+  lost(now: number): void {
+    this.unreachable = true;
+    this.eject(now);
+  }
+
+  /** A probe was answered well. */
+  recovered(now: number): void {
+    this.lastHeardAt = now;
+    this.unreachable = false;
+    this.ejectedUntil = Math.min(this.ejectedUntil, now);
+  }
+
+  /** Whether nothing should be sent there while another back end can take it. */
+  avoided(now: number): boolean {
+    return this.unreachable || now < this.ejectedUntil || this.silent(now);
+  }
+
+  /** Whether only a probe can tell that the back end works again. */
+  needsProbe(now: number): boolean {
+    return this.unreachable || this.silent(now);
+  }
+
+  /** Whether new work may go there at all. */
+  takesWork(): boolean {
+    return !this.gone && this.record.state === 'ready';
+  }
+
+  /** Attempts of this daemon. */
+  ownInFlight(): number {
+    return this.attempts.size;
+  }
+
+  /** Attempts of all daemons, as far as they have told. */
+  inFlight(): number {
+    return this.attempts.size + this.peers.inFlight;
+  }
+
+  /** Prompt tokens that this daemon has sent and that are still to be computed. */
+  ownPromptTokens(): number {
+    return Math.max(0, this.ownPendingTokens);
+  }
+
+  /** The same over all daemons. */
+  pendingTokens(): number {
+    return this.ownPromptTokens() + this.peers.pendingTokens;
+  }
+
+  private silent(now: number): boolean {
+    let oldest = Infinity;
+    for (const attempt of this.attempts.values())
+      if (!attempt.answering) oldest = Math.min(oldest, attempt.sentAt);
+    return now - Math.max(oldest, this.lastHeardAt) > this.settings.silenceMs;
+  }
+
+  private eject(now: number): void {
+    if (now < this.ejectedUntil) return;
+    const { ejectionMs, maximumEjectionMs } = this.settings;
+    this.ejectedUntil = now + Math.min(maximumEjectionMs, ejectionMs * 2 ** this.ejections);
+    this.ejections += 1;
+  }
+}
--- /dev/null
+++ b/src/forwarding/forward-manager.ts
@@ -0,0 +1,451 @@
+/**
+ * Forwards requests byte for byte: finds the route, chooses back ends, repeats what may be repeated within the
+ * shared retry budget, and sees that every request has exactly one answer. One session per request, at most one
+ * live attempt per session. A request that may not be repeated runs at most once, and is refused as "not run"
+ * only when no back end can have seen it.
+ */
+import type { EffectSink } from '../shared/effect-sink.js';
+import type { BackendPicker, BackendPlan } from './backend-picker.js';
+import type { BackendView } from './backend-view.js';
+import { sharedKey, sharedTokens, type ForwardRequest } from './forward-request.js';
+import type { ForwardAttemptEvent, ForwardEffect, ForwardFailure } from './forward-messages.js';
+import { mayRunAgain, type LiveAttempt, type Session } from './forward-session.js';
+import type { PrefixIndex } from './prefix-index.js';
+import type { RetryAllowance } from './retry-allowance.js';
+import type { RouteTable } from './route-table.js';
+import { WeightedChoice } from './weighted-choice.js';
+
+/** Settings of forwarding. */
+export interface ForwardSettings {
+  /** A repeatable request without the beginning of an answer is moved after this share of its target. Default 1.5. */
+  readonly stallTargetShare: number;
+  /** The same at least. Milliseconds. Default 400. */
+  readonly minimumStallMs: number;
+  /** A resumable stream without an event for so many target gaps is moved. Default 6. */
+  readonly stallGaps: number;
+  /** Back ends tried for one request that none of them ran. Default 3. */
+  readonly maximumSends: number;
+  /** When a refused caller should come back at the earliest. Milliseconds. Default 100. */
+  readonly retryAfterMs: number;
+  /** Requests that may be on a plain back end, as a share of its slots, before more are refused. Default 4. */
+  readonly plainSlotShare: number;
+}
+
+/** Default settings. */
+export const DEFAULT_FORWARD_SETTINGS: ForwardSettings = {
+  stallTargetShare: 1.5,
+  minimumStallMs: 400,
+  stallGaps: 6,
+  maximumSends: 3,
+  retryAfterMs: 100,
+  plainSlotShare: 4,
+};
+
+/** What the machine asks about its surroundings. */
+export interface ForwardSurroundings {
+  /** The routes in force; undefined before the first configuration. */
+  routes(): RouteTable | undefined;
+  /** Whether the configuration may be out of date, so that a missing route proves nothing. */
+  configurationMayBeStale(now: number): boolean;
+  /** Daemons that share the retry budget. */
+  daemons(): number;
+}
+
+const STATUS_NOT_FOUND = 404;
+const STATUS_BROKEN = 502;
+const STATUS_UNAVAILABLE = 503;
+const STATUS_DEADLINE = 504;
+const FIRST_SERVER_ERROR = 500;
+
+/** The forwarding machine of one daemon. Times are monotonic milliseconds. */
+export class ForwardManager {
+  private readonly sessions = new Map<string, Session>();
+  private readonly split = new WeightedChoice();
+
+  constructor(
+    private readonly settings: ForwardSettings,
+    private readonly surroundings: ForwardSurroundings,
+    private readonly picker: BackendPicker,
+    private readonly prefixes: PrefixIndex,
+    private readonly allowance: RetryAllowance,
+    private readonly emit: EffectSink<ForwardEffect>,
+  ) {}
+
+  /** Requests in hand. */
+  active(): number {
+    return this.sessions.size;
+  }
+
+  /** Takes a whole request from a caller. */
+  begin(request: ForwardRequest, now: number): void {
+    const routes = this.surroundings.routes();
+    if (!routes) {
+      this.refuse(request, STATUS_UNAVAILABLE, 'no-configuration', this.settings.retryAfterMs, now);
+      return;
+    }
+    const route = routes.match(request.host, request.path);
+    const service = route && this.split.next(route);
+    if (!route || service === undefined) {
+      this.noRoute(request, now);
+      return;
+    }
+    const allowedMs = Math.min(route.timeoutMs, request.callerDeadlineMs ?? Infinity);
+    const session: Session = {
+      request,
+      route,
+      service,
+      deadlineAt: request.arrivedAt + allowedMs,
+      excluded: new Set(),
+      attempt: undefined,
+      sends: 0,
+      arrivals: 0,
+      runs: 0,
+      mayHaveRun: false,
+      relaying: false,
+      lastEventId: undefined,
+      kvSource: undefined,
+    };
+    this.sessions.set(request.id, session);
+    this.allowance.requestSeen(service, now);
+    this.decide('request.accepted', session, {
+      route: route.name,
+      service,
+      configuration: routes.configuration.version,
+    });
+    this.send(session, now);
+  }
+
+  /** The caller went away: the work is cancelled. */
+  cancel(requestId: string, now: number): void {
+    const session = this.sessions.get(requestId);
+    if (!session) return;
+    this.decide('request.cancelled', session, { afterMs: Math.round(now - session.request.arrivedAt) });
+    this.stopAttempt(session);
+    this.over(session);
+  }
+
+  /** Takes what became of an attempt. Events of attempts that are no longer live are dropped. */
+  attemptEvent(requestId: string, attemptId: string, event: ForwardAttemptEvent, now: number): void {
+    const session = this.sessions.get(requestId);
+    const attempt = session?.attempt;
+    if (!session || attempt?.attemptId !== attemptId) return;
+    attempt.lastEventAt = now;
+    switch (event.kind) {
+      case 'unreachable':
+        this.unreachable(session, attempt, event.reason, now);
+        break;
+      case 'notExecuted':
+        this.notExecuted(session, attempt, event.status, event.wrongIncarnation, now);
+        break;
+      case 'prefilled':
+        this.prefilled(session, attempt, event.handle, now);
+        break;
+      case 'streamStarted':
+        this.streamStarted(session, attempt, now);
+        break;
+      case 'streamProgress':
+        attempt.plan.backend.answering(attempt.attemptId, now);
+        if (event.lastEventId !== undefined) session.lastEventId = event.lastEventId;
+        break;
+      case 'whole':
+        this.whole(session, attempt, event.status, now);
+        break;
+      case 'broken':
+        this.broken(session, attempt, event.reason, now);
+        break;
+    }
+  }
+
+  /** Advances timers. */
+  tick(now: number): void {
+    for (const session of [...this.sessions.values()]) {
+      if (now >= session.deadlineAt) this.deadline(session, now);
+      else if (session.attempt && this.stalled(session, session.attempt, now))
+        this.moveAway(session, session.attempt, now);
+    }
+  }
+
+  /** When the next deadline is due; Infinity when there is none. */
+  nextDeadline(): number {
+    let next = Infinity;
+    for (const session of this.sessions.values()) next = Math.min(next, session.deadlineAt);
+    return next;
+  }
+
+  private noRoute(request: ForwardRequest, now: number): void {
+    if (this.surroundings.configurationMayBeStale(now)) {
+      this.refuse(request, STATUS_UNAVAILABLE, 'stale-configuration', this.settings.retryAfterMs, now);
+    } else this.refuse(request, STATUS_NOT_FOUND, 'no-route', undefined, now);
+  }
+
+  private send(session: Session, now: number): void {
+    const { request, route } = session;
+    const wanted = {
+      service: session.service,
+      prompt: request.prompt,
+      prefilled: session.kvSource !== undefined,
+      excluded: session.excluded,
+    };
+    const plan = this.picker.pick(wanted, now);
+    if (!plan) {
+      this.failNotServed(session, 'no-backend', now);
+      return;
+    }
+    if (this.isFull(plan)) {
+      this.failNotServed(session, 'overloaded', now);
+      return;
+    }
+    session.sends += 1;
+    if (session.arrivals > 0) this.decide('request.resumed', session, { sends: session.sends });
+    const attemptId = `${request.id}/${session.sends}`;
+    const { backend } = plan;
+    session.attempt = { attemptId, plan, startedAt: now, lastEventAt: now, answering: false };
+    backend.begin(attemptId, session.kvSource ? 0 : plan.promptTokens, now);
+    this.decide('request.attempt', session, {
+      backend: backend.record.id,
+      stage: plan.prefillOnly ? 'prefill' : session.kvSource ? 'generate' : 'whole',
+      inFlight: backend.inFlight(),
+      pendingTokens: Math.round(backend.pendingTokens()),
+      remainingMs: Math.round(session.deadlineAt - now),
+    });
+    this.emit({
+      kind: 'startAttempt',
+      start: {
+        requestId: request.id,
+        attemptId,
+        backend: backend.record,
+        prefillOnly: plan.prefillOnly,
+        kvSource: session.kvSource,
+        remainingMs: Math.max(1, Math.floor(session.deadlineAt - now)),
+        priority: route.priority,
+        stream: route.kind === 'stream',
+        resumeAfter: session.lastEventId,
+      },
+    });
+  }
+
+  private isFull(plan: BackendPlan): boolean {
+    const { record } = plan.backend;
+    if (record.stage !== undefined) return false;
+    return plan.backend.inFlight() >= record.slots * this.settings.plainSlotShare;
+  }
+
+  private unreachable(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
+    attempt.plan.backend.lost(now);
+    this.endAttempt(session, attempt);
+    session.excluded.add(attempt.plan.backend.record.id);
+    this.decide('request.attempt-failed', session, { backend: attempt.plan.backend.record.id, reason });
+    this.sendAgain(session, 'unreachable', now);
+  }
+
+  private notExecuted(
+    session: Session,
+    attempt: LiveAttempt,
+    status: number,
+    wrongIncarnation: boolean,
+    now: number,
+  ): void {
+    const { backend } = attempt.plan;
+    if (wrongIncarnation) backend.gone = true;
+    else backend.failed(now);
+    this.endAttempt(session, attempt);
+    session.arrivals += 1;
+    session.excluded.add(backend.record.id);
+    if (session.kvSource) this.dropKv(session);
+    this.decide('request.turned-away', session, { backend: backend.record.id, status, wrongIncarnation });
+    if (!this.mayRepeat(session, now)) this.failNotServed(session, 'turned-away', now);
+    else this.sendAgain(session, 'turned-away', now);
+  }
+
+  private prefilled(session: Session, attempt: LiveAttempt, handle: string, now: number): void {
+    const { backend } = attempt.plan;
+    backend.answering(attempt.attemptId, now);
+    backend.succeeded(now);
+    this.endAttempt(session, attempt);
+    this.promptComputed(session, backend);
+    session.kvSource = { address: backend.record.address, handle };
+    this.decide('request.prefilled', session, {
+      backend: backend.record.id,
+      afterMs: Math.round(now - attempt.startedAt),
+    });
+    this.send(session, now);
+  }
+
+  private streamStarted(session: Session, attempt: LiveAttempt, now: number): void {
+    attempt.answering = true;
+    attempt.plan.backend.answering(attempt.attemptId, now);
+    session.relaying = true;
+    session.mayHaveRun = true;
+    if (session.kvSource) session.kvSource = undefined;
+    else this.promptComputed(session, attempt.plan.backend);
+  }
+
+  private whole(session: Session, attempt: LiveAttempt, status: number, now: number): void {
+    const { backend } = attempt.plan;
+    session.arrivals += 1;
+    session.runs += 1;
+    session.mayHaveRun = true;
+    this.endAttempt(session, attempt);
+    const failed = status >= FIRST_SERVER_ERROR;
+    if (failed) backend.failed(now);
+    else backend.succeeded(now);
+    if (failed && mayRunAgain(session) && this.mayRepeat(session, now)) {
+      this.decide('request.attempt-failed', session, { backend: backend.record.id, status });
+      session.excluded.add(backend.record.id);
+      this.send(session, now);
+      return;
+    }
+    this.emit({ kind: 'replyWhole', requestId: session.request.id, attemptId: attempt.attemptId });
+    this.decide('request.answered', session, {
+      backend: backend.record.id,
+      status,
+      afterMs: Math.round(now - session.request.arrivedAt),
+      sends: session.sends,
+    });
+    this.over(session);
+  }
+
+  /** The back end may have worked: repeat only what may be repeated. */
+  private broken(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
+    const { backend } = attempt.plan;
+    backend.failed(now);
+    this.endAttempt(session, attempt);
+    session.arrivals += 1;
+    session.excluded.add(backend.record.id);
+    this.decide('request.attempt-failed', session, { backend: backend.record.id, reason });
+    if (attempt.plan.prefillOnly) {
+      if (this.mayRepeat(session, now)) this.sendAgain(session, 'turned-away', now);
+      else this.failNotServed(session, 'turned-away', now);
+      return;
+    }
+    session.runs += 1;
+    session.mayHaveRun = true;
+    session.kvSource = undefined;
+    if (mayRunAgain(session) && this.mayRepeat(session, now)) {
+      this.sendAgain(session, 'broken', now);
+      return;
+    }
+    this.fail(session, STATUS_BROKEN, 'broken', undefined, now);
+  }
+
+  private deadline(session: Session, now: number): void {
+    const notRun = !session.attempt && !session.mayHaveRun;
+    if (session.attempt && !session.attempt.answering) session.attempt.plan.backend.failed(now);
+    this.stopAttempt(session);
+    if (notRun) this.fail(session, STATUS_UNAVAILABLE, 'deadline', this.settings.retryAfterMs, now);
+    else this.fail(session, STATUS_DEADLINE, 'deadline', undefined, now);
+  }
+
+  private stalled(session: Session, attempt: LiveAttempt, now: number): boolean {
+    const { route } = session;
+    if (!attempt.plan.prefillOnly && !mayRunAgain(session)) return false;
+    const quietMs = now - attempt.lastEventAt;
+    if (attempt.answering) return quietMs > route.targetGapMs * this.settings.stallGaps;
+    return (
+      quietMs > Math.max(this.settings.minimumStallMs, route.targetLatencyMs * this.settings.stallTargetShare)
+    );
+  }
+
+  private moveAway(session: Session, attempt: LiveAttempt, now: number): void {
+    if (this.allowance.left(session.service, this.surroundings.daemons(), now) < 1) return;
+    this.emit({ kind: 'abortAttempt', attemptId: attempt.attemptId });
+    this.broken(session, attempt, 'stalled', now);
+  }
+
+  /** Takes one repeat of the budget, when another send makes sense at all. */
+  private mayRepeat(session: Session, now: number): boolean {
+    if (session.sends >= this.settings.maximumSends || now >= session.deadlineAt) return false;
+    return this.allowance.tryRepeat(session.service, this.surroundings.daemons(), now);
+  }
+
+  private sendAgain(session: Session, failure: ForwardFailure, now: number): void {
+    if (session.sends >= this.settings.maximumSends || now >= session.deadlineAt)
+      this.failNotServed(session, failure, now);
+    else this.send(session, now);
+  }
+
+  /** No back end took it: refused as not run when that is certain. */
+  private failNotServed(session: Session, failure: ForwardFailure, now: number): void {
+    if (session.mayHaveRun) this.fail(session, STATUS_BROKEN, failure, undefined, now);
+    else this.fail(session, STATUS_UNAVAILABLE, failure, this.settings.retryAfterMs, now);
+  }
+
+  private fail(
+    session: Session,
+    status: number,
+    failure: ForwardFailure,
+    retryAfterMs: number | undefined,
+    now: number,
+  ): void {
+    const { request } = session;
+    if (session.relaying) {
+      this.emit({ kind: 'replyBroken', requestId: request.id });
+      this.decide('request.failed', session, {
+        failure,
+        sends: session.sends,
+        afterMs: Math.round(now - request.arrivedAt),
+      });
+    } else this.refuse(request, status, failure, retryAfterMs, now, session);
+    this.over(session);
+  }
+
+  private refuse(
+    request: ForwardRequest,
+    status: number,
+    failure: ForwardFailure,
+    retryAfterMs: number | undefined,
+    now: number,
+    session?: Session,
+  ): void {
+    this.emit({ kind: 'replyFailure', requestId: request.id, status, failure, retryAfterMs });
+    const fields = session
+      ? {
+          service: session.service,
+          sends: session.sends,
+          afterMs: Math.round(now - session.request.arrivedAt),
+        }
+      : {};
+    const event =
+      status === STATUS_UNAVAILABLE || status === STATUS_NOT_FOUND ? 'request.refused' : 'request.failed';
+    const { callerId } = request;
+    this.emit({ kind: 'decision', event, callerId, fields: { status, failure, retryAfterMs, ...fields } });
+  }
+
+  private promptComputed(session: Session, backend: BackendView): void {
+    const { prompt } = session.request;
+    if (!prompt) return;
+    const engine = this.surroundings.routes()?.service(session.service)?.engine;
+    if (engine)
+      this.prefixes.used(backend.record.id, sharedKey(prompt), sharedTokens(prompt), engine.kvCapacityTokens);
+  }
+
+  private dropKv(session: Session): void {
+    if (session.kvSource) this.emit({ kind: 'freeKv', source: session.kvSource });
+    session.kvSource = undefined;
+  }
+
+  private stopAttempt(session: Session): void {
+    const { attempt } = session;
+    if (!attempt) return;
+    this.emit({ kind: 'abortAttempt', attemptId: attempt.attemptId });
+    this.endAttempt(session, attempt);
+  }
+
+  private endAttempt(session: Session, attempt: LiveAttempt): void {
+    attempt.plan.backend.end(attempt.attemptId);
+    session.attempt = undefined;
+  }
+
+  private over(session: Session): void {
+    this.dropKv(session);
+    this.sessions.delete(session.request.id);
+  }
+
+  private decide(
+    event: Extract<ForwardEffect, { kind: 'decision' }>['event'],
+    session: Session,
+    fields: Readonly<Record<string, unknown>>,
+  ): void {
+    this.emit({ kind: 'decision', event, callerId: session.request.callerId, fields });
+  }
+}
--- /dev/null
+++ b/src/forwarding/forward-session.ts
@@ -0,0 +1,42 @@
+/** The state of one forwarded request in a daemon. */
+import type { BackendPlan } from './backend-picker.js';
+import type { KvSource } from './forward-messages.js';
+import type { ForwardRequest } from './forward-request.js';
+import type { Route } from './route.js';
+
+/** The attempt that is under way. Times are monotonic milliseconds. */
+export interface LiveAttempt {
+  readonly attemptId: string;
+  readonly plan: BackendPlan;
+  readonly startedAt: number;
+  lastEventAt: number;
+  /** A stream has begun to arrive. */
+  answering: boolean;
+}
+
+/** One request. Times are monotonic milliseconds. */
+export interface Session {
+  readonly request: ForwardRequest;
+  readonly route: Route;
+  readonly service: string;
+  readonly deadlineAt: number;
+  /** Back ends that it has been sent to. */
+  readonly excluded: Set<string>;
+  attempt: LiveAttempt | undefined;
+  sends: number;
+  /** Arrivals at back ends, as the retry budget counts them. */
+  arrivals: number;
+  runs: number;
+  mayHaveRun: boolean;
+  /** The head of a stream has been passed on. */
+  relaying: boolean;
+  lastEventId: string | undefined;
+  kvSource: KvSource | undefined;
+}
+
+/** Whether the request may run at one more back end. */
+export function mayRunAgain(session: Session): boolean {
+  const { kind, resumable, maximumAttempts } = session.route;
+  const repeatable = kind === 'idempotent' || (kind === 'stream' && resumable);
+  return repeatable && session.runs < maximumAttempts;
+}
--- /dev/null
+++ b/src/gateway/forward-server.ts
@@ -0,0 +1,219 @@
+/** The HTTP server that callers of forwarded requests connect to. It reads requests whole and writes answers. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { KeptAnswer, StreamSink } from '../adapters/backend-client.js';
+import type { CallerLimits } from '../forwarding/route.js';
+
+/** A request that was read whole. */
+export interface ReceivedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly host: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  /** When its head arrived. Monotonic milliseconds. */
+  readonly arrivedAt: number;
+}
+
+/** Takes requests. */
+export interface ForwardHandler {
+  received(request: ReceivedRequest, reply: CallerReply): void;
+}
+
+/** An answer of the daemon's own. */
+export interface OwnAnswer {
+  readonly status: number;
+  readonly failure: string;
+  readonly retryAfterMs: number | undefined;
+}
+
+const STATUS_TOO_LARGE = 413;
+const SECOND_MS = 1000;
+const KEEP_ALIVE_CHECK_MS = 1000;
+
+/** The answer to one request. Every method but the first has an effect once only. */
+export class CallerReply implements StreamSink {
+  private lastId: string | undefined;
+  private over = false;
+  private headSent = false;
+  /** Called when the caller goes away before the answer is whole. */
+  onGone: () => void = () => undefined;
+
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly closing: () => boolean,
+    resumedAfter: string | undefined,
+  ) {
+    this.lastId = resumedAfter;
+    response.sendDate = false;
+    response.on('close', () => {
+      if (this.over) return;
+      this.over = true;
+      this.onGone();
+    });
+  }
+
+  /** The id of the last event passed on. */
+  lastEventId(): string | undefined {
+    return this.headSent ? this.lastId : undefined;
+  }
+
+  /** Begins a streamed answer; the head of a back end that goes on with it is not the caller's business. */
+  head(status: number, headers: string[]): void {
+    if (this.over || this.headSent) return;
+    this.headSent = true;
+    this.markClosing();
+    this.response.writeHead(status, pairs(headers, new Set(['content-length'])));
+    this.response.flushHeaders();
+  }
+
+  /** Passes on whole events. */
+  events(bytes: Buffer, lastEventId: string | undefined): void {
+    if (this.over) return;
+    if (lastEventId !== undefined) this.lastId = lastEventId;
+    this.response.write(bytes);
+  }
+
+  /** Ends the answer: a stream, or one that was kept. */
+  whole(answer: KeptAnswer): void {
+    if (this.over) return;
+    this.over = true;
+    if (this.headSent) {
+      this.response.end();
+      return;
+    }
+    this.markClosing();
+    const headers = pairs(answer.headers, new Set(['content-length']));
+    const bodiless = this.response.req.method === 'HEAD';
+    if (!bodiless) headers.push(['Content-Length', String(answer.body.length)]);
+    this.response.writeHead(answer.status, headers);
+    this.response.end(answer.body);
+  }
+
+  /** Answers with a failure of the daemon's own. */
+  own(answer: OwnAnswer): void {
+    if (this.over) return;
+    this.over = true;
+    this.markClosing();
+    const body = JSON.stringify({ type: `urn:pulleyledge:${answer.failure}`, status: answer.status });
+    const headers: [string, string][] = [
+      ['Content-Type', 'application/problem+json'],
+      ['Content-Length', String(Buffer.byteLength(body))],
+    ];
+    if (answer.retryAfterMs !== undefined)
+      headers.push(['Retry-After', (answer.retryAfterMs / SECOND_MS).toFixed(3)]);
+    this.response.writeHead(answer.status, headers);
+    this.response.end(body);
+  }
+
+  /** Breaks off an answer that cannot be finished, so that it does not look complete. */
+  broken(): void {
+    if (this.over) return;
+    this.over = true;
+    this.response.destroy();
+  }
+
+  private markClosing(): void {
+    if (this.closing()) this.response.shouldKeepAlive = false;
+  }
+}
+
+/** The server of one daemon. */
+export class ForwardServer {
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+  private maximumBodyBytes = 4 * 1024 * 1024;
+  private closing = false;
+  private requests = 0;
+
+  constructor(
+    private readonly handler: ForwardHandler,
+    private readonly clock: () => number,
+  ) {
+    this.server = createServer({ connectionsCheckingInterval: KEEP_ALIVE_CHECK_MS, noDelay: true });
+    this.server.on('request', (request, response) => this.accept(request, response));
+    this.server.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
+  }
+
+  /** Starts to listen. */
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({ host, port, backlog: 1024 }, resolve);
+    });
+  }
+
+  /** Takes new limits into force. */
+  limit(limits: CallerLimits): void {
+    this.maximumBodyBytes = limits.maximumBodyBytes;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
+  /** From now on answers ask callers to close their connections. */
+  beginClosing(): void {
+    this.closing = true;
+  }
+
+  /** Requests without a whole answer. */
+  openRequests(): number {
+    return this.requests;
+  }
+
+  /** Open connections. */
+  openConnections(): number {
+    return this.sockets.size;
+  }
+
+  /** Closes connections on which no request is under way. */
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
+  /** Closes everything. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private accept(request: IncomingMessage, response: ServerResponse): void {
+    const arrivedAt = this.clock();
+    this.requests += 1;
+    response.on('close', () => (this.requests -= 1));
+    const reply = new CallerReply(response, () => this.closing, undefined);
+    const chunks: Buffer[] = [];
+    let length = 0;
+    request.on('data', (chunk: Buffer) => {
+      length += chunk.length;
+      if (length <= this.maximumBodyBytes) chunks.push(chunk);
+      else reply.own({ status: STATUS_TOO_LARGE, failure: 'payload-too-large', retryAfterMs: undefined });
+    });
+    request.on('error', () => undefined);
+    request.on('end', () => {
+      if (!request.complete || length > this.maximumBodyBytes) return;
+      this.handler.received(
+        {
+          method: request.method ?? 'GET',
+          path: request.url ?? '/',
+          host: request.headers.host ?? '',
+          headers: request.rawHeaders,
+          body: Buffer.concat(chunks),
+          arrivedAt,
+        },
+        reply,
+      );
+    });
+  }
+}
+
+function pairs(headers: readonly string[], dropped: ReadonlySet<string>): [string, string][] {
+  const list: [string, string][] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (!dropped.has(headers[index].toLowerCase())) list.push([headers[index], headers[index + 1]]);
+  }
+  return list;
+}
--- /dev/null
+++ b/src/process/decision-log.ts
@@ -0,0 +1,92 @@
+/**
+ * The log of decisions: structured lines to standard output, bounded in volume and never blocking. Under load,
+ * lines about a request are kept or dropped together, by its id; failures and changes of belief come first.
+ */
+import { pino, type DestinationStream, type Logger } from 'pino';
+import { hashText } from '../shared/rendezvous-hash.js';
+
+/** Bounds of the log. */
+export interface DecisionLogSettings {
+  /** Lines a second in which requests are logged whole; above it ever fewer requests are. Default 150. */
+  readonly linesPerSecond: number;
+  /** Lines a second at most, failures and beliefs included. Default 400. */
+  readonly maximumLinesPerSecond: number;
+}
+
+/** Default bounds. */
+export const DEFAULT_DECISION_LOG_SETTINGS: DecisionLogSettings = {
+  linesPerSecond: 150,
+  maximumLinesPerSecond: 400,
+};
+
+const SECOND_MS = 1000;
+const HASH_RANGE = 2 ** 32;
+const MINIMUM_SHARE = 0.01;
+const SHARE_RECOVERY = 1.5;
+
+/** The log of one process. Times are monotonic milliseconds. */
+export class DecisionLog {
+  private readonly logger: Logger;
+  private windowStart: number;
+  private lines = 0;
+  private wanted = 0;
+  private droppedInWindow = 0;
+  private droppedTotal = 0;
+  /** Share of requests whose lines are kept. */
+  private share = 1;
+
+  constructor(
+    base: Readonly<Record<string, unknown>>,
+    destination: DestinationStream,
+    private readonly settings: DecisionLogSettings,
+    private readonly clock: () => number,
+  ) {
+    this.logger = pino({ base, timestamp: pino.stdTimeFunctions.epochTime }, destination);
+    this.windowStart = clock();
+  }
+
+  /** A step of a request: kept or dropped with the request's other lines. */
+  request(event: string, requestId: string, fields: Readonly<Record<string, unknown>>): void {
+    this.roll();
+    this.wanted += 1;
+    const kept = hashText(requestId) / HASH_RANGE < this.share;
+    if (kept && this.lines < this.settings.maximumLinesPerSecond) this.write(event, { requestId, ...fields });
+    else this.drop();
+  }
+
+  /** A failure of a request, a change of belief, a step of the process: dropped only over the upper bound. */
+  important(event: string, fields: Readonly<Record<string, unknown>>): void {
+    this.roll();
+    if (this.lines < this.settings.maximumLinesPerSecond) this.write(event, fields);
+    else this.drop();
+  }
+
+  /** Lines dropped since the start. */
+  dropped(): number {
+    return this.droppedTotal;
+  }
+
+  private write(event: string, fields: Readonly<Record<string, unknown>>): void {
+    this.lines += 1;
+    this.logger.info({ event, clock: Math.round(this.clock()), ...fields });
+  }
+
+  private drop(): void {
+    this.droppedInWindow += 1;
+    this.droppedTotal += 1;
+  }
+
+  private roll(): void {
+    const now = this.clock();
+    if (now - this.windowStart < SECOND_MS) return;
+    const { linesPerSecond } = this.settings;
+    const fitting = this.wanted > linesPerSecond ? linesPerSecond / this.wanted : 1;
+    this.share = Math.max(MINIMUM_SHARE, Math.min(fitting, this.share * SHARE_RECOVERY, 1));
+    const dropped = this.droppedInWindow;
+    this.windowStart = now;
+    this.lines = 0;
+    this.wanted = 0;
+    this.droppedInWindow = 0;
+    if (dropped > 0) this.write('log.dropped', { lines: dropped, keptShare: this.share });
+  }
+}
--- /dev/null
+++ b/src/process/forwarding-process.ts
@@ -0,0 +1,317 @@
+/** A forwarding daemon as a process: servers, adapters and an actor around its state machine, and an orderly stop. */
+import { createServer, type Server } from 'node:http';
+import nact, { type Ref } from 'nact';
+import { pino } from 'pino';
+import { BackendClient, type CallerRequest } from '../adapters/backend-client.js';
+import type { BackendDialect } from '../adapters/backend-dialect.js';
+import { PeerTransport, splitAddress } from '../adapters/peer-transport.js';
+import {
+  ForwardingDaemon,
+  type ForwardingDaemonSettings,
+  type ForwardingEffect,
+  type ForwardingEvent,
+} from '../daemon/forwarding-daemon.js';
+import type { PulleyledgeError } from '../errors/index.js';
+import type { RecordRead, RecordStore } from '../fleet/record-store.js';
+import type { ForwardAttemptEvent } from '../forwarding/forward-messages.js';
+import { ForwardServer, type CallerReply, type ReceivedRequest } from '../gateway/forward-server.js';
+import { SeededRandom } from '../shared/random.js';
+import { DecisionLog, type DecisionLogSettings } from './decision-log.js';
+
+/** Addresses and settings of one process. */
+export interface ForwardingProcessSettings {
+  readonly name: string;
+  readonly zone: string;
+  readonly region: string;
+  /** Where callers connect, `ip:port`. */
+  readonly callerAddress: string;
+  /** Where readiness is asked, `ip:port`. */
+  readonly readyAddress: string;
+  readonly readyPath: string;
+  /** Where other daemons connect, `ip:port`. */
+  readonly peerAddress: string;
+  /** Peer addresses of some daemons, to join by. */
+  readonly seeds: readonly string[];
+  /** A process is ended this long after it was asked to stop. Milliseconds. */
+  readonly stopGraceMs: number;
+  readonly daemon: ForwardingDaemonSettings;
+  readonly log: DecisionLogSettings;
+}
+
+/** The outside systems. */
+export interface ForwardingAdapters {
+  readonly dialect: BackendDialect;
+  readonly store: RecordStore;
+}
+
+const TICK_MS = 20;
+const CONNECT_TIMEOUT_MS = 500;
+const CONNECTIONS_PER_BACKEND = 64;
+const CALL_TIMEOUT_MS = 1000;
+const DRAIN_POLL_MS = 50;
+/** After a stop was asked for, callers are still sent here until the platform has noticed. */
+const NOTICE_MS = 3000;
+/** Time kept at the end of the grace for the process to end by itself. */
+const STOP_MARGIN_MS = 700;
+const LOG_BUFFER_BYTES = 4096;
+const LOG_FLUSH_MS = 250;
+const MAXIMUM_LOG_BYTES = 1024 * 1024;
+const CRASH_EXIT_CODE = 70;
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+const STATUS_NOT_FOUND = 404;
+
+interface OpenRequest {
+  readonly reply: CallerReply;
+  readonly request: CallerRequest;
+}
+
+/** One forwarding daemon process. */
+export class ForwardingProcess {
+  private readonly daemon: ForwardingDaemon;
+  private readonly machine: Ref<ForwardingEvent>;
+  private readonly system = nact.start();
+  private readonly peers: PeerTransport;
+  private readonly backends: BackendClient;
+  private readonly server: ForwardServer;
+  private readonly readyServer: Server;
+  private readonly log: DecisionLog;
+  private readonly logStream = pino.destination({
+    fd: 1,
+    sync: false,
+    minLength: LOG_BUFFER_BYTES,
+    maxLength: MAXIMUM_LOG_BYTES,
+  });
+  private readonly open = new Map<string, OpenRequest>();
+  private timers: NodeJS.Timeout[] = [];
+  private requestCount = 0;
+  private stopping = false;
+
+  constructor(
+    private readonly settings: ForwardingProcessSettings,
+    private readonly adapters: ForwardingAdapters,
+  ) {
+    const startId = `${Date.now().toString(36)}${process.pid.toString(36)}`;
+    const id = `${settings.name}.${startId}`;
+    const { peerAddress: address, zone, region } = settings;
+    this.log = new DecisionLog({ daemon: settings.name }, this.logStream, settings.log, now);
+    const seeds = settings.seeds.filter((seed) => seed !== address);
+    const seed = (Date.now() ^ (process.pid << 16)) | 0;
+    this.daemon = new ForwardingDaemon(
+      { id, address, zone, region },
+      seeds,
+      settings.daemon,
+      new SeededRandom(seed),
+      now(),
+    );
+    this.machine = nact.spawn(
+      this.system,
+      (_state: undefined, event: ForwardingEvent) => this.step(event),
+      'daemon',
+      {
+        onCrash: failFast,
+      },
+    );
+    this.peers = new PeerTransport(
+      { kind: 'hello', id, address },
+      {
+        onMessage: (fromId, fromAddress, message) =>
+          this.send({ kind: 'peerMessage', fromId, fromAddress, message }),
+        onProtocolError: (error, remote) =>
+          this.log.important('peer.protocol-error', { code: error.code, ...error.context, remote }),
+        onTraffic: () => undefined,
+      },
+    );
+    this.backends = new BackendClient(adapters.dialect, {
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      connectionsPerBackend: CONNECTIONS_PER_BACKEND,
+      callTimeoutMs: CALL_TIMEOUT_MS,
+    });
+    this.server = new ForwardServer({ received: (request, reply) => this.received(request, reply) }, now);
+    this.readyServer = createServer((request, response) => {
+      const known = request.url === settings.readyPath;
+      const status = known ? (this.daemon.ready() ? STATUS_OK : STATUS_UNAVAILABLE) : STATUS_NOT_FOUND;
+      response.writeHead(status, { 'Content-Length': '0' });
+      response.end();
+    });
+  }
+
+  /** Opens the servers and starts the timers. */
+  async start(): Promise<void> {
+    this.log.important('process.started', { zone: this.settings.zone, node: process.version });
+    this.send({ kind: 'tick' });
+    this.timers = [
+      setInterval(() => this.send({ kind: 'tick' }), TICK_MS),
+      setInterval(() => this.logStream.flush(), LOG_FLUSH_MS),
+    ];
+    await Promise.all([
+      this.listenReady(),
+      this.peers.listen(),
+      this.server.listen(...hostAndPort(this.settings.callerAddress)),
+    ]);
+  }
+
+  /** The settings were written anew. */
+  reloaded(fields: Readonly<Record<string, unknown>>): void {
+    this.log.important('process.reloaded', fields);
+  }
+
+  /** A record of the store cannot be read; the last good one stays in force. */
+  badRecord(key: string, error: PulleyledgeError): void {
+    this.log.important('record.rejected', { key, code: error.code, ...error.context });
+  }
+
+  /** Stops without cutting a request, within the grace. */
+  async stop(): Promise<void> {
+    if (this.stopping) return;
+    this.stopping = true;
+    const startedAt = now();
+    const latest = startedAt + this.settings.stopGraceMs - STOP_MARGIN_MS;
+    this.send({ kind: 'beginDrain' });
+    this.server.beginClosing();
+    while (now() < latest) {
+      const noticed = now() - startedAt > NOTICE_MS;
+      if (noticed && this.server.openRequests() === 0 && this.server.openConnections() === 0) break;
+      await delay(DRAIN_POLL_MS);
+    }
+    for (const timer of this.timers) clearInterval(timer);
+    this.log.important('process.stopped', {
+      unfinished: this.server.openRequests(),
+      afterMs: Math.round(now() - startedAt),
+    });
+    this.logStream.flushSync();
+  }
+
+  private send(event: ForwardingEvent): void {
+    nact.dispatch(this.machine, event);
+  }
+
+  private step(event: ForwardingEvent): undefined {
+    for (const effect of this.daemon.handle(event, now())) this.perform(effect);
+    return undefined;
+  }
+
+  private received(received: ReceivedRequest, reply: CallerReply): void {
+    this.requestCount += 1;
+    const id = this.requestCount.toString(36);
+    const head = this.adapters.dialect.callerHead(received.headers);
+    const { method, path, headers, body } = received;
+    this.open.set(id, { reply, request: { method, path, headers, head, body } });
+    reply.onGone = () => {
+      if (this.open.delete(id)) this.send({ kind: 'cancel', requestId: id });
+    };
+    this.send({
+      kind: 'submit',
+      request: {
+        id,
+        callerId: head.callerId,
+        host: received.host,
+        path,
+        arrivedAt: received.arrivedAt,
+        callerDeadlineMs: head.deadlineMs,
+        prompt: head.prompt,
+      },
+    });
+  }
+
+  private perform(effect: ForwardingEffect): void {
+    switch (effect.kind) {
+      case 'startAttempt': {
+        const { requestId, attemptId } = effect.start;
+        const open = this.open.get(requestId);
+        if (!open) break;
+        this.backends.start(effect.start, open.request, open.reply, (event: ForwardAttemptEvent) =>
+          this.send({ kind: 'attempt', requestId, attemptId, event }),
+        );
+        break;
+      }
+      case 'abortAttempt':
+        this.backends.abort(effect.attemptId);
+        break;
+      case 'replyWhole': {
+        const answer = this.backends.take(effect.attemptId);
+        if (answer) this.takeOpen(effect.requestId)?.reply.whole(answer);
+        break;
+      }
+      case 'replyFailure':
+        this.takeOpen(effect.requestId)?.reply.own(effect);
+        break;
+      case 'replyBroken':
+        this.takeOpen(effect.requestId)?.reply.broken();
+        break;
+      case 'freeKv':
+        this.backends.freeKv(effect.source);
+        break;
+      case 'decision':
+        this.logDecision(effect);
+        break;
+      case 'belief':
+        this.log.important(effect.event, effect.fields);
+        break;
+      case 'sendPeer':
+        this.peers.send(effect.address, effect.message);
+        break;
+      case 'readRecords':
+        this.readRecords(effect.read);
+        break;
+      case 'probeBackend': {
+        const backendId = effect.probe.backend.id;
+        void this.backends
+          .probe(effect.probe, effect.healthPath)
+          .then((well) => this.send({ kind: 'probed', backendId, well }));
+        break;
+      }
+      case 'configurationInForce':
+        this.server.limit(effect.configuration.limits);
+        break;
+      case 'backendGone':
+        this.backends.forget(effect.backendId);
+        break;
+    }
+  }
+
+  private readRecords(read: RecordRead): void {
+    void this.adapters.store
+      .read(read)
+      .then((result) => this.send({ kind: 'recordsRead', collection: read.collection, result }));
+  }
+
+  private takeOpen(requestId: string): OpenRequest | undefined {
+    const open = this.open.get(requestId);
+    this.open.delete(requestId);
+    return open;
+  }
+
+  private logDecision(effect: Extract<ForwardingEffect, { kind: 'decision' }>): void {
+    const failed = effect.event === 'request.refused' || effect.event === 'request.failed';
+    if (failed) this.log.important(effect.event, { requestId: effect.callerId, ...effect.fields });
+    else this.log.request(effect.event, effect.callerId, effect.fields);
+  }
+
+  private listenReady(): Promise<void> {
+    const [host, port] = hostAndPort(this.settings.readyAddress);
+    return new Promise((resolve, reject) => {
+      this.readyServer.once('error', reject);
+      this.readyServer.listen(port, host, resolve);
+    });
+  }
+}
+
+function now(): number {
+  return performance.now();
+}
+
+function hostAndPort(address: string): [host: string, port: number] {
+  const { host, port } = splitAddress(address);
+  return [host, port];
+}
+
+/** A crash of the machine is a defect: the process ends at once instead of going on without a part of itself. */
+function failFast(_message: unknown, error: unknown): never {
+  process.stderr.write(`${error instanceof Error ? error.stack : String(error)}\n`);
+  return process.exit(CRASH_EXIT_CODE);
+}
+
+function delay(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
