--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -19,8 +19,11 @@
   readonly decodePromptFactor: number;
   /** What one request on an engine costs another, in prompt tokens. Default 60. */
   readonly requestCostTokens: number;
-  /** What moving a KV cache costs, as a share of its tokens. Default 0.15. */
-  readonly transferShare: number;
+  /**
+   * Longer prompts are computed by prefill engines while there is one: on a decode engine they would hold up
+   * the tokens of every other stream. Default 2048.
+   */
+  readonly decodePromptTokens: number;
   /** What another zone costs, in requests per slot for plain back ends. Default 0.1. */
   readonly otherZoneCost: number;
 }
@@ -31,7 +34,7 @@
   minimumAffinityTokens: 1000,
   decodePromptFactor: 2,
   requestCostTokens: 60,
-  transferShare: 0.15,
+  decodePromptTokens: 2048,
   otherZoneCost: 0.1,
 };
 
@@ -102,25 +105,19 @@
   }
 
   private pickForPrompt(prompt: PromptOutline, candidates: readonly BackendView[]): BackendPlan | undefined {
-    const shared = sharedTokens(prompt);
     const decodes = candidates.filter((view) => view.record.stage !== 'prefill');
     if (decodes.length === 0) return undefined;
-    if (
-      shared < this.settings.minimumAffinityTokens &&
-      prompt.promptTokens < 4 * this.settings.minimumAffinityTokens
-    ) {
+    if (prompt.promptTokens <= this.settings.decodePromptTokens) {
       const backend = this.leastOf(decodes, (view) => this.waitingCost(view));
       return { backend, promptTokens: prompt.promptTokens, prefillOnly: false };
     }
-    return this.pickWithAffinity(prompt, shared, candidates);
+    const prefills = candidates.filter((view) => view.record.stage === 'prefill');
+    return this.pickWithAffinity(prompt, prefills.length > 0 ? prefills : decodes);
   }
 
   /** Every engine is weighed: the home of the shared parts saves their tokens, others must compute them. */
-  private pickWithAffinity(
-    prompt: PromptOutline,
-    shared: number,
-    candidates: readonly BackendView[],
-  ): BackendPlan {
+  private pickWithAffinity(prompt: PromptOutline, candidates: readonly BackendView[]): BackendPlan {
+    const shared = sharedTokens(prompt);
     const key = sharedKey(prompt);
     const ids = candidates.map((view) => view.record.id);
     const home = shared >= this.settings.minimumAffinityTokens ? rankByRendezvous(key, ids, 1)[0] : undefined;
@@ -129,25 +126,21 @@
     for (const backend of candidates) {
       const cached = backend.record.id === home || this.prefixes.has(backend.record.id, key);
       const promptTokens = prompt.promptTokens - (cached ? shared : 0);
-      const prefillOnly = backend.record.stage === 'prefill';
-      const cost = this.promptCost(backend, promptTokens, prompt.promptTokens);
+      const cost = this.waitingCost(backend) + promptTokens * this.promptFactor(backend);
       if (cost >= bestCost) continue;
       bestCost = cost;
-      best = { backend, promptTokens, prefillOnly };
+      best = { backend, promptTokens, prefillOnly: backend.record.stage === 'prefill' };
     }
     return best as BackendPlan;
   }
 
-  /** Time to the first token, in tokens of a prefill engine. */
-  private promptCost(view: BackendView, computed: number, whole: number): number {
-    if (view.record.stage === 'prefill')
-      return this.waitingCost(view) + computed + whole * this.settings.transferShare;
-    return this.waitingCost(view) + computed * this.settings.decodePromptFactor;
+  /** Time that a token of a prompt takes, in tokens of a prefill engine. */
+  private promptFactor(view: BackendView): number {
+    return view.record.stage === 'prefill' ? 1 : this.settings.decodePromptFactor;
   }
 
   private waitingCost(view: BackendView): number {
-    const factor = view.record.stage === 'prefill' ? 1 : this.settings.decodePromptFactor;
-    return view.pendingTokens() * factor + view.inFlight() * this.settings.requestCostTokens;
+    return view.pendingTokens() * this.promptFactor(view) + view.inFlight() * this.settings.requestCostTokens;
   }
 
   private leastOf(candidates: readonly BackendView[], cost: (view: BackendView) => number): BackendView {
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -11,7 +11,7 @@
   readonly ejectionMs: number;
   /** The longest such time. Milliseconds. Default 4000. */
   readonly maximumEjectionMs: number;
-  /** A back end that has answered nothing for so long while work waits there is avoided. Milliseconds. Default 500. */
+  /** A back end that has answered nothing for so long while work waits there is avoided. Milliseconds. Default 800. */
   readonly silenceMs: number;
 }
 
@@ -21,7 +21,7 @@
   failureMemory: 6,
   ejectionMs: 1000,
   maximumEjectionMs: 4000,
-  silenceMs: 500,
+  silenceMs: 800,
 };
 
 /** What other daemons say of a back end. */
@@ -143,7 +143,8 @@
     return this.ownPromptTokens() + this.peers.pendingTokens;
   }
 
-  private silent(now: number): boolean {
+  /** Whether it has answered nothing for too long while work waits there. */
+  silent(now: number): boolean {
     let oldest = Infinity;
     for (const attempt of this.attempts.values())
       if (!attempt.answering) oldest = Math.min(oldest, attempt.sentAt);
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -17,7 +17,10 @@
 
 /** Settings of forwarding. */
 export interface ForwardSettings {
-  /** A repeatable request without the beginning of an answer is moved after this share of its target. Default 1.5. */
+  /**
+   * A repeatable request without the beginning of an answer is moved after this share of its target, when its
+   * back end answers nobody else either. Default 1.5.
+   */
   readonly stallTargetShare: number;
   /** The same at least. Milliseconds. Default 400. */
   readonly minimumStallMs: number;
@@ -276,6 +279,10 @@
     attempt.plan.backend.answering(attempt.attemptId, now);
     session.relaying = true;
     session.mayHaveRun = true;
+    this.decide('request.streaming', session, {
+      backend: attempt.plan.backend.record.id,
+      afterMs: Math.round(now - session.request.arrivedAt),
+    });
     if (session.kvSource) session.kvSource = undefined;
     else this.promptComputed(session, attempt.plan.backend);
   }
@@ -341,9 +348,11 @@
     if (!attempt.plan.prefillOnly && !mayRunAgain(session)) return false;
     const quietMs = now - attempt.lastEventAt;
     if (attempt.answering) return quietMs > route.targetGapMs * this.settings.stallGaps;
-    return (
-      quietMs > Math.max(this.settings.minimumStallMs, route.targetLatencyMs * this.settings.stallTargetShare)
+    const limit = Math.max(
+      this.settings.minimumStallMs,
+      route.targetLatencyMs * this.settings.stallTargetShare,
     );
+    return quietMs > limit && attempt.plan.backend.silent(now);
   }
 
   private moveAway(session: Session, attempt: LiveAttempt, now: number): void {
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -88,6 +88,7 @@
   | 'request.turned-away'
   | 'request.attempt-failed'
   | 'request.prefilled'
+  | 'request.streaming'
   | 'request.resumed'
   | 'request.answered'
   | 'request.refused'
