--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -6,8 +6,9 @@
 import type { AttemptStart, ForwardAttemptEvent, KvSource } from '../forwarding/forward-messages.js';
 import type { HealthProbe } from '../forwarding/health-prober.js';
 import type { BackendDialect, CallerHead, RawHeaders } from './backend-dialect.js';
-import { endToEndHeaders } from './http-headers.js';
+import { endToEndHeaders, headerValue } from './http-headers.js';
 import { EventSplitter } from './event-splitter.js';
+import { ResetWatch } from './reset-watch.js';
 
 /** A caller's request as it came. */
 export interface CallerRequest {
@@ -20,8 +21,8 @@
 
 /** Takes the parts of a streamed answer. */
 export interface StreamSink {
-  /** The head; called for the first back end only. */
-  head(status: number, headers: string[]): void;
+  /** The head. `framed` says whether the answer tells where it ends, other than by closing the connection. */
+  head(status: number, headers: string[], framed: boolean): void;
   /** Whole events. */
   events(bytes: Buffer, lastEventId: string | undefined): void;
   /** The id of the last event that was passed on. */
@@ -33,6 +34,8 @@
   readonly status: number;
   readonly headers: string[];
   readonly body: Buffer;
+  /** Whether the back end told where the answer ends, other than by closing the connection. */
+  readonly framed: boolean;
 }
 
 /** Settings of the connections. */
@@ -46,6 +49,7 @@
 }
 
 const FIRST_ERROR_STATUS = 300;
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 const FIRST_SUCCESS_STATUS = 200;
 const MAXIMUM_KEPT_BYTES = 16 * 1024 * 1024;
 /** An idle connection is dropped this long before the back end would close it. Milliseconds. */
@@ -57,11 +61,14 @@
 export class BackendClient {
   private readonly pools = new Map<string, Pool>();
   private readonly live = new Map<string, AttemptHandler>();
+  private readonly resets: ResetWatch;
 
   constructor(
     private readonly dialect: BackendDialect,
     private readonly settings: BackendClientSettings,
-  ) {}
+  ) {
+    this.resets = new ResetWatch(settings.connectTimeoutMs);
+  }
 
   /** Sends an attempt. `onEvent` is called until the attempt is over or aborted. */
   start(
@@ -71,7 +78,7 @@
     onEvent: (event: ForwardAttemptEvent) => void,
   ): void {
     const resumed: AttemptStart = { ...start, resumeAfter: sink.lastEventId() ?? start.resumeAfter };
-    const handler = new AttemptHandler(this.dialect, resumed, request, sink, (event) => {
+    const handler = new AttemptHandler(this.dialect, this.resets, resumed, request, sink, (event) => {
       if (event.kind !== 'streamStarted' && event.kind !== 'streamProgress' && event.kind !== 'whole')
         this.live.delete(start.attemptId);
       onEvent(event);
@@ -160,7 +167,7 @@
       pool = new Pool(`http://${address}`, {
         connections: this.settings.connectionsPerBackend,
         pipelining: 1,
-        connect: { timeout: this.settings.connectTimeoutMs },
+        connect: this.resets.connector,
         keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
         keepAliveMaxTimeout: MAXIMUM_KEEP_ALIVE_MS,
         keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
@@ -179,12 +186,14 @@
   private finished = false;
   private status = 0;
   private headers: string[] = [];
+  private framed = true;
   private readonly chunks: Buffer[] = [];
   private keptBytes = 0;
   private splitter: EventSplitter | undefined;
 
   constructor(
     private readonly dialect: BackendDialect,
+    private readonly resets: ResetWatch,
     private readonly start: AttemptStart,
     private readonly request: CallerRequest,
     private readonly sink: StreamSink,
@@ -214,6 +223,7 @@
       this.tell({ kind: 'notExecuted', status, wrongIncarnation: head.wrongIncarnation });
     } else {
       this.headers = endToEndHeaders(raw, NO_HEADERS);
+      this.framed = isFramed(status, raw, this.request.method);
       if (this.start.stream && status < FIRST_ERROR_STATUS && !this.start.prefillOnly) this.beginStream();
     }
   }
@@ -231,6 +241,10 @@
 
   onResponseEnd(): void {
     if (this.finished) return;
+    if (this.resets.failing()) {
+      this.fail({ kind: 'broken', reason: 'reset before the end of the answer' });
+      return;
+    }
     this.finished = true;
     const body = Buffer.concat(this.chunks);
     if (this.start.prefillOnly) {
@@ -241,7 +255,7 @@
       const remainder = this.splitter.remainder();
       if (remainder.length > 0) this.sink.events(remainder, undefined);
     }
-    this.answer = { status: this.status, headers: this.headers, body };
+    this.answer = { status: this.status, headers: this.headers, body, framed: this.framed };
     this.tell({ kind: 'whole', status: this.status });
   }
 
@@ -261,7 +275,7 @@
 
   private beginStream(): void {
     this.splitter = new EventSplitter();
-    this.sink.head(this.status, this.headers);
+    this.sink.head(this.status, this.headers, this.framed);
     this.tell({ kind: 'streamStarted' });
   }
 
@@ -280,6 +294,12 @@
 
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
+function isFramed(status: number, headers: RawHeaders, method: string): boolean {
+  const bodiless = method === 'HEAD' || STATUSES_WITHOUT_BODY.has(status);
+  const declared = headerValue(headers, 'content-length') ?? headerValue(headers, 'transfer-encoding');
+  return bodiless || declared !== undefined;
+}
+
 function rawHeaders(controller: Dispatcher.DispatchController): string[] {
   const raw = controller.rawHeaders;
   if (!Array.isArray(raw)) return [];
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -21,11 +21,8 @@
   type BackendPickerSettings,
 } from '../forwarding/backend-picker.js';
 import { DEFAULT_BACKEND_HEALTH_SETTINGS, type BackendHealthSettings } from '../forwarding/backend-view.js';
-import {
-  DEFAULT_FORWARD_SETTINGS,
-  ForwardManager,
-  type ForwardSettings,
-} from '../forwarding/forward-manager.js';
+import { ForwardManager } from '../forwarding/forward-manager.js';
+import { DEFAULT_FORWARD_SETTINGS, type ForwardSettings } from '../forwarding/forward-settings.js';
 import type { ForwardAttemptEvent, ForwardEffect } from '../forwarding/forward-messages.js';
 import type { ForwardRequest } from '../forwarding/forward-request.js';
 import { HealthProber, type HealthProbe } from '../forwarding/health-prober.js';
@@ -80,7 +77,9 @@
       readonly event: ForwardAttemptEvent;
     }
   | { readonly kind: 'probed'; readonly backendId: string; readonly well: boolean }
-  | { readonly kind: 'beginDrain' };
+  | { readonly kind: 'beginDrain' }
+  /** The process will end too soon for new requests. */
+  | { readonly kind: 'closeForNew' };
 
 /** A change of what the daemon believes, for the log. */
 export interface BeliefEffect {
@@ -234,6 +233,9 @@
       case 'beginDrain':
         this.beginDrain(now);
         break;
+      case 'closeForNew':
+        this.manager.closeForNew();
+        break;
     }
   }
 
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -7,6 +7,7 @@
 import type { EffectSink } from '../shared/effect-sink.js';
 import type { BackendPicker, BackendPlan } from './backend-picker.js';
 import type { BackendView } from './backend-view.js';
+import type { ForwardSettings } from './forward-settings.js';
 import { sharedKey, sharedTokens, type ForwardRequest } from './forward-request.js';
 import type { ForwardAttemptEvent, ForwardEffect, ForwardFailure } from './forward-messages.js';
 import { mayRunAgain, type LiveAttempt, type Session } from './forward-session.js';
@@ -15,35 +16,6 @@
 import type { RouteTable } from './route-table.js';
 import { WeightedChoice } from './weighted-choice.js';
 
-/** Settings of forwarding. */
-export interface ForwardSettings {
-  /**
-   * A repeatable request without the beginning of an answer is moved after this share of its target, when its
-   * back end answers nobody else either. Default 1.5.
-   */
-  readonly stallTargetShare: number;
-  /** The same at least. Milliseconds. Default 400. */
-  readonly minimumStallMs: number;
-  /** A resumable stream without an event for so many target gaps is moved. Default 6. */
-  readonly stallGaps: number;
-  /** Back ends tried for one request that none of them ran. Default 3. */
-  readonly maximumSends: number;
-  /** When a refused caller should come back at the earliest. Milliseconds. Default 100. */
-  readonly retryAfterMs: number;
-  /** Requests that may be on a plain back end, as a share of its slots, before more are refused. Default 4. */
-  readonly plainSlotShare: number;
-}
-
-/** Default settings. */
-export const DEFAULT_FORWARD_SETTINGS: ForwardSettings = {
-  stallTargetShare: 1.5,
-  minimumStallMs: 400,
-  stallGaps: 6,
-  maximumSends: 3,
-  retryAfterMs: 100,
-  plainSlotShare: 4,
-};
-
 /** What the machine asks about its surroundings. */
 export interface ForwardSurroundings {
   /** The routes in force; undefined before the first configuration. */
@@ -64,6 +36,7 @@
 export class ForwardManager {
   private readonly sessions = new Map<string, Session>();
   private readonly split = new WeightedChoice();
+  private closed = false;
 
   constructor(
     private readonly settings: ForwardSettings,
@@ -79,8 +52,17 @@
     return this.sessions.size;
   }
 
+  /** From now on new requests are refused: the process has no time left to finish them. */
+  closeForNew(): void {
+    this.closed = true;
+  }
+
   /** Takes a whole request from a caller. */
   begin(request: ForwardRequest, now: number): void {
+    if (this.closed) {
+      this.refuse(request, STATUS_UNAVAILABLE, 'stopping', this.settings.retryAfterMs, now);
+      return;
+    }
     const routes = this.surroundings.routes();
     if (!routes) {
       this.refuse(request, STATUS_UNAVAILABLE, 'no-configuration', this.settings.retryAfterMs, now);
--- /dev/null
+++ b/src/forwarding/forward-settings.ts
@@ -0,0 +1,30 @@
+/** Settings of the forwarding machine. */
+
+/** Settings of forwarding. */
+export interface ForwardSettings {
+  /**
+   * A repeatable request without the beginning of an answer is moved after this share of its target, when its
+   * back end answers nobody else either. Default 1.5.
+   */
+  readonly stallTargetShare: number;
+  /** The same at least. Milliseconds. Default 400. */
+  readonly minimumStallMs: number;
+  /** A resumable stream without an event for so many target gaps is moved. Default 6. */
+  readonly stallGaps: number;
+  /** Back ends tried for one request that none of them ran. Default 3. */
+  readonly maximumSends: number;
+  /** When a refused caller should come back at the earliest. Milliseconds. Default 100. */
+  readonly retryAfterMs: number;
+  /** Requests that may be on a plain back end, as a share of its slots, before more are refused. Default 4. */
+  readonly plainSlotShare: number;
+}
+
+/** Default settings. */
+export const DEFAULT_FORWARD_SETTINGS: ForwardSettings = {
+  stallTargetShare: 1.5,
+  minimumStallMs: 400,
+  stallGaps: 6,
+  maximumSends: 3,
+  retryAfterMs: 100,
+  plainSlotShare: 4,
+};
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -60,10 +60,11 @@
   }
 
   /** Begins a streamed answer; the head of a back end that goes on with it is not the caller's business. */
-  head(status: number, headers: string[]): void {
+  head(status: number, headers: string[], framed: boolean): void {
     if (this.over || this.headSent) return;
     this.headSent = true;
     this.markClosing();
+    if (!framed) this.endWithConnection();
     this.response.writeHead(status, pairs(headers, new Set(['content-length'])));
     this.response.flushHeaders();
   }
@@ -86,7 +87,8 @@
     this.markClosing();
     const headers = pairs(answer.headers, new Set(['content-length']));
     const bodiless = this.response.req.method === 'HEAD';
-    if (!bodiless) headers.push(['Content-Length', String(answer.body.length)]);
+    if (!answer.framed) this.endWithConnection();
+    else if (!bodiless) headers.push(['Content-Length', String(answer.body.length)]);
     this.response.writeHead(answer.status, headers);
     this.response.end(answer.body);
   }
@@ -114,6 +116,12 @@
     this.response.destroy();
   }
 
+  /** An answer whose end only the back end's closing told is passed on in the same way. */
+  private endWithConnection(): void {
+    this.response.useChunkedEncodingByDefault = false;
+    this.response.shouldKeepAlive = false;
+  }
+
   private markClosing(): void {
     if (this.closing()) this.response.shouldKeepAlive = false;
   }
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -49,8 +49,8 @@
 const CONNECTIONS_PER_BACKEND = 64;
 const CALL_TIMEOUT_MS = 1000;
 const DRAIN_POLL_MS = 50;
-/** After a stop was asked for, callers are still sent here until the platform has noticed. */
-const NOTICE_MS = 3000;
+/** After a stop was asked for, callers are still sent here until the platform has noticed; later ones are refused. */
+const NOTICE_MS = 2800;
 /** Time kept at the end of the grace for the process to end by itself. */
 const STOP_MARGIN_MS = 700;
 const LOG_BUFFER_BYTES = 4096;
@@ -171,6 +171,7 @@
     this.server.beginClosing();
     while (now() < latest) {
       const noticed = now() - startedAt > NOTICE_MS;
+      if (noticed) this.send({ kind: 'closeForNew' });
       if (noticed && this.server.openRequests() === 0 && this.server.openConnections() === 0) break;
       await delay(DRAIN_POLL_MS);
     }
