--- /dev/null
+++ b/lab/forwarding-site.ts
@@ -0,0 +1,140 @@
+/** A forwarding daemon in this process, with back ends and a store of records that the caller scripts. */
+import { createServer, type AddressInfo } from 'node:net';
+import { HttpDialect } from '../platform/http-dialect.js';
+import { DEFAULT_FORWARDING_SETTINGS } from '../src/daemon/forwarding-daemon.js';
+import type { RecordRead, RecordReadResult, RecordStore, StoredRecord } from '../src/fleet/record-store.js';
+import type { BackendRecord, Route, RouteConfiguration } from '../src/forwarding/route.js';
+import { DEFAULT_DECISION_LOG_SETTINGS } from '../src/process/decision-log.js';
+import { ForwardingProcess } from '../src/process/forwarding-process.js';
+
+/** A store that answers from memory: a snapshot first, then one change each time `put` is called. */
+export class MemoryRecordStore implements RecordStore {
+  private readonly records: StoredRecord[] = [];
+  private readonly waiting = new Set<() => void>();
+
+  /** Adds records and wakes readers. */
+  put(...records: StoredRecord[]): void {
+    this.records.push(...records);
+    for (const wake of this.waiting) wake();
+    this.waiting.clear();
+  }
+
+  async read(request: RecordRead): Promise<RecordReadResult> {
+    const after = request.after ?? 0;
+    if (request.after !== undefined && !this.changed(request, after)) {
+      await new Promise<void>((resolve) => {
+        this.waiting.add(resolve);
+        setTimeout(resolve, request.waitMs).unref();
+      });
+    }
+    const records = this.records.filter(
+      (record) => record.collection === request.collection && record.revision > after,
+    );
+    const revision = Math.max(after, ...records.map((record) => record.revision));
+    return { kind: request.after === undefined ? 'snapshot' : 'changes', revision, records };
+  }
+
+  private changed(request: RecordRead, after: number): boolean {
+    return this.records.some((record) => record.collection === request.collection && record.revision > after);
+  }
+}
+
+/** A route for tests; fields may be overridden. */
+export function labRoute(fields: Partial<Route>): Route {
+  return {
+    name: 'route',
+    host: 'site.example',
+    pathPrefix: '/a/',
+    kind: 'idempotent',
+    resumable: false,
+    timeoutMs: 2000,
+    targetLatencyMs: 200,
+    targetGapMs: 150,
+    priority: 0,
+    maximumAttempts: 2,
+    targets: [{ service: 'service', weight: 1 }],
+    ...fields,
+  };
+}
+
+/** A configuration for tests with these routes. */
+export function labConfiguration(version: number, routes: readonly Route[]): RouteConfiguration {
+  return {
+    version,
+    routes,
+    services: [{ name: 'service', healthPath: '/healthz', maximumConnections: 100, engine: undefined }],
+    limits: {
+      maximumHeaderBytes: 16_384,
+      maximumBodyBytes: 65_536,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 5000,
+    },
+  };
+}
+
+/** A record of a plain back end for tests. */
+export function labBackend(id: string, address: string): BackendRecord {
+  return { id, service: 'service', address, zone: 'zone-a', slots: 8, state: 'ready', stage: undefined };
+}
+
+/** The running daemon. */
+export interface ForwardingSite {
+  readonly callers: string;
+  readonly ready: string;
+  readonly store: MemoryRecordStore;
+  readonly daemon: ForwardingProcess;
+}
+
+/** Starts a daemon with these routes and back ends. */
+export async function startForwardingSite(
+  routes: readonly Route[],
+  backends: readonly BackendRecord[],
+): Promise<ForwardingSite> {
+  const store = new MemoryRecordStore();
+  store.put({ collection: 'configuration', revision: 1, value: labConfiguration(1, routes) });
+  backends.forEach((value, index) =>
+    store.put({ collection: 'backends', id: value.id, revision: 2 + index, value }),
+  );
+  const [callers, ready, peers] = await freeAddresses(3);
+  const daemon = new ForwardingProcess(
+    {
+      name: 'daemon-1',
+      zone: 'zone-a',
+      region: 'main',
+      callerAddress: callers,
+      readyAddress: ready,
+      readyPath: '/ready',
+      peerAddress: peers,
+      seeds: [],
+      stopGraceMs: 4000,
+      log: { ...DEFAULT_DECISION_LOG_SETTINGS, linesPerSecond: 0, maximumLinesPerSecond: 0 },
+      daemon: { ...DEFAULT_FORWARDING_SETTINGS, retries: { ratio: 0.2, slack: 50, windowMs: 10_000 } },
+    },
+    { dialect: new HttpDialect(), store },
+  );
+  await daemon.start();
+  await untilReady(ready);
+  return { callers, ready, store, daemon };
+}
+
+async function untilReady(address: string): Promise<void> {
+  for (let tries = 0; tries < 200; tries += 1) {
+    const answer = await fetch(`http://${address}/ready`);
+    if (answer.status === 200) return;
+    await new Promise((resolve) => setTimeout(resolve, 25));
+  }
+  throw new Error('the daemon did not become ready');
+}
+
+async function freeAddresses(count: number): Promise<string[]> {
+  const servers = await Promise.all(
+    Array.from({ length: count }, async () => {
+      const server = createServer();
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+      return server;
+    }),
+  );
+  const addresses = servers.map((server) => `127.0.0.1:${(server.address() as AddressInfo).port}`);
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return addresses;
+}
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -183,6 +183,17 @@
     this.logStream.flushSync();
   }
 
+  /** Closes every server and connection at once. */
+  async close(): Promise<void> {
+    for (const timer of this.timers) clearInterval(timer);
+    this.server.close();
+    this.readyServer.close();
+    this.readyServer.closeAllConnections();
+    this.peers.close();
+    nact.stop(this.system);
+    await this.backends.close();
+  }
+
   private send(event: ForwardingEvent): void {
     nact.dispatch(this.machine, event);
   }
--- /dev/null
+++ b/test/forwarding-bytes.test.ts
@@ -0,0 +1,149 @@
+/** What callers get, byte by byte, when back ends break off, answer for others, or leave out the length. */
+import { connect, type Socket } from 'node:net';
+import { expect } from 'chai';
+import { labBackend, labRoute, startForwardingSite, type ForwardingSite } from '../lab/forwarding-site.js';
+import { headerOf, ScriptedBackend, type BackendScript } from '../lab/scripted-backend.js';
+import type { Route } from '../src/forwarding/route.js';
+
+const SIGNED = 'X-Server-Signature: s1\r\n';
+
+interface RawAnswer {
+  readonly text: string;
+  readonly reset: boolean;
+}
+
+/** Sends one request on a connection of its own and collects what comes until the connection ends. */
+function ask(address: string, head: string, body = ''): Promise<RawAnswer> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve) => {
+    let text = '';
+    const socket: Socket = connect(Number(port), host);
+    socket.on('data', (chunk: Buffer) => (text += chunk.toString('latin1')));
+    socket.on('error', () => resolve({ text, reset: true }));
+    socket.on('close', () => resolve({ text, reset: false }));
+    const length = body === '' ? '' : `Content-Length: ${body.length}\r\n`;
+    socket.write(`${head}\r\nHost: site.example\r\nConnection: close\r\n${length}\r\n${body}`);
+  });
+}
+
+const GET = 'GET /a/x HTTP/1.1\r\nX-Attempt-Id: id1\r\nX-Deadline-Ms: 1500';
+
+describe('forwarded answers', () => {
+  let backend: ScriptedBackend;
+  let site: ForwardingSite;
+
+  async function start(script: BackendScript, route: Partial<Route> = {}): Promise<void> {
+    backend = new ScriptedBackend(script);
+    const address = await backend.listen();
+    site = await startForwardingSite(
+      [labRoute({ maximumAttempts: 1, ...route })],
+      [labBackend('b1', address)],
+    );
+  }
+
+  afterEach(async () => {
+    backend.close();
+    await site.daemon.close();
+  });
+
+  it('a reset after part of an answer without a length is not taken for its end', async () => {
+    await start((_request, socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\n${SIGNED}\r\nhalf of the`);
+      setTimeout(() => socket.resetAndDestroy(), 50);
+    });
+    const answer = await ask(site.callers, GET);
+    expect(answer.text).to.match(/^HTTP\/1.1 502 /);
+  });
+
+  it('an answer without a length that ends in order is passed on without a length', async () => {
+    await start((_request, socket) => {
+      socket.end(`HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\n${SIGNED}\r\nall of it`);
+    });
+    const answer = await ask(site.callers, GET);
+    expect(answer.text).to.match(/^HTTP\/1.1 200 [\s\S]*all of it$/);
+    expect(answer.text.toLowerCase()).not.to.include('content-length').and.not.to.include('chunked');
+  });
+
+  it('a stream that breaks off does not look complete', async () => {
+    const headers = `X-Attempt-Id: id1\r\n${SIGNED}Transfer-Encoding: chunked\r\n`;
+    await start(
+      (_request, socket) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${headers}\r\n10\r\nid: 1\ndata: aa\n\n\r\n`);
+        setTimeout(() => socket.resetAndDestroy(), 50);
+      },
+      { kind: 'stream' },
+    );
+    const answer = await ask(site.callers, GET);
+    expect(answer.text).to.include('data: aa');
+    expect(answer.text).not.to.match(/\r\n0\r\n\r\n$/);
+  });
+
+  it('an answer to another request is not passed on', async () => {
+    await start((_request, socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nX-Attempt-Id: id0\r\n${SIGNED}Content-Length: 5\r\n\r\nother`);
+    });
+    const answer = await ask(site.callers, GET);
+    expect(answer.text).to.match(/^HTTP\/1.1 502 /);
+  });
+
+  it('a success without a signature is not passed on', async () => {
+    await start((_request, socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\nContent-Length: 4\r\n\r\nbody');
+    });
+    expect((await ask(site.callers, GET)).text).to.match(/^HTTP\/1.1 502 /);
+  });
+
+  it('a request that may not be repeated runs once though its answer is lost', async () => {
+    await start((_request, socket) => socket.destroy(), { kind: 'nonIdempotent', maximumAttempts: 2 });
+    const answer = await ask(site.callers, 'POST /a/x HTTP/1.1\r\nX-Attempt-Id: id1', 'pay');
+    expect(answer.text).to.match(/^HTTP\/1.1 502 /);
+    expect(backend.arrived).to.have.length(1);
+  });
+
+  it('a request that a back end did not run is refused as not run, with a time to come back', async () => {
+    await start((_request, socket) => {
+      const head = 'HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: id1\r\nX-Not-Executed: 1\r\n';
+      socket.write(`${head}Content-Length: 0\r\n\r\n`);
+    });
+    const answer = await ask(site.callers, GET);
+    expect(answer.text).to.match(/^HTTP\/1.1 503 /);
+    expect(Number(headerOf(answer.text, 'Retry-After'))).to.be.greaterThan(0);
+  });
+
+  it('headers that belong to the system are not passed on from callers', async () => {
+    await start((_request, socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\n${SIGNED}Content-Length: 2\r\n\r\nok`);
+    });
+    await ask(
+      site.callers,
+      `${GET}\r\nX-Expect-Instance: other\r\nX-Kv-Source: 1.2.3.4:5/abc\r\nX-Own: kept`,
+    );
+    const [{ head }] = backend.arrived;
+    expect(headerOf(head, 'X-Expect-Instance')).to.equal('b1');
+    expect(headerOf(head, 'X-Kv-Source')).to.equal(undefined);
+    expect(headerOf(head, 'X-Own')).to.equal('kept');
+    expect(Number(headerOf(head, 'X-Deadline-Ms'))).to.be.within(1, 1500);
+  });
+
+  it('a request held to its time-out gets its answer then', async () => {
+    await start(() => undefined, { timeoutMs: 400 });
+    const startedAt = performance.now();
+    const answer = await ask(site.callers, GET);
+    expect(answer.text).to.match(/^HTTP\/1.1 504 /);
+    expect(performance.now() - startedAt).to.be.within(350, 1400);
+  });
+
+  it('requests that come late in a stop are refused, and their connection is closed', async () => {
+    await start((_request, socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\n${SIGNED}Content-Length: 2\r\n\r\nok`);
+    });
+    const [host, port] = site.callers.split(':');
+    const idle = connect(Number(port), host);
+    const stopped = site.daemon.stop();
+    expect((await ask(site.callers, GET)).text).to.match(/^HTTP\/1.1 200 /);
+    await new Promise((resolve) => setTimeout(resolve, 3000));
+    expect((await ask(site.callers, GET)).text).to.match(/^HTTP\/1.1 503 /);
+    idle.destroy();
+    await stopped;
+  });
+});
