--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -2,6 +2,10 @@
 import { createServer, type AddressInfo } from 'node:net';
 import { HttpDialect } from '../platform/http-dialect.js';
 import { DEFAULT_FORWARDING_SETTINGS } from '../src/daemon/forwarding-daemon.js';
+import type { StageCoordinatorSettings } from '../src/allocation/stage-coordinator.js';
+import { DEFAULT_STAGE_PLANNER_SETTINGS } from '../src/allocation/stage-planner.js';
+import { DEFAULT_LEASE_SETTINGS } from '../src/lease/cell-lease.js';
+import type { TableStore } from '../src/platform/table-service.js';
 import type { RecordRead, RecordReadResult, RecordStore, StoredRecord } from '../src/fleet/record-store.js';
 import type { BackendRecord, Route, RouteConfiguration } from '../src/forwarding/route.js';
 import { DEFAULT_DECISION_LOG_SETTINGS } from '../src/process/decision-log.js';
@@ -77,6 +81,17 @@
   return { id, service: 'service', address, zone: 'zone-a', slots: 8, state: 'ready', stage: undefined };
 }
 
+const LAB_STAGES: StageCoordinatorSettings = {
+  lease: DEFAULT_LEASE_SETTINGS,
+  planner: DEFAULT_STAGE_PLANNER_SETTINGS,
+  takeoverWaitMs: 3000,
+  orderPauseMs: 1500,
+  changeTimeoutMs: 6000,
+};
+
+/** A table that never answers. */
+const DOWN_TABLE: TableStore = { perform: () => Promise.resolve({ kind: 'noAnswer', reason: 'down' }) };
+
 /** The running daemon. */
 export interface ForwardingSite {
   readonly callers: string;
@@ -108,9 +123,13 @@
       seeds: [],
       stopGraceMs: 4000,
       log: { ...DEFAULT_DECISION_LOG_SETTINGS, linesPerSecond: 0, maximumLinesPerSecond: 0 },
-      daemon: { ...DEFAULT_FORWARDING_SETTINGS, retries: { ratio: 0.2, slack: 50, windowMs: 10_000 } },
+      daemon: {
+        ...DEFAULT_FORWARDING_SETTINGS,
+        retries: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+        stages: LAB_STAGES,
+      },
     },
-    { dialect: new HttpDialect(), store },
+    { dialect: new HttpDialect(), store, table: DOWN_TABLE },
   );
   await daemon.start();
   await untilReady(ready);
--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -4,8 +4,10 @@
  */
 import { Pool, type Dispatcher } from 'undici';
 import type { AttemptStart, ForwardAttemptEvent, KvSource } from '../forwarding/forward-messages.js';
+import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
+import type { BackendRecord } from '../forwarding/route.js';
 import type { HealthProbe } from '../forwarding/health-prober.js';
-import type { BackendDialect, CallerHead, RawHeaders } from './backend-dialect.js';
+import type { BackendDialect, CallerHead, PlainCall, RawHeaders } from './backend-dialect.js';
 import { endToEndHeaders, headerValue } from './http-headers.js';
 import { EventSplitter } from './event-splitter.js';
 import { ResetWatch } from './reset-watch.js';
@@ -38,6 +40,12 @@
   readonly framed: boolean;
 }
 
+/** A call of the daemon's own. */
+interface SmallCall extends PlainCall {
+  readonly headers?: string[];
+  readonly body?: string;
+}
+
 /** Settings of the connections. */
 export interface BackendClientSettings {
   /** A connection that does not come up within this time counts as refused. Milliseconds. */
@@ -116,20 +124,42 @@
   /** Frees an exported KV cache; whether it worked does not matter. */
   freeKv(source: KvSource): void {
     const call = this.dialect.freeKvCall(source);
-    this.call(source.address, source.address, call.method, call.path).catch(() => undefined);
+    this.call(source.address, source.address, call).catch(() => undefined);
   }
 
   /** Asks a back end for its health. */
   async probe(probe: HealthProbe, healthPath: string): Promise<boolean> {
     const { id, address } = probe.backend;
     try {
-      const answer = await this.call(`probe ${id}`, address, 'GET', healthPath);
+      const answer = await this.call(`probe ${id}`, address, { method: 'GET', path: healthPath });
       return this.dialect.healthy(answer.status, answer.headers, id);
     } catch {
       return false;
     }
   }
 
+  /** Asks a model engine for its state; undefined when it does not tell. */
+  async engineStatus(backend: BackendRecord): Promise<EngineStatus | undefined> {
+    const call = this.dialect.engineStatusCall();
+    try {
+      const answer = await this.call(backend.id, backend.address, call);
+      return this.dialect.engineStatus(answer.status, answer.body);
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Gives an order once. */
+  async order(order: StageOrder): Promise<StageOrderResult> {
+    const { id, address } = order.backend;
+    try {
+      const answer = await this.call(id, address, this.dialect.orderCall(order));
+      return this.dialect.orderResult(answer.status);
+    } catch (error) {
+      return { kind: 'noAnswer', reason: (error as Error).name };
+    }
+  }
+
   /** Connections to a back end that is gone are closed when their requests are over. */
   forget(backendId: string): void {
     for (const key of [backendId, `probe ${backendId}`]) {
@@ -147,18 +177,19 @@
   private async call(
     key: string,
     address: string,
-    method: string,
-    path: string,
-  ): Promise<{ status: number; headers: string[] }> {
+    { method, path, headers, body }: SmallCall,
+  ): Promise<{ status: number; headers: string[]; body: string }> {
     const pool = this.pool(key, address);
     const answer = await pool.request({
       method: method as Dispatcher.HttpMethod,
       path,
+      headers,
+      body,
       signal: AbortSignal.timeout(this.settings.callTimeoutMs),
       responseHeaders: 'raw',
     });
-    await answer.body.dump();
-    return { status: answer.statusCode, headers: answer.headers as unknown as string[] };
+    const text = await answer.body.text();
+    return { status: answer.statusCode, headers: answer.headers as unknown as string[], body: text };
   }
 
   private pool(key: string, address: string): Pool {
--- a/src/adapters/backend-dialect.ts
+++ b/src/adapters/backend-dialect.ts
@@ -2,6 +2,7 @@
  * How requests and answers are written on a given platform: names of headers and of calls. Contract: pure
  * translation; it keeps no state, takes no decision and never throws on what a peer sent.
  */
+import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
 import type { AttemptStart, KvSource } from '../forwarding/forward-messages.js';
 import type { PromptOutline } from '../forwarding/forward-request.js';
 
@@ -45,6 +46,14 @@
   prefillHandle(body: Buffer): string | undefined;
   /** The call that frees an exported KV cache. */
   freeKvCall(source: KvSource): PlainCall;
+  /** The call that asks a model engine for its state. */
+  engineStatusCall(): PlainCall;
+  /** An engine's state; undefined when the answer cannot be read. */
+  engineStatus(status: number, body: string): EngineStatus | undefined;
+  /** The call that gives an order. */
+  orderCall(order: StageOrder): PlainCall & { readonly headers: string[]; readonly body: string };
+  /** What the engine answered to an order. */
+  orderResult(status: number): StageOrderResult;
   /** Whether the answer to a health check comes from the incarnation and is good. */
   healthy(status: number, headers: RawHeaders, incarnation: string): boolean;
 }
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -30,6 +30,12 @@
 import { RetryAllowance, type RetryAllowanceSettings } from '../forwarding/retry-allowance.js';
 import type { RouteConfiguration } from '../forwarding/route.js';
 import { RouteTable } from '../forwarding/route-table.js';
+import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
+import type { StageCoordinatorSettings, StageEffect } from '../allocation/stage-coordinator.js';
+import { PromptMeter } from '../forwarding/prompt-meter.js';
+import type { BackendRecord } from '../forwarding/route.js';
+import type { TableRequest, TableResult } from '../platform/table-service.js';
+import { StageManager } from './stage-manager.js';
 import { initialMember } from '../membership/member-rules.js';
 import { Membership, type MembershipEffect } from '../membership/membership.js';
 import type { DaemonIdentity } from '../membership/membership-messages.js';
@@ -46,10 +52,11 @@
   readonly picker: BackendPickerSettings;
   readonly forward: ForwardSettings;
   readonly retries: RetryAllowanceSettings;
+  readonly stages: StageCoordinatorSettings;
 }
 
-/** Default settings; the budget of retries has none. */
-export const DEFAULT_FORWARDING_SETTINGS: Omit<ForwardingDaemonSettings, 'retries'> = {
+/** Default settings; the budget of retries and the stages have none. */
+export const DEFAULT_FORWARDING_SETTINGS: Omit<ForwardingDaemonSettings, 'retries' | 'stages'> = {
   membership: DEFAULT_MEMBERSHIP_SETTINGS,
   replica: DEFAULT_FLEET_REPLICA_SETTINGS,
   exchange: DEFAULT_PEER_EXCHANGE_SETTINGS,
@@ -77,6 +84,13 @@
       readonly event: ForwardAttemptEvent;
     }
   | { readonly kind: 'probed'; readonly backendId: string; readonly well: boolean }
+  | { readonly kind: 'leaseTableResult'; readonly service: string; readonly result: TableResult }
+  | {
+      readonly kind: 'engineStatus';
+      readonly backend: BackendRecord;
+      readonly status: EngineStatus | undefined;
+    }
+  | { readonly kind: 'orderResult'; readonly order: StageOrder; readonly result: StageOrderResult }
   | { readonly kind: 'beginDrain' }
   /** The process will end too soon for new requests. */
   | { readonly kind: 'closeForNew' };
@@ -97,6 +111,10 @@
   | 'backend.recovered'
   | 'store.lost'
   | 'store.regained'
+  | 'lease.acquired'
+  | 'lease.lost'
+  | 'order.given'
+  | 'order.answered'
   | 'drain.started';
 
 /** What comes out. */
@@ -106,6 +124,9 @@
   | { readonly kind: 'sendPeer'; readonly address: string; readonly message: PeerMessage }
   | { readonly kind: 'readRecords'; readonly read: RecordRead }
   | { readonly kind: 'probeBackend'; readonly probe: HealthProbe; readonly healthPath: string }
+  | { readonly kind: 'leaseTable'; readonly service: string; readonly request: TableRequest }
+  | { readonly kind: 'askEngine'; readonly backend: BackendRecord }
+  | { readonly kind: 'orderEngine'; readonly order: StageOrder }
   | { readonly kind: 'configurationInForce'; readonly configuration: RouteConfiguration }
   | { readonly kind: 'backendGone'; readonly backendId: string };
 
@@ -124,6 +145,8 @@
   private readonly manager: ForwardManager;
   private readonly exchange: PeerExchange;
   private readonly prober: HealthProber;
+  private readonly meter = new PromptMeter();
+  private readonly stages: StageManager;
   private routes: RouteTable | undefined;
   private draining = false;
 
@@ -156,6 +179,7 @@
       picker,
       this.prefixes,
       new RetryAllowance(settings.retries),
+      this.meter,
       emit,
     );
     this.exchange = new PeerExchange(
@@ -163,10 +187,18 @@
       this.replica,
       this.directory,
       () => this.peerAddresses(),
+      (at) => this.decodePrompts(at),
       random,
       ({ address, message }) => emit({ kind: 'sendPeer', address, message }),
       now,
     );
+    this.stages = new StageManager(
+      identity.id,
+      settings.stages,
+      { membership: this.membership, directory: this.directory, meter: this.meter, exchange: this.exchange },
+      (effect) => this.onStage(effect),
+      now,
+    );
     this.prober = new HealthProber(this.directory, (probe) => {
       const healthPath = this.routes?.service(probe.backend.service)?.healthPath;
       if (healthPath !== undefined) emit({ kind: 'probeBackend', probe, healthPath });
@@ -230,6 +262,16 @@
         this.prober.answered(event.backendId, event.well, now);
         if (event.well) this.believe('backend.recovered', { backend: event.backendId });
         break;
+      case 'leaseTableResult':
+        this.stages.tableAnswered(event.service, event.result, now);
+        break;
+      case 'engineStatus':
+        this.stages.engineAnswered(event.backend.service, event.backend.id, event.status, now);
+        break;
+      case 'orderResult':
+        this.believe('order.answered', { backend: event.order.backend.id, ...event.result });
+        this.stages.orderAnswered(event.order.backend.service, event.order.backend.id, event.result);
+        break;
       case 'beginDrain':
         this.beginDrain(now);
         break;
@@ -244,6 +286,7 @@
     this.replica.tick(now);
     this.exchange.tick(now);
     this.prober.tick(now);
+    this.stages.tick(now, !this.draining);
     this.manager.tick(now);
   }
 
@@ -302,6 +345,7 @@
         break;
       case 'configurationChanged':
         this.routes = new RouteTable(effect.configuration);
+        this.stages.configured(effect.configuration);
         this.outbox.push({ kind: 'configurationInForce', configuration: effect.configuration });
         this.believe('configuration.changed', {
           version: effect.configuration.version,
@@ -337,6 +381,36 @@
     }
   }
 
+  private onStage(effect: StageEffect): void {
+    switch (effect.kind) {
+      case 'leaseTable':
+        this.outbox.push({ kind: 'leaseTable', service: effect.cell, request: effect.request });
+        break;
+      case 'leaseAcquired':
+        this.believe('lease.acquired', { service: effect.cell, epoch: effect.epoch });
+        break;
+      case 'leaseLost':
+        this.believe('lease.lost', { service: effect.cell, epoch: effect.epoch });
+        break;
+      case 'askEngine':
+        this.outbox.push(effect);
+        break;
+      case 'orderEngine': {
+        const { backend, stage, fence, expectedOrders } = effect.order;
+        this.believe('order.given', { backend: backend.id, stage, fence, expectedOrders });
+        this.outbox.push(effect);
+        break;
+      }
+    }
+  }
+
+  private decodePrompts(now: number): [string, number][] {
+    const services = this.routes?.configuration.services ?? [];
+    return services
+      .filter((service) => service.engine !== undefined)
+      .map((service) => [service.name, Math.round(this.meter.decodePromptRate(service.name, now))]);
+  }
+
   private believe(event: BeliefEvent, fields: Readonly<Record<string, unknown>>): void {
     this.outbox.push({ kind: 'belief', event, fields });
   }
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -21,7 +21,7 @@
   readonly requestCostTokens: number;
   /**
    * Longer prompts are computed by prefill engines while there is one: on a decode engine they would hold up
-   * the tokens of every other stream. Default 2048.
+   * the tokens of every other stream. Default 300.
    */
   readonly decodePromptTokens: number;
   /** What another zone costs, in requests per slot for plain back ends. Default 0.1. */
@@ -34,7 +34,7 @@
   minimumAffinityTokens: 1000,
   decodePromptFactor: 2,
   requestCostTokens: 60,
-  decodePromptTokens: 2048,
+  decodePromptTokens: 300,
   otherZoneCost: 0.1,
 };
 
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -42,6 +42,8 @@
 export class BackendView {
   /** The incarnation has ended or its address belongs to another one. */
   gone = false;
+  /** This daemon is changing the engine's stage. */
+  changing = false;
   /** Sums over the other daemons' last digests. */
   peers: PeerLoad = { inFlight: 0, pendingTokens: 0, avoided: false };
   private readonly attempts = new Map<string, SentAttempt>();
@@ -110,7 +112,7 @@
 
   /** Whether nothing should be sent there while another back end can take it. */
   avoided(now: number): boolean {
-    return this.unreachable || now < this.ejectedUntil || this.silent(now);
+    return this.changing || this.unreachable || now < this.ejectedUntil || this.silent(now);
   }
 
   /** Whether only a probe can tell that the back end works again. */
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -93,8 +93,9 @@
     this.response.end(answer.body);
   }
 
-  /** Answers with a failure of the daemon's own. */
+  /** Answers with a failure of the daemon's own; an answer that has begun is broken off instead. */
   own(answer: OwnAnswer): void {
+    if (this.headSent) this.broken();
     if (this.over) return;
     this.over = true;
     this.markClosing();
--- a/src/platform/table-service.ts
+++ b/src/platform/table-service.ts
@@ -39,3 +39,8 @@
   | { readonly kind: 'rateLimited'; readonly retryAfterMs: number }
   /** No answer: the request may or may not have taken effect. */
   | { readonly kind: 'noAnswer'; readonly reason: string };
+
+/** Performs requests. Never throws: a failure is a result. */
+export interface TableStore {
+  perform(request: TableRequest): Promise<TableResult>;
+}
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -15,6 +15,7 @@
 import type { RecordRead, RecordStore } from '../fleet/record-store.js';
 import type { ForwardAttemptEvent } from '../forwarding/forward-messages.js';
 import { ForwardServer, type CallerReply, type ReceivedRequest } from '../gateway/forward-server.js';
+import type { TableStore } from '../platform/table-service.js';
 import { SeededRandom } from '../shared/random.js';
 import { DecisionLog, type DecisionLogSettings } from './decision-log.js';
 
@@ -42,6 +43,7 @@
 export interface ForwardingAdapters {
   readonly dialect: BackendDialect;
   readonly store: RecordStore;
+  readonly table: TableStore;
 }
 
 const TICK_MS = 20;
@@ -273,6 +275,25 @@
           .then((well) => this.send({ kind: 'probed', backendId, well }));
         break;
       }
+      case 'leaseTable': {
+        const { service, request } = effect;
+        void this.adapters.table
+          .perform(request)
+          .then((result) => this.send({ kind: 'leaseTableResult', service, result }));
+        break;
+      }
+      case 'askEngine': {
+        const { backend } = effect;
+        void this.backends
+          .engineStatus(backend)
+          .then((status) => this.send({ kind: 'engineStatus', backend, status }));
+        break;
+      }
+      case 'orderEngine': {
+        const { order } = effect;
+        void this.backends.order(order).then((result) => this.send({ kind: 'orderResult', order, result }));
+        break;
+      }
       case 'configurationInForce':
         this.server.limit(effect.configuration.limits);
         break;
