--- a/src/adapters/peer-codec.ts
+++ b/src/adapters/peer-codec.ts
@@ -108,7 +108,6 @@
     configurationRevision: count,
     backendsRevision: count,
     loads: z.array(z.tuple([text, count, count, count])),
-    decodePrompts: z.array(z.tuple([text, count])),
   }),
   z.object({ kind: z.literal('recordsPull'), sequence: count }),
   z.object({ kind: z.literal('recordsSnapshot'), sequence: count, records: z.array(storedRecord) }),
--- a/src/allocation/stage-coordinator.ts
+++ b/src/allocation/stage-coordinator.ts
@@ -4,7 +4,6 @@
  * new stage. A daemon that takes the lease over waits until orders of the holder before cannot mix with its own.
  */
 import type { EffectSink } from '../shared/effect-sink.js';
-import { SmoothedRate } from '../shared/smoothed-rate.js';
 import { CellLease, type LeaseEffect, type LeaseSettings } from '../lease/cell-lease.js';
 import type { TableResult } from '../platform/table-service.js';
 import type { BackendView } from '../forwarding/backend-view.js';
@@ -34,8 +33,6 @@
 export interface StageSituation {
   readonly views: readonly BackendView[];
   readonly slots: number;
-  readonly decodePromptRate: number;
-  readonly promptRate: number | undefined;
   readonly loaded: boolean;
   /** Whether this daemon is the one that should hold the lease. */
   readonly wanted: boolean;
@@ -48,16 +45,13 @@
   ordered: boolean;
 }
 
-const BACKLOG_TIME_CONSTANT_MS = 600;
-
 /** The coordinator of one service in one daemon. Times are monotonic milliseconds. */
 export class StageCoordinator {
   private readonly lease: CellLease;
   private pending: PendingChange | undefined;
   private nextOrderAt = 0;
   private ordersFrom = Infinity;
-  private readonly backlog = new SmoothedRate(BACKLOG_TIME_CONSTANT_MS);
-  private backlogAt: number;
+  private tickedAt = 0;
 
   constructor(
     readonly service: string,
@@ -67,7 +61,6 @@
     now: number,
   ) {
     this.lease = new CellLease(service, selfId, settings.lease, (effect) => this.onLease(effect), now);
-    this.backlogAt = now;
   }
 
   /** The engine that is being changed by this daemon: it gets no new work. */
@@ -77,7 +70,7 @@
 
   /** Advances the lease and, while it is held, the plan. */
   tick(situation: StageSituation, now: number): void {
-    this.noteBacklog(situation.views, now);
+    this.tickedAt = now;
     this.forgetFinished(situation.views, now);
     const step = planStage(this.settings.planner, this.demand(situation, now));
     this.lease.tick(now, situation.wanted && step !== 'none');
@@ -130,12 +123,6 @@
     if (finished || now - pending.since > this.settings.changeTimeoutMs) this.pending = undefined;
   }
 
-  private noteBacklog(views: readonly BackendView[], now: number): void {
-    const elapsed = now - this.backlogAt;
-    this.backlogAt = now;
-    this.backlog.add((backlogTokens(views) * elapsed) / 1000, now);
-  }
-
   private demand(situation: StageSituation, now: number): StageDemand {
     const serving = situation.views.filter(
       (view) => view.takesWork() && (view.changing || !view.avoided(now)),
@@ -146,27 +133,17 @@
       decodeEngines: decodes.length,
       slots: situation.slots,
       streams: decodes.reduce((sum, view) => sum + view.inFlight(), 0),
-      decodePromptRate: situation.decodePromptRate,
-      backlogTokens: this.backlog.perSecond(now),
-      promptRate: situation.promptRate,
-      loaded: situation.loaded,
     };
   }
 
   private onLease(effect: LeaseEffect): void {
     if (effect.kind === 'leaseAcquired') {
-      this.ordersFrom = effect.epoch > 1 ? this.backlogAt + this.settings.takeoverWaitMs : this.backlogAt;
+      this.ordersFrom = effect.epoch > 1 ? this.tickedAt + this.settings.takeoverWaitMs : this.tickedAt;
     }
     this.emit(effect);
   }
 }
 
-function backlogTokens(views: readonly BackendView[]): number {
-  return views
-    .filter((view) => view.record.stage === 'prefill')
-    .reduce((sum, view) => sum + view.pendingTokens(), 0);
-}
-
 /** The engine of a stage with the least work, whose change costs least. */
 function choose(views: readonly BackendView[], stage: EngineStage): BackendRecord | undefined {
   const able = views.filter((view) => view.takesWork() && view.record.stage === stage);
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -32,7 +32,6 @@
 import { RouteTable } from '../forwarding/route-table.js';
 import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
 import type { StageCoordinatorSettings, StageEffect } from '../allocation/stage-coordinator.js';
-import { PromptMeter } from '../forwarding/prompt-meter.js';
 import type { BackendRecord } from '../forwarding/route.js';
 import type { TableRequest, TableResult } from '../platform/table-service.js';
 import { StageManager } from './stage-manager.js';
@@ -145,7 +144,6 @@
   private readonly manager: ForwardManager;
   private readonly exchange: PeerExchange;
   private readonly prober: HealthProber;
-  private readonly meter = new PromptMeter();
   private readonly stages: StageManager;
   private routes: RouteTable | undefined;
   private draining = false;
@@ -179,7 +177,6 @@
       picker,
       this.prefixes,
       new RetryAllowance(settings.retries),
-      this.meter,
       emit,
     );
     this.exchange = new PeerExchange(
@@ -187,7 +184,6 @@
       this.replica,
       this.directory,
       () => this.peerAddresses(),
-      (at) => this.decodePrompts(at),
       random,
       ({ address, message }) => emit({ kind: 'sendPeer', address, message }),
       now,
@@ -195,7 +191,7 @@
     this.stages = new StageManager(
       identity.id,
       settings.stages,
-      { membership: this.membership, directory: this.directory, meter: this.meter, exchange: this.exchange },
+      { membership: this.membership, directory: this.directory },
       (effect) => this.onStage(effect),
       now,
     );
@@ -404,13 +400,6 @@
     }
   }
 
-  private decodePrompts(now: number): [string, number][] {
-    const services = this.routes?.configuration.services ?? [];
-    return services
-      .filter((service) => service.engine !== undefined)
-      .map((service) => [service.name, Math.round(this.meter.decodePromptRate(service.name, now))]);
-  }
-
   private believe(event: BeliefEvent, fields: Readonly<Record<string, unknown>>): void {
     this.outbox.push({ kind: 'belief', event, fields });
   }
--- a/src/daemon/stage-manager.ts
+++ b/src/daemon/stage-manager.ts
@@ -5,9 +5,7 @@
   type StageCoordinatorSettings,
   type StageEffect,
 } from '../allocation/stage-coordinator.js';
-import type { PeerExchange } from '../fleet/peer-exchange.js';
 import type { BackendDirectory } from '../forwarding/backend-directory.js';
-import type { PromptMeter } from '../forwarding/prompt-meter.js';
 import type { RouteConfiguration } from '../forwarding/route.js';
 import type { Membership } from '../membership/membership.js';
 import type { TableResult } from '../platform/table-service.js';
@@ -18,14 +16,10 @@
 export interface StageManagerParts {
   readonly membership: Membership;
   readonly directory: BackendDirectory;
-  readonly meter: PromptMeter;
-  readonly exchange: PeerExchange;
 }
 
 /** The list of members must have been the same for so long before a daemon takes the lease. Milliseconds. */
 const SETTLED_MS = 1500;
-/** A service with fewer requests a second over a daemon counts as not loaded. */
-const LOADED_RATE = 0.2;
 
 /** The manager of one daemon. Times are monotonic milliseconds. */
 export class StageManager {
@@ -79,17 +73,14 @@
 
   private tickService(service: string, slots: number, wanted: boolean, now: number): void {
     const coordinator = this.coordinatorOf(service, now);
-    const { directory, meter, exchange } = this.parts;
-    const views = directory.ofService(service);
+    const views = this.parts.directory.ofService(service);
     if (views.length === 0) return;
     const inFlight = views.reduce((sum, view) => sum + view.inFlight(), 0);
     coordinator.tick(
       {
         views,
         slots,
-        decodePromptRate: meter.decodePromptRate(service, now) + exchange.peerDecodePrompts(service, now),
-        promptRate: meter.promptRate(service),
-        loaded: inFlight > 0 || meter.requestRate(service, now) > LOADED_RATE,
+        loaded: inFlight > 0,
         wanted,
       },
       now,
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -10,8 +10,6 @@
       readonly configurationRevision: number;
       readonly backendsRevision: number;
       readonly loads: readonly BackendLoad[];
-      /** Prompt tokens a second that the sender sends to decode engines, by service. */
-      readonly decodePrompts: readonly (readonly [service: string, tokensPerSecond: number])[];
     }
   /** Asks a peer that knows more for its records. */
   | { readonly kind: 'recordsPull'; readonly sequence: number }
--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -31,22 +31,17 @@
   readonly message: FleetMessage;
 }
 
-/** What a peer says of its prompts counts for this long. Milliseconds. */
-const PROMPTS_LIFETIME_MS = 2000;
-
 /** The exchange of one daemon. Times are monotonic milliseconds. */
 export class PeerExchange {
   private nextDigestAt: number;
   private behindSince: number | undefined;
   private sequence = 0;
-  private readonly peerPrompts = new Map<string, { rates: ReadonlyMap<string, number>; at: number }>();
 
   constructor(
     private readonly settings: PeerExchangeSettings,
     private readonly replica: FleetReplica,
     private readonly directory: BackendDirectory,
     private readonly peerAddresses: () => readonly string[],
-    private readonly decodePrompts: (now: number) => readonly (readonly [string, number])[],
     private readonly random: RandomSource,
     private readonly emit: EffectSink<PeerSend>,
     now: number,
@@ -65,26 +60,15 @@
       configurationRevision: configuration,
       backendsRevision: backends,
       loads: this.directory.ownLoads(now),
-      decodePrompts: this.decodePrompts(now),
     };
     for (const address of this.recipients()) this.emit({ address, message });
   }
 
-  /** Prompt tokens a second that peers send to decode engines of a service. */
-  peerDecodePrompts(service: string, now: number): number {
-    let sum = 0;
-    for (const { rates, at } of this.peerPrompts.values()) {
-      if (now - at < PROMPTS_LIFETIME_MS) sum += rates.get(service) ?? 0;
-    }
-    return sum;
-  }
-
   /** Takes a peer's message. */
   receive(fromId: string, fromAddress: string, message: FleetMessage, now: number): void {
     switch (message.kind) {
       case 'loadDigest':
         this.directory.applyDigest(fromId, message.loads, now);
-        this.peerPrompts.set(fromId, { rates: new Map(message.decodePrompts), at: now });
         this.compare(fromAddress, message.configurationRevision, message.backendsRevision, now);
         break;
       case 'recordsPull': {
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -3,7 +3,7 @@
  * where the prompt is computed soonest, counting the tokens that wait there and those that its KV cache saves.
  */
 import type { RandomSource } from '../shared/random.js';
-import { rankByRendezvous } from '../shared/rendezvous-hash.js';
+import { pickByRendezvous } from '../shared/rendezvous-hash.js';
 import type { BackendDirectory } from './backend-directory.js';
 import type { BackendView } from './backend-view.js';
 import { sharedKey, sharedTokens, type PromptOutline } from './forward-request.js';
@@ -17,6 +17,8 @@
   readonly minimumAffinityTokens: number;
   /** How much slower a decode engine computes prompts than a prefill engine. Default 2. */
   readonly decodePromptFactor: number;
+  /** Shared parts read again delay others too: they weigh so much more than their tokens. Default 3. */
+  readonly readAgainFactor: number;
   /** What one request on an engine costs another, in prompt tokens. Default 60. */
   readonly requestCostTokens: number;
   /**
@@ -33,11 +35,15 @@
   draws: 3,
   minimumAffinityTokens: 1000,
   decodePromptFactor: 2,
+  readAgainFactor: 3,
   requestCostTokens: 60,
   decodePromptTokens: 300,
   otherZoneCost: 0.1,
 };
 
+/** Why a back end was chosen: the least loaded, or with regard to the shared parts of the prompt. */
+export type PlanReason = 'least-loaded' | 'home' | 'kept' | 'spill';
+
 /** Where an attempt goes. */
 export interface BackendPlan {
   readonly backend: BackendView;
@@ -45,6 +51,8 @@
   readonly promptTokens: number;
   /** The prompt is only computed there and generated elsewhere. */
   readonly prefillOnly: boolean;
+  /** Why this back end, for the log. */
+  readonly reason: PlanReason;
 }
 
 /** What is wanted of a choice. */
@@ -75,7 +83,7 @@
     const engines = candidates.some((view) => view.record.stage !== undefined);
     if (!prompt || !engines) return this.pickPlain(candidates);
     if (wanted.prefilled) return this.pickDecode(candidates);
-    return this.pickForPrompt(prompt, candidates);
+    return this.pickForPrompt(prompt, wanted, candidates);
   }
 
   /** Those that may take the request; the ones in trouble only when there is no other. */
@@ -94,46 +102,69 @@
       const far = view.record.zone === this.ownZone ? 0 : this.settings.otherZoneCost;
       return view.inFlight() / Math.max(1, view.record.slots) + far;
     });
-    return { backend, promptTokens: 0, prefillOnly: false };
+    return { backend, promptTokens: 0, prefillOnly: false, reason: 'least-loaded' };
   }
 
   private pickDecode(candidates: readonly BackendView[]): BackendPlan | undefined {
     const decodes = candidates.filter((view) => view.record.stage !== 'prefill');
     if (decodes.length === 0) return undefined;
     const backend = this.leastOf(decodes, (view) => this.waitingCost(view));
-    return { backend, promptTokens: 0, prefillOnly: false };
+    return { backend, promptTokens: 0, prefillOnly: false, reason: 'least-loaded' };
   }
 
-  private pickForPrompt(prompt: PromptOutline, candidates: readonly BackendView[]): BackendPlan | undefined {
+  private pickForPrompt(
+    prompt: PromptOutline,
+    wanted: BackendWanted,
+    candidates: readonly BackendView[],
+  ): BackendPlan | undefined {
     const decodes = candidates.filter((view) => view.record.stage !== 'prefill');
     if (decodes.length === 0) return undefined;
     if (prompt.promptTokens <= this.settings.decodePromptTokens) {
       const backend = this.leastOf(decodes, (view) => this.waitingCost(view));
-      return { backend, promptTokens: prompt.promptTokens, prefillOnly: false };
+      return { backend, promptTokens: prompt.promptTokens, prefillOnly: false, reason: 'least-loaded' };
     }
     const prefills = candidates.filter((view) => view.record.stage === 'prefill');
-    return this.pickWithAffinity(prompt, prefills.length > 0 ? prefills : decodes);
+    const able = prefills.length > 0 ? prefills : decodes;
+    return this.pickWithAffinity(prompt, able, this.homeOf(prompt, wanted.service, able));
   }
 
   /** Every engine is weighed: the home of the shared parts saves their tokens, others must compute them. */
-  private pickWithAffinity(prompt: PromptOutline, candidates: readonly BackendView[]): BackendPlan {
+  private pickWithAffinity(
+    prompt: PromptOutline,
+    candidates: readonly BackendView[],
+    home: string | undefined,
+  ): BackendPlan {
     const shared = sharedTokens(prompt);
     const key = sharedKey(prompt);
-    const ids = candidates.map((view) => view.record.id);
-    const home = shared >= this.settings.minimumAffinityTokens ? rankByRendezvous(key, ids, 1)[0] : undefined;
+    const affine = shared >= this.settings.minimumAffinityTokens;
+    const again = affine ? shared * this.settings.readAgainFactor : shared;
     let best: BackendPlan | undefined;
     let bestCost = Infinity;
     for (const backend of candidates) {
-      const cached = backend.record.id === home || this.prefixes.has(backend.record.id, key);
+      const atHome = backend.record.id === home;
+      const cached = atHome || this.prefixes.has(backend.record.id, key);
       const promptTokens = prompt.promptTokens - (cached ? shared : 0);
-      const cost = this.waitingCost(backend) + promptTokens * this.promptFactor(backend);
+      const work = prompt.promptTokens - shared + (cached ? 0 : again);
+      const cost = this.waitingCost(backend) + work * this.promptFactor(backend);
       if (cost >= bestCost) continue;
       bestCost = cost;
-      best = { backend, promptTokens, prefillOnly: backend.record.stage === 'prefill' };
+      const reason = atHome ? 'home' : cached ? 'kept' : 'spill';
+      best = { backend, promptTokens, prefillOnly: backend.record.stage === 'prefill', reason };
     }
     return best as BackendPlan;
   }
 
+  /** The engine that keeps the shared parts: the same for every daemon, also while it is avoided for a moment. */
+  private homeOf(prompt: PromptOutline, service: string, able: readonly BackendView[]): string | undefined {
+    if (sharedTokens(prompt) < this.settings.minimumAffinityTokens) return undefined;
+    const { stage } = able[0].record;
+    const ids = this.directory
+      .ofService(service)
+      .filter((view) => view.takesWork() && view.record.stage === stage)
+      .map((view) => view.record.id);
+    return pickByRendezvous(sharedKey(prompt), ids);
+  }
+
   /** Time that a token of a prompt takes, in tokens of a prefill engine. */
   private promptFactor(view: BackendView): number {
     return view.record.stage === 'prefill' ? 1 : this.settings.decodePromptFactor;
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -13,6 +13,8 @@
   readonly maximumEjectionMs: number;
   /** A back end that has answered nothing for so long while work waits there is avoided. Milliseconds. Default 800. */
   readonly silenceMs: number;
+  /** So much longer for each prompt token that waits there. Milliseconds. Default 0.05. */
+  readonly silenceMsPerToken: number;
 }
 
 /** Default settings. */
@@ -22,6 +24,7 @@
   ejectionMs: 1000,
   maximumEjectionMs: 4000,
   silenceMs: 800,
+  silenceMsPerToken: 0.05,
 };
 
 /** What other daemons say of a back end. */
@@ -150,7 +153,9 @@
     let oldest = Infinity;
     for (const attempt of this.attempts.values())
       if (!attempt.answering) oldest = Math.min(oldest, attempt.sentAt);
-    return now - Math.max(oldest, this.lastHeardAt) > this.settings.silenceMs;
+    const { silenceMs, silenceMsPerToken } = this.settings;
+    const allowedMs = silenceMs + this.pendingTokens() * silenceMsPerToken;
+    return now - Math.max(oldest, this.lastHeardAt) > allowedMs;
   }
 
   private eject(now: number): void {
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -10,7 +10,6 @@
 import type { ForwardSettings } from './forward-settings.js';
 import { sharedKey, sharedTokens, type ForwardRequest } from './forward-request.js';
 import type { ForwardAttemptEvent, ForwardEffect, ForwardFailure } from './forward-messages.js';
-import type { PromptMeter } from './prompt-meter.js';
 import { mayRunAgain, type LiveAttempt, type Session } from './forward-session.js';
 import type { PrefixIndex } from './prefix-index.js';
 import type { RetryAllowance } from './retry-allowance.js';
@@ -45,7 +44,6 @@
     private readonly picker: BackendPicker,
     private readonly prefixes: PrefixIndex,
     private readonly allowance: RetryAllowance,
-    private readonly meter: PromptMeter,
     private readonly emit: EffectSink<ForwardEffect>,
   ) {}
 
@@ -94,7 +92,6 @@
     };
     this.sessions.set(request.id, session);
     this.allowance.requestSeen(service, now);
-    this.meter.request(service, now);
     this.decide('request.accepted', session, {
       route: route.name,
       service,
@@ -188,15 +185,16 @@
     const attemptId = `${request.id}/${session.sends}`;
     const { backend } = plan;
     const pendingBefore = backend.pendingTokens();
-    session.attempt = { attemptId, plan, startedAt: now, pendingBefore, lastEventAt: now, answering: false };
+    session.attempt = { attemptId, plan, startedAt: now, lastEventAt: now, answering: false };
     const promptTokens = session.kvSource ? 0 : plan.promptTokens;
     backend.begin(attemptId, promptTokens, now);
-    if (!plan.prefillOnly && promptTokens > 0) this.meter.decodePrompt(session.service, promptTokens, now);
     this.decide('request.attempt', session, {
       backend: backend.record.id,
       stage: plan.prefillOnly ? 'prefill' : session.kvSource ? 'generate' : 'whole',
+      reason: plan.reason,
+      promptTokens: plan.promptTokens,
       inFlight: backend.inFlight(),
-      pendingTokens: Math.round(backend.pendingTokens()),
+      pendingTokens: Math.round(pendingBefore),
       remainingMs: Math.round(session.deadlineAt - now),
     });
     this.emit({
@@ -254,8 +252,6 @@
     backend.succeeded(now);
     this.endAttempt(session, attempt);
     this.promptComputed(session, backend);
-    if (attempt.pendingBefore === 0)
-      this.meter.prefilled(session.service, attempt.plan.promptTokens, now - attempt.startedAt);
     session.kvSource = { address: backend.record.address, handle };
     this.decide('request.prefilled', session, {
       backend: backend.record.id,
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -9,8 +9,6 @@
   readonly attemptId: string;
   readonly plan: BackendPlan;
   readonly startedAt: number;
-  /** Prompt tokens that waited at the back end when it was sent. */
-  readonly pendingBefore: number;
   lastEventAt: number;
   /** A stream has begun to arrive. */
   answering: boolean;
