--- a/src/allocation/stage-coordinator.ts
+++ b/src/allocation/stage-coordinator.ts
@@ -41,7 +41,8 @@
 interface PendingChange {
   readonly backend: BackendRecord;
   readonly stage: EngineStage;
-  readonly since: number;
+  /** When the engine was asked, then when it was ordered. */
+  since: number;
   ordered: boolean;
 }
 
@@ -105,6 +106,7 @@
       return;
     }
     pending.ordered = true;
+    pending.since = now;
     const { backend, stage } = pending;
     const order = { backend, stage, holder: this.selfId, fence: held.epoch, expectedOrders: status.orders };
     this.emit({ kind: 'orderEngine', order });
--- /dev/null
+++ b/test/fleet.test.ts
@@ -0,0 +1,113 @@
+/** The replica of configuration and back ends: never back, whatever the store and peers answer. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
+import {
+  FleetReplica,
+  DEFAULT_FLEET_REPLICA_SETTINGS,
+  type FleetEffect,
+} from '../src/fleet/fleet-replica.js';
+import type { StoredRecord } from '../src/fleet/record-store.js';
+import { SeededRandom } from '../src/shared/random.js';
+
+const SEED = 20261202;
+
+function replica(): { fleet: FleetReplica; effects: FleetEffect[] } {
+  const effects: FleetEffect[] = [];
+  const emit = (effect: FleetEffect): void => void effects.push(effect);
+  return {
+    fleet: new FleetReplica(DEFAULT_FLEET_REPLICA_SETTINGS, new SeededRandom(SEED), emit, 0),
+    effects,
+  };
+}
+
+function configuration(revision: number, version: number): StoredRecord {
+  return { collection: 'configuration', revision, value: labConfiguration(version, [labRoute({})]) };
+}
+
+function backend(id: string, revision: number, present = true): StoredRecord {
+  const value = present ? labBackend(id, '10.0.0.1:80') : undefined;
+  return { collection: 'backends', id, revision, value };
+}
+
+function known(fleet: FleetReplica): string[] {
+  return fleet
+    .records()
+    .flatMap((record) => (record.collection === 'backends' && record.value ? [record.id] : []));
+}
+
+describe('fleet replica', () => {
+  it('an old snapshot after a gap neither reverts the configuration nor brings a removed back end back', () => {
+    const { fleet } = replica();
+    fleet.receive('configuration', { kind: 'snapshot', revision: 10, records: [configuration(10, 3)] }, 0);
+    fleet.receive(
+      'backends',
+      { kind: 'snapshot', revision: 10, records: [backend('a', 5), backend('b', 6)] },
+      0,
+    );
+    fleet.receive('backends', { kind: 'changes', revision: 12, records: [backend('a', 12, false)] }, 10);
+    fleet.receive('backends', { kind: 'historyGone' }, 20);
+    fleet.receive(
+      'backends',
+      { kind: 'snapshot', revision: 9, records: [backend('a', 5), backend('b', 6)] },
+      30,
+    );
+    fleet.receive('configuration', { kind: 'snapshot', revision: 9, records: [configuration(8, 2)] }, 30);
+    expect(known(fleet)).to.deep.equal(['b']);
+    expect(fleet.configuration()?.version).to.equal(3);
+  });
+
+  it('a back end that a newer snapshot lacks is removed; one with a newer record stays', () => {
+    const { fleet } = replica();
+    fleet.receive(
+      'backends',
+      { kind: 'snapshot', revision: 6, records: [backend('a', 5), backend('b', 6)] },
+      0,
+    );
+    fleet.receiveFromPeer('peer', [backend('c', 20)]);
+    fleet.receive('backends', { kind: 'snapshot', revision: 15, records: [backend('b', 6)] }, 10);
+    expect(known(fleet)).to.deep.equal(['b', 'c']);
+  });
+
+  it('without the store a daemon learns configuration and back ends from a peer, and knows that they may be old', () => {
+    const { fleet } = replica();
+    fleet.receive('configuration', { kind: 'noAnswer', reason: 'timeout' }, 0);
+    fleet.receiveFromPeer('peer', [configuration(10, 3), backend('a', 5)]);
+    expect(fleet.configuration()?.version).to.equal(3);
+    expect(fleet.knowsBackends()).to.equal(true);
+    expect(fleet.configurationMayBeStale(100)).to.equal(true);
+  });
+
+  it('after a failed read the next comes after a pause, and a read that was answered is confirmed from when it was asked', () => {
+    const { fleet, effects } = replica();
+    fleet.tick(0);
+    expect(effects.filter((effect) => effect.kind === 'readRecords')).to.have.length(2);
+    fleet.receive('configuration', { kind: 'rejected', status: 429 }, 10);
+    fleet.tick(11);
+    expect(effects.filter((effect) => effect.kind === 'readRecords')).to.have.length(2);
+    fleet.tick(2000);
+    fleet.receive('configuration', { kind: 'snapshot', revision: 1, records: [configuration(1, 1)] }, 2500);
+    expect(fleet.ageMs('configuration', 2500)).to.equal(500);
+    expect(effects.map((effect) => effect.kind))
+      .to.include('storeLost')
+      .and.to.include('storeRegained');
+  });
+
+  it('for any order of answers, no revision goes back', () => {
+    const record = fc.record({ revision: fc.integer({ min: 1, max: 30 }), fromPeer: fc.boolean() });
+    fc.assert(
+      fc.property(fc.array(record, { maxLength: 40 }), (plan) => {
+        const { fleet } = replica();
+        let newest = 0;
+        for (const { revision, fromPeer } of plan) {
+          const records = [configuration(revision, revision)];
+          if (fromPeer) fleet.receiveFromPeer('peer', records);
+          else fleet.receive('configuration', { kind: 'snapshot', revision, records }, revision);
+          newest = Math.max(newest, revision);
+          expect(fleet.configuration()?.version).to.equal(newest);
+        }
+      }),
+      { seed: SEED, numRuns: 200 },
+    );
+  });
+});
--- a/test/forwarding-bytes.test.ts
+++ b/test/forwarding-bytes.test.ts
@@ -1,8 +1,10 @@
 /** What callers get, byte by byte, when back ends break off, answer for others, or leave out the length. */
-import { connect, type Socket } from 'node:net';
+import { createServer } from 'node:http';
+import { connect, type AddressInfo, type Socket } from 'node:net';
 import { expect } from 'chai';
 import { labBackend, labRoute, startForwardingSite, type ForwardingSite } from '../lab/forwarding-site.js';
 import { headerOf, ScriptedBackend, type BackendScript } from '../lab/scripted-backend.js';
+import { CallerReply } from '../src/gateway/forward-server.js';
 import type { Route } from '../src/forwarding/route.js';
 
 const SIGNED = 'X-Server-Signature: s1\r\n';
@@ -147,3 +149,20 @@
     await stopped;
   });
 });
+
+describe('an answer that has begun', () => {
+  it('is broken off, not answered a second time, when the request fails before the machine knew', async () => {
+    const server = createServer((_request, response) => {
+      const reply = new CallerReply(response, () => false, undefined);
+      reply.head(200, ['X-Own', '1'], true);
+      reply.events(Buffer.from('id: 1\n\n'), '1');
+      setTimeout(() => reply.own({ status: 504, failure: 'deadline', retryAfterMs: undefined }), 50);
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const { port } = server.address() as AddressInfo;
+    const answer = await ask(`127.0.0.1:${port}`, 'GET /a/x HTTP/1.1');
+    server.close();
+    expect(answer.text).to.include('id: 1');
+    expect(answer.text).not.to.match(/\r\n0\r\n\r\n$/);
+  });
+});
--- /dev/null
+++ b/test/forwarding.test.ts
@@ -0,0 +1,328 @@
+/** Decisions of forwarding in virtual time: what runs where, what is repeated, what a caller is told. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
+import { BackendDirectory } from '../src/forwarding/backend-directory.js';
+import { BackendPicker, DEFAULT_BACKEND_PICKER_SETTINGS } from '../src/forwarding/backend-picker.js';
+import { DEFAULT_BACKEND_HEALTH_SETTINGS } from '../src/forwarding/backend-view.js';
+import { ForwardManager } from '../src/forwarding/forward-manager.js';
+import type { AttemptStart, ForwardAttemptEvent, ForwardEffect } from '../src/forwarding/forward-messages.js';
+import type { ForwardRequest, PromptOutline } from '../src/forwarding/forward-request.js';
+import { DEFAULT_FORWARD_SETTINGS } from '../src/forwarding/forward-settings.js';
+import { PrefixIndex } from '../src/forwarding/prefix-index.js';
+import { RetryAllowance } from '../src/forwarding/retry-allowance.js';
+import type { BackendRecord, EngineStage, Route } from '../src/forwarding/route.js';
+import { RouteTable } from '../src/forwarding/route-table.js';
+import { WeightedChoice } from '../src/forwarding/weighted-choice.js';
+import { SeededRandom } from '../src/shared/random.js';
+
+const SEED = 20261202;
+
+/** One daemon's forwarding with its effects collected. */
+class Forwarding {
+  readonly effects: ForwardEffect[] = [];
+  readonly directory = new BackendDirectory(DEFAULT_BACKEND_HEALTH_SETTINGS);
+  readonly manager: ForwardManager;
+  stale = false;
+
+  constructor(routes: readonly Route[], backends: readonly BackendRecord[], slack = 50) {
+    const table = new RouteTable(labConfiguration(1, routes));
+    for (const record of backends) this.directory.put(record);
+    const prefixes = new PrefixIndex(0.5);
+    const picker = new BackendPicker(
+      DEFAULT_BACKEND_PICKER_SETTINGS,
+      'zone-a',
+      this.directory,
+      prefixes,
+      new SeededRandom(SEED),
+    );
+    this.manager = new ForwardManager(
+      DEFAULT_FORWARD_SETTINGS,
+      { routes: () => table, configurationMayBeStale: () => this.stale, daemons: () => 1 },
+      picker,
+      prefixes,
+      new RetryAllowance({ ratio: 0, slack, windowMs: 10_000 }),
+      (effect) => this.effects.push(effect),
+    );
+  }
+
+  begin(fields: Partial<ForwardRequest> = {}, now = 0): void {
+    this.manager.begin(
+      {
+        id: 'r1',
+        callerId: 'c1',
+        host: 'site.example',
+        path: '/a/x',
+        arrivedAt: now,
+        callerDeadlineMs: 1000,
+        prompt: undefined,
+        ...fields,
+      },
+      now,
+    );
+  }
+
+  starts(): AttemptStart[] {
+    return this.effects.flatMap((effect) => (effect.kind === 'startAttempt' ? [effect.start] : []));
+  }
+
+  event(event: ForwardAttemptEvent, now: number): void {
+    const last = this.starts().at(-1) as AttemptStart;
+    this.manager.attemptEvent(last.requestId, last.attemptId, event, now);
+  }
+
+  failures(): (number | 'broken')[] {
+    return this.effects.flatMap((effect): (number | 'broken')[] => {
+      if (effect.kind === 'replyFailure') return [effect.status];
+      return effect.kind === 'replyBroken' ? ['broken'] : [];
+    });
+  }
+
+  of(kind: ForwardEffect['kind']): ForwardEffect[] {
+    return this.effects.filter((effect) => effect.kind === kind);
+  }
+}
+
+const PLAIN = ['b1', 'b2', 'b3'].map((id) => labBackend(id, `10.0.0.1:${id.slice(1)}`));
+
+function engine(id: string, stage: EngineStage): BackendRecord {
+  return { ...labBackend(id, `10.0.1.1:${id.length}`), stage };
+}
+
+const ENGINES = [
+  engine('p1', 'prefill'),
+  engine('p2', 'prefill'),
+  engine('d1', 'decode'),
+  engine('d2', 'decode'),
+];
+
+function prompt(own: number, shared: number, key = 'k'): PromptOutline {
+  const parts = [
+    { id: key, tokens: shared },
+    { id: 'own', tokens: own },
+  ];
+  return { model: 'm', parts, promptTokens: own + shared, maximumOutputTokens: 10 };
+}
+
+const STREAM: Partial<Route> = { kind: 'stream', maximumAttempts: 1 };
+
+describe('routes', () => {
+  it('the longest prefix of the host wins; port, query and the case of the host do not matter', () => {
+    const table = new RouteTable(
+      labConfiguration(1, [
+        labRoute({ name: 'short', pathPrefix: '/a/' }),
+        labRoute({ name: 'long', pathPrefix: '/a/b/' }),
+        labRoute({ name: 'other', host: 'other.example', pathPrefix: '/' }),
+      ]),
+    );
+    expect(table.match('SITE.example:80', '/a/b/c?x=/')?.name).to.equal('long');
+    expect(table.match('site.example', '/a/c')?.name).to.equal('short');
+    expect(table.match('site.example', '/a')).to.equal(undefined);
+    expect(table.match('other.example', '/a/b/')?.name).to.equal('other');
+  });
+
+  it('a split gives each target its exact share in every whole round', () => {
+    fc.assert(
+      fc.property(fc.array(fc.integer({ min: 1, max: 20 }), { minLength: 1, maxLength: 4 }), (weights) => {
+        const targets = weights.map((weight, index) => ({ service: `s${index}`, weight }));
+        const route = labRoute({ targets });
+        const choice = new WeightedChoice();
+        const counts = new Map<string, number>();
+        const round = weights.reduce((sum, weight) => sum + weight, 0);
+        for (let step = 0; step < round; step += 1) {
+          const service = choice.next(route) as string;
+          counts.set(service, (counts.get(service) ?? 0) + 1);
+        }
+        weights.forEach((weight, index) => expect(counts.get(`s${index}`)).to.equal(weight));
+      }),
+      { seed: SEED, numRuns: 200 },
+    );
+  });
+});
+
+describe('retry allowance', () => {
+  it('over all daemons no window has more repeats than ratio and slack allow', () => {
+    const steps = fc.array(
+      fc.record({
+        daemon: fc.integer({ min: 0, max: 3 }),
+        waitMs: fc.integer({ min: 0, max: 400 }),
+        repeat: fc.boolean(),
+      }),
+      { minLength: 50, maxLength: 400 },
+    );
+    fc.assert(
+      fc.property(steps, (plan) => {
+        const settings = { ratio: 0.2, slack: 20, windowMs: 5000 };
+        const daemons = [0, 1, 2, 3].map(() => new RetryAllowance(settings));
+        const requests: number[] = [];
+        const repeats: number[] = [];
+        let now = 0;
+        for (const { daemon, waitMs, repeat } of plan) {
+          now += waitMs;
+          if (!repeat) {
+            daemons[daemon].requestSeen('s', now);
+            requests.push(now);
+          } else if (daemons[daemon].tryRepeat('s', daemons.length, now)) repeats.push(now);
+        }
+        for (const end of repeats) {
+          const inside = (at: number): boolean => at > end - settings.windowMs && at <= end;
+          const allowed = settings.ratio * requests.filter(inside).length + settings.slack;
+          expect(repeats.filter(inside).length).to.be.at.most(allowed + 1);
+        }
+      }),
+      { seed: SEED, numRuns: 100 },
+    );
+  });
+});
+
+describe('forwarding', () => {
+  it('work that may not be repeated is never sent again once a back end may have seen it', () => {
+    const site = new Forwarding([labRoute({ kind: 'nonIdempotent', maximumAttempts: 3 })], PLAIN);
+    site.begin();
+    site.event({ kind: 'broken', reason: 'reset' }, 10);
+    expect(site.starts()).to.have.length(1);
+    expect(site.failures()).to.deep.equal([502]);
+  });
+
+  it('work that no back end saw goes elsewhere, whatever its kind, and costs no budget', () => {
+    const site = new Forwarding([labRoute({ kind: 'nonIdempotent' })], PLAIN, 0);
+    site.begin();
+    site.event({ kind: 'unreachable', reason: 'refused' }, 10);
+    expect(site.starts().map((start) => start.backend.id)).to.have.length(2);
+    expect(site.starts()[1].backend.id).not.to.equal(site.starts()[0].backend.id);
+  });
+
+  it('work that a back end turned away is refused as not run when the budget is used up', () => {
+    const site = new Forwarding([labRoute({})], PLAIN, 0);
+    site.begin();
+    site.event({ kind: 'notExecuted', status: 503, wrongIncarnation: false }, 10);
+    expect(site.starts()).to.have.length(1);
+    expect(site.failures()).to.deep.equal([503]);
+    const [refusal] = site.of('replyFailure');
+    expect(refusal).to.have.property('retryAfterMs').that.is.greaterThan(0);
+  });
+
+  it('a request runs on no more back ends than its route allows', () => {
+    const site = new Forwarding([labRoute({ maximumAttempts: 2 })], PLAIN);
+    site.begin();
+    site.event({ kind: 'broken', reason: 'reset' }, 10);
+    site.event({ kind: 'broken', reason: 'reset' }, 20);
+    expect(site.starts()).to.have.length(2);
+    expect(site.failures()).to.deep.equal([502]);
+  });
+
+  it('at the time-out the answer comes at once: not run only when that is certain', () => {
+    const site = new Forwarding([labRoute({ kind: 'nonIdempotent', timeoutMs: 500 })], PLAIN);
+    site.begin();
+    site.manager.tick(499);
+    expect(site.failures()).to.deep.equal([]);
+    site.manager.tick(500);
+    expect(site.failures()).to.deep.equal([504]);
+    expect(site.of('abortAttempt')).to.have.length(1);
+  });
+
+  it('a back end gets no more time than the caller and the route leave', () => {
+    const site = new Forwarding([labRoute({ timeoutMs: 800 })], PLAIN);
+    site.begin({ callerDeadlineMs: 600 });
+    site.event({ kind: 'unreachable', reason: 'refused' }, 100);
+    expect(site.starts().map((start) => start.remainingMs)).to.deep.equal([600, 500]);
+  });
+
+  it('a caller that goes away frees its back end', () => {
+    const site = new Forwarding([labRoute({})], PLAIN);
+    site.begin();
+    site.manager.cancel('r1', 10);
+    expect(site.of('abortAttempt')).to.have.length(1);
+    expect(site.manager.active()).to.equal(0);
+    expect([...site.directory.all()].reduce((sum, view) => sum + view.inFlight(), 0)).to.equal(0);
+  });
+
+  it('a path without a route is not found only while the configuration is confirmed', () => {
+    const site = new Forwarding([labRoute({})], PLAIN);
+    site.begin({ path: '/none' });
+    site.stale = true;
+    site.begin({ id: 'r2', path: '/none' });
+    expect(site.failures()).to.deep.equal([404, 503]);
+  });
+
+  it('after the last moment for new requests they are refused with a time to come back', () => {
+    const site = new Forwarding([labRoute({})], PLAIN);
+    site.manager.closeForNew();
+    site.begin();
+    expect(site.failures()).to.deep.equal([503]);
+    expect(site.starts()).to.have.length(0);
+  });
+
+  it('another incarnation at the address gets nothing more', () => {
+    const site = new Forwarding([labRoute({})], PLAIN);
+    site.begin();
+    const [{ backend }] = site.starts();
+    site.event({ kind: 'notExecuted', status: 421, wrongIncarnation: true }, 10);
+    expect(site.directory.get(backend.id)?.takesWork()).to.equal(false);
+  });
+});
+
+describe('streams', () => {
+  it('a resumable stream goes on elsewhere after its last whole event', () => {
+    const site = new Forwarding([labRoute({ ...STREAM, resumable: true, maximumAttempts: 2 })], PLAIN);
+    site.begin();
+    site.event({ kind: 'streamStarted' }, 10);
+    site.event({ kind: 'streamProgress', lastEventId: '7' }, 20);
+    site.event({ kind: 'broken', reason: 'reset' }, 30);
+    expect(site.starts()[1].resumeAfter).to.equal('7');
+  });
+
+  it('a stream that may not be resumed is broken off, never finished by another run', () => {
+    const site = new Forwarding([labRoute(STREAM)], PLAIN);
+    site.begin();
+    site.event({ kind: 'streamStarted' }, 10);
+    site.event({ kind: 'broken', reason: 'reset' }, 30);
+    expect(site.starts()).to.have.length(1);
+    expect(site.failures()).to.deep.equal(['broken']);
+  });
+
+  it('a long prompt is computed by a prefill engine and generated by a decode engine', () => {
+    const site = new Forwarding([labRoute(STREAM)], ENGINES);
+    site.begin({ prompt: prompt(3000, 13_000) });
+    expect(site.starts()[0]).to.include({ prefillOnly: true });
+    expect(site.starts()[0].backend.stage).to.equal('prefill');
+    site.event({ kind: 'prefilled', handle: 'h1' }, 100);
+    expect(site.starts()[1]).to.include({ prefillOnly: false });
+    expect(site.starts()[1].backend.stage).to.equal('decode');
+    expect(site.starts()[1].kvSource?.handle).to.equal('h1');
+  });
+
+  it('a KV cache that nobody takes is freed', () => {
+    const site = new Forwarding([labRoute(STREAM)], ENGINES);
+    site.begin({ prompt: prompt(3000, 13_000) });
+    site.event({ kind: 'prefilled', handle: 'h1' }, 100);
+    site.manager.cancel('r1', 110);
+    expect(site.of('freeKv')).to.have.length(1);
+  });
+
+  it('a short prompt goes to a decode engine directly', () => {
+    const site = new Forwarding([labRoute(STREAM)], ENGINES);
+    site.begin({ prompt: prompt(100, 50) });
+    expect(site.starts()[0].backend.stage).to.equal('decode');
+    expect(site.starts()[0].prefillOnly).to.equal(false);
+  });
+
+  it('prompts with the same shared parts go to one home, which every daemon finds by itself', () => {
+    const homes = new Set<string>();
+    for (let daemon = 0; daemon < 5; daemon += 1) {
+      const site = new Forwarding([labRoute(STREAM)], ENGINES);
+      site.begin({ prompt: prompt(3000 + daemon, 13_000, 'subject') });
+      homes.add(site.starts()[0].backend.id);
+    }
+    expect(homes.size).to.equal(1);
+  });
+
+  it('a busy engine is not taken for a silent one: the time allowed grows with the prompts that wait', () => {
+    const site = new Forwarding([labRoute({ ...STREAM, timeoutMs: 9000 })], ENGINES);
+    site.begin({ prompt: prompt(50_000, 2000), callerDeadlineMs: 9000 });
+    site.manager.tick(2500);
+    expect(site.starts()).to.have.length(1);
+    site.manager.tick(5000);
+    expect(site.starts().length).to.be.greaterThan(1);
+  });
+});
--- /dev/null
+++ b/test/platform.test.ts
@@ -0,0 +1,207 @@
+/** The platform's forms: bad input gives a typed error that names the field; nothing outside the folder knows them. */
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { readConfiguration, readServer } from '../platform/records.js';
+import { checkPlatformSettings } from '../platform/settings.js';
+import { StoreClient } from '../platform/store-client.js';
+import { TableClient } from '../platform/table-client.js';
+import { PulleyledgeError, SettingsError, ValidationError } from '../src/errors/index.js';
+
+const ROOT = fileURLToPath(new URL('../../', import.meta.url));
+const SEED = 20261202;
+
+const SETTINGS = `
+node = "n1"
+zone = "z"
+region = "r"
+heartbeat_ms = 1200
+unknown = 1
+seeds = ["10.1.0.35:8146"]
+[listen]
+front = "10.1.0.35:8144"
+ready = "10.1.0.35:8140"
+control = "10.1.0.35:8146"
+[bounds]
+contact_ms = 3000
+config_ms = 2000
+grace_s = 8
+lease_ms = 3000
+retry_budget_ratio = 0.2
+budget_slack = 54
+budget_window_s = 10
+[platform]
+addr = "10.200.1.7:8142"
+`;
+
+const ROUTE = {
+  name: 'r',
+  host: 'h.example',
+  path_prefix: '/p/',
+  route_kind: 'streaming',
+  timeout_ms: 3000,
+  target_latency_ms: 300,
+  service: 's',
+  resumable: true,
+};
+
+function configuration(route: object): string {
+  return JSON.stringify({ version: 7, routes: [route], services: [{ name: 's' }] });
+}
+
+function files(folder: string): string[] {
+  return readdirSync(join(ROOT, folder), { withFileTypes: true }).flatMap((entry) =>
+    entry.isDirectory() ? files(join(folder, entry.name)) : [join(folder, entry.name)],
+  );
+}
+
+describe('platform settings', () => {
+  it('known fields are read and unknown ones passed over', () => {
+    expect(checkPlatformSettings(SETTINGS).listen.front).to.equal('10.1.0.35:8144');
+  });
+
+  it('a missing or wrong field is named', () => {
+    const wrong: [string, string, RegExp][] = [
+      ['front = "10.1.0.35:8144"', '', /listen\.front/],
+      ['grace_s = 8', 'grace_s = "8"', /bounds\.grace_s/],
+      ['addr = "10.200.1.7:8142"', 'addr = "store"', /platform\.addr/],
+      ['node = "n1"', 'node = ', /\(file\)/],
+    ];
+    for (const [from, to, name] of wrong) {
+      expect(() => checkPlatformSettings(SETTINGS.replace(from, to))).to.throw(SettingsError, name);
+    }
+  });
+});
+
+describe('records of the store', () => {
+  it('a configuration is read into routes', () => {
+    const { version, routes } = readConfiguration(configuration(ROUTE));
+    expect(version).to.equal(7);
+    expect(routes[0]).to.include({ kind: 'stream', resumable: true, targetLatencyMs: 300 });
+    expect(routes[0].targets).to.deep.equal([{ service: 's', weight: 1 }]);
+  });
+
+  it('a wrong field is named', () => {
+    const wrong = configuration({ ...ROUTE, timeout_ms: 'soon' });
+    expect(() => readConfiguration(wrong)).to.throw(ValidationError, /routes\.0\.timeout_ms/);
+    expect(() => readServer('i', '{"service":"s","addr":"a","zone":"z","slots":0,"state":"ready"}')).to.throw(
+      ValidationError,
+      /slots/,
+    );
+  });
+
+  it('any text gives a record or a typed error', () => {
+    const text = fc.oneof(fc.string(), fc.json());
+    fc.assert(
+      fc.property(text, (value) => {
+        for (const read of [() => readConfiguration(value), () => readServer('i', value)]) {
+          try {
+            read();
+          } catch (error) {
+            expect(error).to.be.instanceOf(PulleyledgeError);
+          }
+        }
+      }),
+      { seed: SEED, numRuns: 500 },
+    );
+  });
+});
+
+describe('the store over HTTP', () => {
+  let server: Server;
+  let address: string;
+  let answer: (url: string, body: string) => { status: number; body?: unknown } | 'drop';
+
+  beforeEach(async () => {
+    server = createServer((request, response) => {
+      let body = '';
+      request.on('data', (chunk) => (body += String(chunk)));
+      request.on('end', () => {
+        const result = answer(request.url ?? '', body);
+        if (result === 'drop') request.socket.destroy();
+        else response.writeHead(result.status).end(JSON.stringify(result.body ?? {}));
+      });
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  });
+
+  afterEach(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+
+  it('a bad record is told and passed over, the others count', async () => {
+    const bad: string[] = [];
+    const store = new StoreClient(address, (key) => bad.push(key));
+    const good = { service: 's', addr: '10.0.0.1:80', zone: 'z', slots: 4, state: 'ready' };
+    const encode = (value: unknown): string => Buffer.from(JSON.stringify(value)).toString('base64');
+    const rows = [
+      { key: 'a', ver: 3, value: encode(good) },
+      { key: 'b', ver: 4, value: encode({ slots: 'many' }) },
+      { key: 'c', ver: 5, gone: true },
+    ];
+    answer = () => ({ status: 200, body: { rows, ver: 9 } });
+    const result = await store.read({ collection: 'backends', after: undefined, waitMs: 0 });
+    expect(bad).to.deep.equal(['b']);
+    expect(result).to.include({ kind: 'snapshot', revision: 9 });
+    if (result.kind === 'snapshot')
+      expect(result.records.map((record) => record.value?.constructor === Object)).to.deep.equal([
+        true,
+        false,
+      ]);
+  });
+
+  it('refusals, gone histories and answers that are none are told apart', async () => {
+    const store = new StoreClient(address, () => undefined);
+    const read = { collection: 'configuration' as const, after: 5, waitMs: 10 };
+    answer = () => ({ status: 429 });
+    expect(await store.read(read)).to.deep.equal({ kind: 'rejected', status: 429 });
+    answer = () => ({ status: 410 });
+    expect(await store.read(read)).to.deep.equal({ kind: 'historyGone' });
+    answer = () => ({ status: 200, body: { rows: 'none' } });
+    expect((await store.read(read)).kind).to.equal('noAnswer');
+    answer = () => 'drop';
+    expect((await store.read(read)).kind).to.equal('noAnswer');
+  });
+
+  it('a commit whose answer was lost counts as done when its write stands in the row', async () => {
+    const table = new TableClient(address);
+    const commit = {
+      kind: 'commit' as const,
+      writeId: 'w1',
+      writes: [{ table: 'leases' as const, key: 'k', expectedRevision: 0, value: { epoch: 1 } }],
+    };
+    let stored = '';
+    answer = (_url, body) => {
+      stored = (JSON.parse(body) as { put: { value: string }[] }).put[0].value;
+      return 'drop';
+    };
+    expect((await table.perform(commit)).kind).to.equal('noAnswer');
+    answer = () => ({ status: 412, body: { rows: [{ key: 'k', ver: 8, value: stored }] } });
+    expect(await table.perform(commit)).to.deep.equal({ kind: 'committed', revision: 8 });
+    const other = await table.perform({ ...commit, writeId: 'w2' });
+    expect(other.kind).to.equal('conflict');
+    answer = () => ({ status: 503 });
+    expect((await table.perform(commit)).kind).to.equal('rateLimited');
+  });
+});
+
+describe('layout', () => {
+  it("the platform's names stand in its folder only", () => {
+    const names =
+      /X-Attempt-Id|X-Expect-Instance|X-Kv-Source|X-Prefix-Hash|X-Not-Executed|X-Token-Usage|rows-(tx|get|feed)|PULLEYLEDGE_NODE_FILE/i;
+    const found = files('src').filter((file) => names.test(readFileSync(join(ROOT, file), 'utf8')));
+    expect(found).to.deep.equal([]);
+  });
+
+  it('the folder stays under a fifth of the source', () => {
+    const lines = (folder: string): number =>
+      files(folder).reduce((sum, file) => sum + readFileSync(join(ROOT, file), 'utf8').split('\n').length, 0);
+    expect(lines('platform')).to.be.lessThan(lines('src') / 5);
+  });
+});
--- /dev/null
+++ b/test/stages.test.ts
@@ -0,0 +1,163 @@
+/** Changes of engines' stages: under the lease only, one at a time, with the orders expected. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { labBackend } from '../lab/forwarding-site.js';
+import { StageCoordinator, type StageEffect } from '../src/allocation/stage-coordinator.js';
+import { DEFAULT_STAGE_PLANNER_SETTINGS, planStage } from '../src/allocation/stage-planner.js';
+import { BackendView, DEFAULT_BACKEND_HEALTH_SETTINGS } from '../src/forwarding/backend-view.js';
+import type { EngineStage } from '../src/forwarding/route.js';
+import { DEFAULT_LEASE_SETTINGS } from '../src/lease/cell-lease.js';
+import type { LeaseValue } from '../src/lease/cell-lease.js';
+
+const SETTINGS = {
+  lease: DEFAULT_LEASE_SETTINGS,
+  planner: DEFAULT_STAGE_PLANNER_SETTINGS,
+  takeoverWaitMs: 3000,
+  orderPauseMs: 1500,
+  changeTimeoutMs: 6000,
+};
+
+function views(stages: readonly EngineStage[]): BackendView[] {
+  return stages.map(
+    (stage, index) =>
+      new BackendView(
+        { ...labBackend(`e${index}`, `10.0.0.${index}:80`), stage },
+        DEFAULT_BACKEND_HEALTH_SETTINGS,
+      ),
+  );
+}
+
+/** A coordinator with a table that answers at once. */
+class Coordination {
+  readonly effects: StageEffect[] = [];
+  readonly coordinator: StageCoordinator;
+  row: { revision: number; value: LeaseValue } | undefined;
+
+  constructor(
+    readonly engines: BackendView[],
+    id = 'daemon-1',
+  ) {
+    this.coordinator = new StageCoordinator(
+      'service',
+      id,
+      SETTINGS,
+      (effect) => this.effects.push(effect),
+      0,
+    );
+  }
+
+  tick(now: number, wanted = true): void {
+    this.coordinator.tick({ views: this.engines, slots: 32, loaded: true, wanted }, now);
+    for (const effect of this.effects.splice(0)) {
+      if (effect.kind === 'leaseTable') this.answer(effect.request, now);
+      else this.done.push(effect);
+    }
+  }
+
+  readonly done: StageEffect[] = [];
+
+  orders(): StageEffect[] {
+    return this.done.filter((effect) => effect.kind === 'orderEngine');
+  }
+
+  asked(): StageEffect[] {
+    return this.done.filter((effect) => effect.kind === 'askEngine');
+  }
+
+  status(backendId: string, orders: number, now: number): void {
+    this.coordinator.engineAnswered(backendId, { stage: 'decode', changing: false, orders }, now);
+    this.done.push(...this.effects.splice(0));
+  }
+
+  private answer(request: Extract<StageEffect, { kind: 'leaseTable' }>['request'], now: number): void {
+    if (request.kind === 'read') {
+      const row = this.row && { table: 'leases' as const, key: 'service', ...this.row };
+      this.coordinator.receiveTableResult({ kind: 'row', row: row ?? null }, now);
+    } else if (request.kind === 'commit') {
+      const revision = (this.row?.revision ?? 0) + 1;
+      this.row = { revision, value: request.writes[0].value as LeaseValue };
+      this.coordinator.receiveTableResult({ kind: 'committed', revision }, now);
+    }
+  }
+}
+
+const FAR_FROM_PLAN: EngineStage[] = ['prefill', 'prefill', 'prefill', 'prefill', 'prefill', 'decode'];
+
+describe('stage planner', () => {
+  it('goes to the base share, adds decode engines while streams fill them, and comes back', () => {
+    const plan = (prefillEngines: number, decodeEngines: number, streams: number): string =>
+      planStage(DEFAULT_STAGE_PLANNER_SETTINGS, { prefillEngines, decodeEngines, slots: 32, streams });
+    expect(plan(9, 1, 0)).to.equal('toDecode');
+    expect(plan(7, 3, 20)).to.equal('none');
+    expect(plan(7, 3, 80)).to.equal('toDecode');
+    expect(plan(6, 4, 40)).to.equal('none');
+    expect(plan(6, 4, 10)).to.equal('toPrefill');
+    expect(plan(1, 1, 10)).to.equal('none');
+  });
+
+  it('settles for any number of engines and any steady load, and keeps the floors', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 3, max: 60 }),
+        fc.integer({ min: 0, max: 3000 }),
+        fc.integer({ min: 0, max: 60 }),
+        (engines, streams, start) => {
+          let decodeEngines = Math.min(engines, start);
+          for (let step = 0; step < 200; step += 1) {
+            const prefillEngines = engines - decodeEngines;
+            const demand = { prefillEngines, decodeEngines, slots: 32, streams };
+            const next = planStage(DEFAULT_STAGE_PLANNER_SETTINGS, demand);
+            if (next === 'none') break;
+            decodeEngines += next === 'toDecode' ? 1 : -1;
+            expect(step).to.be.lessThan(engines + 1);
+          }
+          expect(decodeEngines).to.be.at.least(2);
+          if (start < engines) expect(engines - decodeEngines).to.be.at.least(1);
+        },
+      ),
+      { seed: 20261202, numRuns: 300 },
+    );
+  });
+});
+
+describe('stage coordinator', () => {
+  it('orders only under the lease, one engine at a time, with the count of orders that the engine told', () => {
+    const site = new Coordination(views(FAR_FROM_PLAN));
+    site.tick(0, false);
+    expect(site.asked()).to.have.length(0);
+    for (let now = 10; now < 5000; now += 10) site.tick(now);
+    expect(site.asked()).to.have.length(1);
+    const [asked] = site.asked();
+    if (asked.kind !== 'askEngine') throw new Error('not asked');
+    site.coordinator.engineAnswered(asked.backend.id, { stage: 'prefill', changing: false, orders: 3 }, 5000);
+    site.tick(5000);
+    const [order] = site.orders();
+    expect(order)
+      .to.have.property('order')
+      .that.includes({ expectedOrders: 3, fence: 1, stage: 'decode', holder: 'daemon-1' });
+    for (let now = 5010; now < 9000; now += 10) site.tick(now);
+    expect(site.asked()).to.have.length(1);
+  });
+
+  it('a daemon that takes the lease over waits before its first order', () => {
+    const site = new Coordination(views(FAR_FROM_PLAN), 'daemon-2');
+    site.row = { revision: 4, value: { holder: '', epoch: 7, durationMs: 6000 } };
+    let askedAt = Infinity;
+    for (let now = 10; now < 12_000 && askedAt === Infinity; now += 10) {
+      site.tick(now);
+      if (site.asked().length > 0) askedAt = now;
+    }
+    const acquired = site.done.find((effect) => effect.kind === 'leaseAcquired');
+    expect(acquired).to.include({ epoch: 8 });
+    expect(askedAt).to.be.within(3000, 7000);
+  });
+
+  it('an answer that comes after the lease ran out gives no order', () => {
+    const site = new Coordination(views(FAR_FROM_PLAN));
+    for (let now = 10; now < 3000; now += 10) site.tick(now);
+    const [asked] = site.asked();
+    if (asked.kind !== 'askEngine') throw new Error('not asked');
+    site.status(asked.backend.id, 0, 60_000);
+    expect(site.orders()).to.have.length(0);
+  });
+});
