--- a/src/adapters/peer-codec.ts
+++ b/src/adapters/peer-codec.ts
@@ -108,6 +108,7 @@
     configurationRevision: count,
     backendsRevision: count,
     loads: z.array(z.tuple([text, count, count, count])),
+    placements: z.array(z.tuple([text, count, count])),
   }),
   z.object({ kind: z.literal('recordsPull'), sequence: count }),
   z.object({ kind: z.literal('recordsSnapshot'), sequence: count, records: z.array(storedRecord) }),
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -26,7 +26,7 @@
 import type { ForwardAttemptEvent, ForwardEffect } from '../forwarding/forward-messages.js';
 import type { ForwardRequest } from '../forwarding/forward-request.js';
 import { HealthProber, type HealthProbe } from '../forwarding/health-prober.js';
-import { PrefixIndex } from '../forwarding/prefix-index.js';
+import { PrefixIndex, type PrefixPlacement } from '../forwarding/prefix-index.js';
 import { RetryAllowance, type RetryAllowanceSettings } from '../forwarding/retry-allowance.js';
 import type { RouteConfiguration } from '../forwarding/route.js';
 import { RouteTable } from '../forwarding/route-table.js';
@@ -183,6 +183,7 @@
       settings.exchange,
       this.replica,
       this.directory,
+      { take: () => this.prefixes.takeRecent(), learn: (placement) => this.learnPlacement(placement) },
       () => this.peerAddresses(),
       random,
       ({ address, message }) => emit({ kind: 'sendPeer', address, message }),
@@ -317,6 +318,12 @@
     return Math.max(this.membership.contact().known, this.membership.active().length);
   }
 
+  private learnPlacement(placement: PrefixPlacement): void {
+    const service = this.directory.get(placement[0])?.record.service;
+    const engine = service === undefined ? undefined : this.routes?.service(service)?.engine;
+    if (engine) this.prefixes.usedByPeer(placement, engine.kvCapacityTokens);
+  }
+
   private peerAddresses(): string[] {
     const { id } = this.identity;
     return this.membership
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -1,5 +1,6 @@
 /** Messages between daemons about the load of back ends and the records that they know. */
 import type { BackendLoad } from '../forwarding/backend-directory.js';
+import type { PrefixPlacement } from '../forwarding/prefix-index.js';
 import type { StoredRecord } from './record-store.js';
 
 /** Messages of the fleet part. */
@@ -10,6 +11,8 @@
       readonly configurationRevision: number;
       readonly backendsRevision: number;
       readonly loads: readonly BackendLoad[];
+      /** Prompts that the sender had computed since its last digest. */
+      readonly placements: readonly PrefixPlacement[];
     }
   /** Asks a peer that knows more for its records. */
   | { readonly kind: 'recordsPull'; readonly sequence: number }
--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -5,6 +5,7 @@
 import type { EffectSink } from '../shared/effect-sink.js';
 import type { RandomSource } from '../shared/random.js';
 import type { BackendDirectory } from '../forwarding/backend-directory.js';
+import type { PrefixPlacement } from '../forwarding/prefix-index.js';
 import type { FleetMessage } from './fleet-messages.js';
 import type { FleetReplica } from './fleet-replica.js';
 
@@ -25,6 +26,12 @@
   pullAfterMs: 300,
 };
 
+/** Where prompts were computed: what this daemon tells, and what it learns. */
+export interface PlacementExchange {
+  take(): readonly PrefixPlacement[];
+  learn(placement: PrefixPlacement): void;
+}
+
 /** A message to a peer. */
 export interface PeerSend {
   readonly address: string;
@@ -41,6 +48,7 @@
     private readonly settings: PeerExchangeSettings,
     private readonly replica: FleetReplica,
     private readonly directory: BackendDirectory,
+    private readonly placements: PlacementExchange,
     private readonly peerAddresses: () => readonly string[],
     private readonly random: RandomSource,
     private readonly emit: EffectSink<PeerSend>,
@@ -60,6 +68,7 @@
       configurationRevision: configuration,
       backendsRevision: backends,
       loads: this.directory.ownLoads(now),
+      placements: this.placements.take(),
     };
     for (const address of this.recipients()) this.emit({ address, message });
   }
@@ -69,6 +78,7 @@
     switch (message.kind) {
       case 'loadDigest':
         this.directory.applyDigest(fromId, message.loads, now);
+        for (const placement of message.placements) this.placements.learn(placement);
         this.compare(fromAddress, message.configurationRevision, message.backendsRevision, now);
         break;
       case 'recordsPull': {
--- a/src/forwarding/backend-directory.ts
+++ b/src/forwarding/backend-directory.ts
@@ -2,14 +2,22 @@
 import type { BackendRecord } from './route.js';
 import { BackendView, type BackendHealthSettings } from './backend-view.js';
 
-/** One daemon's load on one back end in the form that travels: id, requests, prompt tokens, avoided (0 or 1). */
-export type BackendLoad = readonly [id: string, inFlight: number, pendingTokens: number, avoided: number];
+/**
+ * One daemon's load on one back end in the form that travels: id, requests, prompt tokens, and its distrust: 0 none,
+ * 1 the daemon avoids it, 2 the daemon is changing its stage.
+ */
+export type BackendLoad = readonly [id: string, inFlight: number, pendingTokens: number, distrust: number];
 
 interface PeerDigest {
   readonly loads: ReadonlyMap<string, BackendLoad>;
   readonly at: number;
 }
 
+const AVOIDED = 1;
+const CHANGING = 2;
+/** One daemon that avoids a back end may be the only one that cannot reach it; two are believed. */
+const DISTRUSTED = 2;
+
 /** A peer's digest counts for this long. Milliseconds. */
 const DIGEST_LIFETIME_MS = 2000;
 
@@ -79,10 +87,10 @@
   ownLoads(now: number): BackendLoad[] {
     const loads: BackendLoad[] = [];
     for (const view of this.views.values()) {
-      const avoided = view.avoided(now) ? 1 : 0;
+      const distrust = view.changing ? CHANGING : view.avoided(now) ? AVOIDED : 0;
       const inFlight = view.ownInFlight();
-      if (inFlight + avoided > 0)
-        loads.push([view.record.id, inFlight, Math.round(view.ownPromptTokens()), avoided]);
+      if (inFlight + distrust > 0)
+        loads.push([view.record.id, inFlight, Math.round(view.ownPromptTokens()), distrust]);
     }
     return loads;
   }
@@ -91,15 +99,15 @@
     for (const view of this.views.values()) {
       let inFlight = 0;
       let pendingTokens = 0;
-      let avoiding = 0;
+      let distrust = 0;
       for (const digest of this.digests.values()) {
         const load = digest.loads.get(view.record.id);
         if (!load || now - digest.at > DIGEST_LIFETIME_MS) continue;
         inFlight += load[1];
         pendingTokens += load[2];
-        avoiding += load[3];
+        distrust += load[3];
       }
-      view.peers = { inFlight, pendingTokens, avoided: avoiding > 0 };
+      view.peers = { inFlight, pendingTokens, distrusted: distrust >= DISTRUSTED };
     }
   }
 }
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -17,7 +17,7 @@
   readonly minimumAffinityTokens: number;
   /** How much slower a decode engine computes prompts than a prefill engine. Default 2. */
   readonly decodePromptFactor: number;
-  /** Shared parts read again delay others too: they weigh so much more than their tokens. Default 3. */
+  /** Shared parts read again delay others too: they weigh so much more than their tokens. Default 4. */
   readonly readAgainFactor: number;
   /** What one request on an engine costs another, in prompt tokens. Default 60. */
   readonly requestCostTokens: number;
@@ -35,7 +35,7 @@
   draws: 3,
   minimumAffinityTokens: 1000,
   decodePromptFactor: 2,
-  readAgainFactor: 3,
+  readAgainFactor: 4,
   requestCostTokens: 60,
   decodePromptTokens: 300,
   otherZoneCost: 0.1,
@@ -92,7 +92,7 @@
       .ofService(wanted.service)
       .filter((view) => view.takesWork() && !wanted.excluded.has(view.record.id));
     const sound = able.filter((view) => !view.avoided(now));
-    const trusted = sound.filter((view) => !view.peers.avoided);
+    const trusted = sound.filter((view) => !view.peers.distrusted);
     if (trusted.length > 0) return trusted;
     return sound.length > 0 ? sound : able;
   }
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -31,7 +31,8 @@
 export interface PeerLoad {
   readonly inFlight: number;
   readonly pendingTokens: number;
-  readonly avoided: boolean;
+  /** Several daemons avoid it, or the one that changes its stage does. */
+  readonly distrusted: boolean;
 }
 
 interface SentAttempt {
@@ -48,7 +49,7 @@
   /** This daemon is changing the engine's stage. */
   changing = false;
   /** Sums over the other daemons' last digests. */
-  peers: PeerLoad = { inFlight: 0, pendingTokens: 0, avoided: false };
+  peers: PeerLoad = { inFlight: 0, pendingTokens: 0, distrusted: false };
   private readonly attempts = new Map<string, SentAttempt>();
   private ownPendingTokens = 0;
   private failureShare = 0;
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -323,12 +323,19 @@
 
   private deadline(session: Session, now: number): void {
     const notRun = !session.attempt && !session.mayHaveRun;
-    if (session.attempt && !session.attempt.answering) session.attempt.plan.backend.failed(now);
+    if (session.attempt && !session.attempt.answering) this.unansweredAtDeadline(session.attempt, now);
     this.stopAttempt(session);
     if (notRun) this.fail(session, STATUS_UNAVAILABLE, 'deadline', this.settings.retryAfterMs, now);
     else this.fail(session, STATUS_DEADLINE, 'deadline', undefined, now);
   }
 
+  /** An engine that answers others was only busy; a plain back end should have answered. */
+  private unansweredAtDeadline(attempt: LiveAttempt, now: number): void {
+    const { backend } = attempt.plan;
+    if (backend.silent(now)) backend.lost(now);
+    else if (backend.record.stage === undefined) backend.failed(now);
+  }
+
   private stalled(session: Session, attempt: LiveAttempt, now: number): boolean {
     const { route } = session;
     if (!attempt.plan.prefillOnly && !mayRunAgain(session)) return false;
@@ -410,7 +417,7 @@
     const { prompt } = session.request;
     if (!prompt) return;
     const engine = this.surroundings.routes()?.service(session.service)?.engine;
-    if (engine)
+    if (engine && sharedTokens(prompt) > 0)
       this.prefixes.used(backend.record.id, sharedKey(prompt), sharedTokens(prompt), engine.kvCapacityTokens);
   }
 
