--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -7,7 +7,7 @@
 import { DEFAULT_LEASE_SETTINGS } from '../src/lease/cell-lease.js';
 import type { TableStore } from '../src/platform/table-service.js';
 import type { RecordRead, RecordReadResult, RecordStore, StoredRecord } from '../src/fleet/record-store.js';
-import type { BackendRecord, Route, RouteConfiguration } from '../src/forwarding/route.js';
+import type { BackendRecord, EngineTraits, Route, RouteConfiguration } from '../src/forwarding/route.js';
 import { DEFAULT_DECISION_LOG_SETTINGS } from '../src/process/decision-log.js';
 import { ForwardingProcess } from '../src/process/forwarding-process.js';
 
@@ -61,12 +61,14 @@
   };
 }
 
+const LAB_ENGINE: EngineTraits = { slots: 32, kvCapacityTokens: 440_000, kvHandleLifetimeMs: 5000 };
+
 /** A configuration for tests with these routes. */
 export function labConfiguration(version: number, routes: readonly Route[]): RouteConfiguration {
   return {
     version,
     routes,
-    services: [{ name: 'service', healthPath: '/healthz', maximumConnections: 100, engine: undefined }],
+    services: [{ name: 'service', healthPath: '/healthz', maximumConnections: 100, engine: LAB_ENGINE }],
     limits: {
       maximumHeaderBytes: 16_384,
       maximumBodyBytes: 65_536,
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -47,7 +47,7 @@
 /** Where an attempt goes. */
 export interface BackendPlan {
   readonly backend: BackendView;
-  /** Prompt tokens that are expected to be computed there. */
+  /** Prompt tokens that are expected to be computed there; shared parts count unless they are known to be kept. */
   readonly promptTokens: number;
   /** The prompt is only computed there and generated elsewhere. */
   readonly prefillOnly: boolean;
@@ -128,7 +128,10 @@
     return this.pickWithAffinity(prompt, able, this.homeOf(prompt, wanted.service, able));
   }
 
-  /** Every engine is weighed: the home of the shared parts saves their tokens, others must compute them. */
+  /**
+   * Every engine is weighed: one that is known to keep the shared parts saves their tokens; the home computes them
+   * once for all; any other engine would compute them beside it.
+   */
   private pickWithAffinity(
     prompt: PromptOutline,
     candidates: readonly BackendView[],
@@ -142,13 +145,13 @@
     let bestCost = Infinity;
     for (const backend of candidates) {
       const atHome = backend.record.id === home;
-      const cached = atHome || this.prefixes.has(backend.record.id, key);
-      const promptTokens = prompt.promptTokens - (cached ? shared : 0);
-      const work = prompt.promptTokens - shared + (cached ? 0 : again);
+      const kept = this.prefixes.has(backend.record.id, key);
+      const promptTokens = prompt.promptTokens - (kept ? shared : 0);
+      const work = atHome || kept ? promptTokens : prompt.promptTokens - shared + again;
       const cost = this.waitingCost(backend) + work * this.promptFactor(backend);
       if (cost >= bestCost) continue;
       bestCost = cost;
-      const reason = atHome ? 'home' : cached ? 'kept' : 'spill';
+      const reason = atHome ? 'home' : kept ? 'kept' : 'spill';
       best = { backend, promptTokens, prefillOnly: backend.record.stage === 'prefill', reason };
     }
     return best as BackendPlan;
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -326,3 +326,23 @@
     expect(site.starts().length).to.be.greaterThan(1);
   });
 });
+
+describe('a home that has not read the shared parts yet', () => {
+  it('is given the time that the whole prompt takes', () => {
+    const site = new Forwarding([labRoute({ ...STREAM, timeoutMs: 9000 })], ENGINES);
+    site.begin({ prompt: prompt(2000, 40_000), callerDeadlineMs: 9000 });
+    site.manager.tick(2000);
+    expect(site.starts()).to.have.length(1);
+    expect(site.directory.get(site.starts()[0].backend.id)?.pendingTokens()).to.equal(42_000);
+  });
+
+  it('saves their tokens once they are known to be kept', () => {
+    const site = new Forwarding([labRoute(STREAM)], ENGINES);
+    site.begin({ prompt: prompt(2000, 13_000) });
+    site.event({ kind: 'prefilled', handle: 'h' }, 300);
+    site.begin({ id: 'r2', prompt: prompt(1000, 13_000) }, 400);
+    const home = site.starts()[0].backend.id;
+    expect(site.starts().at(-1)?.backend.id).to.equal(home);
+    expect(site.directory.get(home)?.pendingTokens()).to.equal(1000);
+  });
+});
