--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -121,6 +121,7 @@
       callerAddress: callers,
       readyAddress: ready,
       readyPath: '/ready',
+      metricsAddress: undefined,
       peerAddress: peers,
       seeds: [],
       stopGraceMs: 4000,
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -63,6 +63,8 @@
   readonly prefilled: boolean;
   /** Back ends that this request has been sent to. */
   readonly excluded: ReadonlySet<string>;
+  /** Requests that this daemon may have on one back end: its part of the connections that a back end takes. */
+  readonly maximumOwnInFlight: number;
 }
 
 /** Chooses back ends. */
@@ -90,7 +92,12 @@
   private candidates(wanted: BackendWanted, now: number): BackendView[] {
     const able = this.directory
       .ofService(wanted.service)
-      .filter((view) => view.takesWork() && !wanted.excluded.has(view.record.id));
+      .filter(
+        (view) =>
+          view.takesWork() &&
+          !wanted.excluded.has(view.record.id) &&
+          view.ownInFlight() < wanted.maximumOwnInFlight,
+      );
     const sound = able.filter((view) => !view.avoided(now));
     const trusted = sound.filter((view) => !view.peers.distrusted);
     if (trusted.length > 0) return trusted;
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -10,7 +10,7 @@
 import type { ForwardSettings } from './forward-settings.js';
 import { sharedKey, sharedTokens, type ForwardRequest } from './forward-request.js';
 import type { ForwardAttemptEvent, ForwardEffect, ForwardFailure } from './forward-messages.js';
-import { mayRunAgain, type LiveAttempt, type Session } from './forward-session.js';
+import { isStalled, mayRunAgain, type LiveAttempt, type Session } from './forward-session.js';
 import type { PrefixIndex } from './prefix-index.js';
 import type { RetryAllowance } from './retry-allowance.js';
 import type { RouteTable } from './route-table.js';
@@ -94,7 +94,6 @@
     this.allowance.requestSeen(service, now);
     this.decide('request.accepted', session, {
       route: route.name,
-      service,
       configuration: routes.configuration.version,
     });
     this.send(session, now);
@@ -145,7 +144,7 @@
   tick(now: number): void {
     for (const session of [...this.sessions.values()]) {
       if (now >= session.deadlineAt) this.deadline(session, now);
-      else if (session.attempt && this.stalled(session, session.attempt, now))
+      else if (session.attempt && isStalled(session, session.attempt, this.settings, now))
         this.moveAway(session, session.attempt, now);
     }
   }
@@ -170,6 +169,7 @@
       prompt: request.prompt,
       prefilled: session.kvSource !== undefined,
       excluded: session.excluded,
+      maximumOwnInFlight: this.connectionShare(session.service),
     };
     const plan = this.picker.pick(wanted, now);
     if (!plan) {
@@ -213,6 +213,13 @@
     });
   }
 
+  /** A back end takes so many connections from all daemons together; each keeps to its part. */
+  private connectionShare(service: string): number {
+    const maximum = this.surroundings.routes()?.service(service)?.maximumConnections ?? Infinity;
+    const share = (maximum * this.settings.connectionUse) / this.surroundings.daemons();
+    return Math.max(1, Math.floor(share));
+  }
+
   private isFull(plan: BackendPlan): boolean {
     const { record } = plan.backend;
     if (record.stage !== undefined) return false;
@@ -292,6 +299,7 @@
     this.decide('request.answered', session, {
       backend: backend.record.id,
       status,
+      streamed: session.relaying,
       afterMs: Math.round(now - session.request.arrivedAt),
       sends: session.sends,
     });
@@ -336,18 +344,6 @@
     else if (backend.record.stage === undefined) backend.failed(now);
   }
 
-  private stalled(session: Session, attempt: LiveAttempt, now: number): boolean {
-    const { route } = session;
-    if (!attempt.plan.prefillOnly && !mayRunAgain(session)) return false;
-    const quietMs = now - attempt.lastEventAt;
-    if (attempt.answering) return quietMs > route.targetGapMs * this.settings.stallGaps;
-    const limit = Math.max(
-      this.settings.minimumStallMs,
-      route.targetLatencyMs * this.settings.stallTargetShare,
-    );
-    return quietMs > limit && attempt.plan.backend.silent(now);
-  }
-
   private moveAway(session: Session, attempt: LiveAttempt, now: number): void {
     if (this.allowance.left(session.service, this.surroundings.daemons(), now) < 1) return;
     this.emit({ kind: 'abortAttempt', attemptId: attempt.attemptId });
@@ -448,6 +444,7 @@
     session: Session,
     fields: Readonly<Record<string, unknown>>,
   ): void {
-    this.emit({ kind: 'decision', event, callerId: session.request.callerId, fields });
+    const { request, service } = session;
+    this.emit({ kind: 'decision', event, callerId: request.callerId, fields: { service, ...fields } });
   }
 }
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -2,6 +2,7 @@
 import type { BackendPlan } from './backend-picker.js';
 import type { KvSource } from './forward-messages.js';
 import type { ForwardRequest } from './forward-request.js';
+import type { ForwardSettings } from './forward-settings.js';
 import type { Route } from './route.js';
 
 /** The attempt that is under way. Times are monotonic milliseconds. */
@@ -40,3 +41,21 @@
   const repeatable = kind === 'idempotent' || (kind === 'stream' && resumable);
   return repeatable && session.runs < maximumAttempts;
 }
+
+/**
+ * Whether the attempt makes no progress, may be moved to another back end, and its back end answers nobody else
+ * either. A stream that has begun is judged by its pauses alone.
+ */
+export function isStalled(
+  session: Session,
+  attempt: LiveAttempt,
+  settings: ForwardSettings,
+  now: number,
+): boolean {
+  const { route } = session;
+  if (!attempt.plan.prefillOnly && !mayRunAgain(session)) return false;
+  const quietMs = now - attempt.lastEventAt;
+  if (attempt.answering) return quietMs > route.targetGapMs * settings.stallGaps;
+  const limit = Math.max(settings.minimumStallMs, route.targetLatencyMs * settings.stallTargetShare);
+  return quietMs > limit && attempt.plan.backend.silent(now);
+}
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -30,6 +30,8 @@
 
 const STATUS_TOO_LARGE = 413;
 const SECOND_MS = 1000;
+/** Callers keep to the configured limit; this one only protects the process. */
+const MAXIMUM_HEADER_BYTES = 64 * 1024;
 const KEEP_ALIVE_CHECK_MS = 1000;
 
 /** The answer to one request. Every method but the first has an effect once only. */
@@ -140,7 +142,11 @@
     private readonly handler: ForwardHandler,
     private readonly clock: () => number,
   ) {
-    this.server = createServer({ connectionsCheckingInterval: KEEP_ALIVE_CHECK_MS, noDelay: true });
+    this.server = createServer({
+      connectionsCheckingInterval: KEEP_ALIVE_CHECK_MS,
+      noDelay: true,
+      maxHeaderSize: MAXIMUM_HEADER_BYTES,
+    });
     this.server.on('request', (request, response) => this.accept(request, response));
     this.server.on('connection', (socket: Socket) => {
       this.sockets.add(socket);
--- /dev/null
+++ b/src/process/forwarding-metrics.ts
@@ -0,0 +1,109 @@
+/** Metrics of a forwarding daemon, in the Prometheus form. Label values are bounded. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { ForwardEffect } from '../forwarding/forward-messages.js';
+
+type Decision = Extract<ForwardEffect, { kind: 'decision' }>;
+
+/** What gauges read when they are asked. */
+export interface ForwardingState {
+  ready(): boolean;
+  requestsInHand(): number;
+  configurationVersion(): number;
+  /** Milliseconds. */
+  configurationAgeMs(): number;
+  members(): number;
+  droppedLogLines(): number;
+}
+
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5];
+/** Services beyond so many share one label. */
+const MAXIMUM_SERVICES = 50;
+const OTHER_SERVICES = 'other';
+const SECOND_MS = 1000;
+
+/** The metrics of one process. */
+export class ForwardingMetrics {
+  readonly registry = new Registry();
+  private readonly services = new Set<string>();
+  private readonly decisions: Counter<'event' | 'service' | 'reason'>;
+  private readonly firstByte: Histogram<'service'>;
+  private readonly storeCalls: Counter<'call' | 'outcome'>;
+  private readonly beliefs: Counter<'event'>;
+
+  constructor(state: ForwardingState) {
+    const registers = [this.registry];
+    this.decisions = new Counter({
+      name: 'pulleyledge_forward_decisions_total',
+      help: 'Decisions on requests by event, service and reason of a failure',
+      labelNames: ['event', 'service', 'reason'],
+      registers,
+    });
+    this.firstByte = new Histogram({
+      name: 'pulleyledge_forward_first_byte_seconds',
+      help: 'Time from the head of a request to its answer, or to the first byte of a stream',
+      labelNames: ['service'],
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers,
+    });
+    this.storeCalls = new Counter({
+      name: 'pulleyledge_store_calls_total',
+      help: 'Calls to the store by kind and outcome',
+      labelNames: ['call', 'outcome'],
+      registers,
+    });
+    this.beliefs = new Counter({
+      name: 'pulleyledge_belief_changes_total',
+      help: 'Changes of what the daemon believes: members, configuration, back ends, store, lease, orders',
+      labelNames: ['event'],
+      registers,
+    });
+    this.gauge('pulleyledge_ready', 'Whether callers should be sent here', () => Number(state.ready()));
+    this.gauge('pulleyledge_forward_requests', 'Requests in hand', () => state.requestsInHand());
+    this.gauge('pulleyledge_configuration_version', 'Configuration in force', () =>
+      state.configurationVersion(),
+    );
+    this.gauge(
+      'pulleyledge_configuration_age_seconds',
+      'Time since the store last confirmed the configuration',
+      () => state.configurationAgeMs() / SECOND_MS,
+    );
+    this.gauge('pulleyledge_members_alive', 'Daemons believed to run', () => state.members());
+    this.gauge('pulleyledge_log_lines_dropped', 'Log lines dropped since the start', () =>
+      state.droppedLogLines(),
+    );
+  }
+
+  /** Counts a decision on a request. */
+  decided({ event, fields }: Decision): void {
+    const service = this.serviceLabel(fields.service);
+    const reason = String(fields.failure ?? fields.reason ?? '');
+    this.decisions.inc({ event, service, reason });
+    const first = event === 'request.streaming' || (event === 'request.answered' && fields.streamed !== true);
+    if (first) this.firstByte.observe({ service }, Number(fields.afterMs) / SECOND_MS);
+  }
+
+  /** Counts a change of belief. */
+  believed(event: string): void {
+    this.beliefs.inc({ event });
+  }
+
+  /** Counts a call to the store. */
+  storeCalled(call: string, outcome: string): void {
+    this.storeCalls.inc({ call, outcome });
+  }
+
+  private serviceLabel(service: unknown): string {
+    if (typeof service !== 'string') return '';
+    if (this.services.size < MAXIMUM_SERVICES) this.services.add(service);
+    return this.services.has(service) ? service : OTHER_SERVICES;
+  }
+
+  private gauge(name: string, help: string, value: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect: () => gauge.set(value()),
+    });
+  }
+}
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -17,6 +17,7 @@
 import { ForwardServer, type CallerReply, type ReceivedRequest } from '../gateway/forward-server.js';
 import type { TableStore } from '../platform/table-service.js';
 import { SeededRandom } from '../shared/random.js';
+import { ForwardingMetrics } from './forwarding-metrics.js';
 import { DecisionLog, type DecisionLogSettings } from './decision-log.js';
 
 /** Addresses and settings of one process. */
@@ -29,6 +30,8 @@
   /** Where readiness is asked, `ip:port`. */
   readonly readyAddress: string;
   readonly readyPath: string;
+  /** Where metrics are served, `ip:port`; undefined for nowhere. */
+  readonly metricsAddress: string | undefined;
   /** Where other daemons connect, `ip:port`. */
   readonly peerAddress: string;
   /** Peer addresses of some daemons, to join by. */
@@ -77,6 +80,8 @@
   private readonly backends: BackendClient;
   private readonly server: ForwardServer;
   private readonly readyServer: Server;
+  private readonly metricsServer: Server;
+  private readonly metrics: ForwardingMetrics;
   private readonly log: DecisionLog;
   private readonly logStream = pino.destination({
     fd: 1,
@@ -130,6 +135,20 @@
       callTimeoutMs: CALL_TIMEOUT_MS,
     });
     this.server = new ForwardServer({ received: (request, reply) => this.received(request, reply) }, now);
+    this.metrics = new ForwardingMetrics({
+      ready: () => this.daemon.ready(),
+      requestsInHand: () => this.daemon.requestsInHand(),
+      configurationVersion: () => this.daemon.configurationVersion(),
+      configurationAgeMs: () => this.daemon.configurationAgeMs(now()),
+      members: () => this.daemon.members(),
+      droppedLogLines: () => this.log.dropped(),
+    });
+    this.metricsServer = createServer((_request, response) => {
+      void this.metrics.registry.metrics().then((text) => {
+        response.writeHead(STATUS_OK, { 'Content-Type': this.metrics.registry.contentType });
+        response.end(text);
+      });
+    });
     this.readyServer = createServer((request, response) => {
       const known = request.url === settings.readyPath;
       const status = known ? (this.daemon.ready() ? STATUS_OK : STATUS_UNAVAILABLE) : STATUS_NOT_FOUND;
@@ -147,7 +166,8 @@
       setInterval(() => this.logStream.flush(), LOG_FLUSH_MS),
     ];
     await Promise.all([
-      this.listenReady(),
+      listen(this.readyServer, this.settings.readyAddress),
+      this.listenMetrics(),
       this.peers.listen(),
       this.server.listen(...hostAndPort(this.settings.callerAddress)),
     ]);
@@ -191,6 +211,8 @@
     this.server.close();
     this.readyServer.close();
     this.readyServer.closeAllConnections();
+    this.metricsServer.close();
+    this.metricsServer.closeAllConnections();
     this.peers.close();
     nact.stop(this.system);
     await this.backends.close();
@@ -260,6 +282,7 @@
         this.logDecision(effect);
         break;
       case 'belief':
+        this.metrics.believed(effect.event);
         this.log.important(effect.event, effect.fields);
         break;
       case 'sendPeer':
@@ -277,9 +300,10 @@
       }
       case 'leaseTable': {
         const { service, request } = effect;
-        void this.adapters.table
-          .perform(request)
-          .then((result) => this.send({ kind: 'leaseTableResult', service, result }));
+        void this.adapters.table.perform(request).then((result) => {
+          this.metrics.storeCalled(request.kind, result.kind);
+          this.send({ kind: 'leaseTableResult', service, result });
+        });
         break;
       }
       case 'askEngine': {
@@ -304,9 +328,10 @@
   }
 
   private readRecords(read: RecordRead): void {
-    void this.adapters.store
-      .read(read)
-      .then((result) => this.send({ kind: 'recordsRead', collection: read.collection, result }));
+    void this.adapters.store.read(read).then((result) => {
+      this.metrics.storeCalled(read.collection, result.kind);
+      this.send({ kind: 'recordsRead', collection: read.collection, result });
+    });
   }
 
   private takeOpen(requestId: string): OpenRequest | undefined {
@@ -316,20 +341,32 @@
   }
 
   private logDecision(effect: Extract<ForwardingEffect, { kind: 'decision' }>): void {
+    this.metrics.decided(effect);
     const failed = effect.event === 'request.refused' || effect.event === 'request.failed';
     if (failed) this.log.important(effect.event, { requestId: effect.callerId, ...effect.fields });
     else this.log.request(effect.event, effect.callerId, effect.fields);
   }
 
-  private listenReady(): Promise<void> {
-    const [host, port] = hostAndPort(this.settings.readyAddress);
-    return new Promise((resolve, reject) => {
-      this.readyServer.once('error', reject);
-      this.readyServer.listen(port, host, resolve);
-    });
+  /** Without its metrics a daemon still serves. */
+  private async listenMetrics(): Promise<void> {
+    const { metricsAddress } = this.settings;
+    if (metricsAddress === undefined) return;
+    try {
+      await listen(this.metricsServer, metricsAddress);
+    } catch (error) {
+      this.log.important('metrics.unavailable', { code: (error as NodeJS.ErrnoException).code });
+    }
   }
 }
 
+function listen(server: Server, address: string): Promise<void> {
+  const [host, port] = hostAndPort(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+}
+
 function now(): number {
   return performance.now();
 }
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -253,6 +253,14 @@
     expect(site.starts()).to.have.length(0);
   });
 
+  it('a back end gets no more requests at once than its connections allow this daemon', () => {
+    const [only] = PLAIN;
+    const site = new Forwarding([labRoute({})], [{ ...only, slots: 1000 }]);
+    for (let count = 0; count < 95; count += 1) site.begin({ id: `r${count}` });
+    expect(site.starts()).to.have.length(90);
+    expect(site.failures()).to.deep.equal([503, 503, 503, 503, 503]);
+  });
+
   it('another incarnation at the address gets nothing more', () => {
     const site = new Forwarding([labRoute({})], PLAIN);
     site.begin();
