--- a/src/adapters/engine-client.ts
+++ b/src/adapters/engine-client.ts
@@ -1,6 +1,6 @@
 /** Model engines over HTTP. docs/PROTOCOLS.md gives the form. */
 import { Agent, request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type {
   AttemptEvent,
   EngineControlRequest,
--- a/src/adapters/peer-codec.ts
+++ b/src/adapters/peer-codec.ts
@@ -1,6 +1,6 @@
 /** The form of messages between daemons: devalue text, one message a line, checked on arrival. */
 import { parse, stringify } from 'devalue';
-import { z } from 'zod';
+import * as z from 'zod';
 import { serviceRowSchema } from '../configuration/service-row.js';
 import type { PeerMessage } from '../daemon/daemon-messages.js';
 import { PeerProtocolError } from '../errors/index.js';
--- a/src/adapters/platform-client.ts
+++ b/src/adapters/platform-client.ts
@@ -1,6 +1,6 @@
 /** The platform's table service and machine list over HTTP. docs/PROTOCOLS.md gives the form. */
 import { Agent, request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { MachineListing } from '../platform/machine-list.js';
 import type { TableRequest, TableResult } from '../platform/table-service.js';
 
--- a/src/configuration/service-row.ts
+++ b/src/configuration/service-row.ts
@@ -1,5 +1,5 @@
 /** A row of the service table: what operators edit, one row a service. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { RowInvalidError } from '../errors/index.js';
 
 const MAXIMUM_WEIGHT = 1000;
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -12,6 +12,8 @@
 export interface FleetReplicaSettings {
   /** How long a read waits for a change. Milliseconds. Default 3000. */
   readonly waitMs: number;
+  /** Pause after an answer with changes, so that changes in a row come in one answer. Milliseconds. Default 150. */
+  readonly gatherMs: number;
   /** First pause after a read that failed; doubled at each further one. Milliseconds. Default 100. */
   readonly backoffMs: number;
   /** The longest such pause. Milliseconds. Default 800. */
@@ -23,6 +25,7 @@
 /** Default settings. */
 export const DEFAULT_FLEET_REPLICA_SETTINGS: FleetReplicaSettings = {
   waitMs: 3000,
+  gatherMs: 150,
   backoffMs: 100,
   maximumBackoffMs: 800,
   staleMs: 4500,
@@ -131,12 +134,12 @@
     switch (result.kind) {
       case 'snapshot':
         this.applySnapshot(follower, result.revision, result.records);
-        this.confirmed(follower, now);
+        this.confirmed(follower, now, 0);
         break;
       case 'changes':
         for (const record of result.records) this.apply(record, STORE_SOURCE);
         follower.cursor = Math.max(follower.cursor ?? 0, result.revision);
-        this.confirmed(follower, now);
+        this.confirmed(follower, now, result.records.length > 0 ? this.settings.gatherMs : 0);
         break;
       case 'historyGone':
         follower.cursor = undefined;
@@ -225,13 +228,13 @@
     else if (known?.value) this.emit({ kind: 'backendRemoved', id, revision, source });
   }
 
-  private confirmed(follower: Follower, now: number): void {
+  private confirmed(follower: Follower, now: number, pauseMs: number): void {
     const { collection } = follower;
     if (follower.failures > 0) this.emit({ kind: 'storeRegained', collection });
     follower.failures = 0;
     follower.confirmedAt = Math.max(follower.confirmedAt, follower.sentAt);
-    follower.nextAt = now;
-    this.read(follower, now);
+    follower.nextAt = now + pauseMs;
+    if (pauseMs === 0) this.read(follower, now);
   }
 
   private failed(follower: Follower, reason: string, now: number): void {
--- a/src/forwarding/route-schema.ts
+++ b/src/forwarding/route-schema.ts
@@ -1,5 +1,5 @@
 /** The checked form of a configuration of routes. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { RouteConfiguration } from './route.js';
 
 const name = z.string().min(1).max(512);
--- a/src/gateway/completion-body.ts
+++ b/src/gateway/completion-body.ts
@@ -1,5 +1,5 @@
 /** The bodies of completion calls, in the common OpenAI form. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { ValidationError } from '../errors/index.js';
 
 const MAXIMUM_OUTPUT_TOKENS = 100_000;
--- a/src/gateway/operator-server.ts
+++ b/src/gateway/operator-server.ts
@@ -1,6 +1,6 @@
 /** The HTTP server for operators and monitoring: health, readiness, metrics, status, edits of the table. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseServiceRow, type VersionedRow } from '../configuration/service-row.js';
 import type { DaemonStatus, RowEdit } from '../daemon/daemon-messages.js';
 import { NotFoundError, PulleyledgeError, ValidationError } from '../errors/index.js';
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,7 +1,7 @@
 /** The settings file of a daemon: YAML, checked, every key with its default and unit. */
 import { readFileSync } from 'node:fs';
 import { parse as parseYaml } from 'yaml';
-import { z } from 'zod';
+import * as z from 'zod';
 import { SettingsError } from '../errors/index.js';
 import { DEFAULT_DAEMON_SETTINGS, type DaemonSettings } from '../daemon/daemon-settings.js';
 
--- /dev/null
+++ b/test/bundle.test.ts
@@ -0,0 +1,132 @@
+/** The program as it is deployed: the bundle that deploy/system.toml builds starts, reads the store and serves. */
+import { execFile, spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer, type Server } from 'node:http';
+import { createServer as createNetServer, type AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
+import { expect } from 'chai';
+import { parse } from 'smol-toml';
+import { ScriptedBackend } from '../lab/scripted-backend.js';
+
+const ROOT = fileURLToPath(new URL('../../', import.meta.url));
+const execute = promisify(execFile);
+
+interface DeployFile {
+  readonly build: string;
+  readonly roles: Readonly<Record<string, { readonly run: string }>>;
+}
+
+async function freePort(): Promise<number> {
+  const server = createNetServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+function storeOf(rows: Readonly<Record<string, { key: string; value: object }[]>>): Server {
+  return createServer((request, response) => {
+    const url = new URL(request.url ?? '/', 'http://store');
+    const feed = url.pathname.endsWith('feed');
+    const table = rows[url.searchParams.get('table') ?? ''] ?? [];
+    const found = table.map(({ key, value }, index) => ({
+      key,
+      ver: index + 1,
+      value: Buffer.from(JSON.stringify(value)).toString('base64'),
+    }));
+    const answer = JSON.stringify({ rows: feed ? [] : found, ver: 10, more: false });
+    setTimeout(() => response.end(answer), feed ? 500 : 0);
+  });
+}
+
+describe('the deployed bundle', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'bundle-'));
+  let daemon: ChildProcess | undefined;
+  let store: Server | undefined;
+  let backend: ScriptedBackend | undefined;
+
+  after(() => {
+    daemon?.kill('SIGKILL');
+    store?.close();
+    store?.closeAllConnections();
+    backend?.close();
+    rmSync(folder, { recursive: true });
+  });
+
+  it('starts, reads configuration and back ends from the store, forwards a request and serves metrics', async () => {
+    const deploy = parse(readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8')) as unknown as DeployFile;
+    const bundle = join(folder, 'pulleyledge.mjs');
+    const build = deploy.build.replace(/^.*npm ci --silent; /, '').replace('target/pulleyledge.mjs', bundle);
+    await execute('bash', ['-c', build], { cwd: ROOT });
+
+    backend = new ScriptedBackend((_request, socket) => {
+      const head =
+        'HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\nX-Server-Signature: s\r\nContent-Length: 2\r\n\r\n';
+      socket.write(`${head}ok`);
+    });
+    const addr = await backend.listen();
+    const route = {
+      name: 'r',
+      host: 'h.example',
+      path_prefix: '/p/',
+      route_kind: 'idempotent',
+      service: 's',
+    };
+    store = storeOf({
+      op: [
+        {
+          key: 'config',
+          value: { version: 1, routes: [{ ...route, timeout_ms: 2000 }], services: [{ name: 's' }] },
+        },
+      ],
+      servers: [{ key: 'i-1', value: { service: 's', addr, zone: 'z', slots: 4, state: 'ready' } }],
+    });
+    await new Promise<void>((resolve) => store?.listen(0, '127.0.0.1', resolve));
+    const storePort = (store.address() as AddressInfo).port;
+
+    const [front, ready, control, metrics] = [
+      await freePort(),
+      await freePort(),
+      await freePort(),
+      await freePort(),
+    ];
+    const settings = join(folder, 'settings.toml');
+    writeFileSync(
+      settings,
+      `node = "n1"\nzone = "z"\nip = "127.0.0.1"\nregion = "r"\nport_range = [${metrics}, ${metrics}]\n` +
+        'heartbeat_ms = 1200\nseeds = []\n[listen]\n' +
+        `front = "127.0.0.1:${front}"\nready = "127.0.0.1:${ready}"\ncontrol = "127.0.0.1:${control}"\n` +
+        '[bounds]\ncontact_ms = 3000\nconfig_ms = 2000\ngrace_s = 8\nlease_ms = 3000\n' +
+        'retry_budget_ratio = 0.2\nbudget_slack = 54\nbudget_window_s = 10\n' +
+        `[platform]\naddr = "127.0.0.1:${storePort}"\n`,
+    );
+    const [, ...flags] = deploy.roles.forwarder.run.replace('target/pulleyledge.mjs', bundle).split(' ');
+    daemon = spawn(process.execPath, flags, {
+      env: { ...process.env, PULLEYLEDGE_NODE_FILE: settings },
+      stdio: 'ignore',
+    });
+
+    await untilStatus(`http://127.0.0.1:${ready}/v1/readyz`, 200);
+    const answer = await fetch(`http://127.0.0.1:${front}/p/x`, {
+      headers: { 'X-Attempt-Id': 'id1', Host: 'h.example' },
+    });
+    // fetch sets the host itself, so the route is not found; the daemon says so because it knows its routes.
+    expect(answer.status).to.equal(404);
+    const text = await (await fetch(`http://127.0.0.1:${metrics}/metrics`)).text();
+    expect(text).to.match(/pulleyledge_ready 1/);
+    expect(text).to.match(/pulleyledge_store_calls_total\{call="backends",outcome="snapshot"\} 1/);
+    expect(text).to.match(/pulleyledge_forward_decisions_total\{event="request.refused"/);
+  });
+});
+
+async function untilStatus(url: string, status: number): Promise<void> {
+  for (let tries = 0; tries < 200; tries += 1) {
+    const answer = await fetch(url).catch(() => undefined);
+    if (answer?.status === status) return;
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  throw new Error(`${url} did not answer ${status}`);
+}
