--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -17,7 +17,8 @@
   readonly kvSource: KvSource | undefined;
   /** How long the back end may work. Milliseconds. */
   readonly remainingMs: number;
-  readonly priority: number;
+  /** Rank among the work of an engine; 0 goes first. */
+  readonly urgency: number;
   /** The answer is passed on as it comes; otherwise it is kept until it is whole. */
   readonly stream: boolean;
   /** Continue a stream after this event. */
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -59,3 +59,12 @@
   const limit = Math.max(settings.minimumStallMs, route.targetLatencyMs * settings.stallTargetShare);
   return quietMs > limit && attempt.plan.backend.silent(now);
 }
+
+/** Ranks of one route's priority: short prompts, then long ones. */
+const RANKS_PER_PRIORITY = 2;
+
+/** How urgent an attempt is for its engine. Prompts are computed in turn, so a long one would hold up many short ones. */
+export function urgencyOf(route: Route, plan: BackendPlan, settings: ForwardSettings): number {
+  const long = plan.prefillOnly && plan.promptTokens > settings.longPromptTokens;
+  return route.priority * RANKS_PER_PRIORITY + (long ? 1 : 0);
+}
--- a/src/forwarding/forward-settings.ts
+++ b/src/forwarding/forward-settings.ts
@@ -15,6 +15,8 @@
   readonly maximumSends: number;
   /** When a refused caller should come back at the earliest. Milliseconds. Default 100. */
   readonly retryAfterMs: number;
+  /** A prompt with more tokens to compute yields to shorter ones of the same priority. Default 12000. */
+  readonly longPromptTokens: number;
   /** Part of a back end's connections that the daemons use. Default 0.9. */
   readonly connectionUse: number;
   /** Requests that may be on a plain back end, as a share of its slots, before more are refused. Default 4. */
@@ -28,6 +30,7 @@
   stallGaps: 6,
   maximumSends: 3,
   retryAfterMs: 100,
+  longPromptTokens: 12_000,
   connectionUse: 0.9,
   plainSlotShare: 4,
 };
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -308,6 +308,16 @@
     expect(site.of('freeKv')).to.have.length(1);
   });
 
+  it('a long prompt yields to short ones of the same priority, never to a lower priority', () => {
+    const urgency = (priority: number, own: number): number => {
+      const site = new Forwarding([labRoute({ ...STREAM, priority })], ENGINES);
+      site.begin({ prompt: prompt(own, 0) });
+      return site.starts()[0].urgency;
+    };
+    expect(urgency(1, 2000)).to.be.lessThan(urgency(1, 20_000));
+    expect(urgency(1, 20_000)).to.be.lessThan(urgency(2, 2000));
+  });
+
   it('a short prompt goes to a decode engine directly', () => {
     const site = new Forwarding([labRoute(STREAM)], ENGINES);
     site.begin({ prompt: prompt(100, 50) });
