--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -60,7 +60,7 @@
   /** Takes a whole request from a caller. */
   begin(request: ForwardRequest, now: number): void {
     if (this.closed) {
-      this.refuse(request, STATUS_UNAVAILABLE, 'stopping', this.settings.retryAfterMs, now);
+      this.refuse(request, STATUS_UNAVAILABLE, 'stopping', this.settings.stoppingRetryAfterMs, now);
       return;
     }
     const routes = this.surroundings.routes();
--- a/src/forwarding/forward-settings.ts
+++ b/src/forwarding/forward-settings.ts
@@ -11,7 +11,7 @@
   readonly minimumStallMs: number;
   /** A resumable stream without an event for so many target gaps is moved. Default 6. */
   readonly stallGaps: number;
-  /** Back ends tried for one request that none of them ran. Default 3. */
+  /** Sends of one request at most, prompts computed apart included. Default 6. */
   readonly maximumSends: number;
   /** When a refused caller should come back at the earliest. Milliseconds. Default 100. */
   readonly retryAfterMs: number;
@@ -19,6 +19,8 @@
   readonly longPromptTokens: number;
   /** Part of a back end's connections that the daemons use. Default 0.9. */
   readonly connectionUse: number;
+  /** The same when this daemon is stopping: others can take the request at once. Milliseconds. Default 10. */
+  readonly stoppingRetryAfterMs: number;
   /** Requests that may be on a plain back end, as a share of its slots, before more are refused. Default 4. */
   readonly plainSlotShare: number;
 }
@@ -28,9 +30,10 @@
   stallTargetShare: 1.5,
   minimumStallMs: 400,
   stallGaps: 6,
-  maximumSends: 3,
+  maximumSends: 6,
   retryAfterMs: 100,
   longPromptTokens: 12_000,
   connectionUse: 0.9,
+  stoppingRetryAfterMs: 10,
   plainSlotShare: 4,
 };
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -280,6 +280,18 @@
     expect(site.starts()[1].resumeAfter).to.equal('7');
   });
 
+  it('a stream whose next engine is lost too goes on at a third', () => {
+    const route = labRoute({ ...STREAM, resumable: true, maximumAttempts: 2 });
+    const site = new Forwarding([route], [...ENGINES, engine('p3', 'prefill'), engine('d3', 'decode')]);
+    site.begin({ prompt: prompt(400, 100) });
+    site.event({ kind: 'prefilled', handle: 'h1' }, 10);
+    site.event({ kind: 'streamStarted' }, 20);
+    site.event({ kind: 'broken', reason: 'reset' }, 30);
+    site.event({ kind: 'broken', reason: 'reset' }, 31);
+    expect(site.failures()).to.deep.equal([]);
+    expect(site.starts()).to.have.length(4);
+  });
+
   it('a stream that may not be resumed is broken off, never finished by another run', () => {
     const site = new Forwarding([labRoute(STREAM)], PLAIN);
     site.begin();
