--- a/lab/application-server.ts
+++ b/lab/application-server.ts
@@ -1,36 +1,17 @@
 /** The HTTP stand-in of an application server: counts each call by its key, so that a repeat shows. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { LEAVING_HEADER, NOT_RUN_HEADER } from '../src/adapters/application-client.js';
 import { readLabJson, sendLabJson } from './lab-http.js';
+import { LabServer } from './lab-server.js';
 
 const ANSWER_DELAY_MS = 5;
 
 /** One application server process. */
-export class ApplicationServer {
+export class ApplicationServer extends LabServer {
   /** How often each idempotency key was executed. */
   readonly executions = new Map<string, number>();
   private leaving = false;
-  private readonly server: Server;
-
-  constructor(
-    private readonly host: string,
-    private readonly port: number,
-  ) {
-    this.server = createServer((message, response) => void this.route(message, response));
-  }
-
-  /** Starts to listen. */
-  listen(): Promise<void> {
-    return new Promise((resolve) => this.server.listen(this.port, this.host, resolve));
-  }
-
-  /** Closes at once. */
-  close(): void {
-    this.server.closeAllConnections();
-    this.server.close();
-  }
-
-  private async route(message: IncomingMessage, response: ServerResponse): Promise<void> {
+  protected async route(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readLabJson(message);
     if (message.url === '/executions') {
       sendLabJson(response, 200, Object.fromEntries(this.executions));
--- a/lab/engine-server.ts
+++ b/lab/engine-server.ts
@@ -1,5 +1,5 @@
 /** The HTTP stand-in of a model engine: runs the engine model in real time. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { request } from 'undici';
 import type { EngineAssignment, EngineControlRequest, KvHandle } from '../src/engine/engine-protocol.js';
 import { describePrompt } from '../src/routing/completion-request.js';
@@ -7,6 +7,7 @@
 import { EngineModel, tokenText, type EngineOutput } from './engine-model.js';
 import { type EngineModelSettings } from './engine-model-settings.js';
 import { readLabJson, sendLabJson } from './lab-http.js';
+import { LabServer } from './lab-server.js';
 
 interface WorkBody {
   attemptId: string;
@@ -32,36 +33,24 @@
 }
 
 /** One engine process. */
-export class EngineServer {
+export class EngineServer extends LabServer {
   readonly model: EngineModel;
   private readonly open = new Map<string, OpenStream>();
   private timer: NodeJS.Timeout | undefined;
-  private readonly server: Server;
 
-  constructor(
-    private readonly host: string,
-    private readonly port: number,
-    assignment: EngineAssignment,
-    settings: EngineModelSettings,
-  ) {
+  constructor(host: string, port: number, assignment: EngineAssignment, settings: EngineModelSettings) {
+    super(host, port);
     this.model = new EngineModel(settings, assignment);
-    this.server = createServer((message, response) => void this.route(message, response));
     this.server.keepAliveTimeout = 60_000;
   }
 
-  /** Starts to listen. */
-  listen(): Promise<void> {
-    return new Promise((resolve) => this.server.listen(this.port, this.host, resolve));
-  }
-
   /** Closes at once, as a crash would. */
-  close(): void {
+  override close(): void {
     clearTimeout(this.timer);
-    this.server.closeAllConnections();
-    this.server.close();
+    super.close();
   }
 
-  private async route(message: IncomingMessage, response: ServerResponse): Promise<void> {
+  protected async route(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const path = message.url ?? '/';
     if (path.startsWith('/v1/kv/')) {
       const found = this.model.hasKv(decodeURIComponent(path.slice('/v1/kv/'.length)), performance.now());
--- a/lab/platform-server.ts
+++ b/lab/platform-server.ts
@@ -1,34 +1,16 @@
 /** The HTTP stand-in of the platform: table service, machine list, and a page to set faults. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Machine } from '../src/platform/machine-list.js';
 import type { TableRequest } from '../src/platform/table-service.js';
 import { PlatformModel, type PlatformFaults } from './platform-model.js';
 import { readLabJson, sendLabJson } from './lab-http.js';
+import { LabServer } from './lab-server.js';
 
 /** One platform process. */
-export class PlatformServer {
+export class PlatformServer extends LabServer {
   readonly model = new PlatformModel();
-  private readonly server: Server;
 
-  constructor(
-    private readonly host: string,
-    private readonly port: number,
-  ) {
-    this.server = createServer((message, response) => void this.route(message, response));
-  }
-
-  /** Starts to listen. */
-  listen(): Promise<void> {
-    return new Promise((resolve) => this.server.listen(this.port, this.host, resolve));
-  }
-
-  /** Closes at once. */
-  close(): void {
-    this.server.closeAllConnections();
-    this.server.close();
-  }
-
-  private async route(message: IncomingMessage, response: ServerResponse): Promise<void> {
+  protected async route(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readLabJson(message);
     const { faults } = this.model;
     if (message.url === '/faults') {
--- a/spec/model-check.ts
+++ b/spec/model-check.ts
@@ -99,6 +99,31 @@
     expect: 'caught',
     what: 'claim given back after a broken connection',
   },
+  { file: 'stage-order.pml', defines: [], expect: 'sound', what: 'orders on the platform' },
+  {
+    file: 'stage-order.pml',
+    defines: ['NO_FENCE'],
+    expect: 'sound',
+    what: 'orders on the platform, by the count alone',
+  },
+  {
+    file: 'stage-order.pml',
+    defines: ['NO_COUNT'],
+    expect: 'caught',
+    what: 'late order undoes a newer one: count not compared',
+  },
+  {
+    file: 'stage-order.pml',
+    defines: ['NO_COUNT', 'NO_FENCE'],
+    expect: 'caught',
+    what: 'older holder after a newer one: neither fence nor count',
+  },
+  {
+    file: 'stage-order.pml',
+    defines: ['NO_INCARNATION'],
+    expect: 'caught',
+    what: 'order reaches the next incarnation',
+  },
 ];
 
 const SPEC_FOLDER = join(process.cwd(), 'spec');
--- a/src/adapters/peer-transport.ts
+++ b/src/adapters/peer-transport.ts
@@ -109,6 +109,8 @@
     socket.on('close', () => this.incoming.delete(socket));
     let peer: PeerHello | undefined;
     const lines = createInterface({ input: socket, crlfDelay: Infinity });
+    // readline passes the socket's error on; without a listener it would end the process.
+    lines.on('error', () => socket.destroy());
     lines.on('line', (line) => {
       if (socket.destroyed) return;
       try {
--- /dev/null
+++ b/src/cli/explain-command.ts
@@ -0,0 +1,91 @@
+/**
+ * The time line of one request across daemons, from their logs: its own lines, and what each daemon that handled it came
+ * to believe about the back ends involved just before. Lines of a daemon are ordered by its own steady clock, which
+ * does not jump; daemons are put in the order in which they took the request, by the time of day of their first line.
+ */
+import { NotFoundError } from '../errors/index.js';
+
+/** One line of a log. */
+interface LogLine {
+  readonly daemon: string;
+  readonly event: string;
+  /** The daemon's steady clock. Milliseconds. */
+  readonly clock: number;
+  /** Time of day, which may jump. Milliseconds. */
+  readonly time: number;
+  readonly requestId?: string;
+  readonly backend?: string;
+  readonly [field: string]: unknown;
+}
+
+/** Beliefs older than this before a request's first line are not shown. Milliseconds. */
+const BELIEF_WINDOW_MS = 10_000;
+/** Beliefs that bear on any request. */
+const GENERAL_EVENTS: ReadonlySet<string> = new Set([
+  'process.started',
+  'drain.started',
+  'process.stopped',
+  'configuration.changed',
+  'store.lost',
+  'store.regained',
+  'log.dropped',
+]);
+const SHOWN_APART: ReadonlySet<string> = new Set(['daemon', 'event', 'clock', 'time', 'level', 'requestId']);
+
+/**
+ * The time line of `requestId` in the logs.
+ * @throws NotFoundError when no line names the request.
+ */
+export function explainRequest(requestId: string, logs: readonly string[]): string {
+  const lines = logs.flatMap((log) => log.split('\n').flatMap(parseLine));
+  const own = lines.filter((line) => line.requestId === requestId);
+  if (own.length === 0) throw new NotFoundError(`request ${requestId}`);
+  const daemons = [...new Set(own.map((line) => line.daemon))];
+  daemons.sort((left, right) => firstTime(own, left) - firstTime(own, right));
+  return daemons.map((daemon) => section(daemon, own, lines)).join('\n\n');
+}
+
+function section(daemon: string, own: readonly LogLine[], lines: readonly LogLine[]): string {
+  const mine = own.filter((line) => line.daemon === daemon);
+  const first = Math.min(...mine.map((line) => line.clock));
+  const last = Math.max(...mine.map((line) => line.clock));
+  const backends = new Set(mine.flatMap((line) => (line.backend === undefined ? [] : [line.backend])));
+  const beliefs = lines.filter((line) => {
+    const near = line.clock >= first - BELIEF_WINDOW_MS && line.clock <= last;
+    const bears =
+      GENERAL_EVENTS.has(line.event) || (line.backend !== undefined && backends.has(line.backend));
+    return line.daemon === daemon && line.requestId === undefined && near && bears;
+  });
+  const shown = [...mine, ...beliefs].sort((left, right) => left.clock - right.clock);
+  return [daemon, ...shown.map((line) => describe(line, first))].join('\n');
+}
+
+function describe(line: LogLine, origin: number): string {
+  const at = `${line.clock - origin} ms`.padStart(10);
+  const mark = line.requestId === undefined ? '~' : ' ';
+  const fields = Object.entries(line)
+    .filter(([name, value]) => !SHOWN_APART.has(name) && value !== undefined)
+    .map(([name, value]) => `${name}=${String(value)}`);
+  return `${at} ${mark} ${line.event.padEnd(24)} ${fields.join(' ')}`.trimEnd();
+}
+
+function firstTime(lines: readonly LogLine[], daemon: string): number {
+  return Math.min(...lines.filter((line) => line.daemon === daemon).map((line) => line.time));
+}
+
+/** A line that is not one of ours is passed over; text before the object is, too. */
+function parseLine(text: string): LogLine[] {
+  const start = text.indexOf('{');
+  if (start < 0) return [];
+  try {
+    const line = JSON.parse(text.slice(start)) as Partial<LogLine>;
+    const complete =
+      typeof line.daemon === 'string' &&
+      typeof line.event === 'string' &&
+      typeof line.clock === 'number' &&
+      typeof line.time === 'number';
+    return complete ? [line as LogLine] : [];
+  } catch {
+    return [];
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,9 +1,11 @@
 #!/usr/bin/env node
 /** The command line of pulleyledge. */
+import { readFileSync } from 'node:fs';
 import meow from 'meow';
 import { PulleyledgeError, RevisionConflictError, ValidationError } from '../errors/index.js';
 import { DaemonProcess } from '../process/daemon-process.js';
 import { loadSettings } from '../settings/settings.js';
+import { explainRequest } from './explain-command.js';
 import { OperatorClient, RemoteProblemError } from './operator-client.js';
 import { servicesCommand } from './services-command.js';
 import { statusCommand } from './status-command.js';
@@ -17,6 +19,7 @@
     $ pulleyledge serve --settings FILE [--set key=value ...]
     $ pulleyledge settings check --settings FILE [--set key=value ...]
     $ pulleyledge status --operator ADDRESS[,ADDRESS ...] [--json]
+    $ pulleyledge explain REQUEST-ID --logs FILE [--logs FILE ...]
     $ pulleyledge services list|get NAME|columns --operator ADDRESS [--json]
     $ pulleyledge services set NAME column=value ... --operator ADDRESS [--revision N] [--edit-id ID]
     $ pulleyledge services delete NAME --operator ADDRESS [--revision N]
@@ -28,6 +31,7 @@
     --operator   operator address (ip:port) of one or more daemons
     --revision   the row's revision that you last saw; an edit of a newer row then fails (exit code 3)
     --edit-id    repeat a command with the id of an edit whose outcome was unknown
+    --logs       a file with the lines that daemons logged; may be repeated
     --json       machine-readable output
 `,
   {
@@ -35,6 +39,7 @@
     flags: {
       settings: { type: 'string' },
       set: { type: 'string', isMultiple: true },
+      logs: { type: 'string', isMultiple: true },
       operator: { type: 'string' },
       revision: { type: 'number' },
       editId: { type: 'string' },
@@ -55,6 +60,9 @@
     case 'status':
       print(await statusCommand(operators(), cli.flags.json));
       break;
+    case 'explain':
+      print(explainRequest(requestIdOf(args), readLogs()));
+      break;
     case 'services':
       print(await servicesCommand(new OperatorClient(operators()[0]), args, cli.flags));
       break;
@@ -77,6 +85,23 @@
   print('settings are valid');
 }
 
+function requestIdOf(args: readonly string[]): string {
+  if (args.length !== 1) throw new ValidationError('REQUEST-ID', 'must be given, once');
+  return args[0];
+}
+
+function readLogs(): string[] {
+  const files = cli.flags.logs ?? [];
+  if (files.length === 0) throw new ValidationError('--logs', 'is missing');
+  return files.map((file) => {
+    try {
+      return readFileSync(file, 'utf8');
+    } catch (error) {
+      throw new ValidationError('--logs', (error as Error).message);
+    }
+  });
+}
+
 function settingsPath(): string {
   if (cli.flags.settings === undefined) throw new ValidationError('--settings', 'is missing');
   return cli.flags.settings;
--- a/src/process/decision-log.ts
+++ b/src/process/decision-log.ts
@@ -9,7 +9,7 @@
 export interface DecisionLogSettings {
   /** Lines a second in which requests are logged whole; above it ever fewer requests are. Default 150. */
   readonly linesPerSecond: number;
-  /** Lines a second at most, failures and beliefs included. Default 400. */
+  /** Lines a second at most, failures and beliefs included; these alone may use the last two fifths. Default 400. */
   readonly maximumLinesPerSecond: number;
 }
 
@@ -22,6 +22,8 @@
 const SECOND_MS = 1000;
 const HASH_RANGE = 2 ** 32;
 const MINIMUM_SHARE = 0.01;
+/** The rest of a second's lines is kept for failures and beliefs. */
+const REQUEST_LINES_SHARE = 0.6;
 const SHARE_RECOVERY = 1.5;
 
 /** The log of one process. Times are monotonic milliseconds. */
@@ -50,7 +52,8 @@
     this.roll();
     this.wanted += 1;
     const kept = hashText(requestId) / HASH_RANGE < this.share;
-    if (kept && this.lines < this.settings.maximumLinesPerSecond) this.write(event, { requestId, ...fields });
+    const room = this.settings.maximumLinesPerSecond * REQUEST_LINES_SHARE;
+    if (kept && this.lines < room) this.write(event, { requestId, ...fields });
     else this.drop();
   }
 
--- a/test/bad-input.test.ts
+++ b/test/bad-input.test.ts
@@ -1,6 +1,8 @@
 /** Bad input of every kind gives a typed error that names the place: no crash, no hang, nothing half done. */
+import { connect, createServer, type AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import fc from 'fast-check';
+import { PeerTransport } from '../src/adapters/peer-transport.js';
 import { decodePeerHello, decodePeerMessage, encodePeerMessage } from '../src/adapters/peer-codec.js';
 import { parseStreamLine } from '../src/adapters/engine-client.js';
 import { formatServicesCsv, parseCell, parseServicesCsv } from '../src/configuration/service-csv.js';
@@ -185,3 +187,38 @@
     expect(hashText('a')).to.equal(hashText('a'));
   });
 });
+
+describe('connections between daemons', () => {
+  /** Opens a connection to a transport, writes `text`, resets it, and returns what the process did not handle. */
+  async function unhandledAfterReset(text: string): Promise<Error[]> {
+    const probe = createServer();
+    await new Promise<void>((resolve) => probe.listen(0, '127.0.0.1', resolve));
+    const { port } = probe.address() as AddressInfo;
+    await new Promise((resolve) => probe.close(resolve));
+    const transport = new PeerTransport(
+      { kind: 'hello', id: 'daemon-1.x', address: `127.0.0.1:${port}` },
+      { onMessage: () => undefined, onProtocolError: () => undefined, onTraffic: () => undefined },
+    );
+    await transport.listen();
+    const unhandled: Error[] = [];
+    const earlier = process.listeners('uncaughtException');
+    process.removeAllListeners('uncaughtException');
+    process.on('uncaughtException', (error) => unhandled.push(error));
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    await new Promise<void>((resolve) => socket.write(text, () => resolve()));
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    socket.resetAndDestroy();
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    process.removeAllListeners('uncaughtException');
+    for (const listener of earlier) process.on('uncaughtException', listener);
+    transport.close();
+    return unhandled;
+  }
+
+  it('a reset by the other side ends the connection, never the process', async () => {
+    const hello = `${encodePeerMessage({ kind: 'hello', id: 'daemon-2.x', address: '127.0.0.1:1' })}\n`;
+    for (const text of ['', hello, `${hello}half a li`])
+      expect(await unhandledAfterReset(text)).to.deep.equal([]);
+  });
+});
--- /dev/null
+++ b/test/explain.test.ts
@@ -0,0 +1,71 @@
+/** From a request's id to its cause, out of the lines that daemons logged. */
+import { expect } from 'chai';
+import { explainRequest } from '../src/cli/explain-command.js';
+import { NotFoundError } from '../src/errors/index.js';
+import { DecisionLog } from '../src/process/decision-log.js';
+
+function line(daemon: string, clock: number, event: string, fields: object): string {
+  return JSON.stringify({ level: 30, time: 1_000_000 + clock, daemon, event, clock, ...fields });
+}
+
+describe('explain', () => {
+  it('shows the lines of a request with what its daemon came to believe of its back ends', () => {
+    const log = [
+      line('d1', 100, 'backend.changed', { backend: 'e1', state: 'ready' }),
+      line('d1', 110, 'backend.changed', { backend: 'e9', state: 'ready' }),
+      `  12.5 d1 ${line('d1', 200, 'request.attempt', { requestId: 'r1', backend: 'e1' })}`,
+      line('d1', 250, 'request.attempt', { requestId: 'r2', backend: 'e1' }),
+      'no line of ours {',
+      line('d1', 300, 'backend.removed', { backend: 'e1' }),
+      line('d1', 310, 'request.failed', { requestId: 'r1', failure: 'broken' }),
+      line('d2', 50, 'request.accepted', { requestId: 'r1' }),
+    ].join('\n');
+    const text = explainRequest('r1', [log]);
+    const events = text.split('\n').map((shown) => /([a-z]+\.[a-z-]+)/.exec(shown)?.[1]);
+    expect(events).to.deep.equal([
+      undefined,
+      'request.accepted',
+      undefined,
+      undefined,
+      'backend.changed',
+      'request.attempt',
+      'backend.removed',
+      'request.failed',
+    ]);
+    expect(text).to.match(/110 ms {3}request\.failed +failure=broken/);
+  });
+
+  it('says when no line names the request', () => {
+    expect(() => explainRequest('r9', [''])).to.throw(NotFoundError);
+  });
+});
+
+describe('decision log', () => {
+  it('under load keeps or drops the lines of a request together, keeps failures, and says what it dropped', () => {
+    const lines: { event: string; requestId?: string; lines?: number }[] = [];
+    let now = 0;
+    const write = (text: string): void => void lines.push(JSON.parse(text) as (typeof lines)[number]);
+    const settings = { linesPerSecond: 100, maximumLinesPerSecond: 300 };
+    const log = new DecisionLog({ daemon: 'd' }, { write }, settings, () => now);
+    for (let step = 0; step < 10_000; step += 1) {
+      now = step;
+      log.request('request.accepted', `r${step}`, {});
+      log.request('request.answered', `r${step}`, {});
+      if (step % 100 === 0) log.important('request.failed', { requestId: `f${step}` });
+    }
+    expect(lines.length).to.be.at.most(10 * (settings.maximumLinesPerSecond + 1));
+    const later = lines.slice(Math.floor(lines.length / 2));
+    const counts = new Map<string, number>();
+    for (const { requestId, event } of later)
+      if (event !== 'request.failed' && requestId) counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+    const whole = [...counts.values()].filter((count) => count === 2).length;
+    expect(whole).to.be.at.least(counts.size - 1);
+    expect(lines.filter(({ event }) => event === 'request.failed')).to.have.length(100);
+    const told = lines.reduce(
+      (sum, entry) => sum + (entry.event === 'log.dropped' ? (entry.lines ?? 0) : 0),
+      0,
+    );
+    expect(told).to.be.greaterThan(10_000);
+    expect(told).to.be.at.most(log.dropped());
+  });
+});
