--- a/src/fleet/record-store.ts
+++ b/src/fleet/record-store.ts
@@ -1,45 +1,43 @@
-/**
- * The operator's configuration and the list of back ends as a daemon reads them from a shared store. Contract:
- * every record carries the version of the transaction that wrote it, drawn from one rising counter; a snapshot
- * may be old, changes come in order, and a history that is gone is said so.
- */
-import type { BackendRecord, RouteConfiguration } from '../forwarding/route.js';
+/// The operator's configuration and the list of back ends as a daemon reads them from a shared store. Contract:
+/// every record carries the version of the transaction that wrote it, drawn from one rising counter; a snapshot
+/// may be old, changes come in order, and a history that is gone is said so.
+import type {BackendRecord, RouteConfiguration} from "../forwarding/route.js"
 
-/** What is read. */
-export type RecordCollection = 'configuration' | 'backends';
+/// What is read.
+export type RecordCollection = "configuration" | "backends"
 
-/** One record. A back end's value is undefined when its record was removed or cannot be read. */
+/// One record. A back end's value is undefined when its record was removed or cannot be read.
 export type StoredRecord =
   | {
-      readonly collection: 'configuration';
-      readonly revision: number;
-      readonly value: RouteConfiguration | undefined;
+      readonly collection: "configuration"
+      readonly revision: number
+      readonly value: RouteConfiguration | undefined
     }
   | {
-      readonly collection: 'backends';
-      readonly id: string;
-      readonly revision: number;
-      readonly value: BackendRecord | undefined;
-    };
+      readonly collection: "backends"
+      readonly id: string
+      readonly revision: number
+      readonly value: BackendRecord | undefined
+    }
 
-/** A read: of everything, or of what changed after a revision, waiting a while for a change. */
+/// A read: of everything, or of what changed after a revision, waiting a while for a change.
 export interface RecordRead {
-  readonly collection: RecordCollection;
-  readonly after: number | undefined;
-  readonly waitMs: number;
+  readonly collection: RecordCollection
+  readonly after: number | undefined
+  readonly waitMs: number
 }
 
-/** The answer to a read. */
+/// The answer to a read.
 export type RecordReadResult =
-  | { readonly kind: 'snapshot'; readonly revision: number; readonly records: readonly StoredRecord[] }
-  | { readonly kind: 'changes'; readonly revision: number; readonly records: readonly StoredRecord[] }
-  /** The changes after that revision are no longer known. */
-  | { readonly kind: 'historyGone' }
-  /** The store turned the call away. */
-  | { readonly kind: 'rejected'; readonly status: number }
-  | { readonly kind: 'noAnswer'; readonly reason: string };
+  | {readonly kind: "snapshot"; readonly revision: number; readonly records: readonly StoredRecord[]}
+  | {readonly kind: "changes"; readonly revision: number; readonly records: readonly StoredRecord[]}
+  /// The changes after that revision are no longer known.
+  | {readonly kind: "historyGone"}
+  /// The store turned the call away.
+  | {readonly kind: "rejected"; readonly status: number}
+  | {readonly kind: "noAnswer"; readonly reason: string}
 
-/** Reads records. Never throws: a failure is a result. */
+/// Reads records. Never throws: a failure is a result.
 export interface RecordStore {
-  read(request: RecordRead): Promise<RecordReadResult>;
+  read(request: RecordRead): Promise<RecordReadResult>
 }
