One daemon follows the store for all; the others hear from it

Change: daemons are ranked by rendezvous; the first keeps reading, tells changes to all (a configuration by its revision only, each then reads it), and digests carry how much is known and how fresh that is. Without such word for half of the bound (min of config_ms and drain_ms) the second reads, for 0.6 of it everyone does. Found on the way: a digest from a peer that also lacked a change reset the wait before a pull; three daemons without the store's answers then never asked a peer (test: a third of the daemons without an answer; failed first).

--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -6,13 +6,18 @@
 import { DEFAULT_STAGE_PLANNER_SETTINGS } from '../src/allocation/stage-planner.js';
 import { DEFAULT_LEASE_SETTINGS } from '../src/lease/cell-lease.js';
 import type { TableStore } from '../src/platform/table-service.js';
-import type { RecordRead, RecordReadResult, RecordStore, StoredRecord } from '../src/fleet/record-store.js';
+import {
+  RecordStore,
+  type RecordRead,
+  type RecordReadResult,
+  type StoredRecord,
+} from '../src/fleet/record-store.js';
 import type { BackendRecord, EngineTraits, Route, RouteConfiguration } from '../src/forwarding/route.js';
 import { DEFAULT_DECISION_LOG_SETTINGS } from '../src/process/decision-log.js';
 import { ForwardingProcess } from '../src/process/forwarding-process.js';
 
 /** A store that answers from memory: a snapshot first, then one change each time `put` is called. */
-export class MemoryRecordStore implements RecordStore {
+export class MemoryRecordStore extends RecordStore {
   private readonly records: StoredRecord[] = [];
   private readonly waiting = new Set<() => void>();
 
--- /dev/null
+++ b/simulation/forwarding-fleet.ts
@@ -0,0 +1,207 @@
+/** Forwarding daemons in virtual time before one store of records: their real state machines, no sockets. */
+import {
+  DEFAULT_FORWARDING_SETTINGS,
+  ForwardingDaemon,
+  type ForwardingDaemonSettings,
+  type ForwardingEffect,
+  type ForwardingEvent,
+} from '../src/daemon/forwarding-daemon.js';
+import { DEFAULT_STAGE_PLANNER_SETTINGS } from '../src/allocation/stage-planner.js';
+import type { RecordRead, RecordReadResult, StoredRecord } from '../src/fleet/record-store.js';
+import { DEFAULT_LEASE_SETTINGS } from '../src/lease/cell-lease.js';
+import { SeededRandom } from '../src/shared/random.js';
+import { VirtualTime } from './virtual-time.js';
+
+/** What the store does to one daemon. */
+export type StoreAccess = 'serves' | 'refuses' | 'silent';
+
+const TICK_MS = 20;
+const NETWORK_MS = 1.5;
+const STORE_MS = 4;
+const READ_TIMEOUT_MS = 800;
+const STATUS_BUSY = 503;
+
+const SETTINGS: ForwardingDaemonSettings = {
+  ...DEFAULT_FORWARDING_SETTINGS,
+  retries: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+  stages: {
+    lease: DEFAULT_LEASE_SETTINGS,
+    planner: DEFAULT_STAGE_PLANNER_SETTINGS,
+    takeoverWaitMs: 3000,
+    orderPauseMs: 1500,
+    changeTimeoutMs: 6000,
+  },
+};
+
+/** One daemon of the fleet. */
+export interface FleetNode {
+  readonly id: string;
+  readonly address: string;
+  readonly daemon: ForwardingDaemon;
+  access: StoreAccess;
+  /** Neither sends nor receives. */
+  down: boolean;
+  /** Reads that the store has seen from it. */
+  reads: number;
+  /** When each configuration came into force here, by version. */
+  readonly inForceAt: Map<number, number>;
+  /** When each back end was last seen to change, by id: its state, or that it is gone. */
+  readonly backendStates: Map<string, { state: string; at: number }>;
+}
+
+interface WaitingRead {
+  readonly node: FleetNode;
+  readonly read: RecordRead;
+  readonly answer: () => void;
+  done: boolean;
+}
+
+/** The fleet. */
+export class ForwardingFleet {
+  readonly time = new VirtualTime();
+  readonly nodes: FleetNode[] = [];
+  private readonly records = new Map<string, StoredRecord>();
+  private readonly log: StoredRecord[] = [];
+  private readonly waiting = new Set<WaitingRead>();
+  private revision = 0;
+
+  constructor(
+    count: number,
+    seed: number,
+    private readonly settings: ForwardingDaemonSettings = SETTINGS,
+  ) {
+    const random = new SeededRandom(seed);
+    const seeds = ['10.0.0.0:1', '10.0.0.1:1', '10.0.0.2:1'].slice(0, count);
+    for (let index = 0; index < count; index += 1) {
+      const identity = {
+        id: `daemon-${index}.0`,
+        address: `10.0.0.${index}:1`,
+        zone: `zone-${index % 3}`,
+        region: 'main',
+      };
+      const daemon = new ForwardingDaemon(
+        identity,
+        seeds.filter((address) => address !== identity.address),
+        this.settings,
+        new SeededRandom(Math.floor(random.next() * 2 ** 31)),
+        0,
+      );
+      const node: FleetNode = {
+        id: identity.id,
+        address: identity.address,
+        daemon,
+        access: 'serves',
+        down: false,
+        reads: 0,
+        inForceAt: new Map(),
+        backendStates: new Map(),
+      };
+      this.nodes.push(node);
+      this.time.after(random.next() * TICK_MS, () => this.tick(node));
+    }
+  }
+
+  /** Writes a record to the store, or removes a back end. Returns its revision. */
+  write(record: StoredRecord): number {
+    this.revision += 1;
+    const written = { ...record, revision: this.revision };
+    const key = written.collection === 'backends' ? written.id : 'configuration';
+    if (written.value === undefined) this.records.delete(key);
+    else this.records.set(key, written);
+    this.log.push(written);
+    for (const waiting of [...this.waiting]) waiting.answer();
+    return this.revision;
+  }
+
+  /** Reads that the store has seen from all daemons. */
+  reads(): number {
+    return this.nodes.reduce((sum, node) => sum + node.reads, 0);
+  }
+
+  private tick(node: FleetNode): void {
+    this.handle(node, { kind: 'tick' });
+    this.time.after(TICK_MS, () => this.tick(node));
+  }
+
+  private handle(node: FleetNode, event: ForwardingEvent): void {
+    if (node.down) return;
+    for (const effect of node.daemon.handle(event, this.time.now())) this.perform(node, effect);
+  }
+
+  private perform(node: FleetNode, effect: ForwardingEffect): void {
+    switch (effect.kind) {
+      case 'sendPeer': {
+        const target = this.nodes.find((other) => other.address === effect.address);
+        const { message } = effect;
+        this.time.after(NETWORK_MS, () => {
+          if (target && !node.down)
+            this.handle(target, {
+              kind: 'peerMessage',
+              fromId: node.id,
+              fromAddress: node.address,
+              message,
+            });
+        });
+        break;
+      }
+      case 'readRecords':
+        this.read(node, effect.read);
+        break;
+      case 'configurationInForce':
+        node.inForceAt.set(effect.configuration.version, this.time.now());
+        break;
+      case 'belief':
+        this.believed(node, effect.event, effect.fields);
+        break;
+      default:
+        break;
+    }
+  }
+
+  private believed(node: FleetNode, event: string, fields: Readonly<Record<string, unknown>>): void {
+    const at = this.time.now();
+    const id = String(fields.backend);
+    if (event === 'backend.changed') node.backendStates.set(id, { state: String(fields.state), at });
+    if (event === 'backend.removed') node.backendStates.set(id, { state: 'gone', at });
+  }
+
+  private read(node: FleetNode, read: RecordRead): void {
+    node.reads += 1;
+    const { collection } = read;
+    const give = (result: RecordReadResult, delayMs: number): void =>
+      this.time.after(delayMs, () => this.handle(node, { kind: 'recordsRead', collection, result }));
+    if (node.access === 'refuses') {
+      give({ kind: 'rejected', status: STATUS_BUSY }, STORE_MS);
+    } else if (node.access === 'silent') {
+      give({ kind: 'noAnswer', reason: 'TimeoutError' }, read.waitMs + READ_TIMEOUT_MS);
+    } else if (read.after === undefined) {
+      const records = [...this.records.values()].filter((record) => record.collection === collection);
+      give({ kind: 'snapshot', revision: this.revision, records }, STORE_MS);
+    } else this.feed(node, read, read.after, give);
+  }
+
+  private feed(
+    node: FleetNode,
+    read: RecordRead,
+    after: number,
+    give: (result: RecordReadResult, delayMs: number) => void,
+  ): void {
+    const changes = (): StoredRecord[] =>
+      this.log.filter((record) => record.collection === read.collection && record.revision > after);
+    const waiting: WaitingRead = {
+      node,
+      read,
+      done: false,
+      answer: () => {
+        if (waiting.done || (changes().length === 0 && this.time.now() < until)) return;
+        waiting.done = true;
+        this.waiting.delete(waiting);
+        give({ kind: 'changes', revision: this.revision, records: changes() }, STORE_MS);
+      },
+    };
+    const until = this.time.now() + read.waitMs;
+    this.waiting.add(waiting);
+    this.time.after(read.waitMs, waiting.answer);
+    waiting.answer();
+  }
+}
--- a/src/adapters/peer-codec.ts
+++ b/src/adapters/peer-codec.ts
@@ -4,7 +4,7 @@
 import { serviceRowSchema } from '../configuration/service-row.js';
 import type { PeerMessage } from '../daemon/daemon-messages.js';
 import { PeerProtocolError } from '../errors/index.js';
-import { routeConfigurationSchema } from '../forwarding/route-schema.js';
+import { fleetMessageSchemas } from '../fleet/fleet-messages.js';
 
 const text = z.string().max(512);
 const count = z.number().finite();
@@ -49,24 +49,6 @@
   sequence: count,
 });
 
-const backendRecord = z.object({
-  id: text,
-  service: text,
-  address: text,
-  zone: text,
-  slots: count,
-  state: z.enum(['ready', 'draining']),
-  stage: z.enum(['prefill', 'decode']).optional(),
-});
-const storedRecord = z.discriminatedUnion('collection', [
-  z.object({
-    collection: z.literal('configuration'),
-    revision: count,
-    value: routeConfigurationSchema.optional(),
-  }),
-  z.object({ collection: z.literal('backends'), id: text, revision: count, value: backendRecord.optional() }),
-]);
-
 const messageSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('ping'), sequence: count, target: text, updates }),
   z.object({ kind: z.literal('ack'), sequence: count, updates }),
@@ -103,15 +85,7 @@
     cell: text,
     demands: z.array(z.tuple([text, count, count, count])),
   }),
-  z.object({
-    kind: z.literal('loadDigest'),
-    configurationRevision: count,
-    backendsRevision: count,
-    loads: z.array(z.tuple([text, count, count, count])),
-    placements: z.array(z.tuple([text, count, count])),
-  }),
-  z.object({ kind: z.literal('recordsPull'), sequence: count }),
-  z.object({ kind: z.literal('recordsSnapshot'), sequence: count, records: z.array(storedRecord) }),
+  ...fleetMessageSchemas,
 ]);
 
 const helloSchema = z.object({ kind: z.literal('hello'), id: text, address: text });
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -40,6 +40,7 @@
 import type { DaemonIdentity } from '../membership/membership-messages.js';
 import { DEFAULT_MEMBERSHIP_SETTINGS, type MembershipSettings } from '../membership/membership-settings.js';
 import type { RandomSource } from '../shared/random.js';
+import { rankByRendezvous } from '../shared/rendezvous-hash.js';
 import type { PeerMessage } from './daemon-messages.js';
 
 /** Settings of a forwarding daemon, by part. */
@@ -133,6 +134,8 @@
 const UNKNOWN_FLEET_SIZE = 32;
 /** Part of an engine's KV cache that one daemon counts on keeping the prefixes it sent. */
 const CACHE_SHARE = 0.5;
+/** Daemons are ranked as readers of the store by this key. */
+const READER_KEY = 'store-reader';
 
 /** The state machine of one forwarding daemon. Times are monotonic milliseconds. */
 export class ForwardingDaemon {
@@ -147,6 +150,7 @@
   private readonly stages: StageManager;
   private routes: RouteTable | undefined;
   private draining = false;
+  private membersChanged = true;
 
   constructor(
     private readonly identity: DaemonIdentity,
@@ -280,6 +284,7 @@
 
   private tick(now: number): void {
     this.membership.tick(now);
+    this.rankReader();
     this.replica.tick(now);
     this.exchange.tick(now);
     this.prober.tick(now);
@@ -299,6 +304,7 @@
       case 'loadDigest':
       case 'recordsPull':
       case 'recordsSnapshot':
+      case 'recordsChanged':
         this.exchange.receive(fromId, fromAddress, message, now);
         break;
       default:
@@ -313,6 +319,15 @@
     this.membership.leave(now);
   }
 
+  /** Finds this daemon's place among those that follow the store. Before it knows any peer it is the first. */
+  private rankReader(): void {
+    if (!this.membersChanged) return;
+    this.membersChanged = false;
+    const ids = this.membership.active().map((member) => member.id);
+    const place = rankByRendezvous(READER_KEY, ids, ids.length).indexOf(this.identity.id);
+    this.replica.setRank(Math.max(0, place));
+  }
+
   private daemons(): number {
     if (!this.membership.joined()) return UNKNOWN_FLEET_SIZE;
     return Math.max(this.membership.contact().known, this.membership.active().length);
@@ -337,6 +352,7 @@
       this.outbox.push({ kind: 'sendPeer', address: effect.address, message: effect.message });
       return;
     }
+    this.membersChanged = true;
     const { member, previous } = effect;
     this.believe('member.changed', { member: member.id, state: member.state, previous });
   }
@@ -346,6 +362,9 @@
       case 'readRecords':
         this.outbox.push(effect);
         break;
+      case 'tellPeers':
+        this.exchange.sendChanges(effect.message);
+        break;
       case 'configurationChanged':
         this.routes = new RouteTable(effect.configuration);
         this.stages.configured(effect.configuration);
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -1,24 +1,100 @@
-/// Messages between daemons about the load of back ends and the records that they know.
-import type {BackendLoad} from "../forwarding/backend-directory.js"
-import type {PrefixPlacement} from "../forwarding/prefix-index.js"
-import type {StoredRecord} from "./record-store.js"
+/// Messages between daemons about the load of back ends and the records that they know. The schemas are the one
+/// place that says their form; the types are inferred.
+import * as z from "zod"
+import {routeConfigurationSchema} from "../forwarding/route-schema.js"
+import type {BackendRecord} from "../forwarding/route.js"
 
-/// Messages of the fleet part.
+const text = z.string().max(512)
+const count = z.number().finite()
+
+const backendSchema = z.object({
+  id: text,
+  service: text,
+  address: text,
+  zone: text,
+  slots: count,
+  state: z.enum(["ready", "draining"]),
+  stage: z.enum(["prefill", "decode"]).optional()
+}) as unknown as z.ZodType<BackendRecord>
+
+const configurationRecordSchema = z.object({
+  collection: z.literal("configuration"),
+  revision: count,
+  value: routeConfigurationSchema.optional()
+})
+
+const backendRecordSchema = z.object({
+  collection: z.literal("backends"),
+  id: text,
+  revision: count,
+  value: backendSchema.optional()
+})
+
+/// One record. The value is undefined when the record was removed or cannot be read.
+export const storedRecordSchema = z.discriminatedUnion("collection", [
+  configurationRecordSchema,
+  backendRecordSchema
+])
+
+/// How much of a collection a daemon knows.
+const knowledgeSchema = z.object({
+  /// Every change up to this revision is known; -1 when none is.
+  complete: count,
+  /// Revision of the newest change known.
+  changed: count,
+  /// How long ago the store was last known to have nothing newer. Milliseconds.
+  ageMs: count
+})
+
+/// The same for both collections.
+export const fleetKnowledgeSchema = z.object({configuration: knowledgeSchema, backends: knowledgeSchema})
+
+/// A daemon's load on the back ends, and how much it knows of the store's records.
+const loadDigestSchema = z.object({
+  kind: z.literal("loadDigest"),
+  knowledge: fleetKnowledgeSchema,
+  /// Back end, requests, prompt tokens to compute, distrust.
+  loads: z.array(z.tuple([text, count, count, count])),
+  /// Prompts that the sender had computed since its last digest: engine, hash of the shared key, shared tokens.
+  placements: z.array(z.tuple([text, count, count]))
+})
+
+/// Asks a peer that knows more for its records.
+const recordsPullSchema = z.object({kind: z.literal("recordsPull"), sequence: count})
+
+/// The records, removals included.
+const recordsSnapshotSchema = z.object({
+  kind: z.literal("recordsSnapshot"),
+  sequence: count,
+  knowledge: fleetKnowledgeSchema,
+  records: z.array(storedRecordSchema)
+})
+
+/// Changes that the sender has just read from the store: all between two revisions. A changed configuration is told
+/// by its revision alone, since it may be large and every daemon can read it for itself.
+const recordsChangedSchema = z.object({
+  kind: z.literal("recordsChanged"),
+  collection: z.enum(["configuration", "backends"]),
+  from: count,
+  to: count,
+  changed: count,
+  records: z.array(storedRecordSchema)
+})
+
+/// The forms of all messages of the fleet part.
+export const fleetMessageSchemas = [
+  loadDigestSchema,
+  recordsPullSchema,
+  recordsSnapshotSchema,
+  recordsChangedSchema
+] as const
+
+export type StoredRecord = z.infer<typeof storedRecordSchema>
+export type RecordKnowledge = z.infer<typeof knowledgeSchema>
+export type FleetKnowledge = z.infer<typeof fleetKnowledgeSchema>
+export type RecordsChanged = z.infer<typeof recordsChangedSchema>
 export type FleetMessage =
-  /// A daemon's load on the back ends, and the newest revisions that it knows.
-  | {
-      readonly kind: "loadDigest"
-      readonly configurationRevision: number
-      readonly backendsRevision: number
-      readonly loads: readonly BackendLoad[]
-      /// Prompts that the sender had computed since its last digest.
-      readonly placements: readonly PrefixPlacement[]
-    }
-  /// Asks a peer that knows more for its records.
-  | {readonly kind: "recordsPull"; readonly sequence: number}
-  /// The records, removals included.
-  | {
-      readonly kind: "recordsSnapshot"
-      readonly sequence: number
-      readonly records: readonly StoredRecord[]
-    }
+  | z.infer<typeof loadDigestSchema>
+  | z.infer<typeof recordsPullSchema>
+  | z.infer<typeof recordsSnapshotSchema>
+  | RecordsChanged
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -1,15 +1,26 @@
-/// A daemon's copy of the configuration and of the list of back ends. It follows the store's changes, and takes
-/// newer records from peers when the store does not answer here. Revisions never go back: an old snapshot cannot
-/// undo what is known, and a removed back end does not return with an older record.
+/// A daemon's copy of the configuration and of the list of back ends. One daemon of the fleet follows the store's
+/// changes and tells the others; a daemon that has not heard for a while that its copy is complete asks the store
+/// itself, the next in rank first. Revisions never go back: an old snapshot cannot undo what is known, and a removed
+/// back end does not return with an older record.
+///
+/// Every daemon's copy is complete up to a revision. A peer's word that the store had nothing newer some time ago
+/// counts here too if no change between the two is missing.
 import type {BackendRecord, RouteConfiguration} from "../forwarding/route.js"
 import type {EffectSink} from "../shared/effect-sink.js"
 import type {RandomSource} from "../shared/random.js"
+import type {FleetKnowledge, RecordKnowledge, RecordsChanged} from "./fleet-messages.js"
 import type {RecordCollection, RecordRead, RecordReadResult, StoredRecord} from "./record-store.js"
 
 /// Settings of the replica.
 export interface FleetReplicaSettings {
-  /// How long a read waits for a change. Milliseconds. Default 3000.
+  /// How long a read waits for a change. Milliseconds. Default 600.
   readonly waitMs: number
+  /// The second daemon in rank asks the store when it has not heard for so long that its copy is complete. Milliseconds. Default 1000.
+  readonly patienceMs: number
+  /// Each further rank waits so much longer, up to the longest patience. Milliseconds. Default 100.
+  readonly patienceStepMs: number
+  /// Every daemon asks the store after this. Milliseconds. Default 1200.
+  readonly maximumPatienceMs: number
   /// Pause after an answer with changes, so that changes in a row come in one answer. Milliseconds. Default 150.
   readonly gatherMs: number
   /// First pause after a read that failed; doubled at each further one. Milliseconds. Default 100.
@@ -22,7 +33,10 @@
 
 /// Default settings.
 export const DEFAULT_FLEET_REPLICA_SETTINGS: FleetReplicaSettings = {
-  waitMs: 3000,
+  waitMs: 600,
+  patienceMs: 1000,
+  patienceStepMs: 100,
+  maximumPatienceMs: 1200,
   gatherMs: 150,
   backoffMs: 100,
   maximumBackoffMs: 800,
@@ -32,6 +46,8 @@
 /// What the replica asks for and tells.
 export type FleetEffect =
   | {readonly kind: "readRecords"; readonly read: RecordRead}
+  /// The store had changes, which the peers should hear of.
+  | {readonly kind: "tellPeers"; readonly message: RecordsChanged}
   | {
       readonly kind: "configurationChanged"
       readonly configuration: RouteConfiguration
@@ -66,7 +82,10 @@
   sentAt: number
   nextAt: number
   failures: number
-  confirmedAt: number
+  /// When the copy was last known to be complete, from the store or by a peer's word.
+  completeAt: number
+  /// The newest revision that a peer knows and this daemon may lack.
+  rumored: number
 }
 
 interface KnownBackend {
@@ -75,6 +94,12 @@
 }
 
 const MAXIMUM_BACKOFF_DOUBLINGS = 6
+/// Only the first in rank tell their peers, so that an outage of the first does not make everybody tell everybody.
+const TELLING_RANKS = 3
+/// A read that took so much longer than it was to wait says nothing about the time at which it was answered. Milliseconds.
+const ANSWER_DELAY_MS = 300
+/// A change of back ends that a peer knows of is on its way here already, most times. Milliseconds.
+const RUMOR_DELAY_MS = 150
 
 /// The replica of one daemon. Times are monotonic milliseconds.
 export class FleetReplica {
@@ -83,6 +108,7 @@
   private current: RouteConfiguration | undefined
   private backendsRevision = 0
   private readonly backends = new Map<string, KnownBackend>()
+  private rank = 0
 
   constructor(
     private readonly settings: FleetReplicaSettings,
@@ -103,14 +129,28 @@
     return this.backends.size > 0
   }
 
-  /// The newest revisions known: of the configuration, and of any back end's record.
-  revisions(): {configuration: number; backends: number} {
-    return {configuration: this.configurationRevision, backends: this.backendsRevision}
+  /// Sets this daemon's place among those that follow the store; 0 is the first.
+  setRank(rank: number): void {
+    this.rank = rank
   }
 
-  /// How long ago the store last confirmed a collection, counted from when it was asked. Milliseconds.
+  /// How much is known, for the peers.
+  getKnowledge(now: number): FleetKnowledge {
+    return {
+      configuration: this.getKnowledgeOf("configuration", now),
+      backends: this.getKnowledgeOf("backends", now)
+    }
+  }
+
+  /// How long ago the store was last known to have nothing newer. Milliseconds.
   ageMs(collection: RecordCollection, now: number): number {
-    return now - this.followers[collection].confirmedAt
+    return now - this.followers[collection].completeAt
+  }
+
+  /// Whether a peer knows of changes that are missing here.
+  isBehind(collection: RecordCollection): boolean {
+    const {cursor, rumored} = this.followers[collection]
+    return cursor === undefined || cursor < rumored
   }
 
   /// Whether a newer configuration may be in force elsewhere.
@@ -121,7 +161,7 @@
   /// Advances timers: asks the store.
   tick(now: number): void {
     for (const follower of Object.values(this.followers)) {
-      if (!follower.inFlight && now >= follower.nextAt) this.read(follower, now)
+      if (!follower.inFlight && now >= follower.nextAt && this.isDue(follower, now)) this.read(follower, now)
     }
   }
 
@@ -132,12 +172,16 @@
     switch (result.kind) {
       case "snapshot":
         this.applySnapshot(follower, result.revision, result.records)
-        this.confirmed(follower, now, 0)
+        this.confirmed(follower, follower.sentAt, 0, now)
         break
       case "changes":
-        for (const record of result.records) this.apply(record, STORE_SOURCE)
-        follower.cursor = Math.max(follower.cursor ?? 0, result.revision)
-        this.confirmed(follower, now, result.records.length > 0 ? this.settings.gatherMs : 0)
+        this.applyChanges(follower, result.revision, result.records)
+        this.confirmed(
+          follower,
+          this.getAnswerTime(follower, now),
+          result.records.length > 0 ? this.settings.gatherMs : 0,
+          now
+        )
         break
       case "historyGone":
         follower.cursor = undefined
@@ -152,9 +196,45 @@
     }
   }
 
-  /// Takes records from a peer. Its confirmations are not this daemon's.
-  receiveFromPeer(peerId: string, records: readonly StoredRecord[]): void {
+  /// Takes changes that a peer has read from the store.
+  receiveChanges(peerId: string, message: RecordsChanged, now: number): void {
+    const follower = this.followers[message.collection]
+    for (const record of message.records) this.apply(record, peerId)
+    const {cursor} = follower
+    const whole = message.records.length > 0 && cursor !== undefined && cursor >= message.from
+    if (whole) this.advance(follower, message.to)
+    else this.hearRumor(follower, message.changed, now)
+  }
+
+  /// Takes everything that a peer knows.
+  receiveSnapshot(
+    peerId: string,
+    knowledge: FleetKnowledge,
+    records: readonly StoredRecord[],
+    now: number
+  ): void {
     for (const record of records) this.apply(record, peerId)
+    const {complete} = knowledge.backends
+    if (complete >= 0) this.removeMissing(complete, records, peerId)
+    for (const follower of Object.values(this.followers)) {
+      const known = knowledge[follower.collection]
+      if (known.complete >= 0) this.advance(follower, known.complete)
+    }
+    this.receiveKnowledge(knowledge, now)
+  }
+
+  /// Takes a peer's word on how much it knows.
+  receiveKnowledge(knowledge: FleetKnowledge, now: number): void {
+    for (const follower of Object.values(this.followers)) {
+      const {complete, changed, ageMs} = knowledge[follower.collection]
+      if (complete < 0 || follower.cursor === undefined) continue
+      if (follower.cursor < changed) {
+        this.hearRumor(follower, changed, now)
+        continue
+      }
+      this.advance(follower, complete)
+      follower.completeAt = Math.max(follower.completeAt, now - Math.max(0, ageMs))
+    }
   }
 
   /// Everything known, removals included, for a peer.
@@ -171,6 +251,31 @@
     return records
   }
 
+  private getKnowledgeOf(collection: RecordCollection, now: number): RecordKnowledge {
+    const {cursor, completeAt} = this.followers[collection]
+    const changed = collection === "configuration" ? this.configurationRevision : this.backendsRevision
+    const ageMs = cursor === undefined ? 0 : Math.round(now - completeAt)
+    return {complete: cursor ?? -1, changed, ageMs}
+  }
+
+  /// Whether this daemon should ask the store itself.
+  private isDue(follower: Follower, now: number): boolean {
+    if (this.rank === 0 || this.isBehind(follower.collection)) return true
+    const {patienceMs, patienceStepMs, maximumPatienceMs} = this.settings
+    const patience = Math.min(maximumPatienceMs, patienceMs + (this.rank - 1) * patienceStepMs)
+    return now - follower.completeAt > patience
+  }
+
+  private advance(follower: Follower, revision: number): void {
+    follower.cursor = Math.max(follower.cursor ?? 0, revision)
+  }
+
+  private hearRumor(follower: Follower, changed: number, now: number): void {
+    if (changed <= follower.rumored) return
+    follower.rumored = changed
+    if (follower.collection === "backends") follower.nextAt = Math.max(follower.nextAt, now + RUMOR_DELAY_MS)
+  }
+
   private read(follower: Follower, now: number): void {
     follower.inFlight = true
     follower.sentAt = now
@@ -180,16 +285,42 @@
 
   private applySnapshot(follower: Follower, revision: number, records: readonly StoredRecord[]): void {
     for (const record of records) this.apply(record, STORE_SOURCE)
-    if (follower.collection === "backends") this.removeMissing(revision, records)
+    if (follower.collection === "backends") this.removeMissing(revision, records, STORE_SOURCE)
     follower.cursor = revision
   }
 
+  private applyChanges(follower: Follower, revision: number, records: readonly StoredRecord[]): void {
+    const from = follower.cursor ?? 0
+    let changed = 0
+    for (const record of records) {
+      if (record.revision > from) changed = Math.max(changed, record.revision)
+      this.apply(record, STORE_SOURCE)
+    }
+    this.advance(follower, revision)
+    if (changed > 0 && this.rank < TELLING_RANKS)
+      this.tellPeers(follower.collection, from, revision, changed, records)
+  }
+
+  private tellPeers(
+    collection: RecordCollection,
+    from: number,
+    to: number,
+    changed: number,
+    records: readonly StoredRecord[]
+  ): void {
+    const told = collection === "configuration" ? [] : [...records]
+    this.emit({
+      kind: "tellPeers",
+      message: {kind: "recordsChanged", collection, from, to, changed, records: told}
+    })
+  }
+
   /// A back end that the snapshot lacks was removed, unless its record is newer than the snapshot.
-  private removeMissing(revision: number, records: readonly StoredRecord[]): void {
+  private removeMissing(revision: number, records: readonly StoredRecord[], source: RecordSource): void {
     const present = new Set(records.map(record => (record.collection === "backends" ? record.id : "")))
     for (const [id, known] of this.backends) {
       if (present.has(id) || known.value === undefined || known.revision > revision) continue
-      this.apply({collection: "backends", id, revision, value: undefined}, STORE_SOURCE, true)
+      this.apply({collection: "backends", id, revision, value: undefined}, source, true)
     }
   }
 
@@ -212,7 +343,7 @@
 
   private applyBackend(
     id: string,
-    record: KnownBackend,
+    record: {revision: number; value?: BackendRecord | undefined},
     source: RecordSource,
     sameRevisionCounts: boolean
   ): void {
@@ -226,13 +357,19 @@
     else if (known?.value) this.emit({kind: "backendRemoved", id, revision, source})
   }
 
-  private confirmed(follower: Follower, now: number, pauseMs: number): void {
+  /// When a read that waited for changes was answered, as far as that is certain.
+  private getAnswerTime(follower: Follower, now: number): number {
+    const prompt = now - follower.sentAt <= this.settings.waitMs + ANSWER_DELAY_MS
+    return prompt ? now : follower.sentAt
+  }
+
+  private confirmed(follower: Follower, completeAt: number, pauseMs: number, now: number): void {
     const {collection} = follower
     if (follower.failures > 0) this.emit({kind: "storeRegained", collection})
     follower.failures = 0
-    follower.confirmedAt = Math.max(follower.confirmedAt, follower.sentAt)
+    follower.completeAt = Math.max(follower.completeAt, completeAt)
     follower.nextAt = now + pauseMs
-    if (pauseMs === 0) this.read(follower, now)
+    if (pauseMs === 0 && this.isDue(follower, now)) this.read(follower, now)
   }
 
   private failed(follower: Follower, reason: string, now: number): void {
@@ -259,6 +396,7 @@
     sentAt: now,
     nextAt: now,
     failures: 0,
-    confirmedAt: -Infinity
+    completeAt: -Infinity,
+    rumored: 0
   }
 }
--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -4,8 +4,9 @@
 import type {RandomSource} from "../shared/random.js"
 import type {BackendDirectory} from "../forwarding/backend-directory.js"
 import type {PrefixPlacement} from "../forwarding/prefix-index.js"
-import type {FleetMessage} from "./fleet-messages.js"
+import type {FleetKnowledge, FleetMessage, RecordsChanged} from "./fleet-messages.js"
 import type {FleetReplica} from "./fleet-replica.js"
+import type {RecordCollection} from "./record-store.js"
 
 /// Settings of the exchange.
 export interface PeerExchangeSettings {
@@ -60,13 +61,11 @@
     if (now < this.nextDigestAt) return
     this.nextDigestAt = now + this.settings.digestIntervalMs
     this.directory.expireDigests(now)
-    const {configuration, backends} = this.replica.revisions()
     const message: FleetMessage = {
       kind: "loadDigest",
-      configurationRevision: configuration,
-      backendsRevision: backends,
+      knowledge: this.replica.getKnowledge(now),
       loads: this.directory.ownLoads(now),
-      placements: this.placements.take()
+      placements: [...this.placements.take()]
     }
     for (const address of this.recipients()) this.emit({address, message})
   }
@@ -77,30 +76,39 @@
       case "loadDigest":
         this.directory.applyDigest(fromId, message.loads, now)
         for (const placement of message.placements) this.placements.learn(placement)
-        this.compare(fromAddress, message.configurationRevision, message.backendsRevision, now)
+        this.replica.receiveKnowledge(message.knowledge, now)
+        this.pullWhenBehind(fromAddress, message.knowledge, now)
         break
       case "recordsPull": {
         const {sequence} = message
-        this.emit({
-          address: fromAddress,
-          message: {kind: "recordsSnapshot", sequence, records: this.replica.records()}
-        })
+        const knowledge = this.replica.getKnowledge(now)
+        const records = this.replica.records()
+        this.emit({address: fromAddress, message: {kind: "recordsSnapshot", sequence, knowledge, records}})
         break
       }
       case "recordsSnapshot":
-        this.replica.receiveFromPeer(fromId, message.records)
+        this.replica.receiveSnapshot(fromId, message.knowledge, message.records, now)
+        break
+      case "recordsChanged":
+        this.replica.receiveChanges(fromId, message, now)
         break
     }
   }
 
-  private compare(fromAddress: string, configuration: number, backends: number, now: number): void {
-    const own = this.replica.revisions()
-    if (configuration <= own.configuration && backends <= own.backends) {
-      this.behindSince = undefined
-      return
-    }
+  /// Sends changes to every peer.
+  sendChanges(message: RecordsChanged): void {
+    for (const address of this.peerAddresses()) this.emit({address, message})
+  }
+
+  /// The store is asked first; a peer is asked when the store has not helped for a while.
+  private pullWhenBehind(fromAddress: string, knowledge: FleetKnowledge, now: number): void {
+    const own = this.replica.getKnowledge(now)
+    const lacks = (collection: RecordCollection) => knowledge[collection].changed > own[collection].complete
+    const behind = this.replica.isBehind("configuration") || this.replica.isBehind("backends")
+    if (!behind) this.behindSince = undefined
+    if (!lacks("configuration") && !lacks("backends")) return
     this.behindSince ??= now
-    const knowsNothing = own.configuration === 0 || own.backends === 0
+    const knowsNothing = own.configuration.changed === 0 || own.backends.changed === 0
     if (!knowsNothing && now - this.behindSince < this.settings.pullAfterMs) return
     this.behindSince = now
     this.sequence += 1
--- a/src/fleet/record-store.ts
+++ b/src/fleet/record-store.ts
@@ -1,25 +1,13 @@
 /// The operator's configuration and the list of back ends as a daemon reads them from a shared store. Contract:
 /// every record carries the version of the transaction that wrote it, drawn from one rising counter; a snapshot
 /// may be old, changes come in order, and a history that is gone is said so.
-import type {BackendRecord, RouteConfiguration} from "../forwarding/route.js"
+import type {StoredRecord} from "./fleet-messages.js"
+
+export type {StoredRecord}
 
 /// What is read.
 export type RecordCollection = "configuration" | "backends"
 
-/// One record. A back end's value is undefined when its record was removed or cannot be read.
-export type StoredRecord =
-  | {
-      readonly collection: "configuration"
-      readonly revision: number
-      readonly value: RouteConfiguration | undefined
-    }
-  | {
-      readonly collection: "backends"
-      readonly id: string
-      readonly revision: number
-      readonly value: BackendRecord | undefined
-    }
-
 /// A read: of everything, or of what changed after a revision, waiting a while for a change.
 export interface RecordRead {
   readonly collection: RecordCollection
@@ -38,6 +26,6 @@
   | {readonly kind: "noAnswer"; readonly reason: string}
 
 /// Reads records. Never throws: a failure is a result.
-export interface RecordStore {
-  read(request: RecordRead): Promise<RecordReadResult>
+export abstract class RecordStore {
+  abstract read(request: RecordRead): Promise<RecordReadResult>
 }
--- a/src/forwarding/backend-directory.ts
+++ b/src/forwarding/backend-directory.ts
@@ -6,7 +6,7 @@
  * One daemon's load on one back end in the form that travels: id, requests, prompt tokens, and its distrust: 0 none,
  * 1 the daemon avoids it, 2 the daemon is changing its stage.
  */
-export type BackendLoad = readonly [id: string, inFlight: number, pendingTokens: number, distrust: number];
+export type BackendLoad = [id: string, inFlight: number, pendingTokens: number, distrust: number];
 
 interface PeerDigest {
   readonly loads: ReadonlyMap<string, BackendLoad>;
--- a/src/forwarding/prefix-index.ts
+++ b/src/forwarding/prefix-index.ts
@@ -5,7 +5,7 @@
 import { hashText } from '../shared/rendezvous-hash.js';
 
 /** A prompt that was computed somewhere, in the form that travels: engine, hash of the shared key, shared tokens. */
-export type PrefixPlacement = readonly [engineId: string, keyHash: number, tokens: number];
+export type PrefixPlacement = [engineId: string, keyHash: number, tokens: number];
 
 /** Placements kept for the next digest at most. */
 const MAXIMUM_RECENT = 64;
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -7,6 +7,7 @@
   DEFAULT_FLEET_REPLICA_SETTINGS,
   type FleetEffect,
 } from '../src/fleet/fleet-replica.js';
+import type { FleetKnowledge } from '../src/fleet/fleet-messages.js';
 import type { StoredRecord } from '../src/fleet/record-store.js';
 import { SeededRandom } from '../src/shared/random.js';
 
@@ -30,6 +31,13 @@
   return { collection: 'backends', id, revision, value };
 }
 
+function knowing(configuration: number, backends: number, ageMs = 0): FleetKnowledge {
+  return {
+    configuration: { complete: configuration, changed: configuration, ageMs },
+    backends: { complete: backends, changed: backends, ageMs },
+  };
+}
+
 function known(fleet: FleetReplica): string[] {
   return fleet
     .records()
@@ -64,7 +72,7 @@
       { kind: 'snapshot', revision: 6, records: [backend('a', 5), backend('b', 6)] },
       0,
     );
-    fleet.receiveFromPeer('peer', [backend('c', 20)]);
+    fleet.receiveSnapshot('peer', knowing(-1, -1), [backend('c', 20)], 5);
     fleet.receive('backends', { kind: 'snapshot', revision: 15, records: [backend('b', 6)] }, 10);
     expect(known(fleet)).to.deep.equal(['b', 'c']);
   });
@@ -72,7 +80,7 @@
   it('without the store a daemon learns configuration and back ends from a peer, and knows that they may be old', () => {
     const { fleet } = replica();
     fleet.receive('configuration', { kind: 'noAnswer', reason: 'timeout' }, 0);
-    fleet.receiveFromPeer('peer', [configuration(10, 3), backend('a', 5)]);
+    fleet.receiveSnapshot('peer', knowing(-1, -1), [configuration(10, 3), backend('a', 5)], 50);
     expect(fleet.configuration()?.version).to.equal(3);
     expect(fleet.knowsBackends()).to.equal(true);
     expect(fleet.configurationMayBeStale(100)).to.equal(true);
@@ -101,7 +109,7 @@
         let newest = 0;
         for (const { revision, fromPeer } of plan) {
           const records = [configuration(revision, revision)];
-          if (fromPeer) fleet.receiveFromPeer('peer', records);
+          if (fromPeer) fleet.receiveSnapshot('peer', knowing(-1, -1), records, revision);
           else fleet.receive('configuration', { kind: 'snapshot', revision, records }, revision);
           newest = Math.max(newest, revision);
           expect(fleet.configuration()?.version).to.equal(newest);
--- /dev/null
+++ b/test/store-readers.test.ts
@@ -0,0 +1,121 @@
+/** Which daemons read the store, and how soon a change is in force everywhere when the reader fails. Virtual time. */
+import { expect } from 'chai';
+import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
+import { ForwardingFleet, type FleetNode } from '../simulation/forwarding-fleet.js';
+import { Snapshot } from './snapshot.js';
+
+const SEED = 20261203;
+const SETTLED_MS = 6000;
+const BOUND_MS = 2000;
+
+function configuration(version: number) {
+  return {
+    collection: 'configuration' as const,
+    revision: 0,
+    value: labConfiguration(version, [labRoute({})]),
+  };
+}
+
+function backend(id: string, state: 'ready' | 'draining' | 'gone') {
+  const value = state === 'gone' ? undefined : { ...labBackend(id, '10.1.0.1:80'), state };
+  return { collection: 'backends' as const, id, revision: 0, value };
+}
+
+function settledFleet(count: number): ForwardingFleet {
+  const fleet = new ForwardingFleet(count, SEED);
+  fleet.write(configuration(1));
+  fleet.write(backend('a', 'ready'));
+  fleet.write(backend('b', 'ready'));
+  fleet.time.runUntil(SETTLED_MS);
+  return fleet;
+}
+
+/** The daemon that read most in a second without trouble. */
+function readerOf(fleet: ForwardingFleet): FleetNode {
+  const before = new Map(fleet.nodes.map((node) => [node, node.reads]));
+  fleet.time.runUntil(fleet.time.now() + 1000);
+  const counts = fleet.nodes.map((node) => ({ node, reads: node.reads - (before.get(node) ?? 0) }));
+  counts.sort((left, right) => right.reads - left.reads);
+  return counts[0].node;
+}
+
+/** The longest time until a version was in force at the daemons that run. */
+function slowest(fleet: ForwardingFleet, version: number, since: number): number {
+  return Math.max(
+    ...fleet.nodes
+      .filter((node) => !node.down)
+      .map((node) => (node.inForceAt.get(version) ?? Infinity) - since),
+  );
+}
+
+function slowestState(fleet: ForwardingFleet, id: string, state: string, since: number): number {
+  return Math.max(
+    ...fleet.nodes
+      .filter((node) => !node.down)
+      .map((node) => {
+        const seen = node.backendStates.get(id);
+        return seen?.state === state ? seen.at - since : Infinity;
+      }),
+  );
+}
+
+describe('readers of the store', () => {
+  for (const count of [2, 9, 88]) {
+    it(`${count} daemons: one follows the store, the others hear of changes from it`, () => {
+      const fleet = settledFleet(count);
+      const before = fleet.reads();
+      fleet.time.runUntil(SETTLED_MS + 20_000);
+      const snapshot = new Snapshot(`store-readers-${count}`);
+      snapshot.add(`reads in 20 s without a change: ${fleet.reads() - before}`);
+      let since = fleet.time.now();
+      fleet.write(configuration(2));
+      fleet.time.runUntil(since + 3000);
+      snapshot.add(`configuration in force everywhere after ${Math.round(slowest(fleet, 2, since))} ms`);
+      since = fleet.time.now();
+      fleet.write(backend('a', 'draining'));
+      fleet.time.runUntil(since + 3000);
+      snapshot.add(`draining known after ${Math.round(slowestState(fleet, 'a', 'draining', since))} ms`);
+      since = fleet.time.now();
+      fleet.write(backend('a', 'gone'));
+      fleet.time.runUntil(since + 3000);
+      snapshot.add(`removal known after ${Math.round(slowestState(fleet, 'a', 'gone', since))} ms`);
+      snapshot.add(`reads in all: ${fleet.reads() - before}`);
+      snapshot.check();
+    });
+  }
+
+  const failures: readonly [string, (reader: FleetNode) => void][] = [
+    ['dies', (reader) => void (reader.down = true)],
+    ['is refused by the store', (reader) => void (reader.access = 'refuses')],
+    ['gets no answer from the store', (reader) => void (reader.access = 'silent')],
+  ];
+  for (const [name, fail] of failures) {
+    for (const count of [2, 9, 88]) {
+      it(`${count} daemons: a change at the moment when the reader ${name} is in force everywhere in time`, () => {
+        const fleet = settledFleet(count);
+        fail(readerOf(fleet));
+        const since = fleet.time.now();
+        fleet.write(configuration(2));
+        fleet.write(backend('a', 'draining'));
+        fleet.time.runUntil(since + 5000);
+        expect(slowest(fleet, 2, since)).to.be.lessThan(BOUND_MS);
+        expect(slowestState(fleet, 'a', 'draining', since)).to.be.lessThan(BOUND_MS);
+      });
+    }
+  }
+
+  it('a third of the daemons without an answer of the store, the reader among them: changes reach all in time', () => {
+    const fleet = settledFleet(9);
+    const reader = readerOf(fleet);
+    reader.access = 'silent';
+    for (const node of fleet.nodes.filter((other) => other !== reader).slice(0, 2)) node.access = 'silent';
+    for (let version = 2; version < 8; version += 1) {
+      const since = fleet.time.now();
+      fleet.write(configuration(version));
+      fleet.write(backend(`new-${version}`, 'ready'));
+      fleet.time.runUntil(since + 2500);
+      expect(slowest(fleet, version, since)).to.be.lessThan(BOUND_MS);
+      expect(slowestState(fleet, `new-${version}`, 'ready', since)).to.be.lessThan(BOUND_MS);
+    }
+  });
+});
