Fault soak on real processes: first version

Change: lab/soak runs the deployed program as processes with a store, back ends, proxies and callers of our own; seeded faults from outside; promises checked from what callers and back ends saw.

--- /dev/null
+++ b/lab/soak/backend-stand-in.ts
@@ -0,0 +1,297 @@
+/// A back end after the platform's published pages: a plain application server or a model engine with two stages. It
+/// tells the record of every arrival, run and order, and misbehaves as it is told.
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from "node:http"
+import type {AddressInfo, Socket} from "node:net"
+import {formatBody, formatEvent, type SoakRecord} from "./soak-record.js"
+import type {StoreStandIn} from "./store-stand-in.js"
+
+/// How a back end behaves.
+export type BackendBehavior =
+  | "well"
+  | "errors"
+  | "sheds"
+  | "hangs"
+  | "losesAnswers"
+  | "breaksOff"
+  | "answersTwice"
+  | "slow"
+  | "lateOrders"
+
+/// What all back ends of a soak share: handles of prompts that were read.
+export class HandleRegistry {
+  private readonly requests = new Map<string, string>()
+
+  add(handle: string, requestId: string): void {
+    this.requests.set(handle, requestId)
+  }
+
+  /// The request whose prompt this handle holds; a handle serves once.
+  remove(handle: string): string | undefined {
+    const id = this.requests.get(handle)
+    this.requests.delete(handle)
+    return id
+  }
+}
+
+const STATUS_OK = 200
+const STATUS_ACCEPTED = 202
+const STATUS_CONFLICT = 409
+const STATUS_LOW_FENCE = 412
+const STATUS_MISDIRECTED = 421
+const STATUS_ERROR = 500
+const STATUS_BUSY = 503
+const WORK_MS = 15
+const SLOW_WORK_MS = 250
+const EVENT_MS = 12
+const EVENTS = 6
+const SWITCH_MS = 400
+const LATE_ORDER_MS = 2500
+const HEARTBEAT_MS = 1200
+/// Part of the requests that a faulty back end spoils.
+const FAULT_SHARE = 0.4
+
+type Stage = "prefill" | "decode"
+
+/// Identity of one incarnation.
+export interface BackendIdentity {
+  readonly id: string
+  readonly service: string
+  readonly zone: string
+  readonly stage: Stage | undefined
+}
+
+/// One incarnation of a back end.
+export class BackendStandIn {
+  behavior: BackendBehavior = "well"
+  private stage: Stage | undefined
+  private changing = false
+  private orders = 0
+  private highestFence = 0
+  private state: "ready" | "draining" = "ready"
+  private address = ""
+  private handles = 0
+  private readonly server: Server
+  private readonly sockets = new Set<Socket>()
+  private heartbeat: NodeJS.Timeout | undefined
+
+  constructor(
+    readonly identity: BackendIdentity,
+    private readonly store: StoreStandIn,
+    private readonly record: SoakRecord,
+    private readonly registry: HandleRegistry,
+    private readonly random: () => number
+  ) {
+    this.stage = identity.stage
+    this.server = createServer((request, response) => void this.onRequest(request, response))
+    this.server.on("connection", socket => {
+      this.sockets.add(socket)
+      socket.on("close", () => this.sockets.delete(socket))
+    })
+  }
+
+  /// Starts to listen and returns the real address.
+  async start(): Promise<string> {
+    await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve))
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  /// Says in the store that this back end is there, at an address that may be a proxy's.
+  announce(address: string): void {
+    this.address = address
+    this.writeRecord()
+    this.heartbeat = setInterval(() => undefined, HEARTBEAT_MS)
+  }
+
+  /// Says that it is leaving; it serves on.
+  drain(): void {
+    this.state = "draining"
+    this.writeRecord()
+    this.record.drains.set(this.identity.id, performance.now())
+  }
+
+  /// Ends: at once, with every connection reset, or after it has left the store's list.
+  close(): void {
+    clearInterval(this.heartbeat)
+    this.store.remove("servers", this.identity.id)
+    this.server.close()
+    for (const socket of this.sockets) socket.resetAndDestroy()
+  }
+
+  private writeRecord(): void {
+    const {id, service, zone} = this.identity
+    const row = {
+      service,
+      addr: this.address,
+      zone,
+      slots: 8,
+      state: this.state,
+      phase: this.stage,
+      seq: this.orders
+    }
+    this.store.write("servers", id, row)
+  }
+
+  private async onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.on("error", () => undefined)
+    request.on("error", () => undefined)
+    for await (const chunk of request)
+      if (request.url === "/v1/order") return this.onOrder(String(chunk), response)
+    const path = request.url ?? "/"
+    if (path === "/healthz") return this.reply(response, STATUS_OK, "", {"X-Instance-Id": this.identity.id})
+    if (path === "/v1/report") return this.reply(response, STATUS_OK, JSON.stringify(this.getReport()))
+    if (path.startsWith("/v1/kv-handle/")) {
+      this.registry.remove(path.slice("/v1/kv-handle/".length))
+      return this.reply(response, STATUS_OK, "{}")
+    }
+    if (header(request, "x-expect-instance") !== this.identity.id)
+      return this.reply(response, STATUS_MISDIRECTED, "", {"X-Instance-Id": this.identity.id})
+    this.onWork(request, response)
+  }
+
+  private onWork(request: IncomingMessage, response: ServerResponse): void {
+    const id = header(request, "x-attempt-id") ?? ""
+    const promptOnly = header(request, "x-inference-phase") === "prefill"
+    const harmed = this.behavior !== "well" && (this.behavior === "slow" || this.random() < FAULT_SHARE)
+    const behavior = harmed ? this.behavior : "well"
+    const wrongStage = this.stage !== undefined && promptOnly !== (this.stage === "prefill")
+    if (wrongStage || this.changing || behavior === "sheds") {
+      const status = wrongStage ? STATUS_MISDIRECTED : STATUS_BUSY
+      return this.reply(response, status, "", {"X-Not-Executed": "1", "X-Attempt-Id": id})
+    }
+    if (behavior === "hangs") return
+    const run = {
+      requestId: id,
+      backend: this.identity.id,
+      service: this.identity.service,
+      at: performance.now(),
+      promptOnly
+    }
+    if (promptOnly) return this.readPrompt(run, response)
+    const source = header(request, "x-kv-source")
+    if (source && !this.takeHandle(source, id))
+      return this.reply(response, STATUS_BUSY, "", {"X-Not-Executed": "1", "X-Attempt-Id": id})
+    this.record.runs.push(run)
+    if (behavior === "losesAnswers") return void setTimeout(() => response.socket?.resetAndDestroy(), WORK_MS)
+    if (this.stage) this.stream(request, response, id, behavior)
+    else this.answer(request, response, id, behavior)
+  }
+
+  private readPrompt(run: SoakRecord["runs"][number], response: ServerResponse): void {
+    this.record.runs.push(run)
+    this.handles += 1
+    const handle = `${this.identity.id}h${this.handles}`
+    this.registry.add(handle, run.requestId)
+    const body = JSON.stringify({kv_handle: handle, tokens: 1000, version: 1})
+    setTimeout(() => this.reply(response, STATUS_OK, body, {"X-Attempt-Id": run.requestId}), WORK_MS)
+  }
+
+  private takeHandle(source: string, id: string): boolean {
+    const owner = this.registry.remove(source.slice(source.indexOf("/") + 1))
+    if (owner !== undefined && owner !== id)
+      this.record.seen.push({promise: "a request goes on from its own prompt", text: `${id} from ${owner}'s`})
+    return owner === id
+  }
+
+  private answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    id: string,
+    behavior: BackendBehavior
+  ): void {
+    const workMs = behavior === "slow" ? SLOW_WORK_MS : WORK_MS * (0.5 + this.random())
+    setTimeout(() => {
+      const headers = {"X-Attempt-Id": id, "X-Server-Signature": this.identity.id}
+      const body = formatBody(id)
+      if (behavior === "errors") return this.reply(response, STATUS_ERROR, "failed", headers)
+      if (behavior === "breaksOff") {
+        response.writeHead(STATUS_OK, {...headers, "Content-Length": body.length})
+        response.write(body.slice(0, 5))
+        return void setTimeout(() => response.socket?.resetAndDestroy(), 2)
+      }
+      const {socket} = response
+      this.reply(response, STATUS_OK, body, headers)
+      if (behavior === "answersTwice")
+        socket?.write(
+          "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Signature: x\r\nContent-Length: 5\r\n\r\nother"
+        )
+    }, workMs)
+    void request
+  }
+
+  private stream(
+    request: IncomingMessage,
+    response: ServerResponse,
+    id: string,
+    behavior: BackendBehavior
+  ): void {
+    const first = Number(header(request, "last-event-id") ?? 0) + 1
+    response.writeHead(STATUS_OK, {
+      "Content-Type": "text/event-stream",
+      "X-Attempt-Id": id,
+      "X-Server-Signature": this.identity.id
+    })
+    let number = first
+    const breakAt = behavior === "breaksOff" ? first + 2 : Infinity
+    const step = () => {
+      if (response.destroyed) return
+      if (number > EVENTS) return void response.end()
+      const event = formatEvent(id, number, EVENTS)
+      if (number >= breakAt) {
+        response.write(event.slice(0, 6))
+        return void setTimeout(() => response.socket?.resetAndDestroy(), 2)
+      }
+      response.write(event)
+      number += 1
+      setTimeout(step, behavior === "slow" ? SLOW_WORK_MS : EVENT_MS)
+    }
+    setTimeout(step, EVENT_MS)
+  }
+
+  private getReport(): object {
+    const {stage, changing, orders} = this
+    return {phase: stage, models: [], utilization: changing, seq: orders, queued: 0, active: 0}
+  }
+
+  private onOrder(text: string, response: ServerResponse): void {
+    const order = JSON.parse(text) as {phase: Stage; holder: string; fence: number; expected_count?: number}
+    if (this.behavior === "lateOrders") return void setTimeout(() => this.carryOut(order), LATE_ORDER_MS)
+    this.reply(response, this.carryOut(order), "{}")
+  }
+
+  private carryOut(order: {phase: Stage; holder: string; fence: number; expected_count?: number}): number {
+    if (order.fence < this.highestFence) return STATUS_LOW_FENCE
+    this.highestFence = order.fence
+    this.record.orders.push({
+      backend: this.identity.id,
+      holder: order.holder,
+      fence: order.fence,
+      at: performance.now()
+    })
+    if (this.changing || (order.expected_count ?? this.orders) !== this.orders) return STATUS_CONFLICT
+    if (this.stage === order.phase) return STATUS_OK
+    this.changing = true
+    this.orders += 1
+    setTimeout(() => {
+      this.changing = false
+      this.stage = order.phase
+      this.writeRecord()
+    }, SWITCH_MS)
+    return STATUS_ACCEPTED
+  }
+
+  private reply(
+    response: ServerResponse,
+    status: number,
+    body: string,
+    headers: Record<string, string> = {}
+  ): void {
+    if (response.destroyed) return
+    response.writeHead(status, {...headers, "Content-Length": Buffer.byteLength(body)})
+    response.end(body)
+  }
+}
+
+function header(request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name]
+  return typeof value === "string" ? value : undefined
+}
--- /dev/null
+++ b/lab/soak/caller-load.ts
@@ -0,0 +1,135 @@
+/// Callers of a soak: an open loop of requests to every daemon through its proxy, and what came back, byte for byte.
+import {request as sendRequest, Agent, type ClientRequest, type IncomingMessage} from "node:http"
+import {setTimeout as wait} from "node:timers/promises"
+import type {CallerRecord, RouteForm, SoakRecord} from "./soak-record.js"
+
+/// A route as callers use it.
+export interface CallerRoute {
+  readonly name: string
+  readonly host: string
+  readonly path: string
+  readonly form: RouteForm
+  readonly timeoutMs: number
+  /// Tokens of the shared and the own part of each prompt; undefined for plain services.
+  readonly prompt?: {readonly shared: number; readonly own: number; readonly subjects: number}
+}
+
+/// A daemon as callers reach it.
+export interface CallerTarget {
+  readonly daemon: string
+  readonly address: string
+}
+
+/// Callers give up so long after the time-out. Milliseconds.
+const GIVE_UP_AFTER_MS = 4000
+const GIVE_UP_SHARE = 0.03
+
+/// The callers.
+export class CallerLoad {
+  private readonly agent = new Agent({keepAlive: true, maxSockets: 64})
+  private running = true
+  private count = 0
+  private readonly open = new Set<Promise<void>>()
+
+  constructor(
+    private readonly record: SoakRecord,
+    private readonly targets: readonly CallerTarget[],
+    private readonly routes: readonly CallerRoute[],
+    private readonly random: () => number
+  ) {}
+
+  /// Sends so many requests a second until `stop`.
+  async run(perSecond: number): Promise<void> {
+    while (this.running) {
+      await wait((1000 / perSecond) * (0.5 + this.random()))
+      const target = this.targets[Math.floor(this.random() * this.targets.length)]
+      const route = this.routes[Math.floor(this.random() * this.routes.length)]
+      const sent = this.send(target, route).finally(() => this.open.delete(sent))
+      this.open.add(sent)
+    }
+    await Promise.all(this.open)
+    this.agent.destroy()
+  }
+
+  /// Sends nothing more.
+  stop(): void {
+    this.running = false
+  }
+
+  private send(target: CallerTarget, route: CallerRoute): Promise<void> {
+    this.count += 1
+    const id = `q${this.count}`
+    const [host, port] = target.address.split(":")
+    const call: CallerRecord = {
+      id,
+      daemon: target.daemon,
+      route: route.name,
+      form: route.form,
+      sentAt: performance.now(),
+      timeoutMs: route.timeoutMs
+    }
+    this.record.requests.set(id, call)
+    return new Promise(resolve => {
+      const end = () => {
+        call.endedAt ??= performance.now()
+        clearTimeout(timer)
+        resolve()
+      }
+      const request = sendRequest({
+        host,
+        port: Number(port),
+        path: route.path,
+        agent: this.agent,
+        method: "POST",
+        headers: this.getHeaders(id, route)
+      })
+      const timer = setTimeout(() => request.destroy(), this.getPatience(call, route))
+      request.on("response", response => this.receive(call, response, end))
+      request.on("error", end)
+      request.on("close", end)
+      request.end(`body of ${id}`)
+      this.watch(request)
+    })
+  }
+
+  private getHeaders(id: string, route: CallerRoute): Record<string, string> {
+    const headers: Record<string, string> = {
+      Host: route.host,
+      "X-Attempt-Id": id,
+      "X-Deadline-Ms": String(route.timeoutMs)
+    }
+    if (route.prompt) {
+      const {shared, own, subjects} = route.prompt
+      const subject = Math.floor(this.random() * subjects)
+      headers["X-Model"] = "m"
+      headers["X-Token-Usage"] = `${shared + own},60`
+      headers["X-Prefix-Hash"] = `s${route.name}${subject}:${shared},${id}:${own}`
+    }
+    return headers
+  }
+
+  /// Most wait for the answer; a few leave early, which is no broken promise of anybody's.
+  private getPatience(call: CallerRecord, route: CallerRoute): number {
+    if (this.random() >= GIVE_UP_SHARE) return route.timeoutMs + GIVE_UP_AFTER_MS
+    call.endedAt = call.sentAt
+    return this.random() * route.timeoutMs * 0.2
+  }
+
+  private receive(call: CallerRecord, response: IncomingMessage, end: () => void): void {
+    const chunks: Buffer[] = []
+    response.on("data", (chunk: Buffer) => chunks.push(chunk))
+    response.on("error", () => undefined)
+    response.on("close", () => {
+      const signature = response.headers["x-server-signature"]
+      call.whole = response.complete
+      call.signature = typeof signature === "string" ? signature : undefined
+      call.body = Buffer.concat(chunks).toString("utf8")
+      if (response.complete || call.form === "streaming") call.status = response.statusCode
+      end()
+    })
+  }
+
+  private watch(request: ClientRequest): void {
+    request.on("socket", socket => socket.setNoDelay(true))
+  }
+}
--- /dev/null
+++ b/lab/soak/daemon-process.ts
@@ -0,0 +1,138 @@
+/// One daemon of a soak: the deployed program as a process of its own, with its settings file, run and harmed from
+/// outside by signals only.
+import {spawn, type ChildProcess} from "node:child_process"
+import {closeSync, openSync, writeFileSync} from "node:fs"
+import {createServer, type AddressInfo} from "node:net"
+import {join} from "node:path"
+
+/// Where a daemon's parts are reached.
+export interface DaemonPorts {
+  readonly front: string
+  readonly ready: string
+  readonly control: string
+  readonly metrics: number
+}
+
+/// What all daemons of a soak share.
+export interface DaemonSite {
+  readonly folder: string
+  readonly program: string
+  readonly flags: readonly string[]
+  /// The table `bounds` of the settings.
+  readonly bounds: string
+  readonly seeds: readonly string[]
+}
+
+/// Told when the process ended although nobody ended it.
+export type OwnEndListener = (name: string, code: number | null, signal: string | null) => void
+
+const EXIT_AFTER_STOP_MS = 9000
+
+/// The daemon.
+export class DaemonProcess {
+  private child: ChildProcess | undefined
+  private expected = false
+  starts = 0
+
+  constructor(
+    readonly name: string,
+    readonly zone: string,
+    readonly ports: DaemonPorts,
+    private readonly site: DaemonSite,
+    private readonly storeAddress: string,
+    private readonly onOwnEnd: OwnEndListener
+  ) {}
+
+  /// Starts the process.
+  start(): void {
+    this.writeSettings()
+    this.expected = false
+    this.starts += 1
+    const log = openSync(join(this.site.folder, `${this.name}.log`), "a")
+    const child = spawn(process.execPath, [...this.site.flags, this.site.program], {
+      env: {PATH: process.env.PATH, PULLEYLEDGE_NODE_FILE: this.getSettingsPath()},
+      stdio: ["ignore", log, log]
+    })
+    closeSync(log)
+    this.child = child
+    child.on("exit", (code, signal) => {
+      if (this.child === child) this.child = undefined
+      if (!this.expected) this.onOwnEnd(this.name, code, signal)
+    })
+  }
+
+  /// Whether the process runs.
+  isRunning(): boolean {
+    return this.child !== undefined
+  }
+
+  /// Kills it.
+  async kill(): Promise<void> {
+    await this.end("SIGKILL")
+  }
+
+  /// Asks it to stop, waits for its end within the grace, and tells whether it ended by itself with success.
+  async stop(): Promise<boolean> {
+    const {child} = this
+    if (!child) return true
+    const timer = setTimeout(() => child.kill("SIGKILL"), EXIT_AFTER_STOP_MS)
+    await this.end("SIGTERM")
+    clearTimeout(timer)
+    return child.exitCode === 0
+  }
+
+  /// Stops it where it stands.
+  pause(): void {
+    this.child?.kill("SIGSTOP")
+  }
+
+  /// Lets it go on.
+  resume(): void {
+    this.child?.kill("SIGCONT")
+  }
+
+  /// Writes the settings anew and says so.
+  reload(valid: boolean): void {
+    if (valid) this.writeSettings()
+    else writeFileSync(this.getSettingsPath(), "node = ")
+    this.child?.kill("SIGHUP")
+  }
+
+  private async end(signal: NodeJS.Signals): Promise<void> {
+    const {child} = this
+    if (!child) return
+    this.expected = true
+    const ended = new Promise(resolve => child.once("exit", resolve))
+    child.kill("SIGCONT")
+    child.kill(signal)
+    await ended
+  }
+
+  private getSettingsPath(): string {
+    return join(this.site.folder, `${this.name}.toml`)
+  }
+
+  private writeSettings(): void {
+    const {ports, site} = this
+    const text =
+      `node = "${this.name}"\nzone = "${this.zone}"\nregion = "main"\nip = "127.0.0.1"\nheartbeat_ms = 1200\n` +
+      `port_range = [${ports.metrics}, ${ports.metrics}]\nseeds = ${JSON.stringify(site.seeds)}\n[listen]\n` +
+      `front = "${ports.front}"\nready = "${ports.ready}"\ncontrol = "${ports.control}"\n` +
+      `${site.bounds}[platform]\naddr = "${this.storeAddress}"\n`
+    writeFileSync(this.getSettingsPath(), text)
+  }
+}
+
+/// Finds so many free ports on the loopback address.
+export async function findFreePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from({length: count}, async () => {
+      const server = createServer()
+      await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
+      return server
+    })
+  )
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return ports
+}
--- /dev/null
+++ b/lab/soak/fault-plan.ts
@@ -0,0 +1,79 @@
+/// Draws the faults of a soak: the same seed gives the same plan.
+import type {BackendBehavior} from "./backend-stand-in.js"
+import * as faults from "./faults.js"
+import type {StoreTreatment} from "./store-stand-in.js"
+
+/// A fault and when it begins, milliseconds from the start of the load.
+export interface PlannedFault {
+  readonly atMs: number
+  readonly fault: faults.Fault
+}
+
+/// What there is to strike.
+export interface FaultTargets {
+  readonly daemons: readonly string[]
+  readonly places: number
+}
+
+const MEAN_GAP_MS = 900
+const SHORTEST_MS = 300
+const LONGEST_MS = 3000
+
+const BEHAVIORS: readonly BackendBehavior[] = [
+  "errors",
+  "sheds",
+  "hangs",
+  "losesAnswers",
+  "breaksOff",
+  "answersTwice",
+  "slow",
+  "lateOrders"
+]
+const TREATMENTS: readonly StoreTreatment[] = [
+  "refuses",
+  "throttles",
+  "silent",
+  "slow",
+  "losesAnswers",
+  "appliesLate"
+]
+const LINK_STATES = ["delayed", "cutForth", "cutBack", "silent", "reset"] as const
+
+/// Draws a plan over so many milliseconds.
+export function makePlan(targets: FaultTargets, durationMs: number, random: () => number): PlannedFault[] {
+  const plan: PlannedFault[] = []
+  let atMs = MEAN_GAP_MS
+  while (atMs < durationMs) {
+    plan.push({atMs: Math.round(atMs), fault: pickFault(targets, random)})
+    atMs += MEAN_GAP_MS * (0.3 + 1.4 * random())
+  }
+  return plan
+}
+
+function pickFault(targets: FaultTargets, random: () => number): faults.Fault {
+  const pick = <Item>(items: readonly Item[]): Item => items[Math.floor(random() * items.length)]
+  const lastsMs = Math.round(SHORTEST_MS + random() * (LONGEST_MS - SHORTEST_MS))
+  const place = Math.floor(random() * targets.places)
+  const daemon = pick(targets.daemons)
+  const some = targets.daemons.filter(() => random() < 0.4)
+  const makers: readonly (() => faults.Fault)[] = [
+    () => new faults.KillFault(lastsMs, [daemon]),
+    () => new faults.KillFault(lastsMs, random() < 0.3 ? targets.daemons : some),
+    () => new faults.PauseFault(lastsMs, daemon),
+    () => new faults.RestartFault(daemon),
+    () => new faults.ReloadFault(lastsMs, daemon),
+    () => new faults.LinkFault(lastsMs, `caller ${daemon}`, pick(LINK_STATES)),
+    () => new faults.LinkFault(lastsMs, `store ${daemon}`, pick(LINK_STATES)),
+    () => new faults.LinkFault(lastsMs, `backend ${place}`, pick(LINK_STATES)),
+    () => new faults.StoreFault(lastsMs, [daemon], pick(TREATMENTS)),
+    () => new faults.StoreFault(lastsMs, random() < 0.3 ? targets.daemons : some, pick(TREATMENTS)),
+    () => new faults.HistoryFault(),
+    () => new faults.BackendFault(lastsMs, place, pick(BEHAVIORS)),
+    () => new faults.BackendFault(lastsMs, place, pick(BEHAVIORS)),
+    () => new faults.CrashFault(lastsMs, place),
+    () => new faults.ReplaceFault(lastsMs + 1000, place),
+    () => new faults.ConfigurationFault(),
+    () => new faults.ConfigurationFault()
+  ]
+  return pick(makers)()
+}
--- /dev/null
+++ b/lab/soak/fault-proxy.ts
@@ -0,0 +1,82 @@
+/// A loopback proxy that harms the connections that go through it.
+import {connect, createServer, type AddressInfo, type Server, type Socket} from "node:net"
+
+/// What the proxy does to bytes: passes them, holds them for a while, drops those of one direction (the connection
+/// stays open) or of both.
+export type LinkState = "open" | "delayed" | "cutForth" | "cutBack" | "silent"
+
+const FORTH = "forth"
+const BACK = "back"
+
+/// One proxy before one address.
+export class FaultProxy {
+  private state: LinkState = "open"
+  private delayMs = 0
+  private readonly sockets = new Set<Socket>()
+  private readonly server: Server
+
+  constructor(private target: () => string) {
+    this.server = createServer(socket => this.accept(socket))
+  }
+
+  /// Starts to listen and returns the address.
+  async start(): Promise<string> {
+    await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve))
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  /// Sets what happens to bytes from now on.
+  setState(state: LinkState, delayMs = 0): void {
+    this.state = state
+    this.delayMs = delayMs
+  }
+
+  /// Resets every connection.
+  resetAll(): void {
+    for (const socket of this.sockets) socket.resetAndDestroy()
+  }
+
+  /// Closes everything.
+  close(): void {
+    this.server.close()
+    for (const socket of this.sockets) socket.destroy()
+  }
+
+  private accept(near: Socket): void {
+    const [host, port] = this.target().split(":")
+    const far = connect({host, port: Number(port)})
+    for (const socket of [near, far]) {
+      this.sockets.add(socket)
+      socket.setNoDelay(true)
+      socket.on("error", () => undefined)
+      socket.on("close", hadError => {
+        this.sockets.delete(socket)
+        const other = socket === near ? far : near
+        if (hadError) other.resetAndDestroy()
+        else other.end()
+      })
+    }
+    this.pass(near, far, FORTH)
+    this.pass(far, near, BACK)
+  }
+
+  private pass(from: Socket, to: Socket, direction: typeof FORTH | typeof BACK): void {
+    from.on("data", (bytes: Buffer) => {
+      if (this.isCut(direction)) return
+      const write = () => void (to.writable && to.write(bytes))
+      if (this.state === "delayed") setTimeout(write, this.delayMs)
+      else write()
+    })
+    from.on("end", () => {
+      if (this.state === "delayed") setTimeout(() => to.end(), this.delayMs)
+      else if (!this.isCut(direction)) to.end()
+    })
+  }
+
+  private isCut(direction: typeof FORTH | typeof BACK): boolean {
+    if (this.state === "silent") return true
+    return (
+      (this.state === "cutForth" && direction === FORTH) || (this.state === "cutBack" && direction === BACK)
+    )
+  }
+}
--- /dev/null
+++ b/lab/soak/soak-record.ts
@@ -0,0 +1,230 @@
+/// What callers and back ends saw in a soak, and which promises that breaks. It knows nothing of the daemons' inside.
+
+/// Forms of requests, as routes name them.
+export type RouteForm = "idempotent" | "non_idempotent" | "streaming"
+
+/// One request of a caller. Times are monotonic milliseconds.
+export interface CallerRecord {
+  readonly id: string
+  readonly daemon: string
+  readonly route: string
+  readonly form: RouteForm
+  readonly sentAt: number
+  readonly timeoutMs: number
+  endedAt?: number
+  /// Undefined when the connection ended without a whole answer.
+  status?: number
+  signature?: string
+  body?: string
+  /// A streamed answer ended as complete.
+  whole?: boolean
+}
+
+/// One run, or arrival, at a back end.
+export interface RunRecord {
+  readonly requestId: string
+  readonly backend: string
+  readonly service: string
+  readonly at: number
+  /// Read only, for another back end to generate.
+  readonly promptOnly: boolean
+  /// The status that the back end gave; undefined while it runs or when it broke off.
+  status?: number
+}
+
+/// One order that a back end took.
+export interface OrderRecord {
+  readonly backend: string
+  readonly holder: string
+  readonly fence: number
+  readonly at: number
+}
+
+/// A time in which something was disturbed, by name; "*" stands for everything.
+export interface Disturbance {
+  readonly what: string
+  readonly kind: string
+  readonly from: number
+  until: number
+}
+
+/// A broken promise.
+export interface Violation {
+  readonly promise: string
+  readonly text: string
+}
+
+/// Bounds of the promises. Milliseconds.
+export interface SoakBounds {
+  readonly configMs: number
+  readonly drainMs: number
+  readonly contactMs: number
+  readonly leaseMs: number
+  /// Added to every bound: one machine runs everything.
+  readonly marginMs: number
+}
+
+const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
+const FIRST_FAILURE = 300
+
+/// The record of one soak.
+export class SoakRecord {
+  readonly requests = new Map<string, CallerRecord>()
+  readonly runs: RunRecord[] = []
+  readonly orders: OrderRecord[] = []
+  readonly disturbances: Disturbance[] = []
+  /// Which service a route leads to, from when on.
+  readonly routes: {readonly route: string; readonly service: string; readonly at: number}[] = []
+  /// When a back end was said to drain.
+  readonly drains = new Map<string, number>()
+  /// Violations that the stand-ins saw themselves.
+  readonly seen: Violation[] = []
+
+  constructor(private readonly bounds: SoakBounds) {}
+
+  /// Whether a daemon was left alone, contact included, from `from` to `until`.
+  isUndisturbed(daemon: string, from: number, until: number): boolean {
+    const {contactMs} = this.bounds
+    return !this.disturbances.some(
+      ({what, from: began, until: ended}) =>
+        (what === daemon || what === "*") && began <= until && ended + contactMs >= from
+    )
+  }
+
+  /// Every broken promise.
+  check(): Violation[] {
+    const runsOf = groupBy(this.runs, run => run.requestId)
+    const violations = [...this.seen]
+    for (const request of this.requests.values()) {
+      const runs = (runsOf.get(request.id) ?? []).filter(run => !run.promptOnly)
+      violations.push(...this.checkRequest(request, runs))
+    }
+    for (const run of this.runs) violations.push(...this.checkRun(run))
+    violations.push(...this.checkOrders())
+    return violations
+  }
+
+  private checkRequest(request: CallerRecord, runs: readonly RunRecord[]): Violation[] {
+    const found: Violation[] = []
+    const {id, form, status, sentAt, endedAt, timeoutMs} = request
+    const say = (promise: string, text: string) =>
+      found.push({promise, text: `${id} (${request.route} by ${request.daemon}) ${text}`})
+    if (form === "non_idempotent" && runs.length > 1) say("runs at most once", `ran ${runs.length} times`)
+    if (form === "non_idempotent" && status !== undefined && NOT_RUN.has(status) && runs.length > 0)
+      say("a refusal as not run is true", `got ${status} and ran at ${runs[0].backend}`)
+    if (status !== undefined && status < FIRST_FAILURE) this.checkSuccess(request, runs, say)
+    const dueAt = sentAt + timeoutMs + this.bounds.marginMs
+    if ((endedAt ?? Infinity) > dueAt && this.isUndisturbed(request.daemon, sentAt, dueAt))
+      say("an answer at the time-out", `had none ${Math.round(dueAt - sentAt)} ms after it was sent`)
+    return found
+  }
+
+  private checkSuccess(
+    request: CallerRecord,
+    runs: readonly RunRecord[],
+    say: (promise: string, text: string) => void
+  ): void {
+    const {id, form, signature, body, whole} = request
+    const run = runs.find(candidate => candidate.backend === signature)
+    if (!run)
+      say(
+        "a caller receives the whole answer to its own request",
+        `signed ${signature}, which did not run it`
+      )
+    if (form === "streaming") {
+      const problem = findStreamProblem(id, body ?? "", whole ?? false)
+      if (problem) say("a stream has every piece once, in order", problem)
+    } else if (body !== formatBody(id))
+      say("a caller receives the whole answer to its own request", `body ${body}`)
+  }
+
+  private checkRun(run: RunRecord): Violation[] {
+    const request = this.requests.get(run.requestId)
+    if (!request)
+      return [{promise: "only what callers sent is run", text: `${run.requestId} at ${run.backend}`}]
+    const found: Violation[] = []
+    const calm = this.isUndisturbed(request.daemon, request.sentAt, run.at)
+    const oldest = calm ? request.sentAt - this.bounds.configMs - this.bounds.marginMs : -Infinity
+    if (!this.getServices(request.route, oldest, run.at).has(run.service))
+      found.push({
+        promise: "a configuration is in force in time",
+        text: `${request.id} ran at ${run.service}`
+      })
+    const drainedAt = this.drains.get(run.backend) ?? Infinity
+    if (calm && run.at > drainedAt + this.bounds.drainMs + this.bounds.marginMs)
+      found.push({
+        promise: "a leaving back end gets no new work",
+        text: `${request.id} at ${run.backend} by ${request.daemon}`
+      })
+    return found
+  }
+
+  /// Services that a route led to at some time between two moments.
+  private getServices(route: string, from: number, until: number): Set<string> {
+    const steps = this.routes.filter(step => step.route === route && step.at <= until)
+    const services = new Set<string>()
+    steps.forEach((step, i) => {
+      const next = steps.at(i + 1)
+      if (!next || next.at >= from) services.add(step.service)
+    })
+    return services
+  }
+
+  private checkOrders(): Violation[] {
+    const found: Violation[] = []
+    for (const [backend, orders] of groupBy(this.orders, order => order.backend)) {
+      for (const [i, order] of orders.entries()) {
+        const other = orders.find(earlier => earlier.fence === order.fence && earlier.holder !== order.holder)
+        if (other)
+          found.push({promise: "one holder a fence", text: `${backend}: fence ${order.fence} by two`})
+        const turned = orders
+          .slice(i + 1)
+          .some((later, j) => later.holder !== order.holder && this.isTurn(order, orders.slice(i + 2 + j)))
+        if (turned)
+          found.push({promise: "holders do not take turns", text: `${backend} at ${Math.round(order.at)}`})
+      }
+    }
+    return found
+  }
+
+  private isTurn(order: OrderRecord, later: readonly OrderRecord[]): boolean {
+    return later.some(next => next.holder === order.holder && next.at - order.at < this.bounds.leaseMs)
+  }
+}
+
+/// The body of the answer to a request that is not streamed.
+export function formatBody(id: string): string {
+  return `answer to ${id}.`
+}
+
+/// One event of a stream; the last says so.
+export function formatEvent(id: string, number: number, count: number): string {
+  return `id: ${number}\ndata: ${id} ${number} of ${count}\n\n`
+}
+
+/// What is wrong with a stream that was taken for a success.
+function findStreamProblem(id: string, body: string, whole: boolean): string | undefined {
+  const events = body.split("\n\n")
+  const rest = events.pop()
+  let count = 0
+  for (const [i, event] of events.entries()) {
+    const match = /^id: (\d+)\ndata: (\S+) (\d+) of (\d+)$/.exec(event)
+    if (!match || match[2] !== id || Number(match[1]) !== i + 1 || match[1] !== match[3])
+      return `event ${i + 1} is ${JSON.stringify(event)}`
+    count = Number(match[4])
+  }
+  if (whole && (rest !== "" || events.length === 0 || events.length < count))
+    return `ended as complete after ${events.length} of ${count} events`
+  return undefined
+}
+
+function groupBy<Key, Item>(items: readonly Item[], getKey: (item: Item) => Key): Map<Key, Item[]> {
+  const groups = new Map<Key, Item[]>()
+  for (const item of items) {
+    const key = getKey(item)
+    const group = groups.get(key)
+    if (group) group.push(item)
+    else groups.set(key, [item])
+  }
+  return groups
+}
--- /dev/null
+++ b/lab/soak/soak.ts
@@ -0,0 +1,144 @@
+/// A randomized soak of the deployed program: real processes, faults from outside, promises checked from what callers
+/// and back ends see.
+///
+///     npm run fault-soak -- --seed 7 --seconds 60
+import {execFileSync} from "node:child_process"
+import {mkdirSync, rmSync} from "node:fs"
+import {join} from "node:path"
+import {setTimeout as wait} from "node:timers/promises"
+import meow from "meow"
+import {SeededRandom} from "../../src/shared/random.js"
+import {CallerLoad} from "./caller-load.js"
+import {makePlan, type PlannedFault} from "./fault-plan.js"
+import {SoakRecord, type SoakBounds, type Violation} from "./soak-record.js"
+import {BACKEND_PLACES, SOAK_ROUTES, SoakSite} from "./soak-site.js"
+
+const BOUNDS: SoakBounds = {configMs: 2000, drainMs: 2000, contactMs: 3000, leaseMs: 3000, marginMs: 1500}
+const START_MS = 2500
+/// After the last fault the site must serve again.
+const CALM_MS = 8000
+const JUDGED_CALM_MS = 3000
+const SERVED_WHEN_CALM = 0.95
+const DAEMONS = 5
+
+/// What a soak came to.
+export interface SoakOutcome {
+  readonly seed: number
+  readonly requests: number
+  readonly served: number
+  readonly servedWhenCalm: number
+  readonly violations: readonly Violation[]
+}
+
+/// Runs one soak with the program at `program`. Logs of the daemons are kept under `folder`.
+export async function runSoak(
+  seed: number,
+  seconds: number,
+  perSecond: number,
+  program: string,
+  folder: string
+): Promise<SoakOutcome> {
+  const generator = new SeededRandom(seed)
+  const random = () => generator.next()
+  const record = new SoakRecord(BOUNDS)
+  const site = new SoakSite(record, BOUNDS, folder, program, random)
+  await site.start(DAEMONS)
+  await wait(START_MS)
+  const load = new CallerLoad(record, site.targets, SOAK_ROUTES, random)
+  const loading = load.run(perSecond)
+  const daemons = site.daemons.map(daemon => daemon.name)
+  // The plan has a generator of its own, since the load draws at times that differ from run to run.
+  const planGenerator = new SeededRandom(seed + 1)
+  const plan = makePlan({daemons, places: BACKEND_PLACES}, seconds * 1000, () => planGenerator.next())
+  await runPlan(site, plan)
+  await wait(CALM_MS)
+  const calmFrom = performance.now() - JUDGED_CALM_MS
+  load.stop()
+  await loading
+  await site.close()
+  return judge(seed, record, calmFrom)
+}
+
+async function runPlan(site: SoakSite, plan: readonly PlannedFault[]): Promise<void> {
+  const startedAt = performance.now()
+  const busy = new Set<string>()
+  const running: Promise<void>[] = []
+  for (const {atMs, fault} of plan) {
+    await wait(Math.max(0, atMs - (performance.now() - startedAt)))
+    const name = fault.getName()
+    // One fault at a time for each thing: ending one must not end another.
+    const key = name.replace(/^(kill|pause|restart|crash of|replacement of) /, "")
+    if (busy.has(key) || fault.getDisturbed().some(what => busy.has(what))) continue
+    for (const what of [key, ...fault.getDisturbed()]) busy.add(what)
+    const disturbances = fault
+      .getDisturbed()
+      .map(what => ({what, kind: name, from: performance.now(), until: Infinity}))
+    site.record.disturbances.push(...disturbances)
+    process.stdout.write(`${JSON.stringify({atMs, fault: name, lastsMs: fault.lastsMs})}\n`)
+    const run = async () => {
+      await fault.start(site)
+      await wait(fault.lastsMs)
+      await fault.stop(site)
+      for (const disturbance of disturbances) disturbance.until = performance.now()
+      for (const what of [key, ...fault.getDisturbed()]) busy.delete(what)
+    }
+    running.push(run())
+  }
+  await Promise.all(running)
+}
+
+function judge(seed: number, record: SoakRecord, calmFrom: number): SoakOutcome {
+  const violations = record.check()
+  const requests = [...record.requests.values()]
+  const isServed = ({status, whole}: {status?: number; whole?: boolean}) => status === 200 && whole === true
+  const calm = requests.filter(request => request.sentAt >= calmFrom && request.endedAt !== request.sentAt)
+  const servedWhenCalm = calm.filter(isServed).length / Math.max(1, calm.length)
+  if (servedWhenCalm < SERVED_WHEN_CALM)
+    violations.push({
+      promise: "the site serves again after faults",
+      text: `${(100 * servedWhenCalm).toFixed(1)}%`
+    })
+  return {
+    seed,
+    requests: requests.length,
+    served: requests.filter(isServed).length,
+    servedWhenCalm,
+    violations
+  }
+}
+
+/// Builds the program as the deploy file says.
+export function buildProgram(folder: string): string {
+  const program = join(folder, "pulleyledge.mjs")
+  const script = `grep '^build' deploy/system.toml | sed -e 's/^.*npm ci --silent; //' -e 's/"$//' -e 's/\\\\"/"/g' -e 's#target/pulleyledge.mjs#${program}#'`
+  const build = execFileSync("bash", ["-c", script], {encoding: "utf8"})
+  execFileSync("bash", ["-c", build])
+  return program
+}
+
+async function main(): Promise<void> {
+  const cli = meow("Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--keep]", {
+    importMeta: import.meta,
+    flags: {
+      seed: {type: "number", default: Math.floor(Date.now() % 1_000_000)},
+      count: {type: "number", default: 1},
+      seconds: {type: "number", default: 30},
+      rate: {type: "number", default: 60},
+      keep: {type: "boolean", default: false}
+    }
+  })
+  const {seed, count, seconds, rate, keep} = cli.flags
+  let failed = 0
+  for (let i = 0; i < count; i += 1) {
+    const folder = join(process.cwd(), "bench-results", `soak-${seed + i}`)
+    mkdirSync(folder, {recursive: true})
+    const outcome = await runSoak(seed + i, seconds, rate, buildProgram(folder), folder)
+    process.stdout.write(`${JSON.stringify(outcome)}\n`)
+    if (outcome.violations.length > 0) failed += 1
+    else if (!keep) rmSync(folder, {recursive: true})
+  }
+  process.stdout.write(`${count - failed} passed, ${failed} failed\n`)
+  process.exitCode = failed > 0 ? 1 : 0
+}
+
+if (process.argv[1]?.endsWith("soak/soak.js")) await main()
--- /dev/null
+++ b/lab/soak/store-stand-in.ts
@@ -0,0 +1,165 @@
+/// A stand-in for the platform's store, after its published pages: rows under conditions, feeds, and what can go wrong
+/// with them for some of its callers. Each caller has a port of its own, so that the store can treat it apart.
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from "node:http"
+import type {AddressInfo} from "node:net"
+import * as z from "zod"
+
+/// How the store treats one caller.
+export type StoreTreatment =
+  "serves" | "refuses" | "throttles" | "silent" | "slow" | "losesAnswers" | "appliesLate"
+
+const STATUS_OK = 200
+const STATUS_CONFLICT = 412
+const STATUS_GONE = 410
+const STATUS_THROTTLED = 429
+const STATUS_BUSY = 503
+const ANSWER_MS = 4
+const SLOW_MS = 250
+const LATE_MS = 1500
+
+const keySchema = z.object({table: z.string(), part: z.string(), key: z.string()})
+const transactionSchema = z.object({
+  expected_count: z.array(keySchema.extend({ver: z.number()})),
+  put: z.array(keySchema.extend({value: z.string()})),
+  remove: z.array(keySchema)
+})
+type Transaction = z.infer<typeof transactionSchema>
+
+interface Row {
+  readonly table: string
+  readonly part: string
+  readonly key: string
+  readonly ver: number
+  readonly value?: string
+  readonly gone?: true
+}
+
+/// The store.
+export class StoreStandIn {
+  private readonly rows = new Map<string, Row>()
+  private history: Row[] = []
+  private historyFrom = 0
+  private version = 0
+  private readonly treatments = new Map<string, StoreTreatment>()
+  private readonly servers: Server[] = []
+  private readonly waiting = new Set<() => void>()
+
+  /// Opens a port for a caller and returns the address.
+  async open(caller: string): Promise<string> {
+    const server = createServer((request, response) => void this.onRequest(caller, request, response))
+    this.servers.push(server)
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`
+  }
+
+  /// Sets how a caller is treated from now on.
+  setTreatment(caller: string, treatment: StoreTreatment): void {
+    this.treatments.set(caller, treatment)
+  }
+
+  /// Writes as the operator or a server: JSON, without a condition.
+  write(table: string, key: string, value: object): void {
+    this.apply([{table, part: "", key, value: Buffer.from(JSON.stringify(value)).toString("base64")}], [])
+  }
+
+  /// Removes a row.
+  remove(table: string, key: string): void {
+    this.apply([], [{table, part: "", key}])
+  }
+
+  /// Forgets what has changed so far.
+  forgetHistory(): void {
+    this.history = []
+    this.historyFrom = this.version
+  }
+
+  /// Closes every port.
+  close(): void {
+    for (const server of this.servers) {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+
+  private async onRequest(caller: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(request)
+    const treatment = this.treatments.get(caller) ?? "serves"
+    const url = new URL(request.url ?? "/", "http://store")
+    const answer = (status: number, value: object) => this.answer(response, treatment, status, value)
+    if (treatment === "silent") return
+    if (treatment === "refuses") return answer(STATUS_BUSY, {})
+    if (treatment === "throttles") return answer(STATUS_THROTTLED, {})
+    if (url.pathname.endsWith("rows-feed")) return this.onFeed(url, answer)
+    if (url.pathname.endsWith("rows-get")) return answer(STATUS_OK, this.getRows(url))
+    const transaction = transactionSchema.parse(JSON.parse(body))
+    if (treatment === "appliesLate") setTimeout(() => this.transact(transaction), LATE_MS)
+    else {
+      const result = this.transact(transaction)
+      if (treatment !== "losesAnswers") answer(result.status, result.body)
+    }
+  }
+
+  private answer(response: ServerResponse, treatment: StoreTreatment, status: number, value: object): void {
+    const delayMs = treatment === "slow" ? SLOW_MS : ANSWER_MS
+    setTimeout(() => {
+      response.writeHead(status, {"Content-Type": "application/json"})
+      response.end(JSON.stringify(value))
+    }, delayMs)
+  }
+
+  private onFeed(url: URL, answer: (status: number, value: object) => void): void {
+    const table = url.searchParams.get("table")
+    const after = Number(url.searchParams.get("after"))
+    if (after < this.historyFrom) return answer(STATUS_GONE, {})
+    const until = performance.now() + Number(url.searchParams.get("wait_ms"))
+    const poll = () => {
+      const rows = this.history.filter(row => row.table === table && row.ver > after)
+      if (rows.length === 0 && performance.now() < until) return
+      clearTimeout(timer)
+      this.waiting.delete(poll)
+      answer(STATUS_OK, {rows, ver: this.version, now_ms: Math.round(performance.now())})
+    }
+    const timer = setTimeout(poll, Number(url.searchParams.get("wait_ms")) + 1)
+    this.waiting.add(poll)
+    poll()
+  }
+
+  private getRows(url: URL): object {
+    const [table, from, until] = ["table", "from", "target_version"].map(name => url.searchParams.get(name))
+    const rows = [...this.rows.values()]
+      .filter(row => row.table === table && row.key >= (from ?? "") && (until === null || row.key < until))
+      .sort((left, right) => (left.key < right.key ? -1 : 1))
+    return {rows, more: false, ver: this.version, now_ms: Math.round(performance.now())}
+  }
+
+  private transact(transaction: Transaction): {status: number; body: object} {
+    const stands = transaction.expected_count.map(
+      ({table, part, key}) => this.rows.get(`${table}/${key}`) ?? {table, part, key, ver: 0}
+    )
+    const held = transaction.expected_count.every(({ver}, i) => stands[i].ver === ver)
+    if (!held) return {status: STATUS_CONFLICT, body: {rows: stands, ver: this.version}}
+    this.apply(transaction.put, transaction.remove)
+    return {status: STATUS_OK, body: {ver: this.version}}
+  }
+
+  private apply(put: Transaction["put"], remove: Transaction["remove"]): void {
+    this.version += 1
+    const ver = this.version
+    for (const row of put) this.applyRow({...row, ver})
+    for (const row of remove) this.applyRow({...row, ver, gone: true})
+    for (const poll of [...this.waiting]) poll()
+  }
+
+  private applyRow(row: Row): void {
+    const key = `${row.table}/${row.key}`
+    if (row.gone) this.rows.delete(key)
+    else this.rows.set(key, row)
+    this.history.push(row)
+  }
+}
+
+async function readBody(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = []
+  for await (const chunk of request) chunks.push(chunk as Buffer)
+  return Buffer.concat(chunks).toString("utf8")
+}
