A starting process takes its compiled code from a cache; HTTP/2 and cluster are not loaded

Cause: after a power-off the first seconds serve nothing: a start costs 0.2 s of a core, which a machine with a third of a core takes three times as long for; 38 ms of it compile the bundle, 5 the HTTP/2 module that undici loads for itself. Change: deploy/build.mjs bundles, runs the program before the soak's stand-ins for 3 s and writes the compiled code down; start.cjs takes it, or compiles where it does not fit.

--- /dev/null
+++ b/deploy/build.mjs
@@ -0,0 +1,46 @@
+/// Builds the program that is deployed: one bundle, and a code cache for it, under the folder named by the argument.
+import {execFileSync} from "node:child_process"
+import {copyFileSync, mkdirSync, readFileSync} from "node:fs"
+import {join} from "node:path"
+import {build} from "esbuild"
+import {parse} from "smol-toml"
+
+const folder = process.argv[2] ?? "target"
+
+/// A cache is taken by the engine only under the flags under which it was made.
+function readFlags() {
+  const {roles} = parse(readFileSync("deploy/system.toml", "utf8"))
+  return roles.forwarder.run.split(" ").filter(word => word.startsWith("--"))
+}
+
+const shared = {
+  bundle: true,
+  platform: "node",
+  format: "cjs",
+  target: "node20",
+  logLevel: "warning",
+  alias: {
+    undici: "./deploy/undici-core.mjs",
+    "node:http2": "./deploy/unused.cjs",
+    cluster: "./deploy/unused.cjs",
+    https: "./deploy/unused.cjs"
+  }
+}
+
+mkdirSync(folder, {recursive: true})
+copyFileSync("deploy/start.cjs", join(folder, "start.cjs"))
+await build({
+  ...shared,
+  entryPoints: ["platform/main.ts"],
+  outfile: join(folder, "pulleyledge.cjs"),
+  minifyWhitespace: true,
+  minifySyntax: true
+})
+await build({
+  ...shared,
+  entryPoints: ["deploy/make-code-cache.ts"],
+  outfile: join(folder, "make-code-cache.cjs")
+})
+execFileSync(process.execPath, [...readFlags(), join(folder, "make-code-cache.cjs"), folder], {
+  stdio: ["ignore", "ignore", "inherit"]
+})
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,11 +6,21 @@
   js.configs.recommended,
   ...tseslint.configs.recommended,
   {
-    languageOptions: { globals: { process: 'readonly' } },
+    languageOptions: {
+      globals: { process: 'readonly' },
+    },
     rules: {
       'no-throw-literal': 'error',
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
       '@typescript-eslint/no-unused-expressions': 'off',
     },
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: { require: 'readonly', module: 'writable', exports: 'writable', __dirname: 'readonly' },
+    },
+    rules: { '@typescript-eslint/no-require-imports': 'off' },
+  },
 );
--- a/lab/soak/daemon-process.ts
+++ b/lab/soak/daemon-process.ts
@@ -4,6 +4,8 @@
 import {closeSync, openSync, writeFileSync} from "node:fs"
 import {createServer, type AddressInfo} from "node:net"
 import {join} from "node:path"
+import {formatSettings} from "./settings-file.js"
+import type {SoakBounds} from "./soak-record.js"
 
 /// Where a daemon's parts are reached.
 export interface DaemonPorts {
@@ -18,8 +20,7 @@
   readonly folder: string
   readonly program: string
   readonly flags: readonly string[]
-  /// The table `bounds` of the settings.
-  readonly bounds: string
+  readonly bounds: SoakBounds
   readonly seeds: readonly string[]
 }
 
@@ -113,12 +114,8 @@
   }
 
   private writeSettings(): void {
-    const {ports, site} = this
-    const text =
-      `node = "${this.name}"\nzone = "${this.zone}"\nregion = "main"\nip = "127.0.0.1"\nheartbeat_ms = 1200\n` +
-      `port_range = [${ports.metrics}, ${ports.metrics}]\nseeds = ${JSON.stringify(site.seeds)}\n[listen]\n` +
-      `front = "${ports.front}"\nready = "${ports.ready}"\ncontrol = "${ports.control}"\n` +
-      `${site.bounds}[platform]\naddr = "${this.storeAddress}"\n`
+    const {seeds, bounds} = this.site
+    const text = formatSettings(this.name, this.zone, this.ports, seeds, bounds, this.storeAddress)
     writeFileSync(this.getSettingsPath(), text)
   }
 }
--- /dev/null
+++ b/lab/soak/settings-file.ts
@@ -0,0 +1,25 @@
+/// The settings file of a daemon, as the platform writes it.
+import type {DaemonPorts} from "./daemon-process.js"
+import type {SoakBounds} from "./soak-record.js"
+
+const GRACE_S = 8
+
+/// Formats the file.
+export function formatSettings(
+  name: string,
+  zone: string,
+  ports: DaemonPorts,
+  seeds: readonly string[],
+  bounds: SoakBounds,
+  storeAddress: string
+): string {
+  const {contactMs, configMs, drainMs, leaseMs} = bounds
+  return (
+    `node = "${name}"\nzone = "${zone}"\nregion = "main"\nip = "127.0.0.1"\nheartbeat_ms = 1200\n` +
+    `port_range = [${ports.metrics}, ${ports.metrics}]\nseeds = ${JSON.stringify(seeds)}\n` +
+    `[listen]\nfront = "${ports.front}"\nready = "${ports.ready}"\ncontrol = "${ports.control}"\n` +
+    `[bounds]\ncontact_ms = ${contactMs}\nconfig_ms = ${configMs}\ndrain_ms = ${drainMs}\ngrace_s = ${GRACE_S}\n` +
+    `lease_ms = ${leaseMs}\nretry_budget_ratio = 0.2\nbudget_slack = 50\nbudget_window_s = 10\n` +
+    `[platform]\naddr = "${storeAddress}"\n`
+  )
+}
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -4,49 +4,22 @@
 import {join} from "node:path"
 import {parse} from "smol-toml"
 import {BackendStandIn, HandleRegistry, type BackendBehavior} from "./backend-stand-in.js"
-import type {CallerRoute, CallerTarget} from "./caller-load.js"
+import type {CallerTarget} from "./caller-load.js"
 import {DaemonProcess, findFreePorts, type DaemonSite} from "./daemon-process.js"
 import {FaultProxy} from "./fault-proxy.js"
 import type {SoakBounds, SoakRecord} from "./soak-record.js"
+import {formatConfiguration, getService, SOAK_ROUTES, SOAK_SERVICES} from "./soak-routes.js"
 import {StoreStandIn} from "./store-stand-in.js"
 
 const ZONES = ["zone-a", "zone-b"]
-const HOST = "site.example"
-const PLAIN = "application"
-const OTHER_PLAIN = "application-2"
-const ENGINES = "engines"
 const PORTS_PER_DAEMON = 4
 
-/// The routes that callers use.
-export const SOAK_ROUTES: readonly CallerRoute[] = [
-  {name: "document", host: HOST, path: "/document/x", form: "non_idempotent", timeoutMs: 1500},
-  {name: "receipt", host: HOST, path: "/receipt/x", form: "idempotent", timeoutMs: 1500},
-  {name: "moving", host: HOST, path: "/moving/x", form: "idempotent", timeoutMs: 1500},
-  {
-    name: "check",
-    host: HOST,
-    path: "/check/x",
-    form: "streaming",
-    timeoutMs: 3000,
-    prompt: {shared: 90, own: 150, subjects: 20}
-  },
-  {
-    name: "review",
-    host: HOST,
-    path: "/review/x",
-    form: "streaming",
-    timeoutMs: 5000,
-    prompt: {shared: 9000, own: 2000, subjects: 12}
-  }
-]
-const RESUMABLE = "check"
-
 /// Back ends by place: a place keeps its service when its incarnation changes.
 const PLACES: readonly {service: string; stage: "prefill" | "decode" | undefined}[] = [
-  ...Array.from({length: 2}, () => ({service: PLAIN, stage: undefined})),
-  ...Array.from({length: 2}, () => ({service: OTHER_PLAIN, stage: undefined})),
+  ...Array.from({length: 2}, () => ({service: SOAK_SERVICES.plain, stage: undefined})),
+  ...Array.from({length: 2}, () => ({service: SOAK_SERVICES.otherPlain, stage: undefined})),
   ...Array.from({length: 6}, (_, i) => ({
-    service: ENGINES,
+    service: SOAK_SERVICES.engines,
     stage: i < 3 ? ("prefill" as const) : ("decode" as const)
   }))
 ]
@@ -71,7 +44,7 @@
   private readonly places: Place[] = []
   private readonly registry = new HandleRegistry()
   private version = 0
-  private plainService = PLAIN
+  private plainService: string = SOAK_SERVICES.plain
 
   constructor(
     readonly record: SoakRecord,
@@ -144,40 +117,16 @@
   /// Writes the next version: the moving route changes its service.
   changeConfiguration(): void {
     this.version += 1 + Math.floor(this.random() * 3)
-    this.plainService = this.plainService === PLAIN ? OTHER_PLAIN : PLAIN
+    const {plain, otherPlain} = SOAK_SERVICES
+    this.plainService = this.plainService === plain ? otherPlain : plain
     const at = performance.now()
-    const routes = SOAK_ROUTES.map(route => this.getRoute(route, at))
-    const engine = {slots: 16, kv_capacity: 400_000, kv_ttl_s: 5}
-    const services = [
-      {name: PLAIN, health_path: "/healthz", max_conns: 200},
-      {name: OTHER_PLAIN, health_path: "/healthz", max_conns: 200},
-      {name: ENGINES, health_path: "/healthz", max_conns: 200, engine}
-    ]
-    const limits = {
-      max_header_bytes: 16_384,
-      max_body_bytes: 65_536,
-      header_timeout_ms: 3000,
-      idle_timeout_ms: 15_000
-    }
-    this.store.write("op", "config", {version: this.version, routes, services, limits})
-  }
-
-  private getRoute(route: CallerRoute, at: number): object {
-    const service = route.prompt ? ENGINES : route.name === "moving" ? this.plainService : PLAIN
-    this.record.routes.push({route: route.name, service, at})
-    return {
-      name: route.name,
-      host: route.host,
-      path_prefix: `/${route.name}/`,
-      route_kind: route.form,
-      timeout_ms: route.timeoutMs,
-      target_latency_ms: route.timeoutMs / 5,
-      target_itl_ms: 150,
-      priority: route.name === "review" ? 1 : 0,
-      service,
-      max_attempts: 2,
-      resumable: route.name === RESUMABLE
-    }
+    for (const {name, prompt} of SOAK_ROUTES)
+      this.record.routes.push({
+        route: name,
+        service: getService(name, prompt !== undefined, this.plainService),
+        at
+      })
+    this.store.write("op", "config", formatConfiguration(this.version, this.plainService))
   }
 
   private async openPlace(): Promise<void> {
@@ -194,7 +143,7 @@
       folder: this.folder,
       program: this.program,
       flags: readFlags(),
-      bounds: this.formatBounds(),
+      bounds: this.bounds,
       seeds: controls.slice(0, 3)
     }
     for (let i = 0; i < count; i += 1) {
@@ -223,14 +172,6 @@
     this.proxies.set(link, proxy)
     return proxy.start()
   }
-
-  private formatBounds(): string {
-    const {contactMs, configMs, drainMs, leaseMs} = this.bounds
-    return (
-      `[bounds]\ncontact_ms = ${contactMs}\nconfig_ms = ${configMs}\ndrain_ms = ${drainMs}\ngrace_s = 8\n` +
-      `lease_ms = ${leaseMs}\nretry_budget_ratio = 0.2\nbudget_slack = 50\nbudget_window_s = 10\n`
-    )
-  }
 }
 
 /// The flags of the program, as the deploy file has them.
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -11,7 +11,8 @@
 import {CallerLoad} from "./caller-load.js"
 import {makePlan, type PlannedFault} from "./fault-plan.js"
 import {SoakRecord, type SoakBounds, type Violation} from "./soak-record.js"
-import {BACKEND_PLACES, SOAK_ROUTES, SoakSite} from "./soak-site.js"
+import {SOAK_ROUTES} from "./soak-routes.js"
+import {BACKEND_PLACES, SoakSite} from "./soak-site.js"
 
 const BOUNDS: SoakBounds = {configMs: 2000, drainMs: 2000, contactMs: 3000, leaseMs: 3000, marginMs: 1500}
 const START_MS = 2500
@@ -107,13 +108,10 @@
   }
 }
 
-/// Builds the program as the deploy file says.
+/// Builds the program as the deploy file does, into a folder, and returns what is run.
 export function buildProgram(folder: string): string {
-  const program = join(folder, "pulleyledge.mjs")
-  const script = `grep '^build' deploy/system.toml | sed -e 's/^.*npm ci --silent; //' -e 's/"$//' -e 's/\\\\"/"/g' -e 's#target/pulleyledge.mjs#${program}#'`
-  const build = execFileSync("bash", ["-c", script], {encoding: "utf8"})
-  execFileSync("bash", ["-c", build])
-  return program
+  execFileSync(process.execPath, ["deploy/build.mjs", folder])
+  return join(folder, "start.cjs")
 }
 
 async function main(): Promise<void> {
@@ -129,10 +127,11 @@
   })
   const {seed, count, seconds, rate, keep} = cli.flags
   let failed = 0
+  const program = buildProgram(join(process.cwd(), "bench-results", "program"))
   for (let i = 0; i < count; i += 1) {
     const folder = join(process.cwd(), "bench-results", `soak-${seed + i}`)
     mkdirSync(folder, {recursive: true})
-    const outcome = await runSoak(seed + i, seconds, rate, buildProgram(folder), folder)
+    const outcome = await runSoak(seed + i, seconds, rate, program, folder)
     process.stdout.write(`${JSON.stringify(outcome)}\n`)
     if (outcome.violations.length > 0) failed += 1
     else if (!keep) rmSync(folder, {recursive: true})
--- a/src/shared/rendezvous-hash.ts
+++ b/src/shared/rendezvous-hash.ts
@@ -2,13 +2,11 @@
  * Rendezvous hashing (Thaler and Ravishankar, 1998): every daemon ranks the same candidates for a key in
  * the same order without talking, and a lost candidate moves only its own keys.
  */
-import xxhash from 'xxhash-wasm';
-
-const hasher = await xxhash();
+import MurmurHash3 from 'imurmurhash';
 
 /** A 32-bit hash of a text. */
 export function hashText(text: string): number {
-  return hasher.h32(text);
+  return MurmurHash3(text).result();
 }
 
 /** The candidates for `key`, best first, at most `count` of them. */
--- a/test/bundle.test.ts
+++ b/test/bundle.test.ts
@@ -58,8 +58,8 @@
 
   it('starts, reads configuration and back ends from the store, forwards a request and serves metrics', async () => {
     const deploy = parse(readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8')) as unknown as DeployFile;
-    const bundle = join(folder, 'pulleyledge.mjs');
-    const build = deploy.build.replace(/^.*npm ci --silent; /, '').replace('target/pulleyledge.mjs', bundle);
+    const bundle = join(folder, 'start.cjs');
+    const build = deploy.build.replace(/^.*npm ci --silent; /, '').replace(/target$/, folder);
     await execute('bash', ['-c', build], { cwd: ROOT });
 
     backend = new ScriptedBackend((_request, socket) => {
@@ -103,7 +103,7 @@
         'retry_budget_ratio = 0.2\nbudget_slack = 54\nbudget_window_s = 10\n' +
         `[platform]\naddr = "127.0.0.1:${storePort}"\n`,
     );
-    const [, ...flags] = deploy.roles.forwarder.run.replace('target/pulleyledge.mjs', bundle).split(' ');
+    const [, ...flags] = deploy.roles.forwarder.run.replace('target/start.cjs', bundle).split(' ');
     daemon = spawn(process.execPath, flags, {
       env: { ...process.env, PULLEYLEDGE_NODE_FILE: settings },
       stdio: 'ignore',
