--- a/lab/soak/faults.ts
+++ b/lab/soak/faults.ts
@@ -1,6 +1,7 @@
 /// Faults that a soak injects from outside. Each begins, lasts and ends; what it disturbs is said to the record.
 import type {BackendBehavior} from "./backend-stand-in.js"
 import type {LinkState} from "./fault-proxy.js"
+import {PLANNED_STOP} from "./soak-record.js"
 import type {SoakSite} from "./soak-site.js"
 import type {StoreTreatment} from "./store-stand-in.js"
 
@@ -12,6 +13,10 @@
   abstract getName(): string
   /// Daemons whose promises with a time bound are suspended meanwhile; "*" for all.
   abstract getDisturbed(): readonly string[]
+  /// Whether back ends or the way to them are harmed.
+  harmsBackends(): boolean {
+    return false
+  }
   abstract start(site: SoakSite): Promise<void> | void
   abstract stop(site: SoakSite): Promise<void> | void
 }
@@ -66,7 +71,7 @@
     super(0)
   }
   getName(): string {
-    return `restart ${this.daemon}`
+    return `${PLANNED_STOP} ${this.daemon}`
   }
   getDisturbed(): readonly string[] {
     return [this.daemon]
@@ -118,6 +123,9 @@
   getDisturbed(): readonly string[] {
     return [this.link.startsWith("backend") ? "*" : this.link.slice(this.link.indexOf(" ") + 1)]
   }
+  override harmsBackends(): boolean {
+    return this.link.startsWith("backend")
+  }
   start(site: SoakSite): void {
     const proxy = site.getProxy(this.link)
     if (this.state === "reset") proxy?.resetAll()
@@ -188,6 +196,9 @@
   getDisturbed(): readonly string[] {
     return []
   }
+  override harmsBackends(): boolean {
+    return true
+  }
   start(site: SoakSite): void {
     site.setBehavior(this.place, this.behavior)
   }
@@ -210,6 +221,9 @@
   getDisturbed(): readonly string[] {
     return []
   }
+  override harmsBackends(): boolean {
+    return true
+  }
   start(site: SoakSite): void {
     site.closeBackend(this.place)
   }
@@ -232,6 +246,9 @@
   getDisturbed(): readonly string[] {
     return []
   }
+  override harmsBackends(): boolean {
+    return true
+  }
   start(site: SoakSite): void {
     site.drainBackend(this.place)
   }
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -64,6 +64,13 @@
   readonly marginMs: number
 }
 
+/// Stands for the back ends among the things that are disturbed.
+export const BACKENDS = "backends"
+/// Kinds of disturbances that are planned stops begin so.
+export const PLANNED_STOP = "restart"
+/// Requests sent until so long after the stop was asked for must have an answer. Milliseconds.
+const STOP_TAKES_MS = 1000
+
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 const FIRST_FAILURE = 300
 
@@ -109,6 +116,7 @@
     const {id, form, status, sentAt, endedAt, timeoutMs} = request
     const say = (promise: string, text: string) =>
       found.push({promise, text: `${id} (${request.route} by ${request.daemon}) ${text}`})
+    if (status === undefined && this.isCutByStop(request)) say("a planned stop cuts no request", "was cut")
     if (form === "non_idempotent" && runs.length > 1) say("runs at most once", `ran ${runs.length} times`)
     if (form === "non_idempotent" && status !== undefined && NOT_RUN.has(status) && runs.length > 0)
       say("a refusal as not run is true", `got ${status} and ran at ${runs[0].backend}`)
@@ -119,6 +127,24 @@
     return found
   }
 
+  /// Whether a request lost its connection to a daemon that was stopping, while nothing else was wrong.
+  private isCutByStop({daemon, sentAt, endedAt}: CallerRecord): boolean {
+    if (endedAt === undefined || endedAt === sentAt) return false
+    const stop = this.disturbances.find(
+      ({what, kind, from}) =>
+        what === daemon && kind.startsWith(PLANNED_STOP) && sentAt < from + STOP_TAKES_MS && endedAt >= from
+    )
+    if (!stop) return false
+    const {contactMs} = this.bounds
+    return !this.disturbances.some(
+      other =>
+        other !== stop &&
+        [daemon, "*", BACKENDS].includes(other.what) &&
+        other.from <= endedAt &&
+        other.until + contactMs >= sentAt
+    )
+  }
+
   private checkSuccess(
     request: CallerRecord,
     runs: readonly RunRecord[],
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -10,7 +10,7 @@
 import {SeededRandom} from "../../src/shared/random.js"
 import {CallerLoad} from "./caller-load.js"
 import {makePlan, type PlannedFault} from "./fault-plan.js"
-import {SoakRecord, type SoakBounds, type Violation} from "./soak-record.js"
+import {BACKENDS, SoakRecord, type SoakBounds, type Violation} from "./soak-record.js"
 import {SOAK_ROUTES} from "./soak-routes.js"
 import {BACKEND_PLACES, SoakSite} from "./soak-site.js"
 
@@ -71,9 +71,8 @@
     const key = name.replace(/^(kill|pause|restart|crash of|replacement of) /, "")
     if (busy.has(key) || fault.getDisturbed().some(what => busy.has(what))) continue
     for (const what of [key, ...fault.getDisturbed()]) busy.add(what)
-    const disturbances = fault
-      .getDisturbed()
-      .map(what => ({what, kind: name, from: performance.now(), until: Infinity}))
+    const struck = fault.harmsBackends() ? [...fault.getDisturbed(), BACKENDS] : fault.getDisturbed()
+    const disturbances = struck.map(what => ({what, kind: name, from: performance.now(), until: Infinity}))
     site.record.disturbances.push(...disturbances)
     process.stdout.write(`${JSON.stringify({atMs, fault: name, lastsMs: fault.lastsMs})}\n`)
     const run = async () => {
--- /dev/null
+++ b/test/fault-soak.test.ts
@@ -0,0 +1,214 @@
+/** The soak's own parts: its checker finds every broken promise that is planted, and the same seed gives the same plan. */
+import { createServer, connect, type AddressInfo } from 'node:net';
+import { once } from 'node:events';
+import { expect } from 'chai';
+import { FaultProxy } from '../lab/soak/fault-proxy.js';
+import { makePlan } from '../lab/soak/fault-plan.js';
+import {
+  formatBody,
+  formatEvent,
+  SoakRecord,
+  type CallerRecord,
+  type RunRecord,
+} from '../lab/soak/soak-record.js';
+import { SeededRandom } from '../src/shared/random.js';
+import { Snapshot } from './snapshot.js';
+
+const BOUNDS = { configMs: 2000, drainMs: 2000, contactMs: 3000, leaseMs: 3000, marginMs: 500 };
+
+/** A record in which one request was served as it should be. */
+function soundRecord(): SoakRecord {
+  const record = new SoakRecord(BOUNDS);
+  record.routes.push({ route: 'receipt', service: 'application', at: 0 });
+  return record;
+}
+
+function addRequest(record: SoakRecord, fields: Partial<CallerRecord>): void {
+  const id = fields.id ?? 'q1';
+  record.requests.set(id, {
+    id,
+    daemon: 'daemon-1',
+    route: 'receipt',
+    form: 'idempotent',
+    sentAt: 10_000,
+    timeoutMs: 1500,
+    endedAt: 10_100,
+    status: 200,
+    signature: 'b1',
+    body: formatBody(id),
+    whole: true,
+    ...fields,
+  });
+}
+
+function addRun(record: SoakRecord, fields: Partial<RunRecord> = {}): void {
+  record.runs.push({
+    requestId: 'q1',
+    backend: 'b1',
+    service: 'application',
+    at: 10_050,
+    promptOnly: false,
+    ...fields,
+  });
+}
+
+const EVENTS = [1, 2, 3].map((number) => formatEvent('q1', number, 3));
+
+const PLANTED: readonly [string, (record: SoakRecord) => void][] = [
+  ['nothing wrong', (record) => (addRequest(record, {}), addRun(record))],
+  [
+    'a stream as it should be',
+    (record) => (addRequest(record, { form: 'streaming', body: EVENTS.join('') }), addRun(record)),
+  ],
+  [
+    'a request that runs once runs twice',
+    (record) => (
+      addRequest(record, { form: 'non_idempotent' }),
+      addRun(record),
+      addRun(record, { backend: 'b2' })
+    ),
+  ],
+  [
+    'refused as not run, but it ran',
+    (record) => (
+      addRequest(record, { form: 'non_idempotent', status: 503, signature: undefined }),
+      addRun(record)
+    ),
+  ],
+  [
+    'the body of another answer',
+    (record) => (addRequest(record, { body: formatBody('q2') }), addRun(record)),
+  ],
+  [
+    'signed by a back end that did not run it',
+    (record) => (addRequest(record, { signature: 'b9' }), addRun(record)),
+  ],
+  [
+    'a stream lacks its second event',
+    (record) => (addRequest(record, { form: 'streaming', body: EVENTS[0] + EVENTS[2] }), addRun(record)),
+  ],
+  [
+    'a stream ends as complete too soon',
+    (record) => (addRequest(record, { form: 'streaming', body: EVENTS[0] + EVENTS[1] }), addRun(record)),
+  ],
+  [
+    'a stream that was cut inside an event and says so',
+    (record) => (
+      addRequest(record, { form: 'streaming', body: `${EVENTS[0]}id: 2`, whole: false }),
+      addRun(record)
+    ),
+  ],
+  ['a request that nobody sent', (record) => addRun(record)],
+  ['no answer at the time-out', (record) => addRequest(record, { status: undefined, endedAt: 12_500 })],
+  [
+    'no answer at the time-out of a daemon that was paused',
+    (record) => {
+      addRequest(record, { status: undefined, endedAt: 12_500 });
+      record.disturbances.push({ what: 'daemon-1', kind: 'pause', from: 9000, until: 11_000 });
+    },
+  ],
+  [
+    'cut by a planned stop',
+    (record) => {
+      addRequest(record, { status: undefined, endedAt: 10_200 });
+      record.disturbances.push({ what: 'daemon-1', kind: 'restart daemon-1', from: 10_050, until: 13_000 });
+    },
+  ],
+  [
+    'cut by a planned stop while back ends were harmed',
+    (record) => {
+      addRequest(record, { status: undefined, endedAt: 10_200 });
+      record.disturbances.push({ what: 'daemon-1', kind: 'restart daemon-1', from: 10_050, until: 13_000 });
+      record.disturbances.push({ what: 'backends', kind: 'crash of back end 1', from: 9000, until: 11_000 });
+    },
+  ],
+  [
+    'run by the old service long after the change',
+    (record) => {
+      record.routes.push({ route: 'receipt', service: 'application-2', at: 5000 });
+      addRequest(record, {});
+      addRun(record);
+    },
+  ],
+  [
+    'run by the old service just after the change',
+    (record) => {
+      record.routes.push({ route: 'receipt', service: 'application-2', at: 9000 });
+      addRequest(record, {});
+      addRun(record);
+    },
+  ],
+  [
+    'new work for a back end that is leaving',
+    (record) => {
+      record.drains.set('b1', 5000);
+      addRequest(record, {});
+      addRun(record);
+    },
+  ],
+  [
+    'two holders with one fence',
+    (record) =>
+      record.orders.push(
+        { backend: 'b1', holder: 'd1', fence: 3, at: 0 },
+        { backend: 'b1', holder: 'd2', fence: 3, at: 9000 },
+      ),
+  ],
+  [
+    'holders that take turns',
+    (record) =>
+      record.orders.push(
+        { backend: 'b1', holder: 'd1', fence: 3, at: 0 },
+        { backend: 'b1', holder: 'd2', fence: 4, at: 500 },
+        { backend: 'b1', holder: 'd1', fence: 5, at: 900 },
+      ),
+  ],
+];
+
+describe('fault soak', () => {
+  it('the checker finds what is planted and nothing else', () => {
+    const snapshot = new Snapshot('fault-soak-checker');
+    for (const [name, plant] of PLANTED) {
+      const record = soundRecord();
+      plant(record);
+      const found = record.check().map(({ promise, text }) => `${promise}: ${text}`);
+      snapshot.add(`${name}\n  ${found.join('\n  ') || '-'}`);
+    }
+    snapshot.check();
+  });
+
+  it('a seed gives the same plan each time', () => {
+    const snapshot = new Snapshot('fault-soak-plan');
+    const random = new SeededRandom(7);
+    const plan = makePlan({ daemons: ['d1', 'd2', 'd3'], places: 10 }, 20_000, () => random.next());
+    for (const { atMs, fault } of plan) snapshot.add(`${atMs} ms: ${fault.getName()}, ${fault.lastsMs} ms`);
+    snapshot.check();
+  });
+
+  it('the proxy passes bytes, drops those of a cut direction and resets', async () => {
+    const echo = createServer(
+      (socket) => void socket.on('data', (bytes) => socket.write(bytes)).on('error', () => undefined),
+    );
+    echo.listen(0, '127.0.0.1');
+    await once(echo, 'listening');
+    const proxy = new FaultProxy(() => `127.0.0.1:${(echo.address() as AddressInfo).port}`);
+    const [host, port] = (await proxy.start()).split(':');
+    const caller = connect({ host, port: Number(port) });
+    const received: string[] = [];
+    caller.on('data', (bytes) => received.push(bytes.toString()));
+    caller.write('one');
+    await once(caller, 'data');
+    proxy.setState('cutBack');
+    caller.write('two');
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    proxy.setState('open');
+    caller.write('three');
+    await once(caller, 'data');
+    expect(received).to.deep.equal(['one', 'three']);
+    proxy.resetAll();
+    const [error] = (await once(caller, 'error')) as [NodeJS.ErrnoException];
+    expect(error.code).to.equal('ECONNRESET');
+    proxy.close();
+    echo.close();
+  });
+});
