What may run only once takes no connection that has rested

Cause: on the grown sites a back end may forget an idle connection without a word; a request that may not be repeated and meets such a reset may have run, and ends with 502. Ruled out: sending again (the reset does not prove that it did not run). Change: attempts that cannot be repeated use a pool of their own, whose connections rest 200 ms at most. Figures: test (real sockets, resets after 300 ms of rest) failed with 502 before, passes after. The soak has the fault too.

--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -8,6 +8,7 @@
 /// How a back end behaves.
 export type BackendBehavior =
   | "well"
+  | "forgetsConnections"
   | "errors"
   | "sheds"
   | "hangs"
@@ -46,6 +47,7 @@
 const EVENTS = 6
 const SWITCH_MS = 400
 const LATE_ORDER_MS = 2500
+const FORGET_MS = 300
 const HEARTBEAT_MS = 1200
 /// Part of the requests that a faulty back end spoils.
 const FAULT_SHARE = 0.4
@@ -72,6 +74,7 @@
   private handles = 0
   private readonly server: Server
   private readonly sockets = new Set<Socket>()
+  private readonly lastUses = new WeakMap<Socket, number>()
   private heartbeat: NodeJS.Timeout | undefined
 
   constructor(
@@ -117,6 +120,14 @@
     for (const socket of this.sockets) socket.resetAndDestroy()
   }
 
+  /// Whether the connection rested so long that a back end that forgets them knows nothing of it.
+  private isForgotten(socket: Socket): boolean {
+    const now = performance.now()
+    const restedMs = now - (this.lastUses.get(socket) ?? now)
+    this.lastUses.set(socket, now)
+    return this.behavior === "forgetsConnections" && restedMs > FORGET_MS
+  }
+
   private writeRecord(): void {
     const {id, service, zone} = this.identity
     const row = {
@@ -132,6 +143,7 @@
   }
 
   private async onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.isForgotten(request.socket)) return void request.socket.resetAndDestroy()
     response.on("error", () => undefined)
     request.on("error", () => undefined)
     for await (const chunk of request)
--- a/lab/soak/fault-plan.ts
+++ b/lab/soak/fault-plan.ts
@@ -20,6 +20,7 @@
 const LONGEST_MS = 3000
 
 const BEHAVIORS: readonly BackendBehavior[] = [
+  "forgetsConnections",
   "errors",
   "sheds",
   "hangs",
--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -64,6 +64,11 @@
 const KEEP_ALIVE_MARGIN_MS = 1000;
 const DEFAULT_KEEP_ALIVE_MS = 4000;
 const MAXIMUM_KEEP_ALIVE_MS = 30_000;
+/** A back end may forget a connection that rests; what cannot be sent again takes none that rested longer. Milliseconds. */
+const MAXIMUM_REST_MS = 200;
+/** Keys of pools beside the usual one of a back end. */
+const PROBE = 'probe';
+const ONCE = 'once';
 
 /** The client of one daemon. */
 export class BackendClient {
@@ -101,7 +106,9 @@
       bodyTimeout: 0,
     };
     try {
-      this.pool(start.backend.id, start.backend.address).dispatch(options, handler);
+      const { id, address } = start.backend;
+      const pool = start.once ? this.pool(`${ONCE} ${id}`, address, MAXIMUM_REST_MS) : this.pool(id, address);
+      pool.dispatch(options, handler);
     } catch (error) {
       handler.onResponseError(null, error as Error);
     }
@@ -131,7 +138,7 @@
   async probe(probe: HealthProbe, healthPath: string): Promise<boolean> {
     const { id, address } = probe.backend;
     try {
-      const answer = await this.call(`probe ${id}`, address, { method: 'GET', path: healthPath });
+      const answer = await this.call(`${PROBE} ${id}`, address, { method: 'GET', path: healthPath });
       return this.dialect.healthy(answer.status, answer.headers, id);
     } catch {
       return false;
@@ -162,7 +169,7 @@
 
   /** Connections to a back end that is gone are closed when their requests are over. */
   forget(backendId: string): void {
-    for (const key of [backendId, `probe ${backendId}`]) {
+    for (const key of [backendId, `${PROBE} ${backendId}`, `${ONCE} ${backendId}`]) {
       const pool = this.pools.get(key);
       this.pools.delete(key);
       pool?.close().catch(() => undefined);
@@ -192,15 +199,15 @@
     return { status: answer.statusCode, headers: answer.headers as unknown as string[], body: text };
   }
 
-  private pool(key: string, address: string): Pool {
+  private pool(key: string, address: string, maximumRestMs = MAXIMUM_KEEP_ALIVE_MS): Pool {
     let pool = this.pools.get(key);
     if (!pool) {
       pool = new Pool(`http://${address}`, {
         connections: this.settings.connectionsPerBackend,
         pipelining: 1,
         connect: this.resets.connector,
-        keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
-        keepAliveMaxTimeout: MAXIMUM_KEEP_ALIVE_MS,
+        keepAliveTimeout: Math.min(DEFAULT_KEEP_ALIVE_MS, maximumRestMs),
+        keepAliveMaxTimeout: maximumRestMs,
         keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       });
       this.pools.set(key, pool);
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -10,7 +10,14 @@
 import type { ForwardSettings } from './forward-settings.js';
 import { sharedKey, sharedTokens, type ForwardRequest } from './forward-request.js';
 import type { ForwardAttemptEvent, ForwardEffect, ForwardFailure } from './forward-messages.js';
-import { isStalled, mayRunAgain, urgencyOf, type LiveAttempt, type Session } from './forward-session.js';
+import {
+  isRepeatable,
+  isStalled,
+  mayRunAgain,
+  urgencyOf,
+  type LiveAttempt,
+  type Session,
+} from './forward-session.js';
 import type { PrefixIndex } from './prefix-index.js';
 import type { RetryAllowance } from './retry-allowance.js';
 import type { RouteTable } from './route-table.js';
@@ -208,6 +215,7 @@
         remainingMs: Math.max(1, Math.floor(session.deadlineAt - now)),
         urgency: urgencyOf(route, plan, this.settings),
         stream: route.kind === 'stream',
+        once: !plan.prefillOnly && !isRepeatable(route),
         resumeAfter: session.lastEventId,
       },
     });
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -21,6 +21,8 @@
   readonly urgency: number;
   /** The answer is passed on as it comes; otherwise it is kept until it is whole. */
   readonly stream: boolean;
+  /** The request may not be sent again when its connection fails: it needs one that has hardly rested. */
+  readonly once: boolean;
   /** Continue a stream after this event. */
   readonly resumeAfter: string | undefined;
 }
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -35,11 +35,14 @@
   kvSource: KvSource | undefined;
 }
 
+/** Whether requests of the route may run more than once. */
+export function isRepeatable({ kind, resumable }: Route): boolean {
+  return kind === 'idempotent' || (kind === 'stream' && resumable);
+}
+
 /** Whether the request may run at one more back end. */
-export function mayRunAgain(session: Session): boolean {
-  const { kind, resumable, maximumAttempts } = session.route;
-  const repeatable = kind === 'idempotent' || (kind === 'stream' && resumable);
-  return repeatable && session.runs < maximumAttempts;
+export function mayRunAgain({ route, runs }: Session): boolean {
+  return isRepeatable(route) && runs < route.maximumAttempts;
 }
 
 /**
--- a/test/forwarding-bytes.test.ts
+++ b/test/forwarding-bytes.test.ts
@@ -102,6 +102,27 @@
     expect(backend.arrived).to.have.length(1);
   });
 
+  it('a request that may not be repeated takes no connection that has rested', async () => {
+    const lastUse = new Map<Socket, number>();
+    await start(
+      (request, socket) => {
+        const restedMs = performance.now() - (lastUse.get(socket) ?? performance.now());
+        lastUse.set(socket, performance.now());
+        if (restedMs > 300) socket.resetAndDestroy();
+        else
+          socket.write(
+            `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${headerOf(request.head, 'x-attempt-id')}\r\n${SIGNED}Content-Length: 2\r\n\r\nok`,
+          );
+      },
+      { kind: 'nonIdempotent' },
+    );
+    for (let tries = 0; tries < 3; tries += 1) {
+      const answer = await ask(site.callers, 'POST /a/x HTTP/1.1\r\nX-Attempt-Id: id1', 'pay');
+      expect(answer.text).to.match(/^HTTP\/1.1 200 /);
+      await new Promise((resolve) => setTimeout(resolve, 600));
+    }
+  });
+
   it('a request that a back end did not run is refused as not run, with a time to come back', async () => {
     await start((_request, socket) => {
       const head = 'HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: id1\r\nX-Not-Executed: 1\r\n';
