Loads that peers tell are summed as they come and scaled to the whole fleet

Cause: a daemon of 88 hears about half of the others within a digest's lifetime (12 recipients each 0.4 s, 2 s), so its sums were half of the load, and each digest summed every back end over every digest anew (46 x 43 look-ups, 30 times a second). Change: PeerLoads adds and takes away what a digest says; sums are scaled by peers over heard, four times at most.

--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -60,7 +60,8 @@
   tick(now: number): void {
     if (now < this.nextDigestAt) return
     this.nextDigestAt = now + this.settings.digestIntervalMs
-    this.directory.expireDigests(now)
+    this.directory.peers.setPeers(this.peerAddresses().length)
+    this.directory.peers.removeOld(now)
     const message: FleetMessage = {
       kind: "loadDigest",
       knowledge: this.replica.getKnowledge(now),
@@ -74,7 +75,7 @@
   receive(fromId: string, fromAddress: string, message: FleetMessage, now: number): void {
     switch (message.kind) {
       case "loadDigest":
-        this.directory.applyDigest(fromId, message.loads, now)
+        this.directory.peers.applyDigest(fromId, message.loads, now)
         for (const placement of message.placements) this.placements.learn(placement)
         this.replica.receiveKnowledge(message.knowledge, now)
         this.pullWhenBehind(fromAddress, message.knowledge, now)
--- a/src/forwarding/backend-directory.ts
+++ b/src/forwarding/backend-directory.ts
@@ -1,5 +1,6 @@
 /** All back ends that this daemon knows, by id and by service. */
 import type { BackendRecord } from './route.js';
+import { PeerLoads } from './peer-loads.js';
 import { BackendView, type BackendHealthSettings } from './backend-view.js';
 
 /**
@@ -8,24 +9,14 @@
  */
 export type BackendLoad = [id: string, inFlight: number, pendingTokens: number, distrust: number];
 
-interface PeerDigest {
-  readonly loads: ReadonlyMap<string, BackendLoad>;
-  readonly at: number;
-}
-
 const AVOIDED = 1;
 const CHANGING = 2;
-/** One daemon that avoids a back end may be the only one that cannot reach it; two are believed. */
-const DISTRUSTED = 2;
-
-/** A peer's digest counts for this long. Milliseconds. */
-const DIGEST_LIFETIME_MS = 2000;
-
 /** The directory of one daemon. Times are monotonic milliseconds. */
 export class BackendDirectory {
   private readonly views = new Map<string, BackendView>();
   private readonly byService = new Map<string, BackendView[]>();
-  private readonly digests = new Map<string, PeerDigest>();
+  /** What the other daemons put on the back ends. */
+  readonly peers = new PeerLoads();
 
   constructor(private readonly settings: BackendHealthSettings) {}
 
@@ -36,7 +27,7 @@
       known.record = record;
       return;
     }
-    const view = new BackendView(record, this.settings);
+    const view = new BackendView(record, this.settings, this.peers);
     this.views.set(record.id, view);
     const views = this.byService.get(record.service) ?? [];
     views.push(view);
@@ -69,20 +60,6 @@
     return this.views.values();
   }
 
-  /** Takes what another daemon says of its load. */
-  applyDigest(peerId: string, loads: readonly BackendLoad[], now: number): void {
-    this.digests.set(peerId, { loads: new Map(loads.map((load) => [load[0], load])), at: now });
-    this.sumPeers(now);
-  }
-
-  /** Forgets digests that are too old. */
-  expireDigests(now: number): void {
-    for (const [peerId, digest] of this.digests) {
-      if (now - digest.at > DIGEST_LIFETIME_MS) this.digests.delete(peerId);
-    }
-    this.sumPeers(now);
-  }
-
   /** This daemon's own load, for its peers: back ends with work or trouble only. */
   ownLoads(now: number): BackendLoad[] {
     const loads: BackendLoad[] = [];
@@ -94,20 +71,4 @@
     }
     return loads;
   }
-
-  private sumPeers(now: number): void {
-    for (const view of this.views.values()) {
-      let inFlight = 0;
-      let pendingTokens = 0;
-      let distrust = 0;
-      for (const digest of this.digests.values()) {
-        const load = digest.loads.get(view.record.id);
-        if (!load || now - digest.at > DIGEST_LIFETIME_MS) continue;
-        inFlight += load[1];
-        pendingTokens += load[2];
-        distrust += load[3];
-      }
-      view.peers = { inFlight, pendingTokens, distrusted: distrust >= DISTRUSTED };
-    }
-  }
 }
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -99,7 +99,7 @@
           view.ownInFlight() < wanted.maximumOwnInFlight,
       );
     const sound = able.filter((view) => !view.avoided(now));
-    const trusted = sound.filter((view) => !view.peers.distrusted);
+    const trusted = sound.filter((view) => !view.distrusted());
     if (trusted.length > 0) return trusted;
     return sound.length > 0 ? sound : able;
   }
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -1,4 +1,5 @@
 /** One incarnation of a back end as this daemon sees it: its record, the load put on it, and how it behaves. */
+import type { PeerLoads } from './peer-loads.js';
 import type { BackendRecord } from './route.js';
 
 /** How a back end's failures are judged. */
@@ -27,14 +28,6 @@
   silenceMsPerToken: 0.05,
 };
 
-/** What other daemons say of a back end. */
-export interface PeerLoad {
-  readonly inFlight: number;
-  readonly pendingTokens: number;
-  /** Several daemons avoid it, or the one that changes its stage does. */
-  readonly distrusted: boolean;
-}
-
 interface SentAttempt {
   readonly sentAt: number;
   /** Prompt tokens to be computed there. */
@@ -48,8 +41,6 @@
   gone = false;
   /** This daemon is changing the engine's stage. */
   changing = false;
-  /** Sums over the other daemons' last digests. */
-  peers: PeerLoad = { inFlight: 0, pendingTokens: 0, distrusted: false };
   private readonly attempts = new Map<string, SentAttempt>();
   private ownPendingTokens = 0;
   private failureShare = 0;
@@ -61,6 +52,7 @@
   constructor(
     public record: BackendRecord,
     private readonly settings: BackendHealthSettings,
+    private readonly peers: PeerLoads,
   ) {}
 
   /** Counts an attempt with so many prompt tokens to compute. */
@@ -129,6 +121,11 @@
     return !this.gone && this.record.state === 'ready';
   }
 
+  /** Whether peers say that nothing should be sent there. */
+  distrusted(): boolean {
+    return this.peers.isDistrusted(this.record.id);
+  }
+
   /** Attempts of this daemon. */
   ownInFlight(): number {
     return this.attempts.size;
@@ -136,7 +133,7 @@
 
   /** Attempts of all daemons, as far as they have told. */
   inFlight(): number {
-    return this.attempts.size + this.peers.inFlight;
+    return this.attempts.size + this.peers.getInFlight(this.record.id);
   }
 
   /** Prompt tokens that this daemon has sent and that are still to be computed. */
@@ -146,7 +143,7 @@
 
   /** The same over all daemons. */
   pendingTokens(): number {
-    return this.ownPromptTokens() + this.peers.pendingTokens;
+    return this.ownPromptTokens() + this.peers.getPendingTokens(this.record.id);
   }
 
   /** Whether it has answered nothing for too long while work waits there. */
--- /dev/null
+++ b/test/peer-loads.test.ts
@@ -0,0 +1,54 @@
+/** Sums of the loads that peers tell. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { BackendLoad } from '../src/forwarding/backend-directory.js';
+import { PeerLoads } from '../src/forwarding/peer-loads.js';
+
+const SEED = 20261204;
+const LIFETIME_MS = 2000;
+
+const load = fc.tuple(
+  fc.constantFrom('a', 'b', 'c'),
+  fc.nat({ max: 9 }),
+  fc.nat({ max: 9000 }),
+  fc.constantFrom(0, 1, 2),
+);
+const loads = fc.uniqueArray(load, { selector: ([id]) => id, maxLength: 3 });
+const step = fc.record({ peer: fc.constantFrom('p', 'q', 'r', 's'), loads, afterMs: fc.nat({ max: 900 }) });
+
+describe('loads of peers', () => {
+  it('the sums are those of the digests that still count, whatever came before', () => {
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 40 }), (steps) => {
+        const peers = new PeerLoads();
+        const digests = new Map<string, { loads: readonly BackendLoad[]; at: number }>();
+        let now = 0;
+        for (const { peer, loads: told, afterMs } of steps) {
+          now += afterMs;
+          peers.applyDigest(peer, told, now);
+          digests.set(peer, { loads: told, at: now });
+          peers.removeOld(now);
+        }
+        for (const id of ['a', 'b', 'c']) {
+          const counted = [...digests.values()].filter(({ at }) => now - at <= LIFETIME_MS);
+          const told = counted.flatMap((digest) => digest.loads.filter((entry) => entry[0] === id));
+          expect(peers.getInFlight(id)).to.equal(told.reduce((sum, entry) => sum + entry[1], 0));
+          expect(peers.getPendingTokens(id)).to.equal(told.reduce((sum, entry) => sum + entry[2], 0));
+          expect(peers.isDistrusted(id)).to.equal(told.reduce((sum, entry) => sum + entry[3], 0) >= 2);
+        }
+      }),
+      { seed: SEED, numRuns: 300 },
+    );
+  });
+
+  it('what half of the daemons tell is taken for half of the load; a few digests are not taken for all', () => {
+    const peers = new PeerLoads();
+    peers.setPeers(4);
+    peers.applyDigest('p', [['a', 3, 100, 0]], 0);
+    peers.applyDigest('q', [['a', 1, 0, 0]], 0);
+    expect(peers.getInFlight('a')).to.equal(8);
+    expect(peers.getPendingTokens('a')).to.equal(200);
+    peers.setPeers(200);
+    expect(peers.getInFlight('a')).to.equal(16);
+  });
+});
--- a/test/stages.test.ts
+++ b/test/stages.test.ts
@@ -4,6 +4,7 @@
 import { labBackend } from '../lab/forwarding-site.js';
 import { StageCoordinator, type StageEffect } from '../src/allocation/stage-coordinator.js';
 import { DEFAULT_STAGE_PLANNER_SETTINGS, planStage } from '../src/allocation/stage-planner.js';
+import { PeerLoads } from '../src/forwarding/peer-loads.js';
 import { BackendView, DEFAULT_BACKEND_HEALTH_SETTINGS } from '../src/forwarding/backend-view.js';
 import type { EngineStage } from '../src/forwarding/route.js';
 import { DEFAULT_LEASE_SETTINGS } from '../src/lease/cell-lease.js';
@@ -23,6 +24,7 @@
       new BackendView(
         { ...labBackend(`e${index}`, `10.0.0.${index}:80`), stage },
         DEFAULT_BACKEND_HEALTH_SETTINGS,
+        new PeerLoads(),
       ),
   );
 }
