A daemon without a configuration asks sooner and tells callers a longer time to come back

Change: while it knows nothing a daemon asks each 0.1 to 0.3 s; a refusal for want of a configuration names the time that the outage has lasted so far, 0.1 to 3 s, an estimate that is right within a factor of two for half of all outages.

--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -47,6 +47,8 @@
   readonly inForceAt: Map<number, number>;
   /** When each back end was last seen to change, by id: its state, or that it is gone. */
   readonly backendStates: Map<string, { state: string; at: number }>;
+  /** Answers of its own, with the time to come back that they told. */
+  readonly refusals: { status: number; retryAfterMs: number | undefined }[];
 }
 
 interface WaitingRead {
@@ -95,6 +97,7 @@
         reads: 0,
         inForceAt: new Map(),
         backendStates: new Map(),
+        refusals: [],
       };
       this.nodes.push(node);
       this.time.after(random.next() * TICK_MS, () => this.tick(node));
@@ -113,6 +116,20 @@
     return this.revision;
   }
 
+  /** Sends a caller's request to a daemon. */
+  submit(node: FleetNode, id: string): void {
+    const arrivedAt = this.time.now();
+    const caller = {
+      id,
+      callerId: id,
+      host: 'site.example',
+      path: '/a/x',
+      arrivedAt,
+      callerDeadlineMs: 5000,
+    };
+    this.handle(node, { kind: 'submit', request: { ...caller, prompt: undefined } });
+  }
+
   /** Reads that the store has seen from all daemons. */
   reads(): number {
     return this.nodes.reduce((sum, node) => sum + node.reads, 0);
@@ -147,6 +164,9 @@
       case 'readRecords':
         this.read(node, effect.read);
         break;
+      case 'replyFailure':
+        node.refusals.push({ status: effect.status, retryAfterMs: effect.retryAfterMs });
+        break;
       case 'configurationInForce':
         node.inForceAt.set(effect.configuration.version, this.time.now());
         break;
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -176,6 +176,7 @@
       {
         routes: () => this.routes,
         configurationMayBeStale: (at) => this.replica.configurationMayBeStale(at),
+        outageMs: (at) => this.replica.getOutageMs('configuration', at),
         daemons: () => this.daemons(),
       },
       picker,
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -27,6 +27,8 @@
   readonly backoffMs: number
   /// The longest such pause. Milliseconds. Default 800.
   readonly maximumBackoffMs: number
+  /// The longest pause of a daemon that knows nothing yet, and so serves nobody. Milliseconds. Default 200.
+  readonly unknowingBackoffMs: number
   /// A configuration that was confirmed longer ago proves nothing about routes that it lacks. Milliseconds. Default 4500.
   readonly staleMs: number
 }
@@ -40,6 +42,7 @@
   gatherMs: 150,
   backoffMs: 100,
   maximumBackoffMs: 800,
+  unknowingBackoffMs: 200,
   staleMs: 4500
 }
 
@@ -82,6 +85,8 @@
   sentAt: number
   nextAt: number
   failures: number
+  /// When the first of the failures in a row was asked.
+  failingSince: number
   /// When the copy was last known to be complete, from the store or by a peer's word.
   completeAt: number
   /// The newest revision that a peer knows and this daemon may lack.
@@ -153,6 +158,14 @@
     return cursor === undefined || cursor < rumored
   }
 
+  /// How long the store has not answered this daemon about a collection. Milliseconds; 0 when it does.
+  getOutageMs(collection: RecordCollection, now: number): number {
+    const {failures, failingSince, cursor, inFlight, sentAt} = this.followers[collection]
+    if (failures > 0) return now - failingSince
+    // The first read does not wait for a change, so as long as it lasts the store owes an answer.
+    return cursor === undefined && inFlight ? now - sentAt : 0
+  }
+
   /// Whether a newer configuration may be in force elsewhere.
   configurationMayBeStale(now: number): boolean {
     return this.current === undefined || this.ageMs("configuration", now) > this.settings.staleMs
@@ -251,6 +264,10 @@
     return records
   }
 
+  private knows(collection: RecordCollection): boolean {
+    return collection === "configuration" ? this.current !== undefined : this.knowsBackends()
+  }
+
   private getKnowledgeOf(collection: RecordCollection, now: number): RecordKnowledge {
     const {cursor, completeAt} = this.followers[collection]
     const changed = collection === "configuration" ? this.configurationRevision : this.backendsRevision
@@ -378,11 +395,12 @@
   }
 
   private backOff(follower: Follower, now: number): void {
-    const {backoffMs, maximumBackoffMs} = this.settings
+    const {backoffMs, maximumBackoffMs, unknowingBackoffMs} = this.settings
     const pause = Math.min(
-      maximumBackoffMs,
+      this.knows(follower.collection) ? maximumBackoffMs : unknowingBackoffMs,
       backoffMs * 2 ** Math.min(follower.failures, MAXIMUM_BACKOFF_DOUBLINGS)
     )
+    if (follower.failures === 0) follower.failingSince = follower.sentAt
     follower.failures += 1
     follower.nextAt = now + pause * (0.5 + this.random.next())
   }
@@ -396,6 +414,7 @@
     sentAt: now,
     nextAt: now,
     failures: 0,
+    failingSince: now,
     completeAt: -Infinity,
     rumored: 0
   }
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -29,6 +29,8 @@
   routes(): RouteTable | undefined;
   /** Whether the configuration may be out of date, so that a missing route proves nothing. */
   configurationMayBeStale(now: number): boolean;
+  /** How long the store has not answered about the configuration; 0 when it does. Milliseconds. */
+  outageMs(now: number): number;
   /** Daemons that share the retry budget. */
   daemons(): number;
 }
@@ -72,7 +74,7 @@
     }
     const routes = this.surroundings.routes();
     if (!routes) {
-      this.refuse(request, STATUS_UNAVAILABLE, 'no-configuration', this.settings.retryAfterMs, now);
+      this.refuse(request, STATUS_UNAVAILABLE, 'no-configuration', this.outageRetryAfterMs(now), now);
       return;
     }
     const route = routes.match(request.host, request.path);
@@ -156,19 +158,18 @@
     }
   }
 
-  /** When the next deadline is due; Infinity when there is none. */
-  nextDeadline(): number {
-    let next = Infinity;
-    for (const session of this.sessions.values()) next = Math.min(next, session.deadlineAt);
-    return next;
-  }
-
   private noRoute(request: ForwardRequest, now: number): void {
     if (this.surroundings.configurationMayBeStale(now)) {
-      this.refuse(request, STATUS_UNAVAILABLE, 'stale-configuration', this.settings.retryAfterMs, now);
+      this.refuse(request, STATUS_UNAVAILABLE, 'stale-configuration', this.outageRetryAfterMs(now), now);
     } else this.refuse(request, STATUS_NOT_FOUND, 'no-route', undefined, now);
   }
 
+  /** An outage is expected to last as long again as it has lasted. */
+  private outageRetryAfterMs(now: number): number {
+    const { retryAfterMs, maximumRetryAfterMs } = this.settings;
+    return Math.min(maximumRetryAfterMs, Math.max(retryAfterMs, this.surroundings.outageMs(now)));
+  }
+
   private send(session: Session, now: number): void {
     const { request, route } = session;
     const wanted = {
--- a/src/forwarding/forward-settings.ts
+++ b/src/forwarding/forward-settings.ts
@@ -15,6 +15,11 @@
   readonly maximumSends: number;
   /** When a refused caller should come back at the earliest. Milliseconds. Default 100. */
   readonly retryAfterMs: number;
+  /**
+   * The longest such time. While the store does not answer a daemon without a configuration, callers are told to come
+   * back after the time that the outage has lasted so far, between these two. Milliseconds. Default 3000.
+   */
+  readonly maximumRetryAfterMs: number;
   /** A prompt with more tokens to compute yields to shorter ones of the same priority. Default 12000. */
   readonly longPromptTokens: number;
   /** Part of a back end's connections that the daemons use. Default 0.9. */
@@ -32,6 +37,7 @@
   stallGaps: 6,
   maximumSends: 6,
   retryAfterMs: 100,
+  maximumRetryAfterMs: 3000,
   longPromptTokens: 12_000,
   connectionUse: 0.9,
   stoppingRetryAfterMs: 10,
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -38,7 +38,7 @@
     );
     this.manager = new ForwardManager(
       DEFAULT_FORWARD_SETTINGS,
-      { routes: () => table, configurationMayBeStale: () => this.stale, daemons: () => 1 },
+      { routes: () => table, configurationMayBeStale: () => this.stale, outageMs: () => 0, daemons: () => 1 },
       picker,
       prefixes,
       new RetryAllowance({ ratio: 0, slack, windowMs: 10_000 }),
--- a/test/store-readers.test.ts
+++ b/test/store-readers.test.ts
@@ -118,4 +118,25 @@
       expect(slowestState(fleet, `new-${version}`, 'ready', since)).to.be.lessThan(BOUND_MS);
     }
   });
+
+  for (const access of ['refuses', 'silent'] as const) {
+    it(`all daemons start while the store ${access}: callers hear a longer time each time; all serve soon after`, () => {
+      const fleet = new ForwardingFleet(7, SEED);
+      fleet.write(configuration(1));
+      fleet.write(backend('a', 'ready'));
+      for (const node of fleet.nodes) node.access = access;
+      const snapshot = new Snapshot(`store-outage-at-start-${access}`);
+      for (const at of [50, 500, 1500, 2900]) {
+        fleet.time.runUntil(at);
+        fleet.submit(fleet.nodes[0], `q${at}`);
+        const { status, retryAfterMs } = fleet.nodes[0].refusals.at(-1) ?? { status: 0, retryAfterMs: 0 };
+        snapshot.add(`after ${at} ms: ${status}, come back in ${Math.round(retryAfterMs ?? 0)} ms`);
+      }
+      fleet.time.runUntil(3000);
+      for (const node of fleet.nodes) node.access = 'serves';
+      fleet.time.runUntil(6000);
+      expect(slowest(fleet, 1, 3000)).to.be.lessThan(access === 'refuses' ? 350 : 1200);
+      snapshot.check();
+    });
+  }
 });
