--- a/test/store-readers.test.ts
+++ b/test/store-readers.test.ts
@@ -139,4 +139,16 @@
       snapshot.check();
     });
   }
+
+  it('a daemon alone that knows nothing reads within 350 ms of the store coming back, whenever that is', () => {
+    for (let backAt = 2000; backAt < 6000; backAt += 173) {
+      const fleet = new ForwardingFleet(1, SEED);
+      fleet.write(configuration(1));
+      fleet.nodes[0].access = 'refuses';
+      fleet.time.runUntil(backAt);
+      fleet.nodes[0].access = 'serves';
+      fleet.time.runUntil(backAt + 2000);
+      expect(slowest(fleet, 1, backAt)).to.be.lessThan(350);
+    }
+  });
 });
