--- /dev/null
+++ b/src/forwarding/forward-answers.ts
@@ -0,0 +1,67 @@
+/// Answers of the daemon's own, and the log of what was decided about a request.
+import type {EffectSink} from "../shared/effect-sink.js"
+import type {ForwardDecision, ForwardEffect, ForwardFailure} from "./forward-messages.js"
+import type {ForwardRequest} from "./forward-request.js"
+import type {Session} from "./forward-session.js"
+
+export const STATUS_NOT_FOUND = 404
+/// The request may have run.
+export const STATUS_BROKEN = 502
+/// The request has not run and will not.
+export const STATUS_UNAVAILABLE = 503
+/// The time is over; the request may have run.
+export const STATUS_DEADLINE = 504
+
+/// Values that a decision rests on, for the log.
+export type DecisionFields = Readonly<Record<string, unknown>>
+
+/// The answers of one daemon. Times are monotonic milliseconds.
+export class ForwardAnswers {
+  constructor(private readonly emit: EffectSink<ForwardEffect>) {}
+
+  /// Answers with a failure. `retryAfterMs` is when the caller should come back, if the request has not run.
+  sendFailure(
+    request: ForwardRequest,
+    status: number,
+    failure: ForwardFailure,
+    retryAfterMs: number | undefined,
+    now: number,
+    session?: Session
+  ): void {
+    this.emit({kind: "replyFailure", requestId: request.id, status, failure, retryAfterMs})
+    const refused = status === STATUS_UNAVAILABLE || status === STATUS_NOT_FOUND
+    const fields = {status, failure, retryAfterMs, ...(session && getProgress(session, now))}
+    this.emit({
+      kind: "decision",
+      event: refused ? "request.refused" : "request.failed",
+      callerId: request.callerId,
+      fields
+    })
+  }
+
+  /// Refuses a request that has not run and will not.
+  sendRefusal(
+    request: ForwardRequest,
+    failure: ForwardFailure,
+    retryAfterMs: number,
+    now: number,
+    session?: Session
+  ): void {
+    this.sendFailure(request, STATUS_UNAVAILABLE, failure, retryAfterMs, now, session)
+  }
+
+  /// Ends an answer that has begun, so that it does not look complete.
+  sendBroken(session: Session, failure: ForwardFailure, now: number): void {
+    this.emit({kind: "replyBroken", requestId: session.request.id})
+    this.logDecision("request.failed", session, {failure, ...getProgress(session, now)})
+  }
+
+  /// Logs a decision about a request.
+  logDecision(event: ForwardDecision, {request, service}: Session, fields: DecisionFields): void {
+    this.emit({kind: "decision", event, callerId: request.callerId, fields: {service, ...fields}})
+  }
+}
+
+function getProgress({service, sends, request}: Session, now: number): DecisionFields {
+  return {service, sends, afterMs: Math.round(now - request.arrivedAt)}
+}
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -7,6 +7,13 @@
 import type { EffectSink } from '../shared/effect-sink.js';
 import type { BackendPicker, BackendPlan } from './backend-picker.js';
 import type { BackendView } from './backend-view.js';
+import {
+  ForwardAnswers,
+  STATUS_BROKEN,
+  STATUS_DEADLINE,
+  STATUS_NOT_FOUND,
+  STATUS_UNAVAILABLE,
+} from './forward-answers.js';
 import type { ForwardSettings } from './forward-settings.js';
 import { sharedKey, sharedTokens, type ForwardRequest } from './forward-request.js';
 import type { ForwardAttemptEvent, ForwardEffect, ForwardFailure } from './forward-messages.js';
@@ -35,16 +42,13 @@
   daemons(): number;
 }
 
-const STATUS_NOT_FOUND = 404;
-const STATUS_BROKEN = 502;
-const STATUS_UNAVAILABLE = 503;
-const STATUS_DEADLINE = 504;
 const FIRST_SERVER_ERROR = 500;
 
 /** The forwarding machine of one daemon. Times are monotonic milliseconds. */
 export class ForwardManager {
   private readonly sessions = new Map<string, Session>();
   private readonly split = new WeightedChoice();
+  private readonly answers: ForwardAnswers;
   private closed = false;
 
   constructor(
@@ -54,7 +58,9 @@
     private readonly prefixes: PrefixIndex,
     private readonly allowance: RetryAllowance,
     private readonly emit: EffectSink<ForwardEffect>,
-  ) {}
+  ) {
+    this.answers = new ForwardAnswers(emit);
+  }
 
   /** Requests in hand. */
   active(): number {
@@ -69,12 +75,12 @@
   /** Takes a whole request from a caller. */
   begin(request: ForwardRequest, now: number): void {
     if (this.closed) {
-      this.refuse(request, STATUS_UNAVAILABLE, 'stopping', this.settings.stoppingRetryAfterMs, now);
+      this.answers.sendRefusal(request, 'stopping', this.settings.stoppingRetryAfterMs, now);
       return;
     }
     const routes = this.surroundings.routes();
     if (!routes) {
-      this.refuse(request, STATUS_UNAVAILABLE, 'no-configuration', this.outageRetryAfterMs(now), now);
+      this.answers.sendRefusal(request, 'no-configuration', this.outageRetryAfterMs(now), now);
       return;
     }
     const route = routes.match(request.host, request.path);
@@ -101,7 +107,7 @@
     };
     this.sessions.set(request.id, session);
     this.allowance.requestSeen(service, now);
-    this.decide('request.accepted', session, {
+    this.answers.logDecision('request.accepted', session, {
       route: route.name,
       configuration: routes.configuration.version,
     });
@@ -112,7 +118,9 @@
   cancel(requestId: string, now: number): void {
     const session = this.sessions.get(requestId);
     if (!session) return;
-    this.decide('request.cancelled', session, { afterMs: Math.round(now - session.request.arrivedAt) });
+    this.answers.logDecision('request.cancelled', session, {
+      afterMs: Math.round(now - session.request.arrivedAt),
+    });
     this.stopAttempt(session);
     this.over(session);
   }
@@ -160,8 +168,8 @@
 
   private noRoute(request: ForwardRequest, now: number): void {
     if (this.surroundings.configurationMayBeStale(now)) {
-      this.refuse(request, STATUS_UNAVAILABLE, 'stale-configuration', this.outageRetryAfterMs(now), now);
-    } else this.refuse(request, STATUS_NOT_FOUND, 'no-route', undefined, now);
+      this.answers.sendRefusal(request, 'stale-configuration', this.outageRetryAfterMs(now), now);
+    } else this.answers.sendFailure(request, STATUS_NOT_FOUND, 'no-route', undefined, now);
   }
 
   /** An outage is expected to last as long again as it has lasted. */
@@ -189,14 +197,14 @@
       return;
     }
     session.sends += 1;
-    if (session.arrivals > 0) this.decide('request.resumed', session, { sends: session.sends });
+    if (session.arrivals > 0) this.answers.logDecision('request.resumed', session, { sends: session.sends });
     const attemptId = `${request.id}/${session.sends}`;
     const { backend } = plan;
     const pendingBefore = backend.pendingTokens();
     session.attempt = { attemptId, plan, startedAt: now, lastEventAt: now, answering: false };
     const promptTokens = session.kvSource ? 0 : plan.promptTokens;
     backend.begin(attemptId, promptTokens, now);
-    this.decide('request.attempt', session, {
+    this.answers.logDecision('request.attempt', session, {
       backend: backend.record.id,
       stage: plan.prefillOnly ? 'prefill' : session.kvSource ? 'generate' : 'whole',
       reason: plan.reason,
@@ -239,7 +247,10 @@
     attempt.plan.backend.lost(now);
     this.endAttempt(session, attempt);
     session.excluded.add(attempt.plan.backend.record.id);
-    this.decide('request.attempt-failed', session, { backend: attempt.plan.backend.record.id, reason });
+    this.answers.logDecision('request.attempt-failed', session, {
+      backend: attempt.plan.backend.record.id,
+      reason,
+    });
     this.sendAgain(session, 'unreachable', now);
   }
 
@@ -257,7 +268,11 @@
     session.arrivals += 1;
     session.excluded.add(backend.record.id);
     if (session.kvSource) this.dropKv(session);
-    this.decide('request.turned-away', session, { backend: backend.record.id, status, wrongIncarnation });
+    this.answers.logDecision('request.turned-away', session, {
+      backend: backend.record.id,
+      status,
+      wrongIncarnation,
+    });
     if (!this.mayRepeat(session, now)) this.failNotServed(session, 'turned-away', now);
     else this.sendAgain(session, 'turned-away', now);
   }
@@ -269,7 +284,7 @@
     this.endAttempt(session, attempt);
     this.promptComputed(session, backend);
     session.kvSource = { address: backend.record.address, handle };
-    this.decide('request.prefilled', session, {
+    this.answers.logDecision('request.prefilled', session, {
       backend: backend.record.id,
       afterMs: Math.round(now - attempt.startedAt),
     });
@@ -281,7 +296,7 @@
     attempt.plan.backend.answering(attempt.attemptId, now);
     session.relaying = true;
     session.mayHaveRun = true;
-    this.decide('request.streaming', session, {
+    this.answers.logDecision('request.streaming', session, {
       backend: attempt.plan.backend.record.id,
       afterMs: Math.round(now - session.request.arrivedAt),
     });
@@ -299,13 +314,13 @@
     if (failed) backend.failed(now);
     else backend.succeeded(now);
     if (failed && mayRunAgain(session) && this.mayRepeat(session, now)) {
-      this.decide('request.attempt-failed', session, { backend: backend.record.id, status });
+      this.answers.logDecision('request.attempt-failed', session, { backend: backend.record.id, status });
       session.excluded.add(backend.record.id);
       this.send(session, now);
       return;
     }
     this.emit({ kind: 'replyWhole', requestId: session.request.id, attemptId: attempt.attemptId });
-    this.decide('request.answered', session, {
+    this.answers.logDecision('request.answered', session, {
       backend: backend.record.id,
       status,
       streamed: session.relaying,
@@ -322,7 +337,7 @@
     this.endAttempt(session, attempt);
     session.arrivals += 1;
     session.excluded.add(backend.record.id);
-    this.decide('request.attempt-failed', session, { backend: backend.record.id, reason });
+    this.answers.logDecision('request.attempt-failed', session, { backend: backend.record.id, reason });
     if (attempt.plan.prefillOnly) {
       if (this.mayRepeat(session, now)) this.sendAgain(session, 'turned-away', now);
       else this.failNotServed(session, 'turned-away', now);
@@ -384,40 +399,11 @@
     retryAfterMs: number | undefined,
     now: number,
   ): void {
-    const { request } = session;
-    if (session.relaying) {
-      this.emit({ kind: 'replyBroken', requestId: request.id });
-      this.decide('request.failed', session, {
-        failure,
-        sends: session.sends,
-        afterMs: Math.round(now - request.arrivedAt),
-      });
-    } else this.refuse(request, status, failure, retryAfterMs, now, session);
+    if (session.relaying) this.answers.sendBroken(session, failure, now);
+    else this.answers.sendFailure(session.request, status, failure, retryAfterMs, now, session);
     this.over(session);
   }
 
-  private refuse(
-    request: ForwardRequest,
-    status: number,
-    failure: ForwardFailure,
-    retryAfterMs: number | undefined,
-    now: number,
-    session?: Session,
-  ): void {
-    this.emit({ kind: 'replyFailure', requestId: request.id, status, failure, retryAfterMs });
-    const fields = session
-      ? {
-          service: session.service,
-          sends: session.sends,
-          afterMs: Math.round(now - session.request.arrivedAt),
-        }
-      : {};
-    const event =
-      status === STATUS_UNAVAILABLE || status === STATUS_NOT_FOUND ? 'request.refused' : 'request.failed';
-    const { callerId } = request;
-    this.emit({ kind: 'decision', event, callerId, fields: { status, failure, retryAfterMs, ...fields } });
-  }
-
   private promptComputed(session: Session, backend: BackendView): void {
     const { prompt } = session.request;
     if (!prompt) return;
@@ -447,13 +433,4 @@
     this.dropKv(session);
     this.sessions.delete(session.request.id);
   }
-
-  private decide(
-    event: Extract<ForwardEffect, { kind: 'decision' }>['event'],
-    session: Session,
-    fields: Readonly<Record<string, unknown>>,
-  ): void {
-    const { request, service } = session;
-    this.emit({ kind: 'decision', event, callerId: request.callerId, fields: { service, ...fields } });
-  }
 }
