--- a/src/forwarding/backend-directory.ts
+++ b/src/forwarding/backend-directory.ts
@@ -1,26 +1,24 @@
-/** All back ends that this daemon knows, by id and by service. */
+/// All back ends that this daemon knows, by id and by service.
 import type { BackendRecord } from './route.js';
 import { PeerLoads } from './peer-loads.js';
 import { BackendView, type BackendHealthSettings } from './backend-view.js';
 
-/**
- * One daemon's load on one back end in the form that travels: id, requests, prompt tokens, and its distrust: 0 none,
- * 1 the daemon avoids it, 2 the daemon is changing its stage.
- */
+/// One daemon's load on one back end in the form that travels: id, requests, prompt tokens, and its distrust: 0 none,
+/// 1 the daemon avoids it, 2 the daemon is changing its stage.
 export type BackendLoad = [id: string, inFlight: number, pendingTokens: number, distrust: number];
 
 const AVOIDED = 1;
 const CHANGING = 2;
-/** The directory of one daemon. Times are monotonic milliseconds. */
+/// The directory of one daemon. Times are monotonic milliseconds.
 export class BackendDirectory {
   private readonly views = new Map<string, BackendView>();
   private readonly byService = new Map<string, BackendView[]>();
-  /** What the other daemons put on the back ends. */
+  /// What the other daemons put on the back ends.
   readonly peers = new PeerLoads();
 
   constructor(private readonly settings: BackendHealthSettings) {}
 
-  /** Takes the present record of a back end. */
+  /// Takes the present record of a back end.
   put(record: BackendRecord): void {
     const known = this.views.get(record.id);
     if (known) {
@@ -34,7 +32,7 @@
     this.byService.set(record.service, views);
   }
 
-  /** Forgets a back end whose record is gone. Attempts that run there end by themselves. */
+  /// Forgets a back end whose record is gone. Attempts that run there end by themselves.
   remove(id: string): BackendView | undefined {
     const view = this.views.get(id);
     if (!view) return undefined;
@@ -45,22 +43,22 @@
     return view;
   }
 
-  /** The back end with this id. */
+  /// The back end with this id.
   get(id: string): BackendView | undefined {
     return this.views.get(id);
   }
 
-  /** Every back end of a service. */
+  /// Every back end of a service.
   ofService(service: string): readonly BackendView[] {
     return this.byService.get(service) ?? [];
   }
 
-  /** Every back end. */
+  /// Every back end.
   all(): IterableIterator<BackendView> {
     return this.views.values();
   }
 
-  /** This daemon's own load, for its peers: back ends with work or trouble only. */
+  /// This daemon's own load, for its peers: back ends with work or trouble only.
   ownLoads(now: number): BackendLoad[] {
     const loads: BackendLoad[] = [];
     for (const view of this.views.values()) {
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -1,7 +1,5 @@
-/**
- * Chooses the back end of an attempt. Plain back ends: the least loaded of a few drawn. Model engines: the one
- * where the prompt is computed soonest, counting the tokens that wait there and those that its KV cache saves.
- */
+/// Chooses the back end of an attempt. Plain back ends: the least loaded of a few drawn. Model engines: the one
+/// where the prompt is computed soonest, counting the tokens that wait there and those that its KV cache saves.
 import type { RandomSource } from '../shared/random.js';
 import { pickByRendezvous } from '../shared/rendezvous-hash.js';
 import type { BackendDirectory } from './backend-directory.js';
@@ -9,28 +7,26 @@
 import { sharedKey, sharedTokens, type PromptOutline } from './forward-request.js';
 import type { PrefixIndex } from './prefix-index.js';
 
-/** Settings of the choice. */
+/// Settings of the choice.
 export interface BackendPickerSettings {
-  /** Back ends drawn for a choice among many. Default 3. */
+  /// Back ends drawn for a choice among many. Default 3.
   readonly draws: number;
-  /** Shared prompts of at least so many tokens have a home. Default 1000. */
+  /// Shared prompts of at least so many tokens have a home. Default 1000.
   readonly minimumAffinityTokens: number;
-  /** How much slower a decode engine computes prompts than a prefill engine. Default 2. */
+  /// How much slower a decode engine computes prompts than a prefill engine. Default 2.
   readonly decodePromptFactor: number;
-  /** Shared parts read again delay others too: they weigh so much more than their tokens. Default 4. */
+  /// Shared parts read again delay others too: they weigh so much more than their tokens. Default 4.
   readonly readAgainFactor: number;
-  /** What one request on an engine costs another, in prompt tokens. Default 60. */
+  /// What one request on an engine costs another, in prompt tokens. Default 60.
   readonly requestCostTokens: number;
-  /**
-   * Longer prompts are computed by prefill engines while there is one: on a decode engine they would hold up
-   * the tokens of every other stream. Default 300.
-   */
+  /// Longer prompts are computed by prefill engines while there is one: on a decode engine they would hold up
+  /// the tokens of every other stream. Default 300.
   readonly decodePromptTokens: number;
-  /** What another zone costs, in requests per slot for plain back ends. Default 0.1. */
+  /// What another zone costs, in requests per slot for plain back ends. Default 0.1.
   readonly otherZoneCost: number;
 }
 
-/** Default settings. */
+/// Default settings.
 export const DEFAULT_BACKEND_PICKER_SETTINGS: BackendPickerSettings = {
   draws: 3,
   minimumAffinityTokens: 1000,
@@ -41,33 +37,33 @@
   otherZoneCost: 0.1,
 };
 
-/** Why a back end was chosen: the least loaded, or with regard to the shared parts of the prompt. */
+/// Why a back end was chosen: the least loaded, or with regard to the shared parts of the prompt.
 export type PlanReason = 'least-loaded' | 'home' | 'kept' | 'spill';
 
-/** Where an attempt goes. */
+/// Where an attempt goes.
 export interface BackendPlan {
   readonly backend: BackendView;
-  /** Prompt tokens that are expected to be computed there; shared parts count unless they are known to be kept. */
+  /// Prompt tokens that are expected to be computed there; shared parts count unless they are known to be kept.
   readonly promptTokens: number;
-  /** The prompt is only computed there and generated elsewhere. */
+  /// The prompt is only computed there and generated elsewhere.
   readonly prefillOnly: boolean;
-  /** Why this back end, for the log. */
+  /// Why this back end, for the log.
   readonly reason: PlanReason;
 }
 
-/** What is wanted of a choice. */
+/// What is wanted of a choice.
 export interface BackendWanted {
   readonly service: string;
   readonly prompt: PromptOutline | undefined;
-  /** The KV cache exists already: only a decode engine will do. */
+  /// The KV cache exists already: only a decode engine will do.
   readonly prefilled: boolean;
-  /** Back ends that this request has been sent to. */
+  /// Back ends that this request has been sent to.
   readonly excluded: ReadonlySet<string>;
-  /** Requests that this daemon may have on one back end: its part of the connections that a back end takes. */
+  /// Requests that this daemon may have on one back end: its part of the connections that a back end takes.
   readonly maximumOwnInFlight: number;
 }
 
-/** Chooses back ends. */
+/// Chooses back ends.
 export class BackendPicker {
   constructor(
     private readonly settings: BackendPickerSettings,
@@ -77,7 +73,7 @@
     private readonly random: RandomSource,
   ) {}
 
-  /** The best plan, or undefined when no back end of the service takes work. */
+  /// The best plan, or undefined when no back end of the service takes work.
   pick(wanted: BackendWanted, now: number): BackendPlan | undefined {
     const candidates = this.candidates(wanted, now);
     if (candidates.length === 0) return undefined;
@@ -88,7 +84,7 @@
     return this.pickForPrompt(prompt, wanted, candidates);
   }
 
-  /** Those that may take the request; the ones in trouble only when there is no other. */
+  /// Those that may take the request; the ones in trouble only when there is no other.
   private candidates(wanted: BackendWanted, now: number): BackendView[] {
     const able = this.directory
       .ofService(wanted.service)
@@ -135,10 +131,8 @@
     return this.pickWithAffinity(prompt, able, this.homeOf(prompt, wanted.service, able));
   }
 
-  /**
-   * Every engine is weighed: one that is known to keep the shared parts saves their tokens; the home computes them
-   * once for all; any other engine would compute them beside it.
-   */
+  /// Every engine is weighed: one that is known to keep the shared parts saves their tokens; the home computes them
+  /// once for all; any other engine would compute them beside it.
   private pickWithAffinity(
     prompt: PromptOutline,
     candidates: readonly BackendView[],
@@ -164,7 +158,7 @@
     return best as BackendPlan;
   }
 
-  /** The engine that keeps the shared parts: the same for every daemon, also while it is avoided for a moment. */
+  /// The engine that keeps the shared parts: the same for every daemon, also while it is avoided for a moment.
   private homeOf(prompt: PromptOutline, service: string, able: readonly BackendView[]): string | undefined {
     if (sharedTokens(prompt) < this.settings.minimumAffinityTokens) return undefined;
     const { stage } = able[0].record;
@@ -175,7 +169,7 @@
     return pickByRendezvous(sharedKey(prompt), ids);
   }
 
-  /** Time that a token of a prompt takes, in tokens of a prefill engine. */
+  /// Time that a token of a prompt takes, in tokens of a prefill engine.
   private promptFactor(view: BackendView): number {
     return view.record.stage === 'prefill' ? 1 : this.settings.decodePromptFactor;
   }
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -1,24 +1,24 @@
-/** One incarnation of a back end as this daemon sees it: its record, the load put on it, and how it behaves. */
+/// One incarnation of a back end as this daemon sees it: its record, the load put on it, and how it behaves.
 import type { PeerLoads } from './peer-loads.js';
 import type { BackendRecord } from './route.js';
 
-/** How a back end's failures are judged. */
+/// How a back end's failures are judged.
 export interface BackendHealthSettings {
-  /** A back end whose failure share rises above this is avoided. Default 0.3. */
+  /// A back end whose failure share rises above this is avoided. Default 0.3.
   readonly ejectFailureShare: number;
-  /** Outcomes that one failure share looks back on, about. Default 6. */
+  /// Outcomes that one failure share looks back on, about. Default 6.
   readonly failureMemory: number;
-  /** How long a back end is avoided at first; doubled while it goes on failing. Milliseconds. Default 1000. */
+  /// How long a back end is avoided at first; doubled while it goes on failing. Milliseconds. Default 1000.
   readonly ejectionMs: number;
-  /** The longest such time. Milliseconds. Default 4000. */
+  /// The longest such time. Milliseconds. Default 4000.
   readonly maximumEjectionMs: number;
-  /** A back end that has answered nothing for so long while work waits there is avoided. Milliseconds. Default 800. */
+  /// A back end that has answered nothing for so long while work waits there is avoided. Milliseconds. Default 800.
   readonly silenceMs: number;
-  /** So much longer for each prompt token that waits there. Milliseconds. Default 0.05. */
+  /// So much longer for each prompt token that waits there. Milliseconds. Default 0.05.
   readonly silenceMsPerToken: number;
 }
 
-/** Default settings. */
+/// Default settings.
 export const DEFAULT_BACKEND_HEALTH_SETTINGS: BackendHealthSettings = {
   ejectFailureShare: 0.3,
   failureMemory: 6,
@@ -30,16 +30,16 @@
 
 interface SentAttempt {
   readonly sentAt: number;
-  /** Prompt tokens to be computed there. */
+  /// Prompt tokens to be computed there.
   readonly promptTokens: number;
   answering: boolean;
 }
 
-/** The state of one back end. Times are monotonic milliseconds. */
+/// The state of one back end. Times are monotonic milliseconds.
 export class BackendView {
-  /** The incarnation has ended or its address belongs to another one. */
+  /// The incarnation has ended or its address belongs to another one.
   gone = false;
-  /** This daemon is changing the engine's stage. */
+  /// This daemon is changing the engine's stage.
   changing = false;
   private readonly attempts = new Map<string, SentAttempt>();
   private ownPendingTokens = 0;
@@ -55,13 +55,13 @@
     private readonly peers: PeerLoads,
   ) {}
 
-  /** Counts an attempt with so many prompt tokens to compute. */
+  /// Counts an attempt with so many prompt tokens to compute.
   begin(attemptId: string, promptTokens: number, now: number): void {
     this.attempts.set(attemptId, { sentAt: now, promptTokens, answering: false });
     this.ownPendingTokens += promptTokens;
   }
 
-  /** The attempt has begun to answer: its prompt is computed. */
+  /// The attempt has begun to answer: its prompt is computed.
   answering(attemptId: string, now: number): void {
     this.lastHeardAt = now;
     const attempt = this.attempts.get(attemptId);
@@ -70,7 +70,7 @@
     this.ownPendingTokens -= attempt.promptTokens;
   }
 
-  /** The attempt is over. */
+  /// The attempt is over.
   end(attemptId: string): void {
     const attempt = this.attempts.get(attemptId);
     if (!attempt) return;
@@ -78,7 +78,7 @@
     if (!attempt.answering) this.ownPendingTokens -= attempt.promptTokens;
   }
 
-  /** The back end answered as it should. */
+  /// The back end answered as it should.
   succeeded(now: number): void {
     this.lastHeardAt = now;
     this.unreachable = false;
@@ -86,67 +86,67 @@
     if (this.failureShare < this.settings.ejectFailureShare / 2) this.ejections = 0;
   }
 
-  /** The back end failed a request, turned it away though it should have room, or broke off. */
+  /// The back end failed a request, turned it away though it should have room, or broke off.
   failed(now: number): void {
     this.lastHeardAt = now;
     this.failureShare += (1 - this.failureShare) / this.settings.failureMemory;
     if (this.failureShare >= this.settings.ejectFailureShare) this.eject(now);
   }
 
-  /** No connection could be made, or it stayed silent: nothing more is sent there until it answers a probe. */
+  /// No connection could be made, or it stayed silent: nothing more is sent there until it answers a probe.
   lost(now: number): void {
     this.unreachable = true;
     this.eject(now);
   }
 
-  /** A probe was answered well. */
+  /// A probe was answered well.
   recovered(now: number): void {
     this.lastHeardAt = now;
     this.unreachable = false;
     this.ejectedUntil = Math.min(this.ejectedUntil, now);
   }
 
-  /** Whether nothing should be sent there while another back end can take it. */
+  /// Whether nothing should be sent there while another back end can take it.
   avoided(now: number): boolean {
     return this.changing || this.unreachable || now < this.ejectedUntil || this.silent(now);
   }
 
-  /** Whether only a probe can tell that the back end works again. */
+  /// Whether only a probe can tell that the back end works again.
   needsProbe(now: number): boolean {
     return this.unreachable || this.silent(now);
   }
 
-  /** Whether new work may go there at all. */
+  /// Whether new work may go there at all.
   takesWork(): boolean {
     return !this.gone && this.record.state === 'ready';
   }
 
-  /** Whether peers say that nothing should be sent there. */
+  /// Whether peers say that nothing should be sent there.
   distrusted(): boolean {
     return this.peers.isDistrusted(this.record.id);
   }
 
-  /** Attempts of this daemon. */
+  /// Attempts of this daemon.
   ownInFlight(): number {
     return this.attempts.size;
   }
 
-  /** Attempts of all daemons, as far as they have told. */
+  /// Attempts of all daemons, as far as they have told.
   inFlight(): number {
     return this.attempts.size + this.peers.getInFlight(this.record.id);
   }
 
-  /** Prompt tokens that this daemon has sent and that are still to be computed. */
+  /// Prompt tokens that this daemon has sent and that are still to be computed.
   ownPromptTokens(): number {
     return Math.max(0, this.ownPendingTokens);
   }
 
-  /** The same over all daemons. */
+  /// The same over all daemons.
   pendingTokens(): number {
     return this.ownPromptTokens() + this.peers.getPendingTokens(this.record.id);
   }
 
-  /** Whether it has answered nothing for too long while work waits there. */
+  /// Whether it has answered nothing for too long while work waits there.
   silent(now: number): boolean {
     let oldest = Infinity;
     for (const attempt of this.attempts.values())
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -1,9 +1,7 @@
-/**
- * Forwards requests byte for byte: finds the route, chooses back ends, repeats what may be repeated within the
- * shared retry budget, and sees that every request has exactly one answer. One session per request, at most one
- * live attempt per session. A request that may not be repeated runs at most once, and is refused as "not run"
- * only when no back end can have seen it.
- */
+/// Forwards requests byte for byte: finds the route, chooses back ends, repeats what may be repeated within the
+/// shared retry budget, and sees that every request has exactly one answer. One session per request, at most one
+/// live attempt per session. A request that may not be repeated runs at most once, and is refused as "not run"
+/// only when no back end can have seen it.
 import type { EffectSink } from '../shared/effect-sink.js';
 import type { BackendPicker, BackendPlan } from './backend-picker.js';
 import type { BackendView } from './backend-view.js';
@@ -30,21 +28,21 @@
 import type { RouteTable } from './route-table.js';
 import { WeightedChoice } from './weighted-choice.js';
 
-/** What the machine asks about its surroundings. */
+/// What the machine asks about its surroundings.
 export interface ForwardSurroundings {
-  /** The routes in force; undefined before the first configuration. */
+  /// The routes in force; undefined before the first configuration.
   routes(): RouteTable | undefined;
-  /** Whether the configuration may be out of date, so that a missing route proves nothing. */
+  /// Whether the configuration may be out of date, so that a missing route proves nothing.
   configurationMayBeStale(now: number): boolean;
-  /** How long the store has not answered about the configuration; 0 when it does. Milliseconds. */
+  /// How long the store has not answered about the configuration; 0 when it does. Milliseconds.
   outageMs(now: number): number;
-  /** Daemons that share the retry budget. */
+  /// Daemons that share the retry budget.
   daemons(): number;
 }
 
 const FIRST_SERVER_ERROR = 500;
 
-/** The forwarding machine of one daemon. Times are monotonic milliseconds. */
+/// The forwarding machine of one daemon. Times are monotonic milliseconds.
 export class ForwardManager {
   private readonly sessions = new Map<string, Session>();
   private readonly split = new WeightedChoice();
@@ -62,17 +60,17 @@
     this.answers = new ForwardAnswers(emit);
   }
 
-  /** Requests in hand. */
+  /// Requests in hand.
   active(): number {
     return this.sessions.size;
   }
 
-  /** From now on new requests are refused: the process has no time left to finish them. */
+  /// From now on new requests are refused: the process has no time left to finish them.
   closeForNew(): void {
     this.closed = true;
   }
 
-  /** Takes a whole request from a caller. */
+  /// Takes a whole request from a caller.
   begin(request: ForwardRequest, now: number): void {
     if (this.closed) {
       this.answers.sendRefusal(request, 'stopping', this.settings.stoppingRetryAfterMs, now);
@@ -114,7 +112,7 @@
     this.send(session, now);
   }
 
-  /** The caller went away: the work is cancelled. */
+  /// The caller went away: the work is cancelled.
   cancel(requestId: string, now: number): void {
     const session = this.sessions.get(requestId);
     if (!session) return;
@@ -125,7 +123,7 @@
     this.over(session);
   }
 
-  /** Takes what became of an attempt. Events of attempts that are no longer live are dropped. */
+  /// Takes what became of an attempt. Events of attempts that are no longer live are dropped.
   attemptEvent(requestId: string, attemptId: string, event: ForwardAttemptEvent, now: number): void {
     const session = this.sessions.get(requestId);
     const attempt = session?.attempt;
@@ -157,7 +155,7 @@
     }
   }
 
-  /** Advances timers. */
+  /// Advances timers.
   tick(now: number): void {
     for (const session of [...this.sessions.values()]) {
       if (now >= session.deadlineAt) this.deadline(session, now);
@@ -172,7 +170,7 @@
     } else this.answers.sendFailure(request, STATUS_NOT_FOUND, 'no-route', undefined, now);
   }
 
-  /** An outage is expected to last as long again as it has lasted. */
+  /// An outage is expected to last as long again as it has lasted.
   private outageRetryAfterMs(now: number): number {
     const { retryAfterMs, maximumRetryAfterMs } = this.settings;
     return Math.min(maximumRetryAfterMs, Math.max(retryAfterMs, this.surroundings.outageMs(now)));
@@ -230,7 +228,7 @@
     });
   }
 
-  /** A back end takes so many connections from all daemons together; each keeps to its part. */
+  /// A back end takes so many connections from all daemons together; each keeps to its part.
   private connectionShare(service: string): number {
     const maximum = this.surroundings.routes()?.service(service)?.maximumConnections ?? Infinity;
     const share = (maximum * this.settings.connectionUse) / this.surroundings.daemons();
@@ -330,7 +328,7 @@
     this.over(session);
   }
 
-  /** The back end may have worked: repeat only what may be repeated. */
+  /// The back end may have worked: repeat only what may be repeated.
   private broken(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
     const { backend } = attempt.plan;
     backend.failed(now);
@@ -361,7 +359,7 @@
     else this.fail(session, STATUS_DEADLINE, 'deadline', undefined, now);
   }
 
-  /** An engine that answers others was only busy; a plain back end should have answered. */
+  /// An engine that answers others was only busy; a plain back end should have answered.
   private unansweredAtDeadline(attempt: LiveAttempt, now: number): void {
     const { backend } = attempt.plan;
     if (backend.silent(now)) backend.lost(now);
@@ -374,7 +372,7 @@
     this.broken(session, attempt, 'stalled', now);
   }
 
-  /** Takes one repeat of the budget, when another send makes sense at all. */
+  /// Takes one repeat of the budget, when another send makes sense at all.
   private mayRepeat(session: Session, now: number): boolean {
     if (session.sends >= this.settings.maximumSends || now >= session.deadlineAt) return false;
     return this.allowance.tryRepeat(session.service, this.surroundings.daemons(), now);
@@ -386,7 +384,7 @@
     else this.send(session, now);
   }
 
-  /** No back end took it: refused as not run when that is certain. */
+  /// No back end took it: refused as not run when that is certain.
   private failNotServed(session: Session, failure: ForwardFailure, now: number): void {
     if (session.mayHaveRun) this.fail(session, STATUS_BROKEN, failure, undefined, now);
     else this.fail(session, STATUS_UNAVAILABLE, failure, this.settings.retryAfterMs, now);
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -1,54 +1,52 @@
-/** The state of one forwarded request in a daemon. */
+/// The state of one forwarded request in a daemon.
 import type { BackendPlan } from './backend-picker.js';
 import type { KvSource } from './forward-messages.js';
 import type { ForwardRequest } from './forward-request.js';
 import type { ForwardSettings } from './forward-settings.js';
 import type { Route } from './route.js';
 
-/** The attempt that is under way. Times are monotonic milliseconds. */
+/// The attempt that is under way. Times are monotonic milliseconds.
 export interface LiveAttempt {
   readonly attemptId: string;
   readonly plan: BackendPlan;
   readonly startedAt: number;
   lastEventAt: number;
-  /** A stream has begun to arrive. */
+  /// A stream has begun to arrive.
   answering: boolean;
 }
 
-/** One request. Times are monotonic milliseconds. */
+/// One request. Times are monotonic milliseconds.
 export interface Session {
   readonly request: ForwardRequest;
   readonly route: Route;
   readonly service: string;
   readonly deadlineAt: number;
-  /** Back ends that it has been sent to. */
+  /// Back ends that it has been sent to.
   readonly excluded: Set<string>;
   attempt: LiveAttempt | undefined;
   sends: number;
-  /** Arrivals at back ends, as the retry budget counts them. */
+  /// Arrivals at back ends, as the retry budget counts them.
   arrivals: number;
   runs: number;
   mayHaveRun: boolean;
-  /** The head of a stream has been passed on. */
+  /// The head of a stream has been passed on.
   relaying: boolean;
   lastEventId: string | undefined;
   kvSource: KvSource | undefined;
 }
 
-/** Whether requests of the route may run more than once. */
+/// Whether requests of the route may run more than once.
 export function isRepeatable({ kind, resumable }: Route): boolean {
   return kind === 'idempotent' || (kind === 'stream' && resumable);
 }
 
-/** Whether the request may run at one more back end. */
+/// Whether the request may run at one more back end.
 export function mayRunAgain({ route, runs }: Session): boolean {
   return isRepeatable(route) && runs < route.maximumAttempts;
 }
 
-/**
- * Whether the attempt makes no progress, may be moved to another back end, and its back end answers nobody else
- * either. A stream that has begun is judged by its pauses alone.
- */
+/// Whether the attempt makes no progress, may be moved to another back end, and its back end answers nobody else
+/// either. A stream that has begun is judged by its pauses alone.
 export function isStalled(
   session: Session,
   attempt: LiveAttempt,
@@ -63,10 +61,10 @@
   return quietMs > limit && attempt.plan.backend.silent(now);
 }
 
-/** Ranks of one route's priority: short prompts, then long ones. */
+/// Ranks of one route's priority: short prompts, then long ones.
 const RANKS_PER_PRIORITY = 2;
 
-/** How urgent an attempt is for its engine. Prompts are computed in turn, so a long one would hold up many short ones. */
+/// How urgent an attempt is for its engine. Prompts are computed in turn, so a long one would hold up many short ones.
 export function urgencyOf(route: Route, plan: BackendPlan, settings: ForwardSettings): number {
   const long = plan.prefillOnly && plan.promptTokens > settings.longPromptTokens;
   return route.priority * RANKS_PER_PRIORITY + (long ? 1 : 0);
--- a/src/forwarding/health-prober.ts
+++ b/src/forwarding/health-prober.ts
@@ -1,17 +1,17 @@
-/** Asks back ends that stay silent or refuse connections whether they work again, so that no request has to. */
+/// Asks back ends that stay silent or refuse connections whether they work again, so that no request has to.
 import type { EffectSink } from '../shared/effect-sink.js';
 import type { BackendDirectory } from './backend-directory.js';
 import type { BackendRecord } from './route.js';
 
-/** A probe of one back end. */
+/// A probe of one back end.
 export interface HealthProbe {
   readonly backend: BackendRecord;
 }
 
-/** Interval between probes of one back end. Milliseconds. */
+/// Interval between probes of one back end. Milliseconds.
 const PROBE_INTERVAL_MS = 500;
 
-/** The prober of one daemon. Times are monotonic milliseconds. */
+/// The prober of one daemon. Times are monotonic milliseconds.
 export class HealthProber {
   private readonly probedAt = new Map<string, number>();
 
@@ -20,7 +20,7 @@
     private readonly emit: EffectSink<HealthProbe>,
   ) {}
 
-  /** Sends the probes that are due. */
+  /// Sends the probes that are due.
   tick(now: number): void {
     for (const view of this.directory.all()) {
       const { id } = view.record;
@@ -35,7 +35,7 @@
     }
   }
 
-  /** Takes the outcome of a probe. */
+  /// Takes the outcome of a probe.
   answered(id: string, well: boolean, now: number): void {
     if (well) this.directory.get(id)?.recovered(now);
   }
--- a/src/forwarding/prefix-index.ts
+++ b/src/forwarding/prefix-index.ts
@@ -1,30 +1,28 @@
-/**
- * Which shared prompt parts an engine is believed to keep in its KV cache, from what this daemon sent there and from
- * what its peers say that they sent.
- */
+/// Which shared prompt parts an engine is believed to keep in its KV cache, from what this daemon sent there and from
+/// what its peers say that they sent.
 import { hashText } from '../shared/rendezvous-hash.js';
 
-/** A prompt that was computed somewhere, in the form that travels: engine, hash of the shared key, shared tokens. */
+/// A prompt that was computed somewhere, in the form that travels: engine, hash of the shared key, shared tokens.
 export type PrefixPlacement = [engineId: string, keyHash: number, tokens: number];
 
-/** Placements kept for the next digest at most. */
+/// Placements kept for the next digest at most.
 const MAXIMUM_RECENT = 64;
 
 interface EnginePrefixes {
-  /** Keys in order of last use, with their tokens. */
+  /// Keys in order of last use, with their tokens.
   readonly tokensByKey: Map<number, number>;
   total: number;
 }
 
-/** The index of one daemon. */
+/// The index of one daemon.
 export class PrefixIndex {
   private readonly engines = new Map<string, EnginePrefixes>();
   private recent: PrefixPlacement[] = [];
 
-  /** @param capacityShare share of an engine's cache that this daemon counts on */
+  /// @param capacityShare share of an engine's cache that this daemon counts on
   constructor(private readonly capacityShare: number) {}
 
-  /** This daemon had a prompt with this shared key computed at the engine. */
+  /// This daemon had a prompt with this shared key computed at the engine.
   used(engineId: string, key: string, tokens: number, capacityTokens: number): void {
     const keyHash = hashText(key);
     this.recent.push([engineId, keyHash, tokens]);
@@ -32,24 +30,24 @@
     this.keep(engineId, keyHash, tokens, capacityTokens);
   }
 
-  /** A peer had such a prompt computed. */
+  /// A peer had such a prompt computed.
   usedByPeer([engineId, keyHash, tokens]: PrefixPlacement, capacityTokens: number): void {
     this.keep(engineId, keyHash, tokens, capacityTokens);
   }
 
-  /** What this daemon had computed since the last call. */
+  /// What this daemon had computed since the last call.
   takeRecent(): PrefixPlacement[] {
     const { recent } = this;
     this.recent = [];
     return recent;
   }
 
-  /** Whether the engine is believed to keep the key's parts. */
+  /// Whether the engine is believed to keep the key's parts.
   has(engineId: string, key: string): boolean {
     return this.engines.get(engineId)?.tokensByKey.has(hashText(key)) ?? false;
   }
 
-  /** The engine is gone, and its cache with it. */
+  /// The engine is gone, and its cache with it.
   forget(engineId: string): void {
     this.engines.delete(engineId);
   }
--- a/src/forwarding/retry-allowance.ts
+++ b/src/forwarding/retry-allowance.ts
@@ -1,24 +1,22 @@
-/**
- * This daemon's part of a retry budget that all daemons share without talking: within any window, a service may
- * get at most `ratio` repeats per request and `slack` more, over all daemons. A daemon counts its own requests
- * and takes an equal part of the slack.
- */
+/// This daemon's part of a retry budget that all daemons share without talking: within any window, a service may
+/// get at most `ratio` repeats per request and `slack` more, over all daemons. A daemon counts its own requests
+/// and takes an equal part of the slack.
 
-/** Figures of the budget. */
+/// Figures of the budget.
 export interface RetryAllowanceSettings {
-  /** Repeats per request. */
+  /// Repeats per request.
   readonly ratio: number;
-  /** Repeats beyond the ratio in one window, over all daemons. */
+  /// Repeats beyond the ratio in one window, over all daemons.
   readonly slack: number;
-  /** Length of the sliding window. Milliseconds. */
+  /// Length of the sliding window. Milliseconds.
   readonly windowMs: number;
 }
 
-/** Part of the budget that is used; the rest covers counts that lie on both sides of a window's edge. */
+/// Part of the budget that is used; the rest covers counts that lie on both sides of a window's edge.
 const SAFE_SHARE = 0.8;
 const BUCKET_MS = 250;
 
-/** Counts of a sliding window in buckets. */
+/// Counts of a sliding window in buckets.
 class WindowCount {
   private buckets: { at: number; count: number }[] = [];
 
@@ -36,26 +34,26 @@
   }
 }
 
-/** The allowance of one daemon, by service. Times are monotonic milliseconds. */
+/// The allowance of one daemon, by service. Times are monotonic milliseconds.
 export class RetryAllowance {
   private readonly requests = new Map<string, WindowCount>();
   private readonly repeats = new Map<string, WindowCount>();
 
   constructor(private readonly settings: RetryAllowanceSettings) {}
 
-  /** Counts a request for `service`. */
+  /// Counts a request for `service`.
   requestSeen(service: string, now: number): void {
     countOf(this.requests, service).add(now);
   }
 
-  /** Takes one repeat if the allowance has one; `daemons` share the slack. */
+  /// Takes one repeat if the allowance has one; `daemons` share the slack.
   tryRepeat(service: string, daemons: number, now: number): boolean {
     if (this.left(service, daemons, now) < 1) return false;
     countOf(this.repeats, service).add(now);
     return true;
   }
 
-  /** Repeats left in this window. */
+  /// Repeats left in this window.
   left(service: string, daemons: number, now: number): number {
     const { ratio, slack, windowMs } = this.settings;
     const requests = countOf(this.requests, service).since(now - windowMs);
--- a/src/forwarding/route-schema.ts
+++ b/src/forwarding/route-schema.ts
@@ -1,4 +1,4 @@
-/** The checked form of a configuration of routes. */
+/// The checked form of a configuration of routes.
 import * as z from 'zod';
 import type { RouteConfiguration } from './route.js';
 
@@ -40,7 +40,7 @@
   idleTimeoutMs: milliseconds,
 });
 
-/** The schema; its issues name the field that is wrong. */
+/// The schema; its issues name the field that is wrong.
 export const routeConfigurationSchema: z.ZodType<RouteConfiguration> = z.object({
   version: z.number().finite(),
   routes: z.array(route),
--- a/src/forwarding/route-table.ts
+++ b/src/forwarding/route-table.ts
@@ -1,7 +1,7 @@
-/** Finds the route of a request in one version of the configuration. */
+/// Finds the route of a request in one version of the configuration.
 import type { BackendService, Route, RouteConfiguration } from './route.js';
 
-/** An index over the routes of one configuration. */
+/// An index over the routes of one configuration.
 export class RouteTable {
   private readonly byHost = new Map<string, Route[]>();
   private readonly services: ReadonlyMap<string, BackendService>;
@@ -19,7 +19,7 @@
     this.services = new Map(configuration.services.map((service) => [service.name, service]));
   }
 
-  /** The route with the longest prefix of `path` on `host`; a port in `host` and a query in `path` are ignored. */
+  /// The route with the longest prefix of `path` on `host`; a port in `host` and a query in `path` are ignored.
   match(host: string, path: string): Route | undefined {
     const routes = this.byHost.get(withoutPort(host).toLowerCase());
     if (!routes) return undefined;
@@ -28,7 +28,7 @@
     return routes.find((route) => plainPath.startsWith(route.pathPrefix));
   }
 
-  /** The service of this name. */
+  /// The service of this name.
   service(name: string): BackendService | undefined {
     return this.services.get(name);
   }
--- a/src/forwarding/route.ts
+++ b/src/forwarding/route.ts
@@ -1,68 +1,68 @@
-/** Routes, back-end services and back ends as the daemon knows them, whatever form an operator writes them in. */
+/// Routes, back-end services and back ends as the daemon knows them, whatever form an operator writes them in.
 
-/** How a request may be handled: whether it may run again, and whether its answer is a stream of events. */
+/// How a request may be handled: whether it may run again, and whether its answer is a stream of events.
 export type RequestKind = 'idempotent' | 'nonIdempotent' | 'stream';
 
-/** One part of a route's traffic. */
+/// One part of a route's traffic.
 export interface RouteTarget {
   readonly service: string;
-  /** Share of the traffic, relative to the other targets of the route. */
+  /// Share of the traffic, relative to the other targets of the route.
   readonly weight: number;
 }
 
-/** Which requests go to which service, and how long they may take. */
+/// Which requests go to which service, and how long they may take.
 export interface Route {
   readonly name: string;
   readonly host: string;
-  /** Begins and ends with a slash; the longest one that begins the path wins. */
+  /// Begins and ends with a slash; the longest one that begins the path wins.
   readonly pathPrefix: string;
   readonly kind: RequestKind;
-  /** Whether a stream may go on at another back end after its last event. */
+  /// Whether a stream may go on at another back end after its last event.
   readonly resumable: boolean;
-  /** The longest that a request may be held. Milliseconds. */
+  /// The longest that a request may be held. Milliseconds.
   readonly timeoutMs: number;
-  /** Time to the answer, or to a stream's first event, that the operator wants. Milliseconds. */
+  /// Time to the answer, or to a stream's first event, that the operator wants. Milliseconds.
   readonly targetLatencyMs: number;
-  /** The longest pause between events that the operator wants. Milliseconds. */
+  /// The longest pause between events that the operator wants. Milliseconds.
   readonly targetGapMs: number;
-  /** 0 is the most urgent. */
+  /// 0 is the most urgent.
   readonly priority: number;
-  /** Back ends on which one request may run. */
+  /// Back ends on which one request may run.
   readonly maximumAttempts: number;
   readonly targets: readonly RouteTarget[];
 }
 
-/** What the operator says of a service's back ends. */
+/// What the operator says of a service's back ends.
 export interface BackendService {
   readonly name: string;
   readonly healthPath: string;
-  /** Connections that one back end takes from all daemons together. */
+  /// Connections that one back end takes from all daemons together.
   readonly maximumConnections: number;
-  /** Present when the back ends are model engines. */
+  /// Present when the back ends are model engines.
   readonly engine: EngineTraits | undefined;
 }
 
-/** What all model engines of a service have in common. */
+/// What all model engines of a service have in common.
 export interface EngineTraits {
-  /** Requests that run at once. */
+  /// Requests that run at once.
   readonly slots: number;
-  /** Tokens that fit into the KV cache. */
+  /// Tokens that fit into the KV cache.
   readonly kvCapacityTokens: number;
-  /** How long an exported KV cache is kept for its taker. Milliseconds. */
+  /// How long an exported KV cache is kept for its taker. Milliseconds.
   readonly kvHandleLifetimeMs: number;
 }
 
-/** Bounds on what callers send. */
+/// Bounds on what callers send.
 export interface CallerLimits {
   readonly maximumHeaderBytes: number;
   readonly maximumBodyBytes: number;
-  /** Milliseconds. */
+  /// Milliseconds.
   readonly headerTimeoutMs: number;
-  /** How long a connection may rest between requests. Milliseconds. */
+  /// How long a connection may rest between requests. Milliseconds.
   readonly idleTimeoutMs: number;
 }
 
-/** One version of the operator's configuration. Versions rise. */
+/// One version of the operator's configuration. Versions rise.
 export interface RouteConfiguration {
   readonly version: number;
   readonly routes: readonly Route[];
@@ -70,20 +70,20 @@
   readonly limits: CallerLimits;
 }
 
-/** Stage of a model engine: it computes prompts for others, or generates. */
+/// Stage of a model engine: it computes prompts for others, or generates.
 export type EngineStage = 'prefill' | 'decode';
 
-/** One incarnation of a back end. */
+/// One incarnation of a back end.
 export interface BackendRecord {
-  /** A new one at each start of the back end. */
+  /// A new one at each start of the back end.
   readonly id: string;
   readonly service: string;
-  /** `ip:port`. */
+  /// `ip:port`.
   readonly address: string;
   readonly zone: string;
-  /** Requests that it works on at once. */
+  /// Requests that it works on at once.
   readonly slots: number;
   readonly state: 'ready' | 'draining';
-  /** Undefined for back ends that are not model engines. */
+  /// Undefined for back ends that are not model engines.
   readonly stage: EngineStage | undefined;
 }
--- a/src/forwarding/weighted-choice.ts
+++ b/src/forwarding/weighted-choice.ts
@@ -1,14 +1,12 @@
-/**
- * Divides the requests of a route among its targets by weight. Smooth weighted round-robin: after each whole
- * round every target has had exactly its share, and shares stay close to the weights in between.
- */
+/// Divides the requests of a route among its targets by weight. Smooth weighted round-robin: after each whole
+/// round every target has had exactly its share, and shares stay close to the weights in between.
 import type { Route, RouteTarget } from './route.js';
 
-/** The running counts of all routes of one daemon. */
+/// The running counts of all routes of one daemon.
 export class WeightedChoice {
   private readonly credits = new Map<string, Map<string, number>>();
 
-  /** The service for the next request of `route`; undefined when the route has no target with a weight. */
+  /// The service for the next request of `route`; undefined when the route has no target with a weight.
   next(route: Route): string | undefined {
     const targets = route.targets.filter((target) => target.weight > 0);
     if (targets.length <= 1) return targets[0]?.service;
@@ -23,7 +21,7 @@
     return best.service;
   }
 
-  /** Forgets routes that are no longer configured. */
+  /// Forgets routes that are no longer configured.
   retain(names: ReadonlySet<string>): void {
     for (const name of this.credits.keys()) if (!names.has(name)) this.credits.delete(name);
   }
