Each service of model engines has an election of its own

Cause (read in the code, then shown by a test that failed): one field held the chosen member for all services, so that with two services of engines it changed twice a tick, the list of members never counted as settled and no lease was ever taken: no engine would change its stage.

--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -130,6 +130,9 @@
     this.handle(node, { kind: 'submit', request: { ...caller, prompt: undefined } });
   }
 
+  /** Services whose lease some daemon has asked for. */
+  readonly leasesAsked = new Set<string>();
+
   /** Reads that the store has seen from all daemons. */
   reads(): number {
     return this.nodes.reduce((sum, node) => sum + node.reads, 0);
@@ -164,6 +167,9 @@
       case 'readRecords':
         this.read(node, effect.read);
         break;
+      case 'leaseTable':
+        this.leasesAsked.add(effect.service);
+        break;
       case 'replyFailure':
         node.refusals.push({ status: effect.status, retryAfterMs: effect.retryAfterMs });
         break;
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -199,7 +199,6 @@
       settings.stages,
       { membership: this.membership, directory: this.directory },
       (effect) => this.onStage(effect),
-      now,
     );
     this.prober = new HealthProber(this.directory, (probe) => {
       const healthPath = this.routes?.service(probe.backend.service)?.healthPath;
--- a/src/daemon/stage-manager.ts
+++ b/src/daemon/stage-manager.ts
@@ -8,6 +8,7 @@
 import type { BackendDirectory } from '../forwarding/backend-directory.js';
 import type { RouteConfiguration } from '../forwarding/route.js';
 import type { Membership } from '../membership/membership.js';
+import type { Member } from '../membership/membership-messages.js';
 import type { TableResult } from '../platform/table-service.js';
 import type { EffectSink } from '../shared/effect-sink.js';
 import { pickByRendezvous } from '../shared/rendezvous-hash.js';
@@ -21,22 +22,25 @@
 /** The list of members must have been the same for so long before a daemon takes the lease. Milliseconds. */
 const SETTLED_MS = 1500;
 
+/** Which member should hold a service's lease, and since when that is so. */
+interface Election {
+  readonly chosen: string | undefined;
+  readonly since: number;
+}
+
 /** The manager of one daemon. Times are monotonic milliseconds. */
 export class StageManager {
   private readonly coordinators = new Map<string, StageCoordinator>();
   private slots = new Map<string, number>();
-  private coordinatorId: string | undefined;
-  private settledSince: number;
+  private readonly elections = new Map<string, Election>();
+  private electors: readonly Member[] = [];
 
   constructor(
     private readonly selfId: string,
     private readonly settings: StageCoordinatorSettings,
     private readonly parts: StageManagerParts,
     private readonly emit: EffectSink<StageEffect>,
-    now: number,
-  ) {
-    this.settledSince = now;
-  }
+  ) {}
 
   /** Takes the services of a configuration. */
   configured(configuration: RouteConfiguration): void {
@@ -46,13 +50,11 @@
 
   /** Advances every coordinator. `mayLead` is false while the daemon stops or does not hear the store. */
   tick(now: number, mayLead: boolean): void {
-    const members = this.parts.membership.active().map((member) => member.id);
+    this.elect(now);
     for (const [service, slots] of this.slots) {
-      const chosen = pickByRendezvous(service, members);
-      if (chosen !== this.coordinatorId) this.settledSince = now;
-      this.coordinatorId = chosen;
-      const settled = now - this.settledSince >= SETTLED_MS;
-      this.tickService(service, slots, mayLead && settled && chosen === this.selfId, now);
+      const election = this.elections.get(service);
+      const settled = election !== undefined && now - election.since >= SETTLED_MS;
+      this.tickService(service, slots, mayLead && settled && election.chosen === this.selfId, now);
     }
   }
 
@@ -71,6 +73,19 @@
     this.coordinators.get(service)?.orderAnswered(backendId, result);
   }
 
+  /** Finds for each service the member that should hold its lease, when the members or the services have changed. */
+  private elect(now: number): void {
+    const members = this.parts.membership.active();
+    const known = [...this.slots.keys()].every((service) => this.elections.has(service));
+    if (members === this.electors && known) return;
+    this.electors = members;
+    const ids = members.map((member) => member.id);
+    for (const service of this.slots.keys()) {
+      const chosen = pickByRendezvous(service, ids);
+      if (this.elections.get(service)?.chosen !== chosen) this.elections.set(service, { chosen, since: now });
+    }
+  }
+
   private tickService(service: string, slots: number, wanted: boolean, now: number): void {
     const coordinator = this.coordinatorOf(service, now);
     const views = this.parts.directory.ofService(service);
--- a/test/stages.test.ts
+++ b/test/stages.test.ts
@@ -1,7 +1,8 @@
 /** Changes of engines' stages: under the lease only, one at a time, with the orders expected. */
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { labBackend } from '../lab/forwarding-site.js';
+import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
+import { ForwardingFleet } from '../simulation/forwarding-fleet.js';
 import { StageCoordinator, type StageEffect } from '../src/allocation/stage-coordinator.js';
 import { DEFAULT_STAGE_PLANNER_SETTINGS, planStage } from '../src/allocation/stage-planner.js';
 import { PeerLoads } from '../src/forwarding/peer-loads.js';
@@ -122,6 +123,24 @@
   });
 });
 
+describe('stages of several services', () => {
+  it('each service of model engines gets a coordinator that asks for its lease', () => {
+    const fleet = new ForwardingFleet(9, 1);
+    const configuration = labConfiguration(1, [labRoute({})]);
+    const [service] = configuration.services;
+    const services = ['service', 'other'].map((name) => ({ ...service, name }));
+    fleet.write({ collection: 'configuration', revision: 0, value: { ...configuration, services } });
+    for (const { name } of services)
+      for (let index = 0; index < 4; index += 1) {
+        const id = `${name}-${index}`;
+        const engine = { ...labBackend(id, '10.1.0.1:80'), service: name, stage: 'prefill' as const };
+        fleet.write({ collection: 'backends', id, revision: 0, value: engine });
+      }
+    fleet.time.runUntil(8000);
+    expect([...fleet.leasesAsked].sort()).to.deep.equal(['other', 'service']);
+  });
+});
+
 describe('stage coordinator', () => {
   it('orders only under the lease, one engine at a time, with the count of orders that the engine told', () => {
     const site = new Coordination(views(FAR_FROM_PLAN));
