--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -3,9 +3,8 @@
   DEFAULT_FORWARDING_SETTINGS,
   ForwardingDaemon,
   type ForwardingDaemonSettings,
-  type ForwardingEffect,
-  type ForwardingEvent,
 } from '../src/daemon/forwarding-daemon.js';
+import type { ForwardingEffect, ForwardingEvent } from '../src/daemon/forwarding-messages.js';
 import { DEFAULT_STAGE_PLANNER_SETTINGS } from '../src/allocation/stage-planner.js';
 import type { RecordRead, RecordReadResult, StoredRecord } from '../src/fleet/record-store.js';
 import { DEFAULT_LEASE_SETTINGS } from '../src/lease/cell-lease.js';
--- /dev/null
+++ b/src/daemon/beliefs.ts
@@ -0,0 +1,69 @@
+/** Changes of what a daemon believes, as its log names them. */
+import type { StageEffect } from '../allocation/stage-coordinator.js';
+import type { FleetEffect } from '../fleet/fleet-replica.js';
+
+/** A change of what the daemon believes, for the log. */
+export interface BeliefEffect {
+  readonly kind: 'belief';
+  readonly event: BeliefEvent;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Stable names of changes of belief. */
+export type BeliefEvent =
+  | 'member.changed'
+  | 'configuration.changed'
+  | 'backend.changed'
+  | 'backend.removed'
+  | 'backend.recovered'
+  | 'store.lost'
+  | 'store.regained'
+  | 'lease.acquired'
+  | 'lease.lost'
+  | 'order.given'
+  | 'order.answered'
+  | 'drain.started';
+
+type FleetBelief = Exclude<FleetEffect, { kind: 'readRecords' | 'tellPeers' }>;
+type StageBelief = Exclude<StageEffect, { kind: 'leaseTable' | 'askEngine' }>;
+
+/** The belief that a change of the replica makes. */
+export function makeFleetBelief(effect: FleetBelief): BeliefEffect {
+  switch (effect.kind) {
+    case 'configurationChanged': {
+      const { configuration, source } = effect;
+      return makeBelief('configuration.changed', { version: configuration.version, source });
+    }
+    case 'backendChanged': {
+      const { record, revision, source } = effect;
+      const { id: backend, state, stage } = record;
+      return makeBelief('backend.changed', { backend, state, stage, revision, source });
+    }
+    case 'backendRemoved': {
+      const { id: backend, revision, source } = effect;
+      return makeBelief('backend.removed', { backend, revision, source });
+    }
+    case 'storeLost':
+      return makeBelief('store.lost', { collection: effect.collection, reason: effect.reason });
+    case 'storeRegained':
+      return makeBelief('store.regained', { collection: effect.collection });
+  }
+}
+
+/** The belief that a step of a stage coordinator makes. */
+export function makeStageBelief(effect: StageBelief): BeliefEffect {
+  switch (effect.kind) {
+    case 'leaseAcquired':
+      return makeBelief('lease.acquired', { service: effect.cell, epoch: effect.epoch });
+    case 'leaseLost':
+      return makeBelief('lease.lost', { service: effect.cell, epoch: effect.epoch });
+    case 'orderEngine': {
+      const { backend, stage, fence, expectedOrders } = effect.order;
+      return makeBelief('order.given', { backend: backend.id, stage, fence, expectedOrders });
+    }
+  }
+}
+
+function makeBelief(event: BeliefEvent, fields: Readonly<Record<string, unknown>>): BeliefEffect {
+  return { kind: 'belief', event, fields };
+}
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -8,7 +8,6 @@
   type FleetEffect,
   type FleetReplicaSettings,
 } from '../fleet/fleet-replica.js';
-import type { RecordCollection, RecordRead, RecordReadResult } from '../fleet/record-store.js';
 import {
   DEFAULT_PEER_EXCHANGE_SETTINGS,
   PeerExchange,
@@ -23,17 +22,13 @@
 import { DEFAULT_BACKEND_HEALTH_SETTINGS, type BackendHealthSettings } from '../forwarding/backend-view.js';
 import { ForwardManager } from '../forwarding/forward-manager.js';
 import { DEFAULT_FORWARD_SETTINGS, type ForwardSettings } from '../forwarding/forward-settings.js';
-import type { ForwardAttemptEvent, ForwardEffect } from '../forwarding/forward-messages.js';
-import type { ForwardRequest } from '../forwarding/forward-request.js';
-import { HealthProber, type HealthProbe } from '../forwarding/health-prober.js';
+import { HealthProber } from '../forwarding/health-prober.js';
 import { PrefixIndex, type PrefixPlacement } from '../forwarding/prefix-index.js';
 import { RetryAllowance, type RetryAllowanceSettings } from '../forwarding/retry-allowance.js';
-import type { RouteConfiguration } from '../forwarding/route.js';
 import { RouteTable } from '../forwarding/route-table.js';
-import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
 import type { StageCoordinatorSettings, StageEffect } from '../allocation/stage-coordinator.js';
-import type { BackendRecord } from '../forwarding/route.js';
-import type { TableRequest, TableResult } from '../platform/table-service.js';
+import { makeFleetBelief, makeStageBelief, type BeliefEvent } from './beliefs.js';
+import type { ForwardingEffect, ForwardingEvent } from './forwarding-messages.js';
 import { StageManager } from './stage-manager.js';
 import { initialMember } from '../membership/member-rules.js';
 import { Membership, type MembershipEffect } from '../membership/membership.js';
@@ -65,71 +60,6 @@
   forward: DEFAULT_FORWARD_SETTINGS,
 };
 
-/** What goes in. */
-export type ForwardingEvent =
-  | { readonly kind: 'tick' }
-  | {
-      readonly kind: 'peerMessage';
-      readonly fromId: string;
-      readonly fromAddress: string;
-      readonly message: PeerMessage;
-    }
-  | { readonly kind: 'recordsRead'; readonly collection: RecordCollection; readonly result: RecordReadResult }
-  | { readonly kind: 'submit'; readonly request: ForwardRequest }
-  | { readonly kind: 'cancel'; readonly requestId: string }
-  | {
-      readonly kind: 'attempt';
-      readonly requestId: string;
-      readonly attemptId: string;
-      readonly event: ForwardAttemptEvent;
-    }
-  | { readonly kind: 'probed'; readonly backendId: string; readonly well: boolean }
-  | { readonly kind: 'leaseTableResult'; readonly service: string; readonly result: TableResult }
-  | {
-      readonly kind: 'engineStatus';
-      readonly backend: BackendRecord;
-      readonly status: EngineStatus | undefined;
-    }
-  | { readonly kind: 'orderResult'; readonly order: StageOrder; readonly result: StageOrderResult }
-  | { readonly kind: 'beginDrain' }
-  /** The process will end too soon for new requests. */
-  | { readonly kind: 'closeForNew' };
-
-/** A change of what the daemon believes, for the log. */
-export interface BeliefEffect {
-  readonly kind: 'belief';
-  readonly event: BeliefEvent;
-  readonly fields: Readonly<Record<string, unknown>>;
-}
-
-/** Stable names of changes of belief. */
-export type BeliefEvent =
-  | 'member.changed'
-  | 'configuration.changed'
-  | 'backend.changed'
-  | 'backend.removed'
-  | 'backend.recovered'
-  | 'store.lost'
-  | 'store.regained'
-  | 'lease.acquired'
-  | 'lease.lost'
-  | 'order.given'
-  | 'order.answered'
-  | 'drain.started';
-
-/** What comes out. */
-export type ForwardingEffect =
-  | ForwardEffect
-  | BeliefEffect
-  | { readonly kind: 'sendPeer'; readonly address: string; readonly message: PeerMessage }
-  | { readonly kind: 'readRecords'; readonly read: RecordRead }
-  | { readonly kind: 'probeBackend'; readonly probe: HealthProbe; readonly healthPath: string }
-  | { readonly kind: 'leaseTable'; readonly service: string; readonly request: TableRequest }
-  | { readonly kind: 'askEngine'; readonly backend: BackendRecord }
-  | { readonly kind: 'orderEngine'; readonly order: StageOrder }
-  | { readonly kind: 'configurationInForce'; readonly configuration: RouteConfiguration }
-  | { readonly kind: 'backendGone'; readonly backendId: string };
-
 /** Daemons assumed to share the retry budget before any peer has answered. */
 const UNKNOWN_FLEET_SIZE = 32;
 /** Part of an engine's KV cache that one daemon counts on keeping the prefixes it sent. */
@@ -361,69 +291,33 @@
     switch (effect.kind) {
       case 'readRecords':
         this.outbox.push(effect);
-        break;
+        return;
       case 'tellPeers':
         this.exchange.sendChanges(effect.message);
-        break;
+        return;
       case 'configurationChanged':
         this.routes = new RouteTable(effect.configuration);
         this.stages.configured(effect.configuration);
         this.outbox.push({ kind: 'configurationInForce', configuration: effect.configuration });
-        this.believe('configuration.changed', {
-          version: effect.configuration.version,
-          source: effect.source,
-        });
         break;
       case 'backendChanged':
         this.directory.put(effect.record);
-        this.believe('backend.changed', {
-          backend: effect.record.id,
-          state: effect.record.state,
-          stage: effect.record.stage,
-          revision: effect.revision,
-          source: effect.source,
-        });
         break;
       case 'backendRemoved':
         this.directory.remove(effect.id);
         this.prefixes.forget(effect.id);
         this.outbox.push({ kind: 'backendGone', backendId: effect.id });
-        this.believe('backend.removed', {
-          backend: effect.id,
-          revision: effect.revision,
-          source: effect.source,
-        });
-        break;
-      case 'storeLost':
-        this.believe('store.lost', { collection: effect.collection, reason: effect.reason });
-        break;
-      case 'storeRegained':
-        this.believe('store.regained', { collection: effect.collection });
         break;
     }
+    this.outbox.push(makeFleetBelief(effect));
   }
 
   private onStage(effect: StageEffect): void {
-    switch (effect.kind) {
-      case 'leaseTable':
-        this.outbox.push({ kind: 'leaseTable', service: effect.cell, request: effect.request });
-        break;
-      case 'leaseAcquired':
-        this.believe('lease.acquired', { service: effect.cell, epoch: effect.epoch });
-        break;
-      case 'leaseLost':
-        this.believe('lease.lost', { service: effect.cell, epoch: effect.epoch });
-        break;
-      case 'askEngine':
-        this.outbox.push(effect);
-        break;
-      case 'orderEngine': {
-        const { backend, stage, fence, expectedOrders } = effect.order;
-        this.believe('order.given', { backend: backend.id, stage, fence, expectedOrders });
-        this.outbox.push(effect);
-        break;
-      }
-    }
+    if (effect.kind === 'leaseTable')
+      this.outbox.push({ kind: 'leaseTable', service: effect.cell, request: effect.request });
+    else if (effect.kind === 'askEngine') this.outbox.push(effect);
+    else this.outbox.push(makeStageBelief(effect));
+    if (effect.kind === 'orderEngine') this.outbox.push(effect);
   }
 
   private believe(event: BeliefEvent, fields: Readonly<Record<string, unknown>>): void {
--- /dev/null
+++ b/src/daemon/forwarding-messages.ts
@@ -0,0 +1,53 @@
+/** What goes into the state machine of a forwarding daemon and what comes out of it. */
+import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
+import type { RecordCollection, RecordRead, RecordReadResult } from '../fleet/record-store.js';
+import type { ForwardAttemptEvent, ForwardEffect } from '../forwarding/forward-messages.js';
+import type { ForwardRequest } from '../forwarding/forward-request.js';
+import type { HealthProbe } from '../forwarding/health-prober.js';
+import type { BackendRecord, RouteConfiguration } from '../forwarding/route.js';
+import type { TableRequest, TableResult } from '../platform/table-service.js';
+import type { BeliefEffect } from './beliefs.js';
+import type { PeerMessage } from './daemon-messages.js';
+
+/** What goes in. */
+export type ForwardingEvent =
+  | { readonly kind: 'tick' }
+  | {
+      readonly kind: 'peerMessage';
+      readonly fromId: string;
+      readonly fromAddress: string;
+      readonly message: PeerMessage;
+    }
+  | { readonly kind: 'recordsRead'; readonly collection: RecordCollection; readonly result: RecordReadResult }
+  | { readonly kind: 'submit'; readonly request: ForwardRequest }
+  | { readonly kind: 'cancel'; readonly requestId: string }
+  | {
+      readonly kind: 'attempt';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly event: ForwardAttemptEvent;
+    }
+  | { readonly kind: 'probed'; readonly backendId: string; readonly well: boolean }
+  | { readonly kind: 'leaseTableResult'; readonly service: string; readonly result: TableResult }
+  | {
+      readonly kind: 'engineStatus';
+      readonly backend: BackendRecord;
+      readonly status: EngineStatus | undefined;
+    }
+  | { readonly kind: 'orderResult'; readonly order: StageOrder; readonly result: StageOrderResult }
+  | { readonly kind: 'beginDrain' }
+  /** The process will end too soon for new requests. */
+  | { readonly kind: 'closeForNew' };
+
+/** What comes out. */
+export type ForwardingEffect =
+  | ForwardEffect
+  | BeliefEffect
+  | { readonly kind: 'sendPeer'; readonly address: string; readonly message: PeerMessage }
+  | { readonly kind: 'readRecords'; readonly read: RecordRead }
+  | { readonly kind: 'probeBackend'; readonly probe: HealthProbe; readonly healthPath: string }
+  | { readonly kind: 'leaseTable'; readonly service: string; readonly request: TableRequest }
+  | { readonly kind: 'askEngine'; readonly backend: BackendRecord }
+  | { readonly kind: 'orderEngine'; readonly order: StageOrder }
+  | { readonly kind: 'configurationInForce'; readonly configuration: RouteConfiguration }
+  | { readonly kind: 'backendGone'; readonly backendId: string };
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -5,12 +5,8 @@
 import { BackendClient, type CallerRequest } from '../adapters/backend-client.js';
 import type { BackendDialect } from '../adapters/backend-dialect.js';
 import { PeerTransport, splitAddress } from '../adapters/peer-transport.js';
-import {
-  ForwardingDaemon,
-  type ForwardingDaemonSettings,
-  type ForwardingEffect,
-  type ForwardingEvent,
-} from '../daemon/forwarding-daemon.js';
+import { ForwardingDaemon, type ForwardingDaemonSettings } from '../daemon/forwarding-daemon.js';
+import type { ForwardingEffect, ForwardingEvent } from '../daemon/forwarding-messages.js';
 import type { PulleyledgeError } from '../errors/index.js';
 import type { RecordRead, RecordStore } from '../fleet/record-store.js';
 import type { ForwardAttemptEvent } from '../forwarding/forward-messages.js';
