--- a/spec/model-check.ts
+++ b/spec/model-check.ts
@@ -124,6 +124,25 @@
     expect: 'caught',
     what: 'order reaches the next incarnation',
   },
+  { file: 'records.pml', defines: [], expect: 'sound', what: 'complete up to a revision, by word of a peer' },
+  {
+    file: 'records.pml',
+    defines: ['NO_GAP_CHECK'],
+    expect: 'caught',
+    what: 'changes taken for whole though some before them are missing',
+  },
+  {
+    file: 'records.pml',
+    defines: ['NO_CHANGED_CHECK'],
+    expect: 'caught',
+    what: "a peer's word taken though a change that it knows is missing",
+  },
+  {
+    file: 'records.pml',
+    defines: ['OWN_NEWEST'],
+    expect: 'caught',
+    what: 'complete up to the newest change, though one before it is missing',
+  },
 ];
 
 const SPEC_FOLDER = join(process.cwd(), 'spec');
