--- a/src/daemon/beliefs.ts
+++ b/src/daemon/beliefs.ts
@@ -22,7 +22,8 @@
   | 'lease.lost'
   | 'order.given'
   | 'order.answered'
-  | 'drain.started';
+  | 'drain.started'
+  | 'process.paused';
 
 type FleetBelief = Exclude<FleetEffect, { kind: 'readRecords' | 'tellPeers' }>;
 type StageBelief = Exclude<StageEffect, { kind: 'leaseTable' | 'askEngine' }>;
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -64,6 +64,8 @@
 const UNKNOWN_FLEET_SIZE = 32;
 /** Part of an engine's KV cache that one daemon counts on keeping the prefixes it sent. */
 const CACHE_SHARE = 0.5;
+/** Between two ticks lie some 20 ms; a process that saw so much more pass stood still. Milliseconds. */
+const OWN_PAUSE_MS = 250;
 /** Daemons are ranked as readers of the store by this key. */
 const READER_KEY = 'store-reader';
 
@@ -81,6 +83,7 @@
   private routes: RouteTable | undefined;
   private draining = false;
   private membersChanged = true;
+  private tickedAt: number;
 
   constructor(
     private readonly identity: DaemonIdentity,
@@ -89,6 +92,7 @@
     random: RandomSource,
     now: number,
   ) {
+    this.tickedAt = now;
     const emit = (effect: ForwardingEffect): void => void this.outbox.push(effect);
     this.directory = new BackendDirectory(settings.health);
     this.membership = new Membership(
@@ -213,6 +217,12 @@
   }
 
   private tick(now: number): void {
+    const sinceTickMs = now - this.tickedAt;
+    this.tickedAt = now;
+    if (sinceTickMs > OWN_PAUSE_MS) {
+      this.believe('process.paused', { forMs: Math.round(sinceTickMs), requests: this.requestsInHand() });
+      this.manager.ownPauseEnded(now);
+    }
     this.membership.tick(now);
     this.rankReader();
     this.replica.tick(now);
--- a/src/forwarding/backend-directory.ts
+++ b/src/forwarding/backend-directory.ts
@@ -1,72 +1,72 @@
 /// All back ends that this daemon knows, by id and by service.
-import type { BackendRecord } from './route.js';
-import { PeerLoads } from './peer-loads.js';
-import { BackendView, type BackendHealthSettings } from './backend-view.js';
+import type {BackendRecord} from "./route.js"
+import {PeerLoads} from "./peer-loads.js"
+import {BackendView, type BackendHealthSettings} from "./backend-view.js"
 
 /// One daemon's load on one back end in the form that travels: id, requests, prompt tokens, and its distrust: 0 none,
 /// 1 the daemon avoids it, 2 the daemon is changing its stage.
-export type BackendLoad = [id: string, inFlight: number, pendingTokens: number, distrust: number];
+export type BackendLoad = [id: string, inFlight: number, pendingTokens: number, distrust: number]
 
-const AVOIDED = 1;
-const CHANGING = 2;
+const AVOIDED = 1
+const CHANGING = 2
 /// The directory of one daemon. Times are monotonic milliseconds.
 export class BackendDirectory {
-  private readonly views = new Map<string, BackendView>();
-  private readonly byService = new Map<string, BackendView[]>();
+  private readonly views = new Map<string, BackendView>()
+  private readonly byService = new Map<string, BackendView[]>()
   /// What the other daemons put on the back ends.
-  readonly peers = new PeerLoads();
+  readonly peers = new PeerLoads()
 
   constructor(private readonly settings: BackendHealthSettings) {}
 
   /// Takes the present record of a back end.
   put(record: BackendRecord): void {
-    const known = this.views.get(record.id);
+    const known = this.views.get(record.id)
     if (known) {
-      known.record = record;
-      return;
+      known.record = record
+      return
     }
-    const view = new BackendView(record, this.settings, this.peers);
-    this.views.set(record.id, view);
-    const views = this.byService.get(record.service) ?? [];
-    views.push(view);
-    this.byService.set(record.service, views);
+    const view = new BackendView(record, this.settings, this.peers)
+    this.views.set(record.id, view)
+    const views = this.byService.get(record.service) ?? []
+    views.push(view)
+    this.byService.set(record.service, views)
   }
 
   /// Forgets a back end whose record is gone. Attempts that run there end by themselves.
   remove(id: string): BackendView | undefined {
-    const view = this.views.get(id);
-    if (!view) return undefined;
-    view.gone = true;
-    this.views.delete(id);
-    const others = (this.byService.get(view.record.service) ?? []).filter((other) => other !== view);
-    this.byService.set(view.record.service, others);
-    return view;
+    const view = this.views.get(id)
+    if (!view) return undefined
+    view.gone = true
+    this.views.delete(id)
+    const others = (this.byService.get(view.record.service) ?? []).filter(other => other !== view)
+    this.byService.set(view.record.service, others)
+    return view
   }
 
   /// The back end with this id.
   get(id: string): BackendView | undefined {
-    return this.views.get(id);
+    return this.views.get(id)
   }
 
   /// Every back end of a service.
   ofService(service: string): readonly BackendView[] {
-    return this.byService.get(service) ?? [];
+    return this.byService.get(service) ?? []
   }
 
   /// Every back end.
   all(): IterableIterator<BackendView> {
-    return this.views.values();
+    return this.views.values()
   }
 
   /// This daemon's own load, for its peers: back ends with work or trouble only.
   ownLoads(now: number): BackendLoad[] {
-    const loads: BackendLoad[] = [];
+    const loads: BackendLoad[] = []
     for (const view of this.views.values()) {
-      const distrust = view.changing ? CHANGING : view.avoided(now) ? AVOIDED : 0;
-      const inFlight = view.ownInFlight();
+      const distrust = view.changing ? CHANGING : view.avoided(now) ? AVOIDED : 0
+      const inFlight = view.ownInFlight()
       if (inFlight + distrust > 0)
-        loads.push([view.record.id, inFlight, Math.round(view.ownPromptTokens()), distrust]);
+        loads.push([view.record.id, inFlight, Math.round(view.ownPromptTokens()), distrust])
     }
-    return loads;
+    return loads
   }
 }
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -1,21 +1,21 @@
 /// One incarnation of a back end as this daemon sees it: its record, the load put on it, and how it behaves.
-import type { PeerLoads } from './peer-loads.js';
-import type { BackendRecord } from './route.js';
+import type {PeerLoads} from "./peer-loads.js"
+import type {BackendRecord} from "./route.js"
 
 /// How a back end's failures are judged.
 export interface BackendHealthSettings {
   /// A back end whose failure share rises above this is avoided. Default 0.3.
-  readonly ejectFailureShare: number;
+  readonly ejectFailureShare: number
   /// Outcomes that one failure share looks back on, about. Default 6.
-  readonly failureMemory: number;
+  readonly failureMemory: number
   /// How long a back end is avoided at first; doubled while it goes on failing. Milliseconds. Default 1000.
-  readonly ejectionMs: number;
+  readonly ejectionMs: number
   /// The longest such time. Milliseconds. Default 4000.
-  readonly maximumEjectionMs: number;
+  readonly maximumEjectionMs: number
   /// A back end that has answered nothing for so long while work waits there is avoided. Milliseconds. Default 800.
-  readonly silenceMs: number;
+  readonly silenceMs: number
   /// So much longer for each prompt token that waits there. Milliseconds. Default 0.05.
-  readonly silenceMsPerToken: number;
+  readonly silenceMsPerToken: number
 }
 
 /// Default settings.
@@ -25,141 +25,146 @@
   ejectionMs: 1000,
   maximumEjectionMs: 4000,
   silenceMs: 800,
-  silenceMsPerToken: 0.05,
-};
+  silenceMsPerToken: 0.05
+}
 
 interface SentAttempt {
-  readonly sentAt: number;
+  readonly sentAt: number
   /// Prompt tokens to be computed there.
-  readonly promptTokens: number;
-  answering: boolean;
+  readonly promptTokens: number
+  answering: boolean
 }
 
 /// The state of one back end. Times are monotonic milliseconds.
 export class BackendView {
   /// The incarnation has ended or its address belongs to another one.
-  gone = false;
+  gone = false
   /// This daemon is changing the engine's stage.
-  changing = false;
-  private readonly attempts = new Map<string, SentAttempt>();
-  private ownPendingTokens = 0;
-  private failureShare = 0;
-  private ejectedUntil = -Infinity;
-  private ejections = 0;
-  private lastHeardAt = -Infinity;
-  private unreachable = false;
+  changing = false
+  private readonly attempts = new Map<string, SentAttempt>()
+  private ownPendingTokens = 0
+  private failureShare = 0
+  private ejectedUntil = -Infinity
+  private ejections = 0
+  private lastHeardAt = -Infinity
+  private unreachable = false
 
   constructor(
     public record: BackendRecord,
     private readonly settings: BackendHealthSettings,
-    private readonly peers: PeerLoads,
+    private readonly peers: PeerLoads
   ) {}
 
   /// Counts an attempt with so many prompt tokens to compute.
   begin(attemptId: string, promptTokens: number, now: number): void {
-    this.attempts.set(attemptId, { sentAt: now, promptTokens, answering: false });
-    this.ownPendingTokens += promptTokens;
+    this.attempts.set(attemptId, {sentAt: now, promptTokens, answering: false})
+    this.ownPendingTokens += promptTokens
   }
 
   /// The attempt has begun to answer: its prompt is computed.
   answering(attemptId: string, now: number): void {
-    this.lastHeardAt = now;
-    const attempt = this.attempts.get(attemptId);
-    if (!attempt || attempt.answering) return;
-    attempt.answering = true;
-    this.ownPendingTokens -= attempt.promptTokens;
+    this.lastHeardAt = now
+    const attempt = this.attempts.get(attemptId)
+    if (!attempt || attempt.answering) return
+    attempt.answering = true
+    this.ownPendingTokens -= attempt.promptTokens
   }
 
   /// The attempt is over.
   end(attemptId: string): void {
-    const attempt = this.attempts.get(attemptId);
-    if (!attempt) return;
-    this.attempts.delete(attemptId);
-    if (!attempt.answering) this.ownPendingTokens -= attempt.promptTokens;
+    const attempt = this.attempts.get(attemptId)
+    if (!attempt) return
+    this.attempts.delete(attemptId)
+    if (!attempt.answering) this.ownPendingTokens -= attempt.promptTokens
   }
 
   /// The back end answered as it should.
   succeeded(now: number): void {
-    this.lastHeardAt = now;
-    this.unreachable = false;
-    this.failureShare -= this.failureShare / this.settings.failureMemory;
-    if (this.failureShare < this.settings.ejectFailureShare / 2) this.ejections = 0;
+    this.lastHeardAt = now
+    this.unreachable = false
+    this.failureShare -= this.failureShare / this.settings.failureMemory
+    if (this.failureShare < this.settings.ejectFailureShare / 2) this.ejections = 0
   }
 
   /// The back end failed a request, turned it away though it should have room, or broke off.
   failed(now: number): void {
-    this.lastHeardAt = now;
-    this.failureShare += (1 - this.failureShare) / this.settings.failureMemory;
-    if (this.failureShare >= this.settings.ejectFailureShare) this.eject(now);
+    this.lastHeardAt = now
+    this.failureShare += (1 - this.failureShare) / this.settings.failureMemory
+    if (this.failureShare >= this.settings.ejectFailureShare) this.eject(now)
   }
 
   /// No connection could be made, or it stayed silent: nothing more is sent there until it answers a probe.
   lost(now: number): void {
-    this.unreachable = true;
-    this.eject(now);
+    this.unreachable = true
+    this.eject(now)
   }
 
   /// A probe was answered well.
   recovered(now: number): void {
-    this.lastHeardAt = now;
-    this.unreachable = false;
-    this.ejectedUntil = Math.min(this.ejectedUntil, now);
+    this.lastHeardAt = now
+    this.unreachable = false
+    this.ejectedUntil = Math.min(this.ejectedUntil, now)
   }
 
   /// Whether nothing should be sent there while another back end can take it.
   avoided(now: number): boolean {
-    return this.changing || this.unreachable || now < this.ejectedUntil || this.silent(now);
+    return this.changing || this.unreachable || now < this.ejectedUntil || this.silent(now)
   }
 
   /// Whether only a probe can tell that the back end works again.
   needsProbe(now: number): boolean {
-    return this.unreachable || this.silent(now);
+    return this.unreachable || this.silent(now)
   }
 
   /// Whether new work may go there at all.
   takesWork(): boolean {
-    return !this.gone && this.record.state === 'ready';
+    return !this.gone && this.record.state === "ready"
   }
 
   /// Whether peers say that nothing should be sent there.
   distrusted(): boolean {
-    return this.peers.isDistrusted(this.record.id);
+    return this.peers.isDistrusted(this.record.id)
   }
 
   /// Attempts of this daemon.
   ownInFlight(): number {
-    return this.attempts.size;
+    return this.attempts.size
   }
 
   /// Attempts of all daemons, as far as they have told.
   inFlight(): number {
-    return this.attempts.size + this.peers.getInFlight(this.record.id);
+    return this.attempts.size + this.peers.getInFlight(this.record.id)
   }
 
   /// Prompt tokens that this daemon has sent and that are still to be computed.
   ownPromptTokens(): number {
-    return Math.max(0, this.ownPendingTokens);
+    return Math.max(0, this.ownPendingTokens)
   }
 
   /// The same over all daemons.
   pendingTokens(): number {
-    return this.ownPromptTokens() + this.peers.getPendingTokens(this.record.id);
+    return this.ownPromptTokens() + this.peers.getPendingTokens(this.record.id)
+  }
+
+  /// This process stood still until now and could not hear an answer.
+  ownPauseEnded(now: number): void {
+    this.lastHeardAt = Math.max(this.lastHeardAt, now)
   }
 
   /// Whether it has answered nothing for too long while work waits there.
   silent(now: number): boolean {
-    let oldest = Infinity;
+    let oldest = Infinity
     for (const attempt of this.attempts.values())
-      if (!attempt.answering) oldest = Math.min(oldest, attempt.sentAt);
-    const { silenceMs, silenceMsPerToken } = this.settings;
-    const allowedMs = silenceMs + this.pendingTokens() * silenceMsPerToken;
-    return now - Math.max(oldest, this.lastHeardAt) > allowedMs;
+      if (!attempt.answering) oldest = Math.min(oldest, attempt.sentAt)
+    const {silenceMs, silenceMsPerToken} = this.settings
+    const allowedMs = silenceMs + this.pendingTokens() * silenceMsPerToken
+    return now - Math.max(oldest, this.lastHeardAt) > allowedMs
   }
 
   private eject(now: number): void {
-    if (now < this.ejectedUntil) return;
-    const { ejectionMs, maximumEjectionMs } = this.settings;
-    this.ejectedUntil = now + Math.min(maximumEjectionMs, ejectionMs * 2 ** this.ejections);
-    this.ejections += 1;
+    if (now < this.ejectedUntil) return
+    const {ejectionMs, maximumEjectionMs} = this.settings
+    this.ejectedUntil = now + Math.min(maximumEjectionMs, ejectionMs * 2 ** this.ejections)
+    this.ejections += 1
   }
 }
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -2,52 +2,54 @@
 /// shared retry budget, and sees that every request has exactly one answer. One session per request, at most one
 /// live attempt per session. A request that may not be repeated runs at most once, and is refused as "not run"
 /// only when no back end can have seen it.
-import type { EffectSink } from '../shared/effect-sink.js';
-import type { BackendPicker, BackendPlan } from './backend-picker.js';
-import type { BackendView } from './backend-view.js';
+import type {EffectSink} from "../shared/effect-sink.js"
+import type {BackendPicker, BackendPlan} from "./backend-picker.js"
+import type {BackendView} from "./backend-view.js"
 import {
   ForwardAnswers,
   STATUS_BROKEN,
   STATUS_DEADLINE,
   STATUS_NOT_FOUND,
-  STATUS_UNAVAILABLE,
-} from './forward-answers.js';
-import type { ForwardSettings } from './forward-settings.js';
-import { sharedKey, sharedTokens, type ForwardRequest } from './forward-request.js';
-import type { ForwardAttemptEvent, ForwardEffect, ForwardFailure } from './forward-messages.js';
+  STATUS_UNAVAILABLE
+} from "./forward-answers.js"
+import type {ForwardSettings} from "./forward-settings.js"
+import {sharedKey, sharedTokens, type ForwardRequest} from "./forward-request.js"
+import type {ForwardAttemptEvent, ForwardEffect, ForwardFailure} from "./forward-messages.js"
 import {
   isRepeatable,
   isStalled,
+  mayPrefill,
   mayRunAgain,
   urgencyOf,
   type LiveAttempt,
-  type Session,
-} from './forward-session.js';
-import type { PrefixIndex } from './prefix-index.js';
-import type { RetryAllowance } from './retry-allowance.js';
-import type { RouteTable } from './route-table.js';
-import { WeightedChoice } from './weighted-choice.js';
+  type Session
+} from "./forward-session.js"
+import type {PrefixIndex} from "./prefix-index.js"
+import type {RetryAllowance} from "./retry-allowance.js"
+import type {RouteTable} from "./route-table.js"
+import {WeightedChoice} from "./weighted-choice.js"
 
 /// What the machine asks about its surroundings.
 export interface ForwardSurroundings {
   /// The routes in force; undefined before the first configuration.
-  routes(): RouteTable | undefined;
+  routes(): RouteTable | undefined
   /// Whether the configuration may be out of date, so that a missing route proves nothing.
-  configurationMayBeStale(now: number): boolean;
+  configurationMayBeStale(now: number): boolean
   /// How long the store has not answered about the configuration; 0 when it does. Milliseconds.
-  outageMs(now: number): number;
+  outageMs(now: number): number
   /// Daemons that share the retry budget.
-  daemons(): number;
+  daemons(): number
 }
 
-const FIRST_SERVER_ERROR = 500;
+const FIRST_SERVER_ERROR = 500
 
 /// The forwarding machine of one daemon. Times are monotonic milliseconds.
 export class ForwardManager {
-  private readonly sessions = new Map<string, Session>();
-  private readonly split = new WeightedChoice();
-  private readonly answers: ForwardAnswers;
-  private closed = false;
+  private readonly sessions = new Map<string, Session>()
+  private readonly split = new WeightedChoice()
+  private readonly answers: ForwardAnswers
+  private closed = false
+  private resumedAt = -Infinity
 
   constructor(
     private readonly settings: ForwardSettings,
@@ -55,39 +57,39 @@
     private readonly picker: BackendPicker,
     private readonly prefixes: PrefixIndex,
     private readonly allowance: RetryAllowance,
-    private readonly emit: EffectSink<ForwardEffect>,
+    private readonly emit: EffectSink<ForwardEffect>
   ) {
-    this.answers = new ForwardAnswers(emit);
+    this.answers = new ForwardAnswers(emit)
   }
 
   /// Requests in hand.
   active(): number {
-    return this.sessions.size;
+    return this.sessions.size
   }
 
   /// From now on new requests are refused: the process has no time left to finish them.
   closeForNew(): void {
-    this.closed = true;
+    this.closed = true
   }
 
   /// Takes a whole request from a caller.
   begin(request: ForwardRequest, now: number): void {
     if (this.closed) {
-      this.answers.sendRefusal(request, 'stopping', this.settings.stoppingRetryAfterMs, now);
-      return;
+      this.answers.sendRefusal(request, "stopping", this.settings.stoppingRetryAfterMs, now)
+      return
     }
-    const routes = this.surroundings.routes();
+    const routes = this.surroundings.routes()
     if (!routes) {
-      this.answers.sendRefusal(request, 'no-configuration', this.outageRetryAfterMs(now), now);
-      return;
+      this.answers.sendRefusal(request, "no-configuration", this.outageRetryAfterMs(now), now)
+      return
     }
-    const route = routes.match(request.host, request.path);
-    const service = route && this.split.next(route);
+    const route = routes.match(request.host, request.path)
+    const service = route && this.split.next(route)
     if (!route || service === undefined) {
-      this.noRoute(request, now);
-      return;
+      this.noRoute(request, now)
+      return
     }
-    const allowedMs = Math.min(route.timeoutMs, request.callerDeadlineMs ?? Infinity);
+    const allowedMs = Math.min(route.timeoutMs, request.callerDeadlineMs ?? Infinity)
     const session: Session = {
       request,
       route,
@@ -98,121 +100,130 @@
       sends: 0,
       arrivals: 0,
       runs: 0,
+      prefills: 0,
       mayHaveRun: false,
       relaying: false,
       lastEventId: undefined,
-      kvSource: undefined,
-    };
-    this.sessions.set(request.id, session);
-    this.allowance.requestSeen(service, now);
-    this.answers.logDecision('request.accepted', session, {
+      kvSource: undefined
+    }
+    this.sessions.set(request.id, session)
+    this.allowance.requestSeen(service, now)
+    this.answers.logDecision("request.accepted", session, {
       route: route.name,
-      configuration: routes.configuration.version,
-    });
-    this.send(session, now);
+      configuration: routes.configuration.version
+    })
+    this.send(session, now)
   }
 
   /// The caller went away: the work is cancelled.
   cancel(requestId: string, now: number): void {
-    const session = this.sessions.get(requestId);
-    if (!session) return;
-    this.answers.logDecision('request.cancelled', session, {
-      afterMs: Math.round(now - session.request.arrivedAt),
-    });
-    this.stopAttempt(session);
-    this.over(session);
+    const session = this.sessions.get(requestId)
+    if (!session) return
+    this.answers.logDecision("request.cancelled", session, {
+      afterMs: Math.round(now - session.request.arrivedAt)
+    })
+    this.stopAttempt(session)
+    this.over(session)
   }
 
   /// Takes what became of an attempt. Events of attempts that are no longer live are dropped.
   attemptEvent(requestId: string, attemptId: string, event: ForwardAttemptEvent, now: number): void {
-    const session = this.sessions.get(requestId);
-    const attempt = session?.attempt;
-    if (!session || attempt?.attemptId !== attemptId) return;
-    attempt.lastEventAt = now;
+    const session = this.sessions.get(requestId)
+    const attempt = session?.attempt
+    if (!session || attempt?.attemptId !== attemptId) return
+    attempt.lastEventAt = now
     switch (event.kind) {
-      case 'unreachable':
-        this.unreachable(session, attempt, event.reason, now);
-        break;
-      case 'notExecuted':
-        this.notExecuted(session, attempt, event.status, event.wrongIncarnation, now);
-        break;
-      case 'prefilled':
-        this.prefilled(session, attempt, event.handle, now);
-        break;
-      case 'streamStarted':
-        this.streamStarted(session, attempt, now);
-        break;
-      case 'streamProgress':
-        attempt.plan.backend.answering(attempt.attemptId, now);
-        if (event.lastEventId !== undefined) session.lastEventId = event.lastEventId;
-        break;
-      case 'whole':
-        this.whole(session, attempt, event.status, now);
-        break;
-      case 'broken':
-        this.broken(session, attempt, event.reason, now);
-        break;
+      case "unreachable":
+        this.unreachable(session, attempt, event.reason, now)
+        break
+      case "notExecuted":
+        this.notExecuted(session, attempt, event.status, event.wrongIncarnation, now)
+        break
+      case "prefilled":
+        this.prefilled(session, attempt, event.handle, now)
+        break
+      case "streamStarted":
+        this.streamStarted(session, attempt, now)
+        break
+      case "streamProgress":
+        attempt.plan.backend.answering(attempt.attemptId, now)
+        if (event.lastEventId !== undefined) session.lastEventId = event.lastEventId
+        break
+      case "whole":
+        this.whole(session, attempt, event.status, now)
+        break
+      case "broken":
+        this.broken(session, attempt, event.reason, now)
+        break
     }
   }
 
+  /// This process stood still until now. Its timers run before what waits in its sockets is read, so silence until now
+  /// is nobody's.
+  ownPauseEnded(now: number): void {
+    this.resumedAt = now
+    this.picker.ownPauseEnded(now)
+  }
+
   /// Advances timers.
   tick(now: number): void {
     for (const session of [...this.sessions.values()]) {
-      if (now >= session.deadlineAt) this.deadline(session, now);
-      else if (session.attempt && isStalled(session, session.attempt, this.settings, now))
-        this.moveAway(session, session.attempt, now);
+      if (now >= session.deadlineAt) this.deadline(session, now)
+      else if (session.attempt && isStalled(session, session.attempt, this.settings, now, this.resumedAt))
+        this.moveAway(session, session.attempt, now)
     }
   }
 
   private noRoute(request: ForwardRequest, now: number): void {
     if (this.surroundings.configurationMayBeStale(now)) {
-      this.answers.sendRefusal(request, 'stale-configuration', this.outageRetryAfterMs(now), now);
-    } else this.answers.sendFailure(request, STATUS_NOT_FOUND, 'no-route', undefined, now);
+      this.answers.sendRefusal(request, "stale-configuration", this.outageRetryAfterMs(now), now)
+    } else this.answers.sendFailure(request, STATUS_NOT_FOUND, "no-route", undefined, now)
   }
 
   /// An outage is expected to last as long again as it has lasted.
   private outageRetryAfterMs(now: number): number {
-    const { retryAfterMs, maximumRetryAfterMs } = this.settings;
-    return Math.min(maximumRetryAfterMs, Math.max(retryAfterMs, this.surroundings.outageMs(now)));
+    const {retryAfterMs, maximumRetryAfterMs} = this.settings
+    return Math.min(maximumRetryAfterMs, Math.max(retryAfterMs, this.surroundings.outageMs(now)))
   }
 
   private send(session: Session, now: number): void {
-    const { request, route } = session;
+    const {request, route} = session
     const wanted = {
       service: session.service,
       prompt: request.prompt,
       prefilled: session.kvSource !== undefined,
+      direct: !mayPrefill(session),
       excluded: session.excluded,
-      maximumOwnInFlight: this.connectionShare(session.service),
-    };
-    const plan = this.picker.pick(wanted, now);
+      maximumOwnInFlight: this.connectionShare(session.service)
+    }
+    const plan = this.picker.pick(wanted, now)
     if (!plan) {
-      this.failNotServed(session, 'no-backend', now);
-      return;
+      this.failNotServed(session, "no-backend", now)
+      return
     }
     if (this.isFull(plan)) {
-      this.failNotServed(session, 'overloaded', now);
-      return;
+      this.failNotServed(session, "overloaded", now)
+      return
     }
-    session.sends += 1;
-    if (session.arrivals > 0) this.answers.logDecision('request.resumed', session, { sends: session.sends });
-    const attemptId = `${request.id}/${session.sends}`;
-    const { backend } = plan;
-    const pendingBefore = backend.pendingTokens();
-    session.attempt = { attemptId, plan, startedAt: now, lastEventAt: now, answering: false };
-    const promptTokens = session.kvSource ? 0 : plan.promptTokens;
-    backend.begin(attemptId, promptTokens, now);
-    this.answers.logDecision('request.attempt', session, {
+    session.sends += 1
+    if (session.arrivals > 0) this.answers.logDecision("request.resumed", session, {sends: session.sends})
+    const attemptId = `${request.id}/${session.sends}`
+    const {backend} = plan
+    const pendingBefore = backend.pendingTokens()
+    session.attempt = {attemptId, plan, startedAt: now, lastEventAt: now, answering: false}
+    const promptTokens = session.kvSource ? 0 : plan.promptTokens
+    backend.begin(attemptId, promptTokens, now)
+    this.answers.logDecision("request.attempt", session, {
       backend: backend.record.id,
-      stage: plan.prefillOnly ? 'prefill' : session.kvSource ? 'generate' : 'whole',
+      stage: plan.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
       reason: plan.reason,
       promptTokens: plan.promptTokens,
       inFlight: backend.inFlight(),
       pendingTokens: Math.round(pendingBefore),
-      remainingMs: Math.round(session.deadlineAt - now),
-    });
+      remainingMs: Math.round(session.deadlineAt - now)
+    })
     this.emit({
-      kind: 'startAttempt',
+      kind: "startAttempt",
       start: {
         requestId: request.id,
         attemptId,
@@ -221,35 +232,35 @@
         kvSource: session.kvSource,
         remainingMs: Math.max(1, Math.floor(session.deadlineAt - now)),
         urgency: urgencyOf(route, plan, this.settings),
-        stream: route.kind === 'stream',
+        stream: route.kind === "stream",
         once: !plan.prefillOnly && !isRepeatable(route),
-        resumeAfter: session.lastEventId,
-      },
-    });
+        resumeAfter: session.lastEventId
+      }
+    })
   }
 
   /// A back end takes so many connections from all daemons together; each keeps to its part.
   private connectionShare(service: string): number {
-    const maximum = this.surroundings.routes()?.service(service)?.maximumConnections ?? Infinity;
-    const share = (maximum * this.settings.connectionUse) / this.surroundings.daemons();
-    return Math.max(1, Math.floor(share));
+    const maximum = this.surroundings.routes()?.service(service)?.maximumConnections ?? Infinity
+    const share = (maximum * this.settings.connectionUse) / this.surroundings.daemons()
+    return Math.max(1, Math.floor(share))
   }
 
   private isFull(plan: BackendPlan): boolean {
-    const { record } = plan.backend;
-    if (record.stage !== undefined) return false;
-    return plan.backend.inFlight() >= record.slots * this.settings.plainSlotShare;
+    const {record} = plan.backend
+    if (record.stage !== undefined) return false
+    return plan.backend.inFlight() >= record.slots * this.settings.plainSlotShare
   }
 
   private unreachable(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
-    attempt.plan.backend.lost(now);
-    this.endAttempt(session, attempt);
-    session.excluded.add(attempt.plan.backend.record.id);
-    this.answers.logDecision('request.attempt-failed', session, {
+    attempt.plan.backend.lost(now)
+    this.endAttempt(session, attempt)
+    session.excluded.add(attempt.plan.backend.record.id)
+    this.answers.logDecision("request.attempt-failed", session, {
       backend: attempt.plan.backend.record.id,
-      reason,
-    });
-    this.sendAgain(session, 'unreachable', now);
+      reason
+    })
+    this.sendAgain(session, "unreachable", now)
   }
 
   private notExecuted(
@@ -257,137 +268,139 @@
     attempt: LiveAttempt,
     status: number,
     wrongIncarnation: boolean,
-    now: number,
+    now: number
   ): void {
-    const { backend } = attempt.plan;
-    if (wrongIncarnation) backend.gone = true;
-    else backend.failed(now);
-    this.endAttempt(session, attempt);
-    session.arrivals += 1;
-    session.excluded.add(backend.record.id);
-    if (session.kvSource) this.dropKv(session);
-    this.answers.logDecision('request.turned-away', session, {
+    const {backend} = attempt.plan
+    if (wrongIncarnation) backend.gone = true
+    else backend.failed(now)
+    this.endAttempt(session, attempt)
+    session.arrivals += 1
+    session.excluded.add(backend.record.id)
+    if (session.kvSource) this.dropKv(session)
+    this.answers.logDecision("request.turned-away", session, {
       backend: backend.record.id,
       status,
-      wrongIncarnation,
-    });
-    if (!this.mayRepeat(session, now)) this.failNotServed(session, 'turned-away', now);
-    else this.sendAgain(session, 'turned-away', now);
+      wrongIncarnation
+    })
+    if (!this.mayRepeat(session, now)) this.failNotServed(session, "turned-away", now)
+    else this.sendAgain(session, "turned-away", now)
   }
 
   private prefilled(session: Session, attempt: LiveAttempt, handle: string, now: number): void {
-    const { backend } = attempt.plan;
-    backend.answering(attempt.attemptId, now);
-    backend.succeeded(now);
-    this.endAttempt(session, attempt);
-    this.promptComputed(session, backend);
-    session.kvSource = { address: backend.record.address, handle };
-    this.answers.logDecision('request.prefilled', session, {
+    const {backend} = attempt.plan
+    backend.answering(attempt.attemptId, now)
+    backend.succeeded(now)
+    this.endAttempt(session, attempt)
+    session.prefills += 1
+    this.promptComputed(session, backend)
+    session.kvSource = {address: backend.record.address, handle}
+    this.answers.logDecision("request.prefilled", session, {
       backend: backend.record.id,
-      afterMs: Math.round(now - attempt.startedAt),
-    });
-    this.send(session, now);
+      afterMs: Math.round(now - attempt.startedAt)
+    })
+    this.send(session, now)
   }
 
   private streamStarted(session: Session, attempt: LiveAttempt, now: number): void {
-    attempt.answering = true;
-    attempt.plan.backend.answering(attempt.attemptId, now);
-    session.relaying = true;
-    session.mayHaveRun = true;
-    this.answers.logDecision('request.streaming', session, {
+    attempt.answering = true
+    attempt.plan.backend.answering(attempt.attemptId, now)
+    session.relaying = true
+    session.mayHaveRun = true
+    this.answers.logDecision("request.streaming", session, {
       backend: attempt.plan.backend.record.id,
-      afterMs: Math.round(now - session.request.arrivedAt),
-    });
-    if (session.kvSource) session.kvSource = undefined;
-    else this.promptComputed(session, attempt.plan.backend);
+      afterMs: Math.round(now - session.request.arrivedAt)
+    })
+    if (session.kvSource) session.kvSource = undefined
+    else this.promptComputed(session, attempt.plan.backend)
   }
 
   private whole(session: Session, attempt: LiveAttempt, status: number, now: number): void {
-    const { backend } = attempt.plan;
-    session.arrivals += 1;
-    session.runs += 1;
-    session.mayHaveRun = true;
-    this.endAttempt(session, attempt);
-    const failed = status >= FIRST_SERVER_ERROR;
-    if (failed) backend.failed(now);
-    else backend.succeeded(now);
+    const {backend} = attempt.plan
+    session.arrivals += 1
+    session.runs += 1
+    session.mayHaveRun = true
+    this.endAttempt(session, attempt)
+    const failed = status >= FIRST_SERVER_ERROR
+    if (failed) backend.failed(now)
+    else backend.succeeded(now)
     if (failed && mayRunAgain(session) && this.mayRepeat(session, now)) {
-      this.answers.logDecision('request.attempt-failed', session, { backend: backend.record.id, status });
-      session.excluded.add(backend.record.id);
-      this.send(session, now);
-      return;
+      this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, status})
+      session.excluded.add(backend.record.id)
+      this.send(session, now)
+      return
     }
-    this.emit({ kind: 'replyWhole', requestId: session.request.id, attemptId: attempt.attemptId });
-    this.answers.logDecision('request.answered', session, {
+    this.emit({kind: "replyWhole", requestId: session.request.id, attemptId: attempt.attemptId})
+    this.answers.logDecision("request.answered", session, {
       backend: backend.record.id,
       status,
       streamed: session.relaying,
       afterMs: Math.round(now - session.request.arrivedAt),
-      sends: session.sends,
-    });
-    this.over(session);
+      sends: session.sends
+    })
+    this.over(session)
   }
 
   /// The back end may have worked: repeat only what may be repeated.
   private broken(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
-    const { backend } = attempt.plan;
-    backend.failed(now);
-    this.endAttempt(session, attempt);
-    session.arrivals += 1;
-    session.excluded.add(backend.record.id);
-    this.answers.logDecision('request.attempt-failed', session, { backend: backend.record.id, reason });
+    const {backend} = attempt.plan
+    backend.failed(now)
+    this.endAttempt(session, attempt)
+    session.arrivals += 1
+    session.excluded.add(backend.record.id)
+    this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, reason})
     if (attempt.plan.prefillOnly) {
-      if (this.mayRepeat(session, now)) this.sendAgain(session, 'turned-away', now);
-      else this.failNotServed(session, 'turned-away', now);
-      return;
+      session.prefills += 1
+      if (this.mayRepeat(session, now)) this.sendAgain(session, "turned-away", now)
+      else this.failNotServed(session, "turned-away", now)
+      return
     }
-    session.runs += 1;
-    session.mayHaveRun = true;
-    session.kvSource = undefined;
+    session.runs += 1
+    session.mayHaveRun = true
+    session.kvSource = undefined
     if (mayRunAgain(session) && this.mayRepeat(session, now)) {
-      this.sendAgain(session, 'broken', now);
-      return;
+      this.sendAgain(session, "broken", now)
+      return
     }
-    this.fail(session, STATUS_BROKEN, 'broken', undefined, now);
+    this.fail(session, STATUS_BROKEN, "broken", undefined, now)
   }
 
   private deadline(session: Session, now: number): void {
-    const notRun = !session.attempt && !session.mayHaveRun;
-    if (session.attempt && !session.attempt.answering) this.unansweredAtDeadline(session.attempt, now);
-    this.stopAttempt(session);
-    if (notRun) this.fail(session, STATUS_UNAVAILABLE, 'deadline', this.settings.retryAfterMs, now);
-    else this.fail(session, STATUS_DEADLINE, 'deadline', undefined, now);
+    const notRun = !session.attempt && !session.mayHaveRun
+    if (session.attempt && !session.attempt.answering) this.unansweredAtDeadline(session.attempt, now)
+    this.stopAttempt(session)
+    if (notRun) this.fail(session, STATUS_UNAVAILABLE, "deadline", this.settings.retryAfterMs, now)
+    else this.fail(session, STATUS_DEADLINE, "deadline", undefined, now)
   }
 
   /// An engine that answers others was only busy; a plain back end should have answered.
   private unansweredAtDeadline(attempt: LiveAttempt, now: number): void {
-    const { backend } = attempt.plan;
-    if (backend.silent(now)) backend.lost(now);
-    else if (backend.record.stage === undefined) backend.failed(now);
+    const {backend} = attempt.plan
+    if (backend.silent(now)) backend.lost(now)
+    else if (backend.record.stage === undefined) backend.failed(now)
   }
 
   private moveAway(session: Session, attempt: LiveAttempt, now: number): void {
-    if (this.allowance.left(session.service, this.surroundings.daemons(), now) < 1) return;
-    this.emit({ kind: 'abortAttempt', attemptId: attempt.attemptId });
-    this.broken(session, attempt, 'stalled', now);
+    if (this.allowance.left(session.service, this.surroundings.daemons(), now) < 1) return
+    this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
+    this.broken(session, attempt, "stalled", now)
   }
 
   /// Takes one repeat of the budget, when another send makes sense at all.
   private mayRepeat(session: Session, now: number): boolean {
-    if (session.sends >= this.settings.maximumSends || now >= session.deadlineAt) return false;
-    return this.allowance.tryRepeat(session.service, this.surroundings.daemons(), now);
+    if (session.sends >= this.settings.maximumSends || now >= session.deadlineAt) return false
+    return this.allowance.tryRepeat(session.service, this.surroundings.daemons(), now)
   }
 
   private sendAgain(session: Session, failure: ForwardFailure, now: number): void {
     if (session.sends >= this.settings.maximumSends || now >= session.deadlineAt)
-      this.failNotServed(session, failure, now);
-    else this.send(session, now);
+      this.failNotServed(session, failure, now)
+    else this.send(session, now)
   }
 
   /// No back end took it: refused as not run when that is certain.
   private failNotServed(session: Session, failure: ForwardFailure, now: number): void {
-    if (session.mayHaveRun) this.fail(session, STATUS_BROKEN, failure, undefined, now);
-    else this.fail(session, STATUS_UNAVAILABLE, failure, this.settings.retryAfterMs, now);
+    if (session.mayHaveRun) this.fail(session, STATUS_BROKEN, failure, undefined, now)
+    else this.fail(session, STATUS_UNAVAILABLE, failure, this.settings.retryAfterMs, now)
   }
 
   private fail(
@@ -395,40 +408,40 @@
     status: number,
     failure: ForwardFailure,
     retryAfterMs: number | undefined,
-    now: number,
+    now: number
   ): void {
-    if (session.relaying) this.answers.sendBroken(session, failure, now);
-    else this.answers.sendFailure(session.request, status, failure, retryAfterMs, now, session);
-    this.over(session);
+    if (session.relaying) this.answers.sendBroken(session, failure, now)
+    else this.answers.sendFailure(session.request, status, failure, retryAfterMs, now, session)
+    this.over(session)
   }
 
   private promptComputed(session: Session, backend: BackendView): void {
-    const { prompt } = session.request;
-    if (!prompt) return;
-    const engine = this.surroundings.routes()?.service(session.service)?.engine;
+    const {prompt} = session.request
+    if (!prompt) return
+    const engine = this.surroundings.routes()?.service(session.service)?.engine
     if (engine && sharedTokens(prompt) > 0)
-      this.prefixes.used(backend.record.id, sharedKey(prompt), sharedTokens(prompt), engine.kvCapacityTokens);
+      this.prefixes.used(backend.record.id, sharedKey(prompt), sharedTokens(prompt), engine.kvCapacityTokens)
   }
 
   private dropKv(session: Session): void {
-    if (session.kvSource) this.emit({ kind: 'freeKv', source: session.kvSource });
-    session.kvSource = undefined;
+    if (session.kvSource) this.emit({kind: "freeKv", source: session.kvSource})
+    session.kvSource = undefined
   }
 
   private stopAttempt(session: Session): void {
-    const { attempt } = session;
-    if (!attempt) return;
-    this.emit({ kind: 'abortAttempt', attemptId: attempt.attemptId });
-    this.endAttempt(session, attempt);
+    const {attempt} = session
+    if (!attempt) return
+    this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
+    this.endAttempt(session, attempt)
   }
 
   private endAttempt(session: Session, attempt: LiveAttempt): void {
-    attempt.plan.backend.end(attempt.attemptId);
-    session.attempt = undefined;
+    attempt.plan.backend.end(attempt.attemptId)
+    session.attempt = undefined
   }
 
   private over(session: Session): void {
-    this.dropKv(session);
-    this.sessions.delete(session.request.id);
+    this.dropKv(session)
+    this.sessions.delete(session.request.id)
   }
 }
--- a/src/forwarding/forward-request.ts
+++ b/src/forwarding/forward-request.ts
@@ -2,42 +2,42 @@
 
 /// One part of a prompt. Parts with one id hold the same tokens wherever they stand at the same place.
 export interface PromptPart {
-  readonly id: string;
-  readonly tokens: number;
+  readonly id: string
+  readonly tokens: number
 }
 
 /// What a request says of its prompt.
 export interface PromptOutline {
-  readonly model: string;
-  readonly parts: readonly PromptPart[];
-  readonly promptTokens: number;
-  readonly maximumOutputTokens: number;
+  readonly model: string
+  readonly parts: readonly PromptPart[]
+  readonly promptTokens: number
+  readonly maximumOutputTokens: number
 }
 
 /// One request of a caller. Times are monotonic milliseconds.
 export interface ForwardRequest {
   /// Unique within the daemon's process.
-  readonly id: string;
+  readonly id: string
   /// The caller's own id of the request, for logs.
-  readonly callerId: string;
-  readonly host: string;
-  readonly path: string;
+  readonly callerId: string
+  readonly host: string
+  readonly path: string
   /// When the head of the request arrived.
-  readonly arrivedAt: number;
+  readonly arrivedAt: number
   /// How long the caller waits from then on; undefined when it did not say. Milliseconds.
-  readonly callerDeadlineMs: number | undefined;
-  readonly prompt: PromptOutline | undefined;
+  readonly callerDeadlineMs: number | undefined
+  readonly prompt: PromptOutline | undefined
 }
 
 /// Tokens of the parts that other requests may share: all but the last, which is the request's own.
 export function sharedTokens(prompt: PromptOutline): number {
-  return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+  return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
 }
 
 /// A key that requests with the same shared parts have in common; empty when nothing is shared.
 export function sharedKey(prompt: PromptOutline): string {
   return prompt.parts
     .slice(0, -1)
-    .map((part) => part.id)
-    .join(',');
+    .map(part => part.id)
+    .join(",")
 }
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -1,71 +1,90 @@
 /// The state of one forwarded request in a daemon.
-import type { BackendPlan } from './backend-picker.js';
-import type { KvSource } from './forward-messages.js';
-import type { ForwardRequest } from './forward-request.js';
-import type { ForwardSettings } from './forward-settings.js';
-import type { Route } from './route.js';
+import type {BackendPlan} from "./backend-picker.js"
+import type {KvSource} from "./forward-messages.js"
+import type {ForwardRequest} from "./forward-request.js"
+import type {ForwardSettings} from "./forward-settings.js"
+import type {Route} from "./route.js"
 
 /// The attempt that is under way. Times are monotonic milliseconds.
 export interface LiveAttempt {
-  readonly attemptId: string;
-  readonly plan: BackendPlan;
-  readonly startedAt: number;
-  lastEventAt: number;
+  readonly attemptId: string
+  readonly plan: BackendPlan
+  readonly startedAt: number
+  lastEventAt: number
   /// A stream has begun to arrive.
-  answering: boolean;
+  answering: boolean
 }
 
 /// One request. Times are monotonic milliseconds.
 export interface Session {
-  readonly request: ForwardRequest;
-  readonly route: Route;
-  readonly service: string;
-  readonly deadlineAt: number;
+  readonly request: ForwardRequest
+  readonly route: Route
+  readonly service: string
+  readonly deadlineAt: number
   /// Back ends that it has been sent to.
-  readonly excluded: Set<string>;
-  attempt: LiveAttempt | undefined;
-  sends: number;
+  readonly excluded: Set<string>
+  attempt: LiveAttempt | undefined
+  sends: number
   /// Arrivals at back ends, as the retry budget counts them.
-  arrivals: number;
-  runs: number;
-  mayHaveRun: boolean;
+  arrivals: number
+  runs: number
+  /// Calls that had the prompt computed apart and that an engine may have taken up. Each after the first counts as a run.
+  prefills: number
+  mayHaveRun: boolean
   /// The head of a stream has been passed on.
-  relaying: boolean;
-  lastEventId: string | undefined;
-  kvSource: KvSource | undefined;
+  relaying: boolean
+  lastEventId: string | undefined
+  kvSource: KvSource | undefined
 }
 
 /// Whether requests of the route may run more than once.
-export function isRepeatable({ kind, resumable }: Route): boolean {
-  return kind === 'idempotent' || (kind === 'stream' && resumable);
+export function isRepeatable({kind, resumable}: Route): boolean {
+  return kind === "idempotent" || (kind === "stream" && resumable)
+}
+
+/// Back ends that count against the attempts of the route.
+function countAttempts({runs, prefills}: Session): number {
+  return runs + Math.max(0, prefills - 1)
 }
 
 /// Whether the request may run at one more back end.
-export function mayRunAgain({ route, runs }: Session): boolean {
-  return isRepeatable(route) && runs < route.maximumAttempts;
+export function mayRunAgain(session: Session): boolean {
+  const {route} = session
+  return isRepeatable(route) && countAttempts(session) < route.maximumAttempts
+}
+
+/// Whether the prompt may be computed apart: that call and the run after it must both be within the route's attempts.
+export function mayPrefill(session: Session): boolean {
+  const {route, prefills, runs} = session
+  return (
+    prefills === 0 ||
+    countAttempts({...session, prefills: prefills + 1, runs: runs + 1}) <= route.maximumAttempts
+  )
 }
 
 /// Whether the attempt makes no progress, may be moved to another back end, and its back end answers nobody else
-/// either. A stream that has begun is judged by its pauses alone.
+/// either. A stream that has begun is judged by its pauses alone. While this process stood still, until `resumedAt`, nothing
+/// could be heard.
 export function isStalled(
   session: Session,
   attempt: LiveAttempt,
   settings: ForwardSettings,
   now: number,
+  resumedAt: number
 ): boolean {
-  const { route } = session;
-  if (!attempt.plan.prefillOnly && !mayRunAgain(session)) return false;
-  const quietMs = now - attempt.lastEventAt;
-  if (attempt.answering) return quietMs > route.targetGapMs * settings.stallGaps;
-  const limit = Math.max(settings.minimumStallMs, route.targetLatencyMs * settings.stallTargetShare);
-  return quietMs > limit && attempt.plan.backend.silent(now);
+  const {route} = session
+  if (!attempt.plan.prefillOnly && !mayRunAgain(session)) return false
+  const quietMs = now - Math.max(attempt.lastEventAt, resumedAt)
+  if (attempt.answering) return quietMs > route.targetGapMs * settings.stallGaps
+  const limit = Math.max(settings.minimumStallMs, route.targetLatencyMs * settings.stallTargetShare)
+  return quietMs > limit && attempt.plan.backend.silent(now)
 }
 
 /// Ranks of one route's priority: short prompts, then long ones.
-const RANKS_PER_PRIORITY = 2;
+const RANKS_PER_PRIORITY = 2
 
 /// How urgent an attempt is for its engine. Prompts are computed in turn, so a long one would hold up many short ones.
 export function urgencyOf(route: Route, plan: BackendPlan, settings: ForwardSettings): number {
-  const long = plan.prefillOnly && plan.promptTokens > settings.longPromptTokens;
-  return route.priority * RANKS_PER_PRIORITY + (long ? 1 : 0);
+  const long = plan.prefillOnly && plan.promptTokens > settings.longPromptTokens
+  return route.priority * RANKS_PER_PRIORITY + (long ? 1 : 0)
 }
--- a/src/forwarding/retry-allowance.ts
+++ b/src/forwarding/retry-allowance.ts
@@ -5,68 +5,68 @@
 /// Figures of the budget.
 export interface RetryAllowanceSettings {
   /// Repeats per request.
-  readonly ratio: number;
+  readonly ratio: number
   /// Repeats beyond the ratio in one window, over all daemons.
-  readonly slack: number;
+  readonly slack: number
   /// Length of the sliding window. Milliseconds.
-  readonly windowMs: number;
+  readonly windowMs: number
 }
 
 /// Part of the budget that is used; the rest covers counts that lie on both sides of a window's edge.
-const SAFE_SHARE = 0.8;
-const BUCKET_MS = 250;
+const SAFE_SHARE = 0.8
+const BUCKET_MS = 250
 
 /// Counts of a sliding window in buckets.
 class WindowCount {
-  private buckets: { at: number; count: number }[] = [];
+  private buckets: {at: number; count: number}[] = []
 
   add(now: number): void {
-    const at = Math.floor(now / BUCKET_MS);
-    const last = this.buckets.at(-1);
-    if (last?.at === at) last.count += 1;
-    else this.buckets.push({ at, count: 1 });
+    const at = Math.floor(now / BUCKET_MS)
+    const last = this.buckets.at(-1)
+    if (last?.at === at) last.count += 1
+    else this.buckets.push({at, count: 1})
   }
 
   since(from: number): number {
-    const first = Math.floor(from / BUCKET_MS);
-    while (this.buckets.length > 0 && this.buckets[0].at < first) this.buckets.shift();
-    return this.buckets.reduce((sum, bucket) => sum + bucket.count, 0);
+    const first = Math.floor(from / BUCKET_MS)
+    while (this.buckets.length > 0 && this.buckets[0].at < first) this.buckets.shift()
+    return this.buckets.reduce((sum, bucket) => sum + bucket.count, 0)
   }
 }
 
 /// The allowance of one daemon, by service. Times are monotonic milliseconds.
 export class RetryAllowance {
-  private readonly requests = new Map<string, WindowCount>();
-  private readonly repeats = new Map<string, WindowCount>();
+  private readonly requests = new Map<string, WindowCount>()
+  private readonly repeats = new Map<string, WindowCount>()
 
   constructor(private readonly settings: RetryAllowanceSettings) {}
 
   /// Counts a request for `service`.
   requestSeen(service: string, now: number): void {
-    countOf(this.requests, service).add(now);
+    countOf(this.requests, service).add(now)
   }
 
   /// Takes one repeat if the allowance has one; `daemons` share the slack.
   tryRepeat(service: string, daemons: number, now: number): boolean {
-    if (this.left(service, daemons, now) < 1) return false;
-    countOf(this.repeats, service).add(now);
-    return true;
+    if (this.left(service, daemons, now) < 1) return false
+    countOf(this.repeats, service).add(now)
+    return true
   }
 
   /// Repeats left in this window.
   left(service: string, daemons: number, now: number): number {
-    const { ratio, slack, windowMs } = this.settings;
-    const requests = countOf(this.requests, service).since(now - windowMs);
-    const repeats = countOf(this.repeats, service).since(now - windowMs - BUCKET_MS);
-    return SAFE_SHARE * (ratio * requests + slack / Math.max(1, daemons)) - repeats;
+    const {ratio, slack, windowMs} = this.settings
+    const requests = countOf(this.requests, service).since(now - windowMs)
+    const repeats = countOf(this.repeats, service).since(now - windowMs - BUCKET_MS)
+    return SAFE_SHARE * (ratio * requests + slack / Math.max(1, daemons)) - repeats
   }
 }
 
 function countOf(counts: Map<string, WindowCount>, service: string): WindowCount {
-  let count = counts.get(service);
+  let count = counts.get(service)
   if (!count) {
-    count = new WindowCount();
-    counts.set(service, count);
+    count = new WindowCount()
+    counts.set(service, count)
   }
-  return count;
+  return count
 }
--- a/src/forwarding/route-schema.ts
+++ b/src/forwarding/route-schema.ts
@@ -1,49 +1,49 @@
 /// The checked form of a configuration of routes.
-import * as z from 'zod';
-import type { RouteConfiguration } from './route.js';
+import * as z from "zod"
+import type {RouteConfiguration} from "./route.js"
 
-const name = z.string().min(1).max(512);
-const milliseconds = z.number().finite().min(0);
-const target = z.object({ service: name, weight: z.number().finite().min(0) });
+const name = z.string().min(1).max(512)
+const milliseconds = z.number().finite().min(0)
+const target = z.object({service: name, weight: z.number().finite().min(0)})
 
 const route = z.object({
   name,
   host: name,
-  pathPrefix: z.string().startsWith('/').max(4096),
-  kind: z.enum(['idempotent', 'nonIdempotent', 'stream']),
+  pathPrefix: z.string().startsWith("/").max(4096),
+  kind: z.enum(["idempotent", "nonIdempotent", "stream"]),
   resumable: z.boolean(),
   timeoutMs: milliseconds,
   targetLatencyMs: milliseconds,
   targetGapMs: milliseconds,
   priority: z.number().int().min(0),
   maximumAttempts: z.number().int().min(1),
-  targets: z.array(target).min(1),
-});
+  targets: z.array(target).min(1)
+})
 
 const engine = z.object({
   slots: z.number().min(1),
   kvCapacityTokens: z.number().min(0),
-  kvHandleLifetimeMs: milliseconds,
-});
+  kvHandleLifetimeMs: milliseconds
+})
 
 const service = z.object({
   name,
   healthPath: z.string(),
   maximumConnections: z.number().int().min(1),
-  engine: engine.optional(),
-});
+  engine: engine.optional()
+})
 
 const limits = z.object({
   maximumHeaderBytes: z.number().int().min(1),
   maximumBodyBytes: z.number().int().min(0),
   headerTimeoutMs: milliseconds,
-  idleTimeoutMs: milliseconds,
-});
+  idleTimeoutMs: milliseconds
+})
 
 /// The schema; its issues name the field that is wrong.
 export const routeConfigurationSchema: z.ZodType<RouteConfiguration> = z.object({
   version: z.number().finite(),
   routes: z.array(route),
   services: z.array(service),
-  limits,
-}) as unknown as z.ZodType<RouteConfiguration>;
+  limits
+}) as unknown as z.ZodType<RouteConfiguration>
--- a/src/forwarding/route.ts
+++ b/src/forwarding/route.ts
@@ -1,89 +1,89 @@
 /// Routes, back-end services and back ends as the daemon knows them, whatever form an operator writes them in.
 
 /// How a request may be handled: whether it may run again, and whether its answer is a stream of events.
-export type RequestKind = 'idempotent' | 'nonIdempotent' | 'stream';
+export type RequestKind = "idempotent" | "nonIdempotent" | "stream"
 
 /// One part of a route's traffic.
 export interface RouteTarget {
-  readonly service: string;
+  readonly service: string
   /// Share of the traffic, relative to the other targets of the route.
-  readonly weight: number;
+  readonly weight: number
 }
 
 /// Which requests go to which service, and how long they may take.
 export interface Route {
-  readonly name: string;
-  readonly host: string;
+  readonly name: string
+  readonly host: string
   /// Begins and ends with a slash; the longest one that begins the path wins.
-  readonly pathPrefix: string;
-  readonly kind: RequestKind;
+  readonly pathPrefix: string
+  readonly kind: RequestKind
   /// Whether a stream may go on at another back end after its last event.
-  readonly resumable: boolean;
+  readonly resumable: boolean
   /// The longest that a request may be held. Milliseconds.
-  readonly timeoutMs: number;
+  readonly timeoutMs: number
   /// Time to the answer, or to a stream's first event, that the operator wants. Milliseconds.
-  readonly targetLatencyMs: number;
+  readonly targetLatencyMs: number
   /// The longest pause between events that the operator wants. Milliseconds.
-  readonly targetGapMs: number;
+  readonly targetGapMs: number
   /// 0 is the most urgent.
-  readonly priority: number;
+  readonly priority: number
   /// Back ends on which one request may run.
-  readonly maximumAttempts: number;
-  readonly targets: readonly RouteTarget[];
+  readonly maximumAttempts: number
+  readonly targets: readonly RouteTarget[]
 }
 
 /// What the operator says of a service's back ends.
 export interface BackendService {
-  readonly name: string;
-  readonly healthPath: string;
+  readonly name: string
+  readonly healthPath: string
   /// Connections that one back end takes from all daemons together.
-  readonly maximumConnections: number;
+  readonly maximumConnections: number
   /// Present when the back ends are model engines.
-  readonly engine: EngineTraits | undefined;
+  readonly engine: EngineTraits | undefined
 }
 
 /// What all model engines of a service have in common.
 export interface EngineTraits {
   /// Requests that run at once.
-  readonly slots: number;
+  readonly slots: number
   /// Tokens that fit into the KV cache.
-  readonly kvCapacityTokens: number;
+  readonly kvCapacityTokens: number
   /// How long an exported KV cache is kept for its taker. Milliseconds.
-  readonly kvHandleLifetimeMs: number;
+  readonly kvHandleLifetimeMs: number
 }
 
 /// Bounds on what callers send.
 export interface CallerLimits {
-  readonly maximumHeaderBytes: number;
-  readonly maximumBodyBytes: number;
+  readonly maximumHeaderBytes: number
+  readonly maximumBodyBytes: number
   /// Milliseconds.
-  readonly headerTimeoutMs: number;
+  readonly headerTimeoutMs: number
   /// How long a connection may rest between requests. Milliseconds.
-  readonly idleTimeoutMs: number;
+  readonly idleTimeoutMs: number
 }
 
 /// One version of the operator's configuration. Versions rise.
 export interface RouteConfiguration {
-  readonly version: number;
-  readonly routes: readonly Route[];
-  readonly services: readonly BackendService[];
-  readonly limits: CallerLimits;
+  readonly version: number
+  readonly routes: readonly Route[]
+  readonly services: readonly BackendService[]
+  readonly limits: CallerLimits
 }
 
 /// Stage of a model engine: it computes prompts for others, or generates.
-export type EngineStage = 'prefill' | 'decode';
+export type EngineStage = "prefill" | "decode"
 
 /// One incarnation of a back end.
 export interface BackendRecord {
   /// A new one at each start of the back end.
-  readonly id: string;
-  readonly service: string;
+  readonly id: string
+  readonly service: string
   /// `ip:port`.
-  readonly address: string;
-  readonly zone: string;
+  readonly address: string
+  readonly zone: string
   /// Requests that it works on at once.
-  readonly slots: number;
-  readonly state: 'ready' | 'draining';
+  readonly slots: number
+  readonly state: "ready" | "draining"
   /// Undefined for back ends that are not model engines.
-  readonly stage: EngineStage | undefined;
+  readonly stage: EngineStage | undefined
 }
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -280,13 +280,39 @@
     expect(site.starts()[1].resumeAfter).to.equal('7');
   });
 
-  it('a stream whose next engine is lost too goes on at a third', () => {
+  it('a prompt that was computed apart is computed apart again only where the attempts of the route allow both', () => {
     const route = labRoute({ ...STREAM, resumable: true, maximumAttempts: 2 });
     const site = new Forwarding([route], [...ENGINES, engine('p3', 'prefill'), engine('d3', 'decode')]);
     site.begin({ prompt: prompt(400, 100) });
     site.event({ kind: 'prefilled', handle: 'h1' }, 10);
     site.event({ kind: 'streamStarted' }, 20);
     site.event({ kind: 'broken', reason: 'reset' }, 30);
+    expect(site.starts()[2]).to.include({ prefillOnly: false });
+    expect(site.starts()[2].backend.stage).to.equal('decode');
+    site.event({ kind: 'broken', reason: 'reset' }, 31);
+    expect(site.starts()).to.have.length(3);
+    expect(site.failures()).to.deep.equal(['broken']);
+  });
+
+  it('a stream is not moved because this process stood still', () => {
+    const site = new Forwarding([labRoute({ ...STREAM, resumable: true, maximumAttempts: 2 })], PLAIN);
+    site.begin({ callerDeadlineMs: 9000 });
+    site.event({ kind: 'streamStarted' }, 10);
+    for (let now = 20; now < 200; now += 20) site.manager.tick(now);
+    site.manager.ownPauseEnded(1800);
+    site.manager.tick(1800);
+    site.event({ kind: 'streamProgress', lastEventId: '2' }, 1801);
+    for (let now = 1820; now < 2000; now += 20) site.manager.tick(now);
+    expect(site.starts()).to.have.length(1);
+  });
+
+  it('a stream whose next engine is lost too goes on at a third', () => {
+    const route = labRoute({ ...STREAM, resumable: true, maximumAttempts: 4 });
+    const site = new Forwarding([route], [...ENGINES, engine('p3', 'prefill'), engine('d3', 'decode')]);
+    site.begin({ prompt: prompt(400, 100) });
+    site.event({ kind: 'prefilled', handle: 'h1' }, 10);
+    site.event({ kind: 'streamStarted' }, 20);
+    site.event({ kind: 'broken', reason: 'reset' }, 30);
     site.event({ kind: 'broken', reason: 'reset' }, 31);
     expect(site.failures()).to.deep.equal([]);
     expect(site.starts()).to.have.length(4);
