--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -3,10 +3,11 @@
 ///
 ///     npm run fault-soak -- --seed 7 --seconds 60
 import {execFileSync} from "node:child_process"
-import {mkdirSync, rmSync} from "node:fs"
+import {mkdirSync, readFileSync, rmSync} from "node:fs"
 import {join} from "node:path"
 import {setTimeout as wait} from "node:timers/promises"
 import meow from "meow"
+import * as z from "zod"
 import {SeededRandom} from "../../src/shared/random.js"
 import {CallerLoad} from "./caller-load.js"
 import {makePlan, type PlannedFault} from "./fault-plan.js"
@@ -114,29 +115,43 @@
 }
 
 async function main(): Promise<void> {
-  const cli = meow("Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--keep]", {
-    importMeta: import.meta,
-    flags: {
-      seed: {type: "number", default: Math.floor(Date.now() % 1_000_000)},
-      count: {type: "number", default: 1},
-      seconds: {type: "number", default: 30},
-      rate: {type: "number", default: 60},
-      keep: {type: "boolean", default: false}
+  const cli = meow(
+    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--keep] [--regressions]",
+    {
+      importMeta: import.meta,
+      flags: {
+        seed: {type: "number", default: Math.floor(Date.now() % 1_000_000)},
+        count: {type: "number", default: 1},
+        seconds: {type: "number", default: 30},
+        rate: {type: "number", default: 60},
+        keep: {type: "boolean", default: false},
+        regressions: {type: "boolean", default: false}
+      }
     }
-  })
-  const {seed, count, seconds, rate, keep} = cli.flags
-  let failed = 0
+  )
+  const {seed, count, seconds, rate, keep, regressions} = cli.flags
+  const runs = regressions
+    ? readRegressions()
+    : Array.from({length: count}, (_, i) => ({seed: seed + i, seconds}))
   const program = buildProgram(join(process.cwd(), "bench-results", "program"))
-  for (let i = 0; i < count; i += 1) {
-    const folder = join(process.cwd(), "bench-results", `soak-${seed + i}`)
+  let failed = 0
+  for (const run of runs) {
+    const folder = join(process.cwd(), "bench-results", `soak-${run.seed}`)
     mkdirSync(folder, {recursive: true})
-    const outcome = await runSoak(seed + i, seconds, rate, program, folder)
+    const outcome = await runSoak(run.seed, run.seconds, rate, program, folder)
     process.stdout.write(`${JSON.stringify(outcome)}\n`)
     if (outcome.violations.length > 0) failed += 1
     else if (!keep) rmSync(folder, {recursive: true})
   }
-  process.stdout.write(`${count - failed} passed, ${failed} failed\n`)
+  process.stdout.write(`${runs.length - failed} passed, ${failed} failed\n`)
   process.exitCode = failed > 0 ? 1 : 0
 }
 
+const regressionsSchema = z.array(z.object({seed: z.number(), seconds: z.number(), cause: z.string()}))
+
+/// Seeds that failed once, each with its cause.
+function readRegressions(): z.infer<typeof regressionsSchema> {
+  return regressionsSchema.parse(JSON.parse(readFileSync("lab/soak/regression-seeds.json", "utf8")))
+}
+
 if (process.argv[1]?.endsWith("soak/soak.js")) await main()
