--- a/lab/main.ts
+++ b/lab/main.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 /** The command line of the stand-ins, the load tool and the demo. */
 import meow from 'meow';
-import { splitAddress } from '../src/adapters/peer-transport.js';
+import { splitAddress } from '../src/shared/address.js';
 import { PulleyledgeError, ValidationError } from '../src/errors/index.js';
 import { SeededRandom } from '../src/shared/random.js';
 import { ApplicationServer } from './application-server.js';
--- a/lab/soak/daemon-process.ts
+++ b/lab/soak/daemon-process.ts
@@ -2,7 +2,7 @@
 /// outside by signals only.
 import {spawn, type ChildProcess} from "node:child_process"
 import {closeSync, openSync, writeFileSync} from "node:fs"
-import {createServer, type AddressInfo} from "node:net"
+import {createServer} from "node:net"
 import {join} from "node:path"
 import {formatSettings} from "./settings-file.js"
 import type {SoakBounds} from "./soak-record.js"
@@ -120,16 +120,25 @@
   }
 }
 
-/// Finds so many free ports on the loopback address.
+/// Below the ports that the system gives to outgoing connections and to servers that ask for any.
+const FIRST_PORT = 20_000
+const LAST_PORT = 32_000
+
+/// Finds so many ports on the loopback address that nobody listens on and that the system gives to nobody else.
 export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from({length: count}, async () => {
-      const server = createServer()
-      await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
-      return server
-    })
-  )
-  const ports = servers.map(server => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  const ports: number[] = []
+  let port = FIRST_PORT + (process.pid % (LAST_PORT - FIRST_PORT))
+  while (ports.length < count) {
+    port = port >= LAST_PORT ? FIRST_PORT : port + 1
+    if (await isFree(port)) ports.push(port)
+  }
   return ports
 }
+
+function isFree(port: number): Promise<boolean> {
+  const server = createServer()
+  return new Promise(resolve => {
+    server.once("error", () => resolve(false))
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)))
+  })
+}
--- a/src/adapters/peer-transport.ts
+++ b/src/adapters/peer-transport.ts
@@ -6,6 +6,8 @@
 import { createInterface } from 'node:readline';
 import type { PeerMessage } from '../daemon/daemon-messages.js';
 import { PulleyledgeError } from '../errors/index.js';
+import { splitAddress } from '../shared/address.js';
+import { startListening } from './listen.js';
 import { decodePeerHello, decodePeerMessage, encodePeerMessage, type PeerHello } from './peer-codec.js';
 
 /** What the transport tells its user. */
@@ -30,12 +32,6 @@
   failedAt: number | undefined;
 }
 
-/** Splits `ip:port`. */
-export function splitAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(':');
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
-
 /** The TCP transport of one daemon. */
 export class PeerTransport {
   private readonly outgoing = new Map<string, Outgoing>();
@@ -52,11 +48,7 @@
 
   /** Starts to listen on the daemon's peer address. */
   listen(): Promise<void> {
-    const { host, port } = splitAddress(this.hello.address);
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+    return startListening(this.server, this.hello.address);
   }
 
   /** Sends a message, or drops it when the peer cannot be reached or does not read. */
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -4,6 +4,7 @@
 export * from './caller-cancelled-error.js';
 export * from './deadline-exceeded-error.js';
 export * from './ledger-unavailable-error.js';
+export * from './listen-error.js';
 export * from './no-backend-error.js';
 export * from './not-found-error.js';
 export * from './not-ready-error.js';
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -1,6 +1,7 @@
 /** The HTTP server that callers of forwarded requests connect to. It reads requests whole and writes answers. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { startListening } from '../adapters/listen.js';
 import type { KeptAnswer, StreamSink } from '../adapters/backend-client.js';
 import type { CallerLimits } from '../forwarding/route.js';
 
@@ -28,6 +29,8 @@
   readonly retryAfterMs: number | undefined;
 }
 
+/** Connections that the system keeps while the process is busy. */
+const BACKLOG = 1024;
 const STATUS_TOO_LARGE = 413;
 const SECOND_MS = 1000;
 /** Callers keep to the configured limit; this one only protects the process. */
@@ -154,12 +157,9 @@
     });
   }
 
-  /** Starts to listen. */
-  listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({ host, port, backlog: 1024 }, resolve);
-    });
+  /** Starts to listen on `ip:port`. */
+  listen(address: string): Promise<void> {
+    return startListening(this.server, address, BACKLOG);
   }
 
   /** Takes new limits into force. */
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -4,10 +4,11 @@
 import { pino } from 'pino';
 import { BackendClient, type CallerRequest } from '../adapters/backend-client.js';
 import type { BackendDialect } from '../adapters/backend-dialect.js';
-import { PeerTransport, splitAddress } from '../adapters/peer-transport.js';
+import { startListening } from '../adapters/listen.js';
+import { PeerTransport } from '../adapters/peer-transport.js';
 import { ForwardingDaemon, type ForwardingDaemonSettings } from '../daemon/forwarding-daemon.js';
 import type { ForwardingEffect, ForwardingEvent } from '../daemon/forwarding-messages.js';
-import type { PulleyledgeError } from '../errors/index.js';
+import { ListenError, type PulleyledgeError } from '../errors/index.js';
 import type { RecordRead, RecordStore } from '../fleet/record-store.js';
 import type { ForwardAttemptEvent } from '../forwarding/forward-messages.js';
 import { ForwardServer, type CallerReply, type ReceivedRequest } from '../gateway/forward-server.js';
@@ -162,10 +163,10 @@
       setInterval(() => this.logStream.flush(), LOG_FLUSH_MS),
     ];
     await Promise.all([
-      listen(this.readyServer, this.settings.readyAddress),
+      startListening(this.readyServer, this.settings.readyAddress),
       this.listenMetrics(),
       this.peers.listen(),
-      this.server.listen(...hostAndPort(this.settings.callerAddress)),
+      this.server.listen(this.settings.callerAddress),
     ]);
   }
 
@@ -348,30 +349,18 @@
     const { metricsAddress } = this.settings;
     if (metricsAddress === undefined) return;
     try {
-      await listen(this.metricsServer, metricsAddress);
+      await startListening(this.metricsServer, metricsAddress);
     } catch (error) {
-      this.log.important('metrics.unavailable', { code: (error as NodeJS.ErrnoException).code });
+      if (!(error instanceof ListenError)) throw error;
+      this.log.important('metrics.unavailable', { code: error.code, ...error.context });
     }
   }
 }
 
-function listen(server: Server, address: string): Promise<void> {
-  const [host, port] = hostAndPort(address);
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
-}
-
 function now(): number {
   return performance.now();
 }
 
-function hostAndPort(address: string): [host: string, port: number] {
-  const { host, port } = splitAddress(address);
-  return [host, port];
-}
-
 /** A crash of the machine is a defect: the process ends at once instead of going on without a part of itself. */
 function failFast(_message: unknown, error: unknown): never {
   process.stderr.write(`${error instanceof Error ? error.stack : String(error)}\n`);
--- a/test/bundle.test.ts
+++ b/test/bundle.test.ts
@@ -56,7 +56,7 @@
     rmSync(folder, { recursive: true });
   });
 
-  it('starts, reads configuration and back ends from the store, forwards a request and serves metrics', async () => {
+  it('starts, reads the store, forwards, serves metrics; a second one says that its address is taken', async () => {
     const deploy = parse(readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8')) as unknown as DeployFile;
     const bundle = join(folder, 'start.cjs');
     const build = deploy.build.replace(/^.*npm ci --silent; /, '').replace(/target$/, folder);
@@ -119,6 +119,15 @@
     expect(text).to.match(/pulleyledge_ready 1/);
     expect(text).to.match(/pulleyledge_store_calls_total\{call="backends",outcome="snapshot"\} 1/);
     expect(text).to.match(/pulleyledge_forward_decisions_total\{event="request.refused"/);
+
+    const second = await execute(process.execPath, flags, {
+      env: { ...process.env, PULLEYLEDGE_NODE_FILE: settings },
+    }).then(
+      () => ({ code: 0, stderr: '' }),
+      (error: { code: number; stderr: string }) => error,
+    );
+    expect(second.code).to.equal(71);
+    expect(second.stderr).to.match(/^listen-failed: cannot listen on 127\.0\.0\.1:\d+: EADDRINUSE/);
   });
 });
 
