Revert: loads of peers are not scaled to the fleet

Cause for the try: a daemon of 88 hears half of the others within a digest's lifetime. A digest is up to 2 s old and the prompts it counts are computed in 0.3 s, so scaling multiplies what is no longer true.

--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -60,7 +60,6 @@
   tick(now: number): void {
     if (now < this.nextDigestAt) return
     this.nextDigestAt = now + this.settings.digestIntervalMs
-    this.directory.peers.setPeers(this.peerAddresses().length)
     this.directory.peers.removeOld(now)
     const message: FleetMessage = {
       kind: "loadDigest",
--- a/src/forwarding/peer-loads.ts
+++ b/src/forwarding/peer-loads.ts
@@ -1,5 +1,6 @@
 /// What the other daemons put on the back ends, summed up from their digests. In a large fleet a daemon hears only a
-/// part of the others within a digest's lifetime; the sums are scaled to all of them.
+/// part of the others within a digest's lifetime, so that its sums are too small. Scaled to the whole fleet they were worse
+/// on the bench: a digest is up to 2 s old, and a prompt that it counts is computed within 0.3 s (docs/MEASUREMENTS.md).
 import type {BackendLoad} from "./backend-directory.js"
 
 interface Digest {
@@ -15,8 +16,6 @@
 
 /// A peer's digest counts for this long. Milliseconds.
 const DIGEST_LIFETIME_MS = 2000
-/// A few digests say little about many daemons, so no sum is scaled by more than this.
-const MAXIMUM_SCALE = 4
 /// One daemon that avoids a back end may be the only one that cannot reach it; two are believed.
 const DISTRUSTED = 2
 
@@ -24,37 +23,27 @@
 export class PeerLoads {
   private readonly digests = new Map<string, Digest>()
   private readonly sums = new Map<string, Sum>()
-  private peers = 0
-  private scale = 1
-
-  /// Sets how many other daemons there are.
-  setPeers(count: number): void {
-    this.peers = count
-    this.rescale()
-  }
 
   /// Takes what another daemon says of its load, in place of what it said before.
   applyDigest(peerId: string, loads: readonly BackendLoad[], now: number): void {
     this.removeDigest(peerId)
     this.digests.set(peerId, {loads, at: now})
     for (const load of loads) this.addLoad(load, 1)
-    this.rescale()
   }
 
   /// Forgets digests that are too old.
   removeOld(now: number): void {
     for (const [peerId, {at}] of this.digests) if (now - at > DIGEST_LIFETIME_MS) this.removeDigest(peerId)
-    this.rescale()
   }
 
   /// Requests of the others at a back end.
   getInFlight(backendId: string): number {
-    return (this.sums.get(backendId)?.inFlight ?? 0) * this.scale
+    return this.sums.get(backendId)?.inFlight ?? 0
   }
 
   /// Prompt tokens of the others that wait there.
   getPendingTokens(backendId: string): number {
-    return (this.sums.get(backendId)?.pendingTokens ?? 0) * this.scale
+    return this.sums.get(backendId)?.pendingTokens ?? 0
   }
 
   /// Whether several daemons avoid it, or the one that changes its stage does.
@@ -75,9 +64,4 @@
     sum.distrust += sign * distrust
     if (sum.inFlight === 0 && sum.pendingTokens === 0 && sum.distrust === 0) this.sums.delete(id)
   }
-
-  private rescale(): void {
-    const heard = this.digests.size
-    this.scale = heard === 0 ? 1 : Math.min(MAXIMUM_SCALE, Math.max(1, this.peers / heard))
-  }
 }
