A daemon that knows records from a peer alone vouches for nothing

Needs a daemon that the store never answered and a peer that lacked a change itself. Change: such a daemon says that it is complete up to nothing. Figures: test 'knows records from a peer alone' failed with PeerProtocolError, passes.

--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -271,8 +271,9 @@
   private getKnowledgeOf(collection: RecordCollection, now: number): RecordKnowledge {
     const {cursor, completeAt} = this.followers[collection]
     const changed = collection === "configuration" ? this.configurationRevision : this.backendsRevision
-    const ageMs = cursor === undefined ? 0 : Math.round(now - completeAt)
-    return {complete: cursor ?? -1, changed, ageMs}
+    // Known from a peer alone that lacked something itself: nothing to vouch for.
+    if (cursor === undefined || completeAt === -Infinity) return {complete: -1, changed, ageMs: 0}
+    return {complete: cursor, changed, ageMs: Math.round(now - completeAt)}
   }
 
   /// Whether this daemon should ask the store itself.
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -9,6 +9,7 @@
 } from '../src/fleet/fleet-replica.js';
 import type { FleetKnowledge } from '../src/fleet/fleet-messages.js';
 import type { StoredRecord } from '../src/fleet/record-store.js';
+import { decodePeerMessage, encodePeerMessage } from '../src/adapters/peer-codec.js';
 import { SeededRandom } from '../src/shared/random.js';
 
 const SEED = 20261202;
@@ -118,4 +119,23 @@
       { seed: SEED, numRuns: 200 },
     );
   });
+
+  it('a daemon that knows records from a peer alone, with a gap, still tells its peers in a form that they take', () => {
+    const { fleet } = replica();
+    const knowledge = knowing(5, 5);
+    fleet.receiveSnapshot(
+      'peer',
+      { ...knowledge, backends: { complete: 5, changed: 9, ageMs: 0 } },
+      [configuration(5, 1), backend('a', 9)],
+      50,
+    );
+    const message = {
+      kind: 'loadDigest' as const,
+      knowledge: fleet.getKnowledge(60),
+      loads: [],
+      placements: [],
+    };
+    expect(decodePeerMessage(encodePeerMessage(message))).to.deep.equal(message);
+    expect(fleet.getKnowledge(60).backends.complete).to.equal(-1);
+  });
 });
