A code cache of another build is never taken

Cause: V8 takes a code cache of any source of the same length. make-code-cache started the new bundle with the cache of the build before, so a rebuild in place with a constant of as many digits ran the old code, and wrote it into the new cache. Change: the cache's name carries a digest of its source. Test seen to fail first: expected '111' to equal '222'. A clean checkout, as the users build, never had the fault.

--- a/deploy/make-code-cache.ts
+++ b/deploy/make-code-cache.ts
@@ -36,12 +36,15 @@
     formatSettings("daemon-1", "zone-a", ports, [], BOUNDS, await store.open("daemon-1"))
   )
   process.env.PULLEYLEDGE_NODE_FILE = settings
-  const started = (await import(resolve(folder, "start.cjs"))) as {default: {script: Script}}
+  const started = (await import(resolve(folder, "start.cjs"))) as {
+    default: {script: Script; cachePath: string}
+  }
   await wait(READY_MS)
   const load = new CallerLoad(record, [{daemon: "daemon-1", address: ports.front}], SOAK_ROUTES, random)
   void load.run(REQUESTS_PER_SECOND)
   await wait(LOAD_MS)
-  writeFileSync(join(folder, "pulleyledge.cache"), started.default.script.createCachedData())
+  const {script, cachePath} = started.default
+  writeFileSync(cachePath, script.createCachedData())
   rmSync(settings)
   process.exit(0)
 }
--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -1,24 +1,32 @@
 "use strict"
 /// Starts the bundle with its code cache, so that a starting process compiles next to nothing. Without a cache, or with
 /// one of another engine or other flags, it compiles as usual.
+const {createHash} = require("node:crypto")
 const {readFileSync} = require("node:fs")
 const {join} = require("node:path")
 const {Script} = require("node:vm")
 
 const filename = join(__dirname, "pulleyledge.cjs")
 
-function readCache() {
+/// The engine takes a cache of any source of the same length, so the name of the cache tells the source it is for.
+function findCachePath(source) {
+  const digest = createHash("sha256").update(source).digest("hex").slice(0, 16)
+  return join(__dirname, `pulleyledge-${digest}.cache`)
+}
+
+function readCache(path) {
   try {
-    return readFileSync(join(__dirname, "pulleyledge.cache"))
+    return readFileSync(path)
   } catch {
     return undefined
   }
 }
 
 const source = readFileSync(filename, "utf8")
+const cachePath = findCachePath(source)
 const script = new Script(`(function (require, module, exports) {${source}\n})`, {
   filename,
-  cachedData: readCache()
+  cachedData: readCache(cachePath)
 })
 script.runInThisContext()(require, module, exports)
-module.exports = {script}
+module.exports = {script, cachePath}
--- a/test/bundle.test.ts
+++ b/test/bundle.test.ts
@@ -1,6 +1,6 @@
 /** The program as it is deployed: the bundle that deploy/system.toml builds starts, reads the store and serves. */
 import { execFile, spawn, type ChildProcess } from 'node:child_process';
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer, type Server } from 'node:http';
 import { createServer as createNetServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -129,6 +129,23 @@
     expect(second.code).to.equal(71);
     expect(second.stderr).to.match(/^listen-failed: cannot listen on 127\.0\.0\.1:\d+: EADDRINUSE/);
   });
+
+  it('a code cache of another source of the same length is not taken', async () => {
+    const copy = mkdtempSync(join(tmpdir(), 'code-cache-'));
+    copyFileSync(join(ROOT, 'deploy/start.cjs'), join(copy, 'start.cjs'));
+    const bundle = (value: number): void =>
+      writeFileSync(
+        join(copy, 'pulleyledge.cjs'),
+        `const tell = () => ${value}; process.stdout.write(String(tell()))`,
+      );
+    const cachePath = `started.cachePath || require('path').join('${copy}', 'pulleyledge.cache')`;
+    const makeCache = `const started = require('${copy}/start.cjs'); require('fs').writeFileSync(${cachePath}, started.script.createCachedData())`;
+    bundle(111);
+    expect((await execute(process.execPath, ['-e', makeCache])).stdout).to.equal('111');
+    bundle(222);
+    expect((await execute(process.execPath, [join(copy, 'start.cjs')])).stdout).to.equal('222');
+    rmSync(copy, { recursive: true });
+  });
 });
 
 async function untilStatus(url: string, status: number): Promise<void> {
