--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -3,15 +3,19 @@
 import type {EffectSink} from "../shared/effect-sink.js"
 import type {RandomSource} from "../shared/random.js"
 import type {BackendDirectory} from "../forwarding/backend-directory.js"
-import type {PrefixPlacement} from "../forwarding/prefix-index.js"
+import type {PartPlacement} from "../forwarding/kv-index.js"
 import type {FleetKnowledge, FleetMessage, RecordsChanged} from "./fleet-messages.js"
 import type {FleetReplica} from "./fleet-replica.js"
 import type {RecordCollection} from "./record-store.js"
 
 /// Settings of the exchange.
 export interface PeerExchangeSettings {
-  /// Interval between digests. Milliseconds. Default 400.
+  /// The longest interval between digests. Milliseconds. Default 400.
   readonly digestIntervalMs: number
+  /// Interval for each peer that gets one: a small fleet can afford fresher digests. Milliseconds. Default 20.
+  readonly digestIntervalPerPeerMs: number
+  /// The shortest interval. Milliseconds. Default 100.
+  readonly minimumDigestIntervalMs: number
   /// Peers that get a digest at most. Default 12.
   readonly digestPeers: number
   /// A daemon that has been behind a peer for so long asks it for its records. Milliseconds. Default 300.
@@ -21,14 +25,16 @@
 /// Default settings.
 export const DEFAULT_PEER_EXCHANGE_SETTINGS: PeerExchangeSettings = {
   digestIntervalMs: 400,
+  digestIntervalPerPeerMs: 20,
+  minimumDigestIntervalMs: 100,
   digestPeers: 12,
   pullAfterMs: 300
 }
 
 /// Where prompts were computed: what this daemon tells, and what it learns.
 export interface PlacementExchange {
-  take(): readonly PrefixPlacement[]
-  learn(placement: PrefixPlacement): void
+  take(): readonly PartPlacement[]
+  learn(placement: PartPlacement): void
 }
 
 /// A message to a peer.
@@ -59,7 +65,8 @@
   /// Sends digests when they are due.
   tick(now: number): void {
     if (now < this.nextDigestAt) return
-    this.nextDigestAt = now + this.settings.digestIntervalMs
+    const recipients = this.recipients()
+    this.nextDigestAt = now + this.digestIntervalMs(recipients.length)
     this.directory.peers.removeOld(now)
     const message: FleetMessage = {
       kind: "loadDigest",
@@ -67,7 +74,7 @@
       loads: this.directory.ownLoads(now),
       placements: [...this.placements.take()]
     }
-    for (const address of this.recipients()) this.emit({address, message})
+    for (const address of recipients) this.emit({address, message})
   }
 
   /// Takes a peer's message.
@@ -115,6 +122,11 @@
     this.emit({address: fromAddress, message: {kind: "recordsPull", sequence: this.sequence}})
   }
 
+  private digestIntervalMs(peers: number): number {
+    const {digestIntervalMs, digestIntervalPerPeerMs, minimumDigestIntervalMs} = this.settings
+    return Math.min(digestIntervalMs, Math.max(minimumDigestIntervalMs, peers * digestIntervalPerPeerMs))
+  }
+
   private recipients(): readonly string[] {
     const all = this.peerAddresses()
     if (all.length <= this.settings.digestPeers) return all
