Engines come back to prefill sooner when streams leave them free

Change: an engine is given back when the others would carry the streams with 0.6 of their slots (was 0.35) for 1 s, one is added at 0.8 (was 0.7).

--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -93,6 +93,7 @@
   planner: DEFAULT_STAGE_PLANNER_SETTINGS,
   takeoverWaitMs: 3000,
   orderPauseMs: 1500,
+  returnAfterMs: 1000,
   changeTimeoutMs: 6000,
 };
 
--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -28,6 +28,7 @@
     planner: DEFAULT_STAGE_PLANNER_SETTINGS,
     takeoverWaitMs: 3000,
     orderPauseMs: 1500,
+    returnAfterMs: 1000,
     changeTimeoutMs: 6000,
   },
 };
--- a/src/allocation/stage-coordinator.ts
+++ b/src/allocation/stage-coordinator.ts
@@ -9,7 +9,7 @@
 import type { BackendView } from '../forwarding/backend-view.js';
 import type { BackendRecord, EngineStage } from '../forwarding/route.js';
 import type { EngineStatus, StageOrder, StageOrderResult } from './engine-orders.js';
-import { planStage, type StageDemand, type StagePlannerSettings } from './stage-planner.js';
+import { planStage, type StageDemand, type StagePlannerSettings, type StageStep } from './stage-planner.js';
 
 /** Settings of the coordinator. */
 export interface StageCoordinatorSettings {
@@ -19,6 +19,8 @@
   readonly takeoverWaitMs: number;
   /** Pause between orders under load. Milliseconds. Default 1500. */
   readonly orderPauseMs: number;
+  /** Engines must have been spare for so long before one is given back to prefill. Milliseconds. Default 1000. */
+  readonly returnAfterMs: number;
   /** An engine whose record does not show the new stage after this is free for others again. Milliseconds. Default 6000. */
   readonly changeTimeoutMs: number;
 }
@@ -53,6 +55,7 @@
   private nextOrderAt = 0;
   private ordersFrom = Infinity;
   private tickedAt = 0;
+  private spareSince = Infinity;
 
   constructor(
     readonly service: string,
@@ -73,7 +76,7 @@
   tick(situation: StageSituation, now: number): void {
     this.tickedAt = now;
     this.forgetFinished(situation.views, now);
-    const step = planStage(this.settings.planner, this.demand(situation, now));
+    const step = this.planStep(situation, now);
     this.lease.tick(now, situation.wanted && step !== 'none');
     if (!situation.wanted) this.release(now);
     const held = this.lease.current(now);
@@ -117,6 +120,15 @@
     if (this.pending?.backend.id === backendId && result.kind === 'refused') this.pending = undefined;
   }
 
+  /** The planner's step; an engine is given back only when it has been spare for a while. */
+  private planStep(situation: StageSituation, now: number): StageStep {
+    const step = planStage(this.settings.planner, this.demand(situation, now));
+    if (step !== 'toPrefill') this.spareSince = Infinity;
+    else this.spareSince = Math.min(this.spareSince, now);
+    const soon = step === 'toPrefill' && situation.loaded;
+    return soon && now - this.spareSince < this.settings.returnAfterMs ? 'none' : step;
+  }
+
   private forgetFinished(views: readonly BackendView[], now: number): void {
     const { pending } = this;
     if (!pending) return;
--- a/src/allocation/stage-planner.ts
+++ b/src/allocation/stage-planner.ts
@@ -15,9 +15,9 @@
   readonly minimumDecode: number;
   /** Prefill engines kept at least, where there are so many. Default 1. */
   readonly minimumPrefill: number;
-  /** A decode engine is added when streams reach this share of the slots. Default 0.7. */
+  /** A decode engine is added when streams reach this share of the slots. Default 0.8. */
   readonly addAtStreamShare: number;
-  /** It is given back when the others would carry the streams with this share of their slots. Default 0.35. */
+  /** It is given back when the others would carry the streams with this share of their slots. Default 0.6. */
   readonly returnAtStreamShare: number;
 }
 
@@ -26,8 +26,8 @@
   decodeShare: 0.3,
   minimumDecode: 2,
   minimumPrefill: 1,
-  addAtStreamShare: 0.7,
-  returnAtStreamShare: 0.35,
+  addAtStreamShare: 0.8,
+  returnAtStreamShare: 0.6,
 };
 
 /** What is known of a service's load, over all daemons. */
