Engines' KV caches are followed, shared parts copied, hopeless prompts give way

Changes, each with its test: an index by part, fed by the engines' own changes (long polls; an engine holds few calls, so in a large fleet ten daemons follow an engine and the others learn from peers); a part that another engine keeps is copied from there; the engines' pace is learned from answers, and a prompt that cannot be in time gets the last rank; long prompts never overflow to decode engines for want of connections; where engines have no room for late prompts a caller is refused at once and told when the backlog is worked off, and once it has come back it is not refused again. Ruled out: memory of prefill engines (reports: 15,000 of 305,000 tokens used), one running prompt at a time is the engines' way.

--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -5,6 +5,7 @@
 import { Pool, type Dispatcher } from 'undici';
 import type { AttemptStart, ForwardAttemptEvent, KvSource } from '../forwarding/forward-messages.js';
 import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
+import type { KvChanges, KvChangesCall } from '../forwarding/kv-follower.js';
 import type { BackendRecord } from '../forwarding/route.js';
 import type { HealthProbe } from '../forwarding/health-prober.js';
 import type { BackendDialect, CallerHead, PlainCall, RawHeaders } from './backend-dialect.js';
@@ -69,6 +70,7 @@
 /** Keys of pools beside the usual one of a back end. */
 const PROBE = 'probe';
 const ONCE = 'once';
+const KV_CHANGES = 'kv';
 
 /** The client of one daemon. */
 export class BackendClient {
@@ -145,6 +147,18 @@
     }
   }
 
+  /** Asks a model engine for changes of its KV cache; undefined when it does not tell. */
+  async kvChanges(call: KvChangesCall): Promise<KvChanges | undefined> {
+    const { id, address } = call.backend;
+    const small = this.dialect.kvChangesCall(call);
+    try {
+      const answer = await this.call(`${KV_CHANGES} ${id}`, address, small, call.waitMs);
+      return this.dialect.kvChanges(answer.status, answer.body);
+    } catch {
+      return undefined;
+    }
+  }
+
   /** Asks a model engine for its state; undefined when it does not tell. */
   async engineStatus(backend: BackendRecord): Promise<EngineStatus | undefined> {
     const call = this.dialect.engineStatusCall();
@@ -169,7 +183,8 @@
 
   /** Connections to a back end that is gone are closed when their requests are over. */
   forget(backendId: string): void {
-    for (const key of [backendId, `${PROBE} ${backendId}`, `${ONCE} ${backendId}`]) {
+    const kinds = [PROBE, ONCE, KV_CHANGES].map((kind) => `${kind} ${backendId}`);
+    for (const key of [backendId, ...kinds]) {
       const pool = this.pools.get(key);
       this.pools.delete(key);
       pool?.close().catch(() => undefined);
@@ -185,6 +200,7 @@
     key: string,
     address: string,
     { method, path, headers, body }: SmallCall,
+    heldMs = 0,
   ): Promise<{ status: number; headers: string[]; body: string }> {
     const pool = this.pool(key, address);
     const answer = await pool.request({
@@ -192,7 +208,7 @@
       path,
       headers,
       body,
-      signal: AbortSignal.timeout(this.settings.callTimeoutMs),
+      signal: AbortSignal.timeout(this.settings.callTimeoutMs + heldMs),
       responseHeaders: 'raw',
     });
     const text = await answer.body.text();
--- a/src/adapters/backend-dialect.ts
+++ b/src/adapters/backend-dialect.ts
@@ -4,6 +4,7 @@
  */
 import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
 import type { AttemptStart, KvSource } from '../forwarding/forward-messages.js';
+import type { KvChanges, KvChangesCall } from '../forwarding/kv-follower.js';
 import type { PromptOutline } from '../forwarding/forward-request.js';
 
 /** Header names and values in turn, as they came. */
@@ -46,6 +47,10 @@
   prefillHandle(body: Buffer): string | undefined;
   /** The call that frees an exported KV cache. */
   freeKvCall(source: KvSource): PlainCall;
+  /** The call that asks a model engine for changes of its KV cache. */
+  kvChangesCall(call: KvChangesCall): PlainCall & { readonly headers: string[] };
+  /** The changes; undefined when the answer cannot be read. */
+  kvChanges(status: number, body: string): KvChanges | undefined;
   /** The call that asks a model engine for its state. */
   engineStatusCall(): PlainCall;
   /** An engine's state; undefined when the answer cannot be read. */
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -23,7 +23,12 @@
 import { ForwardManager } from '../forwarding/forward-manager.js';
 import { DEFAULT_FORWARD_SETTINGS, type ForwardSettings } from '../forwarding/forward-settings.js';
 import { HealthProber } from '../forwarding/health-prober.js';
-import { PrefixIndex, type PrefixPlacement } from '../forwarding/prefix-index.js';
+import {
+  DEFAULT_KV_FOLLOWER_SETTINGS,
+  KvFollower,
+  type KvFollowerSettings,
+} from '../forwarding/kv-follower.js';
+import { KvIndex, type PartPlacement } from '../forwarding/kv-index.js';
 import { RetryAllowance, type RetryAllowanceSettings } from '../forwarding/retry-allowance.js';
 import { RouteTable } from '../forwarding/route-table.js';
 import type { StageCoordinatorSettings, StageEffect } from '../allocation/stage-coordinator.js';
@@ -46,6 +51,7 @@
   readonly health: BackendHealthSettings;
   readonly picker: BackendPickerSettings;
   readonly forward: ForwardSettings;
+  readonly kvFollower: KvFollowerSettings;
   readonly retries: RetryAllowanceSettings;
   readonly stages: StageCoordinatorSettings;
 }
@@ -58,12 +64,11 @@
   health: DEFAULT_BACKEND_HEALTH_SETTINGS,
   picker: DEFAULT_BACKEND_PICKER_SETTINGS,
   forward: DEFAULT_FORWARD_SETTINGS,
+  kvFollower: DEFAULT_KV_FOLLOWER_SETTINGS,
 };
 
 /** Daemons assumed to share the retry budget before any peer has answered. */
 const UNKNOWN_FLEET_SIZE = 32;
-/** Part of an engine's KV cache that one daemon counts on keeping the prefixes it sent. */
-const CACHE_SHARE = 0.5;
 /** Between two ticks lie some 20 ms; a process that saw so much more pass stood still. Milliseconds. */
 const OWN_PAUSE_MS = 250;
 /** Daemons are ranked as readers of the store by this key. */
@@ -75,7 +80,8 @@
   private readonly membership: Membership;
   private readonly replica: FleetReplica;
   private readonly directory: BackendDirectory;
-  private readonly prefixes = new PrefixIndex(CACHE_SHARE);
+  private readonly kvIndex = new KvIndex();
+  private readonly kvFollower: KvFollower;
   private readonly manager: ForwardManager;
   private readonly exchange: PeerExchange;
   private readonly prober: HealthProber;
@@ -104,7 +110,7 @@
       now,
     );
     this.replica = new FleetReplica(settings.replica, random, (effect) => this.onFleet(effect), now);
-    const picker = new BackendPicker(settings.picker, identity.zone, this.directory, this.prefixes, random);
+    const picker = new BackendPicker(settings.picker, identity.zone, this.directory, this.kvIndex, random);
     this.manager = new ForwardManager(
       settings.forward,
       {
@@ -114,7 +120,7 @@
         daemons: () => this.daemons(),
       },
       picker,
-      this.prefixes,
+      this.kvIndex,
       new RetryAllowance(settings.retries),
       emit,
     );
@@ -122,12 +128,23 @@
       settings.exchange,
       this.replica,
       this.directory,
-      { take: () => this.prefixes.takeRecent(), learn: (placement) => this.learnPlacement(placement) },
+      { take: () => this.kvIndex.takeRecent(), learn: (placement) => this.learnPlacement(placement) },
       () => this.peerAddresses(),
       random,
       ({ address, message }) => emit({ kind: 'sendPeer', address, message }),
       now,
     );
+    this.kvFollower = new KvFollower(
+      settings.kvFollower,
+      identity.id,
+      {
+        memberIds: () => this.membership.active().map((member) => member.id),
+        capacityTokens: (service) => this.capacityTokens(service),
+      },
+      this.directory,
+      this.kvIndex,
+      (call) => emit({ kind: 'readKvChanges', call }),
+    );
     this.stages = new StageManager(
       identity.id,
       settings.stages,
@@ -207,6 +224,9 @@
         this.believe('order.answered', { backend: event.order.backend.id, ...event.result });
         this.stages.orderAnswered(event.order.backend.service, event.order.backend.id, event.result);
         break;
+      case 'kvChangesRead':
+        this.kvFollower.receive(event.backend, event.answer, now);
+        break;
       case 'beginDrain':
         this.beginDrain(now);
         break;
@@ -228,6 +248,7 @@
     this.replica.tick(now);
     this.exchange.tick(now);
     this.prober.tick(now);
+    this.kvFollower.tick(now);
     this.stages.tick(now, !this.draining);
     this.manager.tick(now);
   }
@@ -273,10 +294,14 @@
     return Math.max(this.membership.contact().known, this.membership.active().length);
   }
 
-  private learnPlacement(placement: PrefixPlacement): void {
+  private learnPlacement(placement: PartPlacement): void {
     const service = this.directory.get(placement[0])?.record.service;
-    const engine = service === undefined ? undefined : this.routes?.service(service)?.engine;
-    if (engine) this.prefixes.usedByPeer(placement, engine.kvCapacityTokens);
+    const capacityTokens = service === undefined ? undefined : this.capacityTokens(service);
+    if (capacityTokens !== undefined) this.kvIndex.applyPlacement(placement, capacityTokens);
+  }
+
+  private capacityTokens(service: string): number | undefined {
+    return this.routes?.service(service)?.engine?.kvCapacityTokens;
   }
 
   private peerAddresses(): string[] {
@@ -315,7 +340,7 @@
         break;
       case 'backendRemoved':
         this.directory.remove(effect.id);
-        this.prefixes.forget(effect.id);
+        this.kvFollower.removeEngine(effect.id);
         this.outbox.push({ kind: 'backendGone', backendId: effect.id });
         break;
     }
--- a/src/daemon/forwarding-messages.ts
+++ b/src/daemon/forwarding-messages.ts
@@ -3,6 +3,7 @@
 import type { RecordCollection, RecordRead, RecordReadResult } from '../fleet/record-store.js';
 import type { ForwardAttemptEvent, ForwardEffect } from '../forwarding/forward-messages.js';
 import type { ForwardRequest } from '../forwarding/forward-request.js';
+import type { KvChanges, KvChangesCall } from '../forwarding/kv-follower.js';
 import type { HealthProbe } from '../forwarding/health-prober.js';
 import type { BackendRecord, RouteConfiguration } from '../forwarding/route.js';
 import type { TableRequest, TableResult } from '../platform/table-service.js';
@@ -35,6 +36,11 @@
       readonly status: EngineStatus | undefined;
     }
   | { readonly kind: 'orderResult'; readonly order: StageOrder; readonly result: StageOrderResult }
+  | {
+      readonly kind: 'kvChangesRead';
+      readonly backend: BackendRecord;
+      readonly answer: KvChanges | undefined;
+    }
   | { readonly kind: 'beginDrain' }
   /** The process will end too soon for new requests. */
   | { readonly kind: 'closeForNew' };
@@ -46,6 +52,7 @@
   | { readonly kind: 'sendPeer'; readonly address: string; readonly message: PeerMessage }
   | { readonly kind: 'readRecords'; readonly read: RecordRead }
   | { readonly kind: 'probeBackend'; readonly probe: HealthProbe; readonly healthPath: string }
+  | { readonly kind: 'readKvChanges'; readonly call: KvChangesCall }
   | { readonly kind: 'leaseTable'; readonly service: string; readonly request: TableRequest }
   | { readonly kind: 'askEngine'; readonly backend: BackendRecord }
   | { readonly kind: 'orderEngine'; readonly order: StageOrder }
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -53,9 +53,9 @@
 const loadDigestSchema = z.object({
   kind: z.literal("loadDigest"),
   knowledge: fleetKnowledgeSchema,
-  /// Back end, requests, prompt tokens to compute, distrust.
-  loads: z.array(z.tuple([text, count, count, count])),
-  /// Prompts that the sender had computed since its last digest: engine, hash of the shared key, shared tokens.
+  /// Back end, requests, prompt tokens to compute, distrust, tokens of late prompts (not told by older daemons).
+  loads: z.array(z.tuple([text, count, count, count, count.optional()])),
+  /// Prompt parts that the sender had computed since its last digest: engine, hash of the part, tokens.
   placements: z.array(z.tuple([text, count, count]))
 })
 
--- a/src/forwarding/backend-directory.ts
+++ b/src/forwarding/backend-directory.ts
@@ -3,9 +3,15 @@
 import {PeerLoads} from "./peer-loads.js"
 import {BackendView, type BackendHealthSettings} from "./backend-view.js"
 
-/// One daemon's load on one back end in the form that travels: id, requests, prompt tokens, and its distrust: 0 none,
-/// 1 the daemon avoids it, 2 the daemon is changing its stage.
-export type BackendLoad = [id: string, inFlight: number, pendingTokens: number, distrust: number]
+/// One daemon's load on one back end in the form that travels: id, requests, prompt tokens that can be in time, its
+/// distrust (0 none, 1 the daemon avoids it, 2 the daemon is changing its stage), and tokens of late prompts.
+export type BackendLoad = [
+  id: string,
+  inFlight: number,
+  pendingTokens: number,
+  distrust: number,
+  lateTokens?: number | undefined
+]
 
 const AVOIDED = 1
 const CHANGING = 2
@@ -65,7 +71,13 @@
       const distrust = view.changing ? CHANGING : view.avoided(now) ? AVOIDED : 0
       const inFlight = view.ownInFlight()
       if (inFlight + distrust > 0)
-        loads.push([view.record.id, inFlight, Math.round(view.ownPromptTokens()), distrust])
+        loads.push([
+          view.record.id,
+          inFlight,
+          Math.round(view.ownPromptTokens()),
+          distrust,
+          Math.round(view.ownLatePromptTokens())
+        ])
     }
     return loads
   }
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -32,6 +32,8 @@
   readonly sentAt: number
   /// Prompt tokens to be computed there.
   readonly promptTokens: number
+  /// It gives way to prompts that can still be in time.
+  readonly late: boolean
   answering: boolean
 }
 
@@ -43,11 +45,12 @@
   changing = false
   private readonly attempts = new Map<string, SentAttempt>()
   private ownPendingTokens = 0
+  private ownLateTokens = 0
   private failureShare = 0
   private ejectedUntil = -Infinity
   private ejections = 0
   private lastHeardAt = -Infinity
-  private unreachable = false
+  private lostContact = false
 
   constructor(
     public record: BackendRecord,
@@ -55,10 +58,10 @@
     private readonly peers: PeerLoads
   ) {}
 
-  /// Counts an attempt with so many prompt tokens to compute.
-  begin(attemptId: string, promptTokens: number, now: number): void {
-    this.attempts.set(attemptId, {sentAt: now, promptTokens, answering: false})
-    this.ownPendingTokens += promptTokens
+  /// Counts an attempt with so many prompt tokens to compute; a late one gives way to those that can be in time.
+  begin(attemptId: string, promptTokens: number, now: number, late = false): void {
+    this.attempts.set(attemptId, {sentAt: now, promptTokens, late, answering: false})
+    this.addPending(promptTokens, late)
   }
 
   /// The attempt has begun to answer: its prompt is computed.
@@ -67,7 +70,7 @@
     const attempt = this.attempts.get(attemptId)
     if (!attempt || attempt.answering) return
     attempt.answering = true
-    this.ownPendingTokens -= attempt.promptTokens
+    this.addPending(-attempt.promptTokens, attempt.late)
   }
 
   /// The attempt is over.
@@ -75,13 +78,13 @@
     const attempt = this.attempts.get(attemptId)
     if (!attempt) return
     this.attempts.delete(attemptId)
-    if (!attempt.answering) this.ownPendingTokens -= attempt.promptTokens
+    if (!attempt.answering) this.addPending(-attempt.promptTokens, attempt.late)
   }
 
   /// The back end answered as it should.
   succeeded(now: number): void {
     this.lastHeardAt = now
-    this.unreachable = false
+    this.lostContact = false
     this.failureShare -= this.failureShare / this.settings.failureMemory
     if (this.failureShare < this.settings.ejectFailureShare / 2) this.ejections = 0
   }
@@ -95,25 +98,30 @@
 
   /// No connection could be made, or it stayed silent: nothing more is sent there until it answers a probe.
   lost(now: number): void {
-    this.unreachable = true
+    this.lostContact = true
     this.eject(now)
   }
 
   /// A probe was answered well.
   recovered(now: number): void {
     this.lastHeardAt = now
-    this.unreachable = false
+    this.lostContact = false
     this.ejectedUntil = Math.min(this.ejectedUntil, now)
   }
 
   /// Whether nothing should be sent there while another back end can take it.
   avoided(now: number): boolean {
-    return this.changing || this.unreachable || now < this.ejectedUntil || this.silent(now)
+    return this.changing || this.lostContact || now < this.ejectedUntil || this.silent(now)
   }
 
   /// Whether only a probe can tell that the back end works again.
   needsProbe(now: number): boolean {
-    return this.unreachable || this.silent(now)
+    return this.lostContact || this.silent(now)
+  }
+
+  /// Whether this daemon has no contact to it, as far as it knows.
+  unreachable(): boolean {
+    return this.lostContact
   }
 
   /// Whether new work may go there at all.
@@ -136,16 +144,26 @@
     return this.attempts.size + this.peers.getInFlight(this.record.id)
   }
 
-  /// Prompt tokens that this daemon has sent and that are still to be computed.
+  /// Prompt tokens that this daemon has sent and that are still to be computed, late ones aside.
   ownPromptTokens(): number {
     return Math.max(0, this.ownPendingTokens)
   }
 
-  /// The same over all daemons.
+  /// The same of late prompts.
+  ownLatePromptTokens(): number {
+    return Math.max(0, this.ownLateTokens)
+  }
+
+  /// Prompt tokens of all daemons that are still to be computed, late ones aside.
   pendingTokens(): number {
     return this.ownPromptTokens() + this.peers.getPendingTokens(this.record.id)
   }
 
+  /// The same of late prompts.
+  lateTokens(): number {
+    return this.ownLatePromptTokens() + this.peers.getLateTokens(this.record.id)
+  }
+
   /// This process stood still until now and could not hear an answer.
   ownPauseEnded(now: number): void {
     this.lastHeardAt = Math.max(this.lastHeardAt, now)
@@ -157,10 +175,15 @@
     for (const attempt of this.attempts.values())
       if (!attempt.answering) oldest = Math.min(oldest, attempt.sentAt)
     const {silenceMs, silenceMsPerToken} = this.settings
-    const allowedMs = silenceMs + this.pendingTokens() * silenceMsPerToken
+    const allowedMs = silenceMs + (this.pendingTokens() + this.lateTokens()) * silenceMsPerToken
     return now - Math.max(oldest, this.lastHeardAt) > allowedMs
   }
 
+  private addPending(tokens: number, late: boolean): void {
+    if (late) this.ownLateTokens += tokens
+    else this.ownPendingTokens += tokens
+  }
+
   private eject(now: number): void {
     if (now < this.ejectedUntil) return
     const {ejectionMs, maximumEjectionMs} = this.settings
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -3,7 +3,7 @@
 /// live attempt per session. A request that may not be repeated runs at most once, and is refused as "not run"
 /// only when no back end can have seen it.
 import type {EffectSink} from "../shared/effect-sink.js"
-import type {BackendPicker, BackendPlan} from "./backend-picker.js"
+import type {BackendPicker} from "./backend-picker.js"
 import type {BackendView} from "./backend-view.js"
 import {
   ForwardAnswers,
@@ -12,10 +12,12 @@
   STATUS_NOT_FOUND,
   STATUS_UNAVAILABLE
 } from "./forward-answers.js"
+import {ForwardLimits, type LimitSurroundings} from "./forward-limits.js"
 import type {ForwardSettings} from "./forward-settings.js"
-import {sharedKey, sharedTokens, type ForwardRequest} from "./forward-request.js"
+import type {ForwardRequest} from "./forward-request.js"
 import type {ForwardAttemptEvent, ForwardEffect, ForwardFailure} from "./forward-messages.js"
 import {
+  hasComeBack,
   isRepeatable,
   isStalled,
   mayPrefill,
@@ -24,21 +26,14 @@
   type LiveAttempt,
   type Session
 } from "./forward-session.js"
-import type {PrefixIndex} from "./prefix-index.js"
+import type {KvIndex} from "./kv-index.js"
 import type {RetryAllowance} from "./retry-allowance.js"
-import type {RouteTable} from "./route-table.js"
 import {WeightedChoice} from "./weighted-choice.js"
 
 /// What the machine asks about its surroundings.
-export interface ForwardSurroundings {
-  /// The routes in force; undefined before the first configuration.
-  routes(): RouteTable | undefined
+export interface ForwardSurroundings extends LimitSurroundings {
   /// Whether the configuration may be out of date, so that a missing route proves nothing.
   configurationMayBeStale(now: number): boolean
-  /// How long the store has not answered about the configuration; 0 when it does. Milliseconds.
-  outageMs(now: number): number
-  /// Daemons that share the retry budget.
-  daemons(): number
 }
 
 const FIRST_SERVER_ERROR = 500
@@ -48,6 +43,7 @@
   private readonly sessions = new Map<string, Session>()
   private readonly split = new WeightedChoice()
   private readonly answers: ForwardAnswers
+  private readonly limits: ForwardLimits
   private closed = false
   private resumedAt = -Infinity
 
@@ -55,11 +51,12 @@
     private readonly settings: ForwardSettings,
     private readonly surroundings: ForwardSurroundings,
     private readonly picker: BackendPicker,
-    private readonly prefixes: PrefixIndex,
+    private readonly kvIndex: KvIndex,
     private readonly allowance: RetryAllowance,
     private readonly emit: EffectSink<ForwardEffect>
   ) {
     this.answers = new ForwardAnswers(emit)
+    this.limits = new ForwardLimits(settings, surroundings)
   }
 
   /// Requests in hand.
@@ -80,7 +77,7 @@
     }
     const routes = this.surroundings.routes()
     if (!routes) {
-      this.answers.sendRefusal(request, "no-configuration", this.outageRetryAfterMs(now), now)
+      this.answers.sendRefusal(request, "no-configuration", this.limits.getOutageRetryAfterMs(now), now)
       return
     }
     const route = routes.match(request.host, request.path)
@@ -176,16 +173,10 @@
 
   private noRoute(request: ForwardRequest, now: number): void {
     if (this.surroundings.configurationMayBeStale(now)) {
-      this.answers.sendRefusal(request, "stale-configuration", this.outageRetryAfterMs(now), now)
+      this.answers.sendRefusal(request, "stale-configuration", this.limits.getOutageRetryAfterMs(now), now)
     } else this.answers.sendFailure(request, STATUS_NOT_FOUND, "no-route", undefined, now)
   }
 
-  /// An outage is expected to last as long again as it has lasted.
-  private outageRetryAfterMs(now: number): number {
-    const {retryAfterMs, maximumRetryAfterMs} = this.settings
-    return Math.min(maximumRetryAfterMs, Math.max(retryAfterMs, this.surroundings.outageMs(now)))
-  }
-
   private send(session: Session, now: number): void {
     const {request, route} = session
     const wanted = {
@@ -193,16 +184,18 @@
       prompt: request.prompt,
       prefilled: session.kvSource !== undefined,
       direct: !mayPrefill(session),
+      engine: this.limits.getEngine(session.service),
+      targetLeftMs: request.arrivedAt + route.targetLatencyMs - now,
       excluded: session.excluded,
-      maximumOwnInFlight: this.connectionShare(session.service)
+      maximumOwnInFlight: this.limits.getMaximumInFlight(session.service)
     }
     const plan = this.picker.pick(wanted, now)
     if (!plan) {
       this.failNotServed(session, "no-backend", now)
       return
     }
-    if (this.isFull(plan)) {
-      this.failNotServed(session, "overloaded", now)
+    if (this.limits.isFull(plan) || (plan.full && !hasComeBack(session))) {
+      this.failNotServed(session, "overloaded", now, this.limits.getBacklogMs(session, plan, now))
       return
     }
     session.sends += 1
@@ -212,14 +205,17 @@
     const pendingBefore = backend.pendingTokens()
     session.attempt = {attemptId, plan, startedAt: now, lastEventAt: now, answering: false}
     const promptTokens = session.kvSource ? 0 : plan.promptTokens
-    backend.begin(attemptId, promptTokens, now)
+    backend.begin(attemptId, promptTokens, now, plan.late)
     this.answers.logDecision("request.attempt", session, {
       backend: backend.record.id,
       stage: plan.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
       reason: plan.reason,
       promptTokens: plan.promptTokens,
+      copyFrom: plan.copyFrom?.id,
       inFlight: backend.inFlight(),
       pendingTokens: Math.round(pendingBefore),
+      expectedMs: plan.expectedMs && Math.round(plan.expectedMs),
+      late: plan.late,
       remainingMs: Math.round(session.deadlineAt - now)
     })
     this.emit({
@@ -230,6 +226,7 @@
         backend: backend.record,
         prefillOnly: plan.prefillOnly,
         kvSource: session.kvSource,
+        copyFrom: plan.copyFrom?.address,
         remainingMs: Math.max(1, Math.floor(session.deadlineAt - now)),
         urgency: urgencyOf(route, plan, this.settings),
         stream: route.kind === "stream",
@@ -239,19 +236,6 @@
     })
   }
 
-  /// A back end takes so many connections from all daemons together; each keeps to its part.
-  private connectionShare(service: string): number {
-    const maximum = this.surroundings.routes()?.service(service)?.maximumConnections ?? Infinity
-    const share = (maximum * this.settings.connectionUse) / this.surroundings.daemons()
-    return Math.max(1, Math.floor(share))
-  }
-
-  private isFull(plan: BackendPlan): boolean {
-    const {record} = plan.backend
-    if (record.stage !== undefined) return false
-    return plan.backend.inFlight() >= record.slots * this.settings.plainSlotShare
-  }
-
   private unreachable(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
     attempt.plan.backend.lost(now)
     this.endAttempt(session, attempt)
@@ -292,6 +276,7 @@
     backend.succeeded(now)
     this.endAttempt(session, attempt)
     session.prefills += 1
+    this.picker.promptComputed(attempt.plan, now - attempt.startedAt)
     this.promptComputed(session, backend)
     session.kvSource = {address: backend.record.address, handle}
     this.answers.logDecision("request.prefilled", session, {
@@ -398,9 +383,14 @@
   }
 
   /// No back end took it: refused as not run when that is certain.
-  private failNotServed(session: Session, failure: ForwardFailure, now: number): void {
+  private failNotServed(
+    session: Session,
+    failure: ForwardFailure,
+    now: number,
+    retryAfterMs = this.settings.retryAfterMs
+  ): void {
     if (session.mayHaveRun) this.fail(session, STATUS_BROKEN, failure, undefined, now)
-    else this.fail(session, STATUS_UNAVAILABLE, failure, this.settings.retryAfterMs, now)
+    else this.fail(session, STATUS_UNAVAILABLE, failure, retryAfterMs, now)
   }
 
   private fail(
@@ -418,9 +408,8 @@
   private promptComputed(session: Session, backend: BackendView): void {
     const {prompt} = session.request
     if (!prompt) return
-    const engine = this.surroundings.routes()?.service(session.service)?.engine
-    if (engine && sharedTokens(prompt) > 0)
-      this.prefixes.used(backend.record.id, sharedKey(prompt), sharedTokens(prompt), engine.kvCapacityTokens)
+    const engine = this.limits.getEngine(session.service)
+    if (engine) this.kvIndex.addComputed(backend.record.id, prompt, engine.kvCapacityTokens)
   }
 
   private dropKv(session: Session): void {
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -15,6 +15,8 @@
   /// Compute the prompt and keep its KV cache; generate nothing.
   readonly prefillOnly: boolean
   readonly kvSource: KvSource | undefined
+  /// Address of an engine that keeps more of the prompt: it is copied from there before the rest is computed.
+  readonly copyFrom: string | undefined
   /// How long the back end may work. Milliseconds.
   readonly remainingMs: number
   /// Rank among the work of an engine; 0 goes first.
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -83,8 +83,20 @@
 /// Ranks of one route's priority: short prompts, then long ones.
 const RANKS_PER_PRIORITY = 2
 
+/// A caller that has less than this part of the route's time left has probably come back after a refusal.
+const FRESH_SHARE = 0.95
+
+/// Whether the caller has probably come back after a refusal.
+export function hasComeBack({request, route}: Session): boolean {
+  return (request.callerDeadlineMs ?? route.timeoutMs) < route.timeoutMs * FRESH_SHARE
+}
+
+/// Rank of prompts that cannot be in time: they give way to all others.
+const LATE_RANK = 9
+
 /// How urgent an attempt is for its engine. Prompts are computed in turn, so a long one would hold up many short ones.
 export function urgencyOf(route: Route, plan: BackendPlan, settings: ForwardSettings): number {
+  if (plan.late) return LATE_RANK
   const long = plan.prefillOnly && plan.promptTokens > settings.longPromptTokens
   return route.priority * RANKS_PER_PRIORITY + (long ? 1 : 0)
 }
--- a/src/forwarding/peer-loads.ts
+++ b/src/forwarding/peer-loads.ts
@@ -11,6 +11,7 @@
 interface Sum {
   inFlight: number
   pendingTokens: number
+  lateTokens: number
   distrust: number
 }
 
@@ -46,6 +47,11 @@
     return this.sums.get(backendId)?.pendingTokens ?? 0
   }
 
+  /// The same of prompts that are late already.
+  getLateTokens(backendId: string): number {
+    return this.sums.get(backendId)?.lateTokens ?? 0
+  }
+
   /// Whether several daemons avoid it, or the one that changes its stage does.
   isDistrusted(backendId: string): boolean {
     return (this.sums.get(backendId)?.distrust ?? 0) >= DISTRUSTED
@@ -56,12 +62,13 @@
     this.digests.delete(peerId)
   }
 
-  private addLoad([id, inFlight, pendingTokens, distrust]: BackendLoad, sign: 1 | -1): void {
+  private addLoad([id, inFlight, pendingTokens, distrust, lateTokens = 0]: BackendLoad, sign: 1 | -1): void {
     let sum = this.sums.get(id)
-    if (!sum) this.sums.set(id, (sum = {inFlight: 0, pendingTokens: 0, distrust: 0}))
+    if (!sum) this.sums.set(id, (sum = {inFlight: 0, pendingTokens: 0, lateTokens: 0, distrust: 0}))
     sum.inFlight += sign * inFlight
     sum.pendingTokens += sign * pendingTokens
+    sum.lateTokens += sign * lateTokens
     sum.distrust += sign * distrust
-    if (sum.inFlight === 0 && sum.pendingTokens === 0 && sum.distrust === 0) this.sums.delete(id)
+    if (Object.values(sum).every(count => count === 0)) this.sums.delete(id)
   }
 }
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -295,6 +295,13 @@
           .then((well) => this.send({ kind: 'probed', backendId, well }));
         break;
       }
+      case 'readKvChanges': {
+        const { backend } = effect.call;
+        void this.backends
+          .kvChanges(effect.call)
+          .then((answer) => this.send({ kind: 'kvChangesRead', backend, answer }));
+        break;
+      }
       case 'leaseTable': {
         const { service, request } = effect;
         void this.adapters.table.perform(request).then((result) => {
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -1,109 +1,15 @@
 /** Decisions of forwarding in virtual time: what runs where, what is repeated, what a caller is told. */
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
-import { BackendDirectory } from '../src/forwarding/backend-directory.js';
-import { BackendPicker, DEFAULT_BACKEND_PICKER_SETTINGS } from '../src/forwarding/backend-picker.js';
-import { DEFAULT_BACKEND_HEALTH_SETTINGS } from '../src/forwarding/backend-view.js';
-import { ForwardManager } from '../src/forwarding/forward-manager.js';
-import type { AttemptStart, ForwardAttemptEvent, ForwardEffect } from '../src/forwarding/forward-messages.js';
-import type { ForwardRequest, PromptOutline } from '../src/forwarding/forward-request.js';
-import { DEFAULT_FORWARD_SETTINGS } from '../src/forwarding/forward-settings.js';
-import { PrefixIndex } from '../src/forwarding/prefix-index.js';
+import { labConfiguration, labRoute } from '../lab/forwarding-site.js';
 import { RetryAllowance } from '../src/forwarding/retry-allowance.js';
-import type { BackendRecord, EngineStage, Route } from '../src/forwarding/route.js';
+import type { Route } from '../src/forwarding/route.js';
 import { RouteTable } from '../src/forwarding/route-table.js';
 import { WeightedChoice } from '../src/forwarding/weighted-choice.js';
-import { SeededRandom } from '../src/shared/random.js';
+import { engine, ENGINES, Forwarding, PLAIN, prompt } from './forwarding-harness.js';
 
 const SEED = 20261202;
 
-/** One daemon's forwarding with its effects collected. */
-class Forwarding {
-  readonly effects: ForwardEffect[] = [];
-  readonly directory = new BackendDirectory(DEFAULT_BACKEND_HEALTH_SETTINGS);
-  readonly manager: ForwardManager;
-  stale = false;
-
-  constructor(routes: readonly Route[], backends: readonly BackendRecord[], slack = 50) {
-    const table = new RouteTable(labConfiguration(1, routes));
-    for (const record of backends) this.directory.put(record);
-    const prefixes = new PrefixIndex(0.5);
-    const picker = new BackendPicker(
-      DEFAULT_BACKEND_PICKER_SETTINGS,
-      'zone-a',
-      this.directory,
-      prefixes,
-      new SeededRandom(SEED),
-    );
-    this.manager = new ForwardManager(
-      DEFAULT_FORWARD_SETTINGS,
-      { routes: () => table, configurationMayBeStale: () => this.stale, outageMs: () => 0, daemons: () => 1 },
-      picker,
-      prefixes,
-      new RetryAllowance({ ratio: 0, slack, windowMs: 10_000 }),
-      (effect) => this.effects.push(effect),
-    );
-  }
-
-  begin(fields: Partial<ForwardRequest> = {}, now = 0): void {
-    this.manager.begin(
-      {
-        id: 'r1',
-        callerId: 'c1',
-        host: 'site.example',
-        path: '/a/x',
-        arrivedAt: now,
-        callerDeadlineMs: 1000,
-        prompt: undefined,
-        ...fields,
-      },
-      now,
-    );
-  }
-
-  starts(): AttemptStart[] {
-    return this.effects.flatMap((effect) => (effect.kind === 'startAttempt' ? [effect.start] : []));
-  }
-
-  event(event: ForwardAttemptEvent, now: number): void {
-    const last = this.starts().at(-1) as AttemptStart;
-    this.manager.attemptEvent(last.requestId, last.attemptId, event, now);
-  }
-
-  failures(): (number | 'broken')[] {
-    return this.effects.flatMap((effect): (number | 'broken')[] => {
-      if (effect.kind === 'replyFailure') return [effect.status];
-      return effect.kind === 'replyBroken' ? ['broken'] : [];
-    });
-  }
-
-  of(kind: ForwardEffect['kind']): ForwardEffect[] {
-    return this.effects.filter((effect) => effect.kind === kind);
-  }
-}
-
-const PLAIN = ['b1', 'b2', 'b3'].map((id) => labBackend(id, `10.0.0.1:${id.slice(1)}`));
-
-function engine(id: string, stage: EngineStage): BackendRecord {
-  return { ...labBackend(id, `10.0.1.1:${id.length}`), stage };
-}
-
-const ENGINES = [
-  engine('p1', 'prefill'),
-  engine('p2', 'prefill'),
-  engine('d1', 'decode'),
-  engine('d2', 'decode'),
-];
-
-function prompt(own: number, shared: number, key = 'k'): PromptOutline {
-  const parts = [
-    { id: key, tokens: shared },
-    { id: 'own', tokens: own },
-  ];
-  return { model: 'm', parts, promptTokens: own + shared, maximumOutputTokens: 10 };
-}
-
 const STREAM: Partial<Route> = { kind: 'stream', maximumAttempts: 1 };
 
 describe('routes', () => {
--- /dev/null
+++ b/test/kv-index.test.ts
@@ -0,0 +1,202 @@
+/** What a daemon knows of engines' KV caches: parts, changes that engines tell, and who follows whom. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { labBackend } from '../lab/forwarding-site.js';
+import { HttpDialect } from '../platform/http-dialect.js';
+import { BackendDirectory } from '../src/forwarding/backend-directory.js';
+import { DEFAULT_BACKEND_HEALTH_SETTINGS } from '../src/forwarding/backend-view.js';
+import type { PromptOutline } from '../src/forwarding/forward-request.js';
+import {
+  DEFAULT_KV_FOLLOWER_SETTINGS,
+  KvFollower,
+  type KvChangesCall,
+} from '../src/forwarding/kv-follower.js';
+import { KvIndex } from '../src/forwarding/kv-index.js';
+import { Snapshot } from './snapshot.js';
+
+const SEED = 20261205;
+const CAPACITY = 10_000;
+
+function prompt(...parts: [string, number][]): PromptOutline {
+  const all = parts.map(([id, tokens]) => ({ id, tokens }));
+  const promptTokens = all.reduce((sum, part) => sum + part.tokens, 0);
+  return { model: 'm', parts: all, promptTokens, maximumOutputTokens: 1 };
+}
+
+const PROMPT = prompt(['common', 2000], ['subject', 3000], ['own', 500]);
+
+function change(partId: string, tokens: number) {
+  return { model: 'm', partId, tokens };
+}
+
+describe('index of KV caches', () => {
+  it('a part saves its tokens only where every part before it is kept', () => {
+    const index = new KvIndex();
+    const snapshot = new Snapshot('kv-index-parts');
+    const tell = (what: string) => snapshot.add(`${what}: ${index.getKeptTokens('e1', PROMPT)} tokens kept`);
+    tell('nothing known');
+    index.applyChange('e1', change('subject', 3000), CAPACITY);
+    tell('the second part alone');
+    index.applyChange('e1', change('common', 1500), CAPACITY);
+    tell('and half of the first');
+    index.applyChange('e1', change('common', 2000), CAPACITY);
+    tell('and the whole first');
+    index.applyChange('e1', change('subject', 0), CAPACITY);
+    tell('the second is gone');
+    index.addComputed('e1', PROMPT, CAPACITY);
+    tell('computed there again');
+    index.removeEngine('e1');
+    tell('the engine has lost its cache');
+    snapshot.check();
+  });
+
+  it('what peers say counts only for an engine that is not followed', () => {
+    const teller = new KvIndex();
+    teller.addComputed('e1', PROMPT, CAPACITY);
+    const placements = teller.takeRecent();
+    expect(teller.takeRecent()).to.deep.equal([]);
+    const [followed, unfollowed] = [new KvIndex(), new KvIndex()];
+    followed.setFollowed('e1', true);
+    for (const placement of placements) {
+      followed.applyPlacement(placement, CAPACITY);
+      unfollowed.applyPlacement(placement, CAPACITY);
+    }
+    expect(followed.getKeptTokens('e1', PROMPT)).to.equal(0);
+    expect(unfollowed.getKeptTokens('e1', PROMPT)).to.equal(5000);
+  });
+
+  it('never believes that an engine keeps more than fits, nor more than the shared parts', () => {
+    const step = fc.tuple(fc.integer({ min: 0, max: 30 }), fc.integer({ min: 0, max: 4000 }));
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
+        const index = new KvIndex();
+        for (const [part, tokens] of steps) index.applyChange('e1', change(`p${part}`, tokens), CAPACITY);
+        let kept = 0;
+        for (let part = 0; part <= 30; part += 1) {
+          const tokens = index.getKeptTokens('e1', prompt([`p${part}`, 4000], ['own', 10]));
+          expect(tokens).to.be.within(0, 4000);
+          kept += tokens;
+        }
+        expect(kept).to.be.at.most(CAPACITY);
+      }),
+      { seed: SEED, numRuns: 200 },
+    );
+  });
+});
+
+/** A follower before two engines, with its calls collected. */
+class Following {
+  readonly calls: KvChangesCall[] = [];
+  readonly index = new KvIndex();
+  readonly directory = new BackendDirectory(DEFAULT_BACKEND_HEALTH_SETTINGS);
+  readonly follower: KvFollower;
+
+  constructor(engines = ['e1'], selfId = 'd0', members: readonly string[] = ['d0']) {
+    for (const id of engines) this.directory.put({ ...labBackend(id, '10.0.0.1:1'), stage: 'prefill' });
+    this.directory.put(labBackend('plain', '10.0.0.2:1'));
+    this.follower = new KvFollower(
+      DEFAULT_KV_FOLLOWER_SETTINGS,
+      selfId,
+      { memberIds: () => members, capacityTokens: () => CAPACITY },
+      this.directory,
+      this.index,
+      (call) => this.calls.push(call),
+    );
+  }
+
+  answer(epoch: string, next: number, parts: readonly string[], lost = false): void {
+    const { backend } = this.calls[this.calls.length - 1];
+    const changes = parts.map((part) => change(part, 2000));
+    this.follower.receive(backend, { epoch, next, lost, changes }, 0);
+  }
+}
+
+describe('following engines', () => {
+  it('asks engines only, one call at a time, and goes on where the last answer ended', () => {
+    const site = new Following();
+    site.follower.tick(0);
+    site.follower.tick(500);
+    expect(site.calls.map((call) => [call.backend.id, call.since])).to.deep.equal([['e1', 0]]);
+    site.answer('a', 7, ['common']);
+    site.follower.tick(100);
+    expect(site.calls).to.have.length(1);
+    site.follower.tick(200);
+    expect(site.calls[1].since).to.equal(7);
+  });
+
+  it('a restart of the engine or a gap in what it tells forgets what was kept before', () => {
+    const site = new Following();
+    site.follower.tick(0);
+    site.answer('a', 1, ['common']);
+    expect(site.index.getKeptTokens('e1', PROMPT)).to.equal(2000);
+    site.follower.tick(1000);
+    site.answer('b', 1, []);
+    expect(site.index.getKeptTokens('e1', PROMPT)).to.equal(0);
+    site.follower.tick(2000);
+    site.answer('b', 2, ['common']);
+    site.follower.tick(3000);
+    site.answer('b', 90, ['subject'], true);
+    expect(site.index.getKeptTokens('e1', PROMPT)).to.equal(0);
+  });
+
+  it('an engine that gives no answer is asked again after a while, and peers are believed meanwhile', () => {
+    const site = new Following();
+    site.follower.tick(0);
+    site.follower.receive(site.calls[0].backend, undefined, 0);
+    site.follower.tick(900);
+    expect(site.calls).to.have.length(1);
+    site.follower.tick(1000);
+    expect(site.calls).to.have.length(2);
+    site.index.applyPlacement(['e1', 1, 100], CAPACITY);
+  });
+
+  it('in a large fleet each engine is followed by no more daemons than it holds calls for', () => {
+    const members = Array.from({ length: 66 }, (_unused, index) => `d${index}`);
+    const engines = Array.from({ length: 12 }, (_unused, index) => `e${index}`);
+    const followers = new Map(engines.map((id) => [id, 0]));
+    for (const id of members) {
+      const site = new Following(engines, id, members);
+      site.follower.tick(0);
+      for (const { backend } of site.calls) followers.set(backend.id, (followers.get(backend.id) ?? 0) + 1);
+    }
+    expect([...new Set(followers.values())]).to.deep.equal([DEFAULT_KV_FOLLOWER_SETTINGS.followers]);
+  });
+});
+
+describe('changes of KV caches on the wire', () => {
+  const dialect = new HttpDialect();
+
+  it('are read as they are told', () => {
+    const body =
+      '{"epoch":240377,"next_token":3,"lost":false,"events":[[1,"+","","ee",52,"m"],[2,"-","","9f",0,"m"]]}';
+    expect(dialect.kvChanges(200, body)).to.deep.equal({
+      epoch: '240377',
+      next: 3,
+      lost: false,
+      changes: [
+        { partId: 'ee', tokens: 52, model: 'm' },
+        { partId: '9f', tokens: 0, model: 'm' },
+      ],
+    });
+  });
+
+  it('what cannot be read is no answer, whatever it is', () => {
+    const bodies = [
+      '',
+      '{',
+      '[]',
+      'null',
+      '{"epoch":1}',
+      '{"epoch":1,"next_token":2,"events":[[1,"+","","a",-5,"m"]]}',
+    ];
+    for (const body of bodies) expect(dialect.kvChanges(200, body)).to.equal(undefined);
+    expect(dialect.kvChanges(429, '{"epoch":1,"next_token":2,"events":[]}')).to.equal(undefined);
+    fc.assert(
+      fc.property(fc.json(), (body) => {
+        const answer = dialect.kvChanges(200, body);
+        if (answer) expect(answer.next).to.satisfy(Number.isFinite);
+      }),
+      { seed: SEED, numRuns: 200 },
+    );
+  });
+});
