--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -41,6 +41,21 @@
   entryPoints: ["deploy/make-code-cache.ts"],
   outfile: join(folder, "make-code-cache.cjs")
 })
-execFileSync(process.execPath, [...readFlags(), join(folder, "make-code-cache.cjs"), folder], {
-  stdio: ["ignore", "ignore", "inherit"]
-})
+
+/// The ports that the program is run on for its cache may be taken by another build on this machine at the same moment.
+const CACHE_TRIES = 3
+
+function makeCodeCache() {
+  for (let attempt = 1; attempt <= CACHE_TRIES; attempt += 1) {
+    try {
+      const flags = [...readFlags(), join(folder, "make-code-cache.cjs"), folder]
+      execFileSync(process.execPath, flags, {stdio: ["ignore", "ignore", "inherit"]})
+      return
+    } catch {
+      process.stderr.write(`code cache: attempt ${attempt} of ${CACHE_TRIES} failed\n`)
+    }
+  }
+  process.stderr.write("no code cache: the program starts without one, more slowly\n")
+}
+
+makeCodeCache()
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -14,11 +14,11 @@
   type PeerExchangeSettings,
 } from '../fleet/peer-exchange.js';
 import { BackendDirectory } from '../forwarding/backend-directory.js';
+import { BackendPicker } from '../forwarding/backend-picker.js';
 import {
-  BackendPicker,
   DEFAULT_BACKEND_PICKER_SETTINGS,
   type BackendPickerSettings,
-} from '../forwarding/backend-picker.js';
+} from '../forwarding/backend-picker-settings.js';
 import { DEFAULT_BACKEND_HEALTH_SETTINGS, type BackendHealthSettings } from '../forwarding/backend-view.js';
 import { ForwardManager } from '../forwarding/forward-manager.js';
 import { DEFAULT_FORWARD_SETTINGS, type ForwardSettings } from '../forwarding/forward-settings.js';
--- /dev/null
+++ b/src/forwarding/backend-plan.ts
@@ -0,0 +1,66 @@
+/// What is wanted of a choice of back ends, and what was chosen.
+import type {BackendView} from "./backend-view.js"
+import type {PromptOutline} from "./forward-request.js"
+import type {BackendRecord, EngineTraits} from "./route.js"
+
+/// Why a back end was chosen: the least loaded, or with regard to the shared parts of the prompt.
+export type PlanReason = "least-loaded" | "home" | "kept" | "copy" | "spill"
+
+/// Where an attempt goes.
+export interface BackendPlan {
+  readonly backend: BackendView
+  /// Prompt tokens that are expected to be computed there; shared parts count unless they are known to be kept.
+  readonly promptTokens: number
+  /// Engine that keeps more of the prompt, to copy it from.
+  readonly copyFrom: BackendRecord | undefined
+  /// The prompt is only computed there and generated elsewhere.
+  readonly prefillOnly: boolean
+  /// Tokens that are to be computed there before the prompt is, its own included.
+  readonly queuedTokens: number
+  /// When the prompt is expected to be computed; undefined while the engines' pace is not known. Milliseconds from now.
+  readonly expectedMs: number | undefined
+  /// It cannot be in time there and gives way to prompts that can.
+  readonly late: boolean
+  /// It cannot be in time, and the engines have no room for prompts that only wait.
+  readonly full: boolean
+  /// Why this back end, for the log.
+  readonly reason: PlanReason
+}
+
+/// What is wanted of a choice.
+export interface BackendWanted {
+  readonly service: string
+  readonly prompt: PromptOutline | undefined
+  /// The KV cache exists already: only a decode engine will do.
+  readonly prefilled: boolean
+  /// The prompt may not be computed apart any more: that would be one back end too many.
+  readonly direct: boolean
+  /// What the engines of the service have in common; undefined for services that are no engines.
+  readonly engine: EngineTraits | undefined
+  /// Time left until the first event should be there. Milliseconds.
+  readonly targetLeftMs: number
+  /// Back ends that this request has been sent to.
+  readonly excluded: ReadonlySet<string>
+  /// Requests that this daemon may have on one back end: its part of the connections that a back end takes.
+  readonly maximumOwnInFlight: number
+}
+
+/// Back ends that may have one more request of this daemon.
+export function getWithRoom(views: readonly BackendView[], wanted: BackendWanted): BackendView[] {
+  return views.filter(view => view.ownInFlight() < wanted.maximumOwnInFlight)
+}
+
+/// A plan that does not depend on the engines' pace.
+export function makePlan(backend: BackendView, promptTokens: number, reason: PlanReason): BackendPlan {
+  return {
+    backend,
+    promptTokens,
+    copyFrom: undefined,
+    prefillOnly: false,
+    queuedTokens: backend.pendingTokens() + promptTokens,
+    expectedMs: undefined,
+    late: false,
+    full: false,
+    reason
+  }
+}
--- a/src/forwarding/forward-limits.ts
+++ b/src/forwarding/forward-limits.ts
@@ -1,5 +1,5 @@
 /// What a daemon may put on back ends, and when a refused caller should come back.
-import type {BackendPlan} from "./backend-picker.js"
+import type {BackendPlan} from "./backend-plan.js"
 import type {Session} from "./forward-session.js"
 import type {ForwardSettings} from "./forward-settings.js"
 import type {EngineTraits} from "./route.js"
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -1,5 +1,5 @@
 /// The state of one forwarded request in a daemon.
-import type {BackendPlan} from "./backend-picker.js"
+import type {BackendPlan} from "./backend-plan.js"
 import type {KvSource} from "./forward-messages.js"
 import type {ForwardRequest} from "./forward-request.js"
 import type {ForwardSettings} from "./forward-settings.js"
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -1,7 +1,8 @@
 /** One daemon's decisions on forwarded requests, without sockets: for tests in virtual time. */
 import { labBackend, labConfiguration } from '../lab/forwarding-site.js';
 import { BackendDirectory } from '../src/forwarding/backend-directory.js';
-import { BackendPicker, DEFAULT_BACKEND_PICKER_SETTINGS } from '../src/forwarding/backend-picker.js';
+import { BackendPicker } from '../src/forwarding/backend-picker.js';
+import { DEFAULT_BACKEND_PICKER_SETTINGS } from '../src/forwarding/backend-picker-settings.js';
 import { DEFAULT_BACKEND_HEALTH_SETTINGS } from '../src/forwarding/backend-view.js';
 import { ForwardManager } from '../src/forwarding/forward-manager.js';
 import type { AttemptStart, ForwardAttemptEvent, ForwardEffect } from '../src/forwarding/forward-messages.js';
