Back ends whose records lapsed in an outage keep their work for 1.8 s

Before, a daemon took every removal it read after an outage at its word and had no back end at all until they were written anew. Now a ready back end that is missing when the store comes back after 2 s or more without an answer keeps its work for 1.8 s, its record cancels that, and its absence then counts; a draining one is gone at once. The reader says so to its peers, which did not ask the store. A forgotten history is no outage, nor is a short one: a removal read in calm times counts at once as before (a server gets nothing later than 2 s after it).

--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -78,7 +78,9 @@
   from: count,
   to: count,
   changed: count,
-  records: z.array(storedRecordSchema)
+  records: z.array(storedRecordSchema),
+  /// The store has just come back: back ends that are missing may have lapsed only. Not told by older daemons.
+  lapsed: z.boolean().optional()
 })
 
 /// The forms of all messages of the fleet part.
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -9,6 +9,7 @@
 import type {EffectSink} from "../shared/effect-sink.js"
 import type {RandomSource} from "../shared/random.js"
 import type {FleetKnowledge, RecordKnowledge, RecordsChanged} from "./fleet-messages.js"
+import {LapsedBackends} from "./lapsed-backends.js"
 import type {RecordCollection, RecordRead, RecordReadResult, StoredRecord} from "./record-store.js"
 
 /// Settings of the replica.
@@ -31,6 +32,11 @@
   readonly unknowingBackoffMs: number
   /// A configuration that was confirmed longer ago proves nothing about routes that it lacks. Milliseconds. Default 4500.
   readonly staleMs: number
+  /// An outage of the store that lasted so long may have cost back ends their records although they live. Milliseconds.
+  /// Default 2000.
+  readonly lapseOutageMs: number
+  /// How long a back end whose record was gone after an outage keeps its work, if it was ready. Milliseconds. Default 1800.
+  readonly lapseGraceMs: number
 }
 
 /// Default settings.
@@ -43,7 +49,9 @@
   backoffMs: 100,
   maximumBackoffMs: 800,
   unknowingBackoffMs: 200,
-  staleMs: 4500
+  staleMs: 4500,
+  lapseOutageMs: 2000,
+  lapseGraceMs: 1800
 }
 
 /// What the replica asks for and tells.
@@ -85,8 +93,12 @@
   sentAt: number
   nextAt: number
   failures: number
+  /// One of them was a refusal or silence; a history that is gone is an answer.
+  unanswered: boolean
   /// When the first of the failures in a row was asked.
   failingSince: number
+  /// When the store came back after an outage that may have cost back ends their records.
+  lapseSeenAt: number
   /// When the copy was last known to be complete, from the store or by a peer's word.
   completeAt: number
   /// The newest revision that a peer knows and this daemon may lack.
@@ -98,6 +110,13 @@
   readonly value: BackendRecord | undefined
 }
 
+interface ApplyOptions {
+  /// A removal counts also at the revision that is known.
+  readonly sameRevisionCounts?: boolean
+  /// When the store came back, if a record that is missing since may only have lapsed.
+  readonly lapsedAt?: number | undefined
+}
+
 const MAXIMUM_BACKOFF_DOUBLINGS = 6
 /// Only the first in rank tell their peers, so that an outage of the first does not make everybody tell everybody.
 const TELLING_RANKS = 3
@@ -113,6 +132,7 @@
   private current: RouteConfiguration | undefined
   private backendsRevision = 0
   private readonly backends = new Map<string, KnownBackend>()
+  private readonly lapsed: LapsedBackends
   private rank = 0
 
   constructor(
@@ -122,6 +142,7 @@
     now: number
   ) {
     this.followers = {configuration: follower("configuration", now), backends: follower("backends", now)}
+    this.lapsed = new LapsedBackends(settings.lapseGraceMs)
   }
 
   /// The configuration in force; undefined before the first.
@@ -176,19 +197,23 @@
     for (const follower of Object.values(this.followers)) {
       if (!follower.inFlight && now >= follower.nextAt && this.isDue(follower, now)) this.read(follower, now)
     }
+    for (const id of this.lapsed.takeExpired(now))
+      this.emit({kind: "backendRemoved", id, revision: this.backendsRevision, source: STORE_SOURCE})
   }
 
   /// Takes the answer to a `readRecords` effect.
   receive(collection: RecordCollection, result: RecordReadResult, now: number): void {
     const follower = this.followers[collection]
     follower.inFlight = false
+    const answered = result.kind === "snapshot" || result.kind === "changes"
+    if (answered && this.hadLongOutage(follower, now)) follower.lapseSeenAt = now
     switch (result.kind) {
       case "snapshot":
-        this.applySnapshot(follower, result.revision, result.records)
+        this.applySnapshot(follower, result.revision, result.records, now)
         this.confirmed(follower, follower.sentAt, 0, now)
         break
       case "changes":
-        this.applyChanges(follower, result.revision, result.records)
+        this.applyChanges(follower, result.revision, result.records, now)
         this.confirmed(
           follower,
           this.getAnswerTime(follower, now),
@@ -212,7 +237,8 @@
   /// Takes changes that a peer has read from the store.
   receiveChanges(peerId: string, message: RecordsChanged, now: number): void {
     const follower = this.followers[message.collection]
-    for (const record of message.records) this.apply(record, peerId)
+    const lapsedAt = message.lapsed === true ? now : undefined
+    for (const record of message.records) this.apply(record, peerId, {lapsedAt})
     const {cursor} = follower
     const whole = message.records.length > 0 && cursor !== undefined && cursor >= message.from
     if (whole) this.advance(follower, message.to)
@@ -301,50 +327,69 @@
     this.emit({kind: "readRecords", read: {collection, after: cursor, waitMs: this.settings.waitMs}})
   }
 
-  private applySnapshot(follower: Follower, revision: number, records: readonly StoredRecord[]): void {
+  private applySnapshot(
+    follower: Follower,
+    revision: number,
+    records: readonly StoredRecord[],
+    now: number
+  ): void {
     for (const record of records) this.apply(record, STORE_SOURCE)
-    if (follower.collection === "backends") this.removeMissing(revision, records, STORE_SOURCE)
+    const lapsedAt = this.getLapseTime(follower, now)
+    if (follower.collection === "backends") this.removeMissing(revision, records, STORE_SOURCE, lapsedAt)
     follower.cursor = revision
   }
 
-  private applyChanges(follower: Follower, revision: number, records: readonly StoredRecord[]): void {
+  private applyChanges(
+    follower: Follower,
+    revision: number,
+    records: readonly StoredRecord[],
+    now: number
+  ): void {
     const from = follower.cursor ?? 0
+    const lapsedAt = this.getLapseTime(follower, now)
     let changed = 0
     for (const record of records) {
       if (record.revision > from) changed = Math.max(changed, record.revision)
-      this.apply(record, STORE_SOURCE)
+      this.apply(record, STORE_SOURCE, {lapsedAt})
     }
     this.advance(follower, revision)
-    if (changed > 0 && this.rank < TELLING_RANKS)
-      this.tellPeers(follower.collection, from, revision, changed, records)
-  }
-
-  private tellPeers(
-    collection: RecordCollection,
-    from: number,
-    to: number,
-    changed: number,
-    records: readonly StoredRecord[]
-  ): void {
+    if (changed === 0 || this.rank >= TELLING_RANKS) return
+    const {collection} = follower
     const told = collection === "configuration" ? [] : [...records]
+    const lapsed = lapsedAt !== undefined
     this.emit({
       kind: "tellPeers",
-      message: {kind: "recordsChanged", collection, from, to, changed, records: told}
+      message: {kind: "recordsChanged", collection, from, to: revision, changed, records: told, lapsed}
     })
   }
 
+  private hadLongOutage({unanswered, failingSince}: Follower, now: number): boolean {
+    return unanswered && now - failingSince >= this.settings.lapseOutageMs
+  }
+
+  /// The time of an answer by which back ends that are missing may have lapsed only; undefined when they are gone.
+  private getLapseTime({lapseSeenAt}: Follower, now: number): number | undefined {
+    return now - lapseSeenAt < this.settings.lapseGraceMs ? lapseSeenAt : undefined
+  }
+
   /// A back end that the snapshot lacks was removed, unless its record is newer than the snapshot.
-  private removeMissing(revision: number, records: readonly StoredRecord[], source: RecordSource): void {
+  private removeMissing(
+    revision: number,
+    records: readonly StoredRecord[],
+    source: RecordSource,
+    lapsedAt?: number
+  ): void {
     const present = new Set(records.map(record => (record.collection === "backends" ? record.id : "")))
     for (const [id, known] of this.backends) {
       if (present.has(id) || known.value === undefined || known.revision > revision) continue
-      this.apply({collection: "backends", id, revision, value: undefined}, source, true)
+      const record = {collection: "backends" as const, id, revision, value: undefined}
+      this.apply(record, source, {sameRevisionCounts: true, lapsedAt})
     }
   }
 
-  private apply(record: StoredRecord, source: RecordSource, sameRevisionCounts = false): void {
+  private apply(record: StoredRecord, source: RecordSource, options: ApplyOptions = {}): void {
     if (record.collection === "configuration") this.applyConfiguration(record.revision, record.value, source)
-    else this.applyBackend(record.id, record, source, sameRevisionCounts)
+    else this.applyBackend(record.id, record, source, options)
   }
 
   private applyConfiguration(
@@ -363,7 +408,7 @@
     id: string,
     record: {revision: number; value?: BackendRecord | undefined},
     source: RecordSource,
-    sameRevisionCounts: boolean
+    {sameRevisionCounts = false, lapsedAt}: ApplyOptions
   ): void {
     const known = this.backends.get(id)
     const newer = !known || record.revision > known.revision
@@ -371,7 +416,10 @@
     const {revision, value} = record
     this.backends.set(id, {revision, value})
     this.backendsRevision = Math.max(this.backendsRevision, revision)
-    if (value) this.emit({kind: "backendChanged", record: value, revision, source})
+    if (value) {
+      this.lapsed.remove(id)
+      this.emit({kind: "backendChanged", record: value, revision, source})
+    } else if (known?.value?.state === "ready" && lapsedAt !== undefined) this.lapsed.add(id, lapsedAt)
     else if (known?.value) this.emit({kind: "backendRemoved", id, revision, source})
   }
 
@@ -385,6 +433,7 @@
     const {collection} = follower
     if (follower.failures > 0) this.emit({kind: "storeRegained", collection})
     follower.failures = 0
+    follower.unanswered = false
     follower.completeAt = Math.max(follower.completeAt, completeAt)
     follower.nextAt = now + pauseMs
     if (pauseMs === 0 && this.isDue(follower, now)) this.read(follower, now)
@@ -393,6 +442,7 @@
   private failed(follower: Follower, reason: string, now: number): void {
     if (follower.failures === 0) this.emit({kind: "storeLost", collection: follower.collection, reason})
     this.backOff(follower, now)
+    follower.unanswered = true
   }
 
   private backOff(follower: Follower, now: number): void {
@@ -415,7 +465,9 @@
     sentAt: now,
     nextAt: now,
     failures: 0,
+    unanswered: false,
     failingSince: now,
+    lapseSeenAt: -Infinity,
     completeAt: -Infinity,
     rumored: 0
   }
--- /dev/null
+++ b/src/fleet/lapsed-backends.ts
@@ -0,0 +1,26 @@
+/// Back ends whose records were gone when the store came back from an outage. A back end that could not reach the store
+/// loses its record although it lives, and writes it anew within moments; one that does not is gone.
+export class LapsedBackends {
+  /// Until when each one may still come back. Monotonic milliseconds.
+  private readonly untilById = new Map<string, number>()
+
+  /// @param graceMs how long a back end may take to write its record anew. Milliseconds.
+  constructor(private readonly graceMs: number) {}
+
+  /// The record is gone; the back end keeps its work for now.
+  add(id: string, now: number): void {
+    if (!this.untilById.has(id)) this.untilById.set(id, now + this.graceMs)
+  }
+
+  /// The record is back.
+  remove(id: string): void {
+    this.untilById.delete(id)
+  }
+
+  /// Those that have not come back in time. They are told once.
+  takeExpired(now: number): string[] {
+    const expired = [...this.untilById].filter(([, until]) => now >= until).map(([id]) => id)
+    for (const id of expired) this.untilById.delete(id)
+    return expired
+  }
+}
