--- a/lab/soak/daemon-process.ts
+++ b/lab/soak/daemon-process.ts
@@ -4,17 +4,9 @@
 import {closeSync, openSync, writeFileSync} from "node:fs"
 import {createServer} from "node:net"
 import {join} from "node:path"
-import {formatSettings} from "./settings-file.js"
+import {formatSettings, type DaemonPorts} from "./settings-file.js"
 import type {SoakBounds} from "./soak-record.js"
 
-/// Where a daemon's parts are reached.
-export interface DaemonPorts {
-  readonly front: string
-  readonly ready: string
-  readonly control: string
-  readonly metrics: number
-}
-
 /// What all daemons of a soak share.
 export interface DaemonSite {
   readonly folder: string
--- a/lab/soak/settings-file.ts
+++ b/lab/soak/settings-file.ts
@@ -1,7 +1,14 @@
 /// The settings file of a daemon, as the platform writes it.
-import type {DaemonPorts} from "./daemon-process.js"
 import type {SoakBounds} from "./soak-record.js"
 
+/// Where a daemon's parts are reached.
+export interface DaemonPorts {
+  readonly front: string
+  readonly ready: string
+  readonly control: string
+  readonly metrics: number
+}
+
 const GRACE_S = 8
 
 /// Formats the file.
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -206,7 +206,7 @@
     const follower = this.followers[collection]
     follower.inFlight = false
     const answered = result.kind === "snapshot" || result.kind === "changes"
-    if (answered && this.hadLongOutage(follower, now)) follower.lapseSeenAt = now
+    if (answered && this.hasHadLongOutage(follower, now)) follower.lapseSeenAt = now
     switch (result.kind) {
       case "snapshot":
         this.applySnapshot(follower, result.revision, result.records, now)
@@ -363,7 +363,7 @@
     })
   }
 
-  private hadLongOutage({unanswered, failingSince}: Follower, now: number): boolean {
+  private hasHadLongOutage({unanswered, failingSince}: Follower, now: number): boolean {
     return unanswered && now - failingSince >= this.settings.lapseOutageMs
   }
 
--- a/src/forwarding/backend-directory.ts
+++ b/src/forwarding/backend-directory.ts
@@ -1,18 +1,8 @@
 /// All back ends that this daemon knows, by id and by service.
 import type {BackendRecord} from "./route.js"
-import {PeerLoads} from "./peer-loads.js"
+import {PeerLoads, type BackendLoad} from "./peer-loads.js"
 import {BackendView, type BackendHealthSettings} from "./backend-view.js"
 
-/// One daemon's load on one back end in the form that travels: id, requests, prompt tokens that can be in time, its
-/// distrust (0 none, 1 the daemon avoids it, 2 the daemon is changing its stage), and tokens of late prompts.
-export type BackendLoad = [
-  id: string,
-  inFlight: number,
-  pendingTokens: number,
-  distrust: number,
-  lateTokens?: number | undefined
-]
-
 const AVOIDED = 1
 const CHANGING = 2
 /// The directory of one daemon. Times are monotonic milliseconds.
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -30,12 +30,12 @@
 
   /// A prompt was computed as planned, so long after it was sent.
   promptComputed(plan: BackendPlan, ms: number): void {
-    this.prompts.learn(plan, ms)
+    this.prompts.addSample(plan, ms)
   }
 
   /// The best plan, or undefined when no back end of the service takes work.
   pick(wanted: BackendWanted, now: number): BackendPlan | undefined {
-    const candidates = this.candidates(wanted, now)
+    const candidates = this.getCandidates(wanted, now)
     const {prompt} = wanted
     const engines = candidates.some(view => view.record.stage !== undefined)
     if (!prompt || !engines) return this.pickPlain(getWithRoom(candidates, wanted))
@@ -44,7 +44,7 @@
   }
 
   /// Those that may take the request; the ones in trouble only when there is no other.
-  private candidates(wanted: BackendWanted, now: number): BackendView[] {
+  private getCandidates(wanted: BackendWanted, now: number): BackendView[] {
     const able = this.directory
       .ofService(wanted.service)
       .filter(view => view.takesWork() && !wanted.excluded.has(view.record.id))
@@ -56,7 +56,7 @@
 
   private pickPlain(candidates: readonly BackendView[]): BackendPlan | undefined {
     if (candidates.length === 0) return undefined
-    const backend = this.leastOf(candidates, view => {
+    const backend = this.pickLeast(candidates, view => {
       const far = view.record.zone === this.ownZone ? 0 : this.settings.otherZoneCost
       return view.inFlight() / Math.max(1, view.record.slots) + far
     })
@@ -66,7 +66,7 @@
   private pickDecode(candidates: readonly BackendView[]): BackendPlan | undefined {
     const decodes = candidates.filter(view => view.record.stage !== "prefill")
     if (decodes.length === 0) return undefined
-    const backend = this.leastOf(decodes, view => this.prompts.getWaitingCost(view))
+    const backend = this.pickLeast(decodes, view => this.prompts.getWaitingCost(view))
     return makePlan(backend, 0, "least-loaded")
   }
 
@@ -78,7 +78,7 @@
     const decodes = getWithRoom(candidates, wanted).filter(view => view.record.stage !== "prefill")
     if (decodes.length === 0) return undefined
     if (wanted.direct || prompt.promptTokens <= this.settings.decodePromptTokens) {
-      const backend = this.leastOf(decodes, view => this.prompts.getWaitingCost(view))
+      const backend = this.pickLeast(decodes, view => this.prompts.getWaitingCost(view))
       return makePlan(backend, prompt.promptTokens, "least-loaded")
     }
     const prefills = candidates.filter(view => view.record.stage === "prefill")
@@ -87,7 +87,7 @@
     return this.prompts.pick(prompt, wanted, able)
   }
 
-  private leastOf(candidates: readonly BackendView[], cost: (view: BackendView) => number): BackendView {
+  private pickLeast(candidates: readonly BackendView[], cost: (view: BackendView) => number): BackendView {
     const drawn =
       candidates.length <= this.settings.draws
         ? candidates
--- a/src/forwarding/kv-follower.ts
+++ b/src/forwarding/kv-follower.ts
@@ -78,7 +78,7 @@
   tick(now: number): void {
     for (const view of this.directory.all()) {
       if (view.record.stage === undefined || view.needsProbe(now)) continue
-      const engine = this.engineOf(view.record.id)
+      const engine = this.getEngine(view.record.id)
       if (engine.calling || now < engine.nextCallAt) continue
       if (!this.isFollower(view.record.id)) {
         engine.nextCallAt = now + this.settings.retryMs
@@ -122,7 +122,7 @@
     return members.length <= followers || rankByRendezvous(engineId, members, followers).includes(this.selfId)
   }
 
-  private engineOf(id: string): FollowedEngine {
+  private getEngine(id: string): FollowedEngine {
     let engine = this.engines.get(id)
     if (!engine) {
       engine = {epoch: undefined, since: 0, nextCallAt: 0, calling: false}
--- a/src/forwarding/kv-index.ts
+++ b/src/forwarding/kv-index.ts
@@ -35,25 +35,25 @@
     for (const part of getSharedParts(prompt)) {
       const hash = hashPart(prompt.model, part.id)
       this.recent.push([engineId, hash, part.tokens])
-      this.setTokens(this.partsOf(engineId), hash, part.tokens, capacityTokens)
+      this.setTokens(this.getParts(engineId), hash, part.tokens, capacityTokens)
     }
     this.recent.splice(0, this.recent.length - MAXIMUM_RECENT)
   }
 
   /// A peer had such a part computed.
   applyPlacement([engineId, hash, tokens]: PartPlacement, capacityTokens: number): void {
-    const engine = this.partsOf(engineId)
+    const engine = this.getParts(engineId)
     if (!engine.followed) this.setTokens(engine, hash, tokens, capacityTokens)
   }
 
   /// The engine told of a change.
   applyChange(engineId: string, {model, partId, tokens}: KvChange, capacityTokens: number): void {
-    this.setTokens(this.partsOf(engineId), hashPart(model, partId), tokens, capacityTokens)
+    this.setTokens(this.getParts(engineId), hashPart(model, partId), tokens, capacityTokens)
   }
 
   /// Whether the engine's own changes are followed from now on.
   setFollowed(engineId: string, followed: boolean): void {
-    this.partsOf(engineId).followed = followed
+    this.getParts(engineId).followed = followed
   }
 
   /// What this daemon had computed since the last call.
@@ -81,7 +81,7 @@
     this.engines.delete(engineId)
   }
 
-  private partsOf(engineId: string): EngineParts {
+  private getParts(engineId: string): EngineParts {
     let engine = this.engines.get(engineId)
     if (!engine) this.engines.set(engineId, (engine = {tokensByPart: new Map(), total: 0, followed: false}))
     return engine
--- a/src/forwarding/peer-loads.ts
+++ b/src/forwarding/peer-loads.ts
@@ -1,7 +1,15 @@
 /// What the other daemons put on the back ends, summed up from their digests. In a large fleet a daemon hears only a
 /// part of the others within a digest's lifetime, so that its sums are too small. Scaled to the whole fleet they were worse
 /// on the bench: a digest is up to 2 s old, and a prompt that it counts is computed within 0.3 s (docs/MEASUREMENTS.md).
-import type {BackendLoad} from "./backend-directory.js"
+/// One daemon's load on one back end in the form that travels: id, requests, prompt tokens that can be in time, its
+/// distrust (0 none, 1 the daemon avoids it, 2 the daemon is changing its stage), and tokens of late prompts.
+export type BackendLoad = [
+  id: string,
+  inFlight: number,
+  pendingTokens: number,
+  distrust: number,
+  lateTokens?: number | undefined
+]
 
 interface Digest {
   readonly loads: readonly BackendLoad[]
--- a/src/forwarding/prompt-pace.ts
+++ b/src/forwarding/prompt-pace.ts
@@ -43,7 +43,7 @@
 
   /// How long a prompt takes when so many tokens, its own included, are to be computed; undefined while too little is
   /// known. Milliseconds.
-  predictMs(tokens: number): number | undefined {
+  getExpectedMs(tokens: number): number | undefined {
     if (this.samples < this.settings.minimumSamples) return undefined
     const meanTokens = this.sumTokens / this.weight
     const meanMs = this.sumMs / this.weight
--- a/src/forwarding/prompt-picker.ts
+++ b/src/forwarding/prompt-picker.ts
@@ -39,13 +39,13 @@
   ) {}
 
   /// A prompt was computed as planned, so long after it was sent. Late prompts wait for an unknown number of others.
-  learn({backend, queuedTokens, late}: BackendPlan, ms: number): void {
-    if (!late) this.paceOf(backend).addSample(queuedTokens, ms)
+  addSample({backend, queuedTokens, late}: BackendPlan, ms: number): void {
+    if (!late) this.getPace(backend).addSample(queuedTokens, ms)
   }
 
   /// The best plan at one of these engines, of which there is at least one.
   pick(prompt: PromptOutline, wanted: BackendWanted, able: readonly BackendView[]): BackendPlan {
-    const home = this.homeOf(prompt, wanted.service, able)
+    const home = this.findHome(prompt, wanted.service, able)
     const plan = this.pickCheapest(prompt, able, home, false)
     const late =
       plan.expectedMs !== undefined && plan.expectedMs > wanted.targetLeftMs * this.settings.onTimeShare
@@ -69,7 +69,7 @@
     let bestCost = Infinity
     for (const backend of candidates) {
       const work = this.getWork(prompt, backend, keeper, home)
-      const cost = this.getWaitingCost(backend, late) + work.cost * this.promptFactor(backend)
+      const cost = this.getWaitingCost(backend, late) + work.cost * this.getPromptFactor(backend)
       if (cost >= bestCost) continue
       best = backend
       bestWork = work
@@ -111,7 +111,7 @@
       copyFrom: copiedTokens > 0 ? keeper?.backend.record : undefined,
       prefillOnly: backend.record.stage === "prefill",
       queuedTokens,
-      expectedMs: this.paceOf(backend).predictMs(queuedTokens),
+      expectedMs: this.getPace(backend).getExpectedMs(queuedTokens),
       late,
       full: false,
       reason
@@ -143,7 +143,7 @@
   }
 
   /// The engine that keeps the shared parts: the same for every daemon, also while it is avoided for a moment.
-  private homeOf(prompt: PromptOutline, service: string, able: readonly BackendView[]): string | undefined {
+  private findHome(prompt: PromptOutline, service: string, able: readonly BackendView[]): string | undefined {
     if (sharedTokens(prompt) < this.settings.minimumAffinityTokens) return undefined
     const {stage} = able[0].record
     const ids = this.directory
@@ -154,17 +154,17 @@
   }
 
   /// Time that a token of a prompt takes, in tokens of a prefill engine.
-  private promptFactor(view: BackendView): number {
+  private getPromptFactor(view: BackendView): number {
     return view.record.stage === "prefill" ? 1 : this.settings.decodePromptFactor
   }
 
   /// What a prompt waits for there, in tokens of a prefill engine.
   getWaitingCost(view: BackendView, late = false): number {
     const tokens = getWaitingTokens(view, late)
-    return tokens * this.promptFactor(view) + view.inFlight() * this.settings.requestCostTokens
+    return tokens * this.getPromptFactor(view) + view.inFlight() * this.settings.requestCostTokens
   }
 
-  private paceOf({record}: BackendView): PromptPace {
+  private getPace({record}: BackendView): PromptPace {
     const key = `${record.service}/${record.stage ?? ""}`
     let pace = this.paces.get(key)
     if (!pace) this.paces.set(key, (pace = new PromptPace(this.settings.pace)))
--- a/test/peer-loads.test.ts
+++ b/test/peer-loads.test.ts
@@ -1,7 +1,7 @@
 /** Sums of the loads that peers tell. */
 import { expect } from 'chai';
 import fc from 'fast-check';
-import type { BackendLoad } from '../src/forwarding/backend-directory.js';
+import type { BackendLoad } from '../src/forwarding/peer-loads.js';
 import { PeerLoads } from '../src/forwarding/peer-loads.js';
 
 const SEED = 20261204;
--- a/test/prompt-pace.test.ts
+++ b/test/prompt-pace.test.ts
@@ -13,7 +13,7 @@
         const tokens = 500 * (1 + (count % 20));
         pace.addSample(tokens, 5 + tokens / tokensPerMs);
       }
-      expect(pace.predictMs(8000)).to.be.closeTo(5 + 8000 / tokensPerMs, 0.5);
+      expect(pace.getExpectedMs(8000)).to.be.closeTo(5 + 8000 / tokensPerMs, 0.5);
     }
   });
 
@@ -21,9 +21,9 @@
     const pace = new PromptPace(DEFAULT_PROMPT_PACE_SETTINGS);
     for (let count = 1; count < DEFAULT_PROMPT_PACE_SETTINGS.minimumSamples; count += 1)
       pace.addSample(100, 10);
-    expect(pace.predictMs(100)).to.equal(undefined);
+    expect(pace.getExpectedMs(100)).to.equal(undefined);
     pace.addSample(100, 10);
-    expect(pace.predictMs(100)).to.equal(10);
+    expect(pace.getExpectedMs(100)).to.equal(10);
   });
 
   it('follows engines that become slower', () => {
@@ -36,7 +36,7 @@
     };
     feed(1);
     feed(5);
-    expect(pace.predictMs(4000)).to.be.closeTo(200, 10);
+    expect(pace.getExpectedMs(4000)).to.be.closeTo(200, 10);
   });
 
   it('is finite, never negative, and never falls with more tokens, whatever was measured', () => {
@@ -45,8 +45,8 @@
       fc.property(fc.array(fc.tuple(figure, figure), { maxLength: 60 }), (samples) => {
         const pace = new PromptPace(DEFAULT_PROMPT_PACE_SETTINGS);
         for (const [tokens, ms] of samples) pace.addSample(tokens, ms);
-        const few = pace.predictMs(100);
-        const many = pace.predictMs(50_000);
+        const few = pace.getExpectedMs(100);
+        const many = pace.getExpectedMs(50_000);
         if (few === undefined || many === undefined) return;
         expect(few).to.be.at.least(0);
         expect(many).to.be.at.least(few);
