Decode engines that are all in trouble are tried all the same

One of four decode engines had left and the others failed or were cut off, so every decode engine was avoided while prefill engines were not; the way out for 'all in trouble' looked at all engines together, found sound ones, and none of them could generate. Ruled out: the refusals for want of room (these say overloaded), lapsed records (none removed then). Change: each stage has its own way out. Test seen to fail first: [503, 503] where nothing should be refused.

--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -35,19 +35,31 @@
 
   /// The best plan, or undefined when no back end of the service takes work.
   pick(wanted: BackendWanted, now: number): BackendPlan | undefined {
-    const candidates = this.getCandidates(wanted, now)
+    const able = this.getAble(wanted)
     const {prompt} = wanted
-    const engines = candidates.some(view => view.record.stage !== undefined)
-    if (!prompt || !engines) return this.pickPlain(getWithRoom(candidates, wanted))
-    if (wanted.prefilled) return this.pickDecode(getWithRoom(candidates, wanted))
-    return this.pickForPrompt(prompt, wanted, candidates)
+    const engines = able.some(view => view.record.stage !== undefined)
+    if (!prompt || !engines) return this.pickPlain(getWithRoom(this.getTrusted(able, now), wanted))
+    // Engines of one stage cannot stand in for those of the other, so each has its own way out when all are in trouble.
+    const decodes = this.getTrusted(
+      able.filter(view => view.record.stage !== "prefill"),
+      now
+    )
+    const roomy = getWithRoom(decodes, wanted)
+    if (wanted.prefilled) return this.pickDecode(roomy)
+    const trusted = this.getTrusted(able, now)
+    const prefills = trusted.filter(view => view.record.stage === "prefill")
+    return this.pickForPrompt(prompt, wanted, roomy, prefills)
   }
 
-  /// Those that may take the request; the ones in trouble only when there is no other.
-  private getCandidates(wanted: BackendWanted, now: number): BackendView[] {
-    const able = this.directory
+  /// Those that may take the request.
+  private getAble(wanted: BackendWanted): BackendView[] {
+    return this.directory
       .ofService(wanted.service)
       .filter(view => view.takesWork() && !wanted.excluded.has(view.record.id))
+  }
+
+  /// Of those, the ones in trouble only when there is no other.
+  private getTrusted(able: readonly BackendView[], now: number): readonly BackendView[] {
     const sound = able.filter(view => !view.avoided(now))
     const trusted = sound.filter(view => !view.distrusted())
     if (trusted.length > 0) return trusted
@@ -63,8 +75,7 @@
     return makePlan(backend, 0, "least-loaded")
   }
 
-  private pickDecode(candidates: readonly BackendView[]): BackendPlan | undefined {
-    const decodes = candidates.filter(view => view.record.stage !== "prefill")
+  private pickDecode(decodes: readonly BackendView[]): BackendPlan | undefined {
     if (decodes.length === 0) return undefined
     const backend = this.pickLeast(decodes, view => this.prompts.getWaitingCost(view))
     return makePlan(backend, 0, "least-loaded")
@@ -73,18 +84,16 @@
   private pickForPrompt(
     prompt: PromptOutline,
     wanted: BackendWanted,
-    candidates: readonly BackendView[]
+    decodes: readonly BackendView[],
+    prefills: readonly BackendView[]
   ): BackendPlan | undefined {
-    const decodes = getWithRoom(candidates, wanted).filter(view => view.record.stage !== "prefill")
     if (decodes.length === 0) return undefined
     if (wanted.direct || prompt.promptTokens <= this.settings.decodePromptTokens) {
       const backend = this.pickLeast(decodes, view => this.prompts.getWaitingCost(view))
       return makePlan(backend, prompt.promptTokens, "least-loaded")
     }
-    const prefills = candidates.filter(view => view.record.stage === "prefill")
     const able = prefills.length > 0 ? getWithRoom(prefills, wanted) : decodes
-    if (able.length === 0) return undefined
-    return this.prompts.pick(prompt, wanted, able)
+    return able.length > 0 ? this.prompts.pick(prompt, wanted, able) : undefined
   }
 
   private pickLeast(candidates: readonly BackendView[], cost: (view: BackendView) => number): BackendView {
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -262,6 +262,17 @@
     expect(urgency(1, 20_000)).to.be.lessThan(urgency(2, 2000));
   });
 
+  it('when every decode engine is in trouble one of them is tried all the same: no prefill engine can stand in', () => {
+    const site = new Forwarding([labRoute(STREAM)], ENGINES);
+    for (const id of ['d1', 'd2']) site.directory.get(id)?.lost(0);
+    site.begin({ prompt: prompt(100, 50) });
+    site.begin({ id: 'r2', prompt: prompt(3000, 13_000) });
+    expect(site.failures()).to.deep.equal([]);
+    expect(site.starts().map((start) => start.backend.stage)).to.deep.equal(['decode', 'prefill']);
+    site.event({ kind: 'prefilled', handle: 'h' }, 50);
+    expect(site.starts().at(-1)?.backend.stage).to.equal('decode');
+  });
+
   it('a short prompt goes to a decode engine directly', () => {
     const site = new Forwarding([labRoute(STREAM)], ENGINES);
     site.begin({ prompt: prompt(100, 50) });
