A stream whose next engine fails is broken off, not ended as if it were complete

Change: an answer that is no stream never ends a stream that the caller has part of; it is broken off. Test seen to fail first: expected [] to deeply equal ['broken'].

--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -314,6 +314,11 @@
       this.send(session, now)
       return
     }
+    // A failure in place of the rest of a stream that the caller has part of: its end must not look like the stream's.
+    if (session.relaying && !attempt.answering) {
+      this.fail(session, STATUS_BROKEN, "broken", undefined, now)
+      return
+    }
     this.emit({kind: "replyWhole", requestId: session.request.id, attemptId: attempt.attemptId})
     this.answers.logDecision("request.answered", session, {
       backend: backend.record.id,
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -224,6 +224,17 @@
     expect(site.starts()).to.have.length(4);
   });
 
+  it('a stream whose next engine answers with a failure is broken off, not ended as if it were complete', () => {
+    const site = new Forwarding([labRoute({ ...STREAM, resumable: true, maximumAttempts: 2 })], PLAIN);
+    site.begin();
+    site.event({ kind: 'streamStarted' }, 10);
+    site.event({ kind: 'streamProgress', lastEventId: '7' }, 20);
+    site.event({ kind: 'broken', reason: 'reset' }, 30);
+    site.event({ kind: 'whole', status: 500 }, 40);
+    expect(site.failures()).to.deep.equal(['broken']);
+    expect(site.of('replyWhole')).to.have.length(0);
+  });
+
   it('a stream that may not be resumed is broken off, never finished by another run', () => {
     const site = new Forwarding([labRoute(STREAM)], PLAIN);
     site.begin();
