A change of the settings does not end a process that is still starting

Ruled out: the reload itself (logged and checked as before). Change: the start script listens before it compiles the program; settings are read later, so nothing is lost. Test seen to fail first: code null, signal SIGHUP.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -6,6 +6,10 @@
 const {join} = require("node:path")
 const {Script} = require("node:vm")
 
+/// Without a listener this signal would end the process, and the program sets its own only when it has started. The
+/// settings are read after this line, so there is nothing else to do for a change of them.
+process.on("SIGHUP", () => {})
+
 const filename = join(__dirname, "pulleyledge.cjs")
 
 /// The engine takes a cache of any source of the same length, so the name of the cache tells the source it is for.
--- a/test/bundle.test.ts
+++ b/test/bundle.test.ts
@@ -1,6 +1,7 @@
 /** The program as it is deployed: the bundle that deploy/system.toml builds starts, reads the store and serves. */
 import { execFile, spawn, type ChildProcess } from 'node:child_process';
 import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
 import { createServer as createNetServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -130,6 +131,21 @@
     expect(second.stderr).to.match(/^listen-failed: cannot listen on 127\.0\.0\.1:\d+: EADDRINUSE/);
   });
 
+  it('a change of the settings while the program is still starting does not end it', async () => {
+    const copy = mkdtempSync(join(tmpdir(), 'early-signal-'));
+    copyFileSync(join(ROOT, 'deploy/start.cjs'), join(copy, 'start.cjs'));
+    const slowStart =
+      'process.stdout.write("starting"); const end = Date.now() + 500; while (Date.now() < end);';
+    writeFileSync(join(copy, 'pulleyledge.cjs'), slowStart);
+    const starting = spawn(process.execPath, [join(copy, 'start.cjs')], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    starting.stdout?.once('data', () => starting.kill('SIGHUP'));
+    const [code, signal] = (await once(starting, 'exit')) as [number | null, string | null];
+    expect({ code, signal }).to.deep.equal({ code: 0, signal: null });
+    rmSync(copy, { recursive: true });
+  });
+
   it('a code cache of another source of the same length is not taken', async () => {
     const copy = mkdtempSync(join(tmpdir(), 'code-cache-'));
     copyFileSync(join(ROOT, 'deploy/start.cjs'), join(copy, 'start.cjs'));
