--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -2,6 +2,7 @@
 import {
   DEFAULT_FORWARDING_SETTINGS,
   ForwardingDaemon,
+  TICK_MS,
   type ForwardingDaemonSettings,
 } from '../src/daemon/forwarding-daemon.js';
 import type { ForwardingEffect, ForwardingEvent } from '../src/daemon/forwarding-messages.js';
@@ -9,12 +10,13 @@
 import type { RecordRead, RecordReadResult, StoredRecord } from '../src/fleet/record-store.js';
 import { DEFAULT_LEASE_SETTINGS } from '../src/lease/cell-lease.js';
 import { SeededRandom } from '../src/shared/random.js';
+import type { ForwardAttemptEvent } from '../src/forwarding/forward-messages.js';
+import type { KvChangesCall } from '../src/forwarding/kv-follower.js';
 import { VirtualTime } from './virtual-time.js';
 
 /** What the store does to one daemon. */
 export type StoreAccess = 'serves' | 'refuses' | 'silent';
 
-const TICK_MS = 20;
 const NETWORK_MS = 1.5;
 const STORE_MS = 4;
 const READ_TIMEOUT_MS = 800;
@@ -58,10 +60,25 @@
   done: boolean;
 }
 
+/** An attempt that a daemon has started; nobody answers it unless the test does. */
+export interface StartedAttempt {
+  readonly node: FleetNode;
+  readonly requestId: string;
+  readonly attemptId: string;
+  readonly backendId: string;
+}
+
 /** The fleet. */
 export class ForwardingFleet {
+  /** Attempts so far, the newest last. */
+  readonly attempts: StartedAttempt[] = [];
   readonly time = new VirtualTime();
   readonly nodes: FleetNode[] = [];
+  /** Messages between daemons so far, by kind. */
+  readonly messageCounts = new Map<string, number>();
+  /** Events that the daemons have handled so far, by kind. */
+  readonly eventCounts = new Map<string, number>();
+  private readonly nodesByAddress = new Map<string, FleetNode>();
   private readonly records = new Map<string, StoredRecord>();
   private readonly log: StoredRecord[] = [];
   private readonly waiting = new Set<WaitingRead>();
@@ -100,6 +117,7 @@
         refusals: [],
       };
       this.nodes.push(node);
+      this.nodesByAddress.set(node.address, node);
       this.time.after(random.next() * TICK_MS, () => this.tick(node));
     }
   }
@@ -130,6 +148,11 @@
     this.handle(node, { kind: 'submit', request: { ...caller, prompt: undefined } });
   }
 
+  /** Tells a daemon what became of an attempt. */
+  endAttempt({ node, requestId, attemptId }: StartedAttempt, event: ForwardAttemptEvent): void {
+    this.handle(node, { kind: 'attempt', requestId, attemptId, event });
+  }
+
   /** Services whose lease some daemon has asked for. */
   readonly leasesAsked = new Set<string>();
 
@@ -145,14 +168,16 @@
 
   private handle(node: FleetNode, event: ForwardingEvent): void {
     if (node.down) return;
+    countKind(this.eventCounts, event.kind);
     for (const effect of node.daemon.handle(event, this.time.now())) this.perform(node, effect);
   }
 
   private perform(node: FleetNode, effect: ForwardingEffect): void {
     switch (effect.kind) {
       case 'sendPeer': {
-        const target = this.nodes.find((other) => other.address === effect.address);
+        const target = this.nodesByAddress.get(effect.address);
         const { message } = effect;
+        countKind(this.messageCounts, message.kind);
         this.time.after(NETWORK_MS, () => {
           if (target && !node.down)
             this.handle(target, {
@@ -167,6 +192,14 @@
       case 'readRecords':
         this.read(node, effect.read);
         break;
+      case 'startAttempt': {
+        const { requestId, attemptId, backend } = effect.start;
+        this.attempts.push({ node, requestId, attemptId, backendId: backend.id });
+        break;
+      }
+      case 'readKvChanges':
+        this.answerKvChanges(node, effect.call);
+        break;
       case 'leaseTable':
         this.leasesAsked.add(effect.service);
         break;
@@ -184,6 +217,12 @@
     }
   }
 
+  /** An engine without work: it holds the call as long as it may and then tells of no change. */
+  private answerKvChanges(node: FleetNode, { backend, since, waitMs }: KvChangesCall): void {
+    const answer = { epoch: '1', next: since, lost: false, changes: [] };
+    this.time.after(waitMs, () => this.handle(node, { kind: 'kvChangesRead', backend, answer }));
+  }
+
   private believed(node: FleetNode, event: string, fields: Readonly<Record<string, unknown>>): void {
     const at = this.time.now();
     const id = String(fields.backend);
@@ -199,7 +238,8 @@
     if (node.access === 'refuses') {
       give({ kind: 'rejected', status: STATUS_BUSY }, STORE_MS);
     } else if (node.access === 'silent') {
-      give({ kind: 'noAnswer', reason: 'TimeoutError' }, read.waitMs + READ_TIMEOUT_MS);
+      const heldMs = read.after === undefined ? 0 : read.waitMs;
+      give({ kind: 'noAnswer', reason: 'TimeoutError' }, heldMs + READ_TIMEOUT_MS);
     } else if (read.after === undefined) {
       const records = [...this.records.values()].filter((record) => record.collection === collection);
       give({ kind: 'snapshot', revision: this.revision, records }, STORE_MS);
@@ -231,3 +271,7 @@
     waiting.answer();
   }
 }
+
+function countKind(counts: Map<string, number>, kind: string): void {
+  counts.set(kind, (counts.get(kind) ?? 0) + 1);
+}
--- a/src/adapters/peer-transport.ts
+++ b/src/adapters/peer-transport.ts
@@ -3,10 +3,10 @@
  * peer that cannot be reached beyond a small bound: every protocol above repeats what matters.
  */
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
-import { createInterface } from 'node:readline';
 import type { PeerMessage } from '../daemon/daemon-messages.js';
 import { PulleyledgeError } from '../errors/index.js';
 import { splitAddress } from '../shared/address.js';
+import { LineSplitter } from './line-splitter.js';
 import { startListening } from './listen.js';
 import { decodePeerHello, decodePeerMessage, encodePeerMessage, type PeerHello } from './peer-codec.js';
 
@@ -38,6 +38,8 @@
   private readonly incoming = new Set<Socket>();
   private readonly server: Server;
   private closed = false;
+  private lastMessage: PeerMessage | undefined;
+  private lastLine = '';
 
   constructor(
     private readonly hello: PeerHello,
@@ -56,11 +58,20 @@
     if (this.closed) return;
     const peer = this.connectionTo(address);
     if (peer.failedAt !== undefined || peer.socket.writableLength > MAXIMUM_BUFFERED_BYTES) return;
-    const line = `${encodePeerMessage(message)}\n`;
+    const line = this.encode(message);
     this.listener.onTraffic('sent', message.kind, Buffer.byteLength(line));
     peer.socket.write(line);
   }
 
+  /** The same message goes to many peers in a row and is encoded once. */
+  private encode(message: PeerMessage): string {
+    if (message !== this.lastMessage) {
+      this.lastLine = `${encodePeerMessage(message)}\n`;
+      this.lastMessage = message;
+    }
+    return this.lastLine;
+  }
+
   /** Closes every connection after what was written has gone out. */
   close(): void {
     this.closed = true;
@@ -100,19 +111,24 @@
     socket.on('error', () => socket.destroy());
     socket.on('close', () => this.incoming.delete(socket));
     let peer: PeerHello | undefined;
-    const lines = createInterface({ input: socket, crlfDelay: Infinity });
-    // readline passes the socket's error on; without a listener it would end the process.
-    lines.on('error', () => socket.destroy());
-    lines.on('line', (line) => {
-      if (socket.destroyed) return;
-      try {
-        if (line.length > MAXIMUM_LINE_BYTES) socket.destroy();
-        else if (peer) this.receive(peer, line);
-        else peer = decodePeerHello(line);
-      } catch (error) {
-        if (!(error instanceof PulleyledgeError)) throw error;
-        this.listener.onProtocolError(error, String(socket.remoteAddress));
+    const lines = new LineSplitter(MAXIMUM_LINE_BYTES);
+    socket.setEncoding('utf8');
+    socket.on('data', (chunk: string) => {
+      const whole = lines.push(chunk);
+      if (!whole) {
         socket.destroy();
+        return;
+      }
+      for (const line of whole) {
+        if (socket.destroyed) return;
+        try {
+          if (peer) this.receive(peer, line);
+          else peer = decodePeerHello(line);
+        } catch (error) {
+          if (!(error instanceof PulleyledgeError)) throw error;
+          this.listener.onProtocolError(error, String(socket.remoteAddress));
+          socket.destroy();
+        }
       }
     });
   }
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -40,7 +40,7 @@
 import type { DaemonIdentity } from '../membership/membership-messages.js';
 import { DEFAULT_MEMBERSHIP_SETTINGS, type MembershipSettings } from '../membership/membership-settings.js';
 import type { RandomSource } from '../shared/random.js';
-import { rankByRendezvous } from '../shared/rendezvous-hash.js';
+import { getRendezvousPlace } from '../shared/rendezvous-hash.js';
 import type { PeerMessage } from './daemon-messages.js';
 
 /** Settings of a forwarding daemon, by part. */
@@ -69,7 +69,14 @@
 
 /** Daemons assumed to share the retry budget before any peer has answered. */
 const UNKNOWN_FLEET_SIZE = 32;
-/** Between two ticks lie some 20 ms; a process that saw so much more pass stood still. Milliseconds. */
+/**
+ * Interval between ticks. Milliseconds. What waits for a tick (a deadline, a stalled attempt, a digest) bears so much
+ * delay; each tick costs a process some 0.05 ms.
+ */
+export const TICK_MS = 40;
+/** Interval between looks at every back end: probes, followed caches, stages. Milliseconds. There may be hundreds. */
+const BACKEND_SCAN_MS = 120;
+/** A process that saw so much time pass between two ticks stood still. Milliseconds. */
 const OWN_PAUSE_MS = 250;
 /** Daemons are ranked as readers of the store by this key. */
 const READER_KEY = 'store-reader';
@@ -90,6 +97,7 @@
   private draining = false;
   private membersChanged = true;
   private tickedAt: number;
+  private scannedAt = -Infinity;
 
   constructor(
     private readonly identity: DaemonIdentity,
@@ -129,7 +137,11 @@
       this.replica,
       this.directory,
       { take: () => this.kvIndex.takeRecent(), learn: (placement) => this.learnPlacement(placement) },
-      () => this.peerAddresses(),
+      {
+        selfAddress: identity.address,
+        zone: identity.zone,
+        active: () => this.membership.active(),
+      },
       random,
       ({ address, message }) => emit({ kind: 'sendPeer', address, message }),
       now,
@@ -138,7 +150,7 @@
       settings.kvFollower,
       identity.id,
       {
-        memberIds: () => this.membership.active().map((member) => member.id),
+        memberIds: () => this.membership.activeIds(),
         capacityTokens: (service) => this.capacityTokens(service),
       },
       this.directory,
@@ -190,6 +202,11 @@
     return this.membership.active().length;
   }
 
+  /** Requests of all daemons at a back end, as far as this one knows. */
+  getInFlight(backendId: string): number {
+    return this.directory.get(backendId)?.inFlight() ?? 0;
+  }
+
   private dispatch(event: ForwardingEvent, now: number): void {
     switch (event.kind) {
       case 'tick':
@@ -247,10 +264,12 @@
     this.rankReader();
     this.replica.tick(now);
     this.exchange.tick(now);
+    this.manager.tick(now);
+    if (now - this.scannedAt < BACKEND_SCAN_MS) return;
+    this.scannedAt = now;
     this.prober.tick(now);
     this.kvFollower.tick(now);
     this.stages.tick(now, !this.draining);
-    this.manager.tick(now);
   }
 
   private receivePeer(fromId: string, fromAddress: string, message: PeerMessage, now: number): void {
@@ -284,9 +303,8 @@
   private rankReader(): void {
     if (!this.membersChanged) return;
     this.membersChanged = false;
-    const ids = this.membership.active().map((member) => member.id);
-    const place = rankByRendezvous(READER_KEY, ids, ids.length).indexOf(this.identity.id);
-    this.replica.setRank(Math.max(0, place));
+    this.directory.peers.setDaemons(this.membership.active().length);
+    this.replica.setRank(getRendezvousPlace(READER_KEY, this.membership.activeIds(), this.identity.id));
   }
 
   private daemons(): number {
@@ -304,14 +322,6 @@
     return this.routes?.service(service)?.engine?.kvCapacityTokens;
   }
 
-  private peerAddresses(): string[] {
-    const { id } = this.identity;
-    return this.membership
-      .active()
-      .filter((member) => member.id !== id)
-      .map((member) => member.address);
-  }
-
   private onMembership(effect: MembershipEffect): void {
     if (effect.kind === 'sendMembership') {
       this.outbox.push({ kind: 'sendPeer', address: effect.address, message: effect.message });
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -49,12 +49,15 @@
 /// The same for both collections.
 export const fleetKnowledgeSchema = z.object({configuration: knowledgeSchema, backends: knowledgeSchema})
 
-/// A daemon's load on the back ends, and how much it knows of the store's records.
+/// Loads on the back ends, and how much the sender knows of the store's records.
 const loadDigestSchema = z.object({
   kind: z.literal("loadDigest"),
+  /// Whose loads: the sender's own, those of its zone, or those of the whole fleet. Not told by older daemons: their own.
+  scope: z.enum(["own", "zone", "fleet"]).optional(),
   knowledge: fleetKnowledgeSchema,
-  /// Back end, requests, prompt tokens to compute, distrust, tokens of late prompts (not told by older daemons).
-  loads: z.array(z.tuple([text, count, count, count, count.optional()])),
+  /// Back end, requests, prompt tokens to compute, distrust; then, not told by older daemons, tokens of late prompts and
+  /// attempts that succeeded and failed since the last digest.
+  loads: z.array(z.tuple([text, count, count, count, count.optional(), count.optional(), count.optional()])),
   /// Prompt parts that the sender had computed since its last digest: engine, hash of the part, tokens.
   placements: z.array(z.tuple([text, count, count]))
 })
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -14,13 +14,13 @@
 
 /// Settings of the replica.
 export interface FleetReplicaSettings {
-  /// How long a read waits for a change. Milliseconds. Default 600.
+  /// How long a read waits for a change: peers hear so late that there was none. Milliseconds. Default 450.
   readonly waitMs: number
-  /// The second daemon in rank asks the store when it has not heard for so long that its copy is complete. Milliseconds. Default 1000.
+  /// The second daemon in rank asks the store when it has not heard for so long that its copy is complete. Milliseconds. Default 1200.
   readonly patienceMs: number
   /// Each further rank waits so much longer, up to the longest patience. Milliseconds. Default 100.
   readonly patienceStepMs: number
-  /// Every daemon asks the store after this. Milliseconds. Default 1200.
+  /// Every daemon asks the store after this. Milliseconds. Default 1400.
   readonly maximumPatienceMs: number
   /// Pause after an answer with changes, so that changes in a row come in one answer. Milliseconds. Default 150.
   readonly gatherMs: number
@@ -41,10 +41,10 @@
 
 /// Default settings.
 export const DEFAULT_FLEET_REPLICA_SETTINGS: FleetReplicaSettings = {
-  waitMs: 600,
-  patienceMs: 1000,
+  waitMs: 450,
+  patienceMs: 1200,
   patienceStepMs: 100,
-  maximumPatienceMs: 1200,
+  maximumPatienceMs: 1400,
   gatherMs: 150,
   backoffMs: 100,
   maximumBackoffMs: 800,
--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -4,8 +4,11 @@
 import type {RandomSource} from "../shared/random.js"
 import type {BackendDirectory} from "../forwarding/backend-directory.js"
 import type {PartPlacement} from "../forwarding/kv-index.js"
+import type {Member} from "../membership/membership-messages.js"
 import type {FleetKnowledge, FleetMessage, RecordsChanged} from "./fleet-messages.js"
 import type {FleetReplica} from "./fleet-replica.js"
+import {LoadRelay, type RelayedLoads} from "./load-relay.js"
+import {rankRelays, type RelayRanking} from "./relay-ranking.js"
 import type {RecordCollection} from "./record-store.js"
 
 /// Settings of the exchange.
@@ -16,8 +19,13 @@
   readonly digestIntervalPerPeerMs: number
   /// The shortest interval. Milliseconds. Default 100.
   readonly minimumDigestIntervalMs: number
-  /// Peers that get a digest at most. Default 12.
+  /// In a fleet with more peers than this loads go through relays. Default 12.
   readonly digestPeers: number
+  /// Interval between digests through relays. Milliseconds. Default 250: three of them are about the time in which an engine
+  /// computes a long prompt.
+  readonly relayIntervalMs: number
+  /// A relay that has told nothing for so long is passed over. Milliseconds. Default 1000.
+  readonly relayPatienceMs: number
   /// A daemon that has been behind a peer for so long asks it for its records. Milliseconds. Default 300.
   readonly pullAfterMs: number
 }
@@ -28,6 +36,8 @@
   digestIntervalPerPeerMs: 20,
   minimumDigestIntervalMs: 100,
   digestPeers: 12,
+  relayIntervalMs: 250,
+  relayPatienceMs: 1000,
   pullAfterMs: 300
 }
 
@@ -43,19 +53,39 @@
   readonly message: FleetMessage
 }
 
+/// Loads of the whole fleet as a relay tells them stand under this name, in place of those of single peers.
+const FLEET = "fleet"
+
+/// The daemons of the fleet.
+export interface PeerMembers {
+  readonly selfAddress: string
+  readonly zone: string
+  /// Active members, this daemon included; the same array as long as they are the same.
+  active(): readonly Member[]
+}
+
+type LoadDigest = Extract<FleetMessage, {kind: "loadDigest"}>
+
 /// The exchange of one daemon. Times are monotonic milliseconds.
 export class PeerExchange {
   private nextDigestAt: number
   private behindSince: number | undefined
   private sequence = 0
+  private readonly relay = new LoadRelay()
+  private rankedAmong: readonly Member[] = []
+  private ranking: RelayRanking = {ownZone: [], otherZones: []}
+  private peers: readonly string[] = []
+  /// The relay in use, and when it was taken or last heard.
+  private relayAddress: string | undefined
+  private relayHeardAt = -Infinity
 
   constructor(
     private readonly settings: PeerExchangeSettings,
     private readonly replica: FleetReplica,
     private readonly directory: BackendDirectory,
     private readonly placements: PlacementExchange,
-    private readonly peerAddresses: () => readonly string[],
-    private readonly random: RandomSource,
+    private readonly members: PeerMembers,
+    random: RandomSource,
     private readonly emit: EffectSink<PeerSend>,
     now: number
   ) {
@@ -65,24 +95,55 @@
   /// Sends digests when they are due.
   tick(now: number): void {
     if (now < this.nextDigestAt) return
-    const recipients = this.recipients()
-    this.nextDigestAt = now + this.digestIntervalMs(recipients.length)
+    this.rankMembers()
     this.directory.peers.removeOld(now)
-    const message: FleetMessage = {
-      kind: "loadDigest",
-      knowledge: this.replica.getKnowledge(now),
-      loads: this.directory.ownLoads(now),
-      placements: [...this.placements.take()]
+    const own = {loads: this.directory.takeLoads(now), placements: [...this.placements.take()]}
+    if (this.peers.length > this.settings.digestPeers) this.tickRelayed(own, now)
+    else {
+      this.nextDigestAt = now + this.digestIntervalMs(this.peers.length)
+      this.sendDigest(this.peers, "own", own, now)
     }
-    for (const address of recipients) this.emit({address, message})
+  }
+
+  private tickRelayed(own: RelayedLoads, now: number): void {
+    this.nextDigestAt = now + this.settings.relayIntervalMs
+    this.relay.removeOld(now)
+    this.relay.addOutcomes(own.loads)
+    this.relay.addPlacements(own.placements)
+    const {selfAddress} = this.members
+    const relayAddress = this.pickRelay(now)
+    const dependants = this.relay.getMemberAddresses()
+    if (relayAddress === selfAddress || dependants.length > 0) this.relayLoads(own, dependants, now)
+    else if (relayAddress !== undefined) this.sendDigest([relayAddress], "own", own, now)
+  }
+
+  /// Where daemons disagree for a while on who relays, a zone has two relays, and each tells the other what its part puts on.
+  private relayLoads({loads}: RelayedLoads, dependants: readonly string[], now: number): void {
+    const {ownZone, otherZones} = this.ranking
+    const otherRelays = ownZone.filter(address => address !== this.members.selfAddress)
+    this.sendDigest([...otherZones, ...otherRelays], "zone", this.relay.takeZone(loads), now)
+    const fleet = this.relay.takeFleet(loads)
+    this.sendDigest(dependants, "fleet", fleet, now)
+    this.directory.applyFleetLoads(FLEET, fleet.loads, now)
+  }
+
+  private sendDigest(
+    addresses: readonly string[],
+    scope: LoadDigest["scope"],
+    {loads, placements}: RelayedLoads,
+    now: number
+  ): void {
+    if (addresses.length === 0) return
+    const knowledge = this.replica.getKnowledge(now)
+    const message: FleetMessage = {kind: "loadDigest", scope, knowledge, loads, placements}
+    for (const address of addresses) this.emit({address, message})
   }
 
   /// Takes a peer's message.
   receive(fromId: string, fromAddress: string, message: FleetMessage, now: number): void {
     switch (message.kind) {
       case "loadDigest":
-        this.directory.peers.applyDigest(fromId, message.loads, now)
-        for (const placement of message.placements) this.placements.learn(placement)
+        this.applyLoads(fromId, fromAddress, message, now)
         this.replica.receiveKnowledge(message.knowledge, now)
         this.pullWhenBehind(fromAddress, message.knowledge, now)
         break
@@ -104,7 +165,8 @@
 
   /// Sends changes to every peer.
   sendChanges(message: RecordsChanged): void {
-    for (const address of this.peerAddresses()) this.emit({address, message})
+    this.rankMembers()
+    for (const address of this.peers) this.emit({address, message})
   }
 
   /// The store is asked first; a peer is asked when the store has not helped for a while.
@@ -127,13 +189,42 @@
     return Math.min(digestIntervalMs, Math.max(minimumDigestIntervalMs, peers * digestIntervalPerPeerMs))
   }
 
-  private recipients(): readonly string[] {
-    const all = this.peerAddresses()
-    if (all.length <= this.settings.digestPeers) return all
-    const start = this.random.below(all.length)
-    return Array.from(
-      {length: this.settings.digestPeers},
-      (_unused, index) => all[(start + index) % all.length]
-    )
+  private applyLoads(fromId: string, fromAddress: string, message: LoadDigest, now: number): void {
+    for (const placement of message.placements) this.placements.learn(placement)
+    switch (message.scope ?? "own") {
+      case "own":
+        // Whoever tells a relay its loads hears those of the fleet from it; in a small fleet everybody tells everybody.
+        if (this.peers.length > this.settings.digestPeers)
+          this.relay.applyMember(fromId, fromAddress, message, now)
+        else this.directory.peers.applyDigest(fromId, message.loads, now)
+        break
+      case "zone":
+        this.relay.applyZone(fromId, fromAddress, message, now)
+        break
+      case "fleet":
+        if (fromAddress === this.relayAddress) this.relayHeardAt = now
+        this.directory.applyFleetLoads(FLEET, message.loads, now)
+        break
+    }
+  }
+
+  /// The first relay of the zone, or the second when the first has told nothing for a while; then the first again.
+  private pickRelay(now: number): string | undefined {
+    const {ownZone} = this.ranking
+    const known = this.relayAddress !== undefined && ownZone.includes(this.relayAddress)
+    const patient = now - this.relayHeardAt <= this.settings.relayPatienceMs
+    if (known && (patient || this.relayAddress === this.members.selfAddress)) return this.relayAddress
+    const place = known ? ownZone.indexOf(this.relayAddress ?? "") + 1 : 0
+    this.relayAddress = ownZone[place % Math.max(1, ownZone.length)]
+    this.relayHeardAt = now
+    return this.relayAddress
+  }
+
+  private rankMembers(): void {
+    const members = this.members.active()
+    if (members === this.rankedAmong) return
+    this.rankedAmong = members
+    this.peers = members.map(({address}) => address).filter(address => address !== this.members.selfAddress)
+    if (this.peers.length > this.settings.digestPeers) this.ranking = rankRelays(members, this.members.zone)
   }
 }
--- a/src/forwarding/backend-directory.ts
+++ b/src/forwarding/backend-directory.ts
@@ -1,10 +1,10 @@
 /// All back ends that this daemon knows, by id and by service.
 import type {BackendRecord} from "./route.js"
-import {PeerLoads, type BackendLoad} from "./peer-loads.js"
+import {CHANGING_DISTRUST, PeerLoads, type BackendLoad} from "./peer-loads.js"
 import {BackendView, type BackendHealthSettings} from "./backend-view.js"
 
 const AVOIDED = 1
-const CHANGING = 2
+
 /// The directory of one daemon. Times are monotonic milliseconds.
 export class BackendDirectory {
   private readonly views = new Map<string, BackendView>()
@@ -54,19 +54,29 @@
     return this.views.values()
   }
 
-  /// This daemon's own load, for its peers: back ends with work or trouble only.
-  ownLoads(now: number): BackendLoad[] {
+  /// Takes the loads of the whole fleet, with what became of its attempts.
+  applyFleetLoads(source: string, loads: readonly BackendLoad[], now: number): void {
+    this.peers.applyDigest(source, loads, now)
+    for (const [id, , , , , succeeded = 0, failed = 0] of loads)
+      if (succeeded + failed > 0) this.views.get(id)?.applyFleetOutcomes(succeeded, failed, now)
+  }
+
+  /// This daemon's own load, for its peers: back ends with work or trouble only, and attempts that have ended since the last call.
+  takeLoads(now: number): BackendLoad[] {
     const loads: BackendLoad[] = []
     for (const view of this.views.values()) {
-      const distrust = view.changing ? CHANGING : view.avoided(now) ? AVOIDED : 0
+      const distrust = view.changing ? CHANGING_DISTRUST : view.avoided(now) ? AVOIDED : 0
       const inFlight = view.ownInFlight()
-      if (inFlight + distrust > 0)
+      const {succeeded, failed} = view.takeOutcomes()
+      if (inFlight + distrust + succeeded + failed > 0)
         loads.push([
           view.record.id,
           inFlight,
           Math.round(view.ownPromptTokens()),
           distrust,
-          Math.round(view.ownLatePromptTokens())
+          Math.round(view.ownLatePromptTokens()),
+          succeeded,
+          failed
         ])
     }
     return loads
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -8,6 +8,8 @@
   readonly ejectFailureShare: number
   /// Outcomes that one failure share looks back on, about. Default 6.
   readonly failureMemory: number
+  /// The same for the outcomes of all daemons of a large fleet. Default 8: three failures in a row without a success between them.
+  readonly fleetFailureMemory: number
   /// How long a back end is avoided at first; doubled while it goes on failing. Milliseconds. Default 1000.
   readonly ejectionMs: number
   /// The longest such time. Milliseconds. Default 4000.
@@ -22,12 +24,16 @@
 export const DEFAULT_BACKEND_HEALTH_SETTINGS: BackendHealthSettings = {
   ejectFailureShare: 0.3,
   failureMemory: 6,
+  fleetFailureMemory: 8,
   ejectionMs: 1000,
   maximumEjectionMs: 4000,
   silenceMs: 800,
   silenceMsPerToken: 0.05
 }
 
+/// Outcomes of the fleet are about so old when they arrive. Milliseconds; two intervals of the relays.
+const FLEET_DELAY_MS = 500
+
 interface SentAttempt {
   readonly sentAt: number
   /// Prompt tokens to be computed there.
@@ -47,6 +53,9 @@
   private ownPendingTokens = 0
   private ownLateTokens = 0
   private failureShare = 0
+  private fleetFailureShare = 0
+  private succeededSinceTold = 0
+  private failedSinceTold = 0
   private ejectedUntil = -Infinity
   private ejections = 0
   private lastHeardAt = -Infinity
@@ -85,12 +94,19 @@
   succeeded(now: number): void {
     this.lastHeardAt = now
     this.lostContact = false
+    this.succeededSinceTold += 1
     this.failureShare -= this.failureShare / this.settings.failureMemory
     if (this.failureShare < this.settings.ejectFailureShare / 2) this.ejections = 0
   }
 
-  /// The back end failed a request, turned it away though it should have room, or broke off.
+  /// The back end failed a request or broke off.
   failed(now: number): void {
+    this.failedSinceTold += 1
+    this.turnedAway(now)
+  }
+
+  /// The back end turned a request away though it should have room: it works, but not for this daemon now.
+  turnedAway(now: number): void {
     this.lastHeardAt = now
     this.failureShare += (1 - this.failureShare) / this.settings.failureMemory
     if (this.failureShare >= this.settings.ejectFailureShare) this.eject(now)
@@ -99,6 +115,7 @@
   /// No connection could be made, or it stayed silent: nothing more is sent there until it answers a probe.
   lost(now: number): void {
     this.lostContact = true
+    this.failedSinceTold += 1
     this.eject(now)
   }
 
@@ -109,6 +126,24 @@
     this.ejectedUntil = Math.min(this.ejectedUntil, now)
   }
 
+  /// What became of attempts since the last call.
+  takeOutcomes(): {succeeded: number; failed: number} {
+    const outcomes = {succeeded: this.succeededSinceTold, failed: this.failedSinceTold}
+    this.succeededSinceTold = 0
+    this.failedSinceTold = 0
+    return outcomes
+  }
+
+  /// What became of the attempts of all daemons within the last moments. One that answers others is not silent.
+  applyFleetOutcomes(succeeded: number, failed: number, now: number): void {
+    const {fleetFailureMemory, ejectFailureShare} = this.settings
+    if (succeeded > 0) this.lastHeardAt = Math.max(this.lastHeardAt, now - FLEET_DELAY_MS)
+    const outcomes = succeeded + failed
+    const keptShare = (1 - 1 / fleetFailureMemory) ** outcomes
+    this.fleetFailureShare = this.fleetFailureShare * keptShare + (failed / outcomes) * (1 - keptShare)
+    if (failed > 0 && this.fleetFailureShare >= ejectFailureShare) this.eject(now)
+  }
+
   /// Whether nothing should be sent there while another back end can take it.
   avoided(now: number): boolean {
     return this.changing || this.lostContact || now < this.ejectedUntil || this.silent(now)
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -256,7 +256,7 @@
   ): void {
     const {backend} = attempt.plan
     if (wrongIncarnation) backend.gone = true
-    else backend.failed(now)
+    else backend.turnedAway(now)
     this.endAttempt(session, attempt)
     session.arrivals += 1
     session.excluded.add(backend.record.id)
--- a/src/forwarding/kv-follower.ts
+++ b/src/forwarding/kv-follower.ts
@@ -2,7 +2,7 @@
 /// answer; it holds the call until there are some. An engine holds few such calls, so in a large fleet only some daemons
 /// follow an engine, and the others learn from what their peers had computed.
 import type {EffectSink} from "../shared/effect-sink.js"
-import {rankByRendezvous} from "../shared/rendezvous-hash.js"
+import {getRendezvousPlace} from "../shared/rendezvous-hash.js"
 import type {BackendDirectory} from "./backend-directory.js"
 import type {KvChange, KvIndex} from "./kv-index.js"
 import type {BackendRecord} from "./route.js"
@@ -47,6 +47,9 @@
 }
 
 interface FollowedEngine {
+  /// Whether this daemon is among the engine's followers; the members for which that was found.
+  follows: boolean
+  rankedAmong: readonly string[] | undefined
   epoch: string | undefined
   since: number
   nextCallAt: number
@@ -55,7 +58,7 @@
 
 /// What the follower asks about its surroundings.
 export interface KvFollowerSurroundings {
-  /// Ids of the daemons of the fleet, this one included.
+  /// Ids of the daemons of the fleet, this one included; the same array as long as they are the same.
   memberIds(): readonly string[]
   /// Tokens that fit into the cache of an engine of this service; undefined for services that are no engines.
   capacityTokens(service: string): number | undefined
@@ -80,7 +83,7 @@
       if (view.record.stage === undefined || view.needsProbe(now)) continue
       const engine = this.getEngine(view.record.id)
       if (engine.calling || now < engine.nextCallAt) continue
-      if (!this.isFollower(view.record.id)) {
+      if (!this.isFollower(engine, view.record.id)) {
         engine.nextCallAt = now + this.settings.retryMs
         this.index.setFollowed(view.record.id, false)
         continue
@@ -116,16 +119,28 @@
     this.index.removeEngine(id)
   }
 
-  private isFollower(engineId: string): boolean {
+  /// The daemons are ranked again only when their list has changed.
+  private isFollower(engine: FollowedEngine, engineId: string): boolean {
     const members = this.surroundings.memberIds()
+    if (engine.rankedAmong === members) return engine.follows
     const {followers} = this.settings
-    return members.length <= followers || rankByRendezvous(engineId, members, followers).includes(this.selfId)
+    engine.rankedAmong = members
+    engine.follows =
+      members.length <= followers || getRendezvousPlace(engineId, members, this.selfId) < followers
+    return engine.follows
   }
 
   private getEngine(id: string): FollowedEngine {
     let engine = this.engines.get(id)
     if (!engine) {
-      engine = {epoch: undefined, since: 0, nextCallAt: 0, calling: false}
+      engine = {
+        follows: false,
+        rankedAmong: undefined,
+        epoch: undefined,
+        since: 0,
+        nextCallAt: 0,
+        calling: false
+      }
       this.engines.set(id, engine)
     }
     return engine
--- a/src/forwarding/peer-loads.ts
+++ b/src/forwarding/peer-loads.ts
@@ -1,16 +1,22 @@
-/// What the other daemons put on the back ends, summed up from their digests. In a large fleet a daemon hears only a
-/// part of the others within a digest's lifetime, so that its sums are too small. Scaled to the whole fleet they were worse
-/// on the bench: a digest is up to 2 s old, and a prompt that it counts is computed within 0.3 s (docs/MEASUREMENTS.md).
-/// One daemon's load on one back end in the form that travels: id, requests, prompt tokens that can be in time, its
-/// distrust (0 none, 1 the daemon avoids it, 2 the daemon is changing its stage), and tokens of late prompts.
+/// What the other daemons put on the back ends, summed up from their digests. In a large fleet there is one digest, the
+/// relay's, with the sums of the whole fleet.
+
+/// Load on one back end in the form that travels: id, requests, prompt tokens that can be in time, distrust (1 a daemon
+/// avoids it, `CHANGING_DISTRUST` one is changing its stage), tokens of late prompts, and attempts that succeeded and
+/// failed there since the digest before.
 export type BackendLoad = [
   id: string,
   inFlight: number,
   pendingTokens: number,
   distrust: number,
-  lateTokens?: number | undefined
+  lateTokens?: number | undefined,
+  succeeded?: number | undefined,
+  failed?: number | undefined
 ]
 
+/// Distrust of a daemon that changes the stage of an engine: enough for every fleet to leave the engine alone.
+export const CHANGING_DISTRUST = 1000
+
 interface Digest {
   readonly loads: readonly BackendLoad[]
   readonly at: number
@@ -25,13 +31,20 @@
 
 /// A peer's digest counts for this long. Milliseconds.
 const DIGEST_LIFETIME_MS = 2000
-/// One daemon that avoids a back end may be the only one that cannot reach it; two are believed.
+/// One daemon that avoids a back end may be the only one that cannot reach it; so many are believed, or this share of the fleet.
 const DISTRUSTED = 2
+const DISTRUSTED_SHARE = 1 / 16
 
 /// The loads that one daemon has heard of. Times are monotonic milliseconds.
 export class PeerLoads {
   private readonly digests = new Map<string, Digest>()
   private readonly sums = new Map<string, Sum>()
+  private distrusted = DISTRUSTED
+
+  /// So many daemons are told of.
+  setDaemons(count: number): void {
+    this.distrusted = Math.max(DISTRUSTED, Math.ceil(count * DISTRUSTED_SHARE))
+  }
 
   /// Takes what another daemon says of its load, in place of what it said before.
   applyDigest(peerId: string, loads: readonly BackendLoad[], now: number): void {
@@ -62,7 +75,7 @@
 
   /// Whether several daemons avoid it, or the one that changes its stage does.
   isDistrusted(backendId: string): boolean {
-    return (this.sums.get(backendId)?.distrust ?? 0) >= DISTRUSTED
+    return (this.sums.get(backendId)?.distrust ?? 0) >= this.distrusted
   }
 
   private removeDigest(peerId: string): void {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -58,6 +58,9 @@
   private joinedAt: number | undefined;
   private lastContactAt = -Infinity;
   private cachedActive: Member[] | undefined;
+  private cachedActiveIds: string[] | undefined;
+  /** Members that are not alive: only these have something to wait for. */
+  private readonly doubted = new Set<string>();
   private cachedContact: { alive: number; known: number } | undefined;
 
   constructor(
@@ -84,6 +87,12 @@
     return this.cachedActive;
   }
 
+  /** Ids of the active members; the same array until one of them changes. */
+  activeIds(): readonly string[] {
+    this.cachedActiveIds ??= this.active().map((member) => member.id);
+    return this.cachedActiveIds;
+  }
+
   /** Every record, dead ones included. */
   all(): readonly Member[] {
     return [...this.records.values()].map((record) => record.member);
@@ -242,9 +251,12 @@
   }
 
   private checkSuspicion(now: number): void {
+    if (this.doubted.size === 0) return;
     const scale = Math.max(1, Math.log10(this.records.size + 1));
-    for (const { member, changedAt } of [...this.records.values()]) {
-      if (member.id === this.self.id) continue;
+    for (const id of [...this.doubted]) {
+      const record = this.records.get(id);
+      if (!record || id === this.self.id) continue;
+      const { member, changedAt } = record;
       const age = now - changedAt;
       if (member.state === 'suspect' && age > this.settings.suspicionMs * scale) {
         this.apply({ ...member, state: 'dead' }, now);
@@ -256,6 +268,7 @@
 
   private forget(id: string): void {
     this.records.delete(id);
+    this.doubted.delete(id);
     this.gossip.remove(id);
     this.changed();
   }
@@ -378,6 +391,8 @@
     const current = this.records.get(update.id)?.member;
     if (current ? !overrides(update, current) : update.state === 'dead') return;
     this.records.set(update.id, { member: update, changedAt: now });
+    if (update.state === 'alive') this.doubted.delete(update.id);
+    else this.doubted.add(update.id);
     this.changed();
     if (!current)
       (update.zone === this.self.zone ? this.ownZoneOrder : this.otherZonesOrder).insert(update.id);
@@ -397,6 +412,7 @@
 
   private changed(): void {
     this.cachedActive = undefined;
+    this.cachedActiveIds = undefined;
     this.cachedContact = undefined;
   }
 
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -6,7 +6,7 @@
 import type { BackendDialect } from '../adapters/backend-dialect.js';
 import { startListening } from '../adapters/listen.js';
 import { PeerTransport } from '../adapters/peer-transport.js';
-import { ForwardingDaemon, type ForwardingDaemonSettings } from '../daemon/forwarding-daemon.js';
+import { ForwardingDaemon, TICK_MS, type ForwardingDaemonSettings } from '../daemon/forwarding-daemon.js';
 import type { ForwardingEffect, ForwardingEvent } from '../daemon/forwarding-messages.js';
 import { ListenError, type PulleyledgeError } from '../errors/index.js';
 import type { RecordRead, RecordStore } from '../fleet/record-store.js';
@@ -46,7 +46,6 @@
   readonly table: TableStore;
 }
 
-const TICK_MS = 20;
 const CONNECT_TIMEOUT_MS = 500;
 const CONNECTIONS_PER_BACKEND = 64;
 const CALL_TIMEOUT_MS = 1000;
