Decode engines of the own zone first; a starting daemon logs its peers in one line and follows caches later

A daemon that starts wrote a line for each of 194 peers and ranked itself for every engine's cache at each of those changes, in the seconds in which the first requests need the processor: one line members.found a second, caches followed from 2 s on.

--- a/src/daemon/beliefs.ts
+++ b/src/daemon/beliefs.ts
@@ -12,6 +12,7 @@
 /** Stable names of changes of belief. */
 export type BeliefEvent =
   | 'member.changed'
+  | 'members.found'
   | 'configuration.changed'
   | 'backend.changed'
   | 'backend.removed'
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -76,6 +76,13 @@
 export const TICK_MS = 40;
 /** Interval between looks at every back end: probes, followed caches, stages. Milliseconds. There may be hundreds. */
 const BACKEND_SCAN_MS = 120;
+/** Members that were found are told in one line an interval. Milliseconds. */
+const MEMBERS_FOUND_MS = 1000;
+/**
+ * Engines' caches are followed from so long after the start on: before, the process is needed for the first requests.
+ * Milliseconds. A small machine takes about as long until its code is warm.
+ */
+const WARM_UP_MS = 2000;
 /** A process that saw so much time pass between two ticks stood still. Milliseconds. */
 const OWN_PAUSE_MS = 250;
 /** Daemons are ranked as readers of the store by this key. */
@@ -98,6 +105,9 @@
   private membersChanged = true;
   private tickedAt: number;
   private scannedAt = -Infinity;
+  private membersFound = 0;
+  private membersToldAt: number;
+  private readonly startedAt: number;
 
   constructor(
     private readonly identity: DaemonIdentity,
@@ -107,6 +117,8 @@
     now: number,
   ) {
     this.tickedAt = now;
+    this.startedAt = now;
+    this.membersToldAt = now;
     const emit = (effect: ForwardingEffect): void => void this.outbox.push(effect);
     this.directory = new BackendDirectory(settings.health);
     this.membership = new Membership(
@@ -267,11 +279,19 @@
     this.manager.tick(now);
     if (now - this.scannedAt < BACKEND_SCAN_MS) return;
     this.scannedAt = now;
+    this.tellMembersFound(now);
     this.prober.tick(now);
-    this.kvFollower.tick(now);
+    if (now - this.startedAt >= WARM_UP_MS) this.kvFollower.tick(now);
     this.stages.tick(now, !this.draining);
   }
 
+  private tellMembersFound(now: number): void {
+    if (this.membersFound === 0 || now - this.membersToldAt < MEMBERS_FOUND_MS) return;
+    this.believe('members.found', { found: this.membersFound, members: this.members() });
+    this.membersFound = 0;
+    this.membersToldAt = now;
+  }
+
   private receivePeer(fromId: string, fromAddress: string, message: PeerMessage, now: number): void {
     switch (message.kind) {
       case 'ping':
@@ -329,6 +349,11 @@
     }
     this.membersChanged = true;
     const { member, previous } = effect;
+    // A daemon that starts finds hundreds of members within a second: one line tells how many.
+    if (previous === undefined && member.state === 'alive') {
+      this.membersFound += 1;
+      return;
+    }
     this.believe('member.changed', { member: member.id, state: member.state, previous });
   }
 
--- a/src/forwarding/backend-picker-settings.ts
+++ b/src/forwarding/backend-picker-settings.ts
@@ -23,6 +23,8 @@
   /// Up to so many tokens a decode engine computes a prompt itself when that takes less time than a prefill engine does. Default
   /// 1200: at half the pace of a prefill engine of 50 tokens/ms that holds other streams up by 50 ms, a third of the pause they bear.
   readonly maximumDirectTokens: number
+  /// What another zone costs, in prompt tokens for decode engines. Default 180: three requests.
+  readonly otherZoneTokens: number
   /// What another zone costs, in requests per slot for plain back ends. Default 0.1.
   readonly otherZoneCost: number
   /// A prompt is expected to be in time when it is expected within this share of the time left. Default 0.6.
@@ -45,6 +47,7 @@
   requestCostTokens: 60,
   decodePromptTokens: 300,
   maximumDirectTokens: 1200,
+  otherZoneTokens: 180,
   otherZoneCost: 0.1,
   onTimeShare: 0.6,
   lateRoomShare: 0.7,
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -77,8 +77,7 @@
 
   private pickDecode(decodes: readonly BackendView[]): BackendPlan | undefined {
     if (decodes.length === 0) return undefined
-    const backend = this.pickLeast(decodes, view => this.prompts.getWaitingCost(view))
-    return makePlan(backend, 0, "least-loaded")
+    return makePlan(this.pickLeastWaiting(decodes), 0, "least-loaded")
   }
 
   private pickForPrompt(
@@ -89,18 +88,28 @@
   ): BackendPlan | undefined {
     if (decodes.length === 0) return undefined
     if (wanted.direct || prompt.promptTokens <= this.settings.decodePromptTokens) {
-      const backend = this.pickLeast(decodes, view => this.prompts.getWaitingCost(view))
-      return makePlan(backend, prompt.promptTokens, "least-loaded")
+      return makePlan(this.pickLeastWaiting(decodes), prompt.promptTokens, "least-loaded")
     }
     const able = prefills.length > 0 ? getWithRoom(prefills, wanted) : decodes
     if (able.length === 0) return undefined
     const apart = this.prompts.pick(prompt, wanted, able)
     if (!apart.prefillOnly || prompt.promptTokens > this.settings.maximumDirectTokens) return apart
-    const backend = this.pickLeast(decodes, view => this.prompts.getWaitingCost(view))
+    const backend = this.pickLeastWaiting(decodes)
     const direct = this.prompts.isSoonerDirect(backend, prompt, apart)
     return direct ? makePlan(backend, prompt.promptTokens, "direct") : apart
   }
 
+  /// The decode engine with the least work of a few drawn, those of the own zone first: connections to them are reused, and
+  /// bytes between zones are saved. One of another zone is drawn too and taken when it has clearly less work.
+  private pickLeastWaiting(decodes: readonly BackendView[]): BackendView {
+    const near = decodes.filter(view => view.record.zone === this.ownZone)
+    const cost = (view: BackendView) => this.prompts.getWaitingCost(view)
+    if (near.length === 0) return this.pickLeast(decodes, cost)
+    const best = this.pickLeast(near, cost)
+    const far = decodes[this.random.below(decodes.length)]
+    return cost(far) + this.settings.otherZoneTokens < cost(best) ? far : best
+  }
+
   private pickLeast(candidates: readonly BackendView[], cost: (view: BackendView) => number): BackendView {
     const drawn =
       candidates.length <= this.settings.draws
