Word of the store counts once: passed on in a circle it kept copies young while nobody read the store

A digest tells how long ago the store was known to have nothing newer; each receiver takes its own time less that age, so the time on the way is lost, and the word comes back from others each time a little younger. Change: the word carries the store's own clock at the answer that it is about (now_ms of every answer), and counts only when that is newer than what a daemon has heard of. Word without it, from daemons of the version before, counts for nothing: they are asked less, the store more.

--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -40,7 +40,8 @@
       (record) => record.collection === request.collection && record.revision > after,
     );
     const revision = Math.max(after, ...records.map((record) => record.revision));
-    return { kind: request.after === undefined ? 'snapshot' : 'changes', revision, records };
+    const kind = request.after === undefined ? 'snapshot' : 'changes';
+    return { kind, revision, records, storeMs: performance.now() };
   }
 
   private changed(request: RecordRead, after: number): boolean {
--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -17,7 +17,6 @@
 /** What the store does to one daemon. */
 export type StoreAccess = 'serves' | 'refuses' | 'silent';
 
-const NETWORK_MS = 1.5;
 const STORE_MS = 4;
 const READ_TIMEOUT_MS = 800;
 const STATUS_BUSY = 503;
@@ -155,6 +154,9 @@
     this.handle(node, { kind: 'attempt', requestId, attemptId, event });
   }
 
+  /** Time that a message between daemons takes. Milliseconds. */
+  networkMs = 1.5;
+
   /** Services whose lease some daemon has asked for. */
   readonly leasesAsked = new Set<string>();
 
@@ -180,7 +182,7 @@
         const target = this.nodesByAddress.get(effect.address);
         const { message } = effect;
         countKind(this.messageCounts, message.kind);
-        this.time.after(NETWORK_MS, () => {
+        this.time.after(this.networkMs, () => {
           if (target && !node.down)
             this.handle(target, {
               kind: 'peerMessage',
@@ -244,7 +246,7 @@
       give({ kind: 'noAnswer', reason: 'TimeoutError' }, heldMs + READ_TIMEOUT_MS);
     } else if (read.after === undefined) {
       const records = [...this.records.values()].filter((record) => record.collection === collection);
-      give({ kind: 'snapshot', revision: this.revision, records }, STORE_MS);
+      give({ kind: 'snapshot', revision: this.revision, records, storeMs: this.time.now() }, STORE_MS);
     } else this.feed(node, read, read.after, give);
   }
 
@@ -264,7 +266,8 @@
         if (waiting.done || (changes().length === 0 && this.time.now() < until)) return;
         waiting.done = true;
         this.waiting.delete(waiting);
-        give({ kind: 'changes', revision: this.revision, records: changes() }, STORE_MS);
+        const storeMs = this.time.now();
+        give({ kind: 'changes', revision: this.revision, records: changes(), storeMs }, STORE_MS);
       },
     };
     const until = this.time.now() + read.waitMs;
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -43,7 +43,10 @@
   /// Revision of the newest change known.
   changed: count,
   /// How long ago the store was last known to have nothing newer. Milliseconds.
-  ageMs: count
+  ageMs: count,
+  /// The store's clock at the answer that said so. Word of one answer reaches a daemon many times, each time a little late; only
+  /// the first counts. Not told by older daemons, whose word so counts for nothing. Milliseconds.
+  storeMs: count.optional()
 })
 
 /// The same for both collections.
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -4,7 +4,8 @@
 /// back end does not return with an older record.
 ///
 /// Every daemon's copy is complete up to a revision. A peer's word that the store had nothing newer some time ago
-/// counts here too if no change between the two is missing.
+/// counts here too if no change between the two is missing. Such word is known by the store's clock at the answer and counts
+/// once: passed on in a circle it would come back each time a little late, and the copy would seem to age more slowly.
 import type {BackendRecord, RouteConfiguration} from "../forwarding/route.js"
 import type {EffectSink} from "../shared/effect-sink.js"
 import type {RandomSource} from "../shared/random.js"
@@ -102,6 +103,8 @@
   lapseSeenAt: number
   /// When the copy was last known to be complete, from the store or by a peer's word.
   completeAt: number
+  /// The store's clock at the newest answer of which this daemon knows, its own or a peer's.
+  storeMs: number
   /// The newest revision that a peer knows and this daemon may lack.
   rumored: number
 }
@@ -212,10 +215,12 @@
     switch (result.kind) {
       case "snapshot":
         this.applySnapshot(follower, result.revision, result.records, now)
+        follower.storeMs = result.storeMs ?? -Infinity
         this.confirmed(follower, follower.sentAt, 0, now)
         break
       case "changes":
         this.applyChanges(follower, result.revision, result.records, now)
+        follower.storeMs = result.storeMs ?? -Infinity
         this.confirmed(
           follower,
           this.getAnswerTime(follower, now),
@@ -267,13 +272,15 @@
   /// Takes a peer's word on how much it knows.
   receiveKnowledge(knowledge: FleetKnowledge, now: number): void {
     for (const follower of Object.values(this.followers)) {
-      const {complete, changed, ageMs} = knowledge[follower.collection]
+      const {complete, changed, ageMs, storeMs = -Infinity} = knowledge[follower.collection]
       if (complete < 0 || follower.cursor === undefined) continue
       if (follower.cursor < changed) {
         this.hearRumor(follower, changed, now)
         continue
       }
       this.advance(follower, complete)
+      if (storeMs <= follower.storeMs) continue
+      follower.storeMs = storeMs
       follower.completeAt = Math.max(follower.completeAt, now - Math.max(0, ageMs))
     }
   }
@@ -297,11 +304,12 @@
   }
 
   private getKnowledgeOf(collection: RecordCollection, now: number): RecordKnowledge {
-    const {cursor, completeAt} = this.followers[collection]
+    const {cursor, completeAt, storeMs} = this.followers[collection]
     const changed = collection === "configuration" ? this.configurationRevision : this.backendsRevision
     // Known from a peer alone that lacked something itself: nothing to vouch for.
     if (cursor === undefined || completeAt === -Infinity) return {complete: -1, changed, ageMs: 0}
-    return {complete: cursor, changed, ageMs: Math.round(now - completeAt)}
+    const told = Number.isFinite(storeMs) ? storeMs : undefined
+    return {complete: cursor, changed, ageMs: Math.round(now - completeAt), storeMs: told}
   }
 
   /// Whether this daemon should ask the store itself.
@@ -471,6 +479,7 @@
     failingSince: now,
     lapseSeenAt: -Infinity,
     completeAt: -Infinity,
+    storeMs: -Infinity,
     rumored: 0
   }
 }
--- a/src/fleet/record-store.ts
+++ b/src/fleet/record-store.ts
@@ -15,10 +15,19 @@
   readonly waitMs: number
 }
 
+/// Records as the store gave them.
+interface RecordAnswer {
+  readonly revision: number
+  readonly records: readonly StoredRecord[]
+  /// The store's own steady clock at the answer. Milliseconds. It orders answers to different daemons; undefined when the
+  /// store does not tell.
+  readonly storeMs?: number | undefined
+}
+
 /// The answer to a read.
 export type RecordReadResult =
-  | {readonly kind: "snapshot"; readonly revision: number; readonly records: readonly StoredRecord[]}
-  | {readonly kind: "changes"; readonly revision: number; readonly records: readonly StoredRecord[]}
+  | ({readonly kind: "snapshot"} & RecordAnswer)
+  | ({readonly kind: "changes"} & RecordAnswer)
   /// The changes after that revision are no longer known.
   | {readonly kind: "historyGone"}
   /// The store turned the call away.
--- a/test/store-readers.test.ts
+++ b/test/store-readers.test.ts
@@ -7,6 +7,8 @@
 const SEED = 20261203;
 const SETTLED_MS = 6000;
 const BOUND_MS = 2000;
+/** As on machines that are short of processor. */
+const SLOW_NETWORK_MS = 100;
 /** Steps of 10 ms after which word of a change has reached a peer. */
 const HEARD_STEPS = 3;
 
@@ -143,6 +145,20 @@
     expect(refused.refusals.at(-1)?.status).to.equal(404);
   });
 
+  for (const count of [9, 66]) {
+    it(`${count} daemons on slow links: word of the store does not grow younger on its way round`, () => {
+      const fleet = settledFleet(count);
+      fleet.networkMs = SLOW_NETWORK_MS;
+      fleet.time.runUntil(fleet.time.now() + 5000);
+      for (const node of fleet.nodes) node.access = 'refuses';
+      const since = fleet.time.now();
+      fleet.time.runUntil(since + 4000);
+      const now = fleet.time.now();
+      const ages = fleet.nodes.map(({ daemon }) => daemon.configurationAgeMs(now));
+      expect(Math.min(...ages)).to.be.greaterThan(4000 - 10 * SLOW_NETWORK_MS);
+    });
+  }
+
   it('a daemon that has been told nothing for longer than a change may take denies no route', () => {
     const fleet = settledFleet(9);
     const [alone] = fleet.nodes;
