--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -159,10 +159,8 @@
         break
       case "recordsChanged":
         this.replica.receiveChanges(fromId, message, now)
-        if (message.passOn === true) {
-          const {passOn: _passOn, ...change} = message
-          this.sendToAll(this.relay.getMemberAddresses(), change)
-        }
+        if (message.passOn === true)
+          this.sendToAll(this.relay.getMemberAddresses(), {...message, passOn: false})
         break
     }
   }
