--- a/lab/soak/daemon-process.ts
+++ b/lab/soak/daemon-process.ts
@@ -20,11 +20,15 @@
 export type OwnEndListener = (name: string, code: number | null, signal: string | null) => void
 
 const EXIT_AFTER_STOP_MS = 9000
+/// Exit code of the program when it cannot read its settings, which can only happen while it starts.
+const EXIT_WRONG_SETTINGS = 78
 
 /// The daemon.
 export class DaemonProcess {
   private child: ChildProcess | undefined
   private expected = false
+  /// The settings have been wrong since the process was started.
+  private misled = false
   starts = 0
 
   constructor(
@@ -40,6 +44,7 @@
   start(): void {
     this.writeSettings()
     this.expected = false
+    this.misled = false
     this.starts += 1
     const log = openSync(join(this.site.folder, `${this.name}.log`), "a")
     const child = spawn(process.execPath, [...this.site.flags, this.site.program], {
@@ -50,7 +55,10 @@
     this.child = child
     child.on("exit", (code, signal) => {
       if (this.child === child) this.child = undefined
-      if (!this.expected) this.onOwnEnd(this.name, code, signal)
+      if (this.expected) return
+      // As the platform does: the next start has the settings of its moment.
+      if (code === EXIT_WRONG_SETTINGS && this.misled) this.start()
+      else this.onOwnEnd(this.name, code, signal)
     })
   }
 
@@ -87,7 +95,10 @@
   /// Writes the settings anew and says so.
   reload(valid: boolean): void {
     if (valid) this.writeSettings()
-    else writeFileSync(this.getSettingsPath(), "node = ")
+    else {
+      this.misled = true
+      writeFileSync(this.getSettingsPath(), "node = ")
+    }
     this.child?.kill("SIGHUP")
   }
 
