Outcomes are kept for others only while a daemon relays

Found by reading: every daemon gathered its own outcomes for the other zones, also while it told them to its relay, and would have told all of them at once on becoming a relay. They are taken over with each digest that it relays now. No test shows it: a test of a daemon that becomes a relay long after failures was tried and passed without the change too (the wrong ejection lasts one second), so it was dropped.

--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -108,8 +108,6 @@
   private tickRelayed(own: RelayedLoads, now: number): void {
     this.nextDigestAt = now + this.settings.relayIntervalMs
     this.relay.removeOld(now)
-    this.relay.addOutcomes(own.loads)
-    this.relay.addPlacements(own.placements)
     const {selfAddress} = this.members
     const relayAddress = this.pickRelay(now)
     const dependants = this.relay.getMemberAddresses()
@@ -118,7 +116,9 @@
   }
 
   /// Where daemons disagree for a while on who relays, a zone has two relays, and each tells the other what its part puts on.
-  private relayLoads({loads}: RelayedLoads, dependants: readonly string[], now: number): void {
+  private relayLoads({loads, placements}: RelayedLoads, dependants: readonly string[], now: number): void {
+    this.relay.addOutcomes(loads)
+    this.relay.addPlacements(placements)
     const {ownZone, otherZones} = this.ranking
     const otherRelays = ownZone.filter(address => address !== this.members.selfAddress)
     this.sendDigest([...otherZones, ...otherRelays], "zone", this.relay.takeZone(loads), now)
