--- a/src/forwarding/backend-picker-settings.ts
+++ b/src/forwarding/backend-picker-settings.ts
@@ -20,9 +20,6 @@
   /// Longer prompts are computed by prefill engines while there is one: on a decode engine they would hold up
   /// the tokens of every other stream. Default 300.
   readonly decodePromptTokens: number
-  /// Up to so many tokens a decode engine computes a prompt itself when that takes less time than a prefill engine does. Default
-  /// 1200: at half the pace of a prefill engine of 50 tokens/ms that holds other streams up by 50 ms, a third of the pause they bear.
-  readonly maximumDirectTokens: number
   /// What another zone costs, in prompt tokens for decode engines. Default 180: three requests.
   readonly otherZoneTokens: number
   /// What another zone costs, in requests per slot for plain back ends. Default 0.1.
@@ -46,7 +43,6 @@
   minimumCopyTokens: 256,
   requestCostTokens: 60,
   decodePromptTokens: 300,
-  maximumDirectTokens: 1200,
   otherZoneTokens: 180,
   otherZoneCost: 0.1,
   onTimeShare: 0.6,
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -91,12 +91,7 @@
       return makePlan(this.pickLeastWaiting(decodes), prompt.promptTokens, "least-loaded")
     }
     const able = prefills.length > 0 ? getWithRoom(prefills, wanted) : decodes
-    if (able.length === 0) return undefined
-    const apart = this.prompts.pick(prompt, wanted, able)
-    if (!apart.prefillOnly || prompt.promptTokens > this.settings.maximumDirectTokens) return apart
-    const backend = this.pickLeastWaiting(decodes)
-    const direct = this.prompts.isSoonerDirect(backend, prompt, apart)
-    return direct ? makePlan(backend, prompt.promptTokens, "direct") : apart
+    return able.length > 0 ? this.prompts.pick(prompt, wanted, able) : undefined
   }
 
   /// The decode engine with the least work of a few drawn, those of the own zone first: connections to them are reused, and
--- a/src/forwarding/backend-plan.ts
+++ b/src/forwarding/backend-plan.ts
@@ -3,9 +3,8 @@
 import type {PromptOutline} from "./forward-request.js"
 import type {BackendRecord, EngineTraits} from "./route.js"
 
-/// Why a back end was chosen: the least loaded, a decode engine that computes a short prompt sooner than a prefill engine, or
-/// with regard to the shared parts of the prompt.
-export type PlanReason = "least-loaded" | "direct" | "home" | "kept" | "copy" | "spill"
+/// Why a back end was chosen: the least loaded, or with regard to the shared parts of the prompt.
+export type PlanReason = "least-loaded" | "home" | "kept" | "copy" | "spill"
 
 /// Where an attempt goes.
 export interface BackendPlan {
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -296,10 +296,7 @@
       afterMs: Math.round(now - session.request.arrivedAt)
     })
     if (session.kvSource) session.kvSource = undefined
-    else {
-      this.picker.promptComputed(attempt.plan, now - attempt.startedAt)
-      this.promptComputed(session, attempt.plan.backend)
-    }
+    else this.promptComputed(session, attempt.plan.backend)
   }
 
   private whole(session: Session, attempt: LiveAttempt, status: number, now: number): void {
--- a/src/forwarding/prompt-picker.ts
+++ b/src/forwarding/prompt-picker.ts
@@ -55,17 +55,6 @@
     return {...this.pickCheapest(prompt, able, home, true), full: true}
   }
 
-  /// Whether a decode engine computes a short prompt itself in less time than a prefill engine takes over it. The generation
-  /// after that is the same. What is not known yet speaks for the prefill engine.
-  isSoonerDirect(decode: BackendView, {promptTokens}: PromptOutline, apart: BackendPlan): boolean {
-    const pace = this.getPace(decode)
-    const waitingTokens = decode.pendingTokens()
-    const withPrompt = pace.getExpectedMs(waitingTokens + promptTokens)
-    const without = pace.getExpectedMs(waitingTokens)
-    if (withPrompt === undefined || without === undefined || apart.expectedMs === undefined) return false
-    return withPrompt - without < apart.expectedMs
-  }
-
   /// Every engine is weighed: what it keeps of the prompt it need not compute, what another engine keeps it copies from
   /// there, and what no engine keeps is computed once for all at the home.
   private pickCheapest(
