--- a/lab/launcher.ts
+++ b/lab/launcher.ts
@@ -250,6 +250,8 @@
 
   private async post(address: string, path: string, value: unknown): Promise<unknown> {
     const { body } = await request(`http://${address}${path}`, {
+      // No connection is kept: the stand-in may close it at the moment at which the next call is sent.
+      reset: true,
       method: 'POST',
       body: JSON.stringify(value),
     });
--- a/test/real-process.test.ts
+++ b/test/real-process.test.ts
@@ -52,7 +52,7 @@
 async function executions(site: LocalSite): Promise<number[]> {
   const counts: number[] = [];
   for (const server of site.applications) {
-    const { body } = await request(`http://${server.addresses.main}/executions`);
+    const { body } = await request(`http://${server.addresses.main}/executions`, { reset: true });
     counts.push(...Object.values((await body.json()) as Record<string, number>));
   }
   return counts;
