Callers' keys: checked by every daemon, taken off, the tenant named in their place

Cause: the program read nothing of tenants.

Change: platform/ turns a key into a digest as soon as it reads it, in the configuration and in a request, so that src/ never holds a key and daemons pass on digests only. TenantDirectory: one look-up a request, changes applied by tenant. A request without a valid key gets 401 at once, or 503 as not run where the copy may be old: one mechanism with the missing route (RequestAdmission, split from ForwardManager). X-Api-Key and X-Tenant of callers never go on; the rank of a tenant goes before the route's. A configuration from a peer that says nothing of tenants (an older daemon) is rejected: it would open every route. The text of a record that is not JSON is no longer quoted in the error: it may hold keys.

--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -12,7 +12,13 @@
   type RecordReadResult,
   type StoredRecord,
 } from '../src/fleet/record-store.js';
-import type { BackendRecord, EngineTraits, Route, RouteConfiguration } from '../src/forwarding/route.js';
+import type {
+  BackendRecord,
+  EngineTraits,
+  Route,
+  RouteConfiguration,
+  Tenant,
+} from '../src/forwarding/route.js';
 import { DEFAULT_DECISION_LOG_SETTINGS } from '../src/process/decision-log.js';
 import { ForwardingProcess } from '../src/process/forwarding-process.js';
 
@@ -63,6 +69,7 @@
     priority: 0,
     maximumAttempts: 2,
     targets: [{ service: 'service', weight: 1 }],
+    isPublic: false,
     ...fields,
   };
 }
@@ -70,9 +77,14 @@
 const LAB_ENGINE: EngineTraits = { slots: 32, kvCapacityTokens: 440_000, kvHandleLifetimeMs: 5000 };
 
 /** A configuration for tests with these routes. */
-export function labConfiguration(version: number, routes: readonly Route[]): RouteConfiguration {
+export function labConfiguration(
+  version: number,
+  routes: readonly Route[],
+  tenants: readonly Tenant[] | null = null,
+): RouteConfiguration {
   return {
     version,
+    tenants,
     routes,
     services: [{ name: 'service', healthPath: '/healthz', maximumConnections: 100, engine: LAB_ENGINE }],
     limits: {
@@ -115,9 +127,10 @@
 export async function startForwardingSite(
   routes: readonly Route[],
   backends: readonly BackendRecord[],
+  tenants: readonly Tenant[] | null = null,
 ): Promise<ForwardingSite> {
   const store = new MemoryRecordStore();
-  store.put({ collection: 'configuration', revision: 1, value: labConfiguration(1, routes) });
+  store.put({ collection: 'configuration', revision: 1, value: labConfiguration(1, routes, tenants) });
   backends.forEach((value, index) =>
     store.put({ collection: 'backends', id: value.id, revision: 2 + index, value }),
   );
--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -136,7 +136,7 @@
   }
 
   /** Sends a caller's request to a daemon. */
-  submit(node: FleetNode, id: string, path = '/a/x'): void {
+  submit(node: FleetNode, id: string, path = '/a/x', keyDigest?: string): void {
     const arrivedAt = this.time.now();
     const caller = {
       id,
@@ -145,6 +145,7 @@
       path,
       arrivedAt,
       callerDeadlineMs: 5000,
+      keyDigest,
     };
     this.handle(node, { kind: 'submit', request: { ...caller, prompt: undefined } });
   }
--- a/src/adapters/http-headers.ts
+++ b/src/adapters/http-headers.ts
@@ -21,6 +21,17 @@
   return undefined;
 }
 
+/** The value of a header that stands once; undefined when it is missing or stands several times. */
+export function onlyHeaderValue(headers: RawHeaders, name: string): string | undefined {
+  let value: string | undefined;
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index].toLowerCase() !== name) continue;
+    if (value !== undefined) return undefined;
+    value = headers[index + 1];
+  }
+  return value;
+}
+
 /** The headers that are not for one connection only, without those named in `dropped` (lower case). */
 export function endToEndHeaders(headers: RawHeaders, dropped: ReadonlySet<string>): string[] {
   const named = new Set(
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -31,6 +31,7 @@
 import { KvIndex, type PartPlacement } from '../forwarding/kv-index.js';
 import { RetryAllowance, type RetryAllowanceSettings } from '../forwarding/retry-allowance.js';
 import { RouteTable } from '../forwarding/route-table.js';
+import { TenantDirectory } from '../forwarding/tenant-directory.js';
 import type { StageCoordinatorSettings, StageEffect } from '../allocation/stage-coordinator.js';
 import { makeFleetBelief, makeStageBelief, type BeliefEvent } from './beliefs.js';
 import type { ForwardingEffect, ForwardingEvent } from './forwarding-messages.js';
@@ -101,6 +102,7 @@
   private readonly prober: HealthProber;
   private readonly stages: StageManager;
   private routes: RouteTable | undefined;
+  private readonly tenants = new TenantDirectory();
   private draining = false;
   private membersChanged = true;
   private tickedAt: number;
@@ -135,6 +137,7 @@
       settings.forward,
       {
         routes: () => this.routes,
+        tenants: this.tenants,
         configurationMayBeStale: (at) => this.replica.configurationMayBeStale(at),
         outageMs: (at) => this.replica.getOutageMs('configuration', at),
         daemons: () => this.daemons(),
@@ -366,6 +369,7 @@
         return;
       case 'configurationChanged':
         this.routes = new RouteTable(effect.configuration);
+        this.tenants.apply(effect.configuration.tenants);
         this.stages.configured(effect.configuration);
         this.outbox.push({ kind: 'configurationInForce', configuration: effect.configuration });
         break;
--- a/src/forwarding/forward-answers.ts
+++ b/src/forwarding/forward-answers.ts
@@ -4,6 +4,8 @@
 import type {ForwardRequest} from "./forward-request.js"
 import type {Session} from "./forward-session.js"
 
+/// The caller's key is missing or not valid.
+export const STATUS_UNAUTHORIZED = 401
 export const STATUS_NOT_FOUND = 404
 /// The request may have run.
 export const STATUS_BROKEN = 502
@@ -12,6 +14,9 @@
 /// The time is over; the request may have run.
 export const STATUS_DEADLINE = 504
 
+/// Statuses of requests that were never begun.
+const REFUSALS: ReadonlySet<number> = new Set([STATUS_UNAUTHORIZED, STATUS_NOT_FOUND, STATUS_UNAVAILABLE])
+
 /// Values that a decision rests on, for the log.
 export type DecisionFields = Readonly<Record<string, unknown>>
 
@@ -29,7 +34,7 @@
     session?: Session
   ): void {
     this.emit({kind: "replyFailure", requestId: request.id, status, failure, retryAfterMs})
-    const refused = status === STATUS_UNAVAILABLE || status === STATUS_NOT_FOUND
+    const refused = REFUSALS.has(status)
     const fields = {status, failure, retryAfterMs, ...(session && getProgress(session, now))}
     this.emit({
       kind: "decision",
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -5,14 +5,8 @@
 import type {EffectSink} from "../shared/effect-sink.js"
 import type {BackendPicker} from "./backend-picker.js"
 import type {BackendView} from "./backend-view.js"
-import {
-  ForwardAnswers,
-  STATUS_BROKEN,
-  STATUS_DEADLINE,
-  STATUS_NOT_FOUND,
-  STATUS_UNAVAILABLE
-} from "./forward-answers.js"
-import {ForwardLimits, type LimitSurroundings} from "./forward-limits.js"
+import {ForwardAnswers, STATUS_BROKEN, STATUS_DEADLINE, STATUS_UNAVAILABLE} from "./forward-answers.js"
+import {ForwardLimits} from "./forward-limits.js"
 import type {ForwardSettings} from "./forward-settings.js"
 import type {ForwardRequest} from "./forward-request.js"
 import type {ForwardAttemptEvent, ForwardEffect, ForwardFailure} from "./forward-messages.js"
@@ -27,29 +21,22 @@
   type Session
 } from "./forward-session.js"
 import type {KvIndex} from "./kv-index.js"
+import {RequestAdmission, type AdmissionSurroundings} from "./request-admission.js"
 import type {RetryAllowance} from "./retry-allowance.js"
-import {WeightedChoice} from "./weighted-choice.js"
-
-/// What the machine asks about its surroundings.
-export interface ForwardSurroundings extends LimitSurroundings {
-  /// Whether the configuration may be out of date, so that a missing route proves nothing.
-  configurationMayBeStale(now: number): boolean
-}
 
 const FIRST_SERVER_ERROR = 500
 
 /// The forwarding machine of one daemon. Times are monotonic milliseconds.
 export class ForwardManager {
   private readonly sessions = new Map<string, Session>()
-  private readonly split = new WeightedChoice()
+  private readonly admission: RequestAdmission
   private readonly answers: ForwardAnswers
   private readonly limits: ForwardLimits
-  private closed = false
   private resumedAt = -Infinity
 
   constructor(
     private readonly settings: ForwardSettings,
-    private readonly surroundings: ForwardSurroundings,
+    private readonly surroundings: AdmissionSurroundings,
     private readonly picker: BackendPicker,
     private readonly kvIndex: KvIndex,
     private readonly allowance: RetryAllowance,
@@ -57,6 +44,7 @@
   ) {
     this.answers = new ForwardAnswers(emit)
     this.limits = new ForwardLimits(settings, surroundings)
+    this.admission = new RequestAdmission(surroundings, this.limits, settings.stoppingRetryAfterMs)
   }
 
   /// Requests in hand.
@@ -66,31 +54,27 @@
 
   /// From now on new requests are refused: the process has no time left to finish them.
   closeForNew(): void {
-    this.closed = true
+    this.admission.close()
   }
 
   /// Takes a whole request from a caller.
   begin(request: ForwardRequest, now: number): void {
-    if (this.closed) {
-      this.answers.sendRefusal(request, "stopping", this.settings.stoppingRetryAfterMs, now)
+    const admission = this.admission.admit(request, now)
+    if (admission.kind === "refused") {
+      this.answers.sendRefusal(request, admission.failure, admission.retryAfterMs, now)
       return
     }
-    const routes = this.surroundings.routes()
-    if (!routes) {
-      this.answers.sendRefusal(request, "no-configuration", this.limits.getOutageRetryAfterMs(now), now)
-      return
-    }
-    const route = routes.match(request.host, request.path)
-    const service = route && this.split.next(route)
-    if (!route || service === undefined) {
-      this.noRoute(request, now)
+    if (admission.kind === "denied") {
+      this.answers.sendFailure(request, admission.status, admission.failure, undefined, now)
       return
     }
+    const {route, service, tenant} = admission
     const allowedMs = Math.min(route.timeoutMs, request.callerDeadlineMs ?? Infinity)
     const session: Session = {
       request,
       route,
       service,
+      tenant,
       deadlineAt: request.arrivedAt + allowedMs,
       excluded: new Set(),
       attempt: undefined,
@@ -107,7 +91,8 @@
     this.allowance.requestSeen(service, now)
     this.answers.logDecision("request.accepted", session, {
       route: route.name,
-      configuration: routes.configuration.version
+      tenant: tenant?.name,
+      configuration: admission.configurationVersion
     })
     this.send(session, now)
   }
@@ -171,12 +156,6 @@
     }
   }
 
-  private noRoute(request: ForwardRequest, now: number): void {
-    if (this.surroundings.configurationMayBeStale(now)) {
-      this.answers.sendRefusal(request, "stale-configuration", this.limits.getOutageRetryAfterMs(now), now)
-    } else this.answers.sendFailure(request, STATUS_NOT_FOUND, "no-route", undefined, now)
-  }
-
   private send(session: Session, now: number): void {
     const {request, route} = session
     const wanted = {
@@ -224,11 +203,12 @@
         requestId: request.id,
         attemptId,
         backend: backend.record,
+        tenant: session.tenant?.name,
         prefillOnly: plan.prefillOnly,
         kvSource: session.kvSource,
         copyFrom: plan.copyFrom?.address,
         remainingMs: Math.max(1, Math.floor(session.deadlineAt - now)),
-        urgency: urgencyOf(route, plan, this.settings),
+        urgency: urgencyOf(session, plan, this.settings),
         stream: route.kind === "stream",
         once: !plan.prefillOnly && !isRepeatable(route),
         resumeAfter: session.lastEventId
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -12,6 +12,8 @@
   readonly requestId: string
   readonly attemptId: string
   readonly backend: BackendRecord
+  /// The tenant for whom the caller acts, as the back end is told; undefined where callers need no key.
+  readonly tenant: string | undefined
   /// Compute the prompt and keep its KV cache; generate nothing.
   readonly prefillOnly: boolean
   readonly kvSource: KvSource | undefined
@@ -51,6 +53,7 @@
   | "no-configuration"
   | "stale-configuration"
   | "no-route"
+  | "unknown-key"
   | "no-backend"
   | "overloaded"
   | "turned-away"
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -3,7 +3,7 @@
 import type {KvSource} from "./forward-messages.js"
 import type {ForwardRequest} from "./forward-request.js"
 import type {ForwardSettings} from "./forward-settings.js"
-import type {Route} from "./route.js"
+import type {Route, Tenant} from "./route.js"
 
 /// The attempt that is under way. Times are monotonic milliseconds.
 export interface LiveAttempt {
@@ -20,6 +20,8 @@
   readonly request: ForwardRequest
   readonly route: Route
   readonly service: string
+  /// For whom the caller acts; undefined where callers need no key.
+  readonly tenant: Tenant | undefined
   readonly deadlineAt: number
   /// Back ends that it has been sent to.
   readonly excluded: Set<string>
@@ -95,8 +97,8 @@
 const LATE_RANK = 9
 
 /// How urgent an attempt is for its engine. Prompts are computed in turn, so a long one would hold up many short ones.
-export function urgencyOf(route: Route, plan: BackendPlan, settings: ForwardSettings): number {
+export function urgencyOf({route, tenant}: Session, plan: BackendPlan, settings: ForwardSettings): number {
   if (plan.late) return LATE_RANK
   const long = plan.prefillOnly && plan.promptTokens > settings.longPromptTokens
-  return route.priority * RANKS_PER_PRIORITY + (long ? 1 : 0)
+  return (tenant?.priority ?? route.priority) * RANKS_PER_PRIORITY + (long ? 1 : 0)
 }
--- a/src/forwarding/route-schema.ts
+++ b/src/forwarding/route-schema.ts
@@ -17,7 +17,8 @@
   targetGapMs: milliseconds,
   priority: z.number().int().min(0),
   maximumAttempts: z.number().int().min(1),
-  targets: z.array(target).min(1)
+  targets: z.array(target).min(1),
+  isPublic: z.boolean()
 })
 
 const engine = z.object({
@@ -40,10 +41,17 @@
   idleTimeoutMs: milliseconds
 })
 
+const tenant = z.object({
+  name,
+  keyDigests: z.array(name),
+  priority: z.number().int().min(0).optional()
+})
+
 /// The schema; its issues name the field that is wrong.
 export const routeConfigurationSchema: z.ZodType<RouteConfiguration> = z.object({
   version: z.number().finite(),
   routes: z.array(route),
   services: z.array(service),
-  limits
+  limits,
+  tenants: z.array(tenant).nullable()
 }) as unknown as z.ZodType<RouteConfiguration>
--- a/src/forwarding/route.ts
+++ b/src/forwarding/route.ts
@@ -29,6 +29,8 @@
   readonly priority: number
   /// Back ends on which one request may run.
   readonly maximumAttempts: number
+  /// Callers need no key, and what they claim about themselves counts for nothing.
+  readonly isPublic: boolean
   readonly targets: readonly RouteTarget[]
 }
 
@@ -52,6 +54,15 @@
   readonly kvHandleLifetimeMs: number
 }
 
+/// A customer of the operator. A caller proves with a key that it acts for one.
+export interface Tenant {
+  readonly name: string
+  /// Digests of the keys that are valid now. Keys themselves are known to the platform's adapter alone.
+  readonly keyDigests: readonly string[]
+  /// Rank of its requests in place of the route's, 0 the most urgent; undefined leaves the route's.
+  readonly priority?: number | undefined
+}
+
 /// Bounds on what callers send.
 export interface CallerLimits {
   readonly maximumHeaderBytes: number
@@ -68,6 +79,9 @@
   readonly routes: readonly Route[]
   readonly services: readonly BackendService[]
   readonly limits: CallerLimits
+  /// Null where callers need no keys. A configuration that says nothing about tenants is not read at all: taken for one without
+  /// keys, it would open every route.
+  readonly tenants: readonly Tenant[] | null
 }
 
 /// Stage of a model engine: it computes prompts for others, or generates.
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -255,6 +255,7 @@
         arrivedAt: received.arrivedAt,
         callerDeadlineMs: head.deadlineMs,
         prompt: head.prompt,
+        keyDigest: head.keyDigest,
       },
     });
   }
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -11,6 +11,7 @@
 import { KvIndex } from '../src/forwarding/kv-index.js';
 import { RetryAllowance } from '../src/forwarding/retry-allowance.js';
 import { RouteTable } from '../src/forwarding/route-table.js';
+import { TenantDirectory } from '../src/forwarding/tenant-directory.js';
 import type { BackendRecord, EngineStage, Route } from '../src/forwarding/route.js';
 import { SeededRandom } from '../src/shared/random.js';
 
@@ -22,6 +23,7 @@
   readonly directory = new BackendDirectory(DEFAULT_BACKEND_HEALTH_SETTINGS);
   readonly kvIndex = new KvIndex();
   readonly manager: ForwardManager;
+  readonly tenants = new TenantDirectory();
   stale = false;
 
   constructor(routes: readonly Route[], backends: readonly BackendRecord[], slack = 50) {
@@ -36,7 +38,13 @@
     );
     this.manager = new ForwardManager(
       DEFAULT_FORWARD_SETTINGS,
-      { routes: () => table, configurationMayBeStale: () => this.stale, outageMs: () => 0, daemons: () => 1 },
+      {
+        routes: () => table,
+        tenants: this.tenants,
+        configurationMayBeStale: () => this.stale,
+        outageMs: () => 0,
+        daemons: () => 1,
+      },
       picker,
       this.kvIndex,
       new RetryAllowance({ ratio: 0, slack, windowMs: 10_000 }),
--- /dev/null
+++ b/test/tenants.test.ts
@@ -0,0 +1,274 @@
+/** Callers' keys: who a request is for, what is denied and when, and that no key goes past the daemon. */
+import { connect } from 'node:net';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { labBackend, labConfiguration, labRoute, startForwardingSite } from '../lab/forwarding-site.js';
+import { headerOf, ScriptedBackend } from '../lab/scripted-backend.js';
+import { HttpDialect } from '../platform/http-dialect.js';
+import { digestKey } from '../platform/key-digest.js';
+import { readConfiguration } from '../platform/records.js';
+import { ForwardingFleet } from '../simulation/forwarding-fleet.js';
+import { decodePeerMessage, encodePeerMessage } from '../src/adapters/peer-codec.js';
+import type { PeerMessage } from '../src/daemon/daemon-messages.js';
+import { PeerProtocolError, ValidationError } from '../src/errors/index.js';
+import type { AttemptStart } from '../src/forwarding/forward-messages.js';
+import type { Tenant } from '../src/forwarding/route.js';
+import { TenantDirectory } from '../src/forwarding/tenant-directory.js';
+import { ENGINES, Forwarding, PLAIN, prompt } from './forwarding-harness.js';
+
+const SEED = 20261207;
+const KEY = '492cqf75rjvz48wuakn2';
+const OTHER_KEY = 'ftimaj3nr26tta828m82';
+const ROUTE = labRoute({});
+const PUBLIC_ROUTE = labRoute({ isPublic: true });
+
+function tenant(name: string, keys: readonly string[], priority?: number): Tenant {
+  return { name, keyDigests: keys.map(digestKey), priority };
+}
+
+describe('the directory of tenants', () => {
+  it('gives the tenant of each valid key and nobody for any other, after any changes', () => {
+    const digests = ['a', 'b', 'c', 'd', 'e', 'f'];
+    const tenants = fc
+      .array(fc.constantFrom(undefined, 't1', 't2', 't3'), { minLength: 6, maxLength: 6 })
+      .map((owners) =>
+        ['t1', 't2', 't3'].flatMap((name) => {
+          const keyDigests = digests.filter((_, i) => owners[i] === name);
+          return keyDigests.length > 0 ? [{ name, keyDigests }] : [];
+        }),
+      );
+    fc.assert(
+      fc.property(fc.array(fc.option(tenants), { minLength: 1 }), (versions) => {
+        const directory = new TenantDirectory();
+        for (const version of versions) directory.apply(version);
+        const last = versions.at(-1) ?? null;
+        for (const digest of digests) {
+          const owner = last?.find(({ keyDigests }) => keyDigests.includes(digest));
+          const caller = directory.identify(ROUTE, digest);
+          if (last === null) expect(caller).to.deep.equal({ tenant: undefined });
+          else expect(caller?.tenant?.name).to.equal(owner?.name);
+        }
+      }),
+      { seed: SEED, numRuns: 500 },
+    );
+  });
+});
+
+describe('requests with keys', () => {
+  function forwarding(route = ROUTE, backends = PLAIN): Forwarding {
+    const daemon = new Forwarding([route], backends);
+    daemon.tenants.apply([tenant('mary', [KEY], 3), tenant('anna', [OTHER_KEY])]);
+    return daemon;
+  }
+
+  it('a valid key sends the request on in the name of its tenant', () => {
+    const daemon = forwarding();
+    daemon.begin({ keyDigest: digestKey(KEY) });
+    expect(daemon.starts().map((start) => start.tenant)).to.deep.equal(['mary']);
+  });
+
+  it('a missing or unknown key is denied at once; where a newer version may know it, as not run', () => {
+    for (const keyDigest of [undefined, digestKey('nobody')]) {
+      const daemon = forwarding();
+      daemon.begin({ keyDigest });
+      daemon.stale = true;
+      daemon.begin({ id: 'r2', keyDigest });
+      expect(daemon.failures()).to.deep.equal([401, 503]);
+      expect(daemon.starts()).to.deep.equal([]);
+    }
+  });
+
+  it('a key that was taken away is denied from then on', () => {
+    const daemon = forwarding();
+    daemon.tenants.apply([tenant('mary', [], 3)]);
+    daemon.begin({ keyDigest: digestKey(KEY) });
+    daemon.begin({ id: 'r2', keyDigest: digestKey(OTHER_KEY) });
+    expect(daemon.failures()).to.deep.equal([401, 401]);
+  });
+
+  it('a public route takes everybody, in nobody’s name', () => {
+    const daemon = forwarding(PUBLIC_ROUTE);
+    daemon.begin({ keyDigest: digestKey(KEY) });
+    daemon.begin({ id: 'r2' });
+    expect(daemon.starts().map((start) => start.tenant)).to.deep.equal([undefined, undefined]);
+  });
+
+  it('the rank of a tenant goes before that of the route, for prompts and for what follows', () => {
+    const route = labRoute({ kind: 'stream', priority: 1 });
+    const daemon = forwarding(route, ENGINES);
+    daemon.begin({ keyDigest: digestKey(KEY), prompt: prompt(2000, 0) });
+    daemon.event({ kind: 'prefilled', handle: 'h' }, 10);
+    daemon.begin({ id: 'r2', keyDigest: digestKey(OTHER_KEY), prompt: prompt(2000, 0) });
+    expect(daemon.starts().map(({ tenant: name, urgency }) => [name, urgency])).to.deep.equal([
+      ['mary', 6],
+      ['mary', 6],
+      ['anna', 2],
+    ]);
+  });
+});
+
+describe('keys on the wire', () => {
+  const dialect = new HttpDialect();
+
+  it('no key and no claimed tenant goes to a back end, by any kind of call', () => {
+    const spelled = (name: string): fc.Arbitrary<string> =>
+      fc
+        .array(fc.boolean(), { minLength: name.length, maxLength: name.length })
+        .map((upper) =>
+          [...name].map((letter, i) => (upper[i] ? letter.toUpperCase() : letter.toLowerCase())).join(''),
+        );
+    const starts = fc.record({
+      tenant: fc.option(fc.constant('mary'), { nil: undefined }),
+      prefillOnly: fc.boolean(),
+      kvSource: fc.option(fc.constant({ address: '10.0.0.1:80', handle: 'h' }), { nil: undefined }),
+      copyFrom: fc.option(fc.constant('10.0.0.2:80'), { nil: undefined }),
+      resumeAfter: fc.option(fc.constant('7'), { nil: undefined }),
+    });
+    fc.assert(
+      fc.property(starts, spelled('x-api-key'), spelled('x-tenant'), (fields, keyName, tenantName) => {
+        const start: AttemptStart = {
+          requestId: 'r',
+          attemptId: 'r/1',
+          backend: { ...labBackend('b', '10.0.0.1:80'), stage: 'decode' },
+          remainingMs: 100,
+          urgency: 0,
+          stream: true,
+          once: false,
+          ...fields,
+        };
+        const headers = dialect.requestHeaders([keyName, KEY, tenantName, 'claimed', 'X-Model', 'm'], start);
+        expect(headers.join('\n')).not.to.include(KEY).and.not.to.include('claimed');
+        const names = headers.filter((_, i) => i % 2 === 0).map((name) => name.toLowerCase());
+        expect(names).not.to.include('x-api-key');
+        expect(names.filter((name) => name === 'x-tenant').length).to.equal(start.tenant ? 1 : 0);
+        if (start.tenant) expect(headers[headers.indexOf('X-Tenant') + 1]).to.equal('mary');
+      }),
+      { seed: SEED, numRuns: 300 },
+    );
+  });
+
+  it('a key that stands twice is none', () => {
+    expect(dialect.callerHead(['X-Api-Key', KEY]).keyDigest).to.equal(digestKey(KEY));
+    expect(dialect.callerHead(['X-Api-Key', KEY, 'x-api-key', OTHER_KEY]).keyDigest).to.equal(undefined);
+    expect(dialect.callerHead([]).keyDigest).to.equal(undefined);
+  });
+
+  it('a configuration is read into digests; one that cannot be read tells no key', () => {
+    const value = {
+      version: 1,
+      routes: [],
+      services: [],
+      tenants: [{ name: 'mary', api_keys: [KEY], priority: 1 }],
+    };
+    const text = JSON.stringify(value);
+    expect(readConfiguration(text).tenants).to.deep.equal([tenant('mary', [KEY], 1)]);
+    expect(readConfiguration('{"version":1,"routes":[],"services":[]}').tenants).to.equal(null);
+    for (let cut = 1; cut < text.length; cut += 1) {
+      const broken = text.slice(cut);
+      try {
+        readConfiguration(broken);
+        expect.fail('half a configuration was read');
+      } catch (error) {
+        expect(error).to.be.instanceOf(ValidationError);
+        expect((error as Error).message).not.to.match(/[a-z0-9]{12}/);
+      }
+    }
+  });
+
+  it('a configuration of a peer that says nothing of tenants is not taken', () => {
+    const value = labConfiguration(1, [ROUTE], [tenant('mary', [KEY])]);
+    const message = (configuration: object): PeerMessage =>
+      ({
+        kind: 'recordsChanged',
+        collection: 'configuration',
+        from: 1,
+        to: 2,
+        changed: 2,
+        records: [{ collection: 'configuration', revision: 2, value: configuration }],
+      }) as PeerMessage;
+    const line = encodePeerMessage(message(value));
+    expect(line).not.to.include(KEY);
+    expect(decodePeerMessage(line)).to.deep.equal(message(value));
+    const older = { ...value, tenants: undefined };
+    expect(() => decodePeerMessage(encodePeerMessage(message(older)))).to.throw(PeerProtocolError);
+  });
+});
+
+describe('a key that is taken away', () => {
+  const BOUND_MS = 2000;
+
+  function fleetWithKeys(): ForwardingFleet {
+    const fleet = new ForwardingFleet(9, SEED);
+    writeTenants(fleet, 1, [KEY]);
+    fleet.write({ collection: 'backends', id: 'a', revision: 0, value: labBackend('a', '10.1.0.1:80') });
+    fleet.time.runUntil(6000);
+    return fleet;
+  }
+
+  function writeTenants(fleet: ForwardingFleet, version: number, keys: readonly string[]): void {
+    const value = labConfiguration(version, [ROUTE], [tenant('mary', keys)]);
+    fleet.write({ collection: 'configuration', revision: 0, value });
+  }
+
+  it('is denied in time also by daemons that the store turns away, and never as unknown by one that is cut off', () => {
+    for (const access of ['refuses', 'silent'] as const) {
+      const fleet = fleetWithKeys();
+      for (const node of fleet.nodes.slice(0, 4)) node.access = access;
+      const since = fleet.time.now();
+      writeTenants(fleet, 2, []);
+      fleet.time.runUntil(since + BOUND_MS);
+      for (const node of fleet.nodes) fleet.submit(node, `q-${node.id}`, '/a/x', digestKey(KEY));
+      expect(fleet.attempts.map(({ requestId }) => requestId)).to.deep.equal([]);
+      for (const { refusals } of fleet.nodes)
+        expect(refusals.map(({ status }) => status)).to.deep.equal([401]);
+    }
+  });
+
+  it('a new key is refused as not run, never denied, by a daemon that hears nobody', () => {
+    const fleet = fleetWithKeys();
+    for (const node of fleet.nodes) node.access = 'silent';
+    fleet.time.runUntil(fleet.time.now() + 3000);
+    for (const node of fleet.nodes) fleet.submit(node, `q-${node.id}`, '/a/x', digestKey(OTHER_KEY));
+    for (const { refusals } of fleet.nodes) expect(refusals.map(({ status }) => status)).to.deep.equal([503]);
+  });
+});
+
+describe('a daemon with keys, as a process', () => {
+  it('takes the key off, names the tenant and answers 401 to everybody else', async () => {
+    const heads: string[] = [];
+    const backend = new ScriptedBackend((request, socket) => {
+      heads.push(request.head);
+      const id = headerOf(request.head, 'X-Attempt-Id') ?? '';
+      socket.write(
+        `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nX-Server-Signature: s\r\nContent-Length: 2\r\n\r\nok`,
+      );
+    });
+    const site = await startForwardingSite(
+      [ROUTE],
+      [labBackend('b1', await backend.listen())],
+      [tenant('mary', [KEY])],
+    );
+    const ask = (lines: string): Promise<string> =>
+      new Promise((resolve) => {
+        const [host, port] = site.callers.split(':');
+        let text = '';
+        const socket = connect(Number(port), host);
+        socket.on('data', (chunk: Buffer) => (text += chunk.toString('latin1')));
+        socket.on('close', () => resolve(text));
+        socket.write(`GET /a/x HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\n${lines}\r\n\r\n`);
+      });
+    try {
+      expect(await ask(`X-Attempt-Id: i1\r\nX-Api-Key: ${KEY}\r\nX-Tenant: anna`)).to.match(
+        /^HTTP\/1.1 200 /,
+      );
+      expect(await ask(`X-Attempt-Id: i2\r\nX-Api-Key: ${OTHER_KEY}`)).to.match(/^HTTP\/1.1 401 /);
+      expect(await ask('X-Attempt-Id: i3')).to.match(/^HTTP\/1.1 401 /);
+      expect(heads.length).to.equal(1);
+      expect(heads[0]).to.match(/x-tenant: mary/i);
+      expect(heads[0]).not.to.include(KEY).and.not.to.include('anna');
+    } finally {
+      backend.close();
+      await site.daemon.close();
+    }
+  });
+});
