--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -152,9 +152,10 @@
         ...DEFAULT_FORWARDING_SETTINGS,
         retries: { ratio: 0.2, slack: 50, windowMs: 10_000 },
         stages: LAB_STAGES,
+        duties: undefined,
       },
     },
-    { dialect: new HttpDialect(), store, table: DOWN_TABLE },
+    { dialect: new HttpDialect(), store, table: DOWN_TABLE, duties: undefined },
   );
   await daemon.start();
   await untilReady(ready);
--- a/lab/platform-model.ts
+++ b/lab/platform-model.ts
@@ -1,6 +1,6 @@
 /** The platform's table service and machine list as a pure state machine, with faults to inject. */
 import type { Machine, MachineListing } from '../src/platform/machine-list.js';
-import type { TableRequest, TableResult, TableRow, TableWrite } from '../src/platform/table-service.js';
+import type { TableRequest, TableResult, TableRow } from '../src/platform/table-service.js';
 
 /** Faults of the platform. */
 export interface PlatformFaults {
@@ -12,6 +12,8 @@
   slowMs: number;
 }
 
+type Commit = Extract<TableRequest, { kind: 'commit' }>;
+
 const REMEMBERED_WRITES = 100_000;
 
 interface RateLimit {
@@ -56,7 +58,7 @@
       case 'changes':
         return this.changes(request.table, request.since);
       case 'commit':
-        return this.commit(request.writeId, request.writes, now);
+        return this.commit(request.writeId, request, now);
     }
   }
 
@@ -104,10 +106,10 @@
     this.pending = this.pending.filter((entry) => entry.visibleAt > now);
   }
 
-  private commit(writeId: string, writes: readonly TableWrite[], now: number): TableResult {
+  private commit(writeId: string, request: Commit, now: number): TableResult {
     const earlier = this.outcomes.get(writeId);
     if (earlier) return earlier;
-    const result = this.apply(writes, now);
+    const result = this.apply(request, now);
     this.outcomes.set(writeId, result);
     if (this.outcomes.size > REMEMBERED_WRITES) {
       const oldest = this.outcomes.keys().next();
@@ -116,7 +118,7 @@
     return result;
   }
 
-  private apply(writes: readonly TableWrite[], now: number): TableResult {
+  private apply({ writes, removes = [] }: Commit, now: number): TableResult {
     const conflicts: TableRow[] = [];
     for (const { table, key, expectedRevision } of writes) {
       const current = this.rows.get(`${table}/${key}`);
@@ -129,6 +131,7 @@
       this.rows.set(`${table}/${key}`, { table, key, revision: this.revision, value });
       this.lastChange.set(table, this.revision);
     }
+    for (const { table, key } of removes) this.rows.delete(`${table}/${key}`);
     if (writes.some((write) => write.table === 'services'))
       this.serviceCommits.push({ revision: this.revision, at: now });
     return { kind: 'committed', revision: this.revision };
--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -12,16 +12,30 @@
 import { SeededRandom } from '../src/shared/random.js';
 import type { ForwardAttemptEvent } from '../src/forwarding/forward-messages.js';
 import type { KvChangesCall } from '../src/forwarding/kv-follower.js';
+import type { DutyAuthority, DutyCall } from '../src/duties/duty-messages.js';
+import type { TableRequest, TableResult } from '../src/platform/table-service.js';
+import type { DutyModel } from '../lab/duty-model.js';
+import { PlatformModel } from '../lab/platform-model.js';
 import { VirtualTime } from './virtual-time.js';
 
 /** What the store does to one daemon. */
-export type StoreAccess = 'serves' | 'refuses' | 'silent';
+export type StoreAccess = 'serves' | 'refuses' | 'silent' | 'appliesLate';
 
+/** The true time of day when a simulation begins: the start of a window of any usual length. */
+export const WALL_START_MS = 1_800_000_000_000;
 const STORE_MS = 4;
 const READ_TIMEOUT_MS = 800;
 const STATUS_BUSY = 503;
+const TABLE_TIMEOUT_MS = 1000;
+/** A write that is carried out late is, so long after it was sent. Milliseconds. */
+const LATE_WRITE_MS = 2500;
+const REJECTED_PAUSE_MS = 300;
+const DUTY_MS = 4;
+/** Ample for every fleet: the rate of the store is not what is tested here. */
+const TABLE_RATE = { perSecond: 10_000, burst: 10_000 };
 
-const SETTINGS: ForwardingDaemonSettings = {
+/** The settings of the daemons, unless a test has others. */
+export const FLEET_SETTINGS: ForwardingDaemonSettings = {
   ...DEFAULT_FORWARDING_SETTINGS,
   retries: { ratio: 0.2, slack: 50, windowMs: 10_000 },
   stages: {
@@ -34,6 +48,7 @@
     returnAfterMs: 1000,
     changeTimeoutMs: 6000,
   },
+  duties: undefined,
 };
 
 /** One daemon of the fleet. */
@@ -44,6 +59,10 @@
   access: StoreAccess;
   /** Neither sends nor receives. */
   down: boolean;
+  /** Stands still: what arrives is handled when it goes on. */
+  frozen: boolean;
+  /** How far its time of day is off. Milliseconds. */
+  clockErrorMs: number;
   /** Reads that the store has seen from it. */
   reads: number;
   /** When each configuration came into force here, by version. */
@@ -79,6 +98,8 @@
   readonly messageCounts = new Map<string, number>();
   /** Events that the daemons have handled so far, by kind. */
   readonly eventCounts = new Map<string, number>();
+  /** The table for leases and reports. */
+  readonly table = new PlatformModel(TABLE_RATE);
   private readonly nodesByAddress = new Map<string, FleetNode>();
   private readonly records = new Map<string, StoredRecord>();
   private readonly log: StoredRecord[] = [];
@@ -88,7 +109,9 @@
   constructor(
     count: number,
     seed: number,
-    private readonly settings: ForwardingDaemonSettings = SETTINGS,
+    private readonly settings: ForwardingDaemonSettings = FLEET_SETTINGS,
+    /** Undefined where the platform asks for no duties. */
+    private readonly duties: DutyModel | undefined = undefined,
   ) {
     const random = new SeededRandom(seed);
     const seeds = ['10.0.0.0:1', '10.0.0.1:1', '10.0.0.2:1'].slice(0, count);
@@ -112,6 +135,8 @@
         daemon,
         access: 'serves',
         down: false,
+        frozen: false,
+        clockErrorMs: 0,
         reads: 0,
         inForceAt: new Map(),
         backendStates: new Map(),
@@ -167,12 +192,17 @@
   }
 
   private tick(node: FleetNode): void {
-    this.handle(node, { kind: 'tick' });
+    const wallMs = WALL_START_MS + this.time.now() + node.clockErrorMs;
+    if (!node.frozen) this.handle(node, { kind: 'tick', wallMs });
     this.time.after(TICK_MS, () => this.tick(node));
   }
 
   private handle(node: FleetNode, event: ForwardingEvent): void {
     if (node.down) return;
+    if (node.frozen) {
+      this.time.after(TICK_MS, () => this.handle(node, event));
+      return;
+    }
     countKind(this.eventCounts, event.kind);
     for (const effect of node.daemon.handle(event, this.time.now())) this.perform(node, effect);
   }
@@ -206,7 +236,22 @@
         this.answerKvChanges(node, effect.call);
         break;
       case 'leaseTable':
-        this.leasesAsked.add(effect.service);
+        this.leasesAsked.add(effect.cell);
+        this.callTable(node, effect.request, (result) => ({
+          kind: 'leaseTableResult',
+          cell: effect.cell,
+          result,
+        }));
+        break;
+      case 'usageTable':
+        this.callTable(node, effect.request, (result) => ({
+          kind: 'usageTableResult',
+          window: effect.window,
+          result,
+        }));
+        break;
+      case 'callDuty':
+        this.callDuty(node, effect.call, effect.authority);
         break;
       case 'replyFailure':
         node.refusals.push({ status: effect.status, retryAfterMs: effect.retryAfterMs });
@@ -228,6 +273,30 @@
     this.time.after(waitMs, () => this.handle(node, { kind: 'kvChangesRead', backend, answer }));
   }
 
+  private callTable(
+    node: FleetNode,
+    request: TableRequest,
+    toEvent: (result: TableResult) => ForwardingEvent,
+  ): void {
+    const give = (result: TableResult, delayMs: number): void =>
+      this.time.after(delayMs, () => this.handle(node, toEvent(result)));
+    const perform = (): TableResult =>
+      this.table.table(request, this.time.now()) ?? { kind: 'noAnswer', reason: 'down' };
+    if (node.access === 'refuses') give({ kind: 'rateLimited', retryAfterMs: REJECTED_PAUSE_MS }, STORE_MS);
+    else if (node.access === 'serves') this.time.after(STORE_MS / 2, () => give(perform(), STORE_MS / 2));
+    else {
+      if (node.access === 'appliesLate') this.time.after(LATE_WRITE_MS, perform);
+      give({ kind: 'noAnswer', reason: 'TimeoutError' }, TABLE_TIMEOUT_MS);
+    }
+  }
+
+  private callDuty(node: FleetNode, call: DutyCall, authority: DutyAuthority): void {
+    this.time.after(DUTY_MS / 2, () => {
+      const result = this.duties?.take(node.address, call, authority, this.time.now());
+      if (result) this.time.after(DUTY_MS / 2, () => this.handle(node, { kind: 'dutyResult', call, result }));
+    });
+  }
+
   private believed(node: FleetNode, event: string, fields: Readonly<Record<string, unknown>>): void {
     const at = this.time.now();
     const id = String(fields.backend);
@@ -242,7 +311,7 @@
       this.time.after(delayMs, () => this.handle(node, { kind: 'recordsRead', collection, result }));
     if (node.access === 'refuses') {
       give({ kind: 'rejected', status: STATUS_BUSY }, STORE_MS);
-    } else if (node.access === 'silent') {
+    } else if (node.access !== 'serves') {
       const heldMs = read.after === undefined ? 0 : read.waitMs;
       give({ kind: 'noAnswer', reason: 'TimeoutError' }, heldMs + READ_TIMEOUT_MS);
     } else if (read.after === undefined) {
--- a/src/adapters/peer-codec.ts
+++ b/src/adapters/peer-codec.ts
@@ -4,6 +4,7 @@
 import { serviceRowSchema } from '../configuration/service-row.js';
 import type { PeerMessage } from '../daemon/daemon-messages.js';
 import { PeerProtocolError } from '../errors/index.js';
+import { dutyMessageSchemas } from '../duties/duty-messages.js';
 import { fleetMessageSchemas } from '../fleet/fleet-messages.js';
 
 const text = z.string().max(512);
@@ -50,8 +51,8 @@
 });
 
 const messageSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('ping'), sequence: count, target: text, updates }),
-  z.object({ kind: z.literal('ack'), sequence: count, updates }),
+  z.object({ kind: z.literal('ping'), sequence: count, target: text, updates, wallMs: count.optional() }),
+  z.object({ kind: z.literal('ack'), sequence: count, updates, wallMs: count.optional() }),
   z.object({ kind: z.literal('pingRequest'), sequence: count, target: text }),
   z.object({ kind: z.literal('syncDigest'), digest: count }),
   z.object({ kind: z.literal('sync'), reply: z.boolean(), members: updates }),
@@ -86,6 +87,7 @@
     demands: z.array(z.tuple([text, count, count, count])),
   }),
   ...fleetMessageSchemas,
+  ...dutyMessageSchemas,
 ]);
 
 const helloSchema = z.object({ kind: z.literal('hello'), id: text, address: text });
--- a/src/daemon/beliefs.ts
+++ b/src/daemon/beliefs.ts
@@ -1,5 +1,6 @@
 /** Changes of what a daemon believes, as its log names them. */
 import type { StageEffect } from '../allocation/stage-coordinator.js';
+import type { DutyEffect } from '../duties/duty-manager.js';
 import type { FleetEffect } from '../fleet/fleet-replica.js';
 
 /** A change of what the daemon believes, for the log. */
@@ -23,10 +24,14 @@
   | 'lease.lost'
   | 'order.given'
   | 'order.answered'
+  | 'usage.reported'
+  | 'usage.missed'
+  | 'duty.failed'
   | 'drain.started'
   | 'process.paused';
 
 type FleetBelief = Exclude<FleetEffect, { kind: 'readRecords' | 'tellPeers' }>;
+type DutyBelief = Exclude<DutyEffect, { kind: 'leaseTable' | 'usageTable' | 'callDuty' | 'sendPeer' }>;
 type StageBelief = Exclude<StageEffect, { kind: 'leaseTable' | 'askEngine' }>;
 
 /** The belief that a change of the replica makes. */
@@ -52,13 +57,29 @@
   }
 }
 
+/** The belief that a step of the duties makes. */
+export function makeDutyBelief(effect: DutyBelief): BeliefEffect {
+  switch (effect.kind) {
+    case 'leaseAcquired':
+      return makeBelief('lease.acquired', { cell: effect.cell, epoch: effect.epoch });
+    case 'leaseLost':
+      return makeBelief('lease.lost', { cell: effect.cell, epoch: effect.epoch });
+    case 'usageReported': {
+      const { window, requests, lateMs } = effect;
+      return makeBelief('usage.reported', { window, requests, lateMs });
+    }
+    case 'usageMissed':
+      return makeBelief('usage.missed', { window: effect.window });
+  }
+}
+
 /** The belief that a step of a stage coordinator makes. */
 export function makeStageBelief(effect: StageBelief): BeliefEffect {
   switch (effect.kind) {
     case 'leaseAcquired':
-      return makeBelief('lease.acquired', { service: effect.cell, epoch: effect.epoch });
+      return makeBelief('lease.acquired', { cell: effect.cell, epoch: effect.epoch });
     case 'leaseLost':
-      return makeBelief('lease.lost', { service: effect.cell, epoch: effect.epoch });
+      return makeBelief('lease.lost', { cell: effect.cell, epoch: effect.epoch });
     case 'orderEngine': {
       const { backend, stage, fence, expectedOrders } = effect.order;
       return makeBelief('order.given', { backend: backend.id, stage, fence, expectedOrders });
--- a/src/daemon/daemon-messages.ts
+++ b/src/daemon/daemon-messages.ts
@@ -9,6 +9,7 @@
   EngineReport,
 } from '../engine/engine-protocol.js';
 import type { PulleyledgeError } from '../errors/index.js';
+import type { UsageCounts } from '../duties/duty-messages.js';
 import type { FleetMessage } from '../fleet/fleet-messages.js';
 import type { LimitMessage } from '../limits/limit-messages.js';
 import type { MembershipMessage } from '../membership/membership-messages.js';
@@ -63,7 +64,7 @@
 
 /** Everything that daemons say to each other. */
 export type PeerMessage =
-  MembershipMessage | ConfigurationMessage | LimitMessage | CellMessage | FleetMessage;
+  MembershipMessage | ConfigurationMessage | LimitMessage | CellMessage | FleetMessage | UsageCounts;
 
 /** An operator's edit of one row. `row` is null to delete it. */
 export interface RowEdit {
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -33,12 +33,13 @@
 import { RouteTable } from '../forwarding/route-table.js';
 import { TenantDirectory } from '../forwarding/tenant-directory.js';
 import type { StageCoordinatorSettings, StageEffect } from '../allocation/stage-coordinator.js';
-import { makeFleetBelief, makeStageBelief, type BeliefEvent } from './beliefs.js';
+import { DUTY_CELL, DutyManager, type DutyEffect, type DutySettings } from '../duties/duty-manager.js';
+import { makeDutyBelief, makeFleetBelief, makeStageBelief, type BeliefEvent } from './beliefs.js';
 import type { ForwardingEffect, ForwardingEvent } from './forwarding-messages.js';
 import { StageManager } from './stage-manager.js';
 import { initialMember } from '../membership/member-rules.js';
 import { Membership, type MembershipEffect } from '../membership/membership.js';
-import type { DaemonIdentity } from '../membership/membership-messages.js';
+import type { DaemonIdentity, MembershipMessage } from '../membership/membership-messages.js';
 import { DEFAULT_MEMBERSHIP_SETTINGS, type MembershipSettings } from '../membership/membership-settings.js';
 import type { RandomSource } from '../shared/random.js';
 import { getRendezvousPlace } from '../shared/rendezvous-hash.js';
@@ -55,10 +56,12 @@
   readonly kvFollower: KvFollowerSettings;
   readonly retries: RetryAllowanceSettings;
   readonly stages: StageCoordinatorSettings;
+  /** Undefined where the platform asks for no duties. */
+  readonly duties: DutySettings | undefined;
 }
 
-/** Default settings; the budget of retries and the stages have none. */
-export const DEFAULT_FORWARDING_SETTINGS: Omit<ForwardingDaemonSettings, 'retries' | 'stages'> = {
+/** Default settings; the budget of retries, the stages and the duties have none. */
+export const DEFAULT_FORWARDING_SETTINGS: Omit<ForwardingDaemonSettings, 'retries' | 'stages' | 'duties'> = {
   membership: DEFAULT_MEMBERSHIP_SETTINGS,
   replica: DEFAULT_FLEET_REPLICA_SETTINGS,
   exchange: DEFAULT_PEER_EXCHANGE_SETTINGS,
@@ -101,6 +104,8 @@
   private readonly exchange: PeerExchange;
   private readonly prober: HealthProber;
   private readonly stages: StageManager;
+  private readonly duties: DutyManager | undefined;
+  private handledAt: number;
   private routes: RouteTable | undefined;
   private readonly tenants = new TenantDirectory();
   private draining = false;
@@ -119,6 +124,7 @@
     now: number,
   ) {
     this.tickedAt = now;
+    this.handledAt = now;
     this.startedAt = now;
     this.membersToldAt = now;
     const emit = (effect: ForwardingEffect): void => void this.outbox.push(effect);
@@ -141,6 +147,7 @@
         configurationMayBeStale: (at) => this.replica.configurationMayBeStale(at),
         outageMs: (at) => this.replica.getOutageMs('configuration', at),
         daemons: () => this.daemons(),
+        requestBegan: (tenant, at) => this.duties?.requestBegan(tenant, at),
       },
       picker,
       this.kvIndex,
@@ -177,6 +184,8 @@
       { membership: this.membership, directory: this.directory },
       (effect) => this.onStage(effect),
     );
+    if (settings.duties)
+      this.duties = new DutyManager(identity.id, settings.duties, (effect) => this.onDuty(effect), now);
     this.prober = new HealthProber(this.directory, (probe) => {
       const healthPath = this.routes?.service(probe.backend.service)?.healthPath;
       if (healthPath !== undefined) emit({ kind: 'probeBackend', probe, healthPath });
@@ -185,6 +194,7 @@
 
   /** Handles one event and returns what is to be done, in order. */
   handle(event: ForwardingEvent, now: number): ForwardingEffect[] {
+    this.handledAt = now;
     this.dispatch(event, now);
     const effects = this.outbox;
     this.outbox = [];
@@ -224,6 +234,7 @@
   private dispatch(event: ForwardingEvent, now: number): void {
     switch (event.kind) {
       case 'tick':
+        this.duties?.clock.setOwn(event.wallMs, now);
         this.tick(now);
         break;
       case 'peerMessage':
@@ -246,7 +257,16 @@
         if (event.well) this.believe('backend.recovered', { backend: event.backendId });
         break;
       case 'leaseTableResult':
-        this.stages.tableAnswered(event.service, event.result, now);
+        if (event.cell === DUTY_CELL) this.duties?.receiveLeaseResult(event.result, now);
+        else this.stages.tableAnswered(event.cell, event.result, now);
+        break;
+      case 'usageTableResult':
+        this.duties?.receiveUsageResult(event.window, event.result, now);
+        break;
+      case 'dutyResult':
+        if (event.result.kind !== 'accepted')
+          this.believe('duty.failed', { duty: event.call.kind, ...event.result });
+        this.duties?.receiveDutyResult(event.call, event.result, now);
         break;
       case 'engineStatus':
         this.stages.engineAnswered(event.backend.service, event.backend.id, event.status, now);
@@ -285,6 +305,7 @@
     this.prober.tick(now);
     if (now - this.startedAt >= WARM_UP_MS) this.kvFollower.tick(now);
     this.stages.tick(now, !this.draining);
+    this.duties?.tick(this.membership.active(), this.draining, now);
   }
 
   private tellMembersFound(now: number): void {
@@ -298,6 +319,9 @@
     switch (message.kind) {
       case 'ping':
       case 'ack':
+        if (message.wallMs !== undefined) this.duties?.clock.apply(fromId, message.wallMs, now);
+        this.membership.receive(fromId, fromAddress, message, now);
+        break;
       case 'pingRequest':
       case 'syncDigest':
       case 'sync':
@@ -309,6 +333,9 @@
       case 'recordsChanged':
         this.exchange.receive(fromId, fromAddress, message, now);
         break;
+      case 'usageCounts':
+        this.duties?.receiveCounts(fromId, message);
+        break;
       default:
         break;
     }
@@ -346,7 +373,7 @@
 
   private onMembership(effect: MembershipEffect): void {
     if (effect.kind === 'sendMembership') {
-      this.outbox.push({ kind: 'sendPeer', address: effect.address, message: effect.message });
+      this.outbox.push({ kind: 'sendPeer', address: effect.address, message: this.addTime(effect.message) });
       return;
     }
     this.membersChanged = true;
@@ -359,6 +386,13 @@
     this.believe('member.changed', { member: member.id, state: member.state, previous });
   }
 
+  /** Probes and their answers carry the time of day: by them daemons agree on it. */
+  private addTime(message: MembershipMessage): MembershipMessage {
+    if (message.kind !== 'ping' && message.kind !== 'ack') return message;
+    const wallMs = this.duties?.clock.getOwn(this.handledAt);
+    return wallMs === undefined ? message : { ...message, wallMs };
+  }
+
   private onFleet(effect: FleetEffect): void {
     switch (effect.kind) {
       case 'readRecords':
@@ -386,13 +420,25 @@
   }
 
   private onStage(effect: StageEffect): void {
-    if (effect.kind === 'leaseTable')
-      this.outbox.push({ kind: 'leaseTable', service: effect.cell, request: effect.request });
+    if (effect.kind === 'leaseTable') this.outbox.push(effect);
     else if (effect.kind === 'askEngine') this.outbox.push(effect);
     else this.outbox.push(makeStageBelief(effect));
     if (effect.kind === 'orderEngine') this.outbox.push(effect);
   }
 
+  private onDuty(effect: DutyEffect): void {
+    switch (effect.kind) {
+      case 'leaseTable':
+      case 'usageTable':
+      case 'callDuty':
+      case 'sendPeer':
+        this.outbox.push(effect);
+        break;
+      default:
+        this.outbox.push(makeDutyBelief(effect));
+    }
+  }
+
   private believe(event: BeliefEvent, fields: Readonly<Record<string, unknown>>): void {
     this.outbox.push({ kind: 'belief', event, fields });
   }
--- a/src/daemon/forwarding-messages.ts
+++ b/src/daemon/forwarding-messages.ts
@@ -1,5 +1,6 @@
 /** What goes into the state machine of a forwarding daemon and what comes out of it. */
 import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
+import type { DutyAuthority, DutyCall, DutyResult } from '../duties/duty-messages.js';
 import type { RecordCollection, RecordRead, RecordReadResult } from '../fleet/record-store.js';
 import type { ForwardAttemptEvent, ForwardEffect } from '../forwarding/forward-messages.js';
 import type { ForwardRequest } from '../forwarding/forward-request.js';
@@ -12,7 +13,8 @@
 
 /** What goes in. */
 export type ForwardingEvent =
-  | { readonly kind: 'tick' }
+  /** `wallMs` is the machine's time of day. Milliseconds. */
+  | { readonly kind: 'tick'; readonly wallMs: number }
   | {
       readonly kind: 'peerMessage';
       readonly fromId: string;
@@ -29,7 +31,9 @@
       readonly event: ForwardAttemptEvent;
     }
   | { readonly kind: 'probed'; readonly backendId: string; readonly well: boolean }
-  | { readonly kind: 'leaseTableResult'; readonly service: string; readonly result: TableResult }
+  | { readonly kind: 'leaseTableResult'; readonly cell: string; readonly result: TableResult }
+  | { readonly kind: 'usageTableResult'; readonly window: number; readonly result: TableResult }
+  | { readonly kind: 'dutyResult'; readonly call: DutyCall; readonly result: DutyResult }
   | {
       readonly kind: 'engineStatus';
       readonly backend: BackendRecord;
@@ -53,7 +57,9 @@
   | { readonly kind: 'readRecords'; readonly read: RecordRead }
   | { readonly kind: 'probeBackend'; readonly probe: HealthProbe; readonly healthPath: string }
   | { readonly kind: 'readKvChanges'; readonly call: KvChangesCall }
-  | { readonly kind: 'leaseTable'; readonly service: string; readonly request: TableRequest }
+  | { readonly kind: 'leaseTable'; readonly cell: string; readonly request: TableRequest }
+  | { readonly kind: 'usageTable'; readonly window: number; readonly request: TableRequest }
+  | { readonly kind: 'callDuty'; readonly call: DutyCall; readonly authority: DutyAuthority }
   | { readonly kind: 'askEngine'; readonly backend: BackendRecord }
   | { readonly kind: 'orderEngine'; readonly order: StageOrder }
   | { readonly kind: 'configurationInForce'; readonly configuration: RouteConfiguration }
--- /dev/null
+++ b/src/duties/duty-manager.ts
@@ -0,0 +1,152 @@
+/// The duties that one daemon of the fleet has before the platform. Few daemons, the first by rendezvous hashing, hear what all others
+/// count; one of these holds the lease and acts. A holder stays until it ends or no longer hears the others, so that duties move
+/// seldom; no two holders ever act at once, and none acts again before the lease of the one between has run out.
+import {CellLease, type LeaseEffect, type LeaseSettings} from "../lease/cell-lease.js"
+import type {Member} from "../membership/membership-messages.js"
+import type {TableResult} from "../platform/table-service.js"
+import type {EffectSink} from "../shared/effect-sink.js"
+import {rankByRendezvous} from "../shared/rendezvous-hash.js"
+import type {DutyCall, DutyResult, UsageCounts} from "./duty-messages.js"
+import {FleetClock} from "./fleet-clock.js"
+import {UsageCollector} from "./usage-collector.js"
+import {UsageCounter} from "./usage-counter.js"
+import {UsageReporter, type UsageEffect, type UsageReporterSettings} from "./usage-reporter.js"
+
+/// Settings of the duties.
+export interface DutySettings {
+  readonly lease: LeaseSettings
+  /// No call is made so long after the lease was taken over from another daemon. Milliseconds. Where the platform turns away lower
+  /// fences 0 is enough; elsewhere a call of the holder before must have arrived or been given up.
+  readonly takeoverWaitMs: number
+  readonly usage: UsageReporterSettings
+}
+
+/// What the duties ask for and tell.
+export type DutyEffect =
+  | UsageEffect
+  | LeaseEffect
+  | {readonly kind: "sendPeer"; readonly address: string; readonly message: UsageCounts}
+
+/// The lease of the duties among those of services, whose names have no space.
+export const DUTY_CELL = "duties of the fleet"
+const COLLECTOR_KEY = "usage-collector"
+/// Daemons that hear all counts: with one killed and one cut off there is still one that knows them.
+const COLLECTORS = 3
+/// Interval between tellings of counts: a daemon that is killed loses so much of them. Milliseconds.
+const TELL_INTERVAL_MS = 1000
+/// The same of a daemon that is about to end. Milliseconds.
+const LAST_TELL_INTERVAL_MS = 200
+/// The list of members must have been the same for so long before a daemon takes the lease. Milliseconds.
+const SETTLED_MS = 1500
+
+/// The duties of one daemon. Times are monotonic milliseconds.
+export class DutyManager {
+  readonly clock: FleetClock
+  private readonly lease: CellLease
+  private readonly counter: UsageCounter
+  private readonly collector = new UsageCollector()
+  private reporter: UsageReporter | undefined
+  private ranked: readonly Member[] = []
+  private rankedSince = -Infinity
+  private collectors: readonly Member[] = []
+  private tellAll = true
+  private nextTellAt = -Infinity
+  private actFrom = Infinity
+  private tickedAt = 0
+
+  constructor(
+    private readonly selfId: string,
+    private readonly settings: DutySettings,
+    private readonly emit: EffectSink<DutyEffect>,
+    now: number
+  ) {
+    this.clock = new FleetClock(selfId)
+    this.counter = new UsageCounter(settings.usage.windowMs)
+    this.lease = new CellLease(DUTY_CELL, selfId, settings.lease, effect => this.onLease(effect), now)
+  }
+
+  /// Counts a request that began to run at `at`.
+  requestBegan(tenant: string, at: number): void {
+    const fleetMs = this.clock.getTime(at)
+    if (fleetMs !== undefined) this.counter.add(tenant, fleetMs)
+  }
+
+  /// Takes what a daemon has counted.
+  receiveCounts(daemonId: string, counts: UsageCounts): void {
+    this.collector.apply(daemonId, counts)
+  }
+
+  /// Advances everything. `members` are the active ones; `leaving` says that this daemon is about to end.
+  tick(members: readonly Member[], leaving: boolean, now: number): void {
+    this.tickedAt = now
+    const fleetMs = this.clock.getTime(now)
+    if (fleetMs === undefined) return
+    this.rank(members, now)
+    this.tell(leaving, fleetMs, now)
+    const isCollector = this.collectors.some(({id}) => id === this.selfId)
+    this.lease.tick(now, isCollector && !leaving && now - this.rankedSince >= SETTLED_MS)
+    if (!isCollector || leaving) this.release(now)
+    const held = this.lease.current(now)
+    this.reporter ??= this.createReporter(fleetMs)
+    if (!held || !isCollector || now < this.actFrom) return
+    this.reporter.tick({holder: this.selfId, fence: held.epoch}, fleetMs, now)
+  }
+
+  /// Takes the answer to a `leaseTable` effect.
+  receiveLeaseResult(result: TableResult, now: number): void {
+    this.lease.receiveTableResult(result, now)
+  }
+
+  /// Takes the answer to a `usageTable` effect.
+  receiveUsageResult(window: number, result: TableResult, now: number): void {
+    this.reporter?.receiveTableResult(window, result, now)
+  }
+
+  /// Takes the outcome of a `callDuty` effect.
+  receiveDutyResult(call: DutyCall, result: DutyResult, now: number): void {
+    if (result.kind === "superseded") this.lease.giveUp()
+    this.reporter?.receiveResult(call.window, result, this.clock.getTime(now) ?? 0, now)
+  }
+
+  private createReporter(fleetMs: number): UsageReporter {
+    const {usage} = this.settings
+    const firstWhole = Math.ceil(fleetMs / usage.windowMs)
+    return new UsageReporter(usage, this.collector, firstWhole, this.emit)
+  }
+
+  /// A lease that is given back may be taken at once by the daemon that acted before. So it is kept for as long as one lasts; after
+  /// that the daemon before has not acted for so long.
+  private release(now: number): void {
+    if (now - this.actFrom >= this.settings.lease.durationMs) this.lease.release(now)
+  }
+
+  private rank(members: readonly Member[], now: number): void {
+    if (members === this.ranked) return
+    this.ranked = members
+    const byId = new Map(members.map(member => [member.id, member]))
+    const ids = rankByRendezvous(COLLECTOR_KEY, [...byId.keys()], COLLECTORS)
+    const before = this.collectors.map(({id}) => id)
+    if (ids.length === before.length && ids.every((id, i) => id === before[i])) return
+    this.collectors = ids.flatMap(id => byId.get(id) ?? [])
+    this.rankedSince = now
+    this.tellAll = true
+  }
+
+  private tell(leaving: boolean, fleetMs: number, now: number): void {
+    if (now < this.nextTellAt) return
+    this.nextTellAt = now + (leaving ? LAST_TELL_INTERVAL_MS : TELL_INTERVAL_MS)
+    const message = this.counter.takeUntold(fleetMs, this.tellAll)
+    this.tellAll = false
+    if (!message) return
+    for (const {id, address} of this.collectors) {
+      if (id === this.selfId) this.collector.apply(id, message)
+      else this.emit({kind: "sendPeer", address, message})
+    }
+  }
+
+  private onLease(effect: LeaseEffect): void {
+    if (effect.kind === "leaseAcquired")
+      this.actFrom = this.tickedAt + (effect.epoch > 1 ? this.settings.takeoverWaitMs : 0)
+    this.emit(effect)
+  }
+}
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -24,6 +24,12 @@
 import {RequestAdmission, type AdmissionSurroundings} from "./request-admission.js"
 import type {RetryAllowance} from "./retry-allowance.js"
 
+/// What the machine asks of its surroundings, and tells them.
+export interface ForwardSurroundings extends AdmissionSurroundings {
+  /// Told once for each request of a tenant that a back end has begun to run, and when. Monotonic milliseconds.
+  requestBegan(tenant: string, at: number): void
+}
+
 const FIRST_SERVER_ERROR = 500
 
 /// The forwarding machine of one daemon. Times are monotonic milliseconds.
@@ -36,7 +42,7 @@
 
   constructor(
     private readonly settings: ForwardSettings,
-    private readonly surroundings: AdmissionSurroundings,
+    private readonly surroundings: ForwardSurroundings,
     private readonly picker: BackendPicker,
     private readonly kvIndex: KvIndex,
     private readonly allowance: RetryAllowance,
@@ -84,6 +90,7 @@
       prefills: 0,
       mayHaveRun: false,
       relaying: false,
+      counted: false,
       lastEventId: undefined,
       kvSource: undefined
     }
@@ -271,6 +278,7 @@
     attempt.plan.backend.answering(attempt.attemptId, now)
     session.relaying = true
     session.mayHaveRun = true
+    this.countBegun(session, now)
     this.answers.logDecision("request.streaming", session, {
       backend: attempt.plan.backend.record.id,
       afterMs: Math.round(now - session.request.arrivedAt)
@@ -284,6 +292,7 @@
     session.arrivals += 1
     session.runs += 1
     session.mayHaveRun = true
+    this.countBegun(session, attempt.startedAt)
     this.endAttempt(session, attempt)
     const failed = status >= FIRST_SERVER_ERROR
     if (failed) backend.failed(now)
@@ -326,6 +335,7 @@
     }
     session.runs += 1
     session.mayHaveRun = true
+    this.countBegun(session, attempt.startedAt)
     session.kvSource = undefined
     if (mayRunAgain(session) && this.mayRepeat(session, now)) {
       this.sendAgain(session, "broken", now)
@@ -390,6 +400,13 @@
     this.over(session)
   }
 
+  /// A back end has begun to run the request, at `at` as far as that is known.
+  private countBegun(session: Session, at: number): void {
+    if (session.counted || !session.tenant) return
+    session.counted = true
+    this.surroundings.requestBegan(session.tenant.name, at)
+  }
+
   private promptComputed(session: Session, backend: BackendView): void {
     const {prompt} = session.request
     if (!prompt) return
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -35,6 +35,8 @@
   mayHaveRun: boolean
   /// The head of a stream has been passed on.
   relaying: boolean
+  /// It has been counted for its tenant.
+  counted: boolean
   lastEventId: string | undefined
   kvSource: KvSource | undefined
 }
--- a/src/lease/cell-lease.ts
+++ b/src/lease/cell-lease.ts
@@ -106,6 +106,11 @@
     this.write(now, value);
   }
 
+  /** Ends the authority here at once: somebody else was seen to have a later one. */
+  giveUp(): void {
+    this.lose();
+  }
+
   /** Takes the answer to a `leaseTable` effect. */
   receiveTableResult(result: TableResult, now: number): void {
     this.requestInFlight = false;
--- a/src/membership/membership-messages.ts
+++ b/src/membership/membership-messages.ts
@@ -30,8 +30,15 @@
       readonly sequence: number;
       readonly target: string;
       readonly updates: readonly MemberUpdate[];
+      /** The sender's time of day; not told by older daemons. Milliseconds. */
+      readonly wallMs?: number | undefined;
+    }
+  | {
+      readonly kind: 'ack';
+      readonly sequence: number;
+      readonly updates: readonly MemberUpdate[];
+      readonly wallMs?: number | undefined;
     }
-  | { readonly kind: 'ack'; readonly sequence: number; readonly updates: readonly MemberUpdate[] }
   /** Asks a third daemon to probe `target` for the sender. */
   | { readonly kind: 'pingRequest'; readonly sequence: number; readonly target: string }
   /** A summary of the sender's list; one that differs is answered with the whole list. */
--- a/src/platform/table-service.ts
+++ b/src/platform/table-service.ts
@@ -5,7 +5,7 @@
  */
 
 /** Tables that pulleyledge keeps. */
-export type TableName = 'services' | 'leases' | 'claims';
+export type TableName = 'services' | 'leases' | 'claims' | 'usage';
 
 /** A stored row. `value` is null when the row was deleted. */
 export interface TableRow {
@@ -24,9 +24,20 @@
   readonly value: unknown;
 }
 
+/** A row that a commit removes, at whatever revision it is. */
+export interface TableRemoval {
+  readonly table: TableName;
+  readonly key: string;
+}
+
 /** A request to the table service. */
 export type TableRequest =
-  | { readonly kind: 'commit'; readonly writeId: string; readonly writes: readonly TableWrite[] }
+  | {
+      readonly kind: 'commit';
+      readonly writeId: string;
+      readonly writes: readonly TableWrite[];
+      readonly removes?: readonly TableRemoval[];
+    }
   | { readonly kind: 'read'; readonly table: TableName; readonly key: string }
   | { readonly kind: 'changes'; readonly table: TableName; readonly since: number };
 
--- a/src/process/forwarding-metrics.ts
+++ b/src/process/forwarding-metrics.ts
@@ -29,6 +29,7 @@
   private readonly firstByte: Histogram<'service'>;
   private readonly storeCalls: Counter<'call' | 'outcome'>;
   private readonly beliefs: Counter<'event'>;
+  private readonly dutyCalls: Counter<'call' | 'outcome'>;
 
   constructor(state: ForwardingState) {
     const registers = [this.registry];
@@ -51,6 +52,12 @@
       labelNames: ['call', 'outcome'],
       registers,
     });
+    this.dutyCalls = new Counter({
+      name: 'pulleyledge_duty_calls_total',
+      help: 'Calls to the platform in the name of the fleet by kind and outcome',
+      labelNames: ['call', 'outcome'],
+      registers,
+    });
     this.beliefs = new Counter({
       name: 'pulleyledge_belief_changes_total',
       help: 'Changes of what the daemon believes: members, configuration, back ends, store, lease, orders',
@@ -92,6 +99,11 @@
     this.storeCalls.inc({ call, outcome });
   }
 
+  /** Counts a call to the platform in the name of the fleet. */
+  dutyCalled(call: string, outcome: string): void {
+    this.dutyCalls.inc({ call, outcome });
+  }
+
   private serviceLabel(service: unknown): string {
     if (typeof service !== 'string') return '';
     if (this.services.size < MAXIMUM_SERVICES) this.services.add(service);
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -8,11 +8,12 @@
 import { PeerTransport } from '../adapters/peer-transport.js';
 import { ForwardingDaemon, TICK_MS, type ForwardingDaemonSettings } from '../daemon/forwarding-daemon.js';
 import type { ForwardingEffect, ForwardingEvent } from '../daemon/forwarding-messages.js';
+import type { DutyPlatform } from '../duties/duty-messages.js';
 import { ListenError, type PulleyledgeError } from '../errors/index.js';
 import type { RecordRead, RecordStore } from '../fleet/record-store.js';
 import type { ForwardAttemptEvent } from '../forwarding/forward-messages.js';
 import { ForwardServer, type CallerReply, type ReceivedRequest } from '../gateway/forward-server.js';
-import type { TableStore } from '../platform/table-service.js';
+import type { TableRequest, TableResult, TableStore } from '../platform/table-service.js';
 import { SeededRandom } from '../shared/random.js';
 import { ForwardingMetrics } from './forwarding-metrics.js';
 import { DecisionLog, type DecisionLogSettings } from './decision-log.js';
@@ -44,6 +45,8 @@
   readonly dialect: BackendDialect;
   readonly store: RecordStore;
   readonly table: TableStore;
+  /** Undefined where the platform asks for no duties. */
+  readonly duties: DutyPlatform | undefined;
 }
 
 /** Interval between ticks while no request is in hand. Milliseconds; under half of what counts as a pause of the process. */
@@ -217,7 +220,7 @@
 
   /** Ticks, and again after a while: sooner while requests are in hand, since only these have short deadlines. */
   private tick(): void {
-    this.send({ kind: 'tick' });
+    this.send({ kind: 'tick', wallMs: Date.now() });
     const pauseMs = this.open.size > 0 ? TICK_MS : IDLE_TICK_MS;
     this.tickTimer = setTimeout(() => this.tick(), pauseMs);
   }
@@ -316,10 +319,20 @@
         break;
       }
       case 'leaseTable': {
-        const { service, request } = effect;
-        void this.adapters.table.perform(request).then((result) => {
-          this.metrics.storeCalled(request.kind, result.kind);
-          this.send({ kind: 'leaseTableResult', service, result });
+        const { cell, request } = effect;
+        this.callTable(request, (result) => this.send({ kind: 'leaseTableResult', cell, result }));
+        break;
+      }
+      case 'usageTable': {
+        const { window, request } = effect;
+        this.callTable(request, (result) => this.send({ kind: 'usageTableResult', window, result }));
+        break;
+      }
+      case 'callDuty': {
+        const { call, authority } = effect;
+        void this.adapters.duties?.perform(call, authority).then((result) => {
+          this.metrics.dutyCalled(call.kind, result.kind);
+          this.send({ kind: 'dutyResult', call, result });
         });
         break;
       }
@@ -351,6 +364,13 @@
     });
   }
 
+  private callTable(request: TableRequest, onResult: (result: TableResult) => void): void {
+    void this.adapters.table.perform(request).then((result) => {
+      this.metrics.storeCalled(request.kind, result.kind);
+      onResult(result);
+    });
+  }
+
   private takeOpen(requestId: string): OpenRequest | undefined {
     const open = this.open.get(requestId);
     this.open.delete(requestId);
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -24,6 +24,7 @@
   readonly kvIndex = new KvIndex();
   readonly manager: ForwardManager;
   readonly tenants = new TenantDirectory();
+  readonly begun: [tenant: string, at: number][] = [];
   stale = false;
 
   constructor(routes: readonly Route[], backends: readonly BackendRecord[], slack = 50) {
@@ -44,6 +45,7 @@
         configurationMayBeStale: () => this.stale,
         outageMs: () => 0,
         daemons: () => 1,
+        requestBegan: (tenant, at) => this.begun.push([tenant, at]),
       },
       picker,
       this.kvIndex,
