Back ends are ordered by demand and price: spot ones in place of most others

Cause: nobody ever called /scale.

Change: src/capacity/. CapacityDemand: prompts under way for each prefill engine and taken slots elsewhere, averaged over 1 s, kept for some 2 minutes, at most half as much again as serves; what is there at first counts as needed. planCapacity: spread evenly over the zones, a tenth no spot ones. CapacityManager: what is there counts, not what was ordered; ordinary ones go only as spot ones come; shares lease and fence with the usage report. No `scaling` in the configuration: no call.

--- a/lab/duty-model.ts
+++ b/lab/duty-model.ts
@@ -36,11 +36,11 @@
     }
     this.highestFence = Math.max(this.highestFence, fence);
     this.checkTurns(machine, now);
-    this.report(call);
+    if (call.kind === 'reportUsage') this.report(call);
     return { kind: 'accepted' };
   }
 
-  private report({ window, counts }: DutyCall): void {
+  private report({ window, counts }: Extract<DutyCall, { kind: 'reportUsage' }>): void {
     const text = JSON.stringify(counts);
     const known = this.reports.get(window);
     if (known === undefined) this.reports.set(window, text);
--- /dev/null
+++ b/src/capacity/capacity-demand.ts
@@ -0,0 +1,81 @@
+/// How many back ends a service needs, from what runs on them: the most that was needed lately. Demand turns within seconds and a back end
+/// takes seconds to start and longer to fill its cache, so what was needed once is kept for a while.
+import type {BackendView} from "../forwarding/backend-view.js"
+import type {ScalingRules} from "../forwarding/route.js"
+
+/// Settings of the demand.
+export interface CapacityDemandSettings {
+  /// Prompts under way for each prefill engine. A prompt takes an engine for itself, and daemons choose engines by loads that are
+  /// some 500 ms old, so that engines must mostly be free for prompts not to wait behind each other. Default 0.5.
+  readonly promptsPerEngine: number
+  /// Part of the slots of other back ends that may be taken. Default 0.5.
+  readonly slotShare: number
+  /// Time over which what runs is averaged. Milliseconds. Default 1000.
+  readonly averageMs: number
+  /// What was needed counts for e^-1 after so long. Milliseconds. Default 120000.
+  readonly memoryMs: number
+  /// Back ends at most, as a multiple of those that serve now: a fault that makes requests wait everywhere orders no whole fleet.
+  /// Default 1.5.
+  readonly growthFactor: number
+  /// A daemon that starts finds the back ends one after another; it judges nothing before it has looked for so long. Milliseconds.
+  /// Default 5000.
+  readonly settleMs: number
+}
+
+/// Default settings.
+export const DEFAULT_CAPACITY_DEMAND_SETTINGS: CapacityDemandSettings = {
+  promptsPerEngine: 0.5,
+  slotShare: 0.5,
+  averageMs: 1000,
+  memoryMs: 120_000,
+  growthFactor: 1.5,
+  settleMs: 5000
+}
+
+/// The demand for one service. Times are monotonic milliseconds.
+export class CapacityDemand {
+  private average = 0
+  /// What is there at first is taken to be needed.
+  private peak = 0
+  private startedAt: number | undefined
+  private updatedAt = -Infinity
+
+  constructor(private readonly settings: CapacityDemandSettings) {}
+
+  /// Takes what runs on the back ends now.
+  update(views: readonly BackendView[], now: number): void {
+    const serving = views.filter(view => view.takesWork())
+    if (serving.length === 0) return
+    const sinceMs = now - this.updatedAt
+    this.updatedAt = now
+    this.startedAt ??= now
+    if (!this.isSettled(now)) {
+      this.peak = Math.max(this.peak, serving.length)
+      return
+    }
+    const {averageMs, memoryMs, growthFactor} = this.settings
+    const needed = serving.reduce((sum, view) => sum + this.getNeeded(view), 0)
+    this.average += (needed - this.average) * (1 - Math.exp(-sinceMs / averageMs))
+    const kept = this.peak * Math.exp(-sinceMs / memoryMs)
+    const grown = Math.min(this.average, serving.length * growthFactor)
+    this.peak = Math.max(kept, grown)
+  }
+
+  /// Back ends that are wanted in all; undefined while too little is known, or where their number is fixed.
+  getWanted(scaling: ScalingRules | undefined, now: number): number | undefined {
+    if (!scaling || !this.isSettled(now)) return undefined
+    const most = scaling.max * Object.keys(scaling.zonePrices).length
+    return Math.min(most, Math.ceil(this.peak))
+  }
+
+  private isSettled(now: number): boolean {
+    return this.startedAt !== undefined && now - this.startedAt >= this.settings.settleMs
+  }
+
+  /// Back ends that what runs on this one needs.
+  private getNeeded(view: BackendView): number {
+    const {promptsPerEngine, slotShare} = this.settings
+    const {stage, slots} = view.record
+    return view.inFlight() / (stage === "prefill" ? promptsPerEngine : slots * slotShare)
+  }
+}
--- a/src/daemon/beliefs.ts
+++ b/src/daemon/beliefs.ts
@@ -25,6 +25,7 @@
   | 'order.given'
   | 'order.answered'
   | 'usage.reported'
+  | 'servers.ordered'
   | 'usage.missed'
   | 'duty.failed'
   | 'drain.started'
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -185,7 +185,17 @@
       (effect) => this.onStage(effect),
     );
     if (settings.duties)
-      this.duties = new DutyManager(identity.id, settings.duties, (effect) => this.onDuty(effect), now);
+      this.duties = new DutyManager(
+        identity.id,
+        settings.duties,
+        {
+          members: () => this.membership.active(),
+          services: () => this.routes?.configuration.services ?? [],
+          backendsOf: (service) => this.directory.ofService(service),
+        },
+        (effect) => this.onDuty(effect),
+        now,
+      );
     this.prober = new HealthProber(this.directory, (probe) => {
       const healthPath = this.routes?.service(probe.backend.service)?.healthPath;
       if (healthPath !== undefined) emit({ kind: 'probeBackend', probe, healthPath });
@@ -305,7 +315,7 @@
     this.prober.tick(now);
     if (now - this.startedAt >= WARM_UP_MS) this.kvFollower.tick(now);
     this.stages.tick(now, !this.draining);
-    this.duties?.tick(this.membership.active(), this.draining, now);
+    this.duties?.tick(this.draining, now);
   }
 
   private tellMembersFound(now: number): void {
@@ -428,9 +438,12 @@
 
   private onDuty(effect: DutyEffect): void {
     switch (effect.kind) {
+      case 'callDuty':
+        if (effect.call.kind === 'orderServers') this.believe('servers.ordered', { ...effect.call });
+        this.outbox.push(effect);
+        break;
       case 'leaseTable':
       case 'usageTable':
-      case 'callDuty':
       case 'sendPeer':
         this.outbox.push(effect);
         break;
--- a/src/duties/duty-manager.ts
+++ b/src/duties/duty-manager.ts
@@ -1,12 +1,20 @@
 /// The duties that one daemon of the fleet has before the platform. Few daemons, the first by rendezvous hashing, hear what all others
 /// count; one of these holds the lease and acts. A holder stays until it ends or no longer hears the others, so that duties move
 /// seldom; no two holders ever act at once, and none acts again before the lease of the one between has run out.
+import {CapacityDemand, type CapacityDemandSettings} from "../capacity/capacity-demand.js"
+import {
+  CapacityManager,
+  type CapacityEffect,
+  type CapacityManagerSettings
+} from "../capacity/capacity-manager.js"
+import type {BackendView} from "../forwarding/backend-view.js"
+import type {BackendService} from "../forwarding/route.js"
 import {CellLease, type LeaseEffect, type LeaseSettings} from "../lease/cell-lease.js"
 import type {Member} from "../membership/membership-messages.js"
 import type {TableResult} from "../platform/table-service.js"
 import type {EffectSink} from "../shared/effect-sink.js"
 import {rankByRendezvous} from "../shared/rendezvous-hash.js"
-import type {DutyCall, DutyResult, UsageCounts} from "./duty-messages.js"
+import type {DutyAuthority, DutyCall, DutyResult, UsageCounts} from "./duty-messages.js"
 import {FleetClock} from "./fleet-clock.js"
 import {UsageCollector} from "./usage-collector.js"
 import {UsageCounter} from "./usage-counter.js"
@@ -19,12 +27,23 @@
   /// fences 0 is enough; elsewhere a call of the holder before must have arrived or been given up.
   readonly takeoverWaitMs: number
   readonly usage: UsageReporterSettings
+  readonly capacity: CapacityManagerSettings
+  readonly demand: CapacityDemandSettings
+}
+
+/// What the duties look at.
+export interface DutySurroundings {
+  /// Active members; the same array as long as they are the same.
+  members(): readonly Member[]
+  services(): readonly BackendService[]
+  backendsOf(service: string): readonly BackendView[]
 }
 
 /// What the duties ask for and tell.
 export type DutyEffect =
   | UsageEffect
   | LeaseEffect
+  | CapacityEffect
   | {readonly kind: "sendPeer"; readonly address: string; readonly message: UsageCounts}
 
 /// The lease of the duties among those of services, whose names have no space.
@@ -45,6 +64,8 @@
   private readonly lease: CellLease
   private readonly counter: UsageCounter
   private readonly collector = new UsageCollector()
+  private readonly capacity: CapacityManager
+  private readonly demands = new Map<string, CapacityDemand>()
   private reporter: UsageReporter | undefined
   private ranked: readonly Member[] = []
   private rankedSince = -Infinity
@@ -57,10 +78,12 @@
   constructor(
     private readonly selfId: string,
     private readonly settings: DutySettings,
+    private readonly surroundings: DutySurroundings,
     private readonly emit: EffectSink<DutyEffect>,
     now: number
   ) {
     this.clock = new FleetClock(selfId)
+    this.capacity = new CapacityManager(settings.capacity, emit)
     this.counter = new UsageCounter(settings.usage.windowMs)
     this.lease = new CellLease(DUTY_CELL, selfId, settings.lease, effect => this.onLease(effect), now)
   }
@@ -76,20 +99,24 @@
     this.collector.apply(daemonId, counts)
   }
 
-  /// Advances everything. `members` are the active ones; `leaving` says that this daemon is about to end.
-  tick(members: readonly Member[], leaving: boolean, now: number): void {
+  /// Advances everything. `leaving` says that this daemon is about to end.
+  tick(leaving: boolean, now: number): void {
     this.tickedAt = now
     const fleetMs = this.clock.getTime(now)
     if (fleetMs === undefined) return
-    this.rank(members, now)
+    this.rank(this.surroundings.members(), now)
     this.tell(leaving, fleetMs, now)
     const isCollector = this.collectors.some(({id}) => id === this.selfId)
     this.lease.tick(now, isCollector && !leaving && now - this.rankedSince >= SETTLED_MS)
     if (!isCollector || leaving) this.release(now)
     const held = this.lease.current(now)
     this.reporter ??= this.createReporter(fleetMs)
-    if (!held || !isCollector || now < this.actFrom) return
-    this.reporter.tick({holder: this.selfId, fence: held.epoch}, fleetMs, now)
+    if (!isCollector) return
+    this.followDemand(now)
+    if (!held || now < this.actFrom) return
+    const authority = {holder: this.selfId, fence: held.epoch}
+    this.reporter.tick(authority, fleetMs, now)
+    this.orderCapacity(authority, now)
   }
 
   /// Takes the answer to a `leaseTable` effect.
@@ -105,7 +132,26 @@
   /// Takes the outcome of a `callDuty` effect.
   receiveDutyResult(call: DutyCall, result: DutyResult, now: number): void {
     if (result.kind === "superseded") this.lease.giveUp()
-    this.reporter?.receiveResult(call.window, result, this.clock.getTime(now) ?? 0, now)
+    if (call.kind === "orderServers") this.capacity.receiveResult(call, result, now)
+    else this.reporter?.receiveResult(call.window, result, this.clock.getTime(now) ?? 0, now)
+  }
+
+  /// Every daemon that may come to hold the duties follows the demand, so that it knows the past.
+  private followDemand(now: number): void {
+    for (const {name, scaling} of this.surroundings.services()) {
+      if (!scaling) continue
+      let demand = this.demands.get(name)
+      if (!demand) this.demands.set(name, (demand = new CapacityDemand(this.settings.demand)))
+      demand.update(this.surroundings.backendsOf(name), now)
+    }
+  }
+
+  private orderCapacity(authority: DutyAuthority, now: number): void {
+    for (const service of this.surroundings.services()) {
+      const wanted = this.demands.get(service.name)?.getWanted(service.scaling, now)
+      if (wanted !== undefined)
+        this.capacity.tick(service, this.surroundings.backendsOf(service.name), wanted, authority, now)
+    }
   }
 
   private createReporter(fleetMs: number): UsageReporter {
--- a/src/duties/duty-messages.ts
+++ b/src/duties/duty-messages.ts
@@ -20,12 +20,21 @@
 export type WindowCounts = Readonly<Record<string, number>>
 
 /// A call to the platform that only the holder of the duties may make.
-export type DutyCall = {
-  readonly kind: "reportUsage"
-  /// Its number: window k begins k windows after the start of 1970.
-  readonly window: number
-  readonly counts: WindowCounts
-}
+export type DutyCall =
+  | {
+      readonly kind: "reportUsage"
+      /// Its number: window k begins k windows after the start of 1970.
+      readonly window: number
+      readonly counts: WindowCounts
+    }
+  /// How many back ends of one kind a zone should have.
+  | {
+      readonly kind: "orderServers"
+      readonly service: string
+      readonly zone: string
+      readonly desired: number
+      readonly spot: boolean
+    }
 
 /// In whose name a call is made. The platform turns away a lower fence than it has seen.
 export interface DutyAuthority {
@@ -38,6 +47,8 @@
   | {readonly kind: "accepted"}
   /// Another daemon holds the duties under a higher fence.
   | {readonly kind: "superseded"}
+  /// There are none to be had now.
+  | {readonly kind: "unavailable"}
   /// Nothing was done.
   | {readonly kind: "rejected"; readonly status: number}
   /// It may have been carried out, or may be later.
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -14,7 +14,8 @@
   zone: text,
   slots: count,
   state: z.enum(["ready", "draining"]),
-  stage: z.enum(["prefill", "decode"]).optional()
+  stage: z.enum(["prefill", "decode"]).optional(),
+  isSpot: z.boolean().optional()
 }) as unknown as z.ZodType<BackendRecord>
 
 const configurationRecordSchema = z.object({
--- a/src/forwarding/route-schema.ts
+++ b/src/forwarding/route-schema.ts
@@ -27,11 +27,20 @@
   kvHandleLifetimeMs: milliseconds
 })
 
+const scaling = z.object({
+  min: z.number().int().min(0),
+  max: z.number().int().min(0),
+  bootMs: milliseconds,
+  spotPrice: z.number().min(0).optional(),
+  zonePrices: z.record(name, z.number().min(0))
+})
+
 const service = z.object({
   name,
   healthPath: z.string(),
   maximumConnections: z.number().int().min(1),
-  engine: engine.optional()
+  engine: engine.optional(),
+  scaling: scaling.optional()
 })
 
 const limits = z.object({
--- a/src/forwarding/route.ts
+++ b/src/forwarding/route.ts
@@ -42,6 +42,21 @@
   readonly maximumConnections: number
   /// Present when the back ends are model engines.
   readonly engine: EngineTraits | undefined
+  /// Undefined where the number of back ends is fixed.
+  readonly scaling?: ScalingRules | undefined
+}
+
+/// What the operator allows of ordering back ends, and what they cost.
+export interface ScalingRules {
+  /// Back ends that a zone has at least, and at most, of both kinds together.
+  readonly min: number
+  readonly max: number
+  /// From the order until a back end serves. Milliseconds.
+  readonly bootMs: number
+  /// Price of a spot back end as a part of that of others; undefined where there are none.
+  readonly spotPrice: number | undefined
+  /// Price of a back end for each zone in which the service runs.
+  readonly zonePrices: Readonly<Record<string, number>>
 }
 
 /// What all model engines of a service have in common.
@@ -100,4 +115,6 @@
   readonly state: "ready" | "draining"
   /// Undefined for back ends that are not model engines.
   readonly stage: EngineStage | undefined
+  /// It may be taken away at any time, together with all others of its zone, and costs less.
+  readonly isSpot?: boolean | undefined
 }
--- /dev/null
+++ b/test/capacity.test.ts
@@ -0,0 +1,246 @@
+/** Back ends are ordered by demand and price, made good before others go, and ordered again when an order was lost. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { labBackend } from '../lab/forwarding-site.js';
+import { CapacityDemand, DEFAULT_CAPACITY_DEMAND_SETTINGS } from '../src/capacity/capacity-demand.js';
+import {
+  CapacityManager,
+  DEFAULT_CAPACITY_MANAGER_SETTINGS,
+  type ServerOrder,
+} from '../src/capacity/capacity-manager.js';
+import { DEFAULT_CAPACITY_PLANNER_SETTINGS, planCapacity } from '../src/capacity/capacity-planner.js';
+import type { DutyResult } from '../src/duties/duty-messages.js';
+import { BackendDirectory } from '../src/forwarding/backend-directory.js';
+import { DEFAULT_BACKEND_HEALTH_SETTINGS } from '../src/forwarding/backend-view.js';
+import type { ScalingRules } from '../src/forwarding/route.js';
+import { VirtualTime } from '../simulation/virtual-time.js';
+
+const SEED = 20261209;
+const TICK_MS = 120;
+const BOOT_MS = 4000;
+const DRAIN_MS = 3000;
+const RULES: ScalingRules = {
+  min: 1,
+  max: 12,
+  bootMs: BOOT_MS,
+  spotPrice: 0.22,
+  zonePrices: { 'zone-a': 1, 'zone-b': 0.8, 'zone-c': 1.25 },
+};
+const ZONES = Object.keys(RULES.zonePrices);
+const SERVICE = {
+  name: 'service',
+  healthPath: '/',
+  maximumConnections: 100,
+  engine: undefined,
+  scaling: RULES,
+};
+
+/** A platform that starts and drains back ends as it is told, and the manager before it. */
+class OrderedSite {
+  readonly time = new VirtualTime();
+  readonly directory = new BackendDirectory(DEFAULT_BACKEND_HEALTH_SETTINGS);
+  readonly calls: ServerOrder[] = [];
+  readonly manager: CapacityManager;
+  /** What becomes of each order; the next one first. */
+  readonly fates: ('taken' | 'lost' | 'unavailable' | 'late')[] = [];
+  wanted = 0;
+  private readonly desired = new Map<string, number>();
+  private count = 0;
+
+  constructor(ordinaryEach: number) {
+    this.manager = new CapacityManager(
+      { ...DEFAULT_CAPACITY_MANAGER_SETTINGS, planner: DEFAULT_CAPACITY_PLANNER_SETTINGS },
+      ({ call }) => this.take(call),
+    );
+    for (const zone of ZONES) this.setDesired(zone, false, ordinaryEach, 0);
+    this.time.runUntil(1);
+    this.tick();
+  }
+
+  /** Back ends that serve, by zone: ordinary ones and spot ones. */
+  serving(): number[][] {
+    return ZONES.map((zone) => [this.ids(zone, false).length, this.ids(zone, true).length]);
+  }
+
+  remove(zone: string, spot: boolean): void {
+    for (const id of this.ids(zone, spot)) this.directory.remove(id);
+  }
+
+  private tick(): void {
+    const views = this.directory.ofService('service');
+    if (this.wanted > 0)
+      this.manager.tick(SERVICE, views, this.wanted, { holder: 'd', fence: 1 }, this.time.now());
+    this.time.after(TICK_MS, () => this.tick());
+  }
+
+  private take(call: ServerOrder): void {
+    this.calls.push(call);
+    const fate = this.fates.shift() ?? 'taken';
+    const give = (result: DutyResult, delayMs: number): void =>
+      this.time.after(delayMs, () => this.manager.receiveResult(call, result, this.time.now()));
+    const carryOut = (): void => this.setDesired(call.zone, call.spot, call.desired, BOOT_MS);
+    if (fate === 'taken') carryOut();
+    if (fate === 'late') this.time.after(5000, carryOut);
+    if (fate === 'taken') give({ kind: 'accepted' }, 4);
+    else if (fate === 'unavailable') give({ kind: 'unavailable' }, 4);
+    else give({ kind: 'noAnswer', reason: 'TimeoutError' }, 1000);
+  }
+
+  private setDesired(zone: string, spot: boolean, desired: number, bootMs: number): void {
+    this.desired.set(`${zone} ${spot}`, desired);
+    const present = this.ids(zone, spot);
+    for (const id of present.slice(desired)) this.drain(id);
+    for (let i = present.length; i < desired; i += 1) this.time.after(bootMs, () => this.start(zone, spot));
+  }
+
+  private start(zone: string, spot: boolean): void {
+    if (this.ids(zone, spot).length >= (this.desired.get(`${zone} ${spot}`) ?? 0)) return;
+    this.count += 1;
+    const record = labBackend(`b${this.count}`, `10.0.0.${this.count}:80`);
+    this.directory.put({ ...record, zone, isSpot: spot });
+  }
+
+  private drain(id: string): void {
+    const view = this.directory.get(id);
+    if (view) this.directory.put({ ...view.record, state: 'draining' });
+    this.time.after(DRAIN_MS, () => this.directory.remove(id));
+  }
+
+  private ids(zone: string, spot: boolean): string[] {
+    return this.directory
+      .ofService('service')
+      .filter(({ record }) => record.zone === zone && record.isSpot === spot && record.state === 'ready')
+      .map(({ record }) => record.id);
+  }
+}
+
+describe('the plan of capacity', () => {
+  it('keeps the limits of each zone and never depends on the spot servers of one zone alone', () => {
+    fc.assert(
+      fc.property(
+        fc.nat({ max: 60 }),
+        fc.option(fc.constant(0.3), { nil: undefined }),
+        (total, spotPrice) => {
+          const plan = planCapacity(DEFAULT_CAPACITY_PLANNER_SETTINGS, { ...RULES, spotPrice }, total);
+          const sum = plan.reduce((all, { ordinary, spot }) => all + ordinary + spot, 0);
+          expect(sum).to.equal(Math.min(36, Math.max(3, total)));
+          for (const { ordinary, spot } of plan) {
+            expect(ordinary + spot).to.be.within(RULES.min, RULES.max);
+            expect(ordinary).to.be.at.least(RULES.min);
+            expect(sum - spot).to.be.at.least(sum * 0.6);
+            if (spotPrice === undefined) expect(spot).to.equal(0);
+          }
+        },
+      ),
+      { seed: SEED },
+    );
+  });
+});
+
+describe('orders of capacity', () => {
+  it('ordinary back ends go as spot ones come, and nothing is ordered when all is as planned', () => {
+    const site = new OrderedSite(4);
+    site.wanted = 12;
+    let fewest = Infinity;
+    for (let at = 100; at <= 12_000; at += 100) {
+      site.time.runUntil(at);
+      fewest = Math.min(
+        fewest,
+        site
+          .serving()
+          .flat()
+          .reduce((sum, count) => sum + count, 0),
+      );
+    }
+    expect(site.serving()).to.deep.equal([
+      [1, 3],
+      [1, 3],
+      [1, 3],
+    ]);
+    expect(fewest).to.equal(12);
+    const { length } = site.calls;
+    expect(length).to.be.at.most(9);
+    site.time.runUntil(60_000);
+    expect(site.calls.length).to.equal(length);
+  });
+
+  it('a zone that may have no more lets ordinary ones go first', () => {
+    const site = new OrderedSite(6);
+    site.wanted = 36;
+    site.time.runUntil(30_000);
+    expect(site.serving()).to.deep.equal([
+      [1, 11],
+      [2, 10],
+      [1, 11],
+    ]);
+  });
+
+  it('what is lost, carried out late, not to be had, or taken away is ordered again, with pauses', () => {
+    const fate = fc.constantFrom<'taken' | 'lost' | 'unavailable' | 'late'>(
+      'taken',
+      'lost',
+      'unavailable',
+      'late',
+    );
+    fc.assert(
+      fc.property(fc.array(fate, { maxLength: 12 }), fc.integer({ min: 3, max: 24 }), (fates, wanted) => {
+        const site = new OrderedSite(4);
+        site.fates.push(...fates);
+        site.wanted = 12;
+        site.time.runUntil(6000);
+        site.wanted = wanted;
+        site.time.runUntil(10_000);
+        site.remove('zone-b', true);
+        site.time.runUntil(90_000);
+        const total = site
+          .serving()
+          .flat()
+          .reduce((sum, count) => sum + count, 0);
+        expect(total).to.equal(wanted);
+        // Two kinds in three zones, each at most every second or so while orders fail.
+        expect(site.calls.length).to.be.below(60);
+      }),
+      { seed: SEED, numRuns: 100 },
+    );
+  });
+});
+
+describe('the demand for capacity', () => {
+  function makeDemand(engines: number): { demand: CapacityDemand; directory: BackendDirectory } {
+    const directory = new BackendDirectory(DEFAULT_BACKEND_HEALTH_SETTINGS);
+    for (let i = 0; i < engines; i += 1)
+      directory.put({ ...labBackend(`e${i}`, `10.0.0.${i}:80`), stage: i % 3 === 0 ? 'decode' : 'prefill' });
+    return { demand: new CapacityDemand(DEFAULT_CAPACITY_DEMAND_SETTINGS), directory };
+  }
+
+  function follow(site: ReturnType<typeof makeDemand>, from: number, until: number): number | undefined {
+    for (let now = from; now <= until; now += TICK_MS)
+      site.demand.update(site.directory.ofService('service'), now);
+    return site.demand.getWanted(RULES, until);
+  }
+
+  function load(site: ReturnType<typeof makeDemand>, prompts: number): void {
+    const prefills = site.directory.ofService('service').filter(({ record }) => record.stage === 'prefill');
+    for (let i = 0; i < prompts; i += 1) prefills[i % prefills.length].begin(`a${i}`, 1000, 0);
+  }
+
+  it('is what was there at first, then what runs, at most half as much again as serves', () => {
+    const site = makeDemand(12);
+    expect(follow(site, 0, 4000)).to.equal(undefined);
+    expect(follow(site, 4000, 10_000)).to.equal(12);
+    load(site, 8);
+    expect(follow(site, 10_000, 20_000)).to.equal(16);
+    load(site, 100);
+    expect(follow(site, 20_000, 30_000)).to.equal(18);
+    expect(site.demand.getWanted(undefined, 30_000)).to.equal(undefined);
+  });
+
+  it('is remembered when what ran is over', () => {
+    const site = makeDemand(12);
+    load(site, 8);
+    follow(site, 0, 20_000);
+    for (const view of site.directory.all()) for (let i = 0; i < 8; i += 1) view.end(`a${i}`);
+    expect(follow(site, 20_000, 40_000)).to.equal(14);
+    expect(follow(site, 40_000, 400_000)).to.equal(1);
+  });
+});
--- a/test/duties.test.ts
+++ b/test/duties.test.ts
@@ -11,6 +11,9 @@
   type StoreAccess,
 } from '../simulation/forwarding-fleet.js';
 import { DUTY_CELL, type DutySettings } from '../src/duties/duty-manager.js';
+import { DEFAULT_CAPACITY_DEMAND_SETTINGS } from '../src/capacity/capacity-demand.js';
+import { DEFAULT_CAPACITY_MANAGER_SETTINGS } from '../src/capacity/capacity-manager.js';
+import { DEFAULT_CAPACITY_PLANNER_SETTINGS } from '../src/capacity/capacity-planner.js';
 import { FleetClock } from '../src/duties/fleet-clock.js';
 import { UsageCollector } from '../src/duties/usage-collector.js';
 import { UsageCounter } from '../src/duties/usage-counter.js';
@@ -33,6 +36,8 @@
     lease: { durationMs: 3600, renewIntervalMs: 1200, marginMs: 600 },
     takeoverWaitMs: fenced ? 0 : 1000,
     usage: { ...DEFAULT_USAGE_REPORTER_SETTINGS, windowMs: WINDOW_MS, dueMs: DUE_MS },
+    capacity: { ...DEFAULT_CAPACITY_MANAGER_SETTINGS, planner: DEFAULT_CAPACITY_PLANNER_SETTINGS },
+    demand: DEFAULT_CAPACITY_DEMAND_SETTINGS,
   };
 }
 
