--- a/deploy/make-code-cache.ts
+++ b/deploy/make-code-cache.ts
@@ -11,6 +11,7 @@
 import {formatSettings} from "../lab/soak/settings-file.js"
 import {formatConfiguration, SOAK_ROUTES, SOAK_SERVICES} from "../lab/soak/soak-routes.js"
 import {SoakRecord} from "../lab/soak/soak-record.js"
+import {DutyStandIn} from "../lab/soak/duty-stand-in.js"
 import {StoreStandIn} from "../lab/soak/store-stand-in.js"
 import {SeededRandom} from "../src/shared/random.js"
 
@@ -30,10 +31,19 @@
   const [front, ready, control, metrics] = await findFreePorts(4)
   const address = (port: number) => `127.0.0.1:${port}`
   const ports = {front: address(front), ready: address(ready), control: address(control), metrics}
+  const duties = new DutyStandIn(BOUNDS.leaseMs)
   const settings = join(mkdtempSync(join(tmpdir(), "code-cache-")), "settings.toml")
   writeFileSync(
     settings,
-    formatSettings("daemon-1", "zone-a", ports, [], BOUNDS, await store.open("daemon-1"))
+    formatSettings(
+      "daemon-1",
+      "zone-a",
+      ports,
+      [],
+      BOUNDS,
+      await store.open("daemon-1"),
+      await duties.open("daemon-1")
+    )
   )
   process.env.PULLEYLEDGE_NODE_FILE = settings
   const started = (await import(resolve(folder, "start.cjs"))) as {
--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -176,8 +176,11 @@
       backend: this.identity.id,
       service: this.identity.service,
       at: performance.now(),
-      promptOnly
+      promptOnly,
+      tenant: header(request, "x-tenant")
     }
+    if (header(request, "x-api-key") !== undefined)
+      this.record.seen.push({promise: "no key goes past the daemon", text: `${id} at ${this.identity.id}`})
     if (promptOnly) return this.readPrompt(run, response)
     const source = header(request, "x-kv-source")
     if (source && !this.takeHandle(source, id))
--- a/lab/soak/caller-load.ts
+++ b/lab/soak/caller-load.ts
@@ -2,6 +2,7 @@
 import {request as sendRequest, Agent, type ClientRequest, type IncomingMessage} from "node:http"
 import {setTimeout as wait} from "node:timers/promises"
 import type {CallerRecord, RouteForm, SoakRecord} from "./soak-record.js"
+import {SOAK_TENANTS, UNKNOWN_KEY} from "./soak-routes.js"
 
 /// A route as callers use it.
 export interface CallerRoute {
@@ -10,6 +11,8 @@
   readonly path: string
   readonly form: RouteForm
   readonly timeoutMs: number
+  /// Callers need no key.
+  readonly isPublic?: boolean
   /// Tokens of the shared and the own part of each prompt; undefined for plain services.
   readonly prompt?: {readonly shared: number; readonly own: number; readonly subjects: number}
 }
@@ -23,6 +26,10 @@
 /// Callers give up so long after the time-out. Milliseconds.
 const GIVE_UP_AFTER_MS = 4000
 const GIVE_UP_SHARE = 0.03
+/// Part of the requests with a key that nobody knows, and part without any.
+const UNKNOWN_KEY_SHARE = 0.03
+const KEYLESS_SHARE = 0.03
+const KEYS = SOAK_TENANTS.flatMap(({keys}) => keys)
 
 /// The callers.
 export class CallerLoad {
@@ -60,13 +67,16 @@
     this.count += 1
     const id = `q${this.count}`
     const [host, port] = target.address.split(":")
+    const key = this.pickKey()
     const call: CallerRecord = {
       id,
       daemon: target.daemon,
       route: route.name,
       form: route.form,
       sentAt: performance.now(),
-      timeoutMs: route.timeoutMs
+      timeoutMs: route.timeoutMs,
+      key,
+      needsKey: route.isPublic !== true
     }
     this.record.requests.set(id, call)
     return new Promise(resolve => {
@@ -81,7 +91,7 @@
         path: route.path,
         agent: this.agent,
         method: "POST",
-        headers: this.getHeaders(id, route)
+        headers: this.getHeaders(id, key, route)
       })
       const timer = setTimeout(() => request.destroy(), this.getPatience(call, route))
       request.on("response", response => this.receive(call, response, end))
@@ -92,12 +102,22 @@
     })
   }
 
-  private getHeaders(id: string, route: CallerRoute): Record<string, string> {
+  private pickKey(): string | undefined {
+    const drawn = this.random()
+    if (drawn < KEYLESS_SHARE) return undefined
+    if (drawn < KEYLESS_SHARE + UNKNOWN_KEY_SHARE) return UNKNOWN_KEY
+    return KEYS[Math.floor(this.random() * KEYS.length)]
+  }
+
+  private getHeaders(id: string, key: string | undefined, route: CallerRoute): Record<string, string> {
     const headers: Record<string, string> = {
       Host: route.host,
       "X-Attempt-Id": id,
       "X-Deadline-Ms": String(route.timeoutMs)
     }
+    if (key !== undefined) headers["X-Api-Key"] = key
+    // Some claim to be somebody else.
+    if (this.random() < KEYLESS_SHARE) headers["X-Tenant"] = SOAK_TENANTS[0].name
     if (route.prompt) {
       const {shared, own, subjects} = route.prompt
       const subject = Math.floor(this.random() * subjects)
--- a/lab/soak/daemon-process.ts
+++ b/lab/soak/daemon-process.ts
@@ -36,7 +36,7 @@
     readonly zone: string,
     readonly ports: DaemonPorts,
     private readonly site: DaemonSite,
-    private readonly storeAddress: string,
+    private readonly platform: {readonly store: string; readonly duties: string},
     private readonly onOwnEnd: OwnEndListener
   ) {}
 
@@ -118,7 +118,8 @@
 
   private writeSettings(): void {
     const {seeds, bounds} = this.site
-    const text = formatSettings(this.name, this.zone, this.ports, seeds, bounds, this.storeAddress)
+    const {store, duties} = this.platform
+    const text = formatSettings(this.name, this.zone, this.ports, seeds, bounds, store, duties)
     writeFileSync(this.getSettingsPath(), text)
   }
 }
--- a/lab/soak/fault-plan.ts
+++ b/lab/soak/fault-plan.ts
@@ -1,6 +1,8 @@
 /// Draws the faults of a soak: the same seed gives the same plan.
 import type {BackendBehavior} from "./backend-stand-in.js"
 import * as faults from "./faults.js"
+import type {DutyTreatment} from "./duty-stand-in.js"
+import {SOAK_TENANTS} from "./soak-routes.js"
 import type {StoreTreatment} from "./store-stand-in.js"
 
 /// A fault and when it begins, milliseconds from the start of the load.
@@ -38,6 +40,8 @@
   "losesAnswers",
   "appliesLate"
 ]
+const DUTY_TREATMENTS: readonly DutyTreatment[] = ["refuses", "silent", "losesAnswers", "appliesLate"]
+const KEYS = SOAK_TENANTS.flatMap(({keys}) => keys)
 const LINK_STATES = ["delayed", "cutForth", "cutBack", "silent", "reset"] as const
 
 /// Draws a plan over so many milliseconds.
@@ -74,7 +78,10 @@
     () => new faults.CrashFault(lastsMs, place),
     () => new faults.ReplaceFault(lastsMs + 1000, place),
     () => new faults.ConfigurationFault(),
-    () => new faults.ConfigurationFault()
+    () => new faults.ConfigurationFault(),
+    () => new faults.KeyFault(lastsMs, pick(KEYS)),
+    () => new faults.KeyFault(lastsMs, pick(KEYS)),
+    () => new faults.DutyFault(lastsMs, pick(DUTY_TREATMENTS))
   ]
   return pick(makers)()
 }
--- a/lab/soak/faults.ts
+++ b/lab/soak/faults.ts
@@ -2,6 +2,8 @@
 import type {BackendBehavior} from "./backend-stand-in.js"
 import type {LinkState} from "./fault-proxy.js"
 import {PLANNED_STOP} from "./soak-record.js"
+import type {DutyTreatment} from "./duty-stand-in.js"
+import {findTenant} from "./soak-routes.js"
 import type {SoakSite} from "./soak-site.js"
 import type {StoreTreatment} from "./store-stand-in.js"
 
@@ -258,6 +260,50 @@
   }
 }
 
+/// The operator takes a key away, and gives it back when the fault is over.
+export class KeyFault extends Fault {
+  constructor(
+    lastsMs: number,
+    private readonly key: string
+  ) {
+    super(lastsMs)
+  }
+  getName(): string {
+    return `revoke of ${findTenant(this.key)}'s key ${this.key.slice(-1)}`
+  }
+  getDisturbed(): readonly string[] {
+    return []
+  }
+  start(site: SoakSite): void {
+    site.setKey(this.key, false)
+  }
+  stop(site: SoakSite): void {
+    site.setKey(this.key, true)
+  }
+}
+
+/// The platform treats calls of the duties in some way.
+export class DutyFault extends Fault {
+  constructor(
+    lastsMs: number,
+    private readonly treatment: DutyTreatment
+  ) {
+    super(lastsMs)
+  }
+  getName(): string {
+    return `duties: platform ${this.treatment}`
+  }
+  getDisturbed(): readonly string[] {
+    return []
+  }
+  start(site: SoakSite): void {
+    site.duties.treatment = this.treatment
+  }
+  stop(site: SoakSite): void {
+    site.duties.treatment = "serves"
+  }
+}
+
 /// The operator moves a route to the other service.
 export class ConfigurationFault extends Fault {
   constructor() {
--- a/lab/soak/settings-file.ts
+++ b/lab/soak/settings-file.ts
@@ -10,6 +10,8 @@
 }
 
 const GRACE_S = 8
+const WINDOW_S = 2
+const USAGE_LATE_S = 4
 
 /// Formats the file.
 export function formatSettings(
@@ -18,7 +20,8 @@
   ports: DaemonPorts,
   seeds: readonly string[],
   bounds: SoakBounds,
-  storeAddress: string
+  storeAddress: string,
+  dutyAddress: string
 ): string {
   const {contactMs, configMs, drainMs, leaseMs} = bounds
   return (
@@ -27,6 +30,7 @@
     `[listen]\nfront = "${ports.front}"\nready = "${ports.ready}"\ncontrol = "${ports.control}"\n` +
     `[bounds]\ncontact_ms = ${contactMs}\nconfig_ms = ${configMs}\ndrain_ms = ${drainMs}\ngrace_s = ${GRACE_S}\n` +
     `lease_ms = ${leaseMs}\nretry_budget_ratio = 0.2\nbudget_slack = 50\nbudget_window_s = 10\n` +
-    `[platform]\naddr = "${storeAddress}"\n`
+    `window_s = ${WINDOW_S}\nusage_late_s = ${USAGE_LATE_S}\n[platform]\naddr = "${storeAddress}"\n` +
+    `[cloud]\naddr = "${dutyAddress}"\nduties = ["metering", "autoscale"]\n`
   )
 }
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -1,5 +1,7 @@
 /// What callers and back ends saw in a soak, and which promises that breaks. It knows nothing of the daemons' inside.
 
+import {findTenant} from "./soak-routes.js"
+
 /// Forms of requests, as routes name them.
 export type RouteForm = "idempotent" | "non_idempotent" | "streaming"
 
@@ -11,6 +13,10 @@
   readonly form: RouteForm
   readonly sentAt: number
   readonly timeoutMs: number
+  /// The key that the caller showed.
+  readonly key?: string | undefined
+  /// Whether the route asks for one.
+  readonly needsKey?: boolean
   endedAt?: number
   /// Undefined when the connection ended without a whole answer.
   status?: number
@@ -28,6 +34,8 @@
   readonly at: number
   /// Read only, for another back end to generate.
   readonly promptOnly: boolean
+  /// The tenant that the back end was told.
+  readonly tenant?: string | undefined
   /// The status that the back end gave; undefined while it runs or when it broke off.
   status?: number
 }
@@ -73,6 +81,7 @@
 
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 const FIRST_FAILURE = 300
+const STATUS_UNAUTHORIZED = 401
 
 /// The record of one soak.
 export class SoakRecord {
@@ -82,6 +91,8 @@
   readonly disturbances: Disturbance[] = []
   /// Which service a route leads to, from when on.
   readonly routes: {readonly route: string; readonly service: string; readonly at: number}[] = []
+  /// Which keys were taken away or given back, and when.
+  readonly keys: {readonly key: string; readonly valid: boolean; readonly at: number}[] = []
   /// When a back end was said to drain.
   readonly drains = new Map<string, number>()
   /// Violations that the stand-ins saw themselves.
@@ -120,6 +131,16 @@
     if (form === "non_idempotent" && runs.length > 1) say("runs at most once", `ran ${runs.length} times`)
     if (form === "non_idempotent" && status !== undefined && NOT_RUN.has(status) && runs.length > 0)
       say("a refusal as not run is true", `got ${status} and ran at ${runs[0].backend}`)
+    if (
+      status === STATUS_UNAUTHORIZED &&
+      this.wasKeyValid(
+        request,
+        sentAt - this.bounds.configMs - this.bounds.marginMs,
+        endedAt ?? Infinity,
+        "always"
+      )
+    )
+      say("a valid key is not denied", "got 401")
     if (status !== undefined && status < FIRST_FAILURE) this.checkSuccess(request, runs, say)
     const dueAt = sentAt + timeoutMs + this.bounds.marginMs
     if ((endedAt ?? Infinity) > dueAt && this.isUndisturbed(request.daemon, sentAt, dueAt))
@@ -127,6 +148,16 @@
     return found
   }
 
+  /// Whether the caller's key was valid, always or at some time, in a span.
+  wasKeyValid({key}: CallerRecord, from: number, until: number, when: "always" | "ever"): boolean {
+    if (findTenant(key) === undefined) return false
+    const steps = this.keys.filter(step => step.key === key && step.at <= until)
+    const before = steps.filter(step => step.at <= from).at(-1)?.valid ?? true
+    const within = steps.filter(step => step.at > from).map(step => step.valid)
+    const states = [before, ...within]
+    return when === "always" ? states.every(Boolean) : states.some(Boolean)
+  }
+
   /// Whether a request lost its connection to a daemon that was stopping, while nothing else was wrong.
   private isCutByStop({daemon, sentAt, endedAt}: CallerRecord): boolean {
     if (endedAt === undefined || endedAt === sentAt) return false
@@ -170,12 +201,20 @@
       return [{promise: "only what callers sent is run", text: `${run.requestId} at ${run.backend}`}]
     const found: Violation[] = []
     const calm = this.isUndisturbed(request.daemon, request.sentAt, run.at)
+    const tenant = request.needsKey ? findTenant(request.key) : undefined
+    if (request.needsKey !== undefined && run.tenant !== tenant)
+      found.push({
+        promise: "a request runs in its caller's name",
+        text: `${request.id} ran for ${run.tenant}, not ${tenant}`
+      })
     const oldest = calm ? request.sentAt - this.bounds.configMs - this.bounds.marginMs : -Infinity
     if (!this.getServices(request.route, oldest, run.at).has(run.service))
       found.push({
         promise: "a configuration is in force in time",
         text: `${request.id} ran at ${run.service}`
       })
+    if (request.needsKey && !this.wasKeyValid(request, oldest, run.at, "ever"))
+      found.push({promise: "no request runs without a valid key", text: `${request.id} at ${run.backend}`})
     const drainedAt = this.drains.get(run.backend) ?? Infinity
     if (calm && run.at > drainedAt + this.bounds.drainMs + this.bounds.marginMs)
       found.push({
--- a/lab/soak/soak-routes.ts
+++ b/lab/soak/soak-routes.ts
@@ -10,10 +10,25 @@
 /// Names of the services.
 export const SOAK_SERVICES = {plain: "application", otherPlain: "application-2", engines: "engines"} as const
 
+/// The tenants and their keys, before any is taken away.
+export const SOAK_TENANTS: readonly {readonly name: string; readonly keys: readonly string[]}[] = [
+  {name: "anna", keys: ["k3f9x2m7q1w8e5r6t4a1", "k3f9x2m7q1w8e5r6t4a2"]},
+  {name: "bert", keys: ["p8d2c5v9b3n7m1k4j6b1", "p8d2c5v9b3n7m1k4j6b2"]},
+  {name: "cleo", keys: ["z4y7u1i9o2p5l8h3g6c1"]}
+]
+
+/// A key that no configuration ever holds.
+export const UNKNOWN_KEY = "q9w8e7r6t5y4u3i2o1xx"
+
+/// The tenant of a key.
+export function findTenant(key: string | undefined): string | undefined {
+  return SOAK_TENANTS.find(({keys}) => key !== undefined && keys.includes(key))?.name
+}
+
 /// The routes that callers use.
 export const SOAK_ROUTES: readonly CallerRoute[] = [
   {name: "document", host: HOST, path: "/document/x", form: "non_idempotent", timeoutMs: 1500},
-  {name: "receipt", host: HOST, path: "/receipt/x", form: "idempotent", timeoutMs: 1500},
+  {name: "receipt", host: HOST, path: "/receipt/x", form: "idempotent", timeoutMs: 1500, isPublic: true},
   {name: MOVING, host: HOST, path: "/moving/x", form: "idempotent", timeoutMs: 1500},
   {
     name: RESUMABLE,
@@ -39,8 +54,12 @@
   return route === MOVING ? movingService : SOAK_SERVICES.plain
 }
 
-/// The operator's configuration.
-export function formatConfiguration(version: number, movingService: string): object {
+/// The operator's configuration, without the keys in `taken`.
+export function formatConfiguration(
+  version: number,
+  movingService: string,
+  taken: ReadonlySet<string> = new Set()
+): object {
   const engine = {slots: 16, kv_capacity: 400_000, kv_ttl_s: 5}
   const makeService = (name: string) => ({name, health_path: "/healthz", max_conns: 200})
   return {
@@ -51,6 +70,7 @@
       makeService(SOAK_SERVICES.otherPlain),
       {...makeService(SOAK_SERVICES.engines), engine}
     ],
+    tenants: SOAK_TENANTS.map(({name, keys}) => ({name, api_keys: keys.filter(key => !taken.has(key))})),
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: 65_536,
@@ -72,6 +92,7 @@
     priority: route.name === MINOR ? 1 : 0,
     service: getService(route.name, route.prompt !== undefined, movingService),
     max_attempts: 2,
-    resumable: route.name === RESUMABLE
+    resumable: route.name === RESUMABLE,
+    public: route.isPublic ?? false
   }
 }
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -3,6 +3,7 @@
 import {readFileSync} from "node:fs"
 import {join} from "node:path"
 import {parse} from "smol-toml"
+import {DutyStandIn} from "./duty-stand-in.js"
 import {BackendStandIn, HandleRegistry, type BackendBehavior} from "./backend-stand-in.js"
 import type {CallerTarget} from "./caller-load.js"
 import {DaemonProcess, findFreePorts, type DaemonSite} from "./daemon-process.js"
@@ -38,12 +39,14 @@
 /// The site.
 export class SoakSite {
   readonly store = new StoreStandIn()
+  readonly duties: DutyStandIn
   readonly daemons: DaemonProcess[] = []
   readonly targets: CallerTarget[] = []
   private readonly proxies = new Map<string, FaultProxy>()
   private readonly places: Place[] = []
   private readonly registry = new HandleRegistry()
   private version = 0
+  private readonly takenKeys = new Set<string>()
   private plainService: string = SOAK_SERVICES.plain
 
   constructor(
@@ -52,7 +55,9 @@
     private readonly folder: string,
     private readonly program: string,
     private readonly random: () => number
-  ) {}
+  ) {
+    this.duties = new DutyStandIn(bounds.leaseMs)
+  }
 
   /// Starts everything with so many daemons.
   async start(daemonCount: number): Promise<void> {
@@ -74,6 +79,7 @@
     }
     for (const proxy of this.proxies.values()) proxy.close()
     this.store.close()
+    this.duties.close()
   }
 
   getDaemon(name: string): DaemonProcess {
@@ -126,7 +132,21 @@
         service: getService(name, prompt !== undefined, this.plainService),
         at
       })
-    this.store.write("op", "config", formatConfiguration(this.version, this.plainService))
+    this.writeConfiguration()
+  }
+
+  /// Takes a key away from its tenant, or gives it back.
+  setKey(key: string, valid: boolean): void {
+    if (valid) this.takenKeys.delete(key)
+    else this.takenKeys.add(key)
+    this.version += 1
+    this.record.keys.push({key, valid, at: performance.now()})
+    this.writeConfiguration()
+  }
+
+  private writeConfiguration(): void {
+    const value = formatConfiguration(this.version, this.plainService, this.takenKeys)
+    this.store.write("op", "config", value)
   }
 
   private async openPlace(): Promise<void> {
@@ -159,8 +179,17 @@
       const caller = await this.openProxy(`caller ${name}`, address.front)
       const zone = ZONES[i % ZONES.length]
       this.daemons.push(
-        new DaemonProcess(name, zone, address, site, store, (daemon, code, signal) =>
-          this.record.seen.push({promise: "no process ends by itself", text: `${daemon}: ${code ?? signal}`})
+        new DaemonProcess(
+          name,
+          zone,
+          address,
+          site,
+          {store, duties: await this.duties.open(name)},
+          (daemon, code, signal) =>
+            this.record.seen.push({
+              promise: "no process ends by itself",
+              text: `${daemon}: ${code ?? signal}`
+            })
         )
       )
       this.targets.push({daemon: name, address: caller})
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -58,6 +58,10 @@
   load.stop()
   await loading
   await site.close()
+  for (const text of site.duties.model.violations)
+    record.seen.push({promise: "one holder of the duties", text})
+  if (site.duties.lastReportAt < calmFrom)
+    record.seen.push({promise: "usage is reported again after faults", text: "no report in the last seconds"})
   return judge(seed, record, calmFrom)
 }
 
@@ -92,7 +96,12 @@
   const violations = record.check()
   const requests = [...record.requests.values()]
   const isServed = ({status, whole}: {status?: number; whole?: boolean}) => status === 200 && whole === true
-  const calm = requests.filter(request => request.sentAt >= calmFrom && request.endedAt !== request.sentAt)
+  const calm = requests.filter(
+    request =>
+      request.sentAt >= calmFrom &&
+      request.endedAt !== request.sentAt &&
+      (!request.needsKey || record.wasKeyValid(request, calmFrom, Infinity, "always"))
+  )
   const servedWhenCalm = calm.filter(isServed).length / Math.max(1, calm.length)
   if (servedWhenCalm < SERVED_WHEN_CALM)
     violations.push({
--- a/test/fault-soak.test.ts
+++ b/test/fault-soak.test.ts
@@ -11,9 +11,11 @@
   type CallerRecord,
   type RunRecord,
 } from '../lab/soak/soak-record.js';
+import { SOAK_TENANTS } from '../lab/soak/soak-routes.js';
 import { SeededRandom } from '../src/shared/random.js';
 import { Snapshot } from './snapshot.js';
 
+const KEY = SOAK_TENANTS[0].keys[0];
 const BOUNDS = { configMs: 2000, drainMs: 2000, contactMs: 3000, leaseMs: 3000, marginMs: 500 };
 
 /** A record in which one request was served as it should be. */
@@ -163,6 +165,45 @@
         { backend: 'b1', holder: 'd1', fence: 5, at: 900 },
       ),
   ],
+  [
+    'run in the name of the tenant of its key',
+    (record) => (addRequest(record, { key: KEY, needsKey: true }), addRun(record, { tenant: 'anna' })),
+  ],
+  [
+    'run in the name of somebody else',
+    (record) => (addRequest(record, { key: KEY, needsKey: true }), addRun(record, { tenant: 'bert' })),
+  ],
+  [
+    'run with a key that nobody knows',
+    (record) => (addRequest(record, { key: 'unknown', needsKey: true }), addRun(record)),
+  ],
+  [
+    'run long after its key was taken away',
+    (record) => {
+      record.keys.push({ key: KEY, valid: false, at: 5000 });
+      addRequest(record, { key: KEY, needsKey: true });
+      addRun(record, { tenant: 'anna' });
+    },
+  ],
+  [
+    'run just after its key was taken away',
+    (record) => {
+      record.keys.push({ key: KEY, valid: false, at: 9000 });
+      addRequest(record, { key: KEY, needsKey: true });
+      addRun(record, { tenant: 'anna' });
+    },
+  ],
+  [
+    'denied although its key was valid all the time',
+    (record) => addRequest(record, { key: KEY, needsKey: true, status: 401, signature: undefined }),
+  ],
+  [
+    'denied while its key was being given back',
+    (record) => {
+      record.keys.push({ key: KEY, valid: false, at: 5000 }, { key: KEY, valid: true, at: 9000 });
+      addRequest(record, { key: KEY, needsKey: true, status: 401, signature: undefined });
+    },
+  ],
 ];
 
 describe('fault soak', () => {
--- a/test/soak-daemon.test.ts
+++ b/test/soak-daemon.test.ts
@@ -31,7 +31,14 @@
     const program = join(folder, `${name}.cjs`);
     writeFileSync(program, PROGRAM);
     const site = { folder, program, flags: [], bounds: BOUNDS, seeds: [] };
-    return new DaemonProcess(name, 'zone-a', PORTS, site, '127.0.0.1:5', (_name, code) => ends.push(code));
+    return new DaemonProcess(
+      name,
+      'zone-a',
+      PORTS,
+      site,
+      { store: '127.0.0.1:5', duties: '127.0.0.1:6' },
+      (_name, code) => ends.push(code),
+    );
   }
 
   after(() => rmSync(folder, { recursive: true }));
