More spot engines at first, in place before others go; a free lease goes to who knows the past

And: 2 windows of 8 were not reported, the lease was free from 30 to 50 s while daemons were restarted one after the other: any change of the three that hear all counts began the wait of each of them anew; and a daemon that had just begun to hear took the lease and reported counts that lacked those of daemons ended since.

A collector waits 1.5 s from its own beginning only, and leaves a free lease to others for 2.5 s until it has heard a whole window. Counts are told each 0.2 s in a small fleet.

--- a/src/allocation/stage-coordinator.ts
+++ b/src/allocation/stage-coordinator.ts
@@ -176,11 +176,17 @@
   }
 }
 
-/** The engine of a stage with the least work, whose change costs least. */
+/**
+ * The engine of a stage with the least work, whose change costs least. Spot engines before others: these may be on their way out,
+ * replaced by spot ones.
+ */
 function choose(views: readonly BackendView[], stage: EngineStage): BackendRecord | undefined {
   const able = views.filter((view) => view.takesWork() && view.record.stage === stage);
   able.sort(
-    (left, right) => left.inFlight() - right.inFlight() || (left.record.id < right.record.id ? -1 : 1),
+    (left, right) =>
+      left.inFlight() - right.inFlight() ||
+      Number(right.record.isSpot ?? false) - Number(left.record.isSpot ?? false) ||
+      (left.record.id < right.record.id ? -1 : 1),
   );
   return able[0]?.record;
 }
--- a/src/capacity/capacity-demand.ts
+++ b/src/capacity/capacity-demand.ts
@@ -17,6 +17,9 @@
   /// Back ends at most, as a multiple of those that serve now: a fault that makes requests wait everywhere orders no whole fleet.
   /// Default 1.5.
   readonly growthFactor: number
+  /// Spot back ends for each other one that is there at first. They cost less and come with empty caches; most of a prompt is
+  /// shared and kept once it has been computed. Default 1.5.
+  readonly replacementFactor: number
   /// A daemon that starts finds the back ends one after another; it judges nothing before it has looked for so long. Milliseconds.
   /// Default 5000.
   readonly settleMs: number
@@ -29,6 +32,7 @@
   averageMs: 1000,
   memoryMs: 120_000,
   growthFactor: 1.5,
+  replacementFactor: 1.5,
   settleMs: 5000
 }
 
@@ -42,15 +46,15 @@
 
   constructor(private readonly settings: CapacityDemandSettings) {}
 
-  /// Takes what runs on the back ends now.
-  update(views: readonly BackendView[], now: number): void {
+  /// Takes what runs on the back ends now. `hasSpot` says whether there are spot ones to be had.
+  update(views: readonly BackendView[], hasSpot: boolean, now: number): void {
     const serving = views.filter(view => view.takesWork())
     if (serving.length === 0) return
     const sinceMs = now - this.updatedAt
     this.updatedAt = now
     this.startedAt ??= now
     if (!this.isSettled(now)) {
-      this.peak = Math.max(this.peak, serving.length)
+      this.peak = Math.max(this.peak, this.getFirstNeed(serving, hasSpot))
       return
     }
     const {averageMs, memoryMs, growthFactor} = this.settings
@@ -68,6 +72,11 @@
     return Math.min(most, Math.ceil(this.peak))
   }
 
+  private getFirstNeed(serving: readonly BackendView[], hasSpot: boolean): number {
+    const factor = hasSpot ? this.settings.replacementFactor : 1
+    return serving.reduce((sum, {record}) => sum + (record.isSpot ? 1 : factor), 0)
+  }
+
   private isSettled(now: number): boolean {
     return this.startedAt !== undefined && now - this.startedAt >= this.settings.settleMs
   }
--- a/src/capacity/capacity-manager.ts
+++ b/src/capacity/capacity-manager.ts
@@ -1,6 +1,6 @@
 /// Orders back ends by the plan, while this daemon holds the duties. What is there counts, not what was ordered: an order that was lost,
 /// or carried out late after a newer one, shows in the counts and is given again. Back ends that are to go are ordered away only
-/// when those that take their place serve.
+/// when those that take their place serve, and have had the time to change to the stage that is wanted of them.
 import type {DutyAuthority, DutyCall, DutyResult} from "../duties/duty-messages.js"
 import type {BackendView} from "../forwarding/backend-view.js"
 import type {BackendService, ScalingRules} from "../forwarding/route.js"
@@ -27,6 +27,9 @@
   retryMs: 2000
 }
 
+/// Time until a new engine is ordered to change its stage. Milliseconds; two looks at the engines and an answer.
+const STAGE_ORDER_MS = 500
+
 /// An order for one service, zone and kind.
 export type ServerOrder = Extract<DutyCall, {kind: "orderServers"}>
 
@@ -50,6 +53,8 @@
 /// The orders of one daemon. Times are monotonic milliseconds.
 export class CapacityManager {
   private readonly subjects = new Map<string, Subject>()
+  /// When each back end was first seen to serve.
+  private seenAt = new Map<string, number>()
 
   constructor(
     private readonly settings: CapacityManagerSettings,
@@ -58,17 +63,23 @@
 
   /// Orders what one service lacks or has too much of. `total` is how many back ends it should have in all.
   tick(
-    {name, scaling}: BackendService,
+    {name, scaling, engine}: BackendService,
     views: readonly BackendView[],
     total: number,
     authority: DutyAuthority,
     now: number
   ): void {
     if (!scaling) return
-    const present = countByZone(views, scaling)
+    this.lookAt(views, now)
+    const readyMs = (engine?.stageChangeMs ?? 0) + STAGE_ORDER_MS
+    const isInPlace = (id: string) => now - (this.seenAt.get(id) ?? now) >= readyMs
+    const present = countByZone(views, scaling, () => true)
+    const inPlace = countByZone(views, scaling, isInPlace)
     for (const planned of planCapacity(this.settings.planner, scaling, total)) {
-      const counts = present.get(planned.zone) ?? {zone: planned.zone, ordinary: 0, spot: 0}
-      this.order(name, scaling, planned, counts, authority, now)
+      const {zone} = planned
+      const counts = present.get(zone) ?? {zone, ordinary: 0, spot: 0}
+      const spotInPlace = inPlace.get(zone)?.spot ?? 0
+      this.order(name, scaling, planned, counts, spotInPlace, authority, now)
     }
   }
 
@@ -82,11 +93,17 @@
     subject.pausedUntil = now + this.settings.retryMs
   }
 
+  private lookAt(views: readonly BackendView[], now: number): void {
+    const before = this.seenAt
+    this.seenAt = new Map(views.map(({record: {id}}) => [id, before.get(id) ?? now]))
+  }
+
   private order(
     service: string,
     scaling: ScalingRules,
     planned: ZoneCounts,
     present: ZoneCounts,
+    spotInPlace: number,
     authority: DutyAuthority,
     now: number
   ): void {
@@ -99,9 +116,9 @@
         authority,
         now
       )
-    // As many ordinary ones stay as spot ones are still missing, but no new ones are ordered for that.
+    // As many ordinary ones stay as spot ones are not in place yet, but no new ones are ordered for that.
     // Where both together are more than the zone may have, the ordinary ones go first.
-    const missing = Math.max(0, planned.spot - present.spot)
+    const missing = Math.max(0, planned.spot - spotInPlace)
     const kept = Math.min(present.ordinary, planned.ordinary + missing, scaling.max - planned.spot)
     const desired = Math.max(planned.ordinary, kept)
     this.orderKind(
@@ -148,11 +165,15 @@
 }
 
 /// Back ends that serve, by zone and kind.
-function countByZone(views: readonly BackendView[], {zonePrices}: ScalingRules): Map<string, ZoneCounts> {
+function countByZone(
+  views: readonly BackendView[],
+  {zonePrices}: ScalingRules,
+  isCounted: (id: string) => boolean
+): Map<string, ZoneCounts> {
   const counts = new Map(Object.keys(zonePrices).map(zone => [zone, {zone, ordinary: 0, spot: 0}]))
   for (const {record, gone} of views) {
     const zone = counts.get(record.zone)
-    if (!zone || gone || record.state !== "ready") continue
+    if (!zone || gone || record.state !== "ready" || !isCounted(record.id)) continue
     if (record.isSpot) zone.spot += 1
     else zone.ordinary += 1
   }
--- a/src/capacity/capacity-planner.ts
+++ b/src/capacity/capacity-planner.ts
@@ -4,13 +4,13 @@
 
 /// Settings of the plan.
 export interface CapacityPlannerSettings {
-  /// Part of the back ends that are no spot ones, where there are both. Default 0.1: with all spot ones of one zone of four gone, and
-  /// before others come, two thirds are left.
+  /// Part of the back ends that are no spot ones, where there are both. Default 0.05: with all spot ones of one zone of four gone, and
+  /// before others come, three quarters are left.
   readonly reserveShare: number
 }
 
 /// Default settings.
-export const DEFAULT_CAPACITY_PLANNER_SETTINGS: CapacityPlannerSettings = {reserveShare: 0.1}
+export const DEFAULT_CAPACITY_PLANNER_SETTINGS: CapacityPlannerSettings = {reserveShare: 0.05}
 
 /// Back ends of one zone by kind.
 export interface ZoneCounts {
--- a/src/duties/duty-manager.ts
+++ b/src/duties/duty-manager.ts
@@ -51,12 +51,17 @@
 const COLLECTOR_KEY = "usage-collector"
 /// Daemons that hear all counts: with one killed and one cut off there is still one that knows them.
 const COLLECTORS = 3
-/// Interval between tellings of counts: a daemon that is killed loses so much of them. Milliseconds.
-const TELL_INTERVAL_MS = 1000
-/// The same of a daemon that is about to end. Milliseconds.
-const LAST_TELL_INTERVAL_MS = 200
-/// The list of members must have been the same for so long before a daemon takes the lease. Milliseconds.
+/// Interval between tellings of counts, for each daemon of the fleet: a daemon that is killed loses so much of its counts, which are the
+/// smaller a part the more daemons there are. Milliseconds.
+const TELL_INTERVAL_PER_DAEMON_MS = 16
+/// The shortest and the longest such interval. Milliseconds.
+const SHORTEST_TELL_INTERVAL_MS = 200
+const LONGEST_TELL_INTERVAL_MS = 1000
+/// A daemon must have been among the collectors for so long before it takes the lease. Milliseconds.
 const SETTLED_MS = 1500
+/// A collector that has not heard a whole window leaves a free lease to the others for so long: two of their looks at it.
+/// Milliseconds.
+const NEWCOMER_PATIENCE_MS = 2500
 
 /// The duties of one daemon. Times are monotonic milliseconds.
 export class DutyManager {
@@ -68,7 +73,8 @@
   private readonly demands = new Map<string, CapacityDemand>()
   private reporter: UsageReporter | undefined
   private ranked: readonly Member[] = []
-  private rankedSince = -Infinity
+  /// Since when this daemon hears all counts; undefined while it does not.
+  private collectsSince: number | undefined
   private collectors: readonly Member[] = []
   private tellAll = true
   private nextTellAt = -Infinity
@@ -106,12 +112,10 @@
     if (fleetMs === undefined) return
     this.rank(this.surroundings.members(), now)
     this.tell(leaving, fleetMs, now)
-    const isCollector = this.collectors.some(({id}) => id === this.selfId)
-    this.lease.tick(now, isCollector && !leaving && now - this.rankedSince >= SETTLED_MS)
-    if (!isCollector || leaving) this.release(now)
+    this.tickLease(leaving, now)
     const held = this.lease.current(now)
     this.reporter ??= this.createReporter(fleetMs)
-    if (!isCollector) return
+    if (this.collectsSince === undefined) return
     this.followDemand(now)
     if (!held || now < this.actFrom) return
     const authority = {holder: this.selfId, fence: held.epoch}
@@ -142,7 +146,7 @@
       if (!scaling) continue
       let demand = this.demands.get(name)
       if (!demand) this.demands.set(name, (demand = new CapacityDemand(this.settings.demand)))
-      demand.update(this.surroundings.backendsOf(name), now)
+      demand.update(this.surroundings.backendsOf(name), scaling.spotPrice !== undefined, now)
     }
   }
 
@@ -154,6 +158,17 @@
     }
   }
 
+  /// Whoever has heard a whole window takes a free lease first: a daemon that began to hear later lacks what daemons that have ended
+  /// since had counted.
+  private tickLease(leaving: boolean, now: number): void {
+    const {usage} = this.settings
+    const heardMs = this.collectsSince === undefined ? 0 : now - this.collectsSince
+    const knowsPast = heardMs >= usage.windowMs + usage.settleMs
+    const wanted = this.collectsSince !== undefined && !leaving && heardMs >= SETTLED_MS
+    this.lease.tick(now, wanted, knowsPast ? 0 : NEWCOMER_PATIENCE_MS)
+    if (this.collectsSince === undefined || leaving) this.release(now)
+  }
+
   private createReporter(fleetMs: number): UsageReporter {
     const {usage} = this.settings
     const firstWhole = Math.ceil(fleetMs / usage.windowMs)
@@ -174,13 +189,14 @@
     const before = this.collectors.map(({id}) => id)
     if (ids.length === before.length && ids.every((id, i) => id === before[i])) return
     this.collectors = ids.flatMap(id => byId.get(id) ?? [])
-    this.rankedSince = now
+    const collects = ids.includes(this.selfId)
+    this.collectsSince = collects ? (this.collectsSince ?? now) : undefined
     this.tellAll = true
   }
 
   private tell(leaving: boolean, fleetMs: number, now: number): void {
     if (now < this.nextTellAt) return
-    this.nextTellAt = now + (leaving ? LAST_TELL_INTERVAL_MS : TELL_INTERVAL_MS)
+    this.nextTellAt = now + (leaving ? SHORTEST_TELL_INTERVAL_MS : this.getTellIntervalMs())
     const message = this.counter.takeUntold(fleetMs, this.tellAll)
     this.tellAll = false
     if (!message) return
@@ -190,6 +206,11 @@
     }
   }
 
+  private getTellIntervalMs(): number {
+    const ms = this.ranked.length * TELL_INTERVAL_PER_DAEMON_MS
+    return Math.min(LONGEST_TELL_INTERVAL_MS, Math.max(SHORTEST_TELL_INTERVAL_MS, ms))
+  }
+
   private onLease(effect: LeaseEffect): void {
     if (effect.kind === "leaseAcquired")
       this.actFrom = this.tickedAt + (effect.epoch > 1 ? this.settings.takeoverWaitMs : 0)
--- a/src/forwarding/route-schema.ts
+++ b/src/forwarding/route-schema.ts
@@ -24,7 +24,8 @@
 const engine = z.object({
   slots: z.number().min(1),
   kvCapacityTokens: z.number().min(0),
-  kvHandleLifetimeMs: milliseconds
+  kvHandleLifetimeMs: milliseconds,
+  stageChangeMs: milliseconds.optional()
 })
 
 const scaling = z.object({
--- a/src/forwarding/route.ts
+++ b/src/forwarding/route.ts
@@ -67,6 +67,8 @@
   readonly kvCapacityTokens: number
   /// How long an exported KV cache is kept for its taker. Milliseconds.
   readonly kvHandleLifetimeMs: number
+  /// How long an engine is away while it changes its stage. Milliseconds; not told by older daemons.
+  readonly stageChangeMs?: number | undefined
 }
 
 /// A customer of the operator. A caller proves with a key that it acts for one.
--- a/src/lease/cell-lease.ts
+++ b/src/lease/cell-lease.ts
@@ -87,14 +87,17 @@
     return this.observed?.value;
   }
 
-  /** Advances timers. `wanted` says whether this daemon should hold the lease. */
-  tick(now: number, wanted: boolean): void {
+  /**
+   * Advances timers. `wanted` says whether this daemon should hold the lease. It leaves one that has become free to others for
+   * `patienceMs`.
+   */
+  tick(now: number, wanted: boolean, patienceMs = 0): void {
     this.current(now);
     if (this.requestInFlight || now < this.nextActionAt) return;
     this.nextActionAt = now + this.settings.renewIntervalMs;
     if (this.pendingWrite) this.sendWrite(this.pendingWrite);
     else if (this.held) this.renew(now);
-    else if (wanted && this.mayAcquire(now)) this.acquire(now);
+    else if (wanted && this.mayAcquire(now, patienceMs)) this.acquire(now);
     else if (wanted) this.read();
   }
 
@@ -164,11 +167,12 @@
     if (!value || value.holder === '' || value.holder === this.selfId) this.nextActionAt = now;
   }
 
-  private mayAcquire(now: number): boolean {
+  private mayAcquire(now: number, patienceMs: number): boolean {
     if (!this.observed) return false;
-    const value = this.observed.value;
-    if (!value || value.holder === '' || value.holder === this.selfId) return true;
-    return now - this.observed.since > value.durationMs;
+    const { value, since } = this.observed;
+    if (!value || value.holder === this.selfId) return true;
+    const freeAfterMs = value.holder === '' ? 0 : value.durationMs;
+    return now - since > freeAfterMs + patienceMs || (value.holder === '' && patienceMs === 0);
   }
 
   private acquire(now: number): void {
--- a/test/duties.test.ts
+++ b/test/duties.test.ts
@@ -158,6 +158,21 @@
     }
   });
 
+  it('daemons that are restarted one after the other cost no report', () => {
+    const site = new DutyFleet(30);
+    const { nodes, time } = site.fleet;
+    const from = time.now();
+    for (const node of nodes) {
+      site.fleet.restart(node, 3000, 1000);
+      site.loadUntil(time.now() + 750);
+    }
+    site.loadUntil(from + 30_000);
+    time.runUntil(from + 30_000 + DUE_MS);
+    const judged = site.judge(from, from + 30_000);
+    expect(judged.map(({ right }) => right)).to.deep.equal(judged.map(() => true));
+    expect(site.platform.violations).to.deep.equal([]);
+  });
+
   it('whatever strikes whichever daemon, no two reports differ and no two daemons hold the duties', () => {
     const access = fc.constantFrom<StoreAccess>('serves', 'serves', 'refuses', 'silent', 'appliesLate');
     const step = fc.record({
