Model of the usage reports

Broken variants found: sent without being written first, own counts sent though others stand there, a lost answer taken as success, later counts sent after an earlier write of its own.

--- a/spec/model-check.ts
+++ b/spec/model-check.ts
@@ -124,6 +124,31 @@
     expect: 'caught',
     what: 'order reaches the next incarnation',
   },
+  { file: 'usage-report.pml', defines: [], expect: 'sound', what: 'reports of one window never differ' },
+  {
+    file: 'usage-report.pml',
+    defines: ['NO_WRITE'],
+    expect: 'caught',
+    what: 'sent without being written first',
+  },
+  {
+    file: 'usage-report.pml',
+    defines: ['IGNORE_CONFLICT'],
+    expect: 'caught',
+    what: 'own counts sent though others stand in the store',
+  },
+  {
+    file: 'usage-report.pml',
+    defines: ['GUESS_SUCCESS'],
+    expect: 'caught',
+    what: 'lost answer taken as success',
+  },
+  {
+    file: 'usage-report.pml',
+    defines: ['KEEP_COUNTS'],
+    expect: 'caught',
+    what: 'later counts sent after an earlier write of its own',
+  },
   { file: 'records.pml', defines: [], expect: 'sound', what: 'complete up to a revision, by word of a peer' },
   {
     file: 'records.pml',
