Each duty is done only where the platform asks for it

Cause, by reading the diff: without "metering" among the duties nobody ordered servers, and with "metering" alone servers were ordered too. Change: two settings, reportsUsage and ordersServers, from the platform's list. Test over the lists; with both duties nothing changes.

--- a/src/duties/duty-manager.ts
+++ b/src/duties/duty-manager.ts
@@ -26,6 +26,9 @@
   /// No call is made so long after the lease was taken over from another daemon. Milliseconds. Where the platform rejects lower
   /// fences 0 is enough; elsewhere a call of the holder before must have arrived or been given up.
   readonly takeoverWaitMs: number
+  /// Which duties there are.
+  readonly reportsUsage: boolean
+  readonly ordersServers: boolean
   readonly usage: UsageReporterSettings
   readonly capacity: CapacityManagerSettings
   readonly demand: CapacityDemandSettings
@@ -97,7 +100,7 @@
   /// Counts a request that began to run at `at`.
   requestBegan(tenant: string, at: number): void {
     const fleetMs = this.clock.getTime(at)
-    if (fleetMs !== undefined) this.counter.add(tenant, fleetMs)
+    if (fleetMs !== undefined && this.settings.reportsUsage) this.counter.add(tenant, fleetMs)
   }
 
   /// Takes what a daemon has counted.
@@ -119,8 +122,8 @@
     this.followDemand(now)
     if (!held || now < this.actFrom) return
     const authority = {holder: this.selfId, fence: held.epoch}
-    this.reporter.tick(authority, fleetMs, now)
-    this.orderCapacity(authority, now)
+    if (this.settings.reportsUsage) this.reporter.tick(authority, fleetMs, now)
+    if (this.settings.ordersServers) this.orderCapacity(authority, now)
   }
 
   /// Takes the answer to a `leaseTable` effect.
--- a/test/duties.test.ts
+++ b/test/duties.test.ts
@@ -35,6 +35,8 @@
   return {
     lease: { durationMs: 3600, renewIntervalMs: 1200, marginMs: 600 },
     takeoverWaitMs: fenced ? 0 : 1000,
+    reportsUsage: true,
+    ordersServers: true,
     usage: { ...DEFAULT_USAGE_REPORTER_SETTINGS, windowMs: WINDOW_MS, dueMs: DUE_MS },
     capacity: { ...DEFAULT_CAPACITY_MANAGER_SETTINGS, planner: DEFAULT_CAPACITY_PLANNER_SETTINGS },
     demand: DEFAULT_CAPACITY_DEMAND_SETTINGS,
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -7,7 +7,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { readConfiguration, readServer } from '../platform/records.js';
-import { checkPlatformSettings } from '../platform/settings.js';
+import { checkPlatformSettings, processSettings } from '../platform/settings.js';
 import { StoreClient } from '../platform/store-client.js';
 import { TableClient } from '../platform/table-client.js';
 import { PulleyledgeError, SettingsError, ValidationError } from '../src/errors/index.js';
@@ -66,6 +66,22 @@
     expect(checkPlatformSettings(SETTINGS).listen.front).to.equal('10.1.0.35:8144');
   });
 
+  it('each duty is done where the platform asks for it', () => {
+    const duties = (names: string, bounds = ''): [boolean, boolean] | undefined => {
+      const text = SETTINGS.replace('lease_ms = 3000', `lease_ms = 3000\n${bounds}`);
+      const cloud = `${text}\n[cloud]\naddr = "10.200.0.1:80"\nduties = ${names}`;
+      const found = processSettings(checkPlatformSettings(cloud)).daemon.duties;
+      return found && [found.reportsUsage, found.ordersServers];
+    };
+    const windows = 'window_s = 5\nusage_late_s = 10';
+    expect(processSettings(checkPlatformSettings(SETTINGS)).daemon.duties).to.equal(undefined);
+    expect(duties('[]', windows)).to.equal(undefined);
+    expect(duties('["metering"]')).to.equal(undefined);
+    expect(duties('["metering"]', windows)).to.deep.equal([true, false]);
+    expect(duties('["autoscale"]')).to.deep.equal([false, true]);
+    expect(duties('["metering", "autoscale"]', windows)).to.deep.equal([true, true]);
+  });
+
   it('a missing or wrong field is named', () => {
     const wrong: [string, string, RegExp][] = [
       ['front = "10.1.0.35:8144"', '', /listen\.front/],
