A prompt that is computed again comes out of the retry budget

Change: a later call that has a prompt computed takes one from the budget; with nothing left a decode engine computes the prompt itself, one arrival.

--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -12,6 +12,7 @@
 import type {ForwardAttemptEvent, ForwardEffect, ForwardFailure} from "./forward-messages.js"
 import {
   hasComeBack,
+  isComputedAgain,
   isRepeatable,
   isStalled,
   mayPrefill,
@@ -169,7 +170,7 @@
       service: session.service,
       prompt: request.prompt,
       prefilled: session.kvSource !== undefined,
-      direct: !mayPrefill(session),
+      direct: !this.mayComputeApart(session, now),
       engine: this.limits.getEngine(session.service),
       targetLeftMs: request.arrivedAt + route.targetLatencyMs - now,
       excluded: session.excluded,
@@ -184,6 +185,8 @@
       this.failNotServed(session, "overloaded", now, this.limits.getBacklogMs(session, plan, now))
       return
     }
+    if (plan.prefillOnly && isComputedAgain(session))
+      this.allowance.tryRepeat(session.service, this.surroundings.daemons(), now)
     session.sends += 1
     if (session.arrivals > 0) this.answers.logDecision("request.resumed", session, {sends: session.sends})
     const attemptId = `${request.id}/${session.sends}`
@@ -223,6 +226,13 @@
     })
   }
 
+  /// A prompt that is computed apart once more is one arrival beside that of the run after it: both come out of the retry budget.
+  private mayComputeApart(session: Session, now: number): boolean {
+    if (!mayPrefill(session)) return false
+    if (!isComputedAgain(session)) return true
+    return this.allowance.left(session.service, this.surroundings.daemons(), now) >= 1
+  }
+
   private unreachable(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
     attempt.plan.backend.lost(now)
     this.endAttempt(session, attempt)
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -66,6 +66,11 @@
   )
 }
 
+/// Whether an engine has taken up the prompt before, and what it computed cannot be used any more.
+export function isComputedAgain({prefills, kvSource}: Session): boolean {
+  return prefills > 0 && kvSource === undefined
+}
+
 /// Whether the attempt makes no progress, may be moved to another back end, and its back end answers nobody else
 /// either. A stream that has begun is judged by its pauses alone. While this process stood still, until `resumedAt`, nothing
 /// could be heard.
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -263,6 +263,34 @@
     expect(site.of('freeKv')).to.have.length(1);
   });
 
+  it('a prompt that is computed again costs the retry budget as much as the run after it', () => {
+    const slack = 10;
+    const engines = ['a', 'b', 'c', 'd', 'e'].flatMap((name) => [
+      engine(`p${name}`, 'prefill'),
+      engine(`d${name}`, 'decode'),
+    ]);
+    const site = new Forwarding([labRoute({ ...STREAM, maximumAttempts: 9 })], engines, slack);
+    const requests = 12;
+    for (let i = 0; i < requests; i += 1) {
+      site.begin({ id: `r${i}`, prompt: prompt(2000, 0) });
+      for (;;) {
+        const before = site.starts().length;
+        const last = site.starts()[before - 1];
+        if (last.requestId !== `r${i}`) break;
+        site.event(
+          last.prefillOnly
+            ? { kind: 'prefilled', handle: `h${before}` }
+            : { kind: 'notExecuted', status: 503, wrongIncarnation: false },
+          1,
+        );
+        if (site.starts().length === before) break;
+      }
+    }
+    // The first call that has a prompt computed is free, and the first arrival beside it is no repeat.
+    const repeats = site.starts().length - 2 * requests;
+    expect(repeats).to.be.within(1, slack);
+  });
+
   it('a long prompt yields to short ones of the same priority, never to a lower priority', () => {
     const urgency = (priority: number, own: number): number => {
       const site = new Forwarding([labRoute({ ...STREAM, priority })], ENGINES);
