A frame for parts of the forwarding daemon; calls to outside systems in a module of their own

Ruled out: a bus with topics, parts as actors, a map from event kinds to parts (docs/design/parts.md). Change: DaemonPart, one list, PartSurroundings; figures of parts as pulleyledge_part in the metrics; OutsideCalls carries out calls to outside systems. Conclusion: a new part is its own folder and one line in src/parts/daemon-parts.ts.

--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -1,24 +1,22 @@
 /**
  * The state machine of a daemon that forwards requests by routes: membership, the replica of the configuration
- * and of the back ends, and the forwarding machine. It reads no clock and opens no socket.
+ * and of the back ends, the forwarding machine, and the parts that are plugged in. It reads no clock and opens no
+ * socket.
  */
 import { FleetReplica, type FleetEffect } from '../fleet/fleet-replica.js';
 import { PeerExchange } from '../fleet/peer-exchange.js';
 import { BackendDirectory } from '../forwarding/backend-directory.js';
 import { BackendPicker } from '../forwarding/backend-picker.js';
 import { ForwardManager } from '../forwarding/forward-manager.js';
-import { HealthProber } from '../forwarding/health-prober.js';
-import { KvFollower } from '../forwarding/kv-follower.js';
 import { KvIndex, type PartPlacement } from '../forwarding/kv-index.js';
 import { RetryAllowance } from '../forwarding/retry-allowance.js';
 import { RouteTable } from '../forwarding/route-table.js';
 import { TenantDirectory } from '../forwarding/tenant-directory.js';
-import type { StageEffect } from '../allocation/stage-coordinator.js';
-import { DUTY_CELL, DutyManager, type DutyEffect } from '../duties/duty-manager.js';
-import { makeDutyBelief, makeFleetBelief, makeStageBelief, type BeliefEvent } from './beliefs.js';
+import type { DaemonPart, PartFigures } from '../parts/daemon-part.js';
+import { createParts } from '../parts/daemon-parts.js';
+import { makeFleetBelief, type BeliefEvent } from './beliefs.js';
 import type { ForwardingEffect, ForwardingEvent } from './forwarding-messages.js';
 import type { ForwardingDaemonSettings } from './forwarding-daemon-settings.js';
-import { StageManager } from './stage-manager.js';
 import { initialMember } from '../membership/member-rules.js';
 import { Membership, type MembershipEffect } from '../membership/membership.js';
 import type { DaemonIdentity, MembershipMessage } from '../membership/membership-messages.js';
@@ -37,11 +35,6 @@
 const BACKEND_SCAN_MS = 120;
 /** Members that were found are told in one line an interval. Milliseconds. */
 const MEMBERS_FOUND_MS = 1000;
-/**
- * Engines' caches are followed from so long after the start on: before, the process is needed for the first requests.
- * Milliseconds. A small machine takes about as long until its code is warm.
- */
-const WARM_UP_MS = 2000;
 /** A process that saw so much time pass between two ticks stood still. Milliseconds. */
 const OWN_PAUSE_MS = 250;
 /** Daemons are ranked as readers of the store by this key. */
@@ -54,12 +47,9 @@
   private readonly replica: FleetReplica;
   private readonly directory: BackendDirectory;
   private readonly kvIndex = new KvIndex();
-  private readonly kvFollower: KvFollower;
   private readonly manager: ForwardManager;
   private readonly exchange: PeerExchange;
-  private readonly prober: HealthProber;
-  private readonly stages: StageManager;
-  private readonly duties: DutyManager | undefined;
+  private readonly parts: readonly DaemonPart[];
   private handledAt: number;
   private routes: RouteTable | undefined;
   private readonly tenants = new TenantDirectory();
@@ -69,7 +59,6 @@
   private scannedAt = -Infinity;
   private membersFound = 0;
   private membersToldAt: number;
-  private readonly startedAt: number;
 
   constructor(
     private readonly identity: DaemonIdentity,
@@ -80,7 +69,6 @@
   ) {
     this.tickedAt = now;
     this.handledAt = now;
-    this.startedAt = now;
     this.membersToldAt = now;
     const emit = (effect: ForwardingEffect): void => void this.outbox.push(effect);
     this.directory = new BackendDirectory(settings.health);
@@ -102,7 +90,9 @@
         configurationMayBeStale: (at) => this.replica.configurationMayBeStale(at),
         outageMs: (at) => this.replica.getOutageMs('configuration', at),
         daemons: () => this.daemons(),
-        requestBegan: (tenant, at) => this.duties?.requestBegan(tenant, at),
+        requestBegan: (tenant, at) => {
+          for (const part of this.parts) part.requestBegan?.(tenant, at);
+        },
       },
       picker,
       this.kvIndex,
@@ -123,38 +113,20 @@
       ({ address, message }) => emit({ kind: 'sendPeer', address, message }),
       now,
     );
-    this.kvFollower = new KvFollower(
-      settings.kvFollower,
+    this.parts = createParts(
       {
-        countMembers: () => this.members(),
-        capacityTokens: (service) => this.capacityTokens(service),
+        identity,
+        settings,
+        random,
+        directory: this.directory,
+        kvIndex: this.kvIndex,
+        emit,
+        members: () => this.membership.active(),
+        routes: () => this.routes,
+        believe: (event, fields) => this.believe(event, fields),
       },
-      this.directory,
-      this.kvIndex,
-      (call) => emit({ kind: 'readKvChanges', call }),
-    );
-    this.stages = new StageManager(
-      identity.id,
-      settings.stages,
-      { membership: this.membership, directory: this.directory },
-      (effect) => this.onStage(effect),
+      now,
     );
-    if (settings.duties)
-      this.duties = new DutyManager(
-        identity.id,
-        settings.duties,
-        {
-          members: () => this.membership.active(),
-          services: () => this.routes?.configuration.services ?? [],
-          backendsOf: (service) => this.directory.ofService(service),
-        },
-        (effect) => this.onDuty(effect),
-        now,
-      );
-    this.prober = new HealthProber(this.directory, (probe) => {
-      const healthPath = this.routes?.service(probe.backend.service)?.healthPath;
-      if (healthPath !== undefined) emit({ kind: 'probeBackend', probe, healthPath });
-    });
   }
 
   /** Handles one event and returns what is to be done, in order. */
@@ -196,10 +168,15 @@
     return this.directory.get(backendId)?.inFlight() ?? 0;
   }
 
+  /** What an operator sees of each part. */
+  getPartFigures(now: number): Readonly<Record<string, PartFigures>> {
+    return Object.fromEntries(this.parts.map((part) => [part.name, part.getFigures?.(now) ?? {}]));
+  }
+
   private dispatch(event: ForwardingEvent, now: number): void {
     switch (event.kind) {
       case 'tick':
-        this.duties?.clock.setOwn(event.wallMs, now);
+        for (const part of this.parts) part.receiveClock?.(event.wallMs, now);
         this.tick(now);
         break;
       case 'peerMessage':
@@ -217,38 +194,14 @@
       case 'attempt':
         this.manager.attemptEvent(event.requestId, event.attemptId, event.event, now);
         break;
-      case 'probed':
-        this.prober.answered(event.backendId, event.well, now);
-        if (event.well) this.believe('backend.recovered', { backend: event.backendId });
-        break;
-      case 'leaseTableResult':
-        if (event.cell === DUTY_CELL) this.duties?.receiveLeaseResult(event.result, now);
-        else this.stages.tableAnswered(event.cell, event.result, now);
-        break;
-      case 'usageTableResult':
-        this.duties?.receiveUsageResult(event.window, event.result, now);
-        break;
-      case 'dutyResult':
-        if (event.result.kind !== 'accepted')
-          this.believe('duty.failed', { duty: event.call.kind, ...event.result });
-        this.duties?.receiveDutyResult(event.call, event.result, now);
-        break;
-      case 'engineStatus':
-        this.stages.engineAnswered(event.backend.service, event.backend.id, event.status, now);
-        break;
-      case 'orderResult':
-        this.believe('order.answered', { backend: event.order.backend.id, ...event.result });
-        this.stages.orderAnswered(event.order.backend.service, event.order.backend.id, event.result);
-        break;
-      case 'kvChangesRead':
-        this.kvFollower.receive(event.backend, event.answer, now);
-        break;
       case 'beginDrain':
         this.beginDrain(now);
         break;
       case 'closeForNew':
         this.manager.closeForNew();
         break;
+      default:
+        for (const part of this.parts) part.receiveAnswer?.(event, now);
     }
   }
 
@@ -258,19 +211,18 @@
     if (sinceTickMs > OWN_PAUSE_MS) {
       this.believe('process.paused', { forMs: Math.round(sinceTickMs), requests: this.requestsInHand() });
       this.manager.ownPauseEnded(now);
+      for (const part of this.parts) part.ownPauseEnded?.(now);
     }
     this.membership.tick(now);
     this.rankReader();
     this.replica.tick(now);
     this.exchange.tick(now);
     this.manager.tick(now);
+    for (const part of this.parts) part.tick?.(now);
     if (now - this.scannedAt < BACKEND_SCAN_MS) return;
     this.scannedAt = now;
     this.tellMembersFound(now);
-    this.prober.tick(now);
-    if (now - this.startedAt >= WARM_UP_MS) this.kvFollower.tick(now);
-    this.stages.tick(now, !this.draining);
-    this.duties?.tick(this.draining, now);
+    for (const part of this.parts) part.scan?.(this.draining, now);
   }
 
   private tellMembersFound(now: number): void {
@@ -281,12 +233,10 @@
   }
 
   private receivePeer(fromId: string, fromAddress: string, message: PeerMessage, now: number): void {
+    for (const part of this.parts) part.receivePeer?.(fromId, fromAddress, message, now);
     switch (message.kind) {
       case 'ping':
       case 'ack':
-        if (message.wallMs !== undefined) this.duties?.clock.apply(fromId, message.wallMs, now);
-        this.membership.receive(fromId, fromAddress, message, now);
-        break;
       case 'pingRequest':
       case 'syncDigest':
       case 'sync':
@@ -298,9 +248,6 @@
       case 'recordsChanged':
         this.exchange.receive(fromId, fromAddress, message, now);
         break;
-      case 'usageCounts':
-        this.duties?.receiveCounts(fromId, message);
-        break;
       default:
         break;
     }
@@ -338,7 +285,8 @@
 
   private onMembership(effect: MembershipEffect): void {
     if (effect.kind === 'sendMembership') {
-      this.outbox.push({ kind: 'sendPeer', address: effect.address, message: this.addTime(effect.message) });
+      const { address } = effect;
+      this.outbox.push({ kind: 'sendPeer', address, message: this.addFromParts(effect.message) });
       return;
     }
     this.membersChanged = true;
@@ -351,11 +299,8 @@
     this.believe('member.changed', { member: member.id, state: member.state, previous });
   }
 
-  /** Probes and their answers carry the time of day: by them daemons agree on it. */
-  private addTime(message: MembershipMessage): MembershipMessage {
-    if (message.kind !== 'ping' && message.kind !== 'ack') return message;
-    const wallMs = this.duties?.clock.getOwn(this.handledAt);
-    return wallMs === undefined ? message : { ...message, wallMs };
+  private addFromParts(message: MembershipMessage): MembershipMessage {
+    return this.parts.reduce((sum, part) => part.addToMembership?.(sum, this.handledAt) ?? sum, message);
   }
 
   private onFleet(effect: FleetEffect): void {
@@ -369,44 +314,22 @@
       case 'configurationChanged':
         this.routes = new RouteTable(effect.configuration);
         this.tenants.apply(effect.configuration.tenants);
-        this.stages.configured(effect.configuration);
+        for (const part of this.parts) part.applyConfiguration?.(effect.configuration, this.handledAt);
         this.outbox.push({ kind: 'configurationInForce', configuration: effect.configuration });
         break;
       case 'backendChanged':
         this.directory.put(effect.record);
+        for (const part of this.parts) part.applyBackend?.(effect.record, this.handledAt);
         break;
       case 'backendRemoved':
         this.directory.remove(effect.id);
-        this.kvFollower.removeEngine(effect.id);
+        for (const part of this.parts) part.removeBackend?.(effect.id, this.handledAt);
         this.outbox.push({ kind: 'backendGone', backendId: effect.id });
         break;
     }
     this.outbox.push(makeFleetBelief(effect));
   }
 
-  private onStage(effect: StageEffect): void {
-    if (effect.kind === 'leaseTable') this.outbox.push(effect);
-    else if (effect.kind === 'askEngine') this.outbox.push(effect);
-    else this.outbox.push(makeStageBelief(effect));
-    if (effect.kind === 'orderEngine') this.outbox.push(effect);
-  }
-
-  private onDuty(effect: DutyEffect): void {
-    switch (effect.kind) {
-      case 'callDuty':
-        if (effect.call.kind === 'orderServers') this.believe('servers.ordered', { ...effect.call });
-        this.outbox.push(effect);
-        break;
-      case 'leaseTable':
-      case 'usageTable':
-      case 'sendPeer':
-        this.outbox.push(effect);
-        break;
-      default:
-        this.outbox.push(makeDutyBelief(effect));
-    }
-  }
-
   private believe(event: BeliefEvent, fields: Readonly<Record<string, unknown>>): void {
     this.outbox.push({ kind: 'belief', event, fields });
   }
--- a/src/daemon/stage-manager.ts
+++ b/src/daemon/stage-manager.ts
@@ -7,7 +7,6 @@
 } from '../allocation/stage-coordinator.js';
 import type { BackendDirectory } from '../forwarding/backend-directory.js';
 import type { RouteConfiguration } from '../forwarding/route.js';
-import type { Membership } from '../membership/membership.js';
 import type { Member } from '../membership/membership-messages.js';
 import type { TableResult } from '../platform/table-service.js';
 import type { EffectSink } from '../shared/effect-sink.js';
@@ -15,7 +14,8 @@
 
 /** What the manager works with. */
 export interface StageManagerParts {
-  readonly membership: Membership;
+  /** Active members; the same array as long as they are the same. */
+  members(): readonly Member[];
   readonly directory: BackendDirectory;
 }
 
@@ -75,7 +75,7 @@
 
   /** Finds for each service the member that should hold its lease, when the members or the services have changed. */
   private elect(now: number): void {
-    const members = this.parts.membership.active();
+    const members = this.parts.members();
     const known = [...this.slots.keys()].every((service) => this.elections.has(service));
     if (members === this.electors && known) return;
     this.electors = members;
--- /dev/null
+++ b/src/parts/daemon-part.ts
@@ -0,0 +1,84 @@
+/// The shape of everything that a forwarding daemon does beside passing requests on: it hears of the configuration, the members, the
+/// back ends, messages of peers, answers of outside systems and time, and asks for effects. A part is written and tested without the
+/// daemon; one line in `daemon-parts.ts` plugs it in.
+import type {RandomSource} from "../shared/random.js"
+import type {BackendDirectory} from "../forwarding/backend-directory.js"
+import type {KvIndex} from "../forwarding/kv-index.js"
+import type {BackendRecord, RouteConfiguration} from "../forwarding/route.js"
+import type {RouteTable} from "../forwarding/route-table.js"
+import type {EffectSink} from "../shared/effect-sink.js"
+import type {DaemonIdentity, Member, MembershipMessage} from "../membership/membership-messages.js"
+import type {BeliefEvent} from "../daemon/beliefs.js"
+import type {PeerMessage} from "../daemon/daemon-messages.js"
+import type {ForwardingDaemonSettings} from "../daemon/forwarding-daemon-settings.js"
+import type {ForwardingEffect, ForwardingEvent} from "../daemon/forwarding-messages.js"
+
+/// What a part may look at, and where its effects go.
+export interface PartSurroundings {
+  readonly identity: DaemonIdentity
+  readonly settings: ForwardingDaemonSettings
+  readonly random: RandomSource
+  readonly directory: BackendDirectory
+  readonly kvIndex: KvIndex
+  readonly emit: EffectSink<ForwardingEffect>
+  /// Active members, this daemon included; the same array as long as they are the same.
+  members(): readonly Member[]
+  /// The routes in force; undefined before the first configuration.
+  routes(): RouteTable | undefined
+  /// A change of what the daemon believes, for its log and its metrics.
+  believe(event: BeliefEvent, fields: Readonly<Record<string, unknown>>): void
+}
+
+/// Figures of a part by name, for the status and the metrics. Their number is bounded.
+export type PartFigures = Readonly<Record<string, number>>
+
+/// What an outside system answered: every event that the daemon does not take itself.
+export type AnswerEvent = Exclude<
+  ForwardingEvent,
+  {
+    kind:
+      "tick" | "peerMessage" | "recordsRead" | "submit" | "cancel" | "attempt" | "beginDrain" | "closeForNew"
+  }
+>
+
+/// One part of a daemon. Whatever a part does not care for it leaves out. Times are monotonic milliseconds.
+export abstract class DaemonPart {
+  /// Its figures are shown under this name.
+  abstract readonly name: string
+
+  /// A configuration has come into force.
+  applyConfiguration?(configuration: RouteConfiguration, now: number): void
+
+  /// A back end is new, or its record has changed.
+  applyBackend?(record: BackendRecord, now: number): void
+
+  /// The record of a back end is gone.
+  removeBackend?(id: string, now: number): void
+
+  /// Takes a peer's message, if it is one for this part.
+  receivePeer?(fromId: string, fromAddress: string, message: PeerMessage, now: number): void
+
+  /// Takes an outside system's answer, if this part asked.
+  receiveAnswer?(event: AnswerEvent, now: number): void
+
+  /// Hears the machine's time of day. Milliseconds.
+  receiveClock?(wallMs: number, now: number): void
+
+  /// Adds to a message of the membership before it is sent.
+  addToMembership?(message: MembershipMessage, now: number): MembershipMessage
+
+  /// A back end began at `at` to run a request of the tenant.
+  requestBegan?(tenant: string, at: number): void
+
+  /// This process stood still until now.
+  ownPauseEnded?(now: number): void
+
+  /// Advances what cannot wait for `scan`.
+  tick?(now: number): void
+
+  /// Advances timers and looks at the back ends. `leaving` says that this daemon is about to end.
+  scan?(leaving: boolean, now: number): void
+
+  /// What an operator sees of this part.
+  getFigures?(now: number): PartFigures
+}
--- /dev/null
+++ b/src/parts/duty-part.ts
@@ -0,0 +1,92 @@
+/// The duties before the platform: they count what began to run, agree on the time of day, and act while this daemon holds their lease.
+import {makeDutyBelief} from "../daemon/beliefs.js"
+import type {PeerMessage} from "../daemon/daemon-messages.js"
+import {DUTY_CELL, DutyManager, type DutyEffect, type DutySettings} from "../duties/duty-manager.js"
+import type {MembershipMessage} from "../membership/membership-messages.js"
+import {DaemonPart, type AnswerEvent, type PartSurroundings} from "./daemon-part.js"
+
+/// The duties as a part.
+export class DutyPart extends DaemonPart {
+  override readonly name = "duties"
+  private readonly manager: DutyManager
+
+  constructor(
+    private readonly surroundings: PartSurroundings,
+    settings: DutySettings,
+    now: number
+  ) {
+    super()
+    const {identity, members, directory, routes} = surroundings
+    this.manager = new DutyManager(
+      identity.id,
+      settings,
+      {
+        members,
+        services: () => routes()?.configuration.services ?? [],
+        backendsOf: service => directory.ofService(service)
+      },
+      effect => this.onDuty(effect),
+      now
+    )
+  }
+
+  override receiveClock(wallMs: number, now: number): void {
+    this.manager.clock.setOwn(wallMs, now)
+  }
+
+  /// Probes and their answers carry the time of day: by them daemons agree on it.
+  override addToMembership(message: MembershipMessage, now: number): MembershipMessage {
+    if (message.kind !== "ping" && message.kind !== "ack") return message
+    const wallMs = this.manager.clock.getOwn(now)
+    return wallMs === undefined ? message : {...message, wallMs}
+  }
+
+  override requestBegan(tenant: string, at: number): void {
+    this.manager.requestBegan(tenant, at)
+  }
+
+  override receivePeer(fromId: string, _fromAddress: string, message: PeerMessage, now: number): void {
+    if (message.kind === "usageCounts") this.manager.receiveCounts(fromId, message)
+    const carriesTime = message.kind === "ping" || message.kind === "ack"
+    if (carriesTime && message.wallMs !== undefined) this.manager.clock.apply(fromId, message.wallMs, now)
+  }
+
+  override receiveAnswer(event: AnswerEvent, now: number): void {
+    switch (event.kind) {
+      case "leaseTableResult":
+        if (event.cell === DUTY_CELL) this.manager.receiveLeaseResult(event.result, now)
+        break
+      case "usageTableResult":
+        this.manager.receiveUsageResult(event.window, event.result, now)
+        break
+      case "dutyResult":
+        if (event.result.kind !== "accepted")
+          this.surroundings.believe("duty.failed", {duty: event.call.kind, ...event.result})
+        this.manager.receiveDutyResult(event.call, event.result, now)
+        break
+      default:
+        break
+    }
+  }
+
+  override scan(leaving: boolean, now: number): void {
+    this.manager.tick(leaving, now)
+  }
+
+  private onDuty(effect: DutyEffect): void {
+    const {emit, believe} = this.surroundings
+    switch (effect.kind) {
+      case "callDuty":
+        if (effect.call.kind === "orderServers") believe("servers.ordered", {...effect.call})
+        emit(effect)
+        break
+      case "leaseTable":
+      case "usageTable":
+      case "sendPeer":
+        emit(effect)
+        break
+      default:
+        emit(makeDutyBelief(effect))
+    }
+  }
+}
--- /dev/null
+++ b/src/parts/health-part.ts
@@ -0,0 +1,28 @@
+/// Probes back ends that stay silent or refuse connections.
+import {HealthProber} from "../forwarding/health-prober.js"
+import {DaemonPart, type AnswerEvent, type PartSurroundings} from "./daemon-part.js"
+
+/// The prober as a part.
+export class HealthPart extends DaemonPart {
+  override readonly name = "health"
+  private readonly prober: HealthProber
+
+  constructor(private readonly surroundings: PartSurroundings) {
+    super()
+    const {directory, routes, emit} = surroundings
+    this.prober = new HealthProber(directory, probe => {
+      const healthPath = routes()?.service(probe.backend.service)?.healthPath
+      if (healthPath !== undefined) emit({kind: "probeBackend", probe, healthPath})
+    })
+  }
+
+  override receiveAnswer(event: AnswerEvent, now: number): void {
+    if (event.kind !== "probed") return
+    this.prober.answered(event.backendId, event.well, now)
+    if (event.well) this.surroundings.believe("backend.recovered", {backend: event.backendId})
+  }
+
+  override scan(_leaving: boolean, now: number): void {
+    this.prober.tick(now)
+  }
+}
--- /dev/null
+++ b/src/parts/stage-part.ts
@@ -0,0 +1,55 @@
+/// Changes the stages of engines while this daemon holds the lease for it.
+import type {StageEffect} from "../allocation/stage-coordinator.js"
+import {makeStageBelief} from "../daemon/beliefs.js"
+import {StageManager} from "../daemon/stage-manager.js"
+import {DUTY_CELL} from "../duties/duty-manager.js"
+import type {RouteConfiguration} from "../forwarding/route.js"
+import {DaemonPart, type AnswerEvent, type PartSurroundings} from "./daemon-part.js"
+
+/// The stage manager as a part.
+export class StagePart extends DaemonPart {
+  override readonly name = "stages"
+  private readonly manager: StageManager
+
+  constructor(private readonly surroundings: PartSurroundings) {
+    super()
+    const {identity, settings, members, directory} = surroundings
+    this.manager = new StageManager(identity.id, settings.stages, {members, directory}, effect =>
+      this.onStage(effect)
+    )
+  }
+
+  override applyConfiguration(configuration: RouteConfiguration): void {
+    this.manager.configured(configuration)
+  }
+
+  override receiveAnswer(event: AnswerEvent, now: number): void {
+    switch (event.kind) {
+      case "leaseTableResult":
+        if (event.cell !== DUTY_CELL) this.manager.tableAnswered(event.cell, event.result, now)
+        break
+      case "engineStatus":
+        this.manager.engineAnswered(event.backend.service, event.backend.id, event.status, now)
+        break
+      case "orderResult": {
+        const {backend} = event.order
+        this.surroundings.believe("order.answered", {backend: backend.id, ...event.result})
+        this.manager.orderAnswered(backend.service, backend.id, event.result)
+        break
+      }
+      default:
+        break
+    }
+  }
+
+  override scan(leaving: boolean, now: number): void {
+    this.manager.tick(now, !leaving)
+  }
+
+  private onStage(effect: StageEffect): void {
+    const {emit} = this.surroundings
+    if (effect.kind === "leaseTable" || effect.kind === "askEngine") emit(effect)
+    else emit(makeStageBelief(effect))
+    if (effect.kind === "orderEngine") emit(effect)
+  }
+}
--- a/src/process/forwarding-metrics.ts
+++ b/src/process/forwarding-metrics.ts
@@ -13,6 +13,8 @@
   configurationAgeMs(): number;
   members(): number;
   droppedLogLines(): number;
+  /** Figures of the daemon's parts, by part and name. */
+  partFigures(): Readonly<Record<string, Readonly<Record<string, number>>>>;
 }
 
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5];
@@ -78,6 +80,16 @@
     this.gauge('pulleyledge_log_lines_dropped', 'Log lines dropped since the start', () =>
       state.droppedLogLines(),
     );
+    const figures: Gauge<'part' | 'figure'> = new Gauge({
+      name: 'pulleyledge_part',
+      help: "Figures of the daemon's parts",
+      labelNames: ['part', 'figure'],
+      registers,
+      collect: () => {
+        for (const [part, values] of Object.entries(state.partFigures()))
+          for (const [figure, value] of Object.entries(values)) figures.set({ part, figure }, value);
+      },
+    });
   }
 
   /** Counts a decision on a request. */
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -9,14 +9,12 @@
 import { ForwardingDaemon, TICK_MS } from '../daemon/forwarding-daemon.js';
 import type { ForwardingDaemonSettings } from '../daemon/forwarding-daemon-settings.js';
 import type { ForwardingEffect, ForwardingEvent } from '../daemon/forwarding-messages.js';
-import type { DutyPlatform } from '../duties/duty-messages.js';
 import { ListenError, type PulleyledgeError } from '../errors/index.js';
-import type { RecordRead, RecordStore } from '../fleet/record-store.js';
 import type { ForwardAttemptEvent } from '../forwarding/forward-messages.js';
 import { ForwardServer, type CallerReply, type ReceivedRequest } from '../gateway/forward-server.js';
-import type { TableRequest, TableResult, TableStore } from '../platform/table-service.js';
 import { SeededRandom } from '../shared/random.js';
 import { ForwardingMetrics } from './forwarding-metrics.js';
+import { OutsideCalls, type OutsideSystems } from './outside-calls.js';
 import { DecisionLog, type DecisionLogSettings } from './decision-log.js';
 
 /** Addresses and settings of one process. */
@@ -42,12 +40,8 @@
 }
 
 /** The outside systems. */
-export interface ForwardingAdapters {
+export interface ForwardingAdapters extends OutsideSystems {
   readonly dialect: BackendDialect;
-  readonly store: RecordStore;
-  readonly table: TableStore;
-  /** Undefined where the platform asks for no duties. */
-  readonly duties: DutyPlatform | undefined;
 }
 
 /** Interval between ticks while no request is in hand. Milliseconds; under half of what counts as a pause of the process. */
@@ -81,6 +75,7 @@
   private readonly system = nact.start();
   private readonly peers: PeerTransport;
   private readonly backends: BackendClient;
+  private readonly outside: OutsideCalls;
   private readonly server: ForwardServer;
   private readonly readyServer: Server;
   private readonly metricsServer: Server;
@@ -146,7 +141,9 @@
       configurationAgeMs: () => this.daemon.configurationAgeMs(now()),
       members: () => this.daemon.members(),
       droppedLogLines: () => this.log.dropped(),
+      partFigures: () => this.daemon.getPartFigures(now()),
     });
+    this.outside = new OutsideCalls(this.backends, adapters, this.metrics, (event) => this.send(event));
     this.metricsServer = createServer((_request, response) => {
       void this.metrics.registry.metrics().then((text) => {
         response.writeHead(STATUS_OK, { 'Content-Type': this.metrics.registry.contentType });
@@ -302,76 +299,17 @@
       case 'sendPeer':
         this.peers.send(effect.address, effect.message);
         break;
-      case 'readRecords':
-        this.readRecords(effect.read);
-        break;
-      case 'probeBackend': {
-        const backendId = effect.probe.backend.id;
-        void this.backends
-          .probe(effect.probe, effect.healthPath)
-          .then((well) => this.send({ kind: 'probed', backendId, well }));
-        break;
-      }
-      case 'readKvChanges': {
-        const { backend } = effect.call;
-        void this.backends
-          .kvChanges(effect.call)
-          .then((answer) => this.send({ kind: 'kvChangesRead', backend, answer }));
-        break;
-      }
-      case 'leaseTable': {
-        const { cell, request } = effect;
-        this.callTable(request, (result) => this.send({ kind: 'leaseTableResult', cell, result }));
-        break;
-      }
-      case 'usageTable': {
-        const { window, request } = effect;
-        this.callTable(request, (result) => this.send({ kind: 'usageTableResult', window, result }));
-        break;
-      }
-      case 'callDuty': {
-        const { call, authority } = effect;
-        void this.adapters.duties?.perform(call, authority).then((result) => {
-          this.metrics.dutyCalled(call.kind, result.kind);
-          this.send({ kind: 'dutyResult', call, result });
-        });
-        break;
-      }
-      case 'askEngine': {
-        const { backend } = effect;
-        void this.backends
-          .engineStatus(backend)
-          .then((status) => this.send({ kind: 'engineStatus', backend, status }));
-        break;
-      }
-      case 'orderEngine': {
-        const { order } = effect;
-        void this.backends.order(order).then((result) => this.send({ kind: 'orderResult', order, result }));
-        break;
-      }
       case 'configurationInForce':
         this.server.limit(effect.configuration.limits);
         break;
       case 'backendGone':
         this.backends.forget(effect.backendId);
         break;
+      default:
+        this.outside.perform(effect);
     }
   }
 
-  private readRecords(read: RecordRead): void {
-    void this.adapters.store.read(read).then((result) => {
-      this.metrics.storeCalled(read.collection, result.kind);
-      this.send({ kind: 'recordsRead', collection: read.collection, result });
-    });
-  }
-
-  private callTable(request: TableRequest, onResult: (result: TableResult) => void): void {
-    void this.adapters.table.perform(request).then((result) => {
-      this.metrics.storeCalled(request.kind, result.kind);
-      onResult(result);
-    });
-  }
-
   private takeOpen(requestId: string): OpenRequest | undefined {
     const open = this.open.get(requestId);
     this.open.delete(requestId);
--- /dev/null
+++ b/test/daemon-parts.test.ts
@@ -0,0 +1,44 @@
+/** A part is plugged in by one line, left out where nothing asks for it, and shown to operators by its name. */
+import { expect } from 'chai';
+import { DEFAULT_FORWARDING_SETTINGS } from '../src/daemon/forwarding-daemon-settings.js';
+import { BackendDirectory } from '../src/forwarding/backend-directory.js';
+import { KvIndex } from '../src/forwarding/kv-index.js';
+import { createParts } from '../src/parts/daemon-parts.js';
+import type { PartSurroundings } from '../src/parts/daemon-part.js';
+import { SeededRandom } from '../src/shared/random.js';
+import { checkPlatformSettings, processSettings } from '../platform/settings.js';
+import { formatSettings } from '../lab/soak/settings-file.js';
+
+const BOUNDS = { configMs: 2000, drainMs: 2000, contactMs: 3000, leaseMs: 3000, marginMs: 1000 };
+const ADDRESS = '127.0.0.1:1';
+
+function makeSurroundings({ hasDuties }: { hasDuties: boolean }): PartSurroundings {
+  const ports = { front: ADDRESS, ready: ADDRESS, control: ADDRESS, metrics: 2 };
+  const file = formatSettings('daemon-1', 'zone-a', ports, [], BOUNDS, ADDRESS, ADDRESS);
+  const { daemon } = processSettings(checkPlatformSettings(file));
+  const duties = hasDuties ? daemon.duties : undefined;
+  return {
+    identity: { id: 'daemon-1.a', address: ADDRESS, zone: 'zone-a', region: 'region-a' },
+    settings: { ...daemon, duties },
+    random: new SeededRandom(1),
+    directory: new BackendDirectory(DEFAULT_FORWARDING_SETTINGS.health),
+    kvIndex: new KvIndex(),
+    emit: () => undefined,
+    members: () => [],
+    routes: () => undefined,
+    believe: () => undefined,
+  };
+}
+
+describe('parts of a daemon', () => {
+  it('have names of their own', () => {
+    const names = createParts(makeSurroundings({ hasDuties: true }), 0).map(({ name }) => name);
+    expect(new Set(names).size).to.equal(names.length);
+    expect(names).to.include('duties');
+  });
+
+  it('are left out where the settings do not ask for them', () => {
+    const names = createParts(makeSurroundings({ hasDuties: false }), 0).map(({ name }) => name);
+    expect(names).not.to.include('duties');
+  });
+});
