The fleet's replica in modules of one job each

Ruled out: an abstract follower with two classes; nothing differs between the two collections but their records. Change: settings, effects, StoreFollower (when the store is asked, how complete the copy is) and RecordCopy (what is known) stand in modules of their own; fleet-replica.ts exports what it exported before. No behaviour changed.

--- /dev/null
+++ b/src/fleet/store-follower.ts
@@ -0,0 +1,209 @@
+/// How a daemon follows the store's changes of one collection: when it asks, how long it pauses after a failure, up
+/// to which revision its copy is complete and since when. One daemon of the fleet follows the store; the others ask
+/// for themselves when they have not heard for a while that their copy is complete, the next in rank first.
+///
+/// Word of a complete copy is known by the store's clock at the answer and counts once: passed on in a circle it would
+/// come back each time a little late, and the copy would seem to age more slowly.
+import type {EffectSink} from "../shared/effect-sink.js"
+import type {RandomSource} from "../shared/random.js"
+import type {FleetEffect} from "./fleet-effects.js"
+import type {RecordKnowledge} from "./fleet-messages.js"
+import type {FleetReplicaSettings} from "./fleet-replica-settings.js"
+import type {RecordCollection} from "./record-store.js"
+
+const MAXIMUM_BACKOFF_DOUBLINGS = 6
+/// Only the first in rank tell their peers, so that an outage of the first does not make everybody tell everybody.
+const TELLING_RANKS = 3
+/// A read that took so much longer than it was to wait says nothing about the time at which it was answered. Milliseconds.
+const ANSWER_DELAY_MS = 300
+/// A change of back ends that a peer knows of is on its way here already, most times. Milliseconds.
+const RUMOR_DELAY_MS = 150
+
+/// The follower of one collection. Times are monotonic milliseconds.
+export class StoreFollower {
+  /// Changes up to this revision are known; undefined until a snapshot was read.
+  private knownRevision: number | undefined
+  private inFlight = false
+  private lastSentAt: number
+  private nextAt: number
+  private failures = 0
+  /// One of the failures was a refusal or silence; a history that is gone is an answer.
+  private unanswered = false
+  /// When the first of the failures in a row was asked.
+  private failingSince: number
+  /// When the store came back after an outage that may have cost back ends their records.
+  private lapseSeenAt = -Infinity
+  /// When the copy was last known to be complete, from the store or by a peer's word.
+  private completeAt = -Infinity
+  /// The store's clock at the newest answer of which this daemon knows, its own or a peer's.
+  private storeMs = -Infinity
+  /// The newest revision that a peer knows and this daemon may lack.
+  private rumored = 0
+  private rank = 0
+
+  /// `hasRecords` says whether anything of the collection is known here, from whomever.
+  constructor(
+    readonly collection: RecordCollection,
+    private readonly settings: FleetReplicaSettings,
+    private readonly random: RandomSource,
+    private readonly hasRecords: () => boolean,
+    private readonly emit: EffectSink<FleetEffect>,
+    now: number
+  ) {
+    this.lastSentAt = now
+    this.nextAt = now
+    this.failingSince = now
+  }
+
+  /// The revision up to which changes are known; undefined until a snapshot was read.
+  get cursor(): number | undefined {
+    return this.knownRevision
+  }
+
+  /// When the store was last asked.
+  get sentAt(): number {
+    return this.lastSentAt
+  }
+
+  /// Sets this daemon's place among those that follow the store; 0 is the first.
+  setRank(rank: number): void {
+    this.rank = rank
+  }
+
+  /// Whether this daemon is among those that tell their peers of changes.
+  hasToTell(): boolean {
+    return this.rank < TELLING_RANKS
+  }
+
+  /// How much is known, for the peers; `changed` is the newest revision among the records.
+  getKnowledge(changed: number, now: number): RecordKnowledge {
+    const {cursor, completeAt, storeMs} = this
+    // Known from a peer alone that lacked something itself: nothing to vouch for.
+    if (cursor === undefined || completeAt === -Infinity) return {complete: -1, changed, ageMs: 0}
+    const told = Number.isFinite(storeMs) ? storeMs : undefined
+    return {complete: cursor, changed, ageMs: Math.round(now - completeAt), storeMs: told}
+  }
+
+  /// How long ago the store was last known to have nothing newer. Milliseconds.
+  getAgeMs(now: number): number {
+    return now - this.completeAt
+  }
+
+  /// Whether a peer knows of changes that are missing here.
+  isBehind(): boolean {
+    return this.cursor === undefined || this.cursor < this.rumored
+  }
+
+  /// How long the store has not answered this daemon. Milliseconds; 0 when it does.
+  getOutageMs(now: number): number {
+    if (this.failures > 0) return now - this.failingSince
+    // The first read does not wait for a change, so as long as it lasts the store's answer is outstanding.
+    return this.cursor === undefined && this.inFlight ? now - this.sentAt : 0
+  }
+
+  /// The time of an answer by which back ends that are missing may have lapsed only; undefined when they are gone.
+  getLapseTime(now: number): number | undefined {
+    return now - this.lapseSeenAt < this.settings.lapseGraceMs ? this.lapseSeenAt : undefined
+  }
+
+  /// When a read that waited for changes was answered, as far as that is certain.
+  getAnswerTime(now: number): number {
+    const prompt = now - this.sentAt <= this.settings.waitMs + ANSWER_DELAY_MS
+    return prompt ? now : this.sentAt
+  }
+
+  /// Asks the store if it is time.
+  tick(now: number): void {
+    if (!this.inFlight && now >= this.nextAt && this.isDue(now)) this.read(now)
+  }
+
+  /// Notes that the read has ended, with an answer of records or without.
+  receiveEnd(answered: boolean, now: number): void {
+    this.inFlight = false
+    if (answered && this.hasHadLongOutage(now)) this.lapseSeenAt = now
+  }
+
+  /// Takes the store's word that the copy was complete at a time; the next read comes after a pause.
+  receiveConfirmation(storeMs: number | undefined, completeAt: number, pauseMs: number, now: number): void {
+    this.storeMs = storeMs ?? -Infinity
+    if (this.failures > 0) this.emit({kind: "storeRegained", collection: this.collection})
+    this.failures = 0
+    this.unanswered = false
+    this.completeAt = Math.max(this.completeAt, completeAt)
+    this.nextAt = now + pauseMs
+    if (pauseMs === 0 && this.isDue(now)) this.read(now)
+  }
+
+  /// Takes the store's word that its history does not reach back far enough: a snapshot is read next.
+  receiveHistoryGone(now: number): void {
+    this.knownRevision = undefined
+    this.backOff(now)
+  }
+
+  /// Takes a refusal or silence.
+  receiveFailure(reason: string, now: number): void {
+    if (this.failures === 0) this.emit({kind: "storeLost", collection: this.collection, reason})
+    this.backOff(now)
+    this.unanswered = true
+  }
+
+  /// Takes the revision of a snapshot that was applied.
+  setCursor(revision: number): void {
+    this.knownRevision = revision
+  }
+
+  /// Takes that changes up to a revision are known.
+  advance(revision: number): void {
+    this.knownRevision = Math.max(this.cursor ?? 0, revision)
+  }
+
+  /// Takes a peer's word that there is a change.
+  receiveRumor(changed: number, now: number): void {
+    if (changed <= this.rumored) return
+    this.rumored = changed
+    if (this.collection === "backends") this.nextAt = Math.max(this.nextAt, now + RUMOR_DELAY_MS)
+  }
+
+  /// Takes a peer's word on how much it knows.
+  receiveKnowledge({complete, changed, ageMs, storeMs = -Infinity}: RecordKnowledge, now: number): void {
+    if (complete < 0 || this.cursor === undefined) return
+    if (this.cursor < changed) {
+      this.receiveRumor(changed, now)
+      return
+    }
+    this.advance(complete)
+    if (storeMs <= this.storeMs) return
+    this.storeMs = storeMs
+    this.completeAt = Math.max(this.completeAt, now - Math.max(0, ageMs))
+  }
+
+  /// Whether this daemon should ask the store itself.
+  private isDue(now: number): boolean {
+    if (this.rank === 0 || this.isBehind()) return true
+    const {patienceMs, patienceStepMs, maximumPatienceMs} = this.settings
+    const patience = Math.min(maximumPatienceMs, patienceMs + (this.rank - 1) * patienceStepMs)
+    return now - this.completeAt > patience
+  }
+
+  private read(now: number): void {
+    this.inFlight = true
+    this.lastSentAt = now
+    const {collection, cursor} = this
+    this.emit({kind: "readRecords", read: {collection, after: cursor, waitMs: this.settings.waitMs}})
+  }
+
+  private hasHadLongOutage(now: number): boolean {
+    return this.unanswered && now - this.failingSince >= this.settings.lapseOutageMs
+  }
+
+  private backOff(now: number): void {
+    const {backoffMs, maximumBackoffMs, unknowingBackoffMs} = this.settings
+    const pause = Math.min(
+      this.hasRecords() ? maximumBackoffMs : unknowingBackoffMs,
+      backoffMs * 2 ** Math.min(this.failures, MAXIMUM_BACKOFF_DOUBLINGS)
+    )
+    if (this.failures === 0) this.failingSince = this.sentAt
+    this.failures += 1
+    this.nextAt = now + pause * (0.5 + this.random.next())
+  }
+}
