The daemon's part in the limits in a module of its own

Change: LimitManager holds owner, holder and ownership and carries their messages; the daemon routes to it. No behaviour changed. Tests unchanged and passing: membership, limits, policies, overload, promises.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,10 +9,6 @@
   type PeerContact,
 } from '../configuration/configuration-replica.js';
 import { OnceLedger } from '../ledger/once-ledger.js';
-import type { LimitMessage } from '../limits/limit-messages.js';
-import { SlotHolder, type HolderEffect } from '../limits/slot-holder.js';
-import { SlotOwner } from '../limits/slot-owner.js';
-import { SlotOwnership } from '../limits/slot-ownership.js';
 import { initialMember } from '../membership/member-rules.js';
 import { Membership, type MembershipEffect } from '../membership/membership.js';
 import type { DaemonIdentity } from '../membership/membership-messages.js';
@@ -27,6 +23,7 @@
 import type { DaemonEffect, DaemonEvent, DaemonStatus, PeerMessage, TableTag } from './daemon-messages.js';
 import type { DaemonSettings } from './daemon-settings.js';
 import { DemandTracker } from './demand-tracker.js';
+import { LimitManager } from './limit-manager.js';
 import { ServiceEditor } from './service-editor.js';
 import type { TableResult } from '../platform/table-service.js';
 
@@ -38,9 +35,7 @@
   private readonly membership: Membership;
   private readonly configuration: ConfigurationReplica;
   private readonly cells: CellManager;
-  private readonly ownership: SlotOwnership;
-  private readonly slotOwner: SlotOwner;
-  private readonly slotHolder: SlotHolder;
+  private readonly limits: LimitManager;
   private readonly ledger: OnceLedger;
   private readonly directory: EngineDirectory;
   private readonly completions: CompletionManager;
@@ -75,18 +70,18 @@
       this.onConfiguration(),
       now,
     );
-    this.ownership = new SlotOwnership(identity.id, this.membership);
-    this.slotOwner = new SlotOwner(
+    this.limits = new LimitManager(
+      identity,
       settings.limits,
-      (service) => this.configuration.service(service),
-      (effect) => this.sendLimit(effect.daemonId, effect.message),
+      {
+        membership: this.membership,
+        configuration: this.configuration,
+        admission: () => this.admission,
+        emit,
+        defer: (step) => void this.deferred.push(step),
+      },
       now,
     );
-    this.slotHolder = new SlotHolder(
-      settings.limits,
-      (service) => this.ownership.ownerOf(service),
-      (effect) => this.onHolder(effect),
-    );
     this.ledger = new OnceLedger(identity.id, settings.ledger, (effect) => {
       if (effect.kind === 'ledgerTable')
         emit({ kind: 'tableRequest', tag: { kind: 'ledger' }, request: effect.request });
@@ -122,7 +117,7 @@
     this.admission = new Admission(
       {
         configuration: this.configuration,
-        slots: this.slotHolder,
+        slots: this.limits.holder,
         completions: this.completions,
         applications: this.applications,
         demand: this.demand,
@@ -193,7 +188,7 @@
       members: this.membership.all().map(({ id, address, zone, state }) => ({ id, address, zone, state })),
       engines: this.directory.summary(),
       leases: this.cells.leases(now),
-      limits: this.slotOwner.inUse(),
+      limits: this.limits.getInUse(),
       requests: {
         active: this.completions.active(),
         waiting: this.completions.waiting() + this.admission.waitingForSlots(),
@@ -251,8 +246,7 @@
     this.membership.tick(now);
     this.configuration.tick(now, this.identity.zone, this.membership.active());
     this.cells.tick(now, !this.draining);
-    this.slotOwner.tick(now);
-    this.slotHolder.tick(now, (id) => this.ownership.isUp(id));
+    this.limits.tick(now);
     this.ledger.tick(now);
     this.editor.tick(now);
     this.admission.tick(now);
@@ -275,14 +269,12 @@
         break;
       case 'slotGrant':
       case 'slotRefuse':
-        this.slotHolder.receive(fromId, message);
-        break;
       case 'slotRequest':
       case 'slotCancel':
       case 'slotRelease':
       case 'slotRenew':
       case 'slotHandover':
-        this.slotOwner.receive(fromId, message, now);
+        this.limits.receive(fromId, message, now);
         break;
       case 'cellDigest':
       case 'demandReport':
@@ -318,7 +310,7 @@
     this.draining = true;
     this.outbox.push({ kind: 'log', event: 'drain.started', fields: { requests: this.requestsInHand() } });
     this.cells.tick(now, false);
-    this.slotOwner.handOver((service) => this.ownership.successorOf(service));
+    this.limits.handOver();
     this.membership.leave(now);
   }
 
@@ -336,15 +328,6 @@
     return { alive, known, lastContactAt: known <= 1 ? now : this.membership.lastContact() };
   }
 
-  private sendLimit(daemonId: string, message: LimitMessage): void {
-    if (daemonId === this.identity.id) {
-      this.deferred.push((now) => this.receivePeer(daemonId, this.identity.address, message, now));
-      return;
-    }
-    const member = this.membership.get(daemonId);
-    if (member) this.outbox.push({ kind: 'sendPeer', address: member.address, message });
-  }
-
   private onMembership(startedAt: number): (effect: MembershipEffect) => void {
     return (effect) => {
       if (effect.kind === 'sendMembership') {
@@ -364,8 +347,8 @@
         previous === 'dead';
       if (!joinedOrLeft) return;
       this.deferred.push((now) => {
-        this.slotOwner.membershipChanged(Math.max(now, startedAt));
-        if (member.state === 'dead') this.slotOwner.daemonGone(member.id);
+        const deadId = member.state === 'dead' ? member.id : undefined;
+        this.limits.applyMembership(deadId, Math.max(now, startedAt));
       });
     };
   }
@@ -386,23 +369,6 @@
     };
   }
 
-  private onHolder(effect: HolderEffect): void {
-    switch (effect.kind) {
-      case 'sendLimit':
-        this.sendLimit(effect.daemonId, effect.message);
-        break;
-      case 'slotGranted':
-        this.deferred.push((now) => this.admission.slotGranted(effect.requestId, now));
-        break;
-      case 'slotRefused':
-        this.deferred.push(() => this.admission.slotRefused(effect.requestId, effect.retryAfterMs));
-        break;
-      case 'slotTimedOut':
-        this.deferred.push(() => this.admission.slotTimedOut(effect.requestId));
-        break;
-    }
-  }
-
   private onLedger(
     effect: Exclude<Parameters<ConstructorParameters<typeof OnceLedger>[2]>[0], { kind: 'ledgerTable' }>,
     now: number,
--- /dev/null
+++ b/src/daemon/limit-manager.ts
@@ -0,0 +1,119 @@
+/**
+ * A daemon's part in the limits of services: the slots it holds for its own requests and the limits it owns for all.
+ * Messages to the daemon itself take the same way as those to others, after the transition that made them.
+ */
+import type { ConfigurationReplica } from '../configuration/configuration-replica.js';
+import type { LimitMessage, LimitSettings } from '../limits/limit-messages.js';
+import { SlotHolder, type HolderEffect } from '../limits/slot-holder.js';
+import { SlotOwner } from '../limits/slot-owner.js';
+import { SlotOwnership } from '../limits/slot-ownership.js';
+import type { Membership } from '../membership/membership.js';
+import type { DaemonIdentity } from '../membership/membership-messages.js';
+import type { Admission } from './admission.js';
+import type { DaemonEffect } from './daemon-messages.js';
+
+/** What the manager reads, and whom it tells. */
+export interface LimitSurroundings {
+  readonly membership: Membership;
+  readonly configuration: ConfigurationReplica;
+  readonly admission: () => Admission;
+  readonly emit: (effect: DaemonEffect) => void;
+  /** Runs a step after the transition that made it. */
+  readonly defer: (step: (now: number) => void) => void;
+}
+
+/** The limits as one daemon sees them. Times are monotonic milliseconds. */
+export class LimitManager {
+  /** Slots for this daemon's own requests. */
+  readonly holder: SlotHolder;
+  private readonly owner: SlotOwner;
+  private readonly ownership: SlotOwnership;
+
+  constructor(
+    private readonly identity: DaemonIdentity,
+    settings: LimitSettings,
+    private readonly surroundings: LimitSurroundings,
+    now: number,
+  ) {
+    const { configuration, membership } = surroundings;
+    this.ownership = new SlotOwnership(identity.id, membership);
+    this.owner = new SlotOwner(
+      settings,
+      (service) => configuration.service(service),
+      (effect) => this.send(effect.daemonId, effect.message),
+      now,
+    );
+    this.holder = new SlotHolder(
+      settings,
+      (service) => this.ownership.ownerOf(service),
+      (effect) => this.onHolder(effect),
+    );
+  }
+
+  /** Services whose limits are owned here, and slots in use, for status pages. */
+  getInUse(): ReturnType<SlotOwner['inUse']> {
+    return this.owner.inUse();
+  }
+
+  /** Advances timers. */
+  tick(now: number): void {
+    this.owner.tick(now);
+    this.holder.tick(now, (id) => this.ownership.isUp(id));
+  }
+
+  /** Takes a message of another daemon, or of this one. */
+  receive(fromId: string, message: LimitMessage, now: number): void {
+    switch (message.kind) {
+      case 'slotGrant':
+      case 'slotRefuse':
+        this.holder.receive(fromId, message);
+        break;
+      case 'slotRequest':
+      case 'slotCancel':
+      case 'slotRelease':
+      case 'slotRenew':
+      case 'slotHandover':
+        this.owner.receive(fromId, message, now);
+        break;
+    }
+  }
+
+  /** Takes that daemons have joined or left; `deadId` is one that is believed dead. */
+  applyMembership(deadId: string | undefined, now: number): void {
+    this.owner.membershipChanged(now);
+    if (deadId !== undefined) this.owner.daemonGone(deadId);
+  }
+
+  /** Tells the successors what is held by whom: this daemon leaves. */
+  handOver(): void {
+    this.owner.handOver((service) => this.ownership.successorOf(service));
+  }
+
+  private send(daemonId: string, message: LimitMessage): void {
+    const { membership, defer, emit } = this.surroundings;
+    if (daemonId === this.identity.id) {
+      defer((now) => this.receive(daemonId, message, now));
+      return;
+    }
+    const member = membership.get(daemonId);
+    if (member) emit({ kind: 'sendPeer', address: member.address, message });
+  }
+
+  private onHolder(effect: HolderEffect): void {
+    const { admission, defer } = this.surroundings;
+    switch (effect.kind) {
+      case 'sendLimit':
+        this.send(effect.daemonId, effect.message);
+        break;
+      case 'slotGranted':
+        defer((now) => admission().slotGranted(effect.requestId, now));
+        break;
+      case 'slotRefused':
+        defer(() => admission().slotRefused(effect.requestId, effect.retryAfterMs));
+        break;
+      case 'slotTimedOut':
+        defer(() => admission().slotTimedOut(effect.requestId));
+        break;
+    }
+  }
+}
