--- a/bench/goodput.ts
+++ b/bench/goodput.ts
@@ -5,7 +5,7 @@
 import { execFileSync } from 'node:child_process';
 import { mkdirSync, writeFileSync } from 'node:fs';
 import meow from 'meow';
-import { formatTable } from '../src/cli/table.js';
+import { formatTable } from '../src/shared/table.js';
 import { siteProfile } from '../lab/site-profiles.js';
 import type { GoodputResult, GoodputRun, PolicyName } from './goodput-run.js';
 import { writeTimeline } from './plot.js';
--- a/bench/latency.ts
+++ b/bench/latency.ts
@@ -7,7 +7,7 @@
 import { LocalSite } from '../lab/launcher.js';
 import { makePrompt } from '../lab/load-generator.js';
 import { siteProfile } from '../lab/site-profiles.js';
-import { formatTable } from '../src/cli/table.js';
+import { formatTable } from '../src/shared/table.js';
 import { progress } from './progress.js';
 
 const CALLS = 1500;
--- a/bench/recovery.ts
+++ b/bench/recovery.ts
@@ -1,5 +1,5 @@
 /** `npm run recovery`: how long goodput stays below 95% after each kind of fault, against the same run without it. */
-import { formatTable } from '../src/cli/table.js';
+import { formatTable } from '../src/shared/table.js';
 import { FAULT_KINDS, type FaultKind } from '../simulation/fault-plan.js';
 import { runFaults, type FaultRunResult } from '../simulation/fault-run.js';
 
--- a/bench/validate.ts
+++ b/bench/validate.ts
@@ -5,7 +5,7 @@
 import { LocalSite } from '../lab/launcher.js';
 import { LoadGenerator, type LoadClass } from '../lab/load-generator.js';
 import { siteProfile, type SiteProfile, type WorkloadClass } from '../lab/site-profiles.js';
-import { formatTable } from '../src/cli/table.js';
+import { formatTable } from '../src/shared/table.js';
 import { SeededRandom } from '../src/shared/random.js';
 import { optionsForSite } from '../simulation/site-options.js';
 import { SimulatedSite } from '../simulation/simulated-site.js';
--- a/lab/load-report.ts
+++ b/lab/load-report.ts
@@ -1,5 +1,5 @@
 /** A load's results as a table. */
-import { formatTable } from '../src/cli/table.js';
+import { formatTable } from '../src/shared/table.js';
 import type { LoadGenerator, ServiceResult } from './load-generator.js';
 
 /** Formats the results of every service. */
--- a/lab/soak/caller-load.ts
+++ b/lab/soak/caller-load.ts
@@ -1,21 +1,8 @@
 /// Callers of a soak: an open loop of requests to every daemon through its proxy, and what came back, byte for byte.
 import {request as sendRequest, Agent, type ClientRequest, type IncomingMessage} from "node:http"
 import {setTimeout as wait} from "node:timers/promises"
-import type {CallerRecord, RouteForm, SoakRecord} from "./soak-record.js"
-import {SOAK_TENANTS, UNKNOWN_KEY} from "./soak-routes.js"
-
-/// A route as callers use it.
-export interface CallerRoute {
-  readonly name: string
-  readonly host: string
-  readonly path: string
-  readonly form: RouteForm
-  readonly timeoutMs: number
-  /// Callers need no key.
-  readonly isPublic?: boolean
-  /// Tokens of the shared and the own part of each prompt; undefined for plain services.
-  readonly prompt?: {readonly shared: number; readonly own: number; readonly subjects: number}
-}
+import type {CallerRecord, SoakRecord} from "./soak-record.js"
+import {SOAK_TENANTS, UNKNOWN_KEY, type CallerRoute} from "./soak-routes.js"
 
 /// A daemon as callers reach it.
 export interface CallerTarget {
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -1,9 +1,6 @@
 /// What callers and back ends saw in a soak, and which promises that breaks. It knows nothing of the daemons' inside.
 
-import {findTenant} from "./soak-routes.js"
-
-/// Forms of requests, as routes name them.
-export type RouteForm = "idempotent" | "non_idempotent" | "streaming"
+import {findTenant, type RouteForm} from "./soak-routes.js"
 
 /// One request of a caller. Times are monotonic milliseconds.
 export interface CallerRecord {
--- a/lab/soak/soak-routes.ts
+++ b/lab/soak/soak-routes.ts
@@ -1,5 +1,20 @@
 /// The routes and services of a soak, as the operator writes them and as callers use them.
-import type {CallerRoute} from "./caller-load.js"
+
+/// Forms of requests, as routes name them.
+export type RouteForm = "idempotent" | "non_idempotent" | "streaming"
+
+/// A route as callers use it.
+export interface CallerRoute {
+  readonly name: string
+  readonly host: string
+  readonly path: string
+  readonly form: RouteForm
+  readonly timeoutMs: number
+  /// Callers need no key.
+  readonly isPublic?: boolean
+  /// Tokens of the shared and the own part of each prompt; undefined for plain services.
+  readonly prompt?: {readonly shared: number; readonly own: number; readonly subjects: number}
+}
 
 const HOST = "site.example"
 const RESUMABLE = "check"
--- a/simulation/backend-links.ts
+++ b/simulation/backend-links.ts
@@ -2,17 +2,35 @@
 import type { DaemonEffect, DaemonEvent } from '../src/daemon/daemon-messages.js';
 import { hashText } from '../src/shared/rendezvous-hash.js';
 import type { LeaseValue } from '../src/lease/cell-lease.js';
-import type { AttemptSink } from './simulated-engine.js';
+import type { PlatformModel } from '../lab/platform-model.js';
+import type { RandomSource } from '../src/shared/random.js';
+import type { DaemonNode } from './daemon-node.js';
+import type { SimulatedApplication } from './simulated-application.js';
+import type { AttemptSink, SimulatedEngine } from './simulated-engine.js';
 import type { Endpoint, SimulatedNetwork } from './simulated-network.js';
-import type { DaemonNode, SimulatedSite } from './simulated-site.js';
+import type { VirtualTime } from './virtual-time.js';
 
 const NO_ANSWER_MS = 1500;
 const CONNECT_TIMEOUT_MS = 1000;
 const PLATFORM: Endpoint = { name: 'platform', zone: 'platform', region: 'main' };
 
+/** What of a site the links lead through and to. */
+export interface LinkedSite {
+  readonly time: VirtualTime;
+  readonly random: RandomSource;
+  readonly network: SimulatedNetwork;
+  readonly platform: PlatformModel;
+  readonly engines: ReadonlyMap<string, SimulatedEngine>;
+  readonly applications: ReadonlyMap<string, SimulatedApplication>;
+  /** Control requests of a daemon reach engines this much later. Milliseconds. */
+  readonly controlDelayMs: ReadonlyMap<DaemonNode, number>;
+  /** Hands an event to a daemon. */
+  deliver(node: DaemonNode, event: DaemonEvent): void;
+}
+
 /** Carries daemons' requests to back ends and their answers back. */
 export class BackendLinks {
-  constructor(private readonly site: SimulatedSite) {}
+  constructor(private readonly site: LinkedSite) {}
 
   /** Asks the table service. */
   askTable(node: DaemonNode, effect: Extract<DaemonEffect, { kind: 'tableRequest' }>): void {
--- a/simulation/simulated-site.ts
+++ b/simulation/simulated-site.ts
@@ -8,13 +8,16 @@
 import type { ServiceRow } from '../src/configuration/service-row.js';
 import type { Machine } from '../src/platform/machine-list.js';
 import { SeededRandom } from '../src/shared/random.js';
-import { BackendLinks } from './backend-links.js';
+import { BackendLinks, type LinkedSite } from './backend-links.js';
+import type { DaemonNode } from './daemon-node.js';
 import { Monitor } from './monitor.js';
 import { SimulatedApplication } from './simulated-application.js';
 import { SimulatedEngine } from './simulated-engine.js';
-import { SimulatedNetwork, type Endpoint, type NetworkSettings } from './simulated-network.js';
+import { SimulatedNetwork, type NetworkSettings } from './simulated-network.js';
 import { VirtualTime } from './virtual-time.js';
 
+export type { DaemonNode } from './daemon-node.js';
+
 /** Where an engine stands. */
 export interface EnginePlace {
   readonly zone: string;
@@ -49,25 +52,11 @@
 const DEFAULT_TICK_MS = 100;
 const DEFAULT_PROMISES = { leavingMs: 5000, configurationMs: 20_000 };
 
-/** One simulated daemon process. */
-export interface DaemonNode extends Endpoint {
-  readonly index: number;
-  readonly address: string;
-  daemon: Daemon;
-  id: string;
-  starts: number;
-  alive: boolean;
-  pausedSince: number | undefined;
-  /** Events that arrived while the process was paused. */
-  backlog: DaemonEvent[];
-  draining: boolean;
-}
-
 /** Handles effects that answer callers and operators. */
 export type ReplyHandler = (node: DaemonNode, effect: DaemonEffect) => void;
 
 /** The simulation of a site. */
-export class SimulatedSite {
+export class SimulatedSite implements LinkedSite {
   readonly time = new VirtualTime();
   readonly random: SeededRandom;
   readonly network: SimulatedNetwork;
--- a/simulation/soak.ts
+++ b/simulation/soak.ts
@@ -4,7 +4,7 @@
  */
 import fc from 'fast-check';
 import meow from 'meow';
-import { formatTable } from '../src/cli/table.js';
+import { formatTable } from '../src/shared/table.js';
 import { DEFAULT_DAEMON_SETTINGS } from '../src/daemon/daemon-settings.js';
 import { runFaults, type FaultRunResult } from './fault-run.js';
 import { faultPlan } from './plan-arbitrary.js';
--- a/spec/model-check.ts
+++ b/spec/model-check.ts
@@ -7,7 +7,7 @@
 import { availableParallelism, tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { promisify } from 'node:util';
-import { formatTable } from '../src/cli/table.js';
+import { formatTable } from '../src/shared/table.js';
 
 /** One specification with the macros that make it sound or break it. */
 interface Check {
--- a/src/cli/services-command.ts
+++ b/src/cli/services-command.ts
@@ -6,7 +6,7 @@
 import type { RowEdit } from '../daemon/daemon-messages.js';
 import { UnknownServiceError, ValidationError } from '../errors/index.js';
 import type { OperatorClient } from './operator-client.js';
-import { formatTable } from './table.js';
+import { formatTable } from '../shared/table.js';
 
 /** Options of the services commands. */
 export interface ServicesOptions {
--- a/src/cli/status-command.ts
+++ b/src/cli/status-command.ts
@@ -2,7 +2,7 @@
 import type { DaemonStatus } from '../daemon/daemon-messages.js';
 import type { PulleyledgeError } from '../errors/index.js';
 import { OperatorClient } from './operator-client.js';
-import { formatTable } from './table.js';
+import { formatTable } from '../shared/table.js';
 
 /** One daemon's status, or why it did not answer. */
 type Answer =
