--- a/lab/duty-model.ts
+++ b/lab/duty-model.ts
@@ -1,5 +1,5 @@
 /**
- * The platform's side of the duties as a pure state machine: what it takes, what it turns away, and which promises the calls
+ * The platform's side of the duties as a pure state machine: what it accepts, what it rejects, and which promises the calls
  * that arrive break. It knows nothing of the daemons' inside.
  */
 import type { DutyAuthority, DutyCall, DutyResult } from '../src/duties/duty-messages.js';
@@ -20,7 +20,7 @@
   private readonly holders = new Map<number, string>();
   private readonly arrivals: Arrival[] = [];
 
-  /** `fenced`: whether calls with a lower fence than was seen are turned away. */
+  /** `fenced`: whether calls with a lower fence than was seen are rejected. */
   constructor(
     private readonly fenced: boolean,
     private readonly leaseMs: number,
--- a/lab/soak/caller-load.ts
+++ b/lab/soak/caller-load.ts
@@ -10,7 +10,7 @@
   readonly address: string
 }
 
-/// Callers give up so long after the time-out. Milliseconds.
+/// Callers hang up so long after the time-out. Milliseconds.
 const GIVE_UP_AFTER_MS = 4000
 const GIVE_UP_SHARE = 0.03
 /// Part of the requests with a key that nobody knows, and part without any.
--- a/simulation/backend-links.ts
+++ b/simulation/backend-links.ts
@@ -125,7 +125,7 @@
         if (node.starts === starts)
           this.site.deliver(node, { kind: 'attemptEvent', requestId, attemptId, event });
       });
-      // A stream that cannot reach its daemon breaks there when the connection is given up.
+      // A stream that cannot reach its daemon breaks there when the connection times out.
       if (!sent) this.breakLater(node, requestId, attemptId);
       return sent;
     };
--- a/src/daemon/service-editor.ts
+++ b/src/daemon/service-editor.ts
@@ -88,7 +88,7 @@
     }
   }
 
-  /** Repeats edits without an answer, and gives up on old ones without claiming that they had no effect. */
+  /** Repeats edits without an answer, and fails old ones without claiming that they had no effect. */
   tick(now: number): void {
     for (const edit of [...this.running.values()]) {
       if (now - edit.startedAt > EDIT_TIMEOUT_MS) {
--- a/src/duties/duty-manager.ts
+++ b/src/duties/duty-manager.ts
@@ -24,7 +24,7 @@
 export interface DutySettings {
   readonly lease: LeaseSettings
   /// No call is made so long after the lease was taken over from another daemon. Milliseconds. Where the platform rejects lower
-  /// fences 0 is enough; elsewhere a call of the holder before must have arrived or been given up.
+  /// fences 0 is enough; elsewhere a call of the holder before must have arrived or timed out.
   readonly takeoverWaitMs: number
   /// Which duties there are.
   readonly reportsUsage: boolean
--- a/src/duties/usage-reporter.ts
+++ b/src/duties/usage-reporter.ts
@@ -52,7 +52,7 @@
   writes: number
 }
 
-/// A window whose report is overdue by so much is given up: nobody knows any more what was sent for it. Milliseconds.
+/// A window whose report is overdue by so much is dropped: nobody knows any more what was sent for it. Milliseconds.
 const OVERDUE_MS = 20_000
 /// Rows of windows so far back are removed; no daemon still tries to report them. Windows.
 const KEPT_ROWS = 120
--- a/src/limits/slot-holder.ts
+++ b/src/limits/slot-holder.ts
@@ -111,7 +111,7 @@
     this.emit({ kind: 'slotGranted', requestId: pending.requestId });
   }
 
-  /** Sends releases and renewals, moves waiting requests to new owners, and gives up on silent ones. */
+  /** Sends releases and renewals, moves waiting requests to new owners, and ends the wait for silent ones. */
   tick(now: number, ownerIsUp: (daemonId: string) => boolean): void {
     this.flushReleases();
     if (now >= this.nextRenewAt) {
--- a/src/routing/completion-effects.ts
+++ b/src/routing/completion-effects.ts
@@ -58,7 +58,7 @@
 
 /** Settings of the manager. */
 export interface CompletionSettings {
-  /** An attempt without an event for this long is given up and resumed elsewhere. Milliseconds. Default 15000. */
+  /** An attempt without an event for this long is aborted and resumed elsewhere. Milliseconds. Default 15000. */
   readonly attemptStallMs: number;
   /** Attempts that may have run, for one request. Default 3. */
   readonly maximumAttempts: number;
--- a/src/routing/completion-manager.ts
+++ b/src/routing/completion-manager.ts
@@ -120,11 +120,11 @@
     switch (event.kind) {
       case 'unreachable':
         attempt.engine.failed(now, this.directorySettings);
-        this.turnedAway(session, attempt, now);
+        this.applyRejection(session, attempt, now);
         break;
       case 'refused':
         this.noteRefusal(attempt.engine, event.reason, now);
-        this.turnedAway(session, attempt, now);
+        this.applyRejection(session, attempt, now);
         break;
       case 'prefilled':
         this.prefilled(session, attempt, event.kv, now);
@@ -339,7 +339,7 @@
   }
 
   /** The engine certainly did not run it: try elsewhere, without counting against the budget. */
-  private turnedAway(session: Session, attempt: LiveAttempt, now: number): void {
+  private applyRejection(session: Session, attempt: LiveAttempt, now: number): void {
     this.endAttempt(session, attempt, now);
     session.excluded.add(attempt.engine.id);
     if (attempt.stage === 'generate') session.kv = undefined;
