The rule of the silent connection has a test, and a stored row that cannot be read

Cause: a connection to the platform that falls silent must not be used again after a time-out; nothing showed that it isn't. Tests: over sockets (the third call comes over a new connection), and with such a client. Seen: with the drop taken out of the catch, 'is closed and replaced also when the client underneath would go on with it' fails (200, TimeoutError, TimeoutError); the tests over sockets pass all the same, since undici closes the socket of a call that is aborted. Weighed, not built: one client for records and table. The two share a row's schema and the paths, and differ in what an answer without a revision means and in their time-outs (800 ms for reads, which ask again, 1,000 ms for writes and duties, on which the holder's wait rests). Time-outs are not changed without a measurement.

--- /dev/null
+++ b/test/platform-connection.test.ts
@@ -0,0 +1,127 @@
+import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { expect } from 'chai';
+import { Client } from 'undici';
+import { PlatformConnection, type ConnectedClient } from '../platform/platform-connection.js';
+import { StoreClient } from '../platform/store-client.js';
+import { TableClient } from '../platform/table-client.js';
+
+/** Far longer than a new connection takes to answer. */
+const TIMEOUT_MS = 500;
+const ANSWER_BODY = JSON.stringify({ ver: 1, rows: [] });
+const ANSWER = `HTTP/1.1 200 OK\r\ncontent-length: ${ANSWER_BODY.length}\r\n\r\n${ANSWER_BODY}`;
+
+/** A service that is silent for good on connections that are marked so: it neither answers nor closes them. */
+class SilentService {
+  readonly served: number[] = [];
+  private readonly silent = new Set<number>();
+  private readonly sockets = new Set<Socket>();
+  private count = 0;
+  private readonly server = createServer((socket) => this.accept(socket));
+
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** From now on the newest connection says nothing. */
+  silence(): void {
+    this.silent.add(this.count);
+  }
+
+  stop(): void {
+    for (const socket of this.sockets) socket.destroy();
+    this.server.close();
+  }
+
+  private accept(socket: Socket): void {
+    this.count += 1;
+    const connection = this.count;
+    this.sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      this.served.push(connection);
+      if (!this.silent.has(connection)) socket.write(ANSWER);
+    });
+  }
+}
+
+/** A client that is silent for good after its first answer, and whose socket nobody else closes. */
+class SilentClient implements ConnectedClient {
+  destroyed = false;
+  private calls = 0;
+
+  constructor(private readonly client: Client) {}
+
+  readonly request: ConnectedClient['request'] = (options) => {
+    this.calls += 1;
+    if (this.calls === 1) return this.client.request(options);
+    const signal = options.signal as AbortSignal;
+    return new Promise((_resolve, reject) => {
+      signal.addEventListener('abort', () => reject(signal.reason as Error));
+    });
+  };
+
+  readonly destroy: ConnectedClient['destroy'] = (): Promise<void> => {
+    this.destroyed = true;
+    return this.client.destroy();
+  };
+}
+
+describe('a connection that falls silent for good', () => {
+  const service = new SilentService();
+  let address: string;
+
+  before(async () => {
+    address = await service.start();
+  });
+
+  after(() => service.stop());
+
+  it('is not used again after a time-out: the next call goes over a new one and is answered', async () => {
+    const connection = new PlatformConnection(address);
+    const call = { method: 'GET' as const, path: '/', timeoutMs: TIMEOUT_MS };
+    expect((await connection.call(call)).status).to.equal(200);
+    service.silence();
+    const failure = await connection.call(call).catch((error: Error) => error.name);
+    expect(failure).to.equal('TimeoutError');
+    expect((await connection.call(call)).status).to.equal(200);
+    expect(service.served).to.deep.equal([1, 1, 2]);
+    connection.close();
+  });
+
+  it('is closed and replaced also when the client underneath would go on with it', async () => {
+    const clients: SilentClient[] = [];
+    const connection = new PlatformConnection(address, () => {
+      const client = new SilentClient(new Client(`http://${address}`));
+      clients.push(client);
+      return client;
+    });
+    const call = { method: 'GET' as const, path: '/', timeoutMs: TIMEOUT_MS };
+    const outcomes: (number | string)[] = [];
+    for (let count = 0; count < 3; count += 1) {
+      const outcome = connection.call(call).then(
+        ({ status }) => status,
+        (error: Error) => error.name,
+      );
+      outcomes.push(await outcome);
+    }
+    expect(outcomes).to.deep.equal([200, 'TimeoutError', 200]);
+    expect(clients.map(({ destroyed }) => destroyed)).to.deep.equal([true, false]);
+    connection.close();
+  });
+
+  it('is one lost answer to the readers of records and of the table', async () => {
+    const store = new StoreClient(address, () => undefined);
+    const table = new TableClient(address);
+    const read = { collection: 'configuration' as const, after: undefined, waitMs: 0 };
+    for (const ask of [
+      () => store.read(read),
+      () => table.perform({ kind: 'read', table: 'leases', key: 'k' }),
+    ]) {
+      expect((await ask()).kind).to.not.equal('noAnswer');
+      service.silence();
+      expect((await ask()).kind).to.equal('noAnswer');
+      expect((await ask()).kind).to.not.equal('noAnswer');
+    }
+  });
+});
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -187,6 +187,17 @@
     expect((await store.read(read)).kind).to.equal('noAnswer');
   });
 
+  it('a stored row that cannot be read is told and counts as empty', async () => {
+    const bad: string[] = [];
+    const table = new TableClient(address, (key, error) => bad.push(`${key} ${error.code}`));
+    const value = Buffer.from('{"writeId":').toString('base64');
+    answer = () => ({ status: 200, body: { rows: [{ key: 'k', ver: 3, value }], ver: 9 } });
+    const result = await table.perform({ kind: 'read', table: 'leases', key: 'k' });
+    const row = { table: 'leases', key: 'k', revision: 3, value: null };
+    expect(result).to.deep.equal({ kind: 'row', row });
+    expect(bad).to.deep.equal(['k invalid-input']);
+  });
+
   it('a commit whose answer was lost counts as done when its write stands in the row', async () => {
     const table = new TableClient(address);
     const commit = {
