The forwarding machine in four modules: what begins a request, sends it, judges an attempt and ends it

Ruled out: one class per request (a session is plain data that tests and the log read). Change: ForwardManager begins and ticks, AttemptSender sends and counts repeats, AttemptOutcomes judges what became of an attempt, RequestCloser ends requests.

--- /dev/null
+++ b/src/forwarding/attempt-outcomes.ts
@@ -0,0 +1,195 @@
+/// What follows from what became of an attempt: the next send, the answer, or the end of the request.
+import type {EffectSink} from "../shared/effect-sink.js"
+import type {AttemptSender} from "./attempt-sender.js"
+import type {BackendPicker} from "./backend-picker.js"
+import type {BackendView} from "./backend-view.js"
+import {type ForwardAnswers, STATUS_BROKEN} from "./forward-answers.js"
+import type {ForwardLimits} from "./forward-limits.js"
+import type {ForwardAttemptEvent, ForwardEffect} from "./forward-messages.js"
+import {mayRunAgain, removeAttempt, type LiveAttempt, type Session} from "./forward-session.js"
+import type {KvIndex} from "./kv-index.js"
+import type {RequestCloser} from "./request-closer.js"
+
+const FIRST_SERVER_ERROR = 500
+
+/// Told once for each request of a tenant that a back end has begun to run, and when. Monotonic milliseconds.
+export type RequestBegan = (tenant: string, at: number) => void
+
+/// The outcomes of the attempts of one daemon. Times are monotonic milliseconds.
+export class AttemptOutcomes {
+  constructor(
+    private readonly sender: AttemptSender,
+    private readonly closer: RequestCloser,
+    private readonly picker: BackendPicker,
+    private readonly kvIndex: KvIndex,
+    private readonly limits: ForwardLimits,
+    private readonly answers: ForwardAnswers,
+    private readonly requestBegan: RequestBegan,
+    private readonly emit: EffectSink<ForwardEffect>
+  ) {}
+
+  /// Takes an event of the live attempt of a request.
+  receive(session: Session, attempt: LiveAttempt, event: ForwardAttemptEvent, now: number): void {
+    switch (event.kind) {
+      case "unreachable":
+        this.onUnreachable(session, attempt, event.reason, now)
+        break
+      case "notExecuted":
+        this.onNotExecuted(session, attempt, event.status, event.wrongIncarnation, now)
+        break
+      case "prefilled":
+        this.onPrefilled(session, attempt, event.handle, now)
+        break
+      case "streamStarted":
+        this.onStreamStarted(session, attempt, now)
+        break
+      case "streamProgress":
+        attempt.plan.backend.answering(attempt.attemptId, now)
+        if (event.lastEventId !== undefined) session.lastEventId = event.lastEventId
+        break
+      case "whole":
+        this.onWhole(session, attempt, event.status, now)
+        break
+      case "broken":
+        this.onBroken(session, attempt, event.reason, now)
+        break
+    }
+  }
+
+  /// The attempt makes no progress: the request is sent to another back end, when the budget has a repeat for it.
+  onStalled(session: Session, attempt: LiveAttempt, now: number): void {
+    if (!this.sender.hasRepeatLeft(session, now)) return
+    this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
+    this.onBroken(session, attempt, "stalled", now)
+  }
+
+  private onUnreachable(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
+    attempt.plan.backend.lost(now)
+    removeAttempt(session, attempt)
+    session.excluded.add(attempt.plan.backend.record.id)
+    this.answers.logDecision("request.attempt-failed", session, {
+      backend: attempt.plan.backend.record.id,
+      reason
+    })
+    this.sender.sendAgain(session, "unreachable", now)
+  }
+
+  private onNotExecuted(
+    session: Session,
+    attempt: LiveAttempt,
+    status: number,
+    wrongIncarnation: boolean,
+    now: number
+  ): void {
+    const {backend} = attempt.plan
+    if (wrongIncarnation) backend.gone = true
+    else backend.turnedAway(now)
+    removeAttempt(session, attempt)
+    session.arrivals += 1
+    session.excluded.add(backend.record.id)
+    this.closer.removeKv(session)
+    this.answers.logDecision("request.turned-away", session, {
+      backend: backend.record.id,
+      status,
+      wrongIncarnation
+    })
+    if (this.sender.mayRepeat(session, now)) this.sender.sendAgain(session, "turned-away", now)
+    else this.closer.closeNotServed(session, "turned-away", now)
+  }
+
+  private onPrefilled(session: Session, attempt: LiveAttempt, handle: string, now: number): void {
+    const {backend} = attempt.plan
+    backend.answering(attempt.attemptId, now)
+    backend.succeeded(now)
+    removeAttempt(session, attempt)
+    session.prefills += 1
+    this.picker.promptComputed(attempt.plan, now - attempt.startedAt)
+    this.addComputed(session, backend)
+    session.kvSource = {address: backend.record.address, handle}
+    this.answers.logDecision("request.prefilled", session, {
+      backend: backend.record.id,
+      afterMs: Math.round(now - attempt.startedAt)
+    })
+    this.sender.send(session, now)
+  }
+
+  private onStreamStarted(session: Session, attempt: LiveAttempt, now: number): void {
+    attempt.answering = true
+    attempt.plan.backend.answering(attempt.attemptId, now)
+    session.relaying = true
+    session.mayHaveRun = true
+    this.addBegun(session, now)
+    this.answers.logDecision("request.streaming", session, {
+      backend: attempt.plan.backend.record.id,
+      afterMs: Math.round(now - session.request.arrivedAt)
+    })
+    if (session.kvSource) session.kvSource = undefined
+    else this.addComputed(session, attempt.plan.backend)
+  }
+
+  private onWhole(session: Session, attempt: LiveAttempt, status: number, now: number): void {
+    const {backend} = attempt.plan
+    this.addRun(session, attempt)
+    const failed = status >= FIRST_SERVER_ERROR
+    if (failed) backend.failed(now)
+    else backend.succeeded(now)
+    if (failed && mayRunAgain(session) && this.sender.mayRepeat(session, now)) {
+      this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, status})
+      session.excluded.add(backend.record.id)
+      this.sender.send(session, now)
+      return
+    }
+    // A failure in place of the rest of a stream that the caller has part of: its end must not look like the stream's.
+    if (session.relaying && !attempt.answering)
+      this.closer.closeFailed(session, STATUS_BROKEN, "broken", undefined, now)
+    else this.closer.closeAnswered(session, attempt, status, now)
+  }
+
+  /// The back end may have worked: repeat only what may be repeated.
+  private onBroken(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
+    const {backend} = attempt.plan
+    backend.failed(now)
+    session.excluded.add(backend.record.id)
+    this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, reason})
+    if (attempt.plan.prefillOnly) {
+      this.onPrefillBroken(session, attempt, now)
+      return
+    }
+    this.addRun(session, attempt)
+    session.kvSource = undefined
+    if (mayRunAgain(session) && this.sender.mayRepeat(session, now))
+      this.sender.sendAgain(session, "broken", now)
+    else this.closer.closeFailed(session, STATUS_BROKEN, "broken", undefined, now)
+  }
+
+  private onPrefillBroken(session: Session, attempt: LiveAttempt, now: number): void {
+    removeAttempt(session, attempt)
+    session.arrivals += 1
+    session.prefills += 1
+    if (this.sender.mayRepeat(session, now)) this.sender.sendAgain(session, "turned-away", now)
+    else this.closer.closeNotServed(session, "turned-away", now)
+  }
+
+  /// The attempt is over, and its back end may have run the request.
+  private addRun(session: Session, attempt: LiveAttempt): void {
+    removeAttempt(session, attempt)
+    session.arrivals += 1
+    session.runs += 1
+    session.mayHaveRun = true
+    this.addBegun(session, attempt.startedAt)
+  }
+
+  /// A back end has begun to run the request, at `at` as far as that is known.
+  private addBegun(session: Session, at: number): void {
+    if (session.counted || !session.tenant) return
+    session.counted = true
+    this.requestBegan(session.tenant.name, at)
+  }
+
+  private addComputed(session: Session, backend: BackendView): void {
+    const {prompt} = session.request
+    if (!prompt) return
+    const engine = this.limits.getEngine(session.service)
+    if (engine) this.kvIndex.addComputed(backend.record.id, prompt, engine.kvCapacityTokens)
+  }
+}
--- /dev/null
+++ b/src/forwarding/attempt-sender.ts
@@ -0,0 +1,142 @@
+/// Sends requests to back ends, and repeats what may be repeated within the shared retry budget. At most one live attempt
+/// per request.
+import type {EffectSink} from "../shared/effect-sink.js"
+import type {BackendPicker} from "./backend-picker.js"
+import type {BackendPlan} from "./backend-plan.js"
+import type {ForwardAnswers} from "./forward-answers.js"
+import type {ForwardLimits} from "./forward-limits.js"
+import type {ForwardEffect, ForwardFailure} from "./forward-messages.js"
+import {
+  hasComeBack,
+  isComputedAgain,
+  isRepeatable,
+  mayPrefill,
+  urgencyOf,
+  type LiveAttempt,
+  type Session
+} from "./forward-session.js"
+import type {ForwardSettings} from "./forward-settings.js"
+import type {RequestCloser} from "./request-closer.js"
+import type {RetryAllowance} from "./retry-allowance.js"
+
+/// The sends of one daemon. Times are monotonic milliseconds.
+export class AttemptSender {
+  constructor(
+    private readonly settings: ForwardSettings,
+    private readonly getDaemons: () => number,
+    private readonly picker: BackendPicker,
+    private readonly allowance: RetryAllowance,
+    private readonly limits: ForwardLimits,
+    private readonly answers: ForwardAnswers,
+    private readonly closer: RequestCloser,
+    private readonly emit: EffectSink<ForwardEffect>
+  ) {}
+
+  /// Sends the request to the back end that the picker chooses, or refuses it.
+  send(session: Session, now: number): void {
+    const plan = this.pickBackend(session, now)
+    if (!plan) {
+      this.closer.closeNotServed(session, "no-backend", now)
+      return
+    }
+    if (this.limits.isFull(plan) || (plan.full && !hasComeBack(session))) {
+      this.closer.closeNotServed(session, "overloaded", now, this.limits.getBacklogMs(session, plan, now))
+      return
+    }
+    if (plan.prefillOnly && isComputedAgain(session))
+      this.allowance.tryRepeat(session.service, this.getDaemons(), now)
+    this.startAttempt(session, plan, now)
+  }
+
+  /// Sends the request once more, unless it has been sent too often or its time is over.
+  sendAgain(session: Session, failure: ForwardFailure, now: number): void {
+    if (this.isSpent(session, now)) this.closer.closeNotServed(session, failure, now)
+    else this.send(session, now)
+  }
+
+  /// Takes one repeat of the budget, when another send makes sense at all.
+  mayRepeat(session: Session, now: number): boolean {
+    if (this.isSpent(session, now)) return false
+    return this.allowance.tryRepeat(session.service, this.getDaemons(), now)
+  }
+
+  /// Whether the budget has a repeat left for the request. Takes nothing.
+  hasRepeatLeft({service}: Session, now: number): boolean {
+    return this.allowance.left(service, this.getDaemons(), now) >= 1
+  }
+
+  private isSpent({sends, deadlineAt}: Session, now: number): boolean {
+    return sends >= this.settings.maximumSends || now >= deadlineAt
+  }
+
+  private pickBackend(session: Session, now: number): BackendPlan | undefined {
+    const {request, route, service} = session
+    const wanted = {
+      service,
+      prompt: request.prompt,
+      prefilled: session.kvSource !== undefined,
+      direct: !this.mayComputeApart(session, now),
+      engine: this.limits.getEngine(service),
+      targetLeftMs: request.arrivedAt + route.targetLatencyMs - now,
+      excluded: session.excluded,
+      maximumOwnInFlight: this.limits.getMaximumInFlight(service)
+    }
+    return this.picker.pick(wanted, now)
+  }
+
+  /// A prompt that is computed apart once more is one arrival beside that of the run after it: both come out of the retry budget.
+  private mayComputeApart(session: Session, now: number): boolean {
+    if (!mayPrefill(session)) return false
+    return !isComputedAgain(session) || this.hasRepeatLeft(session, now)
+  }
+
+  private startAttempt(session: Session, plan: BackendPlan, now: number): void {
+    session.sends += 1
+    if (session.arrivals > 0) this.answers.logDecision("request.resumed", session, {sends: session.sends})
+    const attemptId = `${session.request.id}/${session.sends}`
+    const {backend} = plan
+    const pendingBefore = backend.pendingTokens()
+    const attempt = {attemptId, plan, startedAt: now, lastEventAt: now, answering: false}
+    session.attempt = attempt
+    backend.begin(attemptId, session.kvSource ? 0 : plan.promptTokens, now, plan.late)
+    this.logAttempt(session, plan, pendingBefore, now)
+    this.emitStart(session, attempt, now)
+  }
+
+  private logAttempt(session: Session, plan: BackendPlan, pendingTokens: number, now: number): void {
+    const {backend} = plan
+    this.answers.logDecision("request.attempt", session, {
+      backend: backend.record.id,
+      stage: plan.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
+      reason: plan.reason,
+      promptTokens: plan.promptTokens,
+      copyFrom: plan.copyFrom?.id,
+      inFlight: backend.inFlight(),
+      pendingTokens: Math.round(pendingTokens),
+      expectedMs: plan.expectedMs && Math.round(plan.expectedMs),
+      late: plan.late,
+      remainingMs: Math.round(session.deadlineAt - now)
+    })
+  }
+
+  private emitStart(session: Session, {attemptId, plan}: LiveAttempt, now: number): void {
+    const {request, route} = session
+    this.emit({
+      kind: "startAttempt",
+      start: {
+        requestId: request.id,
+        attemptId,
+        backend: plan.backend.record,
+        tenant: session.tenant?.name,
+        prefillOnly: plan.prefillOnly,
+        kvSource: session.kvSource,
+        copyFrom: plan.copyFrom?.address,
+        remainingMs: Math.max(1, Math.floor(session.deadlineAt - now)),
+        urgency: urgencyOf(session, plan, this.settings),
+        stream: route.kind === "stream",
+        once: !plan.prefillOnly && !isRepeatable(route),
+        resumeAfter: session.lastEventId
+      }
+    })
+  }
+}
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -41,6 +41,40 @@
   kvSource: KvSource | undefined
 }
 
+/// A request that has just been taken on.
+export function createSession(
+  request: ForwardRequest,
+  route: Route,
+  service: string,
+  tenant: Tenant | undefined
+): Session {
+  const allowedMs = Math.min(route.timeoutMs, request.callerDeadlineMs ?? Infinity)
+  return {
+    request,
+    route,
+    service,
+    tenant,
+    deadlineAt: request.arrivedAt + allowedMs,
+    excluded: new Set(),
+    attempt: undefined,
+    sends: 0,
+    arrivals: 0,
+    runs: 0,
+    prefills: 0,
+    mayHaveRun: false,
+    relaying: false,
+    counted: false,
+    lastEventId: undefined,
+    kvSource: undefined
+  }
+}
+
+/// The attempt is over for its request and its back end.
+export function removeAttempt(session: Session, attempt: LiveAttempt): void {
+  attempt.plan.backend.end(attempt.attemptId)
+  session.attempt = undefined
+}
+
 /// Whether requests of the route may run more than once.
 export function isRepeatable({kind, resumable}: Route): boolean {
   return kind === "idempotent" || (kind === "stream" && resumable)
--- a/src/forwarding/request-admission.ts
+++ b/src/forwarding/request-admission.ts
@@ -15,15 +15,18 @@
   configurationMayBeStale(now: number): boolean
 }
 
+/// A request that is taken on.
+export interface Admitted {
+  readonly kind: "admitted"
+  readonly route: Route
+  readonly service: string
+  readonly tenant: Tenant | undefined
+  readonly configurationVersion: number
+}
+
 /// What becomes of a request.
 export type Admission =
-  | {
-      readonly kind: "admitted"
-      readonly route: Route
-      readonly service: string
-      readonly tenant: Tenant | undefined
-      readonly configurationVersion: number
-    }
+  | Admitted
   /// It has not run and will not; it may be served later, after so many milliseconds.
   | {readonly kind: "refused"; readonly failure: ForwardFailure; readonly retryAfterMs: number}
   /// The configuration does not allow it.
--- /dev/null
+++ b/src/forwarding/request-closer.ts
@@ -0,0 +1,97 @@
+/// Ends requests: every request gets exactly one answer or none when its caller left, its attempt is stopped, and a KV
+/// cache that nobody will take is freed. A request is refused as "not run" only when no back end can have run it.
+import type {EffectSink} from "../shared/effect-sink.js"
+import {type ForwardAnswers, STATUS_BROKEN, STATUS_DEADLINE, STATUS_UNAVAILABLE} from "./forward-answers.js"
+import type {ForwardEffect, ForwardFailure} from "./forward-messages.js"
+import {removeAttempt, type LiveAttempt, type Session} from "./forward-session.js"
+import type {ForwardSettings} from "./forward-settings.js"
+
+/// The end of the requests of one daemon. Times are monotonic milliseconds.
+export class RequestCloser {
+  constructor(
+    private readonly settings: ForwardSettings,
+    private readonly sessions: Map<string, Session>,
+    private readonly answers: ForwardAnswers,
+    private readonly emit: EffectSink<ForwardEffect>
+  ) {}
+
+  /// The caller went away: the work is cancelled.
+  closeCancelled(session: Session, now: number): void {
+    this.answers.logDecision("request.cancelled", session, {
+      afterMs: Math.round(now - session.request.arrivedAt)
+    })
+    this.stopAttempt(session)
+    this.close(session)
+  }
+
+  /// The time is over.
+  closeAtDeadline(session: Session, now: number): void {
+    const notRun = !session.attempt && !session.mayHaveRun
+    if (session.attempt && !session.attempt.answering) judgeUnanswered(session.attempt, now)
+    this.stopAttempt(session)
+    if (notRun) this.closeFailed(session, STATUS_UNAVAILABLE, "deadline", this.settings.retryAfterMs, now)
+    else this.closeFailed(session, STATUS_DEADLINE, "deadline", undefined, now)
+  }
+
+  /// The answer of the attempt is whole and goes to the caller.
+  closeAnswered(session: Session, attempt: LiveAttempt, status: number, now: number): void {
+    this.emit({kind: "replyWhole", requestId: session.request.id, attemptId: attempt.attemptId})
+    this.answers.logDecision("request.answered", session, {
+      backend: attempt.plan.backend.record.id,
+      status,
+      streamed: session.relaying,
+      afterMs: Math.round(now - session.request.arrivedAt),
+      sends: session.sends
+    })
+    this.close(session)
+  }
+
+  /// No back end took it: refused as not run when that is certain.
+  closeNotServed(
+    session: Session,
+    failure: ForwardFailure,
+    now: number,
+    retryAfterMs = this.settings.retryAfterMs
+  ): void {
+    if (session.mayHaveRun) this.closeFailed(session, STATUS_BROKEN, failure, undefined, now)
+    else this.closeFailed(session, STATUS_UNAVAILABLE, failure, retryAfterMs, now)
+  }
+
+  /// Answers with a failure of the daemon's own.
+  closeFailed(
+    session: Session,
+    status: number,
+    failure: ForwardFailure,
+    retryAfterMs: number | undefined,
+    now: number
+  ): void {
+    if (session.relaying) this.answers.sendBroken(session, failure, now)
+    else this.answers.sendFailure(session.request, status, failure, retryAfterMs, now, session)
+    this.close(session)
+  }
+
+  /// Frees the KV cache that waits for the request.
+  removeKv(session: Session): void {
+    if (session.kvSource) this.emit({kind: "freeKv", source: session.kvSource})
+    session.kvSource = undefined
+  }
+
+  private stopAttempt(session: Session): void {
+    const {attempt} = session
+    if (!attempt) return
+    this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
+    removeAttempt(session, attempt)
+  }
+
+  private close(session: Session): void {
+    this.removeKv(session)
+    this.sessions.delete(session.request.id)
+  }
+}
+
+/// An engine that answers others was only busy; a plain back end should have answered.
+function judgeUnanswered(attempt: LiveAttempt, now: number): void {
+  const {backend} = attempt.plan
+  if (backend.silent(now)) backend.lost(now)
+  else if (backend.record.stage === undefined) backend.failed(now)
+}
