Regions tell each other their loads by one message; relays tell more often in middle fleets

And loads were up to 0.75 s old while the mix shifts each 2.8 s. Change: one relay of a region sends the region's sum to one relay of each other region, each 350 ms, which passes it on at once; sums of regions are kept by name, so that a relay that changes is not counted twice. The relays' interval is 2 ms a daemon between 120 and 250 ms.

--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -98,6 +98,8 @@
   readonly nodes: FleetNode[] = [];
   /** Messages between daemons so far, by kind. */
   readonly messageCounts = new Map<string, number>();
+  /** The same of messages that cross from one region to another. */
+  readonly regionMessageCounts = new Map<string, number>();
   /** Events that the daemons have handled so far, by kind. */
   readonly eventCounts = new Map<string, number>();
   /** The table for leases and reports. */
@@ -116,11 +118,14 @@
     private readonly settings: ForwardingDaemonSettings = FLEET_SETTINGS,
     /** Undefined where the platform asks for no duties. */
     private readonly duties: DutyModel | undefined = undefined,
+    /** Each has two zones; a single one has three. */
+    private readonly regions = 1,
   ) {
     this.random = new SeededRandom(seed);
     this.seeds = ['10.0.0.0:1', '10.0.0.1:1', '10.0.0.2:1'].slice(0, count);
     for (let index = 0; index < count; index += 1) {
-      const place = { id: `daemon-${index}.0`, address: `10.0.0.${index}:1`, zone: `zone-${index % 3}` };
+      const zone = `zone-${index % this.countZones()}`;
+      const place = { id: `daemon-${index}.0`, address: `10.0.0.${index}:1`, zone };
       const node: FleetNode = {
         ...place,
         daemon: this.createDaemon(place),
@@ -154,7 +159,7 @@
 
   private createDaemon({ id, address, zone }: Pick<FleetNode, 'id' | 'address' | 'zone'>): ForwardingDaemon {
     return new ForwardingDaemon(
-      { id, address, zone, region: 'main' },
+      { id, address, zone, region: this.getRegion(zone) },
       this.seeds.filter((seed) => seed !== address),
       this.settings,
       new SeededRandom(Math.floor(this.random.next() * 2 ** 31)),
@@ -162,6 +167,16 @@
     );
   }
 
+  /** The region of a zone. */
+  getRegion(zone: string): string {
+    if (this.regions === 1) return 'main';
+    return `region-${Number(zone.slice('zone-'.length)) % this.regions}`;
+  }
+
+  private countZones(): number {
+    return this.regions === 1 ? 3 : 2 * this.regions;
+  }
+
   /** Writes a record to the store, or removes a back end. Returns its revision. */
   write(record: StoredRecord): number {
     this.revision += 1;
@@ -227,6 +242,8 @@
         const target = this.nodesByAddress.get(effect.address);
         const { message } = effect;
         countKind(this.messageCounts, message.kind);
+        if (target && this.getRegion(target.zone) !== this.getRegion(node.zone))
+          countKind(this.regionMessageCounts, message.kind);
         this.time.after(this.networkMs, () => {
           if (target && !node.down)
             this.handle(target, {
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -107,6 +107,7 @@
       {
         selfAddress: identity.address,
         zone: identity.zone,
+        region: identity.region,
         active: () => this.membership.active(),
       },
       random,
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -56,8 +56,12 @@
 /// Loads on the back ends, and how much the sender knows of the store's records.
 const loadDigestSchema = z.object({
   kind: z.literal("loadDigest"),
-  /// Whose loads: the sender's own, those of its zone, or those of the whole fleet. Not told by older daemons: their own.
-  scope: z.enum(["own", "zone", "fleet"]).optional(),
+  /// Whose loads: the sender's own, those of its zone, of its region, or of the whole fleet. Not told by older daemons: their own.
+  scope: z.enum(["own", "zone", "region", "fleet"]).optional(),
+  /// Which region, where the loads are those of one.
+  region: text.optional(),
+  /// The receiver tells the other relays of its region.
+  passOn: z.boolean().optional(),
   knowledge: fleetKnowledgeSchema,
   /// Back end, requests, prompt tokens to compute, distrust; then, not told by older daemons, tokens of late prompts and
   /// attempts that succeeded and failed since the last digest.
--- a/src/fleet/load-relay.ts
+++ b/src/fleet/load-relay.ts
@@ -1,6 +1,7 @@
-/// Loads in a large fleet. Each daemon tells its zone's relay what it puts on the back ends; the relays tell each other
-/// the sums of their zones, and each tells its zone the sum of the whole fleet. Every daemon so knows the whole fleet's
-/// load after three intervals at most, for some ten messages a second instead of one to and from everybody.
+/// Loads in a large fleet. Each daemon tells its zone's relay what it puts on the back ends; the relays of a region tell each
+/// other the sums of their zones, one of them tells each other region the sum of its region, and each tells its zone the sum of
+/// the whole fleet. Every daemon so knows its region's load after three intervals at most, for some ten messages a second
+/// instead of one to and from everybody, and a region hears of another by one message instead of one for each pair of zones.
 import type {BackendLoad} from "../forwarding/peer-loads.js"
 import type {PartPlacement} from "../forwarding/kv-index.js"
 
@@ -60,11 +61,17 @@
 /// What a relay has been told and has still to tell. Times are monotonic milliseconds.
 export class LoadRelay {
   private readonly members = new Map<string, Told>()
+  /// Zones of the own region, by the relay that told.
   private readonly zones = new Map<string, Told>()
-  /// Outcomes and placements of the own zone for the other zones, and of the whole fleet for the own zone.
+  /// Other regions, by name: a region whose relay changes is not counted twice.
+  private readonly regions = new Map<string, Told>()
+  /// Outcomes and placements of the own zone for the other zones, of the region for other regions, and of the whole fleet for the own
+  /// zone.
   private readonly outcomesForZones = new Map<string, Outcomes>()
+  private readonly outcomesForRegions = new Map<string, Outcomes>()
   private readonly outcomesForMembers = new Map<string, Outcomes>()
   private placementsForZones: PartPlacement[] = []
+  private placementsForRegions: PartPlacement[] = []
   private placementsForMembers: PartPlacement[] = []
 
   /// A daemon of the own zone told its loads.
@@ -74,21 +81,32 @@
     this.addPlacements(placements)
   }
 
-  /// The relay of another zone told the sums of that zone.
+  /// The relay of another zone of the region told the sums of that zone.
   applyZone(id: string, address: string, {loads, placements}: RelayedLoads, now: number): void {
     this.zones.set(id, {address, loads, at: now})
     addOutcomes(this.outcomesForMembers, loads)
+    addOutcomes(this.outcomesForRegions, loads)
+    this.placementsForMembers = join(this.placementsForMembers, placements)
+    this.placementsForRegions = join(this.placementsForRegions, placements)
+  }
+
+  /// The relay of another region told the sums of that region.
+  applyRegion(region: string, address: string, {loads, placements}: RelayedLoads, now: number): void {
+    this.regions.set(region, {address, loads, at: now})
+    addOutcomes(this.outcomesForMembers, loads)
     this.placementsForMembers = join(this.placementsForMembers, placements)
   }
 
   /// This daemon's own outcomes and placements, which go with those of its zone.
   addOutcomes(loads: readonly BackendLoad[]): void {
     addOutcomes(this.outcomesForZones, loads)
+    addOutcomes(this.outcomesForRegions, loads)
     addOutcomes(this.outcomesForMembers, loads)
   }
 
   addPlacements(placements: readonly PartPlacement[]): void {
     this.placementsForZones = join(this.placementsForZones, placements)
+    this.placementsForRegions = join(this.placementsForRegions, placements)
     this.placementsForMembers = join(this.placementsForMembers, placements)
   }
 
@@ -99,7 +117,7 @@
 
   /// Forgets what is too old.
   removeOld(now: number): void {
-    for (const told of [this.members, this.zones])
+    for (const told of [this.members, this.zones, this.regions])
       for (const [id, {at}] of told) if (now - at > DIGEST_LIFETIME_MS) told.delete(id)
     if (this.members.size > 0) return
     // Nobody listens: what is kept for them would be old when somebody does.
@@ -115,15 +133,35 @@
     return {loads: sums.takeLoads(this.outcomesForZones), placements}
   }
 
+  /// The sums of the own region, for the other regions.
+  takeRegion(own: readonly BackendLoad[]): RelayedLoads {
+    const sums = this.sumRegion(own)
+    const placements = this.placementsForRegions
+    this.placementsForRegions = []
+    return {loads: sums.takeLoads(this.outcomesForRegions), placements}
+  }
+
+  /// Another daemon tells the other regions: what was kept for them is its to tell.
+  forgetRegion(): void {
+    this.outcomesForRegions.clear()
+    this.placementsForRegions = []
+  }
+
   /// The sums of the whole fleet, for the own zone.
   takeFleet(own: readonly BackendLoad[]): RelayedLoads {
-    const sums = this.sumZone(own)
-    for (const {loads} of this.zones.values()) sums.add(loads)
+    const sums = this.sumRegion(own)
+    for (const {loads} of this.regions.values()) sums.add(loads)
     const placements = this.placementsForMembers
     this.placementsForMembers = []
     return {loads: sums.takeLoads(this.outcomesForMembers), placements}
   }
 
+  private sumRegion(own: readonly BackendLoad[]): LoadSums {
+    const sums = this.sumZone(own)
+    for (const {loads} of this.zones.values()) sums.add(loads)
+    return sums
+  }
+
   private sumZone(own: readonly BackendLoad[]): LoadSums {
     const sums = new LoadSums()
     sums.add(own)
--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -8,7 +8,7 @@
 import type {FleetKnowledge, FleetMessage, RecordsChanged} from "./fleet-messages.js"
 import type {FleetReplica} from "./fleet-replica.js"
 import {LoadRelay, type RelayedLoads} from "./load-relay.js"
-import {rankRelays, type RelayRanking} from "./relay-ranking.js"
+import {rankRelays, type RelayPlace, type RelayRanking} from "./relay-ranking.js"
 import type {RecordCollection} from "./record-store.js"
 
 /// Settings of the exchange.
@@ -21,9 +21,17 @@
   readonly minimumDigestIntervalMs: number
   /// In a fleet with more peers than this loads go through relays. Default 12.
   readonly digestPeers: number
-  /// Interval between digests through relays. Milliseconds. Default 250: three of them are about the time in which an engine
-  /// computes a long prompt.
+  /// The longest interval between digests through relays. Milliseconds. Default 250: three of them are about the time in which an
+  /// engine computes a long prompt.
   readonly relayIntervalMs: number
+  /// Interval for each daemon of the fleet: what a relay sends grows with its members, and a middle fleet can afford fresher loads.
+  /// Milliseconds. Default 2.
+  readonly relayIntervalPerDaemonMs: number
+  /// The shortest such interval. Milliseconds. Default 120.
+  readonly minimumRelayIntervalMs: number
+  /// Interval between digests from region to region, whose links are dear and whose engines are seldom used. Milliseconds.
+  /// Default 350.
+  readonly regionIntervalMs: number
   /// A relay that has told nothing for so long is passed over. Milliseconds. Default 1000.
   readonly relayPatienceMs: number
   /// A daemon that has been behind a peer for so long asks it for its records. Milliseconds. Default 300.
@@ -37,6 +45,9 @@
   minimumDigestIntervalMs: 100,
   digestPeers: 12,
   relayIntervalMs: 250,
+  relayIntervalPerDaemonMs: 2,
+  minimumRelayIntervalMs: 120,
+  regionIntervalMs: 350,
   relayPatienceMs: 1000,
   pullAfterMs: 300
 }
@@ -57,13 +68,20 @@
 const FLEET = "fleet"
 
 /// The daemons of the fleet.
-export interface PeerMembers {
+export interface PeerMembers extends RelayPlace {
   readonly selfAddress: string
-  readonly zone: string
   /// Active members, this daemon included; the same array as long as they are the same.
   active(): readonly Member[]
 }
 
+const NO_RELAYS: RelayRanking = {
+  ownZone: [],
+  ownRegion: [],
+  elsewhere: [],
+  regionRelay: undefined,
+  otherRegionRelays: []
+}
+
 type LoadDigest = Extract<FleetMessage, {kind: "loadDigest"}>
 
 /// The exchange of one daemon. Times are monotonic milliseconds.
@@ -73,7 +91,8 @@
   private sequence = 0
   private readonly relay = new LoadRelay()
   private rankedAmong: readonly Member[] = []
-  private ranking: RelayRanking = {ownZone: [], otherZones: []}
+  private ranking: RelayRanking = NO_RELAYS
+  private nextRegionDigestAt = -Infinity
   private peers: readonly string[] = []
   /// The relay in use, and when it was taken or last heard.
   private relayAddress: string | undefined
@@ -106,7 +125,7 @@
   }
 
   private tickRelayed(own: RelayedLoads, now: number): void {
-    this.nextDigestAt = now + this.settings.relayIntervalMs
+    this.nextDigestAt = now + this.getRelayIntervalMs()
     this.relay.removeOld(now)
     const {selfAddress} = this.members
     const relayAddress = this.pickRelay(now)
@@ -119,14 +138,30 @@
   private relayLoads({loads, placements}: RelayedLoads, dependants: readonly string[], now: number): void {
     this.relay.addOutcomes(loads)
     this.relay.addPlacements(placements)
-    const {ownZone, otherZones} = this.ranking
-    const otherRelays = ownZone.filter(address => address !== this.members.selfAddress)
-    this.sendDigest([...otherZones, ...otherRelays], "zone", this.relay.takeZone(loads), now)
+    this.sendDigest(this.getOtherRelaysOfRegion(), "zone", this.relay.takeZone(loads), now)
+    this.relayRegion(loads, now)
     const fleet = this.relay.takeFleet(loads)
     this.sendDigest(dependants, "fleet", fleet, now)
     this.directory.applyFleetLoads(FLEET, fleet.loads, now)
   }
 
+  /// One daemon of a region tells each other region what its own puts on.
+  private relayRegion(loads: RelayedLoads["loads"], now: number): void {
+    const {regionRelay, otherRegionRelays} = this.ranking
+    if (regionRelay !== this.members.selfAddress || otherRegionRelays.length === 0) {
+      this.relay.forgetRegion()
+      return
+    }
+    if (now < this.nextRegionDigestAt) return
+    this.nextRegionDigestAt = now + this.settings.regionIntervalMs
+    this.sendDigest(otherRegionRelays, "region", this.relay.takeRegion(loads), now)
+  }
+
+  private getOtherRelaysOfRegion(): string[] {
+    const {ownZone, ownRegion} = this.ranking
+    return [...ownRegion, ...ownZone.filter(address => address !== this.members.selfAddress)]
+  }
+
   private sendDigest(
     addresses: readonly string[],
     scope: LoadDigest["scope"],
@@ -135,7 +170,8 @@
   ): void {
     if (addresses.length === 0) return
     const knowledge = this.replica.getKnowledge(now)
-    const message: FleetMessage = {kind: "loadDigest", scope, knowledge, loads, placements}
+    const ofRegion = scope === "region" ? {region: this.members.region, passOn: true} : {}
+    const message: FleetMessage = {kind: "loadDigest", scope, knowledge, loads, placements, ...ofRegion}
     this.sendToAll(addresses, message)
   }
 
@@ -145,6 +181,7 @@
       case "loadDigest":
         this.applyLoads(fromId, fromAddress, message, now)
         this.replica.receiveKnowledge(message.knowledge, now)
+        if (message.passOn === true) this.passOnLoads(message, now)
         this.pullWhenBehind(fromAddress, message.knowledge, now)
         break
       case "recordsPull": {
@@ -170,13 +207,18 @@
   sendChanges(message: RecordsChanged): void {
     this.rankMembers()
     if (this.isRelayed()) {
-      const {ownZone, otherZones} = this.ranking
-      const relays = [...ownZone, ...otherZones].filter(address => address !== this.members.selfAddress)
+      const relays = [...this.getOtherRelaysOfRegion(), ...this.ranking.elsewhere]
       this.sendToAll(relays, {...message, passOn: true})
       this.sendToAll(this.relay.getMemberAddresses(), message)
     } else this.sendToAll(this.peers, message)
   }
 
+  /// Loads of another region go to the other relays of this one, with what this daemon knows of the store by now.
+  private passOnLoads(message: LoadDigest, now: number): void {
+    const knowledge = this.replica.getKnowledge(now)
+    this.sendToAll(this.getOtherRelaysOfRegion(), {...message, knowledge, passOn: false})
+  }
+
   private sendToAll(addresses: readonly string[], message: FleetMessage): void {
     for (const address of addresses) this.emit({address, message})
   }
@@ -200,6 +242,12 @@
     this.emit({address: fromAddress, message: {kind: "recordsPull", sequence: this.sequence}})
   }
 
+  private getRelayIntervalMs(): number {
+    const {relayIntervalMs, relayIntervalPerDaemonMs, minimumRelayIntervalMs} = this.settings
+    const ms = this.rankedAmong.length * relayIntervalPerDaemonMs
+    return Math.min(relayIntervalMs, Math.max(minimumRelayIntervalMs, ms))
+  }
+
   private digestIntervalMs(peers: number): number {
     const {digestIntervalMs, digestIntervalPerPeerMs, minimumDigestIntervalMs} = this.settings
     return Math.min(digestIntervalMs, Math.max(minimumDigestIntervalMs, peers * digestIntervalPerPeerMs))
@@ -216,6 +264,9 @@
       case "zone":
         this.relay.applyZone(fromId, fromAddress, message, now)
         break
+      case "region":
+        if (message.region !== undefined) this.relay.applyRegion(message.region, fromAddress, message, now)
+        break
       case "fleet":
         if (fromAddress === this.relayAddress) this.relayHeardAt = now
         this.directory.applyFleetLoads(FLEET, message.loads, now)
@@ -240,6 +291,6 @@
     if (members === this.rankedAmong) return
     this.rankedAmong = members
     this.peers = members.map(({address}) => address).filter(address => address !== this.members.selfAddress)
-    if (this.isRelayed()) this.ranking = rankRelays(members, this.members.zone)
+    if (this.isRelayed()) this.ranking = rankRelays(members, this.members)
   }
 }
--- a/test/load-relay.test.ts
+++ b/test/load-relay.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
 import { ForwardingFleet, type FleetNode } from '../simulation/forwarding-fleet.js';
-import { rankRelays } from '../src/fleet/relay-ranking.js';
+import { rankRelays, type RelayRanking } from '../src/fleet/relay-ranking.js';
 import { Snapshot } from './snapshot.js';
 
 const SEED = 20261206;
@@ -12,8 +12,8 @@
 /// Three intervals of the relays and the way between them.
 const KNOWN_MS = 900;
 
-function settledFleet(count: number): ForwardingFleet {
-  const fleet = new ForwardingFleet(count, SEED);
+function settledFleet(count: number, regions = 1): ForwardingFleet {
+  const fleet = new ForwardingFleet(count, SEED, undefined, undefined, regions);
   const value = labConfiguration(1, [labRoute({ kind: 'nonIdempotent', timeoutMs: 8000 })]);
   fleet.write({ collection: 'configuration', revision: 0, value });
   for (const id of ['a', 'b'])
@@ -32,6 +32,11 @@
   return counts;
 }
 
+/// A lost daemon is suspected, and no relay any more, after so long.
+const FOUND_LOST_MS = 8 * SECOND_MS;
+/// Three intervals within a region, one between regions and the ways between them.
+const KNOWN_FROM_OTHER_REGIONS_MS = 1300;
+
 /// How many daemons know of fewer requests at a back end than there are.
 function countIgnorant(fleet: ForwardingFleet, counts: Map<string, number>): number {
   const running = fleet.nodes.filter((node) => !node.down);
@@ -39,17 +44,22 @@
     .length;
 }
 
-/// The daemon that relays for a zone.
-function findRelay(fleet: ForwardingFleet, zone: string): FleetNode | undefined {
-  const members = fleet.nodes.map((node, i) => ({
+/// The ranking of relays as a daemon of this zone finds it.
+function rankFleet(fleet: ForwardingFleet, zone: string): RelayRanking {
+  const members = fleet.nodes.map((node) => ({
     id: node.id,
     address: node.address,
-    zone: `zone-${i % 3}`,
-    region: 'main',
+    zone: node.zone,
+    region: fleet.getRegion(node.zone),
     incarnation: 1,
     state: 'alive' as const,
   }));
-  const [first] = rankRelays(members, zone).ownZone;
+  return rankRelays(members, { zone, region: fleet.getRegion(zone) });
+}
+
+/// The daemon that relays for a zone.
+function findRelay(fleet: ForwardingFleet, zone: string): FleetNode | undefined {
+  const [first] = rankFleet(fleet, zone).ownZone;
   return fleet.nodes.find(({ address }) => address === first);
 }
 
@@ -62,6 +72,43 @@
       expect(countIgnorant(fleet, counts)).to.equal(0);
     });
 
+  it('66 daemons in three regions: every one knows what each puts on the back ends', () => {
+    const fleet = settledFleet(66, 3);
+    const counts = load(fleet, fleet.nodes.slice(0, 20), 60);
+    fleet.time.runUntil(fleet.time.now() + KNOWN_FROM_OTHER_REGIONS_MS);
+    expect(countIgnorant(fleet, counts)).to.equal(0);
+    // A daemon's own requests stand in the fleet's sum too.
+    const own = 60 / 20;
+    for (const { daemon } of fleet.nodes)
+      for (const [id, count] of counts)
+        expect(daemon.getInFlight(id), 'no region counts twice').to.be.at.most(count + own);
+  });
+
+  it('a region whose relay is lost is heard of again once another one tells', () => {
+    const fleet = settledFleet(66, 3);
+    const { regionRelay } = rankFleet(fleet, 'zone-1');
+    const lost = fleet.nodes.find(({ address }) => address === regionRelay);
+    expect(lost).not.to.equal(undefined);
+    if (lost) lost.down = true;
+    fleet.time.runUntil(fleet.time.now() + FOUND_LOST_MS);
+    const inRegion = fleet.nodes.filter((node) => !node.down && fleet.getRegion(node.zone) === 'region-1');
+    const counts = load(fleet, inRegion.slice(0, 10), 30);
+    fleet.time.runUntil(fleet.time.now() + KNOWN_FROM_OTHER_REGIONS_MS);
+    expect(countIgnorant(fleet, counts)).to.equal(0);
+  });
+
+  it('one daemon of a region tells the others', () => {
+    const snapshot = new Snapshot('region-relay');
+    for (const count of [24, 66, 195]) {
+      const fleet = settledFleet(count, 3);
+      const before = fleet.regionMessageCounts.get('loadDigest') ?? 0;
+      fleet.time.runUntil(SETTLED_MS + 4 * SECOND_MS);
+      const digests = ((fleet.regionMessageCounts.get('loadDigest') ?? 0) - before) / 4;
+      snapshot.add(`${count} daemons: ${digests.toFixed(1)} digests a second between three regions`);
+    }
+    snapshot.check();
+  });
+
   it("a zone whose relay is lost hears of the fleet's loads from the next one", () => {
     const fleet = settledFleet(66);
     const relay = findRelay(fleet, 'zone-1');
