Places, and the cost of distance in every choice of a back end

Cause: no choice knew a region. The settings' table of zones was dropped, so a back end 8 ms away counted like one 0.9 ms away, copies came from any keeper and decode engines lay anywhere.

Change: Places (zone, region, distance class), RoundTrips (learned by the region part from the probes of membership), DistanceCost (calls by round trip and bytes, copies of KV caches by bytes over the link). The picker of plain back ends, of decode engines, of prompts and the keeper of a copy ask it. The decode engine is chosen by where the KV cache is. Attempts' log lines tell the distance.

The test site's engines have a link now.

Not measured yet.

--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -74,7 +74,13 @@
   };
 }
 
-const LAB_ENGINE: EngineTraits = { slots: 32, kvCapacityTokens: 440_000, kvHandleLifetimeMs: 5000 };
+const LAB_ENGINE: EngineTraits = {
+  slots: 32,
+  kvCapacityTokens: 440_000,
+  kvHandleLifetimeMs: 5000,
+  tokenBytes: 18_432,
+  linkMbps: 370_000,
+};
 
 /** A configuration for tests with these routes. */
 export function labConfiguration(
--- a/src/daemon/forwarding-daemon-settings.ts
+++ b/src/daemon/forwarding-daemon-settings.ts
@@ -9,6 +9,8 @@
 import { DEFAULT_FORWARD_SETTINGS, type ForwardSettings } from '../forwarding/forward-settings.js';
 import { DEFAULT_KV_FOLLOWER_SETTINGS, type KvFollowerSettings } from '../forwarding/kv-follower.js';
 import { type RetryAllowanceSettings } from '../forwarding/retry-allowance.js';
+import { DEFAULT_DISTANCE_SETTINGS, type DistanceSettings } from '../places/distance-settings.js';
+import type { RegionByZone } from '../places/places.js';
 import type { StageCoordinatorSettings } from '../allocation/stage-coordinator.js';
 import { type DutySettings } from '../duties/duty-manager.js';
 import { DEFAULT_MEMBERSHIP_SETTINGS, type MembershipSettings } from '../membership/membership-settings.js';
@@ -20,6 +22,9 @@
   readonly exchange: PeerExchangeSettings;
   readonly health: BackendHealthSettings;
   readonly picker: BackendPickerSettings;
+  readonly distance: DistanceSettings;
+  /** The region of each zone; empty where there is one region. */
+  readonly regionByZone: RegionByZone;
   readonly forward: ForwardSettings;
   readonly kvFollower: KvFollowerSettings;
   readonly retries: RetryAllowanceSettings;
@@ -35,6 +40,8 @@
   exchange: DEFAULT_PEER_EXCHANGE_SETTINGS,
   health: DEFAULT_BACKEND_HEALTH_SETTINGS,
   picker: DEFAULT_BACKEND_PICKER_SETTINGS,
+  distance: DEFAULT_DISTANCE_SETTINGS,
+  regionByZone: {},
   forward: DEFAULT_FORWARD_SETTINGS,
   kvFollower: DEFAULT_KV_FOLLOWER_SETTINGS,
 };
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -6,12 +6,16 @@
 import { FleetReplica, type FleetEffect } from '../fleet/fleet-replica.js';
 import { PeerExchange } from '../fleet/peer-exchange.js';
 import { BackendDirectory } from '../forwarding/backend-directory.js';
+import { BackendDistance } from '../forwarding/backend-distance.js';
 import { BackendPicker } from '../forwarding/backend-picker.js';
 import { ForwardManager } from '../forwarding/forward-manager.js';
 import { KvIndex, type PartPlacement } from '../forwarding/kv-index.js';
 import { RetryAllowance } from '../forwarding/retry-allowance.js';
 import { RouteTable } from '../forwarding/route-table.js';
 import { TenantDirectory } from '../forwarding/tenant-directory.js';
+import { DistanceCost } from '../places/distance-cost.js';
+import { Places } from '../places/places.js';
+import { RoundTrips } from '../places/round-trips.js';
 import type { DaemonPart, PartFigures } from '../parts/daemon-part.js';
 import { createParts } from '../parts/daemon-parts.js';
 import { makeFleetBelief, type BeliefEvent } from './beliefs.js';
@@ -81,7 +85,13 @@
       now,
     );
     this.replica = new FleetReplica(settings.replica, random, (effect) => this.onFleet(effect), now);
-    const picker = new BackendPicker(settings.picker, identity.zone, this.directory, this.kvIndex, random);
+    const roundTrips = new RoundTrips(settings.distance.roundTripMs);
+    const places = new Places(settings.regionByZone);
+    const distance = new BackendDistance(
+      identity.zone,
+      new DistanceCost(settings.distance, places, roundTrips),
+    );
+    const picker = new BackendPicker(settings.picker, distance, this.directory, this.kvIndex, random);
     this.manager = new ForwardManager(
       settings.forward,
       {
@@ -120,6 +130,7 @@
         random,
         directory: this.directory,
         kvIndex: this.kvIndex,
+        regions: places.hasSeveralRegions() ? { places, roundTrips, distance } : undefined,
         emit,
         members: () => this.membership.active(),
         routes: () => this.routes,
--- a/src/forwarding/backend-picker-settings.ts
+++ b/src/forwarding/backend-picker-settings.ts
@@ -20,10 +20,6 @@
   /// Longer prompts are computed by prefill engines while there is one: on a decode engine they would hold up
   /// the tokens of every other stream. Default 300.
   readonly decodePromptTokens: number
-  /// What another zone costs, in prompt tokens for decode engines. Default 180: three requests.
-  readonly otherZoneTokens: number
-  /// What another zone costs, in requests per slot for plain back ends. Default 0.1.
-  readonly otherZoneCost: number
   /// A prompt is expected to be in time when it is expected within this share of the time left. Default 0.6.
   readonly onTimeShare: number
   /// Part of an engine's KV cache and slots that prompts may take before late ones find no room. An engine that runs
@@ -43,8 +39,6 @@
   minimumCopyTokens: 256,
   requestCostTokens: 60,
   decodePromptTokens: 300,
-  otherZoneTokens: 180,
-  otherZoneCost: 0.1,
   onTimeShare: 0.6,
   lateRoomShare: 0.7,
   pace: DEFAULT_PROMPT_PACE_SETTINGS
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -1,9 +1,11 @@
 /// Chooses the back end of an attempt. Plain back ends and decode engines: the least loaded of a few drawn. Prompts: see
 /// `PromptPicker`.
 import type {RandomSource} from "../shared/random.js"
+import {DISTANCE_CLASSES, type DistanceClass} from "../places/places.js"
+import type {BackendDistance} from "./backend-distance.js"
 import type {BackendDirectory} from "./backend-directory.js"
 import type {BackendPickerSettings} from "./backend-picker-settings.js"
-import {getWithRoom, makePlan, type BackendPlan, type BackendWanted} from "./backend-plan.js"
+import {getCallBytes, getWithRoom, makePlan, type BackendPlan, type BackendWanted} from "./backend-plan.js"
 import type {BackendView} from "./backend-view.js"
 import type {PromptOutline} from "./forward-request.js"
 import type {KvIndex} from "./kv-index.js"
@@ -15,12 +17,12 @@
 
   constructor(
     private readonly settings: BackendPickerSettings,
-    private readonly ownZone: string,
+    private readonly distance: BackendDistance,
     private readonly directory: BackendDirectory,
     kvIndex: KvIndex,
     private readonly random: RandomSource
   ) {
-    this.prompts = new PromptPicker(settings, directory, kvIndex)
+    this.prompts = new PromptPicker(settings, directory, kvIndex, distance)
   }
 
   /// This process stood still until now: silence before says nothing about the back ends.
@@ -33,19 +35,37 @@
     this.prompts.addSample(plan, ms)
   }
 
+  /// An attempt was answered whole, so long after it was sent.
+  requestAnswered(plan: BackendPlan, ms: number): void {
+    this.distance.requestAnswered(plan, ms)
+  }
+
+  /// How far the plan's back end is; undefined where the fleet lies in one region.
+  getDistance({backend}: BackendPlan): DistanceClass | undefined {
+    return this.distance.hasSeveralRegions() ? this.distance.getDistance(backend) : undefined
+  }
+
   /// The best plan, or undefined when no back end of the service takes work.
   pick(wanted: BackendWanted, now: number): BackendPlan | undefined {
+    const plan = this.findPlan(wanted, now)
+    if (plan) this.distance.attemptPlanned(plan.backend)
+    return plan
+  }
+
+  private findPlan(wanted: BackendWanted, now: number): BackendPlan | undefined {
     const able = this.getAble(wanted)
     const {prompt} = wanted
     const engines = able.some(view => view.record.stage !== undefined)
-    if (!prompt || !engines) return this.pickPlain(getWithRoom(this.getTrusted(able, now), wanted))
+    if (!prompt || !engines) {
+      return this.pickPlain(getWithRoom(this.getTrusted(able, now), wanted), wanted)
+    }
     // Engines of one stage cannot stand in for those of the other, so each has its own way out when all are in trouble.
     const decodes = this.getTrusted(
       able.filter(view => view.record.stage !== "prefill"),
       now
     )
     const roomy = getWithRoom(decodes, wanted)
-    if (wanted.prefilled) return this.pickDecode(roomy)
+    if (wanted.prefilled) return this.pickDecode(roomy, wanted)
     const trusted = this.getTrusted(able, now)
     const prefills = trusted.filter(view => view.record.stage === "prefill")
     return this.pickForPrompt(prompt, wanted, roomy, prefills)
@@ -66,18 +86,27 @@
     return sound.length > 0 ? sound : able
   }
 
-  private pickPlain(candidates: readonly BackendView[]): BackendPlan | undefined {
+  private pickPlain(candidates: readonly BackendView[], wanted: BackendWanted): BackendPlan | undefined {
     if (candidates.length === 0) return undefined
+    const {distance} = this
+    const bytes = getCallBytes(wanted)
+    if (distance.hasSeveralRegions()) {
+      const cost = (view: BackendView) => distance.getSlotWaitMs(view) + distance.getCall(view, bytes).costMs
+      return makePlan(this.pickLeastByDistance(candidates, cost), 0, "least-loaded")
+    }
     const backend = this.pickLeast(candidates, view => {
-      const far = view.record.zone === this.ownZone ? 0 : this.settings.otherZoneCost
+      const far = distance.getCall(view, bytes).costMs / distance.getWorkMs(view)
       return view.inFlight() / Math.max(1, view.record.slots) + far
     })
     return makePlan(backend, 0, "least-loaded")
   }
 
-  private pickDecode(decodes: readonly BackendView[]): BackendPlan | undefined {
+  /// A decode engine that takes over the KV cache from where it is.
+  private pickDecode(decodes: readonly BackendView[], wanted: BackendWanted): BackendPlan | undefined {
     if (decodes.length === 0) return undefined
-    return makePlan(this.pickLeastWaiting(decodes), 0, "least-loaded")
+    const {prefilledAt, service} = wanted
+    const source = this.directory.ofService(service).find(view => view.record.address === prefilledAt)
+    return makePlan(this.pickLeastWaiting(decodes, wanted, source), 0, "least-loaded")
   }
 
   private pickForPrompt(
@@ -88,21 +117,43 @@
   ): BackendPlan | undefined {
     if (decodes.length === 0) return undefined
     if (wanted.direct || prompt.promptTokens <= this.settings.decodePromptTokens) {
-      return makePlan(this.pickLeastWaiting(decodes), prompt.promptTokens, "least-loaded")
+      return makePlan(this.pickLeastWaiting(decodes, wanted), prompt.promptTokens, "least-loaded")
     }
     const able = prefills.length > 0 ? getWithRoom(prefills, wanted) : decodes
-    return able.length > 0 ? this.prompts.pick(prompt, wanted, able) : undefined
+    return able.length > 0 ? this.prompts.pick(prompt, wanted, able, decodes) : undefined
   }
 
   /// The decode engine with the least work of a few drawn, those of the own zone first: connections to them are reused, and
   /// bytes between zones are saved. One of another zone is drawn too and taken when it has clearly less work.
-  private pickLeastWaiting(decodes: readonly BackendView[]): BackendView {
-    const near = decodes.filter(view => view.record.zone === this.ownZone)
-    const cost = (view: BackendView) => this.prompts.getWaitingCost(view)
+  private pickLeastWaiting(
+    decodes: readonly BackendView[],
+    wanted: BackendWanted,
+    source?: BackendView
+  ): BackendView {
+    const {distance, prompts} = this
+    if (distance.hasSeveralRegions()) {
+      return this.pickLeastByDistance(decodes, view => prompts.getDecodeMs(view, wanted, source))
+    }
+    const near = decodes.filter(view => distance.getDistance(view) === "sameZone")
+    const cost = (view: BackendView) => prompts.getWaitingCost(view)
     if (near.length === 0) return this.pickLeast(decodes, cost)
     const best = this.pickLeast(near, cost)
     const far = decodes[this.random.below(decodes.length)]
-    return cost(far) + this.settings.otherZoneTokens < cost(best) ? far : best
+    const farTokens = distance.getCall(far, 0).costMs * distance.getDefaultTokensPerMs()
+    return cost(far) + farTokens < cost(best) ? far : best
+  }
+
+  /// The least of a few drawn from each class of distance. Drawn from all alike, the few back ends of the own zone would mostly
+  /// not be among them.
+  private pickLeastByDistance(
+    candidates: readonly BackendView[],
+    cost: (view: BackendView) => number
+  ): BackendView {
+    const best = DISTANCE_CLASSES.flatMap(kind => {
+      const there = candidates.filter(view => this.distance.getDistance(view) === kind)
+      return there.length > 0 ? [this.pickLeast(there, cost)] : []
+    })
+    return best.reduce((least, view) => (cost(view) < cost(least) ? view : least))
   }
 
   private pickLeast(candidates: readonly BackendView[], cost: (view: BackendView) => number): BackendView {
--- a/src/forwarding/backend-plan.ts
+++ b/src/forwarding/backend-plan.ts
@@ -23,6 +23,8 @@
   readonly late: boolean
   /// It cannot be in time, and the engines have no room for prompts that only wait.
   readonly full: boolean
+  /// Part of the expected time that the way there and copies take. Milliseconds.
+  readonly distanceMs: number
   /// Why this back end, for the log.
   readonly reason: PlanReason
 }
@@ -33,6 +35,10 @@
   readonly prompt: PromptOutline | undefined
   /// The KV cache exists already: only a decode engine will do.
   readonly prefilled: boolean
+  /// Address of the engine that holds it.
+  readonly prefilledAt?: string | undefined
+  /// Bytes of its body.
+  readonly bodyBytes?: number | undefined
   /// The prompt may not be computed apart any more: that would be one back end too many.
   readonly direct: boolean
   /// What the engines of the service have in common; undefined for services that are no engines.
@@ -45,6 +51,14 @@
   readonly maximumOwnInFlight: number
 }
 
+/// What a call carries beside the request's body, both heads and a short answer. Bytes.
+const CALL_BYTES = 1500
+
+/// Bytes that an attempt sends and gets back, about.
+export function getCallBytes({bodyBytes = 0}: BackendWanted): number {
+  return bodyBytes + CALL_BYTES
+}
+
 /// Back ends that may have one more request of this daemon.
 export function getWithRoom(views: readonly BackendView[], wanted: BackendWanted): BackendView[] {
   return views.filter(view => view.ownInFlight() < wanted.maximumOwnInFlight)
@@ -61,6 +75,7 @@
     expectedMs: undefined,
     late: false,
     full: false,
+    distanceMs: 0,
     reason
   }
 }
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -170,6 +170,8 @@
       service: session.service,
       prompt: request.prompt,
       prefilled: session.kvSource !== undefined,
+      prefilledAt: session.kvSource?.address,
+      bodyBytes: request.bodyBytes,
       direct: !this.mayComputeApart(session, now),
       engine: this.limits.getEngine(session.service),
       targetLeftMs: request.arrivedAt + route.targetLatencyMs - now,
@@ -199,6 +201,7 @@
       backend: backend.record.id,
       stage: plan.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
       reason: plan.reason,
+      distance: this.picker.getDistance(plan),
       promptTokens: plan.promptTokens,
       copyFrom: plan.copyFrom?.id,
       inFlight: backend.inFlight(),
@@ -307,6 +310,7 @@
     const failed = status >= FIRST_SERVER_ERROR
     if (failed) backend.failed(now)
     else backend.succeeded(now)
+    if (!failed) this.picker.requestAnswered(attempt.plan, now - attempt.startedAt)
     if (failed && mayRunAgain(session) && this.mayRepeat(session, now)) {
       this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, status})
       session.excluded.add(backend.record.id)
--- a/src/forwarding/forward-request.ts
+++ b/src/forwarding/forward-request.ts
@@ -27,6 +27,8 @@
   /// How long the caller waits from then on; undefined when it did not say. Milliseconds.
   readonly callerDeadlineMs: number | undefined
   readonly prompt: PromptOutline | undefined
+  /// Bytes of its body; undefined counts as none.
+  readonly bodyBytes?: number | undefined
   /// Digest of the key that the caller showed; undefined when it showed none.
   readonly keyDigest?: string | undefined
 }
--- a/src/forwarding/prompt-picker.ts
+++ b/src/forwarding/prompt-picker.ts
@@ -2,29 +2,33 @@
 /// that its KV cache saves and those that it copies from another engine. A prompt that cannot be in time anywhere gives
 /// way to those that can.
 import {pickByRendezvous} from "../shared/rendezvous-hash.js"
+import type {BackendDistance} from "./backend-distance.js"
 import type {BackendDirectory} from "./backend-directory.js"
 import type {BackendPickerSettings} from "./backend-picker-settings.js"
-import type {BackendPlan, BackendWanted, PlanReason} from "./backend-plan.js"
+import {getCallBytes, type BackendPlan, type BackendWanted, type PlanReason} from "./backend-plan.js"
 import type {BackendView} from "./backend-view.js"
 import {sharedKey, sharedTokens, type PromptOutline} from "./forward-request.js"
 import type {KvIndex} from "./kv-index.js"
+import {PromptWays, type Keeper} from "./prompt-ways.js"
 import {PromptPace} from "./prompt-pace.js"
 import type {EngineTraits} from "./route.js"
 
-/// An engine and the tokens of a prompt that it keeps.
-interface Keeper {
-  readonly backend: BackendView
-  readonly tokens: number
-}
+/// Prompt tokens over which an engine's pace is taken, and the fastest that is believed: none is known that computes more.
+const PACE_TOKENS = 10_000
+const MAXIMUM_TOKENS_PER_MS = 1000
 
 /// What a prompt would cost at one engine, in tokens.
 interface PromptWork {
   /// To be computed there.
   readonly promptTokens: number
-  /// Copied from the keeper.
-  readonly copiedTokens: number
+  /// Keeper of what is copied.
+  readonly copyFrom: BackendView | undefined
   /// What it costs in all, shared parts that are read beside their home included.
   readonly cost: number
+  /// What the way there, copies and the way to a decode engine cost.
+  readonly distanceTokens: number
+  /// Part of that which passes before the prompt is computed. Milliseconds.
+  readonly distanceMs: number
   readonly reason: PlanReason
 }
 
@@ -35,24 +39,33 @@
   constructor(
     private readonly settings: BackendPickerSettings,
     private readonly directory: BackendDirectory,
-    private readonly kvIndex: KvIndex
+    private readonly kvIndex: KvIndex,
+    private readonly distance: BackendDistance
   ) {}
 
   /// A prompt was computed as planned, so long after it was sent. Late prompts wait for an unknown number of others.
-  addSample({backend, queuedTokens, late}: BackendPlan, ms: number): void {
-    if (!late) this.getPace(backend).addSample(queuedTokens, ms)
+  addSample({backend, queuedTokens, late, distanceMs}: BackendPlan, ms: number): void {
+    if (!late) this.getPace(backend).addSample(queuedTokens, Math.max(0, ms - distanceMs))
   }
 
   /// The best plan at one of these engines, of which there is at least one.
-  pick(prompt: PromptOutline, wanted: BackendWanted, able: readonly BackendView[]): BackendPlan {
+  pick(
+    prompt: PromptOutline,
+    wanted: BackendWanted,
+    able: readonly BackendView[],
+    decodes: readonly BackendView[]
+  ): BackendPlan {
+    const ways = this.distance.hasSeveralRegions()
+      ? new PromptWays(this.distance, prompt, wanted, decodes)
+      : undefined
     const home = this.findHome(prompt, wanted.service, able)
-    const plan = this.pickCheapest(prompt, able, home, false)
+    const plan = this.pickCheapest(prompt, able, home, false, ways)
     const late =
       plan.expectedMs !== undefined && plan.expectedMs > wanted.targetLeftMs * this.settings.onTimeShare
     if (!late) return plan
     const roomy = able.filter(view => this.hasRoomForLate(view, prompt, wanted.engine))
-    if (roomy.length > 0) return this.pickCheapest(prompt, roomy, home, true)
-    return {...this.pickCheapest(prompt, able, home, true), full: true}
+    if (roomy.length > 0) return this.pickCheapest(prompt, roomy, home, true, ways)
+    return {...this.pickCheapest(prompt, able, home, true, ways), full: true}
   }
 
   /// Every engine is weighed: what it keeps of the prompt it need not compute, what another engine keeps it copies from
@@ -61,59 +74,69 @@
     prompt: PromptOutline,
     candidates: readonly BackendView[],
     home: string | undefined,
-    late: boolean
+    late: boolean,
+    ways: PromptWays | undefined
   ): BackendPlan {
-    const keeper = this.findKeeper(prompt, candidates[0].record.service)
+    const keepers = this.findKeepers(prompt, candidates[0].record.service)
     let best = candidates[0]
-    let bestWork = this.getWork(prompt, best, keeper, home)
+    let bestWork: PromptWork | undefined
     let bestCost = Infinity
     for (const backend of candidates) {
-      const work = this.getWork(prompt, backend, keeper, home)
-      const cost = this.getWaitingCost(backend, late) + work.cost * this.getPromptFactor(backend)
+      const work = this.getWork(prompt, backend, keepers, home, ways)
+      const cost =
+        this.getWaitingCost(backend, late) + work.cost * this.getPromptFactor(backend) + work.distanceTokens
       if (cost >= bestCost) continue
       best = backend
       bestWork = work
       bestCost = cost
     }
-    return this.makePlan(best, bestWork, keeper, late)
+    bestWork ??= this.getWork(prompt, best, keepers, home, ways)
+    return this.makePlan(best, bestWork, late)
   }
 
   private getWork(
     prompt: PromptOutline,
     backend: BackendView,
-    keeper: Keeper | undefined,
-    home: string | undefined
+    keepers: readonly Keeper[],
+    home: string | undefined,
+    ways: PromptWays | undefined
   ): PromptWork {
     const {minimumCopyTokens, minimumAffinityTokens, readAgainFactor, copyFactor} = this.settings
     const shared = sharedTokens(prompt)
     const keptTokens = this.kvIndex.getKeptTokens(backend.record.id, prompt)
+    const keeper = ways ? ways.pickKeeper(keepers, backend) : keepers[0]
     const missing = (keeper?.tokens ?? 0) - keptTokens
     const copiedTokens = missing >= minimumCopyTokens ? missing : 0
     const promptTokens = prompt.promptTokens - keptTokens - copiedTokens
     const coldTokens = Math.max(0, shared - keptTokens - copiedTokens)
     const atHome = backend.record.id === home
     const readElsewhere = atHome || shared < minimumAffinityTokens ? 0 : coldTokens * (readAgainFactor - 1)
-    const cost = promptTokens + readElsewhere + copiedTokens * copyFactor
+    const copyCost = ways ? 0 : copiedTokens * copyFactor
+    const cost = promptTokens + readElsewhere + copyCost
+    const copyFrom = copiedTokens > 0 ? keeper?.backend : undefined
+    const way = ways?.getWay(backend, copyFrom, copiedTokens)
+    const distanceTokens = way ? way.costMs * this.getTokensPerMs(backend) : 0
     const reason = copiedTokens > 0 ? "copy" : keptTokens > 0 ? "kept" : atHome ? "home" : "spill"
-    return {promptTokens, copiedTokens, cost, reason}
+    return {promptTokens, copyFrom, cost, distanceTokens, distanceMs: way?.timeMs ?? 0, reason}
   }
 
   private makePlan(
     backend: BackendView,
-    {promptTokens, copiedTokens, reason}: PromptWork,
-    keeper: Keeper | undefined,
+    {promptTokens, copyFrom, distanceMs, reason}: PromptWork,
     late: boolean
   ): BackendPlan {
     const queuedTokens = getWaitingTokens(backend, late) + promptTokens
+    const computedMs = this.getPace(backend).getExpectedMs(queuedTokens)
     return {
       backend,
       promptTokens,
-      copyFrom: copiedTokens > 0 ? keeper?.backend.record : undefined,
+      copyFrom: copyFrom?.record,
       prefillOnly: backend.record.stage === "prefill",
       queuedTokens,
-      expectedMs: this.getPace(backend).getExpectedMs(queuedTokens),
+      expectedMs: computedMs === undefined ? undefined : computedMs + distanceMs,
       late,
       full: false,
+      distanceMs,
       reason
     }
   }
@@ -131,15 +154,19 @@
     return memory && requests <= engine.slots * lateRoomShare
   }
 
-  /// The engine of the service that keeps most of the prompt, of whatever stage; the first among equals.
-  private findKeeper(prompt: PromptOutline, service: string): Keeper | undefined {
-    let best: Keeper | undefined
+  /// The engines of the service that keep some of the prompt, of whatever stage; one that keeps most of it is the first.
+  private findKeepers(prompt: PromptOutline, service: string): readonly Keeper[] {
+    const keepers: Keeper[] = []
+    let most = 0
     for (const backend of this.directory.ofService(service)) {
       if (backend.gone || backend.unreachable()) continue
       const tokens = this.kvIndex.getKeptTokens(backend.record.id, prompt)
-      if (tokens > (best?.tokens ?? 0)) best = {backend, tokens}
+      if (tokens > most) {
+        most = tokens
+        keepers.unshift({backend, tokens})
+      } else if (tokens > 0) keepers.push({backend, tokens})
     }
-    return best
+    return keepers
   }
 
   /// The engine that keeps the shared parts: the same for every daemon, also while it is avoided for a moment.
@@ -164,6 +191,26 @@
     return tokens * this.getPromptFactor(view) + view.inFlight() * this.settings.requestCostTokens
   }
 
+  /// What a request would wait for at a decode engine, the way there and that of the KV cache from its source included.
+  /// Milliseconds.
+  getDecodeMs(view: BackendView, wanted: BackendWanted, source: BackendView | undefined): number {
+    const {distance} = this
+    const waitingMs = this.getWaitingCost(view) / this.getTokensPerMs(view) + distance.getSlotWaitMs(view)
+    const callMs = distance.getCall(view, getCallBytes(wanted)).costMs
+    if (!source) return waitingMs + callMs
+    const tokens = wanted.prompt?.promptTokens ?? 0
+    return waitingMs + callMs + distance.getMove(source, view, tokens, wanted.engine).costMs
+  }
+
+  /// Tokens of a prompt that a prefill engine computes in a millisecond.
+  private getTokensPerMs(view: BackendView): number {
+    const pace = this.getPace(view)
+    const none = pace.getExpectedMs(0)
+    const many = pace.getExpectedMs(PACE_TOKENS)
+    if (none === undefined || many === undefined) return this.distance.getDefaultTokensPerMs()
+    return Math.min(MAXIMUM_TOKENS_PER_MS, PACE_TOKENS / Math.max(1, many - none))
+  }
+
   private getPace({record}: BackendView): PromptPace {
     const key = `${record.service}/${record.stage ?? ""}`
     let pace = this.paces.get(key)
--- a/src/forwarding/route-schema.ts
+++ b/src/forwarding/route-schema.ts
@@ -25,7 +25,11 @@
   slots: z.number().min(1),
   kvCapacityTokens: z.number().min(0),
   kvHandleLifetimeMs: milliseconds,
-  stageChangeMs: milliseconds.optional()
+  stageChangeMs: milliseconds.optional(),
+  tokenBytes: z.number().positive().optional(),
+  linkMbps: z.number().positive().optional(),
+  canMove: z.boolean().optional(),
+  canReplicate: z.boolean().optional()
 })
 
 const scaling = z.object({
--- a/src/forwarding/route.ts
+++ b/src/forwarding/route.ts
@@ -69,6 +69,13 @@
   readonly kvHandleLifetimeMs: number
   /// How long an engine is away while it changes its stage. Milliseconds; not told by older daemons.
   readonly stageChangeMs?: number | undefined
+  /// Bytes that a token takes up in the KV cache, and the link over which engines copy it, in megabits per second; not told by older
+  /// daemons.
+  readonly tokenBytes?: number | undefined
+  readonly linkMbps?: number | undefined
+  /// Whether a running request's KV cache can be copied to another engine, and whether it can be copied as it grows.
+  readonly canMove?: boolean | undefined
+  readonly canReplicate?: boolean | undefined
 }
 
 /// A customer of the operator. A caller proves with a key that it acts for one.
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -2,6 +2,9 @@
 /// back ends, messages of peers, answers of outside systems and time, and asks for effects. A part is written and tested without the
 /// daemon; one line in `daemon-parts.ts` plugs it in.
 import type {RandomSource} from "../shared/random.js"
+import type {BackendDistance} from "../forwarding/backend-distance.js"
+import type {Places} from "../places/places.js"
+import type {RoundTrips} from "../places/round-trips.js"
 import type {BackendDirectory} from "../forwarding/backend-directory.js"
 import type {KvIndex} from "../forwarding/kv-index.js"
 import type {BackendRecord, RouteConfiguration} from "../forwarding/route.js"
@@ -13,6 +16,13 @@
 import type {ForwardingDaemonSettings} from "../daemon/forwarding-daemon-settings.js"
 import type {ForwardingEffect, ForwardingEvent} from "../daemon/forwarding-messages.js"
 
+/// What is known of the regions of a fleet.
+export interface RegionSurroundings {
+  readonly places: Places
+  readonly roundTrips: RoundTrips
+  readonly distance: BackendDistance
+}
+
 /// What a part may look at, and where its effects go.
 export interface PartSurroundings {
   readonly identity: DaemonIdentity
@@ -20,6 +30,8 @@
   readonly random: RandomSource
   readonly directory: BackendDirectory
   readonly kvIndex: KvIndex
+  /// Missing where the fleet lies in one region.
+  readonly regions?: RegionSurroundings | undefined
   readonly emit: EffectSink<ForwardingEffect>
   /// Active members, this daemon included; the same array as long as they are the same.
   members(): readonly Member[]
--- a/src/parts/daemon-parts.ts
+++ b/src/parts/daemon-parts.ts
@@ -3,15 +3,18 @@
 import {DutyPart} from "./duty-part.js"
 import {HealthPart} from "./health-part.js"
 import {KvPart} from "./kv-part.js"
+import {RegionPart} from "./region-part.js"
 import {StagePart} from "./stage-part.js"
 
 /// Every part of one daemon, in the order in which they hear of things.
 export function createParts(surroundings: PartSurroundings, now: number): readonly DaemonPart[] {
   const {duties} = surroundings.settings
+  const {regions} = surroundings
   return [
     new HealthPart(surroundings),
     new KvPart(surroundings, now),
     new StagePart(surroundings),
+    ...(regions ? [new RegionPart(surroundings, regions)] : []),
     ...(duties ? [new DutyPart(surroundings, duties, now)] : [])
   ]
 }
--- a/test/daemon-parts.test.ts
+++ b/test/daemon-parts.test.ts
@@ -37,6 +37,11 @@
     expect(names).to.include('duties');
   });
 
+  it('leave regions out in a fleet of one', () => {
+    const names = createParts(makeSurroundings({ hasDuties: false }), 0).map(({ name }) => name);
+    expect(names).not.to.include('regions');
+  });
+
   it('are left out where the settings do not ask for them', () => {
     const names = createParts(makeSurroundings({ hasDuties: false }), 0).map(({ name }) => name);
     expect(names).not.to.include('duties');
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -1,6 +1,7 @@
 /** One daemon's decisions on forwarded requests, without sockets: for tests in virtual time. */
 import { labBackend, labConfiguration } from '../lab/forwarding-site.js';
 import { BackendDirectory } from '../src/forwarding/backend-directory.js';
+import { BackendDistance } from '../src/forwarding/backend-distance.js';
 import { BackendPicker } from '../src/forwarding/backend-picker.js';
 import { DEFAULT_BACKEND_PICKER_SETTINGS } from '../src/forwarding/backend-picker-settings.js';
 import { DEFAULT_BACKEND_HEALTH_SETTINGS } from '../src/forwarding/backend-view.js';
@@ -13,10 +14,21 @@
 import { RouteTable } from '../src/forwarding/route-table.js';
 import { TenantDirectory } from '../src/forwarding/tenant-directory.js';
 import type { BackendRecord, EngineStage, Route } from '../src/forwarding/route.js';
+import { DistanceCost } from '../src/places/distance-cost.js';
+import { DEFAULT_DISTANCE_SETTINGS } from '../src/places/distance-settings.js';
+import { Places, type RegionByZone } from '../src/places/places.js';
+import { RoundTrips } from '../src/places/round-trips.js';
 import { SeededRandom } from '../src/shared/random.js';
 
 const SEED = 20261202;
 
+/** The ways of a daemon in `zone-a`; all zones lie in one region unless these say otherwise. */
+function makeDistance(regionByZone: RegionByZone): BackendDistance {
+  const roundTrips = new RoundTrips(DEFAULT_DISTANCE_SETTINGS.roundTripMs);
+  const cost = new DistanceCost(DEFAULT_DISTANCE_SETTINGS, new Places(regionByZone), roundTrips);
+  return new BackendDistance('zone-a', cost);
+}
+
 /** One daemon's forwarding with its effects collected. */
 export class Forwarding {
   readonly effects: ForwardEffect[] = [];
@@ -27,12 +39,17 @@
   readonly begun: [tenant: string, at: number][] = [];
   stale = false;
 
-  constructor(routes: readonly Route[], backends: readonly BackendRecord[], slack = 50) {
+  constructor(
+    routes: readonly Route[],
+    backends: readonly BackendRecord[],
+    slack = 50,
+    regionByZone: RegionByZone = {},
+  ) {
     const table = new RouteTable(labConfiguration(1, routes));
     for (const record of backends) this.directory.put(record);
     const picker = new BackendPicker(
       DEFAULT_BACKEND_PICKER_SETTINGS,
-      'zone-a',
+      makeDistance(regionByZone),
       this.directory,
       this.kvIndex,
       new SeededRandom(SEED),
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -66,6 +66,15 @@
     expect(checkPlatformSettings(SETTINGS).listen.front).to.equal('10.1.0.35:8144');
   });
 
+  it('the region of each zone is known to the daemon; without the table there is one region', () => {
+    const zones = `${SETTINGS}\n[zones]\nz = "r"\ny = "q"`;
+    expect(processSettings(checkPlatformSettings(zones)).daemon.regionByZone).to.deep.equal({
+      z: 'r',
+      y: 'q',
+    });
+    expect(processSettings(checkPlatformSettings(SETTINGS)).daemon.regionByZone).to.deep.equal({});
+  });
+
   it('each duty is done where the platform asks for it', () => {
     const duties = (names: string, bounds = ''): [boolean, boolean] | undefined => {
       const text = SETTINGS.replace('lease_ms = 3000', `lease_ms = 3000\n${bounds}`);
--- /dev/null
+++ b/test/region-part.test.ts
@@ -0,0 +1,85 @@
+/** Regions as a part of a daemon: round trips learned from probes, and figures for operators. */
+import { expect } from 'chai';
+import { DEFAULT_FORWARDING_SETTINGS } from '../src/daemon/forwarding-daemon-settings.js';
+import { BackendDirectory } from '../src/forwarding/backend-directory.js';
+import { BackendDistance } from '../src/forwarding/backend-distance.js';
+import { BackendView } from '../src/forwarding/backend-view.js';
+import { KvIndex } from '../src/forwarding/kv-index.js';
+import { labBackend } from '../lab/forwarding-site.js';
+import type { Member } from '../src/membership/membership-messages.js';
+import type { PartSurroundings } from '../src/parts/daemon-part.js';
+import { RegionPart } from '../src/parts/region-part.js';
+import { DistanceCost } from '../src/places/distance-cost.js';
+import { Places } from '../src/places/places.js';
+import { RoundTrips } from '../src/places/round-trips.js';
+import { SeededRandom } from '../src/shared/random.js';
+
+const { distance: distanceSettings } = DEFAULT_FORWARDING_SETTINGS;
+const FAR = 'daemon-far.a';
+
+function makePart(): { part: RegionPart; distance: BackendDistance } {
+  const places = new Places({ 'zone-a': 'r1', 'zone-c': 'r2' });
+  const roundTrips = new RoundTrips(distanceSettings.roundTripMs);
+  const distance = new BackendDistance('zone-a', new DistanceCost(distanceSettings, places, roundTrips));
+  const member: Member = {
+    id: FAR,
+    address: '10.0.0.2:1',
+    zone: 'zone-c',
+    region: 'r2',
+    incarnation: 0,
+    state: 'alive',
+  };
+  const regions = { places, roundTrips, distance };
+  const surroundings = {
+    identity: { id: 'daemon-1.a', address: '10.0.0.1:1', zone: 'zone-a', region: 'r1' },
+    settings: { ...DEFAULT_FORWARDING_SETTINGS } as PartSurroundings['settings'],
+    random: new SeededRandom(1),
+    directory: new BackendDirectory(DEFAULT_FORWARDING_SETTINGS.health),
+    kvIndex: new KvIndex(),
+    regions,
+    emit: () => undefined,
+    members: () => [member],
+    routes: () => undefined,
+    believe: () => undefined,
+  };
+  return { part: new RegionPart(surroundings, regions), distance };
+}
+
+/** A probe of the far daemon, answered by `from` after so long. */
+function probe(part: RegionPart, sequence: number, ms: number, from = FAR): void {
+  part.addToMembership({ kind: 'ping', sequence, target: FAR, updates: [] }, 1000);
+  part.receivePeer(from, '10.0.0.2:1', { kind: 'ack', sequence, updates: [] }, 1000 + ms);
+}
+
+describe('regions as a part', () => {
+  it('learn the round trip to each region from probes', () => {
+    const { part } = makePart();
+    for (let sequence = 0; sequence < 30; sequence += 1) probe(part, sequence, 400);
+    expect(part.getFigures().round_trip_ms_r2).to.be.closeTo(400, 20);
+  });
+
+  it('learn nothing from answers of others, answers to no probe, and time in which this process stood still', () => {
+    const { part } = makePart();
+    probe(part, 1, 400, 'daemon-third.a');
+    part.receivePeer(FAR, '10.0.0.2:1', { kind: 'ack', sequence: 7, updates: [] }, 1000);
+    part.addToMembership({ kind: 'ping', sequence: 2, target: FAR, updates: [] }, 1000);
+    part.ownPauseEnded();
+    part.receivePeer(FAR, '10.0.0.2:1', { kind: 'ack', sequence: 2, updates: [] }, 5000);
+    expect(part.getFigures().round_trip_ms_r2).to.equal(distanceSettings.roundTripMs.otherRegion);
+  });
+
+  it('tell the share of attempts that leave the region', () => {
+    const { part, distance } = makePart();
+    const { health } = DEFAULT_FORWARDING_SETTINGS;
+    const directory = new BackendDirectory(health);
+    for (const zone of ['zone-a', 'zone-a', 'zone-a', 'zone-c']) {
+      const record = { ...labBackend(zone, ''), zone };
+      distance.attemptPlanned(new BackendView(record, health, directory.peers));
+    }
+    expect(part.getFigures()).to.include({
+      attempts_sameZone: 3,
+      attempts_otherRegion: 1,
+      share_elsewhere: 0.25,
+    });
+  });
+});
