A region without contact: nothing goes there or is copied from there

Cause: the engines of a region that is cut off were found lost one by one, each by a request that waited for the time-out of a connection, and copies were asked of keepers nobody could reach.

Change: two back ends of a region lost with none heard from since make it count as cut off for this daemon; the first that answers a probe ends it. Its back ends are then used only when there is no other, and are no keepers. Beliefs `region.lost` and `region.regained`, figure `regions_cut_off`.

Seen to fail: cut-off never recognised; one lost engine enough; keeper used; engines used; regaining not noticed; round trips not learned; answers of third daemons counted; a pause of the process counted.

--- a/src/daemon/beliefs.ts
+++ b/src/daemon/beliefs.ts
@@ -29,7 +29,9 @@
   | 'usage.missed'
   | 'duty.failed'
   | 'drain.started'
-  | 'process.paused';
+  | 'process.paused'
+  | 'region.lost'
+  | 'region.regained';
 
 type FleetBelief = Exclude<FleetEffect, { kind: 'readRecords' | 'tellPeers' }>;
 type DutyBelief = Exclude<DutyEffect, { kind: 'leaseTable' | 'usageTable' | 'callDuty' | 'sendPeer' }>;
--- a/src/forwarding/backend-distance.ts
+++ b/src/forwarding/backend-distance.ts
@@ -15,6 +15,7 @@
 /// The ways from one daemon to the back ends.
 export class BackendDistance {
   private readonly workMs = new Map<string, number>()
+  private cutOff: ReadonlySet<string> = new Set()
   private readonly attempts: Record<DistanceClass, number> = {sameZone: 0, sameRegion: 0, otherRegion: 0}
 
   constructor(
@@ -32,6 +33,24 @@
     return this.cost.places.getDistance(this.ownZone, view.record.zone)
   }
 
+  /// The region of a back end outside the own region; undefined for one in it.
+  getOtherRegion(view: BackendView): string | undefined {
+    if (this.getDistance(view) !== "otherRegion") return undefined
+    return this.cost.places.getRegion(view.record.zone)
+  }
+
+  /// Takes the regions to which this daemon has no way.
+  setCutOff(regions: ReadonlySet<string>): void {
+    this.cutOff = regions
+  }
+
+  /// Whether the back end lies in a region to which this daemon has no way.
+  isCutOff(view: BackendView): boolean {
+    if (this.cutOff.size === 0) return false
+    const region = this.getOtherRegion(view)
+    return region !== undefined && this.cutOff.has(region)
+  }
+
   /// How far two back ends are apart.
   getDistanceBetween(one: BackendView, other: BackendView): DistanceClass {
     return this.cost.places.getDistance(one.record.zone, other.record.zone)
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -78,9 +78,9 @@
       .filter(view => view.takesWork() && !wanted.excluded.has(view.record.id))
   }
 
-  /// Of those, the ones in trouble only when there is no other.
+  /// Of those, the ones in trouble, or in a region that is cut off, only when there is no other.
   private getTrusted(able: readonly BackendView[], now: number): readonly BackendView[] {
-    const sound = able.filter(view => !view.avoided(now))
+    const sound = able.filter(view => !view.avoided(now) && !this.distance.isCutOff(view))
     const trusted = sound.filter(view => !view.distrusted())
     if (trusted.length > 0) return trusted
     return sound.length > 0 ? sound : able
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -60,6 +60,7 @@
   private ejections = 0
   private lastHeardAt = -Infinity
   private lostContact = false
+  private lostAt = -Infinity
 
   constructor(
     public record: BackendRecord,
@@ -115,6 +116,7 @@
   /// No connection could be made, or it stayed silent: nothing more is sent there until it answers a probe.
   lost(now: number): void {
     this.lostContact = true
+    this.lostAt = now
     this.failedSinceTold += 1
     this.eject(now)
   }
@@ -159,6 +161,11 @@
     return this.lostContact
   }
 
+  /// When this daemon last lost contact to it, and last heard from it. Monotonic milliseconds; -Infinity for never.
+  contactTimes(): {lostAt: number; heardAt: number} {
+    return {lostAt: this.lostAt, heardAt: this.lastHeardAt}
+  }
+
   /// Whether new work may go there at all.
   takesWork(): boolean {
     return !this.gone && this.record.state === "ready"
--- a/src/forwarding/prompt-picker.ts
+++ b/src/forwarding/prompt-picker.ts
@@ -159,7 +159,7 @@
     const keepers: Keeper[] = []
     let most = 0
     for (const backend of this.directory.ofService(service)) {
-      if (backend.gone || backend.unreachable()) continue
+      if (backend.gone || backend.unreachable() || this.distance.isCutOff(backend)) continue
       const tokens = this.kvIndex.getKeptTokens(backend.record.id, prompt)
       if (tokens > most) {
         most = tokens
--- /dev/null
+++ b/src/forwarding/region-contact.ts
@@ -0,0 +1,30 @@
+/// Which other regions this daemon has no way to, as far as its attempts and probes tell. To find each engine of such a region lost
+/// by an attempt of its own would cost a request the time-out of a connection each.
+import type {BackendDistance} from "./backend-distance.js"
+import type {BackendView} from "./backend-view.js"
+
+/// Back ends lost one after the other, with none heard from since, that make a region count as cut off. One alone has more likely
+/// crashed itself.
+const LOST_TOGETHER = 2
+
+/// The other regions that are cut off from this daemon.
+export function findCutOffRegions(views: Iterable<BackendView>, distance: BackendDistance): Set<string> {
+  const byRegion = new Map<string, BackendView[]>()
+  for (const view of views) {
+    const region = distance.getOtherRegion(view)
+    if (region === undefined) continue
+    const there = byRegion.get(region)
+    if (there) there.push(view)
+    else byRegion.set(region, [view])
+  }
+  return new Set([...byRegion].filter(([, there]) => isCutOff(there)).map(([region]) => region))
+}
+
+/// Whether enough back ends were lost since any of the region was last heard from. They are probed, and the first that answers
+/// ends it.
+function isCutOff(views: readonly BackendView[]): boolean {
+  let heardAt = -Infinity
+  for (const view of views) heardAt = Math.max(heardAt, view.contactTimes().heardAt)
+  const lost = views.filter(view => view.unreachable() && view.contactTimes().lostAt > heardAt)
+  return lost.length >= Math.min(LOST_TOGETHER, views.length)
+}
--- a/src/parts/region-part.ts
+++ b/src/parts/region-part.ts
@@ -1,6 +1,8 @@
-/// Learns the round trips to other regions from the probes between daemons, and tells how much work leaves the own region.
+/// Learns the round trips to other regions from the probes between daemons, finds which of them are cut off, and tells how much
+/// work leaves the own region.
 import type {DaemonIdentity, MembershipMessage} from "../membership/membership-messages.js"
 import type {PeerMessage} from "../daemon/daemon-messages.js"
+import {findCutOffRegions} from "../forwarding/region-contact.js"
 import {DISTANCE_CLASSES} from "../places/places.js"
 import {DaemonPart, type PartFigures, type PartSurroundings, type RegionSurroundings} from "./daemon-part.js"
 
@@ -15,6 +17,7 @@
 /// Regions as a part.
 export class RegionPart extends DaemonPart {
   override readonly name = "regions"
+  private cutOff: ReadonlySet<string> = new Set()
   private readonly probes = new Map<number, SentProbe>()
 
   constructor(
@@ -49,6 +52,16 @@
     this.probes.clear()
   }
 
+  override scan(): void {
+    const {directory, believe} = this.surroundings
+    const {distance} = this.regions
+    const cutOff = findCutOffRegions(directory.all(), distance)
+    for (const region of cutOff) if (!this.cutOff.has(region)) believe("region.lost", {region})
+    for (const region of this.cutOff) if (!cutOff.has(region)) believe("region.regained", {region})
+    this.cutOff = cutOff
+    distance.setCutOff(cutOff)
+  }
+
   override getFigures(): PartFigures {
     const {distance, places, roundTrips} = this.regions
     const attempts = distance.getAttempts()
@@ -56,6 +69,7 @@
     const figures: Record<string, number> = {}
     for (const kind of DISTANCE_CLASSES) figures[`attempts_${kind}`] = attempts[kind]
     figures.share_elsewhere = all > 0 ? attempts.otherRegion / all : 0
+    figures.regions_cut_off = this.cutOff.size
     for (const region of places.getOtherRegions(this.surroundings.identity.zone))
       figures[`round_trip_ms_${region}`] = roundTrips.getMs(region, "otherRegion")
     return figures
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -23,8 +23,7 @@
 const SEED = 20261202;
 
 /** The ways of a daemon in `zone-a`; all zones lie in one region unless these say otherwise. */
-function makeDistance(regionByZone: RegionByZone): BackendDistance {
-  const roundTrips = new RoundTrips(DEFAULT_DISTANCE_SETTINGS.roundTripMs);
+function makeDistance(regionByZone: RegionByZone, roundTrips: RoundTrips): BackendDistance {
   const cost = new DistanceCost(DEFAULT_DISTANCE_SETTINGS, new Places(regionByZone), roundTrips);
   return new BackendDistance('zone-a', cost);
 }
@@ -38,6 +37,8 @@
   readonly tenants = new TenantDirectory();
   readonly begun: [tenant: string, at: number][] = [];
   stale = false;
+  readonly roundTrips = new RoundTrips(DEFAULT_DISTANCE_SETTINGS.roundTripMs);
+  readonly distance: BackendDistance;
 
   constructor(
     routes: readonly Route[],
@@ -47,9 +48,10 @@
   ) {
     const table = new RouteTable(labConfiguration(1, routes));
     for (const record of backends) this.directory.put(record);
+    this.distance = makeDistance(regionByZone, this.roundTrips);
     const picker = new BackendPicker(
       DEFAULT_BACKEND_PICKER_SETTINGS,
-      makeDistance(regionByZone),
+      this.distance,
       this.directory,
       this.kvIndex,
       new SeededRandom(SEED),
--- a/test/region-part.test.ts
+++ b/test/region-part.test.ts
@@ -16,6 +16,7 @@
 
 const { distance: distanceSettings } = DEFAULT_FORWARDING_SETTINGS;
 const FAR = 'daemon-far.a';
+const THIRD = 'daemon-third.a';
 
 function makePart(): { part: RegionPart; distance: BackendDistance } {
   const places = new Places({ 'zone-a': 'r1', 'zone-c': 'r2' });
@@ -38,7 +39,7 @@
     kvIndex: new KvIndex(),
     regions,
     emit: () => undefined,
-    members: () => [member],
+    members: () => [member, { ...member, id: THIRD }],
     routes: () => undefined,
     believe: () => undefined,
   };
@@ -60,7 +61,7 @@
 
   it('learn nothing from answers of others, answers to no probe, and time in which this process stood still', () => {
     const { part } = makePart();
-    probe(part, 1, 400, 'daemon-third.a');
+    probe(part, 1, 400, THIRD);
     part.receivePeer(FAR, '10.0.0.2:1', { kind: 'ack', sequence: 7, updates: [] }, 1000);
     part.addToMembership({ kind: 'ping', sequence: 2, target: FAR, updates: [] }, 1000);
     part.ownPauseEnded();
--- a/test/regions.test.ts
+++ b/test/regions.test.ts
@@ -6,6 +6,7 @@
 import { Places } from '../src/places/places.js';
 import { RoundTrips } from '../src/places/round-trips.js';
 import type { BackendRecord, EngineStage } from '../src/forwarding/route.js';
+import { findCutOffRegions } from '../src/forwarding/region-contact.js';
 import { engine, Forwarding, prompt } from './forwarding-harness.js';
 
 const REGIONS = { 'zone-a': 'r1', 'zone-b': 'r1', 'zone-c': 'r2', 'zone-d': 'r2', 'zone-e': 'r3' };
@@ -202,6 +203,53 @@
     expect(lastBackend(site)).to.equal('d');
   });
 
+  it('a region that is cut off: nothing goes there or is copied from there, and all is as before once it is heard again', () => {
+    const far = ['f1', 'f2', 'f3'].map((id) => at('zone-c', id, 'decode'));
+    const site = makeSite(at('zone-a', 'p', 'prefill'), at('zone-a', 'd', 'decode'), ...far);
+    site.kvIndex.addComputed('f3', LONG, 100_000);
+    const look = () => site.distance.setCutOff(findCutOffRegions(site.directory.all(), site.distance));
+    const copyFrom = (id: string) => {
+      site.begin({ id, prompt: LONG });
+      return site.starts().at(-1)?.copyFrom;
+    };
+    look();
+    expect(copyFrom('r1')).to.equal('10.0.0.1:f3');
+    site.directory.get('f1')?.lost(10);
+    look();
+    expect(copyFrom('r2'), 'one engine lost').to.equal('10.0.0.1:f3');
+    site.directory.get('f2')?.lost(20);
+    look();
+    expect(copyFrom('r3'), 'two engines lost, the keeper not tried').to.equal(undefined);
+    addLoad(site, 'd', 40);
+    site.begin({ id: 'r4', prompt: SHORT }, 30);
+    expect(lastBackend(site)).to.equal('d');
+    site.directory.get('f1')?.recovered(40);
+    look();
+    expect(copyFrom('r5')).to.equal('10.0.0.1:f3');
+    site.begin({ id: 'r6', prompt: SHORT }, 50);
+    expect(lastBackend(site)).to.be.oneOf(['f1', 'f3']);
+  });
+
+  it('a region whose way is lost is still tried when no other back end is left', () => {
+    const site = makeSite(at('zone-c', 'f1'), at('zone-c', 'f2'));
+    for (const id of ['f1', 'f2']) site.directory.get(id)?.lost(10);
+    site.distance.setCutOff(findCutOffRegions(site.directory.all(), site.distance));
+    site.begin({}, 20);
+    expect(site.starts()).to.have.length(1);
+  });
+
+  it('a link between regions of 200 ms: work stays at home until it would wait longer than that', () => {
+    const site = makeSite(at('zone-a', 'near', 'decode'), at('zone-c', 'far', 'decode'));
+    for (let count = 0; count < 40; count += 1) site.roundTrips.addSample('r2', 'otherRegion', 400);
+    // 30,000 tokens are 333 ms on the way in at 90 a millisecond, twice that on a decode engine.
+    addLoad(site, 'near', 4, 12_000);
+    site.begin({ id: 'r1', prompt: SHORT });
+    expect(lastBackend(site)).to.equal('near');
+    addLoad(site, 'near', 4, 40_000);
+    site.begin({ id: 'r2', prompt: SHORT });
+    expect(lastBackend(site)).to.equal('far');
+  });
+
   it('every attempt tells the distance in its log line; in one region none does', () => {
     const several = makeSite(at('zone-c', 'far'));
     several.begin();
