--- a/src/forwarding/attempt-outcomes.ts
+++ b/src/forwarding/attempt-outcomes.ts
@@ -133,6 +133,7 @@
     const failed = status >= FIRST_SERVER_ERROR
     if (failed) backend.failed(now)
     else backend.succeeded(now)
+    if (!failed) this.picker.requestAnswered(attempt.plan, now - attempt.startedAt)
     if (failed && mayRunAgain(session) && this.sender.mayRepeat(session, now)) {
       this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, status})
       session.excluded.add(backend.record.id)
