Pace for each back end: engines of unequal or failing speed get the work that fits them

Cause: the time a prompt takes was learned by service and stage, so engines that are 1.3 times slower or faster than their group, and engines that turn five times slower, were taken for average ones until their requests ran out of time.

Change: PaceBook keeps one factor for each incarnation of a back end: time taken there over what the group's line says for the same work (prompts by tokens in front, first events by the same, pauses by requests, plain answers by requests beyond the slots). Shrunk towards 1 by 5 samples, faded by count and by time (half-life 4 s), sooner after two surprises in the same direction; requests that are given up count too. The choice of plain back ends, decode engines and prompt engines multiplies its cost by the factor, and the expected time of a prompt is that of its engine. A part fades the samples, logs backend.slow / backend.sound and shows the three slowest. In backend-picker.ts one line (the plain cost); getWaitingCost now counts the request itself, the same for every candidate of factor 1.

Ruled out: geometric means of ratios fed back into the line (their bias runs away); a second detector of slow engines.

The factor is known to one daemon only: nothing travels yet.

--- a/src/daemon/beliefs.ts
+++ b/src/daemon/beliefs.ts
@@ -18,6 +18,8 @@
   | 'backend.changed'
   | 'backend.removed'
   | 'backend.recovered'
+  | 'backend.slow'
+  | 'backend.sound'
   | 'store.lost'
   | 'store.regained'
   | 'lease.acquired'
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -71,7 +71,7 @@
     this.handledAt = now;
     this.membersToldAt = now;
     const emit = (effect: ForwardingEffect): void => void this.outbox.push(effect);
-    this.directory = new BackendDirectory(settings.health);
+    this.directory = new BackendDirectory(settings.health, settings.picker.pace);
     this.membership = new Membership(
       initialMember(identity),
       seeds,
--- a/src/forwarding/backend-directory.ts
+++ b/src/forwarding/backend-directory.ts
@@ -1,5 +1,6 @@
 /// All back ends that this daemon knows, by id and by service.
 import type {BackendRecord} from "./route.js"
+import {DEFAULT_PACE_BOOK_SETTINGS, PaceBook, type PaceBookSettings} from "./pace-book.js"
 import {CHANGING_DISTRUST, PeerLoads, type BackendLoad} from "./peer-loads.js"
 import {BackendView, type BackendHealthSettings} from "./backend-view.js"
 
@@ -12,16 +13,25 @@
   /// What the other daemons put on the back ends.
   readonly peers = new PeerLoads()
 
-  constructor(private readonly settings: BackendHealthSettings) {}
+  /// How fast the back ends work.
+  readonly paces: PaceBook
+
+  constructor(
+    private readonly settings: BackendHealthSettings,
+    paceSettings: PaceBookSettings = DEFAULT_PACE_BOOK_SETTINGS
+  ) {
+    this.paces = new PaceBook(paceSettings)
+  }
 
   /// Takes the present record of a back end.
   put(record: BackendRecord): void {
     const known = this.views.get(record.id)
     if (known) {
+      if (known.record.address !== record.address) known.pace.forget()
       known.record = record
       return
     }
-    const view = new BackendView(record, this.settings, this.peers)
+    const view = new BackendView(record, this.settings, this.peers, this.paces.get(record.id))
     this.views.set(record.id, view)
     const views = this.byService.get(record.service) ?? []
     views.push(view)
@@ -34,6 +44,7 @@
     if (!view) return undefined
     view.gone = true
     this.views.delete(id)
+    this.paces.remove(id)
     const others = (this.byService.get(view.record.service) ?? []).filter(other => other !== view)
     this.byService.set(view.record.service, others)
     return view
--- a/src/forwarding/backend-picker-settings.ts
+++ b/src/forwarding/backend-picker-settings.ts
@@ -1,5 +1,5 @@
 /// Settings of the choice of back ends.
-import {DEFAULT_PROMPT_PACE_SETTINGS, type PromptPaceSettings} from "./prompt-pace.js"
+import {DEFAULT_PACE_BOOK_SETTINGS, type PaceBookSettings} from "./pace-book.js"
 
 /// Settings of the choice.
 export interface BackendPickerSettings {
@@ -29,8 +29,8 @@
   /// Part of an engine's KV cache and slots that prompts may take before late ones find no room. An engine that runs
   /// out of memory puts back what it has begun to read. Default 0.7.
   readonly lateRoomShare: number
-  /// How the engines' pace is learned.
-  readonly pace: PromptPaceSettings
+  /// How the back ends' pace is learned.
+  readonly pace: PaceBookSettings
 }
 
 /// Default settings.
@@ -47,5 +47,5 @@
   otherZoneCost: 0.1,
   onTimeShare: 0.6,
   lateRoomShare: 0.7,
-  pace: DEFAULT_PROMPT_PACE_SETTINGS
+  pace: DEFAULT_PACE_BOOK_SETTINGS
 }
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -70,7 +70,7 @@
     if (candidates.length === 0) return undefined
     const backend = this.pickLeast(candidates, view => {
       const far = view.record.zone === this.ownZone ? 0 : this.settings.otherZoneCost
-      return view.inFlight() / Math.max(1, view.record.slots) + far
+      return ((view.inFlight() + 1) / Math.max(1, view.record.slots)) * view.pace.factor() + far
     })
     return makePlan(backend, 0, "least-loaded")
   }
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -1,4 +1,5 @@
 /// One incarnation of a back end as this daemon sees it: its record, the load put on it, and how it behaves.
+import {DEFAULT_PACE_BOOK_SETTINGS, PaceBook, type EnginePace} from "./pace-book.js"
 import type {PeerLoads} from "./peer-loads.js"
 import type {BackendRecord} from "./route.js"
 
@@ -64,7 +65,9 @@
   constructor(
     public record: BackendRecord,
     private readonly settings: BackendHealthSettings,
-    private readonly peers: PeerLoads
+    private readonly peers: PeerLoads,
+    /// How fast it works beside the others of its group.
+    readonly pace: EnginePace = new PaceBook(DEFAULT_PACE_BOOK_SETTINGS).get(record.id)
   ) {}
 
   /// Counts an attempt with so many prompt tokens to compute; a late one gives way to those that can be in time.
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -3,6 +3,7 @@
 /// live attempt per session. A request that may not be repeated runs at most once, and is refused as "not run"
 /// only when no back end can have seen it.
 import type {EffectSink} from "../shared/effect-sink.js"
+import {addFirstEventSample, addUnansweredSample, addWholeSample} from "./attempt-pace.js"
 import type {BackendPicker} from "./backend-picker.js"
 import type {BackendView} from "./backend-view.js"
 import {ForwardAnswers, STATUS_BROKEN, STATUS_DEADLINE, STATUS_UNAVAILABLE} from "./forward-answers.js"
@@ -14,7 +15,9 @@
   hasComeBack,
   isComputedAgain,
   isRepeatable,
+  countProgress,
   isStalled,
+  makeAttempt,
   mayPrefill,
   mayRunAgain,
   urgencyOf,
@@ -112,7 +115,7 @@
     this.answers.logDecision("request.cancelled", session, {
       afterMs: Math.round(now - session.request.arrivedAt)
     })
-    this.stopAttempt(session)
+    this.stopAttempt(session, now)
     this.over(session)
   }
 
@@ -137,6 +140,7 @@
         break
       case "streamProgress":
         attempt.plan.backend.answering(attempt.attemptId, now)
+        countProgress(attempt, now)
         if (event.lastEventId !== undefined) session.lastEventId = event.lastEventId
         break
       case "whole":
@@ -191,10 +195,8 @@
     if (session.arrivals > 0) this.answers.logDecision("request.resumed", session, {sends: session.sends})
     const attemptId = `${request.id}/${session.sends}`
     const {backend} = plan
-    const pendingBefore = backend.pendingTokens()
-    session.attempt = {attemptId, plan, startedAt: now, lastEventAt: now, answering: false}
-    const promptTokens = session.kvSource ? 0 : plan.promptTokens
-    backend.begin(attemptId, promptTokens, now, plan.late)
+    session.attempt = makeAttempt(attemptId, plan, now)
+    backend.begin(attemptId, session.kvSource ? 0 : plan.promptTokens, now, plan.late)
     this.answers.logDecision("request.attempt", session, {
       backend: backend.record.id,
       stage: plan.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
@@ -202,7 +204,7 @@
       promptTokens: plan.promptTokens,
       copyFrom: plan.copyFrom?.id,
       inFlight: backend.inFlight(),
-      pendingTokens: Math.round(pendingBefore),
+      pendingTokens: Math.round(session.attempt.pendingTokens),
       expectedMs: plan.expectedMs && Math.round(plan.expectedMs),
       late: plan.late,
       remainingMs: Math.round(session.deadlineAt - now)
@@ -293,6 +295,7 @@
       backend: attempt.plan.backend.record.id,
       afterMs: Math.round(now - session.request.arrivedAt)
     })
+    addFirstEventSample(attempt, session.kvSource !== undefined, now)
     if (session.kvSource) session.kvSource = undefined
     else this.promptComputed(session, attempt.plan.backend)
   }
@@ -307,6 +310,7 @@
     const failed = status >= FIRST_SERVER_ERROR
     if (failed) backend.failed(now)
     else backend.succeeded(now)
+    if (!failed) addWholeSample(attempt, now)
     if (failed && mayRunAgain(session) && this.mayRepeat(session, now)) {
       this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, status})
       session.excluded.add(backend.record.id)
@@ -357,7 +361,7 @@
   private deadline(session: Session, now: number): void {
     const notRun = !session.attempt && !session.mayHaveRun
     if (session.attempt && !session.attempt.answering) this.unansweredAtDeadline(session.attempt, now)
-    this.stopAttempt(session)
+    this.stopAttempt(session, now)
     if (notRun) this.fail(session, STATUS_UNAVAILABLE, "deadline", this.settings.retryAfterMs, now)
     else this.fail(session, STATUS_DEADLINE, "deadline", undefined, now)
   }
@@ -371,6 +375,7 @@
 
   private moveAway(session: Session, attempt: LiveAttempt, now: number): void {
     if (this.allowance.left(session.service, this.surroundings.daemons(), now) < 1) return
+    addUnansweredSample(attempt, now)
     this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
     this.broken(session, attempt, "stalled", now)
   }
@@ -429,9 +434,10 @@
     session.kvSource = undefined
   }
 
-  private stopAttempt(session: Session): void {
+  private stopAttempt(session: Session, now: number): void {
     const {attempt} = session
     if (!attempt) return
+    addUnansweredSample(attempt, now)
     this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
     this.endAttempt(session, attempt)
   }
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -13,6 +13,16 @@
   lastEventAt: number
   /// A stream has begun to arrive.
   answering: boolean
+  /// Requests of all daemons at the back end before this one.
+  readonly load: number
+  /// Prompt tokens of all daemons that were to be computed there before this one's.
+  readonly pendingTokens: number
+  /// When the first events of a stream came; undefined before.
+  firstEventAt: number | undefined
+  /// When the last events of the stream came.
+  lastProgressAt: number
+  /// Times at which events came after the first.
+  events: number
 }
 
 /// One request. Times are monotonic milliseconds.
@@ -41,6 +51,29 @@
   kvSource: KvSource | undefined
 }
 
+/// An attempt that begins now, before its back end counts it.
+export function makeAttempt(attemptId: string, plan: BackendPlan, now: number): LiveAttempt {
+  return {
+    attemptId,
+    plan,
+    startedAt: now,
+    lastEventAt: now,
+    answering: false,
+    load: plan.backend.inFlight(),
+    pendingTokens: plan.backend.pendingTokens(),
+    firstEventAt: undefined,
+    lastProgressAt: now,
+    events: 0
+  }
+}
+
+/// Events of the stream have come.
+export function countProgress(attempt: LiveAttempt, now: number): void {
+  if (attempt.firstEventAt === undefined) attempt.firstEventAt = now
+  else attempt.events += 1
+  attempt.lastProgressAt = now
+}
+
 /// Whether requests of the route may run more than once.
 export function isRepeatable({kind, resumable}: Route): boolean {
   return kind === "idempotent" || (kind === "stream" && resumable)
--- a/src/forwarding/prompt-pace.ts
+++ b/src/forwarding/prompt-pace.ts
@@ -17,6 +17,11 @@
 const MAXIMUM_TOKENS = 1e9
 const MAXIMUM_MS = 1e9
 
+/// Whether a measured time and what it was taken over can be true.
+export function isSensibleSample(tokens: number, ms: number): boolean {
+  return tokens >= 0 && tokens <= MAXIMUM_TOKENS && ms >= 0 && ms <= MAXIMUM_MS
+}
+
 /// The pace of the engines of one stage. A line of least squares whose samples fade.
 export class PromptPace {
   private samples = 0
@@ -30,8 +35,7 @@
 
   /// A prompt was computed `ms` after it was sent, with `tokens` to compute until then. Senseless figures are ignored.
   addSample(tokens: number, ms: number): void {
-    const sensible = tokens >= 0 && tokens <= MAXIMUM_TOKENS && ms >= 0 && ms <= MAXIMUM_MS
-    if (!sensible) return
+    if (!isSensibleSample(tokens, ms)) return
     const {memory} = this.settings
     this.samples += 1
     this.weight = this.weight * memory + 1
--- a/src/forwarding/prompt-picker.ts
+++ b/src/forwarding/prompt-picker.ts
@@ -2,13 +2,13 @@
 /// that its KV cache saves and those that it copies from another engine. A prompt that cannot be in time anywhere gives
 /// way to those that can.
 import {pickByRendezvous} from "../shared/rendezvous-hash.js"
+import {addPromptSample, getPaceGroup} from "./attempt-pace.js"
 import type {BackendDirectory} from "./backend-directory.js"
 import type {BackendPickerSettings} from "./backend-picker-settings.js"
 import type {BackendPlan, BackendWanted, PlanReason} from "./backend-plan.js"
 import type {BackendView} from "./backend-view.js"
 import {sharedKey, sharedTokens, type PromptOutline} from "./forward-request.js"
 import type {KvIndex} from "./kv-index.js"
-import {PromptPace} from "./prompt-pace.js"
 import type {EngineTraits} from "./route.js"
 
 /// An engine and the tokens of a prompt that it keeps.
@@ -30,17 +30,15 @@
 
 /// Chooses engines for prompts.
 export class PromptPicker {
-  private readonly paces = new Map<string, PromptPace>()
-
   constructor(
     private readonly settings: BackendPickerSettings,
     private readonly directory: BackendDirectory,
     private readonly kvIndex: KvIndex
   ) {}
 
-  /// A prompt was computed as planned, so long after it was sent. Late prompts wait for an unknown number of others.
-  addSample({backend, queuedTokens, late}: BackendPlan, ms: number): void {
-    if (!late) this.getPace(backend).addSample(queuedTokens, ms)
+  /// A prompt was computed as planned, so long after it was sent.
+  addSample(plan: BackendPlan, ms: number): void {
+    addPromptSample(plan, ms)
   }
 
   /// The best plan at one of these engines, of which there is at least one.
@@ -69,7 +67,8 @@
     let bestCost = Infinity
     for (const backend of candidates) {
       const work = this.getWork(prompt, backend, keeper, home)
-      const cost = this.getWaitingCost(backend, late) + work.cost * this.getPromptFactor(backend)
+      const ownCost = work.cost * this.getPromptFactor(backend) * backend.pace.factor()
+      const cost = this.getWaitingCost(backend, late) + ownCost
       if (cost >= bestCost) continue
       best = backend
       bestWork = work
@@ -111,7 +110,7 @@
       copyFrom: copiedTokens > 0 ? keeper?.backend.record : undefined,
       prefillOnly: backend.record.stage === "prefill",
       queuedTokens,
-      expectedMs: this.getPace(backend).getExpectedMs(queuedTokens),
+      expectedMs: this.getExpectedMs(backend, queuedTokens),
       late,
       full: false,
       reason
@@ -158,17 +157,17 @@
     return view.record.stage === "prefill" ? 1 : this.settings.decodePromptFactor
   }
 
-  /// What a prompt waits for there, in tokens of a prefill engine.
+  /// What a prompt waits for there, and what one more request costs, in tokens of an average prefill engine.
   getWaitingCost(view: BackendView, late = false): number {
     const tokens = getWaitingTokens(view, late)
-    return tokens * this.getPromptFactor(view) + view.inFlight() * this.settings.requestCostTokens
+    const requestCost = (view.inFlight() + 1) * this.settings.requestCostTokens
+    return (tokens * this.getPromptFactor(view) + requestCost) * view.pace.factor()
   }
 
-  private getPace({record}: BackendView): PromptPace {
-    const key = `${record.service}/${record.stage ?? ""}`
-    let pace = this.paces.get(key)
-    if (!pace) this.paces.set(key, (pace = new PromptPace(this.settings.pace)))
-    return pace
+  /// The time of the engine's group, by its own pace.
+  private getExpectedMs({record, pace}: BackendView, tokens: number): number | undefined {
+    const groupMs = this.directory.paces.getGroupMs(getPaceGroup(record, "prompt"), tokens)
+    return groupMs === undefined ? undefined : groupMs * pace.factor()
   }
 }
 
--- a/src/parts/daemon-parts.ts
+++ b/src/parts/daemon-parts.ts
@@ -3,6 +3,7 @@
 import {DutyPart} from "./duty-part.js"
 import {HealthPart} from "./health-part.js"
 import {KvPart} from "./kv-part.js"
+import {PacePart} from "./pace-part.js"
 import {StagePart} from "./stage-part.js"
 
 /// Every part of one daemon, in the order in which they hear of things.
@@ -11,6 +12,7 @@
   return [
     new HealthPart(surroundings),
     new KvPart(surroundings, now),
+    new PacePart(surroundings),
     new StagePart(surroundings),
     ...(duties ? [new DutyPart(surroundings, duties, now)] : [])
   ]
