--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -51,8 +51,36 @@
   kvSource: KvSource | undefined
 }
 
+/// A request that has just been taken on.
+export function createSession(
+  request: ForwardRequest,
+  route: Route,
+  service: string,
+  tenant: Tenant | undefined
+): Session {
+  const allowedMs = Math.min(route.timeoutMs, request.callerDeadlineMs ?? Infinity)
+  return {
+    request,
+    route,
+    service,
+    tenant,
+    deadlineAt: request.arrivedAt + allowedMs,
+    excluded: new Set(),
+    attempt: undefined,
+    sends: 0,
+    arrivals: 0,
+    runs: 0,
+    prefills: 0,
+    mayHaveRun: false,
+    relaying: false,
+    counted: false,
+    lastEventId: undefined,
+    kvSource: undefined
+  }
+}
+
 /// An attempt that begins now, before its back end counts it.
-export function makeAttempt(attemptId: string, plan: BackendPlan, now: number): LiveAttempt {
+export function createAttempt(attemptId: string, plan: BackendPlan, now: number): LiveAttempt {
   return {
     attemptId,
     plan,
@@ -74,6 +102,12 @@
   attempt.lastProgressAt = now
 }
 
+/// The attempt is over for its request and its back end.
+export function removeAttempt(session: Session, attempt: LiveAttempt): void {
+  attempt.plan.backend.end(attempt.attemptId)
+  session.attempt = undefined
+}
+
 /// Whether requests of the route may run more than once.
 export function isRepeatable({kind, resumable}: Route): boolean {
   return kind === "idempotent" || (kind === "stream" && resumable)
