--- a/src/forwarding/attempt-sender.ts
+++ b/src/forwarding/attempt-sender.ts
@@ -7,6 +7,7 @@
 import type {ForwardLimits} from "./forward-limits.js"
 import type {ForwardEffect, ForwardFailure} from "./forward-messages.js"
 import {
+  createAttempt,
   hasComeBack,
   isComputedAgain,
   isRepeatable,
@@ -97,15 +98,14 @@
     if (session.arrivals > 0) this.answers.logDecision("request.resumed", session, {sends: session.sends})
     const attemptId = `${session.request.id}/${session.sends}`
     const {backend} = plan
-    const pendingBefore = backend.pendingTokens()
-    const attempt = {attemptId, plan, startedAt: now, lastEventAt: now, answering: false}
+    const attempt = createAttempt(attemptId, plan, now)
     session.attempt = attempt
     backend.begin(attemptId, session.kvSource ? 0 : plan.promptTokens, now, plan.late)
-    this.logAttempt(session, plan, pendingBefore, now)
+    this.logAttempt(session, attempt, now)
     this.emitStart(session, attempt, now)
   }
 
-  private logAttempt(session: Session, plan: BackendPlan, pendingTokens: number, now: number): void {
+  private logAttempt(session: Session, {plan, pendingTokens}: LiveAttempt, now: number): void {
     const {backend} = plan
     this.answers.logDecision("request.attempt", session, {
       backend: backend.record.id,
--- a/src/forwarding/prompt-picker.ts
+++ b/src/forwarding/prompt-picker.ts
@@ -2,6 +2,7 @@
 /// that its KV cache saves and those that it copies from another engine. A prompt that cannot be in time anywhere gives
 /// way to those that can.
 import {pickByRendezvous} from "../shared/rendezvous-hash.js"
+import {addPromptSample, getPaceGroup} from "./attempt-pace.js"
 import type {BackendDistance} from "./backend-distance.js"
 import type {BackendDirectory} from "./backend-directory.js"
 import type {BackendPickerSettings} from "./backend-picker-settings.js"
@@ -10,7 +11,6 @@
 import {sharedKey, sharedTokens, type PromptOutline} from "./forward-request.js"
 import type {KvIndex} from "./kv-index.js"
 import {PromptWays, type Keeper} from "./prompt-ways.js"
-import {PromptPace} from "./prompt-pace.js"
 import type {EngineTraits} from "./route.js"
 
 /// Prompt tokens over which an engine's pace is taken, and the fastest that is believed: none is known that computes more.
@@ -34,8 +34,6 @@
 
 /// Chooses engines for prompts.
 export class PromptPicker {
-  private readonly paces = new Map<string, PromptPace>()
-
   constructor(
     private readonly settings: BackendPickerSettings,
     private readonly directory: BackendDirectory,
@@ -43,9 +41,9 @@
     private readonly distance: BackendDistance
   ) {}
 
-  /// A prompt was computed as planned, so long after it was sent. Late prompts wait for an unknown number of others.
-  addSample({backend, queuedTokens, late, distanceMs}: BackendPlan, ms: number): void {
-    if (!late) this.getPace(backend).addSample(queuedTokens, Math.max(0, ms - distanceMs))
+  /// A prompt was computed as planned, so long after it was sent.
+  addSample(plan: BackendPlan, ms: number): void {
+    addPromptSample(plan, Math.max(0, ms - plan.distanceMs))
   }
 
   /// The best plan at one of these engines, of which there is at least one.
@@ -83,8 +81,8 @@
     let bestCost = Infinity
     for (const backend of candidates) {
       const work = this.getWork(prompt, backend, keepers, home, ways)
-      const cost =
-        this.getWaitingCost(backend, late) + work.cost * this.getPromptFactor(backend) + work.distanceTokens
+      const ownCost = work.cost * this.getPromptFactor(backend) * backend.pace.factor()
+      const cost = this.getWaitingCost(backend, late) + ownCost + work.distanceTokens
       if (cost >= bestCost) continue
       best = backend
       bestWork = work
@@ -126,7 +124,7 @@
     late: boolean
   ): BackendPlan {
     const queuedTokens = getWaitingTokens(backend, late) + promptTokens
-    const computedMs = this.getPace(backend).getExpectedMs(queuedTokens)
+    const computedMs = this.getExpectedMs(backend, queuedTokens)
     return {
       backend,
       promptTokens,
@@ -189,37 +187,39 @@
     return view.record.stage === "prefill" ? 1 : this.settings.decodePromptFactor
   }
 
-  /// What a prompt waits for there, in tokens of a prefill engine.
+  /// What a prompt waits for there, and what one more request costs, in tokens of an average prefill engine.
   getWaitingCost(view: BackendView, late = false): number {
     const tokens = getWaitingTokens(view, late)
-    return tokens * this.getPromptFactor(view) + view.inFlight() * this.settings.requestCostTokens
+    const requestCost = (view.inFlight() + 1) * this.settings.requestCostTokens
+    return (tokens * this.getPromptFactor(view) + requestCost) * view.pace.factor()
   }
 
   /// What a request would wait for at a decode engine, the way there and that of the KV cache from its source included.
   /// Milliseconds.
   getDecodeMs(view: BackendView, wanted: BackendWanted, source: BackendView | undefined): number {
     const {distance} = this
-    const waitingMs = this.getWaitingCost(view) / this.getTokensPerMs(view) + distance.getSlotWaitMs(view)
+    const slotWaitMs = distance.getSlotWaitMs(view) * view.pace.factor()
+    const waitingMs = this.getWaitingCost(view) / this.getTokensPerMs(view) + slotWaitMs
     const callMs = distance.getCall(view, getCallBytes(wanted)).costMs
     if (!source) return waitingMs + callMs
     const tokens = wanted.prompt?.promptTokens ?? 0
     return waitingMs + callMs + distance.getMove(source, view, tokens, wanted.engine).costMs
   }
 
-  /// Tokens of a prompt that a prefill engine computes in a millisecond.
-  private getTokensPerMs(view: BackendView): number {
-    const pace = this.getPace(view)
-    const none = pace.getExpectedMs(0)
-    const many = pace.getExpectedMs(PACE_TOKENS)
+  /// Tokens of a prompt that an average engine of the group computes in a millisecond.
+  private getTokensPerMs({record}: BackendView): number {
+    const {paces} = this.directory
+    const group = getPaceGroup(record, "prompt")
+    const none = paces.getGroupMs(group, 0)
+    const many = paces.getGroupMs(group, PACE_TOKENS)
     if (none === undefined || many === undefined) return this.distance.getDefaultTokensPerMs()
     return Math.min(MAXIMUM_TOKENS_PER_MS, PACE_TOKENS / Math.max(1, many - none))
   }
 
-  private getPace({record}: BackendView): PromptPace {
-    const key = `${record.service}/${record.stage ?? ""}`
-    let pace = this.paces.get(key)
-    if (!pace) this.paces.set(key, (pace = new PromptPace(this.settings.pace)))
-    return pace
+  /// The time of the engine's group, by its own pace.
+  private getExpectedMs({record, pace}: BackendView, tokens: number): number | undefined {
+    const groupMs = this.directory.paces.getGroupMs(getPaceGroup(record, "prompt"), tokens)
+    return groupMs === undefined ? undefined : groupMs * pace.factor()
   }
 }
 
--- a/src/forwarding/request-closer.ts
+++ b/src/forwarding/request-closer.ts
@@ -1,6 +1,7 @@
 /// Ends requests: every request gets exactly one answer or none when its caller left, its attempt is stopped, and a KV
 /// cache that nobody will take is freed. A request is refused as "not run" only when no back end can have run it.
 import type {EffectSink} from "../shared/effect-sink.js"
+import {addUnansweredSample} from "./attempt-pace.js"
 import {type ForwardAnswers, STATUS_BROKEN, STATUS_DEADLINE, STATUS_UNAVAILABLE} from "./forward-answers.js"
 import type {ForwardEffect, ForwardFailure} from "./forward-messages.js"
 import {removeAttempt, type LiveAttempt, type Session} from "./forward-session.js"
@@ -20,7 +21,7 @@
     this.answers.logDecision("request.cancelled", session, {
       afterMs: Math.round(now - session.request.arrivedAt)
     })
-    this.stopAttempt(session)
+    this.stopAttempt(session, now)
     this.close(session)
   }
 
@@ -28,7 +29,7 @@
   closeAtDeadline(session: Session, now: number): void {
     const notRun = !session.attempt && !session.mayHaveRun
     if (session.attempt && !session.attempt.answering) judgeUnanswered(session.attempt, now)
-    this.stopAttempt(session)
+    this.stopAttempt(session, now)
     if (notRun) this.closeFailed(session, STATUS_UNAVAILABLE, "deadline", this.settings.retryAfterMs, now)
     else this.closeFailed(session, STATUS_DEADLINE, "deadline", undefined, now)
   }
@@ -76,9 +77,10 @@
     session.kvSource = undefined
   }
 
-  private stopAttempt(session: Session): void {
+  private stopAttempt(session: Session, now: number): void {
     const {attempt} = session
     if (!attempt) return
+    addUnansweredSample(attempt, now)
     this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
     removeAttempt(session, attempt)
   }
--- a/src/parts/daemon-parts.ts
+++ b/src/parts/daemon-parts.ts
@@ -3,6 +3,7 @@
 import {DutyPart} from "./duty-part.js"
 import {HealthPart} from "./health-part.js"
 import {KvPart} from "./kv-part.js"
+import {PacePart} from "./pace-part.js"
 import {RegionPart} from "./region-part.js"
 import {StagePart} from "./stage-part.js"
 
@@ -13,6 +14,7 @@
   return [
     new HealthPart(surroundings),
     new KvPart(surroundings, now),
+    new PacePart(surroundings),
     new StagePart(surroundings),
     ...(regions ? [new RegionPart(surroundings, regions)] : []),
     ...(duties ? [new DutyPart(surroundings, duties, now)] : [])
