--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -1,4 +1,5 @@
 /// One incarnation of a back end as this daemon sees it: its record, the load put on it, and how it behaves.
+import {DEFAULT_PACE_BOOK_SETTINGS, PaceBook, type EnginePace} from "./pace-book.js"
 import type {PeerLoads} from "./peer-loads.js"
 import type {BackendRecord} from "./route.js"
 
@@ -60,11 +61,14 @@
   private ejections = 0
   private lastHeardAt = -Infinity
   private lostContact = false
+  private lostAt = -Infinity
 
   constructor(
     public record: BackendRecord,
     private readonly settings: BackendHealthSettings,
-    private readonly peers: PeerLoads
+    private readonly peers: PeerLoads,
+    /// How fast it works beside the others of its group.
+    readonly pace: EnginePace = new PaceBook(DEFAULT_PACE_BOOK_SETTINGS).get(record.id)
   ) {}
 
   /// Counts an attempt with so many prompt tokens to compute; a late one gives way to those that can be in time.
@@ -115,6 +119,7 @@
   /// No connection could be made, or it stayed silent: nothing more is sent there until it answers a probe.
   lost(now: number): void {
     this.lostContact = true
+    this.lostAt = now
     this.failedSinceTold += 1
     this.eject(now)
   }
@@ -159,6 +164,11 @@
     return this.lostContact
   }
 
+  /// When this daemon last lost contact to it, and last heard from it. Monotonic milliseconds; -Infinity for never.
+  contactTimes(): {lostAt: number; heardAt: number} {
+    return {lostAt: this.lostAt, heardAt: this.lastHeardAt}
+  }
+
   /// Whether new work may go there at all.
   takesWork(): boolean {
     return !this.gone && this.record.state === "ready"
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -13,6 +13,16 @@
   lastEventAt: number
   /// A stream has begun to arrive.
   answering: boolean
+  /// Requests of all daemons at the back end before this one.
+  readonly load: number
+  /// Prompt tokens of all daemons that were to be computed there before this one's.
+  readonly pendingTokens: number
+  /// When the first events of a stream came; undefined before.
+  firstEventAt: number | undefined
+  /// When the last events of the stream came.
+  lastProgressAt: number
+  /// Times at which events came after the first.
+  events: number
 }
 
 /// One request. Times are monotonic milliseconds.
@@ -41,6 +51,63 @@
   kvSource: KvSource | undefined
 }
 
+/// A request that has just been taken on.
+export function createSession(
+  request: ForwardRequest,
+  route: Route,
+  service: string,
+  tenant: Tenant | undefined
+): Session {
+  const allowedMs = Math.min(route.timeoutMs, request.callerDeadlineMs ?? Infinity)
+  return {
+    request,
+    route,
+    service,
+    tenant,
+    deadlineAt: request.arrivedAt + allowedMs,
+    excluded: new Set(),
+    attempt: undefined,
+    sends: 0,
+    arrivals: 0,
+    runs: 0,
+    prefills: 0,
+    mayHaveRun: false,
+    relaying: false,
+    counted: false,
+    lastEventId: undefined,
+    kvSource: undefined
+  }
+}
+
+/// An attempt that begins now, before its back end counts it.
+export function createAttempt(attemptId: string, plan: BackendPlan, now: number): LiveAttempt {
+  return {
+    attemptId,
+    plan,
+    startedAt: now,
+    lastEventAt: now,
+    answering: false,
+    load: plan.backend.inFlight(),
+    pendingTokens: plan.backend.pendingTokens(),
+    firstEventAt: undefined,
+    lastProgressAt: now,
+    events: 0
+  }
+}
+
+/// Events of the stream have come.
+export function countProgress(attempt: LiveAttempt, now: number): void {
+  if (attempt.firstEventAt === undefined) attempt.firstEventAt = now
+  else attempt.events += 1
+  attempt.lastProgressAt = now
+}
+
+/// The attempt is over for its request and its back end.
+export function removeAttempt(session: Session, attempt: LiveAttempt): void {
+  attempt.plan.backend.end(attempt.attemptId)
+  session.attempt = undefined
+}
+
 /// Whether requests of the route may run more than once.
 export function isRepeatable({kind, resumable}: Route): boolean {
   return kind === "idempotent" || (kind === "stream" && resumable)
