What a caller that has left had asked for is stopped, also unread, pipelined or computed apart

Cause: only the response whose turn it is hears that its connection ended, so requests sent behind it ran on; a request and the end of its connection that are read in turn were a poll apart, so a request whose caller had left was still sent; a handle that came between the caller's leaving and the abort was dropped without being freed; an order that a server had begun was broken off. Change: the server tells every open request of a connection; a request is handed on after the next poll; late handles are freed; orders run to their end, unless they have not been sent.

--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -123,6 +123,11 @@
     handler?.abort();
   }
 
+  /** Nobody waits for the attempt: it is not sent any more; one that has been sent goes on. */
+  abandon(attemptId: string): void {
+    this.live.get(attemptId)?.abandon();
+  }
+
   /** Hands out the whole answer of an attempt, once. */
   take(attemptId: string): KeptAnswer | undefined {
     const handler = this.live.get(attemptId);
@@ -260,6 +265,13 @@
     this.controller?.abort(new Error('aborted'));
   }
 
+  /** Tells that it was not sent, unless it has been. */
+  abandon(): void {
+    if (this.written || this.finished) return;
+    this.finished = true;
+    this.tell({ kind: 'unreachable', reason: 'abandoned' });
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     if (this.finished) controller.abort(new Error('aborted'));
--- a/src/forwarding/attempt-outcomes.ts
+++ b/src/forwarding/attempt-outcomes.ts
@@ -64,6 +64,11 @@
   }
 
   private onUnreachable(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
+    if (session.abandoned) {
+      removeAttempt(session, attempt)
+      this.closer.closeNotServed(session, "unreachable", now)
+      return
+    }
     attempt.plan.backend.lost(now)
     removeAttempt(session, attempt)
     session.excluded.add(attempt.plan.backend.record.id)
--- a/src/forwarding/attempt-sender.ts
+++ b/src/forwarding/attempt-sender.ts
@@ -48,7 +48,7 @@
     this.startAttempt(session, plan, now)
   }
 
-  /// Sends the request once more, unless it has been sent too often or its time is over.
+  /// Sends the request once more, unless it has been sent too often, its time is over or its caller has left.
   sendAgain(session: Session, failure: ForwardFailure, now: number): void {
     if (this.isSpent(session, now)) this.closer.closeNotServed(session, failure, now)
     else this.send(session, now)
@@ -65,8 +65,8 @@
     return this.allowance.left(service, this.getDaemons(), now) >= 1
   }
 
-  private isSpent({sends, deadlineAt}: Session, now: number): boolean {
-    return sends >= this.settings.maximumSends || now >= deadlineAt
+  private isSpent({sends, deadlineAt, abandoned}: Session, now: number): boolean {
+    return abandoned || sends >= this.settings.maximumSends || now >= deadlineAt
   }
 
   private pickBackend(session: Session, now: number): BackendPlan | undefined {
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -66,6 +66,8 @@
 export type ForwardEffect =
   | {readonly kind: "startAttempt"; readonly start: AttemptStart}
   | {readonly kind: "abortAttempt"; readonly attemptId: string}
+  /// Do not begin this attempt any more; one that has been sent is left to its back end.
+  | {readonly kind: "abandonAttempt"; readonly attemptId: string}
   /// Pass on the kept answer of this attempt, or, for a stream, end the answer.
   | {readonly kind: "replyWhole"; readonly requestId: string; readonly attemptId: string}
   /// Answer with a failure of the daemon's own.
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -39,6 +39,8 @@
   counted: boolean
   lastEventId: string | undefined
   kvSource: KvSource | undefined
+  /// The caller has left; a back end may finish what it has begun, and nothing is sent again.
+  abandoned: boolean
 }
 
 /// A request that has just been taken on.
@@ -65,7 +67,8 @@
     relaying: false,
     counted: false,
     lastEventId: undefined,
-    kvSource: undefined
+    kvSource: undefined,
+    abandoned: false
   }
 }
 
@@ -80,6 +83,12 @@
   return kind === "idempotent" || (kind === "stream" && resumable)
 }
 
+/// Whether the live attempt goes on when the caller leaves. An order that a back end has begun would be left half done, and its caller could
+/// not know; it is run to its end, within its time. Everything else is of no use without its caller.
+export function isFinishedWithoutCaller({route, attempt}: Session): boolean {
+  return route.kind === "nonIdempotent" && attempt?.plan.prefillOnly === false
+}
+
 /// Back ends that count against the attempts of the route.
 function countAttempts({runs, prefills}: Session): number {
   return runs + Math.max(0, prefills - 1)
--- a/src/forwarding/request-closer.ts
+++ b/src/forwarding/request-closer.ts
@@ -3,7 +3,7 @@
 import type {EffectSink} from "../shared/effect-sink.js"
 import {type ForwardAnswers, STATUS_BROKEN, STATUS_DEADLINE, STATUS_UNAVAILABLE} from "./forward-answers.js"
 import type {ForwardEffect, ForwardFailure} from "./forward-messages.js"
-import {removeAttempt, type LiveAttempt, type Session} from "./forward-session.js"
+import {isFinishedWithoutCaller, removeAttempt, type LiveAttempt, type Session} from "./forward-session.js"
 import type {ForwardSettings} from "./forward-settings.js"
 
 /// The end of the requests of one daemon. Times are monotonic milliseconds.
@@ -15,11 +15,19 @@
     private readonly emit: EffectSink<ForwardEffect>
   ) {}
 
-  /// The caller went away: the work is cancelled.
+  /// The caller went away: the work is cancelled, or its answer is dropped when it comes.
   closeCancelled(session: Session, now: number): void {
+    const {attempt} = session
+    const finished = attempt !== undefined && isFinishedWithoutCaller(session)
     this.answers.logDecision("request.cancelled", session, {
-      afterMs: Math.round(now - session.request.arrivedAt)
+      afterMs: Math.round(now - session.request.arrivedAt),
+      finished: finished || undefined
     })
+    if (finished) {
+      session.abandoned = true
+      this.emit({kind: "abandonAttempt", attemptId: attempt.attemptId})
+      return
+    }
     this.stopAttempt(session)
     this.close(session)
   }
@@ -35,7 +43,9 @@
 
   /// The answer of the attempt is whole and goes to the caller.
   closeAnswered(session: Session, attempt: LiveAttempt, status: number, now: number): void {
-    this.emit({kind: "replyWhole", requestId: session.request.id, attemptId: attempt.attemptId})
+    const {attemptId} = attempt
+    if (session.abandoned) this.emit({kind: "abortAttempt", attemptId})
+    else this.emit({kind: "replyWhole", requestId: session.request.id, attemptId})
     this.answers.logDecision("request.answered", session, {
       backend: attempt.plan.backend.record.id,
       status,
@@ -65,7 +75,8 @@
     retryAfterMs: number | undefined,
     now: number
   ): void {
-    if (session.relaying) this.answers.sendBroken(session, failure, now)
+    if (session.abandoned) this.answers.logDecision("request.failed", session, {failure, abandoned: true})
+    else if (session.relaying) this.answers.sendBroken(session, failure, now)
     else this.answers.sendFailure(session.request, status, failure, retryAfterMs, now, session)
     this.close(session)
   }
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -52,11 +52,19 @@
   ) {
     this.lastId = resumedAfter;
     response.sendDate = false;
-    response.on('close', () => {
-      if (this.over) return;
-      this.over = true;
-      this.onGone();
-    });
+    response.on('close', () => this.callerLeft());
+  }
+
+  /** Nothing more is written: the answer is whole, or there will be none. */
+  isOver(): boolean {
+    return this.over;
+  }
+
+  /** The caller has closed its connection, or its side of it. */
+  callerLeft(): void {
+    if (this.over) return;
+    this.over = true;
+    this.onGone();
   }
 
   /** The id of the last event passed on. */
@@ -136,10 +144,10 @@
 /** The server of one daemon. */
 export class ForwardServer {
   private readonly server: Server;
-  private readonly sockets = new Set<Socket>();
+  /** Open connections, and the answers that are due on each: more than one where requests were sent without waiting. */
+  private readonly connections = new Map<Socket, Set<CallerReply>>();
   private maximumBodyBytes = 4 * 1024 * 1024;
   private closing = false;
-  private requests = 0;
 
   constructor(
     private readonly handler: ForwardHandler,
@@ -151,10 +159,7 @@
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
     });
     this.server.on('request', (request, response) => this.accept(request, response));
-    this.server.on('connection', (socket: Socket) => {
-      this.sockets.add(socket);
-      socket.on('close', () => this.sockets.delete(socket));
-    });
+    this.server.on('connection', (socket: Socket) => this.watch(socket));
   }
 
   /** Starts to listen on `ip:port`. */
@@ -176,12 +181,14 @@
 
   /** Requests without a whole answer. */
   openRequests(): number {
-    return this.requests;
+    let requests = 0;
+    for (const replies of this.connections.values()) requests += replies.size;
+    return requests;
   }
 
   /** Open connections. */
   openConnections(): number {
-    return this.sockets.size;
+    return this.connections.size;
   }
 
   /** Closes connections on which no request is under way. */
@@ -195,11 +202,28 @@
     this.server.closeAllConnections();
   }
 
+  /**
+   * Notices that a caller leaves. Only the response whose turn it is hears of the end of its connection; those behind it on the same
+   * connection would be worked on for nobody. A caller that ends its side is taken to have left: a connection that is closed
+   * looks the same until something is written.
+   */
+  private watch(socket: Socket): void {
+    const replies = new Set<CallerReply>();
+    const leave = (): void => replies.forEach((reply) => reply.callerLeft());
+    this.connections.set(socket, replies);
+    socket.on('end', leave);
+    socket.on('close', () => {
+      this.connections.delete(socket);
+      leave();
+    });
+  }
+
   private accept(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = this.clock();
-    this.requests += 1;
-    response.on('close', () => (this.requests -= 1));
     const reply = new CallerReply(response, () => this.closing, undefined);
+    const replies = this.connections.get(request.socket);
+    replies?.add(reply);
+    response.on('close', () => replies?.delete(reply));
     const chunks: Buffer[] = [];
     let length = 0;
     request.on('data', (chunk: Buffer) => {
@@ -210,21 +234,30 @@
     request.on('error', () => undefined);
     request.on('end', () => {
       if (!request.complete || length > this.maximumBodyBytes) return;
-      this.handler.received(
-        {
-          method: request.method ?? 'GET',
-          path: request.url ?? '/',
-          host: request.headers.host ?? '',
-          headers: request.rawHeaders,
-          body: Buffer.concat(chunks),
-          arrivedAt,
-        },
-        reply,
-      );
+      const received: ReceivedRequest = {
+        method: request.method ?? 'GET',
+        path: request.url ?? '/',
+        host: request.headers.host ?? '',
+        headers: request.rawHeaders,
+        body: Buffer.concat(chunks),
+        arrivedAt,
+      };
+      afterNextPoll(() => {
+        if (!reply.isOver()) this.handler.received(received, reply);
+      });
     });
   }
 }
 
+/**
+ * Calls back once every socket has been read once more. A request may have waited in its socket while this process was busy or
+ * stood still, and its caller may have left meanwhile; the end of its connection is read one poll after its bytes. The first
+ * callback runs after this poll, the second after the next one.
+ */
+function afterNextPoll(callback: () => void): void {
+  setImmediate(() => setImmediate(callback));
+}
+
 function pairs(headers: readonly string[], dropped: ReadonlySet<string>): [string, string][] {
   const list: [string, string][] = [];
   for (let index = 0; index + 1 < headers.length; index += 2) {
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -10,7 +10,7 @@
 import type { ForwardingDaemonSettings } from '../daemon/forwarding-daemon-settings.js';
 import type { ForwardingEffect, ForwardingEvent } from '../daemon/forwarding-messages.js';
 import { ListenError, type PulleyledgeError } from '../errors/index.js';
-import type { ForwardAttemptEvent } from '../forwarding/forward-messages.js';
+import type { AttemptStart } from '../forwarding/forward-messages.js';
 import { ForwardServer, type CallerReply, type ReceivedRequest } from '../gateway/forward-server.js';
 import { SeededRandom } from '../shared/random.js';
 import { ForwardingMetrics } from './forwarding-metrics.js';
@@ -263,18 +263,15 @@
 
   private perform(effect: ForwardingEffect): void {
     switch (effect.kind) {
-      case 'startAttempt': {
-        const { requestId, attemptId } = effect.start;
-        const open = this.open.get(requestId);
-        if (!open) break;
-        this.backends.start(effect.start, open.request, open.reply, (event: ForwardAttemptEvent) =>
-          this.send({ kind: 'attempt', requestId, attemptId, event }),
-        );
+      case 'startAttempt':
+        this.startAttempt(effect.start);
         break;
-      }
       case 'abortAttempt':
         this.backends.abort(effect.attemptId);
         break;
+      case 'abandonAttempt':
+        this.backends.abandon(effect.attemptId);
+        break;
       case 'replyWhole': {
         const answer = this.backends.take(effect.attemptId);
         if (answer) this.takeOpen(effect.requestId)?.reply.whole(answer);
@@ -310,6 +307,19 @@
     }
   }
 
+  private startAttempt(start: AttemptStart): void {
+    const { requestId, attemptId, backend } = start;
+    const open = this.open.get(requestId);
+    if (!open) return;
+    this.backends.start(start, open.request, open.reply, (event) => {
+      const callerLeft = !this.open.has(requestId);
+      // The machine knows the attempt no more, or will soon not: nobody else would free the KV cache.
+      if (callerLeft && event.kind === 'prefilled')
+        this.backends.freeKv({ address: backend.address, handle: event.handle });
+      else this.send({ kind: 'attempt', requestId, attemptId, event });
+    });
+  }
+
   private takeOpen(requestId: string): OpenRequest | undefined {
     const open = this.open.get(requestId);
     this.open.delete(requestId);
