--- a/src/daemon/daemon-messages.ts
+++ b/src/daemon/daemon-messages.ts
@@ -13,6 +13,7 @@
 import type { FleetMessage } from '../fleet/fleet-messages.js';
 import type { LimitMessage } from '../limits/limit-messages.js';
 import type { MembershipMessage } from '../membership/membership-messages.js';
+import type { QuotaMessage } from '../quotas/quota-messages.js';
 import type { MachineListing } from '../platform/machine-list.js';
 import type { TableRequest, TableResult } from '../platform/table-service.js';
 import type { ApplicationCall, ApplicationEffect, ApplicationEvent } from '../routing/application-manager.js';
@@ -64,7 +65,7 @@
 
 /** Everything that daemons say to each other. */
 export type PeerMessage =
-  MembershipMessage | ConfigurationMessage | LimitMessage | CellMessage | FleetMessage | UsageCounts;
+  MembershipMessage | ConfigurationMessage | LimitMessage | CellMessage | FleetMessage | UsageCounts | QuotaMessage;
 
 /** An operator's edit of one row. `row` is null to delete it. */
 export interface RowEdit {
--- a/src/daemon/forwarding-daemon-settings.ts
+++ b/src/daemon/forwarding-daemon-settings.ts
@@ -11,6 +11,7 @@
 import { type RetryAllowanceSettings } from '../forwarding/retry-allowance.js';
 import type { StageCoordinatorSettings } from '../allocation/stage-coordinator.js';
 import { type DutySettings } from '../duties/duty-manager.js';
+import type { QuotaSettings } from '../quotas/quota-settings.js';
 import { DEFAULT_MEMBERSHIP_SETTINGS, type MembershipSettings } from '../membership/membership-settings.js';
 
 /** Settings of a forwarding daemon, by part. */
@@ -26,6 +27,8 @@
   readonly stages: StageCoordinatorSettings;
   /** Undefined where the platform asks for no duties. */
   readonly duties: DutySettings | undefined;
+  /** Undefined where tenants' quotas are not held. */
+  readonly quotas?: QuotaSettings | undefined;
 }
 
 /** Default settings; the budget of retries, the stages and the duties have none. */
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -122,6 +122,12 @@
         kvIndex: this.kvIndex,
         emit,
         members: () => this.membership.active(),
+        fleet: () => ({
+          members: this.membership.active(),
+          known: this.membership.contact().known,
+          joined: this.membership.joined(),
+        }),
+        decideQuota: (requestId, decision) => this.manager.applyQuota(requestId, decision, this.handledAt),
         routes: () => this.routes,
         believe: (event, fields) => this.believe(event, fields),
       },
--- a/src/forwarding/forward-request.ts
+++ b/src/forwarding/forward-request.ts
@@ -27,6 +27,8 @@
   /// How long the caller waits from then on; undefined when it did not say. Milliseconds.
   readonly callerDeadlineMs: number | undefined
   readonly prompt: PromptOutline | undefined
+  /// Tokens of the prompt and the most that may be generated, together, as the caller says.
+  readonly usageTokens?: number | undefined
   /// Digest of the key that the caller showed; undefined when it showed none.
   readonly keyDigest?: string | undefined
 }
--- a/src/forwarding/route-schema.ts
+++ b/src/forwarding/route-schema.ts
@@ -51,10 +51,18 @@
   idleTimeoutMs: milliseconds
 })
 
+const quota = z.object({
+  ratePerSecond: z.number().finite().positive(),
+  burst: z.number().finite().min(0),
+  countsTokens: z.boolean(),
+  plainCost: z.number().finite().min(0)
+})
+
 const tenant = z.object({
   name,
   keyDigests: z.array(name),
-  priority: z.number().int().min(0).optional()
+  priority: z.number().int().min(0).optional(),
+  quota: quota.optional()
 })
 
 /// The schema; its issues name the field that is wrong.
--- a/src/forwarding/route.ts
+++ b/src/forwarding/route.ts
@@ -78,6 +78,19 @@
   readonly keyDigests: readonly string[]
   /// Rank of its requests in place of the route's, 0 the most urgent; undefined leaves the route's.
   readonly priority?: number | undefined
+  /// What its requests may come to over all daemons; undefined where nothing limits them.
+  readonly quota?: TenantQuota | undefined
+}
+
+/// A limit on a tenant's requests, in tokens or in requests.
+export interface TenantQuota {
+  readonly ratePerSecond: number
+  /// Beyond the rate, at once.
+  readonly burst: number
+  /// A request counts its prompt and the most that it may generate.
+  readonly countsTokens: boolean
+  /// What a request counts that says nothing of tokens, or any request where tokens are not counted.
+  readonly plainCost: number
 }
 
 /// Bounds on what callers send.
--- a/src/forwarding/tenant-directory.ts
+++ b/src/forwarding/tenant-directory.ts
@@ -1,6 +1,6 @@
 /// Whose key a caller shows. One look-up a request, at any number of tenants; a new configuration touches only the tenants that it
 /// changes.
-import type {Route, Tenant} from "./route.js"
+import type {Route, Tenant, TenantQuota} from "./route.js"
 
 /// Who a caller acts for.
 export interface Caller {
@@ -47,5 +47,15 @@
 function isSame(left: Tenant | undefined, right: Tenant): boolean {
   if (!left || left.priority !== right.priority || left.keyDigests.length !== right.keyDigests.length)
     return false
+  if (!isSameQuota(left.quota, right.quota)) return false
   return left.keyDigests.every((digest, i) => digest === right.keyDigests[i])
 }
+
+function isSameQuota(left: TenantQuota | undefined, right: TenantQuota | undefined): boolean {
+  return (
+    left?.ratePerSecond === right?.ratePerSecond &&
+    left?.burst === right?.burst &&
+    left?.countsTokens === right?.countsTokens &&
+    left?.plainCost === right?.plainCost
+  )
+}
--- /dev/null
+++ b/src/forwarding/tenant-quota.ts
@@ -0,0 +1,32 @@
+/// What the forwarding machine asks of tenants' quotas.
+import type {ForwardRequest} from "./forward-request.js"
+import type {Tenant} from "./route.js"
+
+/// A request that asks for its part of a quota.
+export interface QuotaRequest {
+  readonly requestId: string
+  readonly tenant: Tenant
+  readonly cost: number
+  /// How long it may wait for an answer. Milliseconds.
+  readonly waitMs: number
+}
+
+/// What becomes of a request.
+export type QuotaDecision =
+  | {readonly kind: "granted"}
+  | {
+      readonly kind: "refused"
+      /// When its caller should come back. Milliseconds.
+      readonly retryAfterMs: number
+      /// The figures that decided it, for the log.
+      readonly fields: Readonly<Record<string, unknown>>
+    }
+
+/// The same, or that it must wait for the answer.
+export type QuotaAnswer = QuotaDecision | {readonly kind: "waiting"}
+
+/// What a request counts for its tenant, in the unit of the tenant's quota.
+export function getQuotaCost({usageTokens}: ForwardRequest, {quota}: Tenant): number {
+  if (!quota) return 0
+  return quota.countsTokens ? (usageTokens ?? quota.plainCost) : quota.plainCost
+}
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -4,9 +4,11 @@
 import type {RandomSource} from "../shared/random.js"
 import type {BackendDirectory} from "../forwarding/backend-directory.js"
 import type {KvIndex} from "../forwarding/kv-index.js"
-import type {BackendRecord, RouteConfiguration} from "../forwarding/route.js"
+import type {BackendRecord, RouteConfiguration, Tenant} from "../forwarding/route.js"
+import type {QuotaAnswer, QuotaDecision, QuotaRequest} from "../forwarding/tenant-quota.js"
 import type {RouteTable} from "../forwarding/route-table.js"
 import type {EffectSink} from "../shared/effect-sink.js"
+import type {FleetView} from "../quotas/owner-ranking.js"
 import type {DaemonIdentity, Member, MembershipMessage} from "../membership/membership-messages.js"
 import type {BeliefEvent} from "../daemon/beliefs.js"
 import type {PeerMessage} from "../daemon/daemon-messages.js"
@@ -23,8 +25,12 @@
   readonly emit: EffectSink<ForwardingEffect>
   /// Active members, this daemon included; the same array as long as they are the same.
   members(): readonly Member[]
+  /// How this daemon sees its fleet.
+  fleet(): FleetView
   /// The routes in force; undefined before the first configuration.
   routes(): RouteTable | undefined
+  /// A request that waited for its tenant's quota is decided.
+  decideQuota(requestId: string, decision: QuotaDecision): void
   /// A change of what the daemon believes, for its log and its metrics.
   believe(event: BeliefEvent, fields: Readonly<Record<string, unknown>>): void
 }
@@ -67,6 +73,15 @@
   /// Adds to a message of the membership before it is sent.
   addToMembership?(message: MembershipMessage, now: number): MembershipMessage
 
+  /// Asks whether the tenant's quota allows a request. Undefined from a part that holds no quotas.
+  takeQuota?(need: QuotaRequest, now: number): QuotaAnswer | undefined
+
+  /// A request that waits for its tenant's quota is over.
+  removeQuotaRequest?(requestId: string): void
+
+  /// Counts a request again for its tenant, or, with a cost below 0, gives back what never ran.
+  chargeQuota?(tenant: Tenant, cost: number, now: number): void
+
   /// A back end began at `at` to run a request of the tenant.
   requestBegan?(tenant: string, at: number): void
 
--- a/src/parts/daemon-parts.ts
+++ b/src/parts/daemon-parts.ts
@@ -3,15 +3,17 @@
 import {DutyPart} from "./duty-part.js"
 import {HealthPart} from "./health-part.js"
 import {KvPart} from "./kv-part.js"
+import {QuotaPart} from "./quota-part.js"
 import {StagePart} from "./stage-part.js"
 
 /// Every part of one daemon, in the order in which they hear of things.
 export function createParts(surroundings: PartSurroundings, now: number): readonly DaemonPart[] {
-  const {duties} = surroundings.settings
+  const {duties, quotas} = surroundings.settings
   return [
     new HealthPart(surroundings),
     new KvPart(surroundings, now),
     new StagePart(surroundings),
-    ...(duties ? [new DutyPart(surroundings, duties, now)] : [])
+    ...(duties ? [new DutyPart(surroundings, duties, now)] : []),
+    ...(quotas ? [new QuotaPart(surroundings, quotas)] : [])
   ]
 }
--- /dev/null
+++ b/src/parts/quota-part.ts
@@ -0,0 +1,70 @@
+/// Holds tenants to their quotas, over the whole fleet.
+import type {PeerMessage} from "../daemon/daemon-messages.js"
+import type {RouteConfiguration, Tenant} from "../forwarding/route.js"
+import type {QuotaAnswer, QuotaRequest} from "../forwarding/tenant-quota.js"
+import {QuotaManager, type QuotaEffect} from "../quotas/quota-manager.js"
+import type {QuotaLimit, QuotaSettings} from "../quotas/quota-settings.js"
+import {DaemonPart, type PartFigures, type PartSurroundings} from "./daemon-part.js"
+
+/// Quotas as a part.
+export class QuotaPart extends DaemonPart {
+  override readonly name = "quotas"
+  private readonly manager: QuotaManager
+
+  constructor(
+    private readonly surroundings: PartSurroundings,
+    settings: QuotaSettings
+  ) {
+    super()
+    const {identity, random, fleet} = surroundings
+    this.manager = new QuotaManager(identity.id, settings, fleet, random, effect => this.onQuota(effect))
+  }
+
+  override applyConfiguration({tenants}: RouteConfiguration, now: number): void {
+    const limits = new Map<string, QuotaLimit>()
+    for (const {name, quota} of tenants ?? []) if (quota) limits.set(name, quota)
+    this.manager.setLimits(limits, now)
+  }
+
+  override receivePeer(fromId: string, fromAddress: string, message: PeerMessage, now: number): void {
+    this.manager.hear(fromId, now)
+    switch (message.kind) {
+      case "quotaAsk":
+      case "quotaAnswer":
+      case "quotaHandover":
+        this.manager.receive(fromId, fromAddress, message, now)
+        break
+      default:
+        break
+    }
+  }
+
+  override takeQuota({tenant, requestId, cost, waitMs}: QuotaRequest, now: number): QuotaAnswer {
+    return this.manager.take(tenant.name, requestId, cost, waitMs, now) ?? {kind: "waiting"}
+  }
+
+  override removeQuotaRequest(requestId: string): void {
+    this.manager.remove(requestId)
+  }
+
+  override chargeQuota({name}: Tenant, cost: number, now: number): void {
+    this.manager.charge(name, cost, now)
+  }
+
+  override ownPauseEnded(now: number): void {
+    this.manager.ownPauseEnded(now)
+  }
+
+  override tick(now: number): void {
+    this.manager.tick(now)
+  }
+
+  override getFigures(): PartFigures {
+    return this.manager.getFigures()
+  }
+
+  private onQuota(effect: QuotaEffect): void {
+    if (effect.kind === "sendPeer") this.surroundings.emit(effect)
+    else this.surroundings.decideQuota(effect.requestId, effect.decision)
+  }
+}
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -256,6 +256,7 @@
         arrivedAt: received.arrivedAt,
         callerDeadlineMs: head.deadlineMs,
         prompt: head.prompt,
+        usageTokens: head.usageTokens,
         keyDigest: head.keyDigest,
       },
     });
--- /dev/null
+++ b/src/quotas/quota-holder.ts
@@ -0,0 +1,201 @@
+/// What one daemon knows and has of one tenant's quota: requests that wait for the owner's word, what it may spend without, and until when
+/// nothing is to be had.
+import type {QuotaDecision} from "../forwarding/tenant-quota.js"
+import {MAXIMUM_NEEDS, type QuotaAnswer, type QuotaAsk} from "./quota-messages.js"
+import {RESERVE_MS} from "./quota-owner.js"
+import {getAllowance, type QuotaLimit, type QuotaSettings} from "./quota-settings.js"
+import {TokenBucket} from "./token-bucket.js"
+
+/// A request that waits.
+export interface QuotaNeed {
+  readonly requestId: string
+  readonly tokens: number
+  /// It is decided without the owner from then on. Monotonic milliseconds.
+  readonly decideBy: number
+}
+
+const GRANTED: QuotaDecision = {kind: "granted"}
+/// Time to come back when no owner has said one. Milliseconds.
+const UNTOLD_RETRY_MS = 200
+/// Requests of one tenant that wait at most.
+const MAXIMUM_WAITING = 256
+/// An ask without an answer is given up after so long, and what a late answer grants is not spent. Milliseconds. So what was
+/// granted outside of a window arrives within it for no more than this time.
+export const ASK_TIMEOUT_MS = 250
+
+/// An ask that is under way.
+interface OpenAsk {
+  readonly sequence: number
+  readonly ownerId: string
+  readonly askedAt: number
+  readonly needs: readonly QuotaNeed[]
+  readonly spent: number
+}
+
+/// One tenant at one daemon. Times are monotonic milliseconds.
+export class QuotaHolder {
+  private readonly allowance: TokenBucket
+  private waiting: QuotaNeed[] = []
+  private open: OpenAsk | undefined
+  /// Daemons that were asked in vain for those that wait now.
+  readonly tried = new Set<string>()
+  private blockedUntil = -Infinity
+  private retryAfterMs = UNTOLD_RETRY_MS
+  private reserve = 0
+  private toldAt = -Infinity
+  private toldBy: string | undefined
+  private untold = 0
+  private usedAt: number
+  /// Since the process began. Tokens and requests.
+  readonly totals = {granted: 0, refused: 0, refusedRequests: 0}
+
+  constructor(
+    private limit: QuotaLimit,
+    private readonly settings: QuotaSettings,
+    private readonly getRandom: () => number,
+    now: number
+  ) {
+    this.allowance = new TokenBucket(0, 0, now)
+    this.usedAt = now
+  }
+
+  /// Takes a new limit: nothing that was told under the old one counts any more.
+  setLimit(limit: QuotaLimit): void {
+    if (limit.ratePerSecond === this.limit.ratePerSecond && limit.burst === this.limit.burst) return
+    this.limit = limit
+    this.reserve = 0
+    this.blockedUntil = -Infinity
+  }
+
+  /// The daemons that share the allowance.
+  setDaemons(daemons: number, now: number): void {
+    const {ratePerSecond, burst} = getAllowance(this.settings, this.limit, daemons)
+    this.allowance.setLimits(ratePerSecond, burst, now)
+  }
+
+  /// Decides at once where that is possible; else the request waits.
+  take(need: QuotaNeed, now: number): QuotaDecision | undefined {
+    this.usedAt = now
+    if (!this.hasWaiting() && this.allowance.tryTake(need.tokens, now)) return this.spend(need)
+    if (now < this.blockedUntil) return this.refuse(need, "limit", now)
+    if (this.waiting.length >= MAXIMUM_WAITING) return this.refuse(need, "waiting", now)
+    this.waiting.push(need)
+    return undefined
+  }
+
+  /// A request that waits is given up. Returns whether it waited.
+  remove(requestId: string): boolean {
+    const before = this.waiting.length
+    this.waiting = this.waiting.filter(need => need.requestId !== requestId)
+    return this.waiting.length < before
+  }
+
+  hasWaiting(): boolean {
+    return this.waiting.length > 0
+  }
+
+  /// Whether there is something to ask or to tell, and no ask is under way.
+  isDue(): boolean {
+    return !this.open && (this.waiting.length > 0 || this.untold !== 0)
+  }
+
+  /// Tokens were spent without asking, or given back when below 0.
+  addSpent(tokens: number): void {
+    this.untold += tokens
+  }
+
+  /// The ask for all that wait.
+  createAsk(tenant: string, ownerId: string, sequence: number, now: number): QuotaAsk {
+    const needs = this.waiting.slice(0, MAXIMUM_NEEDS)
+    const spent = this.untold
+    this.open = {sequence, ownerId, askedAt: now, needs, spent}
+    this.untold = 0
+    return {kind: "quotaAsk", sequence, tenant, needs: needs.map(({tokens}) => tokens), spent}
+  }
+
+  /// Takes the owner's word. Returns what became of those that waited; undefined when nothing waits for this answer.
+  receive(answer: QuotaAnswer, fromId: string, now: number): Map<string, QuotaDecision> | undefined {
+    const {open} = this
+    if (open?.sequence !== answer.sequence || now - open.askedAt > ASK_TIMEOUT_MS) return undefined
+    this.open = undefined
+    if (answer.notOwner) {
+      this.untold += open.spent
+      this.tried.add(fromId)
+      return new Map()
+    }
+    this.tried.clear()
+    this.toldAt = now
+    this.toldBy = fromId
+    this.reserve = answer.reserve
+    this.retryAfterMs = answer.retryAfterMs || UNTOLD_RETRY_MS
+    this.blockedUntil = now + answer.blockedMs
+    return this.settle(open.needs, answer.granted, now)
+  }
+
+  /// Gives up an ask that nobody answers. What it told may have been debited: it is told again, unless that would credit twice.
+  closeLate(now: number): boolean {
+    const {open} = this
+    if (!open || now - open.askedAt < ASK_TIMEOUT_MS) return false
+    this.untold += Math.max(0, open.spent)
+    this.tried.add(open.ownerId)
+    this.open = undefined
+    return true
+  }
+
+  /// Decides what can wait no longer, or all that waits when there is nobody to ask.
+  decideWithout(hasOwner: boolean, now: number): Map<string, QuotaDecision> {
+    const decided = new Map<string, QuotaDecision>()
+    for (const need of this.waiting)
+      if (!hasOwner || now >= need.decideBy) decided.set(need.requestId, this.decideAlone(need, now))
+    if (decided.size > 0) this.waiting = this.waiting.filter(need => !decided.has(need.requestId))
+    if (this.waiting.length === 0) this.tried.clear()
+    return decided
+  }
+
+  /// Whether nothing here matters any more.
+  isIdle(now: number, idleMs: number): boolean {
+    return now - this.usedAt > idleMs && !this.open && this.untold === 0 && this.waiting.length === 0
+  }
+
+  private settle(needs: readonly QuotaNeed[], granted: number, now: number): Map<string, QuotaDecision> {
+    const decided = new Map<string, QuotaDecision>()
+    const waiting = new Set(this.waiting)
+    needs.forEach((need, index) => {
+      const isGranted = index < granted
+      if (waiting.has(need)) decided.set(need.requestId, isGranted ? this.grant(need) : this.refuse(need, "limit", now))
+      // Its caller left while the ask was under way.
+      else if (isGranted) this.untold -= need.tokens
+    })
+    this.waiting = this.waiting.filter(need => !decided.has(need.requestId))
+    return decided
+  }
+
+  private decideAlone(need: QuotaNeed, now: number): QuotaDecision {
+    if (this.allowance.tryTake(need.tokens, now)) return this.spend(need)
+    if (now - this.toldAt > RESERVE_MS || need.tokens > this.reserve) return this.refuse(need, "silence", now)
+    this.reserve -= need.tokens
+    return this.spend(need)
+  }
+
+  private spend(need: QuotaNeed): QuotaDecision {
+    this.untold += need.tokens
+    return this.grant(need)
+  }
+
+  private grant({tokens}: QuotaNeed): QuotaDecision {
+    this.totals.granted += tokens
+    return GRANTED
+  }
+
+  /// Spread, so that callers do not come back together.
+  private refuse({tokens}: QuotaNeed, reason: string, now: number): QuotaDecision {
+    this.totals.refused += tokens
+    this.totals.refusedRequests += 1
+    const retryAfterMs = Math.round(this.retryAfterMs * (1 + this.getRandom() / 2))
+    const {ratePerSecond, burst} = this.limit
+    const toldMsAgo = this.toldBy === undefined ? undefined : Math.round(now - this.toldAt)
+    const allowance = Math.floor(this.allowance.getLevel(now))
+    const fields = {reason, tokens, ratePerSecond, burst, allowance, toldBy: this.toldBy, toldMsAgo}
+    return {kind: "refused", retryAfterMs, fields}
+  }
+}
--- a/test/daemon-parts.test.ts
+++ b/test/daemon-parts.test.ts
@@ -25,6 +25,8 @@
     kvIndex: new KvIndex(),
     emit: () => undefined,
     members: () => [],
+    fleet: () => ({ members: [], known: 1, joined: true }),
+    decideQuota: () => undefined,
     routes: () => undefined,
     believe: () => undefined,
   };
