--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -51,6 +51,12 @@
   kvSource: KvSource | undefined
   /// The caller has left; a back end may finish what it has begun, and nothing is sent again.
   abandoned: boolean
+  /// What it counts for its tenant's quota; 0 where none is held.
+  quotaCost: number
+  /// "refused": it counts nothing.
+  quotaState: "waiting" | "decided" | "refused"
+  /// An attempt was stopped while its back end may have been running the request.
+  wasStopped: boolean
 }
 
 /// A request that has just been taken on.
@@ -78,7 +84,10 @@
     counted: false,
     lastEventId: undefined,
     kvSource: undefined,
-    abandoned: false
+    abandoned: false,
+    quotaCost: 0,
+    quotaState: "decided",
+    wasStopped: false
   }
 }
 
