--- a/lab/soak/store-stand-in.ts
+++ b/lab/soak/store-stand-in.ts
@@ -84,7 +84,8 @@
   private async onRequest(caller: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readBody(request)
     const treatment = this.treatments.get(caller) ?? "serves"
-    const url = new URL(request.url ?? "/", "http://store")
+    // Like the platform's, it takes a plus sign for itself and not for a space.
+    const url = new URL((request.url ?? "/").replaceAll("+", "%2B"), "http://store")
     const answer = (status: number, value: object) => this.answer(response, treatment, status, value)
     if (treatment === "silent") return
     if (treatment === "refuses") return answer(STATUS_BUSY, {})
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -207,6 +207,20 @@
     expect(bad).to.deep.equal(['k invalid-input']);
   });
 
+  it('finds a row whose key has spaces: the store takes a plus sign for itself', async () => {
+    const value = Buffer.from(JSON.stringify({ writeId: 'w', value: 'held' })).toString('base64');
+    const key = 'duties of the fleet';
+    answer = (url) => {
+      const from = new URL(url.replaceAll('+', '%2B'), 'http://store').searchParams.get('from');
+      return { status: 200, body: { rows: from === key ? [{ key, ver: 3, value }] : [], ver: 9 } };
+    };
+    const result = await new TableClient(address).perform({ kind: 'read', table: 'leases', key });
+    expect(result).to.deep.equal({
+      kind: 'row',
+      row: { table: 'leases', key, revision: 3, value: 'held' },
+    });
+  });
+
   it('a commit whose answer was lost counts as done when its write stands in the row', async () => {
     const table = new TableClient(address);
     const commit = {
