--- a/test/layout.test.ts
+++ b/test/layout.test.ts
@@ -6,6 +6,7 @@
 const ROOT = fileURLToPath(new URL('../../', import.meta.url));
 const PROGRAM_FOLDERS = ['src', 'platform', 'lab', 'simulation', 'bench', 'spec'];
 const IMPORT = /^(?:import|export)\s+(type\s+)?([^;"']*?)\s*from\s+["'](\.[^"']+)["']/gm;
+const MAXIMUM_LINES = 400;
 const SCHEMA = /Schemas?$/;
 
 interface Import {
@@ -122,6 +123,12 @@
     expect(wrong.map(({ from, to }) => `${from} -> ${to}`)).to.deep.equal([]);
   });
 
+  it('no module has more than 400 lines', () => {
+    const countLines = (file: string): number =>
+      readFileSync(join(ROOT, file), 'utf8').trimEnd().split('\n').length;
+    expect(files.filter((file) => countLines(file) > MAXIMUM_LINES)).to.deep.equal([]);
+  });
+
   it('no module imports itself by way of others, types included', () => {
     const targets = new Map<string, string[]>(files.map((file) => [file, []]));
     for (const { from, to } of imports) targets.get(from)?.push(to);
