--- a/src/gateway/read-body.ts
+++ b/src/gateway/read-body.ts
@@ -1,6 +1,7 @@
 /** Reads the body of a call up to a limit. */
 import type { IncomingMessage } from 'node:http';
 import { PayloadTooLargeError, ValidationError } from '../errors/index.js';
+import { parseJson } from '../shared/json.js';
 
 /**
  * The whole body.
@@ -28,9 +29,7 @@
  */
 export async function readJson(message: IncomingMessage, limitBytes: number): Promise<unknown> {
   const body = await readBody(message, limitBytes);
-  try {
-    return JSON.parse(body.toString('utf8')) as unknown;
-  } catch {
-    throw new ValidationError('body', 'it is not JSON');
-  }
+  const { value, reason } = parseJson(body.toString('utf8'));
+  if (reason !== undefined) throw new ValidationError('body', reason);
+  return value;
 }
