--- a/src/daemon/forwarding-daemon-settings.ts
+++ b/src/daemon/forwarding-daemon-settings.ts
@@ -13,6 +13,7 @@
 import type { RegionByZone } from '../places/places.js';
 import type { StageCoordinatorSettings } from '../allocation/stage-coordinator.js';
 import { type DutySettings } from '../duties/duty-manager.js';
+import type { QuotaSettings } from '../quotas/quota-settings.js';
 import { DEFAULT_MEMBERSHIP_SETTINGS, type MembershipSettings } from '../membership/membership-settings.js';
 
 /** Settings of a forwarding daemon, by part. */
@@ -31,6 +32,8 @@
   readonly stages: StageCoordinatorSettings;
   /** Undefined where the platform asks for no duties. */
   readonly duties: DutySettings | undefined;
+  /** Undefined where tenants' quotas are not held. */
+  readonly quotas?: QuotaSettings | undefined;
 }
 
 /** Default settings; the budget of retries, the stages and the duties have none. */
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -103,6 +103,19 @@
         requestBegan: (tenant, at) => {
           for (const part of this.parts) part.requestBegan?.(tenant, at);
         },
+        takeQuota: (request, at) => {
+          for (const part of this.parts) {
+            const answer = part.takeQuota?.(request, at);
+            if (answer) return answer;
+          }
+          return undefined;
+        },
+        removeQuotaRequest: (requestId) => {
+          for (const part of this.parts) part.removeQuotaRequest?.(requestId);
+        },
+        chargeQuota: (tenant, cost, at) => {
+          for (const part of this.parts) part.chargeQuota?.(tenant, cost, at);
+        },
       },
       picker,
       this.kvIndex,
@@ -134,6 +147,12 @@
         regions: places.hasSeveralRegions() ? { places, roundTrips, distance } : undefined,
         emit,
         members: () => this.membership.active(),
+        fleet: () => ({
+          members: this.membership.active(),
+          known: this.membership.contact().known,
+          joined: this.membership.joined(),
+        }),
+        decideQuota: (requestId, decision) => this.manager.applyQuota(requestId, decision, this.handledAt),
         routes: () => this.routes,
         believe: (event, fields) => this.believe(event, fields),
       },
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -257,6 +257,7 @@
         callerDeadlineMs: head.deadlineMs,
         prompt: head.prompt,
         bodyBytes: body.length,
+        usageTokens: head.usageTokens,
         keyDigest: head.keyDigest,
       },
     });
