Connections that fall silent without a reset are found and replaced, between daemons and to servers

Cause: a sender between daemons hears nothing on its connection and wrote into it for 20 s and more; a silenced connection to a server took one request after the other, each until its deadline, and a request that stalled was broken off (502) even where no other back end could take it. Ruled out: TCP keep-alive (11 s with what Node can set); judging one connection to a server by itself (prompts may rightly take long). Change: acknowledgements within 750 ms and replacement after 2 s between daemons; a pool of its own per server that suspects all connections of one age; an attempt is moved only when another back end would take it; the soak's proxy can silence live connections for good. Conclusion: engines' prompts under way on silent connections still wait for their deadline (moving them by this rule would move slow ones too).

--- a/lab/soak/fault-proxy.ts
+++ b/lab/soak/fault-proxy.ts
@@ -12,7 +12,10 @@
 export class FaultProxy {
   private state: LinkState = "open"
   private delayMs = 0
+  private made = 0
   private readonly sockets = new Set<Socket>()
+  /// Connections that pass nothing any more, whatever the state.
+  private readonly silenced = new WeakSet<Socket>()
   private readonly server: Server
 
   constructor(private target: () => string) {
@@ -31,6 +34,16 @@
     this.delayMs = delayMs
   }
 
+  /// Silences the connections that are open now, for good and without a reset; new ones work.
+  silenceLive(): void {
+    for (const socket of this.sockets) this.silenced.add(socket)
+  }
+
+  /// Connections that have come through it so far.
+  connectionsMade(): number {
+    return this.made
+  }
+
   /// Resets every connection.
   resetAll(): void {
     for (const socket of this.sockets) socket.resetAndDestroy()
@@ -43,6 +56,7 @@
   }
 
   private accept(near: Socket): void {
+    this.made += 1
     const [host, port] = this.target().split(":")
     const far = connect({host, port: Number(port)})
     for (const socket of [near, far]) {
@@ -51,6 +65,7 @@
       socket.on("error", () => undefined)
       socket.on("close", hadError => {
         this.sockets.delete(socket)
+        if (this.silenced.has(socket)) return
         const other = socket === near ? far : near
         if (hadError) other.resetAndDestroy()
         else other.end()
@@ -62,19 +77,20 @@
 
   private pass(from: Socket, to: Socket, direction: typeof FORTH | typeof BACK): void {
     from.on("data", (bytes: Buffer) => {
-      if (this.isCut(direction)) return
+      if (this.isCut(direction, from)) return
       const write = () => void (to.writable && to.write(bytes))
       if (this.state === "delayed") setTimeout(write, this.delayMs)
       else write()
     })
     from.on("end", () => {
+      if (this.isCut(direction, from)) return
       if (this.state === "delayed") setTimeout(() => to.end(), this.delayMs)
-      else if (!this.isCut(direction)) to.end()
+      else to.end()
     })
   }
 
-  private isCut(direction: typeof FORTH | typeof BACK): boolean {
-    if (this.state === "silent") return true
+  private isCut(direction: typeof FORTH | typeof BACK, from: Socket): boolean {
+    if (this.state === "silent" || this.silenced.has(from)) return true
     return (
       (this.state === "cutForth" && direction === FORTH) || (this.state === "cutBack" && direction === BACK)
     )
--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -2,7 +2,7 @@
  * Sends attempts to back ends over kept connections, one pool a back end's incarnation, and tells what became
  * of each. It knows for certain whether a request was never written: then no connection came about.
  */
-import { Pool, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
 import type { AttemptStart, ForwardAttemptEvent, KvSource } from '../forwarding/forward-messages.js';
 import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
 import type { KvChanges, KvChangesCall } from '../forwarding/kv-follower.js';
@@ -12,6 +12,7 @@
 import { endToEndHeaders, headerValue } from './http-headers.js';
 import { EventSplitter } from './event-splitter.js';
 import { ResetWatch } from './reset-watch.js';
+import { ServerPool } from './server-pool.js';
 
 /** A caller's request as it came. */
 export interface CallerRequest {
@@ -55,18 +56,31 @@
   readonly connectionsPerBackend: number;
   /** A probe or a call that frees something is given up after this. Milliseconds. */
   readonly callTimeoutMs: number;
+  /**
+   * A request that has heard nothing for so long makes the connections of its age suspect, if none of them was heard either.
+   * Milliseconds. A quarter of the 4 s within which the platform's pages want contact found again.
+   */
+  readonly silentConnectionMs: number;
 }
 
 const FIRST_ERROR_STATUS = 300;
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 const FIRST_SUCCESS_STATUS = 200;
 const MAXIMUM_KEPT_BYTES = 16 * 1024 * 1024;
-/** An idle connection is dropped this long before the back end would close it. Milliseconds. */
-const KEEP_ALIVE_MARGIN_MS = 1000;
-const DEFAULT_KEEP_ALIVE_MS = 4000;
 const MAXIMUM_KEEP_ALIVE_MS = 30_000;
 /** A back end may forget a connection that rests; what cannot be sent again takes none that rested longer. Milliseconds. */
 const MAXIMUM_REST_MS = 200;
+/** Interval between looks at which connections were heard. Milliseconds. */
+const CHECK_INTERVAL_MS = 250;
+/** The checks after which a request that is given up unheard makes the connections of its age suspect. */
+const GIVEN_UP_CHECKS = 2;
+/** After these events the attempt is still known: it goes on, or its answer is yet to be taken. */
+const KEEPS_ATTEMPT: ReadonlySet<ForwardAttemptEvent['kind']> = new Set([
+  'streamStarted',
+  'streamProgress',
+  'whole',
+  'connectionSilent',
+]);
 /** Keys of pools beside the usual one of a back end. */
 const PROBE = 'probe';
 const ONCE = 'once';
@@ -74,15 +88,19 @@
 
 /** The client of one daemon. */
 export class BackendClient {
-  private readonly pools = new Map<string, Pool>();
+  private readonly pools = new Map<string, ServerPool>();
+  /** Pools that get nothing new, by those that took their place. */
+  private readonly replaced = new Map<ServerPool, ServerPool>();
   private readonly live = new Map<string, AttemptHandler>();
   private readonly resets: ResetWatch;
+  private readonly timer: NodeJS.Timeout;
 
   constructor(
     private readonly dialect: BackendDialect,
     private readonly settings: BackendClientSettings,
   ) {
     this.resets = new ResetWatch(settings.connectTimeoutMs);
+    this.timer = setInterval(() => this.tick(), CHECK_INTERVAL_MS).unref();
   }
 
   /** Sends an attempt. `onEvent` is called until the attempt is over or aborted. */
@@ -93,9 +111,11 @@
     onEvent: (event: ForwardAttemptEvent) => void,
   ): void {
     const resumed: AttemptStart = { ...start, resumeAfter: sink.lastEventId() ?? start.resumeAfter };
-    const handler = new AttemptHandler(this.dialect, this.resets, resumed, request, sink, (event) => {
-      if (event.kind !== 'streamStarted' && event.kind !== 'streamProgress' && event.kind !== 'whole')
-        this.live.delete(start.attemptId);
+    const { id, address } = start.backend;
+    const key = start.once ? `${ONCE} ${id}` : id;
+    const pool = this.pool(key, address, start.once ? MAXIMUM_REST_MS : MAXIMUM_KEEP_ALIVE_MS);
+    const handler = new AttemptHandler(this.dialect, this.resets, pool, resumed, request, sink, (event) => {
+      if (!KEEPS_ATTEMPT.has(event.kind)) this.live.delete(start.attemptId);
       onEvent(event);
     });
     this.live.set(start.attemptId, handler);
@@ -108,9 +128,7 @@
       bodyTimeout: 0,
     };
     try {
-      const { id, address } = start.backend;
-      const pool = start.once ? this.pool(`${ONCE} ${id}`, address, MAXIMUM_REST_MS) : this.pool(id, address);
-      pool.dispatch(options, handler);
+      pool.pool.dispatch(options, handler);
     } catch (error) {
       handler.onResponseError(null, error as Error);
     }
@@ -120,7 +138,9 @@
   abort(attemptId: string): void {
     const handler = this.live.get(attemptId);
     this.live.delete(attemptId);
-    handler?.abort();
+    if (!handler) return;
+    if (handler.isSuspect(GIVEN_UP_CHECKS)) this.replace(handler.pool);
+    handler.abort();
   }
 
   /** Nobody waits for the attempt: it is not sent any more; one that has been sent goes on. */
@@ -190,15 +210,42 @@
   forget(backendId: string): void {
     const kinds = [PROBE, ONCE, KV_CHANGES].map((kind) => `${kind} ${backendId}`);
     for (const key of [backendId, ...kinds]) {
-      const pool = this.pools.get(key);
+      this.pools.get(key)?.close();
       this.pools.delete(key);
-      pool?.close().catch(() => undefined);
     }
   }
 
   /** Closes every connection. */
   async close(): Promise<void> {
-    await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
+    clearInterval(this.timer);
+    const pools = [...this.pools.values(), ...this.replaced.keys()];
+    await Promise.all(pools.map(({ pool }) => pool.destroy()));
+  }
+
+  /** Finds connections that have fallen silent. */
+  private tick(): void {
+    for (const pool of [...this.pools.values(), ...this.replaced.keys()]) pool.tick();
+    const checks = Math.ceil(this.settings.silentConnectionMs / CHECK_INTERVAL_MS);
+    const waitedOn = new Set<ServerPool>();
+    for (const handler of this.live.values()) {
+      waitedOn.add(handler.pool);
+      if (!handler.isSuspect(checks)) continue;
+      const successor = this.replaced.get(handler.pool);
+      if (successor === undefined) this.replace(handler.pool);
+      else if (successor.wasHeard()) handler.tellSilent();
+    }
+    for (const pool of this.replaced.keys()) if (!waitedOn.has(pool)) this.replaced.delete(pool);
+  }
+
+  /** New requests take new connections; those under way keep theirs. */
+  private replace(pool: ServerPool): void {
+    for (const [key, current] of this.pools) {
+      if (current !== pool) continue;
+      const successor = pool.createSuccessor();
+      this.pools.set(key, successor);
+      this.replaced.set(pool, successor);
+      pool.close();
+    }
   }
 
   private async call(
@@ -207,7 +254,7 @@
     { method, path, headers, body }: SmallCall,
     heldMs = 0,
   ): Promise<{ status: number; headers: string[]; body: string }> {
-    const pool = this.pool(key, address);
+    const { pool } = this.pool(key, address);
     const answer = await pool.request({
       method: method as Dispatcher.HttpMethod,
       path,
@@ -220,17 +267,11 @@
     return { status: answer.statusCode, headers: answer.headers as unknown as string[], body: text };
   }
 
-  private pool(key: string, address: string, maximumRestMs = MAXIMUM_KEEP_ALIVE_MS): Pool {
+  private pool(key: string, address: string, maximumRestMs = MAXIMUM_KEEP_ALIVE_MS): ServerPool {
     let pool = this.pools.get(key);
     if (!pool) {
-      pool = new Pool(`http://${address}`, {
-        connections: this.settings.connectionsPerBackend,
-        pipelining: 1,
-        connect: this.resets.connector,
-        keepAliveTimeout: Math.min(DEFAULT_KEEP_ALIVE_MS, maximumRestMs),
-        keepAliveMaxTimeout: maximumRestMs,
-        keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      });
+      const { connectionsPerBackend: connections } = this.settings;
+      pool = new ServerPool(address, { connections, maximumRestMs }, this.resets);
       this.pools.set(key, pool);
     }
     return pool;
@@ -242,6 +283,10 @@
   answer: KeptAnswer | undefined;
   private controller: Dispatcher.DispatchController | undefined;
   private written = false;
+  private sentAt = 0;
+  private sentAtCheck = 0;
+  private heard = false;
+  private toldSilent = false;
   private finished = false;
   private status = 0;
   private headers: string[] = [];
@@ -253,6 +298,7 @@
   constructor(
     private readonly dialect: BackendDialect,
     private readonly resets: ResetWatch,
+    readonly pool: ServerPool,
     private readonly start: AttemptStart,
     private readonly request: CallerRequest,
     private readonly sink: StreamSink,
@@ -275,10 +321,29 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     if (this.finished) controller.abort(new Error('aborted'));
-    else this.written = true;
+    else {
+      this.written = true;
+      this.sentAt = performance.now();
+      this.sentAtCheck = this.pool.getCheck();
+    }
+  }
+
+  /** Whether nothing was heard for so many checks, on this connection and on those of its age. */
+  isSuspect(checks: number): boolean {
+    if (!this.written || this.finished || this.heard) return false;
+    if (this.pool.getCheck() - this.sentAtCheck <= checks) return false;
+    return this.pool.isSuspect(this.sentAt, this.sentAtCheck);
+  }
+
+  /** Tells once that the attempt waits on a connection that is probably silent. */
+  tellSilent(): void {
+    if (this.toldSilent) return;
+    this.toldSilent = true;
+    this.tell({ kind: 'connectionSilent' });
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+    this.heard = true;
     if (status < FIRST_SUCCESS_STATUS || this.finished) return;
     const raw = rawHeaders(controller);
     this.status = status;
--- a/src/adapters/peer-transport.ts
+++ b/src/adapters/peer-transport.ts
@@ -24,12 +24,27 @@
 const RECONNECT_DELAY_MS = 500;
 /** Probes go round the whole fleet; a connection kept for each would be hundreds. */
 const IDLE_TIMEOUT_MS = 20_000;
+/** An incoming connection without a byte for so long belongs to a daemon that is gone. Milliseconds. */
+const INCOMING_IDLE_TIMEOUT_MS = 30_000;
+/** What was read is acknowledged within this time by an empty line, so that a connection that fell silent shows. Milliseconds. */
+const ACKNOWLEDGE_MS = 750;
+/** Interval between looks at which connections were heard. Milliseconds. */
+const CHECK_INTERVAL_MS = 250;
+/**
+ * A connection on which nothing was heard for so many checks after a message is replaced: 2 s, half of the 4 s within which the platform's pages
+ * want contact found again. Checks are counted, since nobody can be heard while this process stands still.
+ */
+const SILENT_CHECKS = 8;
 const MAXIMUM_BUFFERED_BYTES = 1024 * 1024;
 const MAXIMUM_LINE_BYTES = 8 * 1024 * 1024;
 
 interface Outgoing {
   readonly socket: Socket;
   failedAt: number | undefined;
+  /** The peer acknowledges on this connection: daemons of an older version do not. */
+  acknowledges: boolean;
+  /** Checks since the first message that was not acknowledged; undefined when all were. */
+  unheardChecks: number | undefined;
 }
 
 /** The TCP transport of one daemon. */
@@ -37,7 +52,9 @@
   private readonly outgoing = new Map<string, Outgoing>();
   private readonly incoming = new Set<Socket>();
   private readonly server: Server;
+  private readonly timer: NodeJS.Timeout;
   private closed = false;
+  private made = 0;
   private lastMessage: PeerMessage | undefined;
   private lastLine = '';
 
@@ -46,6 +63,7 @@
     private readonly listener: PeerTransportListener,
   ) {
     this.server = createServer((socket) => this.accept(socket));
+    this.timer = setInterval(() => this.tick(), CHECK_INTERVAL_MS).unref();
   }
 
   /** Starts to listen on the daemon's peer address. */
@@ -53,6 +71,11 @@
     return startListening(this.server, this.hello.address);
   }
 
+  /** Connections made to peers so far. */
+  connectionsMade(): number {
+    return this.made;
+  }
+
   /** Sends a message, or drops it when the peer cannot be reached or does not read. */
   send(address: string, message: PeerMessage): void {
     if (this.closed) return;
@@ -61,6 +84,7 @@
     const line = this.encode(message);
     this.listener.onTraffic('sent', message.kind, Buffer.byteLength(line));
     peer.socket.write(line);
+    peer.unheardChecks ??= 0;
   }
 
   /** The same message goes to many peers in a row and is encoded once. */
@@ -75,18 +99,29 @@
   /** Closes every connection after what was written has gone out. */
   close(): void {
     this.closed = true;
+    clearInterval(this.timer);
     this.server.close();
     for (const { socket } of this.outgoing.values()) socket.end();
     for (const socket of this.incoming) socket.destroy();
   }
 
+  /** Gives up connections that have fallen silent; the next message makes a new one. */
+  private tick(): void {
+    for (const peer of this.outgoing.values()) {
+      if (peer.unheardChecks === undefined || !peer.acknowledges) continue;
+      peer.unheardChecks += 1;
+      if (peer.unheardChecks > SILENT_CHECKS) peer.socket.destroy();
+    }
+  }
+
   private connectionTo(address: string): Outgoing {
     const known = this.outgoing.get(address);
     const waiting = known?.failedAt !== undefined && performance.now() - known.failedAt < RECONNECT_DELAY_MS;
     if (known && (known.failedAt === undefined || waiting)) return known;
     const { host, port } = splitAddress(address);
+    this.made += 1;
     const socket = createConnection({ host, port, noDelay: true });
-    const peer: Outgoing = { socket, failedAt: undefined };
+    const peer: Outgoing = { socket, failedAt: undefined, acknowledges: false, unheardChecks: undefined };
     const fail = (): void => {
       peer.failedAt ??= performance.now();
       socket.destroy();
@@ -99,7 +134,10 @@
       clearTimeout(timer);
       peer.failedAt ??= performance.now() - RECONNECT_DELAY_MS;
     });
-    socket.resume();
+    socket.on('data', () => {
+      peer.acknowledges = true;
+      peer.unheardChecks = undefined;
+    });
     socket.write(`${encodePeerMessage(this.hello)}\n`);
     this.outgoing.set(address, peer);
     return peer;
@@ -110,10 +148,13 @@
     socket.setNoDelay(true);
     socket.on('error', () => socket.destroy());
     socket.on('close', () => this.incoming.delete(socket));
+    socket.setTimeout(INCOMING_IDLE_TIMEOUT_MS, () => socket.destroy());
+    const acknowledge = createAcknowledger(socket);
     let peer: PeerHello | undefined;
     const lines = new LineSplitter(MAXIMUM_LINE_BYTES);
     socket.setEncoding('utf8');
     socket.on('data', (chunk: string) => {
+      acknowledge();
       const whole = lines.push(chunk);
       if (!whole) {
         socket.destroy();
@@ -139,3 +180,19 @@
     this.listener.onMessage(peer.id, peer.address, message);
   }
 }
+
+/** Writes an empty line at once for what is read first, and within a bounded time for what is read later. */
+function createAcknowledger(socket: Socket): () => void {
+  let timer: NodeJS.Timeout | undefined;
+  let first = true;
+  const write = (): void => {
+    timer = undefined;
+    if (socket.writable) socket.write('\n');
+  };
+  socket.on('close', () => clearTimeout(timer));
+  return () => {
+    if (first) write();
+    else timer ??= setTimeout(write, ACKNOWLEDGE_MS);
+    first = false;
+  };
+}
--- a/src/adapters/reset-watch.ts
+++ b/src/adapters/reset-watch.ts
@@ -5,18 +5,25 @@
 import type { Socket } from 'node:net';
 import { buildConnector } from 'undici';
 
-/** Watches every connection that its connector makes. */
+/** Watches every connection that its connectors make. */
 export class ResetWatch {
   private reporting = false;
-  readonly connector: buildConnector.connector;
+  private readonly connect: buildConnector.connector;
 
   /** @param connectTimeoutMs a connection that does not come up within this time fails */
   constructor(connectTimeoutMs: number) {
-    const connect = buildConnector({ timeout: connectTimeoutMs });
-    this.connector = (options, callback) => {
-      connect(options, (...outcome) => {
+    this.connect = buildConnector({ timeout: connectTimeoutMs });
+  }
+
+  /** A connector that tells of each connection that came up. */
+  createConnector(onConnected: (socket: Socket) => void): buildConnector.connector {
+    return (options, callback) => {
+      this.connect(options, (...outcome) => {
         const [, socket] = outcome;
-        if (socket) this.watch(socket);
+        if (socket) {
+          this.watch(socket);
+          onConnected(socket);
+        }
         callback(...outcome);
       });
     };
--- a/src/forwarding/attempt-outcomes.ts
+++ b/src/forwarding/attempt-outcomes.ts
@@ -47,6 +47,9 @@
         attempt.plan.backend.answering(attempt.attemptId, now)
         if (event.lastEventId !== undefined) session.lastEventId = event.lastEventId
         break
+      case "connectionSilent":
+        attempt.connectionSilent = true
+        break
       case "whole":
         this.onWhole(session, attempt, event.status, now)
         break
@@ -56,9 +59,9 @@
     }
   }
 
-  /// The attempt makes no progress: the request is sent to another back end, when the budget has a repeat for it.
+  /// The attempt makes no progress: the request is sent to another back end, when there is one and the budget has a repeat for it.
   onStalled(session: Session, attempt: LiveAttempt, now: number): void {
-    if (!this.sender.hasRepeatLeft(session, now)) return
+    if (!this.sender.hasRepeatLeft(session, now) || !this.sender.hasAlternative(session, attempt, now)) return
     this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
     this.onBroken(session, attempt, "stalled", now)
   }
@@ -153,8 +156,10 @@
   /// The back end may have worked: repeat only what may be repeated.
   private onBroken(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
     const {backend} = attempt.plan
-    backend.failed(now)
-    session.excluded.add(backend.record.id)
+    if (!attempt.connectionSilent) {
+      backend.failed(now)
+      session.excluded.add(backend.record.id)
+    }
     this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, reason})
     if (attempt.plan.prefillOnly) {
       this.onPrefillBroken(session, attempt, now)
--- a/src/forwarding/attempt-sender.ts
+++ b/src/forwarding/attempt-sender.ts
@@ -34,12 +34,12 @@
 
   /// Sends the request to the back end that the picker chooses, or refuses it.
   send(session: Session, now: number): void {
-    const plan = this.pickBackend(session, now)
+    const plan = this.pickBackend(session, session.excluded, now)
     if (!plan) {
       this.closer.closeNotServed(session, "no-backend", now)
       return
     }
-    if (this.limits.isFull(plan) || (plan.full && !hasComeBack(session))) {
+    if (this.isTurnedDown(session, plan)) {
       this.closer.closeNotServed(session, "overloaded", now, this.limits.getBacklogMs(session, plan, now))
       return
     }
@@ -54,6 +54,14 @@
     else this.send(session, now)
   }
 
+  /// Whether another back end would take the request now. An attempt is not given up for nothing.
+  hasAlternative(session: Session, {plan: {backend}, connectionSilent}: LiveAttempt, now: number): boolean {
+    const excluded = new Set(session.excluded)
+    if (!connectionSilent) excluded.add(backend.record.id)
+    const plan = this.pickBackend(session, excluded, now)
+    return plan !== undefined && !this.isTurnedDown(session, plan)
+  }
+
   /// Takes one repeat of the budget, when another send makes sense at all.
   mayRepeat(session: Session, now: number): boolean {
     if (this.isSpent(session, now)) return false
@@ -69,7 +77,11 @@
     return abandoned || sends >= this.settings.maximumSends || now >= deadlineAt
   }
 
-  private pickBackend(session: Session, now: number): BackendPlan | undefined {
+  private isTurnedDown(session: Session, plan: BackendPlan): boolean {
+    return this.limits.isFull(plan) || (plan.full && !hasComeBack(session))
+  }
+
+  private pickBackend(session: Session, excluded: ReadonlySet<string>, now: number): BackendPlan | undefined {
     const {request, route, service} = session
     const wanted = {
       service,
@@ -78,7 +90,7 @@
       direct: !this.mayComputeApart(session, now),
       engine: this.limits.getEngine(service),
       targetLeftMs: request.arrivedAt + route.targetLatencyMs - now,
-      excluded: session.excluded,
+      excluded,
       maximumOwnInFlight: this.limits.getMaximumInFlight(service)
     }
     return this.picker.pick(wanted, now)
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -43,6 +43,8 @@
   | {readonly kind: "streamStarted"}
   /// Whole events of the stream were passed on; `lastEventId` is the id of the last one.
   | {readonly kind: "streamProgress"; readonly lastEventId: string | undefined}
+  /// Its connection passes nothing, like all others of its age, while newer ones to the back end work.
+  | {readonly kind: "connectionSilent"}
   /// The answer is whole: kept for an answer, passed on for a stream.
   | {readonly kind: "whole"; readonly status: number}
   /// The answer broke off or was not the back end's: it may have run.
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -13,6 +13,8 @@
   lastEventAt: number
   /// A stream has begun to arrive.
   answering: boolean
+  /// Its connection passes nothing, though its back end answers on others.
+  connectionSilent?: boolean
 }
 
 /// One request. Times are monotonic milliseconds.
@@ -115,7 +117,8 @@
 }
 
 /// Whether the attempt makes no progress, may be moved to another back end, and its back end answers nobody else
-/// either. A stream that has begun is judged by its pauses alone. While this process stood still, until `resumedAt`, nothing
+/// either, or answers them on newer connections (plain back ends only: an engine may answer short prompts first). A stream that has
+/// begun is judged by its pauses alone. While this process stood still, until `resumedAt`, nothing
 /// could be heard.
 export function isStalled(
   session: Session,
@@ -128,6 +131,7 @@
   if (!attempt.plan.prefillOnly && !mayRunAgain(session)) return false
   const quietMs = now - Math.max(attempt.lastEventAt, resumedAt)
   if (attempt.answering) return quietMs > route.targetGapMs * settings.stallGaps
+  if (attempt.connectionSilent && attempt.plan.backend.record.stage === undefined) return true
   const limit = Math.max(settings.minimumStallMs, route.targetLatencyMs * settings.stallTargetShare)
   return quietMs > limit && attempt.plan.backend.silent(now)
 }
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -49,6 +49,7 @@
 const CONNECT_TIMEOUT_MS = 500;
 const CONNECTIONS_PER_BACKEND = 64;
 const CALL_TIMEOUT_MS = 1000;
+const SILENT_CONNECTION_MS = 1000;
 const DRAIN_POLL_MS = 50;
 /** After a stop was asked for, callers are still sent here until the platform has noticed; later ones are refused. */
 const NOTICE_MS = 2800;
@@ -132,6 +133,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       connectionsPerBackend: CONNECTIONS_PER_BACKEND,
       callTimeoutMs: CALL_TIMEOUT_MS,
+      silentConnectionMs: SILENT_CONNECTION_MS,
     });
     this.server = new ForwardServer({ received: (request, reply) => this.received(request, reply) }, now);
     this.metrics = new ForwardingMetrics({
--- a/test/caller-gone.test.ts
+++ b/test/caller-gone.test.ts
@@ -402,6 +402,7 @@
       connectTimeoutMs: 500,
       connectionsPerBackend: 1,
       callTimeoutMs: 1000,
+      silentConnectionMs: 1000,
     });
     const events: string[] = [];
     const begin = (attemptId: string): void => {
