--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -6,12 +6,16 @@
 import { FleetReplica, type FleetEffect } from '../fleet/fleet-replica.js';
 import { PeerExchange } from '../fleet/peer-exchange.js';
 import { BackendDirectory } from '../forwarding/backend-directory.js';
+import { BackendDistance } from '../forwarding/backend-distance.js';
 import { BackendPicker } from '../forwarding/backend-picker.js';
 import { ForwardManager } from '../forwarding/forward-manager.js';
 import { KvIndex, type PartPlacement } from '../forwarding/kv-index.js';
 import { RetryAllowance } from '../forwarding/retry-allowance.js';
 import { RouteTable } from '../forwarding/route-table.js';
 import { TenantDirectory } from '../forwarding/tenant-directory.js';
+import { DistanceCost } from '../places/distance-cost.js';
+import { Places } from '../places/places.js';
+import { RoundTrips } from '../places/round-trips.js';
 import type { DaemonPart, PartFigures } from '../parts/daemon-part.js';
 import { createParts } from '../parts/daemon-parts.js';
 import { makeFleetBelief, type BeliefEvent } from './beliefs.js';
@@ -71,7 +75,7 @@
     this.handledAt = now;
     this.membersToldAt = now;
     const emit = (effect: ForwardingEffect): void => void this.outbox.push(effect);
-    this.directory = new BackendDirectory(settings.health);
+    this.directory = new BackendDirectory(settings.health, settings.picker.pace);
     this.membership = new Membership(
       initialMember(identity),
       seeds,
@@ -81,7 +85,13 @@
       now,
     );
     this.replica = new FleetReplica(settings.replica, random, (effect) => this.onFleet(effect), now);
-    const picker = new BackendPicker(settings.picker, identity.zone, this.directory, this.kvIndex, random);
+    const roundTrips = new RoundTrips(settings.distance.roundTripMs);
+    const places = new Places(settings.regionByZone);
+    const distance = new BackendDistance(
+      identity.zone,
+      new DistanceCost(settings.distance, places, roundTrips),
+    );
+    const picker = new BackendPicker(settings.picker, distance, this.directory, this.kvIndex, random);
     this.manager = new ForwardManager(
       settings.forward,
       {
@@ -107,6 +117,7 @@
       {
         selfAddress: identity.address,
         zone: identity.zone,
+        region: identity.region,
         active: () => this.membership.active(),
       },
       random,
@@ -120,6 +131,7 @@
         random,
         directory: this.directory,
         kvIndex: this.kvIndex,
+        regions: places.hasSeveralRegions() ? { places, roundTrips, distance } : undefined,
         emit,
         members: () => this.membership.active(),
         routes: () => this.routes,
--- a/src/forwarding/attempt-outcomes.ts
+++ b/src/forwarding/attempt-outcomes.ts
@@ -1,12 +1,13 @@
 /// What follows from what became of an attempt: the next send, the answer, or the end of the request.
 import type {EffectSink} from "../shared/effect-sink.js"
+import {addFirstEventSample, addUnansweredSample, addWholeSample} from "./attempt-pace.js"
 import type {AttemptSender} from "./attempt-sender.js"
 import type {BackendPicker} from "./backend-picker.js"
 import type {BackendView} from "./backend-view.js"
 import {type ForwardAnswers, STATUS_BROKEN} from "./forward-answers.js"
 import type {ForwardLimits} from "./forward-limits.js"
 import type {ForwardAttemptEvent, ForwardEffect} from "./forward-messages.js"
-import {mayRunAgain, removeAttempt, type LiveAttempt, type Session} from "./forward-session.js"
+import {countProgress, mayRunAgain, removeAttempt, type LiveAttempt, type Session} from "./forward-session.js"
 import type {KvIndex} from "./kv-index.js"
 import type {RequestCloser} from "./request-closer.js"
 
@@ -45,6 +46,7 @@
         break
       case "streamProgress":
         attempt.plan.backend.answering(attempt.attemptId, now)
+        countProgress(attempt, now)
         if (event.lastEventId !== undefined) session.lastEventId = event.lastEventId
         break
       case "connectionSilent":
@@ -62,6 +64,7 @@
   /// The attempt makes no progress: the request is sent to another back end, when there is one and the budget has a repeat for it.
   onStalled(session: Session, attempt: LiveAttempt, now: number): void {
     if (!this.sender.hasRepeatLeft(session, now) || !this.sender.hasAlternative(session, attempt, now)) return
+    addUnansweredSample(attempt, now)
     this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
     this.onBroken(session, attempt, "stalled", now)
   }
@@ -131,6 +134,7 @@
       backend: attempt.plan.backend.record.id,
       afterMs: Math.round(now - session.request.arrivedAt)
     })
+    addFirstEventSample(attempt, session.kvSource !== undefined, now)
     if (session.kvSource) session.kvSource = undefined
     else this.addComputed(session, attempt.plan.backend)
   }
@@ -141,6 +145,8 @@
     const failed = status >= FIRST_SERVER_ERROR
     if (failed) backend.failed(now)
     else backend.succeeded(now)
+    if (!failed) addWholeSample(attempt, now)
+    if (!failed) this.picker.requestAnswered(attempt.plan, now - attempt.startedAt)
     if (failed && mayRunAgain(session) && this.sender.mayRepeat(session, now)) {
       this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, status})
       session.excluded.add(backend.record.id)
--- a/src/forwarding/attempt-sender.ts
+++ b/src/forwarding/attempt-sender.ts
@@ -7,6 +7,7 @@
 import type {ForwardLimits} from "./forward-limits.js"
 import type {ForwardEffect, ForwardFailure} from "./forward-messages.js"
 import {
+  createAttempt,
   hasComeBack,
   isComputedAgain,
   isRepeatable,
@@ -87,6 +88,8 @@
       service,
       prompt: request.prompt,
       prefilled: session.kvSource !== undefined,
+      prefilledAt: session.kvSource?.address,
+      bodyBytes: request.bodyBytes,
       direct: !this.mayComputeApart(session, now),
       engine: this.limits.getEngine(service),
       targetLeftMs: request.arrivedAt + route.targetLatencyMs - now,
@@ -107,20 +110,20 @@
     if (session.arrivals > 0) this.answers.logDecision("request.resumed", session, {sends: session.sends})
     const attemptId = `${session.request.id}/${session.sends}`
     const {backend} = plan
-    const pendingBefore = backend.pendingTokens()
-    const attempt = {attemptId, plan, startedAt: now, lastEventAt: now, answering: false}
+    const attempt = createAttempt(attemptId, plan, now)
     session.attempt = attempt
     backend.begin(attemptId, session.kvSource ? 0 : plan.promptTokens, now, plan.late)
-    this.logAttempt(session, plan, pendingBefore, now)
+    this.logAttempt(session, attempt, now)
     this.emitStart(session, attempt, now)
   }
 
-  private logAttempt(session: Session, plan: BackendPlan, pendingTokens: number, now: number): void {
+  private logAttempt(session: Session, {plan, pendingTokens}: LiveAttempt, now: number): void {
     const {backend} = plan
     this.answers.logDecision("request.attempt", session, {
       backend: backend.record.id,
       stage: plan.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
       reason: plan.reason,
+      distance: this.picker.getDistance(plan),
       promptTokens: plan.promptTokens,
       copyFrom: plan.copyFrom?.id,
       inFlight: backend.inFlight(),
