--- a/test/caller-gone.test.ts
+++ b/test/caller-gone.test.ts
@@ -16,11 +16,6 @@
 const ALLOWED_MS = 500;
 /** Silence after which nothing new is taken to come. Milliseconds. */
 const QUIET_MS = 200;
-/**
- * A handle that a server exports this close to its caller's leaving may cross the closing of the connection: nobody reads it, and it runs
- * out by itself. Milliseconds.
- */
-const CROSSING_MS = 10;
 const SIGNED = 'X-Server-Signature: s1\r\n';
 
 /** What a server does with one request. */
@@ -29,8 +24,11 @@
 /** One server that tells on which requests it is at work. */
 class WorkingServer {
   readonly atWork = new Map<string, Socket>();
-  /** Exported handles and when. Monotonic milliseconds. */
-  readonly handles = new Map<string, number>();
+  /**
+   * Exported handles by the connections on which they were told. One whose connection is closed has crossed the closing: nobody read it, and it
+   * runs out by itself. A daemon that has read it leaves the connection open and must free it.
+   */
+  readonly handles = new Map<string, Socket>();
   readonly freed = new Set<string>();
   readonly arrivals: { callerId: string; at: number }[] = [];
   private readonly watched = new WeakSet<Socket>();
@@ -100,7 +98,7 @@
   private exportHandle(callerId: string, headers: string, socket: Socket): void {
     if (socket.destroyed) return;
     const body = JSON.stringify({ kv_handle: `h-${callerId}` });
-    this.handles.set(`h-${callerId}`, performance.now());
+    this.handles.set(`h-${callerId}`, socket);
     this.atWork.delete(callerId);
     socket.write(`HTTP/1.1 200 OK\r\n${headers}Content-Length: ${body.length}\r\n\r\n${body}`);
   }
@@ -272,9 +270,8 @@
     for (const { id, address, atWork, handles, freed, arrivals } of servers) {
       const working = [...atWork.keys()].filter((callerId) => isOf(callerId, caller));
       if (working.length > 0 && !mayGoOn) faults.push(`${id} at work on ${working.join(' and ')}`);
-      for (const [handle, exportedAt] of handles) {
-        const crossed = Math.abs(exportedAt - leftAt) < CROSSING_MS;
-        const known = crossed || freed.has(handle) || taken.has(`${address}/${handle}`);
+      for (const [handle, told] of handles) {
+        const known = told.destroyed || freed.has(handle) || taken.has(`${address}/${handle}`);
         if (isOf(handle.slice(2), caller) && !known) faults.push(`${handle} not freed`);
       }
       const late = arrivals.filter(({ callerId, at }) => isOf(callerId, caller) && at > leftAt + QUIET_MS);
@@ -402,6 +399,7 @@
       connectTimeoutMs: 500,
       connectionsPerBackend: 1,
       callTimeoutMs: 1000,
+      silentConnectionMs: 1000,
     });
     const events: string[] = [];
     const begin = (attemptId: string): void => {
