--- a/spec/model-check.ts
+++ b/spec/model-check.ts
@@ -149,6 +149,27 @@
     expect: 'caught',
     what: 'later counts sent after an earlier write of its own',
   },
+  { file: 'quota.pml', defines: [], expect: 'sound', what: 'no more than the limit, whoever grants' },
+  {
+    file: 'quota.pml',
+    defines: ['FULL_START'],
+    expect: 'caught',
+    what: 'a new owner begins with a full bucket',
+  },
+  {
+    file: 'quota.pml',
+    defines: ['KEEP_HANDED'],
+    expect: 'caught',
+    what: 'bucket kept after it was handed over',
+  },
+  { file: 'quota.pml', defines: ['NO_CUT'], expect: 'caught', what: 'bucket not cut by a lower limit' },
+  { file: 'quota.pml', defines: ['SPEND_LATE'], expect: 'caught', what: 'answer spent after its time-out' },
+  {
+    file: 'quota.pml',
+    defines: ['CREDIT_TWICE'],
+    expect: 'caught',
+    what: 'tokens given back told again when no answer came',
+  },
   { file: 'records.pml', defines: [], expect: 'sound', what: 'complete up to a revision, by word of a peer' },
   {
     file: 'records.pml',
