Quotas: a daemon that starts owns buckets after 1.2 s; refusals without an owner tell when there is one

Tests for daemons that are all alone, an owner that has woken, one owner after lost messages; each fails with its mechanism taken out.

--- a/src/quotas/owner-ranking.ts
+++ b/src/quotas/owner-ranking.ts
@@ -19,7 +19,7 @@
 const NEWCOMER_MS = 1000
 /// A daemon that has joined takes buckets that nobody hands to it after so long: those that do not know it yet still ask the one
 /// before. Milliseconds.
-const YOUNG_MS = 3000
+const YOUNG_MS = 1200
 /// The same after it stood still or heard nobody: others know it, and hand over what they run. Milliseconds.
 const RETURNED_MS = 1000
 /// A daemon that hears nobody for so long owns nothing. Milliseconds. Members are probed each second, and loads are told more often.
--- a/src/quotas/quota-holder.ts
+++ b/src/quotas/quota-holder.ts
@@ -15,8 +15,8 @@
 }
 
 const GRANTED: QuotaDecision = {kind: "granted"}
-/// Time to come back when no owner has said one. Milliseconds.
-const UNTOLD_RETRY_MS = 200
+/// Time to come back when no owner has said one: by then a lost owner has been found to be lost, or nearly. Milliseconds.
+const UNTOLD_RETRY_MS = 400
 /// Requests of one tenant that wait at most.
 const MAXIMUM_WAITING = 256
 /// An ask without an answer is given up after so long, and what a late answer grants is not spent. Milliseconds. So what was
@@ -143,10 +143,11 @@
   }
 
   /// Decides what can wait no longer, or all that waits when there is nobody to ask.
-  decideWithout(hasOwner: boolean, now: number): Map<string, QuotaDecision> {
+  /// `unfitMs` is how long it takes at least until there is an owner.
+  decideWithout(hasOwner: boolean, unfitMs: number, now: number): Map<string, QuotaDecision> {
     const decided = new Map<string, QuotaDecision>()
     for (const need of this.waiting)
-      if (!hasOwner || now >= need.decideBy) decided.set(need.requestId, this.decideAlone(need, now))
+      if (!hasOwner || now >= need.decideBy) decided.set(need.requestId, this.decideAlone(need, unfitMs, now))
     if (decided.size > 0) this.waiting = this.waiting.filter(need => !decided.has(need.requestId))
     if (this.waiting.length === 0) this.tried.clear()
     return decided
@@ -171,9 +172,12 @@
     return decided
   }
 
-  private decideAlone(need: QuotaNeed, now: number): QuotaDecision {
+  private decideAlone(need: QuotaNeed, unfitMs: number, now: number): QuotaDecision {
     if (this.allowance.tryTake(need.tokens, now)) return this.spend(need)
-    if (now - this.toldAt > RESERVE_MS || need.tokens > this.reserve) return this.refuse(need, "silence", now)
+    if (now - this.toldAt > RESERVE_MS || need.tokens > this.reserve) {
+      this.retryAfterMs = unfitMs + UNTOLD_RETRY_MS
+      return this.refuse(need, "silence", now)
+    }
     this.reserve -= need.tokens
     return this.spend(need)
   }
--- a/src/quotas/quota-manager.ts
+++ b/src/quotas/quota-manager.ts
@@ -153,7 +153,7 @@
 
   private tickHolder(tenant: string, holder: QuotaHolder, tells: boolean, now: number): void {
     const isLate = holder.closeLate(now)
-    this.tell(holder.decideWithout(true, now))
+    this.tell(holder.decideWithout(true, 0, now))
     if (holder.hasWaiting() ? isLate || holder.isDue() : tells && holder.isDue())
       this.tell(this.ask(tenant, holder, now))
     if (holder.isIdle(now, IDLE_MS)) this.releaseHolder(tenant, holder)
@@ -187,7 +187,7 @@
   ): Map<string, QuotaDecision> {
     if (!holder.isDue()) return new Map()
     const owner = said ?? this.findUntried(tenant, holder, now)
-    if (!owner) return holder.decideWithout(false, now)
+    if (!owner) return holder.decideWithout(false, this.ranking.getUnfitMs(now), now)
     this.sequence += 1
     const ask = holder.createAsk(tenant, owner.id, this.sequence, now)
     if (owner.id === this.selfId)
--- a/test/quotas.test.ts
+++ b/test/quotas.test.ts
@@ -132,12 +132,13 @@
     });
   }
 
-  it('leave the others alone when one tenant is hot', () => {
+  it('leave the others alone when some tenants are hot', () => {
+    const hotOnes = ['b', 'c', 'd', 'e', 'f', 'g'];
     const run = (hot: boolean): number => {
-      const fleet = makeFleet(24, { a: LIMIT, b: LIMIT });
+      const fleet = makeFleet(3, Object.fromEntries(['a', ...hotOnes].map((name) => [name, LIMIT])));
       fleet.time.runUntil(5000);
       load(fleet, 'a', fleet.nodes, 30_000, 20_000, 2);
-      if (hot) load(fleet, 'b', fleet.nodes, 7.5 * 30_000, 20_000, 3);
+      if (hot) for (const name of hotOnes) load(fleet, name, fleet.nodes, 7.5 * 30_000, 20_000, 3);
       fleet.time.runUntil(21_000);
       return fleet.arrivals.filter(({ tenant }) => tenant === 'a').length;
     };
@@ -153,6 +154,16 @@
     checkWindow(fleet);
   });
 
+  it('let daemons that are all alone spend no more than a part of the slack together', () => {
+    const fleet = makeFleet();
+    fleet.time.runUntil(30_000);
+    load(fleet, 't', fleet.nodes, 10 * LIMIT.ratePerSecond, 60_000);
+    for (const node of fleet.nodes) fleet.cut(node, 30_000);
+    fleet.time.runUntil(60_000);
+    const worst = fleet.getWorstWindow('t', SETTINGS.windowMs, 34_000);
+    expect(worst).to.be.within(1, 0.15 * SETTINGS.slackTokens);
+  });
+
   it('give a tenant a new owner within a second when its owner is killed, and hold', () => {
     const fleet = makeFleet();
     fleet.time.runUntil(5000);
@@ -176,6 +187,32 @@
     checkWindow(fleet);
   });
 
+  it('have one owner again soon after messages were lost', () => {
+    const fleet = makeFleet();
+    fleet.time.runUntil(5000);
+    load(fleet, 't', fleet.nodes, 4 * LIMIT.ratePerSecond, 20_000);
+    fleet.loss = 0.6;
+    fleet.time.runUntil(10_000);
+    fleet.loss = 0;
+    fleet.time.runUntil(12_000);
+    expect(fleet.nodes.filter((node) => node.manager.isOwner('t', fleet.time.now())).length).to.equal(1);
+  });
+
+  for (const pauseMs of [900, 3000]) {
+    it(`are not granted by an owner that has just woken after ${pauseMs} ms`, () => {
+      const fleet = makeFleet();
+      fleet.time.runUntil(5000);
+      load(fleet, 't', fleet.nodes, LIMIT.ratePerSecond, 20_000);
+      fleet.time.runUntil(8000);
+      const owner = findOwner(fleet, 't');
+      fleet.freeze(owner, pauseMs);
+      fleet.time.runUntil(8000 + pauseMs + 500);
+      expect(owner.manager.isOwner('t', fleet.time.now())).to.equal(false);
+      fleet.time.runUntil(8000 + pauseMs + 3000);
+      expect(owner.manager.isOwner('t', fleet.time.now())).to.equal(true);
+    });
+  }
+
   it('hold when all machines lose power again and again', () => {
     const fleet = makeFleet();
     fleet.time.runUntil(5000);
