--- a/src/quotas/quota-manager.ts
+++ b/src/quotas/quota-manager.ts
@@ -7,7 +7,7 @@
 import {QuotaHolder} from "./quota-holder.js"
 import type {QuotaAnswer, QuotaAsk, QuotaHandover, QuotaMessage} from "./quota-messages.js"
 import {OwnedBucket} from "./quota-owner.js"
-import {getDebtTokens, type QuotaLimit, type QuotaSettings} from "./quota-settings.js"
+import {getBucketLimit, getDebtTokens, type QuotaLimit, type QuotaSettings} from "./quota-settings.js"
 
 /// What the manager asks for.
 export type QuotaEffect =
@@ -153,7 +153,7 @@
 
   private tickHolder(tenant: string, holder: QuotaHolder, tells: boolean, now: number): void {
     const isLate = holder.closeLate(now)
-    this.tell(holder.decideWithout(true, now))
+    this.tell(holder.decideWithout(true, 0, now))
     if (holder.hasWaiting() ? isLate || holder.isDue() : tells && holder.isDue())
       this.tell(this.ask(tenant, holder, now))
     if (holder.isIdle(now, IDLE_MS)) this.releaseHolder(tenant, holder)
@@ -187,7 +187,7 @@
   ): Map<string, QuotaDecision> {
     if (!holder.isDue()) return new Map()
     const owner = said ?? this.findUntried(tenant, holder, now)
-    if (!owner) return holder.decideWithout(false, now)
+    if (!owner) return holder.decideWithout(false, this.ranking.getUnfitMs(now), now)
     this.sequence += 1
     const ask = holder.createAsk(tenant, owner.id, this.sequence, now)
     if (owner.id === this.selfId)
@@ -249,7 +249,7 @@
 
   /// A bucket that is new here holds what came in while this daemon would have been asked for it, or what was handed over.
   private getBucket(tenant: string, now: number, handedLevel?: number): OwnedBucket {
-    const {ratePerSecond, burst} = this.limits.get(tenant) as QuotaLimit
+    const {ratePerSecond, burst} = getBucketLimit(this.settings, this.limits.get(tenant) as QuotaLimit)
     const share = this.ranking.getShare()
     const limit = {ratePerSecond: ratePerSecond * share, burst: burst * share}
     let bucket = this.owned.get(tenant)
