Stages by region: both stages in every region, its own mix, help from others

Cause: the planner counted engines and streams over the whole fleet. Bursts come by region, so one region could be without decode room (or without any engine of a stage, after losses) while the sum looked well, and its requests crossed regions.

Change: planRegions plans each region by planStage on its own engines and streams; a region that is full changes nothing while others have room for what it is short of, none gives an engine back that another is short of, and others make room for a region that has no engine left to change. Both stages are kept where a region has two engines; a single engine counts to the largest region. One region is planned exactly as before (property over all demands). The regions of zones come from the members seen there, and stay known. Which stage suits a faster engine: prefill. There its time is what answers wait for: 152 ms for a cold long prompt, so 30% is 46 ms of a target of 527; a token comes every 4.6 ms with full slots, and pauses are allowed 150 ms. choose() weighs 1.3 as three requests.

Not measured yet.

--- a/src/allocation/stage-coordinator.ts
+++ b/src/allocation/stage-coordinator.ts
@@ -9,7 +9,8 @@
 import type { BackendView } from '../forwarding/backend-view.js';
 import type { BackendRecord, EngineStage } from '../forwarding/route.js';
 import type { EngineStatus, StageOrder, StageOrderResult } from './engine-orders.js';
-import { planStage, type StageDemand, type StagePlannerSettings, type StageStep } from './stage-planner.js';
+import type { StageDemand, StagePlannerSettings } from './stage-planner.js';
+import { groupByRegion, planRegions, type RegionStep } from './stage-regions.js';
 
 /** Settings of the coordinator. */
 export interface StageCoordinatorSettings {
@@ -42,6 +43,8 @@
   readonly loaded: boolean;
   /** Whether this daemon is the one that should hold the lease. */
   readonly wanted: boolean;
+  /** The region of a zone; left out where there is one. */
+  readonly regionOf?: (zone: string) => string;
 }
 
 interface PendingChange {
@@ -59,7 +62,8 @@
   private nextOrderAt = 0;
   private ordersFrom = Infinity;
   private tickedAt = 0;
-  private spareSince = Infinity;
+  /** Since when a region has had an engine to give back. */
+  private readonly spareSince = new Map<string, number>();
 
   constructor(
     readonly service: string,
@@ -80,21 +84,24 @@
   tick(situation: StageSituation, now: number): void {
     this.tickedAt = now;
     this.forgetFinished(situation.views, now);
-    const step = this.planStep(situation, now);
-    this.lease.tick(now, situation.wanted && step !== 'none');
+    const steps = this.planSteps(situation, now);
+    this.lease.tick(now, situation.wanted && steps.length > 0);
     if (!situation.wanted) this.release(now);
     const held = this.lease.current(now);
     if (!held || now < this.ordersFrom) return;
-    for (let next = step; next !== 'none'; next = this.planStep(situation, now))
-      if (!this.startChange(situation, next === 'toPrefill' ? 'prefill' : 'decode', now)) return;
+    for (let next = steps; next.length > 0; next = this.planSteps(situation, now))
+      if (!next.some((step) => this.startChange(situation, step, now))) return;
   }
 
   /** Asks one engine for its state, to change its stage; false when none may change now. */
-  private startChange({ views, loaded }: StageSituation, stage: EngineStage, now: number): boolean {
+  private startChange(situation: StageSituation, { region, step }: RegionStep, now: number): boolean {
+    const { views, loaded } = situation;
     const { changingShare, idleChangingShare } = this.settings;
     const atOnce = Math.max(1, Math.floor(views.length * (loaded ? changingShare : idleChangingShare)));
     if (this.pending.size >= atOnce || now < this.nextOrderAt) return false;
-    const candidates = views.filter((view) => !this.isChanging(view.record.id));
+    const stage = step === 'toPrefill' ? 'prefill' : 'decode';
+    const group = this.groupViews(situation, now).get(region) ?? [];
+    const candidates = group.filter((view) => !this.isChanging(view.record.id));
     const backend = choose(candidates, stage === 'prefill' ? 'decode' : 'prefill');
     if (!backend) return false;
     this.pending.set(backend.id, { backend, stage, since: now, ordered: false });
@@ -134,13 +141,32 @@
     if (result.kind === 'refused') this.pending.delete(backendId);
   }
 
-  /** The planner's step; an engine is given back only when it has been spare for a while. */
-  private planStep(situation: StageSituation, now: number): StageStep {
-    const step = planStage(this.settings.planner, this.demand(situation, now));
-    if (step !== 'toPrefill') this.spareSince = Infinity;
-    else this.spareSince = Math.min(this.spareSince, now);
-    const soon = step === 'toPrefill' && situation.loaded;
-    return soon && now - this.spareSince < this.settings.returnAfterMs ? 'none' : step;
+  /** The planner's steps by region; an engine is given back only when it has been spare for a while. */
+  private planSteps(situation: StageSituation, now: number): RegionStep[] {
+    const demands = new Map<string, StageDemand>();
+    for (const [region, views] of this.groupViews(situation, now))
+      demands.set(region, this.demand(views, situation.slots));
+    const steps = planRegions(this.settings.planner, demands);
+    const spare = new Set(steps.filter(({ step }) => step === 'toPrefill').map(({ region }) => region));
+    for (const region of this.spareSince.keys()) if (!spare.has(region)) this.spareSince.delete(region);
+    for (const region of spare) this.spareSince.set(region, this.spareSince.get(region) ?? now);
+    return steps.filter(({ region }) => !situation.loaded || this.isRipe(region, now));
+  }
+
+  /** Whether the region has no engine to give back, or has had it for long enough. */
+  private isRipe(region: string, now: number): boolean {
+    return now - (this.spareSince.get(region) ?? -Infinity) >= this.settings.returnAfterMs;
+  }
+
+  /** Engines that serve, by region. */
+  private groupViews(
+    { views, regionOf }: StageSituation,
+    now: number,
+  ): ReadonlyMap<string, readonly BackendView[]> {
+    const serving = views.filter(
+      (view) => view.takesWork() && (view.changing || this.isChanging(view.record.id) || !view.avoided(now)),
+    );
+    return groupByRegion(serving, ({ record }) => regionOf?.(record.zone) ?? '');
   }
 
   private forgetFinished(views: readonly BackendView[], now: number): void {
@@ -151,11 +177,8 @@
     }
   }
 
-  /** The demand as it is once the changes that are under way are done. */
-  private demand(situation: StageSituation, now: number): StageDemand {
-    const serving = situation.views.filter(
-      (view) => view.takesWork() && (view.changing || this.isChanging(view.record.id) || !view.avoided(now)),
-    );
+  /** The demand on engines that serve, as it is once the changes that are under way are done. */
+  private demand(serving: readonly BackendView[], slots: number): StageDemand {
     const stageOf = ({ record }: BackendView): EngineStage | undefined =>
       this.pending.get(record.id)?.stage ?? record.stage;
     const decodes = serving.filter((view) => stageOf(view) === 'decode');
@@ -164,7 +187,7 @@
     return {
       prefillEngines: serving.length - decodes.length,
       decodeEngines: decodes.length,
-      slots: situation.slots,
+      slots,
       prompts: prefilling.reduce((sum, view) => sum + view.inFlight(), 0),
       streams: streaming.reduce((sum, view) => sum + view.inFlight(), 0),
     };
@@ -178,15 +201,26 @@
   }
 }
 
+/** An engine that is 1.3 times slower than its group is as good as three requests to move to decode, and as bad to move to prefill. */
+const REQUESTS_PER_FACTOR = 10;
+/** More than so much slower or faster is a passing trouble, not the machine. */
+const MAXIMUM_LASTING = 0.5;
+
 /**
- * The engine of a stage with the least work, whose change costs least. Spot engines before others: these may be on their way out,
- * replaced by spot ones.
+ * The engine of a stage with the least work, whose change costs least. The faster compute prompts: there an engine's time is
+ * what answers wait for, while tokens come far sooner than they are due. Spot engines before others: these may be on their way
+ * out, replaced by spot ones.
  */
 function choose(views: readonly BackendView[], stage: EngineStage): BackendRecord | undefined {
   const able = views.filter((view) => view.takesWork() && view.record.stage === stage);
+  const getCost = (view: BackendView): number => {
+    const slower = Math.max(-MAXIMUM_LASTING, Math.min(MAXIMUM_LASTING, view.pace.factor() - 1));
+    const unfit = stage === 'decode' ? slower : -slower;
+    return view.inFlight() + Math.round(unfit * REQUESTS_PER_FACTOR);
+  };
   able.sort(
     (left, right) =>
-      left.inFlight() - right.inFlight() ||
+      getCost(left) - getCost(right) ||
       Number(right.record.isSpot ?? false) - Number(left.record.isSpot ?? false) ||
       (left.record.id < right.record.id ? -1 : 1),
   );
--- a/src/allocation/stage-planner.ts
+++ b/src/allocation/stage-planner.ts
@@ -69,7 +69,7 @@
  * Whether there is plenty of both stages, whatever their shares. With 300 engines before 30 daemons a day earned -0.10 of what it could while
  * they were all brought to their shares, for the price of the orders, and 0.43 without (one play each).
  */
-function isAmple({ ampleEngines }: StagePlannerSettings, demand: StageDemand): boolean {
+export function isAmple({ ampleEngines }: StagePlannerSettings, demand: StageDemand): boolean {
   const { prefillEngines, decodeEngines, prompts } = demand;
   const idle = prompts < prefillEngines / 2;
   return idle && prefillEngines >= ampleEngines && decodeEngines >= ampleEngines;
--- a/src/daemon/stage-manager.ts
+++ b/src/daemon/stage-manager.ts
@@ -17,6 +17,8 @@
   /** Active members; the same array as long as they are the same. */
   members(): readonly Member[];
   readonly directory: BackendDirectory;
+  /** The region of a zone; left out where there is one. */
+  regionOf?(zone: string): string;
 }
 
 /** The list of members must have been the same for so long before a daemon takes the lease. Milliseconds. */
@@ -97,6 +99,7 @@
         slots,
         loaded: inFlight > 0,
         wanted,
+        regionOf: (zone) => this.parts.regionOf?.(zone) ?? '',
       },
       now,
     );
--- /dev/null
+++ b/test/stage-regions.test.ts
@@ -0,0 +1,217 @@
+/** Stages of a service whose engines stand in several regions. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import {
+  DEFAULT_STAGE_PLANNER_SETTINGS,
+  planStage,
+  type StageDemand,
+} from '../src/allocation/stage-planner.js';
+import { StageCoordinator, type StageEffect } from '../src/allocation/stage-coordinator.js';
+import { groupByRegion, planRegions } from '../src/allocation/stage-regions.js';
+import { BackendView, DEFAULT_BACKEND_HEALTH_SETTINGS } from '../src/forwarding/backend-view.js';
+import { PeerLoads } from '../src/forwarding/peer-loads.js';
+import type { EngineStage } from '../src/forwarding/route.js';
+import { labBackend } from '../lab/forwarding-site.js';
+import { FLEET_SETTINGS } from '../simulation/forwarding-fleet.js';
+import { ZoneRegions } from '../src/parts/zone-regions.js';
+
+const SEED = 20261202;
+const SLOTS = 12;
+const SETTINGS = DEFAULT_STAGE_PLANNER_SETTINGS;
+
+function demand(prefillEngines: number, decodeEngines: number, streams: number, prompts = 0): StageDemand {
+  return { prefillEngines, decodeEngines, slots: SLOTS, prompts, streams };
+}
+
+function plan(regions: Readonly<Record<string, StageDemand>>): string[] {
+  return planRegions(SETTINGS, new Map(Object.entries(regions))).map(
+    ({ region, step }) => `${region} ${step}`,
+  );
+}
+
+describe('stages by region', () => {
+  it('a single region is planned as a fleet without regions, whatever its load', () => {
+    const count = fc.integer({ min: 0, max: 200 });
+    fc.assert(
+      fc.property(
+        count,
+        count,
+        fc.integer({ min: 0, max: 3000 }),
+        count,
+        (prefill, decode, streams, prompts) => {
+          const only = demand(prefill, decode, streams, prompts);
+          const step = planStage(SETTINGS, only);
+          expect(plan({ only })).to.deep.equal(step === 'none' ? [] : [`only ${step}`]);
+        },
+      ),
+      { seed: SEED, numRuns: 1000 },
+    );
+  });
+
+  it('each region is brought to its shares', () => {
+    expect(plan({ a: demand(9, 4, 10), b: demand(12, 1, 10), c: demand(9, 4, 10) })).to.deep.equal([
+      'b toDecode',
+    ]);
+  });
+
+  it('a region without engines of a stage gets one, also when the others are full', () => {
+    expect(plan({ a: demand(0, 4, 48), b: demand(9, 4, 48) })).to.include('a toPrefill');
+    expect(plan({ a: demand(4, 0, 0), b: demand(9, 4, 10) })).to.include('a toDecode');
+  });
+
+  it('a region that is full changes nothing while another has room for what it is short of', () => {
+    expect(plan({ a: demand(9, 4, 45), b: demand(9, 4, 10) })).to.deep.equal([]);
+    expect(plan({ a: demand(9, 4, 45), b: demand(9, 4, 28) })).to.deep.equal(['a toDecode']);
+  });
+
+  it('a region gives no engine back that another is short of', () => {
+    expect(plan({ a: demand(8, 5, 20), b: demand(9, 4, 20) })).to.deep.equal(['a toPrefill']);
+    expect(plan({ a: demand(8, 5, 20), b: demand(9, 4, 48) })).to.deep.equal([]);
+  });
+
+  it('others make room for a region that has no engine left to change', () => {
+    expect(plan({ a: demand(1, 2, 60), b: demand(9, 4, 20) })).to.deep.equal(['b toDecode']);
+  });
+
+  it('the region that is fuller comes first, and what is missing before what is spare', () => {
+    const full = { a: demand(9, 4, 42), b: demand(9, 4, 47), c: demand(5, 8, 90) };
+    expect(plan(full)).to.deep.equal(['b toDecode', 'c toDecode', 'a toDecode']);
+    expect(plan({ a: demand(8, 5, 20), b: demand(13, 0, 0) })).to.deep.equal(['b toDecode', 'a toPrefill']);
+  });
+
+  it('settles for any regions and any steady load, and each keeps both stages', () => {
+    const region = fc.record({
+      engines: fc.integer({ min: 2, max: 40 }),
+      decode: fc.integer({ min: 0, max: 40 }),
+      streams: fc.integer({ min: 0, max: 800 }),
+    });
+    fc.assert(
+      fc.property(fc.array(region, { minLength: 2, maxLength: 5 }), (regions) => {
+        const decodes = regions.map(({ engines, decode }) => Math.min(engines, decode));
+        const engines = regions.reduce((sum, one) => sum + one.engines, 0);
+        const step = (): boolean => {
+          const demands = regions.map((one, index): [string, StageDemand] => [
+            String(index),
+            demand(one.engines - decodes[index], decodes[index], one.streams),
+          ]);
+          const steps = planRegions(SETTINGS, new Map(demands));
+          if (steps.length === 0) return false;
+          decodes[Number(steps[0].region)] += steps[0].step === 'toDecode' ? 1 : -1;
+          return true;
+        };
+        let steps = 0;
+        while (step()) {
+          steps += 1;
+          expect(steps).to.be.at.most(2 * engines);
+        }
+        regions.forEach((one, index) => {
+          expect(decodes[index]).to.be.within(1, one.engines - 1);
+        });
+      }),
+      { seed: SEED, numRuns: 1000 },
+    );
+  });
+
+  it('engines of a region that has only one count to the largest region', () => {
+    const groups = groupByRegion(['a1', 'b1', 'b2', 'b3', 'c1', 'c2', 'd1'], ([region]) => region);
+    expect([...groups].map(([region, items]) => `${region}: ${items.join(' ')}`)).to.deep.equal([
+      'b: b1 b2 b3 a1 d1',
+      'c: c1 c2',
+    ]);
+    expect([...groupByRegion(['a1', 'b1', 'c1'], ([region]) => region).values()]).to.deep.equal([
+      ['a1', 'b1', 'c1'],
+    ]);
+    expect(groupByRegion([], () => '').size).to.equal(0);
+  });
+});
+
+/** Engines by their zones and stages: `north-1 prefill` is the first of the north, in zone `north-1`. */
+function makeViews(places: readonly (readonly [zone: string, stage: EngineStage])[]): BackendView[] {
+  return places.map(
+    ([zone, stage], index) =>
+      new BackendView(
+        { ...labBackend(`${zone}/${index}`, `10.0.0.${index}:80`), zone, stage },
+        DEFAULT_BACKEND_HEALTH_SETTINGS,
+        new PeerLoads(),
+      ),
+  );
+}
+
+/** The engines that a coordinator with the lease asks for their state, to change them. */
+function askedOf(views: readonly BackendView[], loaded = true): string[] {
+  const asked: string[] = [];
+  const answers: StageEffect[] = [];
+  const coordinator = new StageCoordinator(
+    'service',
+    'daemon-1',
+    FLEET_SETTINGS.stages,
+    (effect) => answers.push(effect),
+    0,
+  );
+  const regionOf = (zone: string) => zone.slice(0, zone.indexOf('-'));
+  for (let now = 0; now < 3000; now += 10) {
+    coordinator.tick({ views, slots: SLOTS, loaded, wanted: true, regionOf }, now);
+    for (const effect of answers.splice(0)) {
+      if (effect.kind === 'askEngine') asked.push(effect.backend.id);
+      else if (effect.kind !== 'leaseTable') continue;
+      else if (effect.request.kind === 'read')
+        coordinator.receiveTableResult({ kind: 'row', row: null }, now);
+      else coordinator.receiveTableResult({ kind: 'committed', revision: 1 }, now);
+    }
+  }
+  return asked;
+}
+
+describe('stages of engines in several regions', () => {
+  const north = Array.from({ length: 6 }, (_, index): [string, EngineStage] => [
+    `north-${index % 2}`,
+    index < 4 ? 'prefill' : 'decode',
+  ]);
+
+  it('a region whose prefill engines are all lost gets one of its own engines back to prefill', () => {
+    const south: [string, EngineStage][] = [
+      ['south-1', 'decode'],
+      ['south-2', 'decode'],
+    ];
+    const asked = askedOf(makeViews([...north, ...south]));
+    expect(asked).to.have.length(1);
+    expect(asked[0]).to.match(/^south-/);
+  });
+
+  it('a region that is lost whole changes nothing in the others', () => {
+    expect(askedOf(makeViews(north))).to.deep.equal([]);
+  });
+
+  it('the slower engine is the one that generates, the faster the one that computes prompts', () => {
+    const views = makeViews([
+      ...Array<[string, EngineStage]>(5).fill(['north-1', 'prefill']),
+      ['north-1', 'decode'],
+    ]);
+    for (const [index, ratio] of [1, 1, 1.4, 1, 0.8, 1].entries())
+      views[index].pace.applyEvidence(ratio * 100, 100);
+    expect(askedOf(views)[0]).to.equal('north-1/2');
+    const spare = makeViews([
+      ['north-1', 'prefill'],
+      ...Array<[string, EngineStage]>(5).fill(['north-1', 'decode']),
+    ]);
+    for (const [index, ratio] of [1, 1, 1.4, 1, 0.8, 1].entries())
+      spare[index].pace.applyEvidence(ratio * 100, 100);
+    expect(askedOf(spare)[0]).to.equal('north-1/4');
+  });
+
+  it('zones keep their region when all their daemons are lost', () => {
+    const member = (zone: string, region: string) => ({
+      id: zone,
+      address: '10.0.0.1:1',
+      zone,
+      region,
+      incarnation: 1,
+      state: 'alive' as const,
+    });
+    let members = [member('a', 'north'), member('b', 'south')];
+    const regions = new ZoneRegions('north', () => members);
+    expect([regions.get('a'), regions.get('b'), regions.get('c')]).to.deep.equal(['north', 'south', 'north']);
+    members = [member('a', 'north')];
+    expect(regions.get('b')).to.equal('south');
+  });
+});
