--- a/src/forwarding/attempt-outcomes.ts
+++ b/src/forwarding/attempt-outcomes.ts
@@ -138,6 +138,7 @@
     if (failed) backend.failed(now)
     else backend.succeeded(now)
     if (!failed) addWholeSample(attempt, now)
+    if (!failed) this.picker.requestAnswered(attempt.plan, now - attempt.startedAt)
     if (failed && mayRunAgain(session) && this.sender.mayRepeat(session, now)) {
       this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, status})
       session.excluded.add(backend.record.id)
