A back end is told as slow beside the middle one of its group

Cause, seen in the log of one daemon on a twin: with engines five times slower at 20.5 s of its clock, backend.slow came at 22.9 and 23.5 s (recovery at 27.0 s, told at 28.6 and 29.5 s), which is right; at 31 to 32.7 s, when the mix of prompts swung, four of the engines that compute prompts were told as slow within two seconds, though nothing ailed them: all of the group took twice as long as their line said.

Change: the factor of an engine is judged against the middle factor of its group. The choice is the same: factors common to a group cancel out there, and the expected time of a prompt should rise when all take longer.

Test seen to fail with the division taken out (all nine engines were told as slow).

--- a/src/forwarding/pace-book.ts
+++ b/src/forwarding/pace-book.ts
@@ -28,7 +28,8 @@
   readonly maximumRatio: number
   /// Samples of one engine move its group's line as though at most so many times slower than expected. Default 3.
   readonly maximumLineRatio: number
-  /// An engine so many times slower than its group is told as slow. Default 2.
+  /// An engine so many times slower than the middle one of its group is told as slow: when work changes, all of a group may take longer
+  /// than its line says. Default 2.
   readonly slowFactor: number
   /// A slow one is told as sound again below this. Default 1.5.
   readonly soundFactor: number
@@ -75,6 +76,7 @@
   private toldSum = 0
   private toldCount = 0
   private slow = false
+  private lastGroup: string | undefined
 
   constructor(
     private readonly settings: PaceBookSettings,
@@ -90,6 +92,7 @@
   /// The engine took `ms` over something that had `load` in front of it. Senseless figures are ignored.
   addSample(group: string, load: number, ms: number): void {
     if (!isSensibleSample(load, ms)) return
+    this.lastGroup = group
     const line = this.getLine(group)
     const expectedMs = line.getExpectedMs(load)
     const known = expectedMs !== undefined && expectedMs > 0
@@ -134,10 +137,15 @@
     this.surprises = 0
   }
 
-  /// The change since the last call: it has turned slow, or is sound again.
-  takeChange(): "slow" | "sound" | undefined {
+  /// The group that it was last measured in; undefined before this daemon has.
+  group(): string | undefined {
+    return this.lastGroup
+  }
+
+  /// The change since the last call: it has turned slow beside the middle one of its group, or is sound again.
+  takeChange(middleFactor: number): "slow" | "sound" | undefined {
     const {slowFactor, soundFactor} = this.settings
-    const factor = this.factor()
+    const factor = this.factor() / middleFactor
     const slow = this.slow ? factor > soundFactor : factor >= slowFactor
     if (slow === this.slow) return undefined
     this.slow = slow
@@ -222,13 +230,30 @@
   /// Engines that have turned slow or sound since the last call.
   takeChanges(): PaceChange[] {
     const changes: PaceChange[] = []
+    const middles = this.getMiddles()
     for (const [id, pace] of this.engines) {
-      const change = pace.takeChange()
+      const change = pace.takeChange(middles.get(pace.group()) ?? 1)
       if (change) changes.push({id, slow: change === "slow", factor: pace.factor()})
     }
     return changes
   }
 
+  /// The middle factor of each group; the lower one of two.
+  private getMiddles(): ReadonlyMap<string | undefined, number> {
+    const byGroup = new Map<string | undefined, number[]>()
+    for (const pace of this.engines.values()) {
+      const factors = byGroup.get(pace.group()) ?? []
+      factors.push(pace.factor())
+      byGroup.set(pace.group(), factors)
+    }
+    const middles = new Map<string | undefined, number>()
+    for (const [group, factors] of byGroup) {
+      factors.sort((left, right) => left - right)
+      middles.set(group, factors[(factors.length - 1) >> 1])
+    }
+    return middles
+  }
+
   /// This daemon's samples since the last call, for its peers.
   takeEvidence(): PaceEvidence[] {
     const told: PaceEvidence[] = []
--- a/test/pace-book.test.ts
+++ b/test/pace-book.test.ts
@@ -95,6 +95,17 @@
     ]);
   });
 
+  it('tells no engine as slow when all take longer than before', () => {
+    const engines = makeEngines(Array<number>(9).fill(1));
+    engines.answer(40, 400);
+    for (let step = 0; step < 5; step += 1)
+      for (const id of engines.speeds.keys()) engines.book.get(id).applyEvidence(12, 3);
+    for (const id of engines.speeds.keys()) expect(engines.factor(id)).to.be.at.least(2);
+    expect(engines.book.takeChanges()).to.deep.equal([]);
+    engines.book.get('engine-3').applyEvidence(800, 100);
+    expect(engines.book.takeChanges().map(({ id }) => id)).to.deep.equal(['engine-3']);
+  });
+
   it('lets a sixth of the engines turn slow without taking the others for faster than twice', () => {
     const engines = makeEngines(Array<number>(28).fill(1));
     engines.answer(40, 400);
