--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -12,6 +12,7 @@
 import { KvIndex } from '../src/forwarding/kv-index.js';
 import { RetryAllowance } from '../src/forwarding/retry-allowance.js';
 import { RouteTable } from '../src/forwarding/route-table.js';
+import type { QuotaAnswer, QuotaRequest } from '../src/forwarding/tenant-quota.js';
 import { TenantDirectory } from '../src/forwarding/tenant-directory.js';
 import type { BackendRecord, EngineStage, Route } from '../src/forwarding/route.js';
 import { DistanceCost } from '../src/places/distance-cost.js';
@@ -39,6 +40,9 @@
   stale = false;
   readonly roundTrips = new RoundTrips(DEFAULT_DISTANCE_SETTINGS.roundTripMs);
   readonly distance: BackendDistance;
+  /** What was charged or given back, and requests that stopped waiting, with 0. */
+  readonly quotaCharges: [string, number][] = [];
+  takeQuota: (request: QuotaRequest) => QuotaAnswer | undefined = () => undefined;
 
   constructor(
     routes: readonly Route[],
@@ -65,6 +69,9 @@
         outageMs: () => 0,
         daemons: () => 1,
         requestBegan: (tenant, at) => this.begun.push([tenant, at]),
+        takeQuota: (request) => this.takeQuota(request),
+        removeQuotaRequest: (requestId) => this.quotaCharges.push([requestId, 0]),
+        chargeQuota: ({ name }, cost) => this.quotaCharges.push([name, cost]),
       },
       picker,
       this.kvIndex,
