An attempt at a back end in a module of its own

Cause: backend-client.ts had grown to 438 lines; it kept connections and followed attempts. No behaviour changed; caller-gone, forwarding-bytes and silent-connections pass unchanged.

--- /dev/null
+++ b/src/adapters/attempt-handler.ts
@@ -0,0 +1,199 @@
+/** Follows one attempt at a back end: what was written, what came back, and what that means for the request. */
+import type { Dispatcher } from 'undici';
+import type { AttemptStart, ForwardAttemptEvent } from '../forwarding/forward-messages.js';
+import type { BackendDialect, CallerHead, RawHeaders } from './backend-dialect.js';
+import { EventSplitter } from './event-splitter.js';
+import { endToEndHeaders, headerValue } from './http-headers.js';
+import type { ResetWatch } from './reset-watch.js';
+import type { ServerPool } from './server-pool.js';
+
+/** A caller's request as it came. */
+export interface CallerRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: RawHeaders;
+  readonly head: CallerHead;
+  readonly body: Buffer;
+}
+
+/** Takes the parts of a streamed answer. */
+export interface StreamSink {
+  /** The head. `framed` says whether the answer tells where it ends, other than by closing the connection. */
+  head(status: number, headers: string[], framed: boolean): void;
+  /** Whole events. */
+  events(bytes: Buffer, lastEventId: string | undefined): void;
+  /** The id of the last event that was passed on. */
+  lastEventId(): string | undefined;
+}
+
+/** An answer that was kept until it was whole. */
+export interface KeptAnswer {
+  readonly status: number;
+  readonly headers: string[];
+  readonly body: Buffer;
+  /** Whether the back end told where the answer ends, other than by closing the connection. */
+  readonly framed: boolean;
+}
+
+const FIRST_ERROR_STATUS = 300;
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+const FIRST_SUCCESS_STATUS = 200;
+const MAXIMUM_KEPT_BYTES = 16 * 1024 * 1024;
+const NO_HEADERS: ReadonlySet<string> = new Set();
+
+/** Follows one attempt. undici calls its methods in order. */
+export class AttemptHandler implements Dispatcher.DispatchHandler {
+  answer: KeptAnswer | undefined;
+  private controller: Dispatcher.DispatchController | undefined;
+  private written = false;
+  private sentAt = 0;
+  private sentAtCheck = 0;
+  private heard = false;
+  private toldSilent = false;
+  private finished = false;
+  private status = 0;
+  private headers: string[] = [];
+  private framed = true;
+  private readonly chunks: Buffer[] = [];
+  private keptBytes = 0;
+  private splitter: EventSplitter | undefined;
+
+  constructor(
+    private readonly dialect: BackendDialect,
+    private readonly resets: ResetWatch,
+    readonly pool: ServerPool,
+    private readonly start: AttemptStart,
+    private readonly request: CallerRequest,
+    private readonly sink: StreamSink,
+    private readonly tell: (event: ForwardAttemptEvent) => void,
+  ) {}
+
+  /** Stops listening and closes the connection. */
+  abort(): void {
+    this.finished = true;
+    this.controller?.abort(new Error('aborted'));
+  }
+
+  /** Tells that it was not sent, unless it has been. */
+  abandon(): void {
+    if (this.written || this.finished) return;
+    this.finished = true;
+    this.tell({ kind: 'unreachable', reason: 'abandoned' });
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.finished) controller.abort(new Error('aborted'));
+    else {
+      this.written = true;
+      this.sentAt = performance.now();
+      this.sentAtCheck = this.pool.getCheck();
+    }
+  }
+
+  /** Whether nothing was heard for so many checks, on this connection and on those of its age. */
+  isSuspect(checks: number): boolean {
+    if (!this.written || this.finished || this.heard) return false;
+    if (this.pool.getCheck() - this.sentAtCheck <= checks) return false;
+    return this.pool.isSuspect(this.sentAt, this.sentAtCheck);
+  }
+
+  /** Tells once that the attempt waits on a connection that is probably silent. */
+  tellSilent(): void {
+    if (this.toldSilent) return;
+    this.toldSilent = true;
+    this.tell({ kind: 'connectionSilent' });
+  }
+
+  onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+    this.heard = true;
+    if (status < FIRST_SUCCESS_STATUS || this.finished) return;
+    const raw = rawHeaders(controller);
+    this.status = status;
+    const head = this.dialect.answerHead(status, raw, this.request.head, this.start.prefillOnly);
+    if (head.kind === 'foreign') this.fail({ kind: 'broken', reason: head.reason });
+    else if (head.kind === 'notExecuted') {
+      this.finished = true;
+      this.tell({ kind: 'notExecuted', status, wrongIncarnation: head.wrongIncarnation });
+    } else {
+      this.headers = endToEndHeaders(raw, NO_HEADERS);
+      this.framed = isFramed(status, raw, this.request.method);
+      if (this.start.stream && status < FIRST_ERROR_STATUS && !this.start.prefillOnly) this.beginStream();
+    }
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.finished) return;
+    if (this.splitter) this.streamData(this.splitter, chunk);
+    else {
+      this.keptBytes += chunk.length;
+      if (this.keptBytes > MAXIMUM_KEPT_BYTES)
+        this.fail({ kind: 'broken', reason: 'the answer is too long' });
+      else this.chunks.push(Buffer.from(chunk));
+    }
+  }
+
+  onResponseEnd(): void {
+    if (this.finished) return;
+    if (this.resets.failing()) {
+      this.fail({ kind: 'broken', reason: 'reset before the end of the answer' });
+      return;
+    }
+    this.finished = true;
+    const body = Buffer.concat(this.chunks);
+    if (this.start.prefillOnly) {
+      this.prefillEnded(body);
+      return;
+    }
+    if (this.splitter) {
+      const remainder = this.splitter.remainder();
+      if (remainder.length > 0) this.sink.events(remainder, undefined);
+    }
+    this.answer = { status: this.status, headers: this.headers, body, framed: this.framed };
+    this.tell({ kind: 'whole', status: this.status });
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController | null, error: Error): void {
+    if (this.finished) return;
+    this.finished = true;
+    const reason = (error as NodeJS.ErrnoException).code ?? error.message;
+    this.tell(this.written ? { kind: 'broken', reason } : { kind: 'unreachable', reason });
+  }
+
+  private streamData(splitter: EventSplitter, chunk: Buffer): void {
+    const batch = splitter.push(chunk);
+    if (!batch) return;
+    this.sink.events(batch.bytes, batch.lastEventId);
+    this.tell({ kind: 'streamProgress', lastEventId: batch.lastEventId });
+  }
+
+  private beginStream(): void {
+    this.splitter = new EventSplitter();
+    this.sink.head(this.status, this.headers, this.framed);
+    this.tell({ kind: 'streamStarted' });
+  }
+
+  private prefillEnded(body: Buffer): void {
+    const handle = this.status === FIRST_SUCCESS_STATUS ? this.dialect.prefillHandle(body) : undefined;
+    if (handle === undefined) this.tell({ kind: 'broken', reason: `prefill answered ${this.status}` });
+    else this.tell({ kind: 'prefilled', handle });
+  }
+
+  private fail(event: ForwardAttemptEvent): void {
+    this.finished = true;
+    this.tell(event);
+    this.controller?.abort(new Error('not the answer'));
+  }
+}
+
+function isFramed(status: number, headers: RawHeaders, method: string): boolean {
+  const bodiless = method === 'HEAD' || STATUSES_WITHOUT_BODY.has(status);
+  const declared = headerValue(headers, 'content-length') ?? headerValue(headers, 'transfer-encoding');
+  return bodiless || declared !== undefined;
+}
+
+function rawHeaders(controller: Dispatcher.DispatchController): string[] {
+  const raw = controller.rawHeaders;
+  if (!Array.isArray(raw)) return [];
+  return raw.map((value) => (typeof value === 'string' ? value : value.toString('latin1')));
+}
