--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -39,11 +39,11 @@
   readonly connectTimeoutMs: number;
   /** Connections to one back end. */
   readonly connectionsPerBackend: number;
-  /** A probe or a call that frees something is given up after this. Milliseconds. */
+  /** A probe or a call that frees something times out after this. Milliseconds. */
   readonly callTimeoutMs: number;
   /**
    * A request that has heard nothing for so long makes the connections of its age suspect, if none of them was heard either.
-   * Milliseconds. A quarter of the 4 s within which the platform's pages want contact found again.
+   * Milliseconds. A quarter of the 4 s within which contact has to be found again.
    */
   readonly silentConnectionMs: number;
 }
@@ -53,8 +53,8 @@
 const MAXIMUM_REST_MS = 200;
 /** Interval between looks at which connections were heard. Milliseconds. */
 const CHECK_INTERVAL_MS = 250;
-/** The checks after which a request that is given up unheard makes the connections of its age suspect. */
-const GIVEN_UP_CHECKS = 2;
+/** The checks after which a request that is aborted unheard makes the connections of its age suspect. */
+const ABORTED_CHECKS = 2;
 /** After these events the attempt is still known: it goes on, or its answer is yet to be taken. */
 const KEEPS_ATTEMPT: ReadonlySet<ForwardAttemptEvent['kind']> = new Set([
   'streamStarted',
@@ -116,12 +116,12 @@
     }
   }
 
-  /** Gives an attempt up: its connection is closed, which tells the back end. */
+  /** Aborts an attempt: its connection is closed, which tells the back end. */
   abort(attemptId: string): void {
     const handler = this.live.get(attemptId);
     this.live.delete(attemptId);
     if (!handler) return;
-    if (handler.isSuspect(GIVEN_UP_CHECKS)) this.replace(handler.pool);
+    if (handler.isSuspect(ABORTED_CHECKS)) this.replace(handler.pool);
     handler.abort();
   }
 
--- a/src/adapters/peer-transport.ts
+++ b/src/adapters/peer-transport.ts
@@ -31,8 +31,8 @@
 /** Interval between looks at which connections were heard. Milliseconds. */
 const CHECK_INTERVAL_MS = 250;
 /**
- * A connection on which nothing was heard for so many checks after a message is replaced: 2 s, half of the 4 s within which the platform's pages
- * want contact found again. Checks are counted, since nobody can be heard while this process stands still.
+ * A connection on which nothing was heard for so many checks after a message is replaced: 2 s, half of the 4 s within which
+ * contact has to be found again. Checks are counted, since nobody can be heard while this process stands still.
  */
 const SILENT_CHECKS = 8;
 const MAXIMUM_BUFFERED_BYTES = 1024 * 1024;
@@ -105,7 +105,7 @@
     for (const socket of this.incoming) socket.destroy();
   }
 
-  /** Gives up connections that have fallen silent; the next message makes a new one. */
+  /** Drops connections that have fallen silent; the next message makes a new one. */
   private tick(): void {
     for (const peer of this.outgoing.values()) {
       if (peer.unheardChecks === undefined || !peer.acknowledges) continue;
--- a/src/forwarding/attempt-outcomes.ts
+++ b/src/forwarding/attempt-outcomes.ts
@@ -94,7 +94,7 @@
   ): void {
     const {backend} = attempt.plan
     if (wrongIncarnation) backend.gone = true
-    else backend.turnedAway(now)
+    else backend.rejected(now)
     removeAttempt(session, attempt)
     session.arrivals += 1
     session.excluded.add(backend.record.id)
--- a/src/forwarding/attempt-pace.ts
+++ b/src/forwarding/attempt-pace.ts
@@ -34,7 +34,7 @@
   pace.addSample(getPaceGroup(record, "pause"), load, (attempt.lastProgressAt - firstEventAt) / events)
 }
 
-/// The attempt is given up without an answer.
+/// The attempt is aborted without an answer.
 export function addUnansweredSample({plan, startedAt, answering, load}: LiveAttempt, now: number): void {
   const {record, pace} = plan.backend
   if (answering || plan.late || plan.copyFrom) return
--- a/src/forwarding/attempt-sender.ts
+++ b/src/forwarding/attempt-sender.ts
@@ -57,7 +57,7 @@
     else this.send(session, now)
   }
 
-  /// Whether another back end would take the request now. An attempt is not given up for nothing.
+  /// Whether another back end would take the request now. An attempt is not aborted for nothing.
   hasAlternative(session: Session, {plan: {backend}, connectionSilent}: LiveAttempt, now: number): boolean {
     const excluded = new Set(session.excluded)
     if (!connectionSilent) excluded.add(backend.record.id)
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -106,11 +106,11 @@
   /// The back end failed a request or broke off.
   failed(now: number): void {
     this.failedSinceTold += 1
-    this.turnedAway(now)
+    this.rejected(now)
   }
 
-  /// The back end turned a request away though it should have room: it works, but not for this daemon now.
-  turnedAway(now: number): void {
+  /// The back end rejected a request though it should have room: it works, but not for this daemon now.
+  rejected(now: number): void {
     this.lastHeardAt = now
     this.failureShare += (1 - this.failureShare) / this.settings.failureMemory
     if (this.failureShare >= this.settings.ejectFailureShare) this.eject(now)
--- a/src/parts/region-part.ts
+++ b/src/parts/region-part.ts
@@ -6,7 +6,7 @@
 import {DISTANCE_CLASSES} from "../places/places.js"
 import {DaemonPart, type PartFigures, type PartSurroundings, type RegionSurroundings} from "./daemon-part.js"
 
-/// Probes remembered at most; one is answered or given up within a few seconds, and few are sent in that time.
+/// Probes remembered at most; one is answered or timed out within a few seconds, and few are sent in that time.
 const MAXIMUM_PROBES = 64
 
 interface SentProbe {
--- a/src/quotas/owner-ranking.ts
+++ b/src/quotas/owner-ranking.ts
@@ -154,7 +154,7 @@
     return now - (this.heardAt.get(id) ?? -Infinity) > SILENCE_MS && !this.expectedSince.has(id)
   }
 
-  /// Members that owe an answer and are to be asked again now. Lost ones too: without it an owner that was taken for lost and runs stood
+  /// Members whose answer is outstanding and are to be asked again now. Lost ones too: without it an owner that was taken for lost and runs stood
   /// beside the one in its place for seconds, and 1.38 times of what is allowed was spent (virtual time, 72 daemons).
   takeDoubted(now: number): Member[] {
     const due = [...this.expectedSince.keys()].filter(
--- a/src/quotas/quota-holder.ts
+++ b/src/quotas/quota-holder.ts
@@ -19,7 +19,7 @@
 const UNTOLD_RETRY_MS = 400
 /// Requests of one tenant that wait at most.
 const MAXIMUM_WAITING = 256
-/// An ask without an answer is given up after so long, and what a late answer grants is not spent. Milliseconds. So what was
+/// An ask without an answer times out after so long, and what a late answer grants is not spent. Milliseconds. So what was
 /// granted outside of a window arrives within it for no more than this time.
 export const ASK_TIMEOUT_MS = 250
 
@@ -83,7 +83,7 @@
     return undefined
   }
 
-  /// A request that waits is given up. Returns whether it waited.
+  /// Ends the wait of a request. Returns whether it waited.
   remove(requestId: string): boolean {
     const before = this.waiting.length
     this.waiting = this.waiting.filter(need => need.requestId !== requestId)
@@ -132,7 +132,7 @@
     return this.settle(open.needs, answer.granted, now)
   }
 
-  /// Gives up an ask that nobody answers. What it told may have been debited: it is told again, unless that would credit twice.
+  /// Ends an ask that nobody answers. What it told may have been debited: it is told again, unless that would credit twice.
   closeLate(now: number): boolean {
     const {open} = this
     if (!open || now - open.askedAt < ASK_TIMEOUT_MS) return false
