--- a/src/daemon/beliefs.ts
+++ b/src/daemon/beliefs.ts
@@ -18,6 +18,8 @@
   | 'backend.changed'
   | 'backend.removed'
   | 'backend.recovered'
+  | 'backend.slow'
+  | 'backend.sound'
   | 'store.lost'
   | 'store.regained'
   | 'lease.acquired'
@@ -29,7 +31,9 @@
   | 'usage.missed'
   | 'duty.failed'
   | 'drain.started'
-  | 'process.paused';
+  | 'process.paused'
+  | 'region.lost'
+  | 'region.regained';
 
 type FleetBelief = Exclude<FleetEffect, { kind: 'readRecords' | 'tellPeers' }>;
 type DutyBelief = Exclude<DutyEffect, { kind: 'leaseTable' | 'usageTable' | 'callDuty' | 'sendPeer' }>;
--- a/src/daemon/daemon-messages.ts
+++ b/src/daemon/daemon-messages.ts
@@ -65,7 +65,13 @@
 
 /** Everything that daemons say to each other. */
 export type PeerMessage =
-  MembershipMessage | ConfigurationMessage | LimitMessage | CellMessage | FleetMessage | UsageCounts | QuotaMessage;
+  | MembershipMessage
+  | ConfigurationMessage
+  | LimitMessage
+  | CellMessage
+  | FleetMessage
+  | UsageCounts
+  | QuotaMessage;
 
 /** An operator's edit of one row. `row` is null to delete it. */
 export interface RowEdit {
--- a/src/forwarding/attempt-sender.ts
+++ b/src/forwarding/attempt-sender.ts
@@ -7,6 +7,7 @@
 import type {ForwardLimits} from "./forward-limits.js"
 import type {ForwardEffect, ForwardFailure} from "./forward-messages.js"
 import {
+  createAttempt,
   hasComeBack,
   isComputedAgain,
   isRepeatable,
@@ -36,12 +37,12 @@
 
   /// Sends the request to the back end that the picker chooses, or refuses it.
   send(session: Session, now: number): void {
-    const plan = this.pickBackend(session, now)
+    const plan = this.pickBackend(session, session.excluded, now)
     if (!plan) {
       this.closer.closeNotServed(session, "no-backend", now)
       return
     }
-    if (this.limits.isFull(plan) || (plan.full && !hasComeBack(session))) {
+    if (this.isTurnedDown(session, plan)) {
       this.closer.closeNotServed(session, "overloaded", now, this.limits.getBacklogMs(session, plan, now))
       return
     }
@@ -50,12 +51,20 @@
     this.startAttempt(session, plan, now)
   }
 
-  /// Sends the request once more, unless it has been sent too often or its time is over.
+  /// Sends the request once more, unless it has been sent too often, its time is over or its caller has left.
   sendAgain(session: Session, failure: ForwardFailure, now: number): void {
     if (this.isSpent(session, now)) this.closer.closeNotServed(session, failure, now)
     else this.send(session, now)
   }
 
+  /// Whether another back end would take the request now. An attempt is not given up for nothing.
+  hasAlternative(session: Session, {plan: {backend}, connectionSilent}: LiveAttempt, now: number): boolean {
+    const excluded = new Set(session.excluded)
+    if (!connectionSilent) excluded.add(backend.record.id)
+    const plan = this.pickBackend(session, excluded, now)
+    return plan !== undefined && !this.isTurnedDown(session, plan)
+  }
+
   /// Takes one repeat of the budget, when another send makes sense at all.
   mayRepeat(session: Session, now: number): boolean {
     if (this.isSpent(session, now)) return false
@@ -67,20 +76,26 @@
     return this.allowance.left(service, this.getDaemons(), now) >= 1
   }
 
-  private isSpent({sends, deadlineAt}: Session, now: number): boolean {
-    return sends >= this.settings.maximumSends || now >= deadlineAt
+  private isSpent({sends, deadlineAt, abandoned}: Session, now: number): boolean {
+    return abandoned || sends >= this.settings.maximumSends || now >= deadlineAt
+  }
+
+  private isTurnedDown(session: Session, plan: BackendPlan): boolean {
+    return this.limits.isFull(plan) || (plan.full && !hasComeBack(session))
   }
 
-  private pickBackend(session: Session, now: number): BackendPlan | undefined {
+  private pickBackend(session: Session, excluded: ReadonlySet<string>, now: number): BackendPlan | undefined {
     const {request, route, service} = session
     const wanted = {
       service,
       prompt: request.prompt,
       prefilled: session.kvSource !== undefined,
+      prefilledAt: session.kvSource?.address,
+      bodyBytes: request.bodyBytes,
       direct: !this.mayComputeApart(session, now),
       engine: this.limits.getEngine(service),
       targetLeftMs: request.arrivedAt + route.targetLatencyMs - now,
-      excluded: session.excluded,
+      excluded,
       maximumOwnInFlight: this.limits.getMaximumInFlight(service)
     }
     return this.picker.pick(wanted, now)
@@ -98,20 +113,20 @@
     if (session.arrivals > 0) this.answers.logDecision("request.resumed", session, {sends: session.sends})
     const attemptId = `${session.request.id}/${session.sends}`
     const {backend} = plan
-    const pendingBefore = backend.pendingTokens()
-    const attempt = {attemptId, plan, startedAt: now, lastEventAt: now, answering: false}
+    const attempt = createAttempt(attemptId, plan, now)
     session.attempt = attempt
     backend.begin(attemptId, session.kvSource ? 0 : plan.promptTokens, now, plan.late)
-    this.logAttempt(session, plan, pendingBefore, now)
+    this.logAttempt(session, attempt, now)
     this.emitStart(session, attempt, now)
   }
 
-  private logAttempt(session: Session, plan: BackendPlan, pendingTokens: number, now: number): void {
+  private logAttempt(session: Session, {plan, pendingTokens}: LiveAttempt, now: number): void {
     const {backend} = plan
     this.answers.logDecision("request.attempt", session, {
       backend: backend.record.id,
       stage: plan.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
       reason: plan.reason,
+      distance: this.picker.getDistance(plan),
       promptTokens: plan.promptTokens,
       copyFrom: plan.copyFrom?.id,
       inFlight: backend.inFlight(),
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -43,6 +43,8 @@
   | {readonly kind: "streamStarted"}
   /// Whole events of the stream were passed on; `lastEventId` is the id of the last one.
   | {readonly kind: "streamProgress"; readonly lastEventId: string | undefined}
+  /// Its connection passes nothing, like all others of its age, while newer ones to the back end work.
+  | {readonly kind: "connectionSilent"}
   /// The answer is whole: kept for an answer, passed on for a stream.
   | {readonly kind: "whole"; readonly status: number}
   /// The answer broke off or was not the back end's: it may have run.
@@ -67,6 +69,8 @@
 export type ForwardEffect =
   | {readonly kind: "startAttempt"; readonly start: AttemptStart}
   | {readonly kind: "abortAttempt"; readonly attemptId: string}
+  /// Do not begin this attempt any more; one that has been sent is left to its back end.
+  | {readonly kind: "abandonAttempt"; readonly attemptId: string}
   /// Pass on the kept answer of this attempt, or, for a stream, end the answer.
   | {readonly kind: "replyWhole"; readonly requestId: string; readonly attemptId: string}
   /// Answer with a failure of the daemon's own.
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -13,6 +13,18 @@
   lastEventAt: number
   /// A stream has begun to arrive.
   answering: boolean
+  /// Its connection passes nothing, though its back end answers on others.
+  connectionSilent?: boolean
+  /// Requests of all daemons at the back end before this one.
+  readonly load: number
+  /// Prompt tokens of all daemons that were to be computed there before this one's.
+  readonly pendingTokens: number
+  /// When the first events of a stream came; undefined before.
+  firstEventAt: number | undefined
+  /// When the last events of the stream came.
+  lastProgressAt: number
+  /// Times at which events came after the first.
+  events: number
 }
 
 /// One request. Times are monotonic milliseconds.
@@ -39,6 +51,8 @@
   counted: boolean
   lastEventId: string | undefined
   kvSource: KvSource | undefined
+  /// The caller has left; a back end may finish what it has begun, and nothing is sent again.
+  abandoned: boolean
   /// What it counts for its tenant's quota; 0 where none is held.
   quotaCost: number
   /// "refused": it counts nothing.
@@ -72,12 +86,36 @@
     counted: false,
     lastEventId: undefined,
     kvSource: undefined,
+    abandoned: false,
     quotaCost: 0,
     quotaState: "decided",
     wasStopped: false
   }
 }
 
+/// An attempt that begins now, before its back end counts it.
+export function createAttempt(attemptId: string, plan: BackendPlan, now: number): LiveAttempt {
+  return {
+    attemptId,
+    plan,
+    startedAt: now,
+    lastEventAt: now,
+    answering: false,
+    load: plan.backend.inFlight(),
+    pendingTokens: plan.backend.pendingTokens(),
+    firstEventAt: undefined,
+    lastProgressAt: now,
+    events: 0
+  }
+}
+
+/// Events of the stream have come.
+export function countProgress(attempt: LiveAttempt, now: number): void {
+  if (attempt.firstEventAt === undefined) attempt.firstEventAt = now
+  else attempt.events += 1
+  attempt.lastProgressAt = now
+}
+
 /// The attempt is over for its request and its back end.
 export function removeAttempt(session: Session, attempt: LiveAttempt): void {
   attempt.plan.backend.end(attempt.attemptId)
@@ -89,6 +127,12 @@
   return kind === "idempotent" || (kind === "stream" && resumable)
 }
 
+/// Whether the live attempt goes on when the caller leaves. An order that a back end has begun would be left half done, and its caller could
+/// not know; it is run to its end, within its time. Everything else is of no use without its caller.
+export function isFinishedWithoutCaller({route, attempt}: Session): boolean {
+  return route.kind === "nonIdempotent" && attempt?.plan.prefillOnly === false
+}
+
 /// Back ends that count against the attempts of the route.
 function countAttempts({runs, prefills}: Session): number {
   return runs + Math.max(0, prefills - 1)
@@ -115,7 +159,8 @@
 }
 
 /// Whether the attempt makes no progress, may be moved to another back end, and its back end answers nobody else
-/// either. A stream that has begun is judged by its pauses alone. While this process stood still, until `resumedAt`, nothing
+/// either, or answers them on newer connections (plain back ends only: an engine may answer short prompts first). A stream that has
+/// begun is judged by its pauses alone. While this process stood still, until `resumedAt`, nothing
 /// could be heard.
 export function isStalled(
   session: Session,
@@ -128,6 +173,7 @@
   if (!attempt.plan.prefillOnly && !mayRunAgain(session)) return false
   const quietMs = now - Math.max(attempt.lastEventAt, resumedAt)
   if (attempt.answering) return quietMs > route.targetGapMs * settings.stallGaps
+  if (attempt.connectionSilent && attempt.plan.backend.record.stage === undefined) return true
   const limit = Math.max(settings.minimumStallMs, route.targetLatencyMs * settings.stallTargetShare)
   return quietMs > limit && attempt.plan.backend.silent(now)
 }
--- a/src/forwarding/request-closer.ts
+++ b/src/forwarding/request-closer.ts
@@ -1,6 +1,7 @@
 /// Ends requests: every request gets exactly one answer or none when its caller left, its attempt is stopped, and a KV
 /// cache that nobody will take is freed. A request is refused as "not run" only when no back end can have run it.
 import type {EffectSink} from "../shared/effect-sink.js"
+import {addUnansweredSample} from "./attempt-pace.js"
 import {
   type ForwardAnswers,
   STATUS_BROKEN,
@@ -9,7 +10,7 @@
   STATUS_UNAVAILABLE
 } from "./forward-answers.js"
 import type {ForwardEffect, ForwardFailure} from "./forward-messages.js"
-import {removeAttempt, type LiveAttempt, type Session} from "./forward-session.js"
+import {isFinishedWithoutCaller, removeAttempt, type LiveAttempt, type Session} from "./forward-session.js"
 import type {ForwardSettings} from "./forward-settings.js"
 import type {QuotaGate} from "./quota-gate.js"
 import type {QuotaRefusal} from "./tenant-quota.js"
@@ -24,12 +25,20 @@
     private readonly emit: EffectSink<ForwardEffect>
   ) {}
 
-  /// The caller went away: the work is cancelled.
+  /// The caller went away: the work is cancelled, or its answer is dropped when it comes.
   closeCancelled(session: Session, now: number): void {
+    const {attempt} = session
+    const finished = attempt !== undefined && isFinishedWithoutCaller(session)
     this.answers.logDecision("request.cancelled", session, {
-      afterMs: Math.round(now - session.request.arrivedAt)
+      afterMs: Math.round(now - session.request.arrivedAt),
+      finished: finished || undefined
     })
-    this.stopAttempt(session)
+    if (finished) {
+      session.abandoned = true
+      this.emit({kind: "abandonAttempt", attemptId: attempt.attemptId})
+      return
+    }
+    this.stopAttempt(session, now)
     this.close(session, now)
   }
 
@@ -48,14 +57,16 @@
   closeAtDeadline(session: Session, now: number): void {
     const notRun = !session.attempt && !session.mayHaveRun
     if (session.attempt && !session.attempt.answering) judgeUnanswered(session.attempt, now)
-    this.stopAttempt(session)
+    this.stopAttempt(session, now)
     if (notRun) this.closeFailed(session, STATUS_UNAVAILABLE, "deadline", this.settings.retryAfterMs, now)
     else this.closeFailed(session, STATUS_DEADLINE, "deadline", undefined, now)
   }
 
   /// The answer of the attempt is whole and goes to the caller.
   closeAnswered(session: Session, attempt: LiveAttempt, status: number, now: number): void {
-    this.emit({kind: "replyWhole", requestId: session.request.id, attemptId: attempt.attemptId})
+    const {attemptId} = attempt
+    if (session.abandoned) this.emit({kind: "abortAttempt", attemptId})
+    else this.emit({kind: "replyWhole", requestId: session.request.id, attemptId})
     this.answers.logDecision("request.answered", session, {
       backend: attempt.plan.backend.record.id,
       status,
@@ -85,7 +96,8 @@
     retryAfterMs: number | undefined,
     now: number
   ): void {
-    if (session.relaying) this.answers.sendBroken(session, failure, now)
+    if (session.abandoned) this.answers.logDecision("request.failed", session, {failure, abandoned: true})
+    else if (session.relaying) this.answers.sendBroken(session, failure, now)
     else this.answers.sendFailure(session.request, status, failure, retryAfterMs, now, session)
     this.close(session, now)
   }
@@ -96,9 +108,10 @@
     session.kvSource = undefined
   }
 
-  private stopAttempt(session: Session): void {
+  private stopAttempt(session: Session, now: number): void {
     const {attempt} = session
     if (!attempt) return
+    addUnansweredSample(attempt, now)
     this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
     session.wasStopped = true
     removeAttempt(session, attempt)
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -66,6 +66,15 @@
     expect(checkPlatformSettings(SETTINGS).listen.front).to.equal('10.1.0.35:8144');
   });
 
+  it('the region of each zone is known to the daemon; without the table there is one region', () => {
+    const zones = `${SETTINGS}\n[zones]\nz = "r"\ny = "q"`;
+    expect(processSettings(checkPlatformSettings(zones)).daemon.regionByZone).to.deep.equal({
+      z: 'r',
+      y: 'q',
+    });
+    expect(processSettings(checkPlatformSettings(SETTINGS)).daemon.regionByZone).to.deep.equal({});
+  });
+
   it('each duty is done where the platform asks for it', () => {
     const duties = (names: string, bounds = ''): [boolean, boolean] | undefined => {
       const text = SETTINGS.replace('lease_ms = 3000', `lease_ms = 3000\n${bounds}`);
@@ -187,6 +196,31 @@
     expect((await store.read(read)).kind).to.equal('noAnswer');
   });
 
+  it('a stored row that cannot be read is told and counts as empty', async () => {
+    const bad: string[] = [];
+    const table = new TableClient(address, (key, error) => bad.push(`${key} ${error.code}`));
+    const value = Buffer.from('{"writeId":').toString('base64');
+    answer = () => ({ status: 200, body: { rows: [{ key: 'k', ver: 3, value }], ver: 9 } });
+    const result = await table.perform({ kind: 'read', table: 'leases', key: 'k' });
+    const row = { table: 'leases', key: 'k', revision: 3, value: null };
+    expect(result).to.deep.equal({ kind: 'row', row });
+    expect(bad).to.deep.equal(['k invalid-input']);
+  });
+
+  it('finds a row whose key has spaces: the store takes a plus sign for itself', async () => {
+    const value = Buffer.from(JSON.stringify({ writeId: 'w', value: 'held' })).toString('base64');
+    const key = 'duties of the fleet';
+    answer = (url) => {
+      const from = new URL(url.replaceAll('+', '%2B'), 'http://store').searchParams.get('from');
+      return { status: 200, body: { rows: from === key ? [{ key, ver: 3, value }] : [], ver: 9 } };
+    };
+    const result = await new TableClient(address).perform({ kind: 'read', table: 'leases', key });
+    expect(result).to.deep.equal({
+      kind: 'row',
+      row: { table: 'leases', key, revision: 3, value: 'held' },
+    });
+  });
+
   it('a commit whose answer was lost counts as done when its write stands in the row', async () => {
     const table = new TableClient(address);
     const commit = {
