--- a/src/quotas/quota-holder.ts
+++ b/src/quotas/quota-holder.ts
@@ -39,7 +39,9 @@
   private open: OpenAsk | undefined
   /// Daemons that were asked in vain for those that wait now.
   readonly tried = new Set<string>()
+  /// Requests of so many tokens or more are refused until then.
   private blockedUntil = -Infinity
+  private blockedTokens = 0
   private retryAfterMs = UNTOLD_RETRY_MS
   private reserve = 0
   private toldAt = -Infinity
@@ -77,7 +79,7 @@
   take(need: QuotaNeed, now: number): QuotaDecision | undefined {
     this.usedAt = now
     if (!this.hasWaiting() && this.allowance.tryTake(need.tokens, now)) return this.spend(need)
-    if (now < this.blockedUntil) return this.refuse(need, "limit", now)
+    if (now < this.blockedUntil && need.tokens >= this.blockedTokens) return this.refuse(need, "limit", now)
     if (this.waiting.length >= MAXIMUM_WAITING) return this.refuse(need, "waiting", now)
     this.waiting.push(need)
     return undefined
@@ -129,6 +131,7 @@
     this.reserve = answer.reserve
     this.retryAfterMs = answer.retryAfterMs || UNTOLD_RETRY_MS
     this.blockedUntil = now + answer.blockedMs
+    this.blockedTokens = answer.blockedTokens
     return this.settle(open.needs, answer.granted, now)
   }
 
@@ -158,11 +161,15 @@
     return now - this.usedAt > idleMs && !this.open && this.untold === 0 && this.waiting.length === 0
   }
 
-  private settle(needs: readonly QuotaNeed[], granted: number, now: number): Map<string, QuotaDecision> {
+  private settle(
+    needs: readonly QuotaNeed[],
+    granted: readonly number[],
+    now: number
+  ): Map<string, QuotaDecision> {
     const decided = new Map<string, QuotaDecision>()
     const waiting = new Set(this.waiting)
     needs.forEach((need, index) => {
-      const isGranted = index < granted
+      const isGranted = granted.includes(index)
       if (waiting.has(need))
         decided.set(need.requestId, isGranted ? this.grant(need) : this.refuse(need, "limit", now))
       // Its caller left while the ask was under way.
--- a/src/quotas/quota-manager.ts
+++ b/src/quotas/quota-manager.ts
@@ -207,7 +207,7 @@
 
   private answer(fromId: string, ask: QuotaAsk, now: number): QuotaAnswer {
     const {tenant, sequence} = ask
-    const none = {granted: 0, blockedMs: 0, retryAfterMs: 0, reserve: 0}
+    const none = {granted: [], blockedMs: 0, blockedTokens: 0, retryAfterMs: 0, reserve: 0}
     const base = {kind: "quotaAnswer" as const, sequence, tenant, notOwner: false, unfitMs: 0, owner: null}
     const bucket = this.limits.has(tenant) ? this.findBucket(tenant, now) : undefined
     if (bucket) return {...base, ...bucket.receive(fromId, ask, now)}
--- a/src/quotas/quota-messages.ts
+++ b/src/quotas/quota-messages.ts
@@ -22,10 +22,11 @@
   kind: z.literal("quotaAnswer"),
   sequence: count,
   tenant: text,
-  /// Needs that are granted, counted from the first.
-  granted: count,
-  /// Asking again makes no sense for so long. Milliseconds.
+  /// The needs that are granted, by their place in the ask.
+  granted: z.array(count).max(MAXIMUM_NEEDS),
+  /// Asking again makes no sense for so long, for as many tokens or more. Milliseconds.
   blockedMs: count,
+  blockedTokens: count,
   /// When callers that are refused should come back. Milliseconds.
   retryAfterMs: count,
   /// Tokens that may be spent without an answer if the owner falls silent.
--- a/src/quotas/quota-owner.ts
+++ b/src/quotas/quota-owner.ts
@@ -4,7 +4,10 @@
 import {TokenBucket} from "./token-bucket.js"
 
 /// What an owner decides on an ask.
-export type OwnerDecision = Pick<QuotaAnswer, "granted" | "blockedMs" | "retryAfterMs" | "reserve">
+export type OwnerDecision = Pick<
+  QuotaAnswer,
+  "granted" | "blockedMs" | "blockedTokens" | "retryAfterMs" | "reserve"
+>
 
 /// A daemon counts as one that serves a tenant for so long after it asked. Milliseconds.
 export const RESERVE_MS = 2500
@@ -13,8 +16,10 @@
 const RESERVE_SHARE = 0.25
 /// A bucket holds at least what comes in this time: a limit without a burst would grant nothing. Milliseconds.
 const SHALLOWEST_MS = 250
-/// A new bucket may go into its whole debt after so long. Milliseconds.
-const FULL_DEBT_MS = 8000
+/// Part of the rate that may be overdrawn.
+const OVERDRAFT_SHARE = 0.25
+/// Requests of less than this part of the debt do not overdraw: they would leave nothing of it for the larger ones.
+const SMALL_SHARE = 0.02
 /// Bounds of the time for which a daemon does not ask again. Milliseconds. The longest is what a full refill may be late.
 const SHORTEST_BLOCK_MS = 20
 const LONGEST_BLOCK_MS = 500
@@ -25,25 +30,28 @@
 /// One tenant's bucket with those who ask for it. Times are monotonic milliseconds.
 export class OwnedBucket {
   private readonly bucket: TokenBucket
+  /// Begins empty like the other, so that owners that change often do not add up their debts.
+  private readonly overdraft: TokenBucket
+  private readonly debtTokens: number
   private readonly askedAt = new Map<string, number>()
   /// Tokens of refused requests that have not come due yet.
   private backlog = 0
   private backlogAt: number
   private usedAt: number
-  private readonly createdAt: number
 
   /// `level` is what it certainly holds.
   constructor(
     private limit: QuotaLimit,
-    private readonly debtTokens: number,
+    debtTokens: number,
     level: number,
     now: number
   ) {
     this.bucket = new TokenBucket(limit.ratePerSecond, getDepth(limit), now)
     this.bucket.take(-level, now)
+    this.overdraft = new TokenBucket(limit.ratePerSecond * OVERDRAFT_SHARE, debtTokens, now)
+    this.debtTokens = debtTokens
     this.backlogAt = now
     this.usedAt = now
-    this.createdAt = now
   }
 
   /// Takes a new limit, or a share of it that this side of a divided fleet may use.
@@ -51,6 +59,7 @@
     if (limit.ratePerSecond === this.limit.ratePerSecond && limit.burst === this.limit.burst) return
     this.limit = limit
     this.bucket.setLimits(limit.ratePerSecond, getDepth(limit), now)
+    this.overdraft.setLimits(limit.ratePerSecond * OVERDRAFT_SHARE, this.debtTokens, now)
   }
 
   getLevel(now: number): number {
@@ -68,43 +77,41 @@
     if (level < own) this.bucket.take(own - level, now)
   }
 
-  /// Grants needs in their order as far as the bucket goes.
+  /// Grants needs in their order, as far as the bucket goes for each.
   receive(daemonId: string, {needs, spent}: Pick<QuotaAsk, "needs" | "spent">, now: number): OwnerDecision {
     this.usedAt = now
     this.bucket.take(spent, now)
     if (needs.length > 0) this.askedAt.set(daemonId, now)
-    let granted = 0
-    while (granted < needs.length && this.mayGrant(needs[granted], now)) {
-      this.bucket.take(needs[granted], now)
-      granted += 1
-    }
-    const refused = needs.slice(granted).reduce((sum, tokens) => sum + tokens, 0)
+    const granted: number[] = []
+    const refused: number[] = []
+    needs.forEach((tokens, place) => {
+      if (this.tryGrant(tokens, now)) granted.push(place)
+      else refused.push(tokens)
+    })
+    const blockedTokens = refused.length > 0 ? Math.min(...refused) : 0
     return {
       granted,
-      blockedMs: refused > 0 ? this.getBlockedMs(needs[granted], now) : 0,
-      retryAfterMs: refused > 0 ? this.addBacklog(refused, now) : 0,
+      blockedTokens,
+      blockedMs: refused.length > 0 ? this.getBlockedMs(blockedTokens, now) : 0,
+      retryAfterMs: refused.length > 0 ? this.addBacklog(sum(refused), now) : 0,
       reserve: this.getReserve(now)
     }
   }
 
-  /// What is larger than the bucket and the debt waits until the bucket is full.
-  private mayGrant(tokens: number, now: number): boolean {
+  /// A request that the bucket holds in full passes one that it does not. Larger ones overdraw it, for a part of the rate, so that they do
+  /// not starve; one that is larger than that waits until the bucket is full.
+  private tryGrant(tokens: number, now: number): boolean {
     const level = this.bucket.getLevel(now)
-    return level > 0 && (tokens <= level + this.getDebtTokens(now) || level >= getDepth(this.limit))
-  }
-
-  /// Debt grows with the time for which the bucket has been here, so that owners that change often do not add up theirs.
-  private getDebtTokens(now: number): number {
-    return this.debtTokens * Math.min(1, (now - this.createdAt) / FULL_DEBT_MS)
+    const isCovered = tokens <= level || level >= getDepth(this.limit)
+    const mayOverdraw = level > 0 && tokens > this.debtTokens * SMALL_SHARE
+    if (!isCovered && !(mayOverdraw && this.overdraft.tryTake(tokens - level, now))) return false
+    this.bucket.take(tokens, now)
+    return true
   }
 
   private getBlockedMs(tokens: number, now: number): number {
     const level = this.bucket.getLevel(now)
-    const missing = Math.max(
-      -level,
-      Math.min(getDepth(this.limit), tokens - this.getDebtTokens(now)) - level,
-      0
-    )
+    const missing = Math.max(0, Math.min(getDepth(this.limit), tokens) - level)
     return clamp((missing / this.limit.ratePerSecond) * 1000, SHORTEST_BLOCK_MS, LONGEST_BLOCK_MS)
   }
 
@@ -130,6 +137,10 @@
   return Math.max(burst, (ratePerSecond * SHALLOWEST_MS) / 1000)
 }
 
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, value) => total + value, 0)
+}
+
 function clamp(value: number, least: number, most: number): number {
   return Math.min(most, Math.max(least, value))
 }
--- a/test/quotas.test.ts
+++ b/test/quotas.test.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import { decodePeerMessage, encodePeerMessage } from '../src/adapters/peer-codec.js';
 import type { QuotaLimit } from '../src/quotas/quota-settings.js';
+import { OwnedBucket } from '../src/quotas/quota-owner.js';
 import { TokenBucket } from '../src/quotas/token-bucket.js';
 import { SeededRandom } from '../src/shared/random.js';
 import { QuotaFleet, type QuotaNode } from '../simulation/quota-fleet.js';
@@ -78,6 +79,29 @@
   });
 });
 
+describe('an owned bucket', () => {
+  const limit = { ratePerSecond: 10_000, burst: 10_000 };
+  const ask = (bucket: OwnedBucket, needs: number[], now: number): number[] =>
+    bucket.receive('d', { needs, spent: 0 }, now).granted;
+
+  it('lets a short request pass a long one that it cannot pay', () => {
+    const bucket = new OwnedBucket(limit, 0, 0, 0);
+    expect(ask(bucket, [5000, 300, 900], 100)).to.deep.equal([1]);
+    expect(ask(bucket, [300], 100)).to.deep.equal([0]);
+  });
+
+  it('does not let short requests starve long ones, nor long ones short ones', () => {
+    const bucket = new OwnedBucket(limit, 38_000, 0, 0);
+    const granted = { short: 0, long: 0 };
+    for (let now = 10; now <= 60_000; now += 10) {
+      granted.short += ask(bucket, [SHORT], now).length * SHORT;
+      if (now % 100 === 0) granted.long += ask(bucket, [LONG], now).length * LONG;
+    }
+    expect(granted.long / 600_000).to.be.within(0.15, 0.35);
+    expect(granted.short / 600_000).to.be.within(0.6, 0.85);
+  });
+});
+
 describe('messages of quotas', () => {
   it('pass between daemons', () => {
     const ask = { kind: 'quotaAsk', sequence: 1, tenant: 't', needs: [17_000, 390], spent: -20 } as const;
@@ -87,7 +111,8 @@
       kind: 'quotaAnswer',
       sequence: 1,
       tenant: 't',
-      granted: 1,
+      granted: [1],
+      blockedTokens: 390,
       blockedMs: 1,
       retryAfterMs: 100,
       reserve: 3,
