--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -1,7 +1,7 @@
 /// Chooses the back end of an attempt. Plain back ends and decode engines: the least loaded of a few drawn. Prompts: see
 /// `PromptPicker`.
 import type {RandomSource} from "../shared/random.js"
-import {DISTANCE_CLASSES, type DistanceClass} from "../places/places.js"
+import {DISTANCE_CLASSES} from "../places/places.js"
 import type {BackendDistance} from "./backend-distance.js"
 import type {BackendDirectory} from "./backend-directory.js"
 import type {BackendPickerSettings} from "./backend-picker-settings.js"
@@ -40,9 +40,17 @@
     this.distance.requestAnswered(plan, ms)
   }
 
-  /// How far the plan's back end is; undefined where the fleet lies in one region.
-  getDistance({backend}: BackendPlan): DistanceClass | undefined {
-    return this.distance.hasSeveralRegions() ? this.distance.getDistance(backend) : undefined
+  /// For the log: how far the plan's back end is and, if it leaves the region, what it costs there and would have cost at home, in
+  /// milliseconds. Nothing where the fleet lies in one region.
+  getDistanceFields({backend, costMs, ownRegionMs}: BackendPlan): Readonly<Record<string, unknown>> {
+    if (!this.distance.hasSeveralRegions()) return {}
+    const distance = this.distance.getDistance(backend)
+    if (distance !== "otherRegion") return {distance}
+    return {
+      distance,
+      costMs: costMs && Math.round(costMs),
+      ownRegionMs: ownRegionMs && Math.round(ownRegionMs)
+    }
   }
 
   /// The best plan, or undefined when no back end of the service takes work.
@@ -52,8 +60,39 @@
     return plan
   }
 
+  /// The own region comes first; where its back ends cannot take the request in time, all are weighed by one cost. Both ways on one
+  /// day of a fleet of 18 daemons: docs/design/regions.md. The engine that generates is near where the KV cache is, whatever region
+  /// that is.
   private findPlan(wanted: BackendWanted, now: number): BackendPlan | undefined {
     const able = this.getAble(wanted)
+    const ownFirst = this.distance.hasSeveralRegions() && !wanted.prefilled
+    const own = ownFirst ? this.findOwnPlan(able, wanted, now) : undefined
+    return own ?? this.findPlanAmong(able, wanted, now)
+  }
+
+  /// A plan within the region; undefined when its back ends are in trouble, have no free slot, would probably be late, or lack a
+  /// stage.
+  private findOwnPlan(
+    able: readonly BackendView[],
+    wanted: BackendWanted,
+    now: number
+  ): BackendPlan | undefined {
+    const own = able.filter(view => this.distance.getDistance(view) !== "otherRegion")
+    const plan = this.findPlanAmong(own, wanted, now)
+    if (!plan || plan.late || plan.full) return undefined
+    const {backend} = plan
+    if (backend.avoided(now) || backend.distrusted()) return undefined
+    if (backend.inFlight() >= backend.record.slots) return undefined
+    if ((plan.costMs ?? 0) > wanted.targetLeftMs * this.settings.onTimeShare) return undefined
+    const isLong = (wanted.prompt?.promptTokens ?? 0) > this.settings.decodePromptTokens
+    return isLong && !plan.prefillOnly ? undefined : plan
+  }
+
+  private findPlanAmong(
+    able: readonly BackendView[],
+    wanted: BackendWanted,
+    now: number
+  ): BackendPlan | undefined {
     const {prompt} = wanted
     const engines = able.some(view => view.record.stage !== undefined)
     if (!prompt || !engines) {
@@ -92,7 +131,7 @@
     const bytes = getCallBytes(wanted)
     if (distance.hasSeveralRegions()) {
       const cost = (view: BackendView) => distance.getSlotWaitMs(view) + distance.getCall(view, bytes).costMs
-      return makePlan(this.pickLeastByDistance(candidates, cost), 0, "least-loaded")
+      return this.pickLeastByDistance(candidates, 0, cost)
     }
     const backend = this.pickLeast(candidates, view => {
       const far = distance.getCall(view, bytes).costMs / distance.getWorkMs(view)
@@ -106,7 +145,7 @@
     if (decodes.length === 0) return undefined
     const {prefilledAt, service} = wanted
     const source = this.directory.ofService(service).find(view => view.record.address === prefilledAt)
-    return makePlan(this.pickLeastWaiting(decodes, wanted, source), 0, "least-loaded")
+    return this.pickLeastWaiting(decodes, wanted, 0, source)
   }
 
   private pickForPrompt(
@@ -117,7 +156,7 @@
   ): BackendPlan | undefined {
     if (decodes.length === 0) return undefined
     if (wanted.direct || prompt.promptTokens <= this.settings.decodePromptTokens) {
-      return makePlan(this.pickLeastWaiting(decodes, wanted), prompt.promptTokens, "least-loaded")
+      return this.pickLeastWaiting(decodes, wanted, prompt.promptTokens)
     }
     const able = prefills.length > 0 ? getWithRoom(prefills, wanted) : decodes
     return able.length > 0 ? this.prompts.pick(prompt, wanted, able, decodes) : undefined
@@ -128,32 +167,40 @@
   private pickLeastWaiting(
     decodes: readonly BackendView[],
     wanted: BackendWanted,
+    promptTokens: number,
     source?: BackendView
-  ): BackendView {
+  ): BackendPlan {
     const {distance, prompts} = this
     if (distance.hasSeveralRegions()) {
-      return this.pickLeastByDistance(decodes, view => prompts.getDecodeMs(view, wanted, source))
+      return this.pickLeastByDistance(decodes, promptTokens, view =>
+        prompts.getDecodeMs(view, wanted, source)
+      )
     }
     const near = decodes.filter(view => distance.getDistance(view) === "sameZone")
     const cost = (view: BackendView) => prompts.getWaitingCost(view)
-    if (near.length === 0) return this.pickLeast(decodes, cost)
+    if (near.length === 0) return makePlan(this.pickLeast(decodes, cost), promptTokens, "least-loaded")
     const best = this.pickLeast(near, cost)
     const far = decodes[this.random.below(decodes.length)]
     const farTokens = distance.getCall(far, 0).costMs * distance.getDefaultTokensPerMs()
-    return cost(far) + farTokens < cost(best) ? far : best
+    const backend = cost(far) + farTokens < cost(best) ? far : best
+    return makePlan(backend, promptTokens, "least-loaded")
   }
 
   /// The least of a few drawn from each class of distance. Drawn from all alike, the few back ends of the own zone would mostly
   /// not be among them.
   private pickLeastByDistance(
     candidates: readonly BackendView[],
+    promptTokens: number,
     cost: (view: BackendView) => number
-  ): BackendView {
+  ): BackendPlan {
     const best = DISTANCE_CLASSES.flatMap(kind => {
       const there = candidates.filter(view => this.distance.getDistance(view) === kind)
       return there.length > 0 ? [this.pickLeast(there, cost)] : []
     })
-    return best.reduce((least, view) => (cost(view) < cost(least) ? view : least))
+    const backend = best.reduce((least, view) => (cost(view) < cost(least) ? view : least))
+    const own = best.filter(view => this.distance.getDistance(view) !== "otherRegion").map(cost)
+    const ownRegionMs = own.length > 0 ? Math.min(...own) : undefined
+    return {...makePlan(backend, promptTokens, "least-loaded"), costMs: cost(backend), ownRegionMs}
   }
 
   private pickLeast(candidates: readonly BackendView[], cost: (view: BackendView) => number): BackendView {
--- a/src/forwarding/backend-plan.ts
+++ b/src/forwarding/backend-plan.ts
@@ -27,6 +27,10 @@
   readonly distanceMs: number
   /// Why this back end, for the log.
   readonly reason: PlanReason
+  /// Waiting and work there, and distance with its price. Not reckoned in a fleet of one region. Milliseconds.
+  readonly costMs?: number | undefined
+  /// The least of that in the own region when the plan leaves it; undefined when no back end there would do.
+  readonly ownRegionMs?: number | undefined
 }
 
 /// What is wanted of a choice.
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -201,7 +201,7 @@
       backend: backend.record.id,
       stage: plan.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
       reason: plan.reason,
-      distance: this.picker.getDistance(plan),
+      ...this.picker.getDistanceFields(plan),
       promptTokens: plan.promptTokens,
       copyFrom: plan.copyFrom?.id,
       inFlight: backend.inFlight(),
--- a/src/forwarding/prompt-ways.ts
+++ b/src/forwarding/prompt-ways.ts
@@ -5,7 +5,6 @@
 import type {BackendDistance} from "./backend-distance.js"
 import {getCallBytes, type BackendWanted} from "./backend-plan.js"
 import type {BackendView} from "./backend-view.js"
-import type {PromptOutline} from "./forward-request.js"
 
 /// An engine and the tokens of a prompt that it keeps.
 export interface Keeper {
@@ -16,13 +15,15 @@
 /// The ways of one prompt.
 export class PromptWays {
   private readonly callBytes: number
-  private readonly byZone = new Map<string, Expense>()
+  private readonly restByZone = new Map<string, number>()
 
   constructor(
     private readonly distance: BackendDistance,
-    private readonly prompt: PromptOutline,
     private readonly wanted: BackendWanted,
-    private readonly decodes: readonly BackendView[]
+    private readonly decodes: readonly BackendView[],
+    /// What generating at the one engine costs when the other has computed the prompt: work that waits there, the second call
+    /// and the hand-over. Milliseconds.
+    private readonly getDecodeMs: (decode: BackendView, source: BackendView) => number
   ) {
     this.callBytes = getCallBytes(wanted)
   }
@@ -43,31 +44,22 @@
     const {distance, wanted} = this
     const call = distance.getCall(backend, this.callBytes)
     const copy = copyFrom ? distance.getMove(copyFrom, backend, copiedTokens, wanted.engine) : undefined
-    const rest = backend.record.stage === "prefill" ? this.getRest(backend).costMs : 0
+    const restMs = backend.record.stage === "prefill" ? this.getRestMs(backend) : 0
     return {
       timeMs: call.timeMs + (copy?.timeMs ?? 0),
-      costMs: call.costMs + (copy?.costMs ?? 0) + rest
+      costMs: call.costMs + (copy?.costMs ?? 0) + restMs
     }
   }
 
-  /// The second call and the hand-over, to a decode engine as near to the first engine as there is one.
-  private getRest(backend: BackendView): Expense {
+  /// What follows at the decode engine that suits the engine's zone best. Milliseconds.
+  private getRestMs(backend: BackendView): number {
     const {zone} = backend.record
-    let rest = this.byZone.get(zone)
-    if (!rest) this.byZone.set(zone, (rest = this.makeRest(backend)))
-    return rest
-  }
-
-  private makeRest(backend: BackendView): Expense {
-    const {distance, prompt, wanted} = this
-    let best: Expense = {timeMs: Infinity, costMs: Infinity}
-    for (const decode of this.decodes) {
-      const call = distance.getCall(decode, this.callBytes)
-      const move = distance.getMove(backend, decode, prompt.promptTokens, wanted.engine)
-      const costMs = call.costMs + move.costMs
-      if (costMs < best.costMs) best = {timeMs: call.timeMs + move.timeMs, costMs}
+    let restMs = this.restByZone.get(zone)
+    if (restMs === undefined) {
+      restMs = Math.min(...this.decodes.map(decode => this.getDecodeMs(decode, backend)))
+      this.restByZone.set(zone, restMs)
     }
-    return best
+    return restMs
   }
 
   private isNearer(one: Keeper, other: Keeper, backend: BackendView): boolean {
--- a/test/regions.test.ts
+++ b/test/regions.test.ts
@@ -147,6 +147,20 @@
     expect(lastBackend(site), 'the whole way stays there').to.equal('d-zone-c');
   });
 
+  it('prompts: not computed where the decode engines are full, when the KV cache would have to leave the region', () => {
+    const stages: [string, EngineStage][] = [
+      ['p', 'prefill'],
+      ['d', 'decode'],
+    ];
+    const zones = ['zone-b', 'zone-c'];
+    const site = makeSite(
+      ...zones.flatMap((zone) => stages.map(([id, stage]) => at(zone, `${id}-${zone}`, stage))),
+    );
+    addLoad(site, 'd-zone-b', 60);
+    site.begin({ id: 'r1', prompt: prompt(10_000, 0), bodyBytes: 10_000, callerDeadlineMs: 5000 });
+    expect(lastBackend(site)).to.equal('p-zone-c');
+  });
+
   it('short prompts: a decode engine of the own region', () => {
     const site = makeSite(at('zone-b', 'near', 'decode'), at('zone-c', 'far', 'decode'));
     addLoad(site, 'near', 6);
@@ -175,6 +189,7 @@
     const reasons = ['one', 'two', 'three', 'four', 'five', 'six'].map((key) => {
       site.begin({ id: key, prompt: prompt(2000, 8000, key) });
       expect(lastBackend(site)).to.match(/zone-[ab]$/);
+      site.manager.cancel(key, 0);
       return site.effects.flatMap((effect) =>
         effect.kind === 'decision' && effect.event === 'request.attempt' ? [effect.fields.reason] : [],
       );
@@ -182,6 +197,16 @@
     expect(new Set(reasons.at(-1))).to.deep.equal(new Set(['home']));
   });
 
+  it('a region whose back ends are all lost, or full, uses those of another one', () => {
+    const site = makeSite(at('zone-a', 'near'), at('zone-c', 'far'));
+    addLoad(site, 'near', 8);
+    site.begin({ id: 'r1' });
+    expect(lastBackend(site), 'full, and two requests more are a short wait').to.equal('near');
+    site.directory.get('near')?.lost(0);
+    site.begin({ id: 'r2' });
+    expect(lastBackend(site)).to.equal('far');
+  });
+
   it('a region without prefill engines has prompts computed by another one', () => {
     const site = makeSite(
       at('zone-a', 'near', 'decode'),
@@ -262,4 +287,15 @@
     );
     expect(distances).to.deep.equal([['otherRegion'], [undefined]]);
   });
+
+  it('an attempt that leaves its region tells what it costs there and would have cost at home', () => {
+    const site = makeSite(at('zone-a', 'near'), at('zone-c', 'far'));
+    addLoad(site, 'near', 40);
+    site.begin();
+    const lines = site.effects.flatMap((effect) =>
+      effect.kind === 'decision' && effect.event === 'request.attempt' ? [effect.fields] : [],
+    );
+    // 20 ms of work: 33 requests more than the 8 slots (4.125 times) and a quarter of the load of 5.
+    expect(lines[0]).to.include({ backend: 'far', distance: 'otherRegion', ownRegionMs: 108, costMs: 19 });
+  });
 });
