--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -75,7 +75,7 @@
     this.handledAt = now;
     this.membersToldAt = now;
     const emit = (effect: ForwardingEffect): void => void this.outbox.push(effect);
-    this.directory = new BackendDirectory(settings.health);
+    this.directory = new BackendDirectory(settings.health, settings.picker.pace);
     this.membership = new Membership(
       initialMember(identity),
       seeds,
@@ -103,6 +103,19 @@
         requestBegan: (tenant, at) => {
           for (const part of this.parts) part.requestBegan?.(tenant, at);
         },
+        takeQuota: (request, at) => {
+          for (const part of this.parts) {
+            const answer = part.takeQuota?.(request, at);
+            if (answer) return answer;
+          }
+          return undefined;
+        },
+        removeQuotaRequest: (requestId) => {
+          for (const part of this.parts) part.removeQuotaRequest?.(requestId);
+        },
+        chargeQuota: (tenant, cost, at) => {
+          for (const part of this.parts) part.chargeQuota?.(tenant, cost, at);
+        },
       },
       picker,
       this.kvIndex,
@@ -117,6 +130,7 @@
       {
         selfAddress: identity.address,
         zone: identity.zone,
+        region: identity.region,
         active: () => this.membership.active(),
       },
       random,
@@ -133,6 +147,12 @@
         regions: places.hasSeveralRegions() ? { places, roundTrips, distance } : undefined,
         emit,
         members: () => this.membership.active(),
+        fleet: () => ({
+          members: this.membership.active(),
+          known: this.membership.contact().known,
+          joined: this.membership.joined(),
+        }),
+        decideQuota: (requestId, decision) => this.manager.applyQuota(requestId, decision, this.handledAt),
         routes: () => this.routes,
         believe: (event, fields) => this.believe(event, fields),
       },
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -135,7 +135,7 @@
     }
     const backend = this.pickLeast(candidates, view => {
       const far = distance.getCall(view, bytes).costMs / distance.getWorkMs(view)
-      return view.inFlight() / Math.max(1, view.record.slots) + far
+      return ((view.inFlight() + 1) / Math.max(1, view.record.slots)) * view.pace.factor() + far
     })
     return makePlan(backend, 0, "least-loaded")
   }
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -13,6 +13,16 @@
   lastEventAt: number
   /// A stream has begun to arrive.
   answering: boolean
+  /// Requests of all daemons at the back end before this one.
+  readonly load: number
+  /// Prompt tokens of all daemons that were to be computed there before this one's.
+  readonly pendingTokens: number
+  /// When the first events of a stream came; undefined before.
+  firstEventAt: number | undefined
+  /// When the last events of the stream came.
+  lastProgressAt: number
+  /// Times at which events came after the first.
+  events: number
 }
 
 /// One request. Times are monotonic milliseconds.
@@ -39,6 +49,75 @@
   counted: boolean
   lastEventId: string | undefined
   kvSource: KvSource | undefined
+  /// The caller has left; a back end may finish what it has begun, and nothing is sent again.
+  abandoned: boolean
+  /// What it counts for its tenant's quota; 0 where none is held.
+  quotaCost: number
+  /// "refused": it counts nothing.
+  quotaState: "waiting" | "decided" | "refused"
+  /// An attempt was stopped while its back end may have been running the request.
+  wasStopped: boolean
+}
+
+/// A request that has just been taken on.
+export function createSession(
+  request: ForwardRequest,
+  route: Route,
+  service: string,
+  tenant: Tenant | undefined
+): Session {
+  const allowedMs = Math.min(route.timeoutMs, request.callerDeadlineMs ?? Infinity)
+  return {
+    request,
+    route,
+    service,
+    tenant,
+    deadlineAt: request.arrivedAt + allowedMs,
+    excluded: new Set(),
+    attempt: undefined,
+    sends: 0,
+    arrivals: 0,
+    runs: 0,
+    prefills: 0,
+    mayHaveRun: false,
+    relaying: false,
+    counted: false,
+    lastEventId: undefined,
+    kvSource: undefined,
+    abandoned: false,
+    quotaCost: 0,
+    quotaState: "decided",
+    wasStopped: false
+  }
+}
+
+/// An attempt that begins now, before its back end counts it.
+export function createAttempt(attemptId: string, plan: BackendPlan, now: number): LiveAttempt {
+  return {
+    attemptId,
+    plan,
+    startedAt: now,
+    lastEventAt: now,
+    answering: false,
+    load: plan.backend.inFlight(),
+    pendingTokens: plan.backend.pendingTokens(),
+    firstEventAt: undefined,
+    lastProgressAt: now,
+    events: 0
+  }
+}
+
+/// Events of the stream have come.
+export function countProgress(attempt: LiveAttempt, now: number): void {
+  if (attempt.firstEventAt === undefined) attempt.firstEventAt = now
+  else attempt.events += 1
+  attempt.lastProgressAt = now
+}
+
+/// The attempt is over for its request and its back end.
+export function removeAttempt(session: Session, attempt: LiveAttempt): void {
+  attempt.plan.backend.end(attempt.attemptId)
+  session.attempt = undefined
 }
 
 /// Whether requests of the route may run more than once.
@@ -46,6 +125,12 @@
   return kind === "idempotent" || (kind === "stream" && resumable)
 }
 
+/// Whether the live attempt goes on when the caller leaves. An order that a back end has begun would be left half done, and its caller could
+/// not know; it is run to its end, within its time. Everything else is of no use without its caller.
+export function isFinishedWithoutCaller({route, attempt}: Session): boolean {
+  return route.kind === "nonIdempotent" && attempt?.plan.prefillOnly === false
+}
+
 /// Back ends that count against the attempts of the route.
 function countAttempts({runs, prefills}: Session): number {
   return runs + Math.max(0, prefills - 1)
--- /dev/null
+++ b/src/forwarding/request-closer.ts
@@ -0,0 +1,132 @@
+/// Ends requests: every request gets exactly one answer or none when its caller left, its attempt is stopped, and a KV
+/// cache that nobody will take is freed. A request is refused as "not run" only when no back end can have run it.
+import type {EffectSink} from "../shared/effect-sink.js"
+import {addUnansweredSample} from "./attempt-pace.js"
+import {
+  type ForwardAnswers,
+  STATUS_BROKEN,
+  STATUS_DEADLINE,
+  STATUS_OVER_QUOTA,
+  STATUS_UNAVAILABLE
+} from "./forward-answers.js"
+import type {ForwardEffect, ForwardFailure} from "./forward-messages.js"
+import {isFinishedWithoutCaller, removeAttempt, type LiveAttempt, type Session} from "./forward-session.js"
+import type {ForwardSettings} from "./forward-settings.js"
+import type {QuotaGate} from "./quota-gate.js"
+import type {QuotaRefusal} from "./tenant-quota.js"
+
+/// The end of the requests of one daemon. Times are monotonic milliseconds.
+export class RequestCloser {
+  constructor(
+    private readonly settings: ForwardSettings,
+    private readonly sessions: Map<string, Session>,
+    private readonly answers: ForwardAnswers,
+    private readonly quotaGate: QuotaGate,
+    private readonly emit: EffectSink<ForwardEffect>
+  ) {}
+
+  /// The caller went away: the work is cancelled, or its answer is dropped when it comes.
+  closeCancelled(session: Session, now: number): void {
+    const {attempt} = session
+    const finished = attempt !== undefined && isFinishedWithoutCaller(session)
+    this.answers.logDecision("request.cancelled", session, {
+      afterMs: Math.round(now - session.request.arrivedAt),
+      finished: finished || undefined
+    })
+    if (finished) {
+      session.abandoned = true
+      this.emit({kind: "abandonAttempt", attemptId: attempt.attemptId})
+      return
+    }
+    this.stopAttempt(session, now)
+    this.close(session, now)
+  }
+
+  /// Its tenant's quota does not allow it.
+  closeOverQuota(session: Session, {retryAfterMs, fields}: QuotaRefusal, now: number): void {
+    session.quotaState = "refused"
+    const {request, tenant} = session
+    this.answers.sendFailure(request, STATUS_OVER_QUOTA, "over-quota", retryAfterMs, now, session, {
+      tenant: tenant?.name,
+      ...fields
+    })
+    this.close(session, now)
+  }
+
+  /// The time is over.
+  closeAtDeadline(session: Session, now: number): void {
+    const notRun = !session.attempt && !session.mayHaveRun
+    if (session.attempt && !session.attempt.answering) judgeUnanswered(session.attempt, now)
+    this.stopAttempt(session, now)
+    if (notRun) this.closeFailed(session, STATUS_UNAVAILABLE, "deadline", this.settings.retryAfterMs, now)
+    else this.closeFailed(session, STATUS_DEADLINE, "deadline", undefined, now)
+  }
+
+  /// The answer of the attempt is whole and goes to the caller.
+  closeAnswered(session: Session, attempt: LiveAttempt, status: number, now: number): void {
+    const {attemptId} = attempt
+    if (session.abandoned) this.emit({kind: "abortAttempt", attemptId})
+    else this.emit({kind: "replyWhole", requestId: session.request.id, attemptId})
+    this.answers.logDecision("request.answered", session, {
+      backend: attempt.plan.backend.record.id,
+      status,
+      streamed: session.relaying,
+      afterMs: Math.round(now - session.request.arrivedAt),
+      sends: session.sends
+    })
+    this.close(session, now)
+  }
+
+  /// No back end took it: refused as not run when that is certain.
+  closeNotServed(
+    session: Session,
+    failure: ForwardFailure,
+    now: number,
+    retryAfterMs = this.settings.retryAfterMs
+  ): void {
+    if (session.mayHaveRun) this.closeFailed(session, STATUS_BROKEN, failure, undefined, now)
+    else this.closeFailed(session, STATUS_UNAVAILABLE, failure, retryAfterMs, now)
+  }
+
+  /// Answers with a failure of the daemon's own.
+  closeFailed(
+    session: Session,
+    status: number,
+    failure: ForwardFailure,
+    retryAfterMs: number | undefined,
+    now: number
+  ): void {
+    if (session.abandoned) this.answers.logDecision("request.failed", session, {failure, abandoned: true})
+    else if (session.relaying) this.answers.sendBroken(session, failure, now)
+    else this.answers.sendFailure(session.request, status, failure, retryAfterMs, now, session)
+    this.close(session, now)
+  }
+
+  /// Frees the KV cache that waits for the request.
+  removeKv(session: Session): void {
+    if (session.kvSource) this.emit({kind: "freeKv", source: session.kvSource})
+    session.kvSource = undefined
+  }
+
+  private stopAttempt(session: Session, now: number): void {
+    const {attempt} = session
+    if (!attempt) return
+    addUnansweredSample(attempt, now)
+    this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
+    session.wasStopped = true
+    removeAttempt(session, attempt)
+  }
+
+  private close(session: Session, now: number): void {
+    this.removeKv(session)
+    this.quotaGate.leave(session, now)
+    this.sessions.delete(session.request.id)
+  }
+}
+
+/// An engine that answers others was only busy; a plain back end should have answered.
+function judgeUnanswered(attempt: LiveAttempt, now: number): void {
+  const {backend} = attempt.plan
+  if (backend.silent(now)) backend.lost(now)
+  else if (backend.record.stage === undefined) backend.failed(now)
+}
--- a/test/region-part.test.ts
+++ b/test/region-part.test.ts
@@ -40,6 +40,8 @@
     regions,
     emit: () => undefined,
     members: () => [member, { ...member, id: THIRD }],
+    fleet: () => ({ members: [member], known: 1, joined: true }),
+    decideQuota: () => undefined,
     routes: () => undefined,
     believe: () => undefined,
   };
