--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -83,7 +83,8 @@
     const {backend} = plan
     if (backend.avoided(now) || backend.distrusted()) return undefined
     if (backend.inFlight() >= backend.record.slots) return undefined
-    if ((plan.costMs ?? 0) > wanted.targetLeftMs * this.settings.onTimeShare) return undefined
+    const waitMs = backend.record.stage === undefined ? 0 : this.prompts.getPromptWaitMs(backend)
+    if (waitMs > wanted.targetLeftMs * this.settings.onTimeShare) return undefined
     const isLong = (wanted.prompt?.promptTokens ?? 0) > this.settings.decodePromptTokens
     return isLong && !plan.prefillOnly ? undefined : plan
   }
--- a/src/forwarding/prompt-picker.ts
+++ b/src/forwarding/prompt-picker.ts
@@ -54,18 +54,16 @@
     decodes: readonly BackendView[]
   ): BackendPlan {
     const ways = this.distance.hasSeveralRegions()
-      ? new PromptWays(this.distance, wanted, decodes, (decode, source) =>
-          this.getDecodeMs(decode, wanted, source)
-        )
+      ? new PromptWays(this.distance, prompt, wanted, decodes)
       : undefined
-    const homes = this.findHomes(prompt, wanted.service, able)
-    const plan = this.pickCheapest(prompt, able, homes, false, ways)
+    const home = this.findHome(prompt, wanted.service, able)
+    const plan = this.pickCheapest(prompt, able, home, false, ways)
     const late =
       plan.expectedMs !== undefined && plan.expectedMs > wanted.targetLeftMs * this.settings.onTimeShare
     if (!late) return plan
     const roomy = able.filter(view => this.hasRoomForLate(view, prompt, wanted.engine))
-    if (roomy.length > 0) return this.pickCheapest(prompt, roomy, homes, true, ways)
-    return {...this.pickCheapest(prompt, able, homes, true, ways), full: true}
+    if (roomy.length > 0) return this.pickCheapest(prompt, roomy, home, true, ways)
+    return {...this.pickCheapest(prompt, able, home, true, ways), full: true}
   }
 
   /// Every engine is weighed: what it keeps of the prompt it need not compute, what another engine keeps it copies from
@@ -73,7 +71,7 @@
   private pickCheapest(
     prompt: PromptOutline,
     candidates: readonly BackendView[],
-    homes: ReadonlySet<string>,
+    home: string | undefined,
     late: boolean,
     ways: PromptWays | undefined
   ): BackendPlan {
@@ -83,7 +81,7 @@
     let bestCost = Infinity
     let ownRegionCost = Infinity
     for (const backend of candidates) {
-      const work = this.getWork(prompt, backend, keepers, homes, ways)
+      const work = this.getWork(prompt, backend, keepers, home, ways)
       const ownCost = work.cost * this.getPromptFactor(backend) * backend.pace.factor()
       const cost = this.getWaitingCost(backend, late) + ownCost + work.distanceTokens
       if (this.distance.getDistance(backend) !== "otherRegion") ownRegionCost = Math.min(ownRegionCost, cost)
@@ -92,7 +90,7 @@
       bestWork = work
       bestCost = cost
     }
-    bestWork ??= this.getWork(prompt, best, keepers, homes, ways)
+    bestWork ??= this.getWork(prompt, best, keepers, home, ways)
     const plan = this.makePlan(best, bestWork, late)
     if (!ways) return plan
     const tokensPerMs = this.getTokensPerMs(best)
@@ -104,7 +102,7 @@
     prompt: PromptOutline,
     backend: BackendView,
     keepers: readonly Keeper[],
-    homes: ReadonlySet<string>,
+    home: string | undefined,
     ways: PromptWays | undefined
   ): PromptWork {
     const {minimumCopyTokens, minimumAffinityTokens, readAgainFactor, copyFactor} = this.settings
@@ -115,7 +113,7 @@
     const copiedTokens = missing >= minimumCopyTokens ? missing : 0
     const promptTokens = prompt.promptTokens - keptTokens - copiedTokens
     const coldTokens = Math.max(0, shared - keptTokens - copiedTokens)
-    const atHome = homes.has(backend.record.id)
+    const atHome = backend.record.id === home
     const readElsewhere = atHome || shared < minimumAffinityTokens ? 0 : coldTokens * (readAgainFactor - 1)
     const copyCost = ways ? 0 : copiedTokens * copyFactor
     const cost = promptTokens + readElsewhere + copyCost
@@ -175,29 +173,19 @@
     return keepers
   }
 
-  /// The engines that keep the shared parts, one in each region: the same for every daemon, also while one is avoided for a moment.
-  private findHomes(
-    prompt: PromptOutline,
-    service: string,
-    able: readonly BackendView[]
-  ): ReadonlySet<string> {
-    const homes = new Set<string>()
-    if (sharedTokens(prompt) < this.settings.minimumAffinityTokens) return homes
+  /// The engine that keeps the shared parts: the same for every daemon of a region, also while it is avoided for a moment. A region
+  /// without such engines shares the homes of all.
+  private findHome(prompt: PromptOutline, service: string, able: readonly BackendView[]): string | undefined {
+    if (sharedTokens(prompt) < this.settings.minimumAffinityTokens) return undefined
     const {stage} = able[0].record
-    const idsByRegion = new Map<string, string[]>()
-    for (const view of this.directory.ofService(service)) {
-      if (!view.takesWork() || view.record.stage !== stage) continue
-      const region = this.settings.homesByRegion ? (this.distance.getOtherRegion(view) ?? "") : ""
-      const ids = idsByRegion.get(region)
-      if (ids) ids.push(view.record.id)
-      else idsByRegion.set(region, [view.record.id])
-    }
-    const key = sharedKey(prompt)
-    for (const ids of idsByRegion.values()) {
-      const home = pickByRendezvous(key, ids)
-      if (home !== undefined) homes.add(home)
-    }
-    return homes
+    const views = this.directory
+      .ofService(service)
+      .filter(view => view.takesWork() && view.record.stage === stage)
+    const own = this.settings.homesByRegion
+      ? views.filter(view => this.distance.getDistance(view) !== "otherRegion")
+      : []
+    const ids = (own.length > 0 ? own : views).map(view => view.record.id)
+    return pickByRendezvous(sharedKey(prompt), ids)
   }
 
   /// Time that a token of a prompt takes, in tokens of a prefill engine.
@@ -212,12 +200,17 @@
     return (tokens * this.getPromptFactor(view) + requestCost) * view.pace.factor()
   }
 
+  /// What a prompt would wait for there. Milliseconds.
+  getPromptWaitMs(view: BackendView): number {
+    return this.getWaitingCost(view) / this.getTokensPerMs(view)
+  }
+
   /// What a request would wait for at a decode engine, the way there and that of the KV cache from its source included.
   /// Milliseconds.
   getDecodeMs(view: BackendView, wanted: BackendWanted, source: BackendView | undefined): number {
     const {distance} = this
     const slotWaitMs = distance.getSlotWaitMs(view) * view.pace.factor()
-    const waitingMs = this.getWaitingCost(view) / this.getTokensPerMs(view) + slotWaitMs
+    const waitingMs = this.getPromptWaitMs(view) + slotWaitMs
     const callMs = distance.getCall(view, getCallBytes(wanted)).costMs
     if (!source) return waitingMs + callMs
     const tokens = wanted.prompt?.promptTokens ?? 0
--- a/src/forwarding/prompt-ways.ts
+++ b/src/forwarding/prompt-ways.ts
@@ -5,6 +5,7 @@
 import type {BackendDistance} from "./backend-distance.js"
 import {getCallBytes, type BackendWanted} from "./backend-plan.js"
 import type {BackendView} from "./backend-view.js"
+import type {PromptOutline} from "./forward-request.js"
 
 /// An engine and the tokens of a prompt that it keeps.
 export interface Keeper {
@@ -15,15 +16,13 @@
 /// The ways of one prompt.
 export class PromptWays {
   private readonly callBytes: number
-  private readonly restByZone = new Map<string, number>()
+  private readonly byZone = new Map<string, Expense>()
 
   constructor(
     private readonly distance: BackendDistance,
+    private readonly prompt: PromptOutline,
     private readonly wanted: BackendWanted,
-    private readonly decodes: readonly BackendView[],
-    /// What generating at the one engine costs when the other has computed the prompt: work that waits there, the second call
-    /// and the hand-over. Milliseconds.
-    private readonly getDecodeMs: (decode: BackendView, source: BackendView) => number
+    private readonly decodes: readonly BackendView[]
   ) {
     this.callBytes = getCallBytes(wanted)
   }
@@ -44,22 +43,31 @@
     const {distance, wanted} = this
     const call = distance.getCall(backend, this.callBytes)
     const copy = copyFrom ? distance.getMove(copyFrom, backend, copiedTokens, wanted.engine) : undefined
-    const restMs = backend.record.stage === "prefill" ? this.getRestMs(backend) : 0
+    const rest = backend.record.stage === "prefill" ? this.getRest(backend).costMs : 0
     return {
       timeMs: call.timeMs + (copy?.timeMs ?? 0),
-      costMs: call.costMs + (copy?.costMs ?? 0) + restMs
+      costMs: call.costMs + (copy?.costMs ?? 0) + rest
     }
   }
 
-  /// What follows at the decode engine that suits the engine's zone best. Milliseconds.
-  private getRestMs(backend: BackendView): number {
+  /// The second call and the hand-over, to a decode engine as near to the first engine as there is one.
+  private getRest(backend: BackendView): Expense {
     const {zone} = backend.record
-    let restMs = this.restByZone.get(zone)
-    if (restMs === undefined) {
-      restMs = Math.min(...this.decodes.map(decode => this.getDecodeMs(decode, backend)))
-      this.restByZone.set(zone, restMs)
+    let rest = this.byZone.get(zone)
+    if (!rest) this.byZone.set(zone, (rest = this.makeRest(backend)))
+    return rest
+  }
+
+  private makeRest(backend: BackendView): Expense {
+    const {distance, prompt, wanted} = this
+    let best: Expense = {timeMs: Infinity, costMs: Infinity}
+    for (const decode of this.decodes) {
+      const call = distance.getCall(decode, this.callBytes)
+      const move = distance.getMove(backend, decode, prompt.promptTokens, wanted.engine)
+      const costMs = call.costMs + move.costMs
+      if (costMs < best.costMs) best = {timeMs: call.timeMs + move.timeMs, costMs}
     }
-    return restMs
+    return best
   }
 
   private isNearer(one: Keeper, other: Keeper, backend: BackendView): boolean {
