--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -60,12 +60,12 @@
     return plan
   }
 
-  /// The own region comes first; where its back ends cannot take the request in time, all are weighed by one cost. Both ways on one
-  /// day of a fleet of 18 daemons: docs/design/regions.md. The engine that generates is near where the KV cache is, whatever region
-  /// that is.
+  /// The own region comes first; where its back ends cannot take the request in time, all are weighed by one cost. Figures of both ways
+  /// stand in docs/design/regions.md. The engine that generates is near where the KV cache is, whatever region that is.
   private findPlan(wanted: BackendWanted, now: number): BackendPlan | undefined {
     const able = this.getAble(wanted)
-    const ownFirst = this.distance.hasSeveralRegions() && !wanted.prefilled
+    const {ownRegionFirst} = this.settings
+    const ownFirst = ownRegionFirst && this.distance.hasSeveralRegions() && !wanted.prefilled
     const own = ownFirst ? this.findOwnPlan(able, wanted, now) : undefined
     return own ?? this.findPlanAmong(able, wanted, now)
   }
@@ -131,7 +131,7 @@
     const {distance} = this
     const bytes = getCallBytes(wanted)
     if (distance.hasSeveralRegions()) {
-      const cost = (view: BackendView) => distance.getSlotWaitMs(view) + distance.getCall(view, bytes).costMs
+      const cost = (view: BackendView) => distance.getAnswerMs(view) + distance.getCall(view, bytes).costMs
       return this.pickLeastByDistance(candidates, 0, cost)
     }
     const backend = this.pickLeast(candidates, view => {
