Ready means that new connections are taken: callers' connections are bounded, and those that rest give way

Cause: nothing bounded callers' connections, so a storm of them could take every descriptor; a process without any accepts nothing while it says it is ready. The test of silent links takes free ports (a fixed one collided with another run). Not tried at a real limit of descriptors.

--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -134,6 +134,7 @@
   routes: readonly Route[],
   backends: readonly BackendRecord[],
   tenants: readonly Tenant[] | null = null,
+  maximumCallerConnections = Infinity,
 ): Promise<ForwardingSite> {
   const store = new MemoryRecordStore();
   store.put({ collection: 'configuration', revision: 1, value: labConfiguration(1, routes, tenants) });
@@ -153,6 +154,7 @@
       peerAddress: peers,
       seeds: [],
       stopGraceMs: 4000,
+      maximumCallerConnections,
       log: { ...DEFAULT_DECISION_LOG_SETTINGS, linesPerSecond: 0, maximumLinesPerSecond: 0 },
       daemon: {
         ...DEFAULT_FORWARDING_SETTINGS,
@@ -177,7 +179,8 @@
   throw new Error('the daemon did not become ready');
 }
 
-async function freeAddresses(count: number): Promise<string[]> {
+/** Addresses on the loopback that nobody listens on now. */
+export async function freeAddresses(count: number): Promise<string[]> {
   const servers = await Promise.all(
     Array.from({ length: count }, async () => {
       const server = createServer();
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -36,6 +36,11 @@
 /** Callers keep to the configured limit; this one only protects the process. */
 const MAXIMUM_HEADER_BYTES = 64 * 1024;
 const KEEP_ALIVE_CHECK_MS = 1000;
+/**
+ * A connection that has rested for less is not closed to make room: its request may be on its way. Milliseconds; some times the way to a
+ * caller and back in any region that the platform names.
+ */
+const MINIMUM_REST_MS = 200;
 
 /** The answer to one request. Every method but the first has an effect once only. */
 export class CallerReply implements StreamSink {
@@ -146,12 +151,16 @@
   private readonly server: Server;
   /** Open connections, and the answers that are due on each: more than one where requests were sent without waiting. */
   private readonly connections = new Map<Socket, Set<CallerReply>>();
+  /** Connections without a due answer and since when, the longest at rest first. Monotonic milliseconds. */
+  private readonly resting = new Map<Socket, number>();
   private maximumBodyBytes = 4 * 1024 * 1024;
   private closing = false;
 
   constructor(
     private readonly handler: ForwardHandler,
     private readonly clock: () => number,
+    /** Connections that callers may have open at once: what the process may open, without what it needs for servers and peers. */
+    private readonly maximumConnections = Infinity,
   ) {
     this.server = createServer({
       connectionsCheckingInterval: KEEP_ALIVE_CHECK_MS,
@@ -191,6 +200,11 @@
     return this.connections.size;
   }
 
+  /** Whether a new connection would be served: there is room, or one that rests can give way. */
+  hasRoom(): boolean {
+    return this.connections.size < this.maximumConnections || this.getLongestAtRest() !== undefined;
+  }
+
   /** Closes connections on which no request is under way. */
   closeIdle(): void {
     this.server.closeIdleConnections();
@@ -208,22 +222,51 @@
    * looks the same until something is written.
    */
   private watch(socket: Socket): void {
+    if (!this.makeRoom()) {
+      socket.destroy();
+      return;
+    }
     const replies = new Set<CallerReply>();
     const leave = (): void => replies.forEach((reply) => reply.callerLeft());
     this.connections.set(socket, replies);
+    this.resting.set(socket, this.clock());
     socket.on('end', leave);
     socket.on('close', () => {
       this.connections.delete(socket);
+      this.resting.delete(socket);
       leave();
     });
   }
 
+  /** At the limit the connection that has rested longest is closed for a new one. A process without descriptors accepts nothing at all. */
+  private makeRoom(): boolean {
+    if (this.connections.size < this.maximumConnections) return true;
+    const longest = this.getLongestAtRest();
+    if (longest === undefined) return false;
+    this.connections.delete(longest);
+    this.resting.delete(longest);
+    longest.destroy();
+    return true;
+  }
+
+  /** A connection that gives way; one that has only just come or been answered is about to ask. */
+  private getLongestAtRest(): Socket | undefined {
+    for (const [socket, since] of this.resting)
+      return this.clock() - since >= MINIMUM_REST_MS ? socket : undefined;
+    return undefined;
+  }
+
   private accept(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = this.clock();
     const reply = new CallerReply(response, () => this.closing, undefined);
     const replies = this.connections.get(request.socket);
+    const { socket } = request;
     replies?.add(reply);
-    response.on('close', () => replies?.delete(reply));
+    this.resting.delete(socket);
+    response.on('close', () => {
+      replies?.delete(reply);
+      if (replies?.size === 0 && !socket.destroyed) this.resting.set(socket, this.clock());
+    });
     const chunks: Buffer[] = [];
     let length = 0;
     request.on('data', (chunk: Buffer) => {
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -35,6 +35,8 @@
   readonly seeds: readonly string[];
   /** A process is ended this long after it was asked to stop. Milliseconds. */
   readonly stopGraceMs: number;
+  /** Connections that callers may have open at once. */
+  readonly maximumCallerConnections: number;
   readonly daemon: ForwardingDaemonSettings;
   readonly log: DecisionLogSettings;
 }
@@ -135,9 +137,13 @@
       callTimeoutMs: CALL_TIMEOUT_MS,
       silentConnectionMs: SILENT_CONNECTION_MS,
     });
-    this.server = new ForwardServer({ received: (request, reply) => this.received(request, reply) }, now);
+    this.server = new ForwardServer(
+      { received: (request, reply) => this.received(request, reply) },
+      now,
+      settings.maximumCallerConnections,
+    );
     this.metrics = new ForwardingMetrics({
-      ready: () => this.daemon.ready(),
+      ready: () => this.ready(),
       requestsInHand: () => this.daemon.requestsInHand(),
       configurationVersion: () => this.daemon.configurationVersion(),
       configurationAgeMs: () => this.daemon.configurationAgeMs(now()),
@@ -154,7 +160,7 @@
     });
     this.readyServer = createServer((request, response) => {
       const known = request.url === settings.readyPath;
-      const status = known ? (this.daemon.ready() ? STATUS_OK : STATUS_UNAVAILABLE) : STATUS_NOT_FOUND;
+      const status = known ? (this.ready() ? STATUS_OK : STATUS_UNAVAILABLE) : STATUS_NOT_FOUND;
       response.writeHead(status, { 'Content-Length': '0' });
       response.end();
     });
@@ -218,6 +224,11 @@
     await this.backends.close();
   }
 
+  /** Whether callers should connect here: new connections are taken, and what comes on them can be served. */
+  private ready(): boolean {
+    return this.daemon.ready() && this.server.hasRoom();
+  }
+
   /** Ticks, and again after a while: sooner while requests are in hand, since only these have short deadlines. */
   private tick(): void {
     this.send({ kind: 'tick', wallMs: Date.now() });
--- a/test/silent-connections.test.ts
+++ b/test/silent-connections.test.ts
@@ -1,6 +1,12 @@
 /** Connections that pass nothing any more, without a reset, while new ones work. */
 import { expect } from 'chai';
-import { labBackend, labRoute, startForwardingSite, type ForwardingSite } from '../lab/forwarding-site.js';
+import {
+  freeAddresses,
+  labBackend,
+  labRoute,
+  startForwardingSite,
+  type ForwardingSite,
+} from '../lab/forwarding-site.js';
 import { headerOf, ScriptedBackend } from '../lab/scripted-backend.js';
 import { FaultProxy } from '../lab/soak/fault-proxy.js';
 import { PeerTransport, type PeerTransportListener } from '../src/adapters/peer-transport.js';
@@ -25,7 +31,7 @@
       onProtocolError: () => (errors += 1),
       onTraffic: () => undefined,
     };
-    const [nearAddress, farAddress] = ['127.0.0.1:28771', '127.0.0.1:28772'];
+    const [nearAddress, farAddress] = await freeAddresses(2);
     near = new PeerTransport({ kind: 'hello', id: 'near', address: nearAddress }, ignore);
     far = new PeerTransport(
       { kind: 'hello', id: 'far', address: farAddress },
