Refusals are shown never to cover what may have run; answers that are not used are let go

Cause: nothing proved that 408, 421, 429 and 503 of ours are true over all courses of events; an attempt whose 5xx was not passed on stayed in the back-end client's table with its answer (up to 16 MB) for the life of the process. Ruled out: 503 in place of 504 when only a prompt was being computed at the deadline (the caller's time is over either way). Change: a property over 2,000 courses each of three kinds of request, with and without engines; an answer that is not passed on is let go.

--- a/src/forwarding/attempt-outcomes.ts
+++ b/src/forwarding/attempt-outcomes.ts
@@ -150,13 +150,20 @@
     if (failed && mayRunAgain(session) && this.sender.mayRepeat(session, now)) {
       this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, status})
       session.excluded.add(backend.record.id)
+      this.dropAnswer(attempt)
       this.sender.send(session, now)
       return
     }
     // A failure in place of the rest of a stream that the caller has part of: its end must not look like the stream's.
-    if (session.relaying && !attempt.answering)
+    if (session.relaying && !attempt.answering) {
+      this.dropAnswer(attempt)
       this.closer.closeFailed(session, STATUS_BROKEN, "broken", undefined, now)
-    else this.closer.closeAnswered(session, attempt, status, now)
+    } else this.closer.closeAnswered(session, attempt, status, now)
+  }
+
+  /// The answer is kept until it is passed on or let go.
+  private dropAnswer({attemptId}: LiveAttempt): void {
+    this.emit({kind: "abortAttempt", attemptId})
   }
 
   /// The back end may have worked: repeat only what may be repeated.
--- /dev/null
+++ b/test/true-refusals.test.ts
@@ -0,0 +1,134 @@
+/** A refusal says that a request has not run and will not: never where a back end may have run it. Answers that are not used are let go. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { labBackend, labRoute } from '../lab/forwarding-site.js';
+import type { AttemptStart, ForwardAttemptEvent } from '../src/forwarding/forward-messages.js';
+import { Forwarding } from './forwarding-harness.js';
+
+const BACKENDS = ['b1', 'b2', 'b3'].map((id, index) => labBackend(id, `10.0.0.${index}:80`));
+const ENGINES = (['prefill', 'prefill', 'decode', 'decode'] as const).map((stage, index) => ({
+  ...labBackend(`e${index}`, `10.0.1.${index}:80`),
+  stage,
+}));
+const PROMPT = {
+  model: 'm',
+  parts: [{ id: 'p', tokens: 3000 }],
+  promptTokens: 16_000,
+  maximumOutputTokens: 10,
+};
+/** Answers that promise that the request has not run. */
+const REFUSALS: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+type Step = { readonly event: ForwardAttemptEvent } | { readonly waitMs: number };
+
+const steps: fc.Arbitrary<Step> = fc.oneof(
+  fc
+    .constantFrom<ForwardAttemptEvent>(
+      { kind: 'unreachable', reason: 'refused' },
+      { kind: 'notExecuted', status: 503, wrongIncarnation: false },
+      { kind: 'prefilled', handle: 'h' },
+      { kind: 'streamStarted' },
+      { kind: 'streamProgress', lastEventId: '1' },
+      { kind: 'connectionSilent' },
+      { kind: 'whole', status: 200 },
+      { kind: 'whole', status: 500 },
+      { kind: 'broken', reason: 'reset' },
+    )
+    .map((event) => ({ event })),
+  fc.nat(900).map((waitMs) => ({ waitMs })),
+);
+
+/** What back ends know of the attempts: the events of each, in order. */
+class Attempts {
+  private readonly events = new Map<string, ForwardAttemptEvent['kind'][]>();
+
+  /** Whether a back end can tell this of the attempt now. */
+  isPossible({ attemptId, prefillOnly, stream }: AttemptStart, { kind }: ForwardAttemptEvent): boolean {
+    const started = this.of(attemptId).includes('streamStarted');
+    switch (kind) {
+      case 'prefilled':
+        return prefillOnly;
+      case 'streamStarted':
+        return stream && !prefillOnly && !started;
+      case 'streamProgress':
+        return started;
+      case 'unreachable':
+      case 'notExecuted':
+        return !started;
+      case 'whole':
+        return !prefillOnly;
+      default:
+        return true;
+    }
+  }
+
+  add({ attemptId }: AttemptStart, { kind }: ForwardAttemptEvent): void {
+    this.events.set(attemptId, [...this.of(attemptId), kind]);
+  }
+
+  /** Whether the back end may have run the request: always, unless it saw nothing of it or said that it did not. */
+  mayHaveRun({ attemptId, prefillOnly }: AttemptStart): boolean {
+    const known = this.of(attemptId);
+    return !prefillOnly && !known.includes('unreachable') && !known.includes('notExecuted');
+  }
+
+  private of(attemptId: string): ForwardAttemptEvent['kind'][] {
+    return this.events.get(attemptId) ?? [];
+  }
+}
+
+describe('answers of the daemon itself', () => {
+  for (const kind of ['idempotent', 'nonIdempotent', 'stream'] as const) {
+    it(`never refuse as not run what may have run: ${kind}`, () => {
+      const scenario = fc.record({
+        engines: fc.boolean(),
+        slack: fc.nat(3),
+        steps: fc.array(steps, { maxLength: 14 }),
+      });
+      fc.assert(
+        fc.property(scenario, ({ engines, slack, steps: played }) => {
+          const route = labRoute({ kind, resumable: true, maximumAttempts: 3, timeoutMs: 3000 });
+          const site = new Forwarding([route], engines ? ENGINES : BACKENDS, slack);
+          site.begin({ callerDeadlineMs: 3000, ...(engines ? { prompt: PROMPT } : {}) });
+          const attempts = new Attempts();
+          let now = 0;
+          for (const step of played) {
+            const last = site.starts().at(-1);
+            if ('waitMs' in step) site.manager.tick((now += step.waitMs));
+            else if (last && attempts.isPossible(last, step.event)) {
+              attempts.add(last, step.event);
+              site.event(step.event, now);
+            }
+          }
+          site.manager.tick((now += 4000));
+          const refused = site.failures().some((status) => status !== 'broken' && REFUSALS.has(status));
+          const mayHaveRun = site.starts().some((start) => attempts.mayHaveRun(start));
+          if (refused) expect(mayHaveRun).to.equal(false);
+        }),
+        { numRuns: 2000, seed: 20261202 },
+      );
+    });
+  }
+
+  it('let go of an answer that is not passed on', () => {
+    const site = new Forwarding([labRoute({ maximumAttempts: 2 })], BACKENDS);
+    site.begin();
+    const [first] = site.starts();
+    site.event({ kind: 'whole', status: 500 }, 10);
+    expect(site.starts()).to.have.length(2);
+    expect(site.of('abortAttempt')).to.deep.equal([{ kind: 'abortAttempt', attemptId: first.attemptId }]);
+  });
+
+  it('let go of a failure in place of the rest of a stream', () => {
+    const site = new Forwarding(
+      [labRoute({ kind: 'stream', resumable: true, maximumAttempts: 2 })],
+      BACKENDS,
+    );
+    site.begin();
+    site.event({ kind: 'streamStarted' }, 10);
+    site.event({ kind: 'broken', reason: 'reset' }, 20);
+    const [, second] = site.starts();
+    site.event({ kind: 'whole', status: 500 }, 30);
+    expect(site.of('abortAttempt')).to.deep.equal([{ kind: 'abortAttempt', attemptId: second.attemptId }]);
+  });
+});
