--- a/src/forwarding/attempt-sender.ts
+++ b/src/forwarding/attempt-sender.ts
@@ -17,6 +17,7 @@
   type Session
 } from "./forward-session.js"
 import type {ForwardSettings} from "./forward-settings.js"
+import type {QuotaGate} from "./quota-gate.js"
 import type {RequestCloser} from "./request-closer.js"
 import type {RetryAllowance} from "./retry-allowance.js"
 
@@ -30,6 +31,7 @@
     private readonly limits: ForwardLimits,
     private readonly answers: ForwardAnswers,
     private readonly closer: RequestCloser,
+    private readonly quotaGate: QuotaGate,
     private readonly emit: EffectSink<ForwardEffect>
   ) {}
 
@@ -55,7 +57,7 @@
     else this.send(session, now)
   }
 
-  /// Whether another back end would take the request now. An attempt is not given up for nothing.
+  /// Whether another back end would take the request now. An attempt is not aborted for nothing.
   hasAlternative(session: Session, {plan: {backend}, connectionSilent}: LiveAttempt, now: number): boolean {
     const excluded = new Set(session.excluded)
     if (!connectionSilent) excluded.add(backend.record.id)
@@ -107,6 +109,7 @@
 
   private startAttempt(session: Session, plan: BackendPlan, now: number): void {
     session.sends += 1
+    if (!plan.prefillOnly) this.quotaGate.addSend(session, now)
     if (session.arrivals > 0) this.answers.logDecision("request.resumed", session, {sends: session.sends})
     const attemptId = `${session.request.id}/${session.sends}`
     const {backend} = plan
@@ -123,7 +126,7 @@
       backend: backend.record.id,
       stage: plan.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
       reason: plan.reason,
-      distance: this.picker.getDistance(plan),
+      ...this.picker.getDistanceFields(plan),
       promptTokens: plan.promptTokens,
       copyFrom: plan.copyFrom?.id,
       inFlight: backend.inFlight(),
