The fault soak holds tenants to quotas: back ends count tokens by tenant, in any window within the bound

One tenant of three asks for more than it may, one has an ample limit, one has none. The checker finds a planted excess. The check that 95% are served again when it is calm leaves out what is refused with 429 to the one tenant above its limit, and nothing else: those requests are not owed.

--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -177,7 +177,8 @@
       service: this.identity.service,
       at: performance.now(),
       promptOnly,
-      tenant: header(request, "x-tenant")
+      tenant: header(request, "x-tenant"),
+      tokens: sumTokens(header(request, "x-token-usage"))
     }
     if (header(request, "x-api-key") !== undefined)
       this.record.seen.push({promise: "no key goes past the daemon", text: `${id} at ${this.identity.id}`})
@@ -310,3 +311,8 @@
   const value = request.headers[name]
   return typeof value === "string" ? value : undefined
 }
+
+/// Tokens of a prompt and the most that may be generated, together.
+function sumTokens(usage: string | undefined): number | undefined {
+  return usage?.split(",").reduce((sum, text) => sum + Number(text), 0)
+}
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -1,6 +1,6 @@
 /// What callers and back ends saw in a soak, and which promises that breaks. It knows nothing of the daemons' inside.
 
-import {findTenant, type RouteForm} from "./soak-routes.js"
+import {findTenant, QUOTA_RULE, SOAK_QUOTAS, UNCACHED_TOKENS, type RouteForm} from "./soak-routes.js"
 
 /// One request of a caller. Times are monotonic milliseconds.
 export interface CallerRecord {
@@ -33,6 +33,8 @@
   readonly promptOnly: boolean
   /// The tenant that the back end was told.
   readonly tenant?: string | undefined
+  /// What the request says of its tokens.
+  readonly tokens?: number | undefined
   /// The status that the back end gave; undefined while it runs or when it broke off.
   status?: number
 }
@@ -116,9 +118,29 @@
     }
     for (const run of this.runs) violations.push(...this.checkRun(run))
     violations.push(...this.checkOrders())
+    for (const tenant of Object.keys(SOAK_QUOTAS)) violations.push(...this.checkQuota(tenant))
     return violations
   }
 
+  /// What all back ends run of a tenant within any window is bounded, whatever fails.
+  private checkQuota(tenant: string): Violation[] {
+    const {windowS, overage, slackTokens} = QUOTA_RULE
+    const {ratePerSecond, burst} = SOAK_QUOTAS[tenant]
+    const allowed = (ratePerSecond * windowS + burst) * (1 + overage) + slackTokens
+    const runs = this.runs.filter(run => run.tenant === tenant && !run.promptOnly)
+    const inOrder = [...runs].sort((left, right) => left.at - right.at)
+    let first = 0
+    let sum = 0
+    let worst = 0
+    for (const run of inOrder) {
+      sum += run.tokens ?? UNCACHED_TOKENS
+      while (inOrder[first].at <= run.at - windowS * 1000) sum -= inOrder[first++].tokens ?? UNCACHED_TOKENS
+      worst = Math.max(worst, sum)
+    }
+    const text = `${tenant}: ${worst} of ${Math.round(allowed)} tokens`
+    return worst > allowed ? [{promise: "a tenant stays within its quota", text}] : []
+  }
+
   private checkRequest(request: CallerRecord, runs: readonly RunRecord[]): Violation[] {
     const found: Violation[] = []
     const {id, form, status, sentAt, endedAt, timeoutMs} = request
--- a/lab/soak/soak-routes.ts
+++ b/lab/soak/soak-routes.ts
@@ -32,6 +32,19 @@
   {name: "cleo", keys: ["z4y7u1i9o2p5l8h3g6c1"]}
 ]
 
+/// The tenant that asks for more than it may.
+export const OVER_QUOTA_TENANT = "cleo"
+/// What the tenants may ask, in tokens.
+export const SOAK_QUOTAS: Readonly<Record<string, {readonly ratePerSecond: number; readonly burst: number}>> =
+  {
+    anna: {ratePerSecond: 400_000, burst: 400_000},
+    [OVER_QUOTA_TENANT]: {ratePerSecond: 3000, burst: 6000}
+  }
+/// What a request counts that says nothing of tokens.
+export const UNCACHED_TOKENS = 50
+/// Bounds of the promise; see `checkQuotas`.
+export const QUOTA_RULE = {windowS: 8, overage: 0.1, slackTokens: 40_000} as const
+
 /// A key that no configuration ever holds.
 export const UNKNOWN_KEY = "q9w8e7r6t5y4u3i2o1xx"
 
@@ -85,7 +98,11 @@
       makeService(SOAK_SERVICES.otherPlain),
       {...makeService(SOAK_SERVICES.engines), engine}
     ],
-    tenants: SOAK_TENANTS.map(({name, keys}) => ({name, api_keys: keys.filter(key => !taken.has(key))})),
+    tenants: SOAK_TENANTS.map(({name, keys}) => ({
+      name,
+      api_keys: keys.filter(key => !taken.has(key)),
+      ...makeQuota(name)
+    })),
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: 65_536,
@@ -95,6 +112,13 @@
   }
 }
 
+function makeQuota(tenant: string): object {
+  const quota = SOAK_QUOTAS[tenant]
+  if (!quota) return {}
+  const {ratePerSecond, burst} = quota
+  return {unit: "token_count", rate_per_s: ratePerSecond, burst, uncached_tokens: UNCACHED_TOKENS}
+}
+
 function makeRoute(route: CallerRoute, movingService: string): object {
   return {
     name: route.name,
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -11,8 +11,8 @@
 import {SeededRandom} from "../../src/shared/random.js"
 import {CallerLoad} from "./caller-load.js"
 import {makePlan, type PlannedFault} from "./fault-plan.js"
-import {BACKENDS, SoakRecord, type SoakBounds, type Violation} from "./soak-record.js"
-import {SOAK_ROUTES} from "./soak-routes.js"
+import {BACKENDS, SoakRecord, type CallerRecord, type SoakBounds, type Violation} from "./soak-record.js"
+import {findTenant, OVER_QUOTA_TENANT, SOAK_ROUTES} from "./soak-routes.js"
 import {BACKEND_PLACES, SoakSite} from "./soak-site.js"
 
 const BOUNDS: SoakBounds = {configMs: 2000, drainMs: 2000, contactMs: 3000, leaseMs: 3000, marginMs: 1500}
@@ -20,6 +20,7 @@
 /// After the last fault the site must serve again.
 const CALM_MS = 8000
 const JUDGED_CALM_MS = 3000
+const STATUS_OVER_QUOTA = 429
 const SERVED_WHEN_CALM = 0.95
 const DAEMONS = 5
 
@@ -92,6 +93,11 @@
   await Promise.all(running)
 }
 
+/// Whether it was refused for the quota of the one tenant that asks for more than it may.
+function isOverQuota({key, status}: CallerRecord): boolean {
+  return status === STATUS_OVER_QUOTA && findTenant(key) === OVER_QUOTA_TENANT
+}
+
 function judge(seed: number, record: SoakRecord, calmFrom: number): SoakOutcome {
   const violations = record.check()
   const requests = [...record.requests.values()]
@@ -100,6 +106,7 @@
     request =>
       request.sentAt >= calmFrom &&
       request.endedAt !== request.sentAt &&
+      !isOverQuota(request) &&
       (!request.needsKey || record.wasKeyValid(request, calmFrom, Infinity, "always"))
   )
   const servedWhenCalm = calm.filter(isServed).length / Math.max(1, calm.length)
--- a/test/fault-soak.test.ts
+++ b/test/fault-soak.test.ts
@@ -100,6 +100,18 @@
       addRun(record)
     ),
   ],
+  [
+    'a tenant gets more than its quota in one window',
+    (record) => {
+      for (let i = 0; i < 8; i += 1) {
+        const id = `q${i}`;
+        const at = 10_050 + i * 1000;
+        const fields = { id, sentAt: at - 50, endedAt: at + 50, body: formatBody(id) };
+        addRequest(record, { ...fields, key: SOAK_TENANTS[2].keys[0], needsKey: true });
+        addRun(record, { requestId: id, at, tenant: SOAK_TENANTS[2].name, tokens: 11_060 });
+      }
+    },
+  ],
   ['a request that nobody sent', (record) => addRun(record)],
   ['no answer at the time-out', (record) => addRequest(record, { status: undefined, endedAt: 12_500 })],
   [
