--- a/src/forwarding/prompt-picker.ts
+++ b/src/forwarding/prompt-picker.ts
@@ -79,17 +79,23 @@
     let best = candidates[0]
     let bestWork: PromptWork | undefined
     let bestCost = Infinity
+    let ownRegionCost = Infinity
     for (const backend of candidates) {
       const work = this.getWork(prompt, backend, keepers, home, ways)
       const ownCost = work.cost * this.getPromptFactor(backend) * backend.pace.factor()
       const cost = this.getWaitingCost(backend, late) + ownCost + work.distanceTokens
+      if (this.distance.getDistance(backend) !== "otherRegion") ownRegionCost = Math.min(ownRegionCost, cost)
       if (cost >= bestCost) continue
       best = backend
       bestWork = work
       bestCost = cost
     }
     bestWork ??= this.getWork(prompt, best, keepers, home, ways)
-    return this.makePlan(best, bestWork, late)
+    const plan = this.makePlan(best, bestWork, late)
+    if (!ways) return plan
+    const tokensPerMs = this.getTokensPerMs(best)
+    const ownRegionMs = ownRegionCost < Infinity ? ownRegionCost / tokensPerMs : undefined
+    return {...plan, costMs: bestCost / tokensPerMs, ownRegionMs}
   }
 
   private getWork(
@@ -194,11 +200,16 @@
     return (tokens * this.getPromptFactor(view) + requestCost) * view.pace.factor()
   }
 
+  /// What a prompt would wait for there. Milliseconds.
+  getPromptWaitMs(view: BackendView): number {
+    return this.getWaitingCost(view) / this.getTokensPerMs(view)
+  }
+
   /// What a request would wait for at a decode engine, the way there and that of the KV cache from its source included.
   /// Milliseconds.
   getDecodeMs(view: BackendView, wanted: BackendWanted, source: BackendView | undefined): number {
     const {distance} = this
-    const waitingMs = this.getWaitingCost(view) / this.getTokensPerMs(view) + distance.getAnswerMs(view)
+    const waitingMs = this.getPromptWaitMs(view) + distance.getAnswerMs(view)
     const callMs = distance.getCall(view, getCallBytes(wanted)).costMs
     if (!source) return waitingMs + callMs
     const tokens = wanted.prompt?.promptTokens ?? 0
