--- a/src/forwarding/attempt-sender.ts
+++ b/src/forwarding/attempt-sender.ts
@@ -57,7 +57,7 @@
     else this.send(session, now)
   }
 
-  /// Whether another back end would take the request now. An attempt is not given up for nothing.
+  /// Whether another back end would take the request now. An attempt is not aborted for nothing.
   hasAlternative(session: Session, {plan: {backend}, connectionSilent}: LiveAttempt, now: number): boolean {
     const excluded = new Set(session.excluded)
     if (!connectionSilent) excluded.add(backend.record.id)
@@ -126,7 +126,7 @@
       backend: backend.record.id,
       stage: plan.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
       reason: plan.reason,
-      distance: this.picker.getDistance(plan),
+      ...this.picker.getDistanceFields(plan),
       promptTokens: plan.promptTokens,
       copyFrom: plan.copyFrom?.id,
       inFlight: backend.inFlight(),
