--- a/src/forwarding/backend-picker-settings.ts
+++ b/src/forwarding/backend-picker-settings.ts
@@ -17,9 +17,6 @@
   readonly minimumCopyTokens: number
   /// Whether shared prompts have a home in each region, or one in the whole fleet. Default true. No matter in one region.
   readonly homesByRegion: boolean
-  /// Whether the own region's back ends are taken while they can serve in time, or all are weighed by one cost. Default true. No matter
-  /// in one region.
-  readonly ownRegionFirst: boolean
   /// What one request on an engine costs another, in prompt tokens. Default 60.
   readonly requestCostTokens: number
   /// Longer prompts are computed by prefill engines while there is one: on a decode engine they would hold up
@@ -43,7 +40,6 @@
   copyFactor: 0.05,
   minimumCopyTokens: 256,
   homesByRegion: true,
-  ownRegionFirst: true,
   requestCostTokens: 60,
   decodePromptTokens: 300,
   onTimeShare: 0.6,
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -60,40 +60,10 @@
     return plan
   }
 
-  /// The own region comes first; where its back ends cannot take the request in time, all are weighed by one cost. Figures of both ways
-  /// stand in docs/design/regions.md. The engine that generates is near where the KV cache is, whatever region that is.
+  /// All back ends are weighed by one cost. Taking the own region's first while they can serve in time earned as much or less:
+  /// docs/design/regions.md.
   private findPlan(wanted: BackendWanted, now: number): BackendPlan | undefined {
     const able = this.getAble(wanted)
-    const {ownRegionFirst} = this.settings
-    const ownFirst = ownRegionFirst && this.distance.hasSeveralRegions() && !wanted.prefilled
-    const own = ownFirst ? this.findOwnPlan(able, wanted, now) : undefined
-    return own ?? this.findPlanAmong(able, wanted, now)
-  }
-
-  /// A plan within the region; undefined when its back ends are in trouble, have no free slot, would probably be late, or lack a
-  /// stage.
-  private findOwnPlan(
-    able: readonly BackendView[],
-    wanted: BackendWanted,
-    now: number
-  ): BackendPlan | undefined {
-    const own = able.filter(view => this.distance.getDistance(view) !== "otherRegion")
-    const plan = this.findPlanAmong(own, wanted, now)
-    if (!plan || plan.late || plan.full) return undefined
-    const {backend} = plan
-    if (backend.avoided(now) || backend.distrusted()) return undefined
-    if (backend.inFlight() >= backend.record.slots) return undefined
-    const waitMs = backend.record.stage === undefined ? 0 : this.prompts.getPromptWaitMs(backend)
-    if (waitMs > wanted.targetLeftMs * this.settings.onTimeShare) return undefined
-    const isLong = (wanted.prompt?.promptTokens ?? 0) > this.settings.decodePromptTokens
-    return isLong && !plan.prefillOnly ? undefined : plan
-  }
-
-  private findPlanAmong(
-    able: readonly BackendView[],
-    wanted: BackendWanted,
-    now: number
-  ): BackendPlan | undefined {
     const {prompt} = wanted
     const engines = able.some(view => view.record.stage !== undefined)
     if (!prompt || !engines) {
--- a/src/forwarding/prompt-picker.ts
+++ b/src/forwarding/prompt-picker.ts
@@ -200,16 +200,11 @@
     return (tokens * this.getPromptFactor(view) + requestCost) * view.pace.factor()
   }
 
-  /// What a prompt would wait for there. Milliseconds.
-  getPromptWaitMs(view: BackendView): number {
-    return this.getWaitingCost(view) / this.getTokensPerMs(view)
-  }
-
   /// What a request would wait for at a decode engine, the way there and that of the KV cache from its source included.
   /// Milliseconds.
   getDecodeMs(view: BackendView, wanted: BackendWanted, source: BackendView | undefined): number {
     const {distance} = this
-    const waitingMs = this.getPromptWaitMs(view) + distance.getAnswerMs(view)
+    const waitingMs = this.getWaitingCost(view) / this.getTokensPerMs(view) + distance.getAnswerMs(view)
     const callMs = distance.getCall(view, getCallBytes(wanted)).costMs
     if (!source) return waitingMs + callMs
     const tokens = wanted.prompt?.promptTokens ?? 0
