--- a/src/places/distance-settings.ts
+++ b/src/places/distance-settings.ts
@@ -14,7 +14,7 @@
   readonly callMsPerMegabyte: ByDistance
   /// How much longer a copy of a KV cache takes than within a zone. Default 1, 2, 10.
   readonly moveTimeFactor: ByDistance
-  /// Waiting that a gigabyte of KV cache moved is worth. Milliseconds. Default 60, 60, 180.
+  /// Waiting that a gigabyte of KV cache moved is worth. Milliseconds. Default 60, 120, 180.
   readonly moveMsPerGigabyte: ByDistance
   /// Prompt tokens that an engine computes in a millisecond until its pace is known. Default 90.
   readonly tokensPerMs: number
@@ -27,7 +27,7 @@
   roundTripMs: {sameZone: 0, sameRegion: 2, otherRegion: 16},
   callMsPerMegabyte: {sameZone: 0, sameRegion: 500, otherRegion: 2000},
   moveTimeFactor: {sameZone: 1, sameRegion: 2, otherRegion: 10},
-  moveMsPerGigabyte: {sameZone: 60, sameRegion: 60, otherRegion: 180},
+  moveMsPerGigabyte: {sameZone: 60, sameRegion: 120, otherRegion: 180},
   tokensPerMs: 90,
   workMs: 20
 }
