Samples of back ends' speed travel with the digests of loads

Cause: one daemon of 64 sees an engine's long prompt every 25 s (72 a second over 64 daemons and 28 engines). Answers spread by half of their mean, so telling 1.3 from 1 by two standard errors takes (2 x 0.5 / 0.26)^2 = 15 samples: six minutes alone, six seconds with the samples of the whole fleet (2.6 an engine and second); an engine five times slower takes two or three: a minute against a second.

Change: the sum of the ratios and their count by back end, two figures that relays add up as they do outcomes, in an optional field of the digest that older daemons leave out. Told every 500 ms.

--- a/src/fleet/load-relay.ts
+++ b/src/fleet/load-relay.ts
@@ -2,6 +2,7 @@
 /// the sums of their zones, and each tells its zone the sum of the whole fleet. Every daemon so knows the whole fleet's
 /// load after three intervals at most, for some ten messages a second instead of one to and from everybody.
 import type {BackendLoad} from "../forwarding/peer-loads.js"
+import {PaceSums, type PaceEvidence} from "../forwarding/pace-evidence.js"
 import type {PartPlacement} from "../forwarding/kv-index.js"
 
 /// A digest that is older counts no more. Milliseconds. As long as digests between peers count (`PeerLoads`).
@@ -25,6 +26,8 @@
 export interface RelayedLoads {
   readonly loads: BackendLoad[]
   readonly placements: PartPlacement[]
+  /// Not told by older daemons.
+  readonly paces?: readonly PaceEvidence[] | undefined
 }
 
 /// Sums by back end. Outcomes are counted once, when they arrive; everything else is as it stands now.
@@ -66,19 +69,23 @@
   private readonly outcomesForMembers = new Map<string, Outcomes>()
   private placementsForZones: PartPlacement[] = []
   private placementsForMembers: PartPlacement[] = []
+  private readonly pacesForZones = new PaceSums()
+  private readonly pacesForMembers = new PaceSums()
 
   /// A daemon of the own zone told its loads.
-  applyMember(id: string, address: string, {loads, placements}: RelayedLoads, now: number): void {
+  applyMember(id: string, address: string, {loads, placements, paces}: RelayedLoads, now: number): void {
     this.members.set(id, {address, loads, at: now})
     this.addOutcomes(loads)
     this.addPlacements(placements)
+    this.addPaces(paces)
   }
 
   /// The relay of another zone told the sums of that zone.
-  applyZone(id: string, address: string, {loads, placements}: RelayedLoads, now: number): void {
+  applyZone(id: string, address: string, {loads, placements, paces}: RelayedLoads, now: number): void {
     this.zones.set(id, {address, loads, at: now})
     addOutcomes(this.outcomesForMembers, loads)
     this.placementsForMembers = join(this.placementsForMembers, placements)
+    this.pacesForMembers.add(paces)
   }
 
   /// This daemon's own outcomes and placements, which go with those of its zone.
@@ -92,6 +99,11 @@
     this.placementsForMembers = join(this.placementsForMembers, placements)
   }
 
+  addPaces(paces: readonly PaceEvidence[] = []): void {
+    this.pacesForZones.add(paces)
+    this.pacesForMembers.add(paces)
+  }
+
   /// Daemons that have told their loads here and so rely on this one.
   getMemberAddresses(): string[] {
     return [...this.members.values()].map(({address}) => address)
@@ -104,6 +116,7 @@
     if (this.members.size > 0) return
     // Nobody listens: what is kept for them would be old when somebody does.
     this.outcomesForMembers.clear()
+    this.pacesForMembers.take()
     this.placementsForMembers = []
   }
 
@@ -112,7 +125,7 @@
     const sums = this.sumZone(own)
     const placements = this.placementsForZones
     this.placementsForZones = []
-    return {loads: sums.takeLoads(this.outcomesForZones), placements}
+    return {loads: sums.takeLoads(this.outcomesForZones), placements, paces: this.pacesForZones.take()}
   }
 
   /// The sums of the whole fleet, for the own zone.
@@ -121,7 +134,7 @@
     for (const {loads} of this.zones.values()) sums.add(loads)
     const placements = this.placementsForMembers
     this.placementsForMembers = []
-    return {loads: sums.takeLoads(this.outcomesForMembers), placements}
+    return {loads: sums.takeLoads(this.outcomesForMembers), placements, paces: this.pacesForMembers.take()}
   }
 
   private sumZone(own: readonly BackendLoad[]): LoadSums {
--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -97,7 +97,11 @@
     if (now < this.nextDigestAt) return
     this.rankMembers()
     this.directory.peers.removeOld(now)
-    const own = {loads: this.directory.takeLoads(now), placements: [...this.placements.take()]}
+    const own: RelayedLoads = {
+      loads: this.directory.takeLoads(now),
+      placements: [...this.placements.take()],
+      paces: this.directory.paces.takeEvidence(now)
+    }
     if (this.isRelayed()) this.tickRelayed(own, now)
     else {
       this.nextDigestAt = now + this.digestIntervalMs(this.peers.length)
@@ -116,26 +120,39 @@
   }
 
   /// Where daemons disagree for a while on who relays, a zone has two relays, and each tells the other what its part puts on.
-  private relayLoads({loads, placements}: RelayedLoads, dependants: readonly string[], now: number): void {
+  private relayLoads(
+    {loads, placements, paces}: RelayedLoads,
+    dependants: readonly string[],
+    now: number
+  ): void {
     this.relay.addOutcomes(loads)
     this.relay.addPlacements(placements)
+    this.relay.addPaces(paces)
     const {ownZone, otherZones} = this.ranking
     const otherRelays = ownZone.filter(address => address !== this.members.selfAddress)
     this.sendDigest([...otherZones, ...otherRelays], "zone", this.relay.takeZone(loads), now)
     const fleet = this.relay.takeFleet(loads)
     this.sendDigest(dependants, "fleet", fleet, now)
     this.directory.applyFleetLoads(FLEET, fleet.loads, now)
+    this.directory.paces.applyEvidence(fleet.paces)
   }
 
   private sendDigest(
     addresses: readonly string[],
     scope: LoadDigest["scope"],
-    {loads, placements}: RelayedLoads,
+    {loads, placements, paces}: RelayedLoads,
     now: number
   ): void {
     if (addresses.length === 0) return
     const knowledge = this.replica.getKnowledge(now)
-    const message: FleetMessage = {kind: "loadDigest", scope, knowledge, loads, placements}
+    const message: FleetMessage = {
+      kind: "loadDigest",
+      scope,
+      knowledge,
+      loads,
+      placements,
+      paces: [...(paces ?? [])]
+    }
     this.sendToAll(addresses, message)
   }
 
@@ -211,7 +228,10 @@
       case "own":
         // Whoever tells a relay its loads hears those of the fleet from it; in a small fleet everybody tells everybody.
         if (this.isRelayed()) this.relay.applyMember(fromId, fromAddress, message, now)
-        else this.directory.peers.applyDigest(fromId, message.loads, now)
+        else {
+          this.directory.peers.applyDigest(fromId, message.loads, now)
+          this.directory.paces.applyEvidence(message.paces)
+        }
         break
       case "zone":
         this.relay.applyZone(fromId, fromAddress, message, now)
@@ -219,6 +239,7 @@
       case "fleet":
         if (fromAddress === this.relayAddress) this.relayHeardAt = now
         this.directory.applyFleetLoads(FLEET, message.loads, now)
+        this.directory.paces.applyEvidence(message.paces)
         break
     }
   }
--- a/src/forwarding/pace-book.ts
+++ b/src/forwarding/pace-book.ts
@@ -1,6 +1,7 @@
 /// How fast each back end works, beside the others of its group. Engines of one service differ in speed for good, and any may turn
 /// slow for a while and recover; both are told by the same figure: the time that answers took there over the time that the
 /// group takes for the same. A back end that was replaced is another one and starts as an average one.
+import type {PaceEvidence} from "./pace-evidence.js"
 import {
   DEFAULT_PROMPT_PACE_SETTINGS,
   isSensibleSample,
@@ -28,6 +29,9 @@
   readonly maximumRatio: number
   /// Samples of one engine move its group's line as though at most so many times slower than expected. Default 3.
   readonly maximumLineRatio: number
+  /// Interval at which a daemon tells its samples. Milliseconds. Default 500: two digests of a large fleet; one engine's samples are
+  /// some 20 bytes.
+  readonly tellIntervalMs: number
   /// An engine so many times slower than its group is told as slow. Default 2.
   readonly slowFactor: number
   /// A slow one is told as sound again below this. Default 1.5.
@@ -44,6 +48,7 @@
   surpriseMemory: 0.5,
   maximumRatio: 8,
   maximumLineRatio: 3,
+  tellIntervalMs: 500,
   slowFactor: 2,
   soundFactor: 1.5
 }
@@ -52,9 +57,6 @@
 /// events by requests at the engine, answers of plain back ends by requests beyond the slots.
 export type PaceMeasure = "prompt" | "first" | "pause" | "answer"
 
-/// Samples of one engine in the form that travels: id, sum of the ratios to the group's line, count. Sums add up.
-export type PaceEvidence = readonly [id: string, ratioSum: number, count: number]
-
 /// A change of what is believed of an engine's speed.
 export interface PaceChange {
   readonly id: string
@@ -185,6 +187,7 @@
   private readonly lines = new Map<string, PromptPace>()
   private readonly engines = new Map<string, EnginePace>()
   private fadedAt: number | undefined
+  private toldAt = -Infinity
   private readonly getLine = (group: string): PromptPace => {
     let line = this.lines.get(group)
     if (!line) this.lines.set(group, (line = new PromptPace(this.settings.line)))
@@ -229,8 +232,10 @@
     return changes
   }
 
-  /// This daemon's samples since the last call, for its peers.
-  takeEvidence(): PaceEvidence[] {
+  /// This daemon's samples since they were last told, for its peers; none before the interval is over.
+  takeEvidence(now: number): PaceEvidence[] {
+    if (now - this.toldAt < this.settings.tellIntervalMs) return []
+    this.toldAt = now
     const told: PaceEvidence[] = []
     for (const [id, pace] of this.engines) {
       const {ratioSum, count} = pace.takeEvidence()
@@ -240,7 +245,7 @@
   }
 
   /// Samples of other daemons. Engines that are not known here are left out.
-  applyEvidence(evidence: readonly PaceEvidence[]): void {
+  applyEvidence(evidence: readonly PaceEvidence[] = []): void {
     for (const [id, ratioSum, count] of evidence) this.engines.get(id)?.applyEvidence(ratioSum, count)
   }
 
