--- a/src/forwarding/attempt-outcomes.ts
+++ b/src/forwarding/attempt-outcomes.ts
@@ -67,6 +67,11 @@
   }
 
   private onUnreachable(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
+    if (session.abandoned) {
+      removeAttempt(session, attempt)
+      this.closer.closeNotServed(session, "unreachable", now)
+      return
+    }
     attempt.plan.backend.lost(now)
     removeAttempt(session, attempt)
     session.excluded.add(attempt.plan.backend.record.id)
@@ -138,6 +143,7 @@
     if (failed) backend.failed(now)
     else backend.succeeded(now)
     if (!failed) addWholeSample(attempt, now)
+    if (!failed) this.picker.requestAnswered(attempt.plan, now - attempt.startedAt)
     if (failed && mayRunAgain(session) && this.sender.mayRepeat(session, now)) {
       this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, status})
       session.excluded.add(backend.record.id)
--- a/src/forwarding/attempt-sender.ts
+++ b/src/forwarding/attempt-sender.ts
@@ -17,6 +17,7 @@
   type Session
 } from "./forward-session.js"
 import type {ForwardSettings} from "./forward-settings.js"
+import type {QuotaGate} from "./quota-gate.js"
 import type {RequestCloser} from "./request-closer.js"
 import type {RetryAllowance} from "./retry-allowance.js"
 
@@ -30,6 +31,7 @@
     private readonly limits: ForwardLimits,
     private readonly answers: ForwardAnswers,
     private readonly closer: RequestCloser,
+    private readonly quotaGate: QuotaGate,
     private readonly emit: EffectSink<ForwardEffect>
   ) {}
 
@@ -49,7 +51,7 @@
     this.startAttempt(session, plan, now)
   }
 
-  /// Sends the request once more, unless it has been sent too often or its time is over.
+  /// Sends the request once more, unless it has been sent too often, its time is over or its caller has left.
   sendAgain(session: Session, failure: ForwardFailure, now: number): void {
     if (this.isSpent(session, now)) this.closer.closeNotServed(session, failure, now)
     else this.send(session, now)
@@ -66,8 +68,8 @@
     return this.allowance.left(service, this.getDaemons(), now) >= 1
   }
 
-  private isSpent({sends, deadlineAt}: Session, now: number): boolean {
-    return sends >= this.settings.maximumSends || now >= deadlineAt
+  private isSpent({sends, deadlineAt, abandoned}: Session, now: number): boolean {
+    return abandoned || sends >= this.settings.maximumSends || now >= deadlineAt
   }
 
   private pickBackend(session: Session, now: number): BackendPlan | undefined {
@@ -76,6 +78,8 @@
       service,
       prompt: request.prompt,
       prefilled: session.kvSource !== undefined,
+      prefilledAt: session.kvSource?.address,
+      bodyBytes: request.bodyBytes,
       direct: !this.mayComputeApart(session, now),
       engine: this.limits.getEngine(service),
       targetLeftMs: request.arrivedAt + route.targetLatencyMs - now,
@@ -93,6 +97,7 @@
 
   private startAttempt(session: Session, plan: BackendPlan, now: number): void {
     session.sends += 1
+    if (!plan.prefillOnly) this.quotaGate.addSend(session, now)
     if (session.arrivals > 0) this.answers.logDecision("request.resumed", session, {sends: session.sends})
     const attemptId = `${session.request.id}/${session.sends}`
     const {backend} = plan
@@ -109,6 +114,7 @@
       backend: backend.record.id,
       stage: plan.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
       reason: plan.reason,
+      distance: this.picker.getDistance(plan),
       promptTokens: plan.promptTokens,
       copyFrom: plan.copyFrom?.id,
       inFlight: backend.inFlight(),
--- a/src/forwarding/backend-picker-settings.ts
+++ b/src/forwarding/backend-picker-settings.ts
@@ -15,15 +15,13 @@
   readonly copyFactor: number
   /// A copy is asked for when it saves so many tokens. Default 256.
   readonly minimumCopyTokens: number
+  /// Whether shared prompts have a home in each region, or one in the whole fleet. Default true. No matter in one region.
+  readonly homesByRegion: boolean
   /// What one request on an engine costs another, in prompt tokens. Default 60.
   readonly requestCostTokens: number
   /// Longer prompts are computed by prefill engines while there is one: on a decode engine they would hold up
   /// the tokens of every other stream. Default 300.
   readonly decodePromptTokens: number
-  /// What another zone costs, in prompt tokens for decode engines. Default 180: three requests.
-  readonly otherZoneTokens: number
-  /// What another zone costs, in requests per slot for plain back ends. Default 0.1.
-  readonly otherZoneCost: number
   /// A prompt is expected to be in time when it is expected within this share of the time left. Default 0.6.
   readonly onTimeShare: number
   /// Part of an engine's KV cache and slots that prompts may take before late ones find no room. An engine that runs
@@ -41,10 +39,9 @@
   readAgainFactor: 4,
   copyFactor: 0.05,
   minimumCopyTokens: 256,
+  homesByRegion: true,
   requestCostTokens: 60,
   decodePromptTokens: 300,
-  otherZoneTokens: 180,
-  otherZoneCost: 0.1,
   onTimeShare: 0.6,
   lateRoomShare: 0.7,
   pace: DEFAULT_PACE_BOOK_SETTINGS
--- a/src/forwarding/route-schema.ts
+++ b/src/forwarding/route-schema.ts
@@ -25,7 +25,11 @@
   slots: z.number().min(1),
   kvCapacityTokens: z.number().min(0),
   kvHandleLifetimeMs: milliseconds,
-  stageChangeMs: milliseconds.optional()
+  stageChangeMs: milliseconds.optional(),
+  tokenBytes: z.number().positive().optional(),
+  linkMbps: z.number().positive().optional(),
+  canMove: z.boolean().optional(),
+  canReplicate: z.boolean().optional()
 })
 
 const scaling = z.object({
@@ -51,10 +55,18 @@
   idleTimeoutMs: milliseconds
 })
 
+const quota = z.object({
+  ratePerSecond: z.number().finite().positive(),
+  burst: z.number().finite().min(0),
+  countsTokens: z.boolean(),
+  plainCost: z.number().finite().min(0)
+})
+
 const tenant = z.object({
   name,
   keyDigests: z.array(name),
-  priority: z.number().int().min(0).optional()
+  priority: z.number().int().min(0).optional(),
+  quota: quota.optional()
 })
 
 /// The schema; its issues name the field that is wrong.
--- a/src/forwarding/route.ts
+++ b/src/forwarding/route.ts
@@ -69,6 +69,13 @@
   readonly kvHandleLifetimeMs: number
   /// How long an engine is away while it changes its stage. Milliseconds; not told by older daemons.
   readonly stageChangeMs?: number | undefined
+  /// Bytes that a token takes up in the KV cache, and the link over which engines copy it, in megabits per second; not told by older
+  /// daemons.
+  readonly tokenBytes?: number | undefined
+  readonly linkMbps?: number | undefined
+  /// Whether a running request's KV cache can be copied to another engine, and whether it can be copied as it grows.
+  readonly canMove?: boolean | undefined
+  readonly canReplicate?: boolean | undefined
 }
 
 /// A customer of the operator. A caller proves with a key that it acts for one.
@@ -78,6 +85,19 @@
   readonly keyDigests: readonly string[]
   /// Rank of its requests in place of the route's, 0 the most urgent; undefined leaves the route's.
   readonly priority?: number | undefined
+  /// What its requests may come to over all daemons; undefined where nothing limits them.
+  readonly quota?: TenantQuota | undefined
+}
+
+/// A limit on a tenant's requests, in tokens or in requests.
+export interface TenantQuota {
+  readonly ratePerSecond: number
+  /// Beyond the rate, at once.
+  readonly burst: number
+  /// A request counts its prompt and the most that it may generate.
+  readonly countsTokens: boolean
+  /// What a request counts that says nothing of tokens, or any request where tokens are not counted.
+  readonly plainCost: number
 }
 
 /// Bounds on what callers send.
--- a/src/parts/daemon-parts.ts
+++ b/src/parts/daemon-parts.ts
@@ -4,16 +4,21 @@
 import {HealthPart} from "./health-part.js"
 import {KvPart} from "./kv-part.js"
 import {PacePart} from "./pace-part.js"
+import {QuotaPart} from "./quota-part.js"
+import {RegionPart} from "./region-part.js"
 import {StagePart} from "./stage-part.js"
 
 /// Every part of one daemon, in the order in which they hear of things.
 export function createParts(surroundings: PartSurroundings, now: number): readonly DaemonPart[] {
-  const {duties} = surroundings.settings
+  const {duties, quotas} = surroundings.settings
+  const {regions} = surroundings
   return [
     new HealthPart(surroundings),
     new KvPart(surroundings, now),
     new PacePart(surroundings),
     new StagePart(surroundings),
-    ...(duties ? [new DutyPart(surroundings, duties, now)] : [])
+    ...(regions ? [new RegionPart(surroundings, regions)] : []),
+    ...(duties ? [new DutyPart(surroundings, duties, now)] : []),
+    ...(quotas ? [new QuotaPart(surroundings, quotas)] : [])
   ]
 }
--- a/src/parts/stage-part.ts
+++ b/src/parts/stage-part.ts
@@ -13,9 +13,12 @@
 
   constructor(private readonly surroundings: PartSurroundings) {
     super()
-    const {identity, settings, members, directory} = surroundings
-    this.manager = new StageManager(identity.id, settings.stages, {members, directory}, effect =>
-      this.onStage(effect)
+    const {identity, settings, members, directory, regions} = surroundings
+    this.manager = new StageManager(
+      identity.id,
+      settings.stages,
+      {members, directory, regionOf: zone => regions?.places.getRegion(zone) ?? identity.region},
+      effect => this.onStage(effect)
     )
   }
 
--- a/test/pace-exchange.test.ts
+++ b/test/pace-exchange.test.ts
@@ -11,8 +11,8 @@
 /** Two digests of the samples, three intervals of the relays, and the way between them. */
 const TOLD_MS = 2000;
 
-function settledFleet(count: number): ForwardingFleet {
-  const fleet = new ForwardingFleet(count, SEED);
+function settledFleet(count: number, regions = 1): ForwardingFleet {
+  const fleet = new ForwardingFleet(count, SEED, undefined, undefined, regions);
   fleet.write({ collection: 'configuration', revision: 0, value: labConfiguration(1, [labRoute({})]) });
   for (const id of ['a', 'b', 'c', 'd'])
     fleet.write({ collection: 'backends', id, revision: 0, value: labBackend(id, '10.1.0.1:80') });
@@ -47,11 +47,16 @@
 }
 
 describe('paces told between daemons', () => {
-  for (const count of [5, 66])
-    it(`${count} daemons: a back end that answers some slowly is known by all`, () => {
-      const fleet = settledFleet(count);
-      const askers = fleet.nodes.slice(0, Math.ceil(count / 2));
-      const others = fleet.nodes.slice(askers.length);
+  const FLEETS = [
+    { count: 5, regions: 1 },
+    { count: 66, regions: 1 },
+    { count: 66, regions: 3 },
+  ];
+  for (const { count, regions } of FLEETS)
+    it(`${count} daemons, ${regions} regions: a back end that answers some slowly is known by all`, () => {
+      const fleet = settledFleet(count, regions);
+      const askers = fleet.nodes.filter((_, index) => (regions > 1 ? index % 6 === 0 : index < count / 2));
+      const others = fleet.nodes.filter((node) => !askers.includes(node));
       askInRounds(fleet, askers, 30, 1);
       askInRounds(fleet, askers, 8, SLOWER);
       fleet.time.runUntil(fleet.time.now() + TOLD_MS);
