--- a/src/quotas/quota-holder.ts
+++ b/src/quotas/quota-holder.ts
@@ -19,7 +19,7 @@
 const UNTOLD_RETRY_MS = 400
 /// Requests of one tenant that wait at most.
 const MAXIMUM_WAITING = 256
-/// An ask without an answer is given up after so long, and what a late answer grants is not spent. Milliseconds. So what was
+/// An ask without an answer times out after so long, and what a late answer grants is not spent. Milliseconds. So what was
 /// granted outside of a window arrives within it for no more than this time.
 export const ASK_TIMEOUT_MS = 250
 
@@ -39,7 +39,9 @@
   private open: OpenAsk | undefined
   /// Daemons that were asked in vain for those that wait now.
   readonly tried = new Set<string>()
+  /// Requests of so many tokens or more are refused until then.
   private blockedUntil = -Infinity
+  private blockedTokens = 0
   private retryAfterMs = UNTOLD_RETRY_MS
   private reserve = 0
   private toldAt = -Infinity
@@ -77,13 +79,13 @@
   take(need: QuotaNeed, now: number): QuotaDecision | undefined {
     this.usedAt = now
     if (!this.hasWaiting() && this.allowance.tryTake(need.tokens, now)) return this.spend(need)
-    if (now < this.blockedUntil) return this.refuse(need, "limit", now)
+    if (now < this.blockedUntil && need.tokens >= this.blockedTokens) return this.refuse(need, "limit", now)
     if (this.waiting.length >= MAXIMUM_WAITING) return this.refuse(need, "waiting", now)
     this.waiting.push(need)
     return undefined
   }
 
-  /// A request that waits is given up. Returns whether it waited.
+  /// Ends the wait of a request. Returns whether it waited.
   remove(requestId: string): boolean {
     const before = this.waiting.length
     this.waiting = this.waiting.filter(need => need.requestId !== requestId)
@@ -129,10 +131,11 @@
     this.reserve = answer.reserve
     this.retryAfterMs = answer.retryAfterMs || UNTOLD_RETRY_MS
     this.blockedUntil = now + answer.blockedMs
+    this.blockedTokens = answer.blockedTokens
     return this.settle(open.needs, answer.granted, now)
   }
 
-  /// Gives up an ask that nobody answers. What it told may have been debited: it is told again, unless that would credit twice.
+  /// Ends an ask that nobody answers. What it told may have been debited: it is told again, unless that would credit twice.
   closeLate(now: number): boolean {
     const {open} = this
     if (!open || now - open.askedAt < ASK_TIMEOUT_MS) return false
@@ -158,11 +161,15 @@
     return now - this.usedAt > idleMs && !this.open && this.untold === 0 && this.waiting.length === 0
   }
 
-  private settle(needs: readonly QuotaNeed[], granted: number, now: number): Map<string, QuotaDecision> {
+  private settle(
+    needs: readonly QuotaNeed[],
+    granted: readonly number[],
+    now: number
+  ): Map<string, QuotaDecision> {
     const decided = new Map<string, QuotaDecision>()
     const waiting = new Set(this.waiting)
     needs.forEach((need, index) => {
-      const isGranted = index < granted
+      const isGranted = granted.includes(index)
       if (waiting.has(need))
         decided.set(need.requestId, isGranted ? this.grant(need) : this.refuse(need, "limit", now))
       // Its caller left while the ask was under way.
