Review of regions, paces and connections: nine findings mended

Cause, each with a trial in virtual time or on loopback: one probe of a peer that stood still made a zone look 301 ms away for half a minute; requests at a dark back end were moved one each 800 ms (840, 1680, 2520), since moving the first counted as a word from it; two engines gone for good cut their region off for good (28 of 60 requests refused beside six idle engines); a request alone on a silent connection was never told; an order whose caller left before its attempt began stayed in hand until its deadline; a choice of keeper cost engines times keepers (14.5 ms a prompt at 300 engines, 0.73 after; 632 to 142 us at 39); a resting connection was closed although a request waited in it; one caller that gave up replaced sound connections of its server (15 for 4); plans that were only looked at counted as attempts. Ruled out by reading: a request that runs twice, an answer to a wrong caller, a stage order from a lost lease. Change: the middle of the last five round trips; an unanswered attempt is no word; a loss says nothing of its region after 4 s; requests that are overtaken on a new connection are told; what has no caller any more ends; one keeper and one decode engine a zone; one poll more before a connection gives way. Tests: lost-back-ends (three, seen to fail before); look() of the cut-off tests tells the time now. 196 passing in twenty files. Not mended: stage leases when the store refuses just the elected daemon; see docs/FINDINGS.md.

--- a/src/adapters/attempt-handler.ts
+++ b/src/adapters/attempt-handler.ts
@@ -93,9 +93,13 @@
 
   /** Whether nothing was heard for so many checks, on this connection and on those of its age. */
   isSuspect(checks: number): boolean {
+    return this.isUnheard(checks) && this.pool.isSuspect(this.sentAt, this.sentAtCheck);
+  }
+
+  /** Whether nothing was heard for so many checks on this connection. */
+  isUnheard(checks: number): boolean {
     if (!this.written || this.finished || this.heard) return false;
-    if (this.pool.getCheck() - this.sentAtCheck <= checks) return false;
-    return this.pool.isSuspect(this.sentAt, this.sentAtCheck);
+    return this.pool.getCheck() - this.sentAtCheck > checks;
   }
 
   /** Tells once that the attempt waits on a connection that is probably silent. */
--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -53,8 +53,6 @@
 const MAXIMUM_REST_MS = 200;
 /** Interval between looks at which connections were heard. Milliseconds. */
 const CHECK_INTERVAL_MS = 250;
-/** The checks after which a request that is aborted unheard makes the connections of its age suspect. */
-const ABORTED_CHECKS = 2;
 /** After these events the attempt is still known: it goes on, or its answer is yet to be taken. */
 const KEEPS_ATTEMPT: ReadonlySet<ForwardAttemptEvent['kind']> = new Set([
   'streamStarted',
@@ -75,12 +73,14 @@
   private readonly live = new Map<string, AttemptHandler>();
   private readonly resets: ResetWatch;
   private readonly timer: NodeJS.Timeout;
+  private readonly silentChecks: number;
 
   constructor(
     private readonly dialect: BackendDialect,
     private readonly settings: BackendClientSettings,
     private readonly onUnanswered: UnansweredListener = () => undefined,
   ) {
+    this.silentChecks = Math.ceil(settings.silentConnectionMs / CHECK_INTERVAL_MS);
     this.resets = new ResetWatch(settings.connectTimeoutMs);
     this.timer = setInterval(() => this.tick(), CHECK_INTERVAL_MS).unref();
   }
@@ -121,7 +121,7 @@
     const handler = this.live.get(attemptId);
     this.live.delete(attemptId);
     if (!handler) return;
-    if (handler.isSuspect(ABORTED_CHECKS)) this.replace(handler.pool);
+    if (handler.isSuspect(this.silentChecks)) this.replace(handler.pool);
     handler.abort();
   }
 
@@ -194,14 +194,13 @@
   /** Finds connections that have fallen silent. */
   private tick(): void {
     for (const pool of [...this.pools.values(), ...this.replaced.keys()]) pool.tick();
-    const checks = Math.ceil(this.settings.silentConnectionMs / CHECK_INTERVAL_MS);
     const waitedOn = new Set<ServerPool>();
     for (const handler of this.live.values()) {
       waitedOn.add(handler.pool);
-      if (!handler.isSuspect(checks)) continue;
       const successor = this.replaced.get(handler.pool);
-      if (successor === undefined) this.replace(handler.pool);
-      else if (successor.wasHeard()) handler.tellSilent();
+      if (successor === undefined) {
+        if (handler.isSuspect(this.silentChecks)) this.replace(handler.pool);
+      } else if (handler.isUnheard(this.silentChecks) && successor.wasHeard()) handler.tellSilent();
     }
     for (const pool of this.replaced.keys()) if (!waitedOn.has(pool)) this.replaced.delete(pool);
   }
--- a/src/forwarding/attempt-outcomes.ts
+++ b/src/forwarding/attempt-outcomes.ts
@@ -66,7 +66,11 @@
     if (!this.sender.hasRepeatLeft(session, now) || !this.sender.hasAlternative(session, attempt, now)) return
     addUnansweredSample(attempt, now)
     this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
-    this.onBroken(session, attempt, "stalled", now)
+    if (!attempt.connectionSilent) {
+      attempt.plan.backend.unanswered(now)
+      session.excluded.add(attempt.plan.backend.record.id)
+    }
+    this.onFailed(session, attempt, "stalled", now)
   }
 
   private onUnreachable(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
@@ -173,6 +177,11 @@
       backend.failed(now)
       session.excluded.add(backend.record.id)
     }
+    this.onFailed(session, attempt, reason, now)
+  }
+
+  private onFailed(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
+    const {backend} = attempt.plan
     this.answers.logDecision("request.attempt-failed", session, {backend: backend.record.id, reason})
     if (attempt.plan.prefillOnly) {
       this.onPrefillBroken(session, attempt, now)
--- a/src/forwarding/attempt-sender.ts
+++ b/src/forwarding/attempt-sender.ts
@@ -108,6 +108,7 @@
   }
 
   private startAttempt(session: Session, plan: BackendPlan, now: number): void {
+    this.picker.attemptPlanned(plan)
     session.sends += 1
     if (!plan.prefillOnly) this.quotaGate.addSend(session, now)
     if (session.arrivals > 0) this.answers.logDecision("request.resumed", session, {sends: session.sends})
--- a/src/forwarding/backend-picker.ts
+++ b/src/forwarding/backend-picker.ts
@@ -53,16 +53,13 @@
     }
   }
 
-  /// The best plan, or undefined when no back end of the service takes work.
-  pick(wanted: BackendWanted, now: number): BackendPlan | undefined {
-    const plan = this.findPlan(wanted, now)
-    if (plan) this.distance.attemptPlanned(plan.backend)
-    return plan
+  /// An attempt goes by this plan.
+  attemptPlanned({backend}: BackendPlan): void {
+    this.distance.attemptPlanned(backend)
   }
 
-  /// All back ends are weighed by one cost. Taking the own region's first while they can serve in time earned as much or less:
-  /// docs/design/regions.md.
-  private findPlan(wanted: BackendWanted, now: number): BackendPlan | undefined {
+  /// The best plan, or undefined when no back end of the service takes work.
+  pick(wanted: BackendWanted, now: number): BackendPlan | undefined {
     const able = this.getAble(wanted)
     const {prompt} = wanted
     const engines = able.some(view => view.record.stage !== undefined)
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -112,6 +112,16 @@
   /// The back end rejected a request though it should have room: it works, but not for this daemon now.
   rejected(now: number): void {
     this.lastHeardAt = now
+    this.countFailure(now)
+  }
+
+  /// An attempt there was given up without a word from it.
+  unanswered(now: number): void {
+    this.failedSinceTold += 1
+    this.countFailure(now)
+  }
+
+  private countFailure(now: number): void {
     this.failureShare += (1 - this.failureShare) / this.settings.failureMemory
     if (this.failureShare >= this.settings.ejectFailureShare) this.eject(now)
   }
--- a/src/forwarding/prompt-ways.ts
+++ b/src/forwarding/prompt-ways.ts
@@ -16,6 +16,7 @@
 /// The ways of one prompt.
 export class PromptWays {
   private readonly callBytes: number
+  private readonly keeperByZone = new Map<string, Keeper | undefined>()
   private readonly byZone = new Map<string, Expense>()
 
   constructor(
@@ -29,6 +30,12 @@
 
   /// Whom the engine copies from: the one that keeps most, the nearest of these.
   pickKeeper(keepers: readonly Keeper[], backend: BackendView): Keeper | undefined {
+    const {zone} = backend.record
+    if (!this.keeperByZone.has(zone)) this.keeperByZone.set(zone, this.findKeeper(keepers, backend))
+    return this.keeperByZone.get(zone)
+  }
+
+  private findKeeper(keepers: readonly Keeper[], backend: BackendView): Keeper | undefined {
     let best: Keeper | undefined
     for (const keeper of keepers) {
       if (best && keeper.tokens < best.tokens) continue
@@ -61,7 +68,10 @@
   private makeRest(backend: BackendView): Expense {
     const {distance, prompt, wanted} = this
     let best: Expense = {timeMs: Infinity, costMs: Infinity}
+    const tried = new Set<string>()
     for (const decode of this.decodes) {
+      if (tried.has(decode.record.zone)) continue
+      tried.add(decode.record.zone)
       const call = distance.getCall(decode, this.callBytes)
       const move = distance.getMove(backend, decode, prompt.promptTokens, wanted.engine)
       const costMs = call.costMs + move.costMs
--- a/src/forwarding/region-contact.ts
+++ b/src/forwarding/region-contact.ts
@@ -7,8 +7,15 @@
 /// crashed itself.
 const LOST_TOGETHER = 2
 
+/// A loss says nothing of its region after this: those that were lost may be gone for good. Milliseconds.
+const BELIEVED_MS = 4000
+
 /// The other regions that are cut off from this daemon.
-export function findCutOffRegions(views: Iterable<BackendView>, distance: BackendDistance): Set<string> {
+export function findCutOffRegions(
+  views: Iterable<BackendView>,
+  distance: BackendDistance,
+  now: number
+): Set<string> {
   const byRegion = new Map<string, BackendView[]>()
   for (const view of views) {
     const region = distance.getOtherRegion(view)
@@ -17,13 +24,13 @@
     if (there) there.push(view)
     else byRegion.set(region, [view])
   }
-  return new Set([...byRegion].filter(([, there]) => isCutOff(there)).map(([region]) => region))
+  return new Set([...byRegion].filter(([, there]) => isCutOff(there, now)).map(([region]) => region))
 }
 
 /// Whether enough back ends were lost since any of the region was last heard from. They are probed, and the first that answers
 /// ends it.
-function isCutOff(views: readonly BackendView[]): boolean {
-  let heardAt = -Infinity
+function isCutOff(views: readonly BackendView[], now: number): boolean {
+  let heardAt = now - BELIEVED_MS
   for (const view of views) heardAt = Math.max(heardAt, view.contactTimes().heardAt)
   const lost = views.filter(view => view.unreachable() && view.contactTimes().lostAt > heardAt)
   return lost.length >= Math.min(LOST_TOGETHER, views.length)
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -243,12 +243,18 @@
     if (this.connections.size < this.maximumConnections) return true;
     const longest = this.getLongestAtRest();
     if (longest === undefined) return false;
-    this.connections.delete(longest);
     this.resting.delete(longest);
-    longest.destroy();
+    afterNextPoll(() => this.closeUnlessAsked(longest));
     return true;
   }
 
+  /** A request may have waited in the socket while this process was busy: one poll more shows it. */
+  private closeUnlessAsked(socket: Socket): void {
+    if ((this.connections.get(socket)?.size ?? 0) > 0 || this.resting.has(socket)) return;
+    this.connections.delete(socket);
+    socket.destroy();
+  }
+
   /** A connection that gives way; one that has only just come or been answered is about to ask. */
   private getLongestAtRest(): Socket | undefined {
     for (const [socket, since] of this.resting)
--- a/src/parts/region-part.ts
+++ b/src/parts/region-part.ts
@@ -52,10 +52,10 @@
     this.probes.clear()
   }
 
-  override scan(): void {
+  override scan(_leaving: boolean, now: number): void {
     const {directory, believe} = this.surroundings
     const {distance} = this.regions
-    const cutOff = findCutOffRegions(directory.all(), distance)
+    const cutOff = findCutOffRegions(directory.all(), distance, now)
     for (const region of cutOff) if (!this.cutOff.has(region)) believe("region.lost", {region})
     for (const region of this.cutOff) if (!cutOff.has(region)) believe("region.regained", {region})
     this.cutOff = cutOff
--- a/src/places/places.ts
+++ b/src/places/places.ts
@@ -12,8 +12,10 @@
 /// The places of a fleet.
 export class Places {
   private readonly several: boolean
+  private readonly regions: ReadonlyMap<string, string>
 
   constructor(private readonly regionByZone: RegionByZone) {
+    this.regions = new Map(Object.entries(regionByZone))
     this.several = new Set(Object.values(regionByZone)).size > 1
   }
 
@@ -24,7 +26,7 @@
 
   /// The region of a zone; undefined for a zone that the settings do not name.
   getRegion(zone: string): string | undefined {
-    return Object.hasOwn(this.regionByZone, zone) ? this.regionByZone[zone] : undefined
+    return this.regions.get(zone)
   }
 
   /// Every region but that of the zone.
@@ -37,6 +39,7 @@
   /// what it may cost would waste its back ends.
   getDistance(one: string, other: string): DistanceClass {
     if (one === other) return "sameZone"
+    if (!this.several) return "sameRegion"
     const region = this.getRegion(one)
     const otherRegion = this.getRegion(other)
     const apart = region !== undefined && otherRegion !== undefined && region !== otherRegion
--- a/src/places/round-trips.ts
+++ b/src/places/round-trips.ts
@@ -1,15 +1,14 @@
 /// Round trips to other regions and zones, learned from probes between daemons.
 import type {DistanceClass} from "./places.js"
 
-/// What a sample above the estimate counts: it holds the time that two busy processes took as well. Ten probes of a link that
-/// has become slow bring the estimate to two thirds of its time.
-const RISING_SHARE = 0.1
-/// What a sample below counts: a round trip cannot have been shorter than the link.
-const FALLING_SHARE = 0.5
+/// Samples of which the middle one counts: a sample also holds the time that the peer took, and one peer that is slow or stood still says
+/// nothing of the link to the others there.
+const LOOKED_BACK_ON = 5
 
 /// The learned times of one daemon. Milliseconds.
 export class RoundTrips {
   private readonly learned = new Map<string, number>()
+  private readonly recent = new Map<string, number[]>()
 
   constructor(private readonly defaults: Readonly<Record<DistanceClass, number>>) {}
 
@@ -17,9 +16,13 @@
   addSample(region: string | undefined, distance: DistanceClass, ms: number): void {
     if (!(ms >= 0) || !Number.isFinite(ms)) return
     const key = getKey(region, distance)
-    const before = this.learned.get(key) ?? this.defaults[distance]
-    const share = ms > before ? RISING_SHARE : FALLING_SHARE
-    this.learned.set(key, before + (ms - before) * share)
+    const samples = this.recent.get(key) ?? []
+    samples.push(ms)
+    if (samples.length > LOOKED_BACK_ON) samples.shift()
+    this.recent.set(key, samples)
+    const before = Array.from({length: LOOKED_BACK_ON - samples.length}, () => this.defaults[distance])
+    const sorted = [...before, ...samples].sort((left, right) => left - right)
+    this.learned.set(key, sorted[LOOKED_BACK_ON >> 1])
   }
 
   /// The round trip to `region`, which lies so far away.
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -332,7 +332,16 @@
   private startAttempt(start: AttemptStart): void {
     const { requestId, attemptId, backend } = start;
     const open = this.open.get(requestId);
-    if (!open) return;
+    if (!open) {
+      // The caller has just left: its cancellation is before this in the queue.
+      this.send({
+        kind: 'attempt',
+        requestId,
+        attemptId,
+        event: { kind: 'unreachable', reason: 'abandoned' },
+      });
+      return;
+    }
     this.backends.start(start, open.request, open.reply, (event) => {
       const callerLeft = !this.open.has(requestId);
       // The machine knows the attempt no more, or will soon not: nobody else would free the KV cache.
--- /dev/null
+++ b/test/lost-back-ends.test.ts
@@ -0,0 +1,53 @@
+/** What follows from back ends that fall silent or are gone for good, for the requests there and for their region. */
+import { expect } from 'chai';
+import { labBackend, labRoute } from '../lab/forwarding-site.js';
+import { findCutOffRegions } from '../src/forwarding/region-contact.js';
+import { DEFAULT_DISTANCE_SETTINGS } from '../src/places/distance-settings.js';
+import { RoundTrips } from '../src/places/round-trips.js';
+import { Forwarding, PLAIN } from './forwarding-harness.js';
+
+const DEADLINE_MS = 5000;
+/** A request without an answer is moved after this time, twice its target and a tick. Milliseconds. */
+const STALLED_MS = 840;
+
+describe('back ends that are lost', () => {
+  it('all requests that wait at a back end that fell silent are moved at once', () => {
+    const route = labRoute({ kind: 'idempotent', timeoutMs: DEADLINE_MS, targetLatencyMs: 400 });
+    const site = new Forwarding([route], PLAIN);
+    for (let count = 0; count < 9; count += 1) site.begin({ id: `r${count}`, callerDeadlineMs: DEADLINE_MS });
+    const started = site.starts();
+    const dark = started[0].backend.id;
+    const waiting = started.filter(({ backend }) => backend.id === dark);
+    expect(waiting.length).to.be.greaterThan(1);
+    for (const { requestId, attemptId, backend } of started)
+      if (backend.id !== dark)
+        site.manager.attemptEvent(requestId, attemptId, { kind: 'whole', status: 200 }, 20);
+    site.manager.tick(STALLED_MS);
+    const moved = site.starts().slice(started.length);
+    expect(moved).to.have.length(waiting.length);
+    expect(moved.map(({ backend }) => backend.id)).not.to.include(dark);
+  });
+
+  it('two back ends that are gone for good do not cut their region off for good', () => {
+    const far = Array.from({ length: 8 }, (_, index) => ({
+      ...labBackend(`far${index}`, `10.0.0.2:${index}`),
+      zone: 'zone-c',
+    }));
+    const near = { ...labBackend('near', '10.0.0.1:1'), zone: 'zone-a' };
+    const regions = { 'zone-a': 'r1', 'zone-c': 'r2' };
+    const site = new Forwarding([labRoute({})], [near, ...far], 50, regions);
+    for (const { id } of far) site.directory.get(id)?.succeeded(100);
+    site.directory.get('far0')?.lost(1000);
+    site.directory.get('far1')?.lost(1100);
+    const findAt = (now: number) => [...findCutOffRegions(site.directory.all(), site.distance, now)];
+    expect(findAt(1200)).to.deep.equal(['r2']);
+    expect(findAt(6000)).to.deep.equal([]);
+  });
+
+  it('one peer that stood still says nothing of the link to its region', () => {
+    const roundTrips = new RoundTrips(DEFAULT_DISTANCE_SETTINGS.roundTripMs);
+    for (let count = 0; count < 10; count += 1) roundTrips.addSample('r1', 'sameZone', 2);
+    roundTrips.addSample('r1', 'sameZone', 3000);
+    expect(roundTrips.getMs('r1', 'sameZone')).to.be.lessThan(5);
+  });
+});
--- a/test/regions-cut.test.ts
+++ b/test/regions-cut.test.ts
@@ -32,11 +32,11 @@
 
 function loseRegion(site: Forwarding, now: number): void {
   for (const view of site.directory.all()) if (view.record.zone === 'zone-c') view.lost(now);
-  look(site);
+  look(site, now);
 }
 
-function look(site: Forwarding): void {
-  site.distance.setCutOff(findCutOffRegions(site.directory.all(), site.distance));
+function look(site: Forwarding, now: number): void {
+  site.distance.setCutOff(findCutOffRegions(site.directory.all(), site.distance, now));
 }
 
 describe('a region that is cut off with work under way there', () => {
@@ -90,7 +90,7 @@
     loseRegion(site, 100);
     site.event({ kind: 'broken', reason: 'reset' }, 110);
     for (const id of ['f1', 'f2']) site.directory.get(id)?.recovered(3000);
-    look(site);
+    look(site, 3000);
     expect(site.distance.isCutOff(site.directory.get('f1')!)).to.equal(false);
     for (let count = 0; count < 60; count += 1) site.directory.get('near')?.begin(`y${count}`, 0, 3000);
     site.begin({ id: 'r2', callerDeadlineMs: DEADLINE_MS }, 3100);
--- a/test/regions.test.ts
+++ b/test/regions.test.ts
@@ -45,6 +45,9 @@
   return site.starts().at(-1)?.backend.id;
 }
 
+/** When regions are looked at: soon after back ends were lost. Milliseconds. */
+const LOOKED_AT_MS = 50;
+
 describe('places', () => {
   it('are one zone, one region or two regions apart', () => {
     const places = new Places(REGIONS);
@@ -215,7 +218,8 @@
     const far = ['f1', 'f2', 'f3'].map((id) => at('zone-c', id, 'decode'));
     const site = makeSite(at('zone-a', 'p', 'prefill'), at('zone-a', 'd', 'decode'), ...far);
     site.kvIndex.addComputed('f3', LONG, 100_000);
-    const look = () => site.distance.setCutOff(findCutOffRegions(site.directory.all(), site.distance));
+    const look = () =>
+      site.distance.setCutOff(findCutOffRegions(site.directory.all(), site.distance, LOOKED_AT_MS));
     const copyFrom = (id: string) => {
       site.begin({ id, prompt: LONG });
       return site.starts().at(-1)?.copyFrom;
@@ -241,7 +245,7 @@
   it('a region whose way is lost is still tried when no other back end is left', () => {
     const site = makeSite(at('zone-c', 'f1'), at('zone-c', 'f2'));
     for (const id of ['f1', 'f2']) site.directory.get(id)?.lost(10);
-    site.distance.setCutOff(findCutOffRegions(site.directory.all(), site.distance));
+    site.distance.setCutOff(findCutOffRegions(site.directory.all(), site.distance, LOOKED_AT_MS));
     site.begin({}, 20);
     expect(site.starts()).to.have.length(1);
   });
