--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -67,10 +67,7 @@
   /// attempts that succeeded and failed since the last digest.
   loads: z.array(z.tuple([text, count, count, count, count.optional(), count.optional(), count.optional()])),
   /// Prompt parts that the sender had computed since its last digest: engine, hash of the part, tokens.
-  placements: z.array(z.tuple([text, count, count])),
-  /// How fast back ends answered the sender since its last digest: back end, sum of the ratios to what its group takes, count.
-  /// Not told by older daemons.
-  paces: z.array(z.tuple([text, count, count])).optional()
+  placements: z.array(z.tuple([text, count, count]))
 })
 
 /// Asks a peer that knows more for its records.
--- a/src/fleet/load-relay.ts
+++ b/src/fleet/load-relay.ts
@@ -3,7 +3,6 @@
 /// the whole fleet. Every daemon so knows its region's load after three intervals at most, for some ten messages a second
 /// instead of one to and from everybody, and a region hears of another by one message instead of one for each pair of zones.
 import type {BackendLoad} from "../forwarding/peer-loads.js"
-import {PaceSums, type PaceEvidence} from "../forwarding/pace-evidence.js"
 import type {PartPlacement} from "../forwarding/kv-index.js"
 
 /// A digest that is older counts no more. Milliseconds. As long as digests between peers count (`PeerLoads`).
@@ -27,8 +26,6 @@
 export interface RelayedLoads {
   readonly loads: BackendLoad[]
   readonly placements: PartPlacement[]
-  /// Not told by older daemons.
-  readonly paces?: readonly PaceEvidence[] | undefined
 }
 
 /// Sums by back end. Outcomes are counted once, when they arrive; everything else is as it stands now.
@@ -76,35 +73,28 @@
   private placementsForZones: PartPlacement[] = []
   private placementsForRegions: PartPlacement[] = []
   private placementsForMembers: PartPlacement[] = []
-  private readonly pacesForZones = new PaceSums()
-  private readonly pacesForRegions = new PaceSums()
-  private readonly pacesForMembers = new PaceSums()
 
   /// A daemon of the own zone told its loads.
-  applyMember(id: string, address: string, {loads, placements, paces}: RelayedLoads, now: number): void {
+  applyMember(id: string, address: string, {loads, placements}: RelayedLoads, now: number): void {
     this.members.set(id, {address, loads, at: now})
     this.addOutcomes(loads)
     this.addPlacements(placements)
-    this.addPaces(paces)
   }
 
   /// The relay of another zone of the region told the sums of that zone.
-  applyZone(id: string, address: string, {loads, placements, paces}: RelayedLoads, now: number): void {
+  applyZone(id: string, address: string, {loads, placements}: RelayedLoads, now: number): void {
     this.zones.set(id, {address, loads, at: now})
     addOutcomes(this.outcomesForMembers, loads)
     addOutcomes(this.outcomesForRegions, loads)
     this.placementsForMembers = join(this.placementsForMembers, placements)
     this.placementsForRegions = join(this.placementsForRegions, placements)
-    this.pacesForMembers.add(paces)
-    this.pacesForRegions.add(paces)
   }
 
   /// The relay of another region told the sums of that region.
-  applyRegion(region: string, address: string, {loads, placements, paces}: RelayedLoads, now: number): void {
+  applyRegion(region: string, address: string, {loads, placements}: RelayedLoads, now: number): void {
     this.regions.set(region, {address, loads, at: now})
     addOutcomes(this.outcomesForMembers, loads)
     this.placementsForMembers = join(this.placementsForMembers, placements)
-    this.pacesForMembers.add(paces)
   }
 
   /// This daemon's own outcomes and placements, which go with those of its zone.
@@ -120,12 +110,6 @@
     this.placementsForMembers = join(this.placementsForMembers, placements)
   }
 
-  addPaces(paces: readonly PaceEvidence[] = []): void {
-    this.pacesForZones.add(paces)
-    this.pacesForRegions.add(paces)
-    this.pacesForMembers.add(paces)
-  }
-
   /// Daemons that have told their loads here and so rely on this one.
   getMemberAddresses(): string[] {
     return [...this.members.values()].map(({address}) => address)
@@ -138,7 +122,6 @@
     if (this.members.size > 0) return
     // Nobody listens: what is kept for them would be old when somebody does.
     this.outcomesForMembers.clear()
-    this.pacesForMembers.take()
     this.placementsForMembers = []
   }
 
@@ -147,7 +130,7 @@
     const sums = this.sumZone(own)
     const placements = this.placementsForZones
     this.placementsForZones = []
-    return {loads: sums.takeLoads(this.outcomesForZones), placements, paces: this.pacesForZones.take()}
+    return {loads: sums.takeLoads(this.outcomesForZones), placements}
   }
 
   /// The sums of the own region, for the other regions.
@@ -155,14 +138,13 @@
     const sums = this.sumRegion(own)
     const placements = this.placementsForRegions
     this.placementsForRegions = []
-    return {loads: sums.takeLoads(this.outcomesForRegions), placements, paces: this.pacesForRegions.take()}
+    return {loads: sums.takeLoads(this.outcomesForRegions), placements}
   }
 
   /// Another daemon tells the other regions: what was kept for them is its to tell.
   forgetRegion(): void {
     this.outcomesForRegions.clear()
     this.placementsForRegions = []
-    this.pacesForRegions.take()
   }
 
   /// The sums of the whole fleet, for the own zone.
@@ -171,7 +153,7 @@
     for (const {loads} of this.regions.values()) sums.add(loads)
     const placements = this.placementsForMembers
     this.placementsForMembers = []
-    return {loads: sums.takeLoads(this.outcomesForMembers), placements, paces: this.pacesForMembers.take()}
+    return {loads: sums.takeLoads(this.outcomesForMembers), placements}
   }
 
   private sumRegion(own: readonly BackendLoad[]): LoadSums {
--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -121,11 +121,7 @@
     if (now < this.nextDigestAt) return
     this.rankMembers()
     this.directory.peers.removeOld(now)
-    const own: RelayedLoads = {
-      loads: this.directory.takeLoads(now),
-      placements: [...this.placements.take()],
-      paces: this.directory.paces.takeEvidence(now)
-    }
+    const own = {loads: this.directory.takeLoads(now), placements: [...this.placements.take()]}
     if (this.isRelayed()) this.tickRelayed(own, now)
     else {
       this.nextDigestAt = now + this.digestIntervalMs(this.peers.length)
@@ -148,20 +144,14 @@
   }
 
   /// Where daemons disagree for a while on who relays, a zone has two relays, and each tells the other what its part puts on.
-  private relayLoads(
-    {loads, placements, paces}: RelayedLoads,
-    dependants: readonly string[],
-    now: number
-  ): void {
+  private relayLoads({loads, placements}: RelayedLoads, dependants: readonly string[], now: number): void {
     this.relay.addOutcomes(loads)
     this.relay.addPlacements(placements)
-    this.relay.addPaces(paces)
     this.sendDigest(this.getOtherRelaysOfRegion(), "zone", this.relay.takeZone(loads), now)
     this.relayRegion(loads, now)
     const fleet = this.relay.takeFleet(loads)
     this.sendDigest(dependants, "fleet", fleet, now)
     this.directory.applyFleetLoads(FLEET, fleet.loads, now)
-    this.directory.paces.applyEvidence(fleet.paces)
   }
 
   /// One daemon of a region tells each other region what its own puts on.
@@ -184,14 +174,13 @@
   private sendDigest(
     addresses: readonly string[],
     scope: LoadDigest["scope"],
-    {loads, placements, paces}: RelayedLoads,
+    {loads, placements}: RelayedLoads,
     now: number
   ): void {
     if (addresses.length === 0) return
     const knowledge = this.replica.getKnowledge(now)
     const ofRegion = scope === "region" ? {region: this.members.region, passOn: true} : {}
-    const told = {loads, placements, paces: [...(paces ?? [])]}
-    const message: FleetMessage = {kind: "loadDigest", scope, knowledge, ...told, ...ofRegion}
+    const message: FleetMessage = {kind: "loadDigest", scope, knowledge, loads, placements, ...ofRegion}
     this.sendToAll(addresses, message)
   }
 
@@ -279,10 +268,7 @@
       case "own":
         // Whoever tells a relay its loads hears those of the fleet from it; in a small fleet everybody tells everybody.
         if (this.isRelayed()) this.relay.applyMember(fromId, fromAddress, message, now)
-        else {
-          this.directory.peers.applyDigest(fromId, message.loads, now)
-          this.directory.paces.applyEvidence(message.paces)
-        }
+        else this.directory.peers.applyDigest(fromId, message.loads, now)
         break
       case "zone":
         this.relay.applyZone(fromId, fromAddress, message, now)
@@ -293,7 +279,6 @@
       case "fleet":
         if (fromAddress === this.relayAddress) this.relayHeardAt = now
         this.directory.applyFleetLoads(FLEET, message.loads, now)
-        this.directory.paces.applyEvidence(message.paces)
         break
     }
   }
--- a/src/forwarding/attempt-outcomes.ts
+++ b/src/forwarding/attempt-outcomes.ts
@@ -12,6 +12,9 @@
 import type {RequestCloser} from "./request-closer.js"
 
 const FIRST_SERVER_ERROR = 500
+/// Another back end for a request that waits in vain is looked for so often: every back end is weighed for it, and many wait where all are
+/// full. Milliseconds.
+const LOOK_AGAIN_MS = 200
 
 /// Told once for each request of a tenant that a back end has begun to run, and when. Monotonic milliseconds.
 export type RequestBegan = (tenant: string, at: number) => void
@@ -63,6 +66,8 @@
 
   /// The attempt makes no progress: the request is sent to another back end, when there is one and the budget has a repeat for it.
   onStalled(session: Session, attempt: LiveAttempt, now: number): void {
+    if (now - (attempt.lookedAt ?? -Infinity) < LOOK_AGAIN_MS) return
+    attempt.lookedAt = now
     if (!this.sender.hasRepeatLeft(session, now) || !this.sender.hasAlternative(session, attempt, now)) return
     addUnansweredSample(attempt, now)
     this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -13,6 +13,8 @@
   lastEventAt: number
   /// A stream has begun to arrive.
   answering: boolean
+  /// When another back end was last looked for.
+  lookedAt?: number
   /// Its connection passes nothing, though its back end answers on others.
   connectionSilent?: boolean
   /// Requests of all daemons at the back end before this one.
--- a/src/forwarding/kv-index.ts
+++ b/src/forwarding/kv-index.ts
@@ -2,7 +2,7 @@
 /// from what its peers had computed, and from the changes that engines tell. A part saves its tokens only where every
 /// part before it is kept too.
 import {hashText} from "../shared/rendezvous-hash.js"
-import type {PromptOutline, PromptPart} from "./forward-request.js"
+import type {PromptOutline} from "./forward-request.js"
 
 /// A part that was computed somewhere, in the form that travels: engine, hash of the part, tokens.
 export type PartPlacement = [engineId: string, partHash: number, tokens: number]
@@ -19,6 +19,11 @@
 /// Shorter parts are not told: to compute 256 tokens takes some 5 ms, and short prompts are by far the most.
 const MINIMUM_TOLD_TOKENS = 256
 
+interface HashedPart {
+  readonly hash: number
+  readonly tokens: number
+}
+
 /// Parts of one engine in order of last use, with the tokens kept.
 interface EngineParts {
   readonly tokensByPart: Map<number, number>
@@ -30,14 +35,14 @@
 /// The index of one daemon.
 export class KvIndex {
   private readonly engines = new Map<string, EngineParts>()
+  private readonly hashed = new WeakMap<PromptOutline, readonly HashedPart[]>()
   private recent: PartPlacement[] = []
 
   /// This daemon had a prompt computed at the engine. Its own part is of use to nobody else.
   addComputed(engineId: string, prompt: PromptOutline, capacityTokens: number): void {
-    for (const part of getSharedParts(prompt)) {
-      const hash = hashPart(prompt.model, part.id)
-      if (part.tokens >= MINIMUM_TOLD_TOKENS) this.recent.push([engineId, hash, part.tokens])
-      this.setTokens(this.getParts(engineId), hash, part.tokens, capacityTokens)
+    for (const {hash, tokens} of this.getSharedParts(prompt)) {
+      if (tokens >= MINIMUM_TOLD_TOKENS) this.recent.push([engineId, hash, tokens])
+      this.setTokens(this.getParts(engineId), hash, tokens, capacityTokens)
     }
     this.recent.splice(0, this.recent.length - MAXIMUM_RECENT)
   }
@@ -70,8 +75,8 @@
     const tokensByPart = this.engines.get(engineId)?.tokensByPart
     if (!tokensByPart) return 0
     let kept = 0
-    for (const part of getSharedParts(prompt)) {
-      const tokens = tokensByPart.get(hashPart(prompt.model, part.id)) ?? 0
+    for (const part of this.getSharedParts(prompt)) {
+      const tokens = tokensByPart.get(part.hash) ?? 0
       kept += Math.min(tokens, part.tokens)
       if (tokens < part.tokens) break
     }
@@ -83,6 +88,17 @@
     this.engines.delete(engineId)
   }
 
+  /// Parts that other requests may share: all but the last, which is the request's own. Every engine is looked up for a prompt, some
+  /// of them twice: the parts are hashed once.
+  private getSharedParts(prompt: PromptOutline): readonly HashedPart[] {
+    let parts = this.hashed.get(prompt)
+    if (!parts) {
+      parts = prompt.parts.slice(0, -1).map(({id, tokens}) => ({hash: hashPart(prompt.model, id), tokens}))
+      this.hashed.set(prompt, parts)
+    }
+    return parts
+  }
+
   private getParts(engineId: string): EngineParts {
     let engine = this.engines.get(engineId)
     if (!engine) this.engines.set(engineId, (engine = {tokensByPart: new Map(), total: 0, followed: false}))
@@ -102,11 +118,6 @@
   }
 }
 
-/// Parts that other requests may share: all but the last, which is the request's own.
-function getSharedParts(prompt: PromptOutline): readonly PromptPart[] {
-  return prompt.parts.slice(0, -1)
-}
-
 function hashPart(model: string, partId: string): number {
   return hashText(`${model}\u0000${partId}`)
 }
--- a/src/forwarding/pace-book.ts
+++ b/src/forwarding/pace-book.ts
@@ -1,7 +1,6 @@
 /// How fast each back end works, beside the others of its group. Engines of one service differ in speed for good, and any may turn
 /// slow for a while and recover; both are told by the same figure: the time that answers took there over the time that the
 /// group takes for the same. A back end that was replaced is another one and starts as an average one.
-import type {PaceEvidence} from "./pace-evidence.js"
 import {
   DEFAULT_PROMPT_PACE_SETTINGS,
   isSensibleSample,
@@ -16,8 +15,9 @@
   /// Shrinkage: an engine counts as average as though it had given so many average samples. Default 5: single samples spread by
   /// half of their mean, so fewer would take noise for speed.
   readonly priorSamples: number
-  /// What samples still count after this time. Milliseconds. Default 4000: with the samples of a whole fleet, two or three an engine
-  /// and second, some 15 count, which is what tells 1.3 from 1; and an engine that gets no work any more is tried again soon.
+  /// What samples still count after this time. Milliseconds. Default 4000: an engine that gets no work any more is tried
+  /// again soon. A daemon alone in a fleet of 64 has about one such sample of an engine, so that factors stay near 1 there but for engines
+  /// that are many times slower.
   readonly halfLifeMs: number
   /// What the samples before still count after one more. Default 0.96.
   readonly memory: number
@@ -29,9 +29,6 @@
   readonly maximumRatio: number
   /// Samples of one engine move its group's line as though at most so many times slower than expected. Default 3.
   readonly maximumLineRatio: number
-  /// Interval at which a daemon tells its samples. Milliseconds. Default 500: two digests of a large fleet; one engine's samples are
-  /// some 20 bytes.
-  readonly tellIntervalMs: number
   /// An engine so many times slower than the middle one of its group is told as slow: when work changes, all of a group may take longer
   /// than its line says. Default 2.
   readonly slowFactor: number
@@ -49,7 +46,6 @@
   surpriseMemory: 0.5,
   maximumRatio: 8,
   maximumLineRatio: 3,
-  tellIntervalMs: 500,
   slowFactor: 2,
   soundFactor: 1.5
 }
@@ -58,6 +54,9 @@
 /// events by requests at the engine, answers of plain back ends by requests beyond the slots.
 export type PaceMeasure = "prompt" | "first" | "pause" | "answer"
 
+/// Samples of one engine in the form that travels: id, sum of the ratios to the group's line, count. Sums add up.
+export type PaceEvidence = readonly [id: string, ratioSum: number, count: number]
+
 /// A change of what is believed of an engine's speed.
 export interface PaceChange {
   readonly id: string
@@ -195,7 +194,6 @@
   private readonly lines = new Map<string, PromptPace>()
   private readonly engines = new Map<string, EnginePace>()
   private fadedAt: number | undefined
-  private toldAt = -Infinity
   private readonly getLine = (group: string): PromptPace => {
     let line = this.lines.get(group)
     if (!line) this.lines.set(group, (line = new PromptPace(this.settings.line)))
@@ -257,10 +255,8 @@
     return middles
   }
 
-  /// This daemon's samples since they were last told, for its peers; none before the interval is over.
-  takeEvidence(now: number): PaceEvidence[] {
-    if (now - this.toldAt < this.settings.tellIntervalMs) return []
-    this.toldAt = now
+  /// This daemon's samples since the last call, for its peers.
+  takeEvidence(): PaceEvidence[] {
     const told: PaceEvidence[] = []
     for (const [id, pace] of this.engines) {
       const {ratioSum, count} = pace.takeEvidence()
@@ -270,7 +266,7 @@
   }
 
   /// Samples of other daemons. Engines that are not known here are left out.
-  applyEvidence(evidence: readonly PaceEvidence[] = []): void {
+  applyEvidence(evidence: readonly PaceEvidence[]): void {
     for (const [id, ratioSum, count] of evidence) this.engines.get(id)?.applyEvidence(ratioSum, count)
   }
 
--- a/test/pace-book.test.ts
+++ b/test/pace-book.test.ts
@@ -148,12 +148,12 @@
     for (const id of teller.speeds.keys()) hearer.get(id);
     for (let step = 0; step < 40; step += 1) {
       teller.answer(1, 400);
-      hearer.applyEvidence(teller.book.takeEvidence(step * 500));
+      hearer.applyEvidence(teller.book.takeEvidence());
       hearer.tick((step + 1) * 400);
     }
     for (const id of teller.speeds.keys())
       expect(hearer.get(id).factor()).to.be.closeTo(teller.factor(id), 0.12);
-    expect(teller.book.takeEvidence(40 * 500)).to.deep.equal([]);
+    expect(teller.book.takeEvidence()).to.deep.equal([]);
     hearer.applyEvidence([['unknown', 3, 1]]);
     expect(hearer.getFactors().map(({ id }) => id)).not.to.include('unknown');
   });
