Sight: each daemon says what its part of the retry budget did

The hypotheses on the broken budget could not be told apart: nothing said how many repeats a daemon had taken, nor by how many daemons it divided the slack. Now a line a service and second (retries.used) and a counter (pulleyledge_retries_total) do. No decision changes.

--- a/src/daemon/beliefs.ts
+++ b/src/daemon/beliefs.ts
@@ -32,6 +32,7 @@
   | 'duty.failed'
   | 'drain.started'
   | 'process.paused'
+  | 'retries.used'
   | 'region.lost'
   | 'region.regained';
 
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -39,6 +39,8 @@
 const BACKEND_SCAN_MS = 120;
 /** Members that were found are told in one line an interval. Milliseconds. */
 const MEMBERS_FOUND_MS = 1000;
+/** Interval between lines on repeats, if any were wished for. Milliseconds. */
+const RETRIES_TOLD_MS = 1000;
 /** A process that saw so much time pass between two ticks stood still. Milliseconds. */
 const OWN_PAUSE_MS = 250;
 /** Daemons are ranked as readers of the store by this key. */
@@ -51,6 +53,7 @@
   private readonly replica: FleetReplica;
   private readonly directory: BackendDirectory;
   private readonly kvIndex = new KvIndex();
+  private readonly retries: RetryAllowance;
   private readonly manager: ForwardManager;
   private readonly exchange: PeerExchange;
   private readonly parts: readonly DaemonPart[];
@@ -63,6 +66,7 @@
   private scannedAt = -Infinity;
   private membersFound = 0;
   private membersToldAt: number;
+  private retriesToldAt: number;
 
   constructor(
     private readonly identity: DaemonIdentity,
@@ -74,6 +78,7 @@
     this.tickedAt = now;
     this.handledAt = now;
     this.membersToldAt = now;
+    this.retriesToldAt = now;
     const emit = (effect: ForwardingEffect): void => void this.outbox.push(effect);
     this.directory = new BackendDirectory(settings.health, settings.picker.pace);
     this.membership = new Membership(
@@ -92,6 +97,7 @@
       new DistanceCost(settings.distance, places, roundTrips),
     );
     const picker = new BackendPicker(settings.picker, distance, this.directory, this.kvIndex, random);
+    this.retries = new RetryAllowance(settings.retries);
     this.manager = new ForwardManager(
       settings.forward,
       {
@@ -119,7 +125,7 @@
       },
       picker,
       this.kvIndex,
-      new RetryAllowance(settings.retries),
+      this.retries,
       emit,
     );
     this.exchange = new PeerExchange(
@@ -253,6 +259,7 @@
     if (now - this.scannedAt < BACKEND_SCAN_MS) return;
     this.scannedAt = now;
     this.tellMembersFound(now);
+    this.tellRetries(now);
     for (const part of this.parts) part.scan?.(this.draining, now);
   }
 
@@ -263,6 +270,12 @@
     this.membersToldAt = now;
   }
 
+  private tellRetries(now: number): void {
+    if (now - this.retriesToldAt < RETRIES_TOLD_MS) return;
+    this.retriesToldAt = now;
+    for (const use of this.retries.takeUse(this.daemons(), now)) this.believe('retries.used', { ...use });
+  }
+
   private receivePeer(fromId: string, fromAddress: string, message: PeerMessage, now: number): void {
     for (const part of this.parts) part.receivePeer?.(fromId, fromAddress, message, now);
     switch (message.kind) {
--- a/src/forwarding/retry-allowance.ts
+++ b/src/forwarding/retry-allowance.ts
@@ -12,6 +12,24 @@
   readonly windowMs: number
 }
 
+/// What a daemon has done with its part of one service's budget, for the log.
+export interface RetryUse {
+  readonly service: string
+  /// Repeats taken, and wished for in vain, since the last such record.
+  readonly taken: number
+  readonly refused: number
+  /// Counts of the window that ends now.
+  readonly requests: number
+  readonly repeats: number
+  /// Repeats left now.
+  readonly left: number
+  /// Daemons among which the slack was divided.
+  readonly daemons: number
+}
+
+/// Services in one record; those with the most repeats come first.
+const MAXIMUM_SERVICES_TOLD = 10
+
 /// Part of the budget that is used; the rest covers counts that lie on both sides of a window's edge.
 const SAFE_SHARE = 0.8
 const BUCKET_MS = 250
@@ -38,6 +56,7 @@
 export class RetryAllowance {
   private readonly requests = new Map<string, WindowCount>()
   private readonly repeats = new Map<string, WindowCount>()
+  private readonly untold = new Map<string, {taken: number; refused: number}>()
 
   constructor(private readonly settings: RetryAllowanceSettings) {}
 
@@ -48,9 +67,33 @@
 
   /// Takes one repeat if the allowance has one; `daemons` share the slack.
   tryRepeat(service: string, daemons: number, now: number): boolean {
-    if (this.left(service, daemons, now) < 1) return false
-    countOf(this.repeats, service).add(now)
-    return true
+    const allowed = this.left(service, daemons, now) >= 1
+    if (allowed) countOf(this.repeats, service).add(now)
+    this.countUse(service, allowed)
+    return allowed
+  }
+
+  /// What was done since the last call, by service; empty when nobody wished for a repeat.
+  takeUse(daemons: number, now: number): readonly RetryUse[] {
+    const used = [...this.untold].sort(([, left], [, right]) => right.taken - left.taken)
+    this.untold.clear()
+    const {windowMs} = this.settings
+    return used.slice(0, MAXIMUM_SERVICES_TOLD).map(([service, {taken, refused}]) => ({
+      service,
+      taken,
+      refused,
+      requests: countOf(this.requests, service).since(now - windowMs),
+      repeats: countOf(this.repeats, service).since(now - windowMs),
+      left: this.left(service, daemons, now),
+      daemons
+    }))
+  }
+
+  private countUse(service: string, allowed: boolean): void {
+    const use = this.untold.get(service) ?? {taken: 0, refused: 0}
+    if (allowed) use.taken += 1
+    else use.refused += 1
+    this.untold.set(service, use)
   }
 
   /// Repeats left in this window.
--- a/src/process/forwarding-metrics.ts
+++ b/src/process/forwarding-metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of a forwarding daemon, in the Prometheus form. Label values are bounded. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { BeliefEffect } from '../daemon/beliefs.js';
 import type { ForwardEffect } from '../forwarding/forward-messages.js';
 
 type Decision = Extract<ForwardEffect, { kind: 'decision' }>;
@@ -32,6 +33,7 @@
   private readonly storeCalls: Counter<'call' | 'outcome'>;
   private readonly beliefs: Counter<'event'>;
   private readonly dutyCalls: Counter<'call' | 'outcome'>;
+  private readonly retries: Counter<'service' | 'outcome'>;
 
   constructor(state: ForwardingState) {
     const registers = [this.registry];
@@ -60,6 +62,12 @@
       labelNames: ['call', 'outcome'],
       registers,
     });
+    this.retries = new Counter({
+      name: 'pulleyledge_retries_total',
+      help: 'Repeats that the retry budget gave or refused, by service; told each second',
+      labelNames: ['service', 'outcome'],
+      registers,
+    });
     this.beliefs = new Counter({
       name: 'pulleyledge_belief_changes_total',
       help: 'Changes of what the daemon believes: members, configuration, back ends, store, lease, orders',
@@ -102,8 +110,9 @@
   }
 
   /** Counts a change of belief. */
-  believed(event: string): void {
+  believed({ event, fields }: BeliefEffect): void {
     this.beliefs.inc({ event });
+    if (event === 'retries.used') this.repeated(fields);
   }
 
   /** Counts a call to the store. */
@@ -116,6 +125,12 @@
     this.dutyCalls.inc({ call, outcome });
   }
 
+  private repeated({ service: name, taken, refused }: BeliefEffect['fields']): void {
+    const service = this.serviceLabel(name);
+    this.retries.inc({ service, outcome: 'taken' }, Number(taken));
+    this.retries.inc({ service, outcome: 'refused' }, Number(refused));
+  }
+
   private serviceLabel(service: unknown): string {
     if (typeof service !== 'string') return '';
     if (this.services.size < MAXIMUM_SERVICES) this.services.add(service);
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -312,7 +312,7 @@
         this.logDecision(effect);
         break;
       case 'belief':
-        this.metrics.believed(effect.event);
+        this.metrics.believed(effect);
         this.log.important(effect.event, effect.fields);
         break;
       case 'sendPeer':
