--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -150,8 +150,14 @@
   /** Asks a daemon to stop, ends it `stopMs` later and starts it again `downMs` after that. */
   restart(node: FleetNode, stopMs: number, downMs: number): void {
     this.handle(node, { kind: 'beginDrain' });
-    this.time.after(stopMs, () => (node.down = true));
-    this.time.after(stopMs + downMs, () => {
+    this.time.after(stopMs, () => this.kill(node, downMs));
+  }
+
+  /** Ends a daemon at once and starts it again `downMs` later. One that is down already stays so. */
+  kill(node: FleetNode, downMs: number): void {
+    if (node.down) return;
+    node.down = true;
+    this.time.after(downMs, () => {
       node.id = `${node.id.slice(0, node.id.indexOf('.'))}.${node.starts}`;
       node.starts += 1;
       node.daemon = this.createDaemon(node);
