Third hypothesis ruled out: every arrival past the first is charged, and no attempt arrives twice

A property test over 2,000 drawn histories of a request (plain and engines, every outcome of an attempt, 1 to 4 attempts) compares what back ends saw with what the allowance was charged: never more seen than charged. Read beside it: the client library sends a request again only when its own idle time-out closes a connection, which no running request can meet.

--- /dev/null
+++ b/test/attempt-arrivals.test.ts
@@ -0,0 +1,158 @@
+/**
+ * What reaches back ends against what the daemon charges to its retry budget: an arrival past the first of a request that nobody charged would let
+ * a fleet break the budget without any daemon knowing.
+ */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { labBackend, labRoute } from '../lab/forwarding-site.js';
+import { ScriptedBackend } from '../lab/scripted-backend.js';
+import { HttpDialect } from '../platform/http-dialect.js';
+import { BackendClient } from '../src/adapters/backend-client.js';
+import type { AttemptStart, ForwardAttemptEvent } from '../src/forwarding/forward-messages.js';
+import type { Route } from '../src/forwarding/route.js';
+import { SeededRandom } from '../src/shared/random.js';
+import { ENGINES, Forwarding, PLAIN, prompt } from './forwarding-harness.js';
+
+const SEED = 20261204;
+const AMPLE = 1_000_000;
+const ATTEMPTS = 600;
+const IDLE_MS = 5;
+
+/** What a back end makes of an attempt, as the daemon hears of it, and whether the request reached it. */
+const OUTCOMES: readonly { readonly event: ForwardAttemptEvent; readonly arrives: boolean }[] = [
+  { event: { kind: 'unreachable', reason: 'refused' }, arrives: false },
+  { event: { kind: 'notExecuted', status: 503, wrongIncarnation: false }, arrives: true },
+  { event: { kind: 'notExecuted', status: 421, wrongIncarnation: true }, arrives: true },
+  { event: { kind: 'broken', reason: 'reset' }, arrives: true },
+  { event: { kind: 'whole', status: 500 }, arrives: true },
+];
+const PREFILLED: ForwardAttemptEvent = { kind: 'prefilled', handle: 'h' };
+
+/** Counts arrivals past the first: the first call that had only the prompt computed is none. */
+class ArrivalCount {
+  private arrivals = 0;
+  private takenUp = false;
+
+  add(start: AttemptStart, event: ForwardAttemptEvent, arrives: boolean): void {
+    if (!arrives) return;
+    const free = start.prefillOnly && event.kind !== 'notExecuted' && !this.takenUp;
+    if (start.prefillOnly && event.kind !== 'notExecuted') this.takenUp = true;
+    if (!free) this.arrivals += 1;
+  }
+
+  getRepeats(): number {
+    return Math.max(0, this.arrivals - 1);
+  }
+}
+
+function makeSite(route: Partial<Route>, engines: boolean): Forwarding {
+  const backends = engines ? ENGINES : PLAIN;
+  return new Forwarding([labRoute({ timeoutMs: 60_000, ...route })], backends, AMPLE);
+}
+
+/** Plays one request to its end and returns the repeats that back ends saw. */
+function play(site: Forwarding, draws: readonly number[], engines: boolean): number {
+  const fields = engines ? { prompt: prompt(2000, 8000) } : {};
+  site.begin({ callerDeadlineMs: 60_000, ...fields });
+  const count = new ArrivalCount();
+  let handled = 0;
+  for (let step = 0; site.starts().length > handled; step += 1) {
+    handled = site.starts().length;
+    const start = site.starts()[handled - 1];
+    const drawn = draws[step % draws.length];
+    const outcome = OUTCOMES[drawn % OUTCOMES.length];
+    const event = start.prefillOnly && drawn % 2 === 0 ? PREFILLED : outcome.event;
+    count.add(start, event, event === PREFILLED || outcome.arrives);
+    site.event(event, 10 * (step + 1));
+  }
+  return count.getRepeats();
+}
+
+describe('arrivals at back ends', () => {
+  it('past the first of a request are all charged to the retry budget, whatever becomes of the attempts', () => {
+    const cases = fc.record({
+      draws: fc.array(fc.nat(29), { minLength: 8, maxLength: 8 }),
+      engines: fc.boolean(),
+      kind: fc.constantFrom('idempotent' as const, 'nonIdempotent' as const, 'stream' as const),
+      maximumAttempts: fc.integer({ min: 1, max: 4 }),
+      resumable: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(cases, ({ draws, engines, ...route }) => {
+        const site = makeSite(route, engines);
+        const seen = play(site, draws, engines);
+        const charged = site.retries.takeUse(1, 1000).reduce((sum, { taken }) => sum + taken, 0);
+        expect(charged).to.be.at.least(seen);
+      }),
+      { seed: SEED, numRuns: 2000 },
+    );
+  });
+
+  it('come at most once for each attempt, however the back end treats its connections', async () => {
+    const random = new SeededRandom(SEED);
+    const backend = new ScriptedBackend((_request, socket) => {
+      const drawn = random.next();
+      const answer = (extra: string) =>
+        socket.write(`HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length: 2\r\n${extra}\r\nok`);
+      if (drawn < 0.15) socket.resetAndDestroy();
+      else if (drawn < 0.3) socket.end();
+      else if (drawn < 0.4) socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok');
+      else if (drawn < 0.55) answer('Connection: close\r\n');
+      else if (drawn < 0.7) {
+        answer('');
+        setTimeout(() => socket.resetAndDestroy(), IDLE_MS * random.next());
+      } else answer('Keep-Alive: timeout=1\r\n');
+    });
+    const address = await backend.listen();
+    const settings = {
+      connectTimeoutMs: 500,
+      connectionsPerBackend: 8,
+      callTimeoutMs: 1000,
+      silentConnectionMs: 1000,
+    };
+    const client = new BackendClient(new HttpDialect(), settings);
+    const open: Promise<void>[] = [];
+    for (let i = 0; i < ATTEMPTS; i += 1) {
+      open.push(send(client, `a${i}`, address, random.next() < 0.3));
+      if (i % 8 === 0) await new Promise((resolve) => setTimeout(resolve, IDLE_MS * random.next()));
+    }
+    await Promise.all(open);
+    await client.close();
+    backend.close();
+    const paths = backend.arrived.map(({ head }) => head.split(' ')[1]);
+    expect(paths.length).to.be.greaterThan(ATTEMPTS / 2);
+    expect(paths.length).to.equal(new Set(paths).size);
+  });
+});
+
+/** Sends one attempt and waits until it is over. */
+function send(client: BackendClient, attemptId: string, address: string, once: boolean): Promise<void> {
+  const head = {
+    callerId: attemptId,
+    deadlineMs: undefined,
+    prompt: undefined,
+    keyDigest: undefined,
+    lastEventId: undefined,
+  };
+  const request = { method: 'GET', path: `/${attemptId}`, headers: [], head, body: Buffer.alloc(0) };
+  const start: AttemptStart = {
+    requestId: attemptId,
+    attemptId,
+    backend: labBackend('b1', address),
+    tenant: undefined,
+    prefillOnly: false,
+    kvSource: undefined,
+    copyFrom: undefined,
+    remainingMs: 5000,
+    urgency: 0,
+    stream: false,
+    once,
+    resumeAfter: undefined,
+  };
+  const sink = { head: () => undefined, events: () => undefined, lastEventId: () => undefined };
+  return new Promise((resolve) =>
+    client.start(start, request, sink, (event) => {
+      if (event.kind !== 'connectionSilent') resolve();
+    }),
+  );
+}
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -34,6 +34,7 @@
   readonly effects: ForwardEffect[] = [];
   readonly directory = new BackendDirectory(DEFAULT_BACKEND_HEALTH_SETTINGS);
   readonly kvIndex = new KvIndex();
+  readonly retries: RetryAllowance;
   readonly manager: ForwardManager;
   readonly tenants = new TenantDirectory();
   readonly begun: [tenant: string, at: number][] = [];
@@ -60,6 +61,7 @@
       this.kvIndex,
       new SeededRandom(SEED),
     );
+    this.retries = new RetryAllowance({ ratio: 0, slack, windowMs: 10_000 });
     this.manager = new ForwardManager(
       DEFAULT_FORWARD_SETTINGS,
       {
@@ -75,7 +77,7 @@
       },
       picker,
       this.kvIndex,
-      new RetryAllowance({ ratio: 0, slack, windowMs: 10_000 }),
+      this.retries,
       (effect) => this.effects.push(effect),
     );
   }
