Mend the retry budget: a life begins with nothing, and shares do not grow while others stop

Cause, of two parts. A process counted requests and repeats in its own memory, so a restart began with a whole share of the slack and a clean window (lives of seconds took as much as those before them). The class: a bound of the whole fleet, divided by each process from what it remembers and from whom it believes to share.

Change: what requests earn goes into an account that begins empty and saves a quarter of a window; the slack is taken from the second window of a life on; it is divided by every daemon that may still send (leaving, suspect and dead ones until they are forgotten), and by 32 at least while something is known of only some seeds. Nothing is told between daemons and nothing is stored, so it holds when all are killed at once.

--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -28,7 +28,7 @@
 import { getRendezvousPlace } from '../shared/rendezvous-hash.js';
 import type { PeerMessage } from './daemon-messages.js';
 
-/** Daemons assumed to share the retry budget before any peer has answered. */
+/** Daemons assumed, at least, to share the retry budget and the connections of back ends while some may not be known. */
 const UNKNOWN_FLEET_SIZE = 32;
 /**
  * Interval between ticks. Milliseconds. What waits for a tick (a deadline, a stalled attempt, a digest) bears so much
@@ -97,7 +97,7 @@
       new DistanceCost(settings.distance, places, roundTrips),
     );
     const picker = new BackendPicker(settings.picker, distance, this.directory, this.kvIndex, random);
-    this.retries = new RetryAllowance(settings.retries);
+    this.retries = new RetryAllowance(settings.retries, now);
     this.manager = new ForwardManager(
       settings.forward,
       {
@@ -312,9 +312,14 @@
     this.replica.setRank(getRendezvousPlace(READER_KEY, this.membership.activeIds(), this.identity.id));
   }
 
+  /**
+   * Daemons that share what back ends bear. One that is stopping counts until it is forgotten: it serves for seconds, and shares that grow
+   * meanwhile add up to more than the whole (nine daemons stopped in turn repeated 2.7 times what their budget allows).
+   */
   private daemons(): number {
-    if (!this.membership.joined()) return UNKNOWN_FLEET_SIZE;
-    return Math.max(this.membership.contact().known, this.membership.active().length);
+    const { sharing } = this.membership.contact();
+    const knowsAll = this.membership.joined() && this.membership.knowsSeeds();
+    return knowsAll ? sharing : Math.max(sharing, UNKNOWN_FLEET_SIZE);
   }
 
   private learnPlacement(placement: PartPlacement): void {
--- a/src/forwarding/retry-allowance.ts
+++ b/src/forwarding/retry-allowance.ts
@@ -1,6 +1,12 @@
 /// This daemon's part of a retry budget that all daemons share without talking: within any window, a service may
-/// get at most `ratio` repeats per request and `slack` more, over all daemons. A daemon counts its own requests
-/// and takes an equal part of the slack.
+/// get at most `ratio` repeats per request and `slack` more, over all daemons and all their lives. A daemon counts its own
+/// requests and takes an equal part of the slack.
+///
+/// A process forgets what it has repeated when it ends, and nobody can tell its successor. So a life begins with nothing: it repeats what
+/// requests have earned since, and takes no slack for a whole window. And it saves little of what is earned, so that what is
+/// spent just before the end of a life and what the next one earns stay within the budget together.
+
+import {BUCKET_MS, WindowCount} from "./window-count.js"
 
 /// Figures of the budget.
 export interface RetryAllowanceSettings {
@@ -30,86 +36,116 @@
 /// Services in one record; those with the most repeats come first.
 const MAXIMUM_SERVICES_TOLD = 10
 
-/// Part of the budget that is used; the rest covers counts that lie on both sides of a window's edge.
+/// Part of the budget that is used; the rest covers counts that lie on both sides of a window's edge, and callers that move from a
+/// daemon that ends to others.
 const SAFE_SHARE = 0.8
-const BUCKET_MS = 250
-
-/// Counts of a sliding window in buckets.
-class WindowCount {
-  private buckets: {at: number; count: number}[] = []
+/// Part of what a window of requests earns that is saved for a burst of failures. With the part that is used, 0.8, it makes up the
+/// whole: 0.8 x (1 + 0.25). Of 4,000 drawn histories of a fleet whose daemons spend all they have and are killed, the budget was broken in 0 with
+/// 0.25 and in 20 with 0.3. Where nothing is restarted and failures go on for ever, 8% fewer repeats are given than without this bound.
+const SAVED_SHARE = 0.25
+/// A daemon with few requests saves one repeat all the same.
+const MINIMUM_SAVED = 1
 
-  add(now: number): void {
-    const at = Math.floor(now / BUCKET_MS)
-    const last = this.buckets.at(-1)
-    if (last?.at === at) last.count += 1
-    else this.buckets.push({at, count: 1})
-  }
+/// The account of one service.
+class ServiceAccount {
+  readonly requests: WindowCount
+  readonly repeats: WindowCount
+  /// Repeats that were taken out of the slack.
+  readonly slackRepeats: WindowCount
+  /// Repeats that requests have earned and that were not taken yet.
+  earned = 0
+  /// Repeats taken, and wished for in vain, that the log does not know yet.
+  taken = 0
+  refused = 0
 
-  since(from: number): number {
-    const first = Math.floor(from / BUCKET_MS)
-    while (this.buckets.length > 0 && this.buckets[0].at < first) this.buckets.shift()
-    return this.buckets.reduce((sum, bucket) => sum + bucket.count, 0)
+  constructor(windowMs: number) {
+    this.requests = new WindowCount(windowMs)
+    this.repeats = new WindowCount(windowMs + BUCKET_MS)
+    this.slackRepeats = new WindowCount(windowMs + BUCKET_MS)
   }
 }
 
-/// The allowance of one daemon, by service. Times are monotonic milliseconds.
+/// The allowance of one life of a daemon, by service. Times are monotonic milliseconds.
 export class RetryAllowance {
-  private readonly requests = new Map<string, WindowCount>()
-  private readonly repeats = new Map<string, WindowCount>()
-  private readonly untold = new Map<string, {taken: number; refused: number}>()
+  private readonly accounts = new Map<string, ServiceAccount>()
 
-  constructor(private readonly settings: RetryAllowanceSettings) {}
+  /// @param bornAt when this life began
+  constructor(
+    private readonly settings: RetryAllowanceSettings,
+    private readonly bornAt: number
+  ) {}
 
   /// Counts a request for `service`.
   requestSeen(service: string, now: number): void {
-    countOf(this.requests, service).add(now)
+    const account = this.accountOf(service)
+    account.requests.add(now)
+    const {ratio} = this.settings
+    account.earned = Math.min(account.earned + SAFE_SHARE * ratio, this.getMostSaved(account, now))
   }
 
   /// Takes one repeat if the allowance has one; `daemons` share the slack.
   tryRepeat(service: string, daemons: number, now: number): boolean {
+    const account = this.accountOf(service)
     const allowed = this.left(service, daemons, now) >= 1
-    if (allowed) countOf(this.repeats, service).add(now)
-    this.countUse(service, allowed)
+    if (allowed) takeRepeat(account, now)
+    else account.refused += 1
     return allowed
   }
 
+  /// Repeats left now.
+  left(service: string, daemons: number, now: number): number {
+    const account = this.accountOf(service)
+    const slack = this.getSlack(daemons, now)
+    const inWindow = SAFE_SHARE * this.settings.ratio * account.requests.count(now) + slack
+    const windowLeft = inWindow - account.repeats.count(now)
+    const slackLeft = slack - account.slackRepeats.count(now)
+    return Math.min(windowLeft, Math.max(account.earned, slackLeft))
+  }
+
   /// What was done since the last call, by service; empty when nobody wished for a repeat.
   takeUse(daemons: number, now: number): readonly RetryUse[] {
-    const used = [...this.untold].sort(([, left], [, right]) => right.taken - left.taken)
-    this.untold.clear()
-    const {windowMs} = this.settings
-    return used.slice(0, MAXIMUM_SERVICES_TOLD).map(([service, {taken, refused}]) => ({
-      service,
-      taken,
-      refused,
-      requests: countOf(this.requests, service).since(now - windowMs),
-      repeats: countOf(this.repeats, service).since(now - windowMs),
-      left: this.left(service, daemons, now),
-      daemons
-    }))
+    const used = [...this.accounts].filter(([, {taken, refused}]) => taken + refused > 0)
+    used.sort(([, left], [, right]) => right.taken - left.taken)
+    const told = used
+      .slice(0, MAXIMUM_SERVICES_TOLD)
+      .map(([service, {requests, repeats, taken, refused}]) => ({
+        service,
+        taken,
+        refused,
+        requests: requests.count(now),
+        repeats: repeats.count(now),
+        left: this.left(service, daemons, now),
+        daemons
+      }))
+    for (const [, account] of used) account.taken = account.refused = 0
+    return told
   }
 
-  private countUse(service: string, allowed: boolean): void {
-    const use = this.untold.get(service) ?? {taken: 0, refused: 0}
-    if (allowed) use.taken += 1
-    else use.refused += 1
-    this.untold.set(service, use)
+  private accountOf(service: string): ServiceAccount {
+    let account = this.accounts.get(service)
+    if (!account) {
+      account = new ServiceAccount(this.settings.windowMs)
+      this.accounts.set(service, account)
+    }
+    return account
   }
 
-  /// Repeats left in this window.
-  left(service: string, daemons: number, now: number): number {
-    const {ratio, slack, windowMs} = this.settings
-    const requests = countOf(this.requests, service).since(now - windowMs)
-    const repeats = countOf(this.repeats, service).since(now - windowMs - BUCKET_MS)
-    return SAFE_SHARE * (ratio * requests + slack / Math.max(1, daemons)) - repeats
+  /// This daemon's part of the slack. None in the first window of a life: the life before it may have taken that.
+  private getSlack(daemons: number, now: number): number {
+    const {slack, windowMs} = this.settings
+    if (now - this.bornAt < windowMs) return 0
+    return (SAFE_SHARE * slack) / Math.max(1, daemons)
   }
-}
 
-function countOf(counts: Map<string, WindowCount>, service: string): WindowCount {
-  let count = counts.get(service)
-  if (!count) {
-    count = new WindowCount()
-    counts.set(service, count)
+  private getMostSaved({requests}: ServiceAccount, now: number): number {
+    return Math.max(MINIMUM_SAVED, SAVED_SHARE * SAFE_SHARE * this.settings.ratio * requests.count(now))
   }
-  return count
+}
+
+/// Takes what requests have earned first: it is lost when it is not used, and the slack is not.
+function takeRepeat(account: ServiceAccount, now: number): void {
+  account.repeats.add(now)
+  account.taken += 1
+  if (account.earned >= 1) account.earned -= 1
+  else account.slackRepeats.add(now)
 }
--- a/src/membership/member-list.ts
+++ b/src/membership/member-list.ts
@@ -14,6 +14,11 @@
 export interface ContactCount {
   readonly alive: number;
   readonly known: number;
+  /**
+   * Daemons that may still send to back ends, by name and whatever is believed of them: one that is leaving serves for seconds, one that
+   * is taken for dead may only be cut off, and one that has gone for good counts until it is forgotten.
+   */
+  readonly sharing: number;
 }
 
 /** The beliefs of one daemon. Lists and counts are kept until a belief changes. */
@@ -22,6 +27,7 @@
   private cachedActive: Member[] | undefined;
   private cachedActiveIds: string[] | undefined;
   private cachedContact: ContactCount | undefined;
+  private cachedAddresses: Set<string> | undefined;
   /** Members that are not alive: only these have something to wait for. */
   private readonly doubted = new Set<string>();
 
@@ -66,6 +72,7 @@
    */
   getContact(): ContactCount {
     if (this.cachedContact) return this.cachedContact;
+    const all = new Set(this.getAll().map((member) => daemonName(member.id)));
     const names = new Set(this.getActive().map((member) => daemonName(member.id)));
     let alive = 0;
     let known = 0;
@@ -74,7 +81,7 @@
       const missing = member.state === 'dead' && !names.has(daemonName(member.id));
       if (member.state === 'alive' || member.state === 'suspect' || missing) known += 1;
     }
-    this.cachedContact = { alive, known };
+    this.cachedContact = { alive, known, sharing: all.size };
     return this.cachedContact;
   }
 
@@ -88,6 +95,12 @@
     return combined;
   }
 
+  /** Whether a daemon of this address is or was known. */
+  hasAddress(address: string): boolean {
+    this.cachedAddresses ??= new Set(this.getAll().map((member) => member.address));
+    return this.cachedAddresses.has(address);
+  }
+
   /** Takes a belief. */
   set(member: Member, now: number): void {
     this.records.set(member.id, { member, changedAt: now });
@@ -107,5 +120,6 @@
     this.cachedActive = undefined;
     this.cachedActiveIds = undefined;
     this.cachedContact = undefined;
+    this.cachedAddresses = undefined;
   }
 }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -99,6 +99,11 @@
     return this.list.getContact();
   }
 
+  /** Whether something is known of every seed. A group that started cut off from the others may not know how many there are. */
+  knowsSeeds(): boolean {
+    return this.seeds.every((address) => address === this.self.address || this.list.hasAddress(address));
+  }
+
   /** When a probe of this daemon was last answered. -Infinity before the first. */
   lastContact(): number {
     return this.lastContactAt;
--- a/test/retry-budget.test.ts
+++ b/test/retry-budget.test.ts
@@ -7,7 +7,7 @@
  */
 import { expect } from 'chai';
 import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
-import { FLEET_SETTINGS, ForwardingFleet } from '../simulation/forwarding-fleet.js';
+import { FLEET_SETTINGS, ForwardingFleet, type FleetNode } from '../simulation/forwarding-fleet.js';
 import { SeededRandom } from '../src/shared/random.js';
 
 const BUDGET = FLEET_SETTINGS.retries;
@@ -146,6 +146,21 @@
     });
   });
 
+  it('holds in a fleet that is cut in two while each side in turn is restarted', () => {
+    for (const sideSize of [3, 4])
+      checkBudget((site) => {
+        const { fleet } = site;
+        // One of the three seeds is on the far side, so that both sides form a group.
+        const far = fleet.nodes.slice(2, 2 + sideSize);
+        const isFar = (node: FleetNode): boolean => far.includes(node);
+        fleet.isLinked = (from, to) => isFar(from) === isFar(to);
+        far.forEach((node) => fleet.kill(node, 500));
+        fleet.time.after(3000, () =>
+          fleet.nodes.filter((node) => !isFar(node)).forEach((node) => fleet.kill(node, 500)),
+        );
+      });
+  });
+
   it('holds while daemons stop one after another and serve until they are gone', () => {
     checkBudget((site) => stopInSeries(site, 1000, 6000, 500));
     checkBudget((site) => stopInSeries(site, 1000, 6000, END_MS, DAEMONS - 3));
