--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -2,7 +2,8 @@
 /// tells the record of every arrival, run and order, and misbehaves as it is told.
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from "node:http"
 import type {AddressInfo, Socket} from "node:net"
-import {formatBody, formatEvent, type ArrivalRecord, type SoakRecord} from "./soak-record.js"
+import type {ArrivalRecord} from "./retry-check.js"
+import {formatBody, formatEvent, type SoakRecord} from "./soak-record.js"
 import type {StoreStandIn} from "./store-stand-in.js"
 
 /// How a back end behaves.
--- a/lab/soak/daemon-process.ts
+++ b/lab/soak/daemon-process.ts
@@ -29,6 +29,7 @@
   private expected = false
   /// The settings have been wrong since the process was started.
   private misled = false
+  private startedAt = -Infinity
   starts = 0
 
   constructor(
@@ -45,6 +46,7 @@
     this.writeSettings()
     this.expected = false
     this.misled = false
+    this.startedAt = performance.now()
     this.starts += 1
     const log = openSync(join(this.site.folder, `${this.name}.log`), "a")
     const child = spawn(process.execPath, [...this.site.flags, this.site.program], {
@@ -72,14 +74,16 @@
     await this.end("SIGKILL")
   }
 
-  /// Asks it to stop, waits for its end within the grace, and tells whether it ended by itself with success.
-  async stop(): Promise<boolean> {
+  /// Asks it to stop, waits for its end within the grace, and tells how it ended if that was not by itself with success.
+  async stop(): Promise<string | undefined> {
     const {child} = this
-    if (!child) return true
+    if (!child) return undefined
+    const ageMs = Math.round(performance.now() - this.startedAt)
     const timer = setTimeout(() => child.kill("SIGKILL"), EXIT_AFTER_STOP_MS)
     await this.end("SIGTERM")
     clearTimeout(timer)
-    return child.exitCode === 0
+    if (child.exitCode === 0) return undefined
+    return `${child.exitCode ?? child.signalCode}, asked ${ageMs} ms after its start`
   }
 
   /// Stops it where it stands.
@@ -127,11 +131,13 @@
 /// Below the ports that the system gives to outgoing connections and to servers that ask for any.
 const FIRST_PORT = 20_000
 const LAST_PORT = 32_000
+/// Soaks that run at once begin so many ports apart, if their process ids follow each other.
+const PORTS_APART = 211
 
 /// Finds so many ports on the loopback address that nobody listens on and that the system gives to nobody else.
 export async function findFreePorts(count: number): Promise<number[]> {
   const ports: number[] = []
-  let port = FIRST_PORT + (process.pid % (LAST_PORT - FIRST_PORT))
+  let port = FIRST_PORT + ((process.pid * PORTS_APART) % (LAST_PORT - FIRST_PORT))
   while (ports.length < count) {
     port = port >= LAST_PORT ? FIRST_PORT : port + 1
     if (await isFree(port)) ports.push(port)
--- a/lab/soak/faults.ts
+++ b/lab/soak/faults.ts
@@ -79,9 +79,10 @@
     return [this.daemon]
   }
   async start(site: SoakSite): Promise<void> {
-    const clean = await site.getDaemon(this.daemon).stop()
-    if (!clean)
-      site.record.seen.push({promise: "a planned stop ends by itself within its grace", text: this.daemon})
+    const problem = await site.getDaemon(this.daemon).stop()
+    if (problem === undefined) return
+    const text = `${this.daemon}: ${problem}`
+    site.record.seen.push({promise: "a planned stop ends by itself within its grace", text})
   }
   stop(site: SoakSite): void {
     site.getDaemon(this.daemon).start()
--- a/lab/soak/retry-check.ts
+++ b/lab/soak/retry-check.ts
@@ -1,5 +1,22 @@
-/// The retry budget of a soak, counted where it binds: at the back ends, over all daemons and all lives of their processes.
-import type {ArrivalRecord, RetryBounds, Violation} from "./soak-record.js"
+/// The retry budget of a soak, counted where it binds: at the back ends, over all daemons and all restarts.
+
+/// One arrival of a request at a back end, whatever became of it.
+export interface ArrivalRecord {
+  readonly requestId: string
+  readonly service: string
+  readonly at: number
+  /// Only its prompt was to be computed.
+  readonly promptOnly: boolean
+  /// The back end said that it would not run it.
+  rejected: boolean
+}
+
+/// What all daemons together may repeat within any window, for each service.
+export interface RetryBounds {
+  readonly ratio: number
+  readonly slack: number
+  readonly windowMs: number
+}
 
 /// A caller's request for a service, as it was sent. Monotonic milliseconds.
 export interface ServiceRequest {
@@ -12,7 +29,7 @@
   arrivals: readonly ArrivalRecord[],
   requests: readonly ServiceRequest[],
   bounds: RetryBounds
-): Violation[] {
+): string[] {
   const services = new Set(arrivals.map(({service}) => service))
   return [...services].flatMap(service => {
     const repeats = findRepeats(arrivals.filter(arrival => arrival.service === service))
@@ -41,7 +58,7 @@
   repeats: readonly number[],
   asked: readonly number[],
   {ratio, slack, windowMs}: RetryBounds
-): Violation[] {
+): string[] {
   const windows = repeats.map(from => {
     const most = Math.max(...[0, windowMs / 2, windowMs].map(back => countFrom(asked, from - back, windowMs)))
     return {seen: countFrom(repeats, from, windowMs), allowed: ratio * most + slack, from}
@@ -49,8 +66,7 @@
   windows.sort((left, right) => right.seen - right.allowed - (left.seen - left.allowed))
   const [worst] = windows
   if (!worst || worst.seen <= worst.allowed) return []
-  const text = `${service}: ${worst.seen} of ${Math.floor(worst.allowed)} from ${Math.round(worst.from)} ms`
-  return [{promise: "repeats stay within the retry budget", text}]
+  return [`${service}: ${worst.seen} of ${Math.floor(worst.allowed)} from ${Math.round(worst.from)} ms`]
 }
 
 function countFrom(moments: readonly number[], from: number, windowMs: number): number {
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -1,6 +1,6 @@
 /// What callers and back ends saw in a soak, and which promises that breaks. It knows nothing of the daemons' inside.
 
-import {checkRetryBudget, type ServiceRequest} from "./retry-check.js"
+import {checkRetryBudget, type ArrivalRecord, type RetryBounds, type ServiceRequest} from "./retry-check.js"
 import {findTenant, QUOTA_RULE, SOAK_QUOTAS, UNCACHED_TOKENS, type RouteForm} from "./soak-routes.js"
 
 /// One request of a caller. Times are monotonic milliseconds.
@@ -40,17 +40,6 @@
   status?: number
 }
 
-/// One arrival of a request at a back end, whatever became of it.
-export interface ArrivalRecord {
-  readonly requestId: string
-  readonly service: string
-  readonly at: number
-  /// Only its prompt was to be computed.
-  readonly promptOnly: boolean
-  /// The back end said that it would not run it.
-  rejected: boolean
-}
-
 /// One order that a back end took.
 export interface OrderRecord {
   readonly backend: string
@@ -94,13 +83,6 @@
   readonly retries: RetryBounds
 }
 
-/// What all daemons together may repeat within any window, for each service.
-export interface RetryBounds {
-  readonly ratio: number
-  readonly slack: number
-  readonly windowMs: number
-}
-
 /// Stands for the back ends among the things that are disturbed.
 export const BACKENDS = "backends"
 /// Kinds of disturbances that are planned stops begin so.
@@ -150,7 +132,8 @@
     for (const run of this.runs) violations.push(...this.checkRun(run))
     violations.push(...this.checkOrders())
     for (const tenant of Object.keys(SOAK_QUOTAS)) violations.push(...this.checkQuota(tenant))
-    violations.push(...checkRetryBudget(this.arrivals, this.getServiceRequests(), this.bounds.retries))
+    for (const text of checkRetryBudget(this.arrivals, this.getServiceRequests(), this.bounds.retries))
+      violations.push({promise: "repeats stay within the retry budget", text})
     return violations
   }
 
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -23,7 +23,7 @@
 import {BACKEND_PLACES, PLACES_BY_SERVICE, SoakSite} from "./soak-site.js"
 
 const MARGIN_MS = 1500
-/// Beside series of restarts the slack is small, so that a few lives too many show.
+/// Beside series of restarts the slack is small, so that a few repeats too many show.
 const SERIES_SLACK = 12
 const START_MS = 2500
 /// After the last fault the site must serve again.
--- a/src/forwarding/retry-allowance.ts
+++ b/src/forwarding/retry-allowance.ts
@@ -1,10 +1,10 @@
 /// This daemon's part of a retry budget that all daemons share without talking: within any window, a service may
-/// get at most `ratio` repeats per request and `slack` more, over all daemons and all their lives. A daemon counts its own
+/// get at most `ratio` repeats per request and `slack` more, over all daemons and all their restarts. A daemon counts its own
 /// requests and takes an equal part of the slack.
 ///
-/// A process forgets what it has repeated when it ends, and nobody can tell its successor. So a life begins with nothing: it repeats what
-/// requests have earned since, and takes no slack for a whole window. And it saves little of what is earned, so that what is
-/// spent just before the end of a life and what the next one earns stay within the budget together.
+/// A process forgets what it has repeated when it ends, and nobody can tell its successor. So each begins with nothing: it repeats what
+/// requests have earned since its start, and takes no slack for a whole window. And it saves little of what is earned, so that what
+/// is spent just before an end and what the next process earns stay within the budget together.
 
 import {BUCKET_MS, WindowCount} from "./window-count.js"
 
@@ -16,7 +16,7 @@
   readonly slack: number
   /// Length of the sliding window. Milliseconds.
   readonly windowMs: number
-  /// Whether the whole fleet starts for the first time: nobody can have repeated anything before this life.
+  /// Whether the whole fleet starts for the first time: nobody can have repeated anything before.
   readonly firstStart: boolean
 }
 
@@ -67,18 +67,18 @@
   }
 }
 
-/// The allowance of one life of a daemon, by service. Times are monotonic milliseconds.
+/// The allowance of one incarnation of a daemon, by service. Times are monotonic milliseconds.
 export class RetryAllowance {
   private readonly accounts = new Map<string, ServiceAccount>()
-  /// From when on this life takes its part of the slack.
+  /// From when on this daemon takes its part of the slack.
   private readonly slackFrom: number
 
-  /// @param bornAt when this life began
+  /// @param startedAt when this process started
   constructor(
     private readonly settings: RetryAllowanceSettings,
-    bornAt: number
+    startedAt: number
   ) {
-    this.slackFrom = settings.firstStart ? bornAt : bornAt + settings.windowMs
+    this.slackFrom = settings.firstStart ? startedAt : startedAt + settings.windowMs
   }
 
   /// Counts a request for `service`.
@@ -136,7 +136,7 @@
     return account
   }
 
-  /// This daemon's part of the slack. None in the first window of a life: the life before it may have taken that.
+  /// This daemon's part of the slack. None in its first window: the process before it may have taken that.
   private getSlack(daemons: number, now: number): number {
     if (now < this.slackFrom) return 0
     return (SAFE_SHARE * this.settings.slack) / Math.max(1, daemons)
--- a/src/routing/retry-budget.ts
+++ b/src/routing/retry-budget.ts
@@ -2,7 +2,7 @@
 
 /**
  * One retry, so that the first failure of a quiet service is not passed on. A process forgets what it has retried when it ends; with 10, twenty
- * lives of 25 requests each retried 280 times where 100 were earned.
+ * processes in turn with 25 requests each retried 280 times where 100 were earned.
  */
 const INITIAL_TOKENS = 1;
 const MAXIMUM_TOKENS = 100;
--- a/test/fault-soak.test.ts
+++ b/test/fault-soak.test.ts
@@ -8,10 +8,10 @@
   formatBody,
   formatEvent,
   SoakRecord,
-  type ArrivalRecord,
   type CallerRecord,
   type RunRecord,
 } from '../lab/soak/soak-record.js';
+import type { ArrivalRecord } from '../lab/soak/retry-check.js';
 import { SOAK_TENANTS } from '../lab/soak/soak-routes.js';
 import { SeededRandom } from '../src/shared/random.js';
 import { Snapshot } from './snapshot.js';
--- a/test/retry-allowance.test.ts
+++ b/test/retry-allowance.test.ts
@@ -1,4 +1,4 @@
-/** One daemon's part of the retry budget, and what the parts of all daemons and of all their lives add up to. */
+/** One daemon's part of the retry budget, and what the parts of all daemons and of all their restarts add up to. */
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { RetryAllowance } from '../src/forwarding/retry-allowance.js';
--- a/test/retry-budget.test.ts
+++ b/test/retry-budget.test.ts
@@ -112,7 +112,7 @@
   }
 }
 
-/** Each daemon is asked to stop, serves on for `stopMs` and begins a new life `downMs` later. */
+/** Each daemon is asked to stop, serves on for `stopMs` and is started again `downMs` later. */
 function stopInSeries(
   { fleet }: BusySite,
   gapMs: number,
