--- a/lab/soak/caller-load.ts
+++ b/lab/soak/caller-load.ts
@@ -29,14 +29,16 @@
     private readonly record: SoakRecord,
     private readonly targets: readonly CallerTarget[],
     private readonly routes: readonly CallerRoute[],
-    private readonly random: () => number
+    private readonly random: () => number,
+    /// Whether callers use a daemon now.
+    private readonly isUsed: (target: CallerTarget) => boolean = () => true
   ) {}
 
   /// Sends so many requests a second until `stop`.
   async run(perSecond: number): Promise<void> {
     while (this.running) {
       await wait((1000 / perSecond) * (0.5 + this.random()))
-      const target = this.targets[Math.floor(this.random() * this.targets.length)]
+      const target = this.pickTarget()
       const route = this.routes[Math.floor(this.random() * this.routes.length)]
       const sent = this.send(target, route).finally(() => this.open.delete(sent))
       this.open.add(sent)
@@ -50,6 +52,13 @@
     this.running = false
   }
 
+  /// Any daemon that is used; when none is, one that is not there.
+  private pickTarget(): CallerTarget {
+    const used = this.targets.filter(this.isUsed)
+    const targets = used.length > 0 ? used : this.targets
+    return targets[Math.floor(this.random() * targets.length)]
+  }
+
   private send(target: CallerTarget, route: CallerRoute): Promise<void> {
     this.count += 1
     const id = `q${this.count}`
