--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -54,6 +54,7 @@
 const HEARTBEAT_MS = 1200
 /// Part of the requests that a faulty back end spoils.
 const FAULT_SHARE = 0.4
+/// The same of one that turns most away.
 const MOST_SHARE = 0.8
 
 type Stage = "prefill" | "decode"
@@ -210,10 +211,9 @@
 
   /// Whether the next request is spoiled.
   private isHarmed(): boolean {
-    if (this.behavior === "well") return false
-    return (
-      this.behavior === "slow" || this.random() < (this.behavior === "shedsMost" ? MOST_SHARE : FAULT_SHARE)
-    )
+    const {behavior} = this
+    if (behavior === "well" || behavior === "slow") return behavior === "slow"
+    return this.random() < (behavior === "shedsMost" ? MOST_SHARE : FAULT_SHARE)
   }
 
   private readPrompt(run: SoakRecord["runs"][number], response: ServerResponse): void {
