--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -58,7 +58,9 @@
     private readonly bounds: SoakBounds,
     private readonly folder: string,
     private readonly program: string,
-    private readonly random: () => number
+    private readonly random: () => number,
+    /// Flags of the runtime beside those of the deploy file.
+    private readonly extraFlags: readonly string[] = []
   ) {
     this.duties = new DutyStandIn(bounds.leaseMs)
   }
@@ -166,7 +168,7 @@
     const site: DaemonSite = {
       folder: this.folder,
       program: this.program,
-      flags: readFlags(),
+      flags: [...readFlags(), ...this.extraFlags],
       bounds: this.bounds,
       seeds: controls.slice(0, 3)
     }
