--- a/src/forwarding/forward-answers.ts
+++ b/src/forwarding/forward-answers.ts
@@ -70,11 +70,11 @@
   }
 
   /// Logs a decision about a request.
-  logDecision(event: ForwardDecision, {request, service}: Session, fields: DecisionFields): void {
-    this.emit({kind: "decision", event, callerId: request.callerId, fields: {service, ...fields}})
+  logDecision(event: ForwardDecision, {request, service, key}: Session, fields: DecisionFields): void {
+    this.emit({kind: "decision", event, callerId: request.callerId, fields: {service, key, ...fields}})
   }
 }
 
-function getProgress({service, sends, request}: Session, now: number): DecisionFields {
-  return {service, sends, afterMs: Math.round(now - request.arrivedAt)}
+function getProgress({service, key, sends, request}: Session, now: number): DecisionFields {
+  return {service, key, sends, afterMs: Math.round(now - request.arrivedAt)}
 }
--- a/src/forwarding/forward-request.ts
+++ b/src/forwarding/forward-request.ts
@@ -33,6 +33,10 @@
   readonly usageTokens?: number | undefined
   /// Digest of the key that the caller showed; undefined when it showed none.
   readonly keyDigest?: string | undefined
+  /// Digest of what is asked: method, host, path and body. Undefined from callers of the machine that keep no bytes.
+  readonly contentDigest?: string | undefined
+  /// Where the caller's connection comes from, without its port.
+  readonly callerAddress?: string | undefined
 }
 
 /// Tokens of the parts that other requests may share: all but the last, which is the request's own.
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -3,6 +3,7 @@
 import type {KvSource} from "./forward-messages.js"
 import type {ForwardRequest} from "./forward-request.js"
 import type {ForwardSettings} from "./forward-settings.js"
+import {getRequestKey} from "./request-key.js"
 import type {Route, Tenant} from "./route.js"
 
 /// The attempt that is under way. Times are monotonic milliseconds.
@@ -36,6 +37,8 @@
   readonly service: string
   /// For whom the caller acts; undefined where callers need no key.
   readonly tenant: Tenant | undefined
+  /// The same for each try of one caller for one thing; undefined where what is asked is not known.
+  readonly key: string | undefined
   readonly deadlineAt: number
   /// Back ends that it has been sent to.
   readonly excluded: Set<string>
@@ -76,6 +79,7 @@
     route,
     service,
     tenant,
+    key: getRequestKey(request, tenant),
     deadlineAt: request.arrivedAt + allowedMs,
     excluded: new Set(),
     attempt: undefined,
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -13,6 +13,8 @@
   /** Names and values in turn. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Where the connection comes from, without its port; empty when it is gone. */
+  readonly callerAddress: string;
   /** When its head arrived. Monotonic milliseconds. */
   readonly arrivedAt: number;
 }
@@ -289,6 +291,7 @@
         host: request.headers.host ?? '',
         headers: request.rawHeaders,
         body: Buffer.concat(chunks),
+        callerAddress: socket.remoteAddress ?? '',
         arrivedAt,
       };
       afterNextPoll(() => {
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -11,6 +11,7 @@
 import type { ForwardingEffect, ForwardingEvent } from '../daemon/forwarding-messages.js';
 import { ListenError, type PulleyledgeError } from '../errors/index.js';
 import type { AttemptStart } from '../forwarding/forward-messages.js';
+import { digestContent } from '../forwarding/request-key.js';
 import { ForwardServer, type CallerReply, type ReceivedRequest } from '../gateway/forward-server.js';
 import { SeededRandom } from '../shared/random.js';
 import { ForwardingMetrics } from './forwarding-metrics.js';
@@ -261,7 +262,7 @@
     this.requestCount += 1;
     const id = this.requestCount.toString(36);
     const head = this.adapters.dialect.callerHead(received.headers);
-    const { method, path, headers, body } = received;
+    const { method, path, host, headers, body, callerAddress } = received;
     this.open.set(id, { reply, request: { method, path, headers, head, body } });
     reply.onGone = () => {
       if (this.open.delete(id)) this.send({ kind: 'cancel', requestId: id });
@@ -271,7 +272,7 @@
       request: {
         id,
         callerId: head.callerId,
-        host: received.host,
+        host,
         path,
         arrivedAt: received.arrivedAt,
         callerDeadlineMs: head.deadlineMs,
@@ -279,6 +280,8 @@
         bodyBytes: body.length,
         usageTokens: head.usageTokens,
         keyDigest: head.keyDigest,
+        contentDigest: digestContent({ method, host, path, body }),
+        callerAddress,
       },
     });
   }
