--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -10,6 +10,7 @@
 import { DEFAULT_LEASE_SETTINGS } from '../src/lease/cell-lease.js';
 import { SeededRandom } from '../src/shared/random.js';
 import type { ForwardAttemptEvent } from '../src/forwarding/forward-messages.js';
+import type { ForwardRequest } from '../src/forwarding/forward-request.js';
 import type { KvChangesCall } from '../src/forwarding/kv-follower.js';
 import type { DutyAuthority, DutyCall } from '../src/duties/duty-messages.js';
 import type { TableRequest, TableResult } from '../src/platform/table-service.js';
@@ -90,6 +91,9 @@
   readonly backendId: string;
 }
 
+/** What a caller says of itself and of what it asks. */
+export type CallerFields = Pick<ForwardRequest, 'keyDigest' | 'contentDigest' | 'callerAddress'>;
+
 /** The fleet. */
 export class ForwardingFleet {
   /** Attempts so far, the newest last. */
@@ -198,20 +202,15 @@
   }
 
   /** Sends a caller's request to a daemon. */
-  submit(node: FleetNode, id: string, path = '/a/x', keyDigest?: string): void {
+  submit(node: FleetNode, id: string, path = '/a/x', fields: CallerFields = {}): void {
     const arrivedAt = this.time.now();
-    const caller = {
-      id,
-      callerId: id,
-      host: 'site.example',
-      path,
-      arrivedAt,
-      callerDeadlineMs: 5000,
-      keyDigest,
-    };
-    this.handle(node, { kind: 'submit', request: { ...caller, prompt: undefined } });
+    const caller = { id, callerId: id, host: 'site.example', path, arrivedAt, callerDeadlineMs: 5000 };
+    this.handle(node, { kind: 'submit', request: { ...caller, ...fields, prompt: undefined } });
   }
 
+  /** Whether somebody listens at the address of a back end. */
+  isListening: (address: string) => boolean = () => true;
+
   /** Tells a daemon what became of an attempt. */
   endAttempt({ node, requestId, attemptId }: StartedAttempt, event: ForwardAttemptEvent): void {
     this.handle(node, { kind: 'attempt', requestId, attemptId, event });
--- a/test/duties.test.ts
+++ b/test/duties.test.ts
@@ -102,7 +102,7 @@
     const tenant = TENANTS[this.random.below(TENANTS.length)];
     this.requests += 1;
     const before = fleet.attempts.length;
-    fleet.submit(node, `q${this.requests}`, '/a/x', tenant.keyDigests[0]);
+    fleet.submit(node, `q${this.requests}`, '/a/x', { keyDigest: tenant.keyDigests[0] });
     const attempt = fleet.attempts.at(-1);
     if (!attempt || fleet.attempts.length === before) return;
     const window = Math.floor((WALL_START_MS + fleet.time.now()) / WINDOW_MS);
--- a/test/quota-restarts.test.ts
+++ b/test/quota-restarts.test.ts
@@ -36,7 +36,8 @@
   for (let at = SETTLED_MS; at < END_MS; at += 1) {
     fleet.time.runUntil(at);
     const node = fleet.nodes[Math.floor(random.next() * DAEMONS)];
-    for (let i = 0; i < 2 && !node.down; i += 1) fleet.submit(node, `r${at}-${i}`, '/a/x', 'k');
+    for (let i = 0; i < 2 && !node.down; i += 1)
+      fleet.submit(node, `r${at}-${i}`, '/a/x', { keyDigest: 'k' });
     for (const attempt of fleet.attempts.slice(handled)) {
       sentAt.push(at);
       fleet.endAttempt(attempt, { kind: 'whole', status: 200 });
--- a/test/tenants.test.ts
+++ b/test/tenants.test.ts
@@ -217,7 +217,8 @@
       const since = fleet.time.now();
       writeTenants(fleet, 2, []);
       fleet.time.runUntil(since + BOUND_MS);
-      for (const node of fleet.nodes) fleet.submit(node, `q-${node.id}`, '/a/x', digestKey(KEY));
+      for (const node of fleet.nodes)
+        fleet.submit(node, `q-${node.id}`, '/a/x', { keyDigest: digestKey(KEY) });
       expect(fleet.attempts.map(({ requestId }) => requestId)).to.deep.equal([]);
       for (const { refusals } of fleet.nodes)
         expect(refusals.map(({ status }) => status)).to.deep.equal([401]);
@@ -228,7 +229,8 @@
     const fleet = fleetWithKeys();
     for (const node of fleet.nodes) node.access = 'silent';
     fleet.time.runUntil(fleet.time.now() + 3000);
-    for (const node of fleet.nodes) fleet.submit(node, `q-${node.id}`, '/a/x', digestKey(OTHER_KEY));
+    for (const node of fleet.nodes)
+      fleet.submit(node, `q-${node.id}`, '/a/x', { keyDigest: digestKey(OTHER_KEY) });
     for (const { refusals } of fleet.nodes) expect(refusals.map(({ status }) => status)).to.deep.equal([503]);
   });
 });
