--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -132,6 +132,11 @@
     });
   }
 
+  /** A daemon goes on after a suspension that its clock has not counted. */
+  suspend(node: FleetNode, forMs: number): void {
+    this.handle(node, { kind: 'clockStoodStill', forMs });
+  }
+
   private createDaemon({ id, address, zone }: Pick<FleetNode, 'id' | 'address' | 'zone'>): ForwardingDaemon {
     return new ForwardingDaemon(
       { id, address, zone, region: this.getRegion(zone) },
--- a/src/allocation/stage-coordinator.ts
+++ b/src/allocation/stage-coordinator.ts
@@ -110,6 +110,11 @@
     return true;
   }
 
+  /** This process's clock stood still for a time that nobody here has counted. */
+  clockStoodStill(): void {
+    this.lease.clockStoodStill();
+  }
+
   /** Gives the lease back, unless an order is on its way. */
   release(now: number): void {
     if (this.pending.size === 0) this.lease.release(now);
--- a/src/configuration/configuration-replica.ts
+++ b/src/configuration/configuration-replica.ts
@@ -119,6 +119,12 @@
     return this.tableDownSince !== undefined;
   }
 
+  /** The clock stood still for a time that it has not counted: what is known is older than it seems. Milliseconds. */
+  clockStoodStill(forMs: number): void {
+    this.confirmedAt -= forMs;
+    this.outageHeardAt -= forMs;
+  }
+
   /** How current the configuration is known to be. */
   freshness(now: number, contact: PeerContact): Freshness {
     if (this.currentRevision < 0) return { kind: 'never' };
--- a/src/daemon/beliefs.ts
+++ b/src/daemon/beliefs.ts
@@ -33,6 +33,7 @@
   | 'duty.failed'
   | 'drain.started'
   | 'process.paused'
+  | 'process.suspended'
   | 'retries.used'
   | 'backend.ended'
   | 'request.quarantined'
--- a/src/daemon/cell-manager.ts
+++ b/src/daemon/cell-manager.ts
@@ -136,6 +136,12 @@
     this.distrustUntil = now + WAKE_GRACE_MS;
   }
 
+  /** The clock stood still for a time that it has not counted: no lease counts any more, and what is read now may be as old. */
+  clockStoodStill(now: number): void {
+    this.wokeUp(now, now);
+    for (const { lease } of this.runtimes.values()) lease.clockStoodStill();
+  }
+
   private reportMadeAt(now: number, ageMs: number): number {
     const madeAt = now - ageMs - this.settings.directory.reportLagMs;
     return now < this.distrustUntil ? Math.min(madeAt, this.pausedAt) : madeAt;
--- a/src/daemon/daemon-messages.ts
+++ b/src/daemon/daemon-messages.ts
@@ -95,6 +95,8 @@
 /** What goes in. */
 export type DaemonEvent =
   | { readonly kind: 'tick' }
+  /** The machine was suspended for so long, which the clock that times these events has not counted. Milliseconds. */
+  | { readonly kind: 'clockStoodStill'; readonly forMs: number }
   | {
       readonly kind: 'peerMessage';
       readonly fromId: string;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -204,6 +204,10 @@
       case 'tick':
         this.tick(now);
         break;
+      case 'clockStoodStill':
+        this.cells.clockStoodStill(now);
+        this.configuration.clockStoodStill(event.forMs);
+        break;
       case 'peerMessage':
         this.receivePeer(event.fromId, event.fromAddress, event.message, now);
         break;
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -205,6 +205,9 @@
         for (const part of this.parts) part.receiveClock?.(event.wallMs, now);
         this.tick(now);
         break;
+      case 'clockStoodStill':
+        this.resumeAfterSuspension(event.forMs, now);
+        break;
       case 'peerMessage':
         this.receivePeer(event.fromId, event.fromAddress, event.message, now);
         break;
@@ -236,8 +239,7 @@
     this.tickedAt = now;
     if (sinceTickMs > OWN_PAUSE_MS) {
       this.believe('process.paused', { forMs: Math.round(sinceTickMs), requests: this.requestsInHand() });
-      this.manager.ownPauseEnded(now);
-      for (const part of this.parts) part.ownPauseEnded?.(now);
+      this.ownPauseEnded(now);
     }
     this.membership.tick(now);
     this.rankReader();
@@ -252,6 +254,19 @@
     for (const part of this.parts) part.scan?.(this.draining, now);
   }
 
+  private ownPauseEnded(now: number): void {
+    this.manager.ownPauseEnded(now);
+    for (const part of this.parts) part.ownPauseEnded?.(now);
+  }
+
+  /** As after a pause, and beside that nothing that is measured by the clock of this process counts any more. */
+  private resumeAfterSuspension(forMs: number, now: number): void {
+    this.believe('process.suspended', { forMs: Math.round(forMs), requests: this.requestsInHand() });
+    this.replica.clockStoodStill(forMs);
+    for (const part of this.parts) part.clockStoodStill?.();
+    this.ownPauseEnded(now);
+  }
+
   private tellMembersFound(now: number): void {
     if (this.membersFound === 0 || now - this.membersToldAt < MEMBERS_FOUND_MS) return;
     this.believe('members.found', { found: this.membersFound, members: this.members() });
--- a/src/daemon/forwarding-messages.ts
+++ b/src/daemon/forwarding-messages.ts
@@ -16,6 +16,8 @@
 export type ForwardingEvent =
   /** `wallMs` is the machine's time of day. Milliseconds. */
   | { readonly kind: 'tick'; readonly wallMs: number }
+  /** The machine was suspended for so long, which the clock that times these events has not counted. Milliseconds. */
+  | { readonly kind: 'clockStoodStill'; readonly forMs: number }
   | {
       readonly kind: 'peerMessage';
       readonly fromId: string;
--- a/src/daemon/stage-manager.ts
+++ b/src/daemon/stage-manager.ts
@@ -60,6 +60,11 @@
     }
   }
 
+  /** This process's clock stood still for a time that nobody here has counted. */
+  clockStoodStill(): void {
+    for (const coordinator of this.coordinators.values()) coordinator.clockStoodStill();
+  }
+
   /** Takes the answer to a `leaseTable` effect. */
   tableAnswered(service: string, result: TableResult, now: number): void {
     this.coordinators.get(service)?.receiveTableResult(result, now);
--- a/src/duties/duty-manager.ts
+++ b/src/duties/duty-manager.ts
@@ -126,6 +126,11 @@
     if (this.settings.ordersServers) this.orderCapacity(authority, now)
   }
 
+  /// This process's clock stood still for a time that nobody here has counted.
+  clockStoodStill(): void {
+    this.lease.clockStoodStill()
+  }
+
   /// Takes the answer to a `leaseTable` effect.
   receiveLeaseResult(result: TableResult, now: number): void {
     this.lease.receiveTableResult(result, now)
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -82,6 +82,11 @@
     return this.ageMs("configuration", now) > this.settings.staleMs
   }
 
+  /// The clock stood still for a time that it has not counted. Milliseconds.
+  clockStoodStill(forMs: number): void {
+    for (const follower of Object.values(this.followers)) follower.clockStoodStill(forMs)
+  }
+
   /// Everything known, removals included, for a peer.
   records(): StoredRecord[] {
     return this.copy.getRecords()
--- a/src/fleet/store-follower.ts
+++ b/src/fleet/store-follower.ts
@@ -84,6 +84,11 @@
     return {complete: cursor, changed, ageMs: Math.round(now - completeAt), storeMs: told}
   }
 
+  /// The clock stood still for a time that it has not counted: what is known is older than it seems.
+  clockStoodStill(forMs: number): void {
+    this.completeAt -= forMs
+  }
+
   /// How long ago the store was last known to have nothing newer. Milliseconds.
   getAgeMs(now: number): number {
     return now - this.completeAt
--- a/src/forwarding/kv-follower.ts
+++ b/src/forwarding/kv-follower.ts
@@ -76,7 +76,10 @@
   /// Sends the calls that are due.
   tick(now: number): void {
     for (const view of this.directory.all()) {
-      if (view.record.stage === undefined || view.needsProbe(now)) continue
+      const {stage, service} = view.record
+      // A record may name a service that no configuration has.
+      const isEngine = stage !== undefined && this.surroundings.capacityTokens(service) !== undefined
+      if (!isEngine || view.needsProbe(now)) continue
       const engine = this.getEngine(view.record.id)
       if (engine.calling || now < engine.nextCallAt) continue
       if (!this.mayFollow()) {
--- a/src/lease/cell-lease.ts
+++ b/src/lease/cell-lease.ts
@@ -114,6 +114,15 @@
     this.lose();
   }
 
+  /**
+   * This process's clock stood still for a time that nobody here has counted: what was held may have gone to another, and a write on its
+   * way counts from a moment that lies further back than it seems.
+   */
+  clockStoodStill(): void {
+    this.lose();
+    this.lapsedThrough = Math.max(this.lapsedThrough, this.pendingWrite?.value.epoch ?? 0);
+  }
+
   /** Takes the answer to a `leaseTable` effect. */
   receiveTableResult(result: TableResult, now: number): void {
     this.requestInFlight = false;
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -57,7 +57,15 @@
   ForwardingEvent,
   {
     kind:
-      "tick" | "peerMessage" | "recordsRead" | "submit" | "cancel" | "attempt" | "beginDrain" | "closeForNew"
+      | "tick"
+      | "clockStoodStill"
+      | "peerMessage"
+      | "recordsRead"
+      | "submit"
+      | "cancel"
+      | "attempt"
+      | "beginDrain"
+      | "closeForNew"
   }
 >
 
@@ -114,6 +122,9 @@
   /// This process stood still until now.
   ownPauseEnded?(now: number): void
 
+  /// This process's clock stood still for a time that nobody here has counted: authority that is measured by it is void.
+  clockStoodStill?(): void
+
   /// Advances what cannot wait for `scan`.
   tick?(now: number): void
 
--- a/src/parts/duty-part.ts
+++ b/src/parts/duty-part.ts
@@ -45,6 +45,10 @@
     this.manager.requestBegan(tenant, at)
   }
 
+  override clockStoodStill(): void {
+    this.manager.clockStoodStill()
+  }
+
   override receivePeer(fromId: string, _fromAddress: string, message: PeerMessage, now: number): void {
     if (message.kind === "usageCounts") this.manager.receiveCounts(fromId, message)
     const carriesTime = message.kind === "ping" || message.kind === "ack"
--- a/src/parts/stage-part.ts
+++ b/src/parts/stage-part.ts
@@ -26,6 +26,10 @@
     this.manager.configured(configuration)
   }
 
+  override clockStoodStill(): void {
+    this.manager.clockStoodStill()
+  }
+
   override receiveAnswer(event: AnswerEvent, now: number): void {
     switch (event.kind) {
       case "leaseTableResult":
--- a/src/process/daemon-actors.ts
+++ b/src/process/daemon-actors.ts
@@ -10,6 +10,7 @@
 import type { PlatformClient } from '../adapters/platform-client.js';
 import type { Daemon } from '../daemon/daemon.js';
 import type { DaemonEffect, DaemonEvent } from '../daemon/daemon-messages.js';
+import { SuspensionWatch } from '../shared/suspension-watch.js';
 
 const { dispatch, spawn, start, stop } = nact;
 
@@ -79,6 +80,7 @@
     'platform',
     FAIL_FAST,
   );
+  const suspension = new SuspensionWatch();
   const cancels = new Map<string, () => void>();
   const engineActor = spawn(
     system,
@@ -124,6 +126,8 @@
     system,
     (_state: undefined, event: DaemonEvent) => {
       const now = performance.now();
+      const forMs = suspension.observe(now, Date.now());
+      if (forMs > 0) parts.daemon.handle({ kind: 'clockStoodStill', forMs }, now).forEach(perform);
       const effects = parts.daemon.handle(event, now);
       parts.onTransition(event.kind, performance.now() - now);
       effects.forEach(perform);
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -14,6 +14,7 @@
 import { digestContent } from '../quarantine/request-key.js';
 import { ForwardServer, type CallerReply, type ReceivedRequest } from '../gateway/forward-server.js';
 import { SeededRandom } from '../shared/random.js';
+import { SuspensionWatch } from '../shared/suspension-watch.js';
 import { ForwardingMetrics } from './forwarding-metrics.js';
 import { OutsideCalls, type OutsideSystems } from './outside-calls.js';
 import { DecisionLog, type DecisionLogSettings } from './decision-log.js';
@@ -92,6 +93,7 @@
     minLength: LOG_BUFFER_BYTES,
     maxLength: MAXIMUM_LOG_BYTES,
   });
+  private readonly suspension = new SuspensionWatch();
   private readonly open = new Map<string, OpenRequest>();
   private tickTimer: NodeJS.Timeout | undefined;
   private flushTimer: NodeJS.Timeout | undefined;
@@ -253,11 +255,19 @@
     nact.dispatch(this.machine, event);
   }
 
+  /** Before anything is decided the clocks are compared: the first event after a suspension may lead to an order. */
   private step(event: ForwardingEvent): undefined {
-    for (const effect of this.daemon.handle(event, now())) this.perform(effect);
+    const at = now();
+    const forMs = this.suspension.observe(at, Date.now());
+    if (forMs > 0) this.handle({ kind: 'clockStoodStill', forMs }, at);
+    this.handle(event, at);
     return undefined;
   }
 
+  private handle(event: ForwardingEvent, at: number): void {
+    for (const effect of this.daemon.handle(event, at)) this.perform(effect);
+  }
+
   private received(received: ReceivedRequest, reply: CallerReply): void {
     this.requestCount += 1;
     const id = this.requestCount.toString(36);
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -183,6 +183,55 @@
       ]);
   });
 
+  it('entries of other writers name no server, and the others hold', async () => {
+    const bad: string[] = [];
+    const store = new StoreClient(address, (key) => bad.push(key));
+    const good = {
+      service: 's',
+      addr: '10.0.0.1:80',
+      zone: 'z',
+      slots: 4,
+      state: 'ready',
+      born: 1_800_000_000_000,
+    };
+    const encode = (value: unknown): string => Buffer.from(JSON.stringify(value)).toString('base64');
+    const foreign: Record<string, unknown> = {
+      noState: { ...good, state: undefined },
+      otherState: { ...good, state: 'warming' },
+      otherType: { ...good, slots: '4' },
+      noAddress: { ...good, addr: 'host:80' },
+      otherAddress: { ...good, addr: '10.0.0.999:80' },
+      noPort: { ...good, addr: '10.0.0.1:99999' },
+      half: { ...good, born: 1.5 },
+      long: { ...good, service: 's'.repeat(600) },
+      list: [good],
+      none: null,
+    };
+    const rows = [
+      { key: 'good', ver: 3, value: encode(good) },
+      ...Object.entries(foreign).map(([key, value], i) => ({ key, ver: 4 + i, value: encode(value) })),
+      { key: 'bytes', ver: 20, value: Buffer.from([0xff, 0xfe, 0x00, 0x80]).toString('base64') },
+      { key: 'noText', ver: 21, value: 7 },
+      { ver: 22 },
+      'no row',
+      { key: 'goodToo', ver: 23, value: encode(good) },
+    ];
+    answer = () => ({ status: 200, body: { rows, ver: 30 } });
+    for (const after of [undefined, 2]) {
+      const result = await store.read({ collection: 'backends', after, waitMs: 0 });
+      expect(result.kind).to.equal(after === undefined ? 'snapshot' : 'changes');
+      if (result.kind !== 'snapshot' && result.kind !== 'changes') return;
+      const named = result.records.flatMap((record) =>
+        record.collection === 'backends' && record.value ? [[record.id, record.value.bornMs]] : [],
+      );
+      expect(named).to.deep.equal([
+        ['good', good.born],
+        ['goodToo', good.born],
+      ]);
+    }
+    expect(new Set(bad)).to.deep.equal(new Set([...Object.keys(foreign), 'bytes', 'noText', '(row)']));
+  });
+
   it('refusals, gone histories and answers that are none are told apart', async () => {
     const store = new StoreClient(address, () => undefined);
     const read = { collection: 'configuration' as const, after: 5, waitMs: 10 };
--- /dev/null
+++ b/test/restarted-back-ends.test.ts
@@ -0,0 +1,83 @@
+/** A back end that starts again under its old id: everything known of the incarnation before is forgotten. */
+import { expect } from 'chai';
+import { labBackend } from '../lab/forwarding-site.js';
+import { HttpDialect } from '../platform/http-dialect.js';
+import {
+  DEFAULT_FLEET_REPLICA_SETTINGS,
+  FleetReplica,
+  type FleetEffect,
+} from '../src/fleet/fleet-replica.js';
+import type { BackendRecord } from '../src/forwarding/route.js';
+import { getIncarnation } from '../src/quarantine/incarnation.js';
+import { SeededRandom } from '../src/shared/random.js';
+import { Forwarding, PLAIN } from './forwarding-harness.js';
+
+const BORN_MS = 1_800_000_000_000;
+
+function bornAt(bornMs: number | undefined): BackendRecord {
+  return { ...labBackend('b1', '10.0.0.1:80'), bornMs };
+}
+
+/** What a replica tells while records of one back end come in. */
+function tellOf(records: readonly BackendRecord[]): string[] {
+  const effects: FleetEffect[] = [];
+  const fleet = new FleetReplica(
+    DEFAULT_FLEET_REPLICA_SETTINGS,
+    new SeededRandom(1),
+    (effect) => effects.push(effect),
+    0,
+  );
+  records.forEach((value, i) =>
+    fleet.receive(
+      'backends',
+      {
+        kind: i === 0 ? 'snapshot' : 'changes',
+        revision: i + 1,
+        records: [{ collection: 'backends', id: value.id, revision: i + 1, value }],
+      },
+      100 * (i + 1),
+    ),
+  );
+  return effects.flatMap(({ kind }) =>
+    kind === 'backendChanged' || kind === 'backendRemoved' ? [kind] : [],
+  );
+}
+
+describe('a back end that starts again under its id', () => {
+  it('is removed and added anew; an entry that changes otherwise is not', () => {
+    const changed = { ...bornAt(BORN_MS), state: 'draining' as const };
+    expect(tellOf([bornAt(BORN_MS), changed])).to.deep.equal(['backendChanged', 'backendChanged']);
+    expect(tellOf([bornAt(BORN_MS), bornAt(BORN_MS + 5000)])).to.deep.equal([
+      'backendChanged',
+      'backendRemoved',
+      'backendChanged',
+    ]);
+    expect(tellOf([bornAt(undefined), bornAt(BORN_MS)])).to.deep.equal(['backendChanged', 'backendChanged']);
+  });
+
+  it('has neither the failures nor the work of the one before', () => {
+    const site = new Forwarding([], PLAIN);
+    const [record] = PLAIN;
+    const before = site.directory.get(record.id);
+    before?.begin('a1', 100, 0);
+    before?.lost(10);
+    site.directory.remove(record.id);
+    site.directory.put({ ...record, bornMs: BORN_MS });
+    const after = site.directory.get(record.id);
+    expect(after?.avoided(20)).to.equal(false);
+    expect(after?.ownInFlight()).to.equal(0);
+    expect(before?.takesWork()).to.equal(false);
+  });
+
+  it('is told from the one before by the time of its start', () => {
+    expect(getIncarnation(bornAt(BORN_MS))).not.to.equal(getIncarnation(bornAt(BORN_MS + 1)));
+    const dialect = new HttpDialect();
+    const backend = { id: 'b1', address: '10.0.0.1:80', incarnation: 'b1@', bornMs: BORN_MS };
+    const isOther = (headers: string[], body: string) => dialect.isOtherIncarnation(headers, body, backend);
+    expect(isOther(['X-Instance-Id', 'b1'], '')).to.equal(false);
+    expect(isOther(['X-Instance-Id', 'b2'], '')).to.equal(true);
+    expect(isOther([], JSON.stringify({ born: BORN_MS }))).to.equal(false);
+    expect(isOther(['X-Instance-Id', 'b1'], JSON.stringify({ born: BORN_MS + 900 }))).to.equal(true);
+    expect(isOther([], 'ok')).to.equal(false);
+  });
+});
--- /dev/null
+++ b/test/suspension.test.ts
@@ -0,0 +1,146 @@
+/** A machine that was suspended: its steady clock stood still, and nothing that is measured by it counts any more. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
+import { PlatformModel } from '../lab/platform-model.js';
+import { ForwardingFleet } from '../simulation/forwarding-fleet.js';
+import { CellLease, DEFAULT_LEASE_SETTINGS, type LeaseEffect } from '../src/lease/cell-lease.js';
+import { SuspensionWatch } from '../src/shared/suspension-watch.js';
+
+const SEED = 20261203;
+const WALL_MS = 1_800_000_000_000;
+const SUSPENDED_MS = 8000;
+
+/** A contender whose own clock may lie behind that of the others. */
+class Contender {
+  readonly lease: CellLease;
+  behindMs = 0;
+  /** Answers wait until they are taken. */
+  holdsAnswers = false;
+  private readonly answers: (() => void)[] = [];
+
+  constructor(
+    name: string,
+    private readonly platform: PlatformModel,
+    private readonly getNow: () => number,
+  ) {
+    this.lease = new CellLease('cell', name, DEFAULT_LEASE_SETTINGS, (effect) => this.perform(effect), 0);
+  }
+
+  now(): number {
+    return this.getNow() - this.behindMs;
+  }
+
+  tick(): void {
+    this.lease.tick(this.now(), true);
+    if (!this.holdsAnswers) this.takeAnswers();
+  }
+
+  takeAnswers(): void {
+    for (const take of this.answers.splice(0)) take();
+  }
+
+  holds(): boolean {
+    return this.lease.current(this.now()) !== undefined;
+  }
+
+  private perform(effect: LeaseEffect): void {
+    if (effect.kind !== 'leaseTable') return;
+    const result = this.platform.table(effect.request, this.getNow());
+    if (result) this.answers.push(() => this.lease.receiveTableResult(result, this.now()));
+  }
+}
+
+/** Two contenders, the first of which holds the lease. */
+function startContest(): { now: (ms?: number) => number; first: Contender; second: Contender } {
+  let nowMs = 0;
+  const now = (ms = 0) => (nowMs += ms);
+  const platform = new PlatformModel({ perSecond: 10_000, burst: 10_000 });
+  const first = new Contender('first', platform, now);
+  const second = new Contender('second', platform, now);
+  for (let step = 0; step < 100 && !first.holds(); step += 1) {
+    now(100);
+    first.tick();
+  }
+  expect(first.holds()).to.equal(true);
+  second.tick();
+  return { now, first, second };
+}
+
+describe('a machine that was suspended', () => {
+  it('has its suspension noticed by the time of day, and no other change of the clocks', () => {
+    const step = fc.record({ ms: fc.nat(5000), suspendedMs: fc.nat(20_000), setBackMs: fc.nat(5000) });
+    fc.assert(
+      fc.property(fc.array(step), (steps) => {
+        const watch = new SuspensionWatch();
+        let [steady, wall] = [0, WALL_MS];
+        watch.observe(steady, wall);
+        for (const { ms, suspendedMs, setBackMs } of steps) {
+          steady += ms;
+          wall += ms + suspendedMs;
+          expect(watch.observe(steady, wall)).to.equal(suspendedMs > 250 ? suspendedMs : 0);
+          wall -= setBackMs;
+          expect(watch.observe(steady, wall)).to.equal(0);
+        }
+      }),
+      { seed: SEED, numRuns: 300 },
+    );
+  });
+
+  it('holds no lease when it goes on, and takes none up by an answer from before', () => {
+    const { now, first, second } = startContest();
+    // A renewal is on its way when the machine stands still.
+    first.holdsAnswers = true;
+    now(DEFAULT_LEASE_SETTINGS.renewIntervalMs + 100);
+    first.tick();
+    first.behindMs += SUSPENDED_MS;
+    for (let ms = 0; ms < SUSPENDED_MS; ms += 100) {
+      now(100);
+      second.tick();
+    }
+    expect(second.holds()).to.equal(true);
+    expect(first.holds(), 'by its own clock alone').to.equal(true);
+    first.lease.clockStoodStill();
+    expect(first.holds()).to.equal(false);
+    first.holdsAnswers = false;
+    first.takeAnswers();
+    expect(first.holds(), 'after the answer').to.equal(false);
+    for (let step = 0; step < 20; step += 1) {
+      now(100);
+      first.tick();
+      second.tick();
+      expect([first.holds(), second.holds()]).to.deep.equal([false, true]);
+    }
+  });
+
+  it('acquires no lease by a write from before', () => {
+    const { now, first, second } = startContest();
+    first.lease.release(now());
+    first.tick();
+    first.takeAnswers();
+    second.holdsAnswers = true;
+    for (let step = 0; step < 60; step += 1) {
+      now(100);
+      second.tick();
+      if (step % 10 === 5) second.takeAnswers();
+    }
+    second.behindMs += SUSPENDED_MS;
+    now(SUSPENDED_MS);
+    second.lease.clockStoodStill();
+    second.takeAnswers();
+    expect(second.holds()).to.equal(false);
+  });
+
+  it('takes its configuration for old and denies nothing by it', () => {
+    const fleet = new ForwardingFleet(3, 1);
+    fleet.write({ collection: 'configuration', revision: 0, value: labConfiguration(1, [labRoute({})]) });
+    fleet.write({ collection: 'backends', id: 'b1', revision: 0, value: labBackend('b1', '10.1.0.1:80') });
+    fleet.time.runUntil(6000);
+    const [node] = fleet.nodes;
+    node.refusals.length = 0;
+    fleet.submit(node, 'r1', '/new/x');
+    fleet.suspend(node, SUSPENDED_MS);
+    fleet.submit(node, 'r2', '/new/x');
+    expect(node.refusals.map(({ status }) => status)).to.deep.equal([404, 503]);
+  });
+});
