--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -1,5 +1,5 @@
 /** A forwarding daemon as a process: servers, adapters and an actor around its state machine, and an orderly stop. */
-import { createServer, type Server } from 'node:http';
+import type { Server } from 'node:http';
 import nact, { type Ref } from 'nact';
 import { pino } from 'pino';
 import { BackendClient, type CallerRequest } from '../adapters/backend-client.js';
@@ -16,6 +16,7 @@
 import { SeededRandom } from '../shared/random.js';
 import { SuspensionWatch } from '../shared/suspension-watch.js';
 import { ForwardingMetrics } from './forwarding-metrics.js';
+import { createMetricsServer, createReadyServer } from './status-servers.js';
 import { OutsideCalls, type OutsideSystems } from './outside-calls.js';
 import { DecisionLog, type DecisionLogSettings } from './decision-log.js';
 import { UnansweredCalls } from './unanswered-calls.js';
@@ -65,9 +66,6 @@
 const LOG_FLUSH_MS = 500;
 const MAXIMUM_LOG_BYTES = 1024 * 1024;
 const CRASH_EXIT_CODE = 70;
-const STATUS_OK = 200;
-const STATUS_UNAVAILABLE = 503;
-const STATUS_NOT_FOUND = 404;
 
 interface OpenRequest {
   readonly reply: CallerReply;
@@ -162,18 +160,8 @@
       partFigures: () => this.daemon.getPartFigures(now()),
     });
     this.outside = new OutsideCalls(this.backends, adapters, this.metrics, (event) => this.send(event));
-    this.metricsServer = createServer((_request, response) => {
-      void this.metrics.registry.metrics().then((text) => {
-        response.writeHead(STATUS_OK, { 'Content-Type': this.metrics.registry.contentType });
-        response.end(text);
-      });
-    });
-    this.readyServer = createServer((request, response) => {
-      const known = request.url === settings.readyPath;
-      const status = known ? (this.ready() ? STATUS_OK : STATUS_UNAVAILABLE) : STATUS_NOT_FOUND;
-      response.writeHead(status, { 'Content-Length': '0' });
-      response.end();
-    });
+    this.metricsServer = createMetricsServer(this.metrics);
+    this.readyServer = createReadyServer(settings.readyPath, () => this.ready());
   }
 
   /** Opens the servers and starts the timers. */
--- /dev/null
+++ b/src/process/status-servers.ts
@@ -0,0 +1,27 @@
+/** The small HTTP servers of a daemon's process: whether callers should come, and its metrics. */
+import { createServer, type Server } from 'node:http';
+import type { ForwardingMetrics } from './forwarding-metrics.js';
+
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+const STATUS_NOT_FOUND = 404;
+
+/** Answers at `path` whether the process is ready. */
+export function createReadyServer(path: string, isReady: () => boolean): Server {
+  return createServer((request, response) => {
+    const known = request.url === path;
+    const status = known ? (isReady() ? STATUS_OK : STATUS_UNAVAILABLE) : STATUS_NOT_FOUND;
+    response.writeHead(status, { 'Content-Length': '0' });
+    response.end();
+  });
+}
+
+/** Serves the metrics at any path. */
+export function createMetricsServer({ registry }: ForwardingMetrics): Server {
+  return createServer((_request, response) => {
+    void registry.metrics().then((text) => {
+      response.writeHead(STATUS_OK, { 'Content-Type': registry.contentType });
+      response.end(text);
+    });
+  });
+}
