--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -7,7 +7,6 @@
 import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
 import type { KvChanges, KvChangesCall } from '../forwarding/kv-follower.js';
 import type { BackendRecord } from '../forwarding/route.js';
-import type { BackendCheck, WatchedBackend } from '../quarantine/break-watch.js';
 import type { HealthProbe } from '../forwarding/health-prober.js';
 import { AttemptHandler, type CallerRequest, type KeptAnswer, type StreamSink } from './attempt-handler.js';
 import type { BackendDialect, PlainCall } from './backend-dialect.js';
@@ -61,8 +60,6 @@
   'whole',
   'connectionSilent',
 ]);
-/** Nobody listens at the address. */
-const REFUSED = 'ECONNREFUSED';
 /** Keys of pools beside the usual one of a back end. */
 const PROBE = 'probe';
 const ONCE = 'once';
@@ -152,20 +149,6 @@
     return answer !== undefined && this.dialect.healthy(answer.status, answer.headers, id);
   }
 
-  /** Finds out whether a back end still runs. */
-  async check(backend: WatchedBackend, healthPath: string): Promise<BackendCheck> {
-    const { id, address } = backend;
-    try {
-      const { headers, body } = await this.call(`${PROBE} ${id}`, address, {
-        method: 'GET',
-        path: healthPath,
-      });
-      return this.dialect.isOtherIncarnation(headers, body, backend) ? 'ended' : 'answered';
-    } catch (error) {
-      return getFailureReason(error) === REFUSED ? 'ended' : 'unclear';
-    }
-  }
-
   /** Asks a model engine for changes of its KV cache; undefined when it does not tell. */
   async kvChanges(call: KvChangesCall): Promise<KvChanges | undefined> {
     const { id, address } = call.backend;
--- a/src/adapters/backend-dialect.ts
+++ b/src/adapters/backend-dialect.ts
@@ -5,7 +5,6 @@
 import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
 import type { AttemptStart, KvSource } from '../forwarding/forward-messages.js';
 import type { KvChanges, KvChangesCall } from '../forwarding/kv-follower.js';
-import type { WatchedBackend } from '../quarantine/break-watch.js';
 import type { PromptOutline } from '../forwarding/forward-request.js';
 
 /** Header names and values in turn, as they came. */
@@ -66,6 +65,4 @@
   orderResult(status: number): StageOrderResult;
   /** Whether the answer to a health check comes from the incarnation and is good. */
   healthy(status: number, headers: RawHeaders, incarnation: string): boolean;
-  /** Whether the answer to a health check says that another incarnation listens there now. */
-  isOtherIncarnation(headers: RawHeaders, body: string, backend: WatchedBackend): boolean;
 }
--- a/src/daemon/forwarding-messages.ts
+++ b/src/daemon/forwarding-messages.ts
@@ -62,7 +62,7 @@
   | { readonly kind: 'readRecords'; readonly read: RecordRead }
   | { readonly kind: 'probeBackend'; readonly probe: HealthProbe; readonly healthPath: string }
   | { readonly kind: 'readKvChanges'; readonly call: KvChangesCall }
-  | { readonly kind: 'checkBackend'; readonly backend: WatchedBackend; readonly healthPath: string }
+  | { readonly kind: 'checkBackend'; readonly backend: WatchedBackend }
   | { readonly kind: 'quarantineTable'; readonly request: TableRequest }
   | { readonly kind: 'leaseTable'; readonly cell: string; readonly request: TableRequest }
   | { readonly kind: 'usageTable'; readonly window: number; readonly request: TableRequest }
--- a/src/parts/quarantine-part.ts
+++ b/src/parts/quarantine-part.ts
@@ -103,12 +103,10 @@
     const {emit} = this.surroundings
     switch (effect.kind) {
       case "sendPeer":
+      case "checkBackend":
       case "quarantineTable":
         emit(effect)
         break
-      case "checkBackend":
-        this.checkBackend(effect.backend)
-        break
       case "peerFoundEnd":
         this.avoidEnded(effect.incarnation)
         break
@@ -121,13 +119,6 @@
     }
   }
 
-  private checkBackend(backend: WatchedBackend): void {
-    const {routes, emit} = this.surroundings
-    const service = this.records.get(backend.id)?.service
-    const healthPath = service === undefined ? undefined : routes()?.service(service)?.healthPath
-    if (healthPath !== undefined) emit({kind: "checkBackend", backend, healthPath})
-  }
-
   /// Nothing more is sent there until it answers a probe. Otherwise each daemon finds out for itself, by requests that it refuses.
   private avoidEnded(incarnation: string): void {
     for (const record of this.records.values())
@@ -137,6 +128,6 @@
 }
 
 function toWatched(record: BackendRecord): WatchedBackend {
-  const {id, address, bornMs} = record
-  return {id, address, bornMs, incarnation: getIncarnation(record)}
+  const {id, address} = record
+  return {id, address, incarnation: getIncarnation(record)}
 }
--- a/src/process/outside-calls.ts
+++ b/src/process/outside-calls.ts
@@ -1,4 +1,5 @@
 /** Carries out what the state machine of a forwarding daemon asks of outside systems, and tells it their answers. */
+import { checkListener } from '../adapters/listener-check.js';
 import type { BackendClient } from '../adapters/backend-client.js';
 import type { ForwardingEffect, ForwardingEvent } from '../daemon/forwarding-messages.js';
 import type { DutyPlatform } from '../duties/duty-messages.js';
@@ -49,7 +50,9 @@
         this.probe(effect);
         break;
       case 'checkBackend':
-        this.check(effect);
+        void checkListener(effect.backend.address).then((check) =>
+          this.send({ kind: 'backendChecked', backend: effect.backend, check }),
+        );
         break;
       case 'quarantineTable':
         this.callTable(effect.request, (result) => this.send({ kind: 'quarantineTableResult', result }));
@@ -96,12 +99,6 @@
       .then((well) => this.send({ kind: 'probed', backendId, well }));
   }
 
-  private check({ backend, healthPath }: Effect<'checkBackend'>): void {
-    void this.backends
-      .check(backend, healthPath)
-      .then((check) => this.send({ kind: 'backendChecked', backend, check }));
-  }
-
   private callDuty({ call, authority }: Effect<'callDuty'>): void {
     void this.systems.duties?.perform(call, authority).then((result) => {
       this.metrics.dutyCalled(call.kind, result.kind);
--- a/src/quarantine/break-watch.ts
+++ b/src/quarantine/break-watch.ts
@@ -9,8 +9,6 @@
   readonly id: string
   readonly incarnation: string
   readonly address: string
-  /// The time of day of its start. Milliseconds; undefined where the platform does not tell.
-  readonly bornMs?: number | undefined
 }
 
 /// A run that broke off. Monotonic milliseconds.
@@ -21,11 +19,11 @@
 
 /// What a check of a back end found.
 export type BackendCheck =
-  /// It answered, well or not.
+  /// Somebody listens at its address.
   | "answered"
-  /// Nobody listens at its address, or somebody else does.
+  /// Nobody does.
   | "ended"
-  /// The connection broke off, or nothing came.
+  /// A connection was closed at once, or did not come up.
   | "unclear"
 
 /// The watch asks to have a back end checked.
