--- a/simulation/simulated-site.ts
+++ b/simulation/simulated-site.ts
@@ -49,6 +49,8 @@
 }
 
 const DEFAULT_NETWORK: NetworkSettings = { sameZoneMs: 0.2, otherZoneMs: 1, otherRegionMs: 35, jitter: 0.3 };
+/** A back end that has ended refuses a connection after this time. Milliseconds. */
+const CHECK_MS = 2;
 const DEFAULT_TICK_MS = 100;
 const DEFAULT_PROMISES = { leavingMs: 5000, configurationMs: 20_000 };
 
@@ -302,6 +304,13 @@
         if (engine) this.network.send(node, engine, () => engine.cancel(effect.attemptId));
         break;
       }
+      case 'checkBackend': {
+        const { backend } = effect;
+        const target = this.engineAt(backend.address) ?? this.applications.get(backend.address);
+        const check = target?.alive ? 'answered' : 'ended';
+        this.time.after(CHECK_MS, () => this.deliver(node, { kind: 'backendChecked', backend, check }));
+        break;
+      }
       case 'startApplicationCall':
         this.links.startCall(node, effect);
         break;
--- a/src/adapters/platform-client.ts
+++ b/src/adapters/platform-client.ts
@@ -17,7 +17,7 @@
 const DEFAULT_RETRY_AFTER_MS = 500;
 
 const rowSchema = z.object({
-  table: z.enum(['services', 'leases', 'claims']),
+  table: z.enum(['services', 'leases', 'claims', 'quarantine']),
   key: z.string(),
   revision: z.number(),
   value: z.unknown(),
@@ -27,6 +27,7 @@
   z.object({ kind: z.literal('committed'), revision: z.number() }),
   z.object({ kind: z.literal('conflict'), rows: z.array(rowSchema) }),
   z.object({ kind: z.literal('row'), row: rowSchema.nullable() }),
+  z.object({ kind: z.literal('rows'), rows: z.array(rowSchema), more: z.boolean() }),
   z.object({ kind: z.literal('changes'), revision: z.number(), rows: z.array(rowSchema) }),
 ]);
 
--- a/src/daemon/daemon-messages.ts
+++ b/src/daemon/daemon-messages.ts
@@ -13,6 +13,7 @@
 import type { FleetMessage } from '../fleet/fleet-messages.js';
 import type { LimitMessage } from '../limits/limit-messages.js';
 import type { MembershipMessage } from '../membership/membership-messages.js';
+import type { BackendCheck, CheckBackend, WatchedBackend } from '../quarantine/break-watch.js';
 import type { QuarantineMessage } from '../quarantine/quarantine-messages.js';
 import type { QuotaMessage } from '../quotas/quota-messages.js';
 import type { MachineListing } from '../platform/machine-list.js';
@@ -87,6 +88,7 @@
   | { readonly kind: 'configuration' }
   | { readonly kind: 'ledger' }
   | { readonly kind: 'lease'; readonly cell: string }
+  | { readonly kind: 'quarantine' }
   | { readonly kind: 'edit'; readonly editId: string };
 
 /** Which part of the daemon asked an engine. */
@@ -94,7 +96,8 @@
 
 /** What goes in. */
 export type DaemonEvent =
-  | { readonly kind: 'tick' }
+  /** `wallMs` is the machine's time of day. Milliseconds. */
+  | { readonly kind: 'tick'; readonly wallMs?: number }
   /** The machine was suspended for so long, which the clock that times these events has not counted. Milliseconds. */
   | { readonly kind: 'clockStoodStill'; readonly forMs: number }
   | {
@@ -128,6 +131,7 @@
       readonly attemptId: string;
       readonly event: ApplicationEvent;
     }
+  | { readonly kind: 'backendChecked'; readonly backend: WatchedBackend; readonly check: BackendCheck }
   | { readonly kind: 'editServices'; readonly editId: string; readonly edits: readonly RowEdit[] }
   | { readonly kind: 'beginDrain' };
 
@@ -136,6 +140,7 @@
   | { readonly kind: 'sendPeer'; readonly address: string; readonly message: PeerMessage }
   | { readonly kind: 'tableRequest'; readonly tag: TableTag; readonly request: TableRequest }
   | { readonly kind: 'listMachines'; readonly cells: readonly string[] }
+  | CheckBackend
   | {
       readonly kind: 'engineControl';
       readonly purpose: ControlPurpose;
@@ -159,6 +164,9 @@
   | 'order.given'
   | 'change.finished'
   | 'drain.started'
+  | 'backend.ended'
+  | 'request.quarantined'
+  | 'request.released'
   | 'edit.accepted'
   | 'edit.failed';
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -10,7 +10,7 @@
 } from '../configuration/configuration-replica.js';
 import { OnceLedger } from '../ledger/once-ledger.js';
 import { initialMember } from '../membership/member-rules.js';
-import { Membership, type MembershipEffect } from '../membership/membership.js';
+import { Membership } from '../membership/membership.js';
 import type { DaemonIdentity } from '../membership/membership-messages.js';
 import { ApplicationManager, type ApplicationEffect } from '../routing/application-manager.js';
 import type { CompletionEffect } from '../routing/completion-effects.js';
@@ -24,6 +24,8 @@
 import type { DaemonSettings } from './daemon-settings.js';
 import { DemandTracker } from './demand-tracker.js';
 import { LimitManager } from './limit-manager.js';
+import { createConfigurationSink, createMembershipSink } from './effect-sinks.js';
+import { RunQuarantine } from './run-quarantine.js';
 import { ServiceEditor } from './service-editor.js';
 import type { TableResult } from '../platform/table-service.js';
 
@@ -40,6 +42,7 @@
   private readonly directory: EngineDirectory;
   private readonly completions: CompletionManager;
   private readonly applications: ApplicationManager;
+  private readonly quarantine: RunQuarantine;
   private readonly admission: Admission;
   private readonly demand: DemandTracker;
   private readonly editor: ServiceEditor;
@@ -61,13 +64,15 @@
       seeds,
       settings.membership,
       random,
-      this.onMembership(now),
+      createMembershipSink(emit, (deadId) =>
+        this.deferred.push((at) => this.limits.applyMembership(deadId, Math.max(at, now))),
+      ),
       now,
     );
     this.configuration = new ConfigurationReplica(
       identity.id,
       settings.configuration,
-      this.onConfiguration(),
+      createConfigurationSink(emit),
       now,
     );
     this.limits = new LimitManager(
@@ -87,6 +92,17 @@
         emit({ kind: 'tableRequest', tag: { kind: 'ledger' }, request: effect.request });
       else this.deferred.push((at) => this.onLedger(effect, at));
     });
+    this.quarantine = new RunQuarantine(
+      identity.id,
+      {
+        members: () => this.membership.active(),
+        hasOlderRun: (id, before) =>
+          this.completions.hasOlderRun(id, before) || this.applications.hasOlderRun(id, before),
+      },
+      random,
+      emit,
+      now,
+    );
     const picker = new EnginePicker(settings.picker, identity.zone, random);
     this.completions = new CompletionManager(
       settings.completion,
@@ -94,8 +110,14 @@
       this.directory,
       picker,
       (effect) => this.onCompletion(effect),
+      this.quarantine,
+    );
+    this.applications = new ApplicationManager(
+      this.ledger,
+      random,
+      (effect) => this.onApplication(effect),
+      this.quarantine,
     );
-    this.applications = new ApplicationManager(this.ledger, random, (effect) => this.onApplication(effect));
     this.demand = new DemandTracker(settings.cells.demandTimeConstantMs);
     this.cells = new CellManager(
       identity,
@@ -202,7 +224,7 @@
   private dispatch(event: DaemonEvent, now: number): void {
     switch (event.kind) {
       case 'tick':
-        this.tick(now);
+        this.tick(event.wallMs, now);
         break;
       case 'clockStoodStill':
         this.cells.clockStoodStill(now);
@@ -237,6 +259,9 @@
       case 'applicationEvent':
         this.applications.callEvent(event.requestId, event.attemptId, event.event, now);
         break;
+      case 'backendChecked':
+        this.quarantine.receiveCheck(event.backend, event.check, now);
+        break;
       case 'editServices':
         this.editor.begin(event.editId, event.edits, this.contact(now), now);
         break;
@@ -246,8 +271,9 @@
     }
   }
 
-  private tick(now: number): void {
+  private tick(wallMs: number | undefined, now: number): void {
     this.membership.tick(now);
+    this.quarantine.tick(wallMs, now);
     this.configuration.tick(now, this.identity.zone, this.membership.active());
     this.cells.tick(now, !this.draining);
     this.limits.tick(now);
@@ -284,10 +310,13 @@
       case 'demandReport':
         this.cells.receive(fromId, message, now);
         break;
-      case 'loadDigest':
-      case 'recordsPull':
-      case 'recordsSnapshot':
-        // Only forwarding daemons use these.
+      case 'quarantineNews':
+      case 'quarantineDigest':
+      case 'quarantineSync':
+        this.quarantine.receive(fromAddress, message, now);
+        break;
+      default:
+        // Only forwarding daemons use the others.
         break;
     }
   }
@@ -300,6 +329,9 @@
       case 'ledger':
         this.ledger.receiveTableResult(result, now);
         break;
+      case 'quarantine':
+        this.quarantine.receiveTable(result, now);
+        break;
       case 'lease':
         this.cells.receiveLeaseResult(tag.cell, result, now);
         break;
@@ -332,47 +364,6 @@
     return { alive, known, lastContactAt: known <= 1 ? now : this.membership.lastContact() };
   }
 
-  private onMembership(startedAt: number): (effect: MembershipEffect) => void {
-    return (effect) => {
-      if (effect.kind === 'sendMembership') {
-        this.outbox.push({ kind: 'sendPeer', address: effect.address, message: effect.message });
-        return;
-      }
-      const { member, previous } = effect;
-      this.outbox.push({
-        kind: 'log',
-        event: 'member.changed',
-        fields: { member: member.id, state: member.state, previous },
-      });
-      const joinedOrLeft =
-        member.state === 'dead' ||
-        member.state === 'leaving' ||
-        previous === undefined ||
-        previous === 'dead';
-      if (!joinedOrLeft) return;
-      this.deferred.push((now) => {
-        const deadId = member.state === 'dead' ? member.id : undefined;
-        this.limits.applyMembership(deadId, Math.max(now, startedAt));
-      });
-    };
-  }
-
-  private onConfiguration(): ConstructorParameters<typeof ConfigurationReplica>[2] {
-    return (effect) => {
-      if (effect.kind === 'sendConfiguration') {
-        this.outbox.push({ kind: 'sendPeer', address: effect.address, message: effect.message });
-      } else if (effect.kind === 'readTable') {
-        this.outbox.push({ kind: 'tableRequest', tag: { kind: 'configuration' }, request: effect.request });
-      } else {
-        this.outbox.push({
-          kind: 'log',
-          event: 'configuration.changed',
-          fields: { revision: effect.revision },
-        });
-      }
-    };
-  }
-
   private onLedger(
     effect: Exclude<Parameters<ConstructorParameters<typeof OnceLedger>[2]>[0], { kind: 'ledgerTable' }>,
     now: number,
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -23,3 +23,4 @@
 export * from './unknown-service-error.js';
 export * from './validation-error.js';
 export * from './waiting-limit-error.js';
+export { QuarantinedError } from './quarantined-error.js';
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -5,6 +5,7 @@
 import { NotFoundError, PulleyledgeError, ValidationError } from '../errors/index.js';
 import type { ApplicationCall } from '../routing/application-manager.js';
 import { describePrompt, type CompletionRequest } from '../routing/completion-request.js';
+import { digestContent, makeRequestKey } from '../quarantine/request-key.js';
 import { parseChatBody, parseCompletionBody, type CompletionBody } from './completion-body.js';
 import { sendProblem } from './problem.js';
 import { readBody, readJson } from './read-body.js';
@@ -82,6 +83,7 @@
     maximumTokens: body.maximumTokens,
     receivedAt: performance.now(),
     timeoutMs: timeoutOf(request),
+    key: keyOfRequest(request, JSON.stringify(body)),
   };
   const Reply = body.stream ? StreamingReply : WholeReply;
   watchClose(response, requestId, handler);
@@ -111,6 +113,7 @@
     idempotencyKey,
     receivedAt: performance.now(),
     timeoutMs,
+    key: keyOfRequest(request, body),
   };
   const payload: ApplicationPayload = {
     method: request.method ?? 'GET',
@@ -143,6 +146,15 @@
   return value;
 }
 
+/** What makes this the same request as another one. Callers show no key that is checked here, so they are known by their addresses. */
+function keyOfRequest(
+  { method = '', headers, url = '', socket }: IncomingMessage,
+  body: Buffer | string,
+): string {
+  const content = { method, host: headers.host ?? '', path: url, body };
+  return makeRequestKey(digestContent(content), socket.remoteAddress ?? '');
+}
+
 function keyOf(request: IncomingMessage): string | undefined {
   const key = request.headers[KEY_HEADER];
   if (key === undefined) return undefined;
--- a/src/process/daemon-actors.ts
+++ b/src/process/daemon-actors.ts
@@ -5,6 +5,7 @@
 import nact from 'nact';
 import type { Ref } from 'nact';
 import type { ApplicationClient, ApplicationPayload } from '../adapters/application-client.js';
+import { checkListener } from '../adapters/listener-check.js';
 import type { EngineClient } from '../adapters/engine-client.js';
 import type { PeerTransport } from '../adapters/peer-transport.js';
 import type { PlatformClient } from '../adapters/platform-client.js';
@@ -114,6 +115,11 @@
       case 'cancelAttempt':
         dispatch(engineActor, effect);
         break;
+      case 'checkBackend':
+        void checkListener(effect.backend.address).then((check) =>
+          send({ kind: 'backendChecked', backend: effect.backend, check }),
+        );
+        break;
       case 'startApplicationCall':
       case 'cancelApplicationCall':
         dispatch(applicationActor, effect);
--- a/src/process/daemon-process.ts
+++ b/src/process/daemon-process.ts
@@ -111,7 +111,10 @@
   async start(): Promise<void> {
     await this.peers.listen();
     await listen(this.operatorServer, this.settings.operatorAddress);
-    this.ticker = setInterval(() => this.actors.dispatch({ kind: 'tick' }), this.settings.tickIntervalMs);
+    this.ticker = setInterval(
+      () => this.actors.dispatch({ kind: 'tick', wallMs: Date.now() }),
+      this.settings.tickIntervalMs,
+    );
     this.logger.info({ event: 'process.started', operators: this.settings.operatorAddress });
     await this.listenWhenReady();
   }
--- a/src/routing/application-manager.ts
+++ b/src/routing/application-manager.ts
@@ -9,6 +9,7 @@
   DeadlineExceededError,
   LedgerUnavailableError,
   NoBackendError,
+  QuarantinedError,
   type NotRun,
   type PulleyledgeError,
 } from '../errors/index.js';
@@ -17,6 +18,7 @@
 import type { EffectSink } from '../shared/effect-sink.js';
 import type { RandomSource } from '../shared/random.js';
 import { RetryBudget } from './retry-budget.js';
+import { NoRunListener, type RunListener } from './run-listener.js';
 
 /** A call asked for by a caller. The runner keeps method, path, headers and body under the request id. */
 export interface ApplicationCall {
@@ -27,6 +29,8 @@
   /** Monotonic milliseconds. */
   readonly receivedAt: number;
   readonly timeoutMs: number | undefined;
+  /** The same for each try of one caller for one thing; undefined where that is not known. */
+  readonly key?: string | undefined;
 }
 
 /** What the manager learns of a call it sent. */
@@ -84,7 +88,7 @@
   readonly row: ServiceRow;
   readonly deadlineAt: number;
   stage: 'claiming' | 'sending';
-  attempt: { attemptId: string; server: ServerView } | undefined;
+  attempt: { attemptId: string; server: ServerView; startedAt: number } | undefined;
   attemptCount: number;
   brokenAttempts: number;
   mayHaveRun: boolean;
@@ -107,6 +111,7 @@
     private readonly ledger: OnceLedger,
     private readonly random: RandomSource,
     private readonly emit: EffectSink<ApplicationEffect>,
+    private readonly runs: RunListener = new NoRunListener(),
   ) {}
 
   /** Calls in hand. */
@@ -219,6 +224,13 @@
     }
   }
 
+  /** Whether a call that was sent before a moment is still at a server. */
+  hasOlderRun(serverId: string, before: number): boolean {
+    for (const { attempt } of this.sessions.values())
+      if (attempt?.server.id === serverId && attempt.startedAt < before) return true;
+    return false;
+  }
+
   /** Advances timers. */
   tick(now: number): void {
     for (const session of [...this.sessions.values()]) {
@@ -230,6 +242,12 @@
   }
 
   private send(session: CallSession, now: number): void {
+    const quarantineMs = this.runs.getQuarantineMs(session.call.key, now);
+    if (quarantineMs !== undefined) {
+      this.settleClaim(session, now);
+      this.fail(session, new QuarantinedError(session.call.service, quarantineMs, notRunOf(session)));
+      return;
+    }
     const server = this.pickServer(session, now);
     if (!server) {
       this.settleClaim(session, now);
@@ -241,7 +259,7 @@
     }
     session.attemptCount += 1;
     const attemptId = `${session.call.requestId}/${session.attemptCount}`;
-    session.attempt = { attemptId, server };
+    session.attempt = { attemptId, server, startedAt: now };
     server.inFlight += 1;
     this.emit({
       kind: 'startApplicationCall',
@@ -277,6 +295,7 @@
   ): void {
     const { requestId } = session.call;
     const { status, contentType, body } = event;
+    this.runs.addAnswer(session.call.key, now);
     if (!session.row.repeatable) this.record(requestId, status, contentType, body, now);
     this.emit({ kind: 'replyApplication', requestId, status, contentType, body });
     this.over(session);
@@ -301,6 +320,7 @@
   private broken(session: CallSession, server: ServerView, now: number): void {
     session.mayHaveRun = true;
     session.brokenAttempts += 1;
+    this.runs.addBreak(session.call.key, server, now);
     server.avoidUntil = now + AVOID_AFTER_FAILURE_MS;
     const allowed = session.row.repeatable && session.brokenAttempts < MAXIMUM_BROKEN_ATTEMPTS;
     if (allowed && this.retryBudget.tryRetry()) {
--- a/src/routing/completion-manager.ts
+++ b/src/routing/completion-manager.ts
@@ -9,18 +9,26 @@
   DeadlineExceededError,
   NoBackendError,
   OverloadedError,
+  QuarantinedError,
   type PulleyledgeError,
 } from '../errors/index.js';
 import type { ServiceRow } from '../configuration/service-row.js';
-import type { AttemptEvent, EnginePhase, EngineRefusal, KvHandle } from '../engine/engine-protocol.js';
+import type { AttemptEvent, EngineRefusal, KvHandle } from '../engine/engine-protocol.js';
 import type { EffectSink } from '../shared/effect-sink.js';
 import { AdmissionQueue, type QueueItem } from './admission-queue.js';
 import type { AttemptStage, CompletionEffect, CompletionSettings } from './completion-effects.js';
 import type { CompletionRequest } from './completion-request.js';
-import { notRunOf, type LiveAttempt, type Session } from './completion-session.js';
+import {
+  createSession,
+  notRunOf,
+  PHASES_BY_REFUSAL,
+  type LiveAttempt,
+  type Session,
+} from './completion-session.js';
 import type { DirectorySettings, EngineDirectory, EngineView } from './engine-directory.js';
 import type { EnginePicker, PickOutcome, RoutePlan } from './engine-picker.js';
 import { RetryBudget } from './retry-budget.js';
+import { NoRunListener, type RunListener } from './run-listener.js';
 import { WaitEstimator } from './wait-estimator.js';
 
 const MINIMUM_RETRY_AFTER_MS = 250;
@@ -42,6 +50,7 @@
     private readonly directory: EngineDirectory,
     private readonly picker: EnginePicker,
     private readonly emit: EffectSink<CompletionEffect>,
+    private readonly runs: RunListener = new NoRunListener(),
   ) {
     this.retryBudget = new RetryBudget(settings.retryRatio);
     this.waits = new WaitEstimator(settings, directory, this.queue);
@@ -84,22 +93,7 @@
       weight: row.weight,
       cost,
     };
-    const session: Session = {
-      request,
-      row,
-      deadlineAt: request.receivedAt + (request.timeoutMs ?? row.deadlineMs),
-      item,
-      attempt: undefined,
-      attemptCount: 0,
-      brokenAttempts: 0,
-      mayHaveRun: false,
-      produced: [],
-      kv: undefined,
-      excluded: new Set(),
-      queuedAt: now,
-      refusals: 0,
-      retryAt: 0,
-    };
+    const session = createSession(request, row, item, now);
     this.sessions.set(request.requestId, session);
     this.queue.push(item);
     this.dispatch(now);
@@ -136,11 +130,19 @@
         this.ended(session, attempt, event.tokens, event.finishReason, now);
         break;
       case 'broken':
+        if (attempt.stage === 'generate') this.runs.addBreak(session.request.key, attempt.engine, now);
         this.broken(session, attempt, now);
         break;
     }
   }
 
+  /** Whether an attempt that was sent before a moment is still at an engine. */
+  hasOlderRun(engineId: string, before: number): boolean {
+    for (const { attempt } of this.sessions.values())
+      if (attempt?.engine.id === engineId && attempt.startedAt < before) return true;
+    return false;
+  }
+
   /** Advances timers and sends waiting work. */
   tick(now: number): void {
     for (const session of [...this.sessions.values()]) {
@@ -188,6 +190,11 @@
   }
 
   private trySend(session: Session, now: number): boolean {
+    const quarantineMs = this.runs.getQuarantineMs(session.request.key, now);
+    if (quarantineMs !== undefined) {
+      this.fail(session, new QuarantinedError(session.row.name, quarantineMs, notRunOf(session)), now);
+      return false;
+    }
     const outcome = this.pickFor(session, false, now);
     if (outcome.kind === 'none') {
       this.noEngine(session, now);
@@ -311,6 +318,7 @@
       return;
     }
     attempt.engine.succeeded();
+    this.runs.addAnswer(session.request.key, now);
     this.waits.streamEnded(now - attempt.startedAt);
     this.endAttempt(session, attempt, now);
     this.emit({ kind: 'replyEnd', requestId: session.request.requestId, tokens, finishReason });
@@ -330,12 +338,8 @@
       this.requeue(session, now);
       return;
     }
-    const error = new AttemptBrokenError(
-      session.request.requestId,
-      session.brokenAttempts,
-      notRunOf(session),
-    );
-    this.fail(session, error, now);
+    const { requestId } = session.request;
+    this.fail(session, new AttemptBrokenError(requestId, session.brokenAttempts, notRunOf(session)), now);
   }
 
   /** The engine certainly did not run it: try elsewhere, without counting against the budget. */
@@ -363,12 +367,7 @@
   }
 
   private noteRefusal(engine: EngineView, reason: EngineRefusal, now: number): void {
-    const phases: Partial<Record<EngineRefusal, EnginePhase>> = {
-      draining: 'draining',
-      changing: 'changing',
-      leaving: 'leaving',
-    };
-    const phase = phases[reason];
+    const phase = PHASES_BY_REFUSAL[reason];
     if (phase) engine.markPhase(phase, now);
   }
 
--- a/src/routing/completion-request.ts
+++ b/src/routing/completion-request.ts
@@ -17,6 +17,8 @@
   readonly receivedAt: number;
   /** Time allowed, from the caller or the service's row. Milliseconds. */
   readonly timeoutMs: number | undefined;
+  /** The same for each try of one caller for one thing; undefined where that is not known. */
+  readonly key?: string | undefined;
 }
 
 const CHARACTERS_PER_TOKEN = 4;
--- a/src/routing/completion-session.ts
+++ b/src/routing/completion-session.ts
@@ -1,6 +1,6 @@
 /** The state of one completion in a daemon. */
 import type { ServiceRow } from '../configuration/service-row.js';
-import type { KvHandle } from '../engine/engine-protocol.js';
+import type { EnginePhase, EngineRefusal, KvHandle } from '../engine/engine-protocol.js';
 import type { NotRun } from '../errors/index.js';
 import type { QueueItem } from './admission-queue.js';
 import type { AttemptStage } from './completion-effects.js';
@@ -38,6 +38,38 @@
   retryAt: number;
 }
 
+/** The phase that an engine is in when it refuses for such a reason. */
+export const PHASES_BY_REFUSAL: Readonly<Partial<Record<EngineRefusal, EnginePhase>>> = {
+  draining: 'draining',
+  changing: 'changing',
+  leaving: 'leaving',
+};
+
+/** A request that waits for an engine from now on. */
+export function createSession(
+  request: CompletionRequest,
+  row: ServiceRow,
+  item: QueueItem,
+  now: number,
+): Session {
+  return {
+    request,
+    row,
+    deadlineAt: request.receivedAt + (request.timeoutMs ?? row.deadlineMs),
+    item,
+    attempt: undefined,
+    attemptCount: 0,
+    brokenAttempts: 0,
+    mayHaveRun: false,
+    produced: [],
+    kv: undefined,
+    excluded: new Set(),
+    queuedAt: now,
+    refusals: 0,
+    retryAt: 0,
+  };
+}
+
 /** What may truthfully be said of a request: false once tokens came, true only if no engine can have begun. */
 export function notRunOf(session: Session): NotRun {
   if (session.produced.length > 0) return 'false';
--- /dev/null
+++ b/test/run-quarantine.test.ts
@@ -0,0 +1,149 @@
+/**
+ * Requests under which engines and servers end, at the interface for completions and calls. The counting is that of forwarded requests; see
+ * request-that-ends-back-ends.test.ts for its story. Without a key ten such calls end ten servers here.
+ */
+import { expect } from 'chai';
+import { DEFAULT_DAEMON_SETTINGS } from '../src/daemon/daemon-settings.js';
+import { RunQuarantine } from '../src/daemon/run-quarantine.js';
+import type { DaemonEffect } from '../src/daemon/daemon-messages.js';
+import { parseServiceRow } from '../src/configuration/service-row.js';
+import type { EngineReport } from '../src/engine/engine-protocol.js';
+import { OnceLedger } from '../src/ledger/once-ledger.js';
+import { QuarantinedError } from '../src/errors/index.js';
+import { ApplicationManager, type ApplicationEffect } from '../src/routing/application-manager.js';
+import type { CompletionEffect } from '../src/routing/completion-effects.js';
+import { CompletionManager } from '../src/routing/completion-manager.js';
+import { describePrompt } from '../src/routing/completion-request.js';
+import { EngineDirectory } from '../src/routing/engine-directory.js';
+import { EnginePicker } from '../src/routing/engine-picker.js';
+import { makeRequestKey } from '../src/quarantine/request-key.js';
+import { SeededRandom } from '../src/shared/random.js';
+
+const KEY = makeRequestKey('content', '10.0.0.9');
+const OTHER_KEY = makeRequestKey('other', '10.0.0.9');
+const TRIES = 10;
+const REPORT: EngineReport = {
+  assignment: { role: 'mixed', model: 'm', version: 1, adapters: [] },
+  phase: 'active',
+  streams: 0,
+  maximumStreams: 8,
+  waitingPrefillTokens: 0,
+  cachedShare: 0,
+  capability: {
+    prefillRate: 10_000,
+    decodeRate: 1000,
+    mixedPrefillRate: 10_000,
+    mixedPromptOnlyRate: 10_000,
+    mixedDecodeRate: 1000,
+    mixedOutputOnlyRate: 1000,
+    roleChangeMs: 3000,
+  },
+  clockMs: 0,
+  epoch: 0,
+  sequence: 0,
+};
+
+/** The quarantine of a daemon without peers, before back ends that are all gone when they are checked. */
+class Site {
+  readonly effects: DaemonEffect[] = [];
+  readonly quarantine = new RunQuarantine(
+    'daemon-1',
+    { members: () => [], hasOlderRun: () => false },
+    new SeededRandom(1),
+    (effect) => this.effects.push(effect),
+    0,
+  );
+
+  /** Answers every check. */
+  check(now: number): void {
+    for (const effect of this.effects.splice(0))
+      if (effect.kind === 'checkBackend') this.quarantine.receiveCheck(effect.backend, 'ended', now);
+  }
+}
+
+function getErrors(effects: readonly (ApplicationEffect | CompletionEffect)[]): string[] {
+  return effects.flatMap((effect) => (effect.kind === 'replyFailed' ? [effect.error.code] : []));
+}
+
+describe('a request that ends engines or servers', () => {
+  it('is refused as not run once it has ended three servers; others are called', () => {
+    const site = new Site();
+    const effects: ApplicationEffect[] = [];
+    const ledger = new OnceLedger('daemon-1', DEFAULT_DAEMON_SETTINGS.ledger, () => undefined);
+    const random = new SeededRandom(2);
+    const calls = new ApplicationManager(ledger, random, (effect) => effects.push(effect), site.quarantine);
+    const servers = Array.from({ length: TRIES }, (_, i) => ({
+      id: `s${i}`,
+      address: `a${i}`,
+      leaving: false,
+    }));
+    const row = parseServiceRow({ name: 'docs', kind: 'application', repeatable: true });
+    let ended = 0;
+    for (let i = 0; i < TRIES; i += 1) {
+      calls.setServers(servers.slice(ended));
+      const call = {
+        requestId: `r${i}`,
+        service: 'docs',
+        idempotencyKey: `k${i}`,
+        receivedAt: i,
+        timeoutMs: 9000,
+      };
+      effects.length = 0;
+      calls.begin({ ...call, key: KEY }, row, i);
+      const start = effects.find((effect) => effect.kind === 'startApplicationCall');
+      if (!start) {
+        expect(getErrors(effects)).to.deep.equal([new QuarantinedError('docs', 1).code]);
+        continue;
+      }
+      ended += 1;
+      calls.callEvent(`r${i}`, start.attemptId, { kind: 'broken', reason: 'reset' }, i);
+      calls.cancel(`r${i}`, i);
+      site.check(i);
+    }
+    expect(ended).to.equal(3);
+    effects.length = 0;
+    const other = { requestId: 'o', service: 'docs', idempotencyKey: 'o', receivedAt: 20, timeoutMs: 9000 };
+    calls.begin({ ...other, key: OTHER_KEY }, row, 20);
+    expect(effects.map(({ kind }) => kind)).to.deep.equal(['startApplicationCall']);
+  });
+
+  it('is refused once it has ended three engines', () => {
+    const site = new Site();
+    const effects: CompletionEffect[] = [];
+    const directory = new EngineDirectory(DEFAULT_DAEMON_SETTINGS.directory);
+    const picker = new EnginePicker(DEFAULT_DAEMON_SETTINGS.picker, 'a', new SeededRandom(3));
+    const completions = new CompletionManager(
+      DEFAULT_DAEMON_SETTINGS.completion,
+      DEFAULT_DAEMON_SETTINGS.directory,
+      directory,
+      picker,
+      (effect) => effects.push(effect),
+      site.quarantine,
+    );
+    for (let i = 0; i < TRIES; i += 1) directory.ensure(`e${i}`, `a${i}`, 'a', 'cell').applyReport(REPORT, 0);
+    const row = parseServiceRow({ name: 'grade', model: 'm', repeatable: true });
+    const ended = new Set<string>();
+    for (let i = 0; i < TRIES; i += 1) {
+      const now = 100 * i;
+      const handled = new Set<string>();
+      effects.length = 0;
+      const request = { requestId: `r${i}`, service: 'grade', prompt: describePrompt('x'), maximumTokens: 4 };
+      completions.begin({ ...request, receivedAt: now, timeoutMs: 9000, key: KEY }, row, now);
+      for (let step = 0; step < 2 * TRIES; step += 1) {
+        const start = effects.filter((effect) => effect.kind === 'startAttempt').at(-1)?.start;
+        if (!start || handled.has(start.attemptId)) break;
+        handled.add(start.attemptId);
+        const event = ended.has(start.engineId)
+          ? { kind: 'unreachable' as const, reason: 'refused' }
+          : { kind: 'broken' as const, reason: 'reset' };
+        ended.add(start.engineId);
+        completions.attemptEvent(`r${i}`, start.attemptId, event, now);
+        site.check(now);
+        completions.tick(now);
+      }
+      completions.cancel(`r${i}`, now);
+    }
+    expect(ended.size).to.be.within(3, 4);
+    expect(getErrors(effects)).to.deep.equal(['quarantined']);
+  });
+});
