--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -2,6 +2,7 @@
 /// tells the record of every arrival, run and order, and misbehaves as it is told.
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from "node:http"
 import type {AddressInfo, Socket} from "node:net"
+import {CRASHING_BODY} from "./crash-check.js"
 import type {ArrivalRecord} from "./retry-check.js"
 import {formatBody, formatEvent, type SoakRecord} from "./soak-record.js"
 import type {StoreStandIn} from "./store-stand-in.js"
@@ -52,6 +53,9 @@
 const LATE_ORDER_MS = 2500
 const FORGET_MS = 300
 const HEARTBEAT_MS = 1200
+const RECORD_LEFT_MS = 1800
+/// A request that ends its back end does so after this time.
+const CRASH_MS = 40
 /// Part of the requests that a faulty back end spoils.
 const FAULT_SHARE = 0.4
 /// The same of one that turns most away.
@@ -81,6 +85,9 @@
   private readonly sockets = new Set<Socket>()
   private readonly lastUses = new WeakMap<Socket, number>()
   private heartbeat: NodeJS.Timeout | undefined
+  private readonly bornMs = Date.now()
+  /// Told when a request has ended this back end.
+  onCrash: () => void = () => undefined
 
   constructor(
     readonly identity: BackendIdentity,
@@ -119,12 +126,32 @@
 
   /// Ends: at once, with every connection reset, or after it has left the store's list.
   close(): void {
-    clearInterval(this.heartbeat)
     this.store.remove("servers", this.identity.id)
+    this.end()
+  }
+
+  /// Ends without a word, as one that crashes: its record goes when its heartbeats are missed, unless a later start has written it anew.
+  crash(): void {
+    this.end()
+    setTimeout(() => this.removeOwnRecord(), RECORD_LEFT_MS)
+  }
+
+  private end(): void {
+    clearInterval(this.heartbeat)
     this.server.close()
     for (const socket of this.sockets) socket.resetAndDestroy()
   }
 
+  private removeOwnRecord(): void {
+    const row = this.store.read("servers", this.identity.id) as {born?: number} | undefined
+    if (row?.born === this.bornMs) this.store.remove("servers", this.identity.id)
+  }
+
+  /// Whether it has said that it leaves.
+  isDraining(): boolean {
+    return this.state === "draining"
+  }
+
   /// Whether the connection rested so long that a back end that forgets them knows nothing of it.
   private isForgotten(socket: Socket): boolean {
     const now = performance.now()
@@ -142,7 +169,8 @@
       slots: 8,
       state: this.state,
       phase: this.stage,
-      seq: this.orders
+      seq: this.orders,
+      born: this.bornMs
     }
     this.store.write("servers", id, row)
   }
@@ -152,8 +180,9 @@
     if (this.isForgotten(request.socket)) return void request.socket.resetAndDestroy()
     response.on("error", () => undefined)
     request.on("error", () => undefined)
-    for await (const chunk of request)
-      if (request.url === "/v1/order") return this.onOrder(String(chunk), response)
+    let body = ""
+    for await (const chunk of request) body += String(chunk)
+    if (request.url === "/v1/order") return this.onOrder(body, response)
     const path = request.url ?? "/"
     if (path === "/healthz") return this.reply(response, STATUS_OK, "", {"X-Instance-Id": this.identity.id})
     if (path === "/v1/report") return this.reply(response, STATUS_OK, JSON.stringify(this.getReport()))
@@ -165,7 +194,7 @@
       arrival.rejected = true
       return this.reply(response, STATUS_MISDIRECTED, "", {"X-Instance-Id": this.identity.id})
     }
-    this.onWork(request, response, arrival)
+    this.onWork(request, response, arrival, body)
   }
 
   /// Calls that are not a caller's request have no id and are not counted.
@@ -178,7 +207,12 @@
     return arrival
   }
 
-  private onWork(request: IncomingMessage, response: ServerResponse, arrival: ArrivalRecord): void {
+  private onWork(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrival: ArrivalRecord,
+    body: string
+  ): void {
     const {requestId: id, promptOnly} = arrival
     const reject = (status: number) => {
       arrival.rejected = true
@@ -204,11 +238,22 @@
     const source = header(request, "x-kv-source")
     if (source && !this.takeHandle(source, id)) return reject(STATUS_BUSY)
     this.record.runs.push(run)
+    if (body.startsWith(CRASHING_BODY)) {
+      setTimeout(() => this.crashUnder(body), CRASH_MS)
+      if (!this.stage) return
+    }
     if (behavior === "losesAnswers") return void setTimeout(() => response.socket?.resetAndDestroy(), WORK_MS)
     if (this.stage) this.stream(request, response, id, behavior)
     else this.answer(request, response, id, behavior)
   }
 
+  /// The run of a request ends this back end, unless it has ended before.
+  private crashUnder(body: string): void {
+    if (!this.server.listening) return
+    this.record.crashes.push({body, at: performance.now()})
+    this.onCrash()
+  }
+
   /// Whether the next request is spoiled.
   private isHarmed(): boolean {
     const {behavior} = this
--- a/lab/soak/caller-load.ts
+++ b/lab/soak/caller-load.ts
@@ -47,6 +47,16 @@
     this.agent.destroy()
   }
 
+  /// Sends one request that ends its back end again and again, with about this pause, to any daemon until `stop`. It has a generator of its own.
+  async repeat(body: string, route: CallerRoute, pauseMs: number, random: () => number): Promise<void> {
+    while (this.running) {
+      await wait(pauseMs * (0.5 + random()))
+      const target = this.targets[Math.floor(random() * this.targets.length)]
+      const sent = this.send(target, route, body).finally(() => this.open.delete(sent))
+      this.open.add(sent)
+    }
+  }
+
   /// Sends nothing more.
   stop(): void {
     this.running = false
@@ -59,11 +69,12 @@
     return targets[Math.floor(this.random() * targets.length)]
   }
 
-  private send(target: CallerTarget, route: CallerRoute): Promise<void> {
+  /// A request with a body of its own ends its back end; its caller shows its first key and waits.
+  private send(target: CallerTarget, route: CallerRoute, crashingBody?: string): Promise<void> {
     this.count += 1
     const id = `q${this.count}`
     const [host, port] = target.address.split(":")
-    const key = this.pickKey()
+    const key = crashingBody === undefined ? this.pickKey() : KEYS[0]
     const call: CallerRecord = {
       id,
       daemon: target.daemon,
@@ -72,7 +83,8 @@
       sentAt: performance.now(),
       timeoutMs: route.timeoutMs,
       key,
-      needsKey: route.isPublic !== true
+      needsKey: route.isPublic !== true,
+      ...(crashingBody !== undefined && {crashingBody})
     }
     this.record.requests.set(id, call)
     return new Promise(resolve => {
@@ -89,11 +101,13 @@
         method: "POST",
         headers: this.getHeaders(id, key, route)
       })
-      const timer = setTimeout(() => request.destroy(), this.getPatience(call, route))
+      const patienceMs =
+        crashingBody === undefined ? this.getPatience(call, route) : route.timeoutMs + GIVE_UP_AFTER_MS
+      const timer = setTimeout(() => request.destroy(), patienceMs)
       request.on("response", response => this.receive(call, response, end))
       request.on("error", end)
       request.on("close", end)
-      request.end(`body of ${id}`)
+      request.end(crashingBody ?? `body of ${id}`)
       this.watch(request)
     })
   }
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -7,6 +7,7 @@
   type RetryWindow,
   type ServiceRequest
 } from "./retry-check.js"
+import {ALLOWED_LATE_RETRIES, judgeCrashes, type CrashOutcome, type CrashRecord} from "./crash-check.js"
 import {findTenant, QUOTA_RULE, SOAK_QUOTAS, UNCACHED_TOKENS, type RouteForm} from "./soak-routes.js"
 
 /// One request of a caller. Times are monotonic milliseconds.
@@ -28,6 +29,8 @@
   body?: string
   /// A streamed answer ended as complete.
   whole?: boolean
+  /// The body of a request that ends the back ends that run it; undefined for the others.
+  readonly crashingBody?: string
 }
 
 /// One run, or arrival, at a back end.
@@ -113,6 +116,8 @@
   readonly keys: {readonly key: string; readonly valid: boolean; readonly at: number}[] = []
   /// When a back end was said to drain.
   readonly drains = new Map<string, number>()
+  /// Back ends that ended under requests.
+  readonly crashes: CrashRecord[] = []
   /// Violations that the stand-ins saw themselves.
   readonly seen: Violation[] = []
 
@@ -138,6 +143,12 @@
     for (const run of this.runs) violations.push(...this.checkRun(run))
     violations.push(...this.checkOrders())
     for (const tenant of Object.keys(SOAK_QUOTAS)) violations.push(...this.checkQuota(tenant))
+    for (const {body, ends, lateRetries} of this.findCrashOutcomes())
+      if (lateRetries > ALLOWED_LATE_RETRIES)
+        violations.push({
+          promise: "a request that ended three back ends is kept away from others",
+          text: `${body}: ${lateRetries} times more, ${ends} ended`
+        })
     for (const {service, seen, allowed, from} of this.findWorstRepeats()) {
       const text = `${service}: ${seen} of ${allowed} from ${from} ms`
       if (seen > allowed) violations.push({promise: "repeats stay within the retry budget", text})
@@ -150,6 +161,15 @@
     return findWorstWindows(this.arrivals, this.getServiceRequests(), this.bounds.retries)
   }
 
+  /// What became of each request that ends back ends.
+  findCrashOutcomes(): CrashOutcome[] {
+    const {contactMs, marginMs} = this.bounds
+    const isInContact = (id: string, at: number) =>
+      this.isUndisturbed(this.requests.get(id)?.daemon ?? "", at - marginMs, at)
+    const findBody = (id: string) => this.requests.get(id)?.crashingBody
+    return judgeCrashes(this.crashes, this.arrivals, findBody, isInContact, contactMs + marginMs)
+  }
+
   /// The requests by the services that their routes led to. While a route moves its requests count for both.
   private getServiceRequests(): ServiceRequest[] {
     const {configMs} = this.bounds
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -6,14 +6,20 @@
 import {DutyStandIn} from "./duty-stand-in.js"
 import {BackendStandIn, HandleRegistry, type BackendBehavior} from "./backend-stand-in.js"
 import type {CallerTarget} from "./caller-load.js"
+import {SeededRandom} from "../../src/shared/random.js"
 import {DaemonProcess, findFreePorts, type DaemonSite} from "./daemon-process.js"
 import {FaultProxy} from "./fault-proxy.js"
-import type {SoakBounds, SoakRecord} from "./soak-record.js"
+import {BACKENDS, type SoakBounds, type SoakRecord} from "./soak-record.js"
 import {formatConfiguration, getService, SOAK_ROUTES, SOAK_SERVICES} from "./soak-routes.js"
 import {StoreStandIn} from "./store-stand-in.js"
 
 const ZONES = ["zone-a", "zone-b"]
 const PORTS_PER_DAEMON = 4
+/// A back end that a request has ended is down so long. Milliseconds.
+const SHORTEST_DOWN_MS = 800
+const LONGEST_DOWN_MS = 3000
+/// How long back ends are down has a generator of its own, so that plans stay the same.
+const CRASH_SEED = 43
 
 /// Back ends by place: a place keeps its service when its incarnation changes.
 const PLACES: readonly {service: string; stage: "prefill" | "decode" | undefined}[] = [
@@ -52,6 +58,8 @@
   private version = 0
   private readonly takenKeys = new Set<string>()
   private plainService: string = SOAK_SERVICES.plain
+  private closed = false
+  private readonly crashRandom: () => number
 
   constructor(
     readonly record: SoakRecord,
@@ -63,6 +71,8 @@
     private readonly extraFlags: readonly string[] = []
   ) {
     this.duties = new DutyStandIn(bounds.leaseMs)
+    const generator = new SeededRandom(CRASH_SEED)
+    this.crashRandom = () => generator.next()
   }
 
   /// Starts everything with so many daemons.
@@ -78,6 +88,7 @@
 
   /// Ends every process that was started here, and closes everything.
   async close(): Promise<void> {
+    this.closed = true
     await Promise.all(this.daemons.map(daemon => daemon.kill()))
     for (const {backend, proxy} of this.places) {
       backend?.close()
@@ -105,18 +116,37 @@
     if (backend) backend.behavior = behavior
   }
 
-  /// Starts a new incarnation at a place.
-  async startBackend(index: number): Promise<void> {
+  /// Starts a new incarnation at a place, if none is there. It may have the id of the one before.
+  async startBackend(index: number, keepsId = false): Promise<void> {
     const place = this.places[index]
-    place.incarnation += 1
+    if (place.backend || this.closed) return
+    if (!keepsId) place.incarnation += 1
     const {service, stage} = PLACES[index]
     const identity = {id: `b${index}i${place.incarnation}`, service, stage, zone: ZONES[index % ZONES.length]}
     const backend = new BackendStandIn(identity, this.store, this.record, this.registry, this.random)
     place.realAddress = await backend.start()
     place.backend = backend
+    backend.onCrash = () => this.crashBackend(index)
     backend.announce(place.proxyAddress)
   }
 
+  /// A request has ended the back end at a place; it is back after some seconds, half of the times under its id.
+  private crashBackend(index: number): void {
+    const place = this.places[index]
+    const {backend} = place
+    if (!backend) return
+    place.backend = undefined
+    const keepsId = !backend.isDraining() && this.crashRandom() < 0.5
+    const downMs = SHORTEST_DOWN_MS + this.crashRandom() * (LONGEST_DOWN_MS - SHORTEST_DOWN_MS)
+    const disturbance = {what: BACKENDS, kind: "ended by a request", from: performance.now(), until: Infinity}
+    this.record.disturbances.push(disturbance)
+    backend.crash()
+    setTimeout(() => {
+      disturbance.until = performance.now()
+      void this.startBackend(index, keepsId)
+    }, downMs)
+  }
+
   drainBackend(index: number): void {
     this.places[index].backend?.drain()
   }
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -10,6 +10,7 @@
 import * as z from "zod"
 import {SeededRandom} from "../../src/shared/random.js"
 import {CallerLoad, type CallerTarget} from "./caller-load.js"
+import {CRASHING_BODY, type CrashOutcome} from "./crash-check.js"
 import type {RetryWindow} from "./retry-check.js"
 import {makePlan, makeSeriesPlan, type PlannedFault} from "./fault-plan.js"
 import {
@@ -40,6 +41,8 @@
   readonly servedWhenCalm: number
   /// The worst window of repeats of each service.
   readonly repeats: readonly RetryWindow[]
+  /// What became of requests that end back ends.
+  readonly crashes: readonly CrashOutcome[]
   readonly violations: readonly Violation[]
 }
 
@@ -48,9 +51,15 @@
   readonly daemonCount: number
   /// Whether series of restarts beside busy back ends are played too.
   readonly series: boolean
+  /// Whether some callers send requests that end the back ends that run them.
+  readonly crashes: boolean
 }
 
-const DEFAULT_FORM: SoakForm = {daemonCount: DAEMONS, series: false}
+const DEFAULT_FORM: SoakForm = {daemonCount: DAEMONS, series: false, crashes: false}
+/// Callers of such requests come back so often, about. Milliseconds.
+const CRASH_PAUSE_MS = 400
+/// The routes on which they are sent: a plain one, and two whose answers are streamed.
+const CRASH_ROUTES = SOAK_ROUTES.filter(({name}) => ["receipt", "check", "review"].includes(name))
 
 /// Runs one soak with the program at `program`. Logs of the daemons are kept under `folder`.
 export async function runSoak(
@@ -59,7 +68,7 @@
   perSecond: number,
   program: string,
   folder: string,
-  {daemonCount, series}: SoakForm = DEFAULT_FORM
+  {daemonCount, series, crashes}: SoakForm = DEFAULT_FORM
 ): Promise<SoakOutcome> {
   const generator = new SeededRandom(seed)
   const random = () => generator.next()
@@ -71,6 +80,7 @@
   const isUsed = ({daemon}: CallerTarget) => !series || site.getDaemon(daemon).isRunning()
   const load = new CallerLoad(record, site.targets, SOAK_ROUTES, random, isUsed)
   const loading = load.run(perSecond)
+  if (crashes) sendCrashes(load, seed)
   const daemons = site.daemons.map(daemon => daemon.name)
   // The plan has a generator of its own, since the load draws at times that differ from run to run.
   const planGenerator = new SeededRandom(seed + 1)
@@ -90,6 +100,14 @@
   return judge(seed, record, calmFrom)
 }
 
+/// Callers that send requests which end back ends, from the start to the end of the load.
+function sendCrashes(load: CallerLoad, seed: number): void {
+  for (const [i, route] of CRASH_ROUTES.entries()) {
+    const generator = new SeededRandom(seed + 3 + i)
+    void load.repeat(`${CRASHING_BODY}, ${route.name}`, route, CRASH_PAUSE_MS, () => generator.next())
+  }
+}
+
 function mergePlans(...plans: readonly (readonly PlannedFault[])[]): PlannedFault[] {
   return plans.flat().sort((left, right) => left.atMs - right.atMs)
 }
@@ -128,7 +146,7 @@
 
 function judge(seed: number, record: SoakRecord, calmFrom: number): SoakOutcome {
   const violations = record.check()
-  const requests = [...record.requests.values()]
+  const requests = [...record.requests.values()].filter(({crashingBody}) => crashingBody === undefined)
   const isServed = ({status, whole}: {status?: number; whole?: boolean}) => status === 200 && whole === true
   const calm = requests.filter(
     request =>
@@ -149,6 +167,7 @@
     served: requests.filter(isServed).length,
     servedWhenCalm,
     repeats: record.findWorstRepeats(),
+    crashes: record.findCrashOutcomes(),
     violations
   }
 }
@@ -161,7 +180,7 @@
 
 async function main(): Promise<void> {
   const cli = meow(
-    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--keep] [--regressions]",
+    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--keep] [--regressions]",
     {
       importMeta: import.meta,
       flags: {
@@ -171,20 +190,25 @@
         rate: {type: "number", default: 60},
         daemons: {type: "number", default: DAEMONS},
         series: {type: "boolean", default: true},
+        crashes: {type: "boolean", default: true},
         keep: {type: "boolean", default: false},
         regressions: {type: "boolean", default: false}
       }
     }
   )
-  const {seed, count, seconds, rate, daemons, series, keep, regressions} = cli.flags
-  const fresh = Array.from({length: count}, (_, i) => ({seed: seed + i, seconds, daemons, series}))
+  const {seed, count, seconds, rate, daemons, series, crashes, keep, regressions} = cli.flags
+  const fresh = Array.from({length: count}, (_, i) => ({seed: seed + i, seconds, daemons, series, crashes}))
   const runs = regressions ? readRegressions() : fresh
   const program = buildProgram(join(process.cwd(), "bench-results", "program"))
   let failed = 0
   for (const run of runs) {
     const folder = join(process.cwd(), "bench-results", `soak-${run.seed}`)
     mkdirSync(folder, {recursive: true})
-    const form = {daemonCount: run.daemons ?? DAEMONS, series: run.series ?? false}
+    const form = {
+      daemonCount: run.daemons ?? DAEMONS,
+      series: run.series ?? false,
+      crashes: run.crashes ?? false
+    }
     const outcome = await runSoak(run.seed, run.seconds, rate, program, folder, form)
     process.stdout.write(`${JSON.stringify(outcome)}\n`)
     if (outcome.violations.length > 0) failed += 1
@@ -201,6 +225,7 @@
     seconds: z.number(),
     daemons: z.number().optional(),
     series: z.boolean().optional(),
+    crashes: z.boolean().optional(),
     cause: z.string()
   })
 )
--- a/lab/soak/store-stand-in.ts
+++ b/lab/soak/store-stand-in.ts
@@ -62,6 +62,12 @@
     this.apply([{table, part: "", key, value: Buffer.from(JSON.stringify(value)).toString("base64")}], [])
   }
 
+  /// The JSON of a row; undefined when there is none.
+  read(table: string, key: string): unknown {
+    const value = this.rows.get(`${table}/${key}`)?.value
+    return value === undefined ? undefined : JSON.parse(Buffer.from(value, "base64").toString("utf8"))
+  }
+
   /// Removes a row.
   remove(table: string, key: string): void {
     this.apply([], [{table, part: "", key}])
--- a/src/daemon/run-quarantine.ts
+++ b/src/daemon/run-quarantine.ts
@@ -58,8 +58,13 @@
     return key === undefined ? undefined : this.manager.getQuarantineMs(key, now);
   }
 
-  override addBreak(key: string | undefined, { id, address }: RunBackend, now: number): void {
-    if (key !== undefined) this.manager.addBreak(key, { id, address, incarnation: id }, now);
+  override addBreak(
+    key: string | undefined,
+    { id, address }: RunBackend,
+    startedAt: number,
+    now: number,
+  ): void {
+    if (key !== undefined) this.manager.addBreak(key, { id, address, incarnation: id }, startedAt, now);
   }
 
   override addAnswer(key: string | undefined, now: number): void {
--- a/src/forwarding/quarantine-gate.ts
+++ b/src/forwarding/quarantine-gate.ts
@@ -9,7 +9,7 @@
   /// The caller whose requests may all run at one and the same back end only; undefined for most.
   getConfinedCaller(key: string, now: number): string | undefined
   /// The connection of a run ended before the answer was whole.
-  runBroke(key: string, backend: BackendRecord, now: number): void
+  runBroke(key: string, backend: BackendRecord, startedAt: number, now: number): void
   /// A back end gave a whole answer, good or not.
   runAnswered(key: string, now: number): void
 }
@@ -29,8 +29,9 @@
   }
 
   /// The connection of an attempt ended before the answer was whole. A call that only has the prompt computed runs nothing.
-  addBreak({key}: Session, {plan}: LiveAttempt, now: number): void {
-    if (key !== undefined && !plan.prefillOnly) this.surroundings.runBroke(key, plan.backend.record, now)
+  addBreak({key}: Session, {plan, startedAt}: LiveAttempt, now: number): void {
+    if (key === undefined || plan.prefillOnly) return
+    this.surroundings.runBroke(key, plan.backend.record, startedAt, now)
   }
 
   /// The answer of an attempt is whole.
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -111,7 +111,7 @@
   getConfinedCaller?(key: string, now: number): string | undefined
 
   /// The connection of a run at a back end ended before the answer was whole.
-  runBroke?(key: string, record: BackendRecord, now: number): void
+  runBroke?(key: string, record: BackendRecord, startedAt: number, now: number): void
 
   /// A back end gave a whole answer to a request.
   runAnswered?(key: string, now: number): void
--- a/src/parts/quarantine-part.ts
+++ b/src/parts/quarantine-part.ts
@@ -46,9 +46,9 @@
     return this.manager.getConfinedCaller(key, now)
   }
 
-  override runBroke(key: string, record: BackendRecord, now: number): void {
+  override runBroke(key: string, record: BackendRecord, startedAt: number, now: number): void {
     this.handledAt = now
-    this.manager.addBreak(key, toWatched(record), now)
+    this.manager.addBreak(key, toWatched(record), startedAt, now)
   }
 
   override runAnswered(key: string, now: number): void {
--- a/src/parts/request-hooks.ts
+++ b/src/parts/request-hooks.ts
@@ -29,7 +29,8 @@
     requestBegan: (tenant, at) => tellAll(part => part.requestBegan?.(tenant, at)),
     getQuarantineMs: (key, now) => findFirst(part => part.getQuarantineMs?.(key, now)),
     getConfinedCaller: (key, now) => findFirst(part => part.getConfinedCaller?.(key, now)),
-    runBroke: (key, backend, now) => tellAll(part => part.runBroke?.(key, backend, now)),
+    runBroke: (key, backend, startedAt, now) =>
+      tellAll(part => part.runBroke?.(key, backend, startedAt, now)),
     runAnswered: (key, now) => tellAll(part => part.runAnswered?.(key, now)),
     takeQuota: (request, now) => findFirst(part => part.takeQuota?.(request, now)),
     removeQuotaRequest: requestId => tellAll(part => part.removeQuotaRequest?.(requestId)),
--- a/src/quarantine/break-watch.ts
+++ b/src/quarantine/break-watch.ts
@@ -14,6 +14,7 @@
 /// A run that broke off. Monotonic milliseconds.
 export interface BrokenRun {
   readonly key: string
+  readonly startedAt: number
   readonly at: number
 }
 
@@ -38,16 +39,20 @@
 const UNCLEAR_CHECKS = 3
 /// A broken run waits so long for its back end's record to go or to be written by a later start. Milliseconds; a record goes after three heartbeats of 1.2 s.
 const WAIT_FOR_RECORD_MS = 5000
-/// A back end that answered is not checked again within this time, however many runs break off: it may spoil some of its answers. Milliseconds.
-const ANSWERED_PAUSE_MS = 1000
+/// A back end that answered is checked again for runs that break off later, but not sooner than this: it may spoil many of its answers. Milliseconds.
+const ANSWERED_PAUSE_MS = 200
 
 interface Watched {
   readonly backend: WatchedBackend
   runs: BrokenRun[]
   checking: boolean
+  /// Something has happened since the last check that it may not have shown.
+  isCheckDue: boolean
   unclear: number
   nextCheckAt: number
   ended: boolean
+  /// The first break since the back end was last found to listen.
+  firstBreakAt: number | undefined
   lastBreakAt: number
 }
 
@@ -61,12 +66,16 @@
     private readonly emit: EffectSink<CheckBackend>
   ) {}
 
-  /// A run broke off. Returns its end if the back end is known to have ended.
+  /// A run broke off. Returns its end if the back end is known to have ended. One that began after the first had broken off was sent to a back end
+  /// that may have been gone already: something before it, such as a proxy, takes connections and closes them.
   addBreak(backend: WatchedBackend, run: BrokenRun): RunEnd[] {
     const watched = this.watched.get(backend.incarnation) ?? this.addWatched(backend, run.at)
+    watched.firstBreakAt ??= run.at
+    if (run.startedAt > watched.firstBreakAt) return []
     watched.lastBreakAt = run.at
     if (watched.ended) return [toEnd(run, backend)]
     watched.runs.push(run)
+    watched.isCheckDue = true
     this.checkIfDue(watched, run.at)
     return []
   }
@@ -78,12 +87,12 @@
     watched.checking = false
     watched.nextCheckAt = now + (check === "answered" ? ANSWERED_PAUSE_MS : CHECK_AGAIN_MS)
     watched.unclear = check === "unclear" ? watched.unclear + 1 : 0
+    if (check === "answered") watched.firstBreakAt = undefined
+    else watched.isCheckDue = true
     const seemsEnded = check === "ended" || watched.unclear >= UNCLEAR_CHECKS
     if (!seemsEnded) return []
-    if (!this.hasOlderRun(watched.backend, this.getFirstBreak(watched, now))) return this.end(watched)
-    // It refuses new connections and serves on: checked again while any of those runs goes on.
-    watched.unclear = Math.max(1, watched.unclear)
-    return []
+    // One that refuses new connections and serves on is checked again while any of the older runs goes on.
+    return this.hasOlderRun(watched.backend, watched.firstBreakAt ?? now) ? [] : this.end(watched)
   }
 
   /// The record of a back end went without its leave, or was written by a later start. Returns the ends that this proves.
@@ -96,7 +105,7 @@
   tick(now: number): void {
     for (const [incarnation, watched] of this.watched) {
       if (now - watched.lastBreakAt > WAIT_FOR_RECORD_MS) this.watched.delete(incarnation)
-      else if (watched.unclear > 0) this.checkIfDue(watched, now)
+      else this.checkIfDue(watched, now)
     }
   }
 
@@ -105,9 +114,11 @@
       backend,
       runs: [],
       checking: false,
+      isCheckDue: false,
       unclear: 0,
       nextCheckAt: -Infinity,
       ended: false,
+      firstBreakAt: undefined,
       lastBreakAt: now
     }
     this.watched.set(backend.incarnation, watched)
@@ -115,8 +126,9 @@
   }
 
   private checkIfDue(watched: Watched, now: number): void {
-    if (watched.ended || watched.checking || now < watched.nextCheckAt) return
+    if (watched.ended || watched.checking || !watched.isCheckDue || now < watched.nextCheckAt) return
     watched.checking = true
+    watched.isCheckDue = false
     this.emit({kind: "checkBackend", backend: watched.backend})
   }
 
@@ -126,10 +138,6 @@
     watched.runs = []
     return ends
   }
-
-  private getFirstBreak({runs}: Watched, now: number): number {
-    return runs.reduce((first, {at}) => Math.min(first, at), now)
-  }
 }
 
 function toEnd({key, at}: BrokenRun, {incarnation}: WatchedBackend): RunEnd {
--- a/src/quarantine/end-record.ts
+++ b/src/quarantine/end-record.ts
@@ -36,7 +36,11 @@
   private readonly endsByCaller = new Map<string, Ends>()
   private readonly answers: RecentAnswers
 
-  constructor(private readonly settings: QuarantineSettings) {
+  constructor(
+    private readonly settings: QuarantineSettings,
+    /// When this process started: it does not know what was answered before.
+    private readonly startedAt: number
+  ) {
     this.answers = new RecentAnswers(settings.answerMemoryMs, settings.maximumAnswered)
   }
 
@@ -108,11 +112,11 @@
 
   /// Forgets ends that count no more.
   removeOld(now: number): void {
-    const {memoryMs, answerMemoryMs} = this.settings
+    const {memoryMs, callerMemoryMs} = this.settings
     for (const [key, ends] of this.suspects)
       for (const [incarnation, at] of ends) if (now - at >= memoryMs) this.removeEnd(key, ends, incarnation)
     for (const [caller, ends] of this.endsByCaller) {
-      for (const [incarnation, at] of ends) if (now - at >= answerMemoryMs) ends.delete(incarnation)
+      for (const [incarnation, at] of ends) if (now - at >= callerMemoryMs) ends.delete(incarnation)
       if (ends.size === 0) this.endsByCaller.delete(caller)
     }
   }
@@ -150,10 +154,10 @@
 
   /// Whether back ends end under a caller's requests, whichever they are. Under those of a large caller many end by chance, beside many answers.
   private hasManyEnds(caller: string, now: number): boolean {
-    const {maximumEndsOfCaller, answerMemoryMs} = this.settings
+    const {maximumEndsOfCaller, callerMemoryMs} = this.settings
     const ends = this.endsByCaller.get(caller)
-    if (!ends || ends.size < maximumEndsOfCaller) return false
-    const recent = [...ends.values()].filter(at => now - at < answerMemoryMs).length
+    if (!ends || ends.size < maximumEndsOfCaller || now - this.startedAt < callerMemoryMs) return false
+    const recent = [...ends.values()].filter(at => now - at < callerMemoryMs).length
     return recent >= maximumEndsOfCaller && recent > this.answers.countOf(caller)
   }
 
--- a/src/quarantine/quarantine-manager.ts
+++ b/src/quarantine/quarantine-manager.ts
@@ -61,7 +61,7 @@
     now: number
   ) {
     const hasOlderRun = (backend: WatchedBackend, before: number) => surroundings.hasOlderRun(backend, before)
-    this.record = new EndRecord(settings)
+    this.record = new EndRecord(settings, now)
     this.watch = new BreakWatch(hasOlderRun, emit)
     this.archive = new QuarantineArchive(surroundings.selfId, settings.memoryMs, emit, now)
   }
@@ -79,8 +79,8 @@
   }
 
   /// The connection of a run ended before its answer was whole.
-  addBreak(key: string, backend: WatchedBackend, now: number): void {
-    this.applyOwnEnds(this.watch.addBreak(backend, {key, at: now}), now)
+  addBreak(key: string, backend: WatchedBackend, startedAt: number, now: number): void {
+    this.applyOwnEnds(this.watch.addBreak(backend, {key, startedAt, at: now}), now)
   }
 
   /// A back end gave a whole answer to the request, good or not: it outlived the run.
--- a/src/quarantine/quarantine-settings.ts
+++ b/src/quarantine/quarantine-settings.ts
@@ -11,6 +11,8 @@
   /// Back ends that must have ended lately under whichever requests of one caller, more than were answered to it, for the others of its
   /// requests to be judged by their first end and to run at one back end only. Default 6.
   readonly maximumEndsOfCaller: number
+  /// How long such an end counts, and how old a process must be to judge callers so. Milliseconds. Default 10,000.
+  readonly callerMemoryMs: number
   /// How long an end counts. Milliseconds. Default 30 minutes: then the request may end one back end more.
   readonly memoryMs: number
   /// The same for a request that was answered lately. Milliseconds. Default 10,000.
@@ -35,6 +37,7 @@
   maximumEnds: 3,
   maximumEndsOfAnswered: 6,
   maximumEndsOfCaller: 6,
+  callerMemoryMs: 10_000,
   memoryMs: 1_800_000,
   memoryOfAnsweredMs: 10_000,
   answerMemoryMs: 30_000,
--- a/src/routing/application-manager.ts
+++ b/src/routing/application-manager.ts
@@ -219,7 +219,7 @@
         this.answered(session, event, now);
         break;
       case 'broken':
-        this.broken(session, attempt.server, now);
+        this.broken(session, attempt.server, attempt.startedAt, now);
         break;
     }
   }
@@ -317,10 +317,10 @@
       );
   }
 
-  private broken(session: CallSession, server: ServerView, now: number): void {
+  private broken(session: CallSession, server: ServerView, startedAt: number, now: number): void {
     session.mayHaveRun = true;
     session.brokenAttempts += 1;
-    this.runs.addBreak(session.call.key, server, now);
+    this.runs.addBreak(session.call.key, server, startedAt, now);
     server.avoidUntil = now + AVOID_AFTER_FAILURE_MS;
     const allowed = session.row.repeatable && session.brokenAttempts < MAXIMUM_BROKEN_ATTEMPTS;
     if (allowed && this.retryBudget.tryRetry()) {
--- a/src/routing/completion-manager.ts
+++ b/src/routing/completion-manager.ts
@@ -130,7 +130,8 @@
         this.ended(session, attempt, event.tokens, event.finishReason, now);
         break;
       case 'broken':
-        if (attempt.stage === 'generate') this.runs.addBreak(session.request.key, attempt.engine, now);
+        if (attempt.stage === 'generate')
+          this.runs.addBreak(session.request.key, attempt.engine, attempt.startedAt, now);
         this.broken(session, attempt, now);
         break;
     }
--- a/src/routing/run-listener.ts
+++ b/src/routing/run-listener.ts
@@ -11,7 +11,7 @@
   /** How long a request is still to be kept from back ends; undefined when it may run. Milliseconds. */
   abstract getQuarantineMs(key: string | undefined, now: number): number | undefined;
   /** The connection of a run ended before the answer was whole. */
-  abstract addBreak(key: string | undefined, backend: RunBackend, now: number): void;
+  abstract addBreak(key: string | undefined, backend: RunBackend, startedAt: number, now: number): void;
   /** A back end gave a whole answer. */
   abstract addAnswer(key: string | undefined, now: number): void;
 }
