--- a/src/quarantine/end-record.ts
+++ b/src/quarantine/end-record.ts
@@ -176,7 +176,10 @@
   private addEndOf(subject: Subject, incarnation: string, at: number): boolean {
     if (at <= this.answers.getAt(subject)) return false
     const ends = this.suspects.get(subject) ?? this.addSuspect(subject)
-    if (!ends || ends.has(incarnation) || ends.size >= MAXIMUM_ENDS_KEPT) return false
+    const knownAt = ends?.get(incarnation)
+    // Daemons notice one end at different moments; the latest counts, whichever was heard first.
+    if (knownAt !== undefined) ends?.set(incarnation, Math.max(knownAt, at))
+    if (!ends || knownAt !== undefined || ends.size >= MAXIMUM_ENDS_KEPT) return false
     ends.set(incarnation, at)
     const subjects = this.subjectsByIncarnation.get(incarnation) ?? new Set()
     this.subjectsByIncarnation.set(incarnation, subjects.add(subject))
--- a/src/quarantine/quarantine-manager.ts
+++ b/src/quarantine/quarantine-manager.ts
@@ -42,6 +42,8 @@
 const EARLY_COMPARES = 12
 /// A peer's word on an end this old says nothing of what listens at the address now. Milliseconds.
 const FRESH_END_MS = 1000
+/// Interval in which old ends are forgotten. Milliseconds.
+const CLEAN_INTERVAL_MS = 1000
 
 /// The quarantine of one daemon. Times are monotonic milliseconds; `wallMs` is the time of day.
 export class QuarantineManager {
@@ -51,6 +53,7 @@
   private wallMs = 0
   private comparedAt = -Infinity
   private earlyCompares = 0
+  private cleanedAt = -Infinity
   private readonly quarantined = new Set<string>()
 
   constructor(
@@ -129,7 +132,10 @@
   /// Advances timers.
   tick(now: number): void {
     this.watch.tick(now)
-    this.record.removeOld(now)
+    if (now - this.cleanedAt >= CLEAN_INTERVAL_MS) {
+      this.cleanedAt = now
+      this.record.removeOld(now)
+    }
     this.archive.tick(this.surroundings.isFirst(), now)
     this.compare(now)
   }
