--- a/test/fault-soak.test.ts
+++ b/test/fault-soak.test.ts
@@ -3,6 +3,7 @@
 import { once } from 'node:events';
 import { expect } from 'chai';
 import { FaultProxy } from '../lab/soak/fault-proxy.js';
+import { CRASHING_BODY } from '../lab/soak/crash-check.js';
 import { makePlan, makeSeriesPlan } from '../lab/soak/fault-plan.js';
 import {
   formatBody,
@@ -16,6 +17,7 @@
 import { SeededRandom } from '../src/shared/random.js';
 import { Snapshot } from './snapshot.js';
 
+const KEPT_AWAY = 'a request that ended three back ends is kept away from others';
 const KEY = SOAK_TENANTS[0].keys[0];
 const BOUNDS = {
   configMs: 2000,
@@ -316,6 +318,25 @@
     snapshot.check();
   });
 
+  it('the checker counts what becomes of requests that end back ends', () => {
+    const body = `${CRASHING_BODY}, receipt`;
+    const record = soundRecord();
+    [1000, 2000, 3000].forEach((at) => record.crashes.push({ body, at }));
+    const arriveAt = (id: string, at: number, daemon: string) => {
+      addRequest(record, { id, daemon, status: 503, sentAt: at - 5, crashingBody: body });
+      record.arrivals.push({ requestId: id, service: 'application', at, promptOnly: false, rejected: true });
+    };
+    // The bound counts from 3,000 + contact 3,000 + margin 500 on.
+    [4000, 6400, 7000, 7100, 7200].forEach((at, i) => arriveAt(`c${i}`, at, 'daemon-1'));
+    record.disturbances.push({ what: 'daemon-2', kind: 'kill', from: 6000, until: 7000 });
+    arriveAt('d1', 8000, 'daemon-2');
+    expect(record.findCrashOutcomes()).to.deep.equal([{ body, ends: 3, lateRetries: 3 }]);
+    expect(record.check().map(({ promise }) => promise)).not.to.include(KEPT_AWAY);
+    arriveAt('d2', 10_600, 'daemon-2');
+    expect(record.findCrashOutcomes()[0].lateRetries).to.equal(4);
+    expect(record.check().map(({ promise }) => promise)).to.include(KEPT_AWAY);
+  });
+
   it('a seed gives the same plan each time', () => {
     const snapshot = new Snapshot('fault-soak-plan');
     const random = new SeededRandom(7);
