--- a/src/quarantine/break-watch.ts
+++ b/src/quarantine/break-watch.ts
@@ -87,8 +87,11 @@
     watched.checking = false
     watched.nextCheckAt = now + (check === "answered" ? ANSWERED_PAUSE_MS : CHECK_AGAIN_MS)
     watched.unclear = check === "unclear" ? watched.unclear + 1 : 0
-    if (check === "answered") watched.firstBreakAt = undefined
-    else watched.isCheckDue = true
+    if (check === "answered") {
+      // It has outlived them all.
+      watched.runs = []
+      watched.firstBreakAt = undefined
+    } else watched.isCheckDue = true
     const seemsEnded = check === "ended" || watched.unclear >= UNCLEAR_CHECKS
     if (!seemsEnded) return []
     // One that refuses new connections and serves on is checked again while any of the older runs goes on.
--- a/src/quarantine/end-record.ts
+++ b/src/quarantine/end-record.ts
@@ -23,6 +23,10 @@
 /// An end of a request is worth more than one message from the second on. A single one beside a request is common.
 const NOTABLE_ENDS = 2
 
+/// Another daemon takes an end for later than it was by the time of a message. An answer strikes out ends that seem to have come so little after it.
+/// Milliseconds; some times the way between two regions.
+const TOLD_LATE_MS = 100
+
 /// When each incarnation ended.
 type Ends = Map<string, number>
 
@@ -174,7 +178,7 @@
 
   /// Returns whether the end was not known and counts.
   private addEndOf(subject: Subject, incarnation: string, at: number): boolean {
-    if (at <= this.answers.getAt(subject)) return false
+    if (at <= this.answers.getAt(subject) + TOLD_LATE_MS) return false
     const ends = this.suspects.get(subject) ?? this.addSuspect(subject)
     const knownAt = ends?.get(incarnation)
     // Daemons notice one end at different moments; the latest counts, whichever was heard first.
@@ -191,7 +195,8 @@
     const ends = this.suspects.get(subject)
     if (!ends) return false
     const known = ends.size
-    for (const [incarnation, endedAt] of ends) if (endedAt <= at) this.removeEnd(subject, ends, incarnation)
+    for (const [incarnation, endedAt] of ends)
+      if (endedAt <= at + TOLD_LATE_MS) this.removeEnd(subject, ends, incarnation)
     return ends.size < known
   }
 
--- a/src/quarantine/quarantine-manager.ts
+++ b/src/quarantine/quarantine-manager.ts
@@ -54,6 +54,7 @@
   private comparedAt = -Infinity
   private earlyCompares = 0
   private cleanedAt = -Infinity
+  /// Requests that were told to be in quarantine, so that each is told once.
   private readonly quarantined = new Set<string>()
 
   constructor(
@@ -163,6 +164,8 @@
     const {key} = end
     if (!this.quarantined.has(key) && this.record.getQuarantineMs(key, now) !== undefined) {
       this.quarantined.add(key)
+      const [oldest] = this.quarantined
+      if (this.quarantined.size > this.settings.maximumSuspects) this.quarantined.delete(oldest)
       this.emit({kind: "requestQuarantined", key, ends: this.record.countEnds(key)})
     }
     return true
@@ -172,7 +175,8 @@
   private applyAnswer(key: string, at: number, now: number): boolean {
     const known = this.record.isNotable(key, now) ? this.record.getEndsOf(key) : []
     if (!this.record.addAnswer(key, at, now)) return false
-    for (const end of known) if (end.at <= at) this.archive.remove(end)
+    const left = new Set(this.record.getEndsOf(key).map(({incarnation}) => incarnation))
+    for (const end of known) if (!left.has(end.incarnation)) this.archive.remove(end)
     if (this.record.getQuarantineMs(key, now) === undefined && this.quarantined.delete(key))
       this.emit({kind: "requestReleased", key})
     return true
