--- a/lab/soak/caller-load.ts
+++ b/lab/soak/caller-load.ts
@@ -51,6 +51,7 @@
   async repeat(body: string, route: CallerRoute, pauseMs: number, random: () => number): Promise<void> {
     while (this.running) {
       await wait(pauseMs * (0.5 + random()))
+      if (!this.running) return
       const target = this.targets[Math.floor(random() * this.targets.length)]
       const sent = this.send(target, route, body).finally(() => this.open.delete(sent))
       this.open.add(sent)
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -80,7 +80,7 @@
   const isUsed = ({daemon}: CallerTarget) => !series || site.getDaemon(daemon).isRunning()
   const load = new CallerLoad(record, site.targets, SOAK_ROUTES, random, isUsed)
   const loading = load.run(perSecond)
-  if (crashes) sendCrashes(load, seed)
+  const crashing = crashes ? sendCrashes(load, seed) : []
   const daemons = site.daemons.map(daemon => daemon.name)
   // The plan has a generator of its own, since the load draws at times that differ from run to run.
   const planGenerator = new SeededRandom(seed + 1)
@@ -91,7 +91,7 @@
   await wait(CALM_MS)
   const calmFrom = performance.now() - JUDGED_CALM_MS
   load.stop()
-  await loading
+  await Promise.all([loading, ...crashing])
   await site.close()
   for (const text of site.duties.model.violations)
     record.seen.push({promise: "one holder of the duties", text})
@@ -101,11 +101,11 @@
 }
 
 /// Callers that send requests which end back ends, from the start to the end of the load.
-function sendCrashes(load: CallerLoad, seed: number): void {
-  for (const [i, route] of CRASH_ROUTES.entries()) {
+function sendCrashes(load: CallerLoad, seed: number): Promise<void>[] {
+  return CRASH_ROUTES.map((route, i) => {
     const generator = new SeededRandom(seed + 3 + i)
-    void load.repeat(`${CRASHING_BODY}, ${route.name}`, route, CRASH_PAUSE_MS, () => generator.next())
-  }
+    return load.repeat(`${CRASHING_BODY}, ${route.name}`, route, CRASH_PAUSE_MS, () => generator.next())
+  })
 }
 
 function mergePlans(...plans: readonly (readonly PlannedFault[])[]): PlannedFault[] {
