--- a/src/daemon/change-log.ts
+++ b/src/daemon/change-log.ts
@@ -23,6 +23,7 @@
   | 'configuration.changed'
   | 'backend.changed'
   | 'backend.removed'
+  | 'backend.lapsed'
   | 'backend.recovered'
   | 'backend.slow'
   | 'backend.sound'
@@ -71,10 +72,14 @@
       const { id: backend, revision, source } = effect;
       return makeChange('backend.removed', { backend, revision, source });
     }
+    case 'backendLapsed': {
+      const { id: backend, revision, source, graceMs } = effect;
+      return makeChange('backend.lapsed', { backend, revision, source, graceMs });
+    }
     case 'storeLost':
       return makeChange('store.lost', { collection: effect.collection, reason: effect.reason });
     case 'storeRegained':
-      return makeChange('store.regained', { collection: effect.collection });
+      return makeChange('store.regained', { collection: effect.collection, outageMs: effect.outageMs });
   }
 }
 
--- a/src/fleet/fleet-effects.ts
+++ b/src/fleet/fleet-effects.ts
@@ -25,8 +25,18 @@
       readonly revision: number
       readonly source: RecordSource
     }
+  /// The record is gone after an outage; the back end keeps its work for a while.
+  | {
+      readonly kind: "backendLapsed"
+      readonly id: string
+      readonly revision: number
+      readonly source: RecordSource
+      /// Milliseconds.
+      readonly graceMs: number
+    }
   | {readonly kind: "storeLost"; readonly collection: RecordCollection; readonly reason: string}
-  | {readonly kind: "storeRegained"; readonly collection: RecordCollection}
+  /// The store answers again; `outageMs` is how long it had not, as far as this daemon knows. Milliseconds.
+  | {readonly kind: "storeRegained"; readonly collection: RecordCollection; readonly outageMs: number}
 
 /// Where a record came from: the store, or a peer's id.
 export type RecordSource = string
--- a/src/fleet/record-copy.ts
+++ b/src/fleet/record-copy.ts
@@ -27,7 +27,7 @@
   private readonly lapsed: LapsedBackends
 
   constructor(
-    lapseGraceMs: number,
+    private readonly lapseGraceMs: number,
     private readonly emit: EffectSink<FleetEffect>
   ) {
     this.lapsed = new LapsedBackends(lapseGraceMs)
@@ -120,8 +120,10 @@
       if (known?.value && isOtherIncarnation(known.value, value))
         this.emit({kind: "backendRemoved", id, revision, source})
       this.emit({kind: "backendChanged", record: value, revision, source})
-    } else if (known?.value?.state === "ready" && lapsedAt !== undefined) this.lapsed.add(id, lapsedAt)
-    else if (known?.value) this.emit({kind: "backendRemoved", id, revision, source})
+    } else if (known?.value?.state === "ready" && lapsedAt !== undefined) {
+      this.lapsed.add(id, lapsedAt)
+      this.emit({kind: "backendLapsed", id, revision, source, graceMs: this.lapseGraceMs})
+    } else if (known?.value) this.emit({kind: "backendRemoved", id, revision, source})
   }
 }
 
--- a/src/fleet/store-follower.ts
+++ b/src/fleet/store-follower.ts
@@ -135,7 +135,8 @@
   /// Takes the store's word that the copy was complete at a time; the next read comes after a pause.
   receiveConfirmation(storeMs: number | undefined, completeAt: number, pauseMs: number, now: number): void {
     this.storeMs = storeMs ?? -Infinity
-    if (this.failures > 0) this.emit({kind: "storeRegained", collection: this.collection})
+    if (this.failures > 0)
+      this.emit({kind: "storeRegained", collection: this.collection, outageMs: this.getOutageMs(now)})
     this.failures = 0
     this.unanswered = false
     this.completeAt = Math.max(this.completeAt, completeAt)
