--- a/test/leaving-back-ends.test.ts
+++ b/test/leaving-back-ends.test.ts
@@ -14,13 +14,9 @@
  */
 import { expect } from 'chai';
 import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
-import {
-  FLEET_SETTINGS,
-  ForwardingFleet,
-  type FleetNode,
-  type StoreAccess,
-} from '../simulation/forwarding-fleet.js';
+import { FLEET_SETTINGS, ForwardingFleet, type StoreAccess } from '../simulation/forwarding-fleet.js';
 import type { StoredRecord } from '../src/fleet/record-store.js';
+import { findReader } from './store-reader.js';
 
 const SEED = 20261203;
 const SETTLED_MS = 6000;
@@ -46,14 +42,6 @@
   return fleet;
 }
 
-/** The daemon that read most in a second without trouble. */
-function findReader(fleet: ForwardingFleet): FleetNode {
-  const before = fleet.nodes.map((node) => node.reads);
-  fleet.time.runUntil(fleet.time.now() + 1000);
-  const counts = fleet.nodes.map((node, i) => ({ node, reads: node.reads - before[i] }));
-  return counts.reduce((most, count) => (count.reads > most.reads ? count : most)).node;
-}
-
 /** Until all daemons that run knew a state of a back end. Milliseconds; infinite when one never did. */
 function getSlowest(fleet: ForwardingFleet, id: string, state: string, since: number): number {
   const times = fleet.nodes
--- a/test/store-readers.test.ts
+++ b/test/store-readers.test.ts
@@ -3,6 +3,7 @@
 import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
 import { ForwardingFleet, type FleetNode } from '../simulation/forwarding-fleet.js';
 import { Snapshot } from './snapshot.js';
+import { findReader } from './store-reader.js';
 
 const SEED = 20261203;
 const SETTLED_MS = 6000;
@@ -34,15 +35,6 @@
   return fleet;
 }
 
-/** The daemon that read most in a second without trouble. */
-function readerOf(fleet: ForwardingFleet): FleetNode {
-  const before = new Map(fleet.nodes.map((node) => [node, node.reads]));
-  fleet.time.runUntil(fleet.time.now() + 1000);
-  const counts = fleet.nodes.map((node) => ({ node, reads: node.reads - (before.get(node) ?? 0) }));
-  counts.sort((left, right) => right.reads - left.reads);
-  return counts[0].node;
-}
-
 /** The longest time until a version was in force at the daemons that run. */
 function slowest(fleet: ForwardingFleet, version: number, since: number): number {
   return Math.max(
@@ -97,7 +89,7 @@
     for (const count of [2, 9, 88]) {
       it(`${count} daemons: a change at the moment when the reader ${name} is in force everywhere in time`, () => {
         const fleet = settledFleet(count);
-        fail(readerOf(fleet));
+        fail(findReader(fleet));
         const since = fleet.time.now();
         fleet.write(configuration(2));
         fleet.write(backend('a', 'draining'));
@@ -110,7 +102,7 @@
 
   it('a third of the daemons without an answer of the store, the reader among them: changes reach all in time', () => {
     const fleet = settledFleet(9);
-    const reader = readerOf(fleet);
+    const reader = findReader(fleet);
     reader.access = 'silent';
     for (const node of fleet.nodes.filter((other) => other !== reader).slice(0, 2)) node.access = 'silent';
     for (let version = 2; version < 8; version += 1) {
@@ -140,7 +132,7 @@
 
   it('a daemon that has heard of a newer configuration denies no route until it has read it', () => {
     const fleet = settledFleet(9);
-    const reader = readerOf(fleet);
+    const reader = findReader(fleet);
     const refused = fleet.nodes.find((node) => node !== reader) ?? reader;
     refused.access = 'refuses';
     // Too large to be told by peers, so that this daemon hears of it before it can have it.
