Word of a copy counts only where it reaches back to one's own: no removal is passed over

Callers' requests went to a back end long after it had left without a word, since eight of nine daemons never heard of it. Cause: a daemon that starts reads what is left and tells its peers that its copy is complete up to there with no newer change; of what was removed before it cannot know, but its peers moved on to that revision, and the next reader asked only for what came after. Now word says from which revision on removals are known (since), and who has less passes it over. Why it holds: a copy moves on by word only if the teller has seen all changes between the two. Cost: a daemon that hears only of newer copies asks the store once, after its patience. Older daemons tell no since and count as before.

--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -50,7 +50,10 @@
   /// The store's clock at the answer that said so. Word of one answer reaches a daemon many times, each time
   /// a little late; only the first counts. Not told by older daemons, whose word so counts for nothing.
   /// Milliseconds.
-  storeMs: count.optional()
+  storeMs: count.optional(),
+  /// What was removed up to this revision the sender may never have heard of: its copy began there with what
+  /// was left. Not told by older daemons, nor for a collection without removals.
+  since: count.optional()
 })
 
 /// The same for both collections.
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -147,10 +147,7 @@
     for (const record of records) this.copy.apply(record, peerId)
     const {complete} = knowledge.backends
     if (complete >= 0) this.copy.removeMissing(complete, records, peerId)
-    for (const follower of Object.values(this.followers)) {
-      const known = knowledge[follower.collection]
-      if (known.complete >= 0) follower.advance(known.complete)
-    }
+    for (const follower of Object.values(this.followers)) follower.receiveCopy(knowledge[follower.collection])
     this.receiveKnowledge(knowledge, now)
   }
 
@@ -170,7 +167,7 @@
     const holdUntil = follower.getReadHold(now)
     if (follower.collection === "backends")
       this.copy.removeMissing(revision, records, STORE_SOURCE, holdUntil)
-    follower.setCursor(revision)
+    follower.receiveSnapshot(revision)
   }
 
   private applyChanges(
--- a/src/fleet/store-follower.ts
+++ b/src/fleet/store-follower.ts
@@ -26,6 +26,8 @@
 export class StoreFollower {
   /// Changes up to this revision are known; undefined until a snapshot was read.
   private knownRevision: number | undefined
+  /// Removals after this revision are known.
+  private knowsRemovalsSince = 0
   private inFlight = false
   private lastSentAt: number
   private nextAt: number
@@ -82,11 +84,12 @@
 
   /// How much is known, for the peers; `changed` is the newest revision among the records.
   getKnowledge(changed: number, now: number): RecordKnowledge {
-    const {cursor, completeAt, storeMs} = this
+    const {cursor, completeAt, storeMs, knowsRemovalsSince} = this
     // Known from a peer alone that lacked something itself: nothing to vouch for.
     if (cursor === undefined || completeAt === -Infinity) return {complete: -1, changed, ageMs: 0}
     const told = Number.isFinite(storeMs) ? storeMs : undefined
-    return {complete: cursor, changed, ageMs: Math.round(now - completeAt), storeMs: told}
+    const since = knowsRemovalsSince > 0 ? {since: knowsRemovalsSince} : {}
+    return {complete: cursor, changed, ageMs: Math.round(now - completeAt), storeMs: told, ...since}
   }
 
   /// The clock stood still for a time that it has not counted: what is known is older than it seems.
@@ -166,9 +169,17 @@
     this.unanswered = true
   }
 
-  /// Takes the revision of a snapshot that was applied.
-  setCursor(revision: number): void {
+  /// Takes the revision of the store's snapshot that was applied.
+  receiveSnapshot(revision: number): void {
     this.knownRevision = revision
+    if (this.collection === "backends") this.knowsRemovalsSince = revision
+  }
+
+  /// Takes how much a peer's copy held that was applied.
+  receiveCopy({complete, since = 0}: RecordKnowledge): void {
+    if (complete < 0) return
+    if (this.cursor === undefined || this.cursor < Math.min(since, complete)) this.knowsRemovalsSince = since
+    this.advance(complete)
   }
 
   /// Takes that changes up to a revision are known.
@@ -184,12 +195,18 @@
   }
 
   /// Takes a peer's word on how much it knows.
-  receiveKnowledge({complete, changed, ageMs, storeMs = -Infinity}: RecordKnowledge, now: number): void {
+  ///
+  /// That a peer knows of no newer change counts only where its copy reaches back to this one: a copy that
+  /// began later lacks removals of the time before. Without this a daemon that started while the first reader
+  /// was turned away moved eight of nine daemons past a removal for good (virtual time).
+  receiveKnowledge(knowledge: RecordKnowledge, now: number): void {
+    const {complete, changed, ageMs, storeMs = -Infinity, since = 0} = knowledge
     if (complete < 0 || this.cursor === undefined) return
     if (this.cursor < changed) {
       this.receiveRumor(changed, now)
       return
     }
+    if (this.cursor < since) return
     this.advance(complete)
     if (storeMs <= this.storeMs) return
     this.storeMs = storeMs
