Failing test: a daemon that hears nothing and loses one read knows of a leaving after more than the bound

Callers' requests reach a back end that leaves for longer than the fleet is given. In virtual time, nine daemons, one that its peers cannot reach and whose connection to the store has fallen silent: 2,531 ms of 2,000.

--- a/simulation/fleet-node.ts
+++ b/simulation/fleet-node.ts
@@ -1,5 +1,6 @@
 /** The daemons of a simulated fleet, and what callers and back ends see of them. */
 import type { ForwardingDaemon } from '../src/daemon/forwarding-daemon.js';
+import type { RecordCollection } from '../src/fleet/record-store.js';
 import type { ForwardRequest } from '../src/forwarding/forward-request.js';
 
 /** What the store does to one daemon. */
@@ -14,6 +15,8 @@
   daemon: ForwardingDaemon;
   starts: number;
   access: StoreAccess;
+  /** Collections whose connection to the store has fallen silent: the next read is lost, a new one works. */
+  readonly silentConnections: Set<RecordCollection>;
   /** Neither sends nor receives. */
   down: boolean;
   /** Stands still: what arrives is handled when it goes on. */
--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -92,6 +92,7 @@
         daemon: this.createDaemon(place),
         starts: 1,
         access: 'serves',
+        silentConnections: new Set(),
         down: false,
         frozen: false,
         clockErrorMs: 0,
@@ -325,7 +326,7 @@
       this.time.after(delayMs, () => this.handle(node, { kind: 'recordsRead', collection, result }));
     if (node.access === 'refuses') {
       give({ kind: 'rejected', status: STATUS_BUSY }, STORE_MS);
-    } else if (node.access !== 'serves') {
+    } else if (node.silentConnections.delete(collection) || node.access !== 'serves') {
       const heldMs = read.after === undefined ? 0 : read.waitMs;
       give({ kind: 'noAnswer', reason: 'TimeoutError' }, heldMs + READ_TIMEOUT_MS);
     } else if (read.after === undefined) {
--- /dev/null
+++ b/test/late-reads.test.ts
@@ -0,0 +1,50 @@
+/**
+ * A daemon that hears nothing from its peers acted on a change of the back ends later than the fleet is given.
+ *
+ * It asks the store itself after 0.7 of the bound. The connection that it then used had rested and fallen
+ * silent; the read was to wait 0.33 of the bound for a change and counted as lost 800 ms after that, so the
+ * second read, on a new connection, went out after 1.4 + 0.66 + 0.8 + 0.1 = 2.96 s after it last heard, of 2 s.
+ *
+ * Evidence: nine daemons, one that hears nothing: draining known after 2,531 ms of 2,000. Virtual time.
+ */
+import { expect } from 'chai';
+import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
+import { ForwardingFleet } from '../simulation/forwarding-fleet.js';
+import type { StoredRecord } from '../src/fleet/record-store.js';
+import { findReader } from './store-reader.js';
+
+const SEED = 20261203;
+const SETTLED_MS = 6000;
+/** All daemons know of a leaving within this time. Milliseconds. */
+const BOUND_MS = 2000;
+const DAEMONS = 9;
+
+function backend(id: string, state: 'ready' | 'draining'): StoredRecord {
+  return { collection: 'backends', id, revision: 0, value: { ...labBackend(id, '10.1.0.1:80'), state } };
+}
+
+/** Until a daemon that hears nothing knows that a back end leaves. Milliseconds. */
+function playDeafDaemon(leavesMs: number): number {
+  const fleet = new ForwardingFleet(DAEMONS, SEED);
+  const value = labConfiguration(1, [labRoute({})]);
+  fleet.write({ collection: 'configuration', revision: 0, value });
+  for (const id of ['a', 'b']) fleet.write(backend(id, 'ready'));
+  fleet.time.runUntil(SETTLED_MS);
+  const reader = findReader(fleet);
+  const [deaf] = fleet.nodes.filter((node) => node !== reader);
+  fleet.isLinked = (_from, to) => to !== deaf;
+  deaf.silentConnections.add('backends').add('configuration');
+  fleet.time.runUntil(fleet.time.now() + leavesMs);
+  const since = fleet.time.now();
+  fleet.write(backend('a', 'draining'));
+  fleet.time.runUntil(since + 3 * BOUND_MS);
+  const seen = deaf.backendStates.get('a');
+  return seen?.state === 'draining' ? seen.at - since : Infinity;
+}
+
+describe('a daemon that hears nothing from its peers', () => {
+  it('knows of a leaving in time though its first read of the store is lost', () => {
+    for (let leavesMs = 0; leavesMs <= 1000; leavesMs += 50)
+      expect(playDeafDaemon(leavesMs), `left after ${leavesMs} ms`).to.be.at.most(BOUND_MS);
+  });
+});
