A daemon that has heard nothing reads without waiting, and knows soon that a read was lost

Callers' requests reached a back end that leaves for longer than the fleet is given: a daemon that its peers could not reach asked after 0.7 of the bound on a connection that had fallen silent, the read was to wait 0.33 of the bound and counted as lost 800 ms after that; 2,531 ms of 2,000 in virtual time. Why it holds: patience, a lost read, the longest pause and a read add up to 0.95 of the bound. A store that lags is asked no more often than each 150 ms (own test).

--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -24,7 +24,6 @@
 /** The true time of day when a simulation begins: the start of a window of any usual length. */
 export const WALL_START_MS = 1_800_000_000_000;
 const STORE_MS = 4;
-const READ_TIMEOUT_MS = 800;
 const STATUS_BUSY = 503;
 const TABLE_TIMEOUT_MS = 1000;
 /** A write that is carried out late is, so long after it was sent. Milliseconds. */
@@ -328,7 +327,7 @@
       give({ kind: 'rejected', status: STATUS_BUSY }, STORE_MS);
     } else if (node.silentConnections.delete(collection) || node.access !== 'serves') {
       const heldMs = read.after === undefined ? 0 : read.waitMs;
-      give({ kind: 'noAnswer', reason: 'TimeoutError' }, heldMs + READ_TIMEOUT_MS);
+      give({ kind: 'noAnswer', reason: 'TimeoutError' }, heldMs + read.answerMs);
     } else if (read.after === undefined) {
       const records = [...this.records.values()].filter((record) => record.collection === collection);
       give({ kind: 'snapshot', revision: this.revision, records, storeMs: this.time.now() }, STORE_MS);
--- a/src/fleet/fleet-replica-settings.ts
+++ b/src/fleet/fleet-replica-settings.ts
@@ -4,6 +4,13 @@
 export interface FleetReplicaSettings {
   /// How long a read waits for a change: peers hear so late that there was none. Milliseconds. Default 450.
   readonly waitMs: number
+  /// An answer so much later than the wait that was asked for counts as lost. Milliseconds. Default 800; a
+  /// store answers in some 4, a slow one in some 200.
+  readonly answerMs: number
+  /// The same of the first read of a daemon that has heard nothing for long: if it is lost the next one goes
+  /// out while a change still counts as in force in time. Milliseconds. Default 350, with the longest patience
+  /// and a pause some 250 less than a change may take.
+  readonly firstAnswerMs: number
   /// The second daemon in rank asks the store when it has not heard for so long that its copy is complete.
   /// Milliseconds. Default 1200.
   readonly patienceMs: number
@@ -37,6 +44,8 @@
 /// Default settings.
 export const DEFAULT_FLEET_REPLICA_SETTINGS: FleetReplicaSettings = {
   waitMs: 450,
+  answerMs: 800,
+  firstAnswerMs: 350,
   patienceMs: 1200,
   patienceStepMs: 100,
   maximumPatienceMs: 1400,
--- a/src/fleet/record-store.ts
+++ b/src/fleet/record-store.ts
@@ -12,7 +12,10 @@
 export interface RecordRead {
   readonly collection: RecordCollection
   readonly after: number | undefined
+  /// Milliseconds.
   readonly waitMs: number
+  /// An answer so much later than the wait counts as lost. Milliseconds.
+  readonly answerMs: number
 }
 
 /// Records as the store gave them.
--- a/src/fleet/store-follower.ts
+++ b/src/fleet/store-follower.ts
@@ -30,6 +30,8 @@
   private knowsRemovalsSince = 0
   private inFlight = false
   private lastSentAt: number
+  /// How long the newest read waits for a change. Milliseconds.
+  private lastWaitMs = 0
   private nextAt: number
   private failures = 0
   /// One of the failures was a refusal or silence; a history that is gone is an answer.
@@ -128,7 +130,7 @@
 
   /// When a read that waited for changes was answered, as far as that is certain.
   getAnswerTime(now: number): number {
-    const prompt = now - this.sentAt <= this.settings.waitMs + ANSWER_DELAY_MS
+    const prompt = now - this.sentAt <= this.lastWaitMs + ANSWER_DELAY_MS
     return prompt ? now : this.sentAt
   }
 
@@ -152,8 +154,10 @@
     this.unanswered = false
     this.noteSilence(now)
     this.completeAt = Math.max(this.completeAt, completeAt)
-    this.nextAt = now + pauseMs
-    if (pauseMs === 0 && this.isDue(now)) this.read(now)
+    // A read that does not wait is answered at once, also by a store that lags behind what peers have told.
+    const pause = this.lastWaitMs > 0 ? pauseMs : Math.max(pauseMs, this.settings.gatherMs)
+    this.nextAt = now + pause
+    if (pause === 0 && this.isDue(now)) this.read(now)
   }
 
   /// Takes the store's word that its history does not reach back far enough: a snapshot is read next.
@@ -222,11 +226,18 @@
     return now - this.completeAt > patience
   }
 
+  /// The first in rank waits at the store for changes. The others ask when they have not heard for long, and
+  /// want to know at once whether they lack something: a read that waits shows late that it was lost. Waiting
+  /// 0.33 of the bound and 800 ms, a daemon whose first read was lost knew of a leaving after 2,531 ms of
+  /// 2,000 (virtual time, nine daemons, one that its peers cannot reach).
   private read(now: number): void {
     this.inFlight = true
     this.lastSentAt = now
-    const {collection, cursor} = this
-    this.emit({kind: "readRecords", read: {collection, after: cursor, waitMs: this.settings.waitMs}})
+    const {collection, cursor, settings} = this
+    const follows = this.rank === 0
+    this.lastWaitMs = follows ? settings.waitMs : 0
+    const answerMs = follows || this.failures > 0 ? settings.answerMs : settings.firstAnswerMs
+    this.emit({kind: "readRecords", read: {collection, after: cursor, waitMs: this.lastWaitMs, answerMs}})
   }
 
   /// Word of the store ends a time without; what is removed then may have lapsed.
--- a/test/late-reads.test.ts
+++ b/test/late-reads.test.ts
@@ -10,7 +10,13 @@
 import { expect } from 'chai';
 import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
 import { ForwardingFleet } from '../simulation/forwarding-fleet.js';
+import {
+  DEFAULT_FLEET_REPLICA_SETTINGS,
+  FleetReplica,
+  type FleetEffect,
+} from '../src/fleet/fleet-replica.js';
 import type { StoredRecord } from '../src/fleet/record-store.js';
+import { SeededRandom } from '../src/shared/random.js';
 import { findReader } from './store-reader.js';
 
 const SEED = 20261203;
@@ -47,4 +53,22 @@
     for (let leavesMs = 0; leavesMs <= 1000; leavesMs += 50)
       expect(playDeafDaemon(leavesMs), `left after ${leavesMs} ms`).to.be.at.most(BOUND_MS);
   });
+
+  it('asks a store that lags behind what it was told no more often than each 150 ms', () => {
+    let reads = 0;
+    const emit = (effect: FleetEffect): void => void (reads += effect.kind === 'readRecords' ? 1 : 0);
+    const replica = new FleetReplica(DEFAULT_FLEET_REPLICA_SETTINGS, new SeededRandom(SEED), emit, 0);
+    replica.setRank(3);
+    const lagging = { revision: 10, records: [] };
+    replica.receive('backends', { kind: 'snapshot', ...lagging }, 0);
+    const told = { collection: 'backends' as const, from: 15, to: 20, changed: 20, records: [] };
+    replica.receiveChanges('peer', { kind: 'recordsChanged', ...told }, 10);
+    reads = 0;
+    for (let now = 20; now < 1020; now += 10) {
+      const before = reads;
+      replica.tick(now);
+      if (reads > before) replica.receive('backends', { kind: 'changes', ...lagging }, now + 4);
+    }
+    expect(reads).to.be.within(1, 8);
+  });
 });
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -173,7 +173,7 @@
       { key: 'c', ver: 5, gone: true },
     ];
     answer = () => ({ status: 200, body: { rows, ver: 9 } });
-    const result = await store.read({ collection: 'backends', after: undefined, waitMs: 0 });
+    const result = await store.read({ collection: 'backends', after: undefined, waitMs: 0, answerMs: 800 });
     expect(bad).to.deep.equal(['b']);
     expect(result).to.include({ kind: 'snapshot', revision: 9 });
     if (result.kind === 'snapshot')
@@ -218,7 +218,7 @@
     ];
     answer = () => ({ status: 200, body: { rows, ver: 30 } });
     for (const after of [undefined, 2]) {
-      const result = await store.read({ collection: 'backends', after, waitMs: 0 });
+      const result = await store.read({ collection: 'backends', after, waitMs: 0, answerMs: 800 });
       expect(result.kind).to.equal(after === undefined ? 'snapshot' : 'changes');
       if (result.kind !== 'snapshot' && result.kind !== 'changes') return;
       const named = result.records.flatMap((record) =>
@@ -234,7 +234,7 @@
 
   it('refusals, gone histories and answers that are none are told apart', async () => {
     const store = new StoreClient(address, () => undefined);
-    const read = { collection: 'configuration' as const, after: 5, waitMs: 10 };
+    const read = { collection: 'configuration' as const, after: 5, waitMs: 10, answerMs: 800 };
     answer = () => ({ status: 429 });
     expect(await store.read(read)).to.deep.equal({ kind: 'rejected', status: 429 });
     answer = () => ({ status: 410 });
