--- a/test/late-reads.test.ts
+++ b/test/late-reads.test.ts
@@ -48,6 +48,30 @@
   return seen?.state === 'draining' ? seen.at - since : Infinity;
 }
 
+/**
+ * Until a daemon that lacks one change reads, told of a newer one each so many milliseconds. Each word put the
+ * read off to 150 ms from then, so that none went out in 3 s.
+ */
+function getFirstReadAfterWords(gapMs: number): number {
+  let now = 0;
+  let readAt = Infinity;
+  const emit = (effect: FleetEffect): void => {
+    if (effect.kind === 'readRecords' && effect.read.collection === 'backends')
+      readAt = Math.min(readAt, now);
+  };
+  const replica = new FleetReplica(DEFAULT_FLEET_REPLICA_SETTINGS, new SeededRandom(SEED), emit, now);
+  replica.setRank(5);
+  replica.receive('backends', { kind: 'snapshot', revision: 10, records: [] }, now);
+  readAt = Infinity;
+  for (now = 10; now < 3000; now += 10) {
+    const to = 15 + now;
+    const told = { collection: 'backends' as const, from: to - 1, to, changed: to, records: [] };
+    if (now % gapMs === 0) replica.receiveChanges('peer', { kind: 'recordsChanged', ...told }, now);
+    replica.tick(now);
+  }
+  return readAt - gapMs;
+}
+
 describe('a daemon that hears nothing from its peers', () => {
   it('knows of a leaving in time though its first read of the store is lost', () => {
     for (let leavesMs = 0; leavesMs <= 1000; leavesMs += 50)
@@ -71,4 +95,9 @@
     }
     expect(reads).to.be.within(1, 8);
   });
+
+  it('reads within 200 ms of the first word of a change, however closely others follow', () => {
+    for (const gapMs of [20, 100, 140, 300])
+      expect(getFirstReadAfterWords(gapMs), `a word each ${gapMs} ms`).to.be.at.most(200);
+  });
 });
