--- a/spec/model-check.ts
+++ b/spec/model-check.ts
@@ -189,6 +189,18 @@
     expect: 'caught',
     what: 'complete up to the newest change, though one before it is missing',
   },
+  {
+    file: 'records.pml',
+    defines: ['REMOVALS'],
+    expect: 'sound',
+    what: 'the same with removals, which snapshots do not show',
+  },
+  {
+    file: 'records.pml',
+    defines: ['REMOVALS', 'NO_SINCE'],
+    expect: 'caught',
+    what: "a peer's word taken though its copy began later and may lack removals",
+  },
 ];
 
 const SPEC_FOLDER = join(process.cwd(), 'spec');
--- a/spec/records.pml
+++ b/spec/records.pml
@@ -2,14 +2,21 @@
  * Records of the store spread from one daemon to another: changes with the two revisions between which they lie,
  * digests that say up to where the sender is complete and what its newest change is, and snapshots. Messages are lost,
  * held up and overtaken by reads as long as they like; a daemon restarts and forgets; the store gives old snapshots.
+ * With REMOVALS some changes are removals: a snapshot does not show them, and a copy that begins with one never hears of them.
  *
  * Property:
  *   COMPLETE  a daemon that takes itself for complete up to a revision has every change up to it
  * Broken variants: NO_GAP_CHECK (changes are taken for whole though some before them are missing), NO_CHANGED_CHECK
  * (a peer's word is taken though a change that it knows is missing), OWN_NEWEST (a change that came with a gap counts
- * as the place up to which the daemon is complete).
+ * as the place up to which the daemon is complete), NO_SINCE (a peer's word is taken though its copy began after this
+ * one ends, so that it may lack removals in between).
  */
+/* With removals every copy has a beginning, which makes too many states for three transactions. */
+#ifdef REMOVALS
+#define TRANSACTIONS 2
+#else
 #define TRANSACTIONS 3
+#endif
 #define RESTARTS 1
 
 #define BIT(v) (1 << (v))
@@ -18,15 +25,19 @@
 /* The store: the last transaction, and which of them changed the collection. */
 byte version = 0;
 byte changes = 0;
+/* Those that removed something. */
+byte removals = 0;
 
-/* Each daemon: complete up to `cursor`; `has` are the changes that it knows, `newest` is the last of them. */
+/* Each daemon: complete up to `cursor`; `has` are the changes that its copy shows, `newest` is the last of which it has
+ * a record, `since` is where its copy began. */
 byte cursor[2];
 byte has[2];
 byte newest[2];
+byte since[2];
 byte restarts = 0;
 
 mtype = { push, digest, snapshot };
-/* kind, from, to or complete, newest, changes */
+/* kind, from or since, to or complete, newest, changes */
 chan toDaemon[2] = [1] of { mtype, byte, byte, byte, byte };
 
 inline raise(field, value) {
@@ -36,10 +47,11 @@
   fi
 }
 
-inline learn(me, bits) {
-  has[me] = has[me] | bits;
+/* Takes changes, of some of which there are records. */
+inline learn(me, taken, shown) {
+  has[me] = has[me] | taken;
   do
-  :: newest[me] < TRANSACTIONS && (has[me] >> (newest[me] + 1)) > 0 -> newest[me]++
+  :: newest[me] < TRANSACTIONS && (shown >> (newest[me] + 1)) > 0 -> newest[me]++
   :: else -> break
   od
 }
@@ -51,6 +63,10 @@
 active proctype Store() {
   do
   :: version < TRANSACTIONS -> atomic { version++; changes = changes | BIT(version) }
+#ifdef REMOVALS
+  :: version < TRANSACTIONS ->
+       atomic { version++; changes = changes | BIT(version); removals = removals | BIT(version) }
+#endif
   :: version < TRANSACTIONS -> version++
   :: version == TRANSACTIONS -> break
   od
@@ -63,7 +79,7 @@
   :: atomic { cursor[me] < version ->
        bits = changes & UPTO(version) & ~UPTO(cursor[me]);
        old = cursor[me];
-       learn(me, bits);
+       learn(me, bits, bits);
        cursor[me] = version;
        if
        :: nfull(toDaemon[1 - me]) -> toDaemon[1 - me] ! push, old, cursor[me], 0, bits
@@ -76,13 +92,16 @@
        :: old > 0 -> old--
        :: break
        od;
-       learn(me, changes & UPTO(old));
+       learn(me, (changes & UPTO(old)), (changes & UPTO(old) & ~removals));
        cursor[me] = old;
+#ifdef REMOVALS
+       since[me] = old;
+#endif
        checkComplete(me); old = 0 }
-  :: atomic { nfull(toDaemon[1 - me]) -> toDaemon[1 - me] ! digest, 0, cursor[me], newest[me], 0 }
-  :: atomic { nfull(toDaemon[1 - me]) -> toDaemon[1 - me] ! snapshot, 0, cursor[me], newest[me], has[me] }
+  :: atomic { nfull(toDaemon[1 - me]) -> toDaemon[1 - me] ! digest, since[me], cursor[me], newest[me], 0 }
+  :: atomic { nfull(toDaemon[1 - me]) -> toDaemon[1 - me] ! snapshot, since[me], cursor[me], newest[me], has[me] }
   :: atomic { toDaemon[me] ?? push, a, b, c, bits ->
-       learn(me, bits);
+       learn(me, bits, bits);
        if
 #ifdef NO_GAP_CHECK
        :: true -> raise(cursor[me], b)
@@ -100,18 +119,27 @@
 #ifdef NO_CHANGED_CHECK
        :: true -> raise(cursor[me], b)
 #else
+#ifdef NO_SINCE
        :: cursor[me] >= c -> raise(cursor[me], b)
+#else
+       :: cursor[me] >= c && cursor[me] >= a -> raise(cursor[me], b)
+#endif
 #endif
        :: else -> skip
        fi;
        checkComplete(me); a = 0; b = 0; c = 0; bits = 0 }
   :: atomic { toDaemon[me] ?? snapshot, a, b, c, bits ->
-       learn(me, bits);
+       has[me] = has[me] | bits;
+       raise(newest[me], c);
+       if
+       :: cursor[me] < a && cursor[me] < b -> since[me] = a
+       :: else -> skip
+       fi;
        raise(cursor[me], b);
        checkComplete(me); a = 0; b = 0; c = 0; bits = 0 }
   /* A message is lost. */
   :: atomic { toDaemon[me] ?? _, _, _, _, _ -> skip }
-  :: atomic { restarts < RESTARTS -> restarts++; cursor[me] = 0; has[me] = 0; newest[me] = 0 }
+  :: atomic { restarts < RESTARTS -> restarts++; cursor[me] = 0; has[me] = 0; newest[me] = 0; since[me] = 0 }
   od
 }
 
