Simulated links: starting an attempt, its way back and what the daemon's own side finds out are functions of their own

startAttempt had 51 lines and three jobs, and told broken and unreachable by two copies of the same code.

--- a/simulation/backend-links.ts
+++ b/simulation/backend-links.ts
@@ -1,6 +1,7 @@
 /** The ways from simulated daemons to engines, application servers and the platform, with their failures. */
 import type { CompletionDaemonEffect, CompletionDaemonEvent } from '../src/daemon/completion-messages.js';
 import { hashText } from '../src/shared/rendezvous-hash.js';
+import type { AttemptStart } from '../src/routing/completion-effects.js';
 import type { LeaseValue } from '../src/lease/cell-lease.js';
 import type { PlatformModel } from '../lab/platform-model.js';
 import type { RandomSource } from '../src/shared/random.js';
@@ -10,6 +11,9 @@
 import type { Endpoint, SimulatedNetwork } from './simulated-network.js';
 import type { VirtualTime } from './virtual-time.js';
 
+type AttemptEvent = Extract<CompletionDaemonEvent, { kind: 'attemptEvent' }>['event'];
+type EngineWork = Parameters<SimulatedEngine['start']>[0];
+
 const NO_ANSWER_MS = 1500;
 const CONNECT_TIMEOUT_MS = 1000;
 const PLATFORM: Endpoint = { name: 'platform', zone: 'platform', region: 'main' };
@@ -114,66 +118,55 @@
   /** Starts an attempt at an engine. */
   startAttempt(node: DaemonNode, effect: Extract<CompletionDaemonEffect, { kind: 'startAttempt' }>): void {
     const { start } = effect;
-    const { attemptId, requestId, request, row } = start;
+    const { network, time } = this.site;
     const engine = this.site.engines.get(start.engineId);
+    if (!engine || !engine.alive || !network.connected(node, engine)) {
+      const delay = engine && !engine.alive ? network.delay(node, engine) : CONNECT_TIMEOUT_MS;
+      this.tellLater(node, start, { kind: 'unreachable', reason: 'refused' }, delay);
+      return;
+    }
+    const back = this.createWayBack(node, engine, start);
+    time.after(network.delay(node, engine), () => {
+      if (engine.alive && network.connected(node, engine)) {
+        const { requestId, request } = start;
+        engine.start(describeWork(start), requestId, hashText(request.prompt.text), back);
+      } else this.breakLater(node, start);
+    });
+  }
+
+  /** Carries an engine's events to the life of the daemon that started the attempt, in order. */
+  private createWayBack(node: DaemonNode, engine: SimulatedEngine, start: AttemptStart): AttemptSink {
+    const { requestId, attemptId } = start;
     const { starts } = node;
     let channel: ReturnType<SimulatedNetwork['channel']> | undefined;
-    const back: AttemptSink = (event) => {
-      if (node.starts !== starts || !node.alive || !engine) return false;
+    return (event) => {
+      if (node.starts !== starts || !node.alive) return false;
       channel ??= this.site.network.channel(engine, node);
       const sent = channel(() => {
         if (node.starts === starts)
           this.site.deliver(node, { kind: 'attemptEvent', requestId, attemptId, event });
       });
       // A stream that cannot reach its daemon breaks there when the connection times out.
-      if (!sent) this.breakLater(node, requestId, attemptId);
+      if (!sent) this.breakLater(node, start);
       return sent;
     };
-    if (!engine || !engine.alive || !this.site.network.connected(node, engine)) {
-      const delay = engine && !engine.alive ? this.site.network.delay(node, engine) : CONNECT_TIMEOUT_MS;
-      this.site.time.after(delay, () => {
-        if (node.starts === starts)
-          this.site.deliver(node, {
-            kind: 'attemptEvent',
-            requestId,
-            attemptId,
-            event: { kind: 'unreachable', reason: 'refused' },
-          });
-      });
-      return;
-    }
-    this.site.time.after(this.site.network.delay(node, engine), () => {
-      if (!engine.alive || !this.site.network.connected(node, engine)) {
-        this.breakLater(node, requestId, attemptId);
-        return;
-      }
-      const work = {
-        attemptId,
-        stage: start.stage,
-        model: row.model,
-        version: row.version,
-        adapter: row.adapter,
-        promptTokens: request.prompt.tokens,
-        prefixKey: request.prompt.prefixKey,
-        maximumTokens: request.maximumTokens,
-        priority: row.priority,
-        offset: start.offset,
-        imported: start.stage === 'generate' && start.kv !== undefined,
-      };
-      engine.start(work, requestId, hashText(request.prompt.text), back);
-    });
   }
 
-  private breakLater(node: DaemonNode, requestId: string, attemptId: string): void {
+  private breakLater(node: DaemonNode, start: AttemptStart): void {
+    this.tellLater(node, start, { kind: 'broken', reason: 'connection lost' }, CONNECT_TIMEOUT_MS);
+  }
+
+  /** Tells the daemon what its own side finds out about an attempt, unless it has ended by then. */
+  private tellLater(
+    node: DaemonNode,
+    { requestId, attemptId }: AttemptStart,
+    event: AttemptEvent,
+    delayMs: number,
+  ): void {
     const { starts } = node;
-    this.site.time.after(CONNECT_TIMEOUT_MS, () => {
+    this.site.time.after(delayMs, () => {
       if (node.starts === starts)
-        this.site.deliver(node, {
-          kind: 'attemptEvent',
-          requestId,
-          attemptId,
-          event: { kind: 'broken', reason: 'connection lost' },
-        });
+        this.site.deliver(node, { kind: 'attemptEvent', requestId, attemptId, event });
     });
   }
 
@@ -207,3 +200,20 @@
     });
   }
 }
+
+/** The work of an attempt as an engine takes it. */
+function describeWork({ attemptId, stage, row, request, offset, kv }: AttemptStart): EngineWork {
+  return {
+    attemptId,
+    stage,
+    model: row.model,
+    version: row.version,
+    adapter: row.adapter,
+    promptTokens: request.prompt.tokens,
+    prefixKey: request.prompt.prefixKey,
+    maximumTokens: request.maximumTokens,
+    priority: row.priority,
+    offset,
+    imported: stage === 'generate' && kv !== undefined,
+  };
+}
