--- a/test/late-reads.test.ts
+++ b/test/late-reads.test.ts
@@ -8,41 +8,29 @@
  * Evidence: nine daemons, one that hears nothing: draining known after 2,531 ms of 2,000. Virtual time.
  */
 import { expect } from 'chai';
-import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
-import { ForwardingFleet } from '../simulation/forwarding-fleet.js';
 import {
   DEFAULT_FLEET_REPLICA_SETTINGS,
   FleetReplica,
   type FleetEffect,
 } from '../src/fleet/fleet-replica.js';
-import type { StoredRecord } from '../src/fleet/record-store.js';
 import { SeededRandom } from '../src/shared/random.js';
-import { findReader } from './store-reader.js';
+import { findReader, makeBackendRecord, startSettledFleet } from './store-reader.js';
 
 const SEED = 20261203;
-const SETTLED_MS = 6000;
 /** All daemons know of a leaving within this time. Milliseconds. */
 const BOUND_MS = 2000;
 const DAEMONS = 9;
 
-function backend(id: string, state: 'ready' | 'draining'): StoredRecord {
-  return { collection: 'backends', id, revision: 0, value: { ...labBackend(id, '10.1.0.1:80'), state } };
-}
-
 /** Until a daemon that hears nothing knows that a back end leaves. Milliseconds. */
 function playDeafDaemon(leavesMs: number): number {
-  const fleet = new ForwardingFleet(DAEMONS, SEED);
-  const value = labConfiguration(1, [labRoute({})]);
-  fleet.write({ collection: 'configuration', revision: 0, value });
-  for (const id of ['a', 'b']) fleet.write(backend(id, 'ready'));
-  fleet.time.runUntil(SETTLED_MS);
+  const fleet = startSettledFleet(DAEMONS, SEED, ['a', 'b']);
   const reader = findReader(fleet);
   const [deaf] = fleet.nodes.filter((node) => node !== reader);
   fleet.isLinked = (_from, to) => to !== deaf;
   deaf.silentConnections.add('backends').add('configuration');
   fleet.time.runUntil(fleet.time.now() + leavesMs);
   const since = fleet.time.now();
-  fleet.write(backend('a', 'draining'));
+  fleet.write(makeBackendRecord('a', 'draining'));
   fleet.time.runUntil(since + 3 * BOUND_MS);
   const seen = deaf.backendStates.get('a');
   return seen?.state === 'draining' ? seen.at - since : Infinity;
--- a/test/leaving-back-ends.test.ts
+++ b/test/leaving-back-ends.test.ts
@@ -13,13 +13,10 @@
  * all. Virtual time.
  */
 import { expect } from 'chai';
-import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
-import { FLEET_SETTINGS, ForwardingFleet, type StoreAccess } from '../simulation/forwarding-fleet.js';
-import type { StoredRecord } from '../src/fleet/record-store.js';
-import { findReader } from './store-reader.js';
+import type { ForwardingFleet, StoreAccess } from '../simulation/forwarding-fleet.js';
+import { findReader, makeBackendRecord, startSettledFleet } from './store-reader.js';
 
 const SEED = 20261203;
-const SETTLED_MS = 6000;
 /** All daemons know of a leaving within this time. Milliseconds; `FLEET_SETTINGS` are made for it. */
 const BOUND_MS = 2000;
 const DAEMONS = 9;
@@ -28,18 +25,8 @@
 /** A back end that lives has written its record anew so long after an outage. Milliseconds. */
 const REWRITTEN_MS = 1000;
 
-function backend(id: string, state: 'ready' | 'draining' | 'gone'): StoredRecord {
-  const value = state === 'gone' ? undefined : { ...labBackend(id, '10.1.0.1:80'), state };
-  return { collection: 'backends', id, revision: 0, value };
-}
-
 function startFleet(): ForwardingFleet {
-  const fleet = new ForwardingFleet(DAEMONS, SEED, FLEET_SETTINGS);
-  const value = labConfiguration(1, [labRoute({})]);
-  fleet.write({ collection: 'configuration', revision: 0, value });
-  for (const id of ['a', 'b', 'c']) fleet.write(backend(id, 'ready'));
-  fleet.time.runUntil(SETTLED_MS);
-  return fleet;
+  return startSettledFleet(DAEMONS, SEED, ['a', 'b', 'c']);
 }
 
 /** Until all daemons that run knew a state of a back end. Milliseconds; infinite when one never did. */
@@ -58,8 +45,8 @@
   reader.access = access;
   const since = fleet.time.now() + TURNED_AWAY_MS + leavesMs;
   fleet.time.runUntil(since);
-  fleet.write(backend('a', 'gone'));
-  fleet.write(backend('b', 'draining'));
+  fleet.write(makeBackendRecord('a', 'gone'));
+  fleet.write(makeBackendRecord('b', 'draining'));
   fleet.time.runUntil(since + backMs);
   reader.access = 'serves';
   fleet.time.runUntil(since + 2 * BOUND_MS);
@@ -88,7 +75,7 @@
     fleet.time.runUntil(fleet.time.now() + 30_000);
     reader.down = true;
     const since = fleet.time.now();
-    fleet.write(backend('a', 'gone'));
+    fleet.write(makeBackendRecord('a', 'gone'));
     fleet.time.runUntil(since + 2 * BOUND_MS);
     expect(getSlowest(fleet, 'a', 'gone', since)).to.be.at.most(BOUND_MS);
   });
@@ -98,11 +85,11 @@
       const fleet = startFleet();
       for (const node of fleet.nodes) node.access = 'refuses';
       fleet.time.runUntil(fleet.time.now() + outageMs);
-      fleet.write(backend('a', 'gone'));
+      fleet.write(makeBackendRecord('a', 'gone'));
       const backAt = fleet.time.now();
       for (const node of fleet.nodes) node.access = 'serves';
       fleet.time.runUntil(backAt + REWRITTEN_MS);
-      fleet.write(backend('a', 'ready'));
+      fleet.write(makeBackendRecord('a', 'ready'));
       fleet.time.runUntil(backAt + 5000);
       for (const { id, backendStates } of fleet.nodes)
         expect(backendStates.get('a')?.state, id).to.equal('ready');
--- a/test/word-of-a-new-copy.test.ts
+++ b/test/word-of-a-new-copy.test.ts
@@ -11,37 +11,24 @@
  * 30 daemons never knew of the removal. Virtual time.
  */
 import { expect } from 'chai';
-import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
-import { ForwardingFleet } from '../simulation/forwarding-fleet.js';
-import type { StoredRecord } from '../src/fleet/record-store.js';
-import { findReader } from './store-reader.js';
+import { findReader, makeBackendRecord, startSettledFleet } from './store-reader.js';
 
 const SEED = 20261203;
-const SETTLED_MS = 6000;
 /** All daemons know of a leaving within this time. Milliseconds. */
 const BOUND_MS = 2000;
 const DAEMONS = 9;
 const DOWN_MS = 500;
 
-function backend(id: string, state: 'ready' | 'gone'): StoredRecord {
-  const value = state === 'gone' ? undefined : labBackend(id, '10.1.0.1:80');
-  return { collection: 'backends', id, revision: 0, value };
-}
-
 /** Daemons that do not know after twice the bound that a back end is gone. */
 function playStart(startsAfterMs: number): string[] {
-  const fleet = new ForwardingFleet(DAEMONS, SEED);
-  const value = labConfiguration(1, [labRoute({})]);
-  fleet.write({ collection: 'configuration', revision: 0, value });
-  for (const id of ['a', 'b']) fleet.write(backend(id, 'ready'));
-  fleet.time.runUntil(SETTLED_MS);
+  const fleet = startSettledFleet(DAEMONS, SEED, ['a', 'b']);
   const reader = findReader(fleet);
   const [starter] = fleet.nodes.filter((node) => node !== reader);
   reader.access = 'refuses';
   fleet.kill(starter, DOWN_MS);
   fleet.time.runUntil(fleet.time.now() + DOWN_MS - startsAfterMs);
   const since = fleet.time.now();
-  fleet.write(backend('a', 'gone'));
+  fleet.write(makeBackendRecord('a', 'gone'));
   fleet.time.runUntil(since + 2 * BOUND_MS);
   const others = fleet.nodes.filter((node) => node !== starter);
   return others
