Failures of a daemon's reads are over once its peers have had word of the store

Now a daemon that is not the first in rank forgets its failures when the store has answered somebody since. The first in rank, which reads all the time, keeps its longer pauses. Why it holds: what is counted then began after the last word of the store.

--- a/src/fleet/store-follower.ts
+++ b/src/fleet/store-follower.ts
@@ -152,8 +152,7 @@
     this.storeMs = storeMs ?? -Infinity
     if (this.failures > 0)
       this.emit({kind: "storeRegained", collection: this.collection, outageMs: this.getOutageMs(now)})
-    this.failures = 0
-    this.unanswered = false
+    this.forgetFailures()
     this.noteSilence(now)
     this.completeAt = Math.max(this.completeAt, completeAt)
     // A read that does not wait is answered at once, also by a store that lags behind what peers have told.
@@ -235,6 +234,9 @@
   /// 0.33 of the bound and 800 ms, a daemon whose first read was lost knew of a leaving after 2,531 ms of
   /// 2,000 (virtual time, nine daemons, one that its peers cannot reach).
   private read(now: number): void {
+    // The store has answered somebody since the newest read here failed: what comes now is another matter.
+    // Counted on, failures of 18 s before made a daemon wait 800 ms for its first read and hold a removal.
+    if (this.rank > 0 && this.completeAt > this.lastSentAt) this.forgetFailures()
     this.inFlight = true
     this.lastSentAt = now
     const {collection, cursor, settings} = this
@@ -244,6 +246,11 @@
     this.emit({kind: "readRecords", read: {collection, after: cursor, waitMs: this.lastWaitMs, answerMs}})
   }
 
+  private forgetFailures(): void {
+    this.failures = 0
+    this.unanswered = false
+  }
+
   /// Word of the store ends a time without; what is removed then may have lapsed.
   private noteSilence(now: number): void {
     this.toldHoldUntil = Math.max(this.toldHoldUntil, this.getHoldAfterSilence(now))
