A daemon tells once that it has lost the store, and once that it has it back

Failures that are forgotten when peers have had word of the store would have left store.lost without store.regained in the log, or twice. Lines only; the test fails with the old condition (two store.lost for one).

--- a/src/fleet/store-follower.ts
+++ b/src/fleet/store-follower.ts
@@ -38,6 +38,8 @@
   private failures = 0
   /// One of the failures was a refusal or silence; a history that is gone is an answer.
   private unanswered = false
+  /// `storeLost` was told, and `storeRegained` not yet.
+  private isReportedLost = false
   /// When the first of the failures in a row was asked.
   private failingSince: number
   /// Until when a removal that this daemon reads may mean only that a record lapsed in an outage.
@@ -150,8 +152,9 @@
   /// Takes the store's word that the copy was complete at a time; the next read comes after a pause.
   receiveConfirmation(storeMs: number | undefined, completeAt: number, pauseMs: number, now: number): void {
     this.storeMs = storeMs ?? -Infinity
-    if (this.failures > 0)
+    if (this.isReportedLost)
       this.emit({kind: "storeRegained", collection: this.collection, outageMs: this.getOutageMs(now)})
+    this.isReportedLost = false
     this.forgetFailures()
     this.noteSilence(now)
     this.completeAt = Math.max(this.completeAt, completeAt)
@@ -169,7 +172,8 @@
 
   /// Takes a refusal or silence.
   receiveFailure(reason: string, now: number): void {
-    if (this.failures === 0) this.emit({kind: "storeLost", collection: this.collection, reason})
+    if (!this.isReportedLost) this.emit({kind: "storeLost", collection: this.collection, reason})
+    this.isReportedLost = true
     this.backOff(now)
     this.unanswered = true
   }
--- a/test/late-reads.test.ts
+++ b/test/late-reads.test.ts
@@ -88,4 +88,21 @@
     for (const gapMs of [20, 100, 140, 300])
       expect(getFirstReadAfterWords(gapMs), `a word each ${gapMs} ms`).to.be.at.most(200);
   });
+
+  it('tells that it has lost the store and that it has it back once each, whatever its peers say between', () => {
+    const told: string[] = [];
+    const emit = ({ kind }: FleetEffect): void => void told.push(kind);
+    const replica = new FleetReplica(DEFAULT_FLEET_REPLICA_SETTINGS, new SeededRandom(SEED), emit, 0);
+    replica.setRank(3);
+    replica.receive('backends', { kind: 'snapshot', revision: 10, records: [], storeMs: 0 }, 0);
+    replica.receive('backends', { kind: 'noAnswer', reason: 'timeout' }, 1500);
+    const word = (now: number) => ({ complete: 11, changed: 10, ageMs: 0, storeMs: now });
+    for (let now = 2000; now < 20_000; now += 1000)
+      replica.receiveKnowledge({ configuration: word(now), backends: word(now) }, now);
+    replica.tick(22_000);
+    replica.receive('backends', { kind: 'noAnswer', reason: 'timeout' }, 22_350);
+    replica.tick(23_000);
+    replica.receive('backends', { kind: 'changes', revision: 12, records: [], storeMs: 23_004 }, 23_004);
+    expect(told.filter((kind) => kind.startsWith('store'))).to.deep.equal(['storeLost', 'storeRegained']);
+  });
 });
