Word of a change puts off no read that is due without it

The wait is there so that peers can bring what the word is of; a daemon that has heard nothing for its patience cannot count on that. Now only a read that is not due anyway is put off, which also says what the rule of the first word said.

--- a/src/fleet/store-follower.ts
+++ b/src/fleet/store-follower.ts
@@ -199,10 +199,11 @@
   /// Takes a peer's word that there is a change.
   receiveRumor(changed: number, now: number): void {
     if (changed <= this.rumored) return
-    // Only the first word puts the read off: put off by each, none went out while words came each 140 ms.
-    const isFirst = !this.isBehind()
+    // Word puts off no read that is due without it: put off by each, none went out while words came each 140
+    // ms, and one that was late already came 150 ms later.
+    const wasDue = this.isDue(now)
     this.rumored = changed
-    if (isFirst && this.collection === "backends") this.nextAt = Math.max(this.nextAt, now + RUMOR_DELAY_MS)
+    if (!wasDue && this.collection === "backends") this.nextAt = Math.max(this.nextAt, now + RUMOR_DELAY_MS)
   }
 
   /// Takes a peer's word on how much it knows.
