Soak: a daemon's settings file is replaced in one step

It was started at 16.8 s of the plan and its settings were written anew at 16.9 s, in place, so that it could read an empty file; a write in place has such a moment, a rename has none.

--- a/lab/soak/daemon-process.ts
+++ b/lab/soak/daemon-process.ts
@@ -1,7 +1,7 @@
 /// One daemon of a soak: the deployed program as a process of its own, with its settings file, run and harmed
 /// from outside by signals only.
 import {spawn, type ChildProcess} from "node:child_process"
-import {closeSync, openSync, writeFileSync} from "node:fs"
+import {closeSync, openSync, renameSync, writeFileSync} from "node:fs"
 import {connect} from "node:net"
 import {join} from "node:path"
 import {formatSettings, type DaemonPorts} from "./settings-file.js"
@@ -104,7 +104,7 @@
     if (valid) this.writeSettings()
     else {
       this.misled = true
-      writeFileSync(this.getSettingsPath(), "node = ")
+      this.replaceSettings("node = ")
     }
     this.child?.kill("SIGHUP")
   }
@@ -119,6 +119,13 @@
     await ended
   }
 
+  /// In one step: a process that starts meanwhile reads the old file or the new one, never an empty one.
+  private replaceSettings(text: string): void {
+    const path = this.getSettingsPath()
+    writeFileSync(`${path}.new`, text)
+    renameSync(`${path}.new`, path)
+  }
+
   private getSettingsPath(): string {
     return join(this.site.folder, `${this.name}.toml`)
   }
@@ -127,7 +134,7 @@
     const {seeds, bounds} = this.site
     const {store, duties} = this.platform
     const text = formatSettings(this.name, this.zone, this.ports, seeds, bounds, store, duties)
-    writeFileSync(this.getSettingsPath(), text)
+    this.replaceSettings(text)
   }
 }
 
