A daemon of the completions interface is ready only when callers can connect

Callers sent to a daemon that had just said it was ready were refused the connection: its listener opens up to 25 ms after the state machine is ready, which /readyz told. Now status and /readyz say 'callers cannot connect yet' until it listens. The new test restarts a daemon three times and connects at the first 200: fails at once with the old condition, passes with the new one.

--- a/src/process/completion-process.ts
+++ b/src/process/completion-process.ts
@@ -188,8 +188,14 @@
     return this.completions.size + this.calls.size;
   }
 
+  /**
+   * Not ready before callers can connect: the listener opens up to READY_POLL_MS after the daemon is, and
+   * whoever was sent here in between was refused the connection.
+   */
   private status(): CompletionDaemonStatus {
-    return this.daemon.status(performance.now());
+    const status = this.daemon.status(performance.now());
+    if (!status.ready || this.callerServer.listening) return status;
+    return { ...status, ready: false, reason: 'callers cannot connect yet' };
   }
 
   private edit(editId: string, edits: readonly RowEdit[]): Promise<number> {
--- a/test/real-process.test.ts
+++ b/test/real-process.test.ts
@@ -97,6 +97,24 @@
     expect(sum).to.deep.equal({ whole: sent, broken: 0, wrong: 0, unanswered: 0, refused: [] });
   });
 
+  it('a daemon that says that it is ready takes connections of callers', async () => {
+    for (let round = 0; round < 3; round += 1) {
+      const { child } = site.daemons[0];
+      const ended = new Promise((resolve) => child.once('exit', resolve));
+      child.kill('SIGKILL');
+      await ended;
+      const { addresses } = site.restartDaemon(0);
+      for (;;) {
+        const answer = await request(`http://${addresses.operator}/readyz`).catch(() => undefined);
+        await answer?.body.dump();
+        if (answer?.statusCode === 200) break;
+      }
+      const { statusCode, body } = await request(`http://${addresses.caller}/nothing`);
+      await body.dump();
+      expect(statusCode).to.equal(404);
+    }
+  });
+
   it('SIGKILL of a daemon and SIGSTOP of another beyond its lease: no wrong answer, nothing run twice', async () => {
     const load = new LoadGenerator(site.callers(), new SeededRandom(2));
     const running = load.run([phase(20, 6)]);
