A stopping daemon keeps connections for as long as it told their callers

What callers saw: a request sent on a kept connection within the told 5 s got no answer while a daemon of the completions interface stopped; its caller could not know whether it ran.

Cause: the stop waited until 5 s after the listener closed, but callers count from the end of their last answer. An answer whose head went out before the stop tells "keep-alive" whenever it ends; where the last ones ended later than 5 s after the listener closed, the process ended with the last of them. Also: an answer without a head yet told "keep-alive" if its request had come before the stop; and requests that came during the last wait for the ledger were cut.

Change: KeptConnections owns until when a request may come on each connection; the stop waits for that, looks only after sockets were read, and looks again after the ledger.

Why it holds: no connection is closed before the time that its own last answer told, but for drainTimeoutMs, and then process.stopped says how many (closedEarly).

--- /dev/null
+++ b/src/gateway/after-next-poll.ts
@@ -0,0 +1,10 @@
+/** Waiting until sockets have been read: what came while this process was busy or stood still is seen then. */
+
+/**
+ * Calls back once every socket has been read once more. A request may have waited in its socket while this
+ * process was busy or stood still, and its caller may have left meanwhile; the end of its connection is read
+ * one poll after its bytes. The first callback runs after this poll, the second after the next one.
+ */
+export function afterNextPoll(callback: () => void): void {
+  setImmediate(() => setImmediate(callback));
+}
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -27,8 +27,6 @@
   application(call: ApplicationCall, payload: ApplicationPayload, sink: ApplicationSink): void;
   /** The caller closed its connection before the answer was whole. */
   cancelled(requestId: string): void;
-  /** True once the daemon stops: connections are then closed after their answer. */
-  draining(): boolean;
 }
 
 const TIMEOUT_HEADER = 'request-timeout-ms';
@@ -45,7 +43,6 @@
   return createServer((request, response) => {
     const requestId = randomUUID();
     response.setHeader(REQUEST_ID_HEADER, requestId);
-    if (handler.draining()) response.setHeader('connection', 'close');
     route({ request, response, requestId }, handler, maximumBodyBytes).catch((error: unknown) => {
       if (error instanceof PulleyledgeError) sendProblem(response, error, requestId);
       else throw error;
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -8,6 +8,7 @@
 import { startListening } from '../adapters/listen.js';
 import type { KeptAnswer, StreamSink } from '../adapters/backend-client.js';
 import type { CallerLimits } from '../forwarding/routes/route.js';
+import { afterNextPoll } from './after-next-poll.js';
 import { STATUS_TOO_LARGE } from '../shared/http-status.js';
 import { SECOND_MS } from '../shared/units.js';
 
@@ -319,15 +320,6 @@
   }
 }
 
-/**
- * Calls back once every socket has been read once more. A request may have waited in its socket while this
- * process was busy or stood still, and its caller may have left meanwhile; the end of its connection is read
- * one poll after its bytes. The first callback runs after this poll, the second after the next one.
- */
-function afterNextPoll(callback: () => void): void {
-  setImmediate(() => setImmediate(callback));
-}
-
 function pairs(headers: readonly string[], dropped: ReadonlySet<string>): [string, string][] {
   const list: [string, string][] = [];
   for (let index = 0; index + 1 < headers.length; index += 2) {
--- a/src/process/completion-process.ts
+++ b/src/process/completion-process.ts
@@ -10,6 +10,8 @@
 import type { CompletionDaemonStatus, RowEdit } from '../daemon/completion-messages.js';
 import { PulleyledgeError } from '../errors/index.js';
 import { createCallerServer, type ApplicationSink, type CallerHandler } from '../gateway/caller-server.js';
+import { afterNextPoll } from '../gateway/after-next-poll.js';
+import { KeptConnections } from '../gateway/kept-connections.js';
 import { createOperatorServer } from '../gateway/operator-server.js';
 import type { ReplySink } from '../gateway/reply-sink.js';
 import type { ApplicationCall } from '../routing/application-messages.js';
@@ -55,6 +57,7 @@
   private readonly engines = new HttpEngineClient();
   private readonly applications = new HttpApplicationClient();
   private readonly callerServer: Server;
+  private readonly callerConnections: KeptConnections;
   private readonly operatorServer: Server;
   private readonly metrics: CompletionMetrics;
   private readonly logger: Logger;
@@ -82,6 +85,7 @@
     this.peers = this.createPeers(identity);
     this.actors = this.createActors();
     this.callerServer = createCallerServer(this.callerHandler(), settings.maximumBodyBytes);
+    this.callerConnections = new KeptConnections(this.callerServer);
     this.operatorServer = this.createOperators();
   }
 
@@ -109,36 +113,34 @@
 
   /**
    * Stops without cutting a request: hands over leases, limits and membership, takes new requests a little
-   * longer, closes the listener, and ends when the last request has its answer.
+   * longer, closes the listener, and ends when the last request has its answer and no caller may still send
+   * one on a connection that it was told to keep.
    */
   async stop(): Promise<void> {
     if (this.stopping) return;
     this.stopping = true;
     this.actors.dispatch({ kind: 'beginDrain' });
+    this.callerConnections.beginClosing();
     await delay(this.settings.drainNoticeMs);
     await stopListening(this.callerServer);
-    await this.waitForRequests();
+    const { drainTimeoutMs } = this.settings;
+    await waitUntil(
+      () => !this.hasRequests() && this.callerConnections.getExpectedCount() === 0,
+      drainTimeoutMs,
+    );
     this.daemon.closeForNew();
-    const flushDeadline = performance.now() + LEDGER_FLUSH_TIMEOUT_MS;
-    while (this.daemon.writesInHand() > 0 && performance.now() < flushDeadline) await delay(DRAIN_POLL_MS);
-    this.logger.info({ event: 'process.stopped', unfinished: this.openRequests() });
+    await waitUntil(() => !this.hasRequests() && this.daemon.writesInHand() === 0, LEDGER_FLUSH_TIMEOUT_MS);
+    this.logger.info({
+      event: 'process.stopped',
+      unfinished: this.openRequests(),
+      closedEarly: this.callerConnections.getExpectedCount(),
+    });
     await this.close();
   }
 
-  /**
-   * Waits for the last request, and as long as a caller may still send one on an idle connection: the server
-   * told it how long it keeps those open, and closing one earlier would cut a request on its way.
-   */
-  private async waitForRequests(): Promise<void> {
-    const quietAfter = performance.now() + this.callerServer.keepAliveTimeout;
-    const deadline = performance.now() + this.settings.drainTimeoutMs;
-    for (;;) {
-      const now = performance.now();
-      const connections = await openConnections(this.callerServer);
-      const quiet = this.openRequests() === 0 && (connections === 0 || now > quietAfter);
-      if (quiet || now > deadline) return;
-      await delay(DRAIN_POLL_MS);
-    }
+  /** Whether a request waits for its answer, or is being read or answered. */
+  private hasRequests(): boolean {
+    return this.openRequests() > 0 || this.callerConnections.hasDueAnswers();
   }
 
   private async close(): Promise<void> {
@@ -223,7 +225,6 @@
         const open = this.completions.delete(requestId) || this.calls.delete(requestId);
         if (open) this.actors.dispatch({ kind: 'cancelRequest', requestId });
       },
-      draining: () => this.stopping,
     };
   }
 
@@ -291,6 +292,15 @@
   }
 }
 
-function openConnections(server: Server): Promise<number> {
-  return new Promise((resolve) => server.getConnections((_error, count) => resolve(count)));
+/**
+ * Looks at `condition` until it holds or `timeoutMs` are over. What waits in sockets is read before each look:
+ * the process may have stood still, and ending it then would reset requests that came in time.
+ */
+async function waitUntil(condition: () => boolean, timeoutMs: number): Promise<void> {
+  const deadline = performance.now() + timeoutMs;
+  for (;;) {
+    await new Promise<void>(afterNextPoll);
+    if (condition() || performance.now() > deadline) return;
+    await delay(DRAIN_POLL_MS);
+  }
 }
