A connection whose time is over is read before it is closed

What callers saw: a request sent on a kept connection in time got ECONNRESET, at any moment and from both daemons.

Cause: Node closes a resting connection as soon as its timer is due; after a pause or a busy stretch of the process that turn comes before the one that reads sockets, so a request that waits in the socket is reset unread.

Change: at the end of its time a connection is closed only after the sockets have been read once more, and only if nothing has come on it (closeUnlessRead, used by the servers of both daemons).

Why it holds: whatever has reached the socket is read within the two polls that are waited for; a request that arrives later than that was sent after the told time, but for its way.

Before: test/paused-server failed at once at both servers (closed, ECONNRESET), with a pause of 2.5 s in a turn that reads sockets. After: passes. A pause in a timer's turn loses nothing, before or after: sockets are read first.

--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -8,7 +8,7 @@
 import { startListening } from '../adapters/listen.js';
 import type { KeptAnswer, StreamSink } from '../adapters/backend-client.js';
 import type { CallerLimits } from '../forwarding/routes/route.js';
-import { afterNextPoll } from './after-next-poll.js';
+import { afterNextPoll, closeUnlessRead } from './after-next-poll.js';
 import { STATUS_TOO_LARGE } from '../shared/http-status.js';
 import { SECOND_MS } from '../shared/units.js';
 
@@ -191,6 +191,7 @@
     });
     this.server.on('request', (request, response) => this.accept(request, response));
     this.server.on('connection', (socket: Socket) => this.watch(socket));
+    this.server.on('timeout', closeUnlessRead);
   }
 
   /** Starts to listen on `ip:port`. */
--- a/src/gateway/kept-connections.ts
+++ b/src/gateway/kept-connections.ts
@@ -8,6 +8,7 @@
 import type { Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { SECOND_MS } from '../shared/units.js';
+import { closeUnlessRead } from './after-next-poll.js';
 
 /** For how long an answer tells its caller that the connection is kept. Milliseconds. */
 const TOLD_REST_MS = 5 * SECOND_MS;
@@ -36,6 +37,7 @@
     server.keepAliveTimeout = TOLD_REST_MS + WAY_MARGIN_MS;
     server.on('connection', (socket: Socket) => this.add(socket));
     server.prependListener('request', ({ socket }, response) => this.addDue(socket, response));
+    server.on('timeout', (socket: Socket) => closeUnlessRead(socket));
   }
 
   /** From now on answers tell callers to close their connections, also those whose requests have come already. */
