A daemon of the completions interface lives through SIGHUP

What callers saw: a daemon whose settings had changed was sent SIGHUP and ended, with every request in hand.

Cause: serve listened for SIGTERM and SIGINT only; the default of SIGHUP ends a process.

Change: serve checks the settings and logs process.reloaded, as the platform's daemon does, with one function for both (settings/reload).

Before: test/reload-signal ended by SIGHUP at the first signal. After: eight signals under load, four of them with wrong settings: every request whole, eight lines; a signal while the commands load changes nothing.

--- a/lab/launcher.ts
+++ b/lab/launcher.ts
@@ -1,6 +1,6 @@
 /** Starts the processes of a site on loopback, for the demo and the real-process tests. Rig code. */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, openSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -88,6 +88,21 @@
     return daemon;
   }
 
+  /** Replaces a daemon's settings, in one step, by such as cannot be used. */
+  spoilSettings(index: number): void {
+    const path = this.settingsPath(this.daemons[index].name);
+    writeFileSync(`${path}.new`, 'name:');
+    renameSync(`${path}.new`, path);
+  }
+
+  /** What a daemon has logged so far. */
+  readLog(index: number): Record<string, unknown>[] {
+    const lines = readFileSync(this.logPath(this.daemons[index].name), 'utf8').split('\n');
+    return lines
+      .filter((line) => line.startsWith('{'))
+      .map((line) => JSON.parse(line) as Record<string, unknown>);
+  }
+
   /** Sets faults of a stand-in. */
   setFaults(process: RunningProcess, faults: Record<string, unknown>): Promise<unknown> {
     return this.post(process.addresses.main, '/faults', faults);
--- a/src/process/completion-process.ts
+++ b/src/process/completion-process.ts
@@ -16,6 +16,7 @@
 import type { ReplySink } from '../gateway/reply-sink.js';
 import type { ApplicationCall } from '../routing/application-messages.js';
 import type { CompletionRequest } from '../routing/completion-request.js';
+import type { ReloadFields } from '../settings/reload.js';
 import { daemonSettingsOf, type Settings } from '../settings/settings.js';
 import { delay } from '../shared/delay.js';
 import { CompletionActors, type ReplyEffect } from './completion-actors.js';
@@ -111,6 +112,11 @@
     this.logger.info({ event: 'process.ready', callers: this.settings.callerAddress });
   }
 
+  /** The settings were written anew. */
+  reloaded(fields: ReloadFields): void {
+    this.logger.info({ event: 'process.reloaded', ...fields });
+  }
+
   /**
    * Stops without cutting a request: hands over leases, limits and membership, takes new requests a little
    * longer, closes the listener, and ends when the last request has its answer and no caller may still send
--- /dev/null
+++ b/test/reload-signal.test.ts
@@ -0,0 +1,80 @@
+/**
+ * SIGHUP says that the settings file has changed. A daemon of the completions interface did not listen for it, so
+ * the signal's default ended the process, and every request that it had in hand with it. What showed it: a ready
+ * daemon that was sent one SIGHUP ended by that signal, at once, with no line in its log.
+ */
+import { expect } from 'chai';
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { fileURLToPath } from 'node:url';
+import { LocalSite } from '../lab/launcher.js';
+import { LoadGenerator } from '../lab/load-generator.js';
+import { siteProfile } from '../lab/site-profiles.js';
+import { delay } from '../src/shared/delay.js';
+import { SeededRandom } from '../src/shared/random.js';
+
+const PRODUCT = fileURLToPath(new URL('../src/cli/main.js', import.meta.url));
+const SIGNALS = 8;
+const SIGNAL_INTERVAL_MS = 250;
+/** Says when the commands begin to load, and holds them up: a slow start. */
+const SLOW_LOADER = `export async function load(url, context, next) {
+  if (url.endsWith('/commands.js')) {
+    process._rawDebug('loading');
+    await new Promise((resolve) => setTimeout(resolve, 500));
+  }
+  return next(url, context);
+}`;
+
+function toDataUrl(source: string): string {
+  return `data:text/javascript,${encodeURIComponent(source)}`;
+}
+
+describe('a daemon whose settings change', function () {
+  this.timeout(60_000);
+
+  it('serves on through a series of SIGHUP, with valid and with wrong settings', async () => {
+    const site = new LocalSite(siteProfile('trust-tt-north'), { engines: 2, daemons: 1, applications: 1 });
+    await site.start();
+    const targets = { firstTokenTargetMs: 30_000, betweenTokensTargetMs: 1000 };
+    const reviews = {
+      service: 'policy-review',
+      perSecond: 10,
+      promptTokens: 400,
+      outputTokens: 40,
+      ...targets,
+    };
+    const load = new LoadGenerator(site.callers(), new SeededRandom(52));
+    const running = load.run([{ seconds: 4, classes: [reviews], calls: [] }]);
+    for (let signal = 0; signal < SIGNALS; signal += 1) {
+      await delay(SIGNAL_INTERVAL_MS);
+      if (signal === SIGNALS / 2) site.spoilSettings(0);
+      site.daemons[0].child.kill('SIGHUP');
+    }
+    await running;
+    const { child } = site.daemons[0];
+    expect({ code: child.exitCode, signal: child.signalCode }).to.deep.equal({ code: null, signal: null });
+    const { sent, whole } = load.result('policy-review');
+    expect(whole).to.equal(sent);
+    const reloads = site.readLog(0).filter(({ event }) => event === 'process.reloaded');
+    expect(reloads.map(({ valid }) => valid)).to.deep.equal([
+      true,
+      true,
+      true,
+      true,
+      false,
+      false,
+      false,
+      false,
+    ]);
+    await site.stop();
+  });
+
+  it('is not ended by SIGHUP while it loads', async () => {
+    const register = `import { register } from 'node:module'; register(${JSON.stringify(toDataUrl(SLOW_LOADER))});`;
+    const flags = ['--import', toDataUrl(register), PRODUCT, 'serve', '--settings', 'no-such-file'];
+    const child = spawn(process.execPath, flags, { stdio: ['ignore', 'ignore', 'pipe'] });
+    child.stderr.once('data', () => child.kill('SIGHUP'));
+    const [code, signal] = (await once(child, 'exit')) as [number | null, string | null];
+    expect({ code, signal }).to.deep.equal({ code: 1, signal: null });
+  });
+});
