Load tool: the connection of a request without an answer stands beside its reason

The watch of failed requests told of those of other tests of the process too ("aborted" of callers that leave on purpose). It is asked by the error now, and only of requests that count as unanswered.

--- a/lab/load-generator.ts
+++ b/lab/load-generator.ts
@@ -7,7 +7,7 @@
 import { exponential, type RandomSource } from '../src/shared/random.js';
 import { hashText } from '../src/shared/rendezvous-hash.js';
 import { tokenText } from './engine-model.js';
-import { watchFailures } from './sent-requests.js';
+import { findFailedConnection } from './sent-requests.js';
 
 /** What is sent of one service during a phase. */
 export interface LoadClass {
@@ -50,8 +50,9 @@
   /** Counts a request without any HTTP answer, and tells its reason on standard error. */
   addUnanswered(error: unknown): void {
     this.unanswered += 1;
-    const { code, message } = error as { code?: string; message?: string };
-    process.stderr.write(`load: no answer: ${code ?? 'unknown'}: ${message ?? String(error)}\n`);
+    const { code = 'unknown', message } = error as Error & { code?: string };
+    const connection = findFailedConnection(error as Error) ?? 'no connection';
+    process.stderr.write(`load: no answer: ${code}: ${message} on ${connection}\n`);
   }
 
   refuse(code: string): void {
@@ -71,8 +72,6 @@
   return (head + body).slice(0, Math.max(1, length - tail.length)) + tail;
 }
 
-watchFailures((description) => process.stderr.write(`load: failed: ${description}\n`));
-
 /** The load generator. */
 export class LoadGenerator {
   readonly results = new Map<string, ServiceResult>();
--- a/lab/sent-requests.ts
+++ b/lab/sent-requests.ts
@@ -1,6 +1,7 @@
 /**
  * Which connection a failed request was sent on, for finding out why it has no answer: a new connection or a kept
- * one, its port, and how long the request was under way. Relies on the diagnostics channels of undici.
+ * one, its ports, and how long the request was under way. Relies on the diagnostics channels of undici, which tell
+ * of all requests of this process.
  */
 import { subscribe } from 'node:diagnostics_channel';
 import type { Socket } from 'node:net';
@@ -14,22 +15,27 @@
   readonly sentAt: number;
 }
 
-/** Notes each request of this process that is sent, and hands on those that fail. */
-export function watchFailures(onFailure: (description: string) => void): void {
-  const sent = new WeakMap<object, SentRequest>();
-  subscribe('undici:client:sendHeaders', (message) => {
-    const { request, socket } = message as { request: object; socket: Socket };
-    const { localPort, remotePort, bytesRead } = socket;
-    sent.set(request, { localPort, remotePort, kept: bytesRead > 0, sentAt: performance.now() });
-  });
-  subscribe('undici:request:error', (message) => {
-    const { request, error } = message as { request: object; error: { code?: string; message: string } };
-    const entry = sent.get(request);
-    if (entry) onFailure(describeFailure(entry, error.code ?? error.message));
-  });
+const sent = new WeakMap<object, SentRequest>();
+const failures = new WeakMap<object, string>();
+
+subscribe('undici:client:sendHeaders', (message) => {
+  const { request, socket } = message as { request: object; socket: Socket };
+  const { localPort, remotePort, bytesRead } = socket;
+  sent.set(request, { localPort, remotePort, kept: bytesRead > 0, sentAt: performance.now() });
+});
+
+subscribe('undici:request:error', (message) => {
+  const { request, error } = message as { request: object; error: Error };
+  const entry = sent.get(request);
+  if (entry) failures.set(error, formatConnection(entry));
+});
+
+/** The connection of the request that failed with `error`; undefined when it was sent on none. */
+export function findFailedConnection(error: Error): string | undefined {
+  return failures.get(error);
 }
 
-function describeFailure({ localPort, remotePort, kept, sentAt }: SentRequest, reason: string): string {
+function formatConnection({ localPort, remotePort, kept, sentAt }: SentRequest): string {
   const connection = `${kept ? 'kept' : 'new'} connection ${localPort} to ${remotePort}`;
-  return `${reason} on a ${connection}, ${Math.round(performance.now() - sentAt)} ms after it was sent`;
+  return `${connection}, ${Math.round(performance.now() - sentAt)} ms after it was sent`;
 }
