A stopping daemon answers its last callers before it ends

What callers saw: a request that reached a forwarding daemon in the last moment of its grace was reset, and its caller could not know that it had not run.

Cause: the process ended from a timer's turn at the latest moment of its grace.

Change: it accepts what has come up (200 ms at most), closes its listener and waits up to 200 ms for the last answers; since new requests are refused by then, these are refusals. Both waits lie within the 700 ms kept for the process to end.

Why it holds: after the listener has closed nobody can come anew but on resting connections, and the sockets are read before the end.

--- a/src/adapters/listen.ts
+++ b/src/adapters/listen.ts
@@ -26,12 +26,13 @@
 /// which a request may be coming.
 ///
 /// Connections that have come up and wait to be accepted are reset when the listener closes, requests and all,
-/// so they are accepted first: without this 20 of 20 callers that had just connected had no answer (loopback).
-export async function stopListening(server: Server): Promise<void> {
+/// so they are accepted first, for `timeoutMs` at most: more may come than can be accepted.
+export async function stopListening(server: Server, timeoutMs = Infinity): Promise<void> {
+  const latest = performance.now() + timeoutMs;
   let accepted = true;
   const note = (): void => void (accepted = true);
   server.on('connection', note);
-  for (let turn = 0; accepted && turn < MAXIMUM_ACCEPTING_TURNS; turn += 1) {
+  for (let turn = 0; accepted && turn < MAXIMUM_ACCEPTING_TURNS && performance.now() < latest; turn += 1) {
     accepted = false;
     await new Promise((resolve) => setImmediate(resolve));
   }
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { startListening } from '../adapters/listen.js';
+import { startListening, stopListening } from '../adapters/listen.js';
 import type { KeptAnswer, StreamSink } from '../adapters/backend-client.js';
 import type { CallerLimits } from '../forwarding/routes/route.js';
 import { afterNextPoll, closeUnlessRead } from './after-next-poll.js';
@@ -211,6 +211,11 @@
     this.closing = true;
   }
 
+  /** Takes no new connections; those that have come up are accepted first, for `timeoutMs` at most. */
+  stopListening(timeoutMs: number): Promise<void> {
+    return stopListening(this.server, timeoutMs);
+  }
+
   /** Requests without a whole answer. */
   openRequests(): number {
     let requests = 0;
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -64,6 +64,10 @@
 const NOTICE_MS = 2800;
 /** Time kept at the end of the grace for the process to end by itself. Milliseconds. Chosen, not measured. */
 const STOP_MARGIN_MS = 700;
+/** A stopping process waits so long for the answers to its last callers. Milliseconds; within STOP_MARGIN_MS. */
+const LAST_ANSWERS_MS = 200;
+/** Interval between looks at these. Milliseconds. */
+const LAST_ANSWERS_POLL_MS = 5;
 /** Log lines are written in pieces of this size at least. Bytes; a page of memory. */
 const LOG_BUFFER_BYTES = 4096;
 /** A process that is killed loses the lines of so long. Milliseconds. Chosen, not measured. */
@@ -190,6 +194,7 @@
       if (noticed && this.server.openRequests() === 0 && this.server.openConnections() === 0) break;
       await delay(DRAIN_POLL_MS);
     }
+    await this.answerLastCallers();
     this.stopTimers();
     this.log.important('process.stopped', {
       unfinished: this.server.openRequests(),
@@ -198,6 +203,17 @@
     this.logStream.flushSync();
   }
 
+  /**
+   * Callers that have connected, or sent a request, since the last look are refused in order: the end of the
+   * process would reset them, and they could not know whether their requests ran.
+   */
+  private async answerLastCallers(): Promise<void> {
+    const latest = now() + LAST_ANSWERS_MS;
+    await this.server.stopListening(LAST_ANSWERS_MS);
+    do await delay(LAST_ANSWERS_POLL_MS);
+    while (this.server.openRequests() > 0 && now() < latest);
+  }
+
   /** Closes every server and connection at once. */
   async close(): Promise<void> {
     this.stopTimers();
--- a/test/forwarding-bytes.test.ts
+++ b/test/forwarding-bytes.test.ts
@@ -1,6 +1,8 @@
 /** What callers get, byte by byte, when back ends break off, answer for others, or leave out the length. */
+import { once } from 'node:events';
 import { createServer } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
+import { Worker } from 'node:worker_threads';
 import { expect } from 'chai';
 import { labBackend, labRoute, startForwardingSite, type ForwardingSite } from '../lab/forwarding-site.js';
 import { headerOf, ScriptedBackend, type BackendScript } from '../lab/scripted-backend.js';
@@ -169,7 +171,52 @@
     idle.destroy();
     await stopped;
   });
+
+  /*
+   * A stopping daemon ends at the latest moment that its grace allows. Requests that it had taken since it last
+   * looked, and connections that it had not accepted yet, were reset then, though none of them needed more than a
+   * refusal. What showed it: of callers that connect every 5 ms while the process is busy by turns, those of the last moment
+   * were closed or reset.
+   */
+  it('callers of the last moment of a stop have an answer, or no connection', async () => {
+    await start(() => undefined);
+    const [host, port] = site.callers.split(':');
+    const idle = connect(Number(port), host);
+    const stopped = site.daemon.stop();
+    await new Promise((resolve) => setTimeout(resolve, 3100));
+    const callers = new Worker(CALLERS, { eval: true, workerData: { host, port: Number(port) } });
+    const busy = setInterval(() => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 30), 45);
+    await stopped;
+    // What follows in the program is the end of the process.
+    await site.daemon.close();
+    clearInterval(busy);
+    idle.destroy();
+    callers.postMessage('end');
+    const [answers] = (await once(callers, 'message')) as [string[]];
+    expect(answers.length).to.be.greaterThan(20);
+    const known = (answer: string): boolean => answer.startsWith('HTTP/1.1 503') || answer === 'ECONNREFUSED';
+    expect(answers.filter((answer) => !known(answer))).to.deep.equal([]);
+  });
+});
+
+/** Callers outside this event loop, one each 5 ms, on connections of their own; tells how each was answered. */
+const CALLERS = `
+const { parentPort, workerData: { host, port } } = require('node:worker_threads');
+const { connect } = require('node:net');
+const answers = [];
+const call = () => answers.push(new Promise((resolve) => {
+  const socket = connect(port, host);
+  socket.on('data', (chunk) => resolve(chunk.toString('latin1').split('\\r\\n')[0]));
+  socket.on('error', (error) => resolve(error.code));
+  socket.on('close', () => resolve('closed'));
+  socket.write(${JSON.stringify(`${GET}\r\nHost: site.example\r\n\r\n`)});
+}));
+const calling = setInterval(call, 5);
+parentPort.once('message', async () => {
+  clearInterval(calling);
+  parentPort.postMessage(await Promise.all(answers));
 });
+`;
 
 describe('an answer that has begun', () => {
   it('is broken off, not answered a second time, when the request fails before the machine knew', async () => {
