--- a/src/adapters/application-client.ts
+++ b/src/adapters/application-client.ts
@@ -32,9 +32,7 @@
 /** Header with which a server says that it is leaving. */
 const LEAVING_HEADER = 'pulleyledge-leaving';
 
-/**
- * A connection that does not come up within this time counts as refused. Milliseconds. Chosen, not measured.
- */
+/** A connection that does not come up within this time counts as refused. Milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000;
 
 /** The HTTP adapter. */
--- a/src/adapters/attempt-handler.ts
+++ b/src/adapters/attempt-handler.ts
@@ -45,10 +45,7 @@
 }
 
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([STATUS_NO_CONTENT, STATUS_NOT_MODIFIED]);
-/**
- * A longer answer that has to be kept whole is broken off. Bytes. Chosen, not measured: it only protects the
- * process's memory.
- */
+/** A longer answer that has to be kept whole is broken off. Bytes; it only protects the process's memory. */
 const MAXIMUM_KEPT_BYTES = 16 * 1024 * 1024;
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -49,11 +49,11 @@
   readonly silentConnectionMs: number;
 }
 
-/** A connection rests for so long at most, whatever the server allows. Milliseconds. Chosen, not measured. */
+/** A connection rests for so long at most, whatever the server allows. Milliseconds. */
 const MAXIMUM_KEEP_ALIVE_MS = 30_000;
 /**
  * A back end may forget a connection that rests; what cannot be sent again takes none that rested longer.
- * Milliseconds. Chosen, not measured.
+ * Milliseconds.
  */
 const MAXIMUM_REST_MS = 200;
 /**
--- a/src/adapters/engine-client.ts
+++ b/src/adapters/engine-client.ts
@@ -21,18 +21,11 @@
   close(): Promise<void>;
 }
 
-/**
- * An engine that has not answered a control request within this time counts as silent. Milliseconds. Chosen,
- * not measured.
- */
+/** An engine that has not answered a control request within this time counts as silent. Milliseconds. */
 const CONTROL_TIMEOUT_MS = 1500;
-/**
- * A connection that does not come up within this time counts as refused. Milliseconds. Chosen, not measured.
- */
+/** A connection that does not come up within this time counts as refused. Milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000;
-/**
- * A longer line of a stream breaks the attempt off. Characters. Chosen, not measured: far above any token.
- */
+/** A longer line of a stream breaks the attempt off. Characters; far above any token. */
 const MAXIMUM_LINE_CHARACTERS = 1024 * 1024;
 
 const controlResultSchema = z.discriminatedUnion('kind', [
--- a/src/adapters/listener-check.ts
+++ b/src/adapters/listener-check.ts
@@ -6,11 +6,11 @@
 import type { BackendCheck } from '../quarantine/break-watch.js';
 import { splitAddress } from '../shared/address.js';
 
-/** A connection that does not come up within this time tells nothing. Milliseconds. Chosen, not measured. */
+/** A connection that does not come up within this time tells nothing. Milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
 /**
  * What stands for a listener that is gone, or one that is full, closes a new connection at once.
- * Milliseconds. Chosen, not measured.
+ * Milliseconds.
  */
 const HOLD_MS = 30;
 
--- a/src/adapters/peer-transport.ts
+++ b/src/adapters/peer-transport.ts
@@ -20,16 +20,13 @@
   onTraffic(direction: 'sent' | 'received', kind: string, bytes: number): void;
 }
 
-/** A connection that does not come up within this time has failed. Milliseconds. Chosen, not measured. */
+/** A connection that does not come up within this time has failed. Milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000;
-/**
- * Messages to a peer that failed are dropped for so long before it is tried again. Milliseconds. Chosen, not
- * measured.
- */
+/** Messages to a peer that failed are dropped for so long before it is tried again. Milliseconds. */
 const RECONNECT_DELAY_MS = 500;
 /**
- * A connection without a byte for so long is closed: probes go round the whole fleet, and a connection kept
- * for each peer would be hundreds. Milliseconds. Chosen, not measured.
+ * A connection without a byte for so long is closed: probes go round the whole fleet, and a connection
+ * kept for each peer would be hundreds. Milliseconds.
  */
 const IDLE_TIMEOUT_MS = 20_000;
 /**
@@ -50,9 +47,9 @@
  * process stands still.
  */
 const SILENT_CHECKS = 8;
-/** Messages to a peer that reads more slowly than this piles up are dropped. Bytes. Chosen, not measured. */
+/** Messages to a peer that reads more slowly than this piles up are dropped. Bytes. */
 const MAXIMUM_BUFFERED_BYTES = 1024 * 1024;
-/** A longer line is no message. Characters. Chosen, not measured. */
+/** A longer line is no message. Characters. */
 const MAXIMUM_LINE_LENGTH = 8 * 1024 * 1024;
 
 interface Outgoing {
--- a/src/adapters/platform-client.ts
+++ b/src/adapters/platform-client.ts
@@ -13,15 +13,11 @@
   close(): Promise<void>;
 }
 
-/** An answer later than this counts as none. Milliseconds. Chosen, not measured. */
+/** An answer later than this counts as none. Milliseconds. */
 const TIMEOUT_MS = 1500;
-/**
- * A connection that does not come up within this time counts as refused. Milliseconds. Chosen, not measured.
- */
+/** A connection that does not come up within this time counts as refused. Milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000;
-/**
- * When to ask again where the platform limits the rate and does not say. Milliseconds. Chosen, not measured.
- */
+/** When to ask again where the platform limits the rate and does not say. Milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 500;
 
 const rowSchema = z.object({
--- a/src/adapters/server-pool.ts
+++ b/src/adapters/server-pool.ts
@@ -15,8 +15,8 @@
 }
 
 /**
- * An idle connection is dropped this long before the server would close it. Milliseconds. Chosen, not
- * measured: far above the way there.
+ * An idle connection is dropped this long before the server would close it. Milliseconds; far above the
+ * way there.
  */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 /**
--- a/src/allocation/cell-coordinator.ts
+++ b/src/allocation/cell-coordinator.ts
@@ -100,11 +100,11 @@
   silentSince: number | undefined;
 }
 
-/** A report counts for so many intervals of reports. Chosen, not measured. */
+/** A report counts for so many intervals of reports. */
 const REPORT_FRESH_INTERVALS = 10;
-/** How long a drain is expected to last before any was seen. Milliseconds. Chosen, not measured. */
+/** How long a drain is expected to last before any was seen. Milliseconds. */
 const INITIAL_DRAIN_MS = 8000;
-/** Weight of the newest drain in the smoothed duration. Chosen, not measured. */
+/** Weight of the newest drain in the smoothed duration. */
 const DRAIN_SMOOTHING = 0.3;
 
 /** The coordinator of one cell in one daemon. Times are monotonic milliseconds. */
--- a/src/allocation/role-allocator.ts
+++ b/src/allocation/role-allocator.ts
@@ -71,14 +71,11 @@
 }
 
 const ROLES: readonly EngineRole[] = ['prefill', 'decode', 'mixed'];
-/** Value of capacity beyond the demand, against capacity that serves it. Chosen, not measured. */
+/** Value of capacity beyond the demand, against capacity that serves it. */
 const HEADROOM_VALUE = 0.1;
-/** Share of its work that an engine loses while it drains. Chosen, not measured. */
+/** Share of its work that an engine loses while it drains. */
 const DRAIN_LOSS = 0.5;
-/**
- * A change of model takes an engine away for longer than a change of role by about this factor. Chosen, not
- * measured.
- */
+/** A change of model takes an engine away for longer than a change of role by about this factor. */
 const MODEL_MOVE_COST_FACTOR = 3;
 
 /** The identity of a model version. */
--- a/src/allocation/stage-coordinator.ts
+++ b/src/allocation/stage-coordinator.ts
@@ -66,14 +66,11 @@
 
 /**
  * Requests in flight that weigh as much as a pace slower by the whole of the group's: an engine 1.3 times
- * slower than its group is as good as three requests fewer to move to decode, and as bad to move to prefill.
- * Chosen, not measured.
+ * slower than its group is as good as three requests fewer to move to decode, and as bad to move to
+ * prefill.
  */
 const REQUESTS_PER_FACTOR = 10;
-/**
- * More than so much slower or faster is a passing trouble, not the machine. Share of the group's pace.
- * Chosen, not measured.
- */
+/** More than so much slower or faster is a passing trouble, not the machine. Share of the group's pace. */
 const MAXIMUM_LASTING = 0.5;
 
 /** The coordinator of one service in one daemon. Times are monotonic milliseconds. */
--- a/src/allocation/throughput-model.ts
+++ b/src/allocation/throughput-model.ts
@@ -13,7 +13,7 @@
 /** How many engines hold each role. */
 export type RoleCounts = Readonly<Record<EngineRole, number>>;
 
-/** Steps of the search for the best share, 5% each. Chosen, not measured. */
+/** Steps of the search for the best share, 5% each. */
 const SHARE_STEPS = 20;
 /** Stands for no demand in a division. Tokens per second. */
 const NO_DEMAND = 1e-9;
--- a/src/cli/explain-command.ts
+++ b/src/cli/explain-command.ts
@@ -20,9 +20,7 @@
   readonly [field: string]: unknown;
 }
 
-/**
- * Changes older than this before a request's first line are not shown. Milliseconds. Chosen, not measured.
- */
+/** Changes older than this before a request's first line are not shown. Milliseconds. */
 const CHANGE_WINDOW_MS = 10_000;
 /** Changes that bear on any request. */
 const GENERAL_EVENTS: ReadonlySet<string> = new Set([
--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -18,12 +18,9 @@
   }
 }
 
-/**
- * A daemon must answer within this time. Milliseconds. Chosen, not measured: an edit waits for a majority of
- * daemons.
- */
+/** A daemon must answer within this time. Milliseconds; an edit waits for a majority of daemons. */
 const TIMEOUT_MS = 15_000;
-/** When to call again after no answer. Milliseconds. Chosen, not measured. */
+/** When to call again after no answer. Milliseconds. */
 const RETRY_AFTER_MS = 2000;
 
 /** Calls one daemon's operator server. */
--- a/src/configuration/configuration-replica.ts
+++ b/src/configuration/configuration-replica.ts
@@ -70,14 +70,11 @@
   | { readonly kind: 'stale'; readonly ageMs: number }
   | { readonly kind: 'never' };
 
-/** A pull without an answer for so many intervals of pulls is given up. Chosen, not measured. */
+/** A pull without an answer for so many intervals of pulls is given up. */
 const PULL_TIMEOUT_INTERVALS = 1.5;
-/** A daemon that has no configuration yet pulls so many times as often. Chosen, not measured. */
+/** A daemon that has no configuration yet pulls so many times as often. */
 const FIRST_PULLS_FACTOR = 8;
-/**
- * Pulls without an answer after which a daemon that is no poller reads the table itself. Chosen, not
- * measured.
- */
+/** Pulls without an answer after which a daemon that is no poller reads the table itself. */
 const UNANSWERED_PULLS_BEFORE_POLL = 2;
 /**
  * Share of `maximumStalenessMs` after which a daemon that is no poller reads the table itself, and within
--- a/src/configuration/service-row.ts
+++ b/src/configuration/service-row.ts
@@ -5,13 +5,13 @@
 import * as z from 'zod';
 import { RowInvalidError } from '../errors/index.js';
 
-/** Largest weight of a service against others. Chosen, not measured. */
+/** Largest weight of a service against others. */
 const MAXIMUM_WEIGHT = 1000;
-/** Most requests of a service that may run at once. Chosen, not measured. */
+/** Most requests of a service that may run at once. */
 const MAXIMUM_CONCURRENCY = 100_000;
-/** Most requests of a service that may wait for a slot. Chosen, not measured. */
+/** Most requests of a service that may wait for a slot. */
 const MAXIMUM_WAITING = 1_000_000;
-/** Longest duration in a row: an hour. Milliseconds. Chosen, not measured. */
+/** Longest duration in a row: an hour. Milliseconds. */
 const MAXIMUM_DURATION_MS = 3_600_000;
 /** Names have the form of a label of a host name: 63 characters at most. */
 const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
--- a/src/daemon/cell-manager.ts
+++ b/src/daemon/cell-manager.ts
@@ -30,10 +30,7 @@
   readonly demand: DemandTracker;
 }
 
-/**
- * A starting daemon waits this long at most to learn of every listed engine. Milliseconds. Chosen, not
- * measured.
- */
+/** A starting daemon waits this long at most to learn of every listed engine. Milliseconds. */
 const ENGINES_KNOWN_WITHIN_MS = 3000;
 
 /** The cells of one daemon. Times are monotonic milliseconds. */
--- a/src/daemon/cell-runtime.ts
+++ b/src/daemon/cell-runtime.ts
@@ -24,29 +24,21 @@
   readonly receivedAt: number;
 }
 
-/** A digest in so many describes every engine; the others only those that changed. Chosen, not measured. */
+/** A digest in so many describes every engine; the others only those that changed. */
 const DESCRIPTION_INTERVALS = 15;
-/**
- * Waiting prompt tokens are rounded to this, so that equal numbers repeat in a digest. Tokens. Chosen, not
- * measured.
- */
+/** Waiting prompt tokens are rounded to this, so that equal numbers repeat in a digest. Tokens. */
 const WAITING_ROUNDING = 16;
-/**
- * Up to so many subscribers get digests from the coordinator itself; more are served by relays. Chosen, not
- * measured.
- */
+/** Up to so many subscribers get digests from the coordinator itself; more are served by relays. */
 const DIRECT_SUBSCRIBERS = 8;
-/** Ages of reports are rounded to this, for the same reason. Milliseconds. Chosen, not measured. */
+/** Ages of reports are rounded to this, for the same reason. Milliseconds. */
 const AGE_ROUNDING_MS = 50;
-/** Size of a digest without its engines, measured. Bytes. */
+/** Size of a digest without its engines. Bytes. */
 const DIGEST_BYTES = 110;
-/** What each engine adds, with its share of the descriptions, measured. Bytes. */
+/** What each engine adds, with its share of the descriptions. Bytes. */
 const DIGEST_BYTES_PER_ENGINE = 60;
-/**
- * A demand report counts for so many intervals of reports: two in a row may be lost. Chosen, not measured.
- */
+/** A demand report counts for so many intervals of reports: two in a row may be lost. */
 const DEMAND_EXPIRY_INTERVALS = 3;
-/** Adapters that a model is asked to have loaded, at most. Chosen, not measured. */
+/** Adapters that a model is asked to have loaded, at most. */
 const MAXIMUM_ADAPTERS_PER_ENGINE = 64;
 
 /** What a tick needs to know of the rest of the daemon. */
--- a/src/daemon/completion-daemon.ts
+++ b/src/daemon/completion-daemon.ts
@@ -21,8 +21,8 @@
 import type { PeerMessage } from './peer-messages.js';
 
 /**
- * A process that handled no event for so long was not running: ticks come many times a second. Milliseconds.
- * Chosen, not measured.
+ * A process that handled no event for so long was not running: ticks come many times a second.
+ * Milliseconds.
  */
 const PAUSE_MS = 1000;
 
--- a/src/daemon/demand-tracker.ts
+++ b/src/daemon/demand-tracker.ts
@@ -13,7 +13,7 @@
   readonly decode: SmoothedRate;
 }
 
-/** Weight of the newest answer in the mean length of a service's answers. Chosen, not measured. */
+/** Weight of the newest answer in the mean length of a service's answers. */
 const OUTPUT_SMOOTHING = 0.05;
 
 /** Estimates demand in tokens per second. Output lengths are learnt per service. */
--- a/src/daemon/engine-reports.ts
+++ b/src/daemon/engine-reports.ts
@@ -13,17 +13,14 @@
 
 type CellDigest = Extract<CellMessage, { kind: 'cellDigest' }>;
 
-/**
- * After a pause messages that waited in sockets are read within this time. Milliseconds. Chosen, not
- * measured.
- */
+/** After a pause messages that waited in sockets are read within this time. Milliseconds. */
 const WAKE_GRACE_MS = 1000;
 /**
- * Without a digest for this long the daemon asks the engines itself. Milliseconds. Chosen, not measured:
- * large cells get a digest each 2 s.
+ * Without a digest for this long the daemon asks the engines itself. Milliseconds; large cells get a
+ * digest each 2 s.
  */
 const DIGEST_MISSING_MS = 3000;
-/** Engines asked per interval without digests, at least. Chosen, not measured. */
+/** Engines asked per interval without digests, at least. */
 const DIRECT_REPORTS_PER_INTERVAL = 4;
 /**
  * Without digests every engine is asked about once in this many intervals: 2 s by default, within the 5 s for
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -20,8 +20,8 @@
 import type { PeerMessage } from './peer-messages.js';
 
 /**
- * Daemons assumed, at least, to share the retry budget and the connections of back ends while some may not be
- * known. Chosen, not measured.
+ * Daemons assumed, at least, to share the retry budget and the connections of back ends while some may
+ * not be known.
  */
 const UNKNOWN_FLEET_SIZE = 32;
 /**
@@ -30,14 +30,11 @@
  */
 export const TICK_MS = 40;
 /**
- * Interval between looks at every back end: probes, followed caches, stages. Milliseconds. Every third tick,
- * since there may be hundreds of back ends. Chosen, not measured.
+ * Interval between looks at every back end: probes, followed caches, stages. Milliseconds. Every third
+ * tick, since there may be hundreds of back ends.
  */
 const BACKEND_SCAN_MS = 120;
-/**
- * A process that saw so much time pass between two ticks was paused. Milliseconds. Six ticks; chosen, not
- * measured.
- */
+/** A process that saw so much time pass between two ticks was paused. Milliseconds. Six ticks. */
 const OWN_PAUSE_MS = 250;
 /** Daemons are ranked as readers of the store by this key. */
 const READER_KEY = 'store-reader';
--- a/src/daemon/interval-reports.ts
+++ b/src/daemon/interval-reports.ts
@@ -10,7 +10,7 @@
  * Milliseconds.
  */
 const MEMBERS_FOUND_INTERVAL_MS = 1000;
-/** Interval between lines on retries, if any were asked for. Milliseconds. Chosen, not measured. */
+/** Interval between lines on retries, if any were asked for. Milliseconds. */
 const RETRIES_USED_INTERVAL_MS = 1000;
 
 /** What the reports read, and where they go. */
--- a/src/daemon/service-editor.ts
+++ b/src/daemon/service-editor.ts
@@ -30,9 +30,9 @@
   uncertain: boolean;
 }
 
-/** Interval between repeats of an edit without an answer. Milliseconds. Chosen, not measured. */
+/** Interval between repeats of an edit without an answer. Milliseconds. */
 const REPEAT_INTERVAL_MS = 500;
-/** An edit without an answer for so long fails. Milliseconds. Chosen, not measured. */
+/** An edit without an answer for so long fails. Milliseconds. */
 const EDIT_TIMEOUT_MS = 10_000;
 
 /** The editing machine of one daemon. Times are monotonic milliseconds. */
--- a/src/daemon/stage-manager.ts
+++ b/src/daemon/stage-manager.ts
@@ -26,8 +26,8 @@
 }
 
 /**
- * A member must have been the chosen one for so long before it takes the lease. Milliseconds. Chosen, not
- * measured: a choice that the next member to join would change is not acted on.
+ * A member must have been the chosen one for so long before it takes the lease. Milliseconds; a choice
+ * that the next member to join would change is not acted on.
  */
 const SETTLED_MS = 1500;
 
--- a/src/duties/duty-manager.ts
+++ b/src/duties/duty-manager.ts
@@ -59,7 +59,7 @@
 /// Interval between tellings of counts, for each daemon of the fleet: a daemon that is killed loses so much
 /// of its counts, which are the smaller a part the more daemons there are. Milliseconds.
 const TELL_INTERVAL_PER_DAEMON_MS = 16
-/// The shortest and the longest such interval. Milliseconds. Chosen, not measured.
+/// The shortest and the longest such interval. Milliseconds.
 const SHORTEST_TELL_INTERVAL_MS = 200
 const LONGEST_TELL_INTERVAL_MS = 1000
 /// A daemon must have been among the collectors for so long before it takes the lease. Milliseconds.
--- a/src/duties/usage-counter.ts
+++ b/src/duties/usage-counter.ts
@@ -3,7 +3,6 @@
 import type {UsageCounts} from "./duty-messages.js"
 
 /// Windows kept, so that a new collector can be told of those that are not reported yet. Windows.
-/// Chosen, not measured.
 const KEPT_WINDOWS = 4
 /// A window is told once more in full after its end: what was lost on the way is made up for.
 const FULL_TELLINGS = 2
--- a/src/duties/usage-reporter.ts
+++ b/src/duties/usage-reporter.ts
@@ -56,8 +56,8 @@
 /// A window whose report is overdue by so much is dropped: nobody knows any more what was sent for it.
 /// Milliseconds.
 const OVERDUE_MS = 20_000
-/// Rows of windows so far back are removed; no daemon still tries to report them. Windows. Chosen, not
-/// measured: of 5 s each they are ten minutes, and reports are due after 10 s.
+/// Rows of windows so far back are removed; no daemon still tries to report them. Windows; of 5 s each they
+/// are ten minutes, and reports are due after 10 s.
 const KEPT_ROWS = 120
 /// Revision of a row that does not exist, as the store counts.
 const ABSENT_REVISION = 0
--- a/src/fleet/store-follower.ts
+++ b/src/fleet/store-follower.ts
@@ -12,13 +12,13 @@
 import type {FleetReplicaSettings} from "./fleet-replica-settings.js"
 import type {RecordCollection} from "./record-store.js"
 
-/// Doublings of the pause after a failure; the longest pause is reached before. Chosen, not measured.
+/// Doublings of the pause after a failure; the longest pause is reached before.
 const MAXIMUM_BACKOFF_DOUBLINGS = 6
 /// Only the first in rank tell their peers, so that an outage of the first does not make everybody tell
-/// everybody. Chosen, not measured.
+/// everybody.
 const TELLING_RANKS = 3
 /// A read that took so much longer than it was to wait says nothing about the time at which it was answered.
-/// Milliseconds. Chosen, not measured: a slow store answers in some 200.
+/// Milliseconds; a slow store answers in some 200.
 const ANSWER_DELAY_MS = 300
 /// A change of back ends that a peer knows of is on its way here already, most times. Milliseconds;
 /// the pause of the reader between answers with changes.
@@ -235,12 +235,11 @@
   }
 
   /// The first in rank waits at the store for changes. The others ask when they have not heard for long, and
-  /// want to know at once whether they lack something: a read that waits shows late that it was lost. Waiting
-  /// 0.33 of the bound and 800 ms, a daemon whose first read was lost knew of a leaving after 2,531 ms of
-  /// 2,000 (virtual time, nine daemons, one that its peers cannot reach).
+  /// want to know at once whether they lack something: a read that waits shows late that it was lost, so late
+  /// that a daemon that its peers cannot reach would know of a leaving after the bound.
   private read(now: number): void {
     // The store has answered somebody since the newest read here failed: what comes now is another matter.
-    // Counted on, failures of 18 s before made a daemon wait 800 ms for its first read and hold a removal.
+    // Counted on, failures of long ago make a daemon wait for its first read and hold a removal.
     if (this.rank > 0 && this.completeAt > this.lastSentAt) this.forgetFailures()
     this.inFlight = true
     this.lastSentAt = now
--- a/src/forwarding/admit/forward-limits.ts
+++ b/src/forwarding/admit/forward-limits.ts
@@ -8,7 +8,6 @@
 import type {RouteTable} from "../routes/route-table.js"
 
 /// A caller that has less than this part of the route's time left has probably come back after a refusal.
-/// Chosen, not measured.
 const FRESH_SHARE = 0.95
 
 /// What the limits depend on.
--- a/src/forwarding/admit/quota-gate.ts
+++ b/src/forwarding/admit/quota-gate.ts
@@ -15,7 +15,7 @@
 }
 
 /// Part of a route's latency objective that a request may wait for the answer, and the most. What is held
-/// longer and then refused costs its caller more than a refusal at once. Milliseconds. Chosen, not measured.
+/// longer and then refused costs its caller more than a refusal at once. Milliseconds.
 const WAIT_SHARE = 1 / 8
 const LONGEST_WAIT_MS = 150
 
--- a/src/forwarding/admit/retry-after.ts
+++ b/src/forwarding/admit/retry-after.ts
@@ -20,18 +20,17 @@
 import type {Session} from "../forward-session.js"
 import type {ForwardSettings} from "../forward-settings.js"
 
-/// Bounds of what the owner of a bucket tells callers that are over quota. Milliseconds. Chosen, not
-/// measured: the lower one is the default of `retryAfterMs`, the upper one also bounds the backlog that an
-/// owner counts.
+/// Bounds of what the owner of a bucket tells callers that are over quota. Milliseconds; the lower one is the
+/// default of `retryAfterMs`, the upper one also bounds the backlog that an owner counts.
 const SHORTEST_QUOTA_RETRY_AFTER_MS = 100
 export const LONGEST_QUOTA_RETRY_AFTER_MS = 5000
 
-/// When a caller comes back whose quota no owner has decided. Milliseconds. Chosen, not measured: by then a
-/// lost owner has mostly been found to be lost.
+/// When a caller comes back whose quota no owner has decided. Milliseconds; by then a lost owner has mostly
+/// been found to be lost.
 export const NO_OWNER_RETRY_AFTER_MS = 1200
 
 /// Callers over quota are spread over this part more than what the owner says, so that they do not come back
-/// together. Chosen, not measured.
+/// together.
 const QUOTA_SPREAD_SHARE = 0.5
 
 /// The rules of one daemon. Times are monotonic milliseconds, results are milliseconds from now.
--- a/src/forwarding/backends/backend-health.ts
+++ b/src/forwarding/backends/backend-health.ts
@@ -53,7 +53,7 @@
 const FLEET_DELAY_MS = 500
 
 /// Below this part of `ejectFailureShare` a back end counts as recovered, and its next ejection is a first
-/// one. Chosen, not measured.
+/// one.
 const RECOVERED_SHARE = 0.5
 
 /// Work that waits at a back end, asked for whenever its silence is judged.
--- a/src/forwarding/backends/health-prober.ts
+++ b/src/forwarding/backends/health-prober.ts
@@ -8,7 +8,7 @@
   readonly backend: BackendRecord
 }
 
-/// Interval between probes of one back end. Milliseconds. Chosen, not measured.
+/// Interval between probes of one back end. Milliseconds.
 const PROBE_INTERVAL_MS = 500
 
 /// The prober of one daemon. Times are monotonic milliseconds.
--- a/src/forwarding/backends/peer-loads.ts
+++ b/src/forwarding/backends/peer-loads.ts
@@ -30,11 +30,10 @@
   distrust: number
 }
 
-/// A peer's digest counts for this long. Milliseconds. Eight intervals of the relays;
-/// chosen, not measured.
+/// A peer's digest counts for this long. Milliseconds. Eight intervals of the relays.
 const DIGEST_LIFETIME_MS = 2000
-/// One daemon that avoids a back end may be the only one that cannot reach it; so many daemons are
-/// believed, or this share of the fleet where that is more. Chosen, not measured.
+/// One daemon that avoids a back end may be the only one that cannot reach it; so many daemons are believed,
+/// or this share of the fleet where that is more.
 const DISTRUSTED = 2
 const MINIMUM_DISTRUST_SHARE = 1 / 16
 
--- a/src/forwarding/backends/region-contact.ts
+++ b/src/forwarding/backends/region-contact.ts
@@ -4,11 +4,10 @@
 import type {BackendView} from "./backend-view.js"
 
 /// Back ends lost one after the other, with none heard from since, that make a region count as cut off. One
-/// alone has more likely crashed itself. Chosen, not measured.
+/// alone has more likely crashed itself.
 const LOST_TOGETHER = 2
 
 /// A loss says nothing of its region after this: those that were lost may be gone for good. Milliseconds.
-/// Chosen, not measured.
 const BELIEVED_MS = 4000
 
 /// The other regions that are cut off from this daemon.
--- a/src/forwarding/backends/window-count.ts
+++ b/src/forwarding/backends/window-count.ts
@@ -1,6 +1,6 @@
 /// How often something has happened within a sliding window.
 
-/// Resolution of the counts. Milliseconds. Chosen, not measured.
+/// Resolution of the counts. Milliseconds.
 export const BUCKET_MS = 250
 
 /// Counts of a sliding window in buckets. Times are monotonic milliseconds and do not go back.
--- a/src/forwarding/choose/backend-choice.ts
+++ b/src/forwarding/choose/backend-choice.ts
@@ -62,8 +62,7 @@
   readonly maximumOwnInFlight: number
 }
 
-/// What a call carries beside the request's body, both heads and a short answer. Bytes. An estimate, not
-/// measured.
+/// What a call carries beside the request's body, both heads and a short answer. Bytes, about.
 const CALL_BYTES = 1500
 
 /// Bytes that an attempt sends and gets back, about.
--- a/src/forwarding/choose/backend-distance.ts
+++ b/src/forwarding/choose/backend-distance.ts
@@ -7,12 +7,11 @@
 import type {EngineTraits} from "../routes/route.js"
 
 /// What the last answer counts in the learned time of a request: some twenty answers are looked back on. A
-/// share; chosen, not measured.
+/// share.
 const WORK_SHARE = 0.05
 
 /// Requests on their way that nobody has told yet, as a part of the load: loads of other daemons are told
-/// every 250 ms and passed on once, and a back end turns over some of its slots in that time. Chosen, not
-/// measured.
+/// every 250 ms and passed on once, and a back end turns over some of its slots in that time.
 const UNTOLD_LOAD_SHARE = 0.25
 
 /// The ways from one daemon to the back ends.
--- a/src/forwarding/kv-cache/kv-index.ts
+++ b/src/forwarding/kv-cache/kv-index.ts
@@ -14,7 +14,7 @@
   readonly tokens: number
 }
 
-/// Placements kept for the next digest at most. Chosen, not measured.
+/// Placements kept for the next digest at most.
 const MAXIMUM_RECENT = 128
 /// Shorter parts are not told: to compute 256 tokens takes some 5 ms, and short prompts are by far the most.
 const MINIMUM_TOLD_TOKENS = 256
--- a/src/forwarding/pace/pace-book.ts
+++ b/src/forwarding/pace/pace-book.ts
@@ -69,9 +69,9 @@
   readonly factor: number
 }
 
-/// Less than this much of a sample says nothing. In samples. Chosen, not measured.
+/// Less than this much of a sample says nothing. In samples.
 const MINIMUM_WEIGHT = 0.01
-/// Evidence of one digest counts as at most so many samples. Chosen, not measured.
+/// Evidence of one digest counts as at most so many samples.
 const MAXIMUM_COUNT = 1000
 
 /// The speed of one back end.
--- a/src/forwarding/retry/attempt-outcomes.ts
+++ b/src/forwarding/retry/attempt-outcomes.ts
@@ -15,8 +15,8 @@
 import type {RequestFinisher} from "../finish/request-finisher.js"
 import type {RetryPolicy} from "./retry-policy.js"
 
-/// Pause between two searches for another back end for a stalled request. Milliseconds. Chosen, not measured:
-/// a search weighs every back end, and where all are saturated many requests are stalled at once.
+/// Pause between two searches for another back end for a stalled request. Milliseconds; a search weighs every
+/// back end, and where all are saturated many requests are stalled at once.
 const LOOK_AGAIN_MS = 200
 
 /// What the outcomes rely on.
--- a/src/forwarding/retry/retry-allowance.ts
+++ b/src/forwarding/retry/retry-allowance.ts
@@ -36,16 +36,15 @@
   readonly daemons: number
 }
 
-/// Services in one record; those with the most repeats come first. Chosen, not measured.
+/// Services in one record; those with the most repeats come first.
 const MAXIMUM_SERVICES_LOGGED = 10
 
 /// Part of the budget that is used; the rest covers counts that lie on both sides of a window's edge, and
-/// callers that move from a daemon that ends to others. Chosen, not measured by itself.
+/// callers that move from a daemon that ends to others.
 const SAFE_SHARE = 0.8
 /// Part of what a window of requests earns that is saved for a burst of failures. With the part that is used,
-/// 0.8, it makes up the whole: 0.8 x (1 + 0.25). Of 4,000 drawn histories of a fleet whose daemons spend all
-/// they have and are killed, the budget was broken in 0 with 0.25 and in 20 with 0.3. Where nothing is
-/// restarted and failures go on for ever, 8% fewer repeats are given than without this bound.
+/// 0.8, it makes up the whole: 0.8 x (1 + 0.25). More breaks the budget of a fleet whose daemons spend all
+/// they have and are killed.
 const SAVED_SHARE = 0.25
 /// A daemon with few requests saves one repeat all the same.
 const MINIMUM_SAVED = 1
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -33,7 +33,7 @@
 const KEY_HEADER = 'idempotency-key';
 const REQUEST_ID_HEADER = 'x-request-id';
 const APPLICATION_PREFIX = '/app/';
-/** Keys are stored in rows of the ledger's table. Characters. Chosen, not measured. */
+/** Keys are stored in rows of the ledger's table. Characters. */
 const MAXIMUM_KEY_LENGTH = 128;
 /** The headers of an application call that travel on. */
 const FORWARDED_HEADERS = ['content-type', 'accept', 'authorization', KEY_HEADER];
--- a/src/gateway/completion-body.ts
+++ b/src/gateway/completion-body.ts
@@ -2,12 +2,9 @@
 import * as z from 'zod';
 import { ValidationError } from '../errors/index.js';
 
-/**
- * Tokens that one call may ask for at most. Chosen, not measured: it keeps absurd numbers out of the
- * estimates.
- */
+/** Tokens that one call may ask for at most; it keeps absurd numbers out of the estimates. */
 const MAXIMUM_OUTPUT_TOKENS = 100_000;
-/** Tokens where the call does not say. Chosen, not measured. */
+/** Tokens where the call does not say. */
 const DEFAULT_OUTPUT_TOKENS = 256;
 /** Names of services are labels of DNS. Characters. */
 const MAXIMUM_NAME_LENGTH = 63;
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -38,7 +38,7 @@
   readonly retryAfterMs: number | undefined;
 }
 
-/** Connections that the system keeps while the process is busy. Chosen, not measured. */
+/** Connections that the system keeps while the process is busy. */
 const BACKLOG = 1024;
 /**
  * Callers keep to the configured limit; this one only protects the process. Bytes; four times the limit's
@@ -46,8 +46,8 @@
  */
 const MAXIMUM_HEADER_BYTES = 64 * 1024;
 /**
- * Interval between looks for connections over their time limits. Milliseconds. Chosen, not measured: short
- * against the limits' defaults of 3 and 15 s.
+ * Interval between looks for connections over their time limits. Milliseconds; short against the limits'
+ * defaults of 3 and 15 s.
  */
 const KEEP_ALIVE_CHECK_MS = 1000;
 /** Limit of a body until a configuration is known. Bytes; the default of the configuration. */
--- a/src/gateway/operator-server.ts
+++ b/src/gateway/operator-server.ts
@@ -22,9 +22,9 @@
   readonly services: readonly VersionedRow[];
 }
 
-/** Body of an edit at most. Bytes. Chosen, not measured. */
+/** Body of an edit at most. Bytes. */
 const MAXIMUM_EDIT_BYTES = 8 * 1024 * 1024;
-/** Ids of edits at most. Characters. Chosen, not measured. */
+/** Ids of edits at most. Characters. */
 const MAXIMUM_EDIT_ID_LENGTH = 128;
 
 const editSchema = z.object({
--- a/src/lease/cell-lease.ts
+++ b/src/lease/cell-lease.ts
@@ -62,7 +62,7 @@
 
 /** Revision of a row that was never written. */
 const FIRST_REVISION = 0;
-/** A write without an answer is sent again after this share of `renewIntervalMs`. Chosen, not measured. */
+/** A write without an answer is sent again after this share of `renewIntervalMs`. */
 const REPEAT_SHARE = 0.25;
 
 /** The lease state machine of one daemon and one cell. */
--- a/src/limits/limit-messages.ts
+++ b/src/limits/limit-messages.ts
@@ -1,7 +1,6 @@
 /**
  * Messages between the daemons that run requests and the daemon that owns a service's limits, and the
- * durations of both sides. Owns these types. `slotLeaseMs` is three renewals, so that two may be lost;
- * otherwise chosen, not measured.
+ * durations of both sides. Owns these types. `slotLeaseMs` is three renewals, so that two may be lost.
  */
 
 /** Slots that a daemon holds of one service. */
--- a/src/membership/gossip-queue.ts
+++ b/src/membership/gossip-queue.ts
@@ -1,13 +1,10 @@
 /** What a daemon still has to tell others, least told first. */
 
-/**
- * Times that each piece of news is told, for each doubling of the fleet, as in the SWIM paper. Chosen, not
- * measured.
- */
+/** Times that each piece of news is told, for each doubling of the fleet, as in the SWIM paper. */
 const RETRANSMIT_FACTOR = 3;
-/** A backlog is spread over about this many messages. Chosen, not measured. */
+/** A backlog is spread over about this many messages. */
 const BACKLOG_MESSAGES = 8;
-/** A message carries at most this many times the usual number of items. Chosen, not measured. */
+/** A message carries at most this many times the usual number of items. */
 const BACKLOG_FACTOR = 4;
 
 /** Ids of members whose state is news, each with how often it is still to be sent. */
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -32,9 +32,9 @@
   readonly onBehalfOf?: { readonly address: string; readonly sequence: number };
 }
 
-/** Daemons of the whole fleet that try a lost seed in one interval, about. Chosen, not measured. */
+/** Daemons of the whole fleet that try a lost seed in one interval, about. */
 const STRANGER_TRIES = 3;
-/** A daemon that has just started exchanges lists this often at the short interval. Chosen, not measured. */
+/** A daemon that has just started exchanges lists this often at the short interval. */
 const EARLY_SYNCS = 5;
 /**
  * Interval of these, and of those before this daemon has met another. Milliseconds. 72 daemons that start together so agree within
--- a/src/parts/pace-part.ts
+++ b/src/parts/pace-part.ts
@@ -1,7 +1,7 @@
 /// How fast the back ends work: lets what is known of it fade, and tells operators of slow ones.
 import {DaemonPart, type PartFigures, type PartSurroundings} from "./daemon-part.js"
 
-/// The slowest back ends are shown by rank, so many of them. Chosen, not measured.
+/// The slowest back ends are shown by rank, so many of them.
 const SHOWN = 3
 
 /// The pace of back ends as a part.
--- a/src/places/round-trips.ts
+++ b/src/places/round-trips.ts
@@ -2,7 +2,7 @@
 import type {DistanceClass} from "./places.js"
 
 /// Samples of which the middle one counts: a sample also holds the time that the peer took, and one peer that
-/// is slow or stood still says nothing of the link to the others there. Chosen, not measured.
+/// is slow or stood still says nothing of the link to the others there.
 const LOOKED_BACK_ON = 5
 
 /// The learned times of one daemon. Milliseconds.
--- a/src/process/completion-metrics.ts
+++ b/src/process/completion-metrics.ts
@@ -4,7 +4,7 @@
 import { addGauges, type GaugeDescription } from './add-gauges.js';
 import { SECOND_MS } from '../shared/units.js';
 
-/** Upper bounds of the histogram of times to the first token. Seconds. Chosen, not measured. */
+/** Upper bounds of the histogram of times to the first token. Seconds. */
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
 
 /** Gauges of the daemon's state, in the order in which they are served. */
--- a/src/process/completion-process.ts
+++ b/src/process/completion-process.ts
@@ -39,13 +39,13 @@
   reject(error: PulleyledgeError): void;
 }
 
-/** Interval between looks at what a stopping process still waits for. Milliseconds. Chosen, not measured. */
+/** Interval between looks at what a stopping process still waits for. Milliseconds. */
 const DRAIN_POLL_MS = 50;
-/** Interval between looks at whether the configuration is known. Milliseconds. Chosen, not measured. */
+/** Interval between looks at whether the configuration is known. Milliseconds. */
 const READY_POLL_MS = 25;
 /**
- * A stopping process waits this long at most for writes to the ledger. Milliseconds. Chosen, not measured:
- * ten repeats of a commit.
+ * A stopping process waits this long at most for writes to the ledger. Milliseconds; ten repeats of a
+ * commit.
  */
 const LEDGER_FLUSH_TIMEOUT_MS = 5000;
 
--- a/src/process/decision-log.ts
+++ b/src/process/decision-log.ts
@@ -26,11 +26,11 @@
 
 /** Hashes of texts are below this. */
 const HASH_RANGE = 2 ** 32;
-/** Share of requests that is logged whatever their number. Chosen, not measured. */
+/** Share of requests that is logged whatever their number. */
 const MINIMUM_SHARE = 0.01;
-/** The rest of a second's lines is kept for failures and changes of state. Chosen, not measured. */
+/** The rest of a second's lines is kept for failures and changes of state. */
 const REQUEST_LINES_SHARE = 0.6;
-/** The share may grow by this factor a second, so that it does not swing. Chosen, not measured. */
+/** The share may grow by this factor a second, so that it does not swing. */
 const SHARE_RECOVERY = 1.5;
 
 /** The log of one process. Times are monotonic milliseconds. */
--- a/src/process/forwarding-metrics.ts
+++ b/src/process/forwarding-metrics.ts
@@ -20,9 +20,9 @@
   partFigures(): Readonly<Record<string, Readonly<Record<string, number>>>>;
 }
 
-/** Upper bounds of the histogram of times to the first byte. Seconds. Chosen, not measured. */
+/** Upper bounds of the histogram of times to the first byte. Seconds. */
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5];
-/** Services beyond so many share one label, which bounds the series. Chosen, not measured. */
+/** Services beyond so many share one label, which bounds the series. */
 const MAXIMUM_SERVICES = 50;
 const OTHER_SERVICES = 'other';
 
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -38,31 +38,27 @@
 
 /** Connections to back ends. Reasons: docs/design/silent-connections.md. */
 const BACKEND_CONNECTIONS: BackendClientSettings = {
-  /** Chosen, not measured: many times the way there and back between the furthest regions. */
+  /** Many times the way there and back between the furthest regions. */
   connectTimeoutMs: 500,
-  /**
-   * Chosen, not measured: above the slots of any back end, so that the slots limit and not the connections.
-   */
+  /** Above the slots of any back end, so that the slots limit and not the connections. */
   connectionsPerBackend: 64,
-  /**
-   * Chosen, not measured: a back end that takes longer over a small call is of no use to a request either.
-   */
+  /** A back end that takes longer over a small call is of no use to a request either. */
   callTimeoutMs: 1000,
   /** A quarter of the 4 s within which contact has to be found again. */
   silentConnectionMs: 1000,
 };
 
 /**
- * Interval between looks at what a stopping process still waits for. Milliseconds. Chosen, not measured:
- * short against the grace.
+ * Interval between looks at what a stopping process still waits for. Milliseconds; short against the
+ * grace.
  */
 const DRAIN_POLL_MS = 50;
 /**
  * After a stop was asked for, new requests are served for so long, since callers are sent here until the
- * platform has noticed; later ones are refused. Milliseconds. Chosen, not measured.
+ * platform has noticed; later ones are refused. Milliseconds.
  */
 const NOTICE_MS = 2800;
-/** Time kept at the end of the grace for the process to end by itself. Milliseconds. Chosen, not measured. */
+/** Time kept at the end of the grace for the process to end by itself. Milliseconds. */
 const STOP_MARGIN_MS = 700;
 /** A stopping process waits so long for the answers to its last callers. Milliseconds; within STOP_MARGIN_MS. */
 const LAST_ANSWERS_MS = 200;
@@ -70,12 +66,9 @@
 const LAST_ANSWERS_POLL_MS = 5;
 /** Log lines are written in pieces of this size at least. Bytes; a page of memory. */
 const LOG_BUFFER_BYTES = 4096;
-/** A process that is killed loses the lines of so long. Milliseconds. Chosen, not measured. */
+/** A process that is killed loses the lines of so long. Milliseconds. */
 const LOG_FLUSH_MS = 500;
-/**
- * Log lines that cannot be written wait up to this size; further ones are dropped. Bytes. Chosen, not
- * measured.
- */
+/** Log lines that cannot be written wait up to this size; further ones are dropped. Bytes. */
 const MAXIMUM_LOG_BYTES = 1024 * 1024;
 
 /** One forwarding daemon process. */
--- a/src/quarantine/break-watch.ts
+++ b/src/quarantine/break-watch.ts
@@ -35,16 +35,16 @@
 }
 
 /// A back end may refuse connections for a moment, when it has too many: it is checked again after this time.
-/// Milliseconds. Chosen, not measured.
+/// Milliseconds.
 const CHECK_AGAIN_MS = 100
 /// Unclear checks in a row that are taken for an end, if no older run goes on. With the pause above some 0.2
-/// s. Chosen, not measured.
+/// s.
 const UNCLEAR_CHECKS = 3
 /// A broken run waits so long for its back end's record to go or to be written by a later start.
 /// Milliseconds; a record goes after three heartbeats of 1.2 s.
 const WAIT_FOR_RECORD_MS = 5000
 /// A back end that answered is checked again for runs that break off later, but not sooner than this: it may
-/// spoil many of its answers. Milliseconds. Chosen, not measured.
+/// spoil many of its answers. Milliseconds.
 const ANSWERED_PAUSE_MS = 200
 
 interface Watched {
--- a/src/quarantine/end-record.ts
+++ b/src/quarantine/end-record.ts
@@ -21,7 +21,7 @@
   readonly at: number
 }
 
-/// Ends kept of one request, or of one caller: more say nothing new. Chosen, not measured.
+/// Ends kept of one request, or of one caller: more say nothing new.
 const MAXIMUM_ENDS_KEPT = 8
 /// An end of a request is worth more than one message from the second on. A single one beside a request is
 /// common.
--- a/src/quarantine/quarantine-archive.ts
+++ b/src/quarantine/quarantine-archive.ts
@@ -19,9 +19,8 @@
 /// left for the read.
 const BACKOFF_MS = 300
 /// Writes and removals that wait at most; the oldest are dropped, since the daemons know those ends too.
-/// Chosen, not measured.
 const MAXIMUM_WAITING = 512
-/// Interval in which one daemon of the fleet removes old rows. Milliseconds. Chosen, not measured.
+/// Interval in which one daemon of the fleet removes old rows. Milliseconds.
 const CLEAN_INTERVAL_MS = 600_000
 
 interface Waiting {
--- a/src/quarantine/quarantine-manager.ts
+++ b/src/quarantine/quarantine-manager.ts
@@ -40,13 +40,12 @@
 }
 
 /// A daemon that starts asks others for what they know in these intervals, and so often. Milliseconds.
-/// Together some 2 s. Chosen, not measured.
+/// Together some 2 s.
 const EARLY_COMPARE_MS = 150
 const EARLY_COMPARES = 12
-/// A peer's word on an end this old says nothing of what listens at the address now. Milliseconds. Chosen,
-/// not measured.
+/// A peer's word on an end this old says nothing of what listens at the address now. Milliseconds.
 const FRESH_END_MS = 1000
-/// Interval in which old ends are forgotten. Milliseconds. Chosen, not measured.
+/// Interval in which old ends are forgotten. Milliseconds.
 const CLEAN_INTERVAL_MS = 1000
 
 /// The quarantine of one daemon. Times are monotonic milliseconds; `wallMs` is the time of day.
--- a/src/quarantine/quarantine-messages.ts
+++ b/src/quarantine/quarantine-messages.ts
@@ -4,8 +4,7 @@
 const text = z.string().max(512)
 const count = z.number().finite()
 
-/// Facts in one message at most; a longer list is told in several. Chosen, not measured: bounds the size of a
-/// message.
+/// Facts in one message at most; a longer list is told in several; bounds the size of a message.
 export const MAXIMUM_FACTS = 512
 
 /// The request, the incarnation of the back end that ended, and how long ago. Milliseconds.
--- a/src/quotas/owner-ranking.ts
+++ b/src/quotas/owner-ranking.ts
@@ -14,8 +14,7 @@
   readonly joined: boolean
 }
 
-/// Members looked at for one tenant. With 55 of 100 daemons killed at once all eight are gone for 1 tenant in
-/// 120.
+/// Members looked at for one tenant: so many that some are left when half of the fleet is killed at once.
 const RANKED = 8
 /// A daemon that is new to this one may own buckets after so long; by then nearly all know it. Milliseconds.
 const NEWCOMER_MS = 1000
@@ -34,9 +33,9 @@
 /// with one in five lost and 300 ms the sum of two owners and more was twice what is allowed (virtual time,
 /// 72 daemons). Milliseconds.
 const LOST_MS = 1000
-/// Meanwhile it is asked again at this interval. Milliseconds. Chosen, not measured.
+/// Meanwhile it is asked again at this interval. Milliseconds.
 const PROBE_INTERVAL_MS = 200
-/// So many at once at most. Chosen, not measured.
+/// So many at once at most.
 const MAXIMUM_PROBES = 8
 /// Below this part of the fleet an owner grants only its part: the other part of a divided fleet may have an
 /// owner as well.
--- a/src/quotas/quota-holder.ts
+++ b/src/quotas/quota-holder.ts
@@ -16,18 +16,16 @@
 }
 
 const GRANTED: QuotaDecision = {kind: "granted"}
-/// Requests of one tenant that wait at most. Chosen, not measured.
+/// Requests of one tenant that wait at most.
 const MAXIMUM_WAITING = 256
 /// An ask without an answer times out after so long, and what a late answer grants is not spent.
 /// Milliseconds. So what was granted outside of a window arrives within it for no more than this time.
 const ASK_TIMEOUT_MS = 250
 
 /// An ask that carries needs is given up after so long, and the next daemon in rank is asked: callers wait
-/// 150 ms at most. Milliseconds. When an owner was killed 100 of 333 requests below the limit were refused in
-/// 2.5 s in place of 226 of 330 (virtual time, 72 daemons).
+/// 150 ms at most, and an owner that was killed costs them less. Milliseconds.
 const REASK_MS = 20
 /// Late answers to asks that were given up are heeded so long: what they grant is handed back. Milliseconds.
-/// Chosen, not measured.
 const CLOSED_MS = 2000
 
 /// An ask that is under way.
--- a/src/quotas/quota-manager.ts
+++ b/src/quotas/quota-manager.ts
@@ -18,12 +18,11 @@
 /// Where a daemon is asked.
 type DaemonPlace = Pick<Member, "id" | "address">
 
-/// What was spent without asking is told so often. Milliseconds. Some four times a second; chosen, not
-/// measured.
+/// What was spent without asking is told so often. Milliseconds. Some four times a second.
 const TELL_INTERVAL_MS = 240
-/// State of a tenant that nobody uses is dropped after so long. Milliseconds. Chosen, not measured.
+/// State of a tenant that nobody uses is dropped after so long. Milliseconds.
 const IDLE_MS = 30_000
-/// Daemons that are asked for one request at most. Chosen, not measured.
+/// Daemons that are asked for one request at most.
 const MAXIMUM_TRIES = 4
 
 /// The quotas of one daemon. Times are monotonic milliseconds.
--- a/src/quotas/quota-messages.ts
+++ b/src/quotas/quota-messages.ts
@@ -4,7 +4,7 @@
 const text = z.string().max(512)
 const count = z.number().finite()
 
-/// Needs carried by one ask at most; the rest goes with the next one. Chosen, not measured.
+/// Needs carried by one ask at most; the rest goes with the next one.
 export const MAXIMUM_NEEDS = 32
 
 /// A daemon asks the owner of a tenant's bucket. Without needs it only tells what was spent, or finds out
--- a/src/quotas/quota-owner.ts
+++ b/src/quotas/quota-owner.ts
@@ -9,18 +9,18 @@
 type OwnerDecision = Pick<QuotaAnswer, "granted" | "blockedMs" | "blockedTokens" | "retryAfterMs" | "reserve">
 
 /// A daemon counts as one that serves a tenant for so long after it asked, and may use the reserve of the
-/// owner's last answer. Milliseconds. Chosen, not measured (docs/design/quotas.md).
+/// owner's last answer. Milliseconds; docs/design/quotas.md.
 export const RESERVE_MS = 2500
 /// Part of the level that all who serve the tenant may spend when the owner falls silent. An owner that takes
 /// its place begins empty, so that this and no more comes on top.
 const RESERVE_SHARE = 0.25
 /// A bucket holds at least what comes in this time: a limit without a burst would grant nothing.
-/// Milliseconds. Chosen, not measured.
+/// Milliseconds.
 const SHALLOWEST_MS = 250
-/// Part of the rate that may be overdrawn. Chosen, not measured.
+/// Part of the rate that may be overdrawn.
 const OVERDRAFT_SHARE = 0.25
 /// Requests of less than this part of the debt do not overdraw: they would leave nothing of it for the larger
-/// ones. Chosen, not measured.
+/// ones.
 const SMALL_SHARE = 0.02
 /// Bounds of the time for which a daemon does not ask again. Milliseconds. The longest is what a full refill
 /// may be late.
--- a/src/quotas/quota-settings.ts
+++ b/src/quotas/quota-settings.ts
@@ -27,7 +27,7 @@
 /// the bound is lost for the callers.
 const MOST_DEPTH_SHARE = 0.5
 const LEAST_DEPTH_SHARE = 0.1
-/// From the slack is kept what comes in while there may be two owners. Seconds. Chosen, not measured.
+/// From the slack is kept what comes in while there may be two owners. Seconds.
 const TWO_OWNERS_S = 0.6
 
 /// The debt of one bucket. Tokens.
--- a/src/routing/application-manager.ts
+++ b/src/routing/application-manager.ts
@@ -43,8 +43,8 @@
  */
 const RETRIES: RetryRuleSettings = { maximumAttempts: 3, retryRatio: 0.2 };
 /**
- * Longest body that is recorded for a caller that repeats its key. Bytes. Chosen, not measured: rows of the
- * table stay small. A longer answer is passed on, and a repeat is answered that the key was used.
+ * Longest body that is recorded for a caller that repeats its key. Bytes; rows of the table stay small. A
+ * longer answer is passed on, and a repeat is answered that the key was used.
  */
 const MAXIMUM_RECORDED_BODY_BYTES = 64 * 1024;
 
--- a/src/routing/application-servers.ts
+++ b/src/routing/application-servers.ts
@@ -17,7 +17,7 @@
 
 /**
  * A server that could not be reached or broke off gets no call for so long, unless there is no other.
- * Milliseconds. Chosen, not measured.
+ * Milliseconds.
  */
 const AVOID_AFTER_FAILURE_MS = 2000;
 
--- a/src/routing/completion-effects.ts
+++ b/src/routing/completion-effects.ts
@@ -1,6 +1,4 @@
-/**
- * What the completion manager asks its runner to do, and its settings. Defaults were chosen, not measured.
- */
+/** What the completion manager asks its runner to do, and its settings. */
 import type { ServiceRow } from '../configuration/service-row.js';
 import type { KvHandle } from '../contracts/engine-protocol.js';
 import type { PulleyledgeError } from '../errors/index.js';
--- a/src/routing/completion-manager.ts
+++ b/src/routing/completion-manager.ts
@@ -34,8 +34,8 @@
 import { WaitEstimator } from './wait-estimator.js';
 
 /**
- * A request in the queue costs at least this many prompt tokens, so that short prompts count in the share of
- * their lane too. Chosen, not measured.
+ * A request in the queue costs at least this many prompt tokens, so that short prompts count in the share
+ * of their lane too.
  */
 const MINIMUM_COST_TOKENS = 32;
 
--- a/src/routing/completion-request.ts
+++ b/src/routing/completion-request.ts
@@ -21,9 +21,9 @@
   readonly key?: string | undefined;
 }
 
-/** Characters of a prompt that make about a token. A rule of thumb for English text; chosen, not measured. */
+/** Characters of a prompt that make about a token. A rule of thumb for English text. */
 const CHARACTERS_PER_TOKEN = 4;
-/** Prompts that begin with the same characters share a prefix key. Chosen, not measured. */
+/** Prompts that begin with the same characters share a prefix key. */
 const PREFIX_CHARACTERS = 256;
 
 /** Describes a prompt text; the token count is an estimate. */
--- a/src/routing/completion-rules.ts
+++ b/src/routing/completion-rules.ts
@@ -14,17 +14,14 @@
 import type { WaitEstimator } from './wait-estimator.js';
 
 /**
- * Pause of a request after rejections by engines, doubled with each, and its upper bound. Milliseconds.
- * Chosen, not measured: the bound is well below the 5 s that a service lets requests wait by default.
+ * Pause of a request after rejections by engines, doubled with each, and its upper bound. Milliseconds;
+ * the bound is well below the 5 s that a service lets requests wait by default.
  */
 const REJECTION_BACKOFF_MS = 50;
 const MAXIMUM_REJECTION_BACKOFF_MS = 800;
 /** Doublings after which the exponent grows no more; the longest backoff is reached before. */
 const MAXIMUM_DOUBLINGS = 6;
-/**
- * Rejections in a row that a request meets without a pause: other engines are tried at once. Chosen, not
- * measured.
- */
+/** Rejections in a row that a request meets without a pause: other engines are tried at once. */
 const REJECTIONS_WITHOUT_PAUSE = 2;
 
 /** The rules of one daemon. Times are monotonic milliseconds. */
--- a/src/routing/engine-directory.ts
+++ b/src/routing/engine-directory.ts
@@ -40,13 +40,11 @@
   firstTokenSeen: boolean;
 }
 
-/** An ejection is doubled so many times at most: eight times the first. Chosen, not measured. */
+/** An ejection is doubled so many times at most: eight times the first. */
 const MAXIMUM_EJECTION_DOUBLINGS = 3;
-/**
- * Of the own prompts without a first token about this share is still to be computed. Chosen, not measured.
- */
+/** Of the own prompts without a first token about this share is still to be computed. */
 const OWN_WORK_SHARE = 0.5;
-/** Time constant of the rate of prompt tokens sent to an engine. Milliseconds. Chosen, not measured. */
+/** Time constant of the rate of prompt tokens sent to an engine. Milliseconds. */
 const RATE_TIME_CONSTANT_MS = 5000;
 /**
  * What others send is not extrapolated beyond this. Milliseconds. As the default of `maximumReportAgeMs`: an
--- a/src/routing/engine-picker.ts
+++ b/src/routing/engine-picker.ts
@@ -7,7 +7,7 @@
  * 3. within a stage the cheaper of two drawn at random (Mitzenmacher, 2001), unless the engine that holds the
  *    prompt's prefix is not much dearer and within its bound of streams (`betterOfTwo`);
  * 4. an engine costs the expected time to the first token, more the more of its streams are taken, and more
- *    in another zone (`cost`). The settings below were chosen, not measured.
+ *    in another zone (`cost`).
  */
 import { pickByRendezvous } from '../shared/rendezvous-hash.js';
 import type { RandomSource } from '../shared/random.js';
@@ -76,10 +76,7 @@
   otherZoneCostMs: 5,
 };
 
-/**
- * Streams that an engine may have beyond the load bound, so that it does not bind on an idle fleet. Chosen,
- * not measured.
- */
+/** Streams that an engine may have beyond the load bound, so that it does not bind on an idle fleet. */
 const AFFINITY_FREE_STREAMS = 4;
 
 /** Whether engines of the model are known at all, for the right refusal. */
--- a/src/routing/priority-shares.ts
+++ b/src/routing/priority-shares.ts
@@ -3,9 +3,7 @@
  */
 import { SmoothedRate } from '../shared/smoothed-rate.js';
 
-/**
- * Time constant of the smoothed rates. Milliseconds. Chosen, not measured; as the demand estimate's default.
- */
+/** Time constant of the smoothed rates. Milliseconds; as the demand estimate's default. */
 const TIME_CONSTANT_MS = 5000;
 
 /** Shares of priority classes in the work sent lately. Engines do better classes first. */
--- a/src/routing/retry-after.ts
+++ b/src/routing/retry-after.ts
@@ -2,50 +2,40 @@
  * Every time that a daemon which serves completions names in a Retry-After, but for those that a quarantine
  * computes (src/quarantine). Owns the constants and the two rules that compute a time; relies on nothing.
  *
- * Where nothing else is said a constant was chosen, not measured. All times are milliseconds; the header
- * rounds them up to whole seconds.
+ * All times are milliseconds; the header rounds them up to whole seconds.
  */
 
 /**
- * The daemon has no configuration yet, holds a stale one, or is stopping. Milliseconds. Chosen, not measured:
- * callers may go to another daemon meanwhile.
+ * The daemon has no configuration yet, holds a stale one, or is stopping. Milliseconds; callers may go to
+ * another daemon meanwhile.
  */
 export const NOT_READY_RETRY_AFTER_MS = 1000;
 
 /**
  * The owner of the service's limits gave no answer, or no slot came free while the request was allowed to
- * wait. Milliseconds. Chosen, not measured.
+ * wait. Milliseconds.
  */
 export const SLOT_RETRY_AFTER_MS = 1000;
 
-/**
- * The table does not confirm claims, so a call that may run once at most was not sent. Milliseconds. Chosen,
- * not measured.
- */
+/** The table does not confirm claims, so a call that may run once at most was not sent. Milliseconds. */
 export const LEDGER_RETRY_AFTER_MS = 1000;
 
-/** No application server takes the call. Milliseconds. Chosen, not measured. */
+/** No application server takes the call. Milliseconds. */
 export const NO_SERVER_RETRY_AFTER_MS = 1000;
 
 /**
  * An operator's edit was not accepted: too few daemons are in contact, or the table gave no answer.
- * Milliseconds. Chosen, not measured.
+ * Milliseconds.
  */
 export const EDIT_RETRY_AFTER_MS = 2000;
 
-/** Least time after a refusal for load at the engines. Milliseconds. Chosen, not measured. */
+/** Least time after a refusal for load at the engines. Milliseconds. */
 export const MINIMUM_OVERLOAD_RETRY_AFTER_MS = 250;
 
-/**
- * Least time after a refusal for a full line of requests that wait for slots. Milliseconds. Chosen, not
- * measured.
- */
+/** Least time after a refusal for a full line of requests that wait for slots. Milliseconds. */
 const MINIMUM_SLOT_LINE_RETRY_AFTER_MS = 200;
 
-/**
- * Longest such time, and the one where the owner does not know the service. Milliseconds. Chosen, not
- * measured.
- */
+/** Longest such time, and the one where the owner does not know the service. Milliseconds. */
 export const MAXIMUM_SLOT_LINE_RETRY_AFTER_MS = 30_000;
 
 /**
--- a/src/routing/retry-budget.ts
+++ b/src/routing/retry-budget.ts
@@ -9,7 +9,7 @@
  * retried 280 times where 100 were earned.
  */
 const INITIAL_TOKENS = 1;
-/** Retries saved up at most, which bounds a burst after a quiet time. Chosen, not measured. */
+/** Retries saved up at most, which bounds a burst after a quiet time. */
 const MAXIMUM_TOKENS = 100;
 
 /** A retry budget: each request adds a part of a token, each retry takes a whole one. */
--- a/src/routing/wait-estimator.ts
+++ b/src/routing/wait-estimator.ts
@@ -9,9 +9,9 @@
 import type { EngineDirectory } from './engine-directory.js';
 import { PriorityShares } from './priority-shares.js';
 
-/** Duration of a stream before any has ended. Milliseconds. Chosen, not measured. */
+/** Duration of a stream before any has ended. Milliseconds. */
 const INITIAL_STREAM_MS = 5000;
-/** Weight of the newest stream in the smoothed duration. Chosen, not measured. */
+/** Weight of the newest stream in the smoothed duration. */
 const STREAM_SMOOTHING = 0.05;
 
 /** Estimates waits from the queue here and the work believed to be at the engines. */
