The next in rank stand in for a daemon that cannot get the stages' lease

What callers would see: while the store refuses one single daemon, no engine changes its stage, and prompts wait for engines that a change would give them.

Cause: only the first daemon by rendezvous hash wanted the lease of a service; one that the store refuses is still a member, so it stayed the first, and nobody else asked.

Change: the first three in rank may lead; each wants the lease 2 s later, for each one before it, than a change has been due by its own view. The simulated fleet notes engines that are asked for their state.

Why it holds: authority is the lease's, as before; a stand-in takes it only when it is free, and keeps it when the first is back.

Before: with the first one, or the first two, of four daemons refused, no engine was asked in 12 s (two tests failed). After: both pass, and with none refused only the first one asks, in 30 s.

--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -186,6 +186,9 @@
   /** Services whose lease some daemon has asked for. */
   readonly leasesAsked = new Set<string>();
 
+  /** Engines that daemons have asked for their state, to change their stage; they never answer. */
+  readonly enginesAsked: { readonly node: FleetNode; readonly backendId: string }[] = [];
+
   /** Reads that the store has seen from all daemons. */
   reads(): number {
     return this.nodes.reduce((sum, node) => sum + node.reads, 0);
@@ -232,6 +235,9 @@
           result,
         }));
         break;
+      case 'askEngine':
+        this.enginesAsked.push({ node, backendId: effect.backend.id });
+        break;
       case 'usageTable':
         this.callTable(node, effect.request, (result) => ({
           kind: 'usageTableResult',
--- a/src/allocation/stage-coordinator.ts
+++ b/src/allocation/stage-coordinator.ts
@@ -50,8 +50,10 @@
   readonly views: readonly BackendView[];
   readonly slots: number;
   readonly loaded: boolean;
-  /** Whether this daemon is the one that should hold the lease. */
+  /** Whether this daemon is one of those that should hold the lease. */
   readonly shouldLead: boolean;
+  /** A change must have been due for so long before it takes the lease. Milliseconds; default 0. */
+  readonly patienceMs?: number;
   /** The region of a zone; left out where there is one. */
   readonly regionOf?: (zone: string) => string;
 }
@@ -80,6 +82,8 @@
   private nextOrderAt = 0;
   private ordersFrom = Infinity;
   private tickedAt = 0;
+  /** Since when a change has been due. */
+  private dueSince: number | undefined;
   /** Since when a region has had an engine to give back. */
   private readonly spareSince = new Map<string, number>();
 
@@ -103,7 +107,7 @@
     this.tickedAt = now;
     this.forgetFinished(situation.views, now);
     const steps = this.planSteps(situation, now);
-    this.lease.tick(now, situation.shouldLead && steps.length > 0);
+    this.lease.tick(now, this.isDue(situation, steps, now));
     if (!situation.shouldLead) this.release(now);
     const held = this.lease.current(now);
     if (!held || now < this.ordersFrom) return;
@@ -111,6 +115,16 @@
       if (!next.some((step) => this.startChange(situation, step, now))) return;
   }
 
+  /** Whether this daemon should take the lease: a change is due that no daemon before it in rank has made. */
+  private isDue({ shouldLead, patienceMs = 0 }: StageSituation, steps: RegionStep[], now: number): boolean {
+    if (!shouldLead || steps.length === 0) {
+      this.dueSince = undefined;
+      return false;
+    }
+    this.dueSince ??= now;
+    return now - this.dueSince >= patienceMs;
+  }
+
   /** Asks one engine for its state, to change its stage; false when none may change now. */
   private startChange(situation: StageSituation, { region, step }: RegionStep, now: number): boolean {
     const { views, loaded } = situation;
--- a/src/daemon/stage-manager.ts
+++ b/src/daemon/stage-manager.ts
@@ -1,7 +1,8 @@
 /**
- * The stage coordinators of a forwarding daemon, one a service of model engines, and which daemon should lead
- * each: the first of the active members by rendezvous hash of the service, once that has been so for a while.
- * Owns the coordinators and the elections; who may give orders is decided by the lease of each coordinator.
+ * The stage coordinators of a forwarding daemon, one a service of model engines, and which daemons should lead
+ * each: the first of the active members by rendezvous hash of the service, once that has been so for a while,
+ * and the next in rank when it does not. Owns the coordinators and the ranks; who may give orders is decided by
+ * the lease of each coordinator.
  */
 import type { EngineStatus, StageOrderResult } from '../allocation/engine-orders.js';
 import {
@@ -14,7 +15,7 @@
 import type { Member } from '../membership/membership-messages.js';
 import type { TableResult } from '../contracts/table-service.js';
 import type { EffectSink } from '../shared/effect-sink.js';
-import { pickByRendezvous } from '../shared/rendezvous-hash.js';
+import { getRendezvousPlace } from '../shared/rendezvous-hash.js';
 
 /** What the manager works with. */
 interface StageManagerParts {
@@ -31,12 +32,30 @@
  */
 const SETTLED_MS = 1500;
 
-/** Which member should hold a service's lease, and since when that is so. */
+/**
+ * Members that may lead a service: the first in rank, and those that stand in for it. The store may refuse a
+ * daemon that others do not miss.
+ */
+const CANDIDATES = 3;
+/**
+ * Each candidate waits for so long, for each one before it in rank, before it takes a lease that is free.
+ * Milliseconds; a write that was lost is repeated within half of it.
+ */
+const STANDBY_MS = 2000;
+
+/** This daemon's place in rank for a service's lease, and since when that is so. */
 interface Election {
-  readonly chosen: string | undefined;
+  readonly place: number;
   readonly since: number;
 }
 
+interface ServiceTick {
+  readonly service: string;
+  readonly slots: number;
+  readonly shouldLead: boolean;
+  readonly patienceMs: number;
+}
+
 /** The manager of one daemon. Times are monotonic milliseconds. */
 export class StageManager {
   private readonly coordinators = new Map<string, StageCoordinator>();
@@ -63,7 +82,9 @@
     for (const [service, slots] of this.slots) {
       const election = this.elections.get(service);
       const settled = election !== undefined && now - election.since >= SETTLED_MS;
-      this.tickService(service, slots, mayLead && settled && election.chosen === this.selfId, now);
+      const shouldLead = mayLead && settled && election.place < CANDIDATES;
+      const patienceMs = (election?.place ?? 0) * STANDBY_MS;
+      this.tickService({ service, slots, shouldLead, patienceMs }, now);
     }
   }
 
@@ -87,10 +108,7 @@
     this.coordinators.get(service)?.receiveOrderResult(backendId, result);
   }
 
-  /**
-   * Finds for each service the member that should hold its lease, when the members or the services have
-   * changed.
-   */
+  /** Finds this daemon's place in rank for each service, when the members or the services have changed. */
   private elect(now: number): void {
     const members = this.parts.members();
     const known = [...this.slots.keys()].every((service) => this.elections.has(service));
@@ -98,12 +116,12 @@
     this.electors = members;
     const ids = members.map((member) => member.id);
     for (const service of this.slots.keys()) {
-      const chosen = pickByRendezvous(service, ids);
-      if (this.elections.get(service)?.chosen !== chosen) this.elections.set(service, { chosen, since: now });
+      const place = getRendezvousPlace(service, ids, this.selfId);
+      if (this.elections.get(service)?.place !== place) this.elections.set(service, { place, since: now });
     }
   }
 
-  private tickService(service: string, slots: number, shouldLead: boolean, now: number): void {
+  private tickService({ service, slots, shouldLead, patienceMs }: ServiceTick, now: number): void {
     const coordinator = this.coordinatorOf(service, now);
     const views = this.parts.directory.ofService(service);
     if (views.length === 0) return;
@@ -114,6 +132,7 @@
         slots,
         loaded: inFlight > 0,
         shouldLead,
+        patienceMs,
         regionOf: (zone) => this.parts.regionOf?.(zone) ?? '',
       },
       now,
--- a/test/stages.test.ts
+++ b/test/stages.test.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
 import { LAB_STAGES } from '../lab/stage-settings.js';
+import type { FleetNode } from '../simulation/fleet-node.js';
 import { ForwardingFleet } from '../simulation/forwarding-fleet.js';
 import { StageCoordinator, type StageEffect } from '../src/allocation/stage-coordinator.js';
 import { DEFAULT_STAGE_PLANNER_SETTINGS, planStage } from '../src/allocation/stage-planner.js';
@@ -11,6 +12,7 @@
 import { BackendView } from '../src/forwarding/backends/backend-view.js';
 import type { EngineStage } from '../src/forwarding/routes/route.js';
 import type { LeaseValue } from '../src/lease/cell-lease.js';
+import { rankByRendezvous } from '../src/shared/rendezvous-hash.js';
 
 function views(stages: readonly EngineStage[]): BackendView[] {
   return stages.map(
@@ -146,6 +148,53 @@
   });
 });
 
+/**
+ * Only the first daemon in rank wanted the lease of a service. While the store refused just that one, all others
+ * were served by it and none changed a stage: prompts waited for engines that a change would have given them, for as
+ * long as the store refused it. What showed it: four daemons, 97 calls by the first, none by the others.
+ */
+describe('a daemon that should hold the lease and cannot reach the store', () => {
+  const SERVICE = 'service';
+  /** Two patiences, a lease that runs out, and the wait of a new holder. Milliseconds. */
+  const STANDBY_BOUND_MS = 10_000;
+
+  function startFleet(): ForwardingFleet {
+    const fleet = new ForwardingFleet(4, 1);
+    fleet.write({ collection: 'configuration', revision: 0, value: labConfiguration(1, [labRoute({})]) });
+    for (let index = 0; index < 6; index += 1) {
+      const engine = {
+        ...labBackend(`e${index}`, '10.1.0.1:80'),
+        service: SERVICE,
+        stage: 'prefill' as const,
+      };
+      fleet.write({ collection: 'backends', id: engine.id, revision: 0, value: engine });
+    }
+    return fleet;
+  }
+
+  function rank(fleet: ForwardingFleet): FleetNode[] {
+    const ids = fleet.nodes.map((node) => node.id);
+    const ranked = rankByRendezvous(SERVICE, ids, ids.length);
+    return ranked.map((id) => fleet.nodes.find((node) => node.id === id) as FleetNode);
+  }
+
+  for (const refused of [1, 2])
+    it(`is stood in for by the next in rank when the first ${refused} cannot`, () => {
+      const fleet = startFleet();
+      const ranked = rank(fleet);
+      ranked.slice(0, refused).forEach((node) => (node.access = 'refuses'));
+      fleet.time.runUntil(2000 + STANDBY_BOUND_MS);
+      expect(fleet.enginesAsked.map(({ node }) => node.id)).to.include(ranked[refused].id);
+    });
+
+  it('keeps the lease to itself otherwise', () => {
+    const fleet = startFleet();
+    const [first] = rank(fleet);
+    fleet.time.runUntil(30_000);
+    expect(new Set(fleet.enginesAsked.map(({ node }) => node.id))).to.deep.equal(new Set([first.id]));
+  });
+});
+
 describe('stage coordinator', () => {
   it('orders only under the lease, one engine at a time, with the count of orders that the engine told', () => {
     const site = new Coordination(views(FAR_FROM_PLAN));
