A stop that is asked for again waits for the requests in hand

What callers saw: a second SIGTERM (or SIGINT) ended a stopping daemon at once, and every answer under way was cut. Both daemons.

Cause: the program ends its process when stop() returns; a second call returned at once because a stop was under way.

Change: stop() gives every caller the same promise.

Why it holds: the process ends only when the one promise resolves, whoever asks.

--- a/src/process/completion-process.ts
+++ b/src/process/completion-process.ts
@@ -67,6 +67,7 @@
   private readonly edits = new Map<string, OpenEdit>();
   private ticker: NodeJS.Timeout | undefined;
   private stopping = false;
+  private stopped: Promise<void> | undefined;
 
   constructor(private readonly settings: Settings) {
     const { identity, seeds, random } = createDaemonStart(settings);
@@ -120,10 +121,14 @@
   /**
    * Stops without cutting a request: hands over leases, limits and membership, takes new requests a little
    * longer, closes the listener, and ends when the last request has its answer and no caller may still send
-   * one on a connection that it was told to keep.
+   * one on a connection that it was told to keep. Asked again, it resolves no sooner: the program ends then.
    */
-  async stop(): Promise<void> {
-    if (this.stopping) return;
+  stop(): Promise<void> {
+    this.stopped ??= this.runStop();
+    return this.stopped;
+  }
+
+  private async runStop(): Promise<void> {
     this.stopping = true;
     this.actors.dispatch({ kind: 'beginDrain' });
     this.callerConnections.beginClosing();
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -94,7 +94,7 @@
   private readonly requests: OpenRequests;
   private tickTimer: NodeJS.Timeout | undefined;
   private flushTimer: NodeJS.Timeout | undefined;
-  private stopping = false;
+  private stopped: Promise<void> | undefined;
 
   constructor(
     private readonly settings: ForwardingProcessSettings,
@@ -173,10 +173,15 @@
     this.log.important('record.rejected', { key, code: error.code, ...error.context });
   }
 
-  /** Stops without cutting a request, within the grace. */
-  async stop(): Promise<void> {
-    if (this.stopping) return;
-    this.stopping = true;
+  /**
+   * Stops without cutting a request, within the grace. Asked again, it resolves no sooner: the program ends then.
+   */
+  stop(): Promise<void> {
+    this.stopped ??= this.runStop();
+    return this.stopped;
+  }
+
+  private async runStop(): Promise<void> {
     const startedAt = now();
     const latest = startedAt + this.settings.stopGraceMs - STOP_MARGIN_MS;
     this.send({ kind: 'beginDrain' });
--- a/test/forwarding-bytes.test.ts
+++ b/test/forwarding-bytes.test.ts
@@ -172,6 +172,26 @@
     await stopped;
   });
 
+  /*
+   * A second SIGTERM ended a stopping daemon at once, with every request in hand: the second call of `stop` returned
+   * while the first was still waiting, and the program ends when `stop` returns. What showed it: signals drawn by a
+   * seed, 10 and 15 requests cut, each on a daemon that had been sent SIGTERM twice.
+   */
+  it('a stop that is asked for again waits for the requests in hand too', async () => {
+    await start((_request, socket) => {
+      const answer = `HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\n${SIGNED}Content-Length: 2\r\n\r\nok`;
+      setTimeout(() => socket.write(answer), 1000);
+    });
+    const answer = ask(site.callers, GET);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    const stops = [site.daemon.stop(), site.daemon.stop()];
+    const first = await Promise.race([answer, ...stops.map((stop) => stop.then(() => 'stopped'))]);
+    expect(first)
+      .to.have.property('text')
+      .that.matches(/^HTTP\/1.1 200 /);
+    await Promise.all(stops);
+  });
+
   /*
    * A stopping daemon ends at the latest moment that its grace allows. Requests that it had taken since it last
    * looked, and connections that it had not accepted yet, were reset then, though none of them needed more than a
--- a/test/kept-connections.test.ts
+++ b/test/kept-connections.test.ts
@@ -111,6 +111,27 @@
     await site.stop();
   });
 
+  /*
+   * A second SIGTERM ended a stopping daemon at once, with every request in hand: the second call of `stop` returned
+   * while the first was still waiting, and the program ends when `stop` returns.
+   */
+  it('bring whole answers though the daemon is told to stop again and again', async () => {
+    const { port } = relay.address() as AddressInfo;
+    const callers = Array.from({ length: 10 }, () => new Caller(port));
+    const asked = callers.map((caller) => caller.ask(100));
+    await delay(STOP_AFTER_MS);
+    const { child } = site.daemons[0];
+    const ended = once(child, 'exit');
+    for (const signal of ['SIGTERM', 'SIGTERM', 'SIGINT', 'SIGTERM'] as const) {
+      child.kill(signal);
+      await delay(100);
+    }
+    const answers = await Promise.all(asked);
+    callers.forEach((caller) => caller.close());
+    expect(answers.filter((answer) => !answer.includes('[DONE]'))).to.deep.equal([]);
+    expect((await ended)[0]).to.equal(0);
+  });
+
   it('of answers that end late in a stop bring further requests, and each is answered', async () => {
     const { port } = relay.address() as AddressInfo;
     const random = new SeededRandom(SEED);
--- /dev/null
+++ b/test/signal-hunt.test.ts
@@ -0,0 +1,126 @@
+/**
+ * Signals drawn by a seed, in series and overlapping, to the daemons of the completions interface while callers go on
+ * using the connections that they keep: planned stops, changes of the settings, and moments in which a daemon
+ * stands still. No request goes without an answer, and none is cut. `SIGNAL_HUNT_SEEDS=50 npm run unit -- --grep
+ * "drawn signals"` plays more seeds, `SIGNAL_HUNT_FROM` says from which on.
+ */
+import { expect } from 'chai';
+import { once } from 'node:events';
+import { LocalSite } from '../lab/launcher.js';
+import { LoadGenerator, type LoadPhase } from '../lab/load-generator.js';
+import { siteProfile } from '../lab/site-profiles.js';
+import { delay } from '../src/shared/delay.js';
+import { exponential, SeededRandom } from '../src/shared/random.js';
+
+const FIRST_SEED = Number(process.env.SIGNAL_HUNT_FROM ?? 5200);
+const SEEDS = Number(process.env.SIGNAL_HUNT_SEEDS ?? 1);
+const DAEMONS = 4;
+/** Daemons that serve at any time: callers pass over one that refuses connections. */
+const LEFT_SERVING = 2;
+const SECONDS = 22;
+/** Mean time between two signals to one daemon. Milliseconds. */
+const SIGNAL_INTERVAL_MS = 900;
+/** A daemon stands still for so long at most: less than its peers take to declare it lost. Milliseconds. */
+const LONGEST_PAUSE_MS = 900;
+
+/** Short and long answers, in bursts, so that connections rest between them for up to the time they are kept. */
+function makePhases(random: SeededRandom): LoadPhase[] {
+  const targets = { firstTokenTargetMs: 30_000, betweenTokensTargetMs: 1000 };
+  const eligibility = { service: 'eligibility', promptTokens: 100, ...targets };
+  const review = { service: 'policy-review', promptTokens: 600, outputTokens: 220, ...targets };
+  return Array.from({ length: SECONDS / 2 }, () => ({
+    seconds: 2,
+    classes: [
+      { ...eligibility, outputTokens: 10, perSecond: 1 + random.below(20) },
+      { ...review, perSecond: 1 + random.below(3) },
+    ],
+    calls: [{ service: 'confirmation', perSecond: 3 }],
+  }));
+}
+
+/** One site under drawn signals. */
+class SignalledSite {
+  readonly site = new LocalSite(siteProfile('trust-tt-north'), {
+    engines: 4,
+    daemons: DAEMONS,
+    applications: 2,
+  });
+  /** Exit codes or signals of stopped daemons. */
+  readonly ends: (number | string | null)[] = [];
+  private stopping = 0;
+  private over = false;
+
+  constructor(private readonly random: SeededRandom) {}
+
+  /** Sends signals to one daemon until `finish`. */
+  async disturb(index: number): Promise<void> {
+    for (;;) {
+      await delay(exponential(this.random, SIGNAL_INTERVAL_MS));
+      if (this.over) return;
+      const kind = this.random.below(4);
+      if (kind === 0) this.site.daemons[index].child.kill('SIGHUP');
+      else if (kind === 1) await this.pause(index);
+      else if (kind === 2 && this.stopping < DAEMONS - LEFT_SERVING) await this.restart(index);
+    }
+  }
+
+  finish(): void {
+    this.over = true;
+  }
+
+  private async pause(index: number): Promise<void> {
+    const { child } = this.site.daemons[index];
+    child.kill('SIGSTOP');
+    await delay(this.random.below(LONGEST_PAUSE_MS));
+    child.kill('SIGCONT');
+  }
+
+  /** A planned stop, disturbed by further signals, and a new start. */
+  private async restart(index: number): Promise<void> {
+    this.stopping += 1;
+    const { child } = this.site.daemons[index];
+    const ended = once(child, 'exit') as Promise<[number | null, string | null]>;
+    child.kill('SIGTERM');
+    await delay(this.random.below(2500));
+    if (this.random.below(2) === 0) await this.pause(index);
+    child.kill(this.random.below(2) === 0 ? 'SIGHUP' : 'SIGTERM');
+    const [code, signal] = await ended;
+    this.ends.push(signal ?? code);
+    await this.site.waitReady([this.site.restartDaemon(index)]);
+    this.stopping -= 1;
+  }
+}
+
+describe('drawn signals', function () {
+  this.timeout(120_000);
+
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1)
+    it(`leave no request without an answer (seed ${seed})`, async () => {
+      const random = new SeededRandom(seed);
+      const signalled = new SignalledSite(random);
+      await signalled.site.start();
+      const load = new LoadGenerator(signalled.site.callers(), new SeededRandom(seed + 1));
+      const running = load.run(makePhases(new SeededRandom(seed + 2)));
+      const disturbed = signalled.site.daemons.map((_daemon, index) => signalled.disturb(index));
+      await running;
+      signalled.finish();
+      await Promise.all(disturbed);
+      const results = [...load.results.values()];
+      const count = (key: 'unanswered' | 'broken' | 'wrong' | 'sent' | 'whole'): number =>
+        results.reduce((sum, result) => sum + result[key], 0);
+      const endedByThemselves = signalled.site.daemons.map(({ child }) => child.signalCode ?? child.exitCode);
+      await signalled.site.stop();
+      expect({
+        unanswered: count('unanswered'),
+        broken: count('broken'),
+        wrong: count('wrong'),
+      }).to.deep.equal({
+        unanswered: 0,
+        broken: 0,
+        wrong: 0,
+      });
+      expect(new Set(signalled.ends)).to.deep.equal(new Set([0]));
+      expect(new Set(endedByThemselves)).to.deep.equal(new Set([null]));
+      expect(count('whole')).to.be.greaterThan(count('sent') / 2);
+    });
+});
