A late answer of a quota's owner counts for the requests that still wait

What callers saw: requests within their tenant's limit refused with 429, reason "silence", while the owner of the bucket was busy.

Cause: after 20 ms without an answer the next daemon in rank is asked, for the case that the owner was killed; from then on the owner's answer counted as late and what it granted was handed back, though its requests still waited. The next in rank is no owner.

Change: within the time-out of an ask (250 ms) such an answer decides the requests that still wait. Later ones are handed back as before.

Why it holds: the bound of a quota rests on grants that arrive within that time-out, which stays; a request granted twice is charged once, the other grant is handed back. The drawn kills, cuts, stand-stills and losses of test/quotas pass unchanged.

--- a/src/quotas/quota-holder.ts
+++ b/src/quotas/quota-holder.ts
@@ -25,7 +25,8 @@
 /// An ask that carries needs is given up after so long, and the next daemon in rank is asked: callers wait
 /// 150 ms at most, and an owner that was killed costs them less. Milliseconds.
 const REASK_MS = 20
-/// Late answers to asks that were given up are heeded so long: what they grant is handed back. Milliseconds.
+/// Late answers to asks that were given up are heeded so long: what they grant in time is spent, the rest is
+/// handed back. Milliseconds.
 const CLOSED_MS = 2000
 
 /// An ask that is under way.
@@ -124,8 +125,9 @@
   /// Takes the owner's word. Returns what became of those that waited; undefined when nothing waits for this
   /// answer.
   receive(answer: QuotaAnswer, fromId: string, now: number): Map<string, QuotaDecision> | undefined {
+    const late = this.takeClosed(answer.sequence)
+    if (late) return this.receiveLate(late, answer, fromId, now)
     const {open} = this
-    if (this.receiveLate(answer)) return undefined
     if (open?.sequence !== answer.sequence || now - open.askedAt > ASK_TIMEOUT_MS) return undefined
     this.open = undefined
     if (answer.notOwner) {
@@ -133,6 +135,15 @@
       this.tried.add(fromId)
       return new Map()
     }
+    return this.applyAnswer(open, answer, fromId, now)
+  }
+
+  private applyAnswer(
+    {needs}: OpenAsk,
+    answer: QuotaAnswer,
+    fromId: string,
+    now: number
+  ): Map<string, QuotaDecision> {
     this.tried.clear()
     this.answeredAt = now
     this.answeredBy = fromId
@@ -140,16 +151,28 @@
     this.retryAfterMs = answer.retryAfterMs || NO_OWNER_RETRY_AFTER_MS
     this.blockedUntil = now + answer.blockedMs
     this.blockedTokens = answer.blockedTokens
-    return this.settle(open.needs, answer.granted, now)
+    return this.settle(needs, answer.granted, now)
   }
 
-  /// What a late answer grants is not spent but handed back.
-  private receiveLate({sequence, notOwner, granted}: QuotaAnswer): boolean {
+  private takeClosed(sequence: number): OpenAsk | undefined {
     const late = this.closed.find(ask => ask.sequence === sequence)
-    if (!late) return false
-    this.closed = this.closed.filter(ask => ask !== late)
-    if (!notOwner) for (const place of granted) this.unreported -= late.needs[place]?.tokens ?? 0
-    return true
+    if (late) this.closed = this.closed.filter(ask => ask !== late)
+    return late
+  }
+
+  /// An owner that is busy answers after another daemon was asked in its place. Its word counts for those that
+  /// still wait: they would be refused although they are within the limit. After the time-out what it grants is
+  /// not spent but handed back.
+  private receiveLate(
+    late: OpenAsk,
+    answer: QuotaAnswer,
+    fromId: string,
+    now: number
+  ): Map<string, QuotaDecision> | undefined {
+    if (answer.notOwner) return undefined
+    if (now - late.askedAt <= ASK_TIMEOUT_MS) return this.applyAnswer(late, answer, fromId, now)
+    for (const place of answer.granted) this.unreported -= late.needs[place]?.tokens ?? 0
+    return undefined
   }
 
   /// Ends an ask that nobody answers. What it told may have been debited: it is told again, unless that would
--- a/test/quotas.test.ts
+++ b/test/quotas.test.ts
@@ -136,6 +136,26 @@
     });
   }
 
+  /*
+   * An owner that is busy answers late. A daemon that had not heard its answer within 20 ms asked the next one in rank,
+   * and handed back whatever the late answer granted: its callers, below their limit, were refused because nobody
+   * had answered. What showed it: on a day with bursts 3,151 of 3,912 refusals had the reason "silence" with processor
+   * time counted, 514 without it.
+   */
+  it('serve a tenant below its limit though the owner answers late', () => {
+    // A request that comes while an ask is under way waits for two answers: both must fit into its wait of 60 ms.
+    for (const networkMs of [8, 12, 15]) {
+      const fleet = makeFleet();
+      fleet.networkMs = networkMs;
+      fleet.time.runUntil(8000);
+      load(fleet, 't', fleet.nodes, 0.2 * LIMIT.ratePerSecond, 60_000);
+      fleet.time.runUntil(61_000);
+      const all = fleet.arrivals.length + fleet.refusals.length;
+      const refusedByOne = findRefusedByOneBucket([...fleet.arrivals, ...fleet.refusals]).length;
+      expect(fleet.refusals.length, `${networkMs} ms one way`).to.be.at.most(refusedByOne + all / 1000);
+    }
+  });
+
   it('refuse no more tokens than one bucket for all would of a tenant that asks for 0.8 of its limit', () => {
     const fleet = makeFleet();
     fleet.time.runUntil(8000);
