Names of the diff: verbs of the list, no clock that nobody passes

Read as a newcomer: isDue changed state (setDue and hasBeenDue now), waitForLastCallers for answerLastCallers, KeptConnections took a clock that nobody gave it.

--- a/src/allocation/stage-coordinator.ts
+++ b/src/allocation/stage-coordinator.ts
@@ -107,7 +107,8 @@
     this.tickedAt = now;
     this.forgetFinished(situation.views, now);
     const steps = this.planSteps(situation, now);
-    this.lease.tick(now, this.isDue(situation, steps, now));
+    this.setDue(situation.shouldLead && steps.length > 0, now);
+    this.lease.tick(now, this.hasBeenDue(situation.patienceMs ?? 0, now));
     if (!situation.shouldLead) this.release(now);
     const held = this.lease.current(now);
     if (!held || now < this.ordersFrom) return;
@@ -115,14 +116,14 @@
       if (!next.some((step) => this.startChange(situation, step, now))) return;
   }
 
-  /** Whether this daemon should take the lease: a change is due that no daemon before it in rank has made. */
-  private isDue({ shouldLead, patienceMs = 0 }: StageSituation, steps: RegionStep[], now: number): boolean {
-    if (!shouldLead || steps.length === 0) {
-      this.dueSince = undefined;
-      return false;
-    }
-    this.dueSince ??= now;
-    return now - this.dueSince >= patienceMs;
+  private setDue(due: boolean, now: number): void {
+    if (!due) this.dueSince = undefined;
+    else this.dueSince ??= now;
+  }
+
+  /** Whether a change has been due for so long: no daemon before this one in rank has made it. */
+  private hasBeenDue(forMs: number, now: number): boolean {
+    return this.dueSince !== undefined && now - this.dueSince >= forMs;
   }
 
   /** Asks one engine for its state, to change its stage; false when none may change now. */
--- a/src/gateway/kept-connections.ts
+++ b/src/gateway/kept-connections.ts
@@ -30,14 +30,11 @@
   private readonly connections = new Map<Socket, CallerConnection>();
   private closing = false;
 
-  constructor(
-    private readonly server: Server,
-    private readonly clock: () => number = () => performance.now(),
-  ) {
+  constructor(private readonly server: Server) {
     server.keepAliveTimeout = TOLD_REST_MS + WAY_MARGIN_MS;
     server.on('connection', (socket: Socket) => this.add(socket));
     server.prependListener('request', ({ socket }, response) => this.addDue(socket, response));
-    server.on('timeout', (socket: Socket) => closeUnlessRead(socket));
+    server.on('timeout', closeUnlessRead);
   }
 
   /** From now on answers tell callers to close their connections, also those whose requests have come already. */
@@ -54,7 +51,7 @@
 
   /** Connections on which a request may still come, by what their callers were told. */
   getExpectedCount(): number {
-    const now = this.clock();
+    const now = performance.now();
     let count = 0;
     for (const { keptUntil } of this.connections.values()) if (keptUntil > now) count += 1;
     return count;
@@ -78,7 +75,7 @@
   }
 
   private getRestEnd(): number {
-    return this.clock() + this.server.keepAliveTimeout;
+    return performance.now() + this.server.keepAliveTimeout;
   }
 }
 
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -192,7 +192,7 @@
       if (noticed && this.server.openRequests() === 0 && this.server.openConnections() === 0) break;
       await delay(DRAIN_POLL_MS);
     }
-    await this.answerLastCallers();
+    await this.waitForLastCallers();
     this.stopTimers();
     this.log.important('process.stopped', {
       unfinished: this.server.openRequests(),
@@ -205,7 +205,7 @@
    * Callers that have connected, or sent a request, since the last look are refused in order: the end of the
    * process would reset them, and they could not know whether their requests ran.
    */
-  private async answerLastCallers(): Promise<void> {
+  private async waitForLastCallers(): Promise<void> {
     const latest = now() + LAST_ANSWERS_MS;
     await this.server.stopListening(LAST_ANSWERS_MS);
     do await delay(LAST_ANSWERS_POLL_MS);
