In a stop the last answer due on a connection ends it, not the first

What callers saw: of several requests sent on a connection without waiting only the first was answered when the daemon was stopping, though back ends ran the others.

Cause: every answer of a stopping daemon told to close, and the HTTP server closes a connection after such an answer.

Change: an answer behind which others are due does not end its connection. The completions interface has had the same rule since KeptConnections; it has a test now.

After: three, and one "Connection: close".

--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -290,9 +290,13 @@
 
   private accept(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = this.clock();
-    const reply = new CallerReply(response, () => this.closing, undefined);
-    const replies = this.connections.get(request.socket);
     const { socket } = request;
+    const replies = this.connections.get(socket);
+    const reply: CallerReply = new CallerReply(
+      response,
+      () => this.closing && isLast(replies, reply),
+      undefined,
+    );
     replies?.add(reply);
     this.resting.delete(socket);
     response.on('close', () => {
@@ -326,6 +330,11 @@
   }
 }
 
+/** Only the last answer due on a connection may end it: the others are followed by answers to requests that have come. */
+function isLast(replies: ReadonlySet<CallerReply> | undefined, reply: CallerReply): boolean {
+  return replies === undefined || [...replies].pop() === reply;
+}
+
 function pairs(headers: readonly string[], dropped: ReadonlySet<string>): [string, string][] {
   const list: [string, string][] = [];
   for (let index = 0; index + 1 < headers.length; index += 2) {
--- a/test/forwarding-bytes.test.ts
+++ b/test/forwarding-bytes.test.ts
@@ -172,6 +172,30 @@
     await stopped;
   });
 
+  /*
+   * In a stop each answer ended its connection, also one with further answers due behind it: requests that had been sent
+   * without waiting for the answer before were cut, though back ends ran them. What showed it: of three such
+   * requests one was answered.
+   */
+  it('a stop answers all requests that were sent on a connection without waiting', async () => {
+    await start((_request, socket) => {
+      const answer = `HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\n${SIGNED}Content-Length: 2\r\n\r\nok`;
+      setTimeout(() => socket.write(answer), 400);
+    });
+    const [host, port] = site.callers.split(':');
+    const socket = connect(Number(port), host);
+    let text = '';
+    socket.on('data', (chunk: Buffer) => (text += chunk.toString('latin1')));
+    const ended = once(socket, 'close');
+    socket.write(`${GET}\r\nHost: site.example\r\n\r\n`.repeat(3));
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    const stopped = site.daemon.stop();
+    await ended;
+    expect(text.match(/HTTP\/1.1 200 OK/g)).to.have.length(3);
+    expect(text.match(/^Connection: close/gim)).to.have.length(1);
+    await stopped;
+  });
+
   /*
    * A second SIGTERM ended a stopping daemon at once, with every request in hand: the second call of `stop` returned
    * while the first was still waiting, and the program ends when `stop` returns. What showed it: signals drawn by a
--- a/test/stop-listening.test.ts
+++ b/test/stop-listening.test.ts
@@ -6,6 +6,7 @@
 import { createServer, type Server } from 'node:http';
 import { connect, type AddressInfo } from 'node:net';
 import { once } from 'node:events';
+import { KeptConnections } from '../src/gateway/kept-connections.js';
 import { stopListening } from '../src/adapters/listen.js';
 import { delay } from '../src/shared/delay.js';
 
@@ -29,6 +30,31 @@
   return server;
 }
 
+describe('a server that closes the connections that callers keep', () => {
+  it('answers all requests that were sent on one without waiting, and tells to close with the last answer', async () => {
+    const server = createServer((_request, response) => void setTimeout(() => response.end('here'), 50));
+    const connections = new KeptConnections(server);
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    let text = '';
+    socket.on('data', (data) => (text += String(data)));
+    const ended = once(socket, 'close');
+    socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(3));
+    await delay(20);
+    connections.beginClosing();
+    expect(connections.hasDueAnswers()).to.equal(true);
+    await ended;
+    expect(text.match(/HTTP\/1.1 200 OK/g)).to.have.length(3);
+    expect(text.match(/connection: close/gi)).to.have.length(1);
+    expect({ due: connections.hasDueAnswers(), expected: connections.getExpectedCount() }).to.deep.equal({
+      due: false,
+      expected: 0,
+    });
+    server.close();
+  });
+});
+
 describe('a server that stops listening', () => {
   it('answers callers that had connected before, and takes no new ones', async () => {
     const server = await startServer();
