Tests of signals end their processes also when they fail

A failing assertion left the daemons of its site running; both tests stop their site afterwards now.

--- a/test/reload-signal.test.ts
+++ b/test/reload-signal.test.ts
@@ -32,8 +32,12 @@
 describe('a daemon whose settings change', function () {
   this.timeout(60_000);
 
+  let site: LocalSite | undefined;
+
+  afterEach(() => site?.stop());
+
   it('serves on through a series of SIGHUP, with valid and with wrong settings', async () => {
-    const site = new LocalSite(siteProfile('trust-tt-north'), { engines: 2, daemons: 1, applications: 1 });
+    site = new LocalSite(siteProfile('trust-tt-north'), { engines: 2, daemons: 1, applications: 1 });
     await site.start();
     const targets = { firstTokenTargetMs: 30_000, betweenTokensTargetMs: 1000 };
     const reviews = {
@@ -66,7 +70,6 @@
       false,
       false,
     ]);
-    await site.stop();
   });
 
   it('is not ended by SIGHUP while it loads', async () => {
--- a/test/signal-hunt.test.ts
+++ b/test/signal-hunt.test.ts
@@ -93,11 +93,14 @@
 
 describe('drawn signals', function () {
   this.timeout(120_000);
+  let signalled: SignalledSite;
+
+  afterEach(() => signalled.site.stop());
 
   for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1)
     it(`leave no request without an answer (seed ${seed})`, async () => {
       const random = new SeededRandom(seed);
-      const signalled = new SignalledSite(random);
+      signalled = new SignalledSite(random);
       await signalled.site.start();
       const load = new LoadGenerator(signalled.site.callers(), new SeededRandom(seed + 1));
       const running = load.run(makePhases(new SeededRandom(seed + 2)));
@@ -108,18 +111,14 @@
       const results = [...load.results.values()];
       const count = (key: 'unanswered' | 'broken' | 'wrong' | 'sent' | 'whole'): number =>
         results.reduce((sum, result) => sum + result[key], 0);
-      const endedByThemselves = signalled.site.daemons.map(({ child }) => child.signalCode ?? child.exitCode);
-      await signalled.site.stop();
-      expect({
+      const failures = {
         unanswered: count('unanswered'),
         broken: count('broken'),
         wrong: count('wrong'),
-      }).to.deep.equal({
-        unanswered: 0,
-        broken: 0,
-        wrong: 0,
-      });
+      };
+      expect(failures).to.deep.equal({ unanswered: 0, broken: 0, wrong: 0 });
       expect(new Set(signalled.ends)).to.deep.equal(new Set([0]));
+      const endedByThemselves = signalled.site.daemons.map(({ child }) => child.signalCode ?? child.exitCode);
       expect(new Set(endedByThemselves)).to.deep.equal(new Set([null]));
       expect(count('whole')).to.be.greaterThan(count('sent') / 2);
     });
