Runs beside each other hand out different ports

Cause: a port was handed out when nobody listened on it at that moment; a daemon that is down between two lives leaves its ports free, and runs whose process ids lie close walk through the same range.

Change: each process holds the first port of a block of 64 for as long as it lives and hands out the rest of the block. The product is not touched.

--- a/lab/free-ports.ts
+++ b/lab/free-ports.ts
@@ -12,33 +12,63 @@
 const FIRST_PORT = 20_000;
 const LAST_PORT = 32_000;
 /**
- * Processes whose ids follow each other start so many ports apart. Chosen, not measured: more than the ports
- * of a soak with 24 daemons, four each, and no divisor of the range.
+ * Ports are handed out from blocks of so many. Its process holds the first port of a block as long as it lives, so
+ * that no other one hands out the same: a port that is free just now may belong to a daemon that starts again.
  */
-const PORTS_APART = 211;
+export const BLOCK_PORTS = 64;
+const BLOCKS = Math.floor((LAST_PORT - FIRST_PORT) / BLOCK_PORTS);
+/** Processes whose ids follow each other begin so many blocks apart. */
+const BLOCKS_APART = 5;
 
-/** The port that was looked at last. */
-let lastPort = FIRST_PORT + ((process.pid * PORTS_APART) % (LAST_PORT - FIRST_PORT));
+/** The next port of the present block, and the end of that block. */
+let nextPort = 0;
+let endPort = 0;
+let nextBlock = (process.pid * BLOCKS_APART) % BLOCKS;
 
 /**
- * Finds so many ports that nobody listens on. A port is handed out once until the range has been gone
- * through.
+ * Finds so many ports that nobody listens on. A port is handed out once.
+ * @throws RangeError when other processes, or this one, have taken all blocks.
  */
 export async function findFreePorts(count: number): Promise<number[]> {
   const ports: number[] = [];
   while (ports.length < count) {
-    lastPort = lastPort >= LAST_PORT ? FIRST_PORT : lastPort + 1;
-    const port = lastPort;
+    if (nextPort >= endPort) await claimBlock();
+    const port = nextPort;
+    nextPort += 1;
     if (await isFree(port)) ports.push(port);
   }
   return ports;
 }
 
+async function claimBlock(): Promise<void> {
+  for (let tries = 0; tries < BLOCKS; tries += 1) {
+    const first = FIRST_PORT + nextBlock * BLOCK_PORTS;
+    nextBlock = (nextBlock + 1) % BLOCKS;
+    if (!(await hold(first))) continue;
+    nextPort = first + 1;
+    endPort = first + BLOCK_PORTS;
+    return;
+  }
+  throw new RangeError('all ports for tests are taken');
+}
+
 /** The same as addresses, `host:port`. */
 export async function findFreeAddresses(count: number): Promise<string[]> {
   return (await findFreePorts(count)).map((port) => `${HOST}:${port}`);
 }
 
+/** Listens for as long as this process lives, without keeping it alive. */
+function hold(port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, HOST, () => {
+      server.unref();
+      resolve(true);
+    });
+  });
+}
+
 function isFree(port: number): Promise<boolean> {
   const server = createServer();
   return new Promise((resolve) => {
