Daemons read and log the limits that back ends name

The head of each answer to a request is read for the limit; `backend.limited`, `backend.limit-ended` and, for what is no number, `backend.signal-unreadable` are logged and counted (`pulleyledge_belief_changes_total`, part `backendLimits`). No decision uses them yet. What counts as the present state is settled here: an answer to a request that was sent before the state was heard of is no news, and silence counts in ordinary answers only.

--- a/src/adapters/attempt-handler.ts
+++ b/src/adapters/attempt-handler.ts
@@ -2,6 +2,7 @@
  * Follows one attempt at a back end: what was written, what came back, and what that means for the request.
  */
 import type { Dispatcher } from 'undici';
+import type { BackendSignals } from '../forwarding/backends/backend-signals.js';
 import type { AttemptStart, ForwardAttemptEvent } from '../forwarding/forward-messages.js';
 import type { BackendDialect, CallerHead, RawHeaders } from './backend-dialect.js';
 import { EventSplitter } from './event-splitter.js';
@@ -74,6 +75,7 @@
   private reportedSilent = false;
   private finished = false;
   private status = 0;
+  private signals: BackendSignals | undefined;
   private headers: string[] = [];
   private framed = true;
   private readonly chunks: Buffer[] = [];
@@ -145,10 +147,15 @@
     const raw = rawHeaders(controller);
     this.status = status;
     const head = this.dialect.answerHead(status, raw, this.request.head, this.start.prefillOnly);
-    if (head.kind === 'foreign') this.fail({ kind: 'broken', reason: head.reason, isForeign: true });
-    else if (head.kind === 'notExecuted') {
+    if (head.kind === 'foreign') {
+      this.fail({ kind: 'broken', reason: head.reason, isForeign: true });
+      return;
+    }
+    this.signals = this.dialect.signals(raw);
+    if (head.kind === 'notExecuted') {
+      const { signals } = this;
       this.finished = true;
-      this.onEvent({ kind: 'notExecuted', status, wrongIncarnation: head.wrongIncarnation });
+      this.onEvent({ kind: 'notExecuted', status, wrongIncarnation: head.wrongIncarnation, signals });
     } else {
       this.headers = endToEndHeaders(raw, NO_HEADERS);
       this.framed = isFramed(status, raw, this.request.method);
@@ -185,7 +192,7 @@
       if (remainder.length > 0) this.sink.events(remainder, undefined);
     }
     this.answer = { status: this.status, headers: this.headers, body, framed: this.framed };
-    this.onEvent({ kind: 'whole', status: this.status });
+    this.onEvent({ kind: 'whole', status: this.status, signals: this.signals });
   }
 
   onResponseError(_controller: Dispatcher.DispatchController | null, error: Error): void {
@@ -205,13 +212,13 @@
   private beginStream(): void {
     this.splitter = new EventSplitter();
     this.sink.head(this.status, this.headers, this.framed);
-    this.onEvent({ kind: 'streamStarted' });
+    this.onEvent({ kind: 'streamStarted', signals: this.signals });
   }
 
   private prefillEnded(body: Buffer): void {
     const handle = this.status === STATUS_OK ? this.dialect.prefillHandle(body) : undefined;
     if (handle === undefined) this.onEvent({ kind: 'broken', reason: `prefill answered ${this.status}` });
-    else this.onEvent({ kind: 'prefilled', handle });
+    else this.onEvent({ kind: 'prefilled', handle, signals: this.signals });
   }
 
   private fail(event: ForwardAttemptEvent): void {
--- a/src/adapters/backend-dialect.ts
+++ b/src/adapters/backend-dialect.ts
@@ -3,6 +3,7 @@
  * translation; it keeps no state, takes no decision and never throws on what a peer sent.
  */
 import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
+import type { BackendSignals } from '../forwarding/backends/backend-signals.js';
 import type { AttemptStart, KvSource } from '../forwarding/forward-messages.js';
 import type { KvChanges, KvChangesCall } from '../forwarding/kv-cache/kv-follower.js';
 import type { PromptOutline } from '../forwarding/forward-request.js';
@@ -50,6 +51,8 @@
   requestHeaders(callerHeaders: RawHeaders, start: AttemptStart): string[];
   /** Judges the head of an answer to the caller's request, or to the prefill made for it. */
   answerHead(status: number, headers: RawHeaders, callerHead: CallerHead, prefillOnly: boolean): AnswerHead;
+  /** What the back end says of itself in the head of any answer. */
+  signals(headers: RawHeaders): BackendSignals;
   /** The handle in the body of a prefill's answer; undefined when there is none. */
   prefillHandle(body: Buffer): string | undefined;
   /** The call that frees an exported KV cache. */
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -202,7 +202,7 @@
   private resumeAfterSuspension(forMs: number, now: number): void {
     this.logChange('process.suspended', { forMs: Math.round(forMs), requests: this.requestsInHand() });
     this.machines.replica.clockStoodStill(forMs);
-    for (const part of this.machines.parts) part.clockStoodStill?.();
+    for (const part of this.machines.parts) part.clockStoodStill?.(forMs);
     this.resumeAfterPause(now);
   }
 
--- a/src/forwarding/backends/backend-directory.ts
+++ b/src/forwarding/backends/backend-directory.ts
@@ -31,6 +31,7 @@
     const known = this.views.get(record.id)
     if (known) {
       if (known.record.address !== record.address) known.pace.forget()
+      if (known.record.bornMs !== record.bornMs) known.limit.reset()
       known.record = record
       return
     }
--- a/src/forwarding/backends/backend-view.ts
+++ b/src/forwarding/backends/backend-view.ts
@@ -2,6 +2,7 @@
 /// and the prompt tokens that wait for them; its health has a class of its own (backend-health.ts). Relies on
 /// the peers' digests for the load of the other daemons.
 import {DEFAULT_PACE_BOOK_SETTINGS, PaceBook, type EnginePace} from "../pace/pace-book.js"
+import {AdvertisedLimit} from "./advertised-limit.js"
 import {BackendHealth, type BackendHealthSettings} from "./backend-health.js"
 import type {PeerLoads} from "./peer-loads.js"
 import type {BackendRecord} from "../routes/route.js"
@@ -23,6 +24,8 @@
   changing = false
   /// Whether it works, as far as this daemon knows.
   readonly health: BackendHealth
+  /// How many requests a second it takes, as it says itself.
+  readonly limit = new AdvertisedLimit()
   private readonly attempts = new Map<string, SentAttempt>()
   private ownPendingTokens = 0
   private ownPendingOverdueTokens = 0
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -3,6 +3,8 @@
 /// (request-finisher.ts). One session per request, at most one live attempt per session. A request that may
 /// not be repeated runs at most once, and is refused as "not run" only when no back end can have seen it.
 import type {EffectSink} from "../shared/effect-sink.js"
+import type {SignalReport} from "./backends/backend-signals.js"
+import type {BackendView} from "./backends/backend-view.js"
 import {AttemptOutcomes} from "./retry/attempt-outcomes.js"
 import {AttemptSender} from "./retry/attempt-sender.js"
 import type {BackendPicker} from "./choose/backend-picker.js"
@@ -27,6 +29,8 @@
   /// Told once for each request of a tenant that a back end has begun to run, and when. Monotonic
   /// milliseconds.
   onRequestBegan(tenant: string, at: number): void
+  /// Told of each answer of a back end.
+  onSignals(view: BackendView, report: SignalReport, now: number): void
 }
 
 /// The forwarding machine of one daemon. Times are monotonic milliseconds.
@@ -67,7 +71,8 @@
       ...shared,
       sender,
       kvIndex,
-      onRequestBegan: (tenant, at) => context.onRequestBegan(tenant, at)
+      onRequestBegan: (tenant, at) => context.onRequestBegan(tenant, at),
+      onSignals: (view, report, at) => context.onSignals(view, report, at)
     })
     this.admission = new RequestAdmission(context, retryAfter)
   }
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -1,4 +1,5 @@
 /// What goes into the forwarding machine about its attempts, and what it asks its runner to do.
+import type {BackendSignals} from "./backends/backend-signals.js"
 import type {BackendRecord} from "./routes/route.js"
 
 /// Where the KV cache of a prompt lies.
@@ -36,17 +37,22 @@
   /// No connection: the back end has seen no byte of the request.
   | {readonly kind: "unreachable"; readonly reason: string}
   /// The back end said that it did not run the request.
-  | {readonly kind: "notExecuted"; readonly status: number; readonly wrongIncarnation: boolean}
+  | {
+      readonly kind: "notExecuted"
+      readonly status: number
+      readonly wrongIncarnation: boolean
+      readonly signals?: BackendSignals
+    }
   /// The prompt is computed; its KV cache waits.
-  | {readonly kind: "prefilled"; readonly handle: string}
+  | {readonly kind: "prefilled"; readonly handle: string; readonly signals?: BackendSignals}
   /// A successful stream has begun.
-  | {readonly kind: "streamStarted"}
+  | {readonly kind: "streamStarted"; readonly signals?: BackendSignals}
   /// Whole events of the stream were passed on; `lastEventId` is the id of the last one.
   | {readonly kind: "streamProgress"; readonly lastEventId: string | undefined}
   /// Its connection passes nothing, like all others of its age, while newer ones to the back end work.
   | {readonly kind: "connectionSilent"}
   /// The answer is whole: kept for an answer, passed on for a stream.
-  | {readonly kind: "whole"; readonly status: number}
+  | {readonly kind: "whole"; readonly status: number; readonly signals?: BackendSignals}
   /// The answer broke off or was not the back end's: it may have run. `isForeign`: what came was no answer to
   /// it, on a connection that stood.
   | {readonly kind: "broken"; readonly reason: string; readonly isForeign?: boolean}
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -11,6 +11,8 @@
   readonly attemptId: string
   readonly choice: BackendChoice
   readonly startedAt: number
+  /// Start of the back end's incarnation that it is sent to; undefined where the platform does not tell.
+  readonly bornMs: number | undefined
   lastEventAt: number
   /// A stream has begun to arrive.
   answering: boolean
@@ -115,6 +117,7 @@
     attemptId,
     choice,
     startedAt: now,
+    bornMs: choice.backend.record.bornMs,
     lastEventAt: now,
     answering: false,
     load: choice.backend.inFlight(),
--- a/src/forwarding/retry/attempt-outcomes.ts
+++ b/src/forwarding/retry/attempt-outcomes.ts
@@ -5,6 +5,7 @@
 import {addFirstEventSample, addUnansweredSample, addWholeSample} from "../pace/attempt-pace.js"
 import type {AttemptSender} from "./attempt-sender.js"
 import type {BackendPicker} from "../choose/backend-picker.js"
+import type {SignalReport} from "../backends/backend-signals.js"
 import type {BackendView} from "../backends/backend-view.js"
 import {type ForwardAnswers, STATUS_BROKEN} from "../finish/forward-answers.js"
 import type {ForwardLimits} from "../admit/forward-limits.js"
@@ -32,6 +33,7 @@
   /// Called once for each request of a tenant that a back end has begun to run, with the time of that.
   /// Monotonic milliseconds.
   readonly onRequestBegan: (tenant: string, at: number) => void
+  readonly onSignals: (view: BackendView, report: SignalReport, now: number) => void
   readonly emit: EffectSink<ForwardEffect>
 }
 
@@ -41,6 +43,7 @@
 
   /// Takes an event of the live attempt of a request.
   receive(session: Session, attempt: LiveAttempt, event: ForwardAttemptEvent, now: number): void {
+    this.applySignals(attempt, event, now)
     switch (event.kind) {
       case "unreachable":
         this.onUnreachable(session, attempt, event.reason, now)
@@ -72,6 +75,17 @@
     }
   }
 
+  /// What an answer says of its back end counts for the incarnation that gave it.
+  private applySignals(
+    {choice, startedAt, bornMs}: LiveAttempt,
+    event: ForwardAttemptEvent,
+    now: number
+  ): void {
+    if (!("signals" in event) || !event.signals || choice.backend.record.bornMs !== bornMs) return
+    const report = {signals: event.signals, sentAt: startedAt, isConclusive: isRegularAnswer(event)}
+    this.dependencies.onSignals(choice.backend, report, now)
+  }
+
   /// The attempt makes no progress: the request is sent to another back end, when there is one and the budget
   /// has a retry for it.
   onStalled(session: Session, attempt: LiveAttempt, now: number): void {
@@ -254,3 +268,9 @@
     if (engine) this.dependencies.kvIndex.addComputed(backend.record.id, prompt, engine.kvCapacityTokens)
   }
 }
+
+/// Whether a back end gave this answer in the ordinary course of its work.
+function isRegularAnswer(event: ForwardAttemptEvent): boolean {
+  if (event.kind === "whole") return event.status < FIRST_SERVER_ERROR_STATUS
+  return event.kind === "streamStarted" || event.kind === "prefilled"
+}
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -6,6 +6,8 @@
 import type {BackendDistance} from "../forwarding/choose/backend-distance.js"
 import type {Places} from "../places/places.js"
 import type {RoundTrips} from "../places/round-trips.js"
+import type {SignalReport} from "../forwarding/backends/backend-signals.js"
+import type {BackendView} from "../forwarding/backends/backend-view.js"
 import type {BackendDirectory} from "../forwarding/backends/backend-directory.js"
 import type {KvIndex} from "../forwarding/kv-cache/kv-index.js"
 import type {BackendRecord, RouteConfiguration, Tenant} from "../forwarding/routes/route.js"
@@ -117,15 +119,18 @@
   /// A back end gave a whole answer to a request.
   onRunAnswered?(key: string, now: number): void
 
+  /// A back end has answered, and says this of itself.
+  onSignals?(view: BackendView, report: SignalReport, now: number): void
+
   /// A back end began at `at` to run a request of the tenant.
   onRequestBegan?(tenant: string, at: number): void
 
   /// This process stood still until now.
   ownPauseEnded?(now: number): void
 
-  /// This process's clock stood still for a time that nobody here has counted: authority that is measured by
-  /// it is void.
-  clockStoodStill?(): void
+  /// This process's clock stood still for so long, which nobody here has counted: authority that is measured
+  /// by it is void. Milliseconds.
+  clockStoodStill?(forMs: number): void
 
   /// Advances what cannot wait for `scan`.
   tick?(now: number): void
--- a/src/parts/request-hooks.ts
+++ b/src/parts/request-hooks.ts
@@ -11,6 +11,7 @@
   | "getConfinedCaller"
   | "onRunBroken"
   | "onRunAnswered"
+  | "onSignals"
   | "takeQuota"
   | "removeQuotaRequest"
   | "chargeQuota"
@@ -33,6 +34,7 @@
     onRunBroken: (key, backend, startedAt, now) =>
       tellAll(part => part.onRunBroken?.(key, backend, startedAt, now)),
     onRunAnswered: (key, now) => tellAll(part => part.onRunAnswered?.(key, now)),
+    onSignals: (view, report, now) => tellAll(part => part.onSignals?.(view, report, now)),
     takeQuota: (request, now) => findFirst(part => part.takeQuota?.(request, now)),
     removeQuotaRequest: requestId => tellAll(part => part.removeQuotaRequest?.(requestId)),
     chargeQuota: (tenant, cost, now) => tellAll(part => part.chargeQuota?.(tenant, cost, now))
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -75,6 +75,7 @@
         getConfinedCaller: () => undefined,
         onRunBroken: () => undefined,
         onRunAnswered: () => undefined,
+        onSignals: () => undefined,
         takeQuota: (request) => this.takeQuota(request),
         removeQuotaRequest: (requestId) => this.quotaCharges.push([requestId, 0]),
         chargeQuota: ({ name }, cost) => this.quotaCharges.push([name, cost]),
