--- a/simulation/fleet-node.ts
+++ b/simulation/fleet-node.ts
@@ -32,7 +32,7 @@
   /** Back ends that were removed here, in order. */
   readonly removals: string[];
   /** Answers of its own, with the time to come back that they told. */
-  readonly refusals: { status: number; retryAfterMs: number | undefined }[];
+  readonly refusals: { requestId: string; status: number; retryAfterMs: number | undefined; at: number }[];
 }
 
 /** An attempt that a daemon has started; nobody answers it unless the test does. */
--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -9,7 +9,7 @@
 import type { WatchedBackend } from '../src/quarantine/break-watch.js';
 import type { RecordRead, RecordReadResult, StoredRecord } from '../src/fleet/record-store.js';
 import { SeededRandom } from '../src/shared/random.js';
-import type { ForwardAttemptEvent } from '../src/forwarding/forward-messages.js';
+import type { AttemptStart, ForwardAttemptEvent } from '../src/forwarding/forward-messages.js';
 import type { KvChangesCall } from '../src/forwarding/kv-cache/kv-follower.js';
 import type { DutyAuthority, DutyCall } from '../src/duties/duty-messages.js';
 import type { TableRequest, TableResult } from '../src/contracts/table-service.js';
@@ -169,6 +169,9 @@
     this.handle(node, { kind: 'submit', request: { prompt: undefined, ...caller, ...fields } });
   }
 
+  /** Hears of each attempt that a daemon starts. */
+  onAttempt: (node: FleetNode, start: AttemptStart) => void = () => undefined;
+
   /** Whether somebody listens at the address of a back end. */
   isListening: (address: string) => boolean = () => true;
 
@@ -221,6 +224,7 @@
         break;
       case 'startAttempt': {
         const { requestId, attemptId, backend } = effect.start;
+        this.onAttempt(node, effect.start);
         this.attempts.push({ node, requestId, attemptId, backendId: backend.id });
         break;
       }
@@ -261,9 +265,10 @@
 
   /** Keeps what tests look at: answers of a daemon's own, configurations in force and states of back ends. */
   private note(node: FleetNode, effect: ForwardingEffect): void {
-    if (effect.kind === 'replyFailure')
-      node.refusals.push({ status: effect.status, retryAfterMs: effect.retryAfterMs });
-    else if (effect.kind === 'configurationInForce')
+    if (effect.kind === 'replyFailure') {
+      const { requestId, status, retryAfterMs } = effect;
+      node.refusals.push({ requestId, status, retryAfterMs, at: this.time.now() });
+    } else if (effect.kind === 'configurationInForce')
       node.inForceAt.set(effect.configuration.version, this.time.now());
     else if (effect.kind === 'change') this.onChange(node, effect.event, effect.fields);
   }
--- /dev/null
+++ b/simulation/limited-site.ts
@@ -0,0 +1,201 @@
+/**
+ * A fleet in virtual time before back ends that name limits in their answers, with an observer that knows what reached
+ * each of them, from whom, and whom it had told.
+ */
+import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
+import type { AttemptStart, ForwardAttemptEvent } from '../src/forwarding/forward-messages.js';
+import type { BackendRecord, Route } from '../src/forwarding/routes/route.js';
+import { SeededRandom } from '../src/shared/random.js';
+import { FLEET_SETTINGS, ForwardingFleet, type CallerFields, type FleetNode } from './forwarding-fleet.js';
+
+/** The rule: in any window a back end gets so many times its limit, and so many requests more, from those it told. */
+const WINDOW_MS = 4000;
+const ALLOWED_FACTOR = 1.5;
+const ALLOWED_MORE = 5;
+/** The rule counts from so long after a back end first named its limit. Milliseconds. */
+const CONTACT_MS = 3000;
+/** A daemon counts as told so long after it passed on such an answer. Milliseconds. */
+const TOLD_MS = 500;
+/** Until all daemons know each other and the store's records. Milliseconds. */
+const SETTLED_MS = 6000;
+/** Work of a back end, and the pause between looks at the callers. Milliseconds. */
+const LEAST_WORK_MS = 15;
+const MORE_WORK_MS = 30;
+const STEP_MS = 5;
+
+/** One request that reached a back end. */
+interface SiteArrival {
+  readonly backendId: string;
+  readonly node: FleetNode;
+  readonly at: number;
+  readonly path: string;
+  /** The daemon had been told of the limit when it sent the request. */
+  readonly told: boolean;
+}
+
+/** A request that a daemon answered itself. */
+interface SiteRefusal {
+  readonly path: string;
+  readonly status: number;
+  readonly heldMs: number;
+  readonly retryAfterMs: number | undefined;
+}
+
+/** What a site begins with. */
+interface LimitedSiteOptions {
+  readonly daemons: number;
+  readonly backends: number;
+  readonly seed: number;
+  readonly routes?: readonly Route[];
+  /** Every second back end computes prompts, the others generate. */
+  readonly engines?: boolean;
+}
+
+/** The site. Times are those of its fleet. */
+export class LimitedSite {
+  readonly fleet: ForwardingFleet;
+  readonly arrivals: SiteArrival[] = [];
+  /** Requests that were served, by path. */
+  readonly served = new Map<string, number>();
+  private readonly random: SeededRandom;
+  /** Requests a second, by back end. */
+  private readonly limits = new Map<string, number>();
+  private readonly firstNamedAt = new Map<string, number>();
+  private readonly largest = new Map<string, number>();
+  /** When each life of a daemon passed on an answer of a back end with a limit. */
+  private readonly toldAt = new Map<string, number>();
+  private readonly open = new Map<string, { path: string; at: number }>();
+  private requests = 0;
+
+  constructor(private readonly options: LimitedSiteOptions) {
+    const { daemons, seed, backends, routes = [labRoute({})] } = options;
+    this.random = new SeededRandom(seed);
+    this.fleet = new ForwardingFleet(daemons, seed, FLEET_SETTINGS);
+    this.fleet.write({ collection: 'configuration', revision: 0, value: labConfiguration(1, routes) });
+    for (let index = 0; index < backends; index += 1) this.writeBackend(index, 'ready');
+    this.fleet.onAttempt = (node, start) => this.onAttempt(node, start);
+    this.fleet.time.runUntil(SETTLED_MS);
+  }
+
+  /** Writes the record of a back end. */
+  writeBackend(index: number, state: BackendRecord['state']): void {
+    const id = `b${index}`;
+    const stage = index % 2 === 0 ? 'prefill' : 'decode';
+    const value: BackendRecord = {
+      ...labBackend(id, `10.1.0.${index}:80`),
+      zone: `zone-${index % 3}`,
+      state,
+    };
+    const engine: BackendRecord = { ...value, stage };
+    this.fleet.write({
+      collection: 'backends',
+      id,
+      revision: 0,
+      value: this.options.engines ? engine : value,
+    });
+  }
+
+  /** A back end names a limit from now on; undefined: none any more. */
+  setLimit(backendId: string, perSecond: number | undefined): void {
+    if (perSecond === undefined) {
+      this.limits.delete(backendId);
+      return;
+    }
+    this.limits.set(backendId, perSecond);
+    this.largest.set(backendId, Math.max(perSecond, this.largest.get(backendId) ?? 0));
+    if (!this.firstNamedAt.has(backendId)) this.firstNamedAt.set(backendId, this.fleet.time.now());
+  }
+
+  /** Callers send so many requests a second, by path, to daemons that run, for so long. */
+  load(ratesByPath: Readonly<Record<string, number>>, forMs: number, fields: CallerFields = {}): void {
+    const until = this.fleet.time.now() + forMs;
+    const step = (): void => {
+      for (const [path, perSecond] of Object.entries(ratesByPath))
+        if (this.random.next() < (perSecond * STEP_MS) / 1000) this.submit(path, fields);
+      if (this.fleet.time.now() < until) this.fleet.time.after(STEP_MS, step);
+    };
+    step();
+  }
+
+  /** Runs the fleet for so long. */
+  run(forMs: number): void {
+    this.fleet.time.runUntil(this.fleet.time.now() + forMs);
+  }
+
+  /** Requests that a back end got since a moment. */
+  countSince(backendId: string, since: number): number {
+    return this.arrivals.filter((arrival) => arrival.backendId === backendId && arrival.at >= since).length;
+  }
+
+  /** The worst window of a back end, and what is allowed, over the daemons that it had told and that ran on. */
+  findWorst(
+    backendId: string,
+    excused: ReadonlySet<FleetNode> = new Set(),
+  ): { seen: number; allowed: number } {
+    const from = (this.firstNamedAt.get(backendId) ?? Infinity) + CONTACT_MS;
+    const counted = this.arrivals.filter(
+      ({ backendId: id, node, at, told }) => id === backendId && told && at >= from && !excused.has(node),
+    );
+    let first = 0;
+    let seen = 0;
+    counted.forEach(({ at }, last) => {
+      while (counted[first].at <= at - WINDOW_MS) first += 1;
+      seen = Math.max(seen, last - first + 1);
+    });
+    const perSecond = this.largest.get(backendId) ?? 0;
+    return { seen, allowed: (ALLOWED_FACTOR * perSecond * WINDOW_MS) / 1000 + ALLOWED_MORE };
+  }
+
+  /** Requests that daemons answered themselves. */
+  findRefusals(): SiteRefusal[] {
+    return this.fleet.nodes.flatMap(({ refusals }) =>
+      refusals.map(({ requestId, status, retryAfterMs, at }) => {
+        const { path = '', at: sentAt = at } = this.open.get(requestId) ?? {};
+        return { path, status, heldMs: at - sentAt, retryAfterMs };
+      }),
+    );
+  }
+
+  private submit(path: string, fields: CallerFields): void {
+    const running = this.fleet.nodes.filter(({ down, daemon }) => !down && daemon.ready());
+    if (running.length === 0) return;
+    const node = running[Math.floor(this.random.next() * running.length)];
+    this.requests += 1;
+    const id = `r${this.requests}`;
+    this.open.set(id, { path, at: this.fleet.time.now() });
+    this.fleet.submit(node, id, path, fields);
+  }
+
+  private onAttempt(node: FleetNode, start: AttemptStart): void {
+    const { fleet } = this;
+    const life = `${node.id} ${start.backend.id}`;
+    const told = fleet.time.now() - (this.toldAt.get(life) ?? Infinity) >= TOLD_MS;
+    const { path = '' } = this.open.get(start.requestId) ?? {};
+    fleet.time.after(fleet.networkMs, () => {
+      this.arrivals.push({ backendId: start.backend.id, node, at: fleet.time.now(), path, told });
+      const workMs = LEAST_WORK_MS + this.random.next() * MORE_WORK_MS;
+      fleet.time.after(workMs, () => this.answer(node, start, life));
+    });
+  }
+
+  private answer(
+    node: FleetNode,
+    { requestId, attemptId, backend, prefillOnly }: AttemptStart,
+    life: string,
+  ): void {
+    const { fleet } = this;
+    const requestsPerSecond = this.limits.get(backend.id);
+    const signals = { requestsPerSecond, unreadable: [] };
+    const event: ForwardAttemptEvent = prefillOnly
+      ? { kind: 'prefilled', handle: attemptId, signals }
+      : { kind: 'whole', status: 200, signals };
+    fleet.time.after(fleet.networkMs, () => {
+      if (`${node.id} ${backend.id}` !== life) return;
+      fleet.handle(node, { kind: 'attempt', requestId, attemptId, event });
+      if (requestsPerSecond !== undefined && !this.toldAt.has(life)) this.toldAt.set(life, fleet.time.now());
+      if (prefillOnly) return;
+      const { path = '' } = this.open.get(requestId) ?? {};
+      this.served.set(path, (this.served.get(path) ?? 0) + 1);
+    });
+  }
+}
