Daemons keep together to the limits that back ends name

Cause: what a back end says of itself was passed on to the caller and known to no decision. A class of fault: a wish in an answer's head that the daemon only carries. Told to each daemon alone it would not do either, since the limit is one of all daemons together.

Now a request to such a back end takes a permit of a bucket that one daemon runs for the fleet, found, replaced and divided like those of tenants' quotas (src/quotas, now with a scope and a priority in its messages). Permits are asked for ahead of use where other back ends take the requests, one at a time where none can; a request waits for an answer an eighth of its objective at most and is refused otherwise at once (`backend-limit`), with the time until there is room. A permit that isn't used for half a second goes back. The more urgent requests find a token left in the bucket. The view itself takes no request without a permit (`mayReceive`), so repeats, moves, resumed streams and hand-overs are bound too. Daemons tell each other limits in the digests of their loads, at once when one changes, with their age: an answer to a request that was sent before the present state was heard of neither ends nor revives one. Where no request goes, one daemon asks by a health check.

Nobody is refused where others can take the requests.

--- a/simulation/quota-fleet.ts
+++ b/simulation/quota-fleet.ts
@@ -118,7 +118,11 @@
     this.requests += 1;
     const id = `r${this.requests}`;
     this.deliver(node, () => {
-      const decision = node.manager.take(tenant, id, tokens, waitMs, this.time.now());
+      const decision = node.manager.take(
+        tenant,
+        { requestId: id, tokens, decideBy: this.time.now() + waitMs },
+        this.time.now(),
+      );
       this.open.set(id, { node, tenant, tokens });
       if (decision) this.decide(id, decision);
     });
--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -7,6 +7,7 @@
 import type { EngineStatus, StageOrder, StageOrderResult } from '../allocation/engine-orders.js';
 import type { KvChanges, KvChangesCall } from '../forwarding/kv-cache/kv-follower.js';
 import type { BackendRecord } from '../forwarding/routes/route.js';
+import type { BackendSignals } from '../forwarding/backends/backend-signals.js';
 import type { HealthProbe } from '../forwarding/backends/health-prober.js';
 import { AttemptHandler, type CallerRequest, type KeptAnswer, type StreamSink } from './attempt-handler.js';
 import type { BackendDialect, PlainCall } from './backend-dialect.js';
@@ -28,6 +29,12 @@
 /** Hears of a call of the daemon's own that was not answered, and why. */
 type UnansweredListener = (call: SmallCallKind, reason: string) => void;
 
+/** What a health check found. */
+export interface ProbeAnswer {
+  readonly well: boolean;
+  readonly signals?: BackendSignals;
+}
+
 interface SmallAnswer {
   readonly status: number;
   readonly headers: string[];
@@ -158,11 +165,12 @@
     void this.ask('freeKv', source.address, source.address, this.dialect.freeKvCall(source));
   }
 
-  /** Asks a back end for its health. */
-  async probe(probe: HealthProbe, healthPath: string): Promise<boolean> {
+  /** Asks a back end for its health; what it says of itself counts when it is well. */
+  async probe(probe: HealthProbe, healthPath: string): Promise<ProbeAnswer> {
     const { id, address } = probe.backend;
     const answer = await this.ask('probe', `${PROBE} ${id}`, address, { method: 'GET', path: healthPath });
-    return answer !== undefined && this.dialect.healthy(answer.status, answer.headers, id);
+    if (!answer || !this.dialect.healthy(answer.status, answer.headers, id)) return { well: false };
+    return { well: true, signals: this.dialect.signals(answer.headers) };
   }
 
   /** Asks a model engine for changes of its KV cache; undefined when it does not tell. */
--- a/src/daemon/forwarding-machines.ts
+++ b/src/daemon/forwarding-machines.ts
@@ -6,16 +6,20 @@
 import { FleetReplica, type FleetEffect } from '../fleet/fleet-replica.js';
 import { PeerExchange } from '../fleet/peer-exchange.js';
 import { BackendDirectory } from '../forwarding/backends/backend-directory.js';
+import type { BackendView } from '../forwarding/backends/backend-view.js';
 import { BackendDistance } from '../forwarding/choose/backend-distance.js';
 import { BackendPicker } from '../forwarding/choose/backend-picker.js';
 import { ForwardManager } from '../forwarding/forward-manager.js';
 import { KvIndex, type PartPlacement } from '../forwarding/kv-cache/kv-index.js';
+import { BackendLimits } from '../forwarding/permits/backend-limits.js';
+import { PermitManager } from '../forwarding/permits/permit-manager.js';
 import { RetryAllowance } from '../forwarding/retry/retry-allowance.js';
 import type { RouteTable } from '../forwarding/routes/route-table.js';
 import type { TenantDirectory } from '../forwarding/routes/tenant-directory.js';
 import { initialMember } from '../membership/member-rules.js';
 import { Membership, type MembershipEffect } from '../membership/membership.js';
 import type { DaemonIdentity } from '../membership/membership-messages.js';
+import type { FleetView } from '../quotas/owner-ranking.js';
 import type { DaemonPart } from '../parts/daemon-part.js';
 import { createParts } from '../parts/daemon-parts.js';
 import { createRequestHooks } from '../parts/request-hooks.js';
@@ -97,12 +101,48 @@
   const picker = new BackendPicker(settings.picker, distances.distance, directory, kvIndex, random);
   const retries = new RetryAllowance(settings.retries, now);
   const getParts = (): readonly DaemonPart[] => parts;
-  const manager = createManager(context, { replica, picker, kvIndex, retries, getParts });
-  const exchange = createExchange(context, { replica, directory, kvIndex, membership });
-  const parts = createDaemonParts(context, { directory, kvIndex, membership, manager, distances });
+  const permits = new PermitManager({
+    selfId: identity.id,
+    random,
+    getFleet: () => getFleetView(membership),
+    onSettled: (service, at) => manager.resumeWaiting(service, at),
+    emit: context.emit,
+  });
+  const limits = new BackendLimits(directory, (view, perSecond, at) => {
+    logLimit(context, view, perSecond);
+    permits.setLimited(limits.getLimited(), at);
+    exchange.sendSoon(at);
+    manager.resumeWaiting(view.record.service, at);
+  });
+  const manager = createManager(context, { replica, picker, kvIndex, retries, permits, getParts });
+  const exchange = createExchange(context, { replica, directory, kvIndex, limits, membership });
+  const limited = { limits, permits };
+  const parts = createDaemonParts(context, {
+    directory,
+    kvIndex,
+    membership,
+    manager,
+    distances,
+    ...limited,
+  });
   return { membership, replica, directory, kvIndex, retries, manager, exchange, parts };
 }
 
+/** How this daemon sees its fleet. */
+function getFleetView(membership: Membership): FleetView {
+  const members = membership.active();
+  return { members, known: membership.contact().known, joined: membership.joined() };
+}
+
+function logLimit(
+  { logChange }: ForwardingContext,
+  { record }: BackendView,
+  requestsPerSecond: number | undefined,
+): void {
+  if (requestsPerSecond === undefined) logChange('backend.limit-ended', { backend: record.id });
+  else logChange('backend.limited', { backend: record.id, requestsPerSecond });
+}
+
 function createDistances({ identity, settings }: ForwardingContext): Distances {
   const roundTrips = new RoundTrips(settings.distance.roundTripMs);
   const places = new Places(settings.regionByZone);
@@ -112,11 +152,12 @@
 
 interface ManagerMachines extends Pick<ForwardingMachines, 'replica' | 'kvIndex' | 'retries'> {
   readonly picker: BackendPicker;
+  readonly permits: PermitManager;
   readonly getParts: () => readonly DaemonPart[];
 }
 
 function createManager(context: ForwardingContext, machines: ManagerMachines): ForwardManager {
-  const { replica, picker, kvIndex, retries, getParts } = machines;
+  const { replica, picker, kvIndex, retries, permits, getParts } = machines;
   return new ForwardManager(
     context.settings.forward,
     {
@@ -125,6 +166,7 @@
       configurationMayBeStale: (at) => replica.configurationMayBeStale(at),
       outageMs: (at) => replica.getOutageMs('configuration', at),
       daemons: () => context.daemons(),
+      permits,
       ...createRequestHooks(getParts),
     },
     picker,
@@ -134,11 +176,16 @@
   );
 }
 
-type ExchangeMachines = Pick<ForwardingMachines, 'replica' | 'directory' | 'kvIndex' | 'membership'>;
+interface ExchangeMachines extends Pick<
+  ForwardingMachines,
+  'replica' | 'directory' | 'kvIndex' | 'membership'
+> {
+  readonly limits: BackendLimits;
+}
 
 function createExchange(context: ForwardingContext, machines: ExchangeMachines): PeerExchange {
   const { identity, settings, random, emit, now } = context;
-  const { replica, directory, kvIndex, membership } = machines;
+  const { replica, directory, kvIndex, limits, membership } = machines;
   // A placement counts only where the configuration says how much an engine of the service keeps.
   const learnPlacement = (placement: PartPlacement): void => {
     const service = directory.get(placement[0])?.record.service;
@@ -150,7 +197,7 @@
     settings.exchange,
     replica,
     directory,
-    { take: () => kvIndex.takeRecent(), learn: learnPlacement },
+    { placements: { take: () => kvIndex.takeRecent(), learn: learnPlacement }, limits },
     {
       selfAddress: identity.address,
       zone: identity.zone,
@@ -165,11 +212,13 @@
 
 interface PartMachines extends Pick<ForwardingMachines, 'directory' | 'kvIndex' | 'membership' | 'manager'> {
   readonly distances: Distances;
+  readonly limits: BackendLimits;
+  readonly permits: PermitManager;
 }
 
 function createDaemonParts(context: ForwardingContext, machines: PartMachines): readonly DaemonPart[] {
   const { identity, settings, random, emit, now } = context;
-  const { directory, kvIndex, membership, manager, distances } = machines;
+  const { directory, kvIndex, membership, limits, permits, manager, distances } = machines;
   return createParts(
     {
       identity,
@@ -177,14 +226,12 @@
       random,
       directory,
       kvIndex,
+      limits,
+      permits,
       regions: distances.places.hasSeveralRegions() ? distances : undefined,
       emit,
       members: () => membership.active(),
-      fleet: () => ({
-        members: membership.active(),
-        known: membership.contact().known,
-        joined: membership.joined(),
-      }),
+      fleet: () => getFleetView(membership),
       decideQuota: (requestId, decision) => manager.applyQuota(requestId, decision, context.getHandledAt()),
       isFirst: () => context.isFirst(),
       routes: () => context.routes(),
--- a/src/daemon/forwarding-messages.ts
+++ b/src/daemon/forwarding-messages.ts
@@ -6,6 +6,7 @@
 import type { DutyAuthority, DutyCall, DutyResult } from '../duties/duty-messages.js';
 import type { RecordCollection, RecordRead, RecordReadResult } from '../fleet/record-store.js';
 import type { ForwardAttemptEvent, ForwardEffect } from '../forwarding/forward-messages.js';
+import type { BackendSignals } from '../forwarding/backends/backend-signals.js';
 import type { ForwardRequest } from '../forwarding/forward-request.js';
 import type { KvChanges, KvChangesCall } from '../forwarding/kv-cache/kv-follower.js';
 import type { BackendCheck, WatchedBackend } from '../quarantine/break-watch.js';
@@ -39,7 +40,14 @@
       readonly attemptId: string;
       readonly event: ForwardAttemptEvent;
     }
-  | { readonly kind: 'probed'; readonly backendId: string; readonly well: boolean }
+  /** `sentAt` is when the check was sent. Monotonic milliseconds. */
+  | {
+      readonly kind: 'probed';
+      readonly backendId: string;
+      readonly well: boolean;
+      readonly sentAt: number;
+      readonly signals?: BackendSignals;
+    }
   | { readonly kind: 'backendChecked'; readonly backend: WatchedBackend; readonly check: BackendCheck }
   | { readonly kind: 'quarantineTableResult'; readonly result: TableResult }
   | { readonly kind: 'leaseTableResult'; readonly cell: string; readonly result: TableResult }
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -74,7 +74,10 @@
   /// prompts and attempts that succeeded and failed since the last digest.
   loads: z.array(z.tuple([text, count, count, count, count.optional(), count.optional(), count.optional()])),
   /// Prompt parts that the sender had computed since its last digest: engine, hash of the part, tokens.
-  placements: z.array(z.tuple([text, count, count]))
+  placements: z.array(z.tuple([text, count, count])),
+  /// Limits that back ends name: id, start of the incarnation (0 where not told), requests a second (-1 for a
+  /// limit that has ended), and for how long so. Milliseconds. Not told by older daemons.
+  limits: z.array(z.tuple([text, count, count, count])).optional()
 })
 
 /// Asks a peer that knows more for its records.
--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -4,6 +4,7 @@
 import type {RandomSource} from "../shared/random.js"
 import type {BackendDirectory} from "../forwarding/backends/backend-directory.js"
 import type {PartPlacement} from "../forwarding/kv-cache/kv-index.js"
+import type {BackendLimits} from "../forwarding/permits/backend-limits.js"
 import type {Member} from "../membership/membership-messages.js"
 import type {FleetKnowledge, FleetMessage, RecordsChanged} from "./fleet-messages.js"
 import type {FleetReplica} from "./fleet-replica.js"
@@ -59,6 +60,12 @@
   learn(placement: PartPlacement): void
 }
 
+/// What goes along with the loads.
+interface ExchangedNews {
+  readonly placements: PlacementExchange
+  readonly limits: Pick<BackendLimits, "getTold" | "applyTold">
+}
+
 /// A message to a peer.
 interface PeerSend {
   readonly address: string
@@ -109,7 +116,7 @@
     private readonly settings: PeerExchangeSettings,
     private readonly replica: FleetReplica,
     private readonly directory: BackendDirectory,
-    private readonly placements: PlacementExchange,
+    private readonly news: ExchangedNews,
     private readonly members: PeerMembers,
     random: RandomSource,
     private readonly emit: EffectSink<PeerSend>,
@@ -123,7 +130,7 @@
     if (now < this.nextDigestAt) return
     this.rankMembers()
     this.directory.peers.removeOld(now)
-    const own = {loads: this.directory.takeLoads(now), placements: [...this.placements.take()]}
+    const own = {loads: this.directory.takeLoads(now), placements: [...this.news.placements.take()]}
     if (this.isRelayed()) this.tickRelayed(own, now)
     else {
       this.nextDigestAt = now + this.digestIntervalMs(this.peers.length)
@@ -131,6 +138,11 @@
     }
   }
 
+  /// There is news that should not wait for the next digest.
+  sendSoon(now: number): void {
+    this.nextDigestAt = Math.min(this.nextDigestAt, now)
+  }
+
   private tickRelayed(own: RelayedLoads, now: number): void {
     this.nextDigestAt = now + this.getRelayIntervalMs()
     this.relay.removeOld(now)
@@ -183,7 +195,16 @@
     if (addresses.length === 0) return
     const knowledge = this.replica.getKnowledge(now)
     const ofRegion = scope === "region" ? {region: this.members.region, passOn: true} : {}
-    const message: FleetMessage = {kind: "loadDigest", scope, knowledge, loads, placements, ...ofRegion}
+    const limits = this.news.limits.getTold(now)
+    const message: FleetMessage = {
+      kind: "loadDigest",
+      scope,
+      knowledge,
+      loads,
+      placements,
+      ...(limits.length > 0 ? {limits} : {}),
+      ...ofRegion
+    }
     this.sendToAll(addresses, message)
   }
 
@@ -267,7 +288,8 @@
   }
 
   private applyLoads(fromId: string, fromAddress: string, message: LoadDigest, now: number): void {
-    for (const placement of message.placements) this.placements.learn(placement)
+    for (const placement of message.placements) this.news.placements.learn(placement)
+    this.news.limits.applyTold(message.limits ?? [], now)
     switch (message.scope ?? "own") {
       case "own":
         // Whoever tells a relay its loads hears those of the fleet from it; in a small fleet everybody tells
--- a/src/forwarding/admit/quota-gate.ts
+++ b/src/forwarding/admit/quota-gate.ts
@@ -3,7 +3,7 @@
 /// operators count. A call that only has the prompt computed runs nothing and does not count. What certainly
 /// ran nowhere is given back.
 import type {Session} from "../forward-session.js"
-import type {Tenant} from "../routes/route.js"
+import type {Route, Tenant} from "../routes/route.js"
 import {getQuotaCost, type QuotaAnswer, type QuotaDecision, type QuotaRequest} from "./tenant-quota.js"
 
 /// Who knows the tenants' quotas.
@@ -21,6 +21,11 @@
 
 const GRANTED: QuotaDecision = {kind: "granted"}
 
+/// How long a request may wait for the word of another daemon. Milliseconds.
+export function getLongestWaitMs({targetLatencyMs}: Route): number {
+  return Math.min(LONGEST_WAIT_MS, targetLatencyMs * WAIT_SHARE)
+}
+
 /// The gate of one daemon. Times are monotonic milliseconds.
 export class QuotaGate {
   constructor(private readonly context: QuotaContext) {}
@@ -30,8 +35,7 @@
     const {request, route, tenant} = session
     if (!tenant?.quota) return GRANTED
     session.quotaCost = getQuotaCost(request, tenant)
-    const waitMs = Math.min(LONGEST_WAIT_MS, route.targetLatencyMs * WAIT_SHARE)
-    const ask = {requestId: request.id, tenant, cost: session.quotaCost, waitMs}
+    const ask = {requestId: request.id, tenant, cost: session.quotaCost, waitMs: getLongestWaitMs(route)}
     const answer = this.context.takeQuota(ask, now)
     if (!answer) session.quotaCost = 0
     session.quotaState = answer?.kind === "waiting" ? "waiting" : "decided"
--- a/src/forwarding/backends/backend-view.ts
+++ b/src/forwarding/backends/backend-view.ts
@@ -26,6 +26,8 @@
   readonly health: BackendHealth
   /// How many requests a second it takes, as it says itself.
   readonly limit = new AdvertisedLimit()
+  /// Requests that this daemon may send there while it names a limit.
+  permits = 0
   private readonly attempts = new Map<string, SentAttempt>()
   private ownPendingTokens = 0
   private ownPendingOverdueTokens = 0
@@ -46,6 +48,7 @@
   /// Counts an attempt with so many prompt tokens to compute; an overdue one gives way to those that can be
   /// in time.
   addAttempt(attemptId: string, promptTokens: number, now: number, overdue = false): void {
+    this.permits = Math.max(0, this.permits - 1)
     this.attempts.set(attemptId, {sentAt: now, promptTokens, overdue, answering: false})
     this.addPending(promptTokens, overdue)
   }
@@ -83,6 +86,11 @@
     return !this.gone && this.record.state === "ready"
   }
 
+  /// Whether a request may be sent there now: it takes work, and its limit leaves room.
+  mayReceive(): boolean {
+    return this.takesWork() && (this.limit.get() === undefined || this.permits > 0)
+  }
+
   /// Whether so many other daemons eject it that this one avoids it too.
   isEjectedByPeers(): boolean {
     return this.peers.isEjectedByPeers(this.record.id)
--- a/src/forwarding/choose/backend-picker.ts
+++ b/src/forwarding/choose/backend-picker.ts
@@ -15,9 +15,17 @@
 } from "./backend-choice.js"
 import type {BackendView} from "../backends/backend-view.js"
 import type {PromptOutline} from "../forward-request.js"
+import type {EngineStage} from "../routes/route.js"
 import type {KvIndex} from "../kv-cache/kv-index.js"
 import {PromptPicker} from "./prompt-picker.js"
 
+/// Back ends of one stage that name a limit.
+export interface LimitedBackends {
+  readonly limited: readonly BackendView[]
+  /// Whether others of the stage may take the request.
+  readonly hasOthers: boolean
+}
+
 /// Chooses back ends.
 export class BackendPicker {
   private readonly prompts: PromptPicker
@@ -86,10 +94,29 @@
     return this.pickForPrompt(prompt, query, withCapacity, prefills)
   }
 
+  /// The back ends that name a limit and would take the request otherwise. Engines of one stage cannot stand
+  /// in for those of the other.
+  findLimited(query: BackendQuery, now: number): LimitedBackends[] {
+    const byStage = new Map<EngineStage | undefined, BackendView[]>()
+    for (const view of this.getAllowed(query)) {
+      const {stage} = view.record
+      byStage.set(stage, [...(byStage.get(stage) ?? []), view])
+    }
+    return [...byStage.values()].flatMap(views => {
+      const limited = views.filter(view => view.limit.get() !== undefined)
+      const hasOthers = views.some(view => view.limit.get() === undefined && !view.isEjected(now))
+      return limited.length > 0 ? [{limited, hasOthers}] : []
+    })
+  }
+
   /// Those that may take the request.
   private getAble(query: BackendQuery): BackendView[] {
-    const working = this.directory.ofService(query.service).filter(view => view.takesWork())
-    const {excluded, confinedCaller} = query
+    return this.getAllowed(query).filter(view => view.mayReceive())
+  }
+
+  /// The same with those that name a limit, whether there is a permit or not.
+  private getAllowed({service, excluded, confinedCaller}: BackendQuery): BackendView[] {
+    const working = this.directory.ofService(service).filter(view => view.takesWork())
     const allowed = confinedCaller === undefined ? working : getConfined(working, confinedCaller)
     return allowed.filter(view => !excluded.has(view.record.id))
   }
--- a/src/forwarding/finish/forward-answers.ts
+++ b/src/forwarding/finish/forward-answers.ts
@@ -29,7 +29,7 @@
 ])
 
 /// Values that a decision rests on, for the log.
-type DecisionFields = Readonly<Record<string, unknown>>
+export type DecisionFields = Readonly<Record<string, unknown>>
 
 /// The answers of one daemon. Times are monotonic milliseconds.
 export class ForwardAnswers {
--- a/src/forwarding/finish/request-finisher.ts
+++ b/src/forwarding/finish/request-finisher.ts
@@ -4,7 +4,13 @@
 import type {EffectSink} from "../../shared/effect-sink.js"
 import {addUnansweredSample} from "../pace/attempt-pace.js"
 import {STATUS_UNAVAILABLE} from "../../shared/http-status.js"
-import {type ForwardAnswers, STATUS_BROKEN, STATUS_DEADLINE, STATUS_OVER_QUOTA} from "./forward-answers.js"
+import {
+  type DecisionFields,
+  type ForwardAnswers,
+  STATUS_BROKEN,
+  STATUS_DEADLINE,
+  STATUS_OVER_QUOTA
+} from "./forward-answers.js"
 import type {ForwardEffect, ForwardFailure} from "../forward-messages.js"
 import {isFinishedWithoutCaller, removeAttempt, type LiveAttempt, type Session} from "../forward-session.js"
 import type {RetryAfter} from "../admit/retry-after.js"
@@ -79,10 +85,11 @@
     session: Session,
     failure: ForwardFailure,
     now: number,
-    retryAfterMs = this.retryAfter.getNotServedMs()
+    retryAfterMs = this.retryAfter.getNotServedMs(),
+    reasons: DecisionFields = {}
   ): void {
-    if (session.mayHaveRun) this.finishFailed(session, STATUS_BROKEN, failure, undefined, now)
-    else this.finishFailed(session, STATUS_UNAVAILABLE, failure, retryAfterMs, now)
+    if (session.mayHaveRun) this.finishFailed(session, STATUS_BROKEN, failure, undefined, now, reasons)
+    else this.finishFailed(session, STATUS_UNAVAILABLE, failure, retryAfterMs, now, reasons)
   }
 
   /// Answers with a failure of the daemon's own.
@@ -91,11 +98,12 @@
     status: number,
     failure: ForwardFailure,
     retryAfterMs: number | undefined,
-    now: number
+    now: number,
+    reasons: DecisionFields = {}
   ): void {
     if (session.abandoned) this.answers.logDecision("request.failed", session, {failure, abandoned: true})
     else if (session.relaying) this.answers.sendBroken(session, failure, now)
-    else this.answers.sendFailure(session.request, status, failure, retryAfterMs, now, session)
+    else this.answers.sendFailure(session.request, status, failure, retryAfterMs, now, session, reasons)
     this.finish(session, now)
   }
 
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -12,8 +12,9 @@
 import {ForwardLimits} from "./admit/forward-limits.js"
 import type {ForwardAttemptEvent, ForwardEffect} from "./forward-messages.js"
 import type {ForwardRequest} from "./forward-request.js"
-import {createSession, type Session} from "./forward-session.js"
+import {createSession, getPriority, type Session} from "./forward-session.js"
 import type {ForwardSettings} from "./forward-settings.js"
+import type {PermitManager} from "./permits/permit-manager.js"
 import type {KvIndex} from "./kv-cache/kv-index.js"
 import {QuarantineGate, type QuarantineContext} from "./admit/quarantine-gate.js"
 import {QuotaGate, type QuotaContext} from "./admit/quota-gate.js"
@@ -29,6 +30,8 @@
   /// Told once for each request of a tenant that a back end has begun to run, and when. Monotonic
   /// milliseconds.
   onRequestBegan(tenant: string, at: number): void
+  /// Permits to send to back ends that name a limit.
+  readonly permits: PermitManager
   /// Told of each answer of a back end.
   onSignals(view: BackendView, report: SignalReport, now: number): void
 }
@@ -61,7 +64,7 @@
     const finisher = new RequestFinisher(retryAfter, this.sessions, answers, quotaGate, emit)
     const retryPolicy = new RetryPolicy({settings, allowance, getDaemons: () => context.daemons()})
     const shared = {retryPolicy, picker, limits, answers, finisher, quarantineGate, emit}
-    const sender = new AttemptSender({...shared, settings, quotaGate, retryAfter})
+    const sender = new AttemptSender({...shared, settings, quotaGate, retryAfter, permits: context.permits})
     this.quotaGate = quotaGate
     this.answers = answers
     this.finisher = finisher
@@ -109,6 +112,16 @@
     if (session?.quotaState === "waiting") this.onQuotaDecided(session, decision, now)
   }
 
+  /// Permits of back ends of the service were granted or refused: the most urgent requests that wait for one
+  /// come first, then the oldest.
+  resumeWaiting(service: string, now: number): void {
+    const waiting = [...this.sessions.values()].filter(
+      session => session.awaitsPermit && session.service === service
+    )
+    waiting.sort((one, other) => getPriority(one) - getPriority(other))
+    for (const session of waiting) this.sender.send(session, now)
+  }
+
   /// The caller went away: the work is cancelled.
   cancel(requestId: string, now: number): void {
     const session = this.sessions.get(requestId)
@@ -135,6 +148,7 @@
   tick(now: number): void {
     for (const session of [...this.sessions.values()]) {
       if (now >= session.deadlineAt) this.finisher.finishAtDeadline(session, now)
+      else if (session.awaitsPermit && now >= (session.permitDueAt ?? now)) this.sender.send(session, now)
       else if (session.attempt && this.retryPolicy.isStalled(session, session.attempt, now, this.resumedAt))
         this.outcomes.onStalled(session, session.attempt, now)
     }
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -72,6 +72,7 @@
   | "broken"
   | "stopping"
   | "quarantined"
+  | "backend-limit"
 
 /// What the machine asks for.
 export type ForwardEffect =
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -65,6 +65,10 @@
   quotaCost: number
   /// "refused": it counts nothing.
   quotaState: "waiting" | "decided" | "refused"
+  /// It waits for a permit of a back end that names a limit.
+  awaitsPermit: boolean
+  /// It waits no longer than this; undefined before it has waited. Monotonic milliseconds.
+  permitDueAt: number | undefined
   /// An attempt was stopped while its back end may have been running the request.
   wasStopped: boolean
 }
@@ -98,6 +102,8 @@
     abandoned: false,
     quotaCost: 0,
     quotaState: "decided",
+    awaitsPermit: false,
+    permitDueAt: undefined,
     wasStopped: false
   }
 }
@@ -155,14 +161,15 @@
 /// from 0 to 3.
 const OVERDUE_RANK = 9
 
+/// The priority of the request, 0 the most urgent: its tenant's, or the route's.
+export function getPriority({route, tenant}: Session): number {
+  return tenant?.priority ?? route.priority
+}
+
 /// How urgent an attempt is for its engine. Prompts are computed in turn, so a long one would hold up many
 /// short ones.
-export function urgencyOf(
-  {route, tenant}: Session,
-  choice: BackendChoice,
-  settings: ForwardSettings
-): number {
+export function urgencyOf(session: Session, choice: BackendChoice, settings: ForwardSettings): number {
   if (choice.overdue) return OVERDUE_RANK
   const long = choice.prefillOnly && choice.promptTokens > settings.longPromptTokens
-  return (tenant?.priority ?? route.priority) * RANKS_PER_PRIORITY + (long ? 1 : 0)
+  return getPriority(session) * RANKS_PER_PRIORITY + (long ? 1 : 0)
 }
--- /dev/null
+++ b/src/forwarding/permits/permit-demand.ts
@@ -0,0 +1,32 @@
+/// What competes for the permits of one service at one daemon, by priority, and how many permits it gets.
+import {WindowCount} from "../backends/window-count.js"
+
+/// Time over which both are counted. Milliseconds.
+const WINDOW_MS = 4000
+
+/// The demand for the permits of one service. Times are monotonic milliseconds.
+export class PermitDemand {
+  private readonly requests = new Map<number, WindowCount>()
+  private readonly permits = new WindowCount(WINDOW_MS)
+
+  /// A request of this priority, 0 the most urgent, can only be served with a permit.
+  addRequest(priority: number, now: number): void {
+    let count = this.requests.get(priority)
+    if (!count) this.requests.set(priority, (count = new WindowCount(WINDOW_MS)))
+    count.add(now)
+  }
+
+  /// A permit was granted.
+  addPermit(now: number): void {
+    this.permits.add(now)
+  }
+
+  /// How long the permits that come take to serve what is as urgent or more, and has not been served.
+  /// Milliseconds.
+  getBacklogMs(priority: number, now: number): number {
+    let requests = 0
+    for (const [other, count] of this.requests) if (other <= priority) requests += count.count(now)
+    const permits = this.permits.count(now)
+    return (Math.max(0, requests - permits) / Math.max(1, permits)) * WINDOW_MS
+  }
+}
--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -2,14 +2,16 @@
 /// request. Who may be sent again is decided in retry-policy.ts.
 import type {EffectSink} from "../../shared/effect-sink.js"
 import type {BackendPicker} from "../choose/backend-picker.js"
-import type {BackendChoice} from "../choose/backend-choice.js"
+import type {BackendView} from "../backends/backend-view.js"
+import type {BackendChoice, BackendQuery} from "../choose/backend-choice.js"
 import type {ForwardAnswers} from "../finish/forward-answers.js"
 import type {ForwardLimits} from "../admit/forward-limits.js"
 import type {ForwardEffect} from "../forward-messages.js"
-import {createAttempt, urgencyOf, type LiveAttempt, type Session} from "../forward-session.js"
+import {createAttempt, getPriority, urgencyOf, type LiveAttempt, type Session} from "../forward-session.js"
 import type {ForwardSettings} from "../forward-settings.js"
 import type {QuarantineGate} from "../admit/quarantine-gate.js"
-import type {QuotaGate} from "../admit/quota-gate.js"
+import {getLongestWaitMs, type QuotaGate} from "../admit/quota-gate.js"
+import type {PermitManager} from "../permits/permit-manager.js"
 import type {RetryAfter} from "../admit/retry-after.js"
 import type {RequestFinisher} from "../finish/request-finisher.js"
 import {isRepeatable, type RetryPolicy} from "./retry-policy.js"
@@ -25,6 +27,7 @@
   readonly finisher: RequestFinisher
   readonly quotaGate: QuotaGate
   readonly quarantineGate: QuarantineGate
+  readonly permits: PermitManager
   readonly emit: EffectSink<ForwardEffect>
 }
 
@@ -40,11 +43,14 @@
       finisher.finishNotServed(session, "quarantined", now, refusedMs)
       return
     }
+    const limited = this.askPermits(session, now)
     const choice = this.pickBackend(session, session.excluded, now)
     if (!choice) {
-      finisher.finishNotServed(session, "no-backend", now)
+      if (limited.length > 0) this.waitForPermit(session, limited, now)
+      else finisher.finishNotServed(session, "no-backend", now)
       return
     }
+    session.awaitsPermit = false
     if (limits.isOverloaded(session, choice)) {
       finisher.finishNotServed(session, "overloaded", now, retryAfter.getOverloadedMs(session, choice, now))
       return
@@ -61,14 +67,45 @@
     return choice !== undefined && !this.dependencies.limits.isOverloaded(session, choice)
   }
 
+  /// Asks for permits of the back ends that name a limit. Returns these back ends.
+  private askPermits(session: Session, now: number): readonly BackendView[] {
+    const {permits, picker} = this.dependencies
+    const demand = permits.getDemand(session.service)
+    if (!demand) return []
+    const groups = picker.findLimited(this.makeQuery(session, session.excluded, now), now)
+    const priority = getPriority(session)
+    const isNew = session.permitDueAt === undefined
+    if (isNew && groups.some(({hasOthers}) => !hasOthers)) demand.addRequest(priority, now)
+    for (const {limited, hasOthers} of groups)
+      if (hasOthers) permits.ask(limited, priority, now)
+      else permits.askAny(limited, priority, now)
+    return groups.flatMap(({limited}) => limited)
+  }
+
+  /// Only a back end that names a limit could take the request: it waits for the answer to an ask for a
+  /// permit, if there is one under way, and is refused at once otherwise.
+  private waitForPermit(session: Session, limited: readonly BackendView[], now: number): void {
+    const {finisher, permits} = this.dependencies
+    session.permitDueAt ??= now + getLongestWaitMs(session.route)
+    session.awaitsPermit = permits.isAsking(limited) && now < session.permitDueAt
+    if (session.awaitsPermit) return
+    const backends = limited.map(view => view.record.id)
+    const retryAfterMs = permits.getRetryAfterMs(limited, getPriority(session), now)
+    finisher.finishNotServed(session, "backend-limit", now, retryAfterMs, {backends})
+  }
+
   private pickBackend(
     session: Session,
     excluded: ReadonlySet<string>,
     now: number
   ): BackendChoice | undefined {
-    const {limits, picker, quarantineGate, retryPolicy} = this.dependencies
+    return this.dependencies.picker.pick(this.makeQuery(session, excluded, now), now)
+  }
+
+  private makeQuery(session: Session, excluded: ReadonlySet<string>, now: number): BackendQuery {
+    const {limits, quarantineGate, retryPolicy} = this.dependencies
     const {request, route, service} = session
-    const query = {
+    return {
       service,
       prompt: request.prompt,
       confinedCaller: quarantineGate.getConfinedCaller(session, now),
@@ -81,7 +118,6 @@
       excluded,
       maximumOwnInFlight: limits.getMaximumInFlight(service)
     }
-    return picker.pick(query, now)
   }
 
   private startAttempt(session: Session, choice: BackendChoice, now: number): void {
--- a/src/parts/backend-limit-part.ts
+++ b/src/parts/backend-limit-part.ts
@@ -1,33 +1,90 @@
-/// Follows the limits that back ends name.
+/// Follows the limits that back ends name, and has the permits to send requests there.
+import type {PeerMessage} from "../daemon/peer-messages.js"
 import type {BackendView} from "../forwarding/backends/backend-view.js"
 import type {SignalReport} from "../forwarding/backends/backend-signals.js"
-import {DaemonPart, type PartFigures, type PartSurroundings} from "./daemon-part.js"
+import {DaemonPart, type AnswerEvent, type PartFigures, type PartSurroundings} from "./daemon-part.js"
+
+/// A limit of which nothing was heard for so long is asked for by a health check, and again after that time.
+/// Milliseconds.
+const CONFIRM_INTERVAL_MS = 3000
 
 /// The limits as a part.
 export class BackendLimitPart extends DaemonPart {
   override readonly name = "backendLimits"
+  /// When each limit was last heard of or asked for.
+  private readonly confirmedAt = new Map<BackendView, number>()
+  /// Back ends that name their limits in answers to health checks too: there silence tells that one has ended.
+  private readonly namedInChecks = new Set<BackendView>()
 
   constructor(private readonly surroundings: PartSurroundings) {
     super()
   }
 
-  override onSignals(view: BackendView, {signals, sentAt, isConclusive}: SignalReport, now: number): void {
-    const {logChange} = this.surroundings
+  override onSignals(view: BackendView, report: SignalReport, now: number): void {
+    const {limits, logChange} = this.surroundings
     const {id: backend} = view.record
-    for (const signal of signals.unreadable) logChange("backend.signal-unreadable", {backend, signal})
-    const {requestsPerSecond} = signals
-    if (signals.unreadable.length > 0 || (requestsPerSecond === undefined && !isConclusive)) return
-    if (!view.limit.apply(requestsPerSecond, sentAt, now)) return
-    if (requestsPerSecond === undefined) logChange("backend.limit-ended", {backend})
-    else logChange("backend.limited", {backend, requestsPerSecond})
+    for (const signal of report.signals.unreadable) logChange("backend.signal-unreadable", {backend, signal})
+    limits.apply(view, report, now)
+    if (view.limit.get() !== undefined) this.confirmedAt.set(view, now)
+  }
+
+  override receiveAnswer(event: AnswerEvent, now: number): void {
+    if (event.kind !== "probed" || !event.well || !event.signals) return
+    const view = this.surroundings.directory.get(event.backendId)
+    if (!view) return
+    if (event.signals.requestsPerSecond !== undefined) this.namedInChecks.add(view)
+    const isConclusive = this.namedInChecks.has(view)
+    this.onSignals(view, {signals: event.signals, sentAt: event.sentAt, isConclusive}, now)
+  }
+
+  override receivePeer(fromId: string, fromAddress: string, message: PeerMessage, now: number): void {
+    const {permits} = this.surroundings
+    permits.hear(fromId, now)
+    switch (message.kind) {
+      case "quotaAsk":
+      case "quotaAnswer":
+      case "quotaHandover":
+        if (message.scope === "backend") permits.receive(fromId, fromAddress, message, now)
+        break
+      default:
+        break
+    }
+  }
+
+  override ownPauseEnded(now: number): void {
+    this.surroundings.permits.resumeAfterPause(now)
   }
 
   override clockStoodStill(forMs: number): void {
-    for (const view of this.surroundings.directory.all()) view.limit.addAge(forMs)
+    this.surroundings.limits.addAge(forMs)
+  }
+
+  override tick(now: number): void {
+    this.surroundings.permits.tick(now)
+  }
+
+  override scan(_leaving: boolean, now: number): void {
+    this.surroundings.limits.tick()
+    for (const view of this.confirmedAt.keys()) if (view.gone) this.forget(view)
+    for (const view of this.surroundings.limits.getLimited()) this.confirm(view, now)
   }
 
   override getFigures(): PartFigures {
-    const views = [...this.surroundings.directory.all()]
-    return {limited: views.filter(view => view.limit.get() !== undefined).length}
+    return this.surroundings.permits.getFigures()
+  }
+
+  /// Without requests no answer would tell that a limit has ended. One daemon asks for all.
+  private confirm(view: BackendView, now: number): void {
+    const {emit, permits, routes} = this.surroundings
+    const heardAt = this.confirmedAt.get(view) ?? view.limit.getChangedAt()
+    if (now - heardAt < CONFIRM_INTERVAL_MS || !permits.isOwner(view, now)) return
+    this.confirmedAt.set(view, now)
+    const healthPath = routes()?.service(view.record.service)?.healthPath
+    if (healthPath !== undefined) emit({kind: "probeBackend", probe: {backend: view.record}, healthPath})
+  }
+
+  private forget(view: BackendView): void {
+    this.confirmedAt.delete(view)
+    this.namedInChecks.delete(view)
   }
 }
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -9,6 +9,8 @@
 import type {SignalReport} from "../forwarding/backends/backend-signals.js"
 import type {BackendView} from "../forwarding/backends/backend-view.js"
 import type {BackendDirectory} from "../forwarding/backends/backend-directory.js"
+import type {BackendLimits} from "../forwarding/permits/backend-limits.js"
+import type {PermitManager} from "../forwarding/permits/permit-manager.js"
 import type {KvIndex} from "../forwarding/kv-cache/kv-index.js"
 import type {BackendRecord, RouteConfiguration, Tenant} from "../forwarding/routes/route.js"
 import type {QuotaAnswer, QuotaDecision, QuotaRequest} from "../forwarding/admit/tenant-quota.js"
@@ -35,6 +37,9 @@
   readonly random: RandomSource
   readonly directory: BackendDirectory
   readonly kvIndex: KvIndex
+  /// The limits that back ends name, and the permits to send there.
+  readonly limits: BackendLimits
+  readonly permits: PermitManager
   /// Missing where the fleet lies in one region.
   readonly regions?: RegionSurroundings | undefined
   readonly emit: EffectSink<ForwardingEffect>
--- a/src/parts/health-part.ts
+++ b/src/parts/health-part.ts
@@ -18,8 +18,9 @@
 
   override receiveAnswer(event: AnswerEvent, now: number): void {
     if (event.kind !== "probed") return
+    const wasLost = this.surroundings.directory.get(event.backendId)?.health.needsProbe(now)
     this.prober.answered(event.backendId, event.well, now)
-    if (event.well) this.surroundings.logChange("backend.recovered", {backend: event.backendId})
+    if (event.well && wasLost) this.surroundings.logChange("backend.recovered", {backend: event.backendId})
   }
 
   override scan(_leaving: boolean, now: number): void {
--- a/src/parts/quota-part.ts
+++ b/src/parts/quota-part.ts
@@ -32,7 +32,7 @@
       case "quotaAsk":
       case "quotaAnswer":
       case "quotaHandover":
-        this.manager.receive(fromId, fromAddress, message, now)
+        if (message.scope === undefined) this.manager.receive(fromId, fromAddress, message, now)
         break
       default:
         break
@@ -40,7 +40,11 @@
   }
 
   override takeQuota({tenant, requestId, cost, waitMs}: QuotaRequest, now: number): QuotaAnswer {
-    return this.manager.take(tenant.name, requestId, cost, waitMs, now) ?? {kind: "waiting"}
+    return (
+      this.manager.take(tenant.name, {requestId, tokens: cost, decideBy: now + waitMs}, now) ?? {
+        kind: "waiting"
+      }
+    )
   }
 
   override removeQuotaRequest(requestId: string): void {
--- a/src/process/outside-calls.ts
+++ b/src/process/outside-calls.ts
@@ -114,9 +114,10 @@
 
   private probe({ probe, healthPath }: Effect<'probeBackend'>): void {
     const backendId = probe.backend.id;
+    const sentAt = performance.now();
     void this.backends
       .probe(probe, healthPath)
-      .then((well) => this.send({ kind: 'probed', backendId, well }));
+      .then((answer) => this.send({ kind: 'probed', backendId, sentAt, ...answer }));
   }
 
   private callDuty({ call, authority }: Effect<'callDuty'>): void {
--- a/src/quotas/quota-holder.ts
+++ b/src/quotas/quota-holder.ts
@@ -8,9 +8,11 @@
 import {TokenBucket} from "./token-bucket.js"
 
 /// A request that waits.
-interface QuotaNeed {
+export interface QuotaNeed {
   readonly requestId: string
   readonly tokens: number
+  /// 0 the most urgent; undefined where all count alike.
+  readonly priority?: number | undefined
   /// It is decided without the owner from then on. Monotonic milliseconds.
   readonly decideBy: number
 }
@@ -119,7 +121,9 @@
     const spent = this.unreported
     this.open = {sequence, ownerId, askedAt: now, needs, spent}
     this.unreported = 0
-    return {kind: "quotaAsk", sequence, tenant, needs: needs.map(({tokens}) => tokens), spent}
+    const [first] = needs
+    const priority = first?.priority === undefined ? {} : {priority: first.priority}
+    return {kind: "quotaAsk", sequence, tenant, needs: needs.map(({tokens}) => tokens), ...priority, spent}
   }
 
   /// Takes the owner's word. Returns what became of those that waited; undefined when nothing waits for this
--- a/src/quotas/quota-manager.ts
+++ b/src/quotas/quota-manager.ts
@@ -5,7 +5,7 @@
 import type {RandomSource} from "../shared/random.js"
 import type {EffectSink} from "../shared/effect-sink.js"
 import {OwnerRanking, type FleetView} from "./owner-ranking.js"
-import {QuotaHolder} from "./quota-holder.js"
+import {QuotaHolder, type QuotaNeed} from "./quota-holder.js"
 import type {QuotaAnswer, QuotaAsk, QuotaHandover, QuotaMessage} from "./quota-messages.js"
 import {OwnedBucket} from "./quota-owner.js"
 import {getBucketLimit, getDebtTokens, type QuotaLimit, type QuotaSettings} from "./quota-settings.js"
@@ -62,16 +62,11 @@
   }
 
   /// Asks for a request. Undefined: it waits, and a `decide` effect follows.
-  take(
-    tenant: string,
-    requestId: string,
-    tokens: number,
-    waitMs: number,
-    now: number
-  ): QuotaDecision | undefined {
+  take(tenant: string, need: QuotaNeed, now: number): QuotaDecision | undefined {
+    const {requestId} = need
     const holder = this.getHolder(tenant, now)
     if (!holder) return {kind: "granted"}
-    const decision = holder.take({requestId, tokens, decideBy: now + waitMs}, now)
+    const decision = holder.take(need, now)
     if (decision) return decision
     this.tenantOf.set(requestId, tenant)
     const decided = this.ask(tenant, holder, now)
--- a/src/quotas/quota-messages.ts
+++ b/src/quotas/quota-messages.ts
@@ -1,8 +1,10 @@
-/// What daemons tell each other about tenants' quotas.
+/// What daemons tell each other about the buckets that limit tenants and back ends.
 import * as z from "zod"
 
 const text = z.string().max(512)
 const count = z.number().finite()
+/// What the bucket limits: a back end, or, where that is missing as it is from older daemons, a tenant.
+const scope = z.literal("backend").optional()
 
 /// Needs carried by one ask at most; the rest goes with the next one.
 export const MAXIMUM_NEEDS = 32
@@ -11,16 +13,21 @@
 /// whether the receiver runs.
 const quotaAskSchema = z.object({
   kind: z.literal("quotaAsk"),
+  scope,
   sequence: count,
+  /// Name of the bucket.
   tenant: text,
   /// Tokens of each request that waits, oldest first.
   needs: z.array(count).max(MAXIMUM_NEEDS),
+  /// Priority of the needs, 0 the most urgent; not told where all count alike.
+  priority: count.optional(),
   /// Tokens spent without asking since the last ask; below 0 when more were given back.
   spent: count
 })
 
 const quotaAnswerSchema = z.object({
   kind: z.literal("quotaAnswer"),
+  scope,
   sequence: count,
   tenant: text,
   /// The needs that are granted, by their place in the ask.
@@ -40,7 +47,12 @@
 })
 
 /// The owner of a bucket hands it to the one that takes its place.
-const quotaHandoverSchema = z.object({kind: z.literal("quotaHandover"), tenant: text, level: count})
+const quotaHandoverSchema = z.object({
+  kind: z.literal("quotaHandover"),
+  scope,
+  tenant: text,
+  level: count
+})
 
 /// The forms of all messages of quotas.
 export const quotaMessageSchemas = [quotaAskSchema, quotaAnswerSchema, quotaHandoverSchema] as const
--- a/src/quotas/quota-owner.ts
+++ b/src/quotas/quota-owner.ts
@@ -22,6 +22,10 @@
 /// Requests of less than this part of the debt do not overdraw: they would leave nothing of it for the larger
 /// ones.
 const SMALL_SHARE = 0.02
+/// While more urgent needs come, others leave so many tokens in the bucket for them.
+const URGENT_TOKENS = 1
+/// More urgent needs are expected for so long after the last one. Milliseconds.
+const URGENT_MS = 4000
 /// Bounds of the time for which a daemon does not ask again. Milliseconds. The longest is what a full refill
 /// may be late.
 const SHORTEST_BLOCK_MS = 20
@@ -34,6 +38,8 @@
   private readonly overdraft: TokenBucket
   private readonly debtTokens: number
   private readonly askedAt = new Map<string, number>()
+  /// When needs of each priority last came.
+  private readonly neededAt = new Map<number, number>()
   /// Tokens of refused requests that have not come due yet.
   private backlog = 0
   private backlogAt: number
@@ -78,14 +84,19 @@
   }
 
   /// Grants needs in their order, as far as the bucket goes for each.
-  receive(daemonId: string, {needs, spent}: Pick<QuotaAsk, "needs" | "spent">, now: number): OwnerDecision {
+  receive(
+    daemonId: string,
+    {needs, spent, priority}: Pick<QuotaAsk, "needs" | "spent" | "priority">,
+    now: number
+  ): OwnerDecision {
     this.usedAt = now
+    if (priority !== undefined && needs.length > 0) this.neededAt.set(priority, now)
     this.bucket.take(spent, now)
     if (needs.length > 0) this.askedAt.set(daemonId, now)
     const granted: number[] = []
     const refused: number[] = []
     needs.forEach((tokens, place) => {
-      if (this.tryGrant(tokens, now)) granted.push(place)
+      if (this.isLeft(tokens, priority, now) && this.tryGrant(tokens, now)) granted.push(place)
       else refused.push(tokens)
     })
     const blockedTokens = refused.length > 0 ? Math.min(...refused) : 0
@@ -98,6 +109,16 @@
     }
   }
 
+  /// Whether more urgent needs leave so many tokens. A full bucket has room for everybody.
+  private isLeft(tokens: number, priority: number | undefined, now: number): boolean {
+    if (priority === undefined) return true
+    let isUrgentExpected = false
+    for (const [other, at] of this.neededAt)
+      if (other < priority && now - at < URGENT_MS) isUrgentExpected = true
+    const wanted = Math.min(getDepth(this.limit), tokens + URGENT_TOKENS)
+    return !isUrgentExpected || this.bucket.getLevel(now) >= wanted
+  }
+
   /// A request that the bucket holds in full passes one that it does not. Larger ones overdraw it, for a part
   /// of the rate, so that they do not starve; one that is larger than that waits until the bucket is full,
   /// and one that even then would overdraw it by more is not granted at all: alone it could break the
--- a/test/advertised-limits.test.ts
+++ b/test/advertised-limits.test.ts
@@ -172,14 +172,19 @@
       labRoute({ name: 'other', pathPrefix: '/a/', priority: 2 }),
     ];
     const site = new LimitedSite({ daemons: 9, backends: 3, seed: SEED, routes });
-    site.load({ [URGENT]: 10, [PATH]: 100 }, 32_000);
+    const load = { [URGENT]: 10, [PATH]: 100 };
+    site.load(load, 32_000);
     site.run(2000);
     for (const id of ['b0', 'b1', 'b2']) site.setLimit(id, 4);
     site.run(6000);
     const before = new Map(site.served);
     site.run(24_000);
-    const getServed = (path: string): number => (site.served.get(path) ?? 0) - (before.get(path) ?? 0);
-    expect(getServed(URGENT)).to.be.greaterThan(4 * getServed(PATH));
+    const getServedShare = (path: keyof typeof load): number => {
+      const served = (site.served.get(path) ?? 0) - (before.get(path) ?? 0);
+      return served / (24 * load[path]);
+    };
+    expect(getServedShare(URGENT)).to.be.at.least(0.65);
+    expect(getServedShare(URGENT)).to.be.at.least(10 * getServedShare(PATH));
     for (const id of ['b0', 'b1', 'b2']) checkUse(site, id, 4, site.fleet.time.now() - 20_000);
   });
 });
--- a/test/daemon-parts.test.ts
+++ b/test/daemon-parts.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import { DEFAULT_FORWARDING_SETTINGS } from '../src/daemon/forwarding-daemon-settings.js';
 import { BackendDirectory } from '../src/forwarding/backends/backend-directory.js';
+import { BackendLimits } from '../src/forwarding/permits/backend-limits.js';
 import { KvIndex } from '../src/forwarding/kv-cache/kv-index.js';
 import { createParts } from '../src/parts/daemon-parts.js';
 import type { PartSurroundings } from '../src/parts/daemon-part.js';
@@ -9,6 +10,7 @@
 import { checkPlatformSettings, processSettings } from '../platform/settings.js';
 import { formatSettings } from '../lab/soak/settings-file.js';
 import { SOAK_BOUNDS } from '../lab/soak/soak-record.js';
+import { makePermits } from './forwarding-harness.js';
 
 const ADDRESS = '127.0.0.1:1';
 
@@ -16,12 +18,15 @@
   const ports = { front: ADDRESS, ready: ADDRESS, control: ADDRESS, metrics: 2 };
   const file = formatSettings('daemon-1', 'zone-a', ports, [], SOAK_BOUNDS, ADDRESS, ADDRESS);
   const { daemon } = processSettings(checkPlatformSettings(file));
+  const directory = new BackendDirectory(DEFAULT_FORWARDING_SETTINGS.health);
   const duties = hasDuties ? daemon.duties : undefined;
   return {
     identity: { id: 'daemon-1.a', address: ADDRESS, zone: 'zone-a', region: 'region-a' },
     settings: { ...daemon, duties },
     random: new SeededRandom(1),
-    directory: new BackendDirectory(DEFAULT_FORWARDING_SETTINGS.health),
+    directory,
+    limits: new BackendLimits(directory, () => undefined),
+    permits: makePermits(),
     kvIndex: new KvIndex(),
     emit: () => undefined,
     members: () => [],
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -10,6 +10,7 @@
 import type { ForwardRequest, PromptOutline } from '../src/forwarding/forward-request.js';
 import { DEFAULT_FORWARD_SETTINGS } from '../src/forwarding/forward-settings.js';
 import { KvIndex } from '../src/forwarding/kv-cache/kv-index.js';
+import { PermitManager } from '../src/forwarding/permits/permit-manager.js';
 import { RetryAllowance } from '../src/forwarding/retry/retry-allowance.js';
 import { RouteTable } from '../src/forwarding/routes/route-table.js';
 import type { QuotaAnswer, QuotaRequest } from '../src/forwarding/admit/tenant-quota.js';
@@ -29,6 +30,17 @@
   return new BackendDistance('zone-a', cost);
 }
 
+/** The permits of a daemon that is alone. */
+export function makePermits(): PermitManager {
+  return new PermitManager({
+    selfId: 'daemon-1',
+    random: new SeededRandom(SEED),
+    getFleet: () => ({ members: [], known: 1, joined: true }),
+    onSettled: () => undefined,
+    emit: () => undefined,
+  });
+}
+
 /** One daemon's forwarding with its effects collected. */
 export class Forwarding {
   readonly effects: ForwardEffect[] = [];
@@ -38,6 +50,7 @@
   readonly manager: ForwardManager;
   readonly tenants = new TenantDirectory();
   readonly begun: [tenant: string, at: number][] = [];
+  readonly permits = makePermits();
   stale = false;
   readonly roundTrips = new RoundTrips(DEFAULT_DISTANCE_SETTINGS.roundTripMs);
   readonly distance: BackendDistance;
@@ -76,6 +89,7 @@
         onRunBroken: () => undefined,
         onRunAnswered: () => undefined,
         onSignals: () => undefined,
+        permits: this.permits,
         takeQuota: (request) => this.takeQuota(request),
         removeQuotaRequest: (requestId) => this.quotaCharges.push([requestId, 0]),
         chargeQuota: ({ name }, cost) => this.quotaCharges.push([name, cost]),
--- a/test/quota-restarts.test.ts
+++ b/test/quota-restarts.test.ts
@@ -96,7 +96,11 @@
     let requests = 0;
     const drain = (): number => {
       let granted = 0;
-      while (manager.take('t', `r${(requests += 1)}`, 1000, 60, 20_000)?.kind === 'granted') granted += 1000;
+      while (
+        manager.take('t', { requestId: `r${(requests += 1)}`, tokens: 1000, decideBy: 20_060 }, 20_000)
+          ?.kind === 'granted'
+      )
+        granted += 1000;
       return granted;
     };
     expect(drain()).to.be.greaterThan(LIMIT.burst);
--- a/test/region-part.test.ts
+++ b/test/region-part.test.ts
@@ -4,6 +4,7 @@
 import { BackendDirectory } from '../src/forwarding/backends/backend-directory.js';
 import { BackendDistance } from '../src/forwarding/choose/backend-distance.js';
 import { BackendView } from '../src/forwarding/backends/backend-view.js';
+import { BackendLimits } from '../src/forwarding/permits/backend-limits.js';
 import { KvIndex } from '../src/forwarding/kv-cache/kv-index.js';
 import { labBackend } from '../lab/forwarding-site.js';
 import type { Member } from '../src/membership/membership-messages.js';
@@ -13,6 +14,7 @@
 import { Places } from '../src/places/places.js';
 import { RoundTrips } from '../src/places/round-trips.js';
 import { SeededRandom } from '../src/shared/random.js';
+import { makePermits } from './forwarding-harness.js';
 
 const { distance: distanceSettings } = DEFAULT_FORWARDING_SETTINGS;
 const FAR = 'daemon-far.a';
@@ -31,11 +33,14 @@
     state: 'alive',
   };
   const regions = { places, roundTrips, distance };
+  const directory = new BackendDirectory(DEFAULT_FORWARDING_SETTINGS.health);
   const surroundings = {
     identity: { id: 'daemon-1.a', address: '10.0.0.1:1', zone: 'zone-a', region: 'r1' },
     settings: { ...DEFAULT_FORWARDING_SETTINGS } as PartSurroundings['settings'],
     random: new SeededRandom(1),
-    directory: new BackendDirectory(DEFAULT_FORWARDING_SETTINGS.health),
+    directory,
+    limits: new BackendLimits(directory, () => undefined),
+    permits: makePermits(),
     kvIndex: new KvIndex(),
     regions,
     emit: () => undefined,
