Soak: back ends name limits, and its checks count what they get

The soak knew no limit, so no long run could have found the fault. Its back ends now name limits of 0.4 to 6.9 a second, one or all of a service at a time, and the record judges each window as the rule does: over the daemons that passed on such an answer half a second before and ran on since.

--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -70,6 +70,8 @@
 /// One incarnation of a back end.
 export class BackendStandIn {
   behavior: BackendBehavior = "well"
+  /// Names this limit in its answers, in requests a second; undefined for none.
+  requestsPerSecond: number | undefined
   private stage: Stage | undefined
   private changing = false
   private orders = 0
@@ -83,6 +85,8 @@
   private readonly lastUses = new WeakMap<Socket, number>()
   private heartbeat: NodeJS.Timeout | undefined
   private readonly bornMs = Date.now()
+  /// Told when it ends.
+  onEnd: () => void = () => undefined
   /// Told when a request has ended this back end.
   onCrash: () => void = () => undefined
 
@@ -140,6 +144,7 @@
   private end(): void {
     clearInterval(this.heartbeat)
     this.ended = true
+    this.onEnd()
     for (const socket of this.sockets) socket.resetAndDestroy()
   }
 
@@ -207,8 +212,8 @@
   private addArrival(request: IncomingMessage): ArrivalRecord {
     const requestId = header(request, "x-attempt-id") ?? ""
     const promptOnly = header(request, "x-inference-phase") === "prefill"
-    const {service} = this.identity
-    const arrival = {requestId, service, at: performance.now(), promptOnly, rejected: false}
+    const {id: backend, service} = this.identity
+    const arrival = {requestId, service, backend, at: performance.now(), promptOnly, rejected: false}
     if (requestId !== "") this.record.arrivals.push(arrival)
     return arrival
   }
@@ -295,7 +300,7 @@
       const body = formatBody(id)
       if (behavior === "errors") return this.reply(response, STATUS_ERROR, "failed", headers)
       if (behavior === "breaksOff") {
-        response.writeHead(STATUS_OK, {...headers, "Content-Length": body.length})
+        response.writeHead(STATUS_OK, {...this.getSignals(), ...headers, "Content-Length": body.length})
         response.write(body.slice(0, 5))
         return void setTimeout(() => response.socket?.resetAndDestroy(), 2)
       }
@@ -317,6 +322,7 @@
   ): void {
     const first = Number(header(request, "last-event-id") ?? 0) + 1
     response.writeHead(STATUS_OK, {
+      ...this.getSignals(),
       "Content-Type": "text/event-stream",
       "X-Attempt-Id": id,
       "X-Server-Signature": this.identity.id
@@ -338,6 +344,12 @@
     setTimeout(step, EVENT_MS)
   }
 
+  /// What it says of itself in every answer.
+  private getSignals(): Record<string, string> {
+    const {requestsPerSecond} = this
+    return requestsPerSecond === undefined ? {} : {"Server-Limit": String(requestsPerSecond)}
+  }
+
   private getReport(): object {
     const {stage, changing, orders} = this
     return {phase: stage, models: [], utilization: changing, seq: orders, queued: 0, active: 0}
@@ -378,7 +390,11 @@
     headers: Record<string, string> = {}
   ): void {
     if (response.destroyed) return
-    response.writeHead(status, {...headers, "Content-Length": Buffer.byteLength(body)})
+    response.writeHead(status, {
+      ...this.getSignals(),
+      ...headers,
+      "Content-Length": Buffer.byteLength(body)
+    })
     response.end(body)
   }
 }
--- a/lab/soak/caller-load.ts
+++ b/lab/soak/caller-load.ts
@@ -154,6 +154,7 @@
     response.on("error", () => undefined)
     response.on("close", () => {
       const signature = response.headers["x-server-signature"]
+      call.namesLimit = response.headers["server-limit"] !== undefined
       call.whole = response.complete
       call.signature = typeof signature === "string" ? signature : undefined
       call.body = Buffer.concat(chunks).toString("utf8")
--- a/lab/soak/fault-plan.ts
+++ b/lab/soak/fault-plan.ts
@@ -25,6 +25,12 @@
 const SHORTEST_BUSY_MS = 5000
 const LONGEST_BUSY_MS = 12_000
 const SERIES_PAUSE_MS = 3000
+/// How long back ends name a limit, and the longest pause between two. Milliseconds.
+const SHORTEST_LIMIT_MS = 6000
+const LONGEST_LIMIT_MS = 15_000
+const LIMITS_PAUSE_MS = 3000
+/// Limits that are drawn. Requests a second.
+const LIMITS = [0.4, 1, 2, 3.5, 6.9]
 
 const BEHAVIORS: readonly BackendBehavior[] = [
   "forgetsConnections",
@@ -87,6 +93,31 @@
   return plan.sort((left, right) => left.atMs - right.atMs)
 }
 
+/// Draws limits that back ends name: of one of a service, of some or of all. A plan of its own, as the series
+/// of restarts.
+export function makeLimitPlan(
+  placesByService: readonly (readonly number[])[],
+  durationMs: number,
+  random: () => number
+): PlannedFault[] {
+  const plan: PlannedFault[] = []
+  for (const places of placesByService) {
+    let beginMs = LIMITS_PAUSE_MS * random()
+    while (beginMs < durationMs) {
+      const lastsMs = SHORTEST_LIMIT_MS + random() * (LONGEST_LIMIT_MS - SHORTEST_LIMIT_MS)
+      const share = random() < 0.25 ? 1 : 0.5
+      for (const place of places) {
+        const perSecond = LIMITS[Math.floor(random() * LIMITS.length)]
+        if (random() >= share) continue
+        const fault = new faults.LimitFault(Math.round(lastsMs), place, perSecond)
+        plan.push({atMs: Math.round(beginMs), fault})
+      }
+      beginMs += lastsMs + LIMITS_PAUSE_MS * random()
+    }
+  }
+  return plan.sort((left, right) => left.atMs - right.atMs)
+}
+
 /// Restarts from one moment to another, daemon after daemon, some planned and some not.
 function makeRestarts(
   daemons: readonly string[],
--- a/lab/soak/retry-check.ts
+++ b/lab/soak/retry-check.ts
@@ -4,6 +4,7 @@
 export interface ArrivalRecord {
   readonly requestId: string
   readonly service: string
+  readonly backend?: string
   readonly at: number
   /// Only its prompt was to be computed.
   readonly promptOnly: boolean
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -9,6 +9,7 @@
   type ServiceRequest
 } from "./retry-check.js"
 import {ALLOWED_LATE_RETRIES, judgeCrashes, type CrashOutcome, type CrashRecord} from "./crash-check.js"
+import {findLimitWindows, type LimitSpan, type LimitWindow} from "./limit-check.js"
 import {findTenant, QUOTA_RULE, SOAK_QUOTAS, UNCACHED_TOKENS, type RouteForm} from "./soak-routes.js"
 
 /// One request of a caller. Times are monotonic milliseconds.
@@ -27,6 +28,8 @@
   /// Undefined when the connection ended without a whole answer.
   status?: number
   signature?: string
+  /// The answer names a limit of its back end.
+  namesLimit?: boolean
   body?: string
   /// A streamed answer ended as complete.
   whole?: boolean
@@ -97,6 +100,8 @@
 export const BACKENDS = "backends"
 /// Kinds of disturbances that are planned stops begin so.
 export const PLANNED_STOP = "restart"
+/// Kinds of disturbances that end, freeze or cut off a daemon.
+const BREAKS = new RegExp(`^(kill|pause|${PLANNED_STOP}|link)`)
 /// Requests sent until so long after the stop was asked for must have an answer. Milliseconds.
 const STOP_TAKES_MS = 1000
 
@@ -117,6 +122,8 @@
   readonly keys: {readonly key: string; readonly valid: boolean; readonly at: number}[] = []
   /// When a back end was said to drain.
   readonly drains = new Map<string, number>()
+  /// When back ends named limits.
+  readonly limits: LimitSpan[] = []
   /// Back ends that ended under requests.
   readonly crashes: CrashRecord[] = []
   /// Violations that the stand-ins saw themselves.
@@ -133,6 +140,14 @@
     )
   }
 
+  /// Whether a daemon was neither ended, frozen nor cut off from `from` to `until`.
+  private ranOn(daemon: string, from: number, until: number): boolean {
+    return !this.disturbances.some(
+      ({what, kind, from: began, until: ended}) =>
+        what === daemon && BREAKS.test(kind) && began <= until && ended >= from
+    )
+  }
+
   /// Every broken promise.
   check(): Violation[] {
     const runsOf = groupBy(this.runs, run => run.requestId)
@@ -150,6 +165,12 @@
           promise: "a request that ended three back ends is kept away from others",
           text: `${body}: ${lateRetries} times more, ${ends} ended`
         })
+    for (const {backend, perSecond, seen, allowed} of this.findLimitWindows())
+      if (seen > allowed)
+        violations.push({
+          promise: "a back end gets no more than the limit that it names",
+          text: `${backend}: ${seen} in 4 s, ${allowed} allowed at ${perSecond} a second`
+        })
     for (const {service, seen, allowed, from} of this.findWorstRepeats()) {
       const text = `${service}: ${seen} of ${allowed} from ${from} ms`
       if (seen > allowed) violations.push({promise: "repeats stay within the retry budget", text})
@@ -162,6 +183,21 @@
     return findWorstWindows(this.arrivals, this.getServiceRequests(), this.bounds.retries)
   }
 
+  /// The worst window of each limit that a back end named.
+  findLimitWindows(): LimitWindow[] {
+    const findDaemon = (id: string) => this.requests.get(id)?.daemon ?? ""
+    const arrivals = this.arrivals.flatMap(({backend, requestId, at}) =>
+      backend === undefined ? [] : [{backend, daemon: findDaemon(requestId), at}]
+    )
+    const told = [...this.requests.values()].flatMap(({signature, namesLimit, daemon, endedAt}) =>
+      namesLimit && signature !== undefined && endedAt !== undefined
+        ? [{backend: signature, daemon, at: endedAt}]
+        : []
+    )
+    const ranOn = (daemon: string, from: number, until: number) => this.ranOn(daemon, from, until)
+    return findLimitWindows(this.limits, arrivals, told, ranOn, this.bounds.contactMs)
+  }
+
   /// What became of each request that ends back ends.
   findCrashOutcomes(): CrashOutcome[] {
     const {contactMs, marginMs} = this.bounds
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -121,6 +121,22 @@
     if (backend) backend.behavior = behavior
   }
 
+  /// The back end at a place names a limit in its answers from now on, in requests a second. Returns how to
+  /// end that.
+  startLimit(place: number, perSecond: number): () => void {
+    const {backend} = this.places[place]
+    if (!backend) return () => undefined
+    const span = {backend: backend.identity.id, perSecond, from: performance.now(), until: Infinity}
+    this.record.limits.push(span)
+    backend.requestsPerSecond = perSecond
+    const end = () => {
+      backend.requestsPerSecond = undefined
+      span.until = Math.min(span.until, performance.now())
+    }
+    backend.onEnd = end
+    return end
+  }
+
   /// Starts a new incarnation at a place, if none is there. It may have the id of the one before.
   async startBackend(index: number, keepsId = false): Promise<void> {
     const place = this.places[index]
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -11,8 +11,9 @@
 import {SeededRandom} from "../../src/shared/random.js"
 import {CallerLoad, type CallerTarget} from "./caller-load.js"
 import {CRASHING_BODY, type CrashOutcome} from "./crash-check.js"
+import type {LimitWindow} from "./limit-check.js"
 import type {RetryWindow} from "./retry-check.js"
-import {makePlan, makeSeriesPlan, type PlannedFault} from "./fault-plan.js"
+import {makeLimitPlan, makePlan, makeSeriesPlan, type PlannedFault} from "./fault-plan.js"
 import {
   BACKENDS,
   SOAK_BOUNDS,
@@ -44,6 +45,8 @@
   readonly repeats: readonly RetryWindow[]
   /// What became of requests that end back ends.
   readonly crashes: readonly CrashOutcome[]
+  /// The worst windows of limits that back ends named.
+  readonly limits: readonly LimitWindow[]
   readonly violations: readonly Violation[]
 }
 
@@ -54,9 +57,11 @@
   readonly series: boolean
   /// Whether some callers send requests that end the back ends that run them.
   readonly crashes: boolean
+  /// Whether back ends name limits in their answers.
+  readonly limits: boolean
 }
 
-const DEFAULT_FORM: SoakForm = {daemonCount: DAEMONS, series: false, crashes: false}
+const DEFAULT_FORM: SoakForm = {daemonCount: DAEMONS, series: false, crashes: false, limits: false}
 /// Callers of such requests come back so often, about. Milliseconds.
 const CRASH_PAUSE_MS = 400
 /// The routes on which they are sent: a plain one, and two whose answers are streamed.
@@ -69,7 +74,7 @@
   perSecond: number,
   program: string,
   folder: string,
-  {daemonCount, series, crashes}: SoakForm = DEFAULT_FORM
+  {daemonCount, series, crashes, limits}: SoakForm = DEFAULT_FORM
 ): Promise<SoakOutcome> {
   const generator = new SeededRandom(seed)
   const random = () => generator.next()
@@ -89,7 +94,9 @@
   const plan = makePlan({daemons, places: BACKEND_PLACES}, seconds * 1000, () => planGenerator.next())
   const seriesGenerator = new SeededRandom(seed + 2)
   const seriesPlan = makeSeriesPlan(daemons, PLACES_BY_SERVICE, seconds * 1000, () => seriesGenerator.next())
-  await runPlan(site, series ? mergePlans(plan, seriesPlan) : plan)
+  const limitGenerator = new SeededRandom(seed + 10)
+  const limitPlan = makeLimitPlan(PLACES_BY_SERVICE, seconds * 1000, () => limitGenerator.next())
+  await runPlan(site, mergePlans(plan, series ? seriesPlan : [], limits ? limitPlan : []))
   await wait(CALM_MS)
   const calmFrom = performance.now() - JUDGED_CALM_MS
   load.stop()
@@ -180,6 +187,7 @@
     servedWhenCalm,
     repeats: record.findWorstRepeats(),
     crashes: record.findCrashOutcomes(),
+    limits: record.findLimitWindows(),
     violations
   }
 }
@@ -192,7 +200,7 @@
 
 async function main(): Promise<void> {
   const cli = meow(
-    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--keep] [--regressions]",
+    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--no-limits] [--keep] [--regressions]",
     {
       importMeta: import.meta,
       flags: {
@@ -203,25 +211,28 @@
         daemons: {type: "number", default: DAEMONS},
         series: {type: "boolean", default: true},
         crashes: {type: "boolean", default: true},
+        limits: {type: "boolean", default: true},
         keep: {type: "boolean", default: false},
         regressions: {type: "boolean", default: false}
       }
     }
   )
-  const {seed, count, seconds, rate, daemons, series, crashes, keep, regressions} = cli.flags
-  const fresh = Array.from({length: count}, (_, i) => ({seed: seed + i, seconds, daemons, series, crashes}))
+  const {seed, count, seconds, rate, daemons, series, crashes, limits, keep, regressions} = cli.flags
+  const form = {daemons, series, crashes, limits}
+  const fresh = Array.from({length: count}, (_, i) => ({seed: seed + i, seconds, ...form}))
   const runs = regressions ? readRegressions() : fresh
   const program = buildProgram(join(process.cwd(), "bench-results", "program"))
   let failed = 0
   for (const run of runs) {
     const folder = join(process.cwd(), "bench-results", `soak-${run.seed}`)
     mkdirSync(folder, {recursive: true})
-    const form = {
+    const soakForm = {
       daemonCount: run.daemons ?? DAEMONS,
       series: run.series ?? false,
-      crashes: run.crashes ?? false
+      crashes: run.crashes ?? false,
+      limits: run.limits ?? false
     }
-    const outcome = await runSoak(run.seed, run.seconds, rate, program, folder, form)
+    const outcome = await runSoak(run.seed, run.seconds, rate, program, folder, soakForm)
     process.stdout.write(`${JSON.stringify(outcome)}\n`)
     if (outcome.violations.length > 0) failed += 1
     else if (!keep) rmSync(folder, {recursive: true})
@@ -238,6 +249,7 @@
     daemons: z.number().optional(),
     series: z.boolean().optional(),
     crashes: z.boolean().optional(),
+    limits: z.boolean().optional(),
     cause: z.string()
   })
 )
