--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -2,10 +2,10 @@
 /// stages. It tells the record of every arrival, run and order, and misbehaves as it is told.
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from "node:http"
 import type {AddressInfo, Socket} from "node:net"
-import * as z from "zod"
 import {CRASHING_BODY} from "./crash-check.js"
 import type {HandleRegistry} from "./handle-registry.js"
 import type {ArrivalRecord} from "./retry-check.js"
+import {orderSchema, StageOrders, type Stage} from "./stage-orders.js"
 import {formatBody, formatEvent, type SoakRecord} from "./soak-record.js"
 import type {StoreStandIn} from "./store-stand-in.js"
 import {parseBody, readBody, STATUS_MALFORMED} from "./stray-calls.js"
@@ -26,9 +26,6 @@
   | "lateOrders"
 
 const STATUS_OK = 200
-const STATUS_ACCEPTED = 202
-const STATUS_CONFLICT = 409
-const STATUS_LOW_FENCE = 412
 const STATUS_MISDIRECTED = 421
 const STATUS_ERROR = 500
 const STATUS_BUSY = 503
@@ -36,7 +33,6 @@
 const SLOW_WORK_MS = 250
 const EVENT_MS = 12
 const EVENTS = 6
-const SWITCH_MS = 400
 const LATE_ORDER_MS = 2500
 const FORGET_MS = 300
 const HEARTBEAT_MS = 1200
@@ -48,17 +44,6 @@
 /// The same of one that turns most away.
 const MOST_SHARE = 0.8
 
-const stageSchema = z.enum(["prefill", "decode"])
-type Stage = z.infer<typeof stageSchema>
-
-const orderSchema = z.object({
-  phase: stageSchema,
-  holder: z.string(),
-  fence: z.number(),
-  expected_count: z.number().optional()
-})
-type Order = z.infer<typeof orderSchema>
-
 /// Identity of one incarnation.
 interface BackendIdentity {
   readonly id: string
@@ -72,10 +57,7 @@
   behavior: BackendBehavior = "well"
   /// Names this limit in its answers, in requests a second; undefined for none.
   requestsPerSecond: number | undefined
-  private stage: Stage | undefined
-  private changing = false
-  private orders = 0
-  private highestFence = 0
+  private readonly orders: StageOrders
   private state: "ready" | "draining" = "ready"
   private address = ""
   private handles = 0
@@ -97,7 +79,7 @@
     private readonly registry: HandleRegistry,
     private readonly random: () => number
   ) {
-    this.stage = identity.stage
+    this.orders = new StageOrders(identity.id, identity.stage, record, () => this.writeRecord())
     this.server = createServer((request, response) => void this.onRequest(request, response))
     this.server.on("connection", socket => {
       if (this.ended) return void socket.resetAndDestroy()
@@ -179,8 +161,8 @@
       zone,
       slots: 8,
       state: this.state,
-      phase: this.stage,
-      seq: this.orders,
+      phase: this.orders.stage,
+      seq: this.orders.taken,
       born: this.bornMs
     }
     this.store.write("servers", id, row)
@@ -230,8 +212,9 @@
       this.reply(response, status, "", {"X-Not-Executed": "1", "X-Attempt-Id": id})
     }
     const behavior = this.isHarmed() ? this.behavior : "well"
-    const wrongStage = this.stage !== undefined && promptOnly !== (this.stage === "prefill")
-    if (wrongStage || this.changing || behavior === "sheds" || behavior === "shedsMost")
+    const {stage, isChanging} = this.orders
+    const wrongStage = stage !== undefined && promptOnly !== (stage === "prefill")
+    if (wrongStage || isChanging || behavior === "sheds" || behavior === "shedsMost")
       return reject(wrongStage ? STATUS_MISDIRECTED : STATUS_BUSY)
     if (behavior === "hangs") return
     const run = {
@@ -251,10 +234,10 @@
     this.record.runs.push(run)
     if (body.startsWith(CRASHING_BODY)) {
       setTimeout(() => this.crashUnder(body), CRASH_MS)
-      if (!this.stage) return
+      if (!stage) return
     }
     if (behavior === "losesAnswers") return void setTimeout(() => response.socket?.resetAndDestroy(), WORK_MS)
-    if (this.stage) this.stream(request, response, id, behavior)
+    if (stage) this.stream(request, response, id, behavior)
     else this.answer(request, response, id, behavior)
   }
 
@@ -351,36 +334,16 @@
   }
 
   private getReport(): object {
-    const {stage, changing, orders} = this
-    return {phase: stage, models: [], utilization: changing, seq: orders, queued: 0, active: 0}
+    const {stage, isChanging, taken} = this.orders
+    return {phase: stage, models: [], utilization: isChanging, seq: taken, queued: 0, active: 0}
   }
 
   private onOrder(text: string, response: ServerResponse): void {
     const order = parseBody(orderSchema, text)
     if (!order) return this.reply(response, STATUS_MALFORMED, "{}")
-    if (this.behavior === "lateOrders") return void setTimeout(() => this.carryOut(order), LATE_ORDER_MS)
-    this.reply(response, this.carryOut(order), "{}")
-  }
-
-  private carryOut(order: Order): number {
-    if (order.fence < this.highestFence) return STATUS_LOW_FENCE
-    this.highestFence = order.fence
-    this.record.orders.push({
-      backend: this.identity.id,
-      holder: order.holder,
-      fence: order.fence,
-      at: performance.now()
-    })
-    if (this.changing || (order.expected_count ?? this.orders) !== this.orders) return STATUS_CONFLICT
-    if (this.stage === order.phase) return STATUS_OK
-    this.changing = true
-    this.orders += 1
-    setTimeout(() => {
-      this.changing = false
-      this.stage = order.phase
-      this.writeRecord()
-    }, SWITCH_MS)
-    return STATUS_ACCEPTED
+    if (this.behavior === "lateOrders")
+      return void setTimeout(() => this.orders.carryOut(order), LATE_ORDER_MS)
+    this.reply(response, this.orders.carryOut(order), "{}")
   }
 
   private reply(
--- a/lab/soak/faults.ts
+++ b/lab/soak/faults.ts
@@ -2,7 +2,7 @@
 /// record.
 import type {BackendBehavior} from "./backend-stand-in.js"
 import type {LinkState} from "./fault-proxy.js"
-import {PLANNED_STOP} from "./soak-record.js"
+import {PLANNED_STOP} from "./disturbance.js"
 import type {DutyTreatment} from "./duty-stand-in.js"
 import {findTenant} from "./soak-routes.js"
 import type {SoakSite} from "./soak-site.js"
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -9,6 +9,7 @@
   type ServiceRequest
 } from "./retry-check.js"
 import {ALLOWED_LATE_RETRIES, judgeCrashes, type CrashOutcome, type CrashRecord} from "./crash-check.js"
+import {hasRunOn, isCutByStop, isUndisturbed, type Disturbance} from "./disturbance.js"
 import {findLimitWindows, type LimitSpan, type LimitWindow} from "./limit-check.js"
 import {findTenant, QUOTA_RULE, SOAK_QUOTAS, UNCACHED_TOKENS, type RouteForm} from "./soak-routes.js"
 
@@ -61,14 +62,6 @@
   readonly at: number
 }
 
-/// A time in which something was disturbed, by name; "*" stands for everything.
-interface Disturbance {
-  readonly what: string
-  readonly kind: string
-  readonly from: number
-  until: number
-}
-
 /// The bounds of a site without series of restarts.
 export const SOAK_BOUNDS: SoakBounds = {
   configMs: 2000,
@@ -96,15 +89,6 @@
   readonly retries: RetryBounds
 }
 
-/// Stands for the back ends among the things that are disturbed.
-export const BACKENDS = "backends"
-/// Kinds of disturbances that are planned stops begin so.
-export const PLANNED_STOP = "restart"
-/// Kinds of disturbances that end, freeze or cut off a daemon.
-const BREAKS = new RegExp(`^(kill|pause|${PLANNED_STOP}|link)`)
-/// Requests sent until so long after the stop was asked for must have an answer. Milliseconds.
-const STOP_TAKES_MS = 1000
-
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 const FIRST_FAILURE = 300
 const STATUS_UNAUTHORIZED = 401
@@ -133,19 +117,7 @@
 
   /// Whether a daemon was left alone, contact included, from `from` to `until`.
   isUndisturbed(daemon: string, from: number, until: number): boolean {
-    const {contactMs} = this.bounds
-    return !this.disturbances.some(
-      ({what, from: began, until: ended}) =>
-        (what === daemon || what === "*") && began <= until && ended + contactMs >= from
-    )
-  }
-
-  /// Whether a daemon was neither ended, frozen nor cut off from `from` to `until`.
-  private ranOn(daemon: string, from: number, until: number): boolean {
-    return !this.disturbances.some(
-      ({what, kind, from: began, until: ended}) =>
-        what === daemon && BREAKS.test(kind) && began <= until && ended >= from
-    )
+    return isUndisturbed(this.disturbances, this.bounds.contactMs, {daemon, from, until})
   }
 
   /// Every broken promise.
@@ -194,7 +166,8 @@
         ? [{backend: signature, daemon, at: endedAt}]
         : []
     )
-    const ranOn = (daemon: string, from: number, until: number) => this.ranOn(daemon, from, until)
+    const ranOn = (daemon: string, from: number, until: number) =>
+      hasRunOn(this.disturbances, {daemon, from, until})
     return findLimitWindows(this.limits, arrivals, told, ranOn, this.bounds.contactMs)
   }
 
@@ -239,7 +212,8 @@
     const {id, form, status, sentAt, endedAt, timeoutMs} = request
     const say = (promise: string, text: string) =>
       found.push({promise, text: `${id} (${request.route} by ${request.daemon}) ${text}`})
-    if (status === undefined && this.isCutByStop(request)) say("a planned stop cuts no request", "was cut")
+    if (status === undefined && isCutByStop(this.disturbances, this.bounds.contactMs, request))
+      say("a planned stop cuts no request", "was cut")
     if (form === "non_idempotent" && runs.length > 1) say("runs at most once", `ran ${runs.length} times`)
     if (form === "non_idempotent" && status !== undefined && NOT_RUN.has(status) && runs.length > 0)
       say("a refusal as not run is true", `got ${status} and ran at ${runs[0].backend}`)
@@ -270,24 +244,6 @@
     return when === "always" ? states.every(Boolean) : states.some(Boolean)
   }
 
-  /// Whether a request lost its connection to a daemon that was stopping, while nothing else was wrong.
-  private isCutByStop({daemon, sentAt, endedAt}: CallerRecord): boolean {
-    if (endedAt === undefined || endedAt === sentAt) return false
-    const stop = this.disturbances.find(
-      ({what, kind, from}) =>
-        what === daemon && kind.startsWith(PLANNED_STOP) && sentAt < from + STOP_TAKES_MS && endedAt >= from
-    )
-    if (!stop) return false
-    const {contactMs} = this.bounds
-    return !this.disturbances.some(
-      other =>
-        other !== stop &&
-        [daemon, "*", BACKENDS].includes(other.what) &&
-        other.from <= endedAt &&
-        other.until + contactMs >= sentAt
-    )
-  }
-
   private checkSuccess(
     request: CallerRecord,
     runs: readonly RunRecord[],
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -14,14 +14,8 @@
 import type {LimitWindow} from "./limit-check.js"
 import type {RetryWindow} from "./retry-check.js"
 import {makeLimitPlan, makePlan, makeSeriesPlan, type PlannedFault} from "./fault-plan.js"
-import {
-  BACKENDS,
-  SOAK_BOUNDS,
-  SoakRecord,
-  type CallerRecord,
-  type SoakBounds,
-  type Violation
-} from "./soak-record.js"
+import {BACKENDS} from "./disturbance.js"
+import {SOAK_BOUNDS, SoakRecord, type CallerRecord, type SoakBounds, type Violation} from "./soak-record.js"
 import {findTenant, OVER_QUOTA_TENANT, SOAK_ROUTES} from "./soak-routes.js"
 import {BACKEND_PLACES, PLACES_BY_SERVICE, SoakSite} from "./soak-site.js"
 import {STATUS_MALFORMED} from "./stray-calls.js"
