A limit outlives the lapse of its back end's record

Callers' requests exceeded a limit that a back end named all the time: 15 in 4 s where 11 are allowed (24 daemons, virtual time), after its record had lapsed in the store and come back.

Cause: what a back end says of itself stood in the view of its record and went with it at every daemon at once; each sent until it was told again. A record may lapse and come back while the back end runs on, so it now stands with the incarnation, and a record that comes back finds it.

The test failed before (15 of 11) and passes.

--- a/simulation/limited-site.ts
+++ b/simulation/limited-site.ts
@@ -77,8 +77,12 @@
     this.fleet.time.runUntil(SETTLED_MS);
   }
 
-  /** Writes the record of a back end. */
-  writeBackend(index: number, state: BackendRecord['state']): void {
+  /** Writes the record of a back end, or removes it. */
+  writeBackend(index: number, state: BackendRecord['state'] | 'gone'): void {
+    if (state === 'gone') {
+      this.fleet.write({ collection: 'backends', id: `b${index}`, revision: 0, value: undefined });
+      return;
+    }
     const id = `b${index}`;
     const stage = index % 2 === 0 ? 'prefill' : 'decode';
     const value: BackendRecord = {
--- a/src/forwarding/backends/advertised-limit.ts
+++ b/src/forwarding/backends/advertised-limit.ts
@@ -33,12 +33,6 @@
     this.changedAt -= ms
   }
 
-  /// Another incarnation has taken the back end's place.
-  reset(): void {
-    this.perSecond = undefined
-    this.changedAt = -Infinity
-  }
-
   private set(perSecond: number | undefined, at: number): boolean {
     if (perSecond === this.perSecond) return false
     this.perSecond = perSecond
--- a/src/forwarding/backends/backend-directory.ts
+++ b/src/forwarding/backends/backend-directory.ts
@@ -5,14 +5,22 @@
 import {CHANGING_DISTRUST, PeerLoads, type BackendLoad} from "./peer-loads.js"
 import type {BackendHealthSettings} from "./backend-health.js"
 import {BackendView} from "./backend-view.js"
+import {SignalState} from "./signal-state.js"
+import {getIncarnation} from "../../quarantine/incarnation.js"
 
 /// Distrust of a daemon that ejects a back end, in the digest of its load (peer-loads.ts).
 const EJECTED_DISTRUST = 1
 
+/// What so many incarnations say of themselves is kept at most, the newest: several times those of a large
+/// fleet.
+const MAXIMUM_SIGNAL_STATES = 4096
+
 /// The directory of one daemon. Times are monotonic milliseconds.
 export class BackendDirectory {
   private readonly views = new Map<string, BackendView>()
   private readonly byService = new Map<string, BackendView[]>()
+  /// By incarnation, also of those whose records are gone.
+  private readonly signals = new Map<string, SignalState>()
   /// What the other daemons put on the back ends.
   readonly peers = new PeerLoads()
 
@@ -31,11 +39,17 @@
     const known = this.views.get(record.id)
     if (known) {
       if (known.record.address !== record.address) known.pace.forget()
-      if (known.record.bornMs !== record.bornMs) known.limit.reset()
+      if (known.record.bornMs !== record.bornMs) known.signals = this.getSignals(record)
       known.record = record
       return
     }
-    const view = new BackendView(record, this.settings, this.peers, this.paces.get(record.id))
+    const view = new BackendView(
+      record,
+      this.settings,
+      this.peers,
+      this.paces.get(record.id),
+      this.getSignals(record)
+    )
     this.views.set(record.id, view)
     const views = this.byService.get(record.service) ?? []
     views.push(view)
@@ -48,12 +62,24 @@
     if (!view) return undefined
     view.gone = true
     this.views.delete(id)
+    if (!view.signals.hasSaidAnything()) this.signals.delete(getIncarnation(view.record))
     this.paces.remove(id)
     const others = (this.byService.get(view.record.service) ?? []).filter(other => other !== view)
     this.byService.set(view.record.service, others)
     return view
   }
 
+  private getSignals(record: BackendRecord): SignalState {
+    const incarnation = getIncarnation(record)
+    const known = this.signals.get(incarnation)
+    if (known) return known
+    const oldest = this.signals.size >= MAXIMUM_SIGNAL_STATES ? this.signals.keys().next().value : undefined
+    if (oldest !== undefined) this.signals.delete(oldest)
+    const signals = new SignalState()
+    this.signals.set(incarnation, signals)
+    return signals
+  }
+
   /// The back end with this id.
   get(id: string): BackendView | undefined {
     return this.views.get(id)
--- a/src/forwarding/backends/backend-view.ts
+++ b/src/forwarding/backends/backend-view.ts
@@ -2,9 +2,10 @@
 /// and the prompt tokens that wait for them; its health has a class of its own (backend-health.ts). Relies on
 /// the peers' digests for the load of the other daemons.
 import {DEFAULT_PACE_BOOK_SETTINGS, PaceBook, type EnginePace} from "../pace/pace-book.js"
-import {AdvertisedLimit} from "./advertised-limit.js"
+import type {AdvertisedLimit} from "./advertised-limit.js"
 import {BackendHealth, type BackendHealthSettings} from "./backend-health.js"
 import type {PeerLoads} from "./peer-loads.js"
+import {SignalState} from "./signal-state.js"
 import type {BackendRecord} from "../routes/route.js"
 
 interface SentAttempt {
@@ -24,8 +25,6 @@
   changing = false
   /// Whether it works, as far as this daemon knows.
   readonly health: BackendHealth
-  /// How many requests a second it takes, as it says itself.
-  readonly limit = new AdvertisedLimit()
   /// Requests that this daemon may send there while it names a limit.
   permits = 0
   private readonly attempts = new Map<string, SentAttempt>()
@@ -37,7 +36,9 @@
     healthSettings: BackendHealthSettings,
     private readonly peers: PeerLoads,
     /// How fast it works beside the others of its group.
-    readonly pace: EnginePace = new PaceBook(DEFAULT_PACE_BOOK_SETTINGS).get(record.id)
+    readonly pace: EnginePace = new PaceBook(DEFAULT_PACE_BOOK_SETTINGS).get(record.id),
+    /// What its present incarnation says of itself.
+    public signals = new SignalState()
   ) {
     this.health = new BackendHealth(healthSettings, {
       getOldestSentAt: () => this.getOldestSentAt(),
@@ -45,6 +46,11 @@
     })
   }
 
+  /// How many requests a second it takes, as it says itself.
+  get limit(): AdvertisedLimit {
+    return this.signals.limit
+  }
+
   /// Counts an attempt with so many prompt tokens to compute; an overdue one gives way to those that can be
   /// in time.
   addAttempt(attemptId: string, promptTokens: number, now: number, overdue = false): void {
--- a/src/forwarding/permits/backend-limits.ts
+++ b/src/forwarding/permits/backend-limits.ts
@@ -31,7 +31,12 @@
 
   /// The back ends that name a limit now.
   getLimited(): BackendView[] {
-    return [...this.views].filter(view => view.limit.get() !== undefined)
+    return [...this.views].filter(view => !view.gone && view.limit.get() !== undefined)
+  }
+
+  /// The record of a back end is there, or has come back after a lapse.
+  applyRecord(view: BackendView, now: number): void {
+    if (view.limit.get() !== undefined && !this.views.has(view)) this.setChanged(view, now)
   }
 
   /// Takes what an answer says.
@@ -68,12 +73,9 @@
     for (const {limit} of this.views) limit.addAge(ms)
   }
 
-  /// Forgets incarnations that are gone.
+  /// Forgets back ends that are gone.
   tick(): void {
-    for (const view of this.views) {
-      const isForgotten = view.limit.get() === undefined && view.limit.getChangedAt() === -Infinity
-      if (view.gone || isForgotten) this.views.delete(view)
-    }
+    for (const view of this.views) if (view.gone) this.views.delete(view)
   }
 
   private setChanged(view: BackendView, now: number): void {
--- a/src/parts/backend-limit-part.ts
+++ b/src/parts/backend-limit-part.ts
@@ -2,6 +2,7 @@
 import type {PeerMessage} from "../daemon/peer-messages.js"
 import type {BackendView} from "../forwarding/backends/backend-view.js"
 import type {SignalReport} from "../forwarding/backends/backend-signals.js"
+import type {BackendRecord} from "../forwarding/routes/route.js"
 import {DaemonPart, type AnswerEvent, type PartFigures, type PartSurroundings} from "./daemon-part.js"
 
 /// A limit of which nothing was heard for so long is asked for by a health check, and again after that time.
@@ -20,6 +21,12 @@
     super()
   }
 
+  override applyBackend({id}: BackendRecord, now: number): void {
+    const {directory, limits} = this.surroundings
+    const view = directory.get(id)
+    if (view) limits.applyRecord(view, now)
+  }
+
   override onSignals(view: BackendView, report: SignalReport, now: number): void {
     const {limits, logChange} = this.surroundings
     const {id: backend} = view.record
--- a/test/advertised-limits.test.ts
+++ b/test/advertised-limits.test.ts
@@ -119,6 +119,20 @@
     for (const id of ['b0', 'b1']) checkLimit(site, id, new Set(paused));
   });
 
+  it('kept where the records of back ends lapse and come back', () => {
+    const site = startSite(24, 6);
+    site.load({ [PATH]: 300 }, 40_000);
+    site.run(2000);
+    for (const id of ['b0', 'b1']) site.setLimit(id, 1);
+    for (let atMs = 5000; atMs < 25_000; atMs += 4000)
+      for (const index of [0, 1]) {
+        site.fleet.time.after(atMs, () => site.writeBackend(index, 'gone'));
+        site.fleet.time.after(atMs + 1500, () => site.writeBackend(index, 'ready'));
+      }
+    site.run(28_000);
+    for (const id of ['b0', 'b1']) checkLimit(site, id);
+  });
+
   it('kept for engines of both stages', () => {
     const site = startSite(9, 8, SEED, true);
     const prompt = {
