Daemons read and log that back ends leave or want rest, from all their answers

The heads of answers to requests, and of health checks, states, changes of the KV cache and orders where they name the incarnation, are read for a leaving and, in refusals, for a time of rest: decimal seconds or a date. `backend.leaving` and `backend.rest-asked` are logged and counted; what cannot be read is logged and counts for nothing. No decision uses them yet.

--- a/simulation/limited-site.ts
+++ b/simulation/signal-site.ts
@@ -1,6 +1,6 @@
 /**
- * A fleet in virtual time before back ends that name limits in their answers, with an observer that knows what reached
- * each of them, from whom, and whom it had told.
+ * A fleet in virtual time before back ends that say in their answers how much they take, that they leave or that they
+ * want nothing for a while, with an observer that knows what reached each of them, from whom, and whom it had told.
  */
 import { labBackend, labConfiguration, labRoute } from '../lab/forwarding-site.js';
 import type { AttemptStart, ForwardAttemptEvent } from '../src/forwarding/forward-messages.js';
@@ -16,6 +16,13 @@
 const CONTACT_MS = 3000;
 /** A daemon counts as told so long after it passed on such an answer. Milliseconds. */
 const TOLD_MS = 500;
+/**
+ * Requests that callers send so long after a daemon passed on that a back end leaves must not reach it from there.
+ * Milliseconds.
+ */
+const DRAIN_MS = 2000;
+/** Requests that come sooner than this after a back end has asked for rest may have been on their way. Milliseconds. */
+const REST_FROM_MS = 500;
 /** Until all daemons know each other and the store's records. Milliseconds. */
 const SETTLED_MS = 6000;
 /** Work of a back end, and the pause between looks at the callers. Milliseconds. */
@@ -29,6 +36,10 @@
   readonly node: FleetNode;
   readonly at: number;
   readonly path: string;
+  /** The daemon's life that sent it. */
+  readonly life: string;
+  /** When the caller sent the request. */
+  readonly sentAt: number;
   /** The daemon had been told of the limit when it sent the request. */
   readonly told: boolean;
 }
@@ -42,7 +53,7 @@
 }
 
 /** What a site begins with. */
-interface LimitedSiteOptions {
+interface SignalSiteOptions {
   readonly daemons: number;
   readonly backends: number;
   readonly seed: number;
@@ -52,7 +63,7 @@
 }
 
 /** The site. Times are those of its fleet. */
-export class LimitedSite {
+export class SignalSite {
   readonly fleet: ForwardingFleet;
   readonly arrivals: SiteArrival[] = [];
   /** Requests that were served, by path. */
@@ -64,10 +75,16 @@
   private readonly largest = new Map<string, number>();
   /** When each life of a daemon passed on an answer of a back end with a limit. */
   private readonly toldAt = new Map<string, number>();
+  private readonly leaving = new Set<string>();
+  /** When each life of a daemon passed on that a back end leaves. */
+  private readonly toldLeavingAt = new Map<string, number>();
+  /** Part of the requests that a back end turns away, and the rest that it asks for. */
+  private readonly rests = new Map<string, { share: number; restMs: number }>();
+  private readonly restSpans: { life: string; from: number; until: number }[] = [];
   private readonly open = new Map<string, { path: string; at: number }>();
   private requests = 0;
 
-  constructor(private readonly options: LimitedSiteOptions) {
+  constructor(private readonly options: SignalSiteOptions) {
     const { daemons, seed, backends, routes = [labRoute({})] } = options;
     this.random = new SeededRandom(seed);
     this.fleet = new ForwardingFleet(daemons, seed, FLEET_SETTINGS);
@@ -78,7 +95,7 @@
   }
 
   /** Writes the record of a back end, or removes it. */
-  writeBackend(index: number, state: BackendRecord['state'] | 'gone'): void {
+  writeBackend(index: number, state: BackendRecord['state'] | 'gone', bornMs?: number): void {
     if (state === 'gone') {
       this.fleet.write({ collection: 'backends', id: `b${index}`, revision: 0, value: undefined });
       return;
@@ -89,6 +106,7 @@
       ...labBackend(id, `10.1.0.${index}:80`),
       zone: `zone-${index % 3}`,
       state,
+      bornMs,
     };
     const engine: BackendRecord = { ...value, stage };
     this.fleet.write({
@@ -110,6 +128,35 @@
     if (!this.firstNamedAt.has(backendId)) this.firstNamedAt.set(backendId, this.fleet.time.now());
   }
 
+  /** Whether a back end says from now on that it leaves. */
+  setLeaving(backendId: string, leaves = true): void {
+    if (leaves) this.leaving.add(backendId);
+    else this.leaving.delete(backendId);
+  }
+
+  /** A back end turns part of its requests away and asks for rest; with a share of 0 no more. */
+  setRest(backendId: string, share: number, restMs: number): void {
+    this.rests.set(backendId, { share, restMs });
+  }
+
+  /** Requests that reached a back end too late after the daemon that sent them had passed on that it leaves. */
+  findLateToLeaving(): SiteArrival[] {
+    return this.arrivals.filter(
+      ({ life, sentAt }) => sentAt > (this.toldLeavingAt.get(life) ?? Infinity) + DRAIN_MS,
+    );
+  }
+
+  /** The most requests that a daemon sent to a back end in a time for which that had asked it for rest. */
+  findMostInRest(): number {
+    const counts = this.restSpans.map(({ life, from, until }) => {
+      const within = this.arrivals.filter(
+        (arrival) => arrival.life === life && arrival.at >= from + REST_FROM_MS && arrival.at < until,
+      );
+      return within.length;
+    });
+    return Math.max(0, ...counts);
+  }
+
   /** Callers send so many requests a second, by path, to daemons that run, for so long. */
   load(ratesByPath: Readonly<Record<string, number>>, forMs: number, fields: CallerFields = {}): void {
     const until = this.fleet.time.now() + forMs;
@@ -174,14 +221,37 @@
     const { fleet } = this;
     const life = `${node.id} ${start.backend.id}`;
     const told = fleet.time.now() - (this.toldAt.get(life) ?? Infinity) >= TOLD_MS;
-    const { path = '' } = this.open.get(start.requestId) ?? {};
+    const { path = '', at: sentAt = fleet.time.now() } = this.open.get(start.requestId) ?? {};
     fleet.time.after(fleet.networkMs, () => {
-      this.arrivals.push({ backendId: start.backend.id, node, at: fleet.time.now(), path, told });
+      const at = fleet.time.now();
+      this.arrivals.push({ backendId: start.backend.id, node, life, at, path, sentAt, told });
+      if (this.turnsAway(node, start, life)) return;
       const workMs = LEAST_WORK_MS + this.random.next() * MORE_WORK_MS;
       fleet.time.after(workMs, () => this.answer(node, start, life));
     });
   }
 
+  /** Turns a request away, if the back end does so with this one. */
+  private turnsAway(node: FleetNode, { requestId, attemptId, backend }: AttemptStart, life: string): boolean {
+    const { fleet } = this;
+    const { share, restMs } = this.rests.get(backend.id) ?? { share: 0, restMs: 0 };
+    if (this.random.next() >= share) return false;
+    const answeredAt = fleet.time.now();
+    this.restSpans.push({ life, from: answeredAt, until: answeredAt + restMs });
+    const signals = {
+      requestsPerSecond: undefined,
+      isLeaving: this.leaving.has(backend.id),
+      retryAfterMs: restMs,
+      unreadable: [],
+    };
+    const event = { kind: 'notExecuted', status: 503, wrongIncarnation: false, signals } as const;
+    fleet.time.after(fleet.networkMs, () => {
+      if (`${node.id} ${backend.id}` === life)
+        fleet.handle(node, { kind: 'attempt', requestId, attemptId, event });
+    });
+    return true;
+  }
+
   private answer(
     node: FleetNode,
     { requestId, attemptId, backend, prefillOnly }: AttemptStart,
@@ -189,7 +259,8 @@
   ): void {
     const { fleet } = this;
     const requestsPerSecond = this.limits.get(backend.id);
-    const signals = { requestsPerSecond, unreadable: [] };
+    const isLeaving = this.leaving.has(backend.id);
+    const signals = { requestsPerSecond, isLeaving, retryAfterMs: undefined, unreadable: [] };
     const event: ForwardAttemptEvent = prefillOnly
       ? { kind: 'prefilled', handle: attemptId, signals }
       : { kind: 'whole', status: 200, signals };
@@ -197,6 +268,7 @@
       if (`${node.id} ${backend.id}` !== life) return;
       fleet.handle(node, { kind: 'attempt', requestId, attemptId, event });
       if (requestsPerSecond !== undefined && !this.toldAt.has(life)) this.toldAt.set(life, fleet.time.now());
+      if (isLeaving && !this.toldLeavingAt.has(life)) this.toldLeavingAt.set(life, fleet.time.now());
       if (prefillOnly) return;
       const { path = '' } = this.open.get(requestId) ?? {};
       this.served.set(path, (this.served.get(path) ?? 0) + 1);
--- a/src/adapters/attempt-handler.ts
+++ b/src/adapters/attempt-handler.ts
@@ -151,7 +151,7 @@
       this.fail({ kind: 'broken', reason: head.reason, isForeign: true });
       return;
     }
-    this.signals = this.dialect.signals(raw);
+    this.signals = this.dialect.signals(status, raw);
     if (head.kind === 'notExecuted') {
       const { signals } = this;
       this.finished = true;
--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -26,15 +26,17 @@
 /** The daemon's own calls to back ends, by what they are for. */
 type SmallCallKind = 'freeKv' | 'probe' | 'kvChanges' | 'engineStatus';
 
+/** Hears what a back end says of itself in the answer to a call of the daemon's own that was sent at `sentAt`. */
+type SignalListener = (
+  backend: BackendRecord,
+  signals: BackendSignals,
+  sentAt: number,
+  isHealthCheck: boolean,
+) => void;
+
 /** Hears of a call of the daemon's own that was not answered, and why. */
 type UnansweredListener = (call: SmallCallKind, reason: string) => void;
 
-/** What a health check found. */
-export interface ProbeAnswer {
-  readonly well: boolean;
-  readonly signals?: BackendSignals;
-}
-
 interface SmallAnswer {
   readonly status: number;
   readonly headers: string[];
@@ -94,6 +96,7 @@
     private readonly dialect: BackendDialect,
     private readonly settings: BackendClientSettings,
     private readonly onUnanswered: UnansweredListener = () => undefined,
+    private readonly onSignals: SignalListener = () => undefined,
   ) {
     this.silentChecks = Math.ceil(settings.silentConnectionMs / CHECK_INTERVAL_MS);
     this.resets = new ResetWatch(settings.connectTimeoutMs);
@@ -165,40 +168,60 @@
     void this.ask('freeKv', source.address, source.address, this.dialect.freeKvCall(source));
   }
 
-  /** Asks a back end for its health; what it says of itself counts when it is well. */
-  async probe(probe: HealthProbe, healthPath: string): Promise<ProbeAnswer> {
+  /** Asks a back end for its health. */
+  async probe(probe: HealthProbe, healthPath: string): Promise<boolean> {
     const { id, address } = probe.backend;
+    const sentAt = performance.now();
     const answer = await this.ask('probe', `${PROBE} ${id}`, address, { method: 'GET', path: healthPath });
-    if (!answer || !this.dialect.healthy(answer.status, answer.headers, id)) return { well: false };
-    return { well: true, signals: this.dialect.signals(answer.headers) };
+    if (!answer) return false;
+    const isHealthy = this.dialect.healthy(answer.status, answer.headers, id);
+    this.tellSignals(probe.backend, answer, sentAt, isHealthy);
+    return isHealthy;
   }
 
   /** Asks a model engine for changes of its KV cache; undefined when it does not tell. */
   async kvChanges(call: KvChangesCall): Promise<KvChanges | undefined> {
     const { id, address } = call.backend;
     const small = this.dialect.kvChangesCall(call);
+    const sentAt = performance.now();
     const answer = await this.ask('kvChanges', `${KV_CHANGES} ${id}`, address, small, call.waitMs);
+    if (answer) this.tellSignals(call.backend, answer, sentAt);
     return answer && this.dialect.kvChanges(answer.status, answer.body);
   }
 
   /** Asks a model engine for its state; undefined when it does not tell. */
   async engineStatus(backend: BackendRecord): Promise<EngineStatus | undefined> {
     const call = this.dialect.engineStatusCall();
+    const sentAt = performance.now();
     const answer = await this.ask('engineStatus', backend.id, backend.address, call);
+    if (answer) this.tellSignals(backend, answer, sentAt);
     return answer && this.dialect.engineStatus(answer.status, answer.body);
   }
 
   /** Gives an order once. */
   async order(order: StageOrder): Promise<StageOrderResult> {
     const { id, address } = order.backend;
+    const sentAt = performance.now();
     try {
       const answer = await this.call(id, address, this.dialect.orderCall(order));
+      this.tellSignals(order.backend, answer, sentAt);
       return this.dialect.orderResult(answer.status);
     } catch (error) {
       return { kind: 'noAnswer', reason: (error as Error).name };
     }
   }
 
+  /** An answer counts for the incarnation that it names itself: another one may have the address by now. */
+  private tellSignals(
+    backend: BackendRecord,
+    { status, headers }: SmallAnswer,
+    sentAt: number,
+    isHealthCheck = false,
+  ): void {
+    if (!this.dialect.isFrom(headers, backend.id)) return;
+    this.onSignals(backend, this.dialect.signals(status, headers), sentAt, isHealthCheck);
+  }
+
   /** Connections to a back end that is gone are closed when their requests are over. */
   forget(backendId: string): void {
     const kinds = [PROBE, ONCE, KV_CHANGES].map((kind) => `${kind} ${backendId}`);
--- a/src/adapters/backend-dialect.ts
+++ b/src/adapters/backend-dialect.ts
@@ -52,7 +52,9 @@
   /** Judges the head of an answer to the caller's request, or to the prefill made for it. */
   answerHead(status: number, headers: RawHeaders, callerHead: CallerHead, prefillOnly: boolean): AnswerHead;
   /** What the back end says of itself in the head of any answer. */
-  signals(headers: RawHeaders): BackendSignals;
+  signals(status: number, headers: RawHeaders): BackendSignals;
+  /** Whether the head of an answer names the incarnation that gave it, and it is this one. */
+  isFrom(headers: RawHeaders, incarnation: string): boolean;
   /** The handle in the body of a prefill's answer; undefined when there is none. */
   prefillHandle(body: Buffer): string | undefined;
   /** The call that frees an exported KV cache. */
--- a/src/daemon/change-log.ts
+++ b/src/daemon/change-log.ts
@@ -29,6 +29,8 @@
   | 'backend.sound'
   | 'backend.limited'
   | 'backend.limit-ended'
+  | 'backend.leaving'
+  | 'backend.rest-asked'
   | 'backend.signal-unreadable'
   | 'store.lost'
   | 'store.regained'
--- a/src/daemon/forwarding-messages.ts
+++ b/src/daemon/forwarding-messages.ts
@@ -40,13 +40,17 @@
       readonly attemptId: string;
       readonly event: ForwardAttemptEvent;
     }
-  /** `sentAt` is when the check was sent. Monotonic milliseconds. */
+  | { readonly kind: 'probed'; readonly backendId: string; readonly well: boolean }
+  /**
+   * What a back end says of itself in the answer to a call of the daemon's own, which was sent at `sentAt`. Monotonic
+   * milliseconds. `isHealthCheck`: it was a health check, and the back end is well.
+   */
   | {
-      readonly kind: 'probed';
-      readonly backendId: string;
-      readonly well: boolean;
+      readonly kind: 'backendSignalled';
+      readonly backend: BackendRecord;
+      readonly signals: BackendSignals;
       readonly sentAt: number;
-      readonly signals?: BackendSignals;
+      readonly isHealthCheck: boolean;
     }
   | { readonly kind: 'backendChecked'; readonly backend: WatchedBackend; readonly check: BackendCheck }
   | { readonly kind: 'quarantineTableResult'; readonly result: TableResult }
--- a/src/forwarding/backends/backend-signals.ts
+++ b/src/forwarding/backends/backend-signals.ts
@@ -3,7 +3,12 @@
 /// The signals of one answer.
 export interface BackendSignals {
   /// Requests a second that the back end takes from all daemons together; undefined when it names no limit.
-  readonly requestsPerSecond: number | undefined
+  readonly requestsPerSecond: number | "unreadable" | undefined
+  /// It leaves: it serves what it has and wants nothing new.
+  readonly isLeaving: boolean
+  /// It has turned the request away, and wants nothing from this daemon for so long. Milliseconds; undefined
+  /// when it does not say.
+  readonly retryAfterMs: number | undefined
   /// Signals whose values cannot be read, as they came. They count for nothing.
   readonly unreadable: readonly string[]
 }
--- a/src/forwarding/backends/signal-state.ts
+++ b/src/forwarding/backends/signal-state.ts
@@ -7,8 +7,22 @@
   /// How many requests a second it takes.
   readonly limit = new AdvertisedLimit()
 
+  /// It has said that it leaves; it cannot take that back.
+  isLeaving = false
+  private restUntil = -Infinity
+
+  /// It wants nothing from this daemon until then. What it has said before stays in force.
+  addRest(until: number): void {
+    this.restUntil = Math.max(this.restUntil, until)
+  }
+
+  /// Until when it wants nothing from this daemon. Monotonic milliseconds.
+  getRestUntil(): number {
+    return this.restUntil
+  }
+
   /// Whether it has said anything that still counts.
   hasSaidAnything(): boolean {
-    return this.limit.getChangedAt() > -Infinity
+    return this.isLeaving || this.restUntil > -Infinity || this.limit.getChangedAt() > -Infinity
   }
 }
--- a/src/forwarding/permits/backend-limits.ts
+++ b/src/forwarding/permits/backend-limits.ts
@@ -41,8 +41,8 @@
 
   /// Takes what an answer says.
   apply(view: BackendView, {signals, sentAt, isConclusive}: SignalReport, now: number): void {
-    const {requestsPerSecond, unreadable} = signals
-    if (unreadable.length > 0 || (requestsPerSecond === undefined && !isConclusive)) return
+    const {requestsPerSecond} = signals
+    if (requestsPerSecond === "unreadable" || (requestsPerSecond === undefined && !isConclusive)) return
     if (view.limit.apply(requestsPerSecond, sentAt, now)) this.setChanged(view, now)
   }
 
--- a/src/parts/backend-limit-part.ts
+++ b/src/parts/backend-signal-part.ts
@@ -1,4 +1,5 @@
-/// Follows the limits that back ends name, and has the permits to send requests there.
+/// Follows what back ends say of themselves: the limits that they name, with the permits to send there, that
+/// they leave, and that they want nothing for a while.
 import type {PeerMessage} from "../daemon/peer-messages.js"
 import type {BackendView} from "../forwarding/backends/backend-view.js"
 import type {SignalReport} from "../forwarding/backends/backend-signals.js"
@@ -9,9 +10,9 @@
 /// Milliseconds.
 const CONFIRM_INTERVAL_MS = 3000
 
-/// The limits as a part.
-export class BackendLimitPart extends DaemonPart {
-  override readonly name = "backendLimits"
+/// The signals as a part.
+export class BackendSignalPart extends DaemonPart {
+  override readonly name = "backendSignals"
   /// When each limit was last heard of or asked for.
   private readonly confirmedAt = new Map<BackendView, number>()
   /// Back ends that name their limits in answers to health checks too: there silence tells that one has ended.
@@ -32,16 +33,23 @@
     const {id: backend} = view.record
     for (const signal of report.signals.unreadable) logChange("backend.signal-unreadable", {backend, signal})
     limits.apply(view, report, now)
+    const {isLeaving, retryAfterMs} = report.signals
+    if (isLeaving && !view.signals.isLeaving) logChange("backend.leaving", {backend})
+    if (isLeaving) view.signals.isLeaving = true
+    if (retryAfterMs === undefined) return
+    view.signals.addRest(now + retryAfterMs)
+    logChange("backend.rest-asked", {backend, retryAfterMs: Math.round(retryAfterMs)})
     if (view.limit.get() !== undefined) this.confirmedAt.set(view, now)
   }
 
   override receiveAnswer(event: AnswerEvent, now: number): void {
-    if (event.kind !== "probed" || !event.well || !event.signals) return
-    const view = this.surroundings.directory.get(event.backendId)
-    if (!view) return
-    if (event.signals.requestsPerSecond !== undefined) this.namedInChecks.add(view)
-    const isConclusive = this.namedInChecks.has(view)
-    this.onSignals(view, {signals: event.signals, sentAt: event.sentAt, isConclusive}, now)
+    if (event.kind !== "backendSignalled") return
+    const {backend, signals, sentAt, isHealthCheck} = event
+    const view = this.surroundings.directory.get(backend.id)
+    if (!view || view.record.bornMs !== backend.bornMs) return
+    if (isHealthCheck && signals.requestsPerSecond !== undefined) this.namedInChecks.add(view)
+    const isConclusive = isHealthCheck && this.namedInChecks.has(view)
+    this.onSignals(view, {signals, sentAt, isConclusive}, now)
   }
 
   override receivePeer(fromId: string, fromAddress: string, message: PeerMessage, now: number): void {
--- a/src/parts/daemon-parts.ts
+++ b/src/parts/daemon-parts.ts
@@ -1,6 +1,6 @@
 /// The parts of a forwarding daemon. A new one is one more line here; one that the settings do not ask for is
 /// left out.
-import {BackendLimitPart} from "./backend-limit-part.js"
+import {BackendSignalPart} from "./backend-signal-part.js"
 import type {DaemonPart, PartSurroundings} from "./daemon-part.js"
 import {DutyPart} from "./duty-part.js"
 import {HealthPart} from "./health-part.js"
@@ -17,7 +17,7 @@
   const {regions} = surroundings
   return [
     new HealthPart(surroundings),
-    new BackendLimitPart(surroundings),
+    new BackendSignalPart(surroundings),
     new KvPart(surroundings, now),
     new PacePart(surroundings),
     new StagePart(surroundings),
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -137,8 +137,12 @@
     const unanswered = new UnansweredCalls((call, reason, count) =>
       this.log.important('backend.call-unanswered', { call, reason, count }),
     );
-    return new BackendClient(this.adapters.dialect, BACKEND_CONNECTIONS, (call, reason) =>
-      unanswered.add(call, reason),
+    return new BackendClient(
+      this.adapters.dialect,
+      BACKEND_CONNECTIONS,
+      (call, reason) => unanswered.add(call, reason),
+      (backend, signals, sentAt, isHealthCheck) =>
+        this.send({ kind: 'backendSignalled', backend, signals, sentAt, isHealthCheck }),
     );
   }
 
--- a/src/process/outside-calls.ts
+++ b/src/process/outside-calls.ts
@@ -114,10 +114,9 @@
 
   private probe({ probe, healthPath }: Effect<'probeBackend'>): void {
     const backendId = probe.backend.id;
-    const sentAt = performance.now();
     void this.backends
       .probe(probe, healthPath)
-      .then((answer) => this.send({ kind: 'probed', backendId, sentAt, ...answer }));
+      .then((well) => this.send({ kind: 'probed', backendId, well }));
   }
 
   private callDuty({ call, authority }: Effect<'callDuty'>): void {
--- a/test/advertised-limits.test.ts
+++ b/test/advertised-limits.test.ts
@@ -1,7 +1,7 @@
 /** Back ends that name in their answers how many requests a second they take from all daemons together. */
 import { expect } from 'chai';
 import { labRoute } from '../lab/forwarding-site.js';
-import { LimitedSite } from '../simulation/limited-site.js';
+import { SignalSite } from '../simulation/signal-site.js';
 import type { FleetNode } from '../simulation/forwarding-fleet.js';
 
 const SEED = 20261203;
@@ -14,17 +14,17 @@
 const SETTLES_MS = 4000;
 const RUN_MS = 20_000;
 
-function startSite(daemons: number, backends: number, seed = SEED, engines = false): LimitedSite {
-  return new LimitedSite({ daemons, backends, seed, engines });
+function startSite(daemons: number, backends: number, seed = SEED, engines = false): SignalSite {
+  return new SignalSite({ daemons, backends, seed, engines });
 }
 
-function checkLimit(site: LimitedSite, backendId: string, excused?: ReadonlySet<FleetNode>): void {
+function checkLimit(site: SignalSite, backendId: string, excused?: ReadonlySet<FleetNode>): void {
   const { seen, allowed } = site.findWorst(backendId, excused);
   expect(seen, `requests to ${backendId} in 4 s`).to.be.at.most(allowed);
 }
 
 /** The back end gets most of what it takes. */
-function checkUse(site: LimitedSite, backendId: string, perSecond: number, since: number): void {
+function checkUse(site: SignalSite, backendId: string, perSecond: number, since: number): void {
   const seconds = (site.fleet.time.now() - since) / 1000;
   expect(site.countSince(backendId, since) / seconds, `requests a second to ${backendId}`).to.be.at.least(
     perSecond * LEAST_USE,
@@ -32,7 +32,7 @@
 }
 
 /** Two of six back ends name a limit. */
-function playTwoLimited(daemons: number, perSecond: number, load = PLAIN_LOAD): LimitedSite {
+function playTwoLimited(daemons: number, perSecond: number, load = PLAIN_LOAD): SignalSite {
   const site = startSite(daemons, 6);
   site.load(load, RUN_MS + 2000);
   site.run(2000);
@@ -185,7 +185,7 @@
       labRoute({ name: 'urgent', pathPrefix: '/u/', priority: 0 }),
       labRoute({ name: 'other', pathPrefix: '/a/', priority: 2 }),
     ];
-    const site = new LimitedSite({ daemons: 9, backends: 3, seed: SEED, routes });
+    const site = new SignalSite({ daemons: 9, backends: 3, seed: SEED, routes });
     const load = { [URGENT]: 10, [PATH]: 100 };
     site.load(load, 32_000);
     site.run(2000);
--- a/test/drawn-day.ts
+++ b/test/drawn-day.ts
@@ -305,9 +305,8 @@
       }
       case 'probeBackend': {
         const { id, address } = effect.probe.backend;
-        const sentAt = this.fleet.time.now();
         after(3, () =>
-          this.fleet.handle(node, { kind: 'probed', backendId: id, sentAt, well: !this.ended.has(address) }),
+          this.fleet.handle(node, { kind: 'probed', backendId: id, well: !this.ended.has(address) }),
         );
         break;
       }
