A back end that says itself that it leaves gets no new work

Cause: that a back end leaves was known from its record in the store alone, which may be away, or written anew by what still says ready. What the answers say was passed on and not read.

Now a leaving heard in any answer of the incarnation takes the back end out of every choice (`takesWork`: first choices, repeats, moves, hand-overs, stages, numbers of servers), stands with the incarnation whatever its record says, also when that lapses and comes back, and is told to the other daemons in the next digests, at once when new. Another incarnation at the address is another one. The quarantine takes its end for a planned one.

--- a/src/capacity/capacity-manager.ts
+++ b/src/capacity/capacity-manager.ts
@@ -174,9 +174,10 @@
   isCounted: (id: string) => boolean
 ): Map<string, ZoneCounts> {
   const counts = new Map(Object.keys(zonePrices).map(zone => [zone, {zone, ordinary: 0, spot: 0}]))
-  for (const {record, gone} of views) {
+  for (const view of views) {
+    const {record} = view
     const zone = counts.get(record.zone)
-    if (!zone || gone || record.state !== "ready" || !isCounted(record.id)) continue
+    if (!zone || !view.takesWork() || !isCounted(record.id)) continue
     if (record.isSpot) zone.spot += 1
     else zone.ordinary += 1
   }
--- a/src/daemon/forwarding-machines.ts
+++ b/src/daemon/forwarding-machines.ts
@@ -6,7 +6,7 @@
 import { FleetReplica, type FleetEffect } from '../fleet/fleet-replica.js';
 import { PeerExchange } from '../fleet/peer-exchange.js';
 import { BackendDirectory } from '../forwarding/backends/backend-directory.js';
-import type { BackendView } from '../forwarding/backends/backend-view.js';
+import { LeavingBackends } from '../forwarding/backends/leaving-backends.js';
 import { BackendDistance } from '../forwarding/choose/backend-distance.js';
 import { BackendPicker } from '../forwarding/choose/backend-picker.js';
 import { ForwardManager } from '../forwarding/forward-manager.js';
@@ -101,30 +101,16 @@
   const picker = new BackendPicker(settings.picker, distances.distance, directory, kvIndex, random);
   const retries = new RetryAllowance(settings.retries, now);
   const getParts = (): readonly DaemonPart[] => parts;
-  const permits = new PermitManager({
-    selfId: identity.id,
-    random,
-    getFleet: () => getFleetView(membership),
-    onSettled: (service, at) => manager.resumeWaiting(service, at),
-    emit: context.emit,
-  });
-  const limits = new BackendLimits(directory, (view, perSecond, at) => {
-    logLimit(context, view, perSecond);
-    permits.setLimited(limits.getLimited(), at);
-    exchange.sendSoon(at);
-    manager.resumeWaiting(view.record.service, at);
-  });
-  const manager = createManager(context, { replica, picker, kvIndex, retries, permits, getParts });
-  const exchange = createExchange(context, { replica, directory, kvIndex, limits, membership });
-  const limited = { limits, permits };
-  const parts = createDaemonParts(context, {
+  const signals = createSignalMachines(context, {
     directory,
-    kvIndex,
     membership,
-    manager,
-    distances,
-    ...limited,
+    resumeWaiting: (service, at) => manager.resumeWaiting(service, at),
+    sendSoon: (at) => exchange.sendSoon(at),
   });
+  const { permits } = signals;
+  const manager = createManager(context, { replica, picker, kvIndex, retries, permits, getParts });
+  const exchange = createExchange(context, { replica, directory, kvIndex, signals, membership });
+  const parts = createDaemonParts(context, { directory, kvIndex, membership, signals, manager, distances });
   return { membership, replica, directory, kvIndex, retries, manager, exchange, parts };
 }
 
@@ -134,13 +120,42 @@
   return { members, known: membership.contact().known, joined: membership.joined() };
 }
 
-function logLimit(
-  { logChange }: ForwardingContext,
-  { record }: BackendView,
-  requestsPerSecond: number | undefined,
-): void {
-  if (requestsPerSecond === undefined) logChange('backend.limit-ended', { backend: record.id });
-  else logChange('backend.limited', { backend: record.id, requestsPerSecond });
+/** What is known of back ends by their own words, and the permits to send to those that name a limit. */
+interface SignalMachines {
+  readonly limits: BackendLimits;
+  readonly leaving: LeavingBackends;
+  readonly permits: PermitManager;
+}
+
+interface SignalContext extends Pick<ForwardingMachines, 'directory' | 'membership'> {
+  /** Requests of the service that wait for a permit are looked at again. */
+  resumeWaiting(service: string, now: number): void;
+  /** The other daemons are told at once. */
+  sendSoon(now: number): void;
+}
+
+function createSignalMachines(context: ForwardingContext, machines: SignalContext): SignalMachines {
+  const { identity, random, emit, logChange } = context;
+  const { directory, membership, resumeWaiting, sendSoon } = machines;
+  const permits = new PermitManager({
+    selfId: identity.id,
+    random,
+    getFleet: () => getFleetView(membership),
+    onSettled: resumeWaiting,
+    emit,
+  });
+  const limits = new BackendLimits(directory, ({ record }, requestsPerSecond, at) => {
+    if (requestsPerSecond === undefined) logChange('backend.limit-ended', { backend: record.id });
+    else logChange('backend.limited', { backend: record.id, requestsPerSecond });
+    permits.setLimited(limits.getLimited(), at);
+    sendSoon(at);
+    resumeWaiting(record.service, at);
+  });
+  const leaving = new LeavingBackends(directory, ({ record }, at) => {
+    logChange('backend.leaving', { backend: record.id });
+    sendSoon(at);
+  });
+  return { limits, leaving, permits };
 }
 
 function createDistances({ identity, settings }: ForwardingContext): Distances {
@@ -180,12 +195,12 @@
   ForwardingMachines,
   'replica' | 'directory' | 'kvIndex' | 'membership'
 > {
-  readonly limits: BackendLimits;
+  readonly signals: SignalMachines;
 }
 
 function createExchange(context: ForwardingContext, machines: ExchangeMachines): PeerExchange {
   const { identity, settings, random, emit, now } = context;
-  const { replica, directory, kvIndex, limits, membership } = machines;
+  const { replica, directory, kvIndex, signals, membership } = machines;
   // A placement counts only where the configuration says how much an engine of the service keeps.
   const learnPlacement = (placement: PartPlacement): void => {
     const service = directory.get(placement[0])?.record.service;
@@ -197,7 +212,7 @@
     settings.exchange,
     replica,
     directory,
-    { placements: { take: () => kvIndex.takeRecent(), learn: learnPlacement }, limits },
+    { placements: { take: () => kvIndex.takeRecent(), learn: learnPlacement }, ...signals },
     {
       selfAddress: identity.address,
       zone: identity.zone,
@@ -212,13 +227,12 @@
 
 interface PartMachines extends Pick<ForwardingMachines, 'directory' | 'kvIndex' | 'membership' | 'manager'> {
   readonly distances: Distances;
-  readonly limits: BackendLimits;
-  readonly permits: PermitManager;
+  readonly signals: SignalMachines;
 }
 
 function createDaemonParts(context: ForwardingContext, machines: PartMachines): readonly DaemonPart[] {
   const { identity, settings, random, emit, now } = context;
-  const { directory, kvIndex, membership, limits, permits, manager, distances } = machines;
+  const { directory, kvIndex, membership, signals, manager, distances } = machines;
   return createParts(
     {
       identity,
@@ -226,8 +240,7 @@
       random,
       directory,
       kvIndex,
-      limits,
-      permits,
+      ...signals,
       regions: distances.places.hasSeveralRegions() ? distances : undefined,
       emit,
       members: () => membership.active(),
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -77,7 +77,10 @@
   placements: z.array(z.tuple([text, count, count])),
   /// Limits that back ends name: id, start of the incarnation (0 where not told), requests a second (-1 for a
   /// limit that has ended), and for how long so. Milliseconds. Not told by older daemons.
-  limits: z.array(z.tuple([text, count, count, count])).optional()
+  limits: z.array(z.tuple([text, count, count, count])).optional(),
+  /// Back ends that have said that they leave: id, start of the incarnation (0 where not told). Not told by
+  /// older daemons.
+  leaving: z.array(z.tuple([text, count])).optional()
 })
 
 /// Asks a peer that knows more for its records.
--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -4,6 +4,7 @@
 import type {RandomSource} from "../shared/random.js"
 import type {BackendDirectory} from "../forwarding/backends/backend-directory.js"
 import type {PartPlacement} from "../forwarding/kv-cache/kv-index.js"
+import type {LeavingBackends} from "../forwarding/backends/leaving-backends.js"
 import type {BackendLimits} from "../forwarding/permits/backend-limits.js"
 import type {Member} from "../membership/membership-messages.js"
 import type {FleetKnowledge, FleetMessage, RecordsChanged} from "./fleet-messages.js"
@@ -64,6 +65,7 @@
 interface ExchangedNews {
   readonly placements: PlacementExchange
   readonly limits: Pick<BackendLimits, "getTold" | "applyTold">
+  readonly leaving: Pick<LeavingBackends, "getTold" | "applyTold">
 }
 
 /// A message to a peer.
@@ -196,6 +198,7 @@
     const knowledge = this.replica.getKnowledge(now)
     const ofRegion = scope === "region" ? {region: this.members.region, passOn: true} : {}
     const limits = this.news.limits.getTold(now)
+    const leaving = this.news.leaving.getTold()
     const message: FleetMessage = {
       kind: "loadDigest",
       scope,
@@ -203,6 +206,7 @@
       loads,
       placements,
       ...(limits.length > 0 ? {limits} : {}),
+      ...(leaving.length > 0 ? {leaving} : {}),
       ...ofRegion
     }
     this.sendToAll(addresses, message)
@@ -290,6 +294,7 @@
   private applyLoads(fromId: string, fromAddress: string, message: LoadDigest, now: number): void {
     for (const placement of message.placements) this.news.placements.learn(placement)
     this.news.limits.applyTold(message.limits ?? [], now)
+    this.news.leaving.applyTold(message.leaving ?? [], now)
     switch (message.scope ?? "own") {
       case "own":
         // Whoever tells a relay its loads hears those of the fleet from it; in a small fleet everybody tells
--- a/src/forwarding/backends/backend-directory.ts
+++ b/src/forwarding/backends/backend-directory.ts
@@ -80,6 +80,11 @@
     return signals
   }
 
+  /// Whether an incarnation has said that it leaves, in its record or by itself.
+  isLeaving(record: BackendRecord): boolean {
+    return record.state !== "ready" || this.signals.get(getIncarnation(record))?.isLeaving === true
+  }
+
   /// The back end with this id.
   get(id: string): BackendView | undefined {
     return this.views.get(id)
--- a/src/forwarding/backends/backend-view.ts
+++ b/src/forwarding/backends/backend-view.ts
@@ -89,7 +89,7 @@
 
   /// Whether new work may go there at all.
   takesWork(): boolean {
-    return !this.gone && this.record.state === "ready"
+    return !this.gone && this.record.state === "ready" && !this.signals.isLeaving
   }
 
   /// Whether a request may be sent there now: it takes work, and its limit leaves room.
--- a/src/parts/backend-signal-part.ts
+++ b/src/parts/backend-signal-part.ts
@@ -23,19 +23,24 @@
   }
 
   override applyBackend({id}: BackendRecord, now: number): void {
-    const {directory, limits} = this.surroundings
+    const {directory, leaving, limits} = this.surroundings
     const view = directory.get(id)
-    if (view) limits.applyRecord(view, now)
+    if (!view) return
+    limits.applyRecord(view, now)
+    leaving.applyRecord(view)
+  }
+
+  override removeBackend(id: string): void {
+    this.surroundings.leaving.remove(id)
   }
 
   override onSignals(view: BackendView, report: SignalReport, now: number): void {
-    const {limits, logChange} = this.surroundings
+    const {leaving, limits, logChange} = this.surroundings
     const {id: backend} = view.record
     for (const signal of report.signals.unreadable) logChange("backend.signal-unreadable", {backend, signal})
     limits.apply(view, report, now)
     const {isLeaving, retryAfterMs} = report.signals
-    if (isLeaving && !view.signals.isLeaving) logChange("backend.leaving", {backend})
-    if (isLeaving) view.signals.isLeaving = true
+    if (isLeaving) leaving.add(view, now)
     if (retryAfterMs === undefined) return
     view.signals.addRest(now + retryAfterMs)
     logChange("backend.rest-asked", {backend, retryAfterMs: Math.round(retryAfterMs)})
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -9,6 +9,7 @@
 import type {SignalReport} from "../forwarding/backends/backend-signals.js"
 import type {BackendView} from "../forwarding/backends/backend-view.js"
 import type {BackendDirectory} from "../forwarding/backends/backend-directory.js"
+import type {LeavingBackends} from "../forwarding/backends/leaving-backends.js"
 import type {BackendLimits} from "../forwarding/permits/backend-limits.js"
 import type {PermitManager} from "../forwarding/permits/permit-manager.js"
 import type {KvIndex} from "../forwarding/kv-cache/kv-index.js"
@@ -37,6 +38,8 @@
   readonly random: RandomSource
   readonly directory: BackendDirectory
   readonly kvIndex: KvIndex
+  /// Back ends that have said that they leave.
+  readonly leaving: LeavingBackends
   /// The limits that back ends name, and the permits to send there.
   readonly limits: BackendLimits
   readonly permits: PermitManager
--- a/src/parts/quarantine-part.ts
+++ b/src/parts/quarantine-part.ts
@@ -63,12 +63,13 @@
     this.records.set(record.id, record)
   }
 
-  /// A back end whose record says that it leaves ends as planned; runs that break off there prove nothing.
+  /// A back end that has said that it leaves ends as planned; runs that break off there prove nothing.
   override removeBackend(id: string, now: number): void {
     const record = this.records.get(id)
     this.records.delete(id)
     this.handledAt = now
-    if (record?.state === "ready") this.manager.removeBackend(getIncarnation(record), now)
+    if (record && !this.surroundings.directory.isLeaving(record))
+      this.manager.removeBackend(getIncarnation(record), now)
   }
 
   override receivePeer(_fromId: string, fromAddress: string, message: PeerMessage, now: number): void {
--- a/test/daemon-parts.test.ts
+++ b/test/daemon-parts.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import { DEFAULT_FORWARDING_SETTINGS } from '../src/daemon/forwarding-daemon-settings.js';
 import { BackendDirectory } from '../src/forwarding/backends/backend-directory.js';
+import { LeavingBackends } from '../src/forwarding/backends/leaving-backends.js';
 import { BackendLimits } from '../src/forwarding/permits/backend-limits.js';
 import { KvIndex } from '../src/forwarding/kv-cache/kv-index.js';
 import { createParts } from '../src/parts/daemon-parts.js';
@@ -26,6 +27,7 @@
     random: new SeededRandom(1),
     directory,
     limits: new BackendLimits(directory, () => undefined),
+    leaving: new LeavingBackends(directory, () => undefined),
     permits: makePermits(),
     kvIndex: new KvIndex(),
     emit: () => undefined,
--- a/test/region-part.test.ts
+++ b/test/region-part.test.ts
@@ -4,6 +4,7 @@
 import { BackendDirectory } from '../src/forwarding/backends/backend-directory.js';
 import { BackendDistance } from '../src/forwarding/choose/backend-distance.js';
 import { BackendView } from '../src/forwarding/backends/backend-view.js';
+import { LeavingBackends } from '../src/forwarding/backends/leaving-backends.js';
 import { BackendLimits } from '../src/forwarding/permits/backend-limits.js';
 import { KvIndex } from '../src/forwarding/kv-cache/kv-index.js';
 import { labBackend } from '../lab/forwarding-site.js';
@@ -40,6 +41,7 @@
     random: new SeededRandom(1),
     directory,
     limits: new BackendLimits(directory, () => undefined),
+    leaving: new LeavingBackends(directory, () => undefined),
     permits: makePermits(),
     kvIndex: new KvIndex(),
     regions,
