A back end that asks a daemon for rest gets none of its requests meanwhile

Cause: Retry-After of a back end was not read. A 503 counted as one failure among others; a back end is ejected only after several, and ejected ones are chosen where nothing else is left.

Where every back end of the service rests, a request is refused at once (`backing-off`), with the time until the first is over. Other daemons are not bound: they were not asked.

--- a/src/forwarding/admit/retry-after.ts
+++ b/src/forwarding/admit/retry-after.ts
@@ -12,6 +12,8 @@
 /// - quarantined: the rest of the quarantine, unbounded; the request would be refused at each earlier try.
 /// - over-quota: what the owner of the tenant's bucket says, or `NO_OWNER_RETRY_AFTER_MS` when none has said
 ///   anything; spread.
+/// - backend-limit: when the back ends' limits are expected to leave room (permits/permit-manager.ts).
+/// - backing-off: the rest of the time for which a back end wants no requests, the shortest where all do.
 /// - no-backend, unreachable, turned-away, deadline: `retryAfterMs`.
 ///
 /// Outage and overload are held between the settings `retryAfterMs` and `maximumRetryAfterMs`, so that
--- a/src/forwarding/backends/backend-view.ts
+++ b/src/forwarding/backends/backend-view.ts
@@ -92,9 +92,14 @@
     return !this.gone && this.record.state === "ready" && !this.signals.isLeaving
   }
 
-  /// Whether a request may be sent there now: it takes work, and its limit leaves room.
-  mayReceive(): boolean {
-    return this.takesWork() && (this.limit.get() === undefined || this.permits > 0)
+  /// Whether it wants nothing from this daemon now.
+  isResting(now: number): boolean {
+    return now < this.signals.getRestUntil()
+  }
+
+  /// Whether a request may be sent there now: it takes work, wants no rest, and its limit leaves room.
+  mayReceive(now: number): boolean {
+    return this.takesWork() && !this.isResting(now) && (this.limit.get() === undefined || this.permits > 0)
   }
 
   /// Whether so many other daemons eject it that this one avoids it too.
--- a/src/forwarding/choose/backend-picker.ts
+++ b/src/forwarding/choose/backend-picker.ts
@@ -75,7 +75,7 @@
 
   /// The best choice, or undefined when no back end of the service takes work.
   pick(query: BackendQuery, now: number): BackendChoice | undefined {
-    const able = this.getAble(query)
+    const able = this.getAble(query, now)
     const {prompt} = query
     const engines = able.some(view => view.record.stage !== undefined)
     if (!prompt || !engines) {
@@ -99,6 +99,7 @@
   findLimited(query: BackendQuery, now: number): LimitedBackends[] {
     const byStage = new Map<EngineStage | undefined, BackendView[]>()
     for (const view of this.getAllowed(query)) {
+      if (view.isResting(now)) continue
       const {stage} = view.record
       byStage.set(stage, [...(byStage.get(stage) ?? []), view])
     }
@@ -109,12 +110,20 @@
     })
   }
 
+  /// When the first back end that would take the request otherwise has rested as it asked; undefined when none
+  /// rests.
+  findRestEnd(query: BackendQuery, now: number): number | undefined {
+    const resting = this.getAllowed(query).filter(view => view.isResting(now))
+    if (resting.length === 0) return undefined
+    return Math.min(...resting.map(({signals}) => signals.getRestUntil()))
+  }
+
   /// Those that may take the request.
-  private getAble(query: BackendQuery): BackendView[] {
-    return this.getAllowed(query).filter(view => view.mayReceive())
+  private getAble(query: BackendQuery, now: number): BackendView[] {
+    return this.getAllowed(query).filter(view => view.mayReceive(now))
   }
 
-  /// The same with those that name a limit, whether there is a permit or not.
+  /// The same with those that want rest, or name a limit and have no permit.
   private getAllowed({service, excluded, confinedCaller}: BackendQuery): BackendView[] {
     const working = this.directory.ofService(service).filter(view => view.takesWork())
     const allowed = confinedCaller === undefined ? working : getConfined(working, confinedCaller)
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -73,6 +73,7 @@
   | "stopping"
   | "quarantined"
   | "backend-limit"
+  | "backing-off"
 
 /// What the machine asks for.
 export type ForwardEffect =
--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -16,6 +16,9 @@
 import type {RequestFinisher} from "../finish/request-finisher.js"
 import {isRepeatable, type RetryPolicy} from "./retry-policy.js"
 
+/// A back end that has just turned the request away rests like the others.
+const NONE_EXCLUDED: ReadonlySet<string> = new Set()
+
 /// What the sender relies on.
 interface AttemptSenderDependencies {
   readonly settings: ForwardSettings
@@ -47,7 +50,7 @@
     const choice = this.pickBackend(session, session.excluded, now)
     if (!choice) {
       if (limited.length > 0) this.waitForPermit(session, limited, now)
-      else finisher.finishNotServed(session, "no-backend", now)
+      else this.rejectWithoutBackend(session, now)
       return
     }
     session.awaitsPermit = false
@@ -82,6 +85,14 @@
     return groups.flatMap(({limited}) => limited)
   }
 
+  /// No back end takes the request: none is there, or those that are want rest.
+  private rejectWithoutBackend(session: Session, now: number): void {
+    const {finisher, picker} = this.dependencies
+    const restEnd = picker.findRestEnd(this.makeQuery(session, NONE_EXCLUDED, now), now)
+    if (restEnd === undefined) finisher.finishNotServed(session, "no-backend", now)
+    else finisher.finishNotServed(session, "backing-off", now, restEnd - now)
+  }
+
   /// Only a back end that names a limit could take the request: it waits for the answer to an ask for a
   /// permit, if there is one under way, and is refused at once otherwise.
   private waitForPermit(session: Session, limited: readonly BackendView[], now: number): void {
