Refusals of engines, application servers and the store say when to ask again, and are heeded

The header is read in one place (decimal seconds, or a date against that of the answer). An engine or an application server gets no work from the daemon meanwhile; where every application server rests, the call is refused with the time until the first is over.

--- a/src/adapters/application-client.ts
+++ b/src/adapters/application-client.ts
@@ -2,6 +2,7 @@
 import { Agent, request } from 'undici';
 import type { ApplicationEvent } from '../routing/application-messages.js';
 import { isConnectFailure } from './connect-failure.js';
+import { readRetryAfterMs } from './retry-after-header.js';
 
 /** A caller's call as it travels on. */
 export interface ApplicationPayload {
@@ -68,7 +69,8 @@
       });
       const bytes = new Uint8Array(await body.arrayBuffer());
       const leaving = headers[LEAVING_HEADER] === 'true';
-      if (headers[NOT_RUN_HEADER] === 'true') onEvent({ kind: 'refused', leaving });
+      const retryAfterMs = readRetryAfterMs(statusCode, headers);
+      if (headers[NOT_RUN_HEADER] === 'true') onEvent({ kind: 'refused', leaving, retryAfterMs });
       else
         onEvent({
           kind: 'response',
@@ -76,6 +78,7 @@
           contentType: String(headers['content-type'] ?? ''),
           body: bytes,
           leaving,
+          retryAfterMs,
         });
     } catch (error) {
       if (signal.aborted) return;
--- a/src/adapters/engine-client.ts
+++ b/src/adapters/engine-client.ts
@@ -10,6 +10,7 @@
 import type { AttemptStart } from '../routing/completion-effects.js';
 import { parseJson } from '../shared/json.js';
 import { isConnectFailure } from './connect-failure.js';
+import { readRetryAfterMs } from './retry-after-header.js';
 import { engineReportSchema } from './peer-codec.js';
 import { STATUS_OK } from '../shared/http-status.js';
 
@@ -105,7 +106,7 @@
   ): Promise<void> {
     const { address } = attempt;
     try {
-      const { statusCode, body } = await request(`http://${address}/v1/${attempt.stage}`, {
+      const { statusCode, headers, body } = await request(`http://${address}/v1/${attempt.stage}`, {
         method: 'POST',
         dispatcher: this.agent,
         signal,
@@ -113,7 +114,8 @@
         body: JSON.stringify(attemptBody(attempt)),
       });
       if (statusCode !== STATUS_OK) {
-        onEvent(refusalOf(statusCode, await body.text()));
+        const retryAfterMs = readRetryAfterMs(statusCode, headers);
+        onEvent({ ...refusalOf(statusCode, await body.text()), retryAfterMs });
         return;
       }
       const finished = await this.readStream(body, address, onEvent);
@@ -168,7 +170,7 @@
   return merged;
 }
 
-function refusalOf(statusCode: number, text: string): AttemptEvent {
+function refusalOf(statusCode: number, text: string): Extract<AttemptEvent, { kind: 'refused' | 'broken' }> {
   const answer = parseJson(text).value as { refused?: EngineRefusal } | null | undefined;
   const refused = answer?.refused;
   if (refused !== undefined && REFUSALS.includes(refused)) return { kind: 'refused', reason: refused };
--- a/src/adapters/platform-client.ts
+++ b/src/adapters/platform-client.ts
@@ -1,9 +1,11 @@
 /** The platform's table service and machine list over HTTP. docs/PROTOCOLS.md gives the form. */
+import type { IncomingHttpHeaders } from 'node:http';
 import { Agent, request } from 'undici';
 import * as z from 'zod';
 import type { MachineListing } from '../contracts/machine-list.js';
 import type { TableRequest, TableResult } from '../contracts/table-service.js';
 import { STATUS_OK, STATUS_TOO_MANY_REQUESTS } from '../shared/http-status.js';
+import { readRetryAfterMs } from './retry-after-header.js';
 
 /** The platform as the daemon's process uses it. Calls never reject; a failure is a result. */
 export interface PlatformClient {
@@ -72,7 +74,7 @@
       if (statusCode === STATUS_TOO_MANY_REQUESTS)
         return {
           kind: 'rateLimited',
-          retryAfterMs: Number(headers['retry-after-ms'] ?? DEFAULT_RETRY_AFTER_MS),
+          retryAfterMs: getRetryAfterMs(headers),
         };
       const parsed = tableResultSchema.safeParse(value);
       if (statusCode === STATUS_OK && parsed.success) return parsed.data as TableResult;
@@ -121,3 +123,10 @@
     return { kind: 'noAnswer', reason };
   }
 }
+
+/** The platform's own header counts milliseconds; one that cannot be read counts as none. */
+function getRetryAfterMs(headers: IncomingHttpHeaders): number {
+  const ownMs = Number(headers['retry-after-ms']);
+  if (Number.isFinite(ownMs)) return ownMs;
+  return readRetryAfterMs(STATUS_TOO_MANY_REQUESTS, headers) ?? DEFAULT_RETRY_AFTER_MS;
+}
--- a/src/contracts/engine-protocol.ts
+++ b/src/contracts/engine-protocol.ts
@@ -102,7 +102,8 @@
   /** The connection was never made: the engine has seen no byte. */
   | { readonly kind: 'unreachable'; readonly reason: string }
   /** The engine itself turned the work away before it began. */
-  | { readonly kind: 'refused'; readonly reason: EngineRefusal }
+  /** `retryAfterMs`: it wants no work from this daemon for so long. Milliseconds; undefined when it does not say. */
+  | { readonly kind: 'refused'; readonly reason: EngineRefusal; readonly retryAfterMs?: number | undefined }
   /** The prefill stage is done and the cache can be fetched. */
   | { readonly kind: 'prefilled'; readonly kv: KvHandle }
   /** Tokens from `offset` on; `texts` has one entry a token. */
@@ -110,4 +111,4 @@
   /** The answer is whole: it has exactly `tokens` tokens. */
   | { readonly kind: 'end'; readonly tokens: number; readonly finishReason: string }
   /** The stream broke or the answer makes no sense: the engine may have worked. */
-  | { readonly kind: 'broken'; readonly reason: string };
+  | { readonly kind: 'broken'; readonly reason: string; readonly retryAfterMs?: number | undefined };
--- a/src/routing/application-manager.ts
+++ b/src/routing/application-manager.ts
@@ -144,6 +144,8 @@
     if (!session || attempt?.attemptId !== attemptId) return;
     attempt.server.inFlight -= 1;
     session.attempt = undefined;
+    if ('retryAfterMs' in event && event.retryAfterMs !== undefined)
+      this.servers.addRest(attempt.server, event.retryAfterMs, now);
     switch (event.kind) {
       case 'unreachable':
         this.servers.addFailure(attempt.server, now);
@@ -192,7 +194,11 @@
       this.settleClaim(session, now);
       this.fail(
         session,
-        new NoBackendError(session.call.service, notRunOf(session), NO_SERVER_RETRY_AFTER_MS),
+        new NoBackendError(
+          session.call.service,
+          notRunOf(session),
+          this.servers.findRestMs(now) ?? NO_SERVER_RETRY_AFTER_MS,
+        ),
       );
       return;
     }
--- a/src/routing/application-messages.ts
+++ b/src/routing/application-messages.ts
@@ -22,13 +22,15 @@
   /** No byte of the call reached the server. */
   | { readonly kind: 'unreachable'; readonly reason: string }
   /** The server itself rejected the call before it began. */
-  | { readonly kind: 'refused'; readonly leaving: boolean }
+  | { readonly kind: 'refused'; readonly leaving: boolean; readonly retryAfterMs?: number | undefined }
   | {
       readonly kind: 'response';
       readonly status: number;
       readonly contentType: string;
       readonly body: Uint8Array;
       readonly leaving: boolean;
+      /** It turned the call away and wants none for so long. Milliseconds. */
+      readonly retryAfterMs?: number | undefined;
     }
   | { readonly kind: 'broken'; readonly reason: string };
 
--- a/src/routing/application-servers.ts
+++ b/src/routing/application-servers.ts
@@ -13,6 +13,8 @@
   inFlight: number;
   /** Monotonic milliseconds. */
   avoidUntil: number;
+  /** It wants no calls from this daemon until then. Monotonic milliseconds. */
+  restUntil: number;
 }
 
 /**
@@ -37,7 +39,14 @@
         known.address = address;
         known.leaving ||= leaving;
       } else {
-        this.servers.set(id, { id, address, leaving, inFlight: 0, avoidUntil: -Infinity });
+        this.servers.set(id, {
+          id,
+          address,
+          leaving,
+          inFlight: 0,
+          avoidUntil: -Infinity,
+          restUntil: -Infinity,
+        });
       }
     }
   }
@@ -47,13 +56,28 @@
     server.avoidUntil = now + AVOID_AFTER_FAILURE_MS;
   }
 
+  /** A server wants no calls from this daemon for so long. What it has said before stays in force. */
+  addRest(server: ApplicationServer, retryAfterMs: number, now: number): void {
+    server.restUntil = Math.max(server.restUntil, now + retryAfterMs);
+  }
+
+  /** How long until the first server that stays has rested; undefined when none rests. Milliseconds. */
+  findRestMs(now: number): number | undefined {
+    const resting = [...this.servers.values()].filter(
+      ({ leaving, restUntil }) => !leaving && now < restUntil,
+    );
+    return resting.length > 0 ? Math.min(...resting.map(({ restUntil }) => restUntil)) - now : undefined;
+  }
+
   /**
    * The server that gets a call: of two that are drawn at random the one with fewer calls from here. Servers
-   * that leave and those that the call excludes are left out, and those that failed lately wherever there are
+   * that leave, that rest and those that the call excludes are left out, and those that failed lately wherever there are
    * others.
    */
   pick(excluded: ReadonlySet<string>, now: number): ApplicationServer | undefined {
-    const able = [...this.servers.values()].filter((server) => !server.leaving && !excluded.has(server.id));
+    const able = [...this.servers.values()].filter(
+      (server) => !server.leaving && now >= server.restUntil && !excluded.has(server.id),
+    );
     const steady = able.filter((server) => now >= server.avoidUntil);
     const candidates = steady.length > 0 ? steady : able;
     if (candidates.length === 0) return undefined;
--- a/src/routing/completion-manager.ts
+++ b/src/routing/completion-manager.ts
@@ -119,6 +119,8 @@
     const attempt = session?.attempt;
     if (!session || attempt?.attemptId !== attemptId) return;
     attempt.lastEventAt = now;
+    if ((event.kind === 'refused' || event.kind === 'broken') && event.retryAfterMs !== undefined)
+      attempt.engine.addRest(now + event.retryAfterMs);
     switch (event.kind) {
       case 'unreachable':
         attempt.engine.addFailure(now, this.directorySettings);
--- a/src/routing/engine-directory.ts
+++ b/src/routing/engine-directory.ts
@@ -73,6 +73,7 @@
   private failures = 0;
   private ejections = 0;
   private ejectedUntil = -Infinity;
+  private restUntil = -Infinity;
 
   constructor(
     readonly id: string,
@@ -145,11 +146,16 @@
     this.ejections += 1;
   }
 
+  /** The engine wants no work from this daemon until then. What it has said before stays in force. */
+  addRest(until: number): void {
+    this.restUntil = Math.max(this.restUntil, until);
+  }
+
   /** Whether the engine may get new work. */
   takesWork(now: number): boolean {
     const fresh = now - this.reportedAt <= this.maximumReportAgeMs;
     const active = this.phase === 'active' && !this.listedLeaving && this.assignment !== undefined;
-    return active && fresh && now >= this.ejectedUntil;
+    return active && fresh && now >= this.ejectedUntil && now >= this.restUntil;
   }
 
   /**
