Soak: back ends say that they leave and ask for rest, and its checks count what they get

The soak's back ends said neither, so no long run could have found the faults. Faults of this kind and their record have modules of their own.

--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -67,6 +67,10 @@
   private readonly lastUses = new WeakMap<Socket, number>()
   private heartbeat: NodeJS.Timeout | undefined
   private readonly bornMs = Date.now()
+  /// Says in its answers that it leaves, whatever its record says.
+  saysLeaving = false
+  /// Turns part of the requests away and asks for so many seconds of rest.
+  rest: {readonly share: number; readonly seconds: number} | undefined
   /// Told when it ends.
   onEnd: () => void = () => undefined
   /// Told when a request has ended this back end.
@@ -207,9 +211,13 @@
     body: string
   ): void {
     const {requestId: id, promptOnly} = arrival
-    const reject = (status: number) => {
+    const reject = (status: number, headers: Record<string, string> = {}) => {
       arrival.rejected = true
-      this.reply(response, status, "", {"X-Not-Executed": "1", "X-Attempt-Id": id})
+      this.reply(response, status, "", {...headers, "X-Not-Executed": "1", "X-Attempt-Id": id})
+    }
+    if (this.rest && this.random() < this.rest.share) {
+      this.record.signals.addRest(this.identity.id, id, this.rest.seconds)
+      return reject(STATUS_BUSY, {"Retry-After": String(this.rest.seconds)})
     }
     const behavior = this.isHarmed() ? this.behavior : "well"
     const {stage, isChanging} = this.orders
@@ -329,8 +337,11 @@
 
   /// What it says of itself in every answer.
   private getSignals(): Record<string, string> {
-    const {requestsPerSecond} = this
-    return requestsPerSecond === undefined ? {} : {"Server-Limit": String(requestsPerSecond)}
+    const {requestsPerSecond, saysLeaving} = this
+    return {
+      ...(requestsPerSecond !== undefined && {"Server-Limit": String(requestsPerSecond)}),
+      ...(saysLeaving && {"Server-Leaving": "1"})
+    }
   }
 
   private getReport(): object {
--- a/lab/soak/caller-load.ts
+++ b/lab/soak/caller-load.ts
@@ -155,6 +155,7 @@
     response.on("close", () => {
       const signature = response.headers["x-server-signature"]
       call.namesLimit = response.headers["server-limit"] !== undefined
+      call.saysLeaving = response.headers["server-leaving"] !== undefined
       call.whole = response.complete
       call.signature = typeof signature === "string" ? signature : undefined
       call.body = Buffer.concat(chunks).toString("utf8")
--- a/lab/soak/fault-plan.ts
+++ b/lab/soak/fault-plan.ts
@@ -1,6 +1,7 @@
 /// Draws the faults of a soak: the same seed gives the same plan.
 import type {BackendBehavior} from "./backend-stand-in.js"
 import * as faults from "./faults.js"
+import {LimitFault, RestFault, SaidLeavingFault} from "./signal-faults.js"
 import type {DutyTreatment} from "./duty-stand-in.js"
 import {SOAK_TENANTS} from "./soak-routes.js"
 import type {StoreTreatment} from "./store-stand-in.js"
@@ -25,12 +26,15 @@
 const SHORTEST_BUSY_MS = 5000
 const LONGEST_BUSY_MS = 12_000
 const SERIES_PAUSE_MS = 3000
-/// How long back ends name a limit, and the longest pause between two. Milliseconds.
-const SHORTEST_LIMIT_MS = 6000
-const LONGEST_LIMIT_MS = 15_000
-const LIMITS_PAUSE_MS = 3000
+/// How long back ends say something of themselves, and the longest pause between two. Milliseconds.
+const SHORTEST_SIGNAL_MS = 6000
+const LONGEST_SIGNAL_MS = 15_000
+const SIGNALS_PAUSE_MS = 3000
 /// Limits that are drawn. Requests a second.
 const LIMITS = [0.4, 1, 2, 3.5, 6.9]
+/// Rests that are drawn: parts of the requests that are turned away, and seconds.
+const REST_SHARES = [0.05, 0.3]
+const REST_SECONDS = [0.8, 3, 6.5]
 
 const BEHAVIORS: readonly BackendBehavior[] = [
   "forgetsConnections",
@@ -93,31 +97,39 @@
   return plan.sort((left, right) => left.atMs - right.atMs)
 }
 
-/// Draws limits that back ends name: of one of a service, of some or of all. A plan of its own, as the series
-/// of restarts.
-export function makeLimitPlan(
+/// Draws what back ends say of themselves: limits, that they leave, times of rest; of one of a service, of some
+/// or of all. A plan of its own, as the series of restarts.
+export function makeSignalPlan(
   placesByService: readonly (readonly number[])[],
   durationMs: number,
   random: () => number
 ): PlannedFault[] {
   const plan: PlannedFault[] = []
   for (const places of placesByService) {
-    let beginMs = LIMITS_PAUSE_MS * random()
+    let beginMs = SIGNALS_PAUSE_MS * random()
     while (beginMs < durationMs) {
-      const lastsMs = SHORTEST_LIMIT_MS + random() * (LONGEST_LIMIT_MS - SHORTEST_LIMIT_MS)
+      const lastsMs = Math.round(SHORTEST_SIGNAL_MS + random() * (LONGEST_SIGNAL_MS - SHORTEST_SIGNAL_MS))
       const share = random() < 0.25 ? 1 : 0.5
-      for (const place of places) {
-        const perSecond = LIMITS[Math.floor(random() * LIMITS.length)]
-        if (random() >= share) continue
-        const fault = new faults.LimitFault(Math.round(lastsMs), place, perSecond)
-        plan.push({atMs: Math.round(beginMs), fault})
-      }
-      beginMs += lastsMs + LIMITS_PAUSE_MS * random()
+      const make = pickSignal(lastsMs, random)
+      for (const place of places)
+        if (random() < share) plan.push({atMs: Math.round(beginMs), fault: make(place)})
+      beginMs += lastsMs + SIGNALS_PAUSE_MS * random()
     }
   }
   return plan.sort((left, right) => left.atMs - right.atMs)
 }
 
+function pickSignal(lastsMs: number, random: () => number): (place: number) => faults.Fault {
+  const pick = <Item>(items: readonly Item[]): Item => items[Math.floor(random() * items.length)]
+  const makers: readonly ((place: number) => faults.Fault)[] = [
+    place => new LimitFault(lastsMs, place, pick(LIMITS)),
+    place => new LimitFault(lastsMs, place, pick(LIMITS)),
+    place => new SaidLeavingFault(lastsMs, place),
+    place => new RestFault(lastsMs, place, {share: pick(REST_SHARES), seconds: pick(REST_SECONDS)})
+  ]
+  return pick(makers)
+}
+
 /// Restarts from one moment to another, daemon after daemon, some planned and some not.
 function makeRestarts(
   daemons: readonly string[],
--- a/lab/soak/faults.ts
+++ b/lab/soak/faults.ts
@@ -211,34 +211,6 @@
   }
 }
 
-/// A back end names a limit in its answers.
-export class LimitFault extends Fault {
-  private end: () => void = () => undefined
-
-  constructor(
-    lastsMs: number,
-    private readonly place: number,
-    private readonly perSecond: number
-  ) {
-    super(lastsMs)
-  }
-  getName(): string {
-    return `limit of back end ${this.place}: ${this.perSecond} a second`
-  }
-  getDisturbed(): readonly string[] {
-    return []
-  }
-  override harmsBackends(): boolean {
-    return true
-  }
-  start(site: SoakSite): void {
-    this.end = site.startLimit(this.place, this.perSecond)
-  }
-  stop(): void {
-    this.end()
-  }
-}
-
 /// A back end crashes and comes back as another incarnation.
 export class CrashFault extends Fault {
   constructor(
--- /dev/null
+++ b/lab/soak/signal-faults.ts
@@ -0,0 +1,84 @@
+/// Faults in which back ends say in their answers what they want.
+import {Fault} from "./faults.js"
+import type {SoakSite} from "./soak-site.js"
+
+/// A back end names a limit in its answers.
+export class LimitFault extends Fault {
+  private end: () => void = () => undefined
+
+  constructor(
+    lastsMs: number,
+    private readonly place: number,
+    private readonly perSecond: number
+  ) {
+    super(lastsMs)
+  }
+  getName(): string {
+    return `limit of back end ${this.place}: ${this.perSecond} a second`
+  }
+  getDisturbed(): readonly string[] {
+    return []
+  }
+  override harmsBackends(): boolean {
+    return true
+  }
+  start(site: SoakSite): void {
+    this.end = site.startLimit(this.place, this.perSecond)
+  }
+  stop(): void {
+    this.end()
+  }
+}
+
+/// A back end says in its answers that it leaves while its record says that it is ready; then another takes
+/// its place.
+export class SaidLeavingFault extends Fault {
+  constructor(
+    lastsMs: number,
+    private readonly place: number
+  ) {
+    super(lastsMs)
+  }
+  getName(): string {
+    return `said leaving of back end ${this.place}`
+  }
+  getDisturbed(): readonly string[] {
+    return []
+  }
+  override harmsBackends(): boolean {
+    return true
+  }
+  start(site: SoakSite): void {
+    site.sayLeaving(this.place)
+  }
+  async stop(site: SoakSite): Promise<void> {
+    site.closeBackend(this.place)
+    await site.startBackend(this.place)
+  }
+}
+
+/// A back end turns part of its requests away and asks for rest.
+export class RestFault extends Fault {
+  constructor(
+    lastsMs: number,
+    private readonly place: number,
+    private readonly rest: {readonly share: number; readonly seconds: number}
+  ) {
+    super(lastsMs)
+  }
+  getName(): string {
+    return `rest of back end ${this.place}: ${this.rest.seconds} s, ${this.rest.share} of the requests`
+  }
+  getDisturbed(): readonly string[] {
+    return []
+  }
+  override harmsBackends(): boolean {
+    return true
+  }
+  start(site: SoakSite): void {
+    site.setRest(this.place, this.rest)
+  }
+  stop(site: SoakSite): void {
+    site.setRest(this.place, undefined)
+  }
+}
--- /dev/null
+++ b/lab/soak/signal-record.ts
@@ -0,0 +1,96 @@
+/// What back ends said of themselves in a soak, and whether daemons kept to it.
+import {SECOND_MS} from "../../src/shared/units.js"
+import {hasRunOn, type Disturbance} from "./disturbance.js"
+import type {ArrivalRecord} from "./retry-check.js"
+import {
+  findBrokenRests,
+  findLateToLeaving,
+  findLimitWindows,
+  type DaemonArrival,
+  type LimitSpan,
+  type LimitWindow,
+  type RestSpan,
+  type ToldAnswer
+} from "./signal-check.js"
+
+/// What is known of a caller's request and its answer. Monotonic milliseconds.
+interface AnsweredRequest {
+  readonly daemon: string
+  readonly sentAt: number
+  endedAt?: number
+  signature?: string
+  /// The answer names a limit of its back end.
+  namesLimit?: boolean
+  /// The answer says that its back end leaves.
+  saysLeaving?: boolean
+}
+
+/// The record of one soak.
+export class SignalRecord {
+  /// When back ends named limits.
+  readonly limits: LimitSpan[] = []
+  private readonly rests: RestSpan[] = []
+
+  constructor(
+    private readonly requests: ReadonlyMap<string, AnsweredRequest>,
+    private readonly arrivals: readonly ArrivalRecord[],
+    private readonly disturbances: readonly Disturbance[],
+    /// Milliseconds.
+    private readonly bounds: {readonly contactMs: number; readonly drainMs: number}
+  ) {}
+
+  /// A back end turned a request away and asked the daemon that sent it for rest.
+  addRest(backend: string, requestId: string, seconds: number): void {
+    const at = performance.now()
+    const daemon = this.requests.get(requestId)?.daemon ?? ""
+    this.rests.push({backend, daemon, at, until: at + seconds * SECOND_MS})
+  }
+
+  /// The worst window of each limit that a back end named.
+  findLimitWindows(): LimitWindow[] {
+    const told = this.findTold(({namesLimit}) => namesLimit === true)
+    return findLimitWindows(this.limits, this.findArrivals(), told, this.ranOn, this.bounds.contactMs)
+  }
+
+  /// Every broken promise.
+  check(): {readonly promise: string; readonly text: string}[] {
+    const arrivals = this.findArrivals()
+    const told = this.findTold(({saysLeaving}) => saysLeaving === true)
+    const late = findLateToLeaving(told, arrivals, this.ranOn, this.bounds.drainMs)
+    const rests = findBrokenRests(this.rests, arrivals, this.ranOn)
+    const limits = this.findLimitWindows().filter(({seen, allowed}) => seen > allowed)
+    return [
+      ...limits.map(({backend, perSecond, seen, allowed}) => ({
+        promise: "a back end gets no more than the limit that it names",
+        text: `${backend}: ${seen} in 4 s, ${allowed} allowed at ${perSecond} a second`
+      })),
+      ...late.map(({backend, daemon, sentAt}) => ({
+        promise: "a back end that says it leaves gets no new work",
+        text: `${backend} by ${daemon}, sent at ${Math.round(sentAt)}`
+      })),
+      ...rests.map(({span: {backend, daemon, at, until}, seen}) => ({
+        promise: "a back end that asks for rest gets it",
+        text: `${backend}: ${seen} by ${daemon} in ${Math.round(until - at)} ms from ${Math.round(at)}`
+      }))
+    ]
+  }
+
+  private readonly ranOn = (daemon: string, from: number, until: number): boolean =>
+    hasRunOn(this.disturbances, {daemon, from, until})
+
+  private findArrivals(): DaemonArrival[] {
+    return this.arrivals.flatMap(({backend, requestId, at}) => {
+      const {daemon = "", sentAt = at} = this.requests.get(requestId) ?? {}
+      return backend === undefined ? [] : [{backend, daemon, at, sentAt}]
+    })
+  }
+
+  /// Answers that daemons passed on.
+  private findTold(isTold: (request: AnsweredRequest) => boolean): ToldAnswer[] {
+    return [...this.requests.values()].flatMap(request => {
+      const {signature, daemon, endedAt} = request
+      if (signature === undefined || endedAt === undefined || !isTold(request)) return []
+      return [{backend: signature, daemon, at: endedAt}]
+    })
+  }
+}
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -9,8 +9,8 @@
   type ServiceRequest
 } from "./retry-check.js"
 import {ALLOWED_LATE_RETRIES, judgeCrashes, type CrashOutcome, type CrashRecord} from "./crash-check.js"
-import {hasRunOn, isCutByStop, isUndisturbed, type Disturbance} from "./disturbance.js"
-import {findLimitWindows, type LimitSpan, type LimitWindow} from "./limit-check.js"
+import {isCutByStop, isUndisturbed, type Disturbance} from "./disturbance.js"
+import {SignalRecord} from "./signal-record.js"
 import {findTenant, QUOTA_RULE, SOAK_QUOTAS, UNCACHED_TOKENS, type RouteForm} from "./soak-routes.js"
 
 /// One request of a caller. Times are monotonic milliseconds.
@@ -31,6 +31,8 @@
   signature?: string
   /// The answer names a limit of its back end.
   namesLimit?: boolean
+  /// The answer says that its back end leaves.
+  saysLeaving?: boolean
   body?: string
   /// A streamed answer ended as complete.
   whole?: boolean
@@ -106,14 +108,17 @@
   readonly keys: {readonly key: string; readonly valid: boolean; readonly at: number}[] = []
   /// When a back end was said to drain.
   readonly drains = new Map<string, number>()
-  /// When back ends named limits.
-  readonly limits: LimitSpan[] = []
   /// Back ends that ended under requests.
   readonly crashes: CrashRecord[] = []
   /// Violations that the stand-ins saw themselves.
   readonly seen: Violation[] = []
 
-  constructor(private readonly bounds: SoakBounds) {}
+  /// What back ends said of themselves.
+  readonly signals: SignalRecord
+
+  constructor(private readonly bounds: SoakBounds) {
+    this.signals = new SignalRecord(this.requests, this.arrivals, this.disturbances, bounds)
+  }
 
   /// Whether a daemon was left alone, contact included, from `from` to `until`.
   isUndisturbed(daemon: string, from: number, until: number): boolean {
@@ -137,12 +142,7 @@
           promise: "a request that ended three back ends is kept away from others",
           text: `${body}: ${lateRetries} times more, ${ends} ended`
         })
-    for (const {backend, perSecond, seen, allowed} of this.findLimitWindows())
-      if (seen > allowed)
-        violations.push({
-          promise: "a back end gets no more than the limit that it names",
-          text: `${backend}: ${seen} in 4 s, ${allowed} allowed at ${perSecond} a second`
-        })
+    violations.push(...this.signals.check())
     for (const {service, seen, allowed, from} of this.findWorstRepeats()) {
       const text = `${service}: ${seen} of ${allowed} from ${from} ms`
       if (seen > allowed) violations.push({promise: "repeats stay within the retry budget", text})
@@ -155,22 +155,6 @@
     return findWorstWindows(this.arrivals, this.getServiceRequests(), this.bounds.retries)
   }
 
-  /// The worst window of each limit that a back end named.
-  findLimitWindows(): LimitWindow[] {
-    const findDaemon = (id: string) => this.requests.get(id)?.daemon ?? ""
-    const arrivals = this.arrivals.flatMap(({backend, requestId, at}) =>
-      backend === undefined ? [] : [{backend, daemon: findDaemon(requestId), at}]
-    )
-    const told = [...this.requests.values()].flatMap(({signature, namesLimit, daemon, endedAt}) =>
-      namesLimit && signature !== undefined && endedAt !== undefined
-        ? [{backend: signature, daemon, at: endedAt}]
-        : []
-    )
-    const ranOn = (daemon: string, from: number, until: number) =>
-      hasRunOn(this.disturbances, {daemon, from, until})
-    return findLimitWindows(this.limits, arrivals, told, ranOn, this.bounds.contactMs)
-  }
-
   /// What became of each request that ends back ends.
   findCrashOutcomes(): CrashOutcome[] {
     const {contactMs, marginMs} = this.bounds
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -128,7 +128,7 @@
     const {backend} = this.places[place]
     if (!backend) return () => undefined
     const span = {backend: backend.identity.id, perSecond, from: performance.now(), until: Infinity}
-    this.record.limits.push(span)
+    this.record.signals.limits.push(span)
     backend.requestsPerSecond = perSecond
     const end = () => {
       backend.requestsPerSecond = undefined
@@ -138,6 +138,18 @@
     return end
   }
 
+  /// The back end at a place says in its answers that it leaves, while its record says that it is ready.
+  sayLeaving(place: number): void {
+    const {backend} = this.places[place]
+    if (backend) backend.saysLeaving = true
+  }
+
+  /// The back end at a place turns part of its requests away and asks for rest; undefined: no more.
+  setRest(place: number, rest: BackendStandIn["rest"]): void {
+    const {backend} = this.places[place]
+    if (backend) backend.rest = rest
+  }
+
   /// Starts a new incarnation at a place, if none is there. It may have the id of the one before.
   async startBackend(index: number, keepsId = false): Promise<void> {
     const place = this.places[index]
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -11,9 +11,9 @@
 import {SeededRandom} from "../../src/shared/random.js"
 import {CallerLoad, type CallerTarget} from "./caller-load.js"
 import {CRASHING_BODY, type CrashOutcome} from "./crash-check.js"
-import type {LimitWindow} from "./limit-check.js"
+import type {LimitWindow} from "./signal-check.js"
 import type {RetryWindow} from "./retry-check.js"
-import {makeLimitPlan, makePlan, makeSeriesPlan, type PlannedFault} from "./fault-plan.js"
+import {makeSignalPlan, makePlan, makeSeriesPlan, type PlannedFault} from "./fault-plan.js"
 import {BACKENDS} from "./disturbance.js"
 import {SOAK_BOUNDS, SoakRecord, type CallerRecord, type SoakBounds, type Violation} from "./soak-record.js"
 import {findTenant, OVER_QUOTA_TENANT, SOAK_ROUTES} from "./soak-routes.js"
@@ -51,11 +51,11 @@
   readonly series: boolean
   /// Whether some callers send requests that end the back ends that run them.
   readonly crashes: boolean
-  /// Whether back ends name limits in their answers.
-  readonly limits: boolean
+  /// Whether back ends say in their answers what they want.
+  readonly signals: boolean
 }
 
-const DEFAULT_FORM: SoakForm = {daemonCount: DAEMONS, series: false, crashes: false, limits: false}
+const DEFAULT_FORM: SoakForm = {daemonCount: DAEMONS, series: false, crashes: false, signals: false}
 /// Callers of such requests come back so often, about. Milliseconds.
 const CRASH_PAUSE_MS = 400
 /// The routes on which they are sent: a plain one, and two whose answers are streamed.
@@ -68,7 +68,7 @@
   perSecond: number,
   program: string,
   folder: string,
-  {daemonCount, series, crashes, limits}: SoakForm = DEFAULT_FORM
+  {daemonCount, series, crashes, signals}: SoakForm = DEFAULT_FORM
 ): Promise<SoakOutcome> {
   const generator = new SeededRandom(seed)
   const random = () => generator.next()
@@ -88,9 +88,9 @@
   const plan = makePlan({daemons, places: BACKEND_PLACES}, seconds * 1000, () => planGenerator.next())
   const seriesGenerator = new SeededRandom(seed + 2)
   const seriesPlan = makeSeriesPlan(daemons, PLACES_BY_SERVICE, seconds * 1000, () => seriesGenerator.next())
-  const limitGenerator = new SeededRandom(seed + 10)
-  const limitPlan = makeLimitPlan(PLACES_BY_SERVICE, seconds * 1000, () => limitGenerator.next())
-  await runPlan(site, mergePlans(plan, series ? seriesPlan : [], limits ? limitPlan : []))
+  const signalGenerator = new SeededRandom(seed + 10)
+  const signalPlan = makeSignalPlan(PLACES_BY_SERVICE, seconds * 1000, () => signalGenerator.next())
+  await runPlan(site, mergePlans(plan, series ? seriesPlan : [], signals ? signalPlan : []))
   await wait(CALM_MS)
   const calmFrom = performance.now() - JUDGED_CALM_MS
   load.stop()
@@ -181,7 +181,7 @@
     servedWhenCalm,
     repeats: record.findWorstRepeats(),
     crashes: record.findCrashOutcomes(),
-    limits: record.findLimitWindows(),
+    limits: record.signals.findLimitWindows(),
     violations
   }
 }
@@ -194,7 +194,7 @@
 
 async function main(): Promise<void> {
   const cli = meow(
-    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--no-limits] [--keep] [--regressions]",
+    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--no-signals] [--keep] [--regressions]",
     {
       importMeta: import.meta,
       flags: {
@@ -205,14 +205,14 @@
         daemons: {type: "number", default: DAEMONS},
         series: {type: "boolean", default: true},
         crashes: {type: "boolean", default: true},
-        limits: {type: "boolean", default: true},
+        signals: {type: "boolean", default: true},
         keep: {type: "boolean", default: false},
         regressions: {type: "boolean", default: false}
       }
     }
   )
-  const {seed, count, seconds, rate, daemons, series, crashes, limits, keep, regressions} = cli.flags
-  const form = {daemons, series, crashes, limits}
+  const {seed, count, seconds, rate, daemons, series, crashes, signals, keep, regressions} = cli.flags
+  const form = {daemons, series, crashes, signals}
   const fresh = Array.from({length: count}, (_, i) => ({seed: seed + i, seconds, ...form}))
   const runs = regressions ? readRegressions() : fresh
   const program = buildProgram(join(process.cwd(), "bench-results", "program"))
@@ -224,7 +224,7 @@
       daemonCount: run.daemons ?? DAEMONS,
       series: run.series ?? false,
       crashes: run.crashes ?? false,
-      limits: run.limits ?? false
+      signals: run.signals ?? false
     }
     const outcome = await runSoak(run.seed, run.seconds, rate, program, folder, soakForm)
     process.stdout.write(`${JSON.stringify(outcome)}\n`)
@@ -243,7 +243,7 @@
     daemons: z.number().optional(),
     series: z.boolean().optional(),
     crashes: z.boolean().optional(),
-    limits: z.boolean().optional(),
+    signals: z.boolean().optional(),
     cause: z.string()
   })
 )
--- a/test/limit-check.test.ts
+++ b/test/signal-check.test.ts
@@ -1,6 +1,11 @@
-/** The soak's check of limits finds what is over one, and excuses daemons that were disturbed or not told. */
+/** The soak's checks of what back ends say find what breaks it, and excuse daemons that were disturbed or not told. */
 import { expect } from 'chai';
-import { findLimitWindows, type DaemonArrival } from '../lab/soak/limit-check.js';
+import {
+  findBrokenRests,
+  findLateToLeaving,
+  findLimitWindows,
+  type DaemonArrival,
+} from '../lab/soak/signal-check.js';
 
 const CONTACT_MS = 3000;
 const SPAN = { backend: 'b', perSecond: 2, from: 1000, until: 20_000 };
@@ -9,6 +14,7 @@
   backend: 'b',
   daemon: 'd',
   at: 5000 + 100 * index,
+  sentAt: 4990 + 100 * index,
 }));
 
 function count(toldAt: number, undisturbed = true, arrivals = ARRIVALS): number {
@@ -36,3 +42,20 @@
     expect(count(1500, true, late)).to.equal(11);
   });
 });
+
+describe('checks of leavings and rests', () => {
+  const told = [{ backend: 'b', daemon: 'd', at: 6000 }];
+
+  it('find requests that were sent too late to a back end that leaves', () => {
+    expect(findLateToLeaving(told, ARRIVALS, () => true, 2000)).to.have.length(69);
+    expect(findLateToLeaving(told, ARRIVALS, () => false, 2000)).to.deep.equal([]);
+    expect(findLateToLeaving([], ARRIVALS, () => true, 2000)).to.deep.equal([]);
+  });
+
+  it('find rests with more than two requests', () => {
+    const rest = { ...told[0], until: 7000 };
+    expect(findBrokenRests([rest], ARRIVALS, () => true)).to.deep.equal([{ span: rest, seen: 5 }]);
+    expect(findBrokenRests([{ ...rest, until: 6700 }], ARRIVALS, () => true)).to.deep.equal([]);
+    expect(findBrokenRests([rest], ARRIVALS, () => false)).to.deep.equal([]);
+  });
+});
