explain shows what the back ends of a refusal said; one line for what they say again and again

A refusal for limits or rests names its back ends, and their changes stand before it (test/explain). A rest that is prolonged and a signal that stays unreadable are logged once.

Tried and reverted: one wait for the ends of both processes.

--- a/src/cli/explain-command.ts
+++ b/src/cli/explain-command.ts
@@ -17,6 +17,8 @@
   readonly time: number;
   readonly requestId?: string;
   readonly backend?: string;
+  /** Those that a refusal is about. */
+  readonly backends?: readonly string[];
   readonly [field: string]: unknown;
 }
 
@@ -52,7 +54,7 @@
   const mine = own.filter((line) => line.daemon === daemon);
   const first = Math.min(...mine.map((line) => line.clock));
   const last = Math.max(...mine.map((line) => line.clock));
-  const backends = new Set(mine.flatMap((line) => (line.backend === undefined ? [] : [line.backend])));
+  const backends = new Set(mine.flatMap(getBackends));
   const changes = lines.filter((line) => {
     const near = line.clock >= first - CHANGE_WINDOW_MS && line.clock <= last;
     const bears =
@@ -63,6 +65,10 @@
   return [daemon, ...shown.map((line) => describe(line, first))].join('\n');
 }
 
+function getBackends({ backend, backends = [] }: LogLine): readonly string[] {
+  return backend === undefined ? backends : [backend, ...backends];
+}
+
 function describe(line: LogLine, origin: number): string {
   const at = `${line.clock - origin} ms`.padStart(10);
   const mark = line.requestId === undefined ? '~' : ' ';
--- a/src/forwarding/choose/backend-picker.ts
+++ b/src/forwarding/choose/backend-picker.ts
@@ -110,12 +110,9 @@
     })
   }
 
-  /// When the first back end that would take the request otherwise has rested as it asked; undefined when none
-  /// rests.
-  findRestEnd(query: BackendQuery, now: number): number | undefined {
-    const resting = this.getAllowed(query).filter(view => view.isResting(now))
-    if (resting.length === 0) return undefined
-    return Math.min(...resting.map(({signals}) => signals.getRestUntil()))
+  /// The back ends that would take the request, but want nothing from this daemon now.
+  findResting(query: BackendQuery, now: number): BackendView[] {
+    return this.getAllowed(query).filter(view => view.isResting(now))
   }
 
   /// Those that may take the request.
--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -88,9 +88,13 @@
   /// No back end takes the request: none is there, or those that are want rest.
   private rejectWithoutBackend(session: Session, now: number): void {
     const {finisher, picker} = this.dependencies
-    const restEnd = picker.findRestEnd(this.makeQuery(session, NONE_EXCLUDED, now), now)
-    if (restEnd === undefined) finisher.finishNotServed(session, "no-backend", now)
-    else finisher.finishNotServed(session, "backing-off", now, restEnd - now)
+    const resting = picker.findResting(this.makeQuery(session, NONE_EXCLUDED, now), now)
+    if (resting.length === 0) {
+      finisher.finishNotServed(session, "no-backend", now)
+      return
+    }
+    const restEnd = Math.min(...resting.map(({signals}) => signals.getRestUntil()))
+    finisher.finishNotServed(session, "backing-off", now, restEnd - now, {backends: getIds(resting)})
   }
 
   /// Only a back end that names a limit could take the request: it waits for the answer to an ask for a
@@ -100,9 +104,8 @@
     session.permitDueAt ??= now + getLongestWaitMs(session.route)
     session.awaitsPermit = permits.isAsking(limited) && now < session.permitDueAt
     if (session.awaitsPermit) return
-    const backends = limited.map(view => view.record.id)
     const retryAfterMs = permits.getRetryAfterMs(limited, getPriority(session), now)
-    finisher.finishNotServed(session, "backend-limit", now, retryAfterMs, {backends})
+    finisher.finishNotServed(session, "backend-limit", now, retryAfterMs, {backends: getIds(limited)})
   }
 
   private pickBackend(
@@ -184,3 +187,7 @@
     })
   }
 }
+
+function getIds(views: readonly BackendView[]): string[] {
+  return views.map(({record}) => record.id)
+}
--- a/src/parts/backend-signal-part.ts
+++ b/src/parts/backend-signal-part.ts
@@ -17,6 +17,8 @@
   private readonly confirmedAt = new Map<BackendView, number>()
   /// Back ends that name their limits in answers to health checks too: there silence tells that one has ended.
   private readonly namedInChecks = new Set<BackendView>()
+  /// The last signal of each back end that could not be read.
+  private readonly unreadable = new Map<BackendView, string>()
 
   constructor(private readonly surroundings: PartSurroundings) {
     super()
@@ -37,13 +39,14 @@
   override onSignals(view: BackendView, report: SignalReport, now: number): void {
     const {leaving, limits, logChange} = this.surroundings
     const {id: backend} = view.record
-    for (const signal of report.signals.unreadable) logChange("backend.signal-unreadable", {backend, signal})
+    this.logUnreadable(view, report.signals.unreadable)
     limits.apply(view, report, now)
     const {isLeaving, retryAfterMs} = report.signals
     if (isLeaving) leaving.add(view, now)
     if (retryAfterMs === undefined) return
+    if (!view.isResting(now))
+      logChange("backend.rest-asked", {backend, retryAfterMs: Math.round(retryAfterMs)})
     view.signals.addRest(now + retryAfterMs)
-    logChange("backend.rest-asked", {backend, retryAfterMs: Math.round(retryAfterMs)})
     if (view.limit.get() !== undefined) this.confirmedAt.set(view, now)
   }
 
@@ -85,7 +88,8 @@
 
   override scan(_leaving: boolean, now: number): void {
     this.surroundings.limits.tick()
-    for (const view of this.confirmedAt.keys()) if (view.gone) this.forget(view)
+    for (const known of [this.confirmedAt, this.namedInChecks, this.unreadable])
+      for (const view of known.keys()) if (view.gone) known.delete(view)
     for (const view of this.surroundings.limits.getLimited()) this.confirm(view, now)
   }
 
@@ -93,6 +97,16 @@
     return this.surroundings.permits.getFigures()
   }
 
+  /// Once for what a back end says in answer after answer.
+  private logUnreadable(view: BackendView, signals: readonly string[]): void {
+    const {id: backend} = view.record
+    for (const signal of signals) {
+      if (this.unreadable.get(view) === signal) continue
+      this.unreadable.set(view, signal)
+      this.surroundings.logChange("backend.signal-unreadable", {backend, signal})
+    }
+  }
+
   /// Without requests no answer would tell that a limit has ended. One daemon asks for all.
   private confirm(view: BackendView, now: number): void {
     const {emit, permits, routes} = this.surroundings
@@ -102,9 +116,4 @@
     const healthPath = routes()?.service(view.record.service)?.healthPath
     if (healthPath !== undefined) emit({kind: "probeBackend", probe: {backend: view.record}, healthPath})
   }
-
-  private forget(view: BackendView): void {
-    this.confirmedAt.delete(view)
-    this.namedInChecks.delete(view)
-  }
 }
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -35,6 +35,22 @@
     expect(text).to.match(/110 ms {3}request\.failed +failure=broken/);
   });
 
+  it('shows what the back ends of a refusal said of themselves', () => {
+    const log = [
+      line('d1', 100, 'backend.limited', { backend: 'e1', requestsPerSecond: 2 }),
+      line('d1', 110, 'backend.limited', { backend: 'e9', requestsPerSecond: 2 }),
+      line('d1', 200, 'request.refused', {
+        requestId: 'r1',
+        failure: 'backend-limit',
+        backends: ['e1', 'e2'],
+      }),
+    ].join('\n');
+    const [, limited, refused, ...others] = explainRequest('r1', [log]).split('\n');
+    expect(limited).to.match(/backend\.limited +backend=e1 requestsPerSecond=2/);
+    expect(refused).to.match(/request\.refused +failure=backend-limit backends=e1,e2/);
+    expect(others).to.deep.equal([]);
+  });
+
   it('says when no line names the request', () => {
     expect(() => explainRequest('r9', [''])).to.throw(NotFoundError);
   });
