A limit is asked for by health checks only where no answer has told lately

The daemon that grants a limit's permits sent a health check each 3 s although answers named the limit all the time: when it was last heard was kept for answers with a time of rest only. The test failed before (3 checks in 10 s, one allowed) and passes.

--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -192,6 +192,9 @@
   /** Engines that daemons have asked for their state, to change their stage; they never answer. */
   readonly enginesAsked: { readonly node: FleetNode; readonly backendId: string }[] = [];
 
+  /** Health checks that daemons have asked for; none is answered. */
+  readonly probes: { readonly node: FleetNode; readonly backendId: string }[] = [];
+
   /** Reads that the store has seen from all daemons. */
   reads(): number {
     return this.nodes.reduce((sum, node) => sum + node.reads, 0);
@@ -228,6 +231,9 @@
         this.attempts.push({ node, requestId, attemptId, backendId: backend.id });
         break;
       }
+      case 'probeBackend':
+        this.probes.push({ node, backendId: effect.probe.backend.id });
+        break;
       case 'readKvChanges':
         this.answerKvChanges(node, effect.call);
         break;
--- a/src/parts/backend-signal-part.ts
+++ b/src/parts/backend-signal-part.ts
@@ -41,13 +41,13 @@
     const {id: backend} = view.record
     this.logUnreadable(view, report.signals.unreadable)
     limits.apply(view, report, now)
+    if (view.limit.get() !== undefined) this.confirmedAt.set(view, now)
     const {isLeaving, retryAfterMs} = report.signals
     if (isLeaving) leaving.add(view, now)
     if (retryAfterMs === undefined) return
     if (!view.isResting(now))
       logChange("backend.rest-asked", {backend, retryAfterMs: Math.round(retryAfterMs)})
     view.signals.addRest(now + retryAfterMs)
-    if (view.limit.get() !== undefined) this.confirmedAt.set(view, now)
   }
 
   override receiveAnswer(event: AnswerEvent, now: number): void {
--- a/test/advertised-limits.test.ts
+++ b/test/advertised-limits.test.ts
@@ -165,6 +165,17 @@
     }
   });
 
+  it('are asked for by health checks only where no answer has told lately', () => {
+    const site = startSite(9, 6);
+    site.load(PLAIN_LOAD, 14_000);
+    site.run(2000);
+    site.setLimit('b0', 15);
+    site.run(10_000);
+    expect(site.fleet.probes.length).to.be.at.most(1);
+    site.run(14_000);
+    expect(site.fleet.probes.length).to.be.within(2, 5);
+  });
+
   it('a few requests for many daemons: all are served within the limit of the only back end', () => {
     const site = startSite(24, 1);
     site.load({ [PATH]: 2 }, 4000);
