A request whose prompt is computed waits anew for a permit to be generated

Callers were refused after an engine had computed their prompts, while a permit of a generating engine was on its way: the time that a request may wait for permits had been used up by the first. It now counts for each send.

--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -67,7 +67,7 @@
   quotaState: "waiting" | "decided" | "refused"
   /// It waits for a permit of a back end that names a limit.
   awaitsPermit: boolean
-  /// It waits no longer than this; undefined before it has waited. Monotonic milliseconds.
+  /// It waits no longer than this for its next send; undefined before it has waited. Monotonic milliseconds.
   permitDueAt: number | undefined
   /// An attempt was stopped while its back end may have been running the request.
   wasStopped: boolean
--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -54,6 +54,7 @@
       return
     }
     session.awaitsPermit = false
+    session.permitDueAt = undefined
     if (limits.isOverloaded(session, choice)) {
       finisher.finishNotServed(session, "overloaded", now, retryAfter.getOverloadedMs(session, choice, now))
       return
--- a/test/advertised-limits.test.ts
+++ b/test/advertised-limits.test.ts
@@ -165,6 +165,19 @@
     }
   });
 
+  it('a request whose prompt is computed waits anew for a permit of an engine that generates', () => {
+    const site = startSite(9, 8, SEED, true);
+    const parts = [{ id: 'own', tokens: 2000 }];
+    const prompt = { model: 'm', parts, promptTokens: 2000, maximumOutputTokens: 10 };
+    site.load({ [PATH]: 10 }, 30_000, { prompt });
+    site.run(2000);
+    for (let index = 0; index < 8; index += 1) site.setLimit(`b${index}`, 6);
+    site.run(6000);
+    const before = site.findRefusals().length;
+    site.run(20_000);
+    expect(site.findRefusals().length - before).to.be.at.most(1);
+  });
+
   it('are asked for by health checks only where no answer has told lately', () => {
     const site = startSite(9, 6);
     site.load(PLAIN_LOAD, 14_000);
