Names: a daemon backs off from a back end that asks for it

The names said "rest", which elsewhere in the code is what a connection does between requests. Now: back-off, isBackingOff, `backend.back-off`. What the code does is the same.

--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -69,8 +69,8 @@
   private readonly bornMs = Date.now()
   /// Says in its answers that it leaves, whatever its record says.
   saysLeaving = false
-  /// Turns part of the requests away and asks for so many seconds of rest.
-  rest: {readonly share: number; readonly seconds: number} | undefined
+  /// Turns part of the requests away and asks daemons to back off for so many seconds.
+  backOff: {readonly share: number; readonly seconds: number} | undefined
   /// Told when it ends.
   onEnd: () => void = () => undefined
   /// Told when a request has ended this back end.
@@ -215,9 +215,9 @@
       arrival.rejected = true
       this.reply(response, status, "", {...headers, "X-Not-Executed": "1", "X-Attempt-Id": id})
     }
-    if (this.rest && this.random() < this.rest.share) {
-      this.record.signals.addRest(this.identity.id, id, this.rest.seconds)
-      return reject(STATUS_BUSY, {"Retry-After": String(this.rest.seconds)})
+    if (this.backOff && this.random() < this.backOff.share) {
+      this.record.signals.addBackOff(this.identity.id, id, this.backOff.seconds)
+      return reject(STATUS_BUSY, {"Retry-After": String(this.backOff.seconds)})
     }
     const behavior = this.isHarmed() ? this.behavior : "well"
     const {stage, isChanging} = this.orders
--- a/lab/soak/fault-plan.ts
+++ b/lab/soak/fault-plan.ts
@@ -1,7 +1,7 @@
 /// Draws the faults of a soak: the same seed gives the same plan.
 import type {BackendBehavior} from "./backend-stand-in.js"
 import * as faults from "./faults.js"
-import {LimitFault, RestFault, SaidLeavingFault} from "./signal-faults.js"
+import {LimitFault, BackOffFault, SaidLeavingFault} from "./signal-faults.js"
 import type {DutyTreatment} from "./duty-stand-in.js"
 import {SOAK_TENANTS} from "./soak-routes.js"
 import type {StoreTreatment} from "./store-stand-in.js"
@@ -32,9 +32,9 @@
 const SIGNALS_PAUSE_MS = 3000
 /// Limits that are drawn. Requests a second.
 const LIMITS = [0.4, 1, 2, 3.5, 6.9]
-/// Rests that are drawn: parts of the requests that are turned away, and seconds.
-const REST_SHARES = [0.05, 0.3]
-const REST_SECONDS = [0.8, 3, 6.5]
+/// Back-offs that are drawn: parts of the requests that are turned away, and seconds.
+const BACK_OFF_SHARES = [0.05, 0.3]
+const BACK_OFF_SECONDS = [0.8, 3, 6.5]
 
 const BEHAVIORS: readonly BackendBehavior[] = [
   "forgetsConnections",
@@ -97,7 +97,7 @@
   return plan.sort((left, right) => left.atMs - right.atMs)
 }
 
-/// Draws what back ends say of themselves: limits, that they leave, times of rest; of one of a service, of some
+/// Draws what back ends say of themselves: limits, that they leave, times to back off; of one of a service, of some
 /// or of all. A plan of its own, as the series of restarts.
 export function makeSignalPlan(
   placesByService: readonly (readonly number[])[],
@@ -125,7 +125,7 @@
     place => new LimitFault(lastsMs, place, pick(LIMITS)),
     place => new LimitFault(lastsMs, place, pick(LIMITS)),
     place => new SaidLeavingFault(lastsMs, place),
-    place => new RestFault(lastsMs, place, {share: pick(REST_SHARES), seconds: pick(REST_SECONDS)})
+    place => new BackOffFault(lastsMs, place, {share: pick(BACK_OFF_SHARES), seconds: pick(BACK_OFF_SECONDS)})
   ]
   return pick(makers)
 }
--- a/lab/soak/signal-check.ts
+++ b/lab/soak/signal-check.ts
@@ -1,4 +1,4 @@
-/// The bounds on requests to back ends that name a limit, say that they leave or ask for rest, counted at the
+/// The bounds on requests to back ends that name a limit, say that they leave or ask daemons to back off, counted at the
 /// back ends from the daemons that they had told.
 
 /// In any window a back end gets so many times what its limit allows, and so many requests more.
@@ -32,17 +32,17 @@
   readonly at: number
 }
 
-/// A time of rest for which a back end has asked a daemon.
-export interface RestSpan extends ToldAnswer {
+/// A time for which a back end has asked a daemon to back off.
+export interface BackOffSpan extends ToldAnswer {
   readonly until: number
 }
 
 /// Whether a daemon ran on between two moments: one that did not must be told anew.
 export type RunCheck = (daemon: string, from: number, until: number) => boolean
 
-/// So many requests may reach a back end in a rest, and none count that come sooner than this. Milliseconds.
-const ALLOWED_IN_REST = 2
-const REST_FROM_MS = 500
+/// So many requests may reach a back end meanwhile, and none count that come sooner than this. Milliseconds.
+const ALLOWED_IN_BACK_OFF = 2
+const BACK_OFF_FROM_MS = 500
 
 /// The worst window of one span.
 export interface LimitWindow {
@@ -71,22 +71,22 @@
   )
 }
 
-/// Rests in which more requests came from the daemon than may, with how many.
-export function findBrokenRests(
-  spans: readonly RestSpan[],
+/// Back-offs in which more requests came from the daemon than may, with how many.
+export function findBrokenBackOffs(
+  spans: readonly BackOffSpan[],
   arrivals: readonly DaemonArrival[],
   hasRunOn: RunCheck
-): {readonly span: RestSpan; readonly seen: number}[] {
+): {readonly span: BackOffSpan; readonly seen: number}[] {
   return spans.flatMap(span => {
     const seen = arrivals.filter(
       ({backend, daemon, at}) =>
         backend === span.backend &&
         daemon === span.daemon &&
-        at >= span.at + REST_FROM_MS &&
+        at >= span.at + BACK_OFF_FROM_MS &&
         at < span.until &&
         hasRunOn(daemon, span.at, at)
     ).length
-    return seen > ALLOWED_IN_REST ? [{span, seen}] : []
+    return seen > ALLOWED_IN_BACK_OFF ? [{span, seen}] : []
   })
 }
 
--- a/lab/soak/signal-faults.ts
+++ b/lab/soak/signal-faults.ts
@@ -57,17 +57,17 @@
   }
 }
 
-/// A back end turns part of its requests away and asks for rest.
-export class RestFault extends Fault {
+/// A back end turns part of its requests away and asks daemons to back off.
+export class BackOffFault extends Fault {
   constructor(
     lastsMs: number,
     private readonly place: number,
-    private readonly rest: {readonly share: number; readonly seconds: number}
+    private readonly backOff: {readonly share: number; readonly seconds: number}
   ) {
     super(lastsMs)
   }
   getName(): string {
-    return `rest of back end ${this.place}: ${this.rest.seconds} s, ${this.rest.share} of the requests`
+    return `back-off from back end ${this.place}: ${this.backOff.seconds} s, ${this.backOff.share} of the requests`
   }
   getDisturbed(): readonly string[] {
     return []
@@ -76,9 +76,9 @@
     return true
   }
   start(site: SoakSite): void {
-    site.setRest(this.place, this.rest)
+    site.setBackOff(this.place, this.backOff)
   }
   stop(site: SoakSite): void {
-    site.setRest(this.place, undefined)
+    site.setBackOff(this.place, undefined)
   }
 }
--- a/lab/soak/signal-record.ts
+++ b/lab/soak/signal-record.ts
@@ -3,13 +3,13 @@
 import {hasRunOn, type Disturbance} from "./disturbance.js"
 import type {ArrivalRecord} from "./retry-check.js"
 import {
-  findBrokenRests,
+  findBrokenBackOffs,
   findLateToLeaving,
   findLimitWindows,
   type DaemonArrival,
   type LimitSpan,
   type LimitWindow,
-  type RestSpan,
+  type BackOffSpan,
   type ToldAnswer
 } from "./signal-check.js"
 
@@ -29,7 +29,7 @@
 export class SignalRecord {
   /// When back ends named limits.
   readonly limits: LimitSpan[] = []
-  private readonly rests: RestSpan[] = []
+  private readonly backOffs: BackOffSpan[] = []
 
   constructor(
     private readonly requests: ReadonlyMap<string, AnsweredRequest>,
@@ -39,11 +39,11 @@
     private readonly bounds: {readonly contactMs: number; readonly drainMs: number}
   ) {}
 
-  /// A back end turned a request away and asked the daemon that sent it for rest.
-  addRest(backend: string, requestId: string, seconds: number): void {
+  /// A back end turned a request away and asked the daemon that sent it to back off.
+  addBackOff(backend: string, requestId: string, seconds: number): void {
     const at = performance.now()
     const daemon = this.requests.get(requestId)?.daemon ?? ""
-    this.rests.push({backend, daemon, at, until: at + seconds * SECOND_MS})
+    this.backOffs.push({backend, daemon, at, until: at + seconds * SECOND_MS})
   }
 
   /// The worst window of each limit that a back end named.
@@ -57,7 +57,7 @@
     const arrivals = this.findArrivals()
     const told = this.findTold(({saysLeaving}) => saysLeaving === true)
     const late = findLateToLeaving(told, arrivals, this.ranOn, this.bounds.drainMs)
-    const rests = findBrokenRests(this.rests, arrivals, this.ranOn)
+    const backOffs = findBrokenBackOffs(this.backOffs, arrivals, this.ranOn)
     const limits = this.findLimitWindows().filter(({seen, allowed}) => seen > allowed)
     return [
       ...limits.map(({backend, perSecond, seen, allowed}) => ({
@@ -68,8 +68,8 @@
         promise: "a back end that says it leaves gets no new work",
         text: `${backend} by ${daemon}, sent at ${Math.round(sentAt)}`
       })),
-      ...rests.map(({span: {backend, daemon, at, until}, seen}) => ({
-        promise: "a back end that asks for rest gets it",
+      ...backOffs.map(({span: {backend, daemon, at, until}, seen}) => ({
+        promise: "a back end that asks a daemon to back off gets none of its requests",
         text: `${backend}: ${seen} by ${daemon} in ${Math.round(until - at)} ms from ${Math.round(at)}`
       }))
     ]
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -144,10 +144,10 @@
     if (backend) backend.saysLeaving = true
   }
 
-  /// The back end at a place turns part of its requests away and asks for rest; undefined: no more.
-  setRest(place: number, rest: BackendStandIn["rest"]): void {
+  /// The back end at a place turns part of its requests away and asks daemons to back off; undefined: no more.
+  setBackOff(place: number, backOff: BackendStandIn["backOff"]): void {
     const {backend} = this.places[place]
-    if (backend) backend.rest = rest
+    if (backend) backend.backOff = backOff
   }
 
   /// Starts a new incarnation at a place, if none is there. It may have the id of the one before.
--- a/simulation/signal-site.ts
+++ b/simulation/signal-site.ts
@@ -21,8 +21,8 @@
  * Milliseconds.
  */
 const DRAIN_MS = 2000;
-/** Requests that come sooner than this after a back end has asked for rest may have been on their way. Milliseconds. */
-const REST_FROM_MS = 500;
+/** Requests that come sooner than this after a back end has asked to back off may have been on their way. Milliseconds. */
+const BACK_OFF_FROM_MS = 500;
 /** Until all daemons know each other and the store's records. Milliseconds. */
 const SETTLED_MS = 6000;
 /** Work of a back end, and the pause between looks at the callers. Milliseconds. */
@@ -78,9 +78,9 @@
   private readonly leaving = new Set<string>();
   /** When each life of a daemon passed on that a back end leaves. */
   private readonly toldLeavingAt = new Map<string, number>();
-  /** Part of the requests that a back end turns away, and the rest that it asks for. */
-  private readonly rests = new Map<string, { share: number; restMs: number }>();
-  private readonly restSpans: { life: string; from: number; until: number }[] = [];
+  /** Part of the requests that a back end turns away, and for how long it asks daemons to back off. */
+  private readonly backOffs = new Map<string, { share: number; backOffMs: number }>();
+  private readonly backOffSpans: { life: string; from: number; until: number }[] = [];
   private readonly open = new Map<string, { path: string; at: number }>();
   private requests = 0;
 
@@ -134,9 +134,9 @@
     else this.leaving.delete(backendId);
   }
 
-  /** A back end turns part of its requests away and asks for rest; with a share of 0 no more. */
-  setRest(backendId: string, share: number, restMs: number): void {
-    this.rests.set(backendId, { share, restMs });
+  /** A back end turns part of its requests away and asks daemons to back off; with a share of 0 no more. */
+  setBackOff(backendId: string, share: number, backOffMs: number): void {
+    this.backOffs.set(backendId, { share, backOffMs });
   }
 
   /** Requests that reached a back end too late after the daemon that sent them had passed on that it leaves. */
@@ -146,11 +146,11 @@
     );
   }
 
-  /** The most requests that a daemon sent to a back end in a time for which that had asked it for rest. */
-  findMostInRest(): number {
-    const counts = this.restSpans.map(({ life, from, until }) => {
+  /** The most requests that a daemon sent to a back end in a time for which that had asked it to back off. */
+  findMostInBackOff(): number {
+    const counts = this.backOffSpans.map(({ life, from, until }) => {
       const within = this.arrivals.filter(
-        (arrival) => arrival.life === life && arrival.at >= from + REST_FROM_MS && arrival.at < until,
+        (arrival) => arrival.life === life && arrival.at >= from + BACK_OFF_FROM_MS && arrival.at < until,
       );
       return within.length;
     });
@@ -234,14 +234,14 @@
   /** Turns a request away, if the back end does so with this one. */
   private turnsAway(node: FleetNode, { requestId, attemptId, backend }: AttemptStart, life: string): boolean {
     const { fleet } = this;
-    const { share, restMs } = this.rests.get(backend.id) ?? { share: 0, restMs: 0 };
+    const { share, backOffMs } = this.backOffs.get(backend.id) ?? { share: 0, backOffMs: 0 };
     if (this.random.next() >= share) return false;
     const answeredAt = fleet.time.now();
-    this.restSpans.push({ life, from: answeredAt, until: answeredAt + restMs });
+    this.backOffSpans.push({ life, from: answeredAt, until: answeredAt + backOffMs });
     const signals = {
       requestsPerSecond: undefined,
       isLeaving: this.leaving.has(backend.id),
-      retryAfterMs: restMs,
+      retryAfterMs: backOffMs,
       unreadable: [],
     };
     const event = { kind: 'notExecuted', status: 503, wrongIncarnation: false, signals } as const;
--- a/src/daemon/change-log.ts
+++ b/src/daemon/change-log.ts
@@ -30,7 +30,7 @@
   | 'backend.limited'
   | 'backend.limit-ended'
   | 'backend.leaving'
-  | 'backend.rest-asked'
+  | 'backend.back-off'
   | 'backend.signal-unreadable'
   | 'store.lost'
   | 'store.regained'
--- a/src/forwarding/admit/retry-after.ts
+++ b/src/forwarding/admit/retry-after.ts
@@ -13,7 +13,7 @@
 /// - over-quota: what the owner of the tenant's bucket says, or `NO_OWNER_RETRY_AFTER_MS` when none has said
 ///   anything; spread.
 /// - backend-limit: when the back ends' limits are expected to leave room (permits/permit-manager.ts).
-/// - backing-off: the rest of the time for which a back end wants no requests, the shortest where all do.
+/// - backing-off: the time left for which a back end has asked this daemon to back off, the shortest of all.
 /// - no-backend, unreachable, turned-away, deadline: `retryAfterMs`.
 ///
 /// Outage and overload are held between the settings `retryAfterMs` and `maximumRetryAfterMs`, so that
--- a/src/forwarding/backends/backend-view.ts
+++ b/src/forwarding/backends/backend-view.ts
@@ -93,13 +93,14 @@
   }
 
   /// Whether it wants nothing from this daemon now.
-  isResting(now: number): boolean {
-    return now < this.signals.getRestUntil()
+  isBackingOff(now: number): boolean {
+    return now < this.signals.getBackOffEnd()
   }
 
-  /// Whether a request may be sent there now: it takes work, wants no rest, and its limit leaves room.
+  /// Whether a request may be sent there now: it takes work, has not asked this daemon to back off, and its
+  /// limit leaves room.
   mayReceive(now: number): boolean {
-    return this.takesWork() && !this.isResting(now) && (this.limit.get() === undefined || this.permits > 0)
+    return this.takesWork() && !this.isBackingOff(now) && (this.limit.get() === undefined || this.permits > 0)
   }
 
   /// Whether so many other daemons eject it that this one avoids it too.
--- a/src/forwarding/backends/health-prober.ts
+++ b/src/forwarding/backends/health-prober.ts
@@ -24,7 +24,7 @@
   tick(now: number): void {
     for (const view of this.directory.all()) {
       const {id} = view.record
-      if (!view.takesWork() || view.isResting(now) || !view.health.needsProbe(now)) {
+      if (!view.takesWork() || view.isBackingOff(now) || !view.health.needsProbe(now)) {
         this.probedAt.delete(id)
         continue
       }
--- a/src/forwarding/backends/signal-state.ts
+++ b/src/forwarding/backends/signal-state.ts
@@ -9,20 +9,20 @@
 
   /// It has said that it leaves; it cannot take that back.
   isLeaving = false
-  private restUntil = -Infinity
+  private backOffUntil = -Infinity
 
   /// It wants nothing from this daemon until then. What it has said before stays in force.
-  addRest(until: number): void {
-    this.restUntil = Math.max(this.restUntil, until)
+  addBackOff(until: number): void {
+    this.backOffUntil = Math.max(this.backOffUntil, until)
   }
 
   /// Until when it wants nothing from this daemon. Monotonic milliseconds.
-  getRestUntil(): number {
-    return this.restUntil
+  getBackOffEnd(): number {
+    return this.backOffUntil
   }
 
   /// Whether it has said anything that still counts.
   hasSaidAnything(): boolean {
-    return this.isLeaving || this.restUntil > -Infinity || this.limit.getChangedAt() > -Infinity
+    return this.isLeaving || this.backOffUntil > -Infinity || this.limit.getChangedAt() > -Infinity
   }
 }
--- a/src/forwarding/choose/backend-picker.ts
+++ b/src/forwarding/choose/backend-picker.ts
@@ -99,7 +99,7 @@
   findLimited(query: BackendQuery, now: number): LimitedBackends[] {
     const byStage = new Map<EngineStage | undefined, BackendView[]>()
     for (const view of this.getAllowed(query)) {
-      if (view.isResting(now)) continue
+      if (view.isBackingOff(now)) continue
       const {stage} = view.record
       byStage.set(stage, [...(byStage.get(stage) ?? []), view])
     }
@@ -111,8 +111,8 @@
   }
 
   /// The back ends that would take the request, but want nothing from this daemon now.
-  findResting(query: BackendQuery, now: number): BackendView[] {
-    return this.getAllowed(query).filter(view => view.isResting(now))
+  findBackingOff(query: BackendQuery, now: number): BackendView[] {
+    return this.getAllowed(query).filter(view => view.isBackingOff(now))
   }
 
   /// Those that may take the request.
@@ -120,7 +120,7 @@
     return this.getAllowed(query).filter(view => view.mayReceive(now))
   }
 
-  /// The same with those that want rest, or name a limit and have no permit.
+  /// The same with those that this daemon backs off from, or that name a limit and have no permit.
   private getAllowed({service, excluded, confinedCaller}: BackendQuery): BackendView[] {
     const working = this.directory.ofService(service).filter(view => view.takesWork())
     const allowed = confinedCaller === undefined ? working : getConfined(working, confinedCaller)
--- a/src/forwarding/kv-cache/kv-follower.ts
+++ b/src/forwarding/kv-cache/kv-follower.ts
@@ -81,7 +81,7 @@
       const {stage, service} = view.record
       // A record may name a service that no configuration has.
       const isEngine = stage !== undefined && this.context.capacityTokens(service) !== undefined
-      if (!isEngine || view.isResting(now) || view.health.needsProbe(now)) continue
+      if (!isEngine || view.isBackingOff(now) || view.health.needsProbe(now)) continue
       const engine = this.getEngine(view.record.id)
       if (engine.calling || now < engine.nextCallAt) continue
       if (!this.mayFollow()) {
--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -16,7 +16,7 @@
 import type {RequestFinisher} from "../finish/request-finisher.js"
 import {isRepeatable, type RetryPolicy} from "./retry-policy.js"
 
-/// A back end that has just turned the request away rests like the others.
+/// A back end that has just turned the request away may be backed off from like the others.
 const NONE_EXCLUDED: ReadonlySet<string> = new Set()
 
 /// What the sender relies on.
@@ -86,16 +86,16 @@
     return groups.flatMap(({limited}) => limited)
   }
 
-  /// No back end takes the request: none is there, or those that are want rest.
+  /// No back end takes the request: none is there, or this daemon backs off from all of them.
   private rejectWithoutBackend(session: Session, now: number): void {
     const {finisher, picker} = this.dependencies
-    const resting = picker.findResting(this.makeQuery(session, NONE_EXCLUDED, now), now)
-    if (resting.length === 0) {
+    const backedOff = picker.findBackingOff(this.makeQuery(session, NONE_EXCLUDED, now), now)
+    if (backedOff.length === 0) {
       finisher.finishNotServed(session, "no-backend", now)
       return
     }
-    const restEnd = Math.min(...resting.map(({signals}) => signals.getRestUntil()))
-    finisher.finishNotServed(session, "backing-off", now, restEnd - now, {backends: getIds(resting)})
+    const backOffEnd = Math.min(...backedOff.map(({signals}) => signals.getBackOffEnd()))
+    finisher.finishNotServed(session, "backing-off", now, backOffEnd - now, {backends: getIds(backedOff)})
   }
 
   /// Only a back end that names a limit could take the request: it waits for the answer to an ask for a
--- a/src/parts/backend-signal-part.ts
+++ b/src/parts/backend-signal-part.ts
@@ -45,9 +45,9 @@
     const {isLeaving, retryAfterMs} = report.signals
     if (isLeaving) leaving.add(view, now)
     if (retryAfterMs === undefined) return
-    if (!view.isResting(now))
-      logChange("backend.rest-asked", {backend, retryAfterMs: Math.round(retryAfterMs)})
-    view.signals.addRest(now + retryAfterMs)
+    if (!view.isBackingOff(now))
+      logChange("backend.back-off", {backend, retryAfterMs: Math.round(retryAfterMs)})
+    view.signals.addBackOff(now + retryAfterMs)
   }
 
   override receiveAnswer(event: AnswerEvent, now: number): void {
--- a/src/routing/application-manager.ts
+++ b/src/routing/application-manager.ts
@@ -145,7 +145,7 @@
     attempt.server.inFlight -= 1;
     session.attempt = undefined;
     if ('retryAfterMs' in event && event.retryAfterMs !== undefined)
-      this.servers.addRest(attempt.server, event.retryAfterMs, now);
+      this.servers.addBackOff(attempt.server, event.retryAfterMs, now);
     switch (event.kind) {
       case 'unreachable':
         this.servers.addFailure(attempt.server, now);
@@ -197,7 +197,7 @@
         new NoBackendError(
           session.call.service,
           notRunOf(session),
-          this.servers.findRestMs(now) ?? NO_SERVER_RETRY_AFTER_MS,
+          this.servers.findBackOffMs(now) ?? NO_SERVER_RETRY_AFTER_MS,
         ),
       );
       return;
--- a/src/routing/application-servers.ts
+++ b/src/routing/application-servers.ts
@@ -14,7 +14,7 @@
   /** Monotonic milliseconds. */
   avoidUntil: number;
   /** It wants no calls from this daemon until then. Monotonic milliseconds. */
-  restUntil: number;
+  backOffUntil: number;
 }
 
 /**
@@ -45,7 +45,7 @@
           leaving,
           inFlight: 0,
           avoidUntil: -Infinity,
-          restUntil: -Infinity,
+          backOffUntil: -Infinity,
         });
       }
     }
@@ -57,26 +57,29 @@
   }
 
   /** A server wants no calls from this daemon for so long. What it has said before stays in force. */
-  addRest(server: ApplicationServer, retryAfterMs: number, now: number): void {
-    server.restUntil = Math.max(server.restUntil, now + retryAfterMs);
+  addBackOff(server: ApplicationServer, retryAfterMs: number, now: number): void {
+    server.backOffUntil = Math.max(server.backOffUntil, now + retryAfterMs);
   }
 
-  /** How long until the first server that stays has rested; undefined when none rests. Milliseconds. */
-  findRestMs(now: number): number | undefined {
-    const resting = [...this.servers.values()].filter(
-      ({ leaving, restUntil }) => !leaving && now < restUntil,
+  /** How long until the first server that stays wants calls again; undefined when none has asked to back off.
+   * Milliseconds. */
+  findBackOffMs(now: number): number | undefined {
+    const backedOff = [...this.servers.values()].filter(
+      ({ leaving, backOffUntil }) => !leaving && now < backOffUntil,
     );
-    return resting.length > 0 ? Math.min(...resting.map(({ restUntil }) => restUntil)) - now : undefined;
+    return backedOff.length > 0
+      ? Math.min(...backedOff.map(({ backOffUntil }) => backOffUntil)) - now
+      : undefined;
   }
 
   /**
    * The server that gets a call: of two that are drawn at random the one with fewer calls from here. Servers
-   * that leave, that rest and those that the call excludes are left out, and those that failed lately wherever there are
+   * that leave, that have asked this daemon to back off and those that the call excludes are left out, and those that failed lately wherever there are
    * others.
    */
   pick(excluded: ReadonlySet<string>, now: number): ApplicationServer | undefined {
     const able = [...this.servers.values()].filter(
-      (server) => !server.leaving && now >= server.restUntil && !excluded.has(server.id),
+      (server) => !server.leaving && now >= server.backOffUntil && !excluded.has(server.id),
     );
     const steady = able.filter((server) => now >= server.avoidUntil);
     const candidates = steady.length > 0 ? steady : able;
--- a/src/routing/completion-manager.ts
+++ b/src/routing/completion-manager.ts
@@ -120,7 +120,7 @@
     if (!session || attempt?.attemptId !== attemptId) return;
     attempt.lastEventAt = now;
     if ((event.kind === 'refused' || event.kind === 'broken') && event.retryAfterMs !== undefined)
-      attempt.engine.addRest(now + event.retryAfterMs);
+      attempt.engine.addBackOff(now + event.retryAfterMs);
     switch (event.kind) {
       case 'unreachable':
         attempt.engine.addFailure(now, this.directorySettings);
--- a/src/routing/engine-directory.ts
+++ b/src/routing/engine-directory.ts
@@ -73,7 +73,7 @@
   private failures = 0;
   private ejections = 0;
   private ejectedUntil = -Infinity;
-  private restUntil = -Infinity;
+  private backOffUntil = -Infinity;
 
   constructor(
     readonly id: string,
@@ -147,15 +147,15 @@
   }
 
   /** The engine wants no work from this daemon until then. What it has said before stays in force. */
-  addRest(until: number): void {
-    this.restUntil = Math.max(this.restUntil, until);
+  addBackOff(until: number): void {
+    this.backOffUntil = Math.max(this.backOffUntil, until);
   }
 
   /** Whether the engine may get new work. */
   takesWork(now: number): boolean {
     const fresh = now - this.reportedAt <= this.maximumReportAgeMs;
     const active = this.phase === 'active' && !this.listedLeaving && this.assignment !== undefined;
-    return active && fresh && now >= this.ejectedUntil && now >= this.restUntil;
+    return active && fresh && now >= this.ejectedUntil && now >= this.backOffUntil;
   }
 
   /**
--- a/test/rest-signals.test.ts
+++ b/test/back-off-signals.test.ts
@@ -4,49 +4,49 @@
 
 const SEED = 20261203;
 const LOAD = { '/a/x': 120 };
-const REST_MS = 3000;
-/** Requests that may reach a back end in its rest. */
+const BACK_OFF_MS = 3000;
+/** Requests that may reach a back end meanwhile. */
 const ALLOWED = 2;
 
-function play(backends: number, resting: readonly string[], share: number, engines = false): SignalSite {
+function play(backends: number, asking: readonly string[], share: number, engines = false): SignalSite {
   const site = new SignalSite({ daemons: 7, backends, seed: SEED, engines });
   const parts = [{ id: 'own', tokens: 2000 }];
   const prompt = { model: 'm', parts, promptTokens: 2000, maximumOutputTokens: 10 };
   site.load(LOAD, 22_000, engines ? { prompt } : {});
   site.run(2000);
-  for (const id of resting) site.setRest(id, share, REST_MS);
+  for (const id of asking) site.setBackOff(id, share, BACK_OFF_MS);
   site.run(15_000);
   return site;
 }
 
-describe('back ends that ask for rest', () => {
+describe('back ends that ask daemons to back off', () => {
   for (const share of [0.05, 0.4])
     it(`beside others, of ${share} of the requests: get none from the daemons that were asked`, () => {
       const site = play(6, ['b0', 'b1'], share);
-      expect(site.findMostInRest()).to.be.at.most(ALLOWED);
+      expect(site.findMostInBackOff()).to.be.at.most(ALLOWED);
     });
 
   it('get no hand-over of computed prompts from these', () => {
     const site = play(8, ['b1', 'b3'], 0.2, true);
-    expect(site.findMostInRest()).to.be.at.most(ALLOWED);
+    expect(site.findMostInBackOff()).to.be.at.most(ALLOWED);
   });
 
-  it('all of a service: requests are refused at once, with the time until the first rest is over', () => {
+  it('all of a service: requests are refused at once, with the time until the first wants requests again', () => {
     const site = play(3, ['b0', 'b1', 'b2'], 0.3);
-    expect(site.findMostInRest()).to.be.at.most(ALLOWED);
+    expect(site.findMostInBackOff()).to.be.at.most(ALLOWED);
     const refusals = site.findRefusals();
     expect(refusals.length).to.be.greaterThan(100);
     for (const { status, heldMs, retryAfterMs } of refusals) {
       expect(status).to.equal(503);
       expect(heldMs).to.be.at.most(200);
-      expect(retryAfterMs).to.be.within(1, REST_MS);
+      expect(retryAfterMs).to.be.within(1, BACK_OFF_MS);
     }
   });
 
   it('get requests again when the time is over', () => {
     const site = play(6, ['b0'], 0.4);
-    site.setRest('b0', 0, REST_MS);
-    site.run(REST_MS);
+    site.setBackOff('b0', 0, BACK_OFF_MS);
+    site.run(BACK_OFF_MS);
     const since = site.fleet.time.now();
     site.run(1500);
     expect(site.countSince('b0', since)).to.be.greaterThan(10);
--- a/test/retry-after-header.test.ts
+++ b/test/retry-after-header.test.ts
@@ -92,8 +92,8 @@
     };
     engine.markPhase('active', 0);
     expect(takesWork(0)).to.equal(true);
-    engine.addRest(3000);
-    engine.addRest(1000);
+    engine.addBackOff(3000);
+    engine.addBackOff(1000);
     expect(takesWork(2999)).to.equal(false);
     expect(takesWork(3000)).to.equal(true);
   });
@@ -103,9 +103,9 @@
     servers.setServers([{ id: 'a', address: '10.0.0.1:1', leaving: false }]);
     const server = servers.pick(new Set(), 0);
     expect(server?.id).to.equal('a');
-    if (server) servers.addRest(server, 3000, 0);
+    if (server) servers.addBackOff(server, 3000, 0);
     expect(servers.pick(new Set(), 2999)).to.equal(undefined);
-    expect(servers.findRestMs(1000)).to.equal(2000);
+    expect(servers.findBackOffMs(1000)).to.equal(2000);
     expect(servers.pick(new Set(), 3000)?.id).to.equal('a');
   });
 
--- a/test/signal-check.test.ts
+++ b/test/signal-check.test.ts
@@ -1,7 +1,7 @@
 /** The soak's checks of what back ends say find what breaks it, and excuse daemons that were disturbed or not told. */
 import { expect } from 'chai';
 import {
-  findBrokenRests,
+  findBrokenBackOffs,
   findLateToLeaving,
   findLimitWindows,
   type DaemonArrival,
@@ -43,7 +43,7 @@
   });
 });
 
-describe('checks of leavings and rests', () => {
+describe('checks of leavings and back-offs', () => {
   const told = [{ backend: 'b', daemon: 'd', at: 6000 }];
 
   it('find requests that were sent too late to a back end that leaves', () => {
@@ -52,10 +52,10 @@
     expect(findLateToLeaving([], ARRIVALS, () => true, 2000)).to.deep.equal([]);
   });
 
-  it('find rests with more than two requests', () => {
-    const rest = { ...told[0], until: 7000 };
-    expect(findBrokenRests([rest], ARRIVALS, () => true)).to.deep.equal([{ span: rest, seen: 5 }]);
-    expect(findBrokenRests([{ ...rest, until: 6700 }], ARRIVALS, () => true)).to.deep.equal([]);
-    expect(findBrokenRests([rest], ARRIVALS, () => false)).to.deep.equal([]);
+  it('find back-offs with more than two requests', () => {
+    const backOff = { ...told[0], until: 7000 };
+    expect(findBrokenBackOffs([backOff], ARRIVALS, () => true)).to.deep.equal([{ span: backOff, seen: 5 }]);
+    expect(findBrokenBackOffs([{ ...backOff, until: 6700 }], ARRIVALS, () => true)).to.deep.equal([]);
+    expect(findBrokenBackOffs([backOff], ARRIVALS, () => false)).to.deep.equal([]);
   });
 });
