Readers: decimal numbers of headers are parsed in one place

A comment no longer reads as if a value had been measured. What the code does is the same: the tests of the dialect, of Retry-After and of limits pass unchanged.

--- a/src/adapters/retry-after-header.ts
+++ b/src/adapters/retry-after-header.ts
@@ -1,4 +1,5 @@
 /** The header with which a server says when it wants to be asked again (RFC 9110, 10.2.3). */
+import { parseDecimal } from '../shared/decimal.js';
 import { STATUS_TOO_MANY_REQUESTS, STATUS_UNAVAILABLE } from '../shared/http-status.js';
 import { SECOND_MS } from '../shared/units.js';
 
@@ -13,7 +14,8 @@
  * taken against the date of the answer itself. Undefined for anything else.
  */
 export function parseRetryAfterMs(text: string, answerDate: string | undefined): number | undefined {
-  if (/^\s*\d+(\.\d+)?\s*$/.test(text)) return Number(text) * SECOND_MS;
+  const seconds = parseDecimal(text);
+  if (seconds !== undefined) return seconds * SECOND_MS;
   if (!HTTP_DATE.test(text.trim()) || answerDate === undefined) return undefined;
   const ms = Date.parse(text) - Date.parse(answerDate);
   return Number.isFinite(ms) ? Math.max(0, ms) : undefined;
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -136,8 +136,8 @@
   /// This process stood still until now.
   ownPauseEnded?(now: number): void
 
-  /// This process's clock stood still for so long, which nobody here has counted: authority that is measured
-  /// by it is void. Milliseconds.
+  /// This process's clock stood still for so long, which nobody here has counted: authority that runs out by
+  /// it is void. Milliseconds.
   clockStoodStill?(forMs: number): void
 
   /// Advances what cannot wait for `scan`.
