Test: daemons that start while a limit holds

Eight of nine daemons are killed together each 7 s and start again while two of six back ends name 2 a second; each life counts from when it was told, restarts are not excused.

--- a/test/advertised-limits.test.ts
+++ b/test/advertised-limits.test.ts
@@ -91,6 +91,19 @@
     for (const id of ['b0', 'b1']) checkLimit(site, id, new Set(killed));
   });
 
+  it('kept by daemons that start while they hold, from when each is told', () => {
+    const site = startSite(9, 6);
+    site.load(PLAIN_LOAD, 45_000);
+    site.run(2000);
+    for (const id of ['b0', 'b1']) site.setLimit(id, 2);
+    for (let atMs = 4000; atMs < 32_000; atMs += 7000)
+      site.fleet.time.after(atMs, () =>
+        site.fleet.nodes.slice(1).forEach((node) => site.fleet.kill(node, 1500)),
+      );
+    site.run(40_000);
+    for (const id of ['b0', 'b1']) checkLimit(site, id);
+  });
+
   it('kept in sum by both sides of a divided fleet', () => {
     const site = startSite(9, 6);
     site.load(PLAIN_LOAD, 40_000);
