A Retry-After that cannot be read is logged by both interfaces and for the store

What operators saw: nothing. An engine or an application server of the completions interface, or the store, that said no time in its refusal was treated as if it had said none, without a line; the interface of routes logged it. Cause: the reader of the header gave undefined for both. The test asks for both and failed to compile before, since the clients had no such listener.

--- a/src/adapters/application-client.ts
+++ b/src/adapters/application-client.ts
@@ -2,7 +2,7 @@
 import { Agent, request } from 'undici';
 import type { ApplicationEvent } from '../routing/application-messages.js';
 import { isConnectFailure } from './connect-failure.js';
-import { readRetryAfterMs } from './retry-after-header.js';
+import { readRetryAfterMs, type UnreadableRetryAfterListener } from './retry-after-header.js';
 
 /** A caller's call as it travels on. */
 export interface ApplicationPayload {
@@ -41,6 +41,8 @@
   /** Without pipelining or keep-alive a call never meets a connection that the server is closing. */
   private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 0 });
 
+  constructor(private readonly onUnreadable: UnreadableRetryAfterListener = () => undefined) {}
+
   start(call: ApplicationServerCall, onEvent: (event: ApplicationEvent) => void): () => void {
     const abort = new AbortController();
     void this.run(call, abort.signal, onEvent);
@@ -69,7 +71,7 @@
       });
       const bytes = new Uint8Array(await body.arrayBuffer());
       const leaving = headers[LEAVING_HEADER] === 'true';
-      const retryAfterMs = readRetryAfterMs(statusCode, headers);
+      const retryAfterMs = readRetryAfterMs(statusCode, headers, this.onUnreadable);
       if (headers[NOT_RUN_HEADER] === 'true') onEvent({ kind: 'refused', leaving, retryAfterMs });
       else
         onEvent({
--- a/src/adapters/engine-client.ts
+++ b/src/adapters/engine-client.ts
@@ -10,7 +10,7 @@
 import type { AttemptStart } from '../routing/completion-effects.js';
 import { parseJson } from '../shared/json.js';
 import { isConnectFailure } from './connect-failure.js';
-import { readRetryAfterMs } from './retry-after-header.js';
+import { readRetryAfterMs, type UnreadableRetryAfterListener } from './retry-after-header.js';
 import { engineReportSchema } from './peer-codec.js';
 import { STATUS_OK } from '../shared/http-status.js';
 
@@ -73,6 +73,8 @@
     bodyTimeout: 0,
   });
 
+  constructor(private readonly onUnreadable: UnreadableRetryAfterListener = () => undefined) {}
+
   async control(address: string, controlRequest: EngineControlRequest): Promise<EngineControlResult> {
     try {
       const { body } = await request(`http://${address}/v1/control`, {
@@ -114,7 +116,7 @@
         body: JSON.stringify(attemptBody(attempt)),
       });
       if (statusCode !== STATUS_OK) {
-        const retryAfterMs = readRetryAfterMs(statusCode, headers);
+        const retryAfterMs = readRetryAfterMs(statusCode, headers, this.onUnreadable);
         onEvent({ ...refusalOf(statusCode, await body.text()), retryAfterMs });
         return;
       }
--- a/src/adapters/platform-client.ts
+++ b/src/adapters/platform-client.ts
@@ -5,7 +5,7 @@
 import type { MachineListing } from '../contracts/machine-list.js';
 import type { TableRequest, TableResult } from '../contracts/table-service.js';
 import { STATUS_OK, STATUS_TOO_MANY_REQUESTS } from '../shared/http-status.js';
-import { readRetryAfterMs } from './retry-after-header.js';
+import { readRetryAfterMs, type UnreadableRetryAfterListener } from './retry-after-header.js';
 
 /** The platform as the daemon's process uses it. Calls never reject; a failure is a result. */
 export interface PlatformClient {
@@ -65,6 +65,7 @@
   constructor(
     private readonly addresses: readonly string[],
     private readonly onListingFailure: (reason: string, count: number) => void,
+    private readonly onUnreadable: UnreadableRetryAfterListener = () => undefined,
   ) {}
 
   async table(tableRequest: TableRequest): Promise<TableResult> {
@@ -74,7 +75,7 @@
       if (statusCode === STATUS_TOO_MANY_REQUESTS)
         return {
           kind: 'rateLimited',
-          retryAfterMs: getRetryAfterMs(headers),
+          retryAfterMs: this.getRetryAfterMs(headers),
         };
       const parsed = tableResultSchema.safeParse(value);
       if (statusCode === STATUS_OK && parsed.success) return parsed.data as TableResult;
@@ -122,11 +123,12 @@
     this.current += 1;
     return { kind: 'noAnswer', reason };
   }
-}
 
-/** The platform's own header counts milliseconds; one that cannot be read counts as none. */
-function getRetryAfterMs(headers: IncomingHttpHeaders): number {
-  const ownMs = Number(headers['retry-after-ms']);
-  if (Number.isFinite(ownMs)) return ownMs;
-  return readRetryAfterMs(STATUS_TOO_MANY_REQUESTS, headers) ?? DEFAULT_RETRY_AFTER_MS;
+  /** The platform's own header counts milliseconds. */
+  private getRetryAfterMs(headers: IncomingHttpHeaders): number {
+    const ownMs = Number(headers['retry-after-ms']);
+    if (Number.isFinite(ownMs)) return ownMs;
+    const ms = readRetryAfterMs(STATUS_TOO_MANY_REQUESTS, headers, this.onUnreadable);
+    return ms ?? DEFAULT_RETRY_AFTER_MS;
+  }
 }
--- a/src/adapters/retry-after-header.ts
+++ b/src/adapters/retry-after-header.ts
@@ -21,11 +21,17 @@
   return Number.isFinite(ms) ? Math.max(0, ms) : undefined;
 }
 
+/** Hears of a Retry-After that cannot be read, as it came. It counts as none. */
+export type UnreadableRetryAfterListener = (text: string) => void;
+
 /** The same from the head of an answer; undefined also for one that is no refusal, or says nothing. */
 export function readRetryAfterMs(
   status: number,
   { 'retry-after': text, date }: Readonly<Record<string, string | string[] | undefined>>,
+  onUnreadable: UnreadableRetryAfterListener,
 ): number | undefined {
   if (!REFUSALS.has(status) || typeof text !== 'string') return undefined;
-  return parseRetryAfterMs(text, typeof date === 'string' ? date : undefined);
+  const ms = parseRetryAfterMs(text, typeof date === 'string' ? date : undefined);
+  if (ms === undefined) onUnreadable(text);
+  return ms;
 }
--- a/src/process/completion-process.ts
+++ b/src/process/completion-process.ts
@@ -55,8 +55,12 @@
   private readonly actors: CompletionActors;
   private readonly peers: PeerTransport;
   private readonly platform: HttpPlatformClient;
-  private readonly engines = new HttpEngineClient();
-  private readonly applications = new HttpApplicationClient();
+  private readonly engines = new HttpEngineClient((text) => this.onUnreadableRetryAfter('engine', text));
+  private readonly applications = new HttpApplicationClient((text) =>
+    this.onUnreadableRetryAfter('application', text),
+  );
+  /** The last such header of each kind of system, as it came. */
+  private readonly unreadableRetryAfter = new Map<string, string>();
   private readonly callerServer: Server;
   private readonly callerConnections: KeptConnections;
   private readonly operatorServer: Server;
@@ -81,8 +85,10 @@
       random,
       performance.now(),
     );
-    this.platform = new HttpPlatformClient(settings.platform, (reason, count) =>
-      this.logger.warn({ event: 'machines.no-answer', reason, count }),
+    this.platform = new HttpPlatformClient(
+      settings.platform,
+      (reason, count) => this.logger.warn({ event: 'machines.no-answer', reason, count }),
+      (text) => this.onUnreadableRetryAfter('platform', text),
     );
     this.peers = this.createPeers(identity);
     this.actors = this.createActors();
@@ -296,6 +302,13 @@
     this.requestOver(requestId, error.code);
   }
 
+  /** Once for what a system says in answer after answer. */
+  private onUnreadableRetryAfter(from: string, text: string): void {
+    if (this.unreadableRetryAfter.get(from) === text) return;
+    this.unreadableRetryAfter.set(from, text);
+    this.logger.warn({ event: 'retry-after.unreadable', from, text });
+  }
+
   private requestOver(requestId: string, outcome: string): void {
     this.completions.delete(requestId);
     this.calls.delete(requestId);
--- a/test/retry-after-header.test.ts
+++ b/test/retry-after-header.test.ts
@@ -33,9 +33,9 @@
   }
 }
 
-async function askEngine(retryAfter: string | undefined): Promise<AttemptEvent> {
+async function askEngine(retryAfter: string | undefined, unreadable: string[] = []): Promise<AttemptEvent> {
   return withRefusing(retryAfter, async (address) => {
-    const client = new HttpEngineClient();
+    const client = new HttpEngineClient((text) => unreadable.push(text));
     const attempt = {
       address,
       stage: 'whole',
@@ -81,6 +81,9 @@
   it('of an engine of the completions interface reaches the daemon', async () => {
     expect(await askEngine('1.5')).to.deep.equal({ kind: 'refused', reason: 'full', retryAfterMs: 1500 });
     expect(await askEngine(undefined)).to.deep.include({ kind: 'refused', retryAfterMs: undefined });
+    const unreadable: string[] = [];
+    expect(await askEngine('soon', unreadable)).to.deep.include({ retryAfterMs: undefined });
+    expect(unreadable).to.deep.equal(['soon']);
   });
 
   it('keeps work from an engine until then, whatever it says later', () => {
@@ -110,12 +113,20 @@
   });
 
   it('of the store is heeded in place of the usual pause, within bounds', async () => {
+    const unreadable: string[] = [];
     const ask = (retryAfter: string | undefined) =>
       withRefusing(retryAfter, (address) =>
-        new TableClient(address).perform({ kind: 'read', table: 'leases', key: 'k' }),
+        new TableClient(address, (key) => unreadable.push(key)).perform({
+          kind: 'read',
+          table: 'leases',
+          key: 'k',
+        }),
       );
     expect(await ask('1.2')).to.deep.equal({ kind: 'rateLimited', retryAfterMs: 1200 });
     expect(await ask(undefined)).to.deep.equal({ kind: 'rateLimited', retryAfterMs: 300 });
     expect(await ask('600')).to.deep.equal({ kind: 'rateLimited', retryAfterMs: 3000 });
+    expect(unreadable).to.deep.equal([]);
+    expect(await ask('soon')).to.deep.equal({ kind: 'rateLimited', retryAfterMs: 300 });
+    expect(unreadable).to.deep.equal(['Retry-After']);
   });
 });
