Tests: a limit ends without any request where health checks have named it, and only there

Both pass on the code as it is: after 8 s no daemon of nine believes in a limit that health checks no longer name, and one that they never named stays.

--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -11,6 +11,7 @@
 import { SeededRandom } from '../src/shared/random.js';
 import type { AttemptStart, ForwardAttemptEvent } from '../src/forwarding/forward-messages.js';
 import type { KvChangesCall } from '../src/forwarding/kv-cache/kv-follower.js';
+import type { BackendRecord } from '../src/forwarding/routes/route.js';
 import type { DutyAuthority, DutyCall } from '../src/duties/duty-messages.js';
 import type { TableRequest, TableResult } from '../src/contracts/table-service.js';
 import type { DutyModel } from '../lab/duty-model.js';
@@ -192,7 +193,10 @@
   /** Engines that daemons have asked for their state, to change their stage; they never answer. */
   readonly enginesAsked: { readonly node: FleetNode; readonly backendId: string }[] = [];
 
-  /** Health checks that daemons have asked for; none is answered. */
+  /** Hears of each health check that a daemon asks for; none is answered unless the test does. */
+  onProbe: (node: FleetNode, backend: BackendRecord) => void = () => undefined;
+
+  /** Health checks that daemons have asked for. */
   readonly probes: { readonly node: FleetNode; readonly backendId: string }[] = [];
 
   /** Reads that the store has seen from all daemons. */
@@ -233,6 +237,7 @@
       }
       case 'probeBackend':
         this.probes.push({ node, backendId: effect.probe.backend.id });
+        this.onProbe(node, effect.probe.backend);
         break;
       case 'readKvChanges':
         this.answerKvChanges(node, effect.call);
--- a/simulation/signal-site.ts
+++ b/simulation/signal-site.ts
@@ -168,6 +168,28 @@
     step();
   }
 
+  /** Back ends answer health checks from now on, and name their limits there too or not. */
+  answerChecks({ nameLimits }: { nameLimits: boolean }): void {
+    const { fleet } = this;
+    fleet.onProbe = (node, backend) => {
+      const sentAt = fleet.time.now();
+      fleet.time.after(2 * fleet.networkMs, () => {
+        const requestsPerSecond = nameLimits ? this.limits.get(backend.id) : undefined;
+        const isLeaving = this.leaving.has(backend.id);
+        const signals = { requestsPerSecond, isLeaving, retryAfterMs: undefined, unreadable: [] };
+        fleet.handle(node, { kind: 'backendSignalled', backend, signals, sentAt, isHealthCheck: true });
+      });
+    };
+  }
+
+  /** Back ends that a daemon believes to name a limit, the most of all daemons. */
+  countBelievedLimits(): number {
+    const now = this.fleet.time.now();
+    return Math.max(
+      ...this.fleet.nodes.map(({ daemon }) => daemon.getPartFigures(now).backendSignals.limited ?? 0),
+    );
+  }
+
   /** Runs the fleet for so long. */
   run(forMs: number): void {
     this.fleet.time.runUntil(this.fleet.time.now() + forMs);
--- a/test/advertised-limits.test.ts
+++ b/test/advertised-limits.test.ts
@@ -178,6 +178,29 @@
     }
   });
 
+  it('end without any request where health checks have named them too', () => {
+    const site = startSite(9, 3);
+    site.answerChecks({ nameLimits: true });
+    site.load(PLAIN_LOAD, 4000);
+    site.run(2000);
+    site.setLimit('b0', 2);
+    site.run(12_000);
+    expect(site.countBelievedLimits()).to.equal(1);
+    site.setLimit('b0', undefined);
+    site.run(8000);
+    expect(site.countBelievedLimits()).to.equal(0);
+  });
+
+  it('do not end by health checks that never named them', () => {
+    const site = startSite(9, 3);
+    site.answerChecks({ nameLimits: false });
+    site.load(PLAIN_LOAD, 4000);
+    site.run(2000);
+    site.setLimit('b0', 2);
+    site.run(20_000);
+    expect(site.countBelievedLimits()).to.equal(1);
+  });
+
   it('a request whose prompt is computed waits anew for a permit of an engine that generates', () => {
     const site = startSite(9, 8, SEED, true);
     const parts = [{ id: 'own', tokens: 2000 }];
