Hold a back end to a signal only for the start that sent it, in the soak

Cause: the leaving b1i2 was crashed by a request and restarted under its id; the new process doesn't say that it is leaving. The check compared ids.

Evidence: the logs couldn't tell the two starts apart, so `backend.changed` and `backend.leaving` now log `bornMs`: leaving was logged for ...859968, the requests went to ...861111, whose record came 964 ms later. Ruled out: a lost mark (signals are kept by id and start), a record of the same start that returns.

Change: arrivals carry the start; leaving and back-offs (the same fault) hold for the start that sent them. The soak logs crashes and whether the id is kept.

--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -145,6 +145,11 @@
     if (row?.born === this.startedAtMs) this.store.remove("servers", this.identity.id)
   }
 
+  /// Its id and the time of its start.
+  private get incarnation(): string {
+    return `${this.identity.id}@${this.startedAtMs}`
+  }
+
   /// Whether its record says that it is draining.
   isDraining(): boolean {
     return this.state === "draining"
@@ -202,7 +207,9 @@
     const requestId = getHeader(request, "x-attempt-id") ?? ""
     const promptOnly = getHeader(request, "x-inference-phase") === "prefill"
     const {id: backend, service} = this.identity
-    const arrival = {requestId, service, backend, at: performance.now(), promptOnly, rejected: false}
+    const {incarnation} = this
+    const at = performance.now()
+    const arrival = {requestId, service, backend, incarnation, at, promptOnly, rejected: false}
     if (requestId !== "") this.record.arrivals.push(arrival)
     return arrival
   }
@@ -219,7 +226,7 @@
       this.reply(response, status, "", {...headers, "X-Not-Executed": "1", "X-Attempt-Id": id})
     }
     if (this.backOff && this.random() < this.backOff.share) {
-      this.record.signals.addBackOff(this.identity.id, id, this.backOff.seconds)
+      this.record.signals.addBackOff(this.incarnation, id, this.backOff.seconds)
       return reject(STATUS_BUSY, {"Retry-After": String(this.backOff.seconds)})
     }
     const behavior = this.isFaulty() ? this.behavior : "well"
--- a/lab/soak/retry-check.ts
+++ b/lab/soak/retry-check.ts
@@ -5,6 +5,8 @@
   readonly requestId: string
   readonly service: string
   readonly backend?: string
+  /// Names the start of the back end: one that is restarted may keep its id.
+  readonly incarnation?: string
   readonly at: number
   /// Whether the back end was only to compute the prompt (prefill).
   readonly promptOnly: boolean
--- a/lab/soak/signal-check.ts
+++ b/lab/soak/signal-check.ts
@@ -22,6 +22,8 @@
 /// Monotonic milliseconds.
 export interface DaemonArrival {
   readonly backend: string
+  /// Names the start of the back end: one that is restarted may keep its id, but not what it signalled.
+  readonly incarnation: string
   readonly daemon: string
   readonly at: number
   readonly sentAt: number
@@ -30,12 +32,16 @@
 /// An answer with a signal of a back end, and when its daemon forwarded it to the caller.
 export interface ForwardedSignal {
   readonly backend: string
+  readonly incarnation: string
   readonly daemon: string
   readonly at: number
 }
 
 /// A period in which a daemon must back off, as a back end asked it to.
-export interface BackOffSpan extends ForwardedSignal {
+export interface BackOffSpan {
+  readonly incarnation: string
+  readonly daemon: string
+  readonly at: number
   readonly until: number
 }
 
@@ -63,10 +69,10 @@
   isUninterrupted: UninterruptedCheck,
   drainMs: number
 ): DaemonArrival[] {
-  return arrivals.filter(({backend, daemon, at, sentAt}) =>
+  return arrivals.filter(({incarnation, daemon, at, sentAt}) =>
     signals.some(
       answer =>
-        answer.backend === backend &&
+        answer.incarnation === incarnation &&
         answer.daemon === daemon &&
         sentAt > answer.at + drainMs &&
         isUninterrupted(daemon, answer.at, at)
@@ -82,8 +88,8 @@
 ): {readonly span: BackOffSpan; readonly seen: number}[] {
   return spans.flatMap(span => {
     const seen = arrivals.filter(
-      ({backend, daemon, at}) =>
-        backend === span.backend &&
+      ({incarnation, daemon, at}) =>
+        incarnation === span.incarnation &&
         daemon === span.daemon &&
         at >= span.at + BACK_OFF_GRACE_MS &&
         at < span.until &&
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -191,6 +191,7 @@
       until: Infinity
     }
     this.record.disturbances.push(disturbance)
+    process.stdout.write(`${JSON.stringify({crashed: backend.identity.id, keepsId})}\n`)
     backend.crash()
     setTimeout(() => {
       disturbance.until = performance.now()
--- a/src/daemon/change-log.ts
+++ b/src/daemon/change-log.ts
@@ -70,8 +70,8 @@
     }
     case 'backendChanged': {
       const { record, revision, source } = effect;
-      const { id: backend, state, stage } = record;
-      return makeChange('backend.changed', { backend, state, stage, revision, source });
+      const { id: backend, bornMs, state, stage } = record;
+      return makeChange('backend.changed', { backend, bornMs, state, stage, revision, source });
     }
     case 'backendRemoved': {
       const { id: backend, revision, source } = effect;
--- a/src/daemon/forwarding-machines.ts
+++ b/src/daemon/forwarding-machines.ts
@@ -152,7 +152,7 @@
     sendWaiting(record.service, at);
   });
   const leaving = new LeavingBackends(directory, ({ record }, at) => {
-    logChange('backend.leaving', { backend: record.id });
+    logChange('backend.leaving', { backend: record.id, bornMs: record.bornMs });
     sendDigestSoon(at);
   });
   return { limits, leaving, permits };
