Handle SIGHUP before the start script loads anything

What callers saw: a daemon that gets SIGHUP while it starts ends, and serves 100 ms of the platform's restart delay and a start later.

Cause: until a first line of ours runs, the runtime's default action ends the process. The start script loaded crypto, fs, path and vm before that line.

The new test fails without the change (no handler when the first module is loaded).

--- a/test/bundle.test.ts
+++ b/test/bundle.test.ts
@@ -150,6 +150,22 @@
     rmSync(copy, { recursive: true });
   });
 
+  /*
+   * Guards against a needlessly long time in which SIGHUP ends a starting process: the start script loaded
+   * modules before it handled the signal.
+   */
+  it('the start script handles SIGHUP before it loads anything', () => {
+    const source = readFileSync(join(ROOT, 'deploy/start.cjs'), 'utf8');
+    const handled: string[] = [];
+    const load = (name: string): never => {
+      throw new Error(`loads ${name}`);
+    };
+    const run = new Function('require', 'module', 'process', '__dirname', source);
+    const stub = { on: (signal: string) => handled.push(signal) };
+    expect(() => void run(load, {}, stub, '')).to.throw('loads');
+    expect(handled).to.deep.equal(['SIGHUP']);
+  });
+
   it('does not use a code cache that was made from another source of the same length', async () => {
     const copy = mkdtempSync(join(tmpdir(), 'code-cache-'));
     copyFileSync(join(ROOT, 'deploy/start.cjs'), join(copy, 'start.cjs'));
