Tell a reload before the signal is handled from other ends, in the soak

The soak reported every end by SIGHUP alike, so the known end within the runtime's start could hide one of a daemon that handles the signal. It now reads the caught signals of the process (SigCgt of /proc/PID/status) just before it sends one: the violation stays in both cases, with "before it was handled" in the first, and the process is started again then, as the platform does, so that the rest of the soak is judged with all daemons.

Two tests: a process that is ended before it has a handler is reported so and started again; one that ends itself by the signal after it had one is reported without that reason and not started again. The old tests check the same exit codes, now as text.

--- a/lab/soak/daemon-process.ts
+++ b/lab/soak/daemon-process.ts
@@ -1,7 +1,7 @@
 /// One daemon of a soak: the deployed program as a separate process with its settings file. It is controlled,
 /// and disturbed, only by signals and by changes of that file.
 import {spawn, type ChildProcess} from "node:child_process"
-import {closeSync, openSync, renameSync, writeFileSync} from "node:fs"
+import {closeSync, openSync, readFileSync, renameSync, writeFileSync} from "node:fs"
 import {connect} from "node:net"
 import {join} from "node:path"
 import {formatSettings, type DaemonPorts} from "./settings-file.js"
@@ -16,19 +16,25 @@
   readonly seeds: readonly string[]
 }
 
-/// Called when the process exits without having been stopped or killed by the soak.
-type UnexpectedExitListener = (name: string, code: number | null, signal: string | null) => void
+/// Called when the process exits without having been stopped or killed by the soak. `reason` is its exit code or
+/// signal, and whether a reload came before the process could handle it.
+type UnexpectedExitListener = (name: string, reason: string) => void
 
 const KILL_AFTER_STOP_MS = 9000
 /// Exit code of the program for invalid settings, which it only uses while it starts.
 const EXIT_INVALID_SETTINGS = 78
 
+/// Number of the signal that asks for a reload, SIGHUP.
+const RELOAD_SIGNAL = 1
+
 /// Starts, stops, pauses and reloads the process.
 export class DaemonProcess {
   private child: ChildProcess | undefined
   private isExitExpected = false
   /// Whether the settings file was made invalid after the process started.
   private hasInvalidSettings = false
+  /// Whether a reload was requested before the process had a handler for it. The default action ends the process.
+  private wasReloadedEarly = false
   private startedAt = -Infinity
   startCount = 0
 
@@ -46,6 +52,7 @@
     this.writeSettings()
     this.isExitExpected = false
     this.hasInvalidSettings = false
+    this.wasReloadedEarly = false
     this.startedAt = performance.now()
     this.startCount += 1
     const log = openSync(join(this.site.folder, `${this.name}.log`), "a")
@@ -60,8 +67,10 @@
       if (this.isExitExpected) return
       // The soak itself made the settings invalid during the start. Start again with valid ones, as the platform
       // would.
-      if (code === EXIT_INVALID_SETTINGS && this.hasInvalidSettings) this.start()
-      else this.onUnexpectedExit(this.name, code, signal)
+      if (code === EXIT_INVALID_SETTINGS && this.hasInvalidSettings) return this.start()
+      const isEarlyReload = signal === "SIGHUP" && this.wasReloadedEarly
+      this.onUnexpectedExit(this.name, `${code ?? signal}${isEarlyReload ? " before it was handled" : ""}`)
+      if (isEarlyReload) this.start()
     })
   }
 
@@ -107,7 +116,9 @@
       this.hasInvalidSettings = true
       this.replaceSettings("node = ")
     }
-    this.child?.kill("SIGHUP")
+    if (!this.child) return
+    this.wasReloadedEarly ||= !hasHandler(this.child, RELOAD_SIGNAL)
+    this.child.kill("SIGHUP")
   }
 
   private async stopWith(signal: NodeJS.Signals): Promise<void> {
@@ -140,6 +151,12 @@
   }
 }
 
+/// Whether a process has installed a handler for a signal.
+function hasHandler({pid}: ChildProcess, signal: number): boolean {
+  const caught = /^SigCgt:\s*([0-9a-f]+)$/m.exec(readFileSync(`/proc/${pid}/status`, "utf8"))
+  return caught !== null && (BigInt(`0x${caught[1]}`) & (1n << BigInt(signal - 1))) !== 0n
+}
+
 function canConnect(address: string): Promise<boolean> {
   const [host, port] = address.split(":")
   return new Promise(resolve => {
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -275,10 +275,10 @@
           address,
           site,
           {store, duties: await this.duties.open(name)},
-          (daemon, code, signal) =>
+          (daemon, reason) =>
             this.record.observedViolations.push({
               promise: "no process ends by itself",
-              text: `${daemon}: ${code ?? signal}`
+              text: `${daemon}: ${reason}`
             })
         )
       )
--- a/test/soak-daemon.test.ts
+++ b/test/soak-daemon.test.ts
@@ -26,11 +26,11 @@
 
 describe('a daemon process of the fault soak', () => {
   const folder = mkdtempSync(join(tmpdir(), 'soak-daemon-'));
-  const exitCodes: (number | null)[] = [];
+  const reasons: string[] = [];
 
-  function makeDaemon(name: string): DaemonProcess {
+  function makeDaemon(name: string, source = PROGRAM): DaemonProcess {
     const program = join(folder, `${name}.cjs`);
-    writeFileSync(program, PROGRAM);
+    writeFileSync(program, source);
     const site = { folder, program, flags: [], bounds: SOAK_BOUNDS, seeds: [] };
     return new DaemonProcess(
       name,
@@ -38,12 +38,12 @@
       PORTS,
       site,
       { store: '127.0.0.1:5', duties: '127.0.0.1:6' },
-      (_name, code) => exitCodes.push(code),
+      (_name, reason) => reasons.push(reason),
     );
   }
 
   after(() => rmSync(folder, { recursive: true }));
-  beforeEach(() => void exitCodes.splice(0));
+  beforeEach(() => void reasons.splice(0));
 
   it('is started again when the soak made its settings invalid during its start', async () => {
     const daemon = makeDaemon('sometimes');
@@ -53,15 +53,43 @@
     await waitUntil(() => daemon.startCount === 2);
     expect(daemon.startCount).to.equal(2);
     expect(daemon.isRunning()).to.equal(true);
-    expect(exitCodes).to.deep.equal([]);
+    expect(reasons).to.deep.equal([]);
     await daemon.kill();
   }).timeout(20_000);
 
   it('is reported as an unexpected exit when its settings were always valid', async () => {
     const daemon = makeDaemon('always');
     daemon.start();
-    await waitUntil(() => exitCodes.length > 0);
-    expect(exitCodes).to.deep.equal([78]);
+    await waitUntil(() => reasons.length > 0);
+    expect(reasons).to.deep.equal(['78']);
+    expect(daemon.startCount).to.equal(1);
+  }).timeout(20_000);
+
+  it('is reported, and started again, when a reload ends it before it handles the signal', async () => {
+    const daemon = makeDaemon('early');
+    daemon.start();
+    daemon.reload(true);
+    await waitUntil(() => daemon.startCount === 2);
+    expect(reasons).to.deep.equal(['SIGHUP before it was handled']);
+    expect(daemon.isRunning()).to.equal(true);
+    await daemon.kill();
+  }).timeout(20_000);
+
+  it('is reported without that reason when it has handled the signal and is ended by it all the same', async () => {
+    const daemon = makeDaemon(
+      'late',
+      `process.on("SIGHUP", () => {
+        process.removeAllListeners("SIGHUP")
+        process.kill(process.pid, "SIGHUP")
+      })
+      console.log("up")
+      setInterval(() => {}, 1000)`,
+    );
+    daemon.start();
+    await waitUntil(() => readFileSync(join(folder, 'late.log'), 'utf8').includes('up'));
+    daemon.reload(true);
+    await waitUntil(() => reasons.length > 0);
+    expect(reasons).to.deep.equal(['SIGHUP']);
     expect(daemon.startCount).to.equal(1);
   }).timeout(20_000);
 });
