--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -4,6 +4,7 @@
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from "node:http"
 import type {AddressInfo, Socket} from "node:net"
 import {CRASHING_BODY} from "./crash-check.js"
+import {getHeader, sumTokens} from "./request-headers.js"
 import type {HandleRegistry} from "./handle-registry.js"
 import type {ArrivalRecord} from "./retry-check.js"
 import {orderSchema, StageOrders, type Stage} from "./stage-orders.js"
@@ -391,13 +392,3 @@
     response.end(body)
   }
 }
-
-function getHeader(request: IncomingMessage, name: string): string | undefined {
-  const value = request.headers[name]
-  return typeof value === "string" ? value : undefined
-}
-
-/// The sum of the prompt's tokens and the maximum number of generated ones.
-function sumTokens(usage: string | undefined): number | undefined {
-  return usage?.split(",").reduce((sum, text) => sum + Number(text), 0)
-}
