Handle all pending messages of an actor in one turn of the event loop

What callers and back ends saw: on a daemon without processor time to spare, back ends went on with requests whose callers had left more than half a second before (GONE), and all decisions came late.

Cause: nact schedules each message with setImmediate, so an actor handles one a turn. All events of a daemon go through one actor; a turn of a busy one adds several, the mailbox grows, and a disconnect waits behind it.

Change: `spawnActor` keeps pending messages, one message of nact stands for all of them. The order stays; what is dispatched meanwhile waits a turn. Both daemons use it.

--- a/src/process/completion-actors.ts
+++ b/src/process/completion-actors.ts
@@ -3,7 +3,7 @@
  * machine's effects on one external system and sends the results back as events. Owns the functions that
  * cancel the attempts in progress. Relies on adapters whose promises never reject.
  */
-import nact, { type Ref } from 'nact';
+import nact from 'nact';
 import type { ApplicationClient, ApplicationPayload } from '../adapters/application-client.js';
 import { checkListener } from '../adapters/listener-check.js';
 import type { EngineClient } from '../adapters/engine-client.js';
@@ -12,7 +12,7 @@
 import type { CompletionDaemon } from '../daemon/completion-daemon.js';
 import type { CompletionDaemonEffect, CompletionDaemonEvent } from '../daemon/completion-messages.js';
 import { SuspensionDetector } from '../shared/suspension-detector.js';
-import { spawnActor } from './spawn-actor.js';
+import { spawnActor, type Actor } from './spawn-actor.js';
 
 type EffectOf<Kind extends CompletionDaemonEffect['kind']> = Extract<CompletionDaemonEffect, { kind: Kind }>;
 
@@ -43,11 +43,11 @@
 /** Runs the actors of one process. */
 export class CompletionActors {
   private readonly system = nact.start();
-  private readonly daemonActor: Ref<CompletionDaemonEvent>;
-  private readonly peerActor: Ref<PeerEffect>;
-  private readonly platformActor: Ref<PlatformEffect>;
-  private readonly engineActor: Ref<EngineEffect>;
-  private readonly applicationActor: Ref<ApplicationEffect>;
+  private readonly daemonActor: Actor<CompletionDaemonEvent>;
+  private readonly peerActor: Actor<PeerEffect>;
+  private readonly platformActor: Actor<PlatformEffect>;
+  private readonly engineActor: Actor<EngineEffect>;
+  private readonly applicationActor: Actor<ApplicationEffect>;
   private readonly suspension = new SuspensionDetector();
   /** Functions that cancel attempts and application calls, by attempt id. */
   private readonly cancelFunctions = new Map<string, () => void>();
@@ -67,7 +67,7 @@
 
   /** Sends an event to the state machine. */
   dispatch(event: CompletionDaemonEvent): void {
-    nact.dispatch(this.daemonActor, event);
+    this.daemonActor.dispatch(event);
   }
 
   /** Stops all actors; effects not yet performed are dropped. */
@@ -96,23 +96,23 @@
   private perform(effect: CompletionDaemonEffect): void {
     switch (effect.kind) {
       case 'sendPeer':
-        nact.dispatch(this.peerActor, effect);
+        this.peerActor.dispatch(effect);
         break;
       case 'tableRequest':
       case 'listMachines':
-        nact.dispatch(this.platformActor, effect);
+        this.platformActor.dispatch(effect);
         break;
       case 'engineControl':
       case 'startAttempt':
       case 'cancelAttempt':
-        nact.dispatch(this.engineActor, effect);
+        this.engineActor.dispatch(effect);
         break;
       case 'checkBackend':
         this.checkBackend(effect);
         break;
       case 'startApplicationCall':
       case 'cancelApplicationCall':
-        nact.dispatch(this.applicationActor, effect);
+        this.applicationActor.dispatch(effect);
         break;
       default:
         this.dependencies.onReply(effect);
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -4,7 +4,7 @@
  * decisions.
  */
 import type { Server } from 'node:http';
-import nact, { type Ref } from 'nact';
+import nact from 'nact';
 import { pino } from 'pino';
 import { BackendClient, type BackendClientSettings } from '../adapters/backend-client.js';
 import type { BackendDialect } from '../adapters/backend-dialect.js';
@@ -23,7 +23,7 @@
 import { ExternalCalls, type ExternalSystems } from './external-calls.js';
 import { DecisionLog } from './decision-log.js';
 import type { ForwardingProcessSettings } from './forwarding-process-settings.js';
-import { spawnActor } from './spawn-actor.js';
+import { spawnActor, type Actor } from './spawn-actor.js';
 import { UnansweredCalls } from './unanswered-calls.js';
 
 /** The external systems, and the protocol of the back ends. */
@@ -92,7 +92,7 @@
 /** One forwarding daemon process. */
 export class ForwardingProcess {
   private readonly daemon: ForwardingDaemon;
-  private readonly daemonActor: Ref<ForwardingEvent>;
+  private readonly daemonActor: Actor<ForwardingEvent>;
   private readonly system = nact.start();
   private readonly peers: PeerTransport;
   private readonly backends: BackendClient;
@@ -289,7 +289,7 @@
   }
 
   private send(event: ForwardingEvent): void {
-    nact.dispatch(this.daemonActor, event);
+    this.daemonActor.dispatch(event);
   }
 
   /**
