Soak: log each process that a reload ends before it handles it

The soak counted such an end, but its output didn't tell when the signal came, why the process had been started, or when callers were served again. No check changes. Tests: soak-daemon, fault-soak.

--- a/lab/soak/daemon-process.ts
+++ b/lab/soak/daemon-process.ts
@@ -4,6 +4,7 @@
 import {closeSync, openSync, readFileSync, renameSync, writeFileSync} from "node:fs"
 import {connect} from "node:net"
 import {join} from "node:path"
+import {setTimeout as wait} from "node:timers/promises"
 import {formatSettings, type DaemonPorts} from "./settings-file.js"
 import type {SoakBounds} from "./soak-record.js"
 
@@ -16,9 +17,36 @@
   readonly seeds: readonly string[]
 }
 
-/// Called when the process exits without having been stopped or killed by the soak. `reason` is its exit code or
-/// signal, and whether a reload came before the process could handle it.
-type UnexpectedExitListener = (name: string, reason: string) => void
+/// Why a process was started. After `invalidSettings` and `earlyReload` the previous process ended by itself.
+export type StartReason = "firstStart" | "kill" | "stop" | "invalidSettings" | "earlyReload"
+
+/// A process that a reload ended before it could handle the signal, and the restart after it. Milliseconds.
+export interface EarlyReload {
+  readonly daemon: string
+  /// Monotonic time of the signal.
+  readonly at: number
+  /// Age of the process at the signal.
+  readonly ageMs: number
+  readonly startReason: StartReason
+  /// From the last kill or stop by the soak to the signal; undefined when there was none.
+  readonly sinceStopMs: number | undefined
+  /// From the last start that was not a restart after an own end to the signal.
+  readonly sinceSoakStartMs: number
+  /// Reload signals after this one, until the restarted daemon serves.
+  laterSignals: number
+  /// From the signal until the address for callers accepts connections; undefined when the soak stopped or killed
+  /// the daemon before.
+  servesAfterMs: number | undefined
+}
+
+/// What a daemon process reports.
+export interface DaemonListener {
+  /// The process exited without having been stopped or killed by the soak. `reason` is its exit code or signal, and
+  /// whether a reload came before the process could handle it.
+  onUnexpectedExit(name: string, reason: string): void
+  /// A reload ended the process early, and the daemon serves again or was stopped or killed.
+  onEarlyReload(reload: EarlyReload): void
+}
 
 const KILL_AFTER_STOP_MS = 9000
 /// Exit code of the program for invalid settings, which it only uses while it starts.
@@ -26,6 +54,8 @@
 
 /// Number of the signal that asks for a reload, SIGHUP.
 const RELOAD_SIGNAL = 1
+/// Time between two attempts to connect to a restarted daemon. Milliseconds.
+const CONNECT_INTERVAL_MS = 5
 
 /// Starts, stops, pauses and reloads the process.
 export class DaemonProcess {
@@ -33,10 +63,19 @@
   private isExitExpected = false
   /// Whether the settings file was made invalid after the process started.
   private hasInvalidSettings = false
-  /// Whether a reload was requested before the process had a handler for it. The default action ends the process.
-  private wasReloadedEarly = false
+  /// The first reload that was requested before the process had a handler for it. The default action ends the
+  /// process.
+  private earlyReload: EarlyReload | undefined
+  /// Early reloads that ended a process, until the daemon serves again.
+  private readonly openReloads = new Set<EarlyReload>()
   private startedAt = -Infinity
+  private soakStartedAt = -Infinity
+  private startReason: StartReason = "firstStart"
+  private stoppedAt: number | undefined
   startCount = 0
+  /// Reload signals that were sent to a process, and those of them before it had a handler.
+  reloadCount = 0
+  earlyReloadCount = 0
 
   constructor(
     readonly name: string,
@@ -44,15 +83,25 @@
     readonly ports: DaemonPorts,
     private readonly site: DaemonSite,
     private readonly platform: {readonly store: string; readonly duties: string},
-    private readonly onUnexpectedExit: UnexpectedExitListener
+    private readonly listener: DaemonListener
   ) {}
 
   /// Starts the process.
   start(): void {
+    this.soakStartedAt = performance.now()
+    this.spawnProcess()
+  }
+
+  private restart(reason: StartReason): void {
+    this.startReason = reason
+    this.spawnProcess()
+  }
+
+  private spawnProcess(): void {
     this.writeSettings()
     this.isExitExpected = false
     this.hasInvalidSettings = false
-    this.wasReloadedEarly = false
+    this.earlyReload = undefined
     this.startedAt = performance.now()
     this.startCount += 1
     const log = openSync(join(this.site.folder, `${this.name}.log`), "a")
@@ -67,13 +116,30 @@
       if (this.isExitExpected) return
       // The soak itself made the settings invalid during the start. Start again with valid ones, as the platform
       // would.
-      if (code === EXIT_INVALID_SETTINGS && this.hasInvalidSettings) return this.start()
-      const isEarlyReload = signal === "SIGHUP" && this.wasReloadedEarly
-      this.onUnexpectedExit(this.name, `${code ?? signal}${isEarlyReload ? " before it was handled" : ""}`)
-      if (isEarlyReload) this.start()
+      if (code === EXIT_INVALID_SETTINGS && this.hasInvalidSettings) return this.restart("invalidSettings")
+      const reload = signal === "SIGHUP" ? this.earlyReload : undefined
+      this.listener.onUnexpectedExit(this.name, `${code ?? signal}${reload ? " before it was handled" : ""}`)
+      if (!reload) return
+      this.restart("earlyReload")
+      void this.watchRestart(reload)
     })
   }
 
+  /// Waits until the daemon serves again after an early reload or is stopped or killed, and reports it.
+  private async watchRestart(reload: EarlyReload): Promise<void> {
+    const {stoppedAt} = this
+    this.openReloads.add(reload)
+    while (this.stoppedAt === stoppedAt) {
+      if (await canConnect(this.ports.front)) {
+        reload.servesAfterMs = performance.now() - reload.at
+        break
+      }
+      await wait(CONNECT_INTERVAL_MS)
+    }
+    this.openReloads.delete(reload)
+    this.listener.onEarlyReload(reload)
+  }
+
   /// Whether the process is running; also true while it is paused.
   isRunning(): boolean {
     return this.child !== undefined
@@ -81,6 +147,7 @@
 
   /// Kills the process with SIGKILL and waits for its exit.
   async kill(): Promise<void> {
+    this.startReason = "kill"
     await this.stopWith("SIGKILL")
   }
 
@@ -92,6 +159,7 @@
     if (!child) return undefined
     const wasListening = await canConnect(this.ports.ready)
     const ageMs = Math.round(performance.now() - this.startedAt)
+    this.startReason = "stop"
     const timer = setTimeout(() => child.kill("SIGKILL"), KILL_AFTER_STOP_MS)
     await this.stopWith("SIGTERM")
     clearTimeout(timer)
@@ -117,14 +185,38 @@
       this.replaceSettings("node = ")
     }
     if (!this.child) return
-    this.wasReloadedEarly ||= !hasHandler(this.child, RELOAD_SIGNAL)
+    this.countReload(!hasHandler(this.child, RELOAD_SIGNAL))
     this.child.kill("SIGHUP")
   }
 
+  private countReload(isEarly: boolean): void {
+    this.reloadCount += 1
+    for (const reload of this.openReloads) reload.laterSignals += 1
+    if (this.earlyReload) this.earlyReload.laterSignals += 1
+    if (!isEarly) return
+    this.earlyReloadCount += 1
+    this.earlyReload ??= this.makeEarlyReload()
+  }
+
+  private makeEarlyReload(): EarlyReload {
+    const at = performance.now()
+    return {
+      daemon: this.name,
+      at,
+      ageMs: at - this.startedAt,
+      startReason: this.startReason,
+      sinceStopMs: this.stoppedAt === undefined ? undefined : at - this.stoppedAt,
+      sinceSoakStartMs: at - this.soakStartedAt,
+      laterSignals: 0,
+      servesAfterMs: undefined
+    }
+  }
+
   private async stopWith(signal: NodeJS.Signals): Promise<void> {
     const {child} = this
     if (!child) return
     this.isExitExpected = true
+    this.stoppedAt = performance.now()
     const ended = new Promise(resolve => child.once("exit", resolve))
     child.kill("SIGCONT")
     child.kill(signal)
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -9,6 +9,7 @@
   type ServiceRequest
 } from "./retry-check.js"
 import {ALLOWED_LATE_RETRIES, findCrashOutcomes, type CrashOutcome, type CrashRecord} from "./crash-check.js"
+import type {EarlyReload} from "./daemon-process.js"
 import {isCutByStop, isUndisturbed, type Disturbance} from "./disturbance.js"
 import {SignalRecord} from "./signal-record.js"
 import {findTenant, QUOTA_RULE, SOAK_QUOTAS, UNCACHED_TOKENS, type RouteForm} from "./soak-routes.js"
@@ -110,6 +111,8 @@
   readonly drainStarts = new Map<string, number>()
   /// Crashes of back ends by requests.
   readonly crashes: CrashRecord[] = []
+  /// Processes that a reload ended before they could handle it.
+  readonly earlyReloads: EarlyReload[] = []
   /// Violations that the stand-ins and the site observed directly.
   readonly observedViolations: Violation[] = []
 
@@ -125,6 +128,19 @@
     return isUndisturbed(this.disturbances, this.bounds.contactMs, {daemon, from, until})
   }
 
+  /// Counts the callers of a daemon between an early reload and its next service, and those of them who got no
+  /// answer.
+  countCallers({daemon, at, servesAfterMs = 0}: EarlyReload): {callers: number; unanswered: number} {
+    const callers = [...this.requests.values()].filter(
+      request =>
+        request.daemon === daemon &&
+        request.sentAt >= at &&
+        request.sentAt < at + servesAfterMs &&
+        request.endedAt !== request.sentAt
+    )
+    return {callers: callers.length, unanswered: callers.filter(({status}) => status === undefined).length}
+  }
+
   /// Returns every violation of a promise.
   check(): Violation[] {
     const executionsByRequest = groupBy(this.executions, execution => execution.requestId)
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -275,11 +275,14 @@
           address,
           site,
           {store, duties: await this.duties.open(name)},
-          (daemon, reason) =>
-            this.record.observedViolations.push({
-              promise: "no process ends by itself",
-              text: `${daemon}: ${reason}`
-            })
+          {
+            onUnexpectedExit: (daemon, reason) =>
+              this.record.observedViolations.push({
+                promise: "no process ends by itself",
+                text: `${daemon}: ${reason}`
+              }),
+            onEarlyReload: reload => this.record.earlyReloads.push(reload)
+          }
         )
       )
       this.targets.push({daemon: name, address: caller})
--- a/test/soak-daemon.test.ts
+++ b/test/soak-daemon.test.ts
@@ -4,7 +4,8 @@
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { DaemonProcess } from '../lab/soak/daemon-process.js';
+import { findFreePorts } from '../lab/free-ports.js';
+import { DaemonProcess, type EarlyReload } from '../lab/soak/daemon-process.js';
 import { SOAK_BOUNDS } from '../lab/soak/soak-record.js';
 
 const PORTS = { front: '127.0.0.1:1', ready: '127.0.0.1:2', control: '127.0.0.1:3', metrics: 4 };
@@ -27,23 +28,30 @@
 describe('a daemon process of the fault soak', () => {
   const folder = mkdtempSync(join(tmpdir(), 'soak-daemon-'));
   const reasons: string[] = [];
+  const earlyReloads: EarlyReload[] = [];
 
-  function makeDaemon(name: string, source = PROGRAM): DaemonProcess {
+  function makeDaemon(name: string, source = PROGRAM, ports = PORTS): DaemonProcess {
     const program = join(folder, `${name}.cjs`);
     writeFileSync(program, source);
     const site = { folder, program, flags: [], bounds: SOAK_BOUNDS, seeds: [] };
     return new DaemonProcess(
       name,
       'zone-a',
-      PORTS,
+      ports,
       site,
       { store: '127.0.0.1:5', duties: '127.0.0.1:6' },
-      (_name, reason) => reasons.push(reason),
+      {
+        onUnexpectedExit: (_name, reason) => reasons.push(reason),
+        onEarlyReload: (reload) => earlyReloads.push(reload),
+      },
     );
   }
 
   after(() => rmSync(folder, { recursive: true }));
-  beforeEach(() => void reasons.splice(0));
+  beforeEach(() => {
+    reasons.splice(0);
+    earlyReloads.splice(0);
+  });
 
   it('is started again when the soak made its settings invalid during its start', async () => {
     const daemon = makeDaemon('sometimes');
@@ -92,4 +100,45 @@
     expect(reasons).to.deep.equal(['SIGHUP']);
     expect(daemon.startCount).to.equal(1);
   }).timeout(20_000);
+
+  it('tells why the process that an early reload ended was started, and when callers are served again', async () => {
+    const [front] = await findFreePorts(1);
+    const daemon = makeDaemon(
+      'serving',
+      `process.on("SIGHUP", () => {})
+      require("net").createServer().listen(${front}, "127.0.0.1")`,
+      { ...PORTS, front: `127.0.0.1:${front}` },
+    );
+    daemon.start();
+    await waitUntil(() => daemon.isRunning());
+    await daemon.kill();
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    daemon.start();
+    daemon.reload(true);
+    daemon.reload(true);
+    await waitUntil(() => earlyReloads.length > 0);
+    const [reload] = earlyReloads;
+    expect(earlyReloads).to.have.length(1);
+    expect(reload).to.include({ daemon: 'serving', startReason: 'kill', laterSignals: 1 });
+    expect(reload.sinceStopMs).to.be.within(200, 5000);
+    expect(reload.sinceSoakStartMs).to.be.at.least(reload.ageMs);
+    expect(reload.servesAfterMs).to.be.above(0);
+    expect([daemon.reloadCount, daemon.earlyReloadCount]).to.deep.equal([2, 2]);
+    daemon.reload(true);
+    await waitUntil(() => daemon.reloadCount === 3);
+    expect(daemon.earlyReloadCount).to.equal(2);
+    expect(reasons).to.deep.equal(['SIGHUP before it was handled']);
+    await daemon.kill();
+  }).timeout(20_000);
+
+  it('tells that a daemon was killed before it served again after an early reload', async () => {
+    const daemon = makeDaemon('silent');
+    daemon.start();
+    daemon.reload(true);
+    await waitUntil(() => daemon.startCount === 2);
+    await daemon.kill();
+    await waitUntil(() => earlyReloads.length > 0);
+    expect(earlyReloads[0]).to.include({ startReason: 'firstStart', sinceStopMs: undefined });
+    expect(earlyReloads[0].servesAfterMs).to.equal(undefined);
+  }).timeout(20_000);
 });
