Load only the parts of prom-client that the daemon uses at a start

The index of prom-client loads the default metrics, the push gateway, OpenTelemetry and, with them, zlib, v8 and perf_hooks. The bundle takes the four classes in use from their own modules, as it does for undici.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -21,6 +21,7 @@
   logLevel: "warning",
   alias: {
     undici: "./deploy/undici-core.mjs",
+    "prom-client": "./deploy/prom-client-core.mjs",
     "node:http2": "./deploy/unused.cjs",
     cluster: "./deploy/unused.cjs",
     https: "./deploy/unused.cjs"
