Soak: restart a process that a reload ended after the platform's delay

A stop or kill in the delay cancels the restart. The violation and its text are unchanged.

New test: a process that is stopped or killed in the delay isn't started again.

--- a/lab/soak/daemon-process.ts
+++ b/lab/soak/daemon-process.ts
@@ -54,6 +54,8 @@
 
 /// Number of the signal that asks for a reload, SIGHUP.
 const RELOAD_SIGNAL = 1
+/// The platform starts a process that has ended by itself again after this time. Milliseconds.
+const RESTART_DELAY_MS = 500
 /// Time between two attempts to connect to a restarted daemon. Milliseconds.
 const CONNECT_INTERVAL_MS = 5
 
@@ -72,6 +74,7 @@
   private soakStartedAt = -Infinity
   private startReason: StartReason = "firstStart"
   private stoppedAt: number | undefined
+  private restartTimer: NodeJS.Timeout | undefined
   startCount = 0
   /// Reload signals that were sent to a process, and those of them before it had a handler.
   reloadCount = 0
@@ -88,6 +91,7 @@
 
   /// Starts the process.
   start(): void {
+    clearTimeout(this.restartTimer)
     this.soakStartedAt = performance.now()
     this.spawnProcess()
   }
@@ -120,7 +124,7 @@
       const reload = signal === "SIGHUP" ? this.earlyReload : undefined
       this.listener.onUnexpectedExit(this.name, `${code ?? signal}${reload ? " before it was handled" : ""}`)
       if (!reload) return
-      this.restart("earlyReload")
+      this.restartTimer = setTimeout(() => this.restart("earlyReload"), RESTART_DELAY_MS)
       void this.watchRestart(reload)
     })
   }
@@ -156,7 +160,10 @@
   /// signal handler, so an exit by the SIGTERM itself counts as a success.
   async stop(): Promise<string | undefined> {
     const {child} = this
-    if (!child) return undefined
+    if (!child) {
+      this.cancelRestart()
+      return undefined
+    }
     const wasListening = await canConnect(this.ports.ready)
     const ageMs = Math.round(performance.now() - this.startedAt)
     this.startReason = "stop"
@@ -212,11 +219,17 @@
     }
   }
 
+  /// A daemon that the soak stops or kills while it waits for its restart is started by the soak only.
+  private cancelRestart(): void {
+    clearTimeout(this.restartTimer)
+    this.stoppedAt = performance.now()
+  }
+
   private async stopWith(signal: NodeJS.Signals): Promise<void> {
     const {child} = this
+    this.cancelRestart()
     if (!child) return
     this.isExitExpected = true
-    this.stoppedAt = performance.now()
     const ended = new Promise(resolve => child.once("exit", resolve))
     child.kill("SIGCONT")
     child.kill(signal)
--- a/test/soak-daemon.test.ts
+++ b/test/soak-daemon.test.ts
@@ -17,6 +17,9 @@
   if (text === "node = " || __filename.includes("always")) process.exit(78)
   setInterval(() => {}, 1000)
 }, 1500)`;
+/// Handles the signal late, so that a reload right after its start is early also when this test is slow to send it.
+const SLOW_TO_HANDLE = `setTimeout(() => process.on("SIGHUP", () => {}), 1000)
+setInterval(() => {}, 1000)`;
 const WAIT_STEP_MS = 20;
 const WAIT_STEPS = 400;
 
@@ -74,7 +77,7 @@
   }).timeout(20_000);
 
   it('is reported, and started again, when a reload ends it before it handles the signal', async () => {
-    const daemon = makeDaemon('early');
+    const daemon = makeDaemon('early', SLOW_TO_HANDLE);
     daemon.start();
     daemon.reload(true);
     await waitUntil(() => daemon.startCount === 2);
@@ -134,7 +137,7 @@
   }).timeout(20_000);
 
   it('tells that a daemon was killed before it served again after an early reload', async () => {
-    const daemon = makeDaemon('silent');
+    const daemon = makeDaemon('silent', SLOW_TO_HANDLE);
     daemon.start();
     daemon.reload(true);
     await waitUntil(() => daemon.startCount === 2);
@@ -143,4 +146,19 @@
     expect(earlyReloads[0]).to.include({ startReason: 'firstStart', sinceStopMs: undefined });
     expect(earlyReloads[0].servesAfterMs).to.equal(undefined);
   }).timeout(20_000);
+
+  it('is not started again when it is stopped or killed before its restart', async () => {
+    for (const end of ['stop', 'kill'] as const) {
+      const daemon = makeDaemon(end, SLOW_TO_HANDLE);
+      daemon.start();
+      daemon.reload(true);
+      await waitUntil(() => !daemon.isRunning());
+      await daemon[end]();
+      await new Promise((resolve) => setTimeout(resolve, 1000));
+      expect(daemon.startCount).to.equal(1);
+      expect(daemon.isRunning()).to.equal(false);
+    }
+    expect(reasons).to.deep.equal(Array(2).fill('SIGHUP before it was handled'));
+    expect(earlyReloads).to.have.length(2);
+  }).timeout(20_000);
 });
