--- a/test/bundle.test.ts
+++ b/test/bundle.test.ts
@@ -46,6 +46,15 @@
   });
 }
 
+function readDeployFile(): DeployFile {
+  return parse(readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8')) as unknown as DeployFile;
+}
+
+/** The words of the program's command line after that of the runtime, with the start script at `path`. */
+function getArguments({ roles }: DeployFile, path: string): string[] {
+  return roles.forwarder.run.replace('target/start.cjs', path).split(' ').slice(1);
+}
+
 describe('the deployed bundle', () => {
   const folder = mkdtempSync(join(tmpdir(), 'bundle-'));
   let daemon: ChildProcess | undefined;
@@ -61,7 +70,7 @@
   });
 
   it('starts, reads the store, forwards, serves metrics; a second process reports that its address is in use', async () => {
-    const deploy = parse(readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8')) as unknown as DeployFile;
+    const deploy = readDeployFile();
     const bundle = join(folder, 'start.cjs');
     const build = deploy.build.replace(/^.*npm ci --silent; /, '').replace(/target$/, folder);
     await execute('bash', ['-c', build], { cwd: ROOT });
@@ -107,8 +116,8 @@
         'retry_budget_ratio = 0.2\nbudget_slack = 54\nbudget_window_s = 10\n' +
         `[platform]\naddr = "127.0.0.1:${storePort}"\n`,
     );
-    const [, ...flags] = deploy.roles.forwarder.run.replace('target/start.cjs', bundle).split(' ');
-    daemon = spawn(process.execPath, flags, {
+    const programArguments = getArguments(deploy, bundle);
+    daemon = spawn(process.execPath, programArguments, {
       env: { ...process.env, PULLEYLEDGE_NODE_FILE: settings },
       stdio: 'ignore',
     });
@@ -125,7 +134,7 @@
     expect(text).to.match(/pulleyledge_store_calls_total\{call="backends",outcome="snapshot"\} 1/);
     expect(text).to.match(/pulleyledge_forward_decisions_total\{event="request.refused"/);
 
-    const second = await execute(process.execPath, flags, {
+    const second = await execute(process.execPath, programArguments, {
       env: { ...process.env, PULLEYLEDGE_NODE_FILE: settings },
     }).then(
       () => ({ code: 0, stderr: '' }),
@@ -182,6 +191,23 @@
     expect((await execute(process.execPath, [join(copy, 'start.cjs')])).stdout).to.equal('222');
     rmSync(copy, { recursive: true });
   });
+
+  /*
+   * Guards against a start that compiles the program or loads modules of the runtime that no start needs: each costs
+   * callers of a daemon that restarts some milliseconds of refused connections.
+   */
+  it('starts from its code cache and without modules that it does not need', async () => {
+    const flags = getArguments(readDeployFile(), join(folder, 'start.cjs')).slice(0, -1);
+    const list = "process.moduleLoadList.map(name => name.replace('NativeModule ', ''))";
+    const show = `const {script} = require('${folder}/start.cjs'); process.stderr.write(JSON.stringify({rejected: script.cachedDataRejected, loaded: ${list}})); process.exit(0)`;
+    const { stderr } = await execute(process.execPath, [...flags, '-e', show], {
+      env: { ...process.env, PULLEYLEDGE_NODE_FILE: join(folder, 'settings.toml') },
+    });
+    const { rejected, loaded } = JSON.parse(stderr) as { rejected: boolean; loaded: string[] };
+    expect(rejected).to.equal(false);
+    const unneeded = ['zlib', 'v8', 'http2', 'https', 'tls', 'cluster'];
+    expect(loaded.filter((name) => unneeded.includes(name))).to.deep.equal([]);
+  });
 });
 
 async function waitForStatus(url: string, status: number): Promise<void> {
