Let only the last pipelined response close its connection in a stop

What callers saw: of two requests sent without waiting, the second of which was answered first, a daemon that was asked to stop answered one and closed the connection. The other had been executed.

Cause: closeAfterLast took for the last response the last one without a head. The head of the second was written, its bytes waited for the first.

Why it works: a response may close the connection only if none is behind it; if that one's head is written, the connection is closed by its idle time.

--- a/src/gateway/keep-alive-connections.ts
+++ b/src/gateway/keep-alive-connections.ts
@@ -80,10 +80,11 @@
   }
 }
 
-/** Only the last response closes its connection: closing earlier would cut responses to pipelined requests. */
+/**
+ * Only the last response may close its connection: closing earlier would cut responses to pipelined requests. One whose
+ * head is written already, and which may still wait for those before it, keeps the connection.
+ */
 function closeAfterLast(pending: ReadonlySet<ServerResponse>): void {
-  const unsent = [...pending].filter((response) => !response.headersSent);
-  const last = unsent.pop();
-  for (const response of unsent) response.shouldKeepAlive = true;
-  if (last) last.shouldKeepAlive = false;
+  const last = [...pending].pop();
+  for (const response of pending) if (!response.headersSent) response.shouldKeepAlive = response !== last;
 }
--- a/test/keep-alive-connections.test.ts
+++ b/test/keep-alive-connections.test.ts
@@ -5,15 +5,17 @@
  * connection, but the process exited at once: the next request was reset, and its caller could not know
  * whether it was executed.
  *
- * Seen with 60 callers: the process exited about 7 s after SIGTERM, together with the last response, although
+ * Seen with 60 callers: the process exited together with the last response, some seconds after SIGTERM, although
  * each had advertised `Keep-Alive: timeout=5`; callers that were idle for 0 to 4 s found their connections
  * closed.
  */
 import { expect } from 'chai';
 import { once } from 'node:events';
+import { createServer as createHttpServer, type ServerResponse } from 'node:http';
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { LocalSite } from '../lab/launcher.js';
 import { getSiteProfile } from '../lab/site-profiles.js';
+import { KeepAliveConnections } from '../src/gateway/keep-alive-connections.js';
 import { delay } from '../src/shared/delay.js';
 import { SeededRandom } from '../src/shared/random.js';
 
@@ -187,3 +189,33 @@
     expect(late.length, 'requests sent late in the stop').to.be.at.least(FEWEST_LATE_REQUESTS);
   });
 });
+
+/*
+ * Guards against a stop that closes a connection after the first of two pipelined answers when the second one was
+ * ready earlier: its request was executed, and its caller got no answer.
+ */
+describe('a keep-alive connection with pipelined requests', () => {
+  it('carries every answer, also one that is ready before a stop and waits for the one before it', async () => {
+    let first: ServerResponse | undefined;
+    let secondIsReady = false;
+    const server = createHttpServer((request, response) => {
+      if (request.url === '/first') first = response;
+      else secondIsReady = !!response.end('second answer');
+    });
+    const connections = new KeepAliveConnections(server);
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    let received = '';
+    socket.on('data', (bytes) => (received += bytes.toString('latin1')));
+    socket.write('GET /first HTTP/1.1\r\nhost: a\r\n\r\nGET /second HTTP/1.1\r\nhost: a\r\n\r\n');
+    while (!first || !secondIsReady) await delay(2);
+    connections.startClosing();
+    first.end('first answer');
+    const closed = once(socket, 'close');
+    while (!received.includes('second answer') && !socket.destroyed) await delay(2);
+    socket.end();
+    await closed;
+    server.close();
+    expect(received).to.include('first answer').and.to.include('second answer');
+  });
+});
