--- a/test/reload-signal.test.ts
+++ b/test/reload-signal.test.ts
@@ -72,12 +72,19 @@
     ]);
   });
 
-  it('is not terminated by SIGHUP while it is loading', async () => {
-    const register = `import { register } from 'node:module'; register(${JSON.stringify(toDataUrl(SLOW_LOADER))});`;
-    const flags = ['--import', toDataUrl(register), MAIN_MODULE, 'serve', '--settings', 'no-such-file'];
-    const child = spawn(process.execPath, flags, { stdio: ['ignore', 'ignore', 'pipe'] });
-    child.stderr.once('data', () => child.kill('SIGHUP'));
-    const [code, signal] = (await once(child, 'exit')) as [number | null, string | null];
-    expect({ code, signal }).to.deep.equal({ code: 1, signal: null });
-  });
+  for (const [title, words] of [
+    ['is not terminated by SIGHUP while it is loading', ['serve', '--settings', 'no-such-file']],
+    [
+      'is not terminated by SIGHUP while it is loading, with options before the command',
+      ['--settings', 'no-such-file', 'serve'],
+    ],
+  ] as const)
+    it(title, async () => {
+      const register = `import { register } from 'node:module'; register(${JSON.stringify(toDataUrl(SLOW_LOADER))});`;
+      const flags = ['--import', toDataUrl(register), MAIN_MODULE, ...words];
+      const child = spawn(process.execPath, flags, { stdio: ['ignore', 'ignore', 'pipe'] });
+      child.stderr.once('data', () => child.kill('SIGHUP'));
+      const [code, signal] = (await once(child, 'exit')) as [number | null, string | null];
+      expect({ code, signal }).to.deep.equal({ code: 1, signal: null });
+    });
 });
