Soak: end the wait for a restart when the process has ended for good

Callers are counted only where the daemon served again: a count of nobody read as no harm. Names and comments of the same code. No check changes.

--- a/lab/soak/daemon-process.ts
+++ b/lab/soak/daemon-process.ts
@@ -71,8 +71,11 @@
   /// Early reloads that ended a process, until the daemon serves again.
   private readonly openReloads = new Set<EarlyReload>()
   private startedAt = -Infinity
+  /// When the soak last started the process itself, not after an own end.
   private soakStartedAt = -Infinity
+  /// Why the next process will be started, and the running one was.
   private startReason: StartReason = "firstStart"
+  /// When the soak last stopped or killed the daemon.
   private stoppedAt: number | undefined
   private restartTimer: NodeJS.Timeout | undefined
   startCount = 0
@@ -91,12 +94,13 @@
 
   /// Starts the process.
   start(): void {
-    clearTimeout(this.restartTimer)
+    this.clearRestart()
     this.soakStartedAt = performance.now()
     this.spawnProcess()
   }
 
   private restart(reason: StartReason): void {
+    this.restartTimer = undefined
     this.startReason = reason
     this.spawnProcess()
   }
@@ -125,15 +129,16 @@
       this.listener.onUnexpectedExit(this.name, `${code ?? signal}${reload ? " before it was handled" : ""}`)
       if (!reload) return
       this.restartTimer = setTimeout(() => this.restart("earlyReload"), RESTART_DELAY_MS)
-      void this.watchRestart(reload)
+      void this.waitForRestart(reload)
     })
   }
 
-  /// Waits until the daemon serves again after an early reload or is stopped or killed, and reports it.
-  private async watchRestart(reload: EarlyReload): Promise<void> {
+  /// Waits until the daemon serves again after an early reload, is stopped or killed, or has ended and is not restarted,
+  /// and reports it.
+  private async waitForRestart(reload: EarlyReload): Promise<void> {
     const {stoppedAt} = this
     this.openReloads.add(reload)
-    while (this.stoppedAt === stoppedAt) {
+    while (this.stoppedAt === stoppedAt && (this.isRunning() || this.restartTimer)) {
       if (await canConnect(this.ports.front)) {
         reload.servesAfterMs = performance.now() - reload.at
         break
@@ -221,10 +226,15 @@
 
   /// A daemon that the soak stops or kills while it waits for its restart is started by the soak only.
   private cancelRestart(): void {
-    clearTimeout(this.restartTimer)
+    this.clearRestart()
     this.stoppedAt = performance.now()
   }
 
+  private clearRestart(): void {
+    clearTimeout(this.restartTimer)
+    this.restartTimer = undefined
+  }
+
   private async stopWith(signal: NodeJS.Signals): Promise<void> {
     const {child} = this
     this.cancelRestart()
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -130,7 +130,8 @@
 
   /// Counts the callers of a daemon between an early reload and its next service, and those of them who got no
   /// answer.
-  countCallers({daemon, at, servesAfterMs = 0}: EarlyReload): {callers: number; unanswered: number} {
+  countCallers({daemon, at, servesAfterMs}: EarlyReload): {callers?: number; unanswered?: number} {
+    if (servesAfterMs === undefined) return {}
     const callers = [...this.requests.values()].filter(
       request =>
         request.daemon === daemon &&
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -99,7 +99,7 @@
   for (const text of site.duties.model.violations)
     record.observedViolations.push({promise: "one holder of the duties", text})
   addStrayCallViolations(site)
-  logEarlyReloads(site)
+  writeEarlyReloads(site)
   if (site.duties.lastReportAt < recoveredFrom)
     record.observedViolations.push({
       promise: "usage is reported again after faults",
@@ -118,12 +118,12 @@
   }
 }
 
-/// Logs each process that a reload ended before it could handle the signal, and how many reload signals of the soak
+/// Writes each process that a reload ended before it could handle the signal, and how many reload signals of the soak
 /// came that early.
-function logEarlyReloads({daemons, record}: SoakSite): void {
+function writeEarlyReloads({daemons, record}: SoakSite): void {
   for (const earlyReload of record.earlyReloads) {
     const counts = record.countCallers(earlyReload)
-    process.stdout.write(`${JSON.stringify({earlyReload: {...earlyReload, ...counts}}, roundNumbers)}\n`)
+    process.stdout.write(`${JSON.stringify({earlyReload: {...earlyReload, ...counts}}, formatNumber)}\n`)
   }
   const sum = (counts: readonly number[]) => counts.reduce((total, count) => total + count, 0)
   const signals = sum(daemons.map(({reloadCount}) => reloadCount))
@@ -131,7 +131,7 @@
   process.stdout.write(`${JSON.stringify({reloadSignals: signals, early})}\n`)
 }
 
-function roundNumbers(_key: string, value: unknown): unknown {
+function formatNumber(_key: string, value: unknown): unknown {
   return typeof value === "number" ? Math.round(value * 10) / 10 : value
 }
 
--- a/test/soak-daemon.test.ts
+++ b/test/soak-daemon.test.ts
@@ -1,7 +1,7 @@
 /// Which exits of a daemon process the fault soak reports as unexpected. The soak itself can make the settings
 /// invalid while a daemon starts; the daemon then exits with 78, and must be started again and not be reported.
 import { expect } from 'chai';
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { findFreePorts } from '../lab/free-ports.js';
@@ -161,4 +161,22 @@
     expect(reasons).to.deep.equal(Array(2).fill('SIGHUP before it was handled'));
     expect(earlyReloads).to.have.length(2);
   }).timeout(20_000);
+
+  it('reports an early reload although the restarted process ended by itself', async () => {
+    const marker = join(folder, 'started');
+    const daemon = makeDaemon(
+      'dying',
+      `const fs = require("fs")
+      if (fs.existsSync(${JSON.stringify(marker)})) process.exit(1)
+      fs.writeFileSync(${JSON.stringify(marker)}, "")
+      setInterval(() => {}, 1000)`,
+    );
+    daemon.start();
+    await waitUntil(() => existsSync(marker));
+    daemon.reload(true);
+    await waitUntil(() => reasons.length === 2);
+    expect(reasons).to.deep.equal(['SIGHUP before it was handled', '1']);
+    await waitUntil(() => earlyReloads.length > 0);
+    expect(earlyReloads).to.have.length(1);
+  }).timeout(20_000);
 });
