Start-up signals: read the status once the configuration is known to be current

A daemon answers 503 (stale-configuration) while its copy may be out of date, which a starved machine can cause, and 404 only for what no configuration in force may allow; the code has no other 503 there. The test now reads the status until it isn't 503; a daemon that never serves still fails it, by the time limit. A build without a code cache is named as such.

--- a/test/startup-signals.test.ts
+++ b/test/startup-signals.test.ts
@@ -24,6 +24,7 @@
 const ROOT = fileURLToPath(new URL('../../', import.meta.url));
 const execute = promisify(execFile);
 const POLL_MS = 2;
+const STATUS_UNAVAILABLE = 503;
 const PROGRAM = 'pulleyledge.cjs';
 const START_SCRIPT = 'start.cjs';
 const SETTINGS = 'settings.toml';
@@ -103,7 +104,8 @@
   async run(): Promise<Outcome> {
     await this.writeSettings();
     const settings = join(this.folder, SETTINGS);
-    const cache = readdirSync(this.folder).find((name) => name.endsWith('.cache')) ?? '';
+    const cache = readdirSync(this.folder).find((name) => name.endsWith('.cache'));
+    if (cache === undefined) expect.fail('the build has made no code cache');
     const files: [StartEvent, string, string?][] = [
       ['opens the start script', join(this.folder, START_SCRIPT)],
       ['opens the program', join(this.folder, PROGRAM)],
@@ -122,7 +124,7 @@
     });
     closeSync(log);
     for (const [index, [event, path, next]] of files.entries())
-      await this.holdAt(event, path, contents[index], next);
+      await this.runHeldEvent(event, path, contents[index], next);
     return this.waitForOutcome();
   }
 
@@ -141,7 +143,7 @@
    * Waits until the process has opened the FIFO, signals, and then lets it read the content. Later readers find a
    * regular file with `next`.
    */
-  private async holdAt(event: StartEvent, path: string, content: Buffer, next?: string): Promise<void> {
+  private async runHeldEvent(event: StartEvent, path: string, content: Buffer, next?: string): Promise<void> {
     let held: number | undefined;
     await waitFor(this.child, () => (held = openFifo(path)) !== undefined);
     if (held === undefined) return;
@@ -169,8 +171,14 @@
     if (isReady) await this.onEvent('is ready');
     await waitFor(this.child, () => this.readReloads().length >= this.signalledAt.length);
     if (hasExited(this.child)) return { signal: this.child.signalCode };
-    const { status } = await fetch(`http://${front}/unknown`);
-    return { status, reloads: this.readReloads() };
+    return { status: await this.readStatus(`http://${front}/unknown`), reloads: this.readReloads() };
+  }
+
+  /** Returns the status of an answer; 503 is one while the copy of the configuration may be out of date. */
+  private async readStatus(url: string): Promise<number> {
+    let status = 0;
+    await waitFor(this.child, async () => ({ status } = await fetch(url)).status !== STATUS_UNAVAILABLE);
+    return status;
   }
 
   /** The `node` of each settings file that was read again and found valid, from the complete lines of the log. */
