Tests of a failed KV call and of the timeout check all that their titles say

`kv-index`, "an engine whose call failed ...": a placement was applied, nothing was read back. Now a followed engine ignores placements, takes them after the failure, and ignores them once an answer has come again; its calls continue where the last answer ended. The old case, a first call that fails, stays a test of its own, with the delay exact to the millisecond.

`forwarding`, "at the timeout the answer is immediate ...": one 504 was checked, no refusal. Now 504 while a back end has the request (three kinds of route) and while it waits after an attempt that may have executed it; 503 with a Retry-After while it waits after an attempt that executed nothing or for its quota; one answer only, at the timeout, whatever comes later. The harness lets a test name the members that permits are asked of; without any nothing changes.

--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -15,6 +15,7 @@
 import { RouteTable } from '../src/forwarding/routes/route-table.js';
 import type { QuotaOutcome, QuotaRequest } from '../src/forwarding/admit/tenant-quota.js';
 import { TenantDirectory } from '../src/forwarding/routes/tenant-directory.js';
+import type { Member } from '../src/membership/membership-messages.js';
 import type { BackendRecord, EngineStage, Route } from '../src/forwarding/routes/route.js';
 import { DistanceCost } from '../src/places/distance-cost.js';
 import { DEFAULT_DISTANCE_SETTINGS } from '../src/places/distance-settings.js';
@@ -30,12 +31,12 @@
   return new BackendDistance('zone-a', cost);
 }
 
-/** Permits of a daemon without peers. */
-export function makePermits(): PermitManager {
+/** Permits of a daemon in a fleet of these members; without any it has no daemon to ask. */
+export function makePermits(members: readonly Member[] = []): PermitManager {
   return new PermitManager({
     selfId: 'daemon-1',
     random: new SeededRandom(SEED),
-    getFleet: () => ({ members: [], knownCount: 1, joined: true }),
+    getFleet: () => ({ members, knownCount: Math.max(1, members.length), joined: true }),
     onDecision: () => undefined,
     emit: () => undefined,
   });
@@ -50,7 +51,9 @@
   readonly manager: ForwardManager;
   readonly tenants = new TenantDirectory();
   readonly executionStarts: [tenant: string, at: number][] = [];
-  readonly permits = makePermits();
+  /** Members of the fleet, as the permits see it. */
+  readonly permitMembers: Member[] = [];
+  readonly permits = makePermits(this.permitMembers);
   stale = false;
   readonly roundTrips = new RoundTrips(DEFAULT_DISTANCE_SETTINGS.roundTripMs);
   readonly distance: BackendDistance;
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -2,13 +2,24 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { makeLabConfiguration, makeLabRoute } from '../lab/forwarding-site.js';
+import { digestKey } from '../platform/key-digest.js';
+import type { BackendView } from '../src/forwarding/backends/backend-view.js';
 import type { Route } from '../src/forwarding/routes/route.js';
+import type { Member } from '../src/membership/membership-messages.js';
 import { RouteTable } from '../src/forwarding/routes/route-table.js';
 import { WeightedChoice } from '../src/forwarding/routes/weighted-choice.js';
 import { makeEngine, ENGINES, ForwardingHarness, PLAIN, makePrompt } from './forwarding-harness.js';
 
 const SEED = 20261202;
 
+const OTHER_DAEMON: Member = {
+  id: 'daemon-2',
+  address: '10.0.0.9:1',
+  zone: 'zone-a',
+  region: '',
+  incarnation: 1,
+  state: 'alive',
+};
 const STREAM: Partial<Route> = { kind: 'stream', maximumAttempts: 1 };
 
 describe('routes', () => {
@@ -81,14 +92,80 @@
     expect(site.getFailures()).to.deep.equal([502]);
   });
 
-  it('at the timeout the answer is immediate: refused as not executed only if that is certain', () => {
-    const site = new ForwardingHarness([makeLabRoute({ kind: 'nonIdempotent', timeoutMs: 500 })], PLAIN);
-    site.begin();
-    site.manager.tick(499);
-    expect(site.getFailures()).to.deep.equal([]);
-    site.manager.tick(500);
-    expect(site.getFailures()).to.deep.equal([504]);
-    expect(site.getEffects('abortAttempt')).to.have.length(1);
+  describe('at the timeout the answer is immediate: refused as not executed only if that is certain', () => {
+    /** By then a daemon that the permits have known since the beginning is asked for them. */
+    const START = 2000;
+    const TIMEOUT_MS = 500;
+    const DEADLINE = START + TIMEOUT_MS;
+    const KEY = 'key';
+    const ROUTE = makeLabRoute({ kind: 'idempotent', timeoutMs: TIMEOUT_MS });
+
+    /** Starts a request at one of two back ends; the other needs a permit, of which nothing is heard. */
+    function startBesideLimited(): ForwardingHarness {
+      const site = new ForwardingHarness([ROUTE], PLAIN.slice(0, 2));
+      const limited = site.directory.get('b2') as BackendView;
+      limited.limit.apply(1, 0, 0);
+      site.permitMembers.push(OTHER_DAEMON);
+      site.permits.tick(0);
+      site.permits.setLimited([limited], 0);
+      site.begin({}, START);
+      return site;
+    }
+
+    /** Checks that the one answer comes at the timeout and not before it, whatever arrives later. */
+    function checkAnswer(site: ForwardingHarness, status: 503 | 504): void {
+      const sends = site.getStarts().length;
+      site.manager.tick(DEADLINE - 1);
+      expect(site.getFailures()).to.deep.equal([]);
+      site.manager.tick(DEADLINE);
+      expect(site.getFailures()).to.deep.equal([status]);
+      expect(site.manager.getActiveCount()).to.equal(0);
+      const [answer] = site.getEffects('replyFailure');
+      expect(answer).to.include({ requestId: 'r1', failure: 'deadline' });
+      if (status === 503) expect(answer).to.have.property('retryAfterMs').that.is.greaterThan(0);
+      else expect(answer).to.have.property('retryAfterMs', undefined);
+      if (sends > 0) site.event({ kind: 'whole', status: 200 }, DEADLINE + 1);
+      site.manager.tick(DEADLINE + 1000);
+      expect(site.getFailures()).to.deep.equal([status]);
+      expect(site.getEffects('replyWhole')).to.deep.equal([]);
+      expect(site.getStarts()).to.have.length(sends);
+    }
+
+    for (const kind of ['idempotent', 'nonIdempotent', 'stream'] as const)
+      it(`504 while a back end has the request (${kind}), and the attempt is aborted`, () => {
+        const site = new ForwardingHarness([makeLabRoute({ kind, timeoutMs: TIMEOUT_MS })], PLAIN);
+        site.begin({}, START);
+        checkAnswer(site, 504);
+        const [{ attemptId }] = site.getStarts();
+        expect(site.getEffects('abortAttempt')).to.deep.equal([{ kind: 'abortAttempt', attemptId }]);
+      });
+
+    it('504 while it waits to be sent again after an attempt broke', () => {
+      const site = startBesideLimited();
+      site.event({ kind: 'broken', reason: 'reset' }, DEADLINE - 1);
+      checkAnswer(site, 504);
+      expect(site.getEffects('abortAttempt')).to.deep.equal([]);
+    });
+
+    for (const event of [
+      { kind: 'unreachable', reason: 'refused' },
+      { kind: 'notExecuted', status: 503, wrongIncarnation: false },
+    ] as const)
+      it(`503 while it waits to be sent again after an attempt that executed nothing (${event.kind})`, () => {
+        const site = startBesideLimited();
+        site.event(event, DEADLINE - 1);
+        checkAnswer(site, 503);
+      });
+
+    it('503 while it waits for its quota and was never sent', () => {
+      const site = new ForwardingHarness([ROUTE], PLAIN);
+      const quota = { ratePerSecond: 1, burst: 1, countsTokens: false, plainCost: 1 };
+      site.tenants.apply([{ name: 'tenant', keyDigests: [digestKey(KEY)], quota }]);
+      site.takeQuota = () => ({ kind: 'waiting' });
+      site.begin({ keyDigest: digestKey(KEY) }, START);
+      checkAnswer(site, 503);
+      expect(site.getStarts()).to.deep.equal([]);
+    });
   });
 
   it('a back end gets no more time than the deadlines of the caller and the route leave', () => {
--- a/test/kv-index.test.ts
+++ b/test/kv-index.test.ts
@@ -141,13 +141,43 @@
 
   it('an engine whose call failed is called again after a delay, and placements from peers apply until then', () => {
     const site = new FollowerHarness();
+    const publisher = new KvIndex();
+    publisher.addComputedPrompt('e1', PROMPT, CAPACITY);
+    const [common, subject] = publisher.takeRecentPlacements();
+    const getKept = () => site.index.getKeptTokens('e1', PROMPT);
+    site.follower.tick(0);
+    site.answer('a', 1, []);
+    site.index.applyPeerPlacement(common, CAPACITY);
+    expect(getKept()).to.equal(0);
+    const { pauseMs, retryMs } = DEFAULT_KV_FOLLOWER_SETTINGS;
+    site.follower.tick(pauseMs);
+    expect(site.calls).to.have.length(2);
+    site.follower.receive(site.calls[1].backend, undefined, pauseMs);
+    site.index.applyPeerPlacement(common, CAPACITY);
+    expect(getKept()).to.equal(2000);
+    site.follower.tick(pauseMs + retryMs - 1);
+    expect(site.calls).to.have.length(2);
+    site.follower.tick(pauseMs + retryMs);
+    expect(site.calls.map(({ since }) => since)).to.deep.equal([0, 1, 1]);
+    site.answer('a', 2, []);
+    site.index.applyPeerPlacement(subject, CAPACITY);
+    expect(getKept()).to.equal(2000);
+  });
+
+  it('an engine whose first call failed is called again after the same delay, and placements from peers apply', () => {
+    const site = new FollowerHarness();
+    const publisher = new KvIndex();
+    publisher.addComputedPrompt('e1', PROMPT, CAPACITY);
     site.follower.tick(0);
     site.follower.receive(site.calls[0].backend, undefined, 0);
-    site.follower.tick(900);
+    for (const placement of publisher.takeRecentPlacements())
+      site.index.applyPeerPlacement(placement, CAPACITY);
+    expect(site.index.getKeptTokens('e1', PROMPT)).to.equal(5000);
+    const { retryMs } = DEFAULT_KV_FOLLOWER_SETTINGS;
+    site.follower.tick(retryMs - 1);
     expect(site.calls).to.have.length(1);
-    site.follower.tick(1000);
+    site.follower.tick(retryMs);
     expect(site.calls).to.have.length(2);
-    site.index.applyPeerPlacement(['e1', 1, 100], CAPACITY);
   });
 
   it('each engine is followed by every daemon, or by none if it cannot hold a call for each', () => {
