Remove six members without a caller outside tests

- `PaceTracker.takeSamples` and `applySamples`, with the methods of `BackendPace` that only they called, its sums of unsent samples and the bound of a received count: nothing on the wire carries them any more.
A sample is now always one, so the private count of `add` went too; factors are the same to the bit (x * 1, x ** 1).
- `CompletionDaemon.getMemberCounts`; `Membership.getContact` stays, with its callers.
- `SlotHolder.getHeldSlots` and `countWaiting`; the status document takes its figures from the owners.
- `ConfigurationReplica.getVersioned`.

Tests: "gives nearly the same estimates from the samples of other daemons" tested only the first pair and went; so did the invalid samples from peers and the step `fromPeer` of the property.

--- a/src/configuration/configuration-replica.ts
+++ b/src/configuration/configuration-replica.ts
@@ -118,11 +118,6 @@
     return this.rows.get(name)?.row ?? undefined;
   }
 
-  /** The row of a service with its revision, also when the row was deleted. */
-  getVersioned(name: string): VersionedRow | undefined {
-    return this.rows.get(name);
-  }
-
   /** Every row that is not deleted. */
   getServices(): VersionedRow[] {
     return [...this.rows.values()].filter((entry) => entry.row !== null);
--- a/src/daemon/completion-daemon.ts
+++ b/src/daemon/completion-daemon.ts
@@ -89,11 +89,6 @@
     return this.machines.configuration.getRevision();
   }
 
-  /** Number of daemons in contact and of known daemons, as counted by the majority rule. */
-  getMemberCounts(): { alive: number; known: number } {
-    return this.machines.membership.getContact();
-  }
-
   /** Number of unconfirmed writes to the table; a stopping process waits for them for a limited time. */
   countUnconfirmedWrites(): number {
     return this.machines.ledger.countPending();
--- a/src/forwarding/pace/pace-tracker.ts
+++ b/src/forwarding/pace/pace-tracker.ts
@@ -55,10 +55,6 @@
 /// at the engine; or the time of plain back ends' answers, by the requests in excess of the slots.
 export type PaceMeasure = "prompt" | "first" | "gap" | "answer"
 
-/// Samples of one engine in a form that daemons can exchange: id, sum of the ratios to the group's line,
-/// count. Sums of several daemons can be added.
-type PaceSamples = readonly [id: string, ratioSum: number, count: number]
-
 /// An engine that has become slow or has recovered.
 interface PaceChange {
   readonly id: string
@@ -68,16 +64,12 @@
 
 /// Below this weight the samples of an engine are dropped. In samples.
 const MINIMUM_WEIGHT = 0.01
-/// Largest count of samples accepted from one daemon at once.
-const MAXIMUM_COUNT = 1000
 
 /// The pace of one back end.
 export class BackendPace {
   private weight = 0
   private ratioSum = 0
   private outliers = 0
-  private unsentSum = 0
-  private unsentCount = 0
   private slow = false
   private lastGroup: string | undefined
 
@@ -100,7 +92,7 @@
     const expectedMs = line.getExpectedMs(load)
     const known = expectedMs !== undefined && expectedMs > 0
     line.addSample(load, known ? Math.min(ms, expectedMs * this.settings.maximumLineRatio) : ms)
-    if (known) this.addLocal(ms / expectedMs)
+    if (known) this.addRatio(ms / expectedMs)
   }
 
   /// Adds a sample for work that was aborted without an answer after `ms`, if that is longer than expected.
@@ -108,21 +100,7 @@
     if (!isValidSample(load, ms)) return
     const expectedMs = this.getLine(group).getExpectedMs(load)
     if (expectedMs === undefined || expectedMs <= 0) return
-    if (ms > expectedMs * this.factor()) this.addLocal(ms / expectedMs)
-  }
-
-  /// Adds samples of another daemon. Ignores invalid values.
-  applySamples(ratioSum: number, count: number): void {
-    const valid = count > 0 && count <= MAXIMUM_COUNT && ratioSum >= 0
-    if (valid) this.add(ratioSum / count, count)
-  }
-
-  /// Returns and resets this daemon's samples since the last call.
-  takeSamples(): {ratioSum: number; count: number} {
-    const samples = {ratioSum: this.unsentSum, count: this.unsentCount}
-    this.unsentSum = 0
-    this.unsentCount = 0
-    return samples
+    if (ms > expectedMs * this.factor()) this.addRatio(ms / expectedMs)
   }
 
   /// Multiplies the weight of all samples by `keptShare`.
@@ -161,29 +139,20 @@
     return this.slow
   }
 
-  private addLocal(ratio: number): void {
-    const clamped = this.clamp(ratio)
-    this.unsentSum += clamped
-    this.unsentCount += 1
-    this.add(clamped, 1)
-  }
-
-  private add(ratio: number, count: number): void {
+  private addRatio(ratio: number): void {
     const clamped = this.clamp(ratio)
-    const kept = this.countOutlier(clamped, count)
-      ? this.settings.outlierDecay
-      : this.settings.sampleDecay ** count
-    this.weight = this.weight * kept + count
-    this.ratioSum = this.ratioSum * kept + clamped * count
+    const kept = this.countOutlier(clamped) ? this.settings.outlierDecay : this.settings.sampleDecay
+    this.weight = this.weight * kept + 1
+    this.ratioSum = this.ratioSum * kept + clamped
   }
 
   /// Counts consecutive outliers in one direction. Returns whether there are at least two samples of them, so
   /// that earlier samples have to be discounted faster.
-  private countOutlier(ratio: number, count: number): boolean {
+  private countOutlier(ratio: number): boolean {
     const {outlierRatio} = this.settings
     const relative = ratio / this.factor()
     const direction = relative > outlierRatio ? 1 : relative < 1 / outlierRatio ? -1 : 0
-    this.outliers = direction * this.outliers > 0 ? this.outliers + direction * count : direction * count
+    this.outliers = direction * this.outliers > 0 ? this.outliers + direction : direction
     return Math.abs(this.outliers) >= 2
   }
 
@@ -261,21 +230,6 @@
     return medians
   }
 
-  /// Returns and resets this daemon's samples since the last call, for its peers.
-  takeSamples(): PaceSamples[] {
-    const samples: PaceSamples[] = []
-    for (const [id, pace] of this.engines) {
-      const {ratioSum, count} = pace.takeSamples()
-      if (count > 0) samples.push([id, Math.round(ratioSum * 100) / 100, count])
-    }
-    return samples
-  }
-
-  /// Applies samples of other daemons. Skips engines that are not known here.
-  applySamples(samples: readonly PaceSamples[]): void {
-    for (const [id, ratioSum, count] of samples) this.engines.get(id)?.applySamples(ratioSum, count)
-  }
-
   /// Number of engines that are reported as slow.
   countSlow(): number {
     return [...this.engines.values()].filter(pace => pace.isSlow()).length
--- a/src/limits/slot-holder.ts
+++ b/src/limits/slot-holder.ts
@@ -39,16 +39,6 @@
     private readonly emit: EffectSink<HolderEffect>,
   ) {}
 
-  /** The slots that this daemon holds, by service, for the status document. */
-  getHeldSlots(): HeldSlots[] {
-    return [...this.held];
-  }
-
-  /** The number of requests that wait for a slot. */
-  countWaiting(): number {
-    return this.pending.size;
-  }
-
   /** Asks for a slot; the answer comes as an effect. */
   acquire(requestId: string, service: string, now: number): void {
     const owner = this.getOwner(service);
--- a/test/pace-tracker.test.ts
+++ b/test/pace-tracker.test.ts
@@ -40,6 +40,13 @@
     this.tracker.tick(this.now);
   }
 
+  /** `count` samples of `ratio` times the time that the group takes, which the group's line does not learn. */
+  answerSlowly(id: string, ratio: number, count: number): void {
+    const groupMs = this.tracker.getGroupMs(GROUP, 10_000) as number;
+    for (let sample = 0; sample < count; sample += 1)
+      this.tracker.get(id).addUnanswered(GROUP, 10_000, groupMs * ratio);
+  }
+
   factor(id: string): number {
     return this.tracker.get(id).factor();
   }
@@ -103,11 +110,11 @@
   it('reports no engine as slow when all take longer than before', () => {
     const engines = makeEngines(Array<number>(9).fill(1));
     engines.answer(40, 400);
-    for (let step = 0; step < 5; step += 1)
-      for (const id of engines.slowdowns.keys()) engines.tracker.get(id).applySamples(12, 3);
+    for (const id of engines.slowdowns.keys()) engines.answerSlowly(id, 2.4, 60);
     for (const id of engines.slowdowns.keys()) expect(engines.factor(id)).to.be.at.least(2);
     expect(engines.tracker.takeChanges()).to.deep.equal([]);
-    engines.tracker.get('engine-3').applySamples(800, 100);
+    engines.answerSlowly('engine-3', 5, 60);
+    engines.answerSlowly('engine-3', 8, 100);
     expect(engines.tracker.takeChanges().map(({ id }) => id)).to.deep.equal(['engine-3']);
   });
 
@@ -149,37 +156,25 @@
     expect(engines.factor('engine-3')).to.equal(1);
   });
 
-  it('gives nearly the same estimates from the samples of other daemons', () => {
-    const [sender, receiver] = [makeEngines(TWO_SLOWDOWNS), new PaceTracker(DEFAULT_PACE_TRACKER_SETTINGS)];
-    for (const id of sender.slowdowns.keys()) receiver.get(id);
-    for (let step = 0; step < 40; step += 1) {
-      sender.answer(1, 400);
-      receiver.applySamples(sender.tracker.takeSamples());
-      receiver.tick((step + 1) * 400);
-    }
-    for (const id of sender.slowdowns.keys())
-      expect(receiver.get(id).factor()).to.be.closeTo(sender.factor(id), 0.12);
-    expect(sender.tracker.takeSamples()).to.deep.equal([]);
-    receiver.applySamples([['unknown', 3, 1]]);
-    expect(receiver.getFactors().map(({ id }) => id)).not.to.include('unknown');
-  });
-
-  it('is finite, positive and bounded whatever is measured or received from peers', () => {
+  it('is finite, positive and bounded whatever is measured', () => {
     const { maximumRatio } = DEFAULT_PACE_TRACKER_SETTINGS;
     const figure = fc.oneof(
       fc.double(),
       fc.integer({ min: -10, max: 100_000 }),
       fc.constantFrom(0, NaN, Infinity, -Infinity, 1e300),
     );
-    const step = fc.tuple(fc.constantFrom('sample', 'unanswered', 'fromPeer', 'tick'), figure, figure);
+    /** From so many on the line of the group has an expectation. */
+    const KNOWN_SAMPLES = DEFAULT_PACE_TRACKER_SETTINGS.line.minimumSamples;
+    const step = fc.tuple(fc.constantFrom('sample', 'unanswered', 'tick'), figure, figure);
     fc.assert(
       fc.property(fc.array(step, { maxLength: 80 }), (steps) => {
         const tracker = new PaceTracker(DEFAULT_PACE_TRACKER_SETTINGS);
         const pace = tracker.get('engine');
+        for (let sample = 0; sample < KNOWN_SAMPLES; sample += 1)
+          tracker.get('other').addSample(GROUP, 1000 + sample, 10);
         for (const [kind, left, right] of steps) {
           if (kind === 'sample') pace.addSample(GROUP, left, right);
           else if (kind === 'unanswered') pace.addUnanswered(GROUP, left, right);
-          else if (kind === 'fromPeer') tracker.applySamples([['engine', left, right]]);
           else tracker.tick(left);
           expect(pace.factor()).to.be.within(1 / maximumRatio, maximumRatio);
         }
@@ -201,12 +196,6 @@
       [10, Infinity],
     ])
       engines.tracker.get('engine-0').addSample(GROUP, load, ms);
-    engines.tracker.applySamples([
-      ['engine-0', NaN, 1],
-      ['engine-0', 1, NaN],
-      ['engine-0', 5, 0],
-      ['engine-0', -1, 1],
-    ]);
     expect(engines.factor('engine-0')).to.equal(before);
   });
 });
--- a/test/stage-regions.test.ts
+++ b/test/stage-regions.test.ts
@@ -11,6 +11,7 @@
 import { DEFAULT_BACKEND_HEALTH_SETTINGS } from '../src/forwarding/backends/backend-health.js';
 import { BackendView } from '../src/forwarding/backends/backend-view.js';
 import { PeerLoads } from '../src/forwarding/backends/peer-loads.js';
+import { DEFAULT_PACE_TRACKER_SETTINGS, PaceTracker } from '../src/forwarding/pace/pace-tracker.js';
 import type { EngineStage } from '../src/forwarding/routes/route.js';
 import { makeLabBackend } from '../lab/forwarding-site.js';
 import { FLEET_SETTINGS } from '../simulation/forwarding-fleet.js';
@@ -135,14 +136,23 @@
 
 /** Creates engines from zones and stages; zone `north-1` is in region `north`. */
 function makeViews(places: readonly (readonly [zone: string, stage: EngineStage])[]): BackendView[] {
-  return places.map(
-    ([zone, stage], index) =>
-      new BackendView(
-        { ...makeLabBackend(`${zone}/${index}`, `10.0.0.${index}:80`), zone, stage },
-        DEFAULT_BACKEND_HEALTH_SETTINGS,
-        new PeerLoads(),
-      ),
-  );
+  const paces = new PaceTracker(DEFAULT_PACE_TRACKER_SETTINGS);
+  return places.map(([zone, stage], index) => {
+    const id = `${zone}/${index}`;
+    return new BackendView(
+      { ...makeLabBackend(id, `10.0.0.${index}:80`), zone, stage },
+      DEFAULT_BACKEND_HEALTH_SETTINGS,
+      new PeerLoads(),
+      paces.get(id),
+    );
+  });
+}
+
+/** The engines answer in turn, each in its multiple of the same time. */
+function answerInTurn(views: readonly BackendView[], multiples: readonly number[]): void {
+  for (let round = 0; round < 100; round += 1)
+    for (const [index, multiple] of multiples.entries())
+      views[index].pace.addSample('group', 1000, 100 * multiple);
 }
 
 /** The ids of the engines whose state a coordinator with the lease requests in order to change them. */
@@ -195,15 +205,13 @@
       ...Array<[string, EngineStage]>(5).fill(['north-1', 'prefill']),
       ['north-1', 'decode'],
     ]);
-    for (const [index, ratio] of [1, 1, 1.4, 1, 0.8, 1].entries())
-      views[index].pace.applySamples(ratio * 100, 100);
+    answerInTurn(views, [1, 1, 1.4, 1, 0.8, 1]);
     expect(findRequestedEngines(views)[0]).to.equal('north-1/2');
     const spare = makeViews([
       ['north-1', 'prefill'],
       ...Array<[string, EngineStage]>(5).fill(['north-1', 'decode']),
     ]);
-    for (const [index, ratio] of [1, 1, 1.4, 1, 0.8, 1].entries())
-      spare[index].pace.applySamples(ratio * 100, 100);
+    answerInTurn(spare, [1, 1, 1.4, 1, 0.8, 1]);
     expect(findRequestedEngines(spare)[0]).to.equal('north-1/4');
   });
 });
