Remember as many written quarantine rows as the history holds crashes

What happened: an answer discards the crashes of a request, and the daemon that wrote their rows removes them. It remembered only its newest 512; an older row stayed in the store, and a daemon that starts within 30 minutes counts it again.

Cause: the set of written rows had the bound of the queue of writes.

Change: a bound of its own, 32,768: 4096 requests and contents with 8 crashes each, what the history holds by default.

The new test fails without the change: of 1,200 rows the discarded one is read by the next daemon. test/effects and test/names pass unchanged.

--- a/src/quarantine/quarantine-archive.ts
+++ b/src/quarantine/quarantine-archive.ts
@@ -22,6 +22,9 @@
 /// Maximum number of queued writes and removals; the oldest are dropped, since daemons hold those crashes
 /// in memory too.
 const MAXIMUM_QUEUED = 512
+/// Maximum number of written rows in memory; the oldest are dropped and stay in the store until they are
+/// old. As many as the crashes that the history holds by default: 4096 requests and contents, 8 crashes each.
+const MAXIMUM_WRITTEN = 32_768
 /// Interval at which one daemon of the fleet removes old rows. Milliseconds.
 const CLEAN_INTERVAL_MS = 600_000
 
@@ -69,7 +72,7 @@
     if (this.written.has(row)) return
     this.written.add(row)
     const [oldest] = this.written
-    if (this.written.size > MAXIMUM_QUEUED) this.written.delete(oldest)
+    if (this.written.size > MAXIMUM_WRITTEN) this.written.delete(oldest)
     this.enqueue({key: row, value: {key, incarnation, wallMs: Math.round(wallMs - (now - at))}})
   }
 
--- a/test/crash-history.test.ts
+++ b/test/crash-history.test.ts
@@ -159,4 +159,21 @@
     expect(first.readCrashes).to.deep.equal([]);
     expect(second.readCrashes).to.deep.equal([]);
   });
+
+  it('are removed with the answer that discards them, however many the daemon has written since', () => {
+    const platform = new PlatformModel({ perSecond: 10_000, burst: 10_000 });
+    const first = new ArchiveHarness('first', platform, 1000);
+    const crashes = Array.from({ length: 1200 }, (_, i) => ({ ...crash, incarnation: `b${i}` }));
+    for (const one of crashes) {
+      first.archive.add(one, WALL_MS + 1000, 1000);
+      first.run(100);
+    }
+    const [discarded, ...others] = crashes;
+    first.archive.remove(discarded);
+    first.run(500);
+    const second = new ArchiveHarness('second', platform, 200_000);
+    second.run(5000);
+    const names = second.readCrashes.map(({ incarnation }) => incarnation).sort();
+    expect(names).to.deep.equal(others.map(({ incarnation }) => incarnation).sort());
+  });
 });
