Stop: final answers have at least as long as before after a late listener

A listener that closes after its time, which only a starved process does, left less than FINAL_ANSWER_MS for the answers to the callers accepted last since.

--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -223,7 +223,7 @@
     await this.waitUntilIdle(Math.min(refusedUntil, deadline));
     await this.closeListener(deadline + FINAL_ACCEPT_MS - now());
     await this.waitUntilIdle(deadline);
-    await this.waitForFinalRequests(deadline + FINAL_ACCEPT_MS + FINAL_ANSWER_MS);
+    await this.waitForFinalRequests(Math.max(deadline + FINAL_ACCEPT_MS, now()) + FINAL_ANSWER_MS);
     this.stopTimers();
     this.log.writeImportantEvent('process.stopped', {
       unfinished: this.server.getOpenRequestCount(),
