Tests: the last callers of a stop begin when the daemon refuses requests

Seen beside load: "expected 0 to be above 20" (2 of 20 plays of the landed test), and trials with 0 to 2 calls.

Cause, the test's own: its thread of callers was started at 2.9 s of a stop whose listener closes at 3.3 s, and a thread took 341 ms and more to start. And the connection that was to keep the daemon from being idle had sent no request, so that the runtime closed it at the limit for request heads of this site (3 s, checked each second).

Change: the thread is started before the stop and begins when the daemon refuses a request, which the test asks for; the kept connection has had one answer, so that it counts as open until its idle limit (5 s), but not as a caller that waits, which a connection without a request did.

The check of the answers, more than 20 calls, and the busy process are as they were.

--- a/test/forwarding-bytes.test.ts
+++ b/test/forwarding-bytes.test.ts
@@ -15,6 +15,7 @@
 } from '../lab/forwarding-site.js';
 import { findHeader, ScriptedBackend, type BackendScript } from '../lab/scripted-backend.js';
 import { CallerReply } from '../src/gateway/forward-server.js';
+import { delay } from '../src/shared/delay.js';
 import type { Route } from '../src/forwarding/routes/route.js';
 
 const SIGNED = 'X-Server-Signature: s1\r\n';
@@ -39,6 +40,25 @@
 }
 
 const GET = 'GET /a/x HTTP/1.1\r\nX-Attempt-Id: id1\r\nX-Deadline-Ms: 1500';
+/** The head of a request that the daemon answers itself: with 404, and with 503 once it refuses new requests. */
+const GET_WITHOUT_ROUTE = 'GET /none HTTP/1.1';
+
+/**
+ * Opens a connection that stays idle after one answer, so that a stopping daemon is not idle. A connection without
+ * any request would be closed at the limit for request heads, which may be within the stop.
+ */
+async function keepConnection(address: string): Promise<Socket> {
+  const [host, port] = address.split(':');
+  const socket = connect(Number(port), host);
+  socket.write(`${GET_WITHOUT_ROUTE}\r\nHost: site.example\r\n\r\n`);
+  await once(socket, 'data');
+  return socket;
+}
+
+/** Waits until a stopping daemon refuses new requests. */
+async function waitUntilRefused(address: string): Promise<void> {
+  while ((await sendRequest(address, GET_WITHOUT_ROUTE)).text.startsWith('HTTP/1.1 404')) await delay(10);
+}
 
 describe('forwarded answers', () => {
   let backend: ScriptedBackend;
@@ -258,16 +278,19 @@
   it('the last callers of a stop get an answer, or no connection', async () => {
     await start(() => undefined);
     const [host, port] = site.callers.split(':');
-    const idle = connect(Number(port), host);
-    const stopped = site.daemon.stop();
-    await new Promise((resolve) => setTimeout(resolve, 2900));
     const callers = new Worker(CALLERS, { eval: true, workerData: { host, port: Number(port) } });
+    // A thread may take as long to start as the rest of the stop.
+    await once(callers, 'message');
+    const kept = await keepConnection(site.callers);
+    const stopped = site.daemon.stop();
+    await waitUntilRefused(site.callers);
+    callers.postMessage('begin');
     const busy = setInterval(() => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 30), 45);
     await stopped;
     // The program would exit here; closing everything has the same effect on callers.
     await site.daemon.close();
     clearInterval(busy);
-    idle.destroy();
+    kept.destroy();
     callers.postMessage('end');
     const [answers] = (await once(callers, 'message')) as [string[]];
     expect(answers.length).to.be.greaterThan(20);
@@ -278,7 +301,8 @@
 });
 
 /**
- * Callers in a thread of their own: one every 5 ms, each on a new connection. Reports how each was answered.
+ * Callers in a thread of their own: reports that it has started, then from the first message to the second one
+ * makes a call every 5 ms, each on a new connection. Reports how each was answered.
  */
 const CALLERS = `
 const { parentPort, workerData: { host, port } } = require('node:worker_threads');
@@ -291,11 +315,14 @@
   socket.on('close', () => resolve('closed'));
   socket.write(${JSON.stringify(`${GET}\r\nHost: site.example\r\n\r\n`)});
 }));
-const calling = setInterval(call, 5);
-parentPort.once('message', async () => {
-  clearInterval(calling);
-  parentPort.postMessage(await Promise.all(answers));
+parentPort.once('message', () => {
+  const calling = setInterval(call, 5);
+  parentPort.once('message', async () => {
+    clearInterval(calling);
+    parentPort.postMessage(await Promise.all(answers));
+  });
 });
+parentPort.postMessage('started');
 `;
 
 describe('an answer that has begun', () => {
