--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -9,8 +9,8 @@
   type ServiceRequest
 } from "./retry-check.js"
 import {ALLOWED_LATE_RETRIES, findCrashOutcomes, type CrashOutcome, type CrashRecord} from "./crash-check.js"
-import type {EarlyReload} from "./daemon-process.js"
 import {isCutByStop, isUndisturbed, type Disturbance} from "./disturbance.js"
+import type {EarlyReload} from "./early-reload.js"
 import {SignalRecord} from "./signal-record.js"
 import {findTenant, QUOTA_RULE, SOAK_QUOTAS, UNCACHED_TOKENS, type RouteForm} from "./soak-routes.js"
 
--- a/test/soak-daemon.test.ts
+++ b/test/soak-daemon.test.ts
@@ -5,7 +5,8 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { findFreePorts } from '../lab/free-ports.js';
-import { DaemonProcess, type EarlyReload } from '../lab/soak/daemon-process.js';
+import { DaemonProcess } from '../lab/soak/daemon-process.js';
+import type { EarlyReload } from '../lab/soak/early-reload.js';
 import { SOAK_BOUNDS } from '../lab/soak/soak-record.js';
 
 const PORTS = { front: '127.0.0.1:1', ready: '127.0.0.1:2', control: '127.0.0.1:3', metrics: 4 };
