Stop-listening: the server begins to close once all requests have come

The test began to close 20 ms after it sent the requests, while its server answers each after 50 ms. It now waits for the three requests and answers them after the beginning of the close. The checks are unchanged.

--- a/test/stop-listening.test.ts
+++ b/test/stop-listening.test.ts
@@ -3,7 +3,7 @@
  * accept queue: these were reset, and their callers got no answer.
  */
 import { expect } from 'chai';
-import { createServer, type Server } from 'node:http';
+import { createServer, type Server, type ServerResponse } from 'node:http';
 import { connect, type AddressInfo } from 'node:net';
 import { once } from 'node:events';
 import { Worker } from 'node:worker_threads';
@@ -37,7 +37,8 @@
 
 describe('a server that closes its keep-alive connections', () => {
   it('answers all pipelined requests of a connection, and announces the close with the last answer', async () => {
-    const server = createServer((_request, response) => void setTimeout(() => response.end('here'), 50));
+    const responses: ServerResponse[] = [];
+    const server = createServer((_request, response) => void responses.push(response));
     const connections = new KeepAliveConnections(server);
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
@@ -46,9 +47,10 @@
     socket.on('data', (data) => (text += String(data)));
     const ended = once(socket, 'close');
     socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(3));
-    await delay(20);
+    while (responses.length < 3) await delay(1);
     connections.startClosing();
     expect(connections.hasPendingResponses()).to.equal(true);
+    for (const response of responses) response.end('here');
     await ended;
     expect(text.match(/HTTP\/1.1 200 OK/g)).to.have.length(3);
     expect(text.match(/connection: close/gi)).to.have.length(1);
