Reload signal test: send each signal once the one before is logged

Signals went out every 250 ms. A daemon that was held for 300 ms took the fourth after the settings had been made invalid: 3 true and 5 false instead of 4 and 4 (forced by the review); two pending ones would be merged. The test now waits for the log line of each, and its load lasts longer than that takes. The checks are unchanged. The log is read up to its last complete line.

--- a/lab/launcher.ts
+++ b/lab/launcher.ts
@@ -99,7 +99,9 @@
   /** Reads the JSON lines that a daemon has logged so far. */
   readLog(index: number): Record<string, unknown>[] {
     const lines = readFileSync(this.getLogPath(this.daemons[index].name), 'utf8').split('\n');
+    // The last line may not have been written completely yet.
     return lines
+      .slice(0, -1)
       .filter((line) => line.startsWith('{'))
       .map((line) => JSON.parse(line) as Record<string, unknown>);
   }
--- a/test/reload-signal.test.ts
+++ b/test/reload-signal.test.ts
@@ -15,7 +15,9 @@
 
 const MAIN_MODULE = fileURLToPath(new URL('../src/cli/main.js', import.meta.url));
 const SIGNALS = 8;
-const SIGNAL_INTERVAL_MS = 250;
+const POLL_MS = 20;
+/** Longer than the signals take: each is logged within half a second. Seconds. */
+const LOAD_SECONDS = 6;
 /** A module loader that reports when the commands start to load, and delays them to simulate a slow start. */
 const SLOW_LOADER = `export async function load(url, context, next) {
   if (url.endsWith('/commands.js')) {
@@ -29,6 +31,10 @@
   return `data:text/javascript,${encodeURIComponent(source)}`;
 }
 
+function readReloads(site: LocalSite): Record<string, unknown>[] {
+  return site.readLog(0).filter(({ event }) => event === 'process.reloaded');
+}
+
 describe('a daemon whose settings change', function () {
   this.timeout(60_000);
 
@@ -48,19 +54,20 @@
       ...targets,
     };
     const load = new LoadGenerator(site.getCallerAddresses(), new SeededRandom(52));
-    const running = load.run([{ seconds: 4, classes: [reviews], calls: [] }]);
+    const running = load.run([{ seconds: LOAD_SECONDS, classes: [reviews], calls: [] }]);
+    const { child } = site.daemons[0];
+    const hasExited = (): boolean => child.exitCode !== null || child.signalCode !== null;
     for (let signal = 0; signal < SIGNALS; signal += 1) {
-      await delay(SIGNAL_INTERVAL_MS);
       if (signal === SIGNALS / 2) site.writeInvalidSettings(0);
-      site.daemons[0].child.kill('SIGHUP');
+      child.kill('SIGHUP');
+      // A pending signal would be merged with the next one, and read settings that are changed after it.
+      while (!hasExited() && readReloads(site).length <= signal) await delay(POLL_MS);
     }
     await running;
-    const { child } = site.daemons[0];
     expect({ code: child.exitCode, signal: child.signalCode }).to.deep.equal({ code: null, signal: null });
     const { sent, complete } = load.getResult('policy-review');
     expect(complete).to.equal(sent);
-    const reloads = site.readLog(0).filter(({ event }) => event === 'process.reloaded');
-    expect(reloads.map(({ valid }) => valid)).to.deep.equal([
+    expect(readReloads(site).map(({ valid }) => valid)).to.deep.equal([
       true,
       true,
       true,
