--- a/lab/soak/daemon-process.ts
+++ b/lab/soak/daemon-process.ts
@@ -50,9 +50,9 @@
   /// Early reloads that ended a process, until the daemon serves again.
   private readonly openReloads = new Set<EarlyReload>()
   private startedAt = -Infinity
-  /// When the soak last started the process itself, not after an own end.
+  /// When the soak last started the process; restarts after an unexpected exit don't count.
   private soakStartedAt = -Infinity
-  /// Why the next process will be started, and the running one was.
+  /// Why the running process was started; after a stop or kill, why the next one will be.
   private startReason: StartReason = "firstStart"
   /// When the soak last stopped or killed the daemon.
   private stoppedAt: number | undefined
--- a/lab/soak/early-reload.ts
+++ b/lab/soak/early-reload.ts
@@ -1,6 +1,6 @@
-/// Ends of daemon processes by a reload that came before they could handle it, as a soak records them.
+/// Daemon processes that a reload terminated before they could handle the signal, as a soak records them.
 
-/// Why a process was started. After `invalidSettings` and `earlyReload` the previous process ended by itself.
+/// Why a process was started. After `invalidSettings` and `earlyReload` the previous process exited unexpectedly.
 export type StartReason = "firstStart" | "kill" | "stop" | "invalidSettings" | "earlyReload"
 
 /// A process that a reload ended before it could handle the signal, and the restart after it. Milliseconds.
@@ -13,7 +13,7 @@
   readonly startReason: StartReason
   /// From the last kill or stop by the soak to the signal; undefined when there was none.
   readonly sinceStopMs: number | undefined
-  /// From the last start that was not a restart after an own end to the signal.
+  /// From the soak's last start of the process to the signal; restarts after an unexpected exit don't count.
   readonly sinceSoakStartMs: number
   /// Reload signals after this one, until the restarted daemon serves.
   laterSignals: number
