Failing test: a stream that has begun goes on at the last back end that its route allows

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -55,6 +55,8 @@
   readonly permitMembers: Member[] = [];
   readonly permits = makePermits(this.permitMembers);
   stale = false;
+  /** Remaining quarantine of every request; undefined while none is quarantined. Milliseconds. */
+  quarantineMs: number | undefined;
   readonly roundTrips = new RoundTrips(DEFAULT_DISTANCE_SETTINGS.roundTripMs);
   readonly distance: BackendDistance;
   /** Charges and refunds by tenant; requests that were removed while waiting are recorded by id, with 0. */
@@ -87,7 +89,7 @@
         getOutageMs: () => 0,
         getDaemonCount: () => 1,
         onExecutionStarted: (tenant, at) => this.executionStarts.push([tenant, at]),
-        getQuarantineMs: () => undefined,
+        getQuarantineMs: () => this.quarantineMs,
         getIsolatedCaller: () => undefined,
         onAttemptBroken: () => undefined,
         onAttemptAnswered: () => undefined,
--- /dev/null
+++ b/test/silent-back-ends.test.ts
@@ -0,0 +1,116 @@
+/**
+ * A back end that is silent for a while may still answer: its silence ends no answer. An attempt is given up only
+ * when another attempt of the request follows it. Every test forces an order of events in virtual time.
+ */
+import { expect } from 'chai';
+import { makeLabBackend, makeLabRoute } from '../lab/forwarding-site.js';
+import type { BackendView } from '../src/forwarding/backends/backend-view.js';
+import type { ForwardEffect } from '../src/forwarding/forward-messages.js';
+import type { ForwardRequest } from '../src/forwarding/forward-request.js';
+import type { BackendRecord, Route } from '../src/forwarding/routes/route.js';
+import { ForwardingHarness } from './forwarding-harness.js';
+
+const TICK_MS = 20;
+const TIMEOUT_MS = 4000;
+const RESUMABLE: Partial<Route> = { kind: 'stream', resumable: true };
+
+/** One request, whose back ends are silent unless a test sends an event. */
+class SilentSite extends ForwardingHarness {
+  now = 0;
+  private deadlineAt = 0;
+
+  constructor(route: Partial<Route>, backends: readonly BackendRecord[], slack = 50) {
+    super([makeLabRoute({ timeoutMs: TIMEOUT_MS, ...route })], backends, slack);
+  }
+
+  beginRequest(fields: Partial<ForwardRequest> = {}): void {
+    this.deadlineAt = this.now + TIMEOUT_MS;
+    this.begin({ callerDeadlineMs: TIMEOUT_MS, ...fields, arrivedAt: this.now }, this.now);
+  }
+
+  /** Begins the answer of the last attempt as a stream. */
+  beginStream(): void {
+    this.event({ kind: 'streamStarted' }, this.now);
+    this.event({ kind: 'streamProgress', lastEventId: String(this.now) }, this.now);
+  }
+
+  /** Nothing arrives for `ms`. */
+  runSilence(ms: number): void {
+    for (const end = this.now + ms; this.now < end;) this.manager.tick((this.now += TICK_MS));
+  }
+
+  /** Nothing arrives until another attempt starts. */
+  runUntilMoved(): void {
+    const sends = this.getStarts().length;
+    while (this.getStarts().length === sends && this.now < this.deadlineAt)
+      this.manager.tick((this.now += TICK_MS));
+    expect(this.getStarts(), 'the request was not moved').to.have.length(sends + 1);
+  }
+
+  /** Checks that the request goes on until its deadline, and that its last back end can still answer until then. */
+  checkWaits(): void {
+    const [last] = this.getStarts().slice(-1);
+    while (this.now < this.deadlineAt - TICK_MS && this.getFailures().length === 0)
+      this.manager.tick((this.now += TICK_MS));
+    expect({
+      endedAt: this.getFailures().length > 0 ? this.now : 'none',
+      ends: this.getEnds(),
+    }).to.deep.equal({
+      endedAt: 'none',
+      ends: [],
+    });
+    this.manager.receiveAttemptEvent(
+      last.requestId,
+      last.attemptId,
+      { kind: 'whole', status: 200 },
+      this.now,
+    );
+    expect(this.getEffects('replyWhole')).to.have.length(1);
+  }
+
+  /** Decisions that ended the request or an attempt of it that no other followed, with their reasons. */
+  private getEnds(): string[] {
+    return this.effects.flatMap((effect, index) => {
+      if (effect.kind !== 'decision') return [];
+      const { event, fields } = effect;
+      if (event === 'request.failed' || event === 'request.refused')
+        return [`${event} ${String(fields.failure)}`];
+      if (event !== 'request.attempt-failed' || this.effects.slice(index).some(isStart)) return [];
+      return [`${event} ${String(fields.backend)} ${String(fields.reason)}`];
+    });
+  }
+
+  getView(id: string): BackendView {
+    return this.directory.get(id) as BackendView;
+  }
+
+  /** Fills a back end with attempts of other requests, which it is answering. */
+  fill(id: string, count: number): void {
+    for (let index = 0; index < count; index += 1) {
+      this.getView(id).addAttempt(`other/${index}`, 0, this.now);
+      this.getView(id).onAnswering(`other/${index}`, this.now);
+    }
+  }
+}
+
+function isStart({ kind }: ForwardEffect): boolean {
+  return kind === 'startAttempt';
+}
+
+function makeBackends(count: number, slots = 8): BackendRecord[] {
+  return Array.from({ length: count }, (_, index) => ({
+    ...makeLabBackend(`b${index + 1}`, `10.0.0.1:${index + 1}`),
+    slots,
+  }));
+}
+
+describe('the silence of a back end ends no answer', () => {
+  it('a stream that has begun goes on at the last back end that its route allows', () => {
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 2 }, makeBackends(3));
+    site.beginRequest();
+    site.beginStream();
+    site.runUntilMoved();
+    site.beginStream();
+    site.checkWaits();
+  });
+});
