Failing test: a stream that has not begun waits at the last back end that its route allows

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -113,4 +113,11 @@
     site.beginStream();
     site.checkWaits();
   });
+
+  it('a stream that has not begun waits at the last back end that its route allows', () => {
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 2 }, makeBackends(3));
+    site.beginRequest();
+    site.runUntilMoved();
+    site.checkWaits();
+  });
 });
