Failing test: a plain request waits at the last back end that its route allows

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -120,4 +120,11 @@
     site.runUntilMoved();
     site.checkWaits();
   });
+
+  it('a plain request waits at the last back end that its route allows', () => {
+    const site = new SilentSite({ maximumAttempts: 2 }, makeBackends(3));
+    site.beginRequest();
+    site.runUntilMoved();
+    site.checkWaits();
+  });
 });
