Failing test: a plain request waits on a silent connection for the last attempt that its route allows

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -127,4 +127,13 @@
     site.runUntilMoved();
     site.checkWaits();
   });
+
+  it('a plain request waits on a silent connection for the last attempt that its route allows', () => {
+    const site = new SilentSite({ maximumAttempts: 2 }, makeBackends(3));
+    site.beginRequest();
+    site.event({ kind: 'connectionSilent' }, site.now);
+    site.runUntilMoved();
+    site.event({ kind: 'connectionSilent' }, site.now);
+    site.checkWaits();
+  });
 });
