Failing test: a request whose only allowed attempt is live waits for it

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -136,4 +136,11 @@
     site.event({ kind: 'connectionSilent' }, site.now);
     site.checkWaits();
   });
+
+  it('a request whose only allowed attempt is live waits for it', () => {
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 1 }, makeBackends(3));
+    site.beginRequest();
+    site.beginStream();
+    site.checkWaits();
+  });
 });
