Failing test: a stream that has begun goes on when it was sent as often as a request may be

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -7,12 +7,14 @@
 import type { BackendView } from '../src/forwarding/backends/backend-view.js';
 import type { ForwardEffect } from '../src/forwarding/forward-messages.js';
 import type { ForwardRequest } from '../src/forwarding/forward-request.js';
+import { DEFAULT_FORWARD_SETTINGS } from '../src/forwarding/forward-settings.js';
 import type { BackendRecord, Route } from '../src/forwarding/routes/route.js';
 import { ForwardingHarness } from './forwarding-harness.js';
 
 const TICK_MS = 20;
 const TIMEOUT_MS = 4000;
 const RESUMABLE: Partial<Route> = { kind: 'stream', resumable: true };
+const REFUSED = { kind: 'unreachable', reason: 'refused' } as const;
 
 /** One request, whose back ends are silent unless a test sends an event. */
 class SilentSite extends ForwardingHarness {
@@ -143,4 +145,13 @@
     site.beginStream();
     site.checkWaits();
   });
+
+  it('a stream that has begun goes on when it was sent as often as a request may be', () => {
+    const { maximumSends } = DEFAULT_FORWARD_SETTINGS;
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 9 }, makeBackends(maximumSends + 1));
+    site.beginRequest();
+    for (let send = 1; send < maximumSends; send += 1) site.event(REFUSED, site.now);
+    site.beginStream();
+    site.checkWaits();
+  });
 });
