Failing test: a plain request waits when it was sent as often as a request may be

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -154,4 +154,12 @@
     site.beginStream();
     site.checkWaits();
   });
+
+  it('a plain request waits when it was sent as often as a request may be', () => {
+    const { maximumSends } = DEFAULT_FORWARD_SETTINGS;
+    const site = new SilentSite({ maximumAttempts: 9 }, makeBackends(maximumSends + 1));
+    site.beginRequest();
+    for (let send = 1; send < maximumSends; send += 1) site.event(REFUSED, site.now);
+    site.checkWaits();
+  });
 });
