Failing test: a prompt waits at its prefill engine when the request was sent as often as it may be

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -9,7 +9,7 @@
 import type { ForwardRequest } from '../src/forwarding/forward-request.js';
 import { DEFAULT_FORWARD_SETTINGS } from '../src/forwarding/forward-settings.js';
 import type { BackendRecord, Route } from '../src/forwarding/routes/route.js';
-import { ForwardingHarness } from './forwarding-harness.js';
+import { ForwardingHarness, makeEngine, makePrompt } from './forwarding-harness.js';
 
 const TICK_MS = 20;
 const TIMEOUT_MS = 4000;
@@ -162,4 +162,20 @@
     for (let send = 1; send < maximumSends; send += 1) site.event(REFUSED, site.now);
     site.checkWaits();
   });
+
+  it('a prompt waits at its prefill engine when the request was sent as often as it may be', () => {
+    const { maximumSends } = DEFAULT_FORWARD_SETTINGS;
+    const prefills = Array.from({ length: maximumSends + 1 }, (_, index) =>
+      makeEngine(`p${index}`, 'prefill'),
+    );
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 9 }, [
+      ...prefills,
+      makeEngine('d1', 'decode'),
+    ]);
+    site.beginRequest({ prompt: makePrompt(400, 100) });
+    for (let send = 1; send < maximumSends; send += 1) site.event(REFUSED, site.now);
+    expect(site.getStarts().at(-1)).to.include({ prefillOnly: true });
+    site.runSilence(TIMEOUT_MS - 2 * TICK_MS);
+    expect(site.getFailures()).to.deep.equal([]);
+  });
 });
