Failing test: an answer is awaited while its request is quarantined

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -14,6 +14,7 @@
 const TICK_MS = 20;
 const TIMEOUT_MS = 4000;
 const RESUMABLE: Partial<Route> = { kind: 'stream', resumable: true };
+const KEY = { contentDigest: 'digest', callerAddress: '10.0.9.9' };
 const REFUSED = { kind: 'unreachable', reason: 'refused' } as const;
 
 /** One request, whose back ends are silent unless a test sends an event. */
@@ -178,4 +179,12 @@
     site.runSilence(TIMEOUT_MS - 2 * TICK_MS);
     expect(site.getFailures()).to.deep.equal([]);
   });
+
+  it('an answer is awaited while its request is quarantined', () => {
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 9 }, makeBackends(3));
+    site.beginRequest(KEY);
+    site.beginStream();
+    site.quarantineMs = 10_000;
+    site.checkWaits();
+  });
 });
