Failing test: a plain request waits while its successor could be drawn among overloaded back ends

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -187,4 +187,19 @@
     site.quarantineMs = 10_000;
     site.checkWaits();
   });
+
+  it('a plain request waits while its successor could be drawn among overloaded back ends', () => {
+    const count = 9;
+    for (let other = 0; other < 20; other += 1) {
+      const site = new SilentSite({ maximumAttempts: 9 }, makeBackends(count, 1));
+      for (let drawn = 0; drawn < other; drawn += 1) site.begin({ id: `other${drawn}` });
+      for (let drawn = 0; drawn < other; drawn += 1) site.manager.cancel(`other${drawn}`, 0);
+      site.beginRequest();
+      const [{ backend }] = site.getStarts().slice(-1);
+      const free = backend.id === 'b1' ? 'b2' : 'b1';
+      for (const { id } of makeBackends(count, 1)) if (id !== free && id !== backend.id) site.fill(id, 4);
+      site.runSilence(1200);
+      expect(site.getFailures(), `after ${other} other requests`).to.deep.equal([]);
+    }
+  });
 });
