Failing test: a generation waits at its engine while no prefill engine could compute its prompt again

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -9,7 +9,7 @@
 import type { ForwardRequest } from '../src/forwarding/forward-request.js';
 import { DEFAULT_FORWARD_SETTINGS } from '../src/forwarding/forward-settings.js';
 import type { BackendRecord, Route } from '../src/forwarding/routes/route.js';
-import { ForwardingHarness, makeEngine, makePrompt } from './forwarding-harness.js';
+import { ENGINES, ForwardingHarness, makeEngine, makePrompt } from './forwarding-harness.js';
 
 const TICK_MS = 20;
 const TIMEOUT_MS = 4000;
@@ -202,4 +202,12 @@
       expect(site.getFailures(), `after ${other} other requests`).to.deep.equal([]);
     }
   });
+
+  it('a generation waits at its engine while no prefill engine could compute its prompt again', () => {
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 9 }, ENGINES);
+    site.beginRequest({ prompt: makePrompt(400, 100) });
+    site.event({ kind: 'prefilled', handle: 'h1' }, site.now);
+    for (const id of ['p1', 'p2']) site.fill(id, 90);
+    site.checkWaits();
+  });
 });
