Failing test: a generation waits at its engine while computing its prompt again would be refused as overload

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -210,4 +210,18 @@
     for (const id of ['p1', 'p2']) site.fill(id, 90);
     site.checkWaits();
   });
+
+  it('a generation waits at its engine while computing its prompt again would be refused as overload', () => {
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 9 }, ENGINES);
+    for (let index = 0; index < 60; index += 1) {
+      site.beginRequest({ id: `paced${index}`, prompt: makePrompt(400, 0, `k${index}`) });
+      site.now += 50;
+      site.event({ kind: 'prefilled', handle: `h${index}` }, site.now);
+      site.manager.cancel(`paced${index}`, site.now);
+    }
+    site.beginRequest({ prompt: makePrompt(400, 100) });
+    site.event({ kind: 'prefilled', handle: 'h1' }, site.now);
+    for (const id of ['p1', 'p2']) site.fill(id, 30);
+    site.checkWaits();
+  });
 });
