Failing test: a stream goes on that moved away from a silent back end when its successor rejects it and no other is left

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -16,6 +16,7 @@
 const RESUMABLE: Partial<Route> = { kind: 'stream', resumable: true };
 const KEY = { contentDigest: 'digest', callerAddress: '10.0.9.9' };
 const REFUSED = { kind: 'unreachable', reason: 'refused' } as const;
+const REJECTED = { kind: 'notExecuted', status: 503, wrongIncarnation: false } as const;
 
 /** One request, whose back ends are silent unless a test sends an event. */
 class SilentSite extends ForwardingHarness {
@@ -224,4 +225,13 @@
     for (const id of ['p1', 'p2']) site.fill(id, 30);
     site.checkWaits();
   });
+
+  it('a stream goes on that moved away from a silent back end when its successor rejects it and no other is left', () => {
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 9 }, makeBackends(2));
+    site.beginRequest();
+    site.beginStream();
+    site.runUntilMoved();
+    site.event(REJECTED, site.now);
+    site.checkWaits();
+  });
 });
