Failing test: a stream goes on that moved away from a silent back end when its successor rejects it and the retry budget is empty

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -243,4 +243,13 @@
     site.event(REFUSED, site.now);
     site.checkWaits();
   });
+
+  it('a stream goes on that moved away from a silent back end when its successor rejects it and the retry budget is empty', () => {
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 9 }, makeBackends(3), 1.25);
+    site.beginRequest();
+    site.beginStream();
+    site.runUntilMoved();
+    site.event(REJECTED, site.now);
+    site.checkWaits();
+  });
 });
