Failing test: a stream goes on that moved away from a silent back end when its successor, the last that the route allows, fails

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -252,4 +252,13 @@
     site.event(REJECTED, site.now);
     site.checkWaits();
   });
+
+  it('a stream goes on that moved away from a silent back end when its successor, the last that the route allows, fails', () => {
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 2 }, makeBackends(3));
+    site.beginRequest();
+    site.beginStream();
+    site.runUntilMoved();
+    site.event({ kind: 'whole', status: 500 }, site.now);
+    site.checkWaits();
+  });
 });
