Failing test: a plain request waits that moved away from a silent back end when its successor refuses the connection and no other is left

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -269,4 +269,12 @@
     site.event(REJECTED, site.now);
     site.checkWaits();
   });
+
+  it('a plain request waits that moved away from a silent back end when its successor refuses the connection and no other is left', () => {
+    const site = new SilentSite({ maximumAttempts: 9 }, makeBackends(2));
+    site.beginRequest();
+    site.runUntilMoved();
+    site.event(REFUSED, site.now);
+    site.checkWaits();
+  });
 });
