Failing test: an attempt is given up as stalled only when another follows in the same step, for any order of events

Cause: an attempt is given up as stalled, or its successor fails, and no other attempt is left. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -3,9 +3,10 @@
  * when another attempt of the request follows it. Every test forces an order of events in virtual time.
  */
 import { expect } from 'chai';
+import fc from 'fast-check';
 import { makeLabBackend, makeLabRoute } from '../lab/forwarding-site.js';
 import type { BackendView } from '../src/forwarding/backends/backend-view.js';
-import type { ForwardEffect } from '../src/forwarding/forward-messages.js';
+import type { AttemptStart, ForwardAttemptEvent, ForwardEffect } from '../src/forwarding/forward-messages.js';
 import type { ForwardRequest } from '../src/forwarding/forward-request.js';
 import { DEFAULT_FORWARD_SETTINGS } from '../src/forwarding/forward-settings.js';
 import type { BackendRecord, Route } from '../src/forwarding/routes/route.js';
@@ -277,4 +278,109 @@
     site.event(REFUSED, site.now);
     site.checkWaits();
   });
+
+  it('an attempt is given up as stalled only when another follows in the same step, for any order of events', () => {
+    const run = fc.record({
+      engines: fc.boolean(),
+      stream: fc.boolean(),
+      maximumAttempts: fc.integer({ min: 1, max: 4 }),
+      slack: fc.constantFrom(0, 1.25, 2.5, 50),
+      requests: fc.integer({ min: 1, max: 3 }),
+      steps: fc.array(stepArbitrary, { minLength: 4, maxLength: 30 }),
+    });
+    fc.assert(
+      fc.property(run, ({ engines, stream, maximumAttempts, slack, requests, steps }) => {
+        const kind = stream ? RESUMABLE : {};
+        const site = new SilentSite(
+          { ...kind, maximumAttempts },
+          engines ? ENGINES : makeBackends(5, 2),
+          slack,
+        );
+        const prompt = engines ? makePrompt(400, 100) : undefined;
+        for (let index = 0; index < requests; index += 1)
+          site.beginRequest({ id: `r${index}`, ...KEY, prompt });
+        for (const step of steps) {
+          const before = site.effects.length;
+          applyStep(site, step, stream);
+          expect(findUnfollowed(site.effects.slice(before))).to.deep.equal([]);
+        }
+      }),
+      { numRuns: 2000, seed: 20261202 },
+    );
+  });
 });
+
+/** Something that happens to the site. */
+type Step =
+  | { readonly silentMs: number }
+  | { readonly request: number; readonly event: ForwardAttemptEvent }
+  | { readonly backend: number; readonly state: 'full' | 'leaving' | 'backedOff' }
+  | { readonly quarantineMs: number | undefined };
+
+const EVENTS: readonly ForwardAttemptEvent[] = [
+  REFUSED,
+  REJECTED,
+  { kind: 'prefilled', handle: 'h' },
+  { kind: 'streamStarted' },
+  { kind: 'streamProgress', lastEventId: '1' },
+  { kind: 'connectionSilent' },
+  { kind: 'broken', reason: 'reset' },
+  { kind: 'whole', status: 500 },
+];
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 5, arbitrary: fc.record({ silentMs: fc.constantFrom(TICK_MS, 420, 820, 920) }) },
+  { weight: 5, arbitrary: fc.record({ request: fc.nat(2), event: fc.constantFrom(...EVENTS) }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      backend: fc.nat(4),
+      state: fc.constantFrom('full' as const, 'leaving' as const, 'backedOff' as const),
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ quarantineMs: fc.constantFrom(undefined, 5000) }) },
+);
+
+function applyStep(site: SilentSite, step: Step, stream: boolean): void {
+  if ('silentMs' in step) site.runSilence(step.silentMs);
+  else if ('quarantineMs' in step) site.quarantineMs = step.quarantineMs;
+  else if ('state' in step) applyState(site, step.backend, step.state);
+  else {
+    const last = site
+      .getStarts()
+      .filter(({ requestId }) => requestId === `r${step.request}`)
+      .at(-1);
+    if (last && isPossible(last, step.event, stream))
+      site.manager.receiveAttemptEvent(last.requestId, last.attemptId, step.event, site.now);
+  }
+}
+
+function applyState(site: SilentSite, index: number, state: 'full' | 'leaving' | 'backedOff'): void {
+  const views = [...site.directory.all()];
+  const view = views[index % views.length];
+  if (state === 'full') site.fill(view.record.id, 90);
+  else if (state === 'leaving') view.removed = true;
+  else view.signals.addBackOff(site.now + 1000);
+}
+
+/** Whether an attempt can have the event: a prompt is prefilled, an answer streamed only on a route for streams. */
+function isPossible({ prefillOnly }: AttemptStart, { kind }: ForwardAttemptEvent, stream: boolean): boolean {
+  if (kind === 'prefilled') return prefillOnly;
+  if (kind === 'streamStarted' || kind === 'streamProgress') return stream && !prefillOnly;
+  return kind !== 'whole' || !prefillOnly;
+}
+
+/** Attempts that were given up as stalled without a later one of the same request, as `request number`. */
+function findUnfollowed(effects: readonly ForwardEffect[]): string[] {
+  const started = new Set(
+    effects.flatMap((effect) => (effect.kind === 'startAttempt' ? [effect.start.attemptId] : [])),
+  );
+  return effects.flatMap((effect, index) => {
+    const decision = effects.at(index + 1);
+    if (effect.kind !== 'abortAttempt' || decision?.kind !== 'decision') return [];
+    const { event, fields } = decision;
+    if (event !== 'request.attempt-failed' || fields.reason !== 'stalled') return [];
+    const [requestId, send] = effect.attemptId.split('/');
+    return started.has(`${requestId}/${Number(send) + 1}`) ? [] : [effect.attemptId];
+  });
+}
