--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -182,6 +182,25 @@
     expect(site.getFailures()).to.deep.equal([]);
   });
 
+  it('a stream goes on while the retry budget is empty', () => {
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 9 }, makeBackends(3), 0);
+    site.beginRequest();
+    site.beginStream();
+    site.checkWaits();
+  });
+
+  it('a stream goes on while every other back end is excluded, leaves or is backed off from', () => {
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 9 }, makeBackends(4));
+    site.beginRequest();
+    site.event(REFUSED, site.now);
+    const [refused, live] = site.getStarts().map(({ backend }) => backend.id);
+    const [leaving, backedOff] = ['b1', 'b2', 'b3', 'b4'].filter((id) => id !== refused && id !== live);
+    site.getView(leaving).removed = true;
+    site.getView(backedOff).signals.addBackOff(TIMEOUT_MS);
+    site.beginStream();
+    site.checkWaits();
+  });
+
   it('an answer is awaited while its request is quarantined', () => {
     const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 9 }, makeBackends(3));
     site.beginRequest(KEY);
