Failing test: at the last attempt that the settings allow

Cause: checkStall of the completion manager cancels an attempt before it asks for another one. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-engines.test.ts
+++ b/test/silent-engines.test.ts
@@ -126,4 +126,11 @@
     site.begin(false);
     site.checkWaits();
   });
+
+  it('at the last attempt that the settings allow', () => {
+    const site = new SilentEngines(3, { maximumAttempts: 2, retryRatio: 1 });
+    site.begin(true);
+    site.runUntilMoved();
+    site.checkWaits();
+  });
 });
