Failing test: while the retry budget is empty

Cause: checkStall of the completion manager cancels an attempt before it asks for another one. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-engines.test.ts
+++ b/test/silent-engines.test.ts
@@ -133,4 +133,11 @@
     site.runUntilMoved();
     site.checkWaits();
   });
+
+  it('while the retry budget is empty', () => {
+    const site = new SilentEngines(3, { maximumAttempts: 9, retryRatio: 0 });
+    site.begin(true);
+    site.runUntilMoved();
+    site.checkWaits();
+  });
 });
