Failing test: at its only engine, where its attempt is not cancelled

Cause: checkStall of the completion manager cancels an attempt before it asks for another one. Change: a test in virtual time that forces this order; no change of logic.

--- a/test/silent-engines.test.ts
+++ b/test/silent-engines.test.ts
@@ -140,4 +140,10 @@
     site.runUntilMoved();
     site.checkWaits();
   });
+
+  it('at its only engine, where its attempt is not cancelled', () => {
+    const site = new SilentEngines(1, { maximumAttempts: 9, retryRatio: 1 });
+    site.begin(true);
+    site.checkWaits();
+  });
 });
