Failing test: a prompt waits on a silent connection while its engine is full and looks sound only without it

Cause: the search for another back end runs while the attempt is counted at its engine, which looks silent; without the attempt that engine looks sound, is preferred, and is full: no back end is left (503). Change: a test in virtual time that forces this order, found by the property test; no change of logic.

--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -246,6 +246,16 @@
     site.checkWaits();
   });
 
+  it('a prompt waits on a silent connection while its engine is full and looks sound only without it', () => {
+    const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 2 }, ENGINES);
+    for (const id of ['r0', 'r1']) site.beginRequest({ id, prompt: makePrompt(400, 100) });
+    site.event({ kind: 'connectionSilent' }, site.now);
+    site.now += TICK_MS;
+    site.fill(site.getStarts()[1].backend.id, 90);
+    site.runSilence(1000);
+    expect(site.getFailures()).to.deep.equal([]);
+  });
+
   it('a stream goes on that moved away from a silent back end when its successor rejects it and no other is left', () => {
     const site = new SilentSite({ ...RESUMABLE, maximumAttempts: 9 }, makeBackends(2));
     site.beginRequest();
