Give a stalled attempt up only when its successor is certain

What callers saw: a stream that had begun was cut, or a request got 502, with time left, because its back end was silent for a while. Back ends that are sound fall silent for a second or so and go on.

Cause: whether the request may be sent again was asked twice, by conditions that could disagree. isStalled asked while the live attempt was not counted; after the abort it was counted and asked again. So the last attempt that a route allows was given up without a successor, and so were attempts at the limit of sends, of quarantined requests, and those whose successor could not be chosen once the KV cache was dropped or the draw was repeated.

Now one decision is taken before the attempt is given up, on the state that the request has without it: allowed, a retry left, not quarantined, and a back end chosen that is not avoided. The request is then sent to just that one. Without a successor the attempt goes on until the deadline. If the successor turns the request away and no other is left, it goes back to the back end that was silent.

--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -44,6 +44,9 @@
   readonly deadlineAt: number
   /// Back ends that it is not sent to again.
   readonly excluded: Set<string>
+  /// Those of the excluded ones that were given up because they were silent. They may have gone on since, so the
+  /// request is sent there again where no other back end takes it.
+  readonly silent: Set<string>
   attempt: LiveAttempt | undefined
   sends: number
   /// Attempts that arrived at a back end, as the retry budget counts them.
@@ -91,6 +94,7 @@
     key: makeKey(request, tenant),
     deadlineAt: request.arrivedAt + allowedMs,
     excluded: new Set(),
+    silent: new Set(),
     attempt: undefined,
     sends: 0,
     arrivals: 0,
@@ -149,6 +153,27 @@
   session.attempt = undefined
 }
 
+/// Counts an attempt that ended without a result: its back end may have executed the request, or begun to
+/// compute its prompt. A back end that only lost a connection may be sent the request again.
+export function addFailedAttempt(session: Session, {choice, connectionSilent}: LiveAttempt): void {
+  session.attempt = undefined
+  session.arrivals += 1
+  if (choice.prefillOnly) session.prefills += 1
+  else {
+    session.executions += 1
+    session.mayHaveExecuted = true
+    session.kvSource = undefined
+  }
+  if (!connectionSilent) session.excluded.add(choice.backend.record.id)
+}
+
+/// The state of the request as it would be if its live attempt had failed now. The session is not changed.
+export function makeSessionWithoutAttempt(session: Session, attempt: LiveAttempt): Session {
+  const next = {...session, excluded: new Set(session.excluded)}
+  addFailedAttempt(next, attempt)
+  return next
+}
+
 /// Whether the live attempt continues when the caller disconnects. Aborting a non-idempotent request could
 /// leave it half done without its caller knowing, so it is finished, within its deadline. Everything else is
 /// of no use without its caller.
--- a/src/forwarding/retry/attempt-outcomes.ts
+++ b/src/forwarding/retry/attempt-outcomes.ts
@@ -10,7 +10,14 @@
 import {type ForwardAnswers, STATUS_BROKEN} from "../finish/forward-answers.js"
 import type {ForwardLimits} from "../admit/forward-limits.js"
 import type {ForwardAttemptEvent, ForwardEffect, ForwardFailure} from "../forward-messages.js"
-import {addProgress, removeAttempt, type LiveAttempt, type Session} from "../forward-session.js"
+import {
+  addFailedAttempt,
+  addProgress,
+  makeSessionWithoutAttempt,
+  removeAttempt,
+  type LiveAttempt,
+  type Session
+} from "../forward-session.js"
 import type {KvIndex} from "../kv-cache/kv-index.js"
 import type {QuarantineGate} from "../admit/quarantine-gate.js"
 import type {RequestFinisher} from "../finish/request-finisher.js"
@@ -88,20 +95,26 @@
     this.dependencies.onSignals(choice.backend, report, now)
   }
 
-  /// The attempt makes no progress: moves the request to another back end, if one would take it and the
-  /// budget has a retry left.
+  /// The attempt makes no progress: gives it up if another one follows it at once. The decision is taken on
+  /// the state that the request then has, and the attempt goes on if it may not be sent again or no back end
+  /// would take it.
   onStalled(session: Session, attempt: LiveAttempt, now: number): void {
     const {retryPolicy, sender} = this.dependencies
+    const next = makeSessionWithoutAttempt(session, attempt)
+    if (!retryPolicy.mayRetryStalled(next, attempt, now)) return
     if (now - (attempt.lastSearchAt ?? -Infinity) < SEARCH_INTERVAL_MS) return
     attempt.lastSearchAt = now
-    if (!retryPolicy.hasRetryLeft(session, now) || !sender.hasAlternative(session, attempt, now)) return
+    const choice = sender.findSuccessor(next, now)
+    if (!choice) return
     addUnansweredSample(attempt, now)
     this.dependencies.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
     if (!attempt.connectionSilent) {
       attempt.choice.backend.health.addUnanswered(now)
-      session.excluded.add(attempt.choice.backend.record.id)
+      session.silent.add(attempt.choice.backend.record.id)
     }
-    this.onFailed(session, attempt, "stalled", now)
+    this.addFailed(session, attempt, "stalled")
+    retryPolicy.addRetry(session, now)
+    sender.sendToSuccessor(session, choice, now)
   }
 
   private onUnreachable(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
@@ -207,39 +220,26 @@
     this.dependencies.emit({kind: "abortAttempt", attemptId})
   }
 
-  /// The attempt failed after its back end may have begun to execute the request.
+  /// The attempt failed after its back end may have begun to execute the request, or to compute its prompt.
   private onBroken(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
-    const {backend} = attempt.choice
-    if (!attempt.connectionSilent) {
-      backend.health.addFailure(now)
-      session.excluded.add(backend.record.id)
-    }
-    this.onFailed(session, attempt, reason, now)
+    const {retryPolicy, sender, finisher} = this.dependencies
+    if (!attempt.connectionSilent) attempt.choice.backend.health.addFailure(now)
+    this.addFailed(session, attempt, reason)
+    if (attempt.choice.prefillOnly)
+      this.retryOrFinish(session, retryPolicy.tryRetryNotExecuted(session, now), "turned-away", now)
+    else if (retryPolicy.tryRetryExecuted(session, now)) sender.send(session, now)
+    else finisher.finishFailed(session, STATUS_BROKEN, "broken", undefined, now)
   }
 
-  private onFailed(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
-    const {backend} = attempt.choice
+  /// The attempt is over without a result.
+  private addFailed(session: Session, attempt: LiveAttempt, reason: string): void {
     this.dependencies.answers.logDecision("request.attempt-failed", session, {
-      backend: backend.record.id,
+      backend: attempt.choice.backend.record.id,
       reason
     })
-    if (attempt.choice.prefillOnly) {
-      this.onPrefillBroken(session, attempt, now)
-      return
-    }
-    this.addExecution(session, attempt)
-    session.kvSource = undefined
-    if (this.dependencies.retryPolicy.tryRetryExecuted(session, now))
-      this.dependencies.sender.send(session, now)
-    else this.dependencies.finisher.finishFailed(session, STATUS_BROKEN, "broken", undefined, now)
-  }
-
-  private onPrefillBroken(session: Session, attempt: LiveAttempt, now: number): void {
     removeAttempt(session, attempt)
-    session.arrivals += 1
-    session.prefills += 1
-    const mayRetry = this.dependencies.retryPolicy.tryRetryNotExecuted(session, now)
-    this.retryOrFinish(session, mayRetry, "turned-away", now)
+    addFailedAttempt(session, attempt)
+    if (!attempt.choice.prefillOnly) this.onExecutionStarted(session, attempt.startedAt)
   }
 
   /// Retries the request, or answers that no back end served it.
--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -41,14 +41,15 @@
 
   /// Sends the request to the back end that the picker chooses, or refuses it.
   send(session: Session, now: number): void {
-    const {finisher, limits, quarantineGate, retryAfter, retryPolicy} = this.dependencies
+    const {finisher, limits, picker, quarantineGate, retryAfter} = this.dependencies
     const refusedMs = quarantineGate.getRefusedMs(session, now)
     if (refusedMs !== undefined) {
       finisher.finishNotServed(session, "quarantined", now, refusedMs)
       return
     }
     const limited = this.addPermitRequests(session, now)
-    const choice = this.pickBackend(session, session.excluded, now)
+    const choice =
+      picker.pick(this.makeQuery(session, session.excluded, now), now) ?? this.pickSilent(session, now)
     if (!choice) {
       if (limited.length > 0) this.waitForPermit(session, limited, now)
       else this.refuseWithoutBackend(session, now)
@@ -60,16 +61,32 @@
       finisher.finishNotServed(session, "overloaded", now, retryAfter.getOverloadedMs(session, choice, now))
       return
     }
-    if (choice.prefillOnly) retryPolicy.addPrefill(session, now)
-    this.startAttempt(session, choice, now)
+    this.startChosen(session, choice, now)
+  }
+
+  /// Finds the back end that takes the request now as its next attempt, for which one retry of the budget is
+  /// kept; undefined if it would have to wait or be refused, or only back ends that are avoided are left.
+  findSuccessor(session: Session, now: number): BackendChoice | undefined {
+    const {limits, picker, quarantineGate} = this.dependencies
+    if (quarantineGate.getRefusedMs(session, now) !== undefined) return undefined
+    const choice = picker.pick(this.makeQuery(session, session.excluded, now, 1), now)
+    if (!choice || choice.backend.isEjected(now)) return undefined
+    return limits.isOverloaded(session, choice) ? undefined : choice
+  }
+
+  /// Sends the request to the back end that `findSuccessor` found in the same step.
+  sendToSuccessor(session: Session, choice: BackendChoice, now: number): void {
+    this.addPermitRequests(session, now)
+    session.permitDueAt = undefined
+    this.startChosen(session, choice, now)
   }
 
-  /// Whether another back end would take the request now: an attempt is aborted only if there is one.
-  hasAlternative(session: Session, {choice: {backend}, connectionSilent}: LiveAttempt, now: number): boolean {
-    const excluded = new Set(session.excluded)
-    if (!connectionSilent) excluded.add(backend.record.id)
-    const choice = this.pickBackend(session, excluded, now)
-    return choice !== undefined && !this.dependencies.limits.isOverloaded(session, choice)
+  /// Picks a back end that was given up before because it was silent.
+  private pickSilent(session: Session, now: number): BackendChoice | undefined {
+    const {excluded, silent} = session
+    if (silent.size === 0) return undefined
+    const others = new Set([...excluded].filter(id => !silent.has(id)))
+    return this.dependencies.picker.pick(this.makeQuery(session, others, now), now)
   }
 
   /// Requests permits for the back ends that advertise a limit. Returns these back ends.
@@ -111,15 +128,12 @@
     finisher.finishNotServed(session, "backend-limit", now, retryAfterMs, {backends: getIds(limited)})
   }
 
-  private pickBackend(
+  private makeQuery(
     session: Session,
     excluded: ReadonlySet<string>,
-    now: number
-  ): BackendChoice | undefined {
-    return this.dependencies.picker.pick(this.makeQuery(session, excluded, now), now)
-  }
-
-  private makeQuery(session: Session, excluded: ReadonlySet<string>, now: number): BackendQuery {
+    now: number,
+    reservedRetries = 0
+  ): BackendQuery {
     const {limits, quarantineGate, retryPolicy} = this.dependencies
     const {request, route, service} = session
     return {
@@ -129,7 +143,7 @@
       prefilled: session.kvSource !== undefined,
       prefilledAt: session.kvSource?.address,
       bodyBytes: request.bodyBytes,
-      singleBackendOnly: !retryPolicy.mayComputeSeparately(session, now),
+      singleBackendOnly: !retryPolicy.mayComputeSeparately(session, now, reservedRetries),
       engine: limits.getEngine(service),
       targetLeftMs: request.arrivedAt + route.targetLatencyMs - now,
       excluded,
@@ -137,6 +151,11 @@
     }
   }
 
+  private startChosen(session: Session, choice: BackendChoice, now: number): void {
+    if (choice.prefillOnly) this.dependencies.retryPolicy.addPrefill(session, now)
+    this.startAttempt(session, choice, now)
+  }
+
   private startAttempt(session: Session, choice: BackendChoice, now: number): void {
     const {answers, picker, quotaGate} = this.dependencies
     picker.addAttempt(choice)
--- a/src/forwarding/retry/retry-policy.ts
+++ b/src/forwarding/retry/retry-policy.ts
@@ -10,8 +10,9 @@
 /// - Failed after it may have been executed (a server error, a broken answer): only a request of a repeatable
 ///   route that may have been executed at fewer back ends than the route's `maximumAttempts` is retried, for
 ///   one retry of the budget.
-/// - Stalled: as a failed execution, and only if another back end would take the request now
-///   (attempt-sender.ts).
+/// - Stalled: as a failed execution or computation of the prompt, which is counted before the attempt is
+///   given up, and only if another back end would take the request now (attempt-sender.ts). Otherwise the
+///   attempt goes on: its back end may still answer.
 ///
 /// A request is never retried after `maximumSends`, after its deadline, or when its caller has disconnected.
 import type {LiveAttempt, Session} from "../forward-session.js"
@@ -46,18 +47,24 @@
     return mayExecuteAgain(session) && this.tryRetryNotExecuted(session, now)
   }
 
-  /// Whether the budget has a retry left for the request. Does not take it.
-  hasRetryLeft({service}: Session, now: number): boolean {
-    const {allowance, getDaemonCount} = this.dependencies
-    return allowance.getRetriesLeft(service, getDaemonCount(), now) >= 1
+  /// Whether a request may be sent again without its stalled attempt, which `session` counts as failed. Takes
+  /// nothing from the budget.
+  mayRetryStalled(session: Session, {choice}: LiveAttempt, now: number): boolean {
+    const mayRun = choice.prefillOnly || mayExecuteAgain(session)
+    return mayRun && !this.isExhausted(session, now) && this.hasRetryLeft(session, now)
+  }
+
+  /// Takes the retry of the budget that `mayRetryStalled` found.
+  addRetry(session: Session, now: number): void {
+    this.tryTakeRetry(session, now)
   }
 
   /// Whether the prompt may be computed at a prefill engine, separately from the generation. If it has been
   /// computed before, the prefill and the generation after it are two arrivals, and each takes a retry of the
-  /// budget.
-  mayComputeSeparately(session: Session, now: number): boolean {
+  /// budget. `reserved` retries of the budget are kept for the send itself.
+  mayComputeSeparately(session: Session, now: number, reserved = 0): boolean {
     if (!hasAttemptsForPrefill(session)) return false
-    return !isComputedAgain(session) || this.hasRetryLeft(session, now)
+    return !isComputedAgain(session) || this.hasRetryLeft(session, now, reserved)
   }
 
   /// Counts a separate computation of a prompt that is sent now: each after the first takes a retry of the
@@ -66,15 +73,14 @@
     if (isComputedAgain(session)) this.tryTakeRetry(session, now)
   }
 
-  /// Whether the attempt makes no progress and may be moved to another back end. Once a stream has started,
-  /// only the gaps between its events count. Before that, the back end must have stopped answering all
-  /// requests, or answer only on newer connections (for plain back ends only: an engine may answer short
-  /// prompts first). Silence before `resumedAt` does not count, as the process was paused until then.
+  /// Whether the attempt makes no progress. Once a stream has started, only the gaps between its events count.
+  /// Before that, the back end must have stopped answering all requests, or answer only on newer connections
+  /// (for plain back ends only: an engine may answer short prompts first). Silence before `resumedAt` does not
+  /// count, as the process was paused until then.
   isStalled(session: Session, attempt: LiveAttempt, now: number, resumedAt: number): boolean {
     const {minimumStallMs, stallGaps, stallTargetShare} = this.dependencies.settings
     const {targetGapMs, targetLatencyMs} = session.route
-    const {backend, prefillOnly} = attempt.choice
-    if (!prefillOnly && !mayExecuteAgain(session)) return false
+    const {backend} = attempt.choice
     const quietMs = now - Math.max(attempt.lastEventAt, resumedAt)
     if (attempt.streaming) return quietMs > targetGapMs * stallGaps
     if (attempt.connectionSilent && backend.record.stage === undefined) return true
@@ -87,6 +93,11 @@
     return abandoned || sends >= this.dependencies.settings.maximumSends || now >= deadlineAt
   }
 
+  private hasRetryLeft({service}: Session, now: number, reserved = 0): boolean {
+    const {allowance, getDaemonCount} = this.dependencies
+    return allowance.getRetriesLeft(service, getDaemonCount(), now) >= 1 + reserved
+  }
+
   private tryTakeRetry({service}: Session, now: number): boolean {
     const {allowance, getDaemonCount} = this.dependencies
     return allowance.tryTakeRetry(service, getDaemonCount(), now)
--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -262,6 +262,7 @@
     site.beginStream();
     site.runUntilMoved();
     site.event(REJECTED, site.now);
+    site.beginStream();
     site.checkWaits();
   });
 
@@ -271,6 +272,7 @@
     site.beginStream();
     site.runUntilMoved();
     site.event(REFUSED, site.now);
+    site.beginStream();
     site.checkWaits();
   });
 
