Completions: move a request off a silent engine only when another one takes it

What callers saw: a completion ended with attempt-broken after 15 s without a token, with time left and its engine sound; also one that may be executed once only, and one whose route had no other engine was cancelled at it.

Now the rule and the choice of an engine are asked with the attempt counted as broken, and the request is sent to just that engine; without one the attempt goes on until the deadline.

--- a/src/routing/completion-manager.ts
+++ b/src/routing/completion-manager.ts
@@ -22,8 +22,11 @@
 import { CompletionDispatch } from './completion-dispatch.js';
 import { CompletionRules } from './completion-rules.js';
 import {
+  addBrokenAttempt,
   createSession,
+  getBrokenWork,
   getNotRun,
+  makeSessionWithoutAttempt,
   PHASES_BY_REFUSAL,
   type LiveAttempt,
   type Session,
@@ -172,10 +175,20 @@
     if (error) this.fail(session, error, now);
   }
 
+  /**
+   * Moves a request whose engine is silent to another engine, if one takes it now. The attempt goes on otherwise:
+   * its engine may still answer.
+   */
   private checkStall(session: Session, attempt: LiveAttempt, now: number): void {
     if (now - attempt.lastEventAt < this.settings.attemptStallMs) return;
+    const next = makeSessionWithoutAttempt(session, attempt);
+    if (!this.retries.mayRetry(getBrokenWork(next))) return;
+    const decision = this.dispatcher.decide(next, now);
+    if (decision.kind !== 'send') return;
     this.emit({ kind: 'cancelAttempt', attemptId: attempt.attemptId, address: attempt.engine.address });
-    this.onBroken(session, attempt, now);
+    this.applyBreak(session, attempt, now);
+    this.retries.takeRetry(getBrokenWork(session));
+    this.startAttempt(session, decision.choice, now);
   }
 
   /** Sends queued requests in their order while engines can take them. */
@@ -295,19 +308,19 @@
 
   /** The engine may have executed the attempt: retries only repeatable work, within the budget. */
   private onBroken(session: Session, attempt: LiveAttempt, now: number): void {
-    attempt.engine.addFailure(now, this.directorySettings);
-    this.endAttempt(session, attempt, now);
-    session.mayHaveExecuted = true;
-    session.brokenAttempts += 1;
-    session.kv = undefined;
-    const { row, brokenAttempts } = session;
-    if (this.retries.takeRetry({ repeatable: row.repeatable, brokenAttempts })) {
-      session.excluded.add(attempt.engine.id);
+    this.applyBreak(session, attempt, now);
+    if (this.retries.takeRetry(getBrokenWork(session))) {
       this.requeue(session, now);
       return;
     }
-    const { requestId } = session.request;
-    this.fail(session, new AttemptBrokenError(requestId, brokenAttempts, getNotRun(session)), now);
+    const { request, brokenAttempts } = session;
+    this.fail(session, new AttemptBrokenError(request.requestId, brokenAttempts, getNotRun(session)), now);
+  }
+
+  private applyBreak(session: Session, attempt: LiveAttempt, now: number): void {
+    attempt.engine.addFailure(now, this.directorySettings);
+    this.endAttempt(session, attempt, now);
+    addBrokenAttempt(session, attempt);
   }
 
   /** The engine certainly did not execute the attempt: tries another one, outside the retry budget. */
--- a/src/routing/completion-session.ts
+++ b/src/routing/completion-session.ts
@@ -10,6 +10,7 @@
 import type { CompletionRequest } from './completion-request.js';
 import type { EngineView } from './engine-directory.js';
 import type { EngineChoice } from './engine-picker.js';
+import type { BrokenWork } from './retry-rule.js';
 
 /** A request's attempt in flight at an engine. */
 export interface LiveAttempt {
@@ -73,6 +74,27 @@
   };
 }
 
+/** Counts an attempt that broke after its engine may have started it. */
+export function addBrokenAttempt(session: Session, { engine }: LiveAttempt): void {
+  session.attempt = undefined;
+  session.mayHaveExecuted = true;
+  session.brokenAttempts += 1;
+  session.kv = undefined;
+  session.excluded.add(engine.id);
+}
+
+/** What the retry rule is asked about a request whose last attempt broke. */
+export function getBrokenWork({ row, brokenAttempts }: Session): BrokenWork {
+  return { repeatable: row.repeatable, brokenAttempts };
+}
+
+/** The state of a request as it would be if its live attempt had broken now. The session is not changed. */
+export function makeSessionWithoutAttempt(session: Session, attempt: LiveAttempt): Session {
+  const next = { ...session, excluded: new Set(session.excluded) };
+  addBrokenAttempt(next, attempt);
+  return next;
+}
+
 /**
  * Whether a request was certainly not executed: `false` once tokens arrived, `true` only if no engine can have
  * started it, and `unknown` otherwise.
--- a/src/routing/retry-budget.ts
+++ b/src/routing/retry-budget.ts
@@ -25,9 +25,14 @@
     this.tokens = Math.min(MAXIMUM_TOKENS, this.tokens + this.ratio);
   }
 
+  /** Whether there is a token. Does not take it. */
+  hasRetry(): boolean {
+    return this.tokens >= 1;
+  }
+
   /** Takes a token if there is one. Returns whether the retry is allowed. */
   tryRetry(): boolean {
-    if (this.tokens < 1) return false;
+    if (!this.hasRetry()) return false;
     this.tokens -= 1;
     return true;
   }
--- a/src/routing/retry-rule.ts
+++ b/src/routing/retry-rule.ts
@@ -6,7 +6,7 @@
 import { RetryBudget } from './retry-budget.js';
 
 /** The input of the rule. */
-interface BrokenWork {
+export interface BrokenWork {
   /** Whether the service allows its requests to be executed more than once. */
   readonly repeatable: boolean;
   /** Number of broken attempts of the request, including the last one. */
@@ -34,10 +34,17 @@
     this.budget.addRequest();
   }
 
+  /** Whether the work may be sent again now. Takes nothing from the budget. */
+  mayRetry(work: BrokenWork): boolean {
+    return this.isAllowed(work) && this.budget.hasRetry();
+  }
+
   /** Whether the work is sent again. If so, takes a retry from the budget. */
-  takeRetry({ repeatable, brokenAttempts }: BrokenWork): boolean {
-    if (!repeatable) return false;
-    if (brokenAttempts >= this.settings.maximumAttempts) return false;
-    return this.budget.tryRetry();
+  takeRetry(work: BrokenWork): boolean {
+    return this.isAllowed(work) && this.budget.tryRetry();
+  }
+
+  private isAllowed({ repeatable, brokenAttempts }: BrokenWork): boolean {
+    return repeatable && brokenAttempts < this.settings.maximumAttempts;
   }
 }
