Fault soak: sound back ends that fall silent beside planned work, and a check of LOST

Cause: no rig let sound back ends pause, so callers that are cut because two back ends in a row were silent were seen only in trials by hand.

Change: a phase of its own after the drawn faults (option pauses, --no-pauses, generator seed + 20, so that the plans of other seeds stay as they are). One, some or all back ends of a service hold all bytes for 0.8 to 2 s, new connections too, in series that overlap, beside changes of the configuration, SIGHUP and planned stops; streams take 0.6 s there. The type of the callers' records gets a module of its own, which the checks import.

Tests: soak-silence 24 pass, fault-soak, soak-ports, soak-daemon, layout pass.

--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -59,6 +59,8 @@
   behavior: BackendBehavior = "well"
   /// Limit announced in its answers, in requests a second; undefined for none.
   requestsPerSecond: number | undefined
+  /// Time between two events of a stream. Milliseconds.
+  eventIntervalMs = EVENT_INTERVAL_MS
   private readonly orders: StageOrders
   private state: "ready" | "draining" = "ready"
   private address = ""
@@ -351,7 +353,7 @@
       }
       response.write(event)
       eventNumber += 1
-      setTimeout(step, behavior === "slow" ? SLOW_PROCESSING_MS : EVENT_INTERVAL_MS)
+      setTimeout(step, behavior === "slow" ? SLOW_PROCESSING_MS : this.eventIntervalMs)
     }
     setTimeout(step, EVENT_INTERVAL_MS)
   }
--- a/lab/soak/caller-load.ts
+++ b/lab/soak/caller-load.ts
@@ -1,7 +1,8 @@
 /// Callers of a soak: an open-loop load to every daemon through its proxy, and a record of each answer's bytes.
 import {request as sendRequest, Agent, type ClientRequest, type IncomingMessage} from "node:http"
 import {setTimeout as wait} from "node:timers/promises"
-import type {CallerRecord, SoakRecord} from "./soak-record.js"
+import type {CallerRecord} from "./caller-record.js"
+import type {SoakRecord} from "./soak-record.js"
 import {SOAK_TENANTS, UNKNOWN_KEY, type CallerRoute} from "./soak-routes.js"
 
 /// A daemon and the address of its proxy, which callers use.
@@ -22,6 +23,7 @@
 export class CallerLoad {
   private readonly agent = new Agent({keepAlive: true, maxSockets: 64})
   private running = true
+  private sendsRepeatedly = true
   private count = 0
   private readonly inFlight = new Set<Promise<void>>()
 
@@ -47,7 +49,7 @@
     this.agent.destroy()
   }
 
-  /// Sends a request that crashes its back end to random daemons until `stop`, at about this interval. It draws
+  /// Sends a request that crashes its back end to random daemons until `stop` or `stopRepeating`, at about this interval. It draws
   /// from its own generator of random numbers.
   async sendRepeatedly(
     body: string,
@@ -55,9 +57,9 @@
     intervalMs: number,
     random: () => number
   ): Promise<void> {
-    while (this.running) {
+    while (this.running && this.sendsRepeatedly) {
       await wait(intervalMs * (0.5 + random()))
-      if (!this.running) return
+      if (!this.running || !this.sendsRepeatedly) return
       const target = this.targets[Math.floor(random() * this.targets.length)]
       const sent = this.send(target, route, body).finally(() => this.inFlight.delete(sent))
       this.inFlight.add(sent)
@@ -69,6 +71,11 @@
     this.running = false
   }
 
+  /// Stops sending the requests that crash back ends.
+  stopRepeating(): void {
+    this.sendsRepeatedly = false
+  }
+
   /// Picks a random daemon among those in use; when none is in use, among all of them, although none is running.
   private pickTarget(): CallerTarget {
     const used = this.targets.filter(this.isUsed)
--- a/lab/soak/disturbance.ts
+++ b/lab/soak/disturbance.ts
@@ -67,3 +67,17 @@
       other.until + contactMs >= sentAt
   )
 }
+
+/// Whether nothing but planned work disturbed a request, the contact time before it included. While its daemon is
+/// down for a planned stop, no request is undisturbed.
+export function isBesidePlannedWork(
+  disturbances: readonly Disturbance[],
+  contactMs: number,
+  {daemon, sentAt, endedAt}: {daemon: string; sentAt: number; endedAt: number}
+): boolean {
+  return !disturbances.some(({target, kind, from, until}) => {
+    if (![daemon, "*", BACKENDS].includes(target) || from > endedAt || until + contactMs < sentAt)
+      return false
+    return !kind.startsWith(PLANNED_STOP) || sentAt >= from + STOP_ACCEPTS_MS
+  })
+}
--- a/lab/soak/fault-proxy.ts
+++ b/lab/soak/fault-proxy.ts
@@ -13,6 +13,7 @@
   private state: LinkState = "open"
   private delayMs = 0
   private connectionCount = 0
+  private isHeld = false
   private readonly sockets = new Set<Socket>()
   /// Sockets whose bytes are dropped whatever the state.
   private readonly silenced = new WeakSet<Socket>()
@@ -40,6 +41,18 @@
     for (const socket of this.sockets) this.silenced.add(socket)
   }
 
+  /// Holds all bytes in both directions, those of new connections too, until `release`; none is lost.
+  hold(): void {
+    this.isHeld = true
+    for (const socket of this.sockets) socket.pause()
+  }
+
+  /// Forwards the bytes that were held, in order, and all further ones.
+  release(): void {
+    this.isHeld = false
+    for (const socket of this.sockets) socket.resume()
+  }
+
   /// Number of connections accepted so far.
   getConnectionCount(): number {
     return this.connectionCount
@@ -82,6 +95,7 @@
     }
     this.forward(client, upstream, TO_TARGET)
     this.forward(upstream, client, TO_CLIENT)
+    if (this.isHeld) for (const socket of [client, upstream]) socket.pause()
   }
 
   private forward(from: Socket, to: Socket, direction: typeof TO_TARGET | typeof TO_CLIENT): void {
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -12,34 +12,9 @@
 import {isCutByStop, isUndisturbed, type Disturbance} from "./disturbance.js"
 import type {EarlyReload} from "./early-reload.js"
 import {SignalRecord} from "./signal-record.js"
-import {findTenant, QUOTA_RULE, SOAK_QUOTAS, UNCACHED_TOKENS, type RouteForm} from "./soak-routes.js"
-
-/// One request of a caller. Times are monotonic milliseconds.
-export interface CallerRecord {
-  readonly id: string
-  readonly daemon: string
-  readonly route: string
-  readonly form: RouteForm
-  readonly sentAt: number
-  readonly timeoutMs: number
-  /// The API key that the caller sent.
-  readonly key?: string | undefined
-  /// Whether the route requires a key.
-  readonly needsKey?: boolean
-  endedAt?: number
-  /// Undefined when the connection ended before the answer was complete.
-  status?: number
-  signature?: string
-  /// Whether the answer announces a limit of its back end.
-  signalsLimit?: boolean
-  /// Whether the answer announces that its back end is leaving.
-  signalsLeaving?: boolean
-  body?: string
-  /// Whether the answer ended as complete, by its HTTP framing.
-  complete?: boolean
-  /// The body of a request that crashes the back ends that execute it; undefined for the others.
-  readonly crashingBody?: string
-}
+import {findCallersCutBySilence, type SilentSpan} from "./silence-check.js"
+import type {CallerRecord, Violation} from "./caller-record.js"
+import {findTenant, QUOTA_RULE, SOAK_QUOTAS, UNCACHED_TOKENS} from "./soak-routes.js"
 
 /// One execution of a request at a back end. Monotonic milliseconds.
 export interface ExecutionRecord {
@@ -75,12 +50,6 @@
   retries: {ratio: 0.2, slack: 50, windowMs: 10_000}
 }
 
-/// A violated promise, with the request, back end or daemon in question.
-export interface Violation {
-  readonly promise: string
-  readonly text: string
-}
-
 /// Bounds of the promises. Milliseconds.
 export interface SoakBounds {
   readonly configMs: number
@@ -113,6 +82,8 @@
   readonly crashes: CrashRecord[] = []
   /// Processes that a reload ended before they could handle it.
   readonly earlyReloads: EarlyReload[] = []
+  /// Periods in which sound back ends were silent.
+  readonly silences: SilentSpan[] = []
   /// Violations that the stand-ins and the site observed directly.
   readonly observedViolations: Violation[] = []
 
@@ -161,7 +132,7 @@
           promise: "a request that ended three back ends is kept away from others",
           text: `${body}: ${lateRetries} times more, ${ends} ended`
         })
-    violations.push(...this.signals.check())
+    violations.push(...this.signals.check(), ...this.findCallersCutBySilence().violations)
     for (const {service, seen, allowed, from} of this.findWorstRetryWindows()) {
       const text = `${service}: ${seen} of ${allowed} from ${from} ms`
       if (seen > allowed) violations.push({promise: "repeats stay within the retry budget", text})
@@ -169,6 +140,16 @@
     return violations
   }
 
+  /// Counts the requests beside silent back ends with nothing else wrong, and finds those that were ended too soon.
+  findCallersCutBySilence(): ReturnType<typeof findCallersCutBySilence> {
+    return findCallersCutBySilence(
+      this.silences,
+      this.requests.values(),
+      this.disturbances,
+      this.bounds.contactMs
+    )
+  }
+
   /// The worst window of retries of each service, counted at the back ends.
   findWorstRetryWindows(): RetryWindow[] {
     return findWorstWindows(this.arrivals, this.getServiceRequests(), this.bounds.retries)
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -61,6 +61,7 @@
   private readonly incarnations: BackendStandIn[] = []
   private readonly registry = new HandleRegistry()
   private version = 0
+  private eventIntervalMs: number | undefined
   private readonly revokedKeys = new Set<string>()
   private movingService: string = SOAK_SERVICES.plain
   private closed = false
@@ -153,6 +154,24 @@
     if (backend) backend.backOff = backOff
   }
 
+  /// Holds all bytes from and to the back end at a place, which is sound. Returns a function that lets them go on.
+  startSilence(place: number): () => void {
+    const {proxy} = this.places[place]
+    const span = {place, from: performance.now(), until: Infinity}
+    this.record.silences.push(span)
+    proxy.hold()
+    return () => {
+      proxy.release()
+      span.until = performance.now()
+    }
+  }
+
+  /// Sets the time between two events of a stream at all back ends, in milliseconds.
+  setEventInterval(intervalMs: number): void {
+    this.eventIntervalMs = intervalMs
+    for (const {backend} of this.places) if (backend) backend.eventIntervalMs = intervalMs
+  }
+
   /// Starts a new incarnation at a place, if none is running there. With `keepsId` it has the id of the previous
   /// one.
   async startBackend(index: number, keepsId = false): Promise<void> {
@@ -162,6 +181,7 @@
     const {service, stage} = PLACES[index]
     const identity = {id: `b${index}i${place.incarnation}`, service, stage, zone: ZONES[index % ZONES.length]}
     const backend = new BackendStandIn(identity, this.store, this.record, this.registry, this.random)
+    backend.eventIntervalMs = this.eventIntervalMs ?? backend.eventIntervalMs
     this.incarnations.push(backend)
     place.realAddress = await backend.start()
     place.backend = backend
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -15,8 +15,10 @@
 import type {RetryWindow} from "./retry-check.js"
 import {makeSignalPlan, makePlan, makeSeriesPlan, type PlannedFault} from "./fault-plan.js"
 import {BACKENDS} from "./disturbance.js"
-import {SOAK_BOUNDS, SoakRecord, type CallerRecord, type SoakBounds, type Violation} from "./soak-record.js"
+import type {CallerRecord, Violation} from "./caller-record.js"
+import {SOAK_BOUNDS, SoakRecord, type SoakBounds} from "./soak-record.js"
 import {findTenant, OVER_QUOTA_TENANT, SOAK_ROUTES} from "./soak-routes.js"
+import {makeSilencePlan} from "./silence-faults.js"
 import {BACKEND_COUNT, PLACES_BY_SERVICE, SoakSite} from "./soak-site.js"
 import {STATUS_MALFORMED} from "./stray-calls.js"
 
@@ -41,6 +43,8 @@
   readonly crashes: readonly CrashOutcome[]
   /// The worst window of each limit that a back end announced.
   readonly limits: readonly LimitWindow[]
+  /// Number of requests that were judged beside silent back ends.
+  readonly besideSilence: number
   readonly violations: readonly Violation[]
 }
 
@@ -53,9 +57,24 @@
   readonly crashes: boolean
   /// Whether back ends send signals in their answers: limits, leaving and back-offs.
   readonly signals: boolean
+  /// Whether there is a phase in which sound back ends fall silent beside planned work.
+  readonly pauses: boolean
+  /// Whether the drawn faults are left out; the other kinds of trouble remain.
+  readonly calm: boolean
 }
 
-const DEFAULT_OPTIONS: SoakOptions = {daemonCount: DAEMONS, series: false, crashes: false, signals: false}
+const DEFAULT_OPTIONS: SoakOptions = {
+  daemonCount: DAEMONS,
+  series: false,
+  crashes: false,
+  signals: false,
+  pauses: false,
+  calm: false
+}
+/// Time for the site to settle between two phases. Milliseconds.
+const SETTLE_MS = 4000
+/// Time between two events of a stream in the phase of silences, so that streams are under way when one begins.
+const SILENCE_EVENT_INTERVAL_MS = 100
 /// Mean interval of the requests that crash back ends, on each of their routes. Milliseconds.
 const CRASH_INTERVAL_MS = 400
 /// The routes of these requests: a plain one, and two with streamed answers.
@@ -68,7 +87,7 @@
   perSecond: number,
   program: string,
   folder: string,
-  {daemonCount, series, crashes, signals}: SoakOptions = DEFAULT_OPTIONS
+  {daemonCount, series, crashes, signals, pauses, calm}: SoakOptions = DEFAULT_OPTIONS
 ): Promise<SoakOutcome> {
   const generator = new SeededRandom(seed)
   const random = () => generator.next()
@@ -90,7 +109,15 @@
   const seriesPlan = makeSeriesPlan(daemons, PLACES_BY_SERVICE, seconds * 1000, () => seriesGenerator.next())
   const signalGenerator = new SeededRandom(seed + 10)
   const signalPlan = makeSignalPlan(PLACES_BY_SERVICE, seconds * 1000, () => signalGenerator.next())
-  await runPlan(site, mergePlans(plan, series ? seriesPlan : [], signals ? signalPlan : []))
+  await runPlan(site, mergePlans(calm ? [] : plan, series ? seriesPlan : [], signals ? signalPlan : []))
+  load.stopRepeating()
+  if (pauses) {
+    await wait(SETTLE_MS)
+    const silenceGenerator = new SeededRandom(seed + 20)
+    const nextRandom = () => silenceGenerator.next()
+    site.setEventInterval(SILENCE_EVENT_INTERVAL_MS)
+    await runPlan(site, makeSilencePlan(daemons, PLACES_BY_SERVICE, seconds * 1000, nextRandom))
+  }
   await wait(RECOVERY_MS)
   const recoveredFrom = performance.now() - RECOVERY_CHECK_MS
   load.stop()
@@ -214,6 +241,7 @@
     repeats: record.findWorstRetryWindows(),
     crashes: record.findCrashOutcomes(),
     limits: record.signals.findLimitWindows(),
+    besideSilence: record.findCallersCutBySilence().judged,
     violations
   }
 }
@@ -226,7 +254,7 @@
 
 async function main(): Promise<void> {
   const cli = meow(
-    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--no-signals] [--keep] [--regressions]",
+    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--no-signals] [--no-pauses] [--calm] [--keep] [--regressions]",
     {
       importMeta: import.meta,
       flags: {
@@ -238,13 +266,16 @@
         series: {type: "boolean", default: true},
         crashes: {type: "boolean", default: true},
         signals: {type: "boolean", default: true},
+        pauses: {type: "boolean", default: true},
+        calm: {type: "boolean", default: false},
         keep: {type: "boolean", default: false},
         regressions: {type: "boolean", default: false}
       }
     }
   )
-  const {seed, count, seconds, rate, daemons, series, crashes, signals, keep, regressions} = cli.flags
-  const options = {daemons, series, crashes, signals}
+  const {seed, count, seconds, rate, daemons, series, crashes, signals, pauses, calm, keep, regressions} =
+    cli.flags
+  const options = {daemons, series, crashes, signals, pauses, calm}
   const freshRuns = Array.from({length: count}, (_, i) => ({seed: seed + i, seconds, ...options}))
   const runs = regressions ? readRegressions() : freshRuns
   const program = buildProgram(join(process.cwd(), "bench-results", "program"))
@@ -256,7 +287,9 @@
       daemonCount: run.daemons ?? DAEMONS,
       series: run.series ?? false,
       crashes: run.crashes ?? false,
-      signals: run.signals ?? false
+      signals: run.signals ?? false,
+      pauses: run.pauses ?? false,
+      calm: run.calm ?? false
     }
     const outcome = await runSoak(run.seed, run.seconds, rate, program, folder, soakOptions)
     process.stdout.write(`${JSON.stringify(outcome)}\n`)
@@ -276,6 +309,8 @@
     series: z.boolean().optional(),
     crashes: z.boolean().optional(),
     signals: z.boolean().optional(),
+    pauses: z.boolean().optional(),
+    calm: z.boolean().optional(),
     cause: z.string()
   })
 )
--- a/test/fault-soak.test.ts
+++ b/test/fault-soak.test.ts
@@ -6,15 +6,10 @@
 import { once } from 'node:events';
 import { expect } from 'chai';
 import { FaultProxy } from '../lab/soak/fault-proxy.js';
+import type { CallerRecord } from '../lab/soak/caller-record.js';
 import { CRASHING_BODY } from '../lab/soak/crash-check.js';
 import { makePlan, makeSeriesPlan } from '../lab/soak/fault-plan.js';
-import {
-  formatBody,
-  formatEvent,
-  SoakRecord,
-  type CallerRecord,
-  type ExecutionRecord,
-} from '../lab/soak/soak-record.js';
+import { formatBody, formatEvent, SoakRecord, type ExecutionRecord } from '../lab/soak/soak-record.js';
 import type { ArrivalRecord } from '../lab/soak/retry-check.js';
 import { SOAK_TENANTS } from '../lab/soak/soak-routes.js';
 import { SeededRandom } from '../src/shared/random.js';
