--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -7,6 +7,7 @@
 import type { FleetEffect } from '../fleet/fleet-replica.js';
 import { RouteTable } from '../forwarding/routes/route-table.js';
 import { TenantDirectory } from '../forwarding/routes/tenant-directory.js';
+import type { TunnelRefusal } from '../forwarding/paths/tunnel-refusal.js';
 import type { MembershipEffect } from '../membership/membership.js';
 import type { DaemonIdentity, MembershipMessage } from '../membership/membership-messages.js';
 import type { PartFigures } from '../parts/daemon-part.js';
@@ -132,6 +133,14 @@
     return this.machines.directory.get(backendId)?.inFlight() ?? 0;
   }
 
+  /**
+   * Why this daemon takes no tunnel to a back end for a peer; undefined if it takes one. `openTunnels` is the
+   * number of those that it carries now.
+   */
+  checkTunnel(_backendAddress: string, _openTunnels: number): TunnelRefusal | undefined {
+    return 'unknown-backend';
+  }
+
   /** The figures of each part, by its name, for operators. */
   getPartFigures(now: number): Readonly<Record<string, PartFigures>> {
     return Object.fromEntries(this.machines.parts.map((part) => [part.name, part.getFigures?.(now) ?? {}]));
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -342,6 +342,8 @@
       case 'backendGone':
         this.backends.removeBackend(effect.backendId);
         break;
+      case 'closeTunnels':
+        break;
       default:
         this.externalCalls.perform(effect);
     }
