Tunnels: connections to back ends that go through a peer daemon

Cause: a daemon that has lost its paths to all back ends can't serve, although its callers and peers reach it (docs/incidents/daemons-cut-off-from-back-ends.md, hypothesis 1). Whatever decides about a request stays where it is; only the connection of an attempt can now go through a peer.

Change: a connection to a daemon's peer address whose first line is a request for a tunnel becomes one: the peer connects to the back end, answers by one line, and passes bytes on. AttemptStart has `via`; the client keeps pools of its own for each peer; a tunnel that is not opened makes the attempt unreachable, with where it failed. An answer without a length that comes through a tunnel is broken, since the peer's end would look the same as its own. A stop waits for open tunnels and resets those left. Nothing sets `via` yet. ForwardingDaemon.checkTunnel refuses unknown back ends, above 512 tunnels, and while it stops.

The first line of a connection between daemons is read as bytes and is limited to 16 KiB; its acknowledgement is written after it instead of after the first bytes.

--- a/src/adapters/attempt-handler.ts
+++ b/src/adapters/attempt-handler.ts
@@ -3,6 +3,7 @@
  * it means for the request.
  */
 import type { Dispatcher } from 'undici';
+import { TunnelError } from '../errors/index.js';
 import type { BackendSignals } from '../forwarding/backends/backend-signals.js';
 import type { AttemptStart, ForwardAttemptEvent } from '../forwarding/forward-messages.js';
 import type { BackendDialect, CallerHead, RawHeaders } from './backend-dialect.js';
@@ -185,6 +186,11 @@
       this.fail({ kind: 'broken', reason: 'reset before the end of the answer' });
       return;
     }
+    if (this.start.via !== undefined && !this.framed) {
+      // The end of a peer closes the tunnel in the same way as the end of such an answer.
+      this.fail({ kind: 'broken', reason: 'no length in an answer through a tunnel' });
+      return;
+    }
     this.finished = true;
     const body = Buffer.concat(this.chunks);
     if (this.start.prefillOnly) {
@@ -203,7 +209,12 @@
     if (this.finished) return;
     this.finished = true;
     const reason = (error as NodeJS.ErrnoException).code ?? error.message;
-    this.onEvent(this.written ? { kind: 'broken', reason } : { kind: 'unreachable', reason });
+    if (this.written) this.onEvent({ kind: 'broken', reason });
+    else if (error instanceof TunnelError)
+      this.onEvent({ kind: 'unreachable', reason: error.reason, tunnelFailure: error.failure });
+    else if (this.start.via !== undefined)
+      this.onEvent({ kind: 'unreachable', reason, tunnelFailure: 'peer' });
+    else this.onEvent({ kind: 'unreachable', reason });
   }
 
   private writeStreamData(splitter: EventSplitter, chunk: Buffer): void {
--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -28,6 +28,18 @@
   readonly body?: string;
 }
 
+/** The server of a pool; its address is `ip:port`. */
+type Server = Pick<BackendRecord, 'id' | 'address'>;
+
+/** What tells the pools of one server apart. */
+interface PoolOptions {
+  readonly purpose?: string;
+  /** Address of the peer through which its connections go, `ip:port`; undefined for direct ones. */
+  readonly via?: string | undefined;
+  /** Milliseconds. */
+  readonly maximumIdleMs?: number;
+}
+
 /** Purposes of internal calls. */
 type InternalCallKind = 'freeKv' | 'probe' | 'kvChanges' | 'engineStatus';
 
@@ -62,6 +74,8 @@
    * must be re-established.
    */
   readonly silentConnectionMs: number;
+  /** Id of this daemon, by which it asks peers for tunnels. */
+  readonly daemonId?: string;
 }
 
 /** Maximum idle time of a connection, whatever the server allows. Milliseconds. */
@@ -71,6 +85,11 @@
  * that is idle. Milliseconds.
  */
 const MAXIMUM_IDLE_ONCE_MS = 200;
+/**
+ * Maximum idle time of a tunnel: it counts against the bound of its peer, and a new one takes a round trip.
+ * Milliseconds.
+ */
+const MAXIMUM_IDLE_TUNNEL_MS = 1000;
 /**
  * Interval of the checks for data received on connections. Milliseconds; a quarter of the default of
  * `silentConnectionMs`.
@@ -83,7 +102,7 @@
   'whole',
   'connectionSilent',
 ]);
-/** Prefixes of the keys of a back end's pools beside its default one, whose key is the back end's id. */
+/** Purposes of a back end's pools beside its default one. */
 const PROBE_POOL = 'probe';
 const ONCE_POOL = 'once';
 const KV_CHANGES_POOL = 'kv';
@@ -117,9 +136,7 @@
     onEvent: (event: ForwardAttemptEvent) => void,
   ): void {
     const resumed: AttemptStart = { ...start, resumeAfter: sink.getLastEventId() ?? start.resumeAfter };
-    const { id, address } = start.backend;
-    const key = start.once ? `${ONCE_POOL} ${id}` : id;
-    const pool = this.getPool(key, address, start.once ? MAXIMUM_IDLE_ONCE_MS : MAXIMUM_IDLE_MS);
+    const pool = this.getAttemptPool(start);
     const handler = new AttemptHandler({
       pool,
       dialect: this.dialect,
@@ -169,19 +186,19 @@
     return handler?.answer;
   }
 
-  /** Frees an exported KV cache; the result is ignored. */
-  freeKv(source: KvSource): void {
-    void this.callOrReport('freeKv', source.address, source.address, this.dialect.createFreeKvCall(source));
+  /** Frees an exported KV cache, through the peer `via` if given; the result is ignored. */
+  freeKv(source: KvSource, via?: string): void {
+    const call = this.dialect.createFreeKvCall(source);
+    const pool = this.getPool({ id: source.address, address: source.address }, { via });
+    void this.callOrReport('freeKv', pool, call);
   }
 
   /** Sends a health check; false when it failed or was not answered. */
   async probe(probe: HealthProbe, healthPath: string): Promise<boolean> {
-    const { id, address } = probe.backend;
+    const { id } = probe.backend;
     const sentAt = performance.now();
-    const answer = await this.callOrReport('probe', `${PROBE_POOL} ${id}`, address, {
-      method: 'GET',
-      path: healthPath,
-    });
+    const pool = this.getPool(probe.backend, { purpose: PROBE_POOL });
+    const answer = await this.callOrReport('probe', pool, { method: 'GET', path: healthPath });
     if (!answer) return false;
     const isHealthy = this.dialect.isHealthy(answer.status, answer.headers, id);
     this.reportSignals(probe.backend, answer, sentAt, isHealthy);
@@ -190,16 +207,10 @@
 
   /** Reads the changes of a model engine's KV cache; undefined when there was no valid answer. */
   async readKvChanges(call: KvChangesCall): Promise<KvChanges | undefined> {
-    const { id, address } = call.backend;
+    const pool = this.getPool(call.backend, { purpose: KV_CHANGES_POOL });
     const internalCall = this.dialect.createKvChangesCall(call);
     const sentAt = performance.now();
-    const answer = await this.callOrReport(
-      'kvChanges',
-      `${KV_CHANGES_POOL} ${id}`,
-      address,
-      internalCall,
-      call.waitMs,
-    );
+    const answer = await this.callOrReport('kvChanges', pool, internalCall, call.waitMs);
     if (answer) this.reportSignals(call.backend, answer, sentAt);
     return answer && this.dialect.parseKvChanges(answer.status, answer.body);
   }
@@ -208,17 +219,16 @@
   async readEngineStatus(backend: BackendRecord): Promise<EngineStatus | undefined> {
     const call = this.dialect.createEngineStatusCall();
     const sentAt = performance.now();
-    const answer = await this.callOrReport('engineStatus', backend.id, backend.address, call);
+    const answer = await this.callOrReport('engineStatus', this.getPool(backend), call);
     if (answer) this.reportSignals(backend, answer, sentAt);
     return answer && this.dialect.parseEngineStatus(answer.status, answer.body);
   }
 
   /** Sends an order, without retries. */
   async order(order: StageOrder): Promise<StageOrderResult> {
-    const { id, address } = order.backend;
     const sentAt = performance.now();
     try {
-      const answer = await this.sendCall(id, address, this.dialect.createOrderCall(order));
+      const answer = await this.sendCall(this.getPool(order.backend), this.dialect.createOrderCall(order));
       this.reportSignals(order.backend, answer, sentAt);
       return this.dialect.parseOrderResult(answer.status);
     } catch (error) {
@@ -239,9 +249,18 @@
 
   /** Removes the pools of a back end that no longer exists; each connection is closed when its request has ended. */
   removeBackend(backendId: string): void {
-    const kinds = [PROBE_POOL, ONCE_POOL, KV_CHANGES_POOL].map((kind) => `${kind} ${backendId}`);
-    for (const key of [backendId, ...kinds]) {
-      this.pools.get(key)?.close();
+    this.removePools(({ settings }) => settings.serverId === backendId);
+  }
+
+  /** Removes the pools of tunnels through the peer `via`; each tunnel is closed when its request has ended. */
+  closeTunnels(via: string): void {
+    this.removePools(({ settings }) => settings.tunnel?.via === via);
+  }
+
+  private removePools(isRemoved: (pool: ServerPool) => boolean): void {
+    for (const [key, pool] of this.pools) {
+      if (!isRemoved(pool)) continue;
+      pool.close();
       this.pools.delete(key);
     }
   }
@@ -292,12 +311,10 @@
   }
 
   private async sendCall(
-    key: string,
-    address: string,
+    { pool }: ServerPool,
     { method, path, headers, body }: InternalCall,
     longPollMs = 0,
   ): Promise<InternalAnswer> {
-    const { pool } = this.getPool(key, address);
     const answer = await pool.request({
       method: method as Dispatcher.HttpMethod,
       path,
@@ -310,11 +327,20 @@
     return { status: answer.statusCode, headers: answer.headers as unknown as string[], body: text };
   }
 
-  private getPool(key: string, address: string, maximumIdleMs = MAXIMUM_IDLE_MS): ServerPool {
+  private getAttemptPool({ backend, via, once }: AttemptStart): ServerPool {
+    const maximumIdleMs = via === undefined ? MAXIMUM_IDLE_MS : MAXIMUM_IDLE_TUNNEL_MS;
+    if (!once) return this.getPool(backend, { via, maximumIdleMs });
+    return this.getPool(backend, { purpose: ONCE_POOL, via, maximumIdleMs: MAXIMUM_IDLE_ONCE_MS });
+  }
+
+  private getPool({ id: serverId, address }: Server, options: PoolOptions = {}): ServerPool {
+    const { purpose = '', via, maximumIdleMs = MAXIMUM_IDLE_MS } = options;
+    const key = `${purpose} ${serverId} ${via ?? ''}`;
     let pool = this.pools.get(key);
     if (!pool) {
-      const { connectionsPerBackend: connections } = this.settings;
-      pool = new ServerPool(address, { connections, maximumIdleMs }, this.resetDetector);
+      const { connectionsPerBackend: connections, daemonId = '' } = this.settings;
+      const tunnel = via === undefined ? undefined : { via, originId: daemonId };
+      pool = new ServerPool({ address, serverId, tunnel, connections, maximumIdleMs }, this.resetDetector);
       this.pools.set(key, pool);
     }
     return pool;
--- a/src/adapters/peer-codec.ts
+++ b/src/adapters/peer-codec.ts
@@ -6,6 +6,12 @@
 import { PeerProtocolError } from '../errors/index.js';
 import { dutyMessageSchemas } from '../duties/duty-messages.js';
 import { fleetMessageSchemas } from '../fleet/fleet-messages.js';
+import {
+  tunnelAnswerSchema,
+  tunnelRequestSchema,
+  type TunnelAnswer,
+  type TunnelRequest,
+} from '../forwarding/tunnel-messages.js';
 import { quarantineMessageSchemas } from '../quarantine/quarantine-messages.js';
 import { quotaMessageSchemas } from '../quotas/quota-messages.js';
 
@@ -97,9 +103,11 @@
 
 const helloSchema = z.object({ kind: z.literal('hello'), id: text, address: text });
 
-/** The first line on a connection, which identifies the sender. */
+/** The first line on a connection for messages, which identifies the sender. */
 export type PeerHello = z.infer<typeof helloSchema>;
 
+const firstLineSchema = z.discriminatedUnion('kind', [helloSchema, tunnelRequestSchema]);
+
 /** Encodes a message as a line, without the line break. devalue escapes line breaks inside strings. */
 export function encodePeerMessage(message: PeerMessage | PeerHello): string {
   return stringify(message);
@@ -115,10 +123,28 @@
 
 /**
  * Decodes the first line of a connection.
- * @throws PeerProtocolError when it is not a hello.
+ * @throws PeerProtocolError when it is neither a hello nor a request for a tunnel.
+ */
+export function decodeFirstLine(line: string): PeerHello | TunnelRequest {
+  return decode(line, firstLineSchema);
+}
+
+/** Encodes a request for a tunnel as a line, without the line break. */
+export function encodeTunnelRequest(request: TunnelRequest): string {
+  return stringify(request);
+}
+
+/** Encodes the answer to a request for a tunnel as a line, without the line break. */
+export function encodeTunnelAnswer(answer: TunnelAnswer): string {
+  return stringify(answer);
+}
+
+/**
+ * Decodes the answer to a request for a tunnel.
+ * @throws PeerProtocolError when it is none.
  */
-export function decodePeerHello(line: string): PeerHello {
-  return decode(line, helloSchema);
+export function decodeTunnelAnswer(line: string): TunnelAnswer {
+  return decode(line, tunnelAnswerSchema);
 }
 
 function decode<Output>(line: string, schema: z.ZodType<Output>): Output {
--- a/src/adapters/peer-transport.ts
+++ b/src/adapters/peer-transport.ts
@@ -3,12 +3,15 @@
  * socket buffer nothing is queued for a peer that can't be reached: the protocols on top resend what they need.
  */
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
+import { StringDecoder } from 'node:string_decoder';
 import type { PeerMessage } from '../daemon/peer-messages.js';
-import { PulleyledgeError } from '../errors/index.js';
+import { PeerProtocolError, PulleyledgeError } from '../errors/index.js';
+import type { TunnelRequest } from '../forwarding/tunnel-messages.js';
 import { splitAddress } from '../shared/address.js';
+import { FirstLineReader, type FirstLine } from './first-line-reader.js';
 import { LineSplitter } from './line-splitter.js';
 import { startListening } from './listen.js';
-import { decodePeerHello, decodePeerMessage, encodePeerMessage, type PeerHello } from './peer-codec.js';
+import { decodeFirstLine, decodePeerMessage, encodePeerMessage, type PeerHello } from './peer-codec.js';
 
 /** Callbacks of the transport. */
 export interface PeerTransportListener {
@@ -18,6 +21,8 @@
   onProtocolError(error: PulleyledgeError, remote: string): void;
   /** A message was sent or received, for metrics. Bytes include the line break but no TCP headers. */
   onTraffic(direction: 'sent' | 'received', kind: string, bytes: number): void;
+  /** A connection asks to become a tunnel, and is the listener's from now on. Absent where none are served. */
+  onTunnel?(socket: Socket, request: TunnelRequest): void;
 }
 
 /** A connection attempt that takes longer has failed. Milliseconds. */
@@ -49,6 +54,8 @@
 const SILENT_CHECKS = 8;
 /** While more than this is buffered for a peer that reads slowly, messages to it are dropped. Bytes. */
 const MAXIMUM_BUFFERED_BYTES = 1024 * 1024;
+/** An incoming connection with a longer first line is closed. Bytes; its fields are limited to a few thousand. */
+const MAXIMUM_FIRST_LINE_BYTES = 16 * 1024;
 /** An incoming connection with a longer line is closed. Characters. */
 const MAXIMUM_LINE_LENGTH = 8 * 1024 * 1024;
 
@@ -171,29 +178,59 @@
     socket.on('error', () => socket.destroy());
     socket.on('close', () => this.incoming.delete(socket));
     socket.setTimeout(INCOMING_IDLE_TIMEOUT_MS, () => socket.destroy());
+    const reader = new FirstLineReader(MAXIMUM_FIRST_LINE_BYTES);
+    const onData = (chunk: Buffer): void =>
+      this.checkProtocol(socket, () => {
+        const first = reader.push(chunk);
+        if (!first) return;
+        socket.off('data', onData);
+        this.receiveFirstLine(socket, first);
+      });
+    socket.on('data', onData);
+  }
+
+  private receiveFirstLine(socket: Socket, { line, rest }: FirstLine): void {
+    const first = decodeFirstLine(line);
+    if (first.kind === 'hello') {
+      this.receiveMessages(socket, first, rest);
+      return;
+    }
+    if (!this.listener.onTunnel) throw new PeerProtocolError('kind: no tunnels are served');
+    this.incoming.delete(socket);
+    socket.setTimeout(0);
+    if (rest.length > 0) socket.unshift(rest);
+    this.listener.onTunnel(socket, first);
+  }
+
+  /** Receives the messages of a peer; `rest` is what arrived together with its hello. */
+  private receiveMessages(socket: Socket, peer: PeerHello, rest: Buffer): void {
     const acknowledge = createAcknowledger(socket);
-    let peer: PeerHello | undefined;
+    const decoder = new StringDecoder('utf8');
     const splitter = new LineSplitter(MAXIMUM_LINE_LENGTH);
-    socket.setEncoding('utf8');
-    socket.on('data', (chunk: string) => {
+    const onData = (chunk: Buffer): void => {
       acknowledge();
-      const completeLines = splitter.push(chunk);
+      const completeLines = splitter.push(decoder.write(chunk));
       if (!completeLines) {
         socket.destroy();
         return;
       }
-      for (const line of completeLines) {
-        if (socket.destroyed) return;
-        try {
-          if (peer) this.receive(peer, line);
-          else peer = decodePeerHello(line);
-        } catch (error) {
-          if (!(error instanceof PulleyledgeError)) throw error;
-          this.listener.onProtocolError(error, String(socket.remoteAddress));
-          socket.destroy();
-        }
-      }
-    });
+      this.checkProtocol(socket, () => {
+        for (const line of completeLines) if (!socket.destroyed) this.receive(peer, line);
+      });
+    };
+    socket.on('data', onData);
+    onData(rest);
+  }
+
+  /** Runs `receive`; when it throws because of an invalid line, reports the error and closes the connection. */
+  private checkProtocol(socket: Socket, receive: () => void): void {
+    try {
+      receive();
+    } catch (error) {
+      if (!(error instanceof PulleyledgeError)) throw error;
+      this.listener.onProtocolError(error, String(socket.remoteAddress));
+      socket.destroy();
+    }
   }
 
   private receive(peer: PeerHello, line: string): void {
--- a/src/adapters/reset-detector.ts
+++ b/src/adapters/reset-detector.ts
@@ -16,10 +16,13 @@
     this.connect = buildConnector({ timeout: connectTimeoutMs });
   }
 
-  /** Creates a connector that reports each connection that was established. */
-  createConnector(onConnected: (socket: Socket) => void): buildConnector.connector {
+  /**
+   * Creates a connector that reports each connection that was established. `connect` opens them; the default connects
+   * directly.
+   */
+  createConnector(onConnected: (socket: Socket) => void, connect = this.connect): buildConnector.connector {
     return (options, callback) => {
-      this.connect(options, (...outcome) => {
+      connect(options, (...outcome) => {
         const [, socket] = outcome;
         if (socket) {
           this.addResetListener(socket);
--- a/src/adapters/server-pool.ts
+++ b/src/adapters/server-pool.ts
@@ -6,9 +6,16 @@
 import { Pool } from 'undici';
 import type { Socket } from 'node:net';
 import type { ResetDetector } from './reset-detector.js';
+import { createTunnelConnector, type TunnelPath } from './tunnel-connector.js';
 
 /** Settings of one pool. */
 interface ServerPoolSettings {
+  /** Address of the server, `ip:port`. */
+  readonly address: string;
+  /** Id of the server. */
+  readonly serverId: string;
+  /** The way of its connections through a peer; undefined for direct ones. */
+  readonly tunnel: TunnelPath | undefined;
   readonly connections: number;
   /** Maximum idle time of a connection. Milliseconds. */
   readonly maximumIdleMs: number;
@@ -40,15 +47,17 @@
   private checkCount = 0;
 
   constructor(
-    private readonly address: string,
-    private readonly settings: ServerPoolSettings,
+    readonly settings: ServerPoolSettings,
     private readonly resetDetector: ResetDetector,
   ) {
-    const { connections, maximumIdleMs } = settings;
+    const { address, tunnel, connections, maximumIdleMs } = settings;
     this.pool = new Pool(`http://${address}`, {
       connections,
       pipelining: 1,
-      connect: resetDetector.createConnector((socket) => this.addConnection(socket)),
+      connect: resetDetector.createConnector(
+        (socket) => this.addConnection(socket),
+        tunnel && createTunnelConnector(tunnel, address),
+      ),
       keepAliveTimeout: Math.min(DEFAULT_KEEP_ALIVE_MS, maximumIdleMs),
       keepAliveMaxTimeout: maximumIdleMs,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
@@ -57,7 +66,7 @@
 
   /** Creates a pool with separate connections to the same server. */
   createSuccessor(): ServerPool {
-    return new ServerPool(this.address, this.settings, this.resetDetector);
+    return new ServerPool(this.settings, this.resetDetector);
   }
 
   /** Number of checks so far. */
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -7,6 +7,7 @@
 import type { FleetEffect } from '../fleet/fleet-replica.js';
 import { RouteTable } from '../forwarding/routes/route-table.js';
 import { TenantDirectory } from '../forwarding/routes/tenant-directory.js';
+import type { TunnelRefusal } from '../forwarding/tunnel-messages.js';
 import type { MembershipEffect } from '../membership/membership.js';
 import type { DaemonIdentity, MembershipMessage } from '../membership/membership-messages.js';
 import type { PartFigures } from '../parts/daemon-part.js';
@@ -36,6 +37,11 @@
 const BACKEND_SCAN_MS = 120;
 /** A process that measures more than this time between two ticks was paused. Milliseconds. Six ticks. */
 const PROCESS_PAUSE_MS = 250;
+/**
+ * Bound of the tunnels that peers have open through this daemon. Each takes two descriptors of the 4,100 of a process,
+ * of which callers use under a half.
+ */
+const MAXIMUM_TUNNELS = 512;
 /** Rendezvous key by which daemons are ranked as readers of the store. */
 const STORE_READER_KEY = 'store-reader';
 
@@ -137,6 +143,17 @@
     return Object.fromEntries(this.machines.parts.map((part) => [part.name, part.getFigures?.(now) ?? {}]));
   }
 
+  /**
+   * Decides on a tunnel for a peer to the back end at `address` (`ip:port`), beside `openTunnels` others; returns the
+   * reason if it is refused.
+   */
+  checkTunnel(address: string, openTunnels: number): TunnelRefusal | undefined {
+    if (this.draining) return 'stopping';
+    if (openTunnels >= MAXIMUM_TUNNELS) return 'busy';
+    for (const { record } of this.machines.directory.all()) if (record.address === address) return undefined;
+    return 'unknown-backend';
+  }
+
   private dispatch(event: ForwardingEvent, now: number): void {
     switch (event.kind) {
       case 'tick':
--- a/src/daemon/forwarding-messages.ts
+++ b/src/daemon/forwarding-messages.ts
@@ -88,4 +88,6 @@
   | { readonly kind: 'askEngine'; readonly backend: BackendRecord }
   | { readonly kind: 'orderEngine'; readonly order: StageOrder }
   | { readonly kind: 'configurationInForce'; readonly configuration: RouteConfiguration }
-  | { readonly kind: 'backendGone'; readonly backendId: string };
+  | { readonly kind: 'backendGone'; readonly backendId: string }
+  /** Close the tunnels through the peer at this address; requests in flight finish. */
+  | { readonly kind: 'closeTunnels'; readonly via: string };
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -20,6 +20,7 @@
 export * from './slot-unavailable-error.js';
 export * from './stale-configuration-error.js';
 export * from './table-unavailable-error.js';
+export * from './tunnel-error.js';
 export * from './unknown-service-error.js';
 export * from './validation-error.js';
 export * from './waiting-limit-error.js';
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -30,12 +30,19 @@
   readonly once: boolean
   /// Resume a stream after this event.
   readonly resumeAfter: string | undefined
+  /// Peer address of the daemon through which the connection is tunnelled; undefined for a direct one.
+  readonly via?: string | undefined
 }
 
 /// Progress or outcome of an attempt.
 export type ForwardAttemptEvent =
   /// No connection: the back end has received no byte of the request.
-  | {readonly kind: "unreachable"; readonly reason: string}
+  | {
+      readonly kind: "unreachable"
+      readonly reason: string
+      /// Where a tunnelled connection failed: at the peer, or behind it at the back end. Undefined for a direct one.
+      readonly tunnelFailure?: "peer" | "backend"
+    }
   /// The back end rejected the request and has not executed it.
   | {
       readonly kind: "notExecuted"
--- a/src/process/forwarding-metrics.ts
+++ b/src/process/forwarding-metrics.ts
@@ -5,6 +5,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ChangeEffect } from '../daemon/change-log.js';
 import type { ForwardEffect } from '../forwarding/forward-messages.js';
+import type { TunnelRefusal } from '../forwarding/tunnel-messages.js';
 import { addGauges, type GaugeDescription } from './add-gauges.js';
 import { SECOND_MS } from '../shared/units.js';
 
@@ -19,6 +20,8 @@
   getConfigurationAgeMs(): number;
   getMemberCount(): number;
   getDroppedLineCount(): number;
+  /** Tunnels that peers have open through this daemon. */
+  getOpenTunnelCount(): number;
   /** Figures of the daemon's parts, by part and name. */
   getPartFigures(): Readonly<Record<string, Readonly<Record<string, number>>>>;
 }
@@ -61,6 +64,11 @@
     help: 'Log lines dropped since the start',
     read: (state) => state.getDroppedLineCount(),
   },
+  {
+    name: 'pulleyledge_tunnels_open',
+    help: 'Tunnels to back ends that peers have open through this daemon',
+    read: (state) => state.getOpenTunnelCount(),
+  },
 ];
 
 /** The metrics of one process. */
@@ -73,6 +81,8 @@
   private readonly changes: Counter<'event'>;
   private readonly dutyCalls: Counter<'call' | 'outcome'>;
   private readonly retries: Counter<'service' | 'outcome'>;
+  private readonly tunnels: Counter<'outcome'>;
+  private readonly tunnelBytes: Counter<'direction'>;
 
   constructor(state: ForwardingState) {
     const registers = [this.registry];
@@ -107,6 +117,18 @@
       labelNames: ['service', 'outcome'],
       registers,
     });
+    this.tunnels = new Counter({
+      name: 'pulleyledge_tunnels_total',
+      help: 'Tunnels that peers asked for: opened, or refused by reason',
+      labelNames: ['outcome'],
+      registers,
+    });
+    this.tunnelBytes = new Counter({
+      name: 'pulleyledge_tunnel_bytes_total',
+      help: 'Bytes of closed tunnels by direction',
+      labelNames: ['direction'],
+      registers,
+    });
     this.changes = new Counter({
       name: 'pulleyledge_belief_changes_total',
       help: 'Changes of what the daemon believes: members, configuration, back ends, store, lease, orders',
@@ -142,6 +164,17 @@
     this.dutyCalls.inc({ call, outcome });
   }
 
+  /** Counts a tunnel that a peer asked for. */
+  addTunnel(outcome: 'opened' | TunnelRefusal): void {
+    this.tunnels.inc({ outcome });
+  }
+
+  /** Counts the bytes of a tunnel that has ended. */
+  addTunnelBytes(toBackend: number, fromBackend: number): void {
+    this.tunnelBytes.inc({ direction: 'toBackend' }, toBackend);
+    this.tunnelBytes.inc({ direction: 'fromBackend' }, fromBackend);
+  }
+
   private addRetries({ service: name, taken, refused }: ChangeEffect['fields']): void {
     const service = this.getServiceLabel(name);
     this.retries.inc({ service, outcome: 'taken' }, Number(taken));
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -10,6 +10,7 @@
 import type { BackendDialect } from '../adapters/backend-dialect.js';
 import { startListening } from '../adapters/listen.js';
 import { PeerTransport } from '../adapters/peer-transport.js';
+import type { TunnelServer } from '../adapters/tunnel-server.js';
 import { ForwardingDaemon, TICK_MS } from '../daemon/forwarding-daemon.js';
 import type { ForwardingEffect, ForwardingEvent } from '../daemon/forwarding-messages.js';
 import { ListenError, type PulleyledgeError } from '../errors/index.js';
@@ -24,6 +25,7 @@
 import { DecisionLog } from './decision-log.js';
 import type { ForwardingProcessSettings } from './forwarding-process-settings.js';
 import { spawnActor, type Actor } from './spawn-actor.js';
+import { createTunnelServer } from './tunnel-wiring.js';
 import { UnansweredCalls } from './unanswered-calls.js';
 
 /** The external systems, and the protocol of the back ends. */
@@ -95,6 +97,7 @@
   private readonly daemonActor: Actor<ForwardingEvent>;
   private readonly system = nact.start();
   private readonly peers: PeerTransport;
+  private readonly tunnels: TunnelServer;
   private readonly backends: BackendClient;
   private readonly externalCalls: ExternalCalls;
   private readonly server: ForwardServer;
@@ -122,8 +125,13 @@
     this.log = new DecisionLog({ daemon: settings.name }, this.logStream, settings.log, now);
     this.daemon = new ForwardingDaemon(identity, seeds, settings.daemon, random, now());
     this.daemonActor = spawnActor(this.system, 'daemon', (event) => this.onEvent(event));
+    this.tunnels = createTunnelServer({
+      checkTunnel: (address, openTunnels) => this.daemon.checkTunnel(address, openTunnels),
+      log: this.log,
+      getMetrics: () => this.metrics,
+    });
     this.peers = this.createPeers(identity);
-    this.backends = this.createBackends();
+    this.backends = this.createBackends(identity.id);
     this.requests = new OpenRequests(adapters.dialect, this.backends, (event) => this.send(event));
     this.server = new ForwardServer(
       { onRequest: (request, reply) => this.requests.add(request, reply) },
@@ -146,16 +154,17 @@
       onProtocolError: (error, remote) =>
         this.log.writeImportantEvent('peer.protocol-error', { code: error.code, ...error.context, remote }),
       onTraffic: () => undefined,
+      onTunnel: (socket, request) => this.tunnels.accept(socket, request),
     });
   }
 
-  private createBackends(): BackendClient {
+  private createBackends(daemonId: string): BackendClient {
     const unanswered = new UnansweredCalls((call, reason, count) =>
       this.log.writeImportantEvent('backend.call-unanswered', { call, reason, count }),
     );
     return new BackendClient(
       this.adapters.dialect,
-      BACKEND_CONNECTIONS,
+      { ...BACKEND_CONNECTIONS, daemonId },
       (call, reason) => unanswered.add(call, reason),
       (backend, signals, sentAt, isHealthCheck) =>
         this.send({ kind: 'backendSignalled', backend, signals, sentAt, isHealthCheck }),
@@ -170,6 +179,7 @@
       getConfigurationAgeMs: () => this.daemon.configurationAgeMs(now()),
       getMemberCount: () => this.daemon.getMemberCount(),
       getDroppedLineCount: () => this.log.getDroppedLineCount(),
+      getOpenTunnelCount: () => this.tunnels.getOpenCount(),
       getPartFigures: () => this.daemon.getPartFigures(now()),
     });
   }
@@ -227,16 +237,20 @@
     this.stopTimers();
     this.log.writeImportantEvent('process.stopped', {
       unfinished: this.server.getOpenRequestCount(),
+      tunnels: this.tunnels.getOpenCount(),
       unused: this.server.getUnusedConnectionCount(),
       afterMs: Math.round(now() - startedAt),
     });
+    this.tunnels.close();
     this.logStream.flushSync();
   }
 
-  /** Waits until no caller is connected, or until `deadline` (monotonic milliseconds). */
+  /** Waits until no caller is connected and no tunnel open, or until `deadline` (monotonic milliseconds). */
   private async waitUntilIdle(deadline: number): Promise<void> {
     const isIdle = (): boolean =>
-      this.server.getOpenRequestCount() === 0 && this.server.getOpenConnectionCount() === 0;
+      this.server.getOpenRequestCount() === 0 &&
+      this.server.getOpenConnectionCount() === 0 &&
+      this.tunnels.getOpenCount() === 0;
     while (now() < deadline && !isIdle()) await delay(Math.min(DRAIN_POLL_MS, deadline - now()));
   }
 
@@ -265,6 +279,7 @@
     this.metricsServer.close();
     this.metricsServer.closeAllConnections();
     this.peers.close();
+    this.tunnels.close();
     nact.stop(this.system);
     await this.backends.close();
   }
@@ -342,6 +357,9 @@
       case 'backendGone':
         this.backends.removeBackend(effect.backendId);
         break;
+      case 'closeTunnels':
+        this.backends.closeTunnels(effect.via);
+        break;
       default:
         this.externalCalls.perform(effect);
     }
--- a/src/process/open-requests.ts
+++ b/src/process/open-requests.ts
@@ -79,7 +79,7 @@
       const callerLeft = !this.open.has(requestId);
       // The state machine has forgotten the attempt or is about to, and nothing else would free the KV cache.
       if (callerLeft && event.kind === 'prefilled')
-        this.backends.freeKv({ address: start.backend.address, handle: event.handle });
+        this.backends.freeKv({ address: start.backend.address, handle: event.handle }, start.via);
       else this.send({ kind: 'attempt', requestId, attemptId, event });
     });
   }
--- a/test/bad-input.test.ts
+++ b/test/bad-input.test.ts
@@ -3,7 +3,12 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { PeerTransport } from '../src/adapters/peer-transport.js';
-import { decodePeerHello, decodePeerMessage, encodePeerMessage } from '../src/adapters/peer-codec.js';
+import {
+  decodeFirstLine,
+  decodePeerMessage,
+  decodeTunnelAnswer,
+  encodePeerMessage,
+} from '../src/adapters/peer-codec.js';
 import { parseStreamLine } from '../src/adapters/engine-client.js';
 import { formatServicesCsv, parseCell, parseServicesCsv } from '../src/configuration/service-csv.js';
 import { parseServiceRow, SERVICE_COLUMNS, type ServiceRow } from '../src/configuration/service-row.js';
@@ -57,7 +62,8 @@
     fc.assert(
       fc.property(fc.oneof(fc.string(), fc.json()), (line) => {
         expectValueOrTypedError(() => decodePeerMessage(line));
-        expectValueOrTypedError(() => decodePeerHello(line));
+        expectValueOrTypedError(() => decodeFirstLine(line));
+        expectValueOrTypedError(() => decodeTunnelAnswer(line));
       }),
       RUNS,
     );
--- a/test/effects-digest.ts
+++ b/test/effects-digest.ts
@@ -25,6 +25,7 @@
   change: undefined,
   callDuty: 'callDuty',
   checkBackend: 'checkBackend',
+  closeTunnels: 'closeTunnels',
   configurationInForce: 'configurationInForce',
   decision: undefined,
   freeKv: 'freeKv',
--- a/test/names.test.ts
+++ b/test/names.test.ts
@@ -25,6 +25,7 @@
 import type { CompletionDaemonStatus } from '../src/daemon/completion-messages.js';
 import * as errors from '../src/errors/index.js';
 import type { AttemptStart } from '../src/forwarding/forward-messages.js';
+import { tunnelAnswerSchema, tunnelRequestSchema } from '../src/forwarding/tunnel-messages.js';
 import { toProblem } from '../src/gateway/problem.js';
 import { ForwardingMetrics } from '../src/process/forwarding-metrics.js';
 import { CompletionMetrics } from '../src/process/completion-metrics.js';
@@ -68,6 +69,9 @@
 describe('external names do not change', () => {
   it('messages between daemons', () => checkSnapshot('peer-messages', describeSchema(peerMessageSchema)));
 
+  it('lines that open a tunnel', () =>
+    checkSnapshot('tunnel-lines', [describeSchema(tunnelRequestSchema), describeSchema(tunnelAnswerSchema)]));
+
   it('rows of the services table', () => checkSnapshot('service-row', describeSchema(serviceRowSchema)));
 
   it('records of the platform', () =>
@@ -104,6 +108,7 @@
       getConfigurationAgeMs: () => 1,
       getMemberCount: () => 1,
       getDroppedLineCount: () => 0,
+      getOpenTunnelCount: () => 0,
       getPartFigures: () => ({ quotas: { owned: 1 } }),
     });
     const requests = { active: 0, waiting: 0, applicationCalls: 0 };
