Tunnels: tests of failing peers, resets, ends, slow readers and stops; what opens a tunnel is no data of the back end

Cause: a pool that replaces silent connections counted the peer's `opened` as data of the back end (ServerPool.hasReceived), so that a tunnel that delivers nothing looked like one that works.

Change: a connection's count of bytes begins with what arrived before it was handed over. Tests on real sockets, with child processes where a peer is killed, a listener takes no connection, or this process is paused; test/tunnels and test/tunnel-peers.

--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -110,10 +110,14 @@
   perform: () => Promise.resolve({ kind: 'noAnswer', reason: 'down' }),
 };
 
-/** A running daemon with its store; `callers` and `ready` are its addresses for callers and for readiness checks. */
+/**
+ * A running daemon with its store; `callers`, `ready` and `peers` are its addresses for callers, for readiness checks
+ * and for other daemons.
+ */
 export interface ForwardingSite {
   readonly callers: string;
   readonly ready: string;
+  readonly peers: string;
   readonly store: MemoryRecordStore;
   readonly daemon: ForwardingProcess;
 }
@@ -163,7 +167,7 @@
   );
   await daemon.start();
   await waitUntilReady(ready);
-  return { callers, ready, store, daemon };
+  return { callers, ready, peers, store, daemon };
 }
 
 async function waitUntilReady(address: string): Promise<void> {
--- a/lab/scripted-backend.ts
+++ b/lab/scripted-backend.ts
@@ -34,6 +34,11 @@
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
+  /** The connection that was accepted last and is still open; undefined if none is. */
+  getLastSocket(): Socket | undefined {
+    return [...this.sockets].at(-1);
+  }
+
   /** Stops listening and closes every connection. */
   close(): void {
     this.server.close();
--- a/src/adapters/server-pool.ts
+++ b/src/adapters/server-pool.ts
@@ -107,7 +107,9 @@
   }
 
   private addConnection(socket: Socket): void {
-    const connection = { socket, openedAt: performance.now(), bytesRead: 0, receivedAtCheck: 0 };
+    // What a tunnel's peer has answered is not from the server.
+    const { bytesRead } = socket;
+    const connection = { socket, openedAt: performance.now(), bytesRead, receivedAtCheck: 0 };
     this.connections.add(connection);
     socket.once('close', () => this.connections.delete(connection));
   }
--- a/test/tunnel-rig.ts
+++ b/test/tunnel-rig.ts
@@ -1,5 +1,8 @@
 /** A daemon's client of back ends, a peer that serves tunnels, and a scripted back end, on real sockets. */
-import { connect, type Socket } from 'node:net';
+import { fork, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { connect, type AddressInfo, type Server, type Socket } from 'node:net';
+import { fileURLToPath } from 'node:url';
 import { makeLabBackend } from '../lab/forwarding-site.js';
 import { findFreeAddresses } from '../lab/free-ports.js';
 import { ScriptedBackend, type BackendScript } from '../lab/scripted-backend.js';
@@ -11,6 +14,10 @@
 import type { AttemptStart, ForwardAttemptEvent } from '../src/forwarding/forward-messages.js';
 import type { TunnelRefusal } from '../src/forwarding/tunnel-messages.js';
 import { splitAddress } from '../src/shared/address.js';
+import { delay } from '../src/shared/delay.js';
+import { SeededRandom } from '../src/shared/random.js';
+
+const SEED = 20261203;
 
 export const SIGNED = 'X-Server-Signature: s1\r\n';
 /** Head of an answer of the scripted back end to the attempt `id1`. */
@@ -33,6 +40,47 @@
   'broken',
 ]);
 
+/** Bytes that are no text. */
+export function drawBytes(length: number): Buffer {
+  const random = new SeededRandom(SEED);
+  const bytes = Buffer.alloc(length);
+  for (let i = 0; i < length; i += 1) bytes[i] = Math.floor(random.next() * 256);
+  return bytes;
+}
+
+/** Waits until a condition holds. */
+export async function waitUntil(condition: () => boolean, timeoutMs = 2000): Promise<void> {
+  const end = performance.now() + timeoutMs;
+  while (!condition()) {
+    if (performance.now() > end) throw new Error(`the condition was not met within ${timeoutMs} ms`);
+    await delay(5);
+  }
+}
+
+/** Listens on a free port of the loopback and returns the address. */
+export async function listenOn(server: Server, backlog?: number): Promise<string> {
+  await new Promise<void>((resolve) => server.listen({ port: 0, host: '127.0.0.1', backlog }, resolve));
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** Child processes that were started and not ended yet. */
+const children: ChildProcess[] = [];
+
+/** Starts a process of test/tunnel-child.ts. */
+export async function startChild(
+  kind: 'peer' | 'full' | 'late',
+): Promise<{ child: ChildProcess; address: string }> {
+  const child = fork(fileURLToPath(new URL('tunnel-child.js', import.meta.url)), [kind]);
+  children.push(child);
+  const [address] = (await once(child, 'message')) as [string];
+  return { child, address };
+}
+
+/** Ends the child processes. */
+export function killChildren(): void {
+  for (const child of children.splice(0)) child.kill('SIGKILL');
+}
+
 /** A peer that serves tunnels, in this process. */
 export class TunnelPeer {
   refusal: TunnelRefusal | undefined;
