--- a/src/daemon/forwarding-messages.ts
+++ b/src/daemon/forwarding-messages.ts
@@ -89,5 +89,5 @@
   | { readonly kind: 'orderEngine'; readonly order: StageOrder }
   | { readonly kind: 'configurationInForce'; readonly configuration: RouteConfiguration }
   | { readonly kind: 'backendGone'; readonly backendId: string }
-  /** Close the connections that are tunnelled through this peer once no request uses them. */
+  /** Close the tunnels through the peer at this address; requests in flight finish. */
   | { readonly kind: 'closeTunnels'; readonly via: string };
