A daemon that reaches no back end sends through tunnels of peers that do

Cause: an attempt had one path to its back end, and a daemon whose own links are lost found that out again for each request.

Ruled out (docs/design/paths-to-back-ends.md): readiness alone, refusing at once, handing the request over.

Change: src/forwarding/paths: direct contact apart from health, peers that offer tunnels, the path of each attempt, checks of lost paths; a refused connection is tried again at the same back end through a peer; an attempt on a lost link is moved; 503 at once after 2 s without any path. Digests, pings and acks carry `tunnels`. A cut-off daemon takes no lease of stages.

--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -182,9 +182,6 @@
   /** Called for each attempt that a daemon starts. */
   onAttempt: (node: FleetNode, start: AttemptStart) => void = () => undefined;
 
-  /** Called for each effect that a daemon requests, before it is performed. */
-  onEffect: (node: FleetNode, effect: ForwardingEffect) => void = () => undefined;
-
   /** Whether a process listens at the address of a back end. */
   isListening: (address: string) => boolean = () => true;
 
@@ -234,7 +231,6 @@
   }
 
   private perform(node: FleetNode, effect: ForwardingEffect): void {
-    this.onEffect(node, effect);
     switch (effect.kind) {
       case 'sendPeer':
         this.sendPeer(node, effect.address, effect.message);
--- a/src/adapters/peer-codec.ts
+++ b/src/adapters/peer-codec.ts
@@ -54,8 +54,21 @@
 
 /** Schema of every message between daemons. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('ping'), sequence: count, target: text, updates, wallMs: count.optional() }),
-  z.object({ kind: z.literal('ack'), sequence: count, updates, wallMs: count.optional() }),
+  z.object({
+    kind: z.literal('ping'),
+    sequence: count,
+    target: text,
+    updates,
+    wallMs: count.optional(),
+    tunnels: z.boolean().optional(),
+  }),
+  z.object({
+    kind: z.literal('ack'),
+    sequence: count,
+    updates,
+    wallMs: count.optional(),
+    tunnels: z.boolean().optional(),
+  }),
   z.object({ kind: z.literal('pingRequest'), sequence: count, target: text }),
   z.object({ kind: z.literal('syncDigest'), digest: count }),
   z.object({ kind: z.literal('sync'), reply: z.boolean(), members: updates }),
--- a/src/daemon/change-log.ts
+++ b/src/daemon/change-log.ts
@@ -49,6 +49,8 @@
   | 'backend.ended'
   | 'request.quarantined'
   | 'request.released'
+  | 'daemon.cut-off'
+  | 'daemon.contact-regained'
   | 'region.lost'
   | 'region.regained';
 
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -137,8 +137,8 @@
    * Why this daemon takes no tunnel to a back end for a peer; undefined if it takes one. `openTunnels` is the
    * number of those that it carries now.
    */
-  checkTunnel(_backendAddress: string, _openTunnels: number): TunnelRefusal | undefined {
-    return 'unknown-backend';
+  checkTunnel(backendAddress: string, openTunnels: number): TunnelRefusal | undefined {
+    return this.machines.paths.checkTunnel(backendAddress, openTunnels, this.eventAt);
   }
 
   /** The figures of each part, by its name, for operators. */
@@ -245,6 +245,7 @@
     if (this.draining) return;
     this.draining = true;
     this.logChange('drain.started', { requests: this.countOpenRequests() });
+    this.machines.paths.onStopping(now);
     this.machines.membership.leave(now);
   }
 
--- a/src/daemon/forwarding-machines.ts
+++ b/src/daemon/forwarding-machines.ts
@@ -7,6 +7,7 @@
 import { PeerExchange } from '../fleet/peer-exchange.js';
 import { BackendDirectory } from '../forwarding/backends/backend-directory.js';
 import { LeavingBackends } from '../forwarding/backends/leaving-backends.js';
+import { BackendPaths } from '../forwarding/paths/backend-paths.js';
 import { BackendDistance } from '../forwarding/choose/backend-distance.js';
 import { BackendPicker } from '../forwarding/choose/backend-picker.js';
 import { ForwardManager } from '../forwarding/forward-manager.js';
@@ -72,6 +73,8 @@
   readonly manager: ForwardManager;
   /** Exchanges load digests and record changes with peers. */
   readonly exchange: PeerExchange;
+  /** The paths to back ends: direct ones, and tunnels through peers. */
+  readonly paths: BackendPaths;
   /** Everything that the daemon does besides forwarding requests. */
   readonly parts: readonly DaemonPart[];
 }
@@ -108,10 +111,28 @@
     sendDigestSoon: (at) => exchange.sendDigestSoon(at),
   });
   const { permits } = signals;
-  const manager = createManager(context, { replica, picker, kvIndex, retries, permits, getParts });
-  const exchange = createExchange(context, { replica, directory, kvIndex, signals, membership });
-  const parts = createDaemonParts(context, { directory, kvIndex, membership, signals, manager, distances });
-  return { membership, replica, directory, kvIndex, retries, manager, exchange, parts };
+  const paths = new BackendPaths({
+    identity,
+    random,
+    directory,
+    getMembers: () => membership.getActive(),
+    hasHealthCheck: (service) => context.getRoutes()?.getService(service)?.healthPath !== undefined,
+    closeTunnels: (via) => context.emit({ kind: 'closeTunnels', via }),
+    onOfferChanged: (at) => exchange.sendDigestSoon(at),
+    logChange: context.logChange,
+  });
+  const manager = createManager(context, { replica, picker, kvIndex, retries, permits, paths, getParts });
+  const exchange = createExchange(context, { replica, directory, kvIndex, signals, membership, paths });
+  const parts = createDaemonParts(context, {
+    directory,
+    kvIndex,
+    membership,
+    signals,
+    manager,
+    distances,
+    paths,
+  });
+  return { membership, replica, directory, kvIndex, retries, manager, exchange, paths, parts };
 }
 
 /** The fleet as this daemon sees it. */
@@ -165,14 +186,14 @@
   return { places, roundTrips, distance: new BackendDistance(identity.zone, cost) };
 }
 
-interface ManagerMachines extends Pick<ForwardingMachines, 'replica' | 'kvIndex' | 'retries'> {
+interface ManagerMachines extends Pick<ForwardingMachines, 'replica' | 'kvIndex' | 'retries' | 'paths'> {
   readonly picker: BackendPicker;
   readonly permits: PermitManager;
   readonly getParts: () => readonly DaemonPart[];
 }
 
 function createManager(context: ForwardingContext, machines: ManagerMachines): ForwardManager {
-  const { replica, picker, kvIndex, retries, permits, getParts } = machines;
+  const { replica, picker, kvIndex, retries, permits, paths, getParts } = machines;
   return new ForwardManager(
     context.settings.forward,
     {
@@ -182,6 +203,7 @@
       getOutageMs: (at) => replica.getOutageMs('configuration', at),
       getDaemonCount: () => context.getDaemonCount(),
       permits,
+      paths,
       ...createRequestHooks(getParts),
     },
     picker,
@@ -193,14 +215,14 @@
 
 interface ExchangeMachines extends Pick<
   ForwardingMachines,
-  'replica' | 'directory' | 'kvIndex' | 'membership'
+  'replica' | 'directory' | 'kvIndex' | 'membership' | 'paths'
 > {
   readonly signals: SignalMachines;
 }
 
 function createExchange(context: ForwardingContext, machines: ExchangeMachines): PeerExchange {
   const { identity, settings, random, emit, now } = context;
-  const { replica, directory, kvIndex, signals, membership } = machines;
+  const { replica, directory, kvIndex, signals, membership, paths } = machines;
   // A placement is used only if the configuration states the KV cache capacity of the service's engines.
   const applyPlacement = (placement: PartPlacement): void => {
     const service = directory.get(placement[0])?.record.service;
@@ -212,7 +234,11 @@
     settings.exchange,
     replica,
     directory,
-    { placements: { take: () => kvIndex.takeRecentPlacements(), addPlacement: applyPlacement }, ...signals },
+    {
+      placements: { take: () => kvIndex.takeRecentPlacements(), addPlacement: applyPlacement },
+      paths,
+      ...signals,
+    },
     {
       selfAddress: identity.address,
       zone: identity.zone,
@@ -225,14 +251,17 @@
   );
 }
 
-interface PartMachines extends Pick<ForwardingMachines, 'directory' | 'kvIndex' | 'membership' | 'manager'> {
+interface PartMachines extends Pick<
+  ForwardingMachines,
+  'directory' | 'kvIndex' | 'membership' | 'manager' | 'paths'
+> {
   readonly distances: Distances;
   readonly signals: SignalMachines;
 }
 
 function createDaemonParts(context: ForwardingContext, machines: PartMachines): readonly DaemonPart[] {
   const { identity, settings, random, emit, now } = context;
-  const { directory, kvIndex, membership, signals, manager, distances } = machines;
+  const { directory, kvIndex, membership, signals, manager, distances, paths } = machines;
   return createParts(
     {
       identity,
@@ -241,6 +270,7 @@
       directory,
       kvIndex,
       ...signals,
+      paths,
       regions: distances.places.hasSeveralRegions() ? distances : undefined,
       emit,
       getMembers: () => membership.getActive(),
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -80,7 +80,9 @@
   limits: z.array(z.tuple([text, count, count, count])).optional(),
   /// Back ends that announced that they are leaving: id, start of the incarnation (0 when unknown). Absent in
   /// messages of older daemons.
-  leaving: z.array(z.tuple([text, count])).optional()
+  leaving: z.array(z.tuple([text, count])).optional(),
+  /// The sender takes tunnels to back ends. Absent in messages of older daemons, which take none.
+  tunnels: z.boolean().optional()
 })
 
 /// Asks a peer with a newer copy for its records.
--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -7,6 +7,7 @@
 import type {PartPlacement} from "../forwarding/kv-cache/kv-index.js"
 import type {LeavingBackends} from "../forwarding/backends/leaving-backends.js"
 import type {BackendLimits} from "../forwarding/permits/backend-limits.js"
+import type {BackendPaths} from "../forwarding/paths/backend-paths.js"
 import type {Member} from "../membership/membership-messages.js"
 import type {FleetKnowledge, FleetMessage, RecordsChanged} from "./fleet-messages.js"
 import type {FleetReplica} from "./fleet-replica.js"
@@ -70,6 +71,7 @@
   readonly placements: PlacementExchange
   readonly limits: Pick<BackendLimits, "getForPeers" | "applyFromPeer">
   readonly leaving: Pick<LeavingBackends, "getForPeers" | "applyFromPeer">
+  readonly paths: Pick<BackendPaths, "offersTunnels">
 }
 
 /// A message to a peer.
@@ -217,6 +219,7 @@
       placements,
       ...(limits.length > 0 ? {limits} : {}),
       ...(leaving.length > 0 ? {leaving} : {}),
+      ...(this.extras.paths.offersTunnels(now) ? {tunnels: true} : {}),
       ...ofRegion
     }
     this.sendToAll(addresses, message)
@@ -264,7 +267,8 @@
   /// daemon's copies in place of the sender's.
   private sendLoadsToRelays(message: LoadDigest, now: number): void {
     const knowledge = this.replica.getKnowledge(now)
-    this.sendToAll(this.getOtherRelaysOfRegion(), {...message, knowledge, passOn: false})
+    const tunnels = this.extras.paths.offersTunnels(now)
+    this.sendToAll(this.getOtherRelaysOfRegion(), {...message, knowledge, tunnels, passOn: false})
   }
 
   private sendToAll(addresses: readonly string[], message: FleetMessage): void {
--- a/src/forwarding/backends/backend-health.ts
+++ b/src/forwarding/backends/backend-health.ts
@@ -158,6 +158,12 @@
     this.lostAt = now
   }
 
+  /// Contact was lost for a reason that isn't the back end's.
+  forgetLoss(now: number): void {
+    this.lostContact = false
+    this.ejectedUntil = Math.min(this.ejectedUntil, now)
+  }
+
   /// A probe succeeded.
   onProbeAnswered(now: number): void {
     this.lastContactAt = now
--- a/src/forwarding/backends/backend-view.ts
+++ b/src/forwarding/backends/backend-view.ts
@@ -15,6 +15,8 @@
   /// It is computed after prompts that can still meet their target.
   readonly overdue: boolean
   answering: boolean
+  /// No answer is expected of it: it waits on a connection that is lost.
+  ignored?: boolean
 }
 
 /// The state of one back end. Times are monotonic milliseconds.
@@ -68,6 +70,11 @@
     this.addPending(-attempt.promptTokens, attempt.overdue)
   }
 
+  /// The attempts in flight wait on lost connections: their silence isn't the back end's.
+  ignoreWaiting(): void {
+    for (const attempt of this.attempts.values()) attempt.ignored = true
+  }
+
   /// Removes an attempt that has ended.
   removeAttempt(attemptId: string): void {
     const attempt = this.attempts.get(attemptId)
@@ -142,7 +149,7 @@
   private getOldestSentAt(): number {
     let oldest = Infinity
     for (const attempt of this.attempts.values())
-      if (!attempt.answering) oldest = Math.min(oldest, attempt.sentAt)
+      if (!attempt.answering && !attempt.ignored) oldest = Math.min(oldest, attempt.sentAt)
     return oldest
   }
 
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -13,8 +13,9 @@
 import {ForwardLimits} from "./admit/forward-limits.js"
 import type {ForwardAttemptEvent, ForwardEffect} from "./forward-messages.js"
 import type {ForwardRequest} from "./forward-request.js"
-import {createSession, getPriority, type Session} from "./forward-session.js"
+import {createSession, getPriority, type LiveAttempt, type Session} from "./forward-session.js"
 import type {ForwardSettings} from "./forward-settings.js"
+import type {BackendPaths} from "./paths/backend-paths.js"
 import type {PermitManager} from "./permits/permit-manager.js"
 import type {KvIndex} from "./kv-cache/kv-index.js"
 import {QuarantineGate, type QuarantineContext} from "./admit/quarantine-gate.js"
@@ -33,6 +34,8 @@
   onExecutionStarted(tenant: string, at: number): void
   /// Permits to send to back ends that advertise a limit.
   readonly permits: PermitManager
+  /// The paths to back ends.
+  readonly paths: BackendPaths
   /// Called with the signals that a back end sent in an answer.
   onSignals(view: BackendView, report: SignalReport, now: number): void
 }
@@ -47,6 +50,7 @@
   private readonly outcomes: AttemptOutcomes
   private readonly quotaGate: QuotaGate
   private readonly retryPolicy: RetryPolicy
+  private readonly paths: BackendPaths
   /// End of the last process pause.
   private resumedAt = -Infinity
 
@@ -65,8 +69,10 @@
     const quarantineGate = new QuarantineGate(context)
     const finisher = new RequestFinisher(retryAfter, this.sessions, answers, quotaGate, emit)
     const retryPolicy = new RetryPolicy({settings, allowance, getDaemonCount: () => context.getDaemonCount()})
-    const shared = {retryPolicy, picker, limits, answers, finisher, quarantineGate, emit}
+    const {paths} = context
+    const shared = {retryPolicy, paths, picker, limits, answers, finisher, quarantineGate, emit}
     const sender = new AttemptSender({...shared, settings, quotaGate, retryAfter, permits: context.permits})
+    this.paths = paths
     this.quotaGate = quotaGate
     this.answers = answers
     this.finisher = finisher
@@ -148,7 +154,9 @@
 
   /// Handles requests past their deadline, expired waits for permits, and stalled attempts.
   tick(now: number): void {
+    const isServedByPeers = this.paths.isServedByPeers(now)
     for (const session of [...this.sessions.values()]) {
+      if (isServedByPeers && session.attempt) setLinkLost(session.attempt)
       if (now >= session.deadlineAt) this.finisher.finishAtDeadline(session, now)
       else if (session.awaitsPermit && now >= (session.permitDueAt ?? now)) this.sender.send(session, now)
       else if (session.attempt && this.retryPolicy.isStalled(session, session.attempt, now, this.resumedAt))
@@ -176,3 +184,10 @@
     else this.finisher.finishOverQuota(session, decision, now)
   }
 }
+
+/// Only peers reach back ends: a direct attempt waits on a connection that is lost, which isn't its back end's fault.
+function setLinkLost(attempt: LiveAttempt): void {
+  if (attempt.via !== undefined) return
+  attempt.isLinkLost = true
+  attempt.connectionSilent = true
+}
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -20,6 +20,12 @@
   lastSearchAt?: number
   /// Whether no data arrives on its connection, though its back end answers on others.
   connectionSilent?: boolean
+  /// Peer through which its connection is tunnelled; undefined for a direct one.
+  readonly via: string | undefined
+  /// Tunnels that failed before it for the same send of the request.
+  readonly tunnelFailures: number
+  /// Whether this daemon's own link, on which it waits, is lost.
+  isLinkLost?: boolean
   /// Requests in flight at the back end, from all daemons, before this one.
   readonly inFlightBefore: number
   /// Prompt tokens queued there, from all daemons, before this attempt.
@@ -119,9 +125,18 @@
     : makeRequestKey(contentDigest, tenant?.name ?? callerAddress)
 }
 
+/// The path of an attempt.
+export type AttemptPath = Pick<LiveAttempt, "via" | "tunnelFailures">
+
 /// Creates an attempt that starts now. Called before the attempt is added to its back end.
-export function createAttempt(attemptId: string, choice: BackendChoice, now: number): LiveAttempt {
+export function createAttempt(
+  attemptId: string,
+  choice: BackendChoice,
+  path: AttemptPath,
+  now: number
+): LiveAttempt {
   return {
+    ...path,
     attemptId,
     choice,
     startedAt: now,
--- a/src/forwarding/retry/attempt-outcomes.ts
+++ b/src/forwarding/retry/attempt-outcomes.ts
@@ -11,6 +11,7 @@
 import type {ForwardLimits} from "../admit/forward-limits.js"
 import type {ForwardAttemptEvent, ForwardEffect, ForwardFailure} from "../forward-messages.js"
 import {addProgress, removeAttempt, type LiveAttempt, type Session} from "../forward-session.js"
+import type {BackendPaths} from "../paths/backend-paths.js"
 import type {KvIndex} from "../kv-cache/kv-index.js"
 import type {QuarantineGate} from "../admit/quarantine-gate.js"
 import type {RequestFinisher} from "../finish/request-finisher.js"
@@ -20,6 +21,8 @@
 /// every back end, and many requests stall at once when all back ends are saturated.
 const SEARCH_INTERVAL_MS = 200
 
+type EventOf<Kind extends ForwardAttemptEvent["kind"]> = Extract<ForwardAttemptEvent, {kind: Kind}>
+
 /// What the outcomes rely on.
 interface AttemptOutcomesDependencies {
   readonly sender: AttemptSender
@@ -30,6 +33,7 @@
   readonly limits: ForwardLimits
   readonly answers: ForwardAnswers
   readonly quarantineGate: QuarantineGate
+  readonly paths: BackendPaths
   /// Called once for each request of a tenant when a back end has begun to execute it, with the time at
   /// which it began. Monotonic milliseconds.
   readonly onExecutionStarted: (tenant: string, at: number) => void
@@ -45,9 +49,16 @@
   /// Handles an event of the live attempt of a request.
   receive(session: Session, attempt: LiveAttempt, event: ForwardAttemptEvent, now: number): void {
     this.applySignals(attempt, event, now)
+    if (isAnswer(event))
+      this.dependencies.paths.onAnswered(
+        attempt.choice.backend.record.id,
+        attempt.via,
+        attempt.startedAt,
+        now
+      )
     switch (event.kind) {
       case "unreachable":
-        this.onUnreachable(session, attempt, event.reason, now)
+        this.onUnreachable(session, attempt, event, now)
         break
       case "notExecuted":
         this.onNotExecuted(session, attempt, event.status, event.wrongIncarnation, now)
@@ -70,8 +81,9 @@
         this.onComplete(session, attempt, event.status, now)
         break
       case "broken":
-        if (!event.isInvalidAnswer) this.dependencies.quarantineGate.addBrokenAttempt(session, attempt, now)
-        this.onBroken(session, attempt, event.reason, now)
+        if (!event.isInvalidAnswer && attempt.via === undefined && !this.dependencies.paths.isCutOff())
+          this.dependencies.quarantineGate.addBrokenAttempt(session, attempt, now)
+        this.onBroken(session, attempt, event, now)
         break
     }
   }
@@ -101,23 +113,36 @@
       attempt.choice.backend.health.addUnanswered(now)
       session.excluded.add(attempt.choice.backend.record.id)
     }
+    if (attempt.via !== undefined) this.dependencies.paths.onTunnelFailed(attempt.via, now)
     this.onFailed(session, attempt, "stalled", now)
   }
 
-  private onUnreachable(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
+  private onUnreachable(
+    session: Session,
+    attempt: LiveAttempt,
+    {reason, tunnelFailure}: EventOf<"unreachable">,
+    now: number
+  ): void {
+    const {answers, finisher, paths, retryPolicy, sender} = this.dependencies
+    const {choice, via, startedAt, tunnelFailures} = attempt
     if (session.abandoned) {
       removeAttempt(session, attempt)
-      this.dependencies.finisher.finishNotServed(session, "unreachable", now)
+      finisher.finishNotServed(session, "unreachable", now)
       return
     }
-    attempt.choice.backend.health.onUnreachable(now)
+    const backendId = choice.backend.record.id
+    const failed = {backendId, via, startedAt, tunnelFailures}
+    const {retryVia, isBackendLost} = paths.onConnectionFailed(failed, tunnelFailure, now)
+    if (isBackendLost) choice.backend.health.onUnreachable(now)
     removeAttempt(session, attempt)
-    session.excluded.add(attempt.choice.backend.record.id)
-    this.dependencies.answers.logDecision("request.attempt-failed", session, {
-      backend: attempt.choice.backend.record.id,
-      reason
-    })
-    const mayRetry = this.dependencies.retryPolicy.mayRetryUnreachable(session, now)
+    answers.logDecision("request.attempt-failed", session, {backend: backendId, via, reason})
+    const mayRetry = retryPolicy.mayRetryUnreachable(session, now)
+    if (mayRetry && retryVia !== undefined && choice.backend.takesWork()) {
+      const failures = via === undefined ? 0 : tunnelFailures + 1
+      sender.resend(session, choice, {via: retryVia, tunnelFailures: failures}, now)
+      return
+    }
+    session.excluded.add(backendId)
     this.retryOrFinish(session, mayRetry, "unreachable", now)
   }
 
@@ -208,10 +233,17 @@
   }
 
   /// The attempt failed after its back end may have begun to execute the request.
-  private onBroken(session: Session, attempt: LiveAttempt, reason: string, now: number): void {
+  private onBroken(
+    session: Session,
+    attempt: LiveAttempt,
+    {reason, isInvalidAnswer}: EventOf<"broken">,
+    now: number
+  ): void {
     const {backend} = attempt.choice
+    const isPathSuspect = attempt.via !== undefined && !isInvalidAnswer
+    if (isPathSuspect) this.dependencies.paths.onTunnelFailed(attempt.via, now)
     if (!attempt.connectionSilent) {
-      backend.health.addFailure(now)
+      if (!isPathSuspect) backend.health.addFailure(now)
       session.excluded.add(backend.record.id)
     }
     this.onFailed(session, attempt, reason, now)
@@ -275,6 +307,11 @@
   }
 }
 
+/// Whether the back end sent this.
+function isAnswer({kind}: ForwardAttemptEvent): boolean {
+  return kind !== "unreachable" && kind !== "connectionSilent" && kind !== "broken"
+}
+
 /// Whether a back end sent this answer in normal operation, neither rejecting the request nor failing.
 function isRegularAnswer(event: ForwardAttemptEvent): boolean {
   if (event.kind === "whole") return event.status < FIRST_SERVER_ERROR_STATUS
--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -7,8 +7,16 @@
 import type {ForwardAnswers} from "../finish/forward-answers.js"
 import type {ForwardLimits} from "../admit/forward-limits.js"
 import type {ForwardEffect} from "../forward-messages.js"
-import {createAttempt, getPriority, getUrgency, type LiveAttempt, type Session} from "../forward-session.js"
+import {
+  createAttempt,
+  getPriority,
+  getUrgency,
+  type AttemptPath,
+  type LiveAttempt,
+  type Session
+} from "../forward-session.js"
 import type {ForwardSettings} from "../forward-settings.js"
+import type {BackendPaths} from "../paths/backend-paths.js"
 import type {QuarantineGate} from "../admit/quarantine-gate.js"
 import {getLongestWaitMs, type QuotaGate} from "../admit/quota-gate.js"
 import type {PermitManager} from "../permits/permit-manager.js"
@@ -32,6 +40,7 @@
   readonly quotaGate: QuotaGate
   readonly quarantineGate: QuarantineGate
   readonly permits: PermitManager
+  readonly paths: BackendPaths
   readonly emit: EffectSink<ForwardEffect>
 }
 
@@ -41,12 +50,17 @@
 
   /// Sends the request to the back end that the picker chooses, or refuses it.
   send(session: Session, now: number): void {
-    const {finisher, limits, quarantineGate, retryAfter, retryPolicy} = this.dependencies
+    const {finisher, limits, paths, quarantineGate, retryAfter, retryPolicy} = this.dependencies
     const refusedMs = quarantineGate.getRefusedMs(session, now)
     if (refusedMs !== undefined) {
       finisher.finishNotServed(session, "quarantined", now, refusedMs)
       return
     }
+    const withoutPathMs = paths.getRefusalMs(now)
+    if (withoutPathMs !== undefined) {
+      finisher.finishNotServed(session, "unreachable", now, withoutPathMs)
+      return
+    }
     const limited = this.addPermitRequests(session, now)
     const choice = this.pickBackend(session, session.excluded, now)
     if (!choice) {
@@ -61,7 +75,17 @@
       return
     }
     if (choice.prefillOnly) retryPolicy.addPrefill(session, now)
-    this.startAttempt(session, choice, now)
+    this.startAttempt(
+      session,
+      choice,
+      {via: paths.pickPeer(choice.backend.record.id, now), tunnelFailures: 0},
+      now
+    )
+  }
+
+  /// Sends the request again to the same back end by another path: no byte of it has reached the back end.
+  resend(session: Session, choice: BackendChoice, path: AttemptPath, now: number): void {
+    this.startAttempt(session, choice, path, now)
   }
 
   /// Whether another back end would take the request now: an attempt is aborted only if there is one.
@@ -137,7 +161,7 @@
     }
   }
 
-  private startAttempt(session: Session, choice: BackendChoice, now: number): void {
+  private startAttempt(session: Session, choice: BackendChoice, path: AttemptPath, now: number): void {
     const {answers, picker, quotaGate} = this.dependencies
     picker.addAttempt(choice)
     session.sends += 1
@@ -145,17 +169,18 @@
     if (session.arrivals > 0) answers.logDecision("request.resumed", session, {sends: session.sends})
     const attemptId = `${session.request.id}/${session.sends}`
     const {backend} = choice
-    const attempt = createAttempt(attemptId, choice, now)
+    const attempt = createAttempt(attemptId, choice, path, now)
     session.attempt = attempt
     backend.addAttempt(attemptId, session.kvSource ? 0 : choice.promptTokens, now, choice.overdue)
     this.logAttempt(session, attempt, now)
     this.emitStart(session, attempt, now)
   }
 
-  private logAttempt(session: Session, {choice, pendingTokens}: LiveAttempt, now: number): void {
+  private logAttempt(session: Session, {choice, pendingTokens, via}: LiveAttempt, now: number): void {
     const {backend} = choice
     this.dependencies.answers.logDecision("request.attempt", session, {
       backend: backend.record.id,
+      via,
       stage: choice.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
       reason: choice.reason,
       ...this.dependencies.picker.getDistanceFields(choice),
@@ -169,7 +194,7 @@
     })
   }
 
-  private emitStart(session: Session, {attemptId, choice}: LiveAttempt, now: number): void {
+  private emitStart(session: Session, {attemptId, choice, via}: LiveAttempt, now: number): void {
     const {request, route} = session
     this.dependencies.emit({
       kind: "startAttempt",
@@ -185,7 +210,8 @@
         urgency: getUrgency(session, choice, this.dependencies.settings),
         stream: route.kind === "stream",
         once: !choice.prefillOnly && !isRepeatable(route),
-        resumeAfter: session.lastEventId
+        resumeAfter: session.lastEventId,
+        ...(via === undefined ? {} : {via})
       }
     })
   }
--- a/src/forwarding/retry/retry-policy.ts
+++ b/src/forwarding/retry/retry-policy.ts
@@ -69,7 +69,7 @@
   /// Whether the attempt makes no progress and may be moved to another back end. Once a stream has started,
   /// only the gaps between its events count. Before that, the back end must have stopped answering all
   /// requests, or answer only on newer connections (for plain back ends only: an engine may answer short
-  /// prompts first). Silence before `resumedAt` does not count, as the process was paused until then.
+  /// prompts first), or this daemon's own link to it must be lost. Silence before `resumedAt` does not count, as the process was paused until then.
   isStalled(session: Session, attempt: LiveAttempt, now: number, resumedAt: number): boolean {
     const {minimumStallMs, stallGaps, stallTargetShare} = this.dependencies.settings
     const {targetGapMs, targetLatencyMs} = session.route
@@ -77,6 +77,7 @@
     if (!prefillOnly && !mayExecuteAgain(session)) return false
     const quietMs = now - Math.max(attempt.lastEventAt, resumedAt)
     if (attempt.streaming) return quietMs > targetGapMs * stallGaps
+    if (attempt.isLinkLost) return true
     if (attempt.connectionSilent && backend.record.stage === undefined) return true
     const limitMs = Math.max(minimumStallMs, targetLatencyMs * stallTargetShare)
     return quietMs > limitMs && backend.health.isSilent(now)
--- a/src/membership/membership-messages.ts
+++ b/src/membership/membership-messages.ts
@@ -32,12 +32,15 @@
       readonly updates: readonly MemberUpdate[];
       /** The sender's time of day; absent in messages of older daemons. Milliseconds. */
       readonly wallMs?: number | undefined;
+      /** The sender takes tunnels to back ends; older daemons take none. */
+      readonly tunnels?: boolean | undefined;
     }
   | {
       readonly kind: 'ack';
       readonly sequence: number;
       readonly updates: readonly MemberUpdate[];
       readonly wallMs?: number | undefined;
+      readonly tunnels?: boolean | undefined;
     }
   /** Asks another daemon to probe `target` for the sender. */
   | { readonly kind: 'pingRequest'; readonly sequence: number; readonly target: string }
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -9,6 +9,7 @@
 import type {SignalReport} from "../forwarding/backends/backend-signals.js"
 import type {BackendView} from "../forwarding/backends/backend-view.js"
 import type {BackendDirectory} from "../forwarding/backends/backend-directory.js"
+import type {BackendPaths} from "../forwarding/paths/backend-paths.js"
 import type {LeavingBackends} from "../forwarding/backends/leaving-backends.js"
 import type {BackendLimits} from "../forwarding/permits/backend-limits.js"
 import type {PermitManager} from "../forwarding/permits/permit-manager.js"
@@ -44,6 +45,8 @@
   readonly limits: BackendLimits
   /// The permits for sending to back ends that advertise a limit.
   readonly permits: PermitManager
+  /// The paths to back ends.
+  readonly paths: BackendPaths
   /// Undefined if the fleet is in a single region.
   readonly regions?: RegionContext | undefined
   readonly emit: EffectSink<ForwardingEffect>
--- a/src/parts/daemon-parts.ts
+++ b/src/parts/daemon-parts.ts
@@ -5,6 +5,7 @@
 import {DutyPart} from "./duty-part.js"
 import {HealthPart} from "./health-part.js"
 import {KvPart} from "./kv-part.js"
+import {PathPart} from "./path-part.js"
 import {PacePart} from "./pace-part.js"
 import {QuarantinePart} from "./quarantine-part.js"
 import {QuotaPart} from "./quota-part.js"
@@ -17,6 +18,7 @@
   const {regions} = context
   return [
     new HealthPart(context),
+    new PathPart(context),
     new BackendSignalPart(context),
     new KvPart(context, now),
     new PacePart(context),
--- a/src/parts/health-part.ts
+++ b/src/parts/health-part.ts
@@ -6,13 +6,17 @@
 export class HealthPart extends DaemonPart {
   override readonly name = "health"
   private readonly prober: HealthProber
+  /// When the last scan began. Monotonic milliseconds.
+  private scannedAt = -Infinity
 
   constructor(private readonly context: PartContext) {
     super()
-    const {directory, getRoutes, emit} = context
+    const {directory, getRoutes, emit, paths} = context
     this.prober = new HealthProber(directory, probe => {
       const healthPath = getRoutes()?.getService(probe.backend.service)?.healthPath
-      if (healthPath !== undefined) emit({kind: "probeBackend", probe, healthPath})
+      if (healthPath === undefined) return
+      paths.onProbeSent(probe.backend.id, this.scannedAt)
+      emit({kind: "probeBackend", probe, healthPath})
     })
   }
 
@@ -25,6 +29,7 @@
   }
 
   override scan(_draining: boolean, now: number): void {
+    this.scannedAt = now
     this.prober.tick(now)
   }
 }
--- a/src/parts/stage-part.ts
+++ b/src/parts/stage-part.ts
@@ -50,7 +50,8 @@
   }
 
   override scan(draining: boolean, now: number): void {
-    this.manager.tick(now, !draining)
+    // A daemon that reaches no engine can't order one.
+    this.manager.tick(now, !draining && !this.context.paths.isCutOff())
   }
 
   private onStageEffect(effect: StageEffect): void {
--- a/test/daemon-parts.test.ts
+++ b/test/daemon-parts.test.ts
@@ -11,7 +11,7 @@
 import { checkPlatformSettings, createProcessSettings } from '../platform/settings.js';
 import { formatSettings } from '../lab/soak/settings-file.js';
 import { SOAK_BOUNDS } from '../lab/soak/soak-record.js';
-import { makePermits } from './forwarding-harness.js';
+import { makePaths, makePermits } from './forwarding-harness.js';
 
 const ADDRESS = '127.0.0.1:1';
 
@@ -29,6 +29,7 @@
     limits: new BackendLimits(directory, () => undefined),
     leaving: new LeavingBackends(directory, () => undefined),
     permits: makePermits(),
+    paths: makePaths(directory),
     kvIndex: new KvIndex(),
     emit: () => undefined,
     getMembers: () => [],
--- a/test/drawn-day.ts
+++ b/test/drawn-day.ts
@@ -328,8 +328,10 @@
       this.fleet.time.after(ms, () =>
         this.fleet.handle(node, { kind: 'attempt', requestId, attemptId, event }),
       );
-    if (this.stoppedAddresses.has(backend.address))
-      return sendEvent(2, { kind: 'unreachable', reason: 'ECONNREFUSED' });
+    if (this.stoppedAddresses.has(backend.address)) {
+      const failure = start.via === undefined ? {} : ({ tunnelFailure: 'backend' } as const);
+      return sendEvent(2, { kind: 'unreachable', reason: 'ECONNREFUSED', ...failure });
+    }
     if (this.crashingRequests.has(requestId)) {
       this.stopBackend(backend.id);
       return sendEvent(40, { kind: 'broken', reason: 'ECONNRESET' });
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -2,6 +2,7 @@
 import { makeLabBackend, makeLabConfiguration } from '../lab/forwarding-site.js';
 import { BackendDirectory } from '../src/forwarding/backends/backend-directory.js';
 import { BackendDistance } from '../src/forwarding/choose/backend-distance.js';
+import { BackendPaths } from '../src/forwarding/paths/backend-paths.js';
 import { BackendPicker } from '../src/forwarding/choose/backend-picker.js';
 import { DEFAULT_BACKEND_PICKER_SETTINGS } from '../src/forwarding/choose/backend-picker-settings.js';
 import { DEFAULT_BACKEND_HEALTH_SETTINGS } from '../src/forwarding/backends/backend-health.js';
@@ -42,6 +43,20 @@
   });
 }
 
+/** Paths of a daemon that knows these peers. */
+export function makePaths(directory: BackendDirectory, members: readonly Member[] = []): BackendPaths {
+  return new BackendPaths({
+    identity: { id: 'daemon-1', address: '10.0.0.1:1', zone: 'zone-a', region: 'main' },
+    random: new SeededRandom(SEED),
+    directory,
+    getMembers: () => members,
+    hasHealthCheck: () => true,
+    closeTunnels: () => undefined,
+    onOfferChanged: () => undefined,
+    logChange: () => undefined,
+  });
+}
+
 /** The forwarding machine of one daemon, with its effects collected. */
 export class ForwardingHarness {
   readonly effects: ForwardEffect[] = [];
@@ -54,6 +69,9 @@
   /** Members of the fleet, as the permits see it. */
   readonly permitMembers: Member[] = [];
   readonly permits = makePermits(this.permitMembers);
+  /** Peers that may take tunnels, as the paths see them. */
+  readonly peers: Member[] = [];
+  readonly paths = makePaths(this.directory, this.peers);
   stale = false;
   readonly roundTrips = new RoundTrips(DEFAULT_DISTANCE_SETTINGS.roundTripMs);
   readonly distance: BackendDistance;
@@ -93,6 +111,7 @@
         onAttemptAnswered: () => undefined,
         onSignals: () => undefined,
         permits: this.permits,
+        paths: this.paths,
         takeQuota: (request) => this.takeQuota(request),
         removeQuotaRequest: (requestId) => this.quotaCharges.push([requestId, 0]),
         chargeQuota: ({ name }, cost) => this.quotaCharges.push([name, cost]),
--- a/test/path-site.ts
+++ b/test/path-site.ts
@@ -72,7 +72,7 @@
       this.fleet.write({ collection: 'backends', id: record.id, revision: 0, value: record });
     this.fleet.onAttempt = (node, start) => this.startAttempt(node, start);
     this.fleet.onProbe = (node, { id }) => this.probe(node, id);
-    this.fleet.onEffect = (node, effect) => this.onEffect(node, effect);
+    for (const node of this.fleet.nodes) this.watch(node);
     this.fleet.time.runUntil(STARTED_MS);
   }
 
@@ -177,9 +177,10 @@
       return;
     }
     const how = this.getConnectFailure(node, start.backend.id);
-    if (how === undefined) {
+    const heldMs = this.getHeldMs(node, start.backend.id);
+    if (how === undefined || heldMs < CONNECT_TIMEOUT_MS) {
       attempt.connected = true;
-      this.after(ROUND_TRIP_MS, () => this.serve(attempt));
+      this.after(ROUND_TRIP_MS + (how === undefined ? 0 : heldMs), () => this.serve(attempt));
     } else
       this.end(attempt, how === 'silent' ? CONNECT_TIMEOUT_MS : ROUND_TRIP_MS, {
         kind: 'unreachable',
@@ -224,6 +225,12 @@
     return this.isSilent(id) ? 'silent' : undefined;
   }
 
+  /** How long a back end that is silent holds what it is sent; Infinity where nothing reaches it. Milliseconds. */
+  private getHeldMs(node: FleetNode, id: string): number {
+    if (this.getLink(node, id) !== 'sound' || this.down.has(id)) return Infinity;
+    return Math.max(0, (this.silentUntil.get(id) ?? 0) - this.fleet.time.now());
+  }
+
   private isSilent(id: string): boolean {
     return (this.silentUntil.get(id) ?? 0) > this.fleet.time.now();
   }
@@ -266,14 +273,23 @@
 
   private probe(node: FleetNode, id: string): void {
     const how = this.getConnectFailure(node, id);
-    const silentMs = Math.max(0, (this.silentUntil.get(id) ?? 0) - this.fleet.time.now());
-    const heldMs = this.getLink(node, id) === 'sound' && !this.down.has(id) ? silentMs : Infinity;
+    const heldMs = this.getHeldMs(node, id);
     const succeeded = how === undefined || (how === 'silent' && heldMs < PROBE_TIMEOUT_MS);
     const afterMs =
       how === undefined ? 2 : how === 'refused' ? ROUND_TRIP_MS : Math.min(heldMs, PROBE_TIMEOUT_MS);
     this.after(afterMs, () => this.fleet.handle(node, { kind: 'probed', backendId: id, succeeded }));
   }
 
+  private watch(node: FleetNode): void {
+    const { daemon } = node;
+    const handle = daemon.handle.bind(daemon);
+    daemon.handle = (event, now) => {
+      const effects = handle(event, now);
+      for (const effect of effects) this.onEffect(node, effect);
+      return effects;
+    };
+  }
+
   private onEffect(node: FleetNode, effect: ForwardingEffect): void {
     const at = this.fleet.time.now();
     if (effect.kind === 'replyWhole') this.finish(effect.requestId, 200);
--- a/test/paths.test.ts
+++ b/test/paths.test.ts
@@ -152,6 +152,18 @@
     });
   }
 
+  for (const how of ['silent', 'refused'] as const)
+    it(`while the back ends of a zone are down and callers are rare: ${how}`, () => {
+      const site = new PathSite(DAEMONS, BACKENDS, SEED);
+      site.run(site.fleet.nodes, RATE, CUT_AT);
+      site.stop(
+        site.backends.filter(({ zone }) => zone === 'zone-0'),
+        how,
+      );
+      site.run(site.fleet.nodes, 0.7, HEALED_AT);
+      expect(site.getChangeTimes(site.fleet.nodes, 'daemon.cut-off')).to.deep.equal([]);
+    });
+
   for (const rate of [RATE, 60])
     for (const [name, count] of [
       ['one back end is', 1],
--- a/test/region-part.test.ts
+++ b/test/region-part.test.ts
@@ -15,7 +15,7 @@
 import { Places } from '../src/places/places.js';
 import { RoundTrips } from '../src/places/round-trips.js';
 import { SeededRandom } from '../src/shared/random.js';
-import { makePermits } from './forwarding-harness.js';
+import { makePaths, makePermits } from './forwarding-harness.js';
 
 const { distance: distanceSettings } = DEFAULT_FORWARDING_SETTINGS;
 const FAR = 'daemon-far.a';
@@ -43,6 +43,7 @@
     limits: new BackendLimits(directory, () => undefined),
     leaving: new LeavingBackends(directory, () => undefined),
     permits: makePermits(),
+    paths: makePaths(directory),
     kvIndex: new KvIndex(),
     regions,
     emit: () => undefined,
