A daemon that reaches no back end sends through tunnels of peers that do

Cause: an attempt had one path to its back end; a daemon found out again for each request that it was lost, and readiness hides nothing where most of a zone is cut off (docs/incidents/daemons-cut-off-from-back-ends.md).

Joins the transport (tunnels through a peer's port) and the policy (which path, cut off or not, which peer): an attempt goes through a peer while this daemon reaches no back end, and at once, to the same back end, when a direct connection was refused. Whatever decides about a request stays in the daemon that took it (docs/design/paths-to-back-ends.md, with the ways weighed).

--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -37,11 +37,6 @@
 const BACKEND_SCAN_MS = 120;
 /** A process that measures more than this time between two ticks was paused. Milliseconds. Six ticks. */
 const PROCESS_PAUSE_MS = 250;
-/**
- * Bound of the tunnels that peers have open through this daemon. Each takes two descriptors of the 4,100 of a process,
- * of which callers use under a half.
- */
-const MAXIMUM_TUNNELS = 512;
 /** Rendezvous key by which daemons are ranked as readers of the store. */
 const STORE_READER_KEY = 'store-reader';
 
@@ -138,22 +133,19 @@
     return this.machines.directory.get(backendId)?.inFlight() ?? 0;
   }
 
+  /**
+   * Why this daemon takes no tunnel to a back end for a peer; undefined if it takes one. `openTunnels` is the
+   * number of those that it carries now.
+   */
+  checkTunnel(backendAddress: string, openTunnels: number): TunnelRefusal | undefined {
+    return this.machines.paths.checkTunnel(backendAddress, openTunnels, this.eventAt);
+  }
+
   /** The figures of each part, by its name, for operators. */
   getPartFigures(now: number): Readonly<Record<string, PartFigures>> {
     return Object.fromEntries(this.machines.parts.map((part) => [part.name, part.getFigures?.(now) ?? {}]));
   }
 
-  /**
-   * Decides on a tunnel for a peer to the back end at `address` (`ip:port`), beside `openTunnels` others; returns the
-   * reason if it is refused.
-   */
-  checkTunnel(address: string, openTunnels: number): TunnelRefusal | undefined {
-    if (this.draining) return 'stopping';
-    if (openTunnels >= MAXIMUM_TUNNELS) return 'busy';
-    for (const { record } of this.machines.directory.all()) if (record.address === address) return undefined;
-    return 'unknown-backend';
-  }
-
   private dispatch(event: ForwardingEvent, now: number): void {
     switch (event.kind) {
       case 'tick':
@@ -253,6 +245,7 @@
     if (this.draining) return;
     this.draining = true;
     this.logChange('drain.started', { requests: this.countOpenRequests() });
+    this.machines.paths.onStopping(now);
     this.machines.membership.leave(now);
   }
 
