Go back to a silent back end also when the others are full

After a request was moved off a silent back end and its successor found no connection, it was refused as overload where the back ends left were full, though the first one may have gone on.

--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -62,8 +62,9 @@
       return
     }
     const limited = this.addPermitRequests(session, now)
-    const choice =
-      picker.pick(this.makeQuery(session, session.excluded, now), now) ?? this.pickSilent(session, now)
+    const other = picker.pick(this.makeQuery(session, session.excluded, now), now)
+    const isTaken = other !== undefined && !limits.isOverloaded(session, other)
+    const choice = isTaken ? other : (this.pickSilent(session, now) ?? other)
     if (!choice) {
       if (limited.length > 0) this.waitForPermit(session, limited, now)
       else this.refuseWithoutBackend(session, now)
--- a/test/silent-back-ends.test.ts
+++ b/test/silent-back-ends.test.ts
@@ -310,6 +310,16 @@
     site.checkWaits();
   });
 
+  it('a plain request waits that moved away from a silent back end when its successor refuses the connection and the others are full', () => {
+    const site = new SilentSite({ maximumAttempts: 9 }, makeBackends(3, 1));
+    site.beginRequest();
+    site.runUntilMoved();
+    const used = site.getStarts().map(({ backend }) => backend.id);
+    for (const { id } of makeBackends(3)) if (!used.includes(id)) site.fill(id, 4);
+    site.event(REFUSED, site.now);
+    site.checkWaits();
+  });
+
   it('an attempt is given up as stalled only when another follows in the same step, for any order of events', () => {
     const run = fc.record({
       engines: fc.boolean(),
