Failing test: a stop closes the connection of a caller at a silent back end

Cause: since attempts at silent back ends are kept until their deadline, one whose deadline lies after the grace period of a stop is still open when the process exits, and nothing answers it. Beside a stop that is a request lost.

--- a/test/silent-review-sockets.test.ts
+++ b/test/silent-review-sockets.test.ts
@@ -127,3 +127,24 @@
     backend.close();
   });
 });
+
+describe('a caller at a silent back end', () => {
+  it('gets an answer, and no closed connection, before its daemon exits', async () => {
+    const backends = Array.from({ length: 3 }, () => new ScriptedBackend(() => undefined));
+    const records = await Promise.all(
+      backends.map(async (backend, index) => makeLabBackend(`b${index}`, await backend.listen())),
+    );
+    const route = makeLabRoute({ host: '127.0.0.1', timeoutMs: 8000, maximumAttempts: 1 });
+    const site = await startForwardingSite([route], records);
+    const headers = { 'X-Attempt-Id': 'a1', 'X-Deadline-Ms': '8000' };
+    const answer = fetch(`http://${site.callers}/a/x`, { headers }).then(
+      ({ status }) => `status ${status}`,
+      () => 'closed',
+    );
+    await delay(50);
+    await site.daemon.stop();
+    await site.daemon.close();
+    for (const backend of backends) backend.close();
+    expect(await answer).to.match(/^status 50[24]$/);
+  });
+});
