--- a/src/forwarding/retry/attempt-outcomes.ts
+++ b/src/forwarding/retry/attempt-outcomes.ts
@@ -116,7 +116,7 @@
     if (!retryPolicy.mayRetryStalled(next, attempt, now)) return
     if (now - (attempt.lastSearchAt ?? -Infinity) < SEARCH_INTERVAL_MS) return
     attempt.lastSearchAt = now
-    const choice = sender.findSuccessor(next, now)
+    const choice = sender.findSuccessor(next, attempt, now)
     if (!choice) return
     addUnansweredSample(attempt, now)
     this.dependencies.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -85,13 +85,15 @@
   }
 
   /// Finds the back end that takes the request now as its next attempt, for which one retry of the budget is
-  /// kept; undefined if it would have to wait or be refused, or only back ends that are avoided are left.
-  findSuccessor(session: Session, now: number): BackendChoice | undefined {
+  /// kept; undefined if it would have to wait or be refused, or only back ends are left that are silent too. `given`
+  /// is the attempt that would be given up.
+  findSuccessor(session: Session, given: LiveAttempt, now: number): BackendChoice | undefined {
     const {limits, paths, picker, quarantineGate} = this.dependencies
     if (quarantineGate.getRefusedMs(session, now) !== undefined) return undefined
     if (paths.getRefusalMs(now) !== undefined) return undefined
     const choice = picker.pick(this.makeQuery(session, session.excluded, now, 1), now)
-    if (!choice || choice.backend.isEjected(now)) return undefined
+    if (!choice || (choice.backend !== given.choice.backend && choice.backend.health.needsProbe(now)))
+      return undefined
     return limits.isOverloaded(session, choice) ? undefined : choice
   }
 
@@ -102,12 +104,14 @@
     this.startChosen(session, choice, now)
   }
 
-  /// Picks a back end that was given up before because it was silent.
+  /// Picks a back end that was given up before because it was silent, each at most once.
   private pickSilent(session: Session, now: number): BackendChoice | undefined {
     const {excluded, silent} = session
     if (silent.size === 0) return undefined
     const others = new Set([...excluded].filter(id => !silent.has(id)))
-    return this.dependencies.picker.pick(this.makeQuery(session, others, now), now)
+    const choice = this.dependencies.picker.pick(this.makeQuery(session, others, now), now)
+    if (choice) silent.delete(choice.backend.record.id)
+    return choice
   }
 
   /// Requests permits for the back ends that advertise a limit. Returns these back ends.
