Answer the requests that are open when a stopping process exits

What callers saw: a request at a silent back end whose deadline lies after the grace period ended with a closed connection when its daemon exited after SIGTERM (3 of 3, at 4.0 s of a grace of 4 s). Cause: a stop waited for open requests and answered none of them.

Now what is still open before the last 0.2 s gets its failure: 503 if it was certainly not executed, else 504.

--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -176,6 +176,9 @@
       case 'closeForNew':
         this.machines.manager.closeForNew();
         break;
+      case 'endRequests':
+        this.machines.manager.endRequests(now);
+        break;
       default:
         for (const part of this.machines.parts) part.receiveAnswer?.(event, now);
     }
--- a/src/daemon/forwarding-messages.ts
+++ b/src/daemon/forwarding-messages.ts
@@ -70,7 +70,9 @@
     }
   | { readonly kind: 'beginDrain' }
   /** The process stops soon and accepts no new requests. */
-  | { readonly kind: 'closeForNew' };
+  | { readonly kind: 'closeForNew' }
+  /** The process exits now: every open request is answered with a failure. */
+  | { readonly kind: 'endRequests' };
 
 /** Effects that the daemon requests. */
 export type ForwardingEffect =
--- a/src/forwarding/finish/request-finisher.ts
+++ b/src/forwarding/finish/request-finisher.ts
@@ -55,14 +55,15 @@
     this.finish(session, now)
   }
 
-  /// The deadline of the request has passed.
-  finishAtDeadline(session: Session, now: number): void {
+  /// There is no time left to wait for an answer: the deadline of the request has passed, or the process exits.
+  finishUnanswered(session: Session, failure: "deadline" | "stopping", now: number): void {
     const notExecuted = !session.attempt && !session.mayHaveExecuted
-    if (session.attempt && !session.attempt.streaming) addUnansweredFailure(session.attempt, now)
+    if (failure === "deadline" && session.attempt && !session.attempt.streaming)
+      addUnansweredFailure(session.attempt, now)
     this.stopAttempt(session, now)
     if (notExecuted)
-      this.finishFailed(session, STATUS_UNAVAILABLE, "deadline", this.retryAfter.getNotServedMs(), now)
-    else this.finishFailed(session, STATUS_DEADLINE, "deadline", undefined, now)
+      this.finishFailed(session, STATUS_UNAVAILABLE, failure, this.retryAfter.getNotServedMs(), now)
+    else this.finishFailed(session, STATUS_DEADLINE, failure, undefined, now)
   }
 
   /// The answer of the attempt is complete: passes it on to the caller.
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -98,6 +98,13 @@
     this.admission.close()
   }
 
+  /// Answers every open request with a failure: the process exits, and a closed connection would tell its caller
+  /// less.
+  endRequests(now: number): void {
+    for (const session of [...this.sessions.values()])
+      this.finisher.finishUnanswered(session, "stopping", now)
+  }
+
   /// Handles a request that has arrived completely.
   receiveRequest(request: ForwardRequest, now: number): void {
     const admission = this.admission.admit(request, now)
@@ -157,7 +164,7 @@
     const isServedByPeers = this.paths.isServedByPeers(now)
     for (const session of [...this.sessions.values()]) {
       if (isServedByPeers && session.attempt) setLinkLost(session.attempt)
-      if (now >= session.deadlineAt) this.finisher.finishAtDeadline(session, now)
+      if (now >= session.deadlineAt) this.finisher.finishUnanswered(session, "deadline", now)
       else if (session.awaitsPermit && now >= (session.permitDueAt ?? now)) this.sender.send(session, now)
       else if (session.attempt && this.retryPolicy.isStalled(session, session.attempt, now, this.resumedAt))
         this.outcomes.onStalled(session, session.attempt, now)
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -82,6 +82,7 @@
       | "attempt"
       | "beginDrain"
       | "closeForNew"
+      | "endRequests"
   }
 >
 
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -233,7 +233,9 @@
     await this.waitUntilIdle(Math.min(refusedUntil, deadline));
     await this.closeListener(deadline + FINAL_ACCEPT_MS - now());
     await this.waitUntilIdle(deadline);
-    await this.waitForFinalRequests(Math.max(deadline + FINAL_ACCEPT_MS, now()) + FINAL_ANSWER_MS);
+    await this.waitForFinalRequests(Math.max(deadline + FINAL_ACCEPT_MS, now()));
+    this.send({ kind: 'endRequests' });
+    await this.waitForFinalRequests(now() + FINAL_ANSWER_MS);
     this.stopTimers();
     this.log.writeImportantEvent('process.stopped', {
       unfinished: this.server.getOpenRequestCount(),
