Silent connections: requests move once the newest connections answer, also in the third generation

What callers saw: requests on silent connections waited to their deadline where the connections that replaced these had fallen silent too and a third generation answered (3 of 3 not served). Cause: an old pool was compared with its first successor only. The successor of a pool is now always the newest one. Test: silent-review-sockets, red before.

--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -110,7 +110,7 @@
 /** The client of one daemon. */
 export class BackendClient {
   private readonly pools = new Map<string, ServerPool>();
-  /** The successor of each pool that gets no new requests. */
+  /** The pool that has replaced each pool that gets no new requests: always the newest one. */
   private readonly successors = new Map<ServerPool, ServerPool>();
   private readonly attempts = new Map<string, AttemptHandler>();
   private readonly resetDetector: ResetDetector;
@@ -292,6 +292,7 @@
       if (current !== pool) continue;
       const successor = pool.createSuccessor();
       this.pools.set(key, successor);
+      for (const [older, newest] of this.successors) if (newest === pool) this.successors.set(older, successor);
       this.successors.set(pool, successor);
       pool.close();
     }
