A back end that sends a buffered answer in parts is not silent

What callers and back ends saw: a plain answer that arrived in parts, a byte each 100 ms, was taken for silence: the request was sent to a second back end, and the first was ejected, probed and voted against. Cause: the state machine heard nothing between the head and the end of a buffered answer. Now the arrival of a part is reported, at most once between two checks of the connections, and never for an answer that comes at once.

--- a/src/adapters/attempt-handler.ts
+++ b/src/adapters/attempt-handler.ts
@@ -75,6 +75,8 @@
   private sentAtCheck = 0;
   private responseStarted = false;
   private silenceReported = false;
+  /** Number of the check after which a part of a buffered answer was last reported. */
+  private progressAtCheck = 0;
   private finished = false;
   private status = 0;
   private signals: BackendSignals | undefined;
@@ -148,6 +150,7 @@
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
     this.responseStarted = true;
+    this.progressAtCheck = this.pool.getCheckCount();
     if (status < FIRST_FINAL_STATUS || this.finished) return;
     const raw = getRawHeaders(controller);
     this.status = status;
@@ -176,10 +179,19 @@
       this.bufferedBytes += chunk.length;
       if (this.bufferedBytes > MAXIMUM_BUFFERED_BYTES)
         this.fail({ kind: 'broken', reason: 'the answer is too long', isInvalidAnswer: true });
-      else this.chunks.push(Buffer.from(chunk));
+      else this.addChunk(chunk);
     }
   }
 
+  /** Adds a part of an answer that is buffered, and reports its arrival once between two checks. */
+  private addChunk(chunk: Buffer): void {
+    this.chunks.push(Buffer.from(chunk));
+    const check = this.pool.getCheckCount();
+    if (check === this.progressAtCheck) return;
+    this.progressAtCheck = check;
+    this.onEvent({ kind: 'answerProgress' });
+  }
+
   onResponseEnd(): void {
     if (this.finished) return;
     if (this.resetDetector.isHandlingReset()) {
--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -99,6 +99,7 @@
 const NON_FINAL_EVENTS: ReadonlySet<ForwardAttemptEvent['kind']> = new Set([
   'streamStarted',
   'streamProgress',
+  'answerProgress',
   'whole',
   'connectionSilent',
 ]);
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -56,6 +56,8 @@
   | {readonly kind: "streamStarted"; readonly signals?: BackendSignals}
   /// Complete events of the stream were passed on; `lastEventId` is the id of the last one.
   | {readonly kind: "streamProgress"; readonly lastEventId: string | undefined}
+  /// A part of an answer has arrived that is passed on when it is complete.
+  | {readonly kind: "answerProgress"}
   /// No data arrives on its connection, nor on others of the same age, while newer ones to the back end work.
   | {readonly kind: "connectionSilent"}
   /// The answer is complete: buffered, or in the case of a stream passed on.
--- a/src/forwarding/retry/attempt-outcomes.ts
+++ b/src/forwarding/retry/attempt-outcomes.ts
@@ -81,6 +81,9 @@
         addProgress(attempt, now)
         if (event.lastEventId !== undefined) session.lastEventId = event.lastEventId
         break
+      case "answerProgress":
+        attempt.choice.backend.onAnswering(attempt.attemptId, now)
+        break
       case "connectionSilent":
         attempt.connectionSilent = true
         break
