Tunnels: pauses of either process before a tunnel is open are tested where the time-out comes first

Change: the tests pause the process after the sockets were read, so that the due timer comes first; one for the origin, one for the peer.

--- a/test/tunnel-peers.test.ts
+++ b/test/tunnel-peers.test.ts
@@ -15,6 +15,13 @@
 /** Bound of the tunnels through one daemon. */
 const MAXIMUM_TUNNELS = 512;
 
+/** Keeps this process busy, so that timers that are due meanwhile come before what waits in sockets. */
+async function pauseProcess(milliseconds: number): Promise<void> {
+  await new Promise((resolve) => setImmediate(resolve));
+  const end = performance.now() + milliseconds;
+  while (performance.now() < end);
+}
+
 describe('peers of tunnels', () => {
   let rig: TunnelRig;
 
@@ -164,15 +171,20 @@
     transport.close();
   });
 
-  it('an answer that arrived while this process was paused is taken', async () => {
+  it('an answer that arrived while the origin was paused is taken', async () => {
     await start(() => undefined);
     const { address } = await startChild('late');
     const run = rig.startAttempt({ via: address });
     await delay(30);
-    const end = performance.now() + 600;
-    while (performance.now() < end);
+    await pauseProcess(600);
     expect(await run.ended).to.include({ kind: 'whole' });
   });
+
+  it('a connection to the back end that was made while the peer was paused is used', async () => {
+    await start((_request, socket) => socket.write(`${ANSWER_HEAD}Content-Length: 2\r\n\r\nok`));
+    rig.peer.onCheck = () => void pauseProcess(300);
+    expect(await rig.startAttempt().ended).to.include({ kind: 'whole' });
+  });
 });
 
 describe('a daemon that serves tunnels', () => {
--- a/test/tunnel-rig.ts
+++ b/test/tunnel-rig.ts
@@ -84,6 +84,8 @@
 /** A peer that serves tunnels, in this process. */
 export class TunnelPeer {
   refusal: TunnelRefusal | undefined;
+  /** Called when a tunnel is asked for. */
+  onCheck: () => void = () => undefined;
   readonly opened: string[] = [];
   readonly refused: TunnelRefusal[] = [];
   readonly closed: { toBackend: number; fromBackend: number }[] = [];
@@ -94,6 +96,7 @@
   readonly server = new TunnelServer({
     checkTunnel: (address, openTunnels) => {
       this.openCounts.push(openTunnels);
+      this.onCheck();
       if (this.refusal === undefined) this.opened.push(address);
       return this.refusal;
     },
