Tunnels: functions begin with the house's verbs

Cause: some functions of the tunnel server did not begin with a verb of the list in CONTRIBUTING.md. Evidence: test/tunnels and test/tunnel-peers pass.

--- a/src/adapters/tunnel-connector.ts
+++ b/src/adapters/tunnel-connector.ts
@@ -74,19 +74,19 @@
       return;
     }
     if (rest.length > 0) this.socket.unshift(rest);
-    this.end();
+    this.stopReading();
     this.callback(null, this.socket);
   }
 
   private fail(reason: string): void {
     if (this.isOver) return;
-    this.end();
+    this.stopReading();
     this.socket.on('error', () => undefined).destroy();
     const failure = reason === 'unreachable' ? 'backend' : 'peer';
     this.callback(new TunnelError(this.path.via, reason, failure), null);
   }
 
-  private end(): void {
+  private stopReading(): void {
     this.isOver = true;
     clearTimeout(this.timer);
     this.socket.off('readable', this.onReadable).off('error', this.onError).off('close', this.onClose);
--- a/src/adapters/tunnel-server.ts
+++ b/src/adapters/tunnel-server.ts
@@ -45,18 +45,18 @@
   }
 
   /** Opens the tunnel that `request`, the first line on the peer's connection, asks for, or refuses it. */
-  accept(peer: Socket, request: TunnelRequest): void {
+  startTunnel(peer: Socket, request: TunnelRequest): void {
     peer.setNoDelay(true);
     peer.setKeepAlive(true, KEEP_ALIVE_MS);
     peer.on('error', () => undefined);
     const refusal = this.listener.checkTunnel(request.backend, this.tunnels.size);
     if (refusal !== undefined) {
-      this.refuse(peer, request, refusal);
+      this.sendRefusal(peer, request, refusal);
       return;
     }
     const tunnel = new Tunnel(peer, request.backend, {
       onOpened: () => this.listener.onOpened(),
-      onUnreachable: (reason) => this.refuse(peer, request, reason),
+      onUnreachable: (reason) => this.sendRefusal(peer, request, reason),
       onClosed: () => this.removeTunnel(tunnel),
     });
     this.tunnels.add(tunnel);
@@ -64,10 +64,10 @@
 
   /** Resets every tunnel: an answer that is cut off must not look complete. */
   close(): void {
-    for (const tunnel of this.tunnels) tunnel.reset();
+    for (const tunnel of this.tunnels) tunnel.close();
   }
 
-  private refuse(peer: Socket, request: TunnelRequest, reason: TunnelRefusal): void {
+  private sendRefusal(peer: Socket, request: TunnelRequest, reason: TunnelRefusal): void {
     peer.write(`${encodeTunnelAnswer({ kind: 'refused', reason })}\n`);
     peer.destroySoon();
     this.listener.onRefused(request, reason);
@@ -106,11 +106,11 @@
     this.backend.on('connect', () => this.onConnect());
     this.backend.on('error', (error: NodeJS.ErrnoException) => this.onBackendError(error));
     this.backend.on('end', () => this.peer.end());
-    this.peer.on('error', () => resetSocket(this.backend));
+    this.peer.on('error', () => closeByReset(this.backend));
     // The caller of a request has left, and the back end has to notice.
     this.peer.on('end', () => this.backend.destroy());
-    passOn(this.peer, this.backend);
-    passOn(this.backend, this.peer);
+    startPassing(this.peer, this.backend);
+    startPassing(this.backend, this.peer);
     for (const socket of [this.peer, this.backend]) socket.on('close', () => this.onClose());
   }
 
@@ -120,9 +120,9 @@
   }
 
   /** Resets both connections. */
-  reset(): void {
-    resetSocket(this.backend);
-    resetSocket(this.peer);
+  close(): void {
+    closeByReset(this.backend);
+    closeByReset(this.peer);
   }
 
   private onConnect(): void {
@@ -138,7 +138,7 @@
   }
 
   private onBackendError(error: NodeJS.ErrnoException): void {
-    if (this.opened) resetSocket(this.peer);
+    if (this.opened) closeByReset(this.peer);
     else this.listener.onUnreachable(LOCAL_FAILURE_CODES.has(error.code ?? '') ? 'busy' : 'unreachable');
   }
 
@@ -151,7 +151,7 @@
 }
 
 /** Passes on what arrives, no faster than it is taken. */
-function passOn(from: Socket, to: Socket): void {
+function startPassing(from: Socket, to: Socket): void {
   from.on('data', (chunk: Buffer) => {
     if (to.writable && !to.write(chunk)) from.pause();
   });
@@ -159,7 +159,7 @@
 }
 
 /** Resets a connection; one that is not established yet is given up. */
-function resetSocket(socket: Socket): void {
+function closeByReset(socket: Socket): void {
   if (socket.connecting) socket.destroy();
   else socket.resetAndDestroy();
 }
--- a/test/tunnel-rig.ts
+++ b/test/tunnel-rig.ts
@@ -91,11 +91,9 @@
   readonly closed: { toBackend: number; fromBackend: number }[] = [];
   readonly protocolErrors: string[] = [];
   readonly messages: unknown[] = [];
-  readonly openCounts: number[] = [];
   address = '';
   readonly server = new TunnelServer({
-    checkTunnel: (address, openTunnels) => {
-      this.openCounts.push(openTunnels);
+    checkTunnel: (address) => {
       this.onCheck();
       if (this.refusal === undefined) this.opened.push(address);
       return this.refusal;
@@ -114,7 +112,7 @@
         onMessage: (fromId, _address, message) => this.messages.push([fromId, message]),
         onProtocolError: ({ code }) => this.protocolErrors.push(code),
         onTraffic: () => undefined,
-        onTunnel: (socket, request) => this.server.accept(socket, request),
+        onTunnel: (socket, request) => this.server.startTunnel(socket, request),
       },
     );
     await this.transport.listen();
