Fault soak: daemons cut off from all back ends, and a check of RECOVER

Cause: no rig cut chosen daemons from all back ends and told them apart exactly; the trial rig of the issue let a few connections through.

Change: a last phase of its own (option cuts, --no-cuts, generator seed + 21). One to all daemons lose their paths for 4 to 12 s: open and new connections hang; open ones are reset and new ones refused; or open ones live on. Callers, the store and peers still reach them. Each daemon is started by a module that gives its TCP connections a source address of their own, by which the proxies before the back ends tell who connects. A refused connection is accepted and reset at once, a hanging one is accepted and held. The check: from the contact time after the start of a cut to its end, callers at cut daemons are served two thirds as often as at the others, or no more than 10 + 1 in 50 of all first tries fail there; where all are cut, no more than as many unserved ones end after 250 ms. The soak's phases stand in a function of their own.

Tests: soak-cuts 25 pass, soak-silence, fault-soak, layout pass.

--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -33,7 +33,8 @@
 const STATUS_BUSY = 503
 const PROCESSING_MS = 15
 const SLOW_PROCESSING_MS = 250
-const EVENT_INTERVAL_MS = 12
+/// The usual time between two events of a stream. Milliseconds.
+export const EVENT_INTERVAL_MS = 12
 const EVENT_COUNT = 6
 const ORDER_DELAY_MS = 2500
 const FORGOTTEN_AFTER_IDLE_MS = 300
--- a/lab/soak/fault-proxy.ts
+++ b/lab/soak/fault-proxy.ts
@@ -5,6 +5,10 @@
 /// ("cutForth"), to the client ("cutBack") or both ("silent") while the connection stays open.
 export type LinkState = "open" | "delayed" | "cutForth" | "cutBack" | "silent"
 
+/// How a client is cut off from the target: open and new connections hang; open ones are reset and new ones refused;
+/// or open ones live on while new ones are refused.
+export type CutKind = "hangs" | "resets" | "refusesNew"
+
 const TO_TARGET = "toTarget"
 const TO_CLIENT = "toClient"
 
@@ -17,6 +21,10 @@
   private readonly sockets = new Set<Socket>()
   /// Sockets whose bytes are dropped whatever the state.
   private readonly silenced = new WeakSet<Socket>()
+  /// The clients, by source address, that are cut off from the target.
+  private readonly cuts = new Map<string, CutKind>()
+  /// The source address of the client of each socket, on both sides.
+  private readonly sources = new WeakMap<Socket, string>()
   private readonly server: Server
 
   /// `getTarget` returns the current target address; undefined when nothing listens there.
@@ -44,13 +52,36 @@
   /// Holds all bytes in both directions, those of new connections too, until `release`; none is lost.
   hold(): void {
     this.isHeld = true
-    for (const socket of this.sockets) socket.pause()
+    this.updateHolds()
   }
 
   /// Forwards the bytes that were held, in order, and all further ones.
   release(): void {
     this.isHeld = false
-    for (const socket of this.sockets) socket.resume()
+    this.updateHolds()
+  }
+
+  /// Cuts the clients with this source address off from the target, until `heal`.
+  cut(source: string, kind: CutKind): void {
+    this.cuts.set(source, kind)
+    if (kind === "resets")
+      for (const socket of this.sockets) if (this.sources.get(socket) === source) socket.resetAndDestroy()
+    this.updateHolds()
+  }
+
+  /// Ends the cut of a source address. What its connections have held goes on.
+  heal(source: string): void {
+    this.cuts.delete(source)
+    this.updateHolds()
+  }
+
+  private updateHolds(): void {
+    for (const socket of this.sockets) this.updateHold(socket)
+  }
+
+  private updateHold(socket: Socket): void {
+    if (this.isHeld || this.cuts.get(this.sources.get(socket) ?? "") === "hangs") socket.pause()
+    else socket.resume()
   }
 
   /// Number of connections accepted so far.
@@ -72,7 +103,9 @@
   private accept(client: Socket): void {
     this.connectionCount += 1
     const target = this.getTarget()
-    if (target === undefined) {
+    const source = client.remoteAddress ?? ""
+    const cut = this.cuts.get(source)
+    if (target === undefined || cut === "resets" || cut === "refusesNew") {
       // Reset at once, as the operating system refuses a connection: a daemon takes one that fails within about
       // 30 ms as a sign that nothing listens.
       client.on("error", () => undefined)
@@ -83,6 +116,7 @@
     const upstream = connect({host, port: Number(port)})
     for (const socket of [client, upstream]) {
       this.sockets.add(socket)
+      this.sources.set(socket, source)
       socket.setNoDelay(true)
       socket.on("error", () => undefined)
       socket.on("close", hadError => {
@@ -95,7 +129,7 @@
     }
     this.forward(client, upstream, TO_TARGET)
     this.forward(upstream, client, TO_CLIENT)
-    if (this.isHeld) for (const socket of [client, upstream]) socket.pause()
+    for (const socket of [client, upstream]) this.updateHold(socket)
   }
 
   private forward(from: Socket, to: Socket, direction: typeof TO_TARGET | typeof TO_CLIENT): void {
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -11,6 +11,7 @@
 import {ALLOWED_LATE_RETRIES, findCrashOutcomes, type CrashOutcome, type CrashRecord} from "./crash-check.js"
 import {isCutByStop, isUndisturbed, type Disturbance} from "./disturbance.js"
 import type {EarlyReload} from "./early-reload.js"
+import {findCutOutcomes, findCutViolations, type CutOutcome, type CutSpan} from "./cut-check.js"
 import {SignalRecord} from "./signal-record.js"
 import {findCallersCutBySilence, type SilentSpan} from "./silence-check.js"
 import type {CallerRecord, Violation} from "./caller-record.js"
@@ -84,6 +85,8 @@
   readonly earlyReloads: EarlyReload[] = []
   /// Periods in which sound back ends were silent.
   readonly silences: SilentSpan[] = []
+  /// Periods in which daemons were cut off from all back ends.
+  readonly cuts: CutSpan[] = []
   /// Violations that the stand-ins and the site observed directly.
   readonly observedViolations: Violation[] = []
 
@@ -133,6 +136,7 @@
           text: `${body}: ${lateRetries} times more, ${ends} ended`
         })
     violations.push(...this.signals.check(), ...this.findCallersCutBySilence().violations)
+    violations.push(...findCutViolations(this.findCutOutcomes()))
     for (const {service, seen, allowed, from} of this.findWorstRetryWindows()) {
       const text = `${service}: ${seen} of ${allowed} from ${from} ms`
       if (seen > allowed) violations.push({promise: "repeats stay within the retry budget", text})
@@ -150,6 +154,17 @@
     )
   }
 
+  /// Counts the first tries of callers during each cut.
+  findCutOutcomes(): CutOutcome[] {
+    const {contactMs, configMs, marginMs} = this.bounds
+    const isAllowed = (request: CallerRecord) => {
+      const {needsKey, sentAt, endedAt = Infinity} = request
+      return needsKey !== true || this.wasKeyValid(request, sentAt - configMs - marginMs, endedAt, "always")
+    }
+    const {disturbances} = this
+    return findCutOutcomes(this.cuts, [...this.requests.values()], {disturbances, contactMs, isAllowed})
+  }
+
   /// The worst window of retries of each service, counted at the back ends.
   findWorstRetryWindows(): RetryWindow[] {
     return findWorstWindows(this.arrivals, this.getServiceRequests(), this.bounds.retries)
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -4,13 +4,13 @@
 import {join} from "node:path"
 import {parse} from "smol-toml"
 import {DutyStandIn} from "./duty-stand-in.js"
-import {BackendStandIn, type BackendBehavior} from "./backend-stand-in.js"
+import {BackendStandIn, EVENT_INTERVAL_MS, type BackendBehavior} from "./backend-stand-in.js"
 import {HandleRegistry} from "./handle-registry.js"
 import type {CallerTarget} from "./caller-load.js"
 import {SeededRandom} from "../../src/shared/random.js"
 import {findFreePorts} from "../free-ports.js"
 import {DaemonProcess, type DaemonSite} from "./daemon-process.js"
-import {FaultProxy} from "./fault-proxy.js"
+import {FaultProxy, type CutKind} from "./fault-proxy.js"
 import {BACKENDS} from "./disturbance.js"
 import type {SoakBounds, SoakRecord} from "./soak-record.js"
 import {formatConfiguration, getService, SOAK_ROUTES, SOAK_SERVICES} from "./soak-routes.js"
@@ -61,7 +61,7 @@
   private readonly incarnations: BackendStandIn[] = []
   private readonly registry = new HandleRegistry()
   private version = 0
-  private eventIntervalMs: number | undefined
+  private eventIntervalMs = EVENT_INTERVAL_MS
   private readonly revokedKeys = new Set<string>()
   private movingService: string = SOAK_SERVICES.plain
   private closed = false
@@ -73,8 +73,8 @@
     private readonly folder: string,
     private readonly program: string,
     private readonly random: () => number,
-    /// Flags of the runtime in addition to those of the deploy file.
-    private readonly extraFlags: readonly string[] = []
+    /// The module that starts each daemon with a source address of its own; undefined to start them without.
+    private readonly starter?: string
   ) {
     this.duties = new DutyStandIn(bounds.leaseMs)
     const generator = new SeededRandom(CRASH_SEED)
@@ -166,10 +166,29 @@
     }
   }
 
-  /// Sets the time between two events of a stream at all back ends, in milliseconds.
-  setEventInterval(intervalMs: number): void {
-    this.eventIntervalMs = intervalMs
-    for (const {backend} of this.places) if (backend) backend.eventIntervalMs = intervalMs
+  /// Cuts daemons off from all back ends. Returns a function that ends the cut. Needs a starter, as the proxies tell
+  /// daemons by their source addresses.
+  startCut(names: readonly string[], kind: CutKind): () => void {
+    const sources = names.map(name => getSourceAddress(this.daemons.indexOf(this.getDaemon(name))))
+    const cut = {
+      daemons: names,
+      daemonCount: this.daemons.length,
+      kind,
+      from: performance.now(),
+      until: Infinity
+    }
+    this.record.cuts.push(cut)
+    for (const {proxy} of this.places) for (const source of sources) proxy.cut(source, kind)
+    return () => {
+      for (const {proxy} of this.places) for (const source of sources) proxy.heal(source)
+      cut.until = performance.now()
+    }
+  }
+
+  /// Sets the time between two events of a stream at all back ends, in milliseconds; undefined for the usual one.
+  setEventInterval(intervalMs: number | undefined): void {
+    this.eventIntervalMs = intervalMs ?? EVENT_INTERVAL_MS
+    for (const {backend} of this.places) if (backend) backend.eventIntervalMs = this.eventIntervalMs
   }
 
   /// Starts a new incarnation at a place, if none is running there. With `keepsId` it has the id of the previous
@@ -181,7 +200,7 @@
     const {service, stage} = PLACES[index]
     const identity = {id: `b${index}i${place.incarnation}`, service, stage, zone: ZONES[index % ZONES.length]}
     const backend = new BackendStandIn(identity, this.store, this.record, this.registry, this.random)
-    backend.eventIntervalMs = this.eventIntervalMs ?? backend.eventIntervalMs
+    backend.eventIntervalMs = this.eventIntervalMs
     this.incarnations.push(backend)
     place.realAddress = await backend.start()
     place.backend = backend
@@ -272,7 +291,7 @@
     const site: DaemonSite = {
       folder: this.folder,
       program: this.program,
-      flags: [...readFlags(), ...this.extraFlags],
+      flags: readFlags(),
       bounds: this.bounds,
       seeds: controls.slice(0, 3)
     }
@@ -293,7 +312,7 @@
           name,
           zone,
           address,
-          site,
+          {...site, flags: [...site.flags, ...this.getStarterWords(i)]},
           {store, duties: await this.duties.open(name)},
           {
             onUnexpectedExit: (daemon, reason) =>
@@ -309,6 +328,11 @@
     }
   }
 
+  /// The words between the runtime's flags and the program: the starter and the daemon's source address.
+  private getStarterWords(index: number): readonly string[] {
+    return this.starter === undefined ? [] : [this.starter, getSourceAddress(index)]
+  }
+
   private async openProxy(link: string, target: string): Promise<string> {
     const proxy = new FaultProxy(() => target)
     this.proxies.set(link, proxy)
@@ -316,6 +340,11 @@
   }
 }
 
+/// The source address of a daemon, other than those of the soak itself.
+function getSourceAddress(index: number): string {
+  return `127.0.0.${index + 2}`
+}
+
 /// Reads the flags of the runtime for the program from the deploy file.
 function readFlags(): string[] {
   const deploy = parse(readFileSync(join(process.cwd(), "deploy/system.toml"), "utf8"))
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -6,6 +6,7 @@
 import {mkdirSync, readFileSync, rmSync} from "node:fs"
 import {join} from "node:path"
 import {setTimeout as wait} from "node:timers/promises"
+import {fileURLToPath} from "node:url"
 import meow from "meow"
 import * as z from "zod"
 import {SeededRandom} from "../../src/shared/random.js"
@@ -18,6 +19,8 @@
 import type {CallerRecord, Violation} from "./caller-record.js"
 import {SOAK_BOUNDS, SoakRecord, type SoakBounds} from "./soak-record.js"
 import {findTenant, OVER_QUOTA_TENANT, SOAK_ROUTES} from "./soak-routes.js"
+import type {CutOutcome} from "./cut-check.js"
+import {makeCutPlan} from "./cut-faults.js"
 import {makeSilencePlan} from "./silence-faults.js"
 import {BACKEND_COUNT, PLACES_BY_SERVICE, SoakSite} from "./soak-site.js"
 import {STATUS_MALFORMED} from "./stray-calls.js"
@@ -45,6 +48,8 @@
   readonly limits: readonly LimitWindow[]
   /// Number of requests that were judged beside silent back ends.
   readonly besideSilence: number
+  /// The first tries during each cut of daemons from all back ends.
+  readonly cuts: readonly CutOutcome[]
   readonly violations: readonly Violation[]
 }
 
@@ -59,6 +64,8 @@
   readonly signals: boolean
   /// Whether there is a phase in which sound back ends fall silent beside planned work.
   readonly pauses: boolean
+  /// Whether there is a phase in which daemons are cut off from all back ends.
+  readonly cuts: boolean
   /// Whether the drawn faults are left out; the other kinds of trouble remain.
   readonly calm: boolean
 }
@@ -69,12 +76,15 @@
   crashes: false,
   signals: false,
   pauses: false,
+  cuts: false,
   calm: false
 }
 /// Time for the site to settle between two phases. Milliseconds.
 const SETTLE_MS = 4000
 /// Time between two events of a stream in the phase of silences, so that streams are under way when one begins.
 const SILENCE_EVENT_INTERVAL_MS = 100
+/// The module that gives a daemon a source address of its own.
+const STARTER = fileURLToPath(new URL("source-address.js", import.meta.url))
 /// Mean interval of the requests that crash back ends, on each of their routes. Milliseconds.
 const CRASH_INTERVAL_MS = 400
 /// The routes of these requests: a plain one, and two with streamed answers.
@@ -87,12 +97,13 @@
   perSecond: number,
   program: string,
   folder: string,
-  {daemonCount, series, crashes, signals, pauses, calm}: SoakOptions = DEFAULT_OPTIONS
+  options: SoakOptions = DEFAULT_OPTIONS
 ): Promise<SoakOutcome> {
+  const {daemonCount, series, crashes, cuts} = options
   const generator = new SeededRandom(seed)
   const random = () => generator.next()
   const record = new SoakRecord(BOUNDS)
-  const site = new SoakSite(record, BOUNDS, folder, program, random)
+  const site = new SoakSite(record, BOUNDS, folder, program, random, cuts ? STARTER : undefined)
   await site.start(daemonCount)
   await wait(START_MS)
   // During series of restarts callers switch to another daemon as soon as a process has exited; otherwise most
@@ -101,23 +112,7 @@
   const load = new CallerLoad(record, site.targets, SOAK_ROUTES, random, isUsed)
   const loading = load.run(perSecond)
   const crashing = crashes ? sendCrashes(load, seed) : []
-  const daemons = site.daemons.map(daemon => daemon.name)
-  // The plan has a generator of its own, since the order of the load's draws differs from run to run.
-  const planGenerator = new SeededRandom(seed + 1)
-  const plan = makePlan({daemons, backendCount: BACKEND_COUNT}, seconds * 1000, () => planGenerator.next())
-  const seriesGenerator = new SeededRandom(seed + 2)
-  const seriesPlan = makeSeriesPlan(daemons, PLACES_BY_SERVICE, seconds * 1000, () => seriesGenerator.next())
-  const signalGenerator = new SeededRandom(seed + 10)
-  const signalPlan = makeSignalPlan(PLACES_BY_SERVICE, seconds * 1000, () => signalGenerator.next())
-  await runPlan(site, mergePlans(calm ? [] : plan, series ? seriesPlan : [], signals ? signalPlan : []))
-  load.stopRepeating()
-  if (pauses) {
-    await wait(SETTLE_MS)
-    const silenceGenerator = new SeededRandom(seed + 20)
-    const nextRandom = () => silenceGenerator.next()
-    site.setEventInterval(SILENCE_EVENT_INTERVAL_MS)
-    await runPlan(site, makeSilencePlan(daemons, PLACES_BY_SERVICE, seconds * 1000, nextRandom))
-  }
+  await runPhases(site, load, seed, seconds * 1000, options)
   await wait(RECOVERY_MS)
   const recoveredFrom = performance.now() - RECOVERY_CHECK_MS
   load.stop()
@@ -135,6 +130,37 @@
   return makeOutcome(seed, record, recoveredFrom)
 }
 
+/// Runs the drawn faults, then the phase of silences and that of cuts. Each plan has a generator of its own: the order
+/// of the load's draws differs from run to run, and a new kind of trouble leaves the other plans as they are.
+async function runPhases(
+  site: SoakSite,
+  load: CallerLoad,
+  seed: number,
+  durationMs: number,
+  {series, signals, pauses, cuts, calm}: SoakOptions
+): Promise<void> {
+  const daemons = site.daemons.map(daemon => daemon.name)
+  const makeRandom = (offset: number) => {
+    const generator = new SeededRandom(seed + offset)
+    return () => generator.next()
+  }
+  const plan = calm ? [] : makePlan({daemons, backendCount: BACKEND_COUNT}, durationMs, makeRandom(1))
+  const seriesPlan = series ? makeSeriesPlan(daemons, PLACES_BY_SERVICE, durationMs, makeRandom(2)) : []
+  const signalPlan = signals ? makeSignalPlan(PLACES_BY_SERVICE, durationMs, makeRandom(10)) : []
+  await runPlan(site, mergePlans(plan, seriesPlan, signalPlan))
+  load.stopRepeating()
+  if (pauses) {
+    await wait(SETTLE_MS)
+    site.setEventInterval(SILENCE_EVENT_INTERVAL_MS)
+    await runPlan(site, makeSilencePlan(daemons, PLACES_BY_SERVICE, durationMs, makeRandom(20)))
+    site.setEventInterval(undefined)
+  }
+  if (cuts) {
+    await wait(SETTLE_MS)
+    await runPlan(site, makeCutPlan(daemons, durationMs, makeRandom(21)))
+  }
+}
+
 /// Logs the calls that weren't meant for the platform. One to a known path with an invalid body comes from a daemon
 /// and is a violation.
 function addStrayCallViolations({record, store, duties}: SoakSite): void {
@@ -242,6 +268,7 @@
     crashes: record.findCrashOutcomes(),
     limits: record.signals.findLimitWindows(),
     besideSilence: record.findCallersCutBySilence().judged,
+    cuts: record.findCutOutcomes(),
     violations
   }
 }
@@ -254,7 +281,7 @@
 
 async function main(): Promise<void> {
   const cli = meow(
-    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--no-signals] [--no-pauses] [--calm] [--keep] [--regressions]",
+    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--no-signals] [--no-pauses] [--no-cuts] [--calm] [--keep] [--regressions]",
     {
       importMeta: import.meta,
       flags: {
@@ -267,15 +294,29 @@
         crashes: {type: "boolean", default: true},
         signals: {type: "boolean", default: true},
         pauses: {type: "boolean", default: true},
+        cuts: {type: "boolean", default: true},
         calm: {type: "boolean", default: false},
         keep: {type: "boolean", default: false},
         regressions: {type: "boolean", default: false}
       }
     }
   )
-  const {seed, count, seconds, rate, daemons, series, crashes, signals, pauses, calm, keep, regressions} =
-    cli.flags
-  const options = {daemons, series, crashes, signals, pauses, calm}
+  const {
+    seed,
+    count,
+    seconds,
+    rate,
+    daemons,
+    series,
+    crashes,
+    signals,
+    pauses,
+    cuts,
+    calm,
+    keep,
+    regressions
+  } = cli.flags
+  const options = {daemons, series, crashes, signals, pauses, cuts, calm}
   const freshRuns = Array.from({length: count}, (_, i) => ({seed: seed + i, seconds, ...options}))
   const runs = regressions ? readRegressions() : freshRuns
   const program = buildProgram(join(process.cwd(), "bench-results", "program"))
@@ -289,6 +330,7 @@
       crashes: run.crashes ?? false,
       signals: run.signals ?? false,
       pauses: run.pauses ?? false,
+      cuts: run.cuts ?? false,
       calm: run.calm ?? false
     }
     const outcome = await runSoak(run.seed, run.seconds, rate, program, folder, soakOptions)
@@ -310,6 +352,7 @@
     crashes: z.boolean().optional(),
     signals: z.boolean().optional(),
     pauses: z.boolean().optional(),
+    cuts: z.boolean().optional(),
     calm: z.boolean().optional(),
     cause: z.string()
   })
