--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -293,7 +293,8 @@
       if (current !== pool) continue;
       const successor = pool.createSuccessor();
       this.pools.set(key, successor);
-      for (const [older, newest] of this.successors) if (newest === pool) this.successors.set(older, successor);
+      for (const [older, newest] of this.successors)
+        if (newest === pool) this.successors.set(older, successor);
       this.successors.set(pool, successor);
       pool.close();
     }
