Silent back ends: leave one only for a sound one, go back before trying a lost one; postmortem

A request moved from a silent back end into a region that was cut off, or to a back end that other daemons avoid; and after a rejection it was sent to a back end known to be lost rather than back to the one that had been silent. Both now ask the same question of a back end (isDoubtful).

--- a/src/forwarding/choose/backend-picker.ts
+++ b/src/forwarding/choose/backend-picker.ts
@@ -74,6 +74,11 @@
     this.distance.addAttempt(backend)
   }
 
+  /// Whether nothing is heard of a back end, its region is cut off, or enough other daemons avoid it.
+  isDoubtful(view: BackendView, now: number): boolean {
+    return view.health.needsProbe(now) || this.distance.isCutOff(view) || view.isEjectedByPeers()
+  }
+
   /// Returns the best choice, or undefined when no back end of the service may take the request.
   pick(query: BackendQuery, now: number): BackendChoice | undefined {
     const eligible = this.getEligible(query, now)
--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -50,7 +50,7 @@
 
   /// Sends the request to the back end that the picker chooses, or refuses it.
   send(session: Session, now: number): void {
-    const {finisher, limits, paths, picker, quarantineGate, retryAfter} = this.dependencies
+    const {finisher, limits, paths, quarantineGate, retryAfter} = this.dependencies
     const refusedMs = quarantineGate.getRefusedMs(session, now)
     if (refusedMs !== undefined) {
       finisher.finishNotServed(session, "quarantined", now, refusedMs)
@@ -62,9 +62,7 @@
       return
     }
     const limited = this.addPermitRequests(session, now)
-    const other = picker.pick(this.makeQuery(session, session.excluded, now), now)
-    const isTaken = other !== undefined && !limits.isOverloaded(session, other)
-    const choice = isTaken ? other : (this.pickSilent(session, now) ?? other)
+    const choice = this.pickBackend(session, now)
     if (!choice) {
       if (limited.length > 0) this.waitForPermit(session, limited, now)
       else this.refuseWithoutBackend(session, now)
@@ -85,15 +83,15 @@
   }
 
   /// Finds the back end that takes the request now as its next attempt, for which one retry of the budget is
-  /// kept; undefined if it would have to wait or be refused, or only back ends are left that are silent too. `given`
-  /// is the attempt that would be given up.
+  /// kept; undefined if it would have to wait or be refused, or only doubtful back ends are left. `given` is the
+  /// attempt that would be given up.
   findSuccessor(session: Session, given: LiveAttempt, now: number): BackendChoice | undefined {
     const {limits, paths, picker, quarantineGate} = this.dependencies
     if (quarantineGate.getRefusedMs(session, now) !== undefined) return undefined
     if (paths.getRefusalMs(now) !== undefined) return undefined
     const choice = picker.pick(this.makeQuery(session, session.excluded, now, 1), now)
-    if (!choice || (choice.backend !== given.choice.backend && choice.backend.health.needsProbe(now)))
-      return undefined
+    if (!choice) return undefined
+    if (choice.backend !== given.choice.backend && picker.isDoubtful(choice.backend, now)) return undefined
     return limits.isOverloaded(session, choice) ? undefined : choice
   }
 
@@ -104,6 +102,15 @@
     this.startChosen(session, choice, now)
   }
 
+  /// Picks the back end for the next attempt: one that was silent before rather than a doubtful or full one.
+  private pickBackend(session: Session, now: number): BackendChoice | undefined {
+    const {limits, picker} = this.dependencies
+    const choice = picker.pick(this.makeQuery(session, session.excluded, now), now)
+    if (choice && !limits.isOverloaded(session, choice) && !picker.isDoubtful(choice.backend, now))
+      return choice
+    return this.pickSilent(session, now) ?? choice
+  }
+
   /// Picks a back end that was given up before because it was silent, each at most once.
   private pickSilent(session: Session, now: number): BackendChoice | undefined {
     const {excluded, silent} = session
