Confirm through peers that a back end has ended

Now a back end that this daemon finds nobody at is checked through up to eight peers at once before it counts as ended. One answer voids it; where no peer can tell and this daemon is cut off, nothing is concluded. Test: test/paths, red before (six false ends in 7 ms).

--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -183,7 +183,7 @@
   onAttempt: (node: FleetNode, start: AttemptStart) => void = () => undefined;
 
   /** Whether a process listens at the address of a back end. */
-  isListening: (address: string) => boolean = () => true;
+  isListening: (address: string, from: FleetNode) => boolean = () => true;
 
   /** Sends the outcome of an attempt to its daemon. */
   sendAttemptEvent({ node, requestId, attemptId }: StartedAttempt, event: ForwardAttemptEvent): void {
@@ -273,7 +273,7 @@
         this.callTable(node, effect.request, (result) => ({ kind: 'quarantineTableResult', result }));
         break;
       case 'checkBackend':
-        this.checkBackend(node, effect.backend);
+        this.checkBackend(node, effect.backend, effect.via);
         break;
       case 'callDuty':
         this.callDuty(node, effect.call, effect.authority);
@@ -305,9 +305,11 @@
     });
   }
 
-  private checkBackend(node: FleetNode, backend: BackendIncarnation): void {
-    const check = this.isListening(backend.address) ? 'answered' : 'ended';
-    this.time.after(2 * this.networkMs, () => this.handle(node, { kind: 'backendChecked', backend, check }));
+  private checkBackend(node: FleetNode, backend: BackendIncarnation, via: string | undefined): void {
+    const carrier = via === undefined ? node : this.nodesByAddress.get(via);
+    const check = carrier && this.isListening(backend.address, carrier) ? 'answered' : 'ended';
+    const event: ForwardingEvent = { kind: 'backendChecked', backend, check, via };
+    this.time.after(2 * this.networkMs, () => this.handle(node, event));
   }
 
   /** Answers as an idle engine: without changes, when the long poll expires. */
--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -17,6 +17,8 @@
 } from './attempt-handler.js';
 import type { BackendDialect, PlainCall } from './backend-dialect.js';
 import { getFailureReason } from '../shared/failure-reason.js';
+import type { BackendCheck } from '../quarantine/crash-detector.js';
+import { checkListener, checkListenerThrough } from './listener-check.js';
 import { ResetDetector } from './reset-detector.js';
 import { ServerPool } from './server-pool.js';
 
@@ -248,6 +250,12 @@
     this.onSignals(backend, this.dialect.parseSignals(status, headers), sentAt, isHealthCheck);
   }
 
+  /** Checks whether a process listens at a back end's address (`ip:port`), through a peer if `via` is given. */
+  checkListener(address: string, via?: string): Promise<BackendCheck> {
+    if (via === undefined) return checkListener(address);
+    return checkListenerThrough({ via, originId: this.settings.daemonId ?? '' }, address);
+  }
+
   /** Removes the pools of a back end that no longer exists; each connection is closed when its request has ended. */
   removeBackend(backendId: string): void {
     this.removePools(({ settings }) => settings.serverId === backendId);
--- a/src/adapters/listener-check.ts
+++ b/src/adapters/listener-check.ts
@@ -3,8 +3,11 @@
  * would have to queue at a back end that is only busy.
  */
 import { createConnection } from 'node:net';
+import type { buildConnector } from 'undici';
 import type { BackendCheck } from '../quarantine/crash-detector.js';
+import { TunnelError } from '../errors/index.js';
 import { splitAddress } from '../shared/address.js';
+import { createTunnelConnector, type TunnelPath } from './tunnel-connector.js';
 
 /** A connection attempt that takes longer is inconclusive. Milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -35,3 +38,24 @@
     socket.once('close', () => finish('unclear'));
   });
 }
+
+/** Checks an address (`ip:port`) through a peer; `unknown` if the peer can't tell. Never rejects. */
+export function checkListenerThrough(path: TunnelPath, address: string): Promise<BackendCheck> {
+  return new Promise((resolve) => {
+    createTunnelConnector(path, address)({} as buildConnector.Options, (error, socket) => {
+      if (!socket) {
+        resolve(error instanceof TunnelError && error.failure === 'backend' ? 'ended' : 'unknown');
+        return;
+      }
+      socket.on('error', () => undefined);
+      const timer = setTimeout(() => {
+        resolve('answered');
+        socket.destroy();
+      }, HOLD_MS);
+      socket.once('close', () => {
+        clearTimeout(timer);
+        resolve('unclear');
+      });
+    });
+  });
+}
--- a/src/daemon/forwarding-messages.ts
+++ b/src/daemon/forwarding-messages.ts
@@ -52,7 +52,13 @@
       readonly sentAt: number;
       readonly isHealthCheck: boolean;
     }
-  | { readonly kind: 'backendChecked'; readonly backend: BackendIncarnation; readonly check: BackendCheck }
+  | {
+      readonly kind: 'backendChecked';
+      readonly backend: BackendIncarnation;
+      readonly check: BackendCheck;
+      /** Peer address through which it was checked; undefined for a direct check. */
+      readonly via?: string | undefined;
+    }
   | { readonly kind: 'quarantineTableResult'; readonly result: TableResult }
   | { readonly kind: 'leaseTableResult'; readonly cell: string; readonly result: TableResult }
   | { readonly kind: 'usageTableResult'; readonly window: number; readonly result: TableResult }
@@ -82,7 +88,12 @@
   | { readonly kind: 'readRecords'; readonly read: RecordRead }
   | { readonly kind: 'probeBackend'; readonly probe: HealthProbe; readonly healthPath: string }
   | { readonly kind: 'readKvChanges'; readonly call: KvChangesCall }
-  | { readonly kind: 'checkBackend'; readonly backend: BackendIncarnation }
+  | {
+      readonly kind: 'checkBackend';
+      readonly backend: BackendIncarnation;
+      /** Peer address through which it is checked; undefined for a direct check. */
+      readonly via?: string | undefined;
+    }
   | { readonly kind: 'quarantineTable'; readonly request: TableRequest }
   | { readonly kind: 'leaseTable'; readonly cell: string; readonly request: TableRequest }
   | { readonly kind: 'usageTable'; readonly window: number; readonly request: TableRequest }
--- a/src/forwarding/paths/backend-paths.ts
+++ b/src/forwarding/paths/backend-paths.ts
@@ -122,6 +122,11 @@
     return this.addUsed(this.peers.pick(backendId, now), now)
   }
 
+  /// Peers that take tunnels, `count` at most.
+  pickPeers(count: number, now: number): readonly string[] {
+    return this.peers.pickSeveral(count, now)
+  }
+
   /// When to come back, if no path to any back end is known; undefined if a request may be sent. Milliseconds.
   getRefusalMs(now: number): number | undefined {
     if (!this.cutOff || this.peers.getCount(now) > 0) return undefined
--- a/src/forwarding/paths/tunnel-peers.ts
+++ b/src/forwarding/paths/tunnel-peers.ts
@@ -81,6 +81,15 @@
     return this.pickOf(this.findSound(now), backendId)
   }
 
+  /// Peers that take tunnels, `count` at most, wherever they are.
+  pickSeveral(count: number, now: number): readonly string[] {
+    const left = this.findOffering(now).map(({address}) => address)
+    const picked: string[] = []
+    while (picked.length < count && left.length > 0)
+      picked.push(...left.splice(this.context.random.below(left.length), 1))
+    return picked
+  }
+
   private pickOf(candidates: readonly Member[], backendId: string): string | undefined {
     const known = candidates.find(({address}) => address === this.chosen.get(backendId))
     if (known) return known.address
--- a/src/parts/quarantine-part.ts
+++ b/src/parts/quarantine-part.ts
@@ -1,17 +1,21 @@
 /// Keeps requests that crash back ends away from them.
 import type {PeerMessage} from "../daemon/peer-messages.js"
 import {makeQuarantineChange} from "../daemon/change-log.js"
+import {CrashConfirmation} from "../forwarding/paths/crash-confirmation.js"
 import type {BackendRecord} from "../forwarding/routes/route.js"
 import {getIncarnation} from "../quarantine/incarnation.js"
 import {QuarantineManager, type QuarantineEffect} from "../quarantine/quarantine-manager.js"
 import type {BackendIncarnation} from "../quarantine/crash-detector.js"
 import {DaemonPart, type AnswerEvent, type PartFigures, type PartContext} from "./daemon-part.js"
 
+type CheckedEvent = Extract<AnswerEvent, {kind: "backendChecked"}>
+
 /// The part that runs the quarantine.
 export class QuarantinePart extends DaemonPart {
   override readonly name = "quarantine"
   private readonly manager: QuarantineManager
   private readonly records = new Map<string, BackendRecord>()
+  private readonly confirmation: CrashConfirmation
   private refusedRequests = 0
   private eventAt: number
 
@@ -21,7 +25,8 @@
   ) {
     super()
     this.eventAt = now
-    const {identity, settings, getMembers, isFirstReader, directory, random} = context
+    const {identity, settings, getMembers, isFirstReader, directory, random, paths} = context
+    this.confirmation = new CrashConfirmation(paths)
     this.manager = new QuarantineManager(
       settings.quarantine,
       {
@@ -88,10 +93,18 @@
 
   override receiveAnswer(event: AnswerEvent, now: number): void {
     this.eventAt = now
-    if (event.kind === "backendChecked") this.manager.receiveCheck(event.backend, event.check, now)
+    if (event.kind === "backendChecked") this.receiveCheck(event, now)
     else if (event.kind === "quarantineTableResult") this.manager.receiveTable(event.result, now)
   }
 
+  /// Has a back end that this daemon does not reach checked through peers before it counts as ended.
+  private receiveCheck({backend, check, via}: CheckedEvent, now: number): void {
+    const {incarnation} = backend
+    const step = this.confirmation.receive({incarnation, check, via}, now)
+    if (step?.kind === "settled") this.manager.receiveCheck(backend, step.check, now)
+    else for (const peer of step?.peers ?? []) this.context.emit({kind: "checkBackend", backend, via: peer})
+  }
+
   override tick(now: number): void {
     this.eventAt = now
     this.manager.tick(now)
--- a/src/process/external-calls.ts
+++ b/src/process/external-calls.ts
@@ -3,7 +3,6 @@
  * the results back as events. Owns no state. Relies on adapters whose promises never reject: a call without
  * an answer has a result of its own.
  */
-import { checkListener } from '../adapters/listener-check.js';
 import type { BackendClient } from '../adapters/backend-client.js';
 import type { ForwardingEffect, ForwardingEvent } from '../daemon/forwarding-messages.js';
 import type { DutyPlatform } from '../duties/duty-messages.js';
@@ -54,7 +53,7 @@
         this.probe(effect);
         break;
       case 'checkBackend':
-        this.checkListener(effect);
+        this.checkBackend(effect);
         break;
       case 'readKvChanges':
         this.readKvChanges(effect);
@@ -90,10 +89,9 @@
     });
   }
 
-  private checkListener({ backend }: Effect<'checkBackend'>): void {
-    void checkListener(backend.address).then((check) =>
-      this.send({ kind: 'backendChecked', backend, check }),
-    );
+  private checkBackend({ backend, via }: Effect<'checkBackend'>): void {
+    const checked = this.backends.checkListener(backend.address, via);
+    void checked.then((check) => this.send({ kind: 'backendChecked', backend, check, via }));
   }
 
   private readKvChanges({ call }: Effect<'readKvChanges'>): void {
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -30,6 +30,8 @@
   | "ended"
   /// A connection was closed at once, or was not established.
   | "unclear"
+  /// This daemon's own path may be lost: proves nothing.
+  | "unknown"
 
 /// Asks for a check of a back end.
 export interface CheckBackend {
@@ -96,13 +98,15 @@
     if (!state || state.crashed) return []
     state.checking = false
     state.nextCheckAt = now + (check === "answered" ? ANSWERED_RECHECK_DELAY_MS : RECHECK_DELAY_MS)
-    state.unclearChecks = check === "unclear" ? state.unclearChecks + 1 : 0
+    if (check === "unclear") state.unclearChecks += 1
+    else if (check !== "unknown") state.unclearChecks = 0
     if (check === "answered") {
       // The back end has outlived all of these attempts.
       state.attempts = []
       state.firstBrokenAt = undefined
     } else state.isCheckDue = true
-    const seemsCrashed = check === "ended" || state.unclearChecks >= MAXIMUM_UNCLEAR_CHECKS
+    const seemsCrashed =
+      check === "ended" || (check === "unclear" && state.unclearChecks >= MAXIMUM_UNCLEAR_CHECKS)
     if (!seemsCrashed) return []
     // A back end that refuses new connections but still serves is checked again while any older attempt is in
     // flight.
--- a/test/path-site.ts
+++ b/test/path-site.ts
@@ -72,6 +72,7 @@
       this.fleet.write({ collection: 'backends', id: record.id, revision: 0, value: record });
     this.fleet.onAttempt = (node, start) => this.startAttempt(node, start);
     this.fleet.onProbe = (node, { id }) => this.probe(node, id);
+    this.fleet.isListening = (address, from) => this.isListening(address, from);
     for (const node of this.fleet.nodes) this.watch(node);
     this.fleet.time.runUntil(STARTED_MS);
   }
@@ -111,7 +112,8 @@
     this.requestCount += 1;
     const id = `r${this.requestCount}`;
     this.outcomes.set(id, { node, sentAt: this.fleet.time.now() });
-    this.fleet.submit(node, id, '/a/x', { callerDeadlineMs: 2000 });
+    const content = { contentDigest: id, callerAddress: '10.9.0.1' };
+    this.fleet.submit(node, id, '/a/x', { callerDeadlineMs: 2000, ...content });
   }
 
   /** The requests that were sent to these daemons from one time to another. */
@@ -216,6 +218,11 @@
     }
   }
 
+  private isListening(address: string, from: FleetNode): boolean {
+    const backend = this.backends.find((record) => record.address === address);
+    return backend !== undefined && this.getConnectFailure(from, backend.id) === undefined;
+  }
+
   private getConnectFailure(node: FleetNode, id: string): 'silent' | 'refused' | undefined {
     const down = this.down.get(id);
     if (down) return down;
--- a/test/paths.test.ts
+++ b/test/paths.test.ts
@@ -52,6 +52,22 @@
       expect(site.getTunnelled(HEALED_AT + 2500)).to.deep.equal([]);
     });
 
+  it('takes no back end for crashed whose connections its own links have reset', () => {
+    const site = new PathSite(DAEMONS, BACKENDS, SEED);
+    site.run(site.fleet.nodes, 10 * RATE, CUT_AT);
+    site.setLinks(getCutNodes(site), 'refused');
+    site.run(site.fleet.nodes, RATE, HEALED_AT);
+    expect(site.getChangeTimes(site.fleet.nodes, 'backend.ended')).to.deep.equal([]);
+  });
+
+  it('finds a back end that has ended by itself all the same', () => {
+    const site = new PathSite(DAEMONS, BACKENDS, SEED);
+    site.run(site.fleet.nodes, 10 * RATE, CUT_AT);
+    site.stop(site.backends.slice(0, 1), 'refused');
+    site.run(site.fleet.nodes, RATE, CUT_AT + 2000);
+    expect(site.getChangeTimes(site.fleet.nodes, 'backend.ended')).not.to.deep.equal([]);
+  });
+
   it('is served in a large fleet, where few peers send it their loads', () => {
     const site = new PathSite(24, 12, SEED);
     const cut = site.fleet.nodes.slice(0, 16);
