Tunnels: tests that they go with their back end, and that a KV cache is freed through a peer

Cause: BackendClient.removeBackend and freeKv with `via` had no tests. Change: two tests; nothing else.

--- a/test/tunnels.test.ts
+++ b/test/tunnels.test.ts
@@ -150,6 +150,24 @@
     expect(rig.peer.opened).to.have.length(3);
   });
 
+  it('a back end that is removed loses its tunnels too', async () => {
+    await start((_request, socket) => socket.write(`${ANSWER_HEAD}Content-Length: 2\r\n\r\nok`));
+    await rig.startAttempt().ended;
+    rig.client.removeBackend('b2');
+    await delay(50);
+    expect(rig.peer.closed).to.have.length(0);
+    rig.client.removeBackend('b1');
+    await waitUntil(() => rig.peer.closed.length === 1);
+  });
+
+  it('a KV cache is freed through the peer', async () => {
+    await start((_request, socket) => socket.write('HTTP/1.1 204 No Content\r\n\r\n'));
+    rig.client.freeKv({ address: rig.backendAddress, handle: 'h1' }, rig.peer.address);
+    await waitUntil(() => rig.backend.received.length === 1);
+    expect(rig.peer.opened).to.deep.equal([rig.backendAddress]);
+    expect(rig.backend.received[0].head).to.include('h1');
+  });
+
   it('a reset by one side resets the other', async () => {
     const errors: string[] = [];
     await start(() => undefined);
