--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -66,6 +66,8 @@
   readonly manager: ForwardManager;
   readonly tenants = new TenantDirectory();
   readonly executionStarts: [tenant: string, at: number][] = [];
+  /** Keys of the requests whose attempts broke, for the quarantine. */
+  readonly brokenAttempts: string[] = [];
   /** Members of the fleet, as the permits see it. */
   readonly permitMembers: Member[] = [];
   readonly permits = makePermits(this.permitMembers);
@@ -107,7 +109,7 @@
         onExecutionStarted: (tenant, at) => this.executionStarts.push([tenant, at]),
         getQuarantineMs: () => undefined,
         getIsolatedCaller: () => undefined,
-        onAttemptBroken: () => undefined,
+        onAttemptBroken: (key) => this.brokenAttempts.push(key),
         onAttemptAnswered: () => undefined,
         onSignals: () => undefined,
         permits: this.permits,
