Paths: checks of leaving back ends prove nothing; the watch of links has a module of its own

Cause: back-end-signal-part.ts sends health checks as well; one that failed was taken for a refused connection, and a back end that leaves as planned for a lost path.

Change: only checks that were reported as sent count, and only of back ends that take work. link-watch.ts holds what shows that all links are lost, backend-paths.ts decides.

--- a/src/forwarding/paths/backend-paths.ts
+++ b/src/forwarding/paths/backend-paths.ts
@@ -1,11 +1,11 @@
 /// Decides the path of each attempt: a direct connection, or a tunnel through a peer while this daemon's own
 /// links to a back end, or to all of them, are lost (docs/design/paths-to-back-ends.md). Owns the state of
-/// being cut off and the peers in use. Relies on direct-contact.ts for what direct connections show, and on
+/// being cut off and the peers in use. Relies on link-watch.ts for what direct connections show, and on
 /// tunnel-peers.ts for the peers.
 import type {RandomSource} from "../../shared/random.js"
 import type {DaemonIdentity, Member} from "../../membership/membership-messages.js"
-import type {BackendDirectory} from "../backends/backend-directory.js"
-import {DirectContact} from "./direct-contact.js"
+import type {DirectContact} from "./direct-contact.js"
+import {LinkWatch, type LinkWatchContext} from "./link-watch.js"
 import {TunnelPeers} from "./tunnel-peers.js"
 import type {TunnelRefusal} from "./tunnel-refusal.js"
 
@@ -23,10 +23,6 @@
 /// A peer's success shows for this time that a back end is sound. Milliseconds.
 const PEER_SUCCESS_LIFETIME_MS = 2000
 
-/// A health check without an answer for this time counts as lost, like a request that has waited longer.
-/// Milliseconds; a health check is a small call.
-const PROBE_PATIENCE_MS = 400
-
 /// Tunnels that are tried for one send of a request.
 const MAXIMUM_TUNNEL_FAILURES = 2
 
@@ -67,16 +63,13 @@
 }
 
 /// What the paths rely on.
-export interface PathContext {
+export interface PathContext extends LinkWatchContext {
   readonly identity: DaemonIdentity
   readonly random: RandomSource
-  readonly directory: BackendDirectory
   /// Active members, this daemon included.
   getMembers(): readonly Member[]
   /// Closes the tunnels through a peer once nothing uses them.
   closeTunnels(via: string): void
-  /// Whether back ends of the service answer health checks.
-  hasHealthCheck(service: string): boolean
   /// What this daemon tells its peers of tunnels has changed.
   onOfferChanged(now: number): void
   logChange(
@@ -87,25 +80,24 @@
 
 /// The paths of one daemon. Times are monotonic milliseconds.
 export class BackendPaths {
-  private readonly contact = new DirectContact()
+  private readonly links: LinkWatch
+  private readonly contact: DirectContact
   private readonly peers: TunnelPeers
   /// When this daemon was found to be cut off, and since when it has had no direct answer; undefined while it
   /// is not.
   private cutOff: {readonly at: number; readonly since: number} | undefined
-  /// The paths whose loss hints that all may be lost; undefined while nothing does.
-  private suspects: ReadonlySet<string> | undefined
   /// Peers with open tunnels, and when an attempt was last sent through each.
   private readonly usedPeers = new Map<string, number>()
   /// When a peer last reported an answer of a back end, and when one last came through a tunnel.
   private readonly peerSuccessAt = new Map<string, number>()
   private readonly tunnelSuccessAt = new Map<string, number>()
-  /// When the health checks without an answer were sent.
-  private readonly probesSentAt = new Map<string, number>()
   private readonly attempts = {direct: 0, tunnelled: 0}
   private openTunnels = {count: 0, at: -Infinity}
   private stopping = false
 
   constructor(private readonly context: PathContext) {
+    this.links = new LinkWatch(context)
+    this.contact = this.links.contact
     this.peers = new TunnelPeers(context)
   }
 
@@ -140,9 +132,7 @@
 
   /// Whether this daemon offers tunnels to its peers.
   offersTunnels(now: number): boolean {
-    if (this.stopping || this.isCutOff() || !this.contact.hasHadContact()) return false
-    const backends = this.countBackends()
-    if (!this.contact.hasPath(backends) || this.contact.getQuietMs(backends, now) !== undefined) return false
+    if (this.stopping || this.isCutOff() || !this.links.isSound(now)) return false
     const {count, at} = this.openTunnels
     return now - at > TUNNEL_COUNT_LIFETIME_MS || count < MAXIMUM_TUNNELS * OFFERED_SHARE
   }
@@ -189,21 +179,18 @@
 
   /// A health check was sent.
   onProbeSent(backendId: string, now: number): void {
-    this.probesSentAt.set(backendId, now)
+    this.links.onProbeSent(backendId, now)
   }
 
   /// A back end has answered a health check.
   onProbeAnswered(backendId: string, now: number): void {
-    this.probesSentAt.delete(backendId)
-    this.contact.onProbeAnswered(backendId, now)
-    this.suspects = undefined
+    this.links.onProbeAnswered(backendId, now)
     if (this.isCutOff()) this.onRegained(backendId, now)
   }
 
   /// A health check has failed.
   onProbeFailed(backendId: string, now: number): void {
-    this.contact.onLost(backendId, this.probesSentAt.get(backendId) ?? now, now)
-    this.probesSentAt.delete(backendId)
+    this.links.onProbeFailed(backendId, now)
     this.update(now)
   }
 
@@ -233,34 +220,25 @@
 
   /// This process was paused until now.
   onProcessResumed(now: number): void {
-    this.contact.onProcessResumed(now)
-    this.probesSentAt.clear()
+    this.links.onProcessResumed(now)
   }
 
   /// The record of a back end is gone.
   removeBackend(backendId: string): void {
-    this.contact.remove(backendId)
+    this.links.removeBackend(backendId)
     this.peerSuccessAt.delete(backendId)
     this.tunnelSuccessAt.delete(backendId)
-    this.probesSentAt.delete(backendId)
   }
 
-  /// The back ends whose direct paths are to be checked: all while cut off; those that may show that this
-  /// daemon isn't, while it may be; else those whose paths are lost though they are sound. Others are checked
-  /// for their health.
+  /// The back ends whose direct paths are to be checked; all while this daemon is cut off.
   getUncheckedIds(now: number): readonly string[] {
-    const {directory} = this.context
-    if (this.isCutOff()) return this.findCheckable(() => true)
-    const unheard = this.suspects ? this.findUnheard() : []
-    if (unheard.length > 0) return unheard
-    return this.contact.getLostIds().filter(id => directory.get(id)?.health.needsProbe(now) === false)
+    return this.isCutOff() ? this.links.getCheckableIds() : this.links.getUncheckedIds(now)
   }
 
   /// Advances the state.
   tick(now: number): void {
     this.peers.removeExpired(now)
-    for (const [id, sentAt] of this.probesSentAt)
-      if (now - sentAt > PROBE_PATIENCE_MS && !this.contact.isLost(id)) this.contact.onLost(id, sentAt, now)
+    this.links.tick(now)
     this.update(now)
     if (this.isServedByPeers(now)) this.forgetLosses(now)
     this.closeUnused(now)
@@ -307,51 +285,16 @@
     return (this.peerSuccessAt.get(backendId) ?? -Infinity) > sentAt + PEER_SUCCESS_DELAY_MS
   }
 
-  /// Health checks that were sent since the last direct answer and may still be answered.
-  private findUnanswered(): string[] {
-    const since = this.contact.getLastContactAt()
-    const sent = [...this.probesSentAt].filter(([, sentAt]) => sentAt > since).map(([id]) => id)
-    return sent.filter(id => !this.contact.isLost(id) && !this.contact.isDown(id))
-  }
-
-  /// Back ends whose direct paths may work, as far as is known.
-  private findUnheard(): string[] {
-    return this.findCheckable(id => !this.contact.isLost(id) && !this.contact.isDown(id))
-  }
-
-  private findCheckable(accepts: (id: string) => boolean): string[] {
-    const {directory, hasHealthCheck} = this.context
-    const ids: string[] = []
-    for (const view of directory.all())
-      if (view.takesWork() && accepts(view.record.id) && hasHealthCheck(view.record.service))
-        ids.push(view.record.id)
-    return ids
-  }
-
-  private countBackends(): number {
-    let count = 0
-    for (const view of this.context.directory.all()) if (view.takesWork()) count += 1
-    return count
-  }
-
   private update(now: number): void {
     if (this.isCutOff()) return
-    const backends = this.countBackends()
-    const unanswered = this.findUnanswered()
-    const lost = this.contact.getLostIds()
-    const isSuspected = this.contact.hasEnoughLost(unanswered.length, backends)
-    this.suspects = isSuspected ? (this.suspects ?? new Set([...lost, ...unanswered])) : undefined
-    if (!this.suspects || !this.contact.isCutOff(backends, now)) return
-    // While little is sent, nothing but a check tells whether other paths work.
-    const {suspects} = this
-    if (lost.every(id => suspects.has(id)) && this.findUnheard().length > 0) return
-    const quietMs = this.contact.getQuietMs(backends, now) ?? 0
+    const quietMs = this.links.findLostMs(now)
+    if (quietMs === undefined) return
     this.cutOff = {at: now, since: now - quietMs}
     for (const view of this.context.directory.all()) view.ignoreWaiting()
     this.forgetLosses(now, quietMs)
     this.context.logChange("daemon.cut-off", {
       lost: this.contact.getLostIds().length,
-      backends,
+      backends: this.links.countBackends(),
       quietMs: Math.round(quietMs),
       peers: this.peers.getCount(now)
     })
--- a/test/paths.test.ts
+++ b/test/paths.test.ts
@@ -79,6 +79,25 @@
     expect([...used].sort()).to.deep.equal([...peers].sort());
   });
 
+  it('goes on through other peers while one stops and another is killed', () => {
+    const site = new PathSite(DAEMONS, BACKENDS, SEED, { kind: 'nonIdempotent' });
+    const [node, stopping, killed] = site.fleet.nodes.filter(({ zone }) => zone === site.fleet.nodes[0].zone);
+    site.run(site.fleet.nodes, RATE, CUT_AT);
+    site.setLinks([node], 'refused');
+    site.run([node], RATE, CUT_AT + 3000);
+    const vias = site.getTunnelled(CUT_AT + 1000).map(({ via }) => via);
+    expect(new Set(vias)).to.deep.equal(new Set([stopping.address, killed.address]));
+    site.fleet.restart(stopping, 3000, 1000);
+    site.run([node], RATE, CUT_AT + 4000);
+    site.fleet.kill(killed, 3000);
+    site.run([node], RATE, CUT_AT + 9000);
+    site.fleet.time.runUntil(CUT_AT + 9000 + DEADLINE_MS);
+    expect(site.getServedShare([node], CUT_AT + 500)).to.equal(1);
+    expect(
+      site.getTunnelled(CUT_AT + 3100, CUT_AT + 6000).filter(({ via }) => via === stopping.address),
+    ).to.deep.equal([]);
+  });
+
   it('closes its tunnels when a back end answers directly', () => {
     const site = new PathSite(DAEMONS, BACKENDS, SEED);
     const [node] = site.fleet.nodes;
--- a/test/tunnelled-attempts.test.ts
+++ b/test/tunnelled-attempts.test.ts
@@ -126,6 +126,32 @@
     expect(getVias(site), 'the peer may have ended').to.deep.equal([NEAR, OTHER].sort(byFirst(site)));
   });
 
+  it('of a resumable stream is resumed after its last event, through another peer', () => {
+    const route = { kind: 'stream', resumable: true, maximumAttempts: 6 } as const;
+    const site = createSite(route, [NEAR, OTHER]);
+    cutOff(site);
+    site.begin({}, 500);
+    site.event({ kind: 'streamStarted' }, 510);
+    site.event({ kind: 'streamProgress', lastEventId: '7' }, 520);
+    site.event(BROKEN, 530);
+    const [first, second] = site.getStarts();
+    expect(second).to.deep.include({ resumeAfter: '7', via: first.via === NEAR ? OTHER : NEAR });
+    site.event({ kind: 'streamStarted' }, 540);
+    site.event(DONE, 560);
+    expect(site.getEffects('replyWhole')).to.have.length(1);
+    expect(site.getFailures()).to.deep.equal([]);
+  });
+
+  it('of a stream that can not be resumed ends with its peer, and the answer does not look complete', () => {
+    const site = createSite({ kind: 'stream' }, [NEAR, OTHER]);
+    cutOff(site);
+    site.begin({}, 500);
+    site.event({ kind: 'streamStarted' }, 510);
+    site.event(BROKEN, 530);
+    expect(site.getStarts()).to.have.length(1);
+    expect(site.getFailures()).to.deep.equal(['broken']);
+  });
+
   it('ends with its caller', () => {
     const site = createSite();
     cutOff(site);
