--- a/test/tunnelled-attempts.test.ts
+++ b/test/tunnelled-attempts.test.ts
@@ -34,14 +34,15 @@
   return site.getStarts().map(({ via }) => via);
 }
 
+/** A direct connection to a back end is refused. */
+function refuse(site: ForwardingHarness, backendId: string, startedAt = 0): void {
+  const failed = { backendId, via: undefined, reason: 'ECONNREFUSED', startedAt, tunnelFailures: 0 };
+  site.paths.onConnectionFailed(failed, undefined, startedAt + 1);
+}
+
 /** Loses the direct paths to all back ends by refusals, and advances until the daemon is cut off. */
 function cutOff(site: ForwardingHarness): void {
-  for (const { id } of PLAIN)
-    site.paths.onConnectionFailed(
-      { backendId: id, via: undefined, reason: 'ECONNREFUSED', startedAt: 0, tunnelFailures: 0 },
-      undefined,
-      1,
-    );
+  for (const { id } of PLAIN) refuse(site, id);
   site.paths.tick(400);
   expect(site.paths.isCutOff()).to.equal(true);
 }
@@ -122,7 +123,7 @@
     const [{ backend }] = site.getStarts();
     site.event(BROKEN, 520);
     expect(site.brokenAttempts).to.deep.equal([]);
-    expect(site.directory.get(backend.id)?.isEjected(521)).to.equal(false);
+    expect(site.directory.get(backend.id)?.health.takeOutcomes().failed).to.equal(0);
     expect(getVias(site), 'the peer may have ended').to.deep.equal([NEAR, OTHER].sort(byFirst(site)));
   });
 
@@ -227,6 +228,81 @@
   });
 });
 
+describe('a daemon finds itself cut off', () => {
+  const [first, second, third] = PLAIN.map(({ id }) => id);
+
+  it('not by one lost path, however long nothing answers', () => {
+    const site = createSite();
+    refuse(site, first);
+    for (let at = 100; at < 9000; at += 100) site.paths.tick(at);
+    expect(site.paths.isCutOff()).to.equal(false);
+  });
+
+  it('not by two, before a path that may work was checked in vain', () => {
+    const site = createSite();
+    refuse(site, first);
+    refuse(site, second);
+    for (let at = 100; at < 9000; at += 100) site.paths.tick(at);
+    expect(site.paths.isCutOff(), 'unchecked').to.equal(false);
+    expect(site.paths.getUncheckedIds(9000)).to.deep.equal([third]);
+    site.paths.onProbeSent(third, 9000);
+    site.paths.tick(9300);
+    expect(site.paths.isCutOff(), 'not answered yet').to.equal(false);
+    site.paths.tick(9500);
+    expect(site.paths.isCutOff()).to.equal(true);
+  });
+
+  it('not by connections that were lost while its process was paused', () => {
+    const site = createSite();
+    site.paths.onProcessResumed(1000);
+    for (const { id } of PLAIN) refuse(site, id, 0);
+    site.paths.tick(5000);
+    expect(site.paths.isCutOff()).to.equal(false);
+  });
+
+  it('not by back ends that no peer reaches, however often they fail a health check', () => {
+    const site = createSite({ maximumAttempts: 6 });
+    const [{ address }] = PLAIN;
+    for (const backendId of [first, second, third]) {
+      refuse(site, backendId, 10);
+      const failed = { backendId, via: NEAR, reason: 'unreachable', startedAt: 12, tunnelFailures: 0 };
+      site.paths.onConnectionFailed(failed, 'backend', 14);
+      site.paths.onProbeSent(backendId, 500);
+      site.paths.onProbeFailed(backendId, 501);
+    }
+    site.paths.tick(5000);
+    expect(site.paths.isCutOff()).to.equal(false);
+    expect(site.paths.offersTunnels(5000)).to.equal(false);
+    expect(site.paths.checkTunnel(address, 0, 5000)).to.equal(undefined);
+  });
+
+  it('and moves the attempts that wait on lost connections to peers; they are no load of back ends', () => {
+    const site = createSite();
+    site.begin({ callerDeadlineMs: 2000 });
+    const [{ backend }] = site.getStarts();
+    expect(site.directory.get(backend.id)?.localInFlight()).to.equal(1);
+    cutOff(site);
+    expect(site.directory.get(backend.id)?.localInFlight()).to.equal(0);
+    site.manager.tick(440);
+    expect(site.getEffects('abortAttempt')).to.have.length(1);
+    expect(getVias(site)).to.deep.equal([undefined, NEAR]);
+    expect(site.directory.get(backend.id)?.health.takeOutcomes().failed, 'not its fault').to.equal(0);
+  });
+
+  it('and takes back the losses of contact that its own links caused', () => {
+    const site = createSite({}, []);
+    site.begin({ callerDeadlineMs: 2000 });
+    site.event(REFUSED, 500);
+    const [{ backend }] = site.getStarts();
+    const { health } = site.directory.get(backend.id)!;
+    expect(health.hasLostContact()).to.equal(true);
+    for (const { id } of PLAIN) if (id !== backend.id) refuse(site, id, 500);
+    site.paths.tick(1400);
+    expect(site.paths.isCutOff()).to.equal(true);
+    expect(health.isEjected(1400)).to.equal(false);
+  });
+});
+
 describe('a daemon asked for a tunnel', () => {
   const [{ address, id }] = PLAIN;
   const reachable = (): ForwardingHarness => {
@@ -255,11 +331,7 @@
 
   it('refuses while it is cut off, or has lost its path to this back end', () => {
     const site = reachable();
-    site.paths.onConnectionFailed(
-      { backendId: id, via: undefined, reason: 'ECONNREFUSED', startedAt: 10, tunnelFailures: 0 },
-      undefined,
-      11,
-    );
+    refuse(site, id, 10);
     expect(site.paths.checkTunnel(address, 0, 12)).to.equal('cut-off');
     expect(site.paths.checkTunnel(PLAIN[1].address, 0, 12)).to.equal(undefined);
     cutOff(site);
