--- a/test/tunnelled-attempts.test.ts
+++ b/test/tunnelled-attempts.test.ts
@@ -3,7 +3,7 @@
 import { makeLabBackend, makeLabRoute } from '../lab/forwarding-site.js';
 import type { Member } from '../src/membership/membership-messages.js';
 import type { Route } from '../src/forwarding/routes/route.js';
-import { ForwardingHarness, PLAIN } from './forwarding-harness.js';
+import { ENGINES, ForwardingHarness, makePrompt, PLAIN } from './forwarding-harness.js';
 
 const NEAR = '10.0.0.2:1';
 const OTHER = '10.0.0.3:1';
@@ -41,8 +41,8 @@
 }
 
 /** Loses the direct paths to all back ends by refusals, and advances until the daemon is cut off. */
-function cutOff(site: ForwardingHarness): void {
-  for (const { id } of PLAIN) refuse(site, id);
+function cutOff(site: ForwardingHarness, backends = PLAIN): void {
+  for (const { id } of backends) refuse(site, id);
   site.paths.tick(400);
   expect(site.paths.isCutOff()).to.equal(true);
 }
@@ -289,6 +289,17 @@
     expect(site.directory.get(backend.id)?.health.takeOutcomes().failed, 'not its fault').to.equal(0);
   });
 
+  it('and moves the prompts that wait at engines', () => {
+    const route = makeLabRoute({ kind: 'stream', resumable: true, targetLatencyMs: 3000 });
+    const site = new ForwardingHarness([route], ENGINES);
+    addPeer(site, makePeer(NEAR));
+    site.begin({ prompt: makePrompt(2000, 8000), callerDeadlineMs: 5000 });
+    expect(getVias(site)).to.deep.equal([undefined]);
+    cutOff(site, ENGINES);
+    site.manager.tick(440);
+    expect(getVias(site)).to.deep.equal([undefined, NEAR]);
+  });
+
   it('and takes back the losses of contact that its own links caused', () => {
     const site = createSite({}, []);
     site.begin({ callerDeadlineMs: 2000 });
