Fault soak: beside silences the operator changes the number of attempts too

Cause: a route's attempts decide how often a silence ends an answer; the phase had only routes of two.

Change: each change of the phase draws one, two or three attempts for all routes; the times of the plan stay. After the phase it is two again.

--- a/lab/soak/faults.ts
+++ b/lab/soak/faults.ts
@@ -307,19 +307,20 @@
   }
 }
 
-/// The operator moves a route to the other plain service.
+/// The operator moves a route to the other plain service, and may change the number of attempts of all routes.
 export class ConfigurationFault extends Fault {
-  constructor() {
+  constructor(private readonly maxAttempts?: number) {
     super(0)
   }
   getName(): string {
-    return "change of the configuration"
+    const attempts = this.maxAttempts === undefined ? "" : `: ${this.maxAttempts} attempts`
+    return `change of the configuration${attempts}`
   }
   getDisturbedDaemons(): readonly string[] {
     return []
   }
   start(site: SoakSite): void {
-    site.changeConfiguration()
+    site.changeConfiguration(this.maxAttempts)
   }
   stop(): void {}
 }
--- a/lab/soak/silence-faults.ts
+++ b/lab/soak/silence-faults.ts
@@ -14,6 +14,8 @@
 const LONGEST_SERIES_GAP_MS = 4000
 /// Share of the back ends that fall silent when neither one nor all do.
 const SOME_SHARE = 0.6
+/// Attempts of all routes to choose from.
+const ATTEMPTS = [1, 2, 2, 3]
 /// Mean intervals of changes of the configuration, of reloads and of planned stops. Milliseconds.
 const CHANGE_INTERVAL_MS = 2000
 const RELOAD_INTERVAL_MS = 3000
@@ -55,10 +57,7 @@
   random: () => number
 ): PlannedFault[] {
   const silences = placesByService.flatMap(places => makeSilences(places, durationMs, random))
-  const changes = drawTimes(CHANGE_INTERVAL_MS, durationMs, random).map(atMs => ({
-    atMs,
-    fault: new ConfigurationFault()
-  }))
+  const changeTimes = drawTimes(CHANGE_INTERVAL_MS, durationMs, random)
   const stops = drawTimes(STOP_INTERVAL_MS, durationMs, random).map((atMs, i) => ({
     atMs,
     daemon: daemons[i % daemons.length]
@@ -69,6 +68,10 @@
     const daemon = others.at(Math.floor(random() * others.length))
     return daemon === undefined ? [] : [{atMs, fault: new ReloadFault(RELOAD_MS, daemon)}]
   })
+  const changes = changeTimes.map(atMs => ({
+    atMs,
+    fault: new ConfigurationFault(ATTEMPTS[Math.floor(random() * ATTEMPTS.length)])
+  }))
   const restarts = stops.map(({atMs, daemon}) => ({atMs, fault: new RestartFault(daemon)}))
   return [...silences, ...changes, ...reloads, ...restarts].sort((left, right) => left.atMs - right.atMs)
 }
--- a/lab/soak/soak-routes.ts
+++ b/lab/soak/soak-routes.ts
@@ -23,6 +23,9 @@
 const LOW_PRIORITY_ROUTE = "review"
 const TARGET_LATENCY_SHARE = 0.2
 
+/// The attempts that all routes allow, unless the operator changes it.
+export const USUAL_ATTEMPTS = 2
+
 /// Names of the services.
 export const SOAK_SERVICES = {plain: "application", otherPlain: "application-2", engines: "engines"} as const
 
@@ -83,17 +86,18 @@
   return route === MOVING_ROUTE ? movingService : SOAK_SERVICES.plain
 }
 
-/// Formats the operator's configuration, without the keys in `revokedKeys`.
+/// Formats the operator's configuration, without the keys in `revokedKeys`; all routes allow `maxAttempts`.
 export function formatConfiguration(
   version: number,
   movingService: string,
-  revokedKeys: ReadonlySet<string> = new Set()
+  revokedKeys: ReadonlySet<string> = new Set(),
+  maxAttempts = USUAL_ATTEMPTS
 ): object {
   const engine = {slots: 16, kv_capacity: 400_000, kv_ttl_s: 5}
   const makeService = (name: string) => ({name, health_path: "/healthz", max_conns: 200})
   return {
     version,
-    routes: SOAK_ROUTES.map(route => makeRoute(route, movingService)),
+    routes: SOAK_ROUTES.map(route => makeRoute(route, movingService, maxAttempts)),
     services: [
       makeService(SOAK_SERVICES.plain),
       makeService(SOAK_SERVICES.otherPlain),
@@ -120,7 +124,7 @@
   return {unit: "token_count", rate_per_s: ratePerSecond, burst, uncached_tokens: UNCACHED_TOKENS}
 }
 
-function makeRoute(route: CallerRoute, movingService: string): object {
+function makeRoute(route: CallerRoute, movingService: string, maxAttempts: number): object {
   return {
     name: route.name,
     host: route.host,
@@ -131,7 +135,7 @@
     target_itl_ms: 150,
     priority: route.name === LOW_PRIORITY_ROUTE ? 1 : 0,
     service: getService(route.name, route.prompt !== undefined, movingService),
-    max_attempts: 2,
+    max_attempts: maxAttempts,
     resumable: route.name === RESUMABLE_ROUTE,
     public: route.isPublic ?? false
   }
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -13,7 +13,7 @@
 import {FaultProxy, type CutKind} from "./fault-proxy.js"
 import {BACKENDS} from "./disturbance.js"
 import type {SoakBounds, SoakRecord} from "./soak-record.js"
-import {formatConfiguration, getService, SOAK_ROUTES, SOAK_SERVICES} from "./soak-routes.js"
+import {formatConfiguration, getService, SOAK_ROUTES, SOAK_SERVICES, USUAL_ATTEMPTS} from "./soak-routes.js"
 import {StoreStandIn} from "./store-stand-in.js"
 
 const ZONES = ["zone-a", "zone-b"]
@@ -61,6 +61,7 @@
   private readonly incarnations: BackendStandIn[] = []
   private readonly registry = new HandleRegistry()
   private version = 0
+  private maxAttempts = USUAL_ATTEMPTS
   private eventIntervalMs = EVENT_INTERVAL_MS
   private readonly revokedKeys = new Set<string>()
   private movingService: string = SOAK_SERVICES.plain
@@ -249,8 +250,10 @@
     this.places[index].backend = undefined
   }
 
-  /// Writes a new version of the configuration, in which the moving route leads to the other plain service.
-  changeConfiguration(): void {
+  /// Writes a new version of the configuration, in which the moving route leads to the other plain service and, if
+  /// given, routes allow this number of attempts.
+  changeConfiguration(maxAttempts = this.maxAttempts): void {
+    this.maxAttempts = maxAttempts
     this.version += 1 + Math.floor(this.random() * 3)
     const {plain, otherPlain} = SOAK_SERVICES
     this.movingService = this.movingService === plain ? otherPlain : plain
@@ -274,7 +277,7 @@
   }
 
   private writeConfiguration(): void {
-    const value = formatConfiguration(this.version, this.movingService, this.revokedKeys)
+    const value = formatConfiguration(this.version, this.movingService, this.revokedKeys, this.maxAttempts)
     this.store.write("op", "config", value)
   }
 
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -18,7 +18,7 @@
 import {BACKENDS} from "./disturbance.js"
 import type {CallerRecord, Violation} from "./caller-record.js"
 import {SOAK_BOUNDS, SoakRecord, type SoakBounds} from "./soak-record.js"
-import {findTenant, OVER_QUOTA_TENANT, SOAK_ROUTES} from "./soak-routes.js"
+import {findTenant, OVER_QUOTA_TENANT, SOAK_ROUTES, USUAL_ATTEMPTS} from "./soak-routes.js"
 import type {CutOutcome} from "./cut-check.js"
 import {makeCutPlan} from "./cut-faults.js"
 import {makeSilencePlan} from "./silence-faults.js"
@@ -154,6 +154,7 @@
     site.setEventInterval(SILENCE_EVENT_INTERVAL_MS)
     await runPlan(site, makeSilencePlan(daemons, PLACES_BY_SERVICE, durationMs, makeRandom(20)))
     site.setEventInterval(undefined)
+    site.changeConfiguration(USUAL_ATTEMPTS)
   }
   if (cuts) {
     await wait(SETTLE_MS)
