Fault soak: requests that crash back ends go on through the recovery, as before

Cause: the new phases stopped these requests at the end of the drawn faults, also in a soak without the phases; late retries were then not looked for in the recovery.

Change: they stop after the recovery time, and only where a phase follows.

--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -148,6 +148,8 @@
   const seriesPlan = series ? makeSeriesPlan(daemons, PLACES_BY_SERVICE, durationMs, makeRandom(2)) : []
   const signalPlan = signals ? makeSignalPlan(PLACES_BY_SERVICE, durationMs, makeRandom(10)) : []
   await runPlan(site, mergePlans(plan, seriesPlan, signalPlan))
+  if (!pauses && !cuts) return
+  await wait(RECOVERY_MS)
   load.stopRepeating()
   if (pauses) {
     await wait(SETTLE_MS)
