--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -18,7 +18,7 @@
 import {BACKENDS} from "./disturbance.js"
 import type {CallerRecord, Violation} from "./caller-record.js"
 import {SOAK_BOUNDS, SoakRecord, type SoakBounds} from "./soak-record.js"
-import {findTenant, OVER_QUOTA_TENANT, SOAK_ROUTES} from "./soak-routes.js"
+import {findTenant, OVER_QUOTA_TENANT, SOAK_ROUTES, USUAL_ATTEMPTS} from "./soak-routes.js"
 import type {CutOutcome} from "./cut-check.js"
 import {makeCutPlan} from "./cut-faults.js"
 import {makeSilencePlan} from "./silence-faults.js"
@@ -148,12 +148,15 @@
   const seriesPlan = series ? makeSeriesPlan(daemons, PLACES_BY_SERVICE, durationMs, makeRandom(2)) : []
   const signalPlan = signals ? makeSignalPlan(PLACES_BY_SERVICE, durationMs, makeRandom(10)) : []
   await runPlan(site, mergePlans(plan, seriesPlan, signalPlan))
+  if (!pauses && !cuts) return
+  await wait(RECOVERY_MS)
   load.stopRepeating()
   if (pauses) {
     await wait(SETTLE_MS)
     site.setEventInterval(SILENCE_EVENT_INTERVAL_MS)
     await runPlan(site, makeSilencePlan(daemons, PLACES_BY_SERVICE, durationMs, makeRandom(20)))
     site.setEventInterval(undefined)
+    site.changeConfiguration(USUAL_ATTEMPTS)
   }
   if (cuts) {
     await wait(SETTLE_MS)
