--- a/src/forwarding/retry/attempt-outcomes.ts
+++ b/src/forwarding/retry/attempt-outcomes.ts
@@ -115,10 +115,10 @@
   /// would take it.
   onStalled(session: Session, attempt: LiveAttempt, now: number): void {
     const {retryPolicy, sender} = this.dependencies
-    const next = makeSessionWithoutAttempt(session, attempt)
-    if (!retryPolicy.mayRetryStalled(next, attempt, now)) return
     if (now - (attempt.lastSearchAt ?? -Infinity) < SEARCH_INTERVAL_MS) return
     attempt.lastSearchAt = now
+    const next = makeSessionWithoutAttempt(session, attempt)
+    if (!retryPolicy.mayRetryStalled(next, attempt, now)) return
     const choice = sender.findSuccessor(next, attempt, now)
     if (!choice) return
     addUnansweredSample(attempt, now)
