--- a/src/forwarding/paths/backend-paths.ts
+++ b/src/forwarding/paths/backend-paths.ts
@@ -35,7 +35,7 @@
 
 /// After this time without contact and without a peer that takes tunnels, requests are refused at once.
 /// Milliseconds; longer than sound back ends are silent.
-const REFUSAL_DELAY_MS = 2000
+const REFUSAL_DELAY_MS = 1500
 /// Bounds of the Retry-After of these refusals. Milliseconds.
 const SHORTEST_RETRY_AFTER_MS = 500
 const LONGEST_RETRY_AFTER_MS = 3000
