Known failure: SIGHUP as the runtime reads its TLS configuration, in a forced order

The test of the start script's opening forces the last event of the runtime's own start. The new test forces an event near its beginning: the runtime's TLS configuration is a FIFO, named by OPENSSL_CONF for this test only.

What callers see: the daemon is terminated and serves a restart later. Cause: the runtime puts back the default action of SIGHUP when it begins, and runs JavaScript only near the end of its start.

--- a/test/startup-signals.test.ts
+++ b/test/startup-signals.test.ts
@@ -28,6 +28,7 @@
 const PROGRAM = 'pulleyledge.cjs';
 const START_SCRIPT = 'start.cjs';
 const SETTINGS = 'settings.toml';
+const TLS_CONFIGURATION = 'openssl.cnf';
 /** The events of a start in their order, after the first line of the start script. */
 const EVENTS = [
   'opens the program',
@@ -36,7 +37,9 @@
   'connects to the store',
   'is ready',
 ] as const;
-type StartEvent = (typeof EVENTS)[number] | 'opens the start script';
+/** An event of the runtime's own start, at which no JavaScript has run. */
+const RUNTIME_EVENT = 'reads its TLS configuration';
+type StartEvent = (typeof EVENTS)[number] | 'opens the start script' | typeof RUNTIME_EVENT;
 
 /** The outcome of a start: how the process was terminated, or how it serves and which settings it read again. */
 type Outcome = { readonly signal: string | null } | { readonly status: number; readonly reloads: string[] };
@@ -112,6 +115,12 @@
       ['opens the code cache', join(this.folder, cache)],
       ['opens the settings', settings, readFileSync(settings, 'utf8').replace('"before"', '"changed"')],
     ];
+    const tlsConfiguration = join(this.folder, TLS_CONFIGURATION);
+    const holdsRuntime = this.signalledAt.includes(RUNTIME_EVENT);
+    if (holdsRuntime) {
+      writeFileSync(tlsConfiguration, '');
+      files.unshift([RUNTIME_EVENT, tlsConfiguration]);
+    }
     const contents = files.map(([, path]) => readFileSync(path));
     for (const [, path] of files) {
       rmSync(path);
@@ -119,7 +128,11 @@
     }
     const log = openSync(join(this.folder, 'log'), 'w');
     this.child = spawn(process.execPath, [...readFlags(), join(this.folder, START_SCRIPT)], {
-      env: { PATH: process.env.PATH, PULLEYLEDGE_NODE_FILE: settings },
+      env: {
+        PATH: process.env.PATH,
+        PULLEYLEDGE_NODE_FILE: settings,
+        ...(holdsRuntime && { OPENSSL_CONF: tlsConfiguration }),
+      },
       stdio: ['ignore', log, 'inherit'],
     });
     closeSync(log);
@@ -251,6 +264,11 @@
     expect(await start.run()).to.deep.equal({ status: 404, reloads: ['changed'] });
   });
 
+  it('serves, and reads the changed settings, when the signal comes as the runtime reads its TLS configuration', async () => {
+    start = new HeldStart(program, [RUNTIME_EVENT]);
+    expect(await start.run()).to.deep.equal({ status: 404, reloads: ['changed'] });
+  });
+
   it('serves, and reads the changed settings each time, when the signal comes at every event', async () => {
     start = new HeldStart(program, EVENTS);
     expect(await start.run()).to.deep.equal({ status: 404, reloads: EVENTS.map(() => 'changed') });
