--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -102,7 +102,16 @@
 
 /** Makes a record of a plain back end for tests. */
 export function makeLabBackend(id: string, address: string): BackendRecord {
-  return { id, service: 'service', address, zone: 'zone-a', slots: 8, state: 'ready', stage: undefined };
+  return {
+    id,
+    service: 'service',
+    address,
+    zone: 'zone-a',
+    slots: 8,
+    state: 'ready',
+    stage: undefined,
+    version: '',
+  };
 }
 
 /** A table store that is never available. */
--- a/simulation/fleet-node.ts
+++ b/simulation/fleet-node.ts
@@ -45,4 +45,4 @@
 
 /** Fields of a request that a test may set. */
 export type CallerFields = Pick<ForwardRequest, 'keyDigest' | 'contentDigest' | 'callerAddress'> &
-  Partial<Pick<ForwardRequest, 'prompt' | 'bodyBytes' | 'usageTokens' | 'callerDeadlineMs'>>;
+  Partial<Pick<ForwardRequest, 'prompt' | 'bodyBytes' | 'usageTokens' | 'callerDeadlineMs' | 'resumption'>>;
--- a/src/adapters/backend-dialect.ts
+++ b/src/adapters/backend-dialect.ts
@@ -6,7 +6,7 @@
 import type { BackendSignals } from '../forwarding/backends/backend-signals.js';
 import type { AttemptStart, KvSource } from '../forwarding/forward-messages.js';
 import type { KvChanges, KvChangesCall } from '../forwarding/kv-cache/kv-follower.js';
-import type { PromptOutline } from '../forwarding/forward-request.js';
+import type { PromptOutline, StreamResumption } from '../forwarding/forward-request.js';
 
 /** Alternating header names and values, as they were received. */
 export type RawHeaders = readonly string[];
@@ -21,8 +21,8 @@
   readonly usageTokens?: number | undefined;
   /** Digest of the caller's key; undefined when it sends none, or more than one. */
   readonly keyDigest: string | undefined;
-  /** The caller resumes a stream after this event. */
-  readonly lastEventId: string | undefined;
+  /** Undefined unless the caller takes up a stream that an earlier attempt began. */
+  readonly resumption: StreamResumption | undefined;
 }
 
 /** Classification of an answer by its head. */
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -15,6 +15,8 @@
   slots: count,
   state: z.enum(["ready", "draining"]),
   stage: z.enum(["prefill", "decode"]).optional(),
+  /// Absent in messages of older daemons, which is not the same as a back end without a version.
+  version: text.nullable().default(null),
   isSpot: z.boolean().optional(),
   /// Absent in messages of older daemons.
   bornMs: count.optional()
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -179,7 +179,8 @@
     this.answers.logDecision("request.accepted", session, {
       route: route.name,
       tenant: tenant?.name,
-      configuration: configurationVersion
+      configuration: configurationVersion,
+      ...request.resumption
     })
     const answer = this.quotaGate.checkQuota(session, now)
     if (answer.kind !== "waiting") this.onQuotaDecided(session, answer, now)
--- a/src/forwarding/forward-request.ts
+++ b/src/forwarding/forward-request.ts
@@ -14,6 +14,14 @@
   readonly maximumOutputTokens: number
 }
 
+/// A stream that the caller takes up again after its connection broke.
+export interface StreamResumption {
+  /// The caller's id of the attempt that brought the first event; undefined if the caller does not name it.
+  readonly firstAttemptId: string | undefined
+  /// Id of the last event that the caller has; undefined if it names none.
+  readonly lastEventId: string | undefined
+}
+
 /// One request of a caller. Times are monotonic milliseconds.
 export interface ForwardRequest {
   /// Unique within the daemon's process.
@@ -38,6 +46,8 @@
   readonly contentDigest?: string | undefined
   /// IP address of the caller's connection.
   readonly callerAddress?: string | undefined
+  /// Undefined unless the caller takes up a stream that an earlier attempt began.
+  readonly resumption?: StreamResumption | undefined
 }
 
 /// Number of tokens in the parts that other requests may share: all but the last, which is specific to the
--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -210,6 +210,7 @@
     const {backend} = choice
     this.dependencies.answers.logDecision("request.attempt", session, {
       backend: backend.record.id,
+      version: backend.record.version,
       via,
       stage: choice.prefillOnly ? "prefill" : session.kvSource ? "generate" : "whole",
       reason: choice.reason,
--- a/src/forwarding/routes/route.ts
+++ b/src/forwarding/routes/route.ts
@@ -141,6 +141,9 @@
   readonly state: "ready" | "draining"
   /// Undefined for back ends that are not model engines.
   readonly stage: EngineStage | undefined
+  /// Version of its software; empty or undefined if the platform reports none, null if the record came from a
+  /// daemon that does not pass versions on.
+  readonly version?: string | null | undefined
   /// A spot back end: it may be reclaimed at any time, together with all others of its zone, and costs less.
   readonly isSpot?: boolean | undefined
   /// Wall-clock time of its start, which distinguishes incarnations with the same id. Milliseconds; undefined
--- a/src/process/open-requests.ts
+++ b/src/process/open-requests.ts
@@ -61,6 +61,7 @@
         keyDigest: head.keyDigest,
         contentDigest: digestContent({ method, host, path, body }),
         callerAddress,
+        resumption: head.resumption,
       },
     });
   }
--- a/test/attempt-arrivals.test.ts
+++ b/test/attempt-arrivals.test.ts
@@ -132,7 +132,7 @@
     deadlineMs: undefined,
     prompt: undefined,
     keyDigest: undefined,
-    lastEventId: undefined,
+    resumption: undefined,
   };
   const request = { method: 'GET', path: `/${attemptId}`, headers: [], head, body: Buffer.alloc(0) };
   const start: AttemptStart = {
