Continue a stream only at the version that began it, within one answer

Cause: a session knew the last event but not where its stream began, and the records of back ends had no version to compare.

Change: the first event of a stream fixes its origin (service, back end, version of its record when the attempt was sent). The query of every further attempt carries it, and the one place from which all choices start (BackendPicker.getAllowed) leaves out other versions: so also successors of stalled attempts, retries at silent back ends, prompts read again, permits and back-offs, and the fallbacks to ejected back ends. A new path to a back end chosen before is checked again, and KV caches of other versions are not copied. If the version is not known, or the record of that back end has changed its version since, the stream is broken off rather than continued on a guess.

--- a/src/forwarding/backends/backend-directory.ts
+++ b/src/forwarding/backends/backend-directory.ts
@@ -7,6 +7,7 @@
 import {BackendView} from "./backend-view.js"
 import {SignalState} from "./signal-state.js"
 import {getIncarnation} from "../../quarantine/incarnation.js"
+import {getSoftwareVersion, type StreamOrigin} from "../streams/stream-origin.js"
 
 /// Ejection votes in the digest (peer-loads.ts) of a daemon that ejects a back end.
 const EJECTION_VOTES = 1
@@ -85,6 +86,15 @@
     return record.state !== "ready" || this.signals.get(getIncarnation(record))?.isLeaving === true
   }
 
+  /// Whether a stream that began at `origin` may be continued at a back end. It may not be continued anywhere if
+  /// the back end that began it is now listed with another version: which of the two wrote its events is not known.
+  mayContinue(record: BackendRecord, origin: StreamOrigin): boolean {
+    if (origin.version === null || origin.service !== record.service) return false
+    const known = this.views.get(origin.backendId)?.record
+    if (known && getSoftwareVersion(known) !== origin.version) return false
+    return getSoftwareVersion(record) === origin.version
+  }
+
   /// The back end with this id.
   get(id: string): BackendView | undefined {
     return this.views.get(id)
--- a/src/forwarding/choose/backend-choice.ts
+++ b/src/forwarding/choose/backend-choice.ts
@@ -2,6 +2,7 @@
 import type {BackendView} from "../backends/backend-view.js"
 import type {PromptOutline} from "../forward-request.js"
 import type {BackendRecord, EngineTraits} from "../routes/route.js"
+import type {StreamOrigin} from "../streams/stream-origin.js"
 
 /// Why a back end was chosen: it has the least load (`least-loaded`), it is the home of the prompt's shared
 /// parts (`home`), it keeps some of them (`kept`), it copies them from another engine (`copy`), or it is the
@@ -46,6 +47,8 @@
   readonly prompt: PromptOutline | undefined
   /// Isolated caller of the request, which may then run only at the one back end of that caller.
   readonly isolatedCaller?: string | undefined
+  /// Where the stream began that the attempt continues: only back ends of the same version are eligible.
+  readonly origin?: StreamOrigin | undefined
   /// Whether the KV cache of the prompt exists already, so that only a decode engine is eligible.
   readonly prefilled: boolean
   /// Address of the engine that holds that KV cache.
--- a/src/forwarding/choose/backend-picker.ts
+++ b/src/forwarding/choose/backend-picker.ts
@@ -18,6 +18,7 @@
 import type {PromptOutline} from "../forward-request.js"
 import type {EngineStage} from "../routes/route.js"
 import type {KvIndex} from "../kv-cache/kv-index.js"
+import type {StreamOrigin} from "../streams/stream-origin.js"
 import {PromptPicker} from "./prompt-picker.js"
 
 /// Back ends of one stage that advertise a limit.
@@ -74,6 +75,11 @@
     this.distance.addAttempt(backend)
   }
 
+  /// Whether the back end may still take an attempt that was chosen earlier.
+  isStillAllowed({backend}: BackendChoice, origin: StreamOrigin | undefined): boolean {
+    return backend.takesWork() && (!origin || this.directory.mayContinue(backend.record, origin))
+  }
+
   /// Whether nothing is heard of a back end, its region is cut off, or enough other daemons avoid it.
   isDoubtful(view: BackendView, now: number): boolean {
     return view.health.needsProbe(now) || this.distance.isCutOff(view) || view.isEjectedByPeers()
@@ -127,10 +133,12 @@
   }
 
   /// The same, including those that this daemon backs off from and those with a limit but no permit.
-  private getAllowed({service, excluded, isolatedCaller}: BackendQuery): BackendView[] {
+  private getAllowed({service, excluded, isolatedCaller, origin}: BackendQuery): BackendView[] {
     const accepting = this.directory.ofService(service).filter(view => view.takesWork())
     const allowed = isolatedCaller === undefined ? accepting : getIsolated(accepting, isolatedCaller)
-    return allowed.filter(view => !excluded.has(view.record.id))
+    return allowed.filter(
+      ({record}) => !excluded.has(record.id) && (!origin || this.directory.mayContinue(record, origin))
+    )
   }
 
   /// Leaves out the ejected ones and those in a region that is cut off, and next those that peers eject,
--- a/src/forwarding/choose/prompt-picker.ts
+++ b/src/forwarding/choose/prompt-picker.ts
@@ -13,6 +13,7 @@
 import type {KvIndex} from "../kv-cache/kv-index.js"
 import {PromptTransfers, type CacheHolder} from "./prompt-transfers.js"
 import type {EngineTraits} from "../routes/route.js"
+import type {StreamOrigin} from "../streams/stream-origin.js"
 
 /// Size of the prompt from which the tokens per millisecond of a group are estimated, and the upper bound of
 /// the estimate: no known engine is faster.
@@ -30,6 +31,8 @@
   readonly home: string | undefined
   /// Costs of its transfers; undefined in a fleet of one region.
   readonly transfers: PromptTransfers | undefined
+  /// Where the stream began that the request continues: the KV cache of other versions is not copied.
+  readonly origin: StreamOrigin | undefined
 }
 
 /// Cost of a prompt at one engine. In tokens, unless stated otherwise.
@@ -73,7 +76,8 @@
     const transfers = this.distance.hasSeveralRegions()
       ? new PromptTransfers(this.distance, prompt, query, decodes)
       : undefined
-    const placement = {prompt, home: this.findHome(prompt, query.service, eligible), transfers}
+    const home = this.findHome(prompt, query.service, eligible)
+    const placement = {prompt, home, transfers, origin: query.origin}
     const choice = this.pickCheapest(placement, eligible, "inTime")
     if (!this.isOverdue(choice, query)) return choice
     const withCapacity = eligible.filter(view => this.hasCapacityForOverdue(view, prompt, query.engine))
@@ -93,8 +97,8 @@
     candidates: readonly BackendView[],
     priority: PromptPriority
   ): BackendChoice {
-    const {prompt, transfers} = placement
-    const cacheHolders = this.findCacheHolders(prompt, candidates[0].record.service)
+    const {transfers} = placement
+    const cacheHolders = this.findCacheHolders(placement, candidates[0].record.service)
     let best = candidates[0]
     let bestWork: PromptWork | undefined
     let bestCost = Infinity
@@ -177,11 +181,12 @@
   }
 
   /// The engines of the service, of any stage, that keep some of the prompt; the first one keeps most of it.
-  private findCacheHolders(prompt: PromptOutline, service: string): readonly CacheHolder[] {
+  private findCacheHolders({prompt, origin}: PromptPlacement, service: string): readonly CacheHolder[] {
     const cacheHolders: CacheHolder[] = []
     let most = 0
     for (const backend of this.directory.ofService(service)) {
       if (backend.removed || backend.health.hasLostContact() || this.distance.isCutOff(backend)) continue
+      if (origin && !this.directory.mayContinue(backend.record, origin)) continue
       const tokens = this.kvIndex.getKeptTokens(backend.record.id, prompt)
       if (tokens > most) {
         most = tokens
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -5,6 +5,7 @@
 import type {ForwardSettings} from "./forward-settings.js"
 import {makeRequestKey} from "../quarantine/request-key.js"
 import type {Route, Tenant} from "./routes/route.js"
+import {getSoftwareVersion, type StreamOrigin} from "./streams/stream-origin.js"
 
 /// The attempt in progress. Times are monotonic milliseconds.
 export interface LiveAttempt {
@@ -13,6 +14,8 @@
   readonly startedAt: number
   /// Start of the back-end incarnation that it is sent to; undefined if the platform does not report it.
   readonly bornMs: number | undefined
+  /// Its software version at that time; null if it is not known.
+  readonly version: string | null
   lastEventAt: number
   /// Whether a stream has begun to arrive.
   streaming: boolean
@@ -69,6 +72,8 @@
   /// Whether it has been counted for its tenant.
   countedForTenant: boolean
   lastEventId: string | undefined
+  /// Where its stream began; undefined before the first event of a stream, and for other requests.
+  origin: StreamOrigin | undefined
   kvSource: KvSource | undefined
   /// Whether the caller has disconnected while the attempt goes on; the request is not sent again.
   abandoned: boolean
@@ -110,6 +115,7 @@
     relaying: false,
     countedForTenant: false,
     lastEventId: undefined,
+    origin: undefined,
     kvSource: undefined,
     abandoned: false,
     quotaCost: 0,
@@ -145,6 +151,7 @@
     choice,
     startedAt: now,
     bornMs: choice.backend.record.bornMs,
+    version: getSoftwareVersion(choice.backend.record),
     lastEventAt: now,
     streaming: false,
     inFlightBefore: choice.backend.inFlight(),
@@ -162,6 +169,18 @@
   attempt.lastProgressAt = now
 }
 
+/// Records where the stream began, with its first event. Which version wrote it is not known if the record of
+/// its back end has changed since the attempt was sent.
+export function setOrigin(session: Session, {choice, version}: LiveAttempt): void {
+  const {record} = choice.backend
+  const isUnchanged = getSoftwareVersion(record) === version
+  session.origin = {
+    service: session.service,
+    backendId: record.id,
+    version: isUnchanged ? version : null
+  }
+}
+
 /// Removes an attempt that is over from its session and its back end.
 export function removeAttempt(session: Session, attempt: LiveAttempt): void {
   attempt.choice.backend.removeAttempt(attempt.attemptId)
--- a/src/forwarding/retry/attempt-outcomes.ts
+++ b/src/forwarding/retry/attempt-outcomes.ts
@@ -15,6 +15,7 @@
   addProgress,
   makeSessionWithoutAttempt,
   removeAttempt,
+  setOrigin,
   type LiveAttempt,
   type Session
 } from "../forward-session.js"
@@ -79,6 +80,7 @@
       case "streamProgress":
         attempt.choice.backend.onAnswering(attempt.attemptId, now)
         addProgress(attempt, now)
+        if (!session.origin) setOrigin(session, attempt)
         if (event.lastEventId !== undefined) session.lastEventId = event.lastEventId
         break
       case "answerProgress":
@@ -139,7 +141,7 @@
     {reason, tunnelFailure}: EventOf<"unreachable">,
     now: number
   ): void {
-    const {answers, finisher, paths, retryPolicy, sender} = this.dependencies
+    const {answers, finisher, paths, picker, retryPolicy, sender} = this.dependencies
     const {choice, via, startedAt, tunnelFailures} = attempt
     if (session.abandoned) {
       removeAttempt(session, attempt)
@@ -153,7 +155,7 @@
     removeAttempt(session, attempt)
     answers.logDecision("request.attempt-failed", session, {backend: backendId, via, reason})
     const mayRetry = retryPolicy.mayRetryUnreachable(session, now)
-    if (mayRetry && retryVia !== undefined && choice.backend.takesWork()) {
+    if (mayRetry && retryVia !== undefined && picker.isStillAllowed(choice, session.origin)) {
       const failures = via === undefined ? 0 : tunnelFailures + 1
       sender.resend(session, choice, {via: retryVia, tunnelFailures: failures}, now)
       return
--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -172,6 +172,7 @@
       service,
       prompt: request.prompt,
       isolatedCaller: quarantineGate.getIsolatedCaller(session, now),
+      origin: session.origin,
       prefilled: session.kvSource !== undefined,
       prefilledAt: session.kvSource?.address,
       bodyBytes: request.bodyBytes,
