Find out which version began a stream that its caller takes up

Cause: the resumption was a new request to the daemon that got it. 'Resumes' was passed on unread, and no daemon knew where another's streams had begun.

Change: with the first event of a resumable stream its daemon sends (attempt id, service, back end, version) to two keepers, the first by rendezvous hashing of the id among at most 64 daemons, and keeps it too. A daemon that gets the resumption asks three keepers, then six, then twelve, for 320 ms at most, and refuses with 503 'unknown-stream' as soon as all that were asked again do not know. It never guesses: two different claims for one id make the version unknown, a stream that names no attempt is refused, and one whose service the route has left as well. Origins last for three timeouts of the longest resumable route, 30 s at least, 50,000 at most.

Older builds of ours close a connection on which an unknown message arrives, so these kinds go only to daemons that announce them with their first acknowledgement. Older builds also pass records on without versions; such a record leaves the copy incomplete and is read from the store.

--- a/src/adapters/peer-codec.ts
+++ b/src/adapters/peer-codec.ts
@@ -14,6 +14,7 @@
 } from '../forwarding/tunnel-messages.js';
 import { quarantineMessageSchemas } from '../quarantine/quarantine-messages.js';
 import { quotaMessageSchemas } from '../quotas/quota-messages.js';
+import { streamMessageSchemas } from '../streams/origin-messages.js';
 
 const text = z.string().max(512);
 const count = z.number().finite();
@@ -112,17 +113,23 @@
   ...dutyMessageSchemas,
   ...quotaMessageSchemas,
   ...quarantineMessageSchemas,
+  ...streamMessageSchemas,
 ]);
 
 const helloSchema = z.object({ kind: z.literal('hello'), id: text, address: text });
 
+const announcementSchema = z.object({ kind: z.literal('announcement'), reads: z.array(text) });
+
+/** The first line that the receiver of messages sends back; an older daemon sends an empty one. */
+export type PeerAnnouncementLine = z.infer<typeof announcementSchema>;
+
 /** The first line on a connection for messages, which identifies the sender. */
 export type PeerHello = z.infer<typeof helloSchema>;
 
 const firstLineSchema = z.discriminatedUnion('kind', [helloSchema, tunnelRequestSchema]);
 
 /** Encodes a message as a line, without the line break. devalue escapes line breaks inside strings. */
-export function encodePeerMessage(message: PeerMessage | PeerHello): string {
+export function encodePeerMessage(message: PeerMessage | PeerHello | PeerAnnouncementLine): string {
   return stringify(message);
 }
 
@@ -142,6 +149,16 @@
   return decode(line, firstLineSchema);
 }
 
+/** Decodes the kinds that a peer announces: none if the line is no announcement, as that of an older daemon. */
+export function decodeAnnouncement(line: string): readonly string[] {
+  try {
+    return decode(line, announcementSchema).reads;
+  } catch (error) {
+    if (error instanceof PeerProtocolError) return [];
+    throw error;
+  }
+}
+
 /** Encodes a request for a tunnel as a line, without the line break. */
 export function encodeTunnelRequest(request: TunnelRequest): string {
   return stringify(request);
--- a/src/adapters/peer-transport.ts
+++ b/src/adapters/peer-transport.ts
@@ -11,6 +11,7 @@
 import { FirstLineReader, type FirstLine } from './first-line-reader.js';
 import { LineSplitter } from './line-splitter.js';
 import { startListening } from './listen.js';
+import { ANNOUNCEMENT, PeerAnnouncement } from './peer-announcement.js';
 import { decodeFirstLine, decodePeerMessage, encodePeerMessage, type PeerHello } from './peer-codec.js';
 
 /** Callbacks of the transport. */
@@ -61,6 +62,7 @@
 
 interface OutgoingConnection {
   readonly socket: Socket;
+  readonly announcement: PeerAnnouncement;
   failedAt: number | undefined;
   /** Whether the peer acknowledges on this connection; daemons of an older version don't. */
   acknowledges: boolean;
@@ -104,6 +106,10 @@
   send(address: string, message: PeerMessage): void {
     if (this.closed) return;
     const peer = this.getConnection(address);
+    if (peer.announcement.admit(message)) this.write(peer, message);
+  }
+
+  private write(peer: OutgoingConnection, message: PeerMessage): void {
     if (peer.failedAt !== undefined || peer.socket.writableLength > MAXIMUM_BUFFERED_BYTES) return;
     const line = this.encode(message);
     this.listener.onTraffic('sent', message.kind, Buffer.byteLength(line));
@@ -147,6 +153,7 @@
     const socket = createConnection({ host, port, noDelay: true });
     const peer: OutgoingConnection = {
       socket,
+      announcement: new PeerAnnouncement((message) => this.write(peer, message)),
       failedAt: undefined,
       acknowledges: false,
       unansweredChecks: undefined,
@@ -163,9 +170,11 @@
       clearTimeout(timer);
       peer.failedAt ??= performance.now() - RECONNECT_DELAY_MS;
     });
-    socket.on('data', () => {
+    const decoder = new StringDecoder('utf8');
+    socket.on('data', (chunk: Buffer) => {
       peer.acknowledges = true;
       peer.unansweredChecks = undefined;
+      peer.announcement.receive(decoder.write(chunk));
     });
     socket.write(`${encodePeerMessage(this.hello)}\n`);
     this.outgoing.set(address, peer);
@@ -240,17 +249,20 @@
   }
 }
 
-/** Acknowledges the first data at once, and later data within `ACKNOWLEDGE_MS`, by an empty line. */
+/**
+ * Acknowledges the first data at once by this daemon's announcement, and later data within `ACKNOWLEDGE_MS` by an empty
+ * line.
+ */
 function createAcknowledger(socket: Socket): () => void {
   let timer: NodeJS.Timeout | undefined;
   let first = true;
-  const write = (): void => {
+  const write = (line = ''): void => {
     timer = undefined;
-    if (socket.writable) socket.write('\n');
+    if (socket.writable) socket.write(`${line}\n`);
   };
   socket.on('close', () => clearTimeout(timer));
   return () => {
-    if (first) write();
+    if (first) write(ANNOUNCEMENT);
     else timer ??= setTimeout(write, ACKNOWLEDGE_MS);
     first = false;
   };
--- a/src/daemon/forwarding-machines.ts
+++ b/src/daemon/forwarding-machines.ts
@@ -276,6 +276,7 @@
       getMembers: () => membership.getActive(),
       getFleet: () => getFleetView(membership),
       decideQuota: (requestId, decision) => manager.applyQuota(requestId, decision, context.getEventTime()),
+      decideOrigin: (requestId, origin) => manager.applyOrigin(requestId, origin, context.getEventTime()),
       isFirstReader: () => context.isFirstReader(),
       getRoutes: () => context.getRoutes(),
       logChange: (event, fields) => context.logChange(event, fields),
--- a/src/daemon/peer-messages.ts
+++ b/src/daemon/peer-messages.ts
@@ -10,6 +10,7 @@
 import type { MembershipMessage } from '../membership/membership-messages.js';
 import type { QuarantineMessage } from '../quarantine/quarantine-messages.js';
 import type { QuotaMessage } from '../quotas/quota-messages.js';
+import type { StreamMessage } from '../streams/origin-messages.js';
 import type { CellMessage } from './cell-messages.js';
 
 /** A message between daemons. */
@@ -21,4 +22,5 @@
   | FleetMessage
   | UsageCounts
   | QuotaMessage
-  | QuarantineMessage;
+  | QuarantineMessage
+  | StreamMessage;
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -133,7 +133,8 @@
     const holdUntil = message.lapsed === true ? follower.getPeerHold(now) : undefined
     for (const record of message.records) this.copy.apply(record, peerId, {holdUntil})
     const {cursor} = follower
-    const isComplete = message.records.length > 0 && cursor !== undefined && cursor >= message.from
+    const isReadable = message.records.length > 0 && message.records.every(hasVersion)
+    const isComplete = isReadable && cursor !== undefined && cursor >= message.from
     if (isComplete) follower.setKnownRevision(message.to)
     else follower.receivePeerRevision(message.changed, now)
   }
@@ -148,7 +149,9 @@
     for (const record of records) this.copy.apply(record, peerId)
     const {complete} = knowledge.backends
     if (complete >= 0) this.copy.removeMissing(complete, records, peerId)
-    for (const follower of Object.values(this.followers)) follower.receiveCopy(knowledge[follower.collection])
+    const {configuration, backends} = this.followers
+    configuration.receiveCopy(knowledge.configuration)
+    if (records.every(hasVersion)) backends.receiveCopy(knowledge.backends)
     this.receiveKnowledge(knowledge, now)
   }
 
@@ -196,6 +199,12 @@
   }
 }
 
+/// Whether a record names the version of its back end. Those of a daemon that does not pass versions on leave this
+/// copy incomplete, so that it is read from the store.
+function hasVersion(record: StoredRecord): boolean {
+  return record.collection !== "backends" || record.value?.version !== null
+}
+
 function isSmall(records: readonly StoredRecord[]): boolean {
   return JSON.stringify(records).length <= MAXIMUM_PUBLISHED_LENGTH
 }
--- a/src/fleet/record-copy.ts
+++ b/src/fleet/record-copy.ts
@@ -9,7 +9,7 @@
 interface KnownBackend {
   readonly revision: number
   /// Undefined after the removal.
-  readonly value: BackendRecord | undefined
+  readonly value?: BackendRecord | undefined
 }
 
 interface ApplyOptions {
@@ -99,12 +99,12 @@
 
   private applyBackend(
     id: string,
-    record: {revision: number; value?: BackendRecord | undefined},
+    record: {readonly revision: number; readonly value?: BackendRecord | undefined},
     source: RecordSource,
     {allowSameRevision = false, holdUntil}: ApplyOptions
   ): void {
     const known = this.backends.get(id)
-    const newer = !known || record.revision > known.revision
+    const newer = !known || record.revision > known.revision || addsVersion(known, record)
     if (!newer && !(allowSameRevision && record.revision === known.revision)) return
     const {revision, value} = record
     this.backends.set(id, {revision, value})
@@ -123,6 +123,11 @@
   }
 }
 
+/// Whether a record names the version that the known one of the same revision lacks.
+function addsVersion(known: KnownBackend, {revision, value}: KnownBackend): boolean {
+  return revision === known.revision && known.value?.version === null && typeof value?.version === "string"
+}
+
 /// Whether both records have a start time and it differs; records of older daemons have none.
 function isOtherIncarnation({bornMs: known}: BackendRecord, {bornMs: received}: BackendRecord): boolean {
   return known !== undefined && received !== undefined && known !== received
--- /dev/null
+++ b/src/forwarding/admit/resumption-gate.ts
@@ -0,0 +1,36 @@
+/// Restricts a request that takes a stream up to the version that began the stream. The origin may have to be
+/// found out from other daemons; a stream whose origin cannot be found is refused.
+import {isResumable} from "../routes/route.js"
+import type {Session} from "../forward-session.js"
+import type {OriginOutcome} from "../../streams/origin-manager.js"
+import type {StreamOrigin} from "../../streams/stream-origin.js"
+
+/// The holder of the origins of streams.
+export interface StreamContext {
+  /// Finds the origin of a stream by the caller's id of the attempt that brought its first event. Undefined
+  /// where no origins are held.
+  findStreamOrigin(requestId: string, attemptId: string, now: number): OriginOutcome | undefined
+  /// Called with the origin of each resumable stream that begins here.
+  onStreamBegan(attemptId: string, origin: StreamOrigin, now: number): void
+}
+
+const UNKNOWN: OriginOutcome = {kind: "unknown"}
+
+/// Checks the requests of one daemon. Times are monotonic milliseconds.
+export class ResumptionGate {
+  constructor(private readonly context: StreamContext) {}
+
+  /// Finds the origin of the stream that a request takes up; undefined if it takes none up.
+  findOrigin({request, route}: Session, now: number): OriginOutcome | undefined {
+    if (!request.resumption || !isResumable(route)) return undefined
+    const {firstAttemptId} = request.resumption
+    if (firstAttemptId === undefined) return UNKNOWN
+    return this.context.findStreamOrigin(request.id, firstAttemptId, now) ?? UNKNOWN
+  }
+
+  /// Reports the origin of a stream that has just begun, unless its caller cannot take it up.
+  onStreamBegan({request, route, origin}: Session, now: number): void {
+    if (origin && request.callerId !== "" && isResumable(route))
+      this.context.onStreamBegan(request.callerId, origin, now)
+  }
+}
--- a/src/forwarding/backends/backend-directory.ts
+++ b/src/forwarding/backends/backend-directory.ts
@@ -7,7 +7,7 @@
 import {BackendView} from "./backend-view.js"
 import {SignalState} from "./signal-state.js"
 import {getIncarnation} from "../../quarantine/incarnation.js"
-import {getSoftwareVersion, type StreamOrigin} from "../streams/stream-origin.js"
+import {getSoftwareVersion, type StreamOrigin} from "../../streams/stream-origin.js"
 
 /// Ejection votes in the digest (peer-loads.ts) of a daemon that ejects a back end.
 const EJECTION_VOTES = 1
--- a/src/forwarding/choose/backend-choice.ts
+++ b/src/forwarding/choose/backend-choice.ts
@@ -2,7 +2,7 @@
 import type {BackendView} from "../backends/backend-view.js"
 import type {PromptOutline} from "../forward-request.js"
 import type {BackendRecord, EngineTraits} from "../routes/route.js"
-import type {StreamOrigin} from "../streams/stream-origin.js"
+import type {StreamOrigin} from "../../streams/stream-origin.js"
 
 /// Why a back end was chosen: it has the least load (`least-loaded`), it is the home of the prompt's shared
 /// parts (`home`), it keeps some of them (`kept`), it copies them from another engine (`copy`), or it is the
--- a/src/forwarding/choose/backend-picker.ts
+++ b/src/forwarding/choose/backend-picker.ts
@@ -18,7 +18,7 @@
 import type {PromptOutline} from "../forward-request.js"
 import type {EngineStage} from "../routes/route.js"
 import type {KvIndex} from "../kv-cache/kv-index.js"
-import type {StreamOrigin} from "../streams/stream-origin.js"
+import type {StreamOrigin} from "../../streams/stream-origin.js"
 import {PromptPicker} from "./prompt-picker.js"
 
 /// Back ends of one stage that advertise a limit.
--- a/src/forwarding/choose/prompt-picker.ts
+++ b/src/forwarding/choose/prompt-picker.ts
@@ -13,7 +13,7 @@
 import type {KvIndex} from "../kv-cache/kv-index.js"
 import {PromptTransfers, type CacheHolder} from "./prompt-transfers.js"
 import type {EngineTraits} from "../routes/route.js"
-import type {StreamOrigin} from "../streams/stream-origin.js"
+import type {StreamOrigin} from "../../streams/stream-origin.js"
 
 /// Size of the prompt from which the tokens per millisecond of a group are estimated, and the upper bound of
 /// the estimate: no known engine is faster.
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -22,13 +22,16 @@
 import {QuotaGate, type QuotaContext} from "./admit/quota-gate.js"
 import type {QuotaDecision} from "./admit/tenant-quota.js"
 import {RequestAdmission, type AdmissionContext, type Admitted} from "./admit/request-admission.js"
+import {ResumptionGate, type StreamContext} from "./admit/resumption-gate.js"
 import {RetryAfter} from "./admit/retry-after.js"
 import {RequestFinisher} from "./finish/request-finisher.js"
 import type {RetryAllowance} from "./retry/retry-allowance.js"
 import {RetryPolicy} from "./retry/retry-policy.js"
+import type {OriginOutcome} from "../streams/origin-manager.js"
+import type {StreamOrigin} from "../streams/stream-origin.js"
 
 /// What the machine gets from its daemon and reports to it.
-export interface ForwardContext extends AdmissionContext, QuotaContext, QuarantineContext {
+export interface ForwardContext extends AdmissionContext, QuotaContext, QuarantineContext, StreamContext {
   /// Called once for each request of a tenant when a back end has begun to execute it, with the time at
   /// which it began. Monotonic milliseconds.
   onExecutionStarted(tenant: string, at: number): void
@@ -49,6 +52,7 @@
   private readonly sender: AttemptSender
   private readonly outcomes: AttemptOutcomes
   private readonly quotaGate: QuotaGate
+  private readonly resumptionGate: ResumptionGate
   private readonly retryPolicy: RetryPolicy
   private readonly paths: BackendPaths
   /// End of the last process pause.
@@ -67,6 +71,7 @@
     const answers = new ForwardAnswers(emit)
     const quotaGate = new QuotaGate(context)
     const quarantineGate = new QuarantineGate(context)
+    const resumptionGate = new ResumptionGate(context)
     const finisher = new RequestFinisher(retryAfter, this.sessions, answers, quotaGate, emit)
     const retryPolicy = new RetryPolicy({settings, allowance, getDaemonCount: () => context.getDaemonCount()})
     const {paths} = context
@@ -74,6 +79,7 @@
     const sender = new AttemptSender({...shared, settings, quotaGate, retryAfter, permits: context.permits})
     this.paths = paths
     this.quotaGate = quotaGate
+    this.resumptionGate = resumptionGate
     this.answers = answers
     this.finisher = finisher
     this.sender = sender
@@ -81,6 +87,7 @@
     this.outcomes = new AttemptOutcomes({
       ...shared,
       sender,
+      resumptionGate,
       kvIndex,
       onExecutionStarted: (tenant, at) => context.onExecutionStarted(tenant, at),
       onSignals: (view, report, at) => context.onSignals(view, report, at)
@@ -127,6 +134,13 @@
     if (session?.quotaState === "waiting") this.onQuotaDecided(session, decision, now)
   }
 
+  /// Applies what was found out about the stream that a request takes up; `origin` is undefined if nobody knows.
+  applyOrigin(requestId: string, origin: StreamOrigin | undefined, now: number): void {
+    const session = this.sessions.get(requestId)
+    if (session?.awaitsOrigin)
+      this.onOriginFound(session, origin ? {kind: "known", origin} : {kind: "unknown"}, now)
+  }
+
   /// Permits for back ends of the service were granted or refused: tries to send the requests that wait for
   /// one, the most urgent first, then the oldest.
   sendWaiting(service: string, now: number): void {
@@ -175,13 +189,38 @@
     const {route, service, tenant, configurationVersion} = admitted
     const session = createSession(request, route, service, tenant)
     this.sessions.set(request.id, session)
-    this.allowance.addRequest(service, now)
     this.answers.logDecision("request.accepted", session, {
       route: route.name,
       tenant: tenant?.name,
       configuration: configurationVersion,
       ...request.resumption
     })
+    const origin = this.resumptionGate.findOrigin(session, now)
+    if (origin) this.onOriginFound(session, origin, now)
+    else this.startSession(session, now)
+  }
+
+  /// The origin of the stream that the request takes up is known or is being looked up, or cannot be found.
+  private onOriginFound(session: Session, outcome: OriginOutcome, now: number): void {
+    session.awaitsOrigin = outcome.kind === "waiting"
+    if (outcome.kind === "waiting") return
+    if (outcome.kind === "unknown" || outcome.origin.version === null) {
+      this.finisher.finishNotServed(session, "unknown-stream", now)
+      return
+    }
+    const {origin} = outcome
+    if (!session.route.targets.some(({service}) => service === origin.service)) {
+      this.finisher.finishNotServed(session, "no-backend", now, undefined, {began: origin.service})
+      return
+    }
+    session.origin = origin
+    session.service = origin.service
+    this.startSession(session, now)
+  }
+
+  /// The service of the request is settled: counts it there, and sends it once its quota allows.
+  private startSession(session: Session, now: number): void {
+    this.allowance.addRequest(session.service, now)
     const answer = this.quotaGate.checkQuota(session, now)
     if (answer.kind !== "waiting") this.onQuotaDecided(session, answer, now)
   }
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -74,6 +74,7 @@
   | "unknown-key"
   | "over-quota"
   | "no-backend"
+  | "unknown-stream"
   | "overloaded"
   | "turned-away"
   | "unreachable"
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -5,7 +5,7 @@
 import type {ForwardSettings} from "./forward-settings.js"
 import {makeRequestKey} from "../quarantine/request-key.js"
 import type {Route, Tenant} from "./routes/route.js"
-import {getSoftwareVersion, type StreamOrigin} from "./streams/stream-origin.js"
+import {getSoftwareVersion, type StreamOrigin} from "../streams/stream-origin.js"
 
 /// The attempt in progress. Times are monotonic milliseconds.
 export interface LiveAttempt {
@@ -45,7 +45,8 @@
 export interface Session {
   readonly request: ForwardRequest
   readonly route: Route
-  readonly service: string
+  /// One of the route's targets; a stream that is taken up keeps the one at which it began.
+  service: string
   /// The caller's tenant; undefined where callers need no key.
   readonly tenant: Tenant | undefined
   /// The same for every retry of a request by the same caller; undefined if the content is not known.
@@ -72,9 +73,12 @@
   /// Whether it has been counted for its tenant.
   countedForTenant: boolean
   lastEventId: string | undefined
-  /// Where its stream began; undefined before the first event of a stream, and for other requests.
+  /// Where its stream began, at this daemon or before its caller took it up; undefined before the first event of
+  /// a stream, and for other requests.
   origin: StreamOrigin | undefined
   kvSource: KvSource | undefined
+  /// Whether it waits until the origin of its stream is found.
+  awaitsOrigin: boolean
   /// Whether the caller has disconnected while the attempt goes on; the request is not sent again.
   abandoned: boolean
   /// Its cost in the unit of its tenant's quota; 0 if no quota applies.
@@ -116,6 +120,7 @@
     countedForTenant: false,
     lastEventId: undefined,
     origin: undefined,
+    awaitsOrigin: false,
     kvSource: undefined,
     abandoned: false,
     quotaCost: 0,
--- a/src/forwarding/retry/attempt-outcomes.ts
+++ b/src/forwarding/retry/attempt-outcomes.ts
@@ -22,6 +22,7 @@
 import type {BackendPaths} from "../paths/backend-paths.js"
 import type {KvIndex} from "../kv-cache/kv-index.js"
 import type {QuarantineGate} from "../admit/quarantine-gate.js"
+import type {ResumptionGate} from "../admit/resumption-gate.js"
 import type {RequestFinisher} from "../finish/request-finisher.js"
 import type {RetryPolicy} from "./retry-policy.js"
 
@@ -41,6 +42,7 @@
   readonly limits: ForwardLimits
   readonly answers: ForwardAnswers
   readonly quarantineGate: QuarantineGate
+  readonly resumptionGate: ResumptionGate
   readonly paths: BackendPaths
   /// Called once for each request of a tenant when a back end has begun to execute it, with the time at
   /// which it began. Monotonic milliseconds.
@@ -80,7 +82,7 @@
       case "streamProgress":
         attempt.choice.backend.onAnswering(attempt.attemptId, now)
         addProgress(attempt, now)
-        if (!session.origin) setOrigin(session, attempt)
+        if (!session.origin) this.onStreamBegan(session, attempt, now)
         if (event.lastEventId !== undefined) session.lastEventId = event.lastEventId
         break
       case "answerProgress":
@@ -218,6 +220,12 @@
     else this.addComputedPrompt(session, attempt.choice.backend)
   }
 
+  /// The first event of the stream has been passed on.
+  private onStreamBegan(session: Session, attempt: LiveAttempt, now: number): void {
+    setOrigin(session, attempt)
+    this.dependencies.resumptionGate.onStreamBegan(session, now)
+  }
+
   private onComplete(session: Session, attempt: LiveAttempt, status: number, now: number): void {
     const {backend} = attempt.choice
     this.dependencies.quarantineGate.addAnswer(session, now)
--- a/src/forwarding/retry/retry-policy.ts
+++ b/src/forwarding/retry/retry-policy.ts
@@ -17,7 +17,7 @@
 /// A request is never retried after `maximumSends`, after its deadline, or when its caller has disconnected.
 import type {LiveAttempt, Session} from "../forward-session.js"
 import type {ForwardSettings} from "../forward-settings.js"
-import type {Route} from "../routes/route.js"
+import {isResumable, type Route} from "../routes/route.js"
 import type {RetryAllowance} from "./retry-allowance.js"
 
 /// What the policy relies on.
@@ -106,8 +106,8 @@
 }
 
 /// Whether requests of the route may be executed more than once.
-export function isRepeatable({kind, resumable}: Route): boolean {
-  return kind === "idempotent" || (kind === "stream" && resumable)
+export function isRepeatable(route: Route): boolean {
+  return route.kind === "idempotent" || isResumable(route)
 }
 
 /// Whether the request may be executed at one more back end.
--- a/src/forwarding/routes/route.ts
+++ b/src/forwarding/routes/route.ts
@@ -36,6 +36,11 @@
   readonly targets: readonly RouteTarget[]
 }
 
+/// Whether a stream of the route may be continued after its last event, by the daemon or its caller.
+export function isResumable({kind, resumable}: Route): boolean {
+  return kind === "stream" && resumable
+}
+
 /// Configuration of a service and its back ends.
 export interface BackendService {
   readonly name: string
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -24,6 +24,8 @@
 import type {PeerMessage} from "../daemon/peer-messages.js"
 import type {ForwardingDaemonSettings} from "../daemon/forwarding-daemon-settings.js"
 import type {ForwardingEffect, ForwardingEvent} from "../daemon/forwarding-messages.js"
+import type {OriginOutcome} from "../streams/origin-manager.js"
+import type {StreamOrigin} from "../streams/stream-origin.js"
 
 /// The regions of a fleet: places, measured round trips, and distances to back ends.
 export interface RegionContext {
@@ -61,6 +63,8 @@
   getRoutes(): RouteTable | undefined
   /// Applies the decision on a request that waited for its tenant's quota.
   decideQuota(requestId: string, decision: QuotaDecision): void
+  /// Applies the origin of the stream that a waiting request takes up; undefined if it cannot be found.
+  decideOrigin(requestId: string, origin: StreamOrigin | undefined): void
   /// Writes a change to the daemon's log and counts it in its metrics.
   logChange(event: ChangeEvent, fields: Readonly<Record<string, unknown>>): void
 }
@@ -121,6 +125,13 @@
   /// Charges a further cost of a request to its tenant; a negative cost refunds what was never executed.
   chargeQuota?(tenant: Tenant, cost: number, now: number): void
 
+  /// Finds where the stream began that a request takes up, by the caller's id of the attempt that brought its
+  /// first event. Undefined from a part that holds no origins.
+  findStreamOrigin?(requestId: string, attemptId: string, now: number): OriginOutcome | undefined
+
+  /// A resumable stream has begun at this daemon.
+  onStreamBegan?(attemptId: string, origin: StreamOrigin, now: number): void
+
   /// The remaining quarantine of a request; undefined if it may be sent to back ends. Milliseconds.
   getQuarantineMs?(key: string, now: number): number | undefined
 
--- a/src/parts/daemon-parts.ts
+++ b/src/parts/daemon-parts.ts
@@ -11,6 +11,7 @@
 import {QuotaPart} from "./quota-part.js"
 import {RegionPart} from "./region-part.js"
 import {StagePart} from "./stage-part.js"
+import {StreamPart} from "./stream-part.js"
 
 /// Creates every part of one daemon, in the order in which they are called.
 export function createParts(context: PartContext, now: number): readonly DaemonPart[] {
@@ -24,6 +25,7 @@
     new PacePart(context),
     new StagePart(context),
     new QuarantinePart(context, now),
+    new StreamPart(context),
     ...(regions ? [new RegionPart(context, regions)] : []),
     ...(duties ? [new DutyPart(context, duties, now)] : []),
     ...(quotas ? [new QuotaPart(context, quotas)] : [])
--- a/src/parts/request-hooks.ts
+++ b/src/parts/request-hooks.ts
@@ -15,6 +15,8 @@
   | "takeQuota"
   | "removeQuotaRequest"
   | "chargeQuota"
+  | "findStreamOrigin"
+  | "onStreamBegan"
 >
 
 /// Creates the hooks. The parts may be created later: `getParts` is called at each use.
@@ -37,6 +39,9 @@
     onSignals: (view, report, now) => runAll(part => part.onSignals?.(view, report, now)),
     takeQuota: (request, now) => findFirst(part => part.takeQuota?.(request, now)),
     removeQuotaRequest: requestId => runAll(part => part.removeQuotaRequest?.(requestId)),
-    chargeQuota: (tenant, cost, now) => runAll(part => part.chargeQuota?.(tenant, cost, now))
+    chargeQuota: (tenant, cost, now) => runAll(part => part.chargeQuota?.(tenant, cost, now)),
+    findStreamOrigin: (requestId, attemptId, now) =>
+      findFirst(part => part.findStreamOrigin?.(requestId, attemptId, now)),
+    onStreamBegan: (attemptId, origin, now) => runAll(part => part.onStreamBegan?.(attemptId, origin, now))
   }
 }
--- /dev/null
+++ b/src/parts/stream-part.ts
@@ -0,0 +1,60 @@
+/// Tells the fleet where streams began, and finds it out for streams that callers take up here.
+import type {PeerMessage} from "../daemon/peer-messages.js"
+import type {RouteConfiguration} from "../forwarding/routes/route.js"
+import {OriginManager, type OriginOutcome} from "../streams/origin-manager.js"
+import type {StreamOrigin} from "../streams/stream-origin.js"
+import {DaemonPart, type PartFigures, type PartContext} from "./daemon-part.js"
+
+/// A caller may take a stream up more than once, and each time its answer may last for the route's timeout.
+const LIFETIME_TIMEOUTS = 3
+/// Minimum time for which an origin is kept. Milliseconds.
+const MINIMUM_LIFETIME_MS = 30_000
+
+/// The part that holds and finds the origins of streams.
+export class StreamPart extends DaemonPart {
+  override readonly name = "streams"
+  private readonly manager: OriginManager
+
+  constructor({identity, getMembers, emit, decideOrigin}: PartContext) {
+    super()
+    this.manager = new OriginManager(identity.address, getMembers, effect => {
+      if (effect.kind === "sendPeer") emit(effect)
+      else decideOrigin(effect.requestId, effect.origin)
+    })
+  }
+
+  override applyConfiguration({routes}: RouteConfiguration): void {
+    const timeouts = routes
+      .filter(({kind, resumable}) => kind === "stream" && resumable)
+      .map(({timeoutMs}) => timeoutMs)
+    this.manager.setLifetime(Math.max(MINIMUM_LIFETIME_MS, LIFETIME_TIMEOUTS * Math.max(0, ...timeouts)))
+  }
+
+  override receivePeer(_fromId: string, fromAddress: string, message: PeerMessage, now: number): void {
+    switch (message.kind) {
+      case "streamBegan":
+      case "streamAsk":
+      case "streamAnswer":
+        this.manager.receive(fromAddress, message, now)
+        break
+      default:
+        break
+    }
+  }
+
+  override findStreamOrigin(requestId: string, attemptId: string, now: number): OriginOutcome {
+    return this.manager.find(requestId, attemptId, now)
+  }
+
+  override onStreamBegan(attemptId: string, origin: StreamOrigin, now: number): void {
+    this.manager.add(attemptId, origin, now)
+  }
+
+  override tick(now: number): void {
+    this.manager.tick(now)
+  }
+
+  override getFigures(): PartFigures {
+    return this.manager.getFigures()
+  }
+}
--- a/test/daemon-parts.test.ts
+++ b/test/daemon-parts.test.ts
@@ -35,6 +35,7 @@
     getMembers: () => [],
     getFleet: () => ({ members: [], knownCount: 1, joined: true }),
     decideQuota: () => undefined,
+    decideOrigin: () => undefined,
     isFirstReader: () => true,
     getRoutes: () => undefined,
     logChange: () => undefined,
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -23,6 +23,8 @@
 import { Places, type RegionByZone } from '../src/places/places.js';
 import { RoundTrips } from '../src/places/round-trips.js';
 import { SeededRandom } from '../src/shared/random.js';
+import type { OriginOutcome } from '../src/streams/origin-manager.js';
+import type { StreamOrigin } from '../src/streams/stream-origin.js';
 
 const SEED = 20261202;
 
@@ -74,6 +76,12 @@
   /** Peers that may take tunnels, as the paths see them. */
   readonly peers: Member[] = [];
   readonly paths = makePaths(this.directory, this.peers);
+  /** Origins of the streams that began here, by the caller's id. */
+  readonly streamOrigins = new Map<string, StreamOrigin>();
+  findStreamOrigin: (attemptId: string) => OriginOutcome | undefined = (attemptId) => {
+    const origin = this.streamOrigins.get(attemptId);
+    return origin ? { kind: 'known', origin } : { kind: 'unknown' };
+  };
   stale = false;
   /** Remaining quarantine of every request; undefined while none is quarantined. Milliseconds. */
   quarantineMs: number | undefined;
@@ -113,6 +121,8 @@
         getIsolatedCaller: () => undefined,
         onAttemptBroken: (key) => this.brokenAttempts.push(key),
         onAttemptAnswered: () => undefined,
+        findStreamOrigin: (_requestId, attemptId) => this.findStreamOrigin(attemptId),
+        onStreamBegan: (attemptId, origin) => this.streamOrigins.set(attemptId, origin),
         onSignals: () => undefined,
         permits: this.permits,
         paths: this.paths,
--- a/test/region-part.test.ts
+++ b/test/region-part.test.ts
@@ -50,6 +50,7 @@
     getMembers: () => [member, { ...member, id: THIRD }],
     getFleet: () => ({ members: [member], knownCount: 1, joined: true }),
     decideQuota: () => undefined,
+    decideOrigin: () => undefined,
     isFirstReader: () => true,
     getRoutes: () => undefined,
     logChange: () => undefined,
