Go on with a stream of unknown origin where its service had one version all along

Cause: the origin of a stream was looked up by its attempt id only.

Change: each daemon keeps which versions the back ends of a service had, and when one was last listed. Where the caller names no attempt, or none of the keepers knows it, the stream goes on at the only version of the last three timeouts of the longest resumable route (30 s at least).

What stays uncertain, for callers that name no attempt only: a version that the store lists and a peer uses before this daemon's copy has it, for half a second.

--- a/src/daemon/forwarding-machines.ts
+++ b/src/daemon/forwarding-machines.ts
@@ -124,6 +124,7 @@
   const manager = createManager(context, { replica, picker, kvIndex, retries, permits, paths, getParts });
   const exchange = createExchange(context, { replica, directory, kvIndex, signals, membership, paths });
   const parts = createDaemonParts(context, {
+    replica,
     directory,
     kvIndex,
     membership,
@@ -199,7 +200,7 @@
     {
       getRoutes: () => context.getRoutes(),
       tenants: context.tenants,
-      configurationMayBeStale: (at) => replica.configurationMayBeStale(at),
+      configurationMayBeStale: (at) => replica.mayBeStale('configuration', at),
       getOutageMs: (at) => replica.getOutageMs('configuration', at),
       getDaemonCount: () => context.getDaemonCount(),
       permits,
@@ -253,7 +254,7 @@
 
 interface PartMachines extends Pick<
   ForwardingMachines,
-  'directory' | 'kvIndex' | 'membership' | 'manager' | 'paths'
+  'replica' | 'directory' | 'kvIndex' | 'membership' | 'manager' | 'paths'
 > {
   readonly distances: Distances;
   readonly signals: SignalMachines;
@@ -261,7 +262,7 @@
 
 function createDaemonParts(context: ForwardingContext, machines: PartMachines): readonly DaemonPart[] {
   const { identity, settings, random, emit, now } = context;
-  const { directory, kvIndex, membership, signals, manager, distances, paths } = machines;
+  const { replica, directory, kvIndex, membership, signals, manager, distances, paths } = machines;
   return createParts(
     {
       identity,
@@ -277,6 +278,7 @@
       getFleet: () => getFleetView(membership),
       decideQuota: (requestId, decision) => manager.applyQuota(requestId, decision, context.getEventTime()),
       decideOrigin: (requestId, origin) => manager.applyOrigin(requestId, origin, context.getEventTime()),
+      backendsMayBeStale: (at) => replica.mayBeStale('backends', at),
       isFirstReader: () => context.isFirstReader(),
       getRoutes: () => context.getRoutes(),
       logChange: (event, fields) => context.logChange(event, fields),
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -78,10 +78,10 @@
     return this.followers[collection].getOutageMs(now)
   }
 
-  /// Whether a newer configuration may be in force elsewhere.
-  configurationMayBeStale(now: number): boolean {
-    if (this.getConfiguration() === undefined || this.isBehind("configuration")) return true
-    return this.getAgeMs("configuration", now) > this.settings.staleMs
+  /// Whether newer records of a collection may be known elsewhere.
+  mayBeStale(collection: RecordCollection, now: number): boolean {
+    if (!this.copy.hasRecords(collection) || this.isBehind(collection)) return true
+    return this.getAgeMs(collection, now) > this.settings.staleMs
   }
 
   /// The machine was suspended for a time that the monotonic clock did not count. Milliseconds.
--- a/src/forwarding/admit/resumption-gate.ts
+++ b/src/forwarding/admit/resumption-gate.ts
@@ -2,14 +2,13 @@
 /// found out from other daemons; a stream whose origin cannot be found is refused.
 import {isResumable} from "../routes/route.js"
 import type {Session} from "../forward-session.js"
-import type {OriginOutcome} from "../../streams/origin-manager.js"
+import type {OriginOutcome, TakenUpStream} from "../../streams/origin-manager.js"
 import type {StreamOrigin} from "../../streams/stream-origin.js"
 
 /// The holder of the origins of streams.
 export interface StreamContext {
-  /// Finds the origin of a stream by the caller's id of the attempt that brought its first event. Undefined
-  /// where no origins are held.
-  findStreamOrigin(requestId: string, attemptId: string, now: number): OriginOutcome | undefined
+  /// Finds the origin of a stream that a request takes up. Undefined where no origins are held.
+  findStreamOrigin(stream: TakenUpStream, now: number): OriginOutcome | undefined
   /// Called with the origin of each resumable stream that begins here.
   onStreamBegan(attemptId: string, origin: StreamOrigin, now: number): void
 }
@@ -23,9 +22,9 @@
   /// Finds the origin of the stream that a request takes up; undefined if it takes none up.
   findOrigin({request, route}: Session, now: number): OriginOutcome | undefined {
     if (!request.resumption || !isResumable(route)) return undefined
-    const {firstAttemptId} = request.resumption
-    if (firstAttemptId === undefined) return UNKNOWN
-    return this.context.findStreamOrigin(request.id, firstAttemptId, now) ?? UNKNOWN
+    const {firstAttemptId: attemptId} = request.resumption
+    const service = route.targets.length === 1 ? route.targets[0].service : undefined
+    return this.context.findStreamOrigin({requestId: request.id, attemptId, service}, now) ?? UNKNOWN
   }
 
   /// Reports the origin of a stream that has just begun, unless its caller cannot take it up.
--- a/src/forwarding/backends/backend-directory.ts
+++ b/src/forwarding/backends/backend-directory.ts
@@ -90,7 +90,7 @@
   /// the back end that began it is now listed with another version: which of the two wrote its events is not known.
   mayContinue(record: BackendRecord, origin: StreamOrigin): boolean {
     if (origin.version === null || origin.service !== record.service) return false
-    const known = this.views.get(origin.backendId)?.record
+    const known = this.views.get(origin.backendId ?? "")?.record
     if (known && getSoftwareVersion(known) !== origin.version) return false
     return getSoftwareVersion(record) === origin.version
   }
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -24,7 +24,7 @@
 import type {PeerMessage} from "../daemon/peer-messages.js"
 import type {ForwardingDaemonSettings} from "../daemon/forwarding-daemon-settings.js"
 import type {ForwardingEffect, ForwardingEvent} from "../daemon/forwarding-messages.js"
-import type {OriginOutcome} from "../streams/origin-manager.js"
+import type {OriginOutcome, TakenUpStream} from "../streams/origin-manager.js"
 import type {StreamOrigin} from "../streams/stream-origin.js"
 
 /// The regions of a fleet: places, measured round trips, and distances to back ends.
@@ -56,6 +56,8 @@
   getMembers(): readonly Member[]
   /// The fleet as this daemon sees it.
   getFleet(): FleetView
+  /// Whether newer records of back ends than this daemon's may exist.
+  backendsMayBeStale(now: number): boolean
   /// Whether this daemon is the first in rank among the readers of the store, which maintains the records
   /// that the fleet shares there.
   isFirstReader(): boolean
@@ -125,9 +127,8 @@
   /// Charges a further cost of a request to its tenant; a negative cost refunds what was never executed.
   chargeQuota?(tenant: Tenant, cost: number, now: number): void
 
-  /// Finds where the stream began that a request takes up, by the caller's id of the attempt that brought its
-  /// first event. Undefined from a part that holds no origins.
-  findStreamOrigin?(requestId: string, attemptId: string, now: number): OriginOutcome | undefined
+  /// Finds where the stream began that a request takes up. Undefined from a part that holds no origins.
+  findStreamOrigin?(stream: TakenUpStream, now: number): OriginOutcome | undefined
 
   /// A resumable stream has begun at this daemon.
   onStreamBegan?(attemptId: string, origin: StreamOrigin, now: number): void
--- a/src/parts/request-hooks.ts
+++ b/src/parts/request-hooks.ts
@@ -40,8 +40,7 @@
     takeQuota: (request, now) => findFirst(part => part.takeQuota?.(request, now)),
     removeQuotaRequest: requestId => runAll(part => part.removeQuotaRequest?.(requestId)),
     chargeQuota: (tenant, cost, now) => runAll(part => part.chargeQuota?.(tenant, cost, now)),
-    findStreamOrigin: (requestId, attemptId, now) =>
-      findFirst(part => part.findStreamOrigin?.(requestId, attemptId, now)),
+    findStreamOrigin: (stream, now) => findFirst(part => part.findStreamOrigin?.(stream, now)),
     onStreamBegan: (attemptId, origin, now) => runAll(part => part.onStreamBegan?.(attemptId, origin, now))
   }
 }
--- a/src/parts/stream-part.ts
+++ b/src/parts/stream-part.ts
@@ -1,8 +1,9 @@
 /// Tells the fleet where streams began, and finds it out for streams that callers take up here.
 import type {PeerMessage} from "../daemon/peer-messages.js"
-import type {RouteConfiguration} from "../forwarding/routes/route.js"
-import {OriginManager, type OriginOutcome} from "../streams/origin-manager.js"
+import type {BackendRecord, RouteConfiguration} from "../forwarding/routes/route.js"
+import {OriginManager, type OriginOutcome, type TakenUpStream} from "../streams/origin-manager.js"
 import type {StreamOrigin} from "../streams/stream-origin.js"
+import {VersionHistory} from "../streams/version-history.js"
 import {DaemonPart, type PartFigures, type PartContext} from "./daemon-part.js"
 
 /// A caller may take a stream up more than once, and each time its answer may last for the route's timeout.
@@ -13,16 +14,32 @@
 /// The part that holds and finds the origins of streams.
 export class StreamPart extends DaemonPart {
   override readonly name = "streams"
+  private readonly history = new VersionHistory()
   private readonly manager: OriginManager
 
-  constructor({identity, getMembers, emit, decideOrigin}: PartContext) {
+  constructor({identity, getMembers, backendsMayBeStale, emit, decideOrigin}: PartContext) {
     super()
-    this.manager = new OriginManager(identity.address, getMembers, effect => {
+    const {history} = this
+    const context = {selfAddress: identity.address, getMembers, history, backendsMayBeStale}
+    this.manager = new OriginManager(context, effect => {
       if (effect.kind === "sendPeer") emit(effect)
       else decideOrigin(effect.requestId, effect.origin)
     })
   }
 
+  override applyBackend(record: BackendRecord, now: number): void {
+    this.history.apply(record, now)
+  }
+
+  override removeBackend(id: string, now: number): void {
+    this.history.remove(id, now)
+  }
+
+  /// Back ends may have come and gone in the meantime.
+  override onProcessResumed(now: number): void {
+    this.history.restart(now)
+  }
+
   override applyConfiguration({routes}: RouteConfiguration): void {
     const timeouts = routes
       .filter(({kind, resumable}) => kind === "stream" && resumable)
@@ -42,8 +59,8 @@
     }
   }
 
-  override findStreamOrigin(requestId: string, attemptId: string, now: number): OriginOutcome {
-    return this.manager.find(requestId, attemptId, now)
+  override findStreamOrigin(stream: TakenUpStream, now: number): OriginOutcome {
+    return this.manager.find(stream, now)
   }
 
   override onStreamBegan(attemptId: string, origin: StreamOrigin, now: number): void {
--- a/src/streams/origin-keepers.ts
+++ b/src/streams/origin-keepers.ts
@@ -1,37 +1,37 @@
 /// Which daemons hold the origin of a stream: the first by rendezvous hashing of its attempt id. In a large
 /// fleet only some daemons are keepers, so that each daemon needs connections to these alone.
-import type { Member } from '../membership/membership-messages.js';
-import { rankByRendezvous } from '../shared/rendezvous-hash.js';
+import type {Member} from "../membership/membership-messages.js"
+import {rankByRendezvous} from "../shared/rendezvous-hash.js"
 
 /// Maximum number of keepers: with twice as many origins as streams, each is sent some 150 a second at 4,800
 /// streams a second.
-const MAXIMUM_KEEPERS = 64;
+const MAXIMUM_KEEPERS = 64
 /// Rendezvous key by which the keepers are chosen among the members.
-const KEEPERS_KEY = 'stream-origins';
+const KEEPERS_KEY = "stream-origins"
 
 /// The keepers in the view of one daemon. They are ranked by address, which a restarted daemon keeps.
 export class OriginKeepers {
-  private members: readonly Member[] | undefined;
-  private addresses: readonly string[] = [];
+  private members: readonly Member[] | undefined
+  private addresses: readonly string[] = []
 
   constructor(
     private readonly selfAddress: string,
     /// Active members, this daemon included; the same array until they change.
-    private readonly getMembers: () => readonly Member[],
+    private readonly getMembers: () => readonly Member[]
   ) {}
 
   /// Returns the addresses of the first keepers of a stream, at most `count`, without this daemon's own.
   pick(attemptId: string, count: number): string[] {
-    this.updateAddresses();
-    return rankByRendezvous(attemptId, this.addresses, count);
+    this.updateAddresses()
+    return rankByRendezvous(attemptId, this.addresses, count)
   }
 
   private updateAddresses(): void {
-    const members = this.getMembers();
-    if (members === this.members) return;
-    this.members = members;
-    const addresses = members.map(({ address }) => address);
-    const keepers = rankByRendezvous(KEEPERS_KEY, addresses, MAXIMUM_KEEPERS);
-    this.addresses = keepers.filter((address) => address !== this.selfAddress);
+    const members = this.getMembers()
+    if (members === this.members) return
+    this.members = members
+    const addresses = members.map(({address}) => address)
+    const keepers = rankByRendezvous(KEEPERS_KEY, addresses, MAXIMUM_KEEPERS)
+    this.addresses = keepers.filter(address => address !== this.selfAddress)
   }
 }
--- a/src/streams/origin-manager.ts
+++ b/src/streams/origin-manager.ts
@@ -1,137 +1,181 @@
 /// Holds and finds the origins of streams across the fleet: each daemon sends the origin of every resumable
-/// stream that begins there to two keepers, and asks the keepers of a stream that its caller takes up here. A
-/// daemon that cannot find out does not guess.
-import type { Member } from '../membership/membership-messages.js';
-import type { EffectSink } from '../shared/effect-sink.js';
-import { OriginKeepers } from './origin-keepers.js';
-import { OriginLookup } from './origin-lookup.js';
-import { decodeOrigin, encodeOrigin, type StreamMessage } from './origin-messages.js';
-import { OriginStore } from './origin-store.js';
-import type { StreamOrigin } from './stream-origin.js';
+/// stream that begins there to two keepers, and asks the keepers of a stream that its caller takes up here. Where
+/// nobody knows, or the caller names no attempt, the version is still known if the service had only one for as
+/// long as a stream may last. A daemon that cannot find out does not guess.
+import type {Member} from "../membership/membership-messages.js"
+import type {EffectSink} from "../shared/effect-sink.js"
+import {OriginKeepers} from "./origin-keepers.js"
+import {OriginLookup} from "./origin-lookup.js"
+import {decodeOrigin, encodeOrigin, type StreamMessage} from "./origin-messages.js"
+import {OriginStore} from "./origin-store.js"
+import type {StreamOrigin} from "./stream-origin.js"
+import type {VersionHistory} from "./version-history.js"
 
 /// Number of keepers that are told of a stream, besides the daemon at which it began.
-const COPIES = 2;
+const COPIES = 2
 /// How long an origin is kept before the first configuration. Milliseconds.
-const INITIAL_LIFETIME_MS = 30_000;
+const INITIAL_LIFETIME_MS = 30_000
 
 /// What the manager asks its daemon to do.
 export type OriginEffect =
-  | { readonly kind: 'sendPeer'; readonly address: string; readonly message: StreamMessage }
+  | {readonly kind: "sendPeer"; readonly address: string; readonly message: StreamMessage}
   /// The decision for a request that waited; undefined if the origin cannot be found.
-  | { readonly kind: 'originDecided'; readonly requestId: string; readonly origin: StreamOrigin | undefined };
+  | {readonly kind: "originDecided"; readonly requestId: string; readonly origin: StreamOrigin | undefined}
 
 /// What is known of the origin of a stream.
 export type OriginOutcome =
-  | { readonly kind: 'known'; readonly origin: StreamOrigin }
-  | { readonly kind: 'unknown' }
+  | {readonly kind: "known"; readonly origin: StreamOrigin}
+  | {readonly kind: "unknown"}
   /// `originDecided` follows.
-  | { readonly kind: 'waiting' };
+  | {readonly kind: "waiting"}
+
+/// A stream that a request takes up.
+export interface TakenUpStream {
+  readonly requestId: string
+  /// The caller's id of the attempt that brought the first event; undefined if the caller does not name it.
+  readonly attemptId: string | undefined
+  /// The service of its route; undefined if the route leads to several.
+  readonly service: string | undefined
+}
+
+/// What the manager relies on.
+interface OriginContext {
+  readonly selfAddress: string
+  /// Active members, this daemon included; the same array until they change.
+  getMembers(): readonly Member[]
+  /// The versions of the back ends that this daemon has seen.
+  readonly history: VersionHistory
+  /// Whether newer records of back ends may exist.
+  backendsMayBeStale(now: number): boolean
+}
 
 /// The origins of one daemon. Times are monotonic milliseconds.
 export class OriginManager {
-  private readonly store = new OriginStore();
-  private readonly keepers: OriginKeepers;
-  private readonly lookups = new Map<string, OriginLookup>();
-  private lifetimeMs = INITIAL_LIFETIME_MS;
-  private found = 0;
-  private notFound = 0;
+  private readonly store = new OriginStore()
+  private readonly keepers: OriginKeepers
+  private readonly lookups = new Map<string, OriginLookup>()
+  private lifetimeMs = INITIAL_LIFETIME_MS
+  private found = 0
+  private notFound = 0
 
   constructor(
-    selfAddress: string,
-    getMembers: () => readonly Member[],
-    private readonly emit: EffectSink<OriginEffect>,
+    private readonly context: OriginContext,
+    private readonly emit: EffectSink<OriginEffect>
   ) {
-    this.keepers = new OriginKeepers(selfAddress, getMembers);
+    this.keepers = new OriginKeepers(context.selfAddress, () => context.getMembers())
   }
 
   /// Sets how long origins are kept. Milliseconds.
   setLifetime(lifetimeMs: number): void {
-    this.lifetimeMs = lifetimeMs;
+    this.lifetimeMs = lifetimeMs
   }
 
   /// A stream has begun at this daemon.
   add(attemptId: string, origin: StreamOrigin, now: number): void {
-    this.store.put(attemptId, origin, this.lifetimeMs, now);
-    const message: StreamMessage = { kind: 'streamBegan', attemptId, origin: encodeOrigin(origin) };
+    this.store.put(attemptId, origin, this.lifetimeMs, now)
+    const message: StreamMessage = {kind: "streamBegan", attemptId, origin: encodeOrigin(origin)}
     for (const address of this.keepers.pick(attemptId, COPIES))
-      this.emit({ kind: 'sendPeer', address, message });
+      this.emit({kind: "sendPeer", address, message})
   }
 
   /// Finds the origin of a stream that a request takes up, asking the keepers if it is not known here.
-  find(requestId: string, attemptId: string, now: number): OriginOutcome {
-    const origin = this.store.find(attemptId, now);
-    if (origin) return { kind: 'known', origin };
-    const lookup = this.lookups.get(attemptId) ?? this.createLookup(attemptId, now);
-    if (lookup.hasFailed()) {
-      this.notFound += 1;
-      return { kind: 'unknown' };
+  find(stream: TakenUpStream, now: number): OriginOutcome {
+    const {requestId, attemptId, service} = stream
+    if (attemptId === undefined) return this.findByHistory(service, now)
+    const origin = this.store.find(attemptId, now)
+    if (origin) return {kind: "known", origin}
+    const lookup = this.lookups.get(attemptId) ?? this.createLookup(attemptId, now)
+    if (lookup.hasFailed()) return this.findByHistory(service, now)
+    lookup.services.set(requestId, service)
+    this.lookups.set(attemptId, lookup)
+    return {kind: "waiting"}
+  }
+
+  /// Finds the only version at which a stream of the service can have begun.
+  private findByHistory(service: string | undefined, now: number): OriginOutcome {
+    const {history, backendsMayBeStale} = this.context
+    const version =
+      service === undefined || backendsMayBeStale(now)
+        ? undefined
+        : history.findOnly(service, this.lifetimeMs, now)
+    if (service === undefined || version === undefined) {
+      this.notFound += 1
+      return {kind: "unknown"}
     }
-    lookup.requestIds.add(requestId);
-    this.lookups.set(attemptId, lookup);
-    return { kind: 'waiting' };
+    this.found += 1
+    return {kind: "known", origin: {service, backendId: undefined, version}}
   }
 
   /// Receives a peer's message.
   receive(fromAddress: string, message: StreamMessage, now: number): void {
-    const { attemptId } = message;
+    const {attemptId} = message
     switch (message.kind) {
-      case 'streamBegan':
-        this.store.put(attemptId, decodeOrigin(message.origin), this.lifetimeMs, now);
-        break;
-      case 'streamAsk':
-        this.sendAnswer(fromAddress, attemptId, now);
-        break;
-      case 'streamAnswer':
-        this.receiveAnswer(fromAddress, message, now);
-        break;
+      case "streamBegan":
+        this.store.put(attemptId, decodeOrigin(message.origin), this.lifetimeMs, now)
+        break
+      case "streamAsk":
+        this.sendAnswer(fromAddress, attemptId, now)
+        break
+      case "streamAnswer":
+        this.receiveAnswer(fromAddress, message, now)
+        break
     }
   }
 
   /// Advances the lookups and removes expired origins.
   tick(now: number): void {
-    this.store.tick(now);
+    this.store.tick(now)
+    this.context.history.removeOld(this.lifetimeMs, now)
     for (const [attemptId, lookup] of this.lookups)
-      if (lookup.tick(now)) this.finishLookup(attemptId, lookup, undefined);
+      if (lookup.tick(now)) this.finishLookup(attemptId, lookup, undefined, now)
   }
 
   /// Number of origins held, and of lookups that found one or failed.
   getFigures(): Readonly<Record<string, number>> {
-    return { origins: this.store.size, found: this.found, notFound: this.notFound };
+    return {origins: this.store.size, found: this.found, notFound: this.notFound}
   }
 
   private createLookup(attemptId: string, now: number): OriginLookup {
-    const message: StreamMessage = { kind: 'streamAsk', attemptId };
-    const sendAsk = (address: string): void => this.emit({ kind: 'sendPeer', address, message });
-    return new OriginLookup(attemptId, this.keepers, sendAsk, now);
+    const message: StreamMessage = {kind: "streamAsk", attemptId}
+    const sendAsk = (address: string): void => this.emit({kind: "sendPeer", address, message})
+    return new OriginLookup(attemptId, this.keepers, sendAsk, now)
   }
 
   private sendAnswer(address: string, attemptId: string, now: number): void {
-    const origin = this.store.find(attemptId, now);
-    const known = origin && { origin: encodeOrigin(origin) };
-    this.emit({ kind: 'sendPeer', address, message: { kind: 'streamAnswer', attemptId, ...known } });
+    const origin = this.store.find(attemptId, now)
+    const known = origin && {origin: encodeOrigin(origin)}
+    this.emit({kind: "sendPeer", address, message: {kind: "streamAnswer", attemptId, ...known}})
   }
 
   private receiveAnswer(
     fromAddress: string,
-    { attemptId, origin }: Extract<StreamMessage, { kind: 'streamAnswer' }>,
-    now: number,
+    {attemptId, origin}: Extract<StreamMessage, {kind: "streamAnswer"}>,
+    now: number
   ): void {
-    const lookup = this.lookups.get(attemptId);
-    if (!lookup) return;
+    const lookup = this.lookups.get(attemptId)
+    if (!lookup) return
     if (origin) {
-      const found = decodeOrigin(origin);
-      this.store.put(attemptId, found, this.lifetimeMs, now);
-      this.finishLookup(attemptId, lookup, found);
-      return;
+      const found = decodeOrigin(origin)
+      this.store.put(attemptId, found, this.lifetimeMs, now)
+      this.finishLookup(attemptId, lookup, found, now)
+      return
     }
-    lookup.receiveUnknown(fromAddress);
-    if (lookup.hasFailed()) this.finishLookup(attemptId, lookup, undefined);
+    lookup.receiveUnknown(fromAddress)
+    if (lookup.hasFailed()) this.finishLookup(attemptId, lookup, undefined, now)
   }
 
-  private finishLookup(attemptId: string, lookup: OriginLookup, origin: StreamOrigin | undefined): void {
-    this.lookups.delete(attemptId);
-    if (origin) this.found += 1;
-    else this.notFound += 1;
-    for (const requestId of lookup.requestIds) this.emit({ kind: 'originDecided', requestId, origin });
+  private finishLookup(
+    attemptId: string,
+    lookup: OriginLookup,
+    found: StreamOrigin | undefined,
+    now: number
+  ): void {
+    this.lookups.delete(attemptId)
+    for (const [requestId, service] of lookup.services) {
+      const outcome = found ? undefined : this.findByHistory(service, now)
+      const origin = outcome?.kind === "known" ? outcome.origin : found
+      if (found) this.found += 1
+      this.emit({kind: "originDecided", requestId, origin})
+    }
   }
 }
--- a/test/daemon-parts.test.ts
+++ b/test/daemon-parts.test.ts
@@ -36,6 +36,7 @@
     getFleet: () => ({ members: [], knownCount: 1, joined: true }),
     decideQuota: () => undefined,
     decideOrigin: () => undefined,
+    backendsMayBeStale: () => false,
     isFirstReader: () => true,
     getRoutes: () => undefined,
     logChange: () => undefined,
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -107,7 +107,7 @@
     );
     expect(fleet.getConfiguration()?.version).to.equal(3);
     expect(fleet.hasBackends()).to.equal(true);
-    expect(fleet.configurationMayBeStale(100)).to.equal(true);
+    expect(fleet.mayBeStale('configuration', 100)).to.equal(true);
   });
 
   it('after a failed read the next follows after a back-off, and an answer confirms the copy as of the time of the request', () => {
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -121,7 +121,7 @@
         getIsolatedCaller: () => undefined,
         onAttemptBroken: (key) => this.brokenAttempts.push(key),
         onAttemptAnswered: () => undefined,
-        findStreamOrigin: (_requestId, attemptId) => this.findStreamOrigin(attemptId),
+        findStreamOrigin: ({ attemptId = '' }) => this.findStreamOrigin(attemptId),
         onStreamBegan: (attemptId, origin) => this.streamOrigins.set(attemptId, origin),
         onSignals: () => undefined,
         permits: this.permits,
--- a/test/region-part.test.ts
+++ b/test/region-part.test.ts
@@ -51,6 +51,7 @@
     getFleet: () => ({ members: [member], knownCount: 1, joined: true }),
     decideQuota: () => undefined,
     decideOrigin: () => undefined,
+    backendsMayBeStale: () => false,
     isFirstReader: () => true,
     getRoutes: () => undefined,
     logChange: () => undefined,
