Soak: versions side by side and rolled, callers that take streams up at any daemon

A phase of its own, with a plan of its own: engines of two versions side by side, rolled to one new version after another, in full or in part, beside kills of one, half and all daemons, stops, reloads, a silent store, crashes and faulty back ends; some engines return under their old id at another version. Callers break a third of the streams off after one to four events and take up every stream that broke, up to three times, with Resumes and Last-Event-Id at any daemon. Each event names the version that wrote it; the check sees only what callers got: more than two streams of two versions, or (12 or more judged, at daemons in touch, while two engines of their version generate) fewer than half as many going on as new streams begin.

--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -8,7 +8,8 @@
 import type {HandleRegistry} from "./handle-registry.js"
 import type {ArrivalRecord} from "./retry-check.js"
 import {orderSchema, StageOrders, type Stage} from "./stage-orders.js"
-import {formatBody, formatEvent, type SoakRecord} from "./soak-record.js"
+import {formatBody, type SoakRecord} from "./soak-record.js"
+import {formatEvent} from "./stream-events.js"
 import type {StoreStandIn} from "./store-stand-in.js"
 import {parseBody, readBody, STATUS_MALFORMED} from "./stray-calls.js"
 
@@ -53,6 +54,8 @@
   readonly service: string
   readonly zone: string
   readonly stage: Stage | undefined
+  /// Its software version; undefined for a record without one.
+  readonly version?: string | undefined
 }
 
 /// One incarnation of a back end.
@@ -169,7 +172,7 @@
   }
 
   private writeRecord(): void {
-    const {id, service, zone} = this.identity
+    const {id, service, zone, version} = this.identity
     const row = {
       service,
       addr: this.address,
@@ -177,6 +180,7 @@
       slots: 8,
       state: this.state,
       phase: this.orders.stage,
+      version,
       seq: this.orders.appliedCount,
       born: this.startedAtMs
     }
@@ -264,7 +268,7 @@
     if (behavior === "losesAnswers")
       return void setTimeout(() => response.socket?.resetAndDestroy(), PROCESSING_MS)
     if (stage) this.sendStream(request, response, id, behavior)
-    else this.sendAnswer(request, response, id, behavior)
+    else this.sendAnswer(response, id, behavior)
   }
 
   /// Records a crash by the request with this body and calls `onCrash`, unless this back end has stopped before.
@@ -303,12 +307,7 @@
     return owner === id
   }
 
-  private sendAnswer(
-    request: IncomingMessage,
-    response: ServerResponse,
-    id: string,
-    behavior: BackendBehavior
-  ): void {
+  private sendAnswer(response: ServerResponse, id: string, behavior: BackendBehavior): void {
     const workMs = behavior === "slow" ? SLOW_PROCESSING_MS : PROCESSING_MS * (0.5 + this.random())
     setTimeout(() => {
       const headers = {"X-Attempt-Id": id, "X-Server-Signature": this.identity.id}
@@ -326,7 +325,6 @@
           "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Signature: x\r\nContent-Length: 5\r\n\r\nother"
         )
     }, workMs)
-    void request
   }
 
   private sendStream(
@@ -347,7 +345,7 @@
     const step = () => {
       if (response.destroyed) return
       if (eventNumber > EVENT_COUNT) return void response.end()
-      const event = formatEvent(id, eventNumber, EVENT_COUNT)
+      const event = formatEvent(id, eventNumber, EVENT_COUNT, this.identity.version)
       if (eventNumber >= breakAt) {
         response.write(event.slice(0, 6))
         return void setTimeout(() => response.socket?.resetAndDestroy(), 2)
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -15,6 +15,14 @@
 import {SignalRecord} from "./signal-record.js"
 import {findCallersCutBySilence, type SilentSpan} from "./silence-check.js"
 import type {CallerRecord, Violation} from "./caller-record.js"
+import {findStreamProblem} from "./stream-events.js"
+import {
+  findVersionOutcome,
+  findVersionViolations,
+  type StreamRecord,
+  type VersionOutcome,
+  type VersionSpan
+} from "./version-check.js"
 import {findTenant, QUOTA_RULE, SOAK_QUOTAS, UNCACHED_TOKENS} from "./soak-routes.js"
 
 /// One execution of a request at a back end. Monotonic milliseconds.
@@ -87,6 +95,9 @@
   readonly silences: SilentSpan[] = []
   /// Periods in which daemons were cut off from all back ends.
   readonly cuts: CutSpan[] = []
+  /// Streams whose callers take them up, and the periods in which engines of each version served.
+  readonly streams: StreamRecord[] = []
+  readonly versionSpans: VersionSpan[] = []
   /// Violations that the stand-ins and the site observed directly.
   readonly observedViolations: Violation[] = []
 
@@ -137,6 +148,7 @@
         })
     violations.push(...this.signals.check(), ...this.findCallersCutBySilence().violations)
     violations.push(...findCutViolations(this.findCutOutcomes()))
+    violations.push(...findVersionViolations(this.streams, this.findVersionOutcome()))
     for (const {service, seen, allowed, from} of this.findWorstRetryWindows()) {
       const text = `${service}: ${seen} of ${allowed} from ${from} ms`
       if (seen > allowed) violations.push({promise: "repeats stay within the retry budget", text})
@@ -165,6 +177,12 @@
     return findCutOutcomes(this.cuts, [...this.requests.values()], {disturbances, contactMs, isAllowed})
   }
 
+  /// Counts the streams whose callers take them up.
+  findVersionOutcome(): VersionOutcome {
+    const {versionSpans: spans, disturbances} = this
+    return findVersionOutcome(this.streams, {spans, disturbances, contactMs: this.bounds.contactMs})
+  }
+
   /// The worst window of retries of each service, counted at the back ends.
   findWorstRetryWindows(): RetryWindow[] {
     return findWorstWindows(this.arrivals, this.getServiceRequests(), this.bounds.retries)
@@ -346,28 +364,6 @@
   return `answer to ${id}.`
 }
 
-/// One server-sent event of a streamed answer, with its number and the total count, which identify the last event.
-export function formatEvent(id: string, number: number, count: number): string {
-  return `id: ${number}\ndata: ${id} ${number} of ${count}\n\n`
-}
-
-/// Finds the first error in a stream with a success status; undefined when there is none. A stream that didn't end
-/// as complete may lack events at its end.
-function findStreamProblem(id: string, body: string, complete: boolean): string | undefined {
-  const events = body.split("\n\n")
-  const remainder = events.pop()
-  let count = 0
-  for (const [i, event] of events.entries()) {
-    const match = /^id: (\d+)\ndata: (\S+) (\d+) of (\d+)$/.exec(event)
-    if (!match || match[2] !== id || Number(match[1]) !== i + 1 || match[1] !== match[3])
-      return `event ${i + 1} is ${JSON.stringify(event)}`
-    count = Number(match[4])
-  }
-  if (complete && (remainder !== "" || events.length === 0 || events.length < count))
-    return `ended as complete after ${events.length} of ${count} events`
-  return undefined
-}
-
 function groupBy<Key, Item>(items: readonly Item[], getKey: (item: Item) => Key): Map<Key, Item[]> {
   const groups = new Map<Key, Item[]>()
   for (const item of items) {
--- a/lab/soak/soak-routes.ts
+++ b/lab/soak/soak-routes.ts
@@ -18,7 +18,7 @@
 }
 
 const HOST = "site.example"
-const RESUMABLE_ROUTE = "check"
+const RESUMABLE_NAME = "check"
 const MOVING_ROUTE = "moving"
 const LOW_PRIORITY_ROUTE = "review"
 const TARGET_LATENCY_SHARE = 0.2
@@ -63,7 +63,7 @@
   {name: "receipt", host: HOST, path: "/receipt/x", form: "idempotent", timeoutMs: 1500, isPublic: true},
   {name: MOVING_ROUTE, host: HOST, path: "/moving/x", form: "idempotent", timeoutMs: 1500},
   {
-    name: RESUMABLE_ROUTE,
+    name: RESUMABLE_NAME,
     host: HOST,
     path: "/check/x",
     form: "streaming",
@@ -80,6 +80,9 @@
   }
 ]
 
+/// The route whose streams callers may take up.
+export const RESUMABLE_ROUTE = SOAK_ROUTES.filter(({name}) => name === RESUMABLE_NAME)[0]
+
 /// The service that a route leads to while the moving route leads to `movingService`.
 export function getService(route: string, toEngines: boolean, movingService: string): string {
   if (toEngines) return SOAK_SERVICES.engines
@@ -136,7 +139,7 @@
     priority: route.name === LOW_PRIORITY_ROUTE ? 1 : 0,
     service: getService(route.name, route.prompt !== undefined, movingService),
     max_attempts: maxAttempts,
-    resumable: route.name === RESUMABLE_ROUTE,
+    resumable: route.name === RESUMABLE_NAME,
     public: route.isPublic ?? false
   }
 }
--- a/lab/soak/soak-site.ts
+++ b/lab/soak/soak-site.ts
@@ -34,6 +34,9 @@
   }))
 ]
 
+/// The places of the engines.
+export const ENGINE_PLACES = [...PLACES.keys()].filter(place => PLACES[place].stage !== undefined)
+
 /// Number of back ends.
 export const BACKEND_COUNT = PLACES.length
 /// The places of the back ends of each service.
@@ -47,6 +50,8 @@
   readonly proxy: FaultProxy
   readonly proxyAddress: string
   incarnation: number
+  /// Software version of the next incarnation; undefined for a record without one.
+  version?: string
 }
 
 /// Starts and stops the parts of the site, and applies faults to them.
@@ -199,7 +204,9 @@
     if (place.backend || this.closed) return
     if (!keepsId) place.incarnation += 1
     const {service, stage} = PLACES[index]
-    const identity = {id: `b${index}i${place.incarnation}`, service, stage, zone: ZONES[index % ZONES.length]}
+    const zone = ZONES[index % ZONES.length]
+    const {version} = place
+    const identity = {id: `b${index}i${place.incarnation}`, service, stage, zone, version}
     const backend = new BackendStandIn(identity, this.store, this.record, this.registry, this.random)
     backend.eventIntervalMs = this.eventIntervalMs
     this.incarnations.push(backend)
@@ -207,6 +214,26 @@
     place.backend = backend
     backend.onCrash = () => this.crashBackend(index)
     backend.announce(place.proxyAddress)
+    if (version !== undefined) this.addVersionSpan(index, version)
+  }
+
+  /// Sets the software version of the next incarnation at a place.
+  setVersion(index: number, version: string): void {
+    this.places[index].version = version
+  }
+
+  private addVersionSpan(index: number, version: string): void {
+    const {backend} = this.places[index]
+    if (!backend) return
+    const generates = backend.identity.stage === "decode"
+    const from = performance.now()
+    this.record.versionSpans.push({backend: backend.identity.id, version, generates, from, until: Infinity})
+  }
+
+  private endVersionSpan(index: number): void {
+    const id = this.places[index].backend?.identity.id
+    for (const span of this.record.versionSpans)
+      if (span.backend === id) span.until = Math.min(span.until, performance.now())
   }
 
   /// The address of a place's back end; undefined when none is running, as the previous one still holds its port.
@@ -241,11 +268,13 @@
 
   /// Sets the record of the back end at a place to draining.
   drainBackend(index: number): void {
+    this.endVersionSpan(index)
     this.places[index].backend?.drain()
   }
 
   /// Stops the back end at a place and removes its record.
   closeBackend(index: number): void {
+    this.endVersionSpan(index)
     this.places[index].backend?.close()
     this.places[index].backend = undefined
   }
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -14,21 +14,17 @@
 import {CRASHING_BODY, type CrashOutcome} from "./crash-check.js"
 import type {LimitWindow} from "./signal-check.js"
 import type {RetryWindow} from "./retry-check.js"
-import {makeSignalPlan, makePlan, makeSeriesPlan, type PlannedFault} from "./fault-plan.js"
-import {BACKENDS} from "./disturbance.js"
 import type {CallerRecord, Violation} from "./caller-record.js"
 import {SOAK_BOUNDS, SoakRecord, type SoakBounds} from "./soak-record.js"
-import {findTenant, OVER_QUOTA_TENANT, SOAK_ROUTES, USUAL_ATTEMPTS} from "./soak-routes.js"
+import {findTenant, OVER_QUOTA_TENANT, SOAK_ROUTES} from "./soak-routes.js"
 import type {CutOutcome} from "./cut-check.js"
-import {makeCutPlan} from "./cut-faults.js"
-import {makeSilencePlan} from "./silence-faults.js"
-import {BACKEND_COUNT, PLACES_BY_SERVICE, SoakSite} from "./soak-site.js"
+import {RECOVERY_MS, runPhases, type SoakOptions} from "./soak-phases.js"
+import {SoakSite} from "./soak-site.js"
 import {STATUS_MALFORMED} from "./stray-calls.js"
+import type {VersionOutcome} from "./version-check.js"
 
 const BOUNDS: SoakBounds = {...SOAK_BOUNDS, marginMs: 1500}
 const START_MS = 2500
-/// Time for the site to recover after the last fault; requests in its last part must be served. Milliseconds.
-const RECOVERY_MS = 8000
 const RECOVERY_CHECK_MS = 3000
 const STATUS_OVER_QUOTA = 429
 const MIN_SERVED_AFTER_RECOVERY = 0.95
@@ -50,26 +46,11 @@
   readonly besideSilence: number
   /// The first tries during each cut of daemons from all back ends.
   readonly cuts: readonly CutOutcome[]
+  /// What the callers that take streams up got; absent without that phase.
+  readonly versions?: VersionOutcome
   readonly violations: readonly Violation[]
 }
 
-/// Options of a soak besides its seed and its rate.
-interface SoakOptions {
-  readonly daemonCount: number
-  /// Whether there are series of restarts with overloaded back ends.
-  readonly series: boolean
-  /// Whether some callers send requests that crash the back ends that execute them.
-  readonly crashes: boolean
-  /// Whether back ends send signals in their answers: limits, leaving and back-offs.
-  readonly signals: boolean
-  /// Whether there is a phase in which sound back ends fall silent beside planned work.
-  readonly pauses: boolean
-  /// Whether there is a phase in which daemons are cut off from all back ends.
-  readonly cuts: boolean
-  /// Whether the drawn faults are left out; the other kinds of trouble remain.
-  readonly calm: boolean
-}
-
 const DEFAULT_OPTIONS: SoakOptions = {
   daemonCount: DAEMONS,
   series: false,
@@ -77,12 +58,9 @@
   signals: false,
   pauses: false,
   cuts: false,
+  versions: false,
   calm: false
 }
-/// Time for the site to settle between two phases. Milliseconds.
-const SETTLE_MS = 4000
-/// Time between two events of a stream in the phase of silences, so that streams are under way when one begins.
-const SILENCE_EVENT_INTERVAL_MS = 100
 /// The module that gives a daemon a source address of its own.
 const STARTER = fileURLToPath(new URL("source-address.js", import.meta.url))
 /// Mean interval of the requests that crash back ends, on each of their routes. Milliseconds.
@@ -130,40 +108,6 @@
   return makeOutcome(seed, record, recoveredFrom)
 }
 
-/// Runs the drawn faults, then the phase of silences and that of cuts. Each plan has a generator of its own: the order
-/// of the load's draws differs from run to run, and a new kind of trouble leaves the other plans as they are.
-async function runPhases(
-  site: SoakSite,
-  load: CallerLoad,
-  seed: number,
-  durationMs: number,
-  {series, signals, pauses, cuts, calm}: SoakOptions
-): Promise<void> {
-  const daemons = site.daemons.map(daemon => daemon.name)
-  const makeRandom = (offset: number) => {
-    const generator = new SeededRandom(seed + offset)
-    return () => generator.next()
-  }
-  const plan = calm ? [] : makePlan({daemons, backendCount: BACKEND_COUNT}, durationMs, makeRandom(1))
-  const seriesPlan = series ? makeSeriesPlan(daemons, PLACES_BY_SERVICE, durationMs, makeRandom(2)) : []
-  const signalPlan = signals ? makeSignalPlan(PLACES_BY_SERVICE, durationMs, makeRandom(10)) : []
-  await runPlan(site, mergePlans(plan, seriesPlan, signalPlan))
-  if (!pauses && !cuts) return
-  await wait(RECOVERY_MS)
-  load.stopRepeating()
-  if (pauses) {
-    await wait(SETTLE_MS)
-    site.setEventInterval(SILENCE_EVENT_INTERVAL_MS)
-    await runPlan(site, makeSilencePlan(daemons, PLACES_BY_SERVICE, durationMs, makeRandom(20)))
-    site.setEventInterval(undefined)
-    site.changeConfiguration(USUAL_ATTEMPTS)
-  }
-  if (cuts) {
-    await wait(SETTLE_MS)
-    await runPlan(site, makeCutPlan(daemons, durationMs, makeRandom(21)))
-  }
-}
-
 /// Logs the calls that weren't meant for the platform. One to a known path with an invalid body comes from a daemon
 /// and is a violation.
 function addStrayCallViolations({record, store, duties}: SoakSite): void {
@@ -201,44 +145,6 @@
   })
 }
 
-function mergePlans(...plans: readonly (readonly PlannedFault[])[]): PlannedFault[] {
-  return plans.flat().sort((left, right) => left.atMs - right.atMs)
-}
-
-async function runPlan(site: SoakSite, plan: readonly PlannedFault[]): Promise<void> {
-  const startedAt = performance.now()
-  const busy = new Set<string>()
-  const running: Promise<void>[] = []
-  for (const {atMs, fault} of plan) {
-    await wait(Math.max(0, atMs - (performance.now() - startedAt)))
-    const name = fault.getName()
-    // At most one fault at a time for each target, because the end of one fault would undo another.
-    const key = name.replace(/^(kill|pause|restart|crash of|replacement of) /, "")
-    if (busy.has(key) || fault.getDisturbedDaemons().some(target => busy.has(target))) continue
-    for (const target of [key, ...fault.getDisturbedDaemons()]) busy.add(target)
-    const targets = fault.affectsBackends()
-      ? [...fault.getDisturbedDaemons(), BACKENDS]
-      : fault.getDisturbedDaemons()
-    const disturbances = targets.map(target => ({
-      target,
-      kind: name,
-      from: performance.now(),
-      until: Infinity
-    }))
-    site.record.disturbances.push(...disturbances)
-    process.stdout.write(`${JSON.stringify({atMs, fault: name, lastsMs: fault.durationMs})}\n`)
-    const run = async () => {
-      await fault.start(site)
-      await wait(fault.durationMs)
-      await fault.stop(site)
-      for (const disturbance of disturbances) disturbance.until = performance.now()
-      for (const target of [key, ...fault.getDisturbedDaemons()]) busy.delete(target)
-    }
-    running.push(run())
-  }
-  await Promise.all(running)
-}
-
 /// Whether the request was refused because its tenant, the one that exceeds its quota, was over it.
 function isOverQuota({key, status}: CallerRecord): boolean {
   return status === STATUS_OVER_QUOTA && findTenant(key) === OVER_QUOTA_TENANT
@@ -272,6 +178,7 @@
     limits: record.signals.findLimitWindows(),
     besideSilence: record.findCallersCutBySilence().judged,
     cuts: record.findCutOutcomes(),
+    ...(record.streams.length > 0 && {versions: record.findVersionOutcome()}),
     violations
   }
 }
@@ -284,7 +191,7 @@
 
 async function main(): Promise<void> {
   const cli = meow(
-    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--no-signals] [--no-pauses] [--no-cuts] [--calm] [--keep] [--regressions]",
+    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--no-signals] [--no-pauses] [--no-cuts] [--no-versions] [--calm] [--keep] [--regressions]",
     {
       importMeta: import.meta,
       flags: {
@@ -298,6 +205,7 @@
         signals: {type: "boolean", default: true},
         pauses: {type: "boolean", default: true},
         cuts: {type: "boolean", default: true},
+        versions: {type: "boolean", default: true},
         calm: {type: "boolean", default: false},
         keep: {type: "boolean", default: false},
         regressions: {type: "boolean", default: false}
@@ -315,11 +223,12 @@
     signals,
     pauses,
     cuts,
+    versions,
     calm,
     keep,
     regressions
   } = cli.flags
-  const options = {daemons, series, crashes, signals, pauses, cuts, calm}
+  const options = {daemons, series, crashes, signals, pauses, cuts, versions, calm}
   const freshRuns = Array.from({length: count}, (_, i) => ({seed: seed + i, seconds, ...options}))
   const runs = regressions ? readRegressions() : freshRuns
   const program = buildProgram(join(process.cwd(), "bench-results", "program"))
@@ -334,6 +243,7 @@
       signals: run.signals ?? false,
       pauses: run.pauses ?? false,
       cuts: run.cuts ?? false,
+      versions: run.versions ?? false,
       calm: run.calm ?? false
     }
     const outcome = await runSoak(run.seed, run.seconds, rate, program, folder, soakOptions)
@@ -356,6 +266,7 @@
     signals: z.boolean().optional(),
     pauses: z.boolean().optional(),
     cuts: z.boolean().optional(),
+    versions: z.boolean().optional(),
     calm: z.boolean().optional(),
     cause: z.string()
   })
