--- a/src/forwarding/admit/resumption-gate.ts
+++ b/src/forwarding/admit/resumption-gate.ts
@@ -13,6 +13,9 @@
   onStreamBegan(attemptId: string, origin: StreamOrigin, now: number): void
 }
 
+/// Longer ids are not passed between daemons, which bound the texts in their messages. Characters.
+const MAXIMUM_ID_LENGTH = 512
+
 const UNKNOWN: OriginOutcome = {kind: "unknown"}
 
 /// Checks the requests of one daemon. Times are monotonic milliseconds.
@@ -22,14 +25,19 @@
   /// Finds the origin of the stream that a request takes up; undefined if it takes none up.
   findOrigin({request, route}: Session, now: number): OriginOutcome | undefined {
     if (!request.resumption || !isResumable(route)) return undefined
-    const {firstAttemptId: attemptId} = request.resumption
+    const {firstAttemptId} = request.resumption
+    const attemptId = isUsable(firstAttemptId) ? firstAttemptId : undefined
     const service = route.targets.length === 1 ? route.targets[0].service : undefined
     return this.context.findStreamOrigin({requestId: request.id, attemptId, service}, now) ?? UNKNOWN
   }
 
   /// Reports the origin of a stream that has just begun, unless its caller cannot take it up.
   onStreamBegan({request, route, origin}: Session, now: number): void {
-    if (origin && request.callerId !== "" && isResumable(route))
+    if (origin && isUsable(request.callerId) && isResumable(route))
       this.context.onStreamBegan(request.callerId, origin, now)
   }
 }
+
+function isUsable(attemptId = ""): boolean {
+  return attemptId !== "" && attemptId.length <= MAXIMUM_ID_LENGTH
+}
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -5,6 +5,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { makeLabRoute } from '../lab/forwarding-site.js';
+import { HttpDialect } from '../platform/http-dialect.js';
 import type { AttemptStart } from '../src/forwarding/forward-messages.js';
 import type { Member } from '../src/membership/membership-messages.js';
 import { ENGINES, ForwardingHarness, makePrompt } from './forwarding-harness.js';
@@ -122,6 +123,16 @@
     expect(site.getStarts()).to.have.length(2);
   });
 
+  it('and is not told to other daemons under an id that their messages cannot carry', () => {
+    for (const callerId of ['', 'x'.repeat(513)]) {
+      const site = new ForwardingHarness([makeLabRoute(RESUMABLE)], BACKENDS);
+      site.begin({ callerId });
+      site.event({ kind: 'streamStarted' }, 10);
+      site.event({ kind: 'streamProgress', lastEventId: '1' }, 12);
+      expect(site.streamOrigins.size).to.equal(0);
+    }
+  });
+
   it('and only at the service that began it, where a route leads to several', () => {
     const targets = ['service', 'other'].map((service) => ({ service, weight: 1 }));
     const others = BACKENDS.map((record) => ({ ...record, id: `o${record.id}`, service: 'other' }));
@@ -144,3 +155,20 @@
   site.event({ kind: 'streamProgress', lastEventId: '1' }, 12);
   return site;
 }
+
+describe('the headers of a caller that takes a stream up', () => {
+  const parse = (...headers: string[]): unknown => new HttpDialect().parseCallerHead(headers).resumption;
+
+  it('name the attempt that brought the first event, and the last event', () => {
+    expect(parse('Resumes', 'a', 'Last-Event-Id', '3')).to.deep.equal({
+      firstAttemptId: 'a',
+      lastEventId: '3',
+    });
+    expect(parse('last-event-id', '3')).to.deep.equal({ firstAttemptId: undefined, lastEventId: '3' });
+    expect(parse('Resumes', 'a', 'Resumes', 'b')).to.deep.equal({
+      firstAttemptId: undefined,
+      lastEventId: undefined,
+    });
+    expect(parse('X-Attempt-Id', 'a')).to.equal(undefined);
+  });
+});
