Keep two decode engines of each version when engines change their stage

Streams can be continued only at the version that began them, and only decode engines generate.

Change: an engine of a version with two decode engines or fewer changes to prefill only if no other can, and one of a version with fewer than two is the first to change to decode.

Evidence: test/stages.test.ts, 'stages of engines of several versions': without the rank both fail.

--- a/src/allocation/stage-coordinator.ts
+++ b/src/allocation/stage-coordinator.ts
@@ -11,6 +11,7 @@
 import type { BackendView } from '../forwarding/backends/backend-view.js';
 import type { BackendRecord, EngineStage } from '../forwarding/routes/route.js';
 import type { EngineStatus, StageOrder, StageOrderResult } from './engine-orders.js';
+import { getSoftwareVersion } from '../streams/stream-origin.js';
 import type { StageDemand, StagePlannerSettings } from './stage-planner.js';
 import { groupByRegion, planRegions, type RegionStep } from './stage-regions.js';
 
@@ -61,6 +62,9 @@
   readonly regionOf?: (zone: string) => string;
 }
 
+/** Number of engines by software version. */
+type VersionCounts = ReadonlyMap<string | null, number>;
+
 interface PendingChange {
   readonly backend: BackendRecord;
   readonly stage: EngineStage;
@@ -81,6 +85,9 @@
  */
 const MAXIMUM_PACE_DEVIATION = 0.5;
 
+/** A version keeps so many decode engines where others can change: its streams can be continued at no other version. */
+const KEPT_DECODES_PER_VERSION = 2;
+
 /** The coordinator of one service in one daemon. Times are monotonic milliseconds. */
 export class StageCoordinator {
   private readonly lease: CellLease;
@@ -146,7 +153,8 @@
     const stage = step === 'toPrefill' ? 'prefill' : 'decode';
     const group = this.groupViews(context, now).get(region) ?? [];
     const candidates = group.filter((view) => !this.isChanging(view.record.id));
-    const backend = pickEngine(candidates, stage === 'prefill' ? 'decode' : 'prefill');
+    const decodes = this.countDecodes(group);
+    const backend = pickEngine(candidates, stage === 'prefill' ? 'decode' : 'prefill', decodes);
     if (!backend) return false;
     this.pending.set(backend.id, { backend, stage, since: now, ordered: false });
     this.nextOrderAt = now + (loaded ? this.settings.orderPauseMs / maximumChanging : 0);
@@ -231,6 +239,17 @@
     }
   }
 
+  /** Number of decode engines of each software version, after the pending changes. */
+  private countDecodes(group: readonly BackendView[]): VersionCounts {
+    const counts = new Map<string | null, number>();
+    for (const { record } of group) {
+      const version = getSoftwareVersion(record);
+      const decodes = (this.pending.get(record.id)?.stage ?? record.stage) === 'decode' ? 1 : 0;
+      counts.set(version, (counts.get(version) ?? 0) + decodes);
+    }
+    return counts;
+  }
+
   /** The demand, with engines counted in the stages that they have after the pending changes. */
   private getDemand(serving: readonly BackendView[], slots: number): StageDemand {
     const stageOf = ({ record }: BackendView): EngineStage | undefined =>
@@ -260,9 +279,14 @@
  * Picks the engine of a stage that costs the least to change: the one with the fewest requests in flight,
  * corrected by its pace. Faster engines are preferred for prefill, since responses wait for prefill time,
  * while tokens are generated far sooner than they are due. At equal cost spot engines are preferred, since
- * ordinary ones may be about to be replaced by spot engines.
+ * ordinary ones may be about to be replaced by spot engines. Before all that, a version that has few decode engines
+ * keeps them, and gets more.
  */
-function pickEngine(views: readonly BackendView[], stage: EngineStage): BackendRecord | undefined {
+function pickEngine(
+  views: readonly BackendView[],
+  stage: EngineStage,
+  decodes: VersionCounts,
+): BackendRecord | undefined {
   const eligible = views.filter((view) => view.takesWork() && view.record.stage === stage);
   const getCost = (view: BackendView): number => {
     const deviation = Math.max(
@@ -272,8 +296,14 @@
     const penalty = stage === 'decode' ? deviation : -deviation;
     return view.inFlight() + Math.round(penalty * REQUESTS_PER_PACE);
   };
+  const getRank = ({ record }: BackendView): number => {
+    const count = decodes.get(getSoftwareVersion(record)) ?? 0;
+    const isLast = stage === 'decode' ? count <= KEPT_DECODES_PER_VERSION : count >= KEPT_DECODES_PER_VERSION;
+    return Number(isLast);
+  };
   eligible.sort(
     (left, right) =>
+      getRank(left) - getRank(right) ||
       getCost(left) - getCost(right) ||
       Number(right.record.isSpot ?? false) - Number(left.record.isSpot ?? false) ||
       (left.record.id < right.record.id ? -1 : 1),
--- a/test/stages.test.ts
+++ b/test/stages.test.ts
@@ -62,8 +62,8 @@
     return this.handled.filter((effect) => effect.kind === 'askEngine');
   }
 
-  receiveStatus(backendId: string, orders: number, now: number): void {
-    this.coordinator.receiveStatus(backendId, { stage: 'decode', changing: false, orders }, now);
+  receiveStatus(backendId: string, orders: number, now: number, stage: EngineStage = 'decode'): void {
+    this.coordinator.receiveStatus(backendId, { stage, changing: false, orders }, now);
     this.handled.push(...this.effects.splice(0));
   }
 
@@ -264,3 +264,51 @@
     expect(site.getOrders()).to.have.length(0);
   });
 });
+
+describe('stages of engines of several versions', () => {
+  /** Lets the coordinator change all engines that it wants to; returns the decode engines of each version then. */
+  function changeAll(engines: readonly [EngineStage, version: string][]): Record<string, number> {
+    const views = makeViews(engines.map(([stage]) => stage));
+    views.forEach((view, index) => (view.record = { ...view.record, version: engines[index][1] }));
+    const site = new CoordinatorSite(views);
+    for (let now = 0; now < 120_000; now += 100) {
+      site.tick(now);
+      for (const effect of site.handled.splice(0)) {
+        if (effect.kind === 'askEngine') site.receiveStatus(effect.backend.id, 0, now, effect.backend.stage);
+        else if (effect.kind === 'orderEngine') {
+          const view = views.find(({ record }) => record.id === effect.order.backend.id);
+          if (view) view.record = { ...view.record, stage: effect.order.stage };
+        }
+      }
+    }
+    const counts: Record<string, number> = {};
+    for (const { record } of views)
+      if (record.stage === 'decode')
+        counts[String(record.version)] = (counts[String(record.version)] ?? 0) + 1;
+    return counts;
+  }
+
+  const repeat = (count: number, stage: EngineStage, version: string): [EngineStage, string][] =>
+    Array.from({ length: count }, () => [stage, version]);
+
+  it('leave each version two decode engines, where others can compute prompts', () => {
+    const engines = [
+      ...repeat(3, 'decode', 'v1'),
+      ...repeat(9, 'prefill', 'v1'),
+      ...repeat(6, 'decode', 'v2'),
+    ];
+    const counts = changeAll(engines);
+    expect(counts.v1).to.be.at.least(2);
+    expect(counts.v2).to.be.at.least(2);
+    expect(counts.v1 + counts.v2).to.equal(6);
+  });
+
+  it('give decode engines to a version that has none, when one is due', () => {
+    const engines = [
+      ...repeat(2, 'decode', 'v1'),
+      ...repeat(4, 'prefill', 'v1'),
+      ...repeat(4, 'prefill', 'v2'),
+    ];
+    expect(changeAll(engines)).to.deep.equal({ v1: 2, v2: 1 });
+  });
+});
