--- a/test/streams-taken-up.test.ts
+++ b/test/streams-taken-up.test.ts
@@ -68,6 +68,29 @@
     expect(wentOn).to.equal(taken);
   });
 
+  it('and is not continued by a daemon that has not seen that version yet', () => {
+    const fleet = new LateRecordsFleet(6, 75);
+    const configuration = makeLabConfiguration(1, [makeLabRoute(RESUMABLE)]);
+    fleet.write({ collection: 'configuration', revision: 0, value: configuration });
+    const write = (id: string, version: string): void =>
+      void fleet.write({ collection: 'backends', id, revision: 0, value: makeVersion(id, version) });
+    write('b1', 'v1');
+    fleet.time.runUntil(WARM_UP_MS);
+    const late = fleet.nodes[5];
+    fleet.withoutRecords.add(late);
+    late.access = 'silent';
+    // A read that already waits at the store is over by then.
+    fleet.time.runUntil(fleet.time.now() + 30_000);
+    write('b9', 'v9');
+    fleet.write({ collection: 'backends', id: 'b1', revision: 0, value: undefined });
+    fleet.time.runUntil(fleet.time.now() + 1000);
+    expect(beginStream(fleet, 's').backendId).to.equal('b9');
+    fleet.time.runUntil(fleet.time.now() + 20);
+    expect([...late.daemon.getBackendVersions()]).to.deep.equal([['b1', 'v1']]);
+    expect(resume(fleet, late, 's')).to.equal(undefined);
+    expect(resume(fleet, fleet.nodes[4], 's')?.backendId).to.equal('b9');
+  });
+
   it('and is rejected at once when all daemons were restarted', () => {
     const { wrong, wentOn, heldMs } = takeUpAfter((fleet) => killAll(fleet, 1, 200), 3000);
     expect(wrong).to.equal(0);
@@ -229,6 +252,17 @@
   });
 });
 
+/** A fleet in which some daemons get no records from others. */
+class LateRecordsFleet extends ForwardingFleet {
+  readonly withoutRecords = new Set<FleetNode>();
+
+  override handle(node: FleetNode, event: ForwardingEvent): void {
+    const kind = event.kind === 'peerMessage' ? event.message.kind : '';
+    if (kind.startsWith('records') && this.withoutRecords.has(node)) return;
+    super.handle(node, event);
+  }
+}
+
 /** A fleet in which records pass between daemons as from an older daemon, after decoding. */
 class OlderPublisherFleet extends ForwardingFleet {
   override handle(node: FleetNode, event: ForwardingEvent): void {
