--- a/src/parts/stream-part.ts
+++ b/src/parts/stream-part.ts
@@ -11,17 +11,24 @@
 /// Minimum time for which an origin is kept. Milliseconds.
 const MINIMUM_LIFETIME_MS = 30_000
 
+/// A back end that comes and goes is listed for longer than this: a daemon whose copy was not up to date for so long
+/// may have missed one. Milliseconds.
+const MISSED_CHANGES_MS = 2000
+
 /// The part that holds and finds the origins of streams.
 export class StreamPart extends DaemonPart {
   override readonly name = "streams"
   private readonly history = new VersionHistory()
   private readonly manager: OriginManager
+  /// When the copy of the back ends' records was last known to be up to date.
+  private freshAt = -Infinity
 
-  constructor({identity, getMembers, backendsMayBeStale, emit, decideOrigin}: PartContext) {
+  constructor(private readonly context: PartContext) {
     super()
+    const {identity, getMembers, backendsMayBeStale, emit, decideOrigin} = context
     const {history} = this
-    const context = {selfAddress: identity.address, getMembers, history, backendsMayBeStale}
-    this.manager = new OriginManager(context, effect => {
+    const fleet = {selfAddress: identity.address, getMembers, history, backendsMayBeStale}
+    this.manager = new OriginManager(fleet, effect => {
       if (effect.kind === "sendPeer") emit(effect)
       else decideOrigin(effect.requestId, effect.origin)
     })
@@ -35,9 +42,9 @@
     this.history.remove(id, now)
   }
 
-  /// Back ends may have come and gone in the meantime.
-  override onProcessResumed(now: number): void {
-    this.history.restart(now)
+  /// The suspension is not counted by the clock of `tick`.
+  override onMachineSuspended(): void {
+    this.freshAt = -Infinity
   }
 
   override applyConfiguration({routes}: RouteConfiguration): void {
@@ -68,6 +75,8 @@
   }
 
   override tick(now: number): void {
+    if (now - this.freshAt > MISSED_CHANGES_MS) this.history.restart(now)
+    if (!this.context.backendsMayBeStale(now)) this.freshAt = now
     this.manager.tick(now)
   }
 
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -6,6 +6,7 @@
 import fc from 'fast-check';
 import { makeLabRoute } from '../lab/forwarding-site.js';
 import { HttpDialect } from '../platform/http-dialect.js';
+import { readServer } from '../platform/records.js';
 import type { AttemptStart } from '../src/forwarding/forward-messages.js';
 import type { Member } from '../src/membership/membership-messages.js';
 import { ENGINES, ForwardingHarness, makePrompt } from './forwarding-harness.js';
@@ -172,3 +173,15 @@
     expect(parse('X-Attempt-Id', 'a')).to.equal(undefined);
   });
 });
+
+describe('the record of a back end', () => {
+  const row = { service: 's', addr: '10.0.0.1:80', zone: 'z', slots: 4, state: 'ready' };
+  const readVersion = (fields: object): unknown =>
+    readServer('b', JSON.stringify({ ...row, ...fields })).version;
+
+  it('names its version, none, or one that cannot be read and is not known', () => {
+    expect(readVersion({ version: 'v1.2' })).to.equal('v1.2');
+    expect(readVersion({})).to.equal('');
+    for (const version of [12, null, 'x'.repeat(513)]) expect(readVersion({ version })).to.equal(null);
+  });
+});
