--- a/src/parts/stream-part.ts
+++ b/src/parts/stream-part.ts
@@ -1,6 +1,6 @@
 /// Tells the fleet where streams began, and finds it out for streams that callers take up here.
 import type {PeerMessage} from "../daemon/peer-messages.js"
-import type {BackendRecord, RouteConfiguration} from "../forwarding/routes/route.js"
+import {isResumable, type BackendRecord, type RouteConfiguration} from "../forwarding/routes/route.js"
 import {OriginManager, type OriginOutcome, type TakenUpStream} from "../streams/origin-manager.js"
 import type {StreamOrigin} from "../streams/stream-origin.js"
 import {VersionHistory} from "../streams/version-history.js"
@@ -11,8 +11,8 @@
 /// Minimum time for which an origin is kept. Milliseconds.
 const MINIMUM_LIFETIME_MS = 30_000
 
-/// A back end that comes and goes is listed for longer than this: a daemon whose copy was not up to date for so long
-/// may have missed one. Milliseconds.
+/// A back end that comes and goes is listed for longer than this, so a daemon misses none unless its copy is out of
+/// date for as long. Milliseconds.
 const MISSED_CHANGES_MS = 2000
 
 /// The part that holds and finds the origins of streams.
@@ -48,9 +48,7 @@
   }
 
   override applyConfiguration({routes}: RouteConfiguration): void {
-    const timeouts = routes
-      .filter(({kind, resumable}) => kind === "stream" && resumable)
-      .map(({timeoutMs}) => timeoutMs)
+    const timeouts = routes.filter(isResumable).map(({timeoutMs}) => timeoutMs)
     this.manager.setLifetime(Math.max(MINIMUM_LIFETIME_MS, LIFETIME_TIMEOUTS * Math.max(0, ...timeouts)))
   }
 
