--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -12,7 +12,6 @@
 import type { DaemonIdentity, MembershipMessage } from '../membership/membership-messages.js';
 import type { PartFigures } from '../parts/daemon-part.js';
 import type { RandomSource } from '../shared/random.js';
-import { getSoftwareVersion } from '../streams/stream-origin.js';
 import { getRendezvousRank } from '../shared/rendezvous-hash.js';
 import { makeFleetChange, type ChangeEvent } from './change-log.js';
 import type { ForwardingDaemonSettings } from './forwarding-daemon-settings.js';
@@ -134,12 +133,6 @@
     return this.machines.directory.get(backendId)?.inFlight() ?? 0;
   }
 
-  /** The software version of each known back end, by id; null where it is not known. */
-  getBackendVersions(): ReadonlyMap<string, string | null> {
-    const records = [...this.machines.directory.all()].map(({ record }) => record);
-    return new Map(records.map((record) => [record.id, getSoftwareVersion(record)]));
-  }
-
   /**
    * Why this daemon takes no tunnel to a back end for a peer; undefined if it takes one. `openTunnels` is the
    * number of those that it carries now.
--- a/src/parts/stream-part.ts
+++ b/src/parts/stream-part.ts
@@ -79,6 +79,6 @@
   }
 
   override getFigures(): PartFigures {
-    return this.manager.getFigures()
+    return {...this.manager.getFigures(), unknownVersions: this.history.countUnknown()}
   }
 }
--- a/src/streams/version-history.ts
+++ b/src/streams/version-history.ts
@@ -40,6 +40,11 @@
     return versions.size === 1 && only !== null ? only : undefined
   }
 
+  /// Number of back ends that are listed without a version that is known.
+  countUnknown(): number {
+    return [...this.records.values()].filter(record => getSoftwareVersion(record) === null).length
+  }
+
   /// Forgets the versions that were last listed more than `spanMs` ago.
   removeOld(spanMs: number, now: number): void {
     for (const seen of this.lastSeenAt.values())
