--- a/src/streams/origin-keepers.ts
+++ b/src/streams/origin-keepers.ts
@@ -3,8 +3,7 @@
 import type {Member} from "../membership/membership-messages.js"
 import {rankByRendezvous} from "../shared/rendezvous-hash.js"
 
-/// Maximum number of keepers: with twice as many origins as streams, each is sent some 150 a second at 4,800
-/// streams a second.
+/// Maximum number of keepers.
 const MAXIMUM_KEEPERS = 64
 /// Rendezvous key by which the keepers are chosen among the members.
 const KEEPERS_KEY = "stream-origins"
--- a/src/streams/origin-store.ts
+++ b/src/streams/origin-store.ts
@@ -2,7 +2,7 @@
 /// which its caller may take the stream up; beyond the maximum number the oldest are dropped first.
 import type {StreamOrigin} from "./stream-origin.js"
 
-/// Maximum number of origins. At some 300 bytes each, 15 MB.
+/// Maximum number of origins.
 const MAXIMUM_ORIGINS = 50_000
 
 interface StoredOrigin {
