--- a/lab/soak/silence-faults.ts
+++ b/lab/soak/silence-faults.ts
@@ -104,7 +104,8 @@
   return places
 }
 
-function drawTimes(meanIntervalMs: number, durationMs: number, random: () => number): number[] {
+/// Draws times at about this interval, in milliseconds from the start of a plan.
+export function drawTimes(meanIntervalMs: number, durationMs: number, random: () => number): number[] {
   const times: number[] = []
   let atMs = meanIntervalMs * random()
   while (atMs < durationMs) {
--- a/lab/soak/version-faults.ts
+++ b/lab/soak/version-faults.ts
@@ -3,6 +3,7 @@
 import type {BackendBehavior} from "./backend-stand-in.js"
 import {BackendFault, CrashFault, Fault, KillFault, ReloadFault, RestartFault, StoreFault} from "./faults.js"
 import type {PlannedFault} from "./fault-plan.js"
+import {drawTimes} from "./silence-faults.js"
 import type {SoakSite} from "./soak-site.js"
 
 /// Time between the replacements of one roll, and how long a replaced engine drains. Milliseconds.
@@ -142,13 +143,3 @@
   const first = Math.floor(random() * daemons.length)
   return Array.from({length: count}, (_, i) => daemons[(first + i) % daemons.length])
 }
-
-function drawTimes(meanIntervalMs: number, durationMs: number, random: () => number): number[] {
-  const times: number[] = []
-  let atMs = meanIntervalMs * random()
-  while (atMs < durationMs) {
-    times.push(Math.round(atMs))
-    atMs += meanIntervalMs * (0.5 + random())
-  }
-  return times
-}
