--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -31,7 +31,7 @@
   }
 
   writeRow() {
-    this.store.write('servers', this.id, this.row);
+    if (!this.store.isDown) this.store.write('servers', this.id, this.row);
   }
 
   get id() {
@@ -44,6 +44,23 @@
     for (const socket of this.sockets) socket.destroy();
   }
 
+  /** The process ends: connections are reset, and further ones are refused. Its entry in the store stays. */
+  crash() {
+    clearInterval(this.timer);
+    this.server.close();
+    for (const socket of this.sockets) socket.resetAndDestroy();
+  }
+
+  /** The process starts again at the same address under the same id; `fields` are what has changed in its entry. */
+  async restart(fields) {
+    Object.assign(this.row, fields);
+    const [host, port] = this.row.addr.split(':');
+    this.server = createServer((socket) => this.accept(socket));
+    await new Promise((done) => this.server.listen(Number(port), host, done));
+    this.writeRow();
+    this.timer = setInterval(() => this.writeRow(), 1200);
+  }
+
   accept(socket) {
     this.sockets.add(socket);
     socket.setNoDelay(true);
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -59,6 +59,8 @@
   history = [];
   version = 0;
   polls = new Set();
+  /** While the store is down, calls get no answer and have no effect. */
+  isDown = false;
   /** Called with each transaction of a daemon. */
   onTransaction = () => undefined;
 
@@ -101,6 +103,7 @@
     const chunks = [];
     request.on('data', (chunk) => chunks.push(chunk));
     request.on('end', () => {
+      if (this.isDown) return;
       const url = new URL(request.url.replaceAll('+', '%2B'), 'http://store');
       const answer = (status, value) =>
         setTimeout(() => {
