--- a/review/3/play.mjs
+++ b/review/3/play.mjs
@@ -68,7 +68,7 @@
     await delay(WORK_MS);
     const isFaulty = number % 2 === 1;
     if (isFaulty && spoils) answers += 1;
-    const isSpoiled = isFaulty && spoils && answers % SPOILED_EACH === 1;
+    const isSpoiled = isFaulty && spoils && answers % SPOILED_EACH === 0;
     const body = `answer to ${request.id}`;
     const head = [
       isSpoiled ? 'HTTP/1.1 000 OK' : 'HTTP/1.1 200 OK',
