--- a/review/3/play.mjs
+++ b/review/3/play.mjs
@@ -17,7 +17,7 @@
 const SPOILED_EACH = 50;
 const SPOILED_FOR_MS = 5000;
 const QUIET_MS = 4000;
-const TIMEOUT_MS = 600;
+const TIMEOUT_MS = 400;
 const DEADLINE_MS = 4000;
 /** The rule: a final answer half a second after the route's timeout. */
 const GRACE_MS = 500;
