Review: scripts exit with 2 and end their processes on any failure

An exception in a stand-in or a SIGHUP left daemons running and ended the script with 1, as if the rule were broken. Seen now: exit 2 and no process left after a throw, a rejection, and INT, TERM and HUP at four moments.

--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -307,7 +307,7 @@
     }
     await Promise.all(this.daemons.map(({ ended }) => ended));
     for (const server of this.servers) server.close();
-    this.store.close();
+    if (this.store.server) this.store.close();
     if (process.env.KEEP_LOGS !== '1') rmSync(this.folder, { recursive: true, force: true });
   }
 }
@@ -322,14 +322,30 @@
   const record = new Record(folder);
   record.add(TROUBLE ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
   let code = 2;
+  let finishing = false;
   const finish = async (reason) => {
+    if (finishing) return;
+    finishing = true;
     if (reason) record.add(`not run: ${reason}`);
     record.write();
-    await site.close();
+    try {
+      await site.close();
+    } catch (error) {
+      code = 2;
+      record.add(`not run: ${error.stack}`);
+      record.write();
+    }
     process.exit(code);
   };
-  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => void finish(signal));
-  setTimeout(() => void finish('the time of the script is over'), 110000).unref();
+  const fail = (reason) => {
+    if (finishing) return;
+    code = 2;
+    void finish(reason);
+  };
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => fail(signal));
+  for (const event of ['uncaughtException', 'unhandledRejection'])
+    process.on(event, (error) => fail(error?.stack ?? String(error)));
+  setTimeout(() => fail('the time of the script is over'), 110000).unref();
   try {
     const broken = await play(site, record);
     code = broken ? 1 : 0;
