--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,4 +1,3 @@
-/* global process */
 /// Callers read streams whose servers give neither a length nor chunks. One daemon is killed (SIGKILL) while it
 /// passes such streams on. A caller must be able to tell a stream that was cut from one that is whole.
 import { join, dirname } from 'node:path';
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,4 +1,4 @@
-/* global performance, process */
+/* global performance */
 /// Some servers spoil a few of their answers. The daemons must answer all their callers all the same, at the latest
 /// when a request's time is over.
 import { join, dirname } from 'node:path';
--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -1,4 +1,4 @@
-/* global AbortSignal, Buffer, URL, clearTimeout, console, fetch, performance, process, setTimeout */
+/* global AbortSignal, Buffer, URL, clearTimeout, console, fetch, performance, setTimeout */
 /// A small site for the cases of this review: the platform's store, servers written on raw sockets, callers, and
 /// daemons started with the command of the deploy file. Everything listens on loopback addresses.
 import { spawn } from 'node:child_process';
