--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,4 +1,4 @@
-/* global performance */
+/* global clearInterval, clearTimeout, performance, setInterval, setTimeout */
 /// The daemons are stopped and started in turn, as in a planned restart of the system, while callers read long streams
 /// that may be resumed. The streams at the last daemon are cut when it ends; their callers take them up elsewhere.
 import { join, dirname } from 'node:path';
