--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -290,6 +290,9 @@
   bounds = BOUNDS;
 
   async start(daemonCount) {
+    // Also where this process is ended from outside, it leaves no daemon behind.
+    process.on('exit', () => this.daemons.forEach((daemon) => daemon.process?.kill('SIGKILL')));
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(2));
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
     this.store = new Store();
     await this.store.start();
