--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -6,7 +6,7 @@
 import { call, encodeAnswer, Record, Server, Site, sleep } from '../lib-2/site.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
-const TIMEOUT_MS = 1000;
+const TIMEOUT_MS = 600;
 /** A request without a final answer for so long after its time was over counts. */
 const SLACK_MS = 500;
 const WORK_MS = 200;
@@ -37,7 +37,7 @@
     path_prefix: '/note/',
     route_kind: 'non_idempotent',
     timeout_ms: TIMEOUT_MS,
-    target_latency_ms: 400,
+    target_latency_ms: 300,
     priority: 2,
     max_attempts: 1,
     service: 'app',
