--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -9,7 +9,7 @@
 const DAEMONS = 2;
 const SERVERS = 3;
 /** Requests that a server works on at once; it turns further ones away as full. */
-const SLOTS = 16;
+const SLOTS = 32;
 const STREAMS = SERVERS * SLOTS;
 const EVENTS = 40;
 const EVENT_GAP_MS = 100;
