--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -8,9 +8,12 @@
 const TROUBLE = process.env.TROUBLE !== '0';
 const DAEMONS = 2;
 const SERVERS = 3;
-/** Requests that a server works on at once; it turns further ones away as full. */
+/** Requests that a server works on at once, and that wait there beyond these; it turns further ones away as full. */
 const SLOTS = 32;
+const QUEUE = 4;
+/** Streams at the daemon that is stopped, which take all slots, and at the other one, which wait in the queues. */
 const STREAMS = SERVERS * SLOTS;
+const WAITING_STREAMS = SERVERS * QUEUE;
 const EVENTS = 40;
 const EVENT_GAP_MS = 100;
 const TIMEOUT_MS = 10_000;
@@ -55,19 +58,33 @@
   while (id === 'i-0001' && performance.now() < silentUntil) await sleep(10);
 }
 
+/** Takes a slot, after a wait in the queue if there is room; false if the server is full or the caller has left. */
+async function takeSlot(server, socket) {
+  server.active ??= 0;
+  server.waiting ??= 0;
+  if (server.active >= SLOTS) {
+    if (server.waiting >= QUEUE) return false;
+    server.waiting += 1;
+    while (server.active >= SLOTS && !socket.destroyed) await sleep(10);
+    server.waiting -= 1;
+    if (socket.destroyed) return false;
+  }
+  server.active += 1;
+  return true;
+}
+
 async function answer({ headers }, socket, server) {
   const id = headers['x-attempt-id'];
   const from = Number(headers['last-event-id'] ?? 0);
   await waitWhileSilent(server);
   if (socket.destroyed) return;
-  server.active ??= 0;
-  if (server.active >= SLOTS) {
+  if (!(await takeSlot(server, socket))) {
+    if (socket.destroyed) return;
     record.write(`server ${server.id} is full and turns ${id} away`);
     const head = ['HTTP/1.1 503 Full', `X-Attempt-Id: ${id}`, 'X-Not-Executed: 1', 'Content-Length: 0'];
     socket.write(`${head.join('\r\n')}\r\n\r\n`);
     return;
   }
-  server.active += 1;
   passedOn.add(id);
   record.write(`server ${server.id} runs ${id} from event ${from + 1}`);
   const head = [
@@ -94,7 +111,7 @@
 }
 
 async function request(daemon, n) {
-  const id = `a${n}`;
+  const id = typeof n === 'number' ? `a${n}` : n;
   const text = [
     'POST /reply/1 HTTP/1.1',
     'Host: desk.example',
@@ -131,6 +148,8 @@
     callers.push(request(daemon, n));
     await sleep(10);
   }
+  const others = [];
+  for (let n = 1; n <= WAITING_STREAMS; n += 1) others.push(request(site.daemons[1], `w${n}`));
   await sleep(300);
   if (TROUBLE) {
     terminatedAt = performance.now();
@@ -141,6 +160,7 @@
     record.write(`server i-0001 falls silent for ${SILENT_FOR_MS} ms`);
   }
   const results = await Promise.all(callers);
+  await Promise.all(others);
   // Cut: the daemon read the request, a server ran it, and its connection ended without the end of the answer, long
   // before its time-out and before the last sixth of the grace.
   const isCut = ({ id, end, status, afterMs }) =>
