--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -291,7 +291,15 @@
 
   async start(daemonCount) {
     // Also where this process is ended from outside, it leaves no daemon behind.
-    process.on('exit', () => this.daemons.forEach((daemon) => daemon.process?.kill('SIGKILL')));
+    process.on('exit', () => {
+      for (const daemon of this.daemons) daemon.process?.kill('SIGKILL');
+      if (!process.env.KEEP_LOGS) rmSync(this.folder, { recursive: true, force: true });
+    });
+    // A case that could not run must not look like one that showed a fault.
+    process.on('uncaughtException', (error) => {
+      console.error(error);
+      process.exit(2);
+    });
     for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(2));
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
     this.store = new Store();
