--- a/src/adapters/attempt-handler.ts
+++ b/src/adapters/attempt-handler.ts
@@ -248,6 +248,10 @@
   private writeStreamData(splitter: EventSplitter, chunk: Buffer): void {
     const batch = splitter.push(chunk);
     if (!batch) return;
+    if (batch.kind === 'invalid') {
+      this.fail({ kind: 'broken', reason: batch.reason, isInvalidAnswer: true });
+      return;
+    }
     this.sink.writeEvents(batch.bytes, batch.lastEventId);
     this.onEvent({ kind: 'streamProgress', lastEventId: batch.lastEventId });
   }
--- a/src/adapters/event-splitter.ts
+++ b/src/adapters/event-splitter.ts
@@ -1,15 +1,17 @@
 /** Splits an event stream (text/event-stream) into complete events, so that no partial event is forwarded. */
+import { isEventId } from '../shared/header-text.js';
 
 /** Line terminators, as bytes. */
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 const ID_FIELD = /(?:^|\n)id: ?([^\r\n]*)/g;
 
-/** Complete events, and the id of the last one that has an id. */
-interface EventBatch {
-  readonly bytes: Buffer;
-  readonly lastEventId: string | undefined;
-}
+/** What the bytes of a stream give. */
+export type EventBatch =
+  /** Complete events, and the id of the last one that has an id. */
+  | { readonly kind: 'events'; readonly bytes: Buffer; readonly lastEventId: string | undefined }
+  /** The bytes are no event stream that could be resumed; nothing of this batch may be passed on. */
+  | { readonly kind: 'invalid'; readonly reason: string };
 
 /** Splitter of one stream. */
 export class EventSplitter {
@@ -22,7 +24,10 @@
     this.buffered = all.subarray(end);
     if (end === 0) return undefined;
     const bytes = all.subarray(0, end);
-    return { bytes, lastEventId: findLastId(bytes) };
+    const lastEventId = findLastId(bytes);
+    if (lastEventId !== undefined && !isEventId(lastEventId))
+      return { kind: 'invalid', reason: 'an event has an invalid id' };
+    return { kind: 'events', bytes, lastEventId };
   }
 
   /** Bytes after the last complete event. */
