Confine an exception to the request in whose handling it occurs

Events and effects of a request now fail that request only: 502 or a closed connection, the attempt is aborted, request.faulted is logged. Events of the daemon itself still end the process. The effects moved to effect-performer.ts.

--- a/lab/forwarding-site.ts
+++ b/lab/forwarding-site.ts
@@ -1,5 +1,6 @@
 /** A forwarding daemon in this process, with back ends and an in-memory record store that the test controls. */
 import { HttpDialect } from '../platform/http-dialect.js';
+import type { BackendDialect } from '../src/adapters/backend-dialect.js';
 import { DEFAULT_FORWARDING_SETTINGS } from '../src/daemon/forwarding-daemon-settings.js';
 import type { TableStore } from '../src/contracts/table-service.js';
 import {
@@ -131,11 +132,12 @@
   readonly daemon: ForwardingProcess;
 }
 
-/** Limits of the process that differ from the defaults of a site. */
+/** What differs from the defaults of a site. */
 interface ProcessLimits {
   readonly maximumCallerConnections?: number;
   /** Milliseconds. */
   readonly stopGraceMs?: number;
+  readonly dialect?: BackendDialect;
 }
 
 /** Starts a daemon with these routes and back ends, and waits until it is ready. */
@@ -143,7 +145,11 @@
   routes: readonly Route[],
   backends: readonly BackendRecord[],
   tenants: readonly Tenant[] | null = null,
-  { maximumCallerConnections = Infinity, stopGraceMs = 4000 }: ProcessLimits = {},
+  {
+    maximumCallerConnections = Infinity,
+    stopGraceMs = 4000,
+    dialect = new HttpDialect(),
+  }: ProcessLimits = {},
 ): Promise<ForwardingSite> {
   const store = new MemoryRecordStore();
   store.put({ collection: 'configuration', revision: 1, value: makeLabConfiguration(1, routes, tenants) });
@@ -172,7 +178,7 @@
         duties: undefined,
       },
     },
-    { dialect: new HttpDialect(), store, table: UNAVAILABLE_TABLE, duties: undefined },
+    { dialect, store, table: UNAVAILABLE_TABLE, duties: undefined },
   );
   await daemon.start();
   await waitUntilReady(ready);
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -167,6 +167,9 @@
       case 'cancel':
         this.machines.manager.cancel(event.requestId, now);
         break;
+      case 'requestFaulted':
+        this.machines.manager.endFaulty(event.requestId, now);
+        break;
       case 'attempt':
         this.machines.manager.receiveAttemptEvent(event.requestId, event.attemptId, event.event, now);
         break;
--- a/src/daemon/forwarding-messages.ts
+++ b/src/daemon/forwarding-messages.ts
@@ -34,6 +34,8 @@
   | { readonly kind: 'recordsRead'; readonly collection: RecordCollection; readonly result: RecordReadResult }
   | { readonly kind: 'submit'; readonly request: ForwardRequest }
   | { readonly kind: 'cancel'; readonly requestId: string }
+  /** The handling of the request has failed by an exception. */
+  | { readonly kind: 'requestFaulted'; readonly requestId: string }
   | {
       readonly kind: 'attempt';
       readonly requestId: string;
--- a/src/forwarding/finish/request-finisher.ts
+++ b/src/forwarding/finish/request-finisher.ts
@@ -55,15 +55,19 @@
     this.finish(session, now)
   }
 
-  /// There is no time left to wait for an answer: the deadline of the request has passed, or the process exits.
-  finishUnanswered(session: Session, failure: "deadline" | "stopping", now: number): void {
+  /// The answer is not awaited any longer: the deadline of the request has passed, the process exits, or the
+  /// request cannot be handled further.
+  finishUnanswered(session: Session, failure: "deadline" | "stopping" | "broken", now: number): void {
     const notExecuted = !session.attempt && !session.mayHaveExecuted
     if (failure === "deadline" && session.attempt && !session.attempt.streaming)
       addUnansweredFailure(session.attempt, now)
     this.stopAttempt(session, now)
     if (notExecuted)
       this.finishFailed(session, STATUS_UNAVAILABLE, failure, this.retryAfter.getNotServedMs(), now)
-    else this.finishFailed(session, STATUS_DEADLINE, failure, undefined, now)
+    else {
+      const status = failure === "broken" ? STATUS_BROKEN : STATUS_DEADLINE
+      this.finishFailed(session, status, failure, undefined, now)
+    }
   }
 
   /// The answer of the attempt is complete: passes it on to the caller.
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -157,6 +157,12 @@
     if (session) this.finisher.finishCancelled(session, now)
   }
 
+  /// Ends a request whose handling has failed by an exception.
+  endFaulty(requestId: string, now: number): void {
+    const session = this.sessions.get(requestId)
+    if (session) this.finisher.finishUnanswered(session, "broken", now)
+  }
+
   /// Handles an event of an attempt. Events of attempts that are no longer live are ignored.
   receiveAttemptEvent(requestId: string, attemptId: string, event: ForwardAttemptEvent, now: number): void {
     const session = this.sessions.get(requestId)
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -127,3 +127,5 @@
   | "request.refused"
   | "request.failed"
   | "request.cancelled"
+  /// Its handling has failed by an exception.
+  | "request.faulted"
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -148,7 +148,11 @@
 
   /** Closes the connection of a reply that cannot be finished, so that it does not look complete. */
   abort(): void {
-    if (this.finished) return;
+    if (!this.finished) this.destroy();
+  }
+
+  /** Closes the connection, whatever has been written. */
+  destroy(): void {
     this.finished = true;
     if (this.delimitedByClosing) this.response.socket?.resetAndDestroy();
     this.response.destroy();
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -23,7 +23,9 @@
 import { OpenRequests } from './open-requests.js';
 import { ExternalCalls, type ExternalSystems } from './external-calls.js';
 import { DecisionLog } from './decision-log.js';
+import { EffectPerformer } from './effect-performer.js';
 import type { ForwardingProcessSettings } from './forwarding-process-settings.js';
+import { findRequestId, RequestFaults } from './request-faults.js';
 import { spawnActor, type Actor } from './spawn-actor.js';
 import { createTunnelServer } from './tunnel-wiring.js';
 import { UnansweredCalls } from './unanswered-calls.js';
@@ -113,6 +115,8 @@
   });
   private readonly suspension = new SuspensionDetector();
   private readonly requests: OpenRequests;
+  private readonly faults: RequestFaults;
+  private readonly effects: EffectPerformer;
   private tickTimer: NodeJS.Timeout | undefined;
   private flushTimer: NodeJS.Timeout | undefined;
   private stopped: Promise<void> | undefined;
@@ -134,7 +138,13 @@
     this.backends = this.createBackends(identity.id);
     this.requests = new OpenRequests(adapters.dialect, this.backends, (event) => this.send(event));
     this.server = new ForwardServer(
-      { onRequest: (request, reply) => this.requests.add(request, reply) },
+      {
+        onRequest: (request, reply) =>
+          this.faults.runOrEnd(
+            () => this.requests.add(request, reply),
+            () => reply.destroy(),
+          ),
+      },
       now,
       settings.maximumCallerConnections,
     );
@@ -142,6 +152,8 @@
     this.externalCalls = new ExternalCalls(this.backends, adapters, this.metrics, (event) =>
       this.send(event),
     );
+    this.faults = new RequestFaults(this.log, this.metrics, (requestId) => this.endFaultyRequest(requestId));
+    this.effects = this.createEffectPerformer();
     this.metricsServer = createMetricsServer(this.metrics);
     this.readyServer = createReadyServer(settings.readyPath, () => this.isReady());
   }
@@ -171,6 +183,11 @@
     );
   }
 
+  private createEffectPerformer(): EffectPerformer {
+    const { requests, backends, peers, server, externalCalls, log, metrics, faults } = this;
+    return new EffectPerformer({ requests, backends, peers, server, externalCalls, log, metrics, faults });
+  }
+
   private createMetrics(): ForwardingMetrics {
     return new ForwardingMetrics({
       isReady: () => this.isReady(),
@@ -322,61 +339,16 @@
   }
 
   private handle(event: ForwardingEvent, at: number): void {
-    for (const effect of this.daemon.handle(event, at)) this.perform(effect);
-  }
-
-  private perform(effect: ForwardingEffect): void {
-    switch (effect.kind) {
-      case 'startAttempt':
-        this.requests.startAttempt(effect.start);
-        break;
-      case 'abortAttempt':
-        this.backends.abort(effect.attemptId);
-        break;
-      case 'abandonAttempt':
-        this.backends.abandon(effect.attemptId);
-        break;
-      case 'replyWhole':
-      case 'replyFailure':
-      case 'replyBroken':
-        this.requests.sendReply(effect);
-        break;
-      case 'freeKv':
-        this.backends.freeKv(effect.source);
-        break;
-      case 'decision':
-        this.logDecision(effect);
-        break;
-      case 'change':
-        this.logChange(effect);
-        break;
-      case 'sendPeer':
-        this.peers.send(effect.address, effect.message);
-        break;
-      case 'configurationInForce':
-        this.server.setLimits(effect.configuration.limits);
-        break;
-      case 'backendGone':
-        this.backends.removeBackend(effect.backendId);
-        break;
-      case 'closeTunnels':
-        this.backends.closeTunnels(effect.via);
-        break;
-      default:
-        this.externalCalls.perform(effect);
-    }
-  }
-
-  private logChange(effect: Extract<ForwardingEffect, { kind: 'change' }>): void {
-    this.metrics.addChange(effect);
-    this.log.writeImportantEvent(effect.event, effect.fields);
+    let effects: ForwardingEffect[] = [];
+    this.faults.run(findRequestId(event), () => (effects = this.daemon.handle(event, at)));
+    for (const effect of effects) this.effects.perform(effect);
   }
 
-  private logDecision(effect: Extract<ForwardingEffect, { kind: 'decision' }>): void {
-    this.metrics.addDecision(effect);
-    const failed = effect.event === 'request.refused' || effect.event === 'request.failed';
-    if (failed) this.log.writeImportantEvent(effect.event, { requestId: effect.callerId, ...effect.fields });
-    else this.log.writeRequestEvent(effect.event, effect.callerId, effect.fields);
+  /** Ends a request that cannot be handled further; its caller is answered, or loses the connection. */
+  private endFaultyRequest(requestId: string): void {
+    for (const effect of this.daemon.handle({ kind: 'requestFaulted', requestId }, now()))
+      this.effects.perform(effect);
+    this.requests.drop(requestId);
   }
 
   /** A daemon whose metrics address cannot be bound logs this and serves requests all the same. */
--- a/src/process/open-requests.ts
+++ b/src/process/open-requests.ts
@@ -85,8 +85,23 @@
     });
   }
 
-  /** Answers a request, which is then no longer open. */
+  /** Ends a request without an answer: its caller's connection is closed. */
+  drop(requestId: string): void {
+    this.removeRequest(requestId)?.destroy();
+  }
+
+  /** Answers a request, which is then no longer open. One that cannot be answered is dropped. */
   sendReply(effect: ReplyEffect): void {
+    const reply = this.open.get(effect.requestId)?.reply;
+    try {
+      this.writeReply(effect);
+    } catch (error) {
+      reply?.destroy();
+      throw error;
+    }
+  }
+
+  private writeReply(effect: ReplyEffect): void {
     switch (effect.kind) {
       case 'replyWhole': {
         const answer = this.backends.takeAnswer(effect.attemptId);
--- a/src/process/spawn-actor.ts
+++ b/src/process/spawn-actor.ts
@@ -1,7 +1,8 @@
 /**
  * Spawns the actors of a daemon process. Each handles one message after another and keeps no state in nact. An
  * exception in an actor is a defect: the process exits at once instead of continuing without that actor. Its
- * leases and slots then expire, as with any killed process.
+ * leases and slots then expire, as with any killed process. Handlers confine exceptions that concern one request
+ * (request-faults.ts).
  */
 import nact, { type Ref } from 'nact';
 import { EXIT_CRASH } from '../shared/exit-codes.js';
