Keep a stalled attempt beside its successor until one of them goes on

The abort of the stalled attempt came before what could still fail. It now stays in progress (retry/stalled-attempts.ts); the first of the two that passes something on supersedes the other, and the reply takes bytes from one attempt only.

--- a/src/adapters/attempt-handler.ts
+++ b/src/adapters/attempt-handler.ts
@@ -30,8 +30,17 @@
   readonly body: Buffer;
 }
 
-/** Receives the parts of a streamed answer. */
+/**
+ * Receives the parts of a streamed answer. Two attempts of a request may be in progress; the first that claims the
+ * answer writes it.
+ */
 export interface StreamSink {
+  /** An attempt is about to be sent: the answer may come from it, or from one that is in progress. */
+  addAttempt(): void;
+  /** Claims the head of the answer; true also if one has been written, since later ones are not passed on. */
+  claimHead(attemptId: string): boolean;
+  /** Claims the rest of the answer; false if another attempt has claimed it. */
+  claim(attemptId: string): boolean;
   /** Writes the head. `framed` is false where only the closing of the connection marks the end of the answer. */
   writeHead(status: number, headers: string[], framed: boolean): void;
   /** Writes complete events. */
@@ -127,6 +136,7 @@
       this.written = true;
       this.sentAt = performance.now();
       this.sentAtCheck = this.pool.getCheckCount();
+      if (this.start.reportSent) this.onEvent({ kind: 'sent' });
     }
   }
 
@@ -228,6 +238,7 @@
       this.onPrefillEnd(body);
       return;
     }
+    if (this.splitter && !this.claim()) return;
     if (remainder.length > 0) this.sink.writeEvents(remainder, undefined);
     this.answer = { status: this.status, headers: this.headers, body, framed: this.framed };
     this.onEvent({ kind: 'whole', status: this.status, signals: this.signals });
@@ -252,11 +263,23 @@
       this.fail({ kind: 'broken', reason: batch.reason, isInvalidAnswer: true });
       return;
     }
+    if (!this.claim()) return;
     this.sink.writeEvents(batch.bytes, batch.lastEventId);
     this.onEvent({ kind: 'streamProgress', lastEventId: batch.lastEventId });
   }
 
+  /** Claims the answer; ends the attempt if another one writes it. */
+  private claim(): boolean {
+    const isOwn = this.sink.claim(this.start.attemptId);
+    if (!isOwn) this.abort();
+    return isOwn;
+  }
+
   private startStream(): void {
+    if (!this.sink.claimHead(this.start.attemptId)) {
+      this.abort();
+      return;
+    }
     this.splitter = new EventSplitter();
     this.sink.writeHead(this.status, this.headers, this.framed);
     this.onEvent({ kind: 'streamStarted', signals: this.signals });
--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -104,6 +104,7 @@
   'answerProgress',
   'whole',
   'connectionSilent',
+  'sent',
 ]);
 /** Purposes of a back end's pools beside its default one. */
 const PROBE_POOL = 'probe';
@@ -138,6 +139,7 @@
     sink: StreamSink,
     onEvent: (event: ForwardAttemptEvent) => void,
   ): void {
+    sink.addAttempt();
     const resumed: AttemptStart = { ...start, resumeAfter: sink.getLastEventId() ?? start.resumeAfter };
     const pool = this.getAttemptPool(start);
     const handler = new AttemptHandler({
--- a/src/forwarding/finish/request-finisher.ts
+++ b/src/forwarding/finish/request-finisher.ts
@@ -12,7 +12,14 @@
   STATUS_OVER_QUOTA
 } from "./forward-answers.js"
 import type {ForwardEffect, ForwardFailure} from "../forward-messages.js"
-import {isFinishedWithoutCaller, removeAttempt, type LiveAttempt, type Session} from "../forward-session.js"
+import {
+  getAttempts,
+  isFinishedWithoutCaller,
+  removeAttempt,
+  resumeStalled,
+  type LiveAttempt,
+  type Session
+} from "../forward-session.js"
 import type {RetryAfter} from "../admit/retry-after.js"
 import type {QuotaGate} from "../admit/quota-gate.js"
 import type {QuotaRefusal} from "../admit/tenant-quota.js"
@@ -36,11 +43,12 @@
       finished: finished || undefined
     })
     if (finished) {
+      if (session.stalled) this.stopAttempt(session, session.stalled, now)
       session.abandoned = true
       this.emit({kind: "abandonAttempt", attemptId: attempt.attemptId})
       return
     }
-    this.stopAttempt(session, now)
+    this.stopAttempts(session, now)
     this.finish(session, now)
   }
 
@@ -61,7 +69,7 @@
     const notExecuted = !session.attempt && !session.mayHaveExecuted
     if (failure === "deadline" && session.attempt && !session.attempt.streaming)
       addUnansweredFailure(session.attempt, now)
-    this.stopAttempt(session, now)
+    this.stopAttempts(session, now)
     if (notExecuted)
       this.finishFailed(session, STATUS_UNAVAILABLE, failure, this.retryAfter.getNotServedMs(), now)
     else {
@@ -85,7 +93,15 @@
     this.finish(session, now)
   }
 
-  /// No back end served the request: refuses it as not executed if that is certain.
+  /// The successor of a stalled attempt is over: continues with the stalled one alone. Returns whether it did.
+  resumeStalled(session: Session): boolean {
+    const isResumed = resumeStalled(session)
+    if (isResumed) this.removeKv(session)
+    return isResumed
+  }
+
+  /// No back end served the request: refuses it as not executed if that is certain. A request whose stalled
+  /// attempt is still in progress goes on with that.
   finishNotServed(
     session: Session,
     failure: ForwardFailure,
@@ -93,6 +109,7 @@
     retryAfterMs = this.retryAfter.getNotServedMs(),
     reasons: DecisionFields = {}
   ): void {
+    if (this.resumeStalled(session)) return
     if (session.mayHaveExecuted) this.finishFailed(session, STATUS_BROKEN, failure, undefined, now, reasons)
     else this.finishFailed(session, STATUS_UNAVAILABLE, failure, retryAfterMs, now, reasons)
   }
@@ -118,9 +135,11 @@
     session.kvSource = undefined
   }
 
-  private stopAttempt(session: Session, now: number): void {
-    const {attempt} = session
-    if (!attempt) return
+  private stopAttempts(session: Session, now: number): void {
+    for (const attempt of getAttempts(session)) this.stopAttempt(session, attempt, now)
+  }
+
+  private stopAttempt(session: Session, attempt: LiveAttempt, now: number): void {
     addUnansweredSample(attempt, now)
     this.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
     if (!attempt.choice.prefillOnly) session.wasStopped = true
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -1,6 +1,7 @@
 /// Forwards requests byte for byte: accepts them, has them sent to back ends (attempt-sender.ts), has the
 /// events of each attempt handled (attempt-outcomes.ts), and ensures that every request gets exactly one
-/// answer (request-finisher.ts). One session per request, at most one live attempt per session. A request
+/// answer (request-finisher.ts). One session per request, at most one live attempt per session, and beside it the
+/// stalled one that it follows. A request
 /// that may not be repeated is executed at most once, and a request is refused as not executed only if no
 /// back end can have executed it.
 import type {EffectSink} from "../shared/effect-sink.js"
@@ -13,7 +14,7 @@
 import {ForwardLimits} from "./admit/forward-limits.js"
 import type {ForwardAttemptEvent, ForwardEffect} from "./forward-messages.js"
 import type {ForwardRequest} from "./forward-request.js"
-import {createSession, getPriority, type LiveAttempt, type Session} from "./forward-session.js"
+import {createSession, getAttempts, getPriority, type LiveAttempt, type Session} from "./forward-session.js"
 import type {ForwardSettings} from "./forward-settings.js"
 import type {BackendPaths} from "./paths/backend-paths.js"
 import type {PermitManager} from "./permits/permit-manager.js"
@@ -27,6 +28,7 @@
 import {RequestFinisher} from "./finish/request-finisher.js"
 import type {RetryAllowance} from "./retry/retry-allowance.js"
 import {RetryPolicy} from "./retry/retry-policy.js"
+import {StalledAttempts} from "./retry/stalled-attempts.js"
 import type {OriginOutcome} from "../streams/origin-manager.js"
 import type {StreamOrigin} from "../streams/stream-origin.js"
 
@@ -51,6 +53,7 @@
   private readonly finisher: RequestFinisher
   private readonly sender: AttemptSender
   private readonly outcomes: AttemptOutcomes
+  private readonly stalledAttempts: StalledAttempts
   private readonly quotaGate: QuotaGate
   private readonly resumptionGate: ResumptionGate
   private readonly retryPolicy: RetryPolicy
@@ -84,9 +87,11 @@
     this.finisher = finisher
     this.sender = sender
     this.retryPolicy = retryPolicy
+    this.stalledAttempts = new StalledAttempts({...shared, sender})
     this.outcomes = new AttemptOutcomes({
       ...shared,
       sender,
+      stalledAttempts: this.stalledAttempts,
       resumptionGate,
       kvIndex,
       onExecutionStarted: (tenant, at) => context.onExecutionStarted(tenant, at),
@@ -166,8 +171,8 @@
   /// Handles an event of an attempt. Events of attempts that are no longer live are ignored.
   receiveAttemptEvent(requestId: string, attemptId: string, event: ForwardAttemptEvent, now: number): void {
     const session = this.sessions.get(requestId)
-    const attempt = session?.attempt
-    if (!session || attempt?.attemptId !== attemptId) return
+    const attempt = session && getAttempts(session).find(live => live.attemptId === attemptId)
+    if (!session || !attempt) return
     attempt.lastEventAt = now
     this.outcomes.receive(session, attempt, event, now)
   }
@@ -187,7 +192,8 @@
       if (now >= session.deadlineAt) this.finisher.finishUnanswered(session, "deadline", now)
       else if (session.awaitsPermit && now >= (session.permitDueAt ?? now)) this.sender.send(session, now)
       else if (session.attempt && this.retryPolicy.isStalled(session, session.attempt, now, this.resumedAt))
-        this.outcomes.onStalled(session, session.attempt, now)
+        this.stalledAttempts.onStalled(session, session.attempt, now)
+      this.stalledAttempts.endOverlap(session, now)
     }
   }
 
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -28,6 +28,8 @@
   readonly stream: boolean
   /// The request may not be sent again if its connection fails: it needs one that was idle only briefly.
   readonly once: boolean
+  /// Another attempt of the request is in progress: report when this one is sent.
+  readonly reportSent?: boolean
   /// Resume a stream after this event.
   readonly resumeAfter: string | undefined
   /// Peer address of the daemon through which the connection is tunnelled; undefined for a direct one.
@@ -43,6 +45,8 @@
       /// Where a tunnelled connection failed: at the peer, or behind it at the back end. Undefined for a direct one.
       readonly tunnelFailure?: "peer" | "backend"
     }
+  /// The attempt is being written to a connection; reported only if `reportSent` is set.
+  | {readonly kind: "sent"}
   /// The back end rejected the request and has not executed it.
   | {
       readonly kind: "notExecuted"
@@ -120,6 +124,8 @@
   | "request.attempt"
   | "request.turned-away"
   | "request.attempt-failed"
+  /// An attempt was aborted because another one of the request goes on.
+  | "request.attempt-superseded"
   | "request.prefilled"
   | "request.streaming"
   | "request.resumed"
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -8,7 +8,7 @@
 import type {Route, Tenant} from "./routes/route.js"
 import {getSoftwareVersion, type StreamOrigin} from "../streams/stream-origin.js"
 
-/// The attempt in progress. Times are monotonic milliseconds.
+/// An attempt in progress. Times are monotonic milliseconds.
 export interface LiveAttempt {
   readonly attemptId: string
   readonly choice: BackendChoice
@@ -18,10 +18,14 @@
   /// Its software version at that time; null if it is not known.
   readonly version: string | null
   lastEventAt: number
+  /// When it was sent, if another attempt of the request was in progress; undefined before, and for others.
+  sentAt?: number
+  /// Whether the session counts it as failed. A stalled attempt is counted while it goes on.
+  isCounted?: boolean
   /// Whether a stream has begun to arrive.
   streaming: boolean
   /// Time of the last search for another back end.
-  lastSearchAt?: number
+  lastSearchAt?: number | undefined
   /// Whether no data arrives on its connection, though its back end answers on others.
   connectionSilent?: boolean
   /// Peer through which its connection is tunnelled; undefined for a direct one.
@@ -63,6 +67,9 @@
   /// request is sent there again where no other back end takes it.
   readonly silent: Set<string>
   attempt: LiveAttempt | undefined
+  /// An attempt that made no progress when `attempt`, its successor, was sent. Whichever of them goes on first
+  /// supersedes the other.
+  stalled: LiveAttempt | undefined
   sends: number
   /// Attempts that arrived at a back end, as the retry budget counts them.
   arrivals: number
@@ -119,6 +126,7 @@
     excluded: new Set(),
     silent: new Set(),
     attempt: undefined,
+    stalled: undefined,
     sends: 0,
     arrivals: 0,
     executions: 0,
@@ -198,13 +206,16 @@
 /// Removes an attempt that is over from its session and its back end.
 export function removeAttempt(session: Session, attempt: LiveAttempt): void {
   attempt.choice.backend.removeAttempt(attempt.attemptId)
-  session.attempt = undefined
+  if (session.attempt === attempt) session.attempt = undefined
+  if (session.stalled === attempt) session.stalled = undefined
 }
 
-/// Counts an attempt that ended without a result: its back end may have executed the request, or begun to
-/// compute its prompt. A back end that only lost a connection may be sent the request again.
-export function addFailedAttempt(session: Session, {choice, connectionSilent}: LiveAttempt): void {
-  session.attempt = undefined
+/// Counts an attempt that ended without a result, or has stalled: its back end may have executed the request,
+/// or begun to compute its prompt. A back end that only lost a connection may be sent the request again.
+export function addFailedAttempt(session: Session, attempt: LiveAttempt): void {
+  const {choice, connectionSilent, isCounted} = attempt
+  if (session.attempt === attempt) session.attempt = undefined
+  if (isCounted) return
   session.arrivals += 1
   if (choice.prefillOnly) session.prefills += 1
   else {
@@ -215,6 +226,28 @@
   if (!connectionSilent) session.excluded.add(choice.backend.record.id)
 }
 
+/// Counts the live attempt, which makes no progress, and keeps it beside its successor.
+export function setStalled(session: Session, attempt: LiveAttempt): void {
+  addFailedAttempt(session, attempt)
+  attempt.isCounted = true
+  session.stalled = attempt
+}
+
+/// Continues with the stalled attempt alone if its successor is over. Returns whether it did.
+export function resumeStalled(session: Session): boolean {
+  const {attempt, stalled} = session
+  if (attempt || !stalled) return false
+  stalled.lastSearchAt = undefined
+  session.attempt = stalled
+  session.stalled = undefined
+  return true
+}
+
+/// The attempts in progress.
+export function getAttempts({attempt, stalled}: Session): LiveAttempt[] {
+  return [attempt, stalled].filter(one => one !== undefined)
+}
+
 /// The state of the request as it would be if its live attempt had failed now. The session is not changed.
 export function makeSessionWithoutAttempt(session: Session, attempt: LiveAttempt): Session {
   const next = {...session, excluded: new Set(session.excluded)}
--- a/src/forwarding/retry/attempt-outcomes.ts
+++ b/src/forwarding/retry/attempt-outcomes.ts
@@ -1,8 +1,9 @@
 /// Handles the events of each attempt: updates the session and the back end's health, then has the request
-/// retried (as retry-policy.ts decides), answered or failed.
+/// retried (as retry-policy.ts decides), answered or failed. stalled-attempts.ts handles those that only decide
+/// which of two attempts goes on.
 import type {EffectSink} from "../../shared/effect-sink.js"
 import {FIRST_SERVER_ERROR_STATUS, FIRST_UNSUCCESSFUL_STATUS} from "../../shared/http-status.js"
-import {addFirstEventSample, addUnansweredSample, addCompletedSample} from "../pace/attempt-pace.js"
+import {addFirstEventSample, addCompletedSample} from "../pace/attempt-pace.js"
 import type {AttemptSender} from "./attempt-sender.js"
 import type {BackendPicker} from "../choose/backend-picker.js"
 import type {SignalReport} from "../backends/backend-signals.js"
@@ -13,7 +14,6 @@
 import {
   addFailedAttempt,
   addProgress,
-  makeSessionWithoutAttempt,
   removeAttempt,
   setOrigin,
   type LiveAttempt,
@@ -25,16 +25,14 @@
 import type {ResumptionGate} from "../admit/resumption-gate.js"
 import type {RequestFinisher} from "../finish/request-finisher.js"
 import type {RetryPolicy} from "./retry-policy.js"
-
-/// Interval between searches for another back end for a stalled request. Milliseconds. A search examines
-/// every back end, and many requests stall at once when all back ends are saturated.
-const SEARCH_INTERVAL_MS = 200
+import type {StalledAttempts} from "./stalled-attempts.js"
 
 type EventOf<Kind extends ForwardAttemptEvent["kind"]> = Extract<ForwardAttemptEvent, {kind: Kind}>
 
 /// What the outcomes rely on.
 interface AttemptOutcomesDependencies {
   readonly sender: AttemptSender
+  readonly stalledAttempts: StalledAttempts
   readonly retryPolicy: RetryPolicy
   readonly finisher: RequestFinisher
   readonly picker: BackendPicker
@@ -66,7 +64,11 @@
         attempt.startedAt,
         now
       )
+    if (this.dependencies.stalledAttempts.receive(session, attempt, event, now)) return
     switch (event.kind) {
+      case "sent":
+        attempt.sentAt = now
+        break
       case "unreachable":
         this.onUnreachable(session, attempt, event, now)
         break
@@ -114,29 +116,6 @@
     this.dependencies.onSignals(choice.backend, report, now)
   }
 
-  /// The attempt makes no progress: gives it up if another one follows it at once. The decision is taken on
-  /// the state that the request then has, and the attempt goes on if it may not be sent again or no back end
-  /// would take it.
-  onStalled(session: Session, attempt: LiveAttempt, now: number): void {
-    const {retryPolicy, sender} = this.dependencies
-    if (now - (attempt.lastSearchAt ?? -Infinity) < SEARCH_INTERVAL_MS) return
-    attempt.lastSearchAt = now
-    const next = makeSessionWithoutAttempt(session, attempt)
-    if (!retryPolicy.mayRetryStalled(next, attempt, now)) return
-    const choice = sender.findSuccessor(next, attempt, now)
-    if (!choice) return
-    addUnansweredSample(attempt, now)
-    this.dependencies.emit({kind: "abortAttempt", attemptId: attempt.attemptId})
-    if (!attempt.connectionSilent) {
-      attempt.choice.backend.health.addUnanswered(now)
-      session.silent.add(attempt.choice.backend.record.id)
-    }
-    if (attempt.via !== undefined) this.dependencies.paths.onTunnelFailed(attempt.via, now)
-    this.addFailed(session, attempt, "stalled")
-    retryPolicy.addRetry(session, now)
-    sender.sendToSuccessor(session, choice, now)
-  }
-
   private onUnreachable(
     session: Session,
     attempt: LiveAttempt,
@@ -164,7 +143,7 @@
       return
     }
     session.excluded.add(backendId)
-    this.retryOrFinish(session, mayRetry, "unreachable", now)
+    if (!finisher.resumeStalled(session)) this.retryOrFinish(session, mayRetry, "unreachable", now)
   }
 
   private onNotExecuted(
@@ -186,6 +165,7 @@
       status,
       wrongIncarnation
     })
+    if (this.dependencies.finisher.resumeStalled(session)) return
     const mayRetry = this.dependencies.retryPolicy.tryRetryNotExecuted(session, now)
     this.retryOrFinish(session, mayRetry, "turned-away", now)
   }
@@ -271,6 +251,7 @@
     if (isPathSuspect) paths.onTunnelFailed(attempt.via, now)
     else if (!attempt.connectionSilent) attempt.choice.backend.health.addFailure(now)
     this.addFailed(session, attempt, reason)
+    if (finisher.resumeStalled(session)) return
     // A request that is not sent again takes no retry of the budget.
     if (!session.abandoned && sender.refuseIfQuarantined(session, now)) return
     if (attempt.choice.prefillOnly)
@@ -287,6 +268,7 @@
     })
     removeAttempt(session, attempt)
     addFailedAttempt(session, attempt)
+    session.silent.delete(attempt.choice.backend.record.id)
     if (!attempt.choice.prefillOnly) this.onExecutionStarted(session, attempt.startedAt)
   }
 
@@ -325,7 +307,7 @@
 
 /// Whether the back end sent this.
 function isAnswer({kind}: ForwardAttemptEvent): boolean {
-  return kind !== "unreachable" && kind !== "connectionSilent" && kind !== "broken"
+  return kind !== "unreachable" && kind !== "sent" && kind !== "connectionSilent" && kind !== "broken"
 }
 
 /// Whether a back end sent this answer in normal operation, neither rejecting the request nor failing.
--- a/src/forwarding/retry/attempt-sender.ts
+++ b/src/forwarding/retry/attempt-sender.ts
@@ -1,5 +1,5 @@
 /// Sends requests to the back ends that the picker chooses, or refuses them. A request has at most one live
-/// attempt. Whether it may be retried is decided in retry-policy.ts.
+/// attempt, beside a stalled one. Whether it may be retried is decided in retry-policy.ts.
 import type {EffectSink} from "../../shared/effect-sink.js"
 import type {BackendPicker} from "../choose/backend-picker.js"
 import type {BackendView} from "../backends/backend-view.js"
@@ -90,15 +90,40 @@
   /// kept; undefined if it would have to wait or be refused, or only doubtful back ends are left. `given` is the
   /// attempt that would be given up.
   findSuccessor(session: Session, given: LiveAttempt, now: number): BackendChoice | undefined {
-    const {limits, paths, picker, quarantineGate} = this.dependencies
+    const {paths, quarantineGate} = this.dependencies
     if (quarantineGate.findRefusal(session, now)) return undefined
     if (paths.getRefusalMs(now) !== undefined) return undefined
-    const choice = picker.pick(this.makeQuery(session, session.excluded, now, 1), now)
+    return (
+      this.pickSuccessor(session, session.excluded, given, now) ?? this.pickRecovered(session, given, now)
+    )
+  }
+
+  private pickSuccessor(
+    session: Session,
+    excluded: ReadonlySet<string>,
+    given: LiveAttempt,
+    now: number
+  ): BackendChoice | undefined {
+    const {limits, picker} = this.dependencies
+    const choice = picker.pick(this.makeQuery(session, excluded, now, 1), now)
     if (!choice) return undefined
     if (choice.backend !== given.choice.backend && picker.isDoubtful(choice.backend, now)) return undefined
     return limits.isOverloaded(session, choice) ? undefined : choice
   }
 
+  /// Picks a back end that was silent before and answers again, other than that of `given`, each at most once.
+  private pickRecovered(session: Session, given: LiveAttempt, now: number): BackendChoice | undefined {
+    const {excluded, silent} = session
+    const others = new Set(
+      [...excluded].filter(id => !silent.has(id) || id === given.choice.backend.record.id)
+    )
+    if (others.size === excluded.size) return undefined
+    const choice = this.pickSuccessor(session, others, given, now)
+    if (!choice || choice.backend.health.isSilent(now)) return undefined
+    silent.delete(choice.backend.record.id)
+    return choice
+  }
+
   /// Sends the request to the back end that `findSuccessor` found in the same step.
   sendToSuccessor(session: Session, choice: BackendChoice, now: number): void {
     this.addPermitRequests(session, now)
@@ -157,6 +182,7 @@
   /// requested and not answered yet, and is refused immediately otherwise.
   private waitForPermit(session: Session, limited: readonly BackendView[], now: number): void {
     const {finisher, permits} = this.dependencies
+    if (finisher.resumeStalled(session)) return
     session.permitDueAt ??= now + getLongestWaitMs(session.route)
     session.awaitsPermit = permits.isAsking(limited) && now < session.permitDueAt
     if (session.awaitsPermit) return
@@ -249,6 +275,7 @@
         stream: route.kind === "stream",
         once: !choice.prefillOnly && !isRepeatable(route),
         resumeAfter: session.lastEventId,
+        ...(session.stalled && {reportSent: true}),
         ...(via === undefined ? {} : {via})
       }
     })
--- a/src/forwarding/retry/retry-policy.ts
+++ b/src/forwarding/retry/retry-policy.ts
@@ -10,9 +10,9 @@
 /// - Failed after it may have been executed (a server error, a broken answer): only a request of a repeatable
 ///   route that may have been executed at fewer back ends than the route's `maximumAttempts` is retried, for
 ///   one retry of the budget.
-/// - Stalled: as a failed execution or computation of the prompt, which is counted before the attempt is
-///   given up, and only if another back end would take the request now (attempt-sender.ts). Otherwise the
-///   attempt goes on: its back end may still answer.
+/// - Stalled: as a failed execution or computation of the prompt, and only if another back end would take the
+///   request now (attempt-sender.ts). The stalled attempt goes on beside its successor: its back end may still
+///   answer, and the successor may be rejected.
 ///
 /// A request is never retried after `maximumSends`, after its deadline, or when its caller has disconnected.
 import type {LiveAttempt, Session} from "../forward-session.js"
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -65,6 +65,8 @@
   /** Whether only the closing of the connection marks the end of the reply. */
   private delimitedByClosing = false;
   private headSent = false;
+  /** The attempt that writes the answer; undefined while any may. */
+  private owner: string | undefined;
   /** Called when the caller disconnects before the reply is complete. */
   onCallerGone: () => void = () => undefined;
 
@@ -95,6 +97,19 @@
     return this.headSent ? this.lastId : undefined;
   }
 
+  addAttempt(): void {
+    this.owner = undefined;
+  }
+
+  claimHead(attemptId: string): boolean {
+    return this.headSent || this.claim(attemptId);
+  }
+
+  claim(attemptId: string): boolean {
+    this.owner ??= attemptId;
+    return this.owner === attemptId;
+  }
+
   /** Starts a streamed reply. Later heads, of back ends that resume the stream, are not passed on. */
   writeHead(status: number, headers: string[], framed: boolean): void {
     if (this.finished || this.headSent) return;
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -60,9 +60,19 @@
   });
 }
 
+/** Events after which an attempt is over. */
+const ENDING_EVENTS: ReadonlySet<ForwardAttemptEvent['kind']> = new Set([
+  'unreachable',
+  'notExecuted',
+  'prefilled',
+  'whole',
+  'broken',
+]);
+
 /** The forwarding machine of one daemon, with its effects collected. */
 export class ForwardingHarness {
   readonly effects: ForwardEffect[] = [];
+  private readonly ended = new Set<string>();
   readonly directory = new BackendDirectory(DEFAULT_BACKEND_HEALTH_SETTINGS);
   readonly kvIndex = new KvIndex();
   readonly retries: RetryAllowance;
@@ -166,8 +176,25 @@
     return this.effects.flatMap((effect) => (effect.kind === 'startAttempt' ? [effect.start] : []));
   }
 
+  /** The attempts in progress: started, not aborted, and without an event that ends them. Oldest first. */
+  getLive(): AttemptStart[] {
+    const aborted = this.effects.flatMap((effect) =>
+      effect.kind === 'abortAttempt' ? [effect.attemptId] : [],
+    );
+    return this.getStarts().filter(
+      ({ attemptId }) => !aborted.includes(attemptId) && !this.ended.has(attemptId),
+    );
+  }
+
+  /** Sends an event of one attempt. */
+  eventOf(attemptId: string, event: ForwardAttemptEvent, now: number): void {
+    if (ENDING_EVENTS.has(event.kind)) this.ended.add(attemptId);
+    this.manager.receiveAttemptEvent(attemptId.split('/')[0], attemptId, event, now);
+  }
+
   event(event: ForwardAttemptEvent, now: number): void {
     const last = this.getStarts().at(-1) as AttemptStart;
+    if (ENDING_EVENTS.has(event.kind)) this.ended.add(last.attemptId);
     this.manager.receiveAttemptEvent(last.requestId, last.attemptId, event, now);
   }
 
