--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -22,6 +22,8 @@
   alias: {
     undici: "./deploy/undici-core.mjs",
     "prom-client": "./deploy/prom-client-core.mjs",
+    "node:assert": "./deploy/assert.cjs",
+    assert: "./deploy/assert.cjs",
     "node:http2": "./deploy/unused.cjs",
     cluster: "./deploy/unused.cjs",
     https: "./deploy/unused.cjs"
--- a/test/bundle.test.ts
+++ b/test/bundle.test.ts
@@ -5,7 +5,7 @@
 import { execFile, spawn, type ChildProcess } from 'node:child_process';
 import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { once } from 'node:events';
-import { createServer, type Server } from 'node:http';
+import { createServer, get, type Server } from 'node:http';
 import { createServer as createNetServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -55,11 +55,26 @@
   return roles.forwarder.run.replace('target/start.cjs', path).split(' ').slice(1);
 }
 
+/** The platform takes a daemon out that does not answer a health check in this time. Milliseconds. */
+const HEALTH_CHECK_LIMIT_MS = 1000;
+
+/** The status of the answer to a request of the route. */
+function ask(address: string): Promise<number | undefined> {
+  const headers = { Host: 'h.example', 'X-Attempt-Id': 'id1' };
+  return new Promise((resolve, reject) => {
+    get(`http://${address}/p/x`, { headers, agent: false }, (answer) => {
+      answer.resume();
+      resolve(answer.statusCode);
+    }).on('error', reject);
+  });
+}
+
 describe('the deployed bundle', () => {
   const folder = mkdtempSync(join(tmpdir(), 'bundle-'));
   let daemon: ChildProcess | undefined;
   let store: Server | undefined;
   let backend: ScriptedBackend | undefined;
+  let addresses = { front: '', ready: '' };
 
   after(() => {
     daemon?.kill('SIGKILL');
@@ -116,6 +131,7 @@
         'retry_budget_ratio = 0.2\nbudget_slack = 54\nbudget_window_s = 10\n' +
         `[platform]\naddr = "127.0.0.1:${storePort}"\n`,
     );
+    addresses = { front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}` };
     const programArguments = getArguments(deploy, bundle);
     daemon = spawn(process.execPath, programArguments, {
       env: { ...process.env, PULLEYLEDGE_NODE_FILE: settings },
@@ -144,6 +160,35 @@
     expect(second.stderr).to.match(/^listen-failed: cannot listen on 127\.0\.0\.1:\d+: EADDRINUSE/);
   });
 
+  /*
+   * Guards against a process that stands still for seconds after one invalid answer: the runtime parsed the whole bundle
+   * for the message of a failed assertion.
+   */
+  for (const status of ['000', '099', '101'])
+    it(`stays responsive when a back end answers with the status ${status}`, async () => {
+      if (backend)
+        backend.script = ({ head }, socket) => {
+          const answered = head.startsWith('GET /p/') ? status : '200';
+          socket.write(`HTTP/1.1 ${answered} OK\r\nX-Attempt-Id: id1\r\nContent-Length: 2\r\n\r\nok`);
+        };
+      const answer = ask(addresses.front);
+      let longestMs = 0;
+      for (let check = 0; check < 20; check += 1) {
+        const startedAt = performance.now();
+        await fetch(`http://${addresses.ready}/v1/readyz`);
+        longestMs = Math.max(longestMs, performance.now() - startedAt);
+        await new Promise((resolve) => setTimeout(resolve, 10));
+      }
+      expect(await answer).to.equal(502);
+      expect(longestMs, 'longest health check').to.be.lessThan(HEALTH_CHECK_LIMIT_MS);
+    });
+
+  it('contains no assertion whose message is made from the source', () => {
+    const bundle = readFileSync(join(folder, 'pulleyledge.cjs'), 'utf8');
+    expect(bundle).not.to.match(/require\("(node:)?assert(\/strict)?"\)/);
+    expect(bundle).not.to.match(/\bassert\d*\.(?!ok\b|AssertionError\b)\w+\(/);
+  });
+
   it('SIGHUP during startup does not end the program', async () => {
     const copy = mkdtempSync(join(tmpdir(), 'early-signal-'));
     copyFileSync(join(ROOT, 'deploy/start.cjs'), join(copy, 'start.cjs'));
