Hand the origins of streams over when daemons stop, come or go

Their origin was in the memory of three daemons that had all been restarted.

Effects pinned anew: copies are sent when members change. Stops of all daemons at one moment stay open.

--- a/src/parts/stream-part.ts
+++ b/src/parts/stream-part.ts
@@ -78,6 +78,10 @@
     this.manager.tick(now)
   }
 
+  override scan(draining: boolean): void {
+    if (draining) this.manager.startStopping()
+  }
+
   override getFigures(): PartFigures {
     return {...this.manager.getFigures(), unknownVersions: this.history.countUnknown()}
   }
--- a/src/streams/origin-keepers.ts
+++ b/src/streams/origin-keepers.ts
@@ -12,6 +12,8 @@
 export class OriginKeepers {
   private members: readonly Member[] | undefined
   private addresses: readonly string[] = []
+  private keepers = new Map<string, Member>()
+  private changed = false
 
   constructor(
     private readonly selfAddress: string,
@@ -25,12 +27,35 @@
     return rankByRendezvous(attemptId, this.addresses, count)
   }
 
+  /// Returns the members behind `pick`.
+  pickMembers(attemptId: string, count: number): Member[] {
+    return this.pick(attemptId, count).flatMap(address => this.keepers.get(address) ?? [])
+  }
+
+  /// Whether the keepers, or their processes, are others than at the last call.
+  hasChanged(): boolean {
+    this.updateAddresses()
+    const {changed} = this
+    this.changed = false
+    return changed
+  }
+
   private updateAddresses(): void {
     const members = this.getMembers()
     if (members === this.members) return
     this.members = members
+    const before = this.keepers
     const addresses = members.map(({address}) => address)
     const keepers = rankByRendezvous(KEEPERS_KEY, addresses, MAXIMUM_KEEPERS)
     this.addresses = keepers.filter(address => address !== this.selfAddress)
+    const byAddress = new Map(members.map(member => [member.address, member]))
+    this.keepers = new Map(
+      this.addresses.flatMap(address => {
+        const member = byAddress.get(address)
+        return member ? [[address, member]] : []
+      })
+    )
+    const isKnown = ([address, {id}]: [string, Member]): boolean => before.get(address)?.id === id
+    this.changed ||= this.keepers.size !== before.size || ![...this.keepers].every(isKnown)
   }
 }
--- a/src/streams/origin-manager.ts
+++ b/src/streams/origin-manager.ts
@@ -1,5 +1,5 @@
 /// Holds and finds the origins of streams across the fleet: each daemon sends the origin of every resumable
-/// stream that begins there to two keepers, and asks the keepers of a stream that its caller takes up here. Where
+/// stream that begins there to two keepers (origin-replicator.ts), and asks the keepers of a stream that its caller takes up here. Where
 /// nobody knows, or the caller names no attempt, the version is still known if the service had only one for as
 /// long as a stream may last. A daemon that cannot find out does not guess.
 import type {Member} from "../membership/membership-messages.js"
@@ -7,12 +7,11 @@
 import {OriginKeepers} from "./origin-keepers.js"
 import {OriginLookup} from "./origin-lookup.js"
 import {decodeOrigin, encodeOrigin, type StreamMessage} from "./origin-messages.js"
+import {OriginReplicator} from "./origin-replicator.js"
 import {OriginStore} from "./origin-store.js"
 import type {StreamOrigin} from "./stream-origin.js"
 import type {VersionHistory} from "./version-history.js"
 
-/// Number of keepers that are told of a stream, besides the daemon at which it began.
-const COPIES = 2
 /// How long an origin is kept before the first configuration. Milliseconds.
 const INITIAL_LIFETIME_MS = 30_000
 
@@ -51,8 +50,9 @@
 
 /// The origins of one daemon. Times are monotonic milliseconds.
 export class OriginManager {
-  private readonly store = new OriginStore()
+  private readonly store = new OriginStore(attemptId => this.replicator.remove(attemptId))
   private readonly keepers: OriginKeepers
+  private readonly replicator: OriginReplicator
   private readonly lookups = new Map<string, OriginLookup>()
   private lifetimeMs = INITIAL_LIFETIME_MS
   private found = 0
@@ -63,6 +63,9 @@
     private readonly emit: EffectSink<OriginEffect>
   ) {
     this.keepers = new OriginKeepers(context.selfAddress, () => context.getMembers())
+    this.replicator = new OriginReplicator(this.store, this.keepers, ({address, message}) =>
+      this.emit({kind: "sendPeer", address, message})
+    )
   }
 
   /// Sets how long origins are kept. Milliseconds.
@@ -73,9 +76,12 @@
   /// A stream has begun at this daemon.
   add(attemptId: string, origin: StreamOrigin, now: number): void {
     this.store.put(attemptId, origin, this.lifetimeMs, now)
-    const message: StreamMessage = {kind: "streamBegan", attemptId, origin: encodeOrigin(origin)}
-    for (const address of this.keepers.pick(attemptId, COPIES))
-      this.emit({kind: "sendPeer", address, message})
+    this.replicator.add(attemptId)
+  }
+
+  /// This daemon stops: hands over the origins that it holds.
+  startStopping(): void {
+    this.replicator.startStopping()
   }
 
   /// Finds the origin of a stream that a request takes up, asking the keepers if it is not known here.
@@ -112,6 +118,7 @@
     switch (message.kind) {
       case "streamBegan":
         this.store.put(attemptId, decodeOrigin(message.origin), this.lifetimeMs, now)
+        this.replicator.onReceived(attemptId)
         break
       case "streamAsk":
         this.sendAnswer(fromAddress, attemptId, now)
@@ -125,6 +132,7 @@
   /// Advances the lookups and removes expired origins.
   tick(now: number): void {
     this.store.tick(now)
+    this.replicator.tick(now)
     this.context.history.removeOld(this.lifetimeMs, now)
     for (const [attemptId, lookup] of this.lookups)
       if (lookup.tick(now)) this.finishLookup(attemptId, lookup, undefined, now)
--- a/src/streams/origin-store.ts
+++ b/src/streams/origin-store.ts
@@ -15,6 +15,9 @@
   /// Oldest first.
   private readonly origins = new Map<string, StoredOrigin>()
 
+  /// @param onRemoved called with the id of an origin that has expired or was dropped.
+  constructor(private readonly onRemoved: (attemptId: string) => void = () => undefined) {}
+
   /// Number of origins, expired ones that are not removed yet included.
   get size(): number {
     return this.origins.size
@@ -32,6 +35,21 @@
     if (this.origins.size > MAXIMUM_ORIGINS) this.removeOldest()
   }
 
+  /// Ids of the origins, oldest first.
+  ids(): IterableIterator<string> {
+    return this.origins.keys()
+  }
+
+  /// Whether an origin is held, expired or not.
+  has(attemptId: string): boolean {
+    return this.origins.has(attemptId)
+  }
+
+  /// An origin that is held, expired or not.
+  get(attemptId: string): StreamOrigin | undefined {
+    return this.origins.get(attemptId)?.origin
+  }
+
   /// Finds an origin.
   find(attemptId: string, now: number): StreamOrigin | undefined {
     const stored = this.origins.get(attemptId)
@@ -42,12 +60,17 @@
   tick(now: number): void {
     for (const [attemptId, {expiresAt}] of this.origins) {
       if (now < expiresAt) return
-      this.origins.delete(attemptId)
+      this.remove(attemptId)
     }
   }
 
   private removeOldest(): void {
     const [oldest] = this.origins.keys()
-    this.origins.delete(oldest)
+    this.remove(oldest)
+  }
+
+  private remove(attemptId: string): void {
+    this.origins.delete(attemptId)
+    this.onRemoved(attemptId)
   }
 }
--- a/test/stream-site.ts
+++ b/test/stream-site.ts
@@ -45,6 +45,32 @@
   return attempt;
 }
 
+/** Counts of streams that were taken up at daemons in turn. */
+interface Resumed {
+  readonly wentOn: number;
+  /** Streams that went on at another version. */
+  readonly wrong: number;
+}
+
+/** Takes streams up at these daemons, in turn. */
+export function resumeAll(
+  fleet: ForwardingFleet,
+  began: readonly StartedAttempt[],
+  nodes: readonly FleetNode[],
+): Resumed {
+  began.forEach(({ requestId }, index) => {
+    const resumption = { firstAttemptId: requestId, lastEventId: '1' };
+    fleet.submit(nodes[index % nodes.length], `${requestId}-again`, '/a/x', { resumption });
+  });
+  fleet.time.runUntil(fleet.time.now() + LOOKUP_MS);
+  const pairs = began.map((attempt) => {
+    const next = getVersion(getAttempts(fleet, `${attempt.requestId}-again`).at(-1));
+    return { began: getVersion(attempt), next };
+  });
+  const wentOn = pairs.filter(({ next }) => next !== undefined);
+  return { wentOn: wentOn.length, wrong: wentOn.filter((pair) => pair.next !== pair.began).length };
+}
+
 /** Takes a stream up at a daemon; returns the attempt, undefined if the daemon rejects it. */
 export function resume(
   fleet: ForwardingFleet,
