--- a/src/forwarding/retry/stalled-attempts.ts
+++ b/src/forwarding/retry/stalled-attempts.ts
@@ -57,6 +57,8 @@
     this.addStalled(session, attempt, now)
     retryPolicy.addRetry(session, now)
     sender.sendToSuccessor(session, choice, now)
+    // Nothing arrives on a lost link any more.
+    if (attempt.isLinkLost && session.stalled === attempt) this.supersede(session, attempt)
   }
 
   /// Handles an event of one of two attempts. Returns false if it concerns the request as it would without the
