Reject values in peers' messages that cost more than their text

A line of 60 bytes on the port for peers ended a daemon: devalue's form of a sparse array of 4,294,967,295 items was checked item by item, until the heap was full (CALL_AND_RETRY_LAST, out of memory, after some 2 minutes without a turn of the event loop). Numbers of any length and other types of devalue were revived as well.

--- a/src/adapters/peer-codec.ts
+++ b/src/adapters/peer-codec.ts
@@ -1,5 +1,5 @@
 /** Codec of messages between daemons: devalue text, one message per line, validated on receipt. */
-import { parse, stringify } from 'devalue';
+import { stringify, unflatten } from 'devalue';
 import * as z from 'zod';
 import { serviceRowSchema } from '../configuration/service-row.js';
 import type { PeerMessage } from '../daemon/peer-messages.js';
@@ -195,10 +195,26 @@
   return decode(line, tunnelEndSchema);
 }
 
+/** What devalue writes as the first item of a sparse array, whose length is not bounded by that of the line. */
+const SPARSE = -7;
+
+/**
+ * Parses devalue text of plain values. Messages hold no others, and some of them cost far more than their text: a
+ * sparse array of four thousand million items, or a number of a million digits.
+ */
+function parsePlain(line: string): unknown {
+  const items: unknown = JSON.parse(line);
+  if (!Array.isArray(items)) throw new PeerProtocolError('not a list of values');
+  const isOther = (item: unknown): boolean =>
+    Array.isArray(item) && (typeof item[0] === 'string' || item[0] === SPARSE);
+  if (items.some(isOther)) throw new PeerProtocolError('a value that is not plain');
+  return unflatten(items);
+}
+
 function decode<Output>(line: string, schema: z.ZodType<Output>): Output {
   let value: unknown;
   try {
-    value = parse(line);
+    value = parsePlain(line);
   } catch (error) {
     throw new PeerProtocolError((error as Error).message);
   }
