Bound what is read of answers, events and lines, and how fast

Bodies and events without end held a daemon's event loop for up to a second (three or four at once) and took memory; informational answers and chunk extensions without end kept a connection and the processor busy until the route's timeout; calls of the daemon itself, the store's answers and tables and a stream whose caller does not read had no bound.

--- a/lab/no-stream.ts
+++ b/lab/no-stream.ts
@@ -8,4 +8,5 @@
   writeHead: () => undefined,
   writeEvents: () => undefined,
   getLastEventId: () => undefined,
+  waitForDrain: () => false,
 };
--- a/src/adapters/attempt-handler.ts
+++ b/src/adapters/attempt-handler.ts
@@ -8,6 +8,7 @@
 import type { AttemptStart, ForwardAttemptEvent } from '../forwarding/forward-messages.js';
 import type { BackendDialect, CallerHead, RawHeaders } from './backend-dialect.js';
 import { EventSplitter } from './event-splitter.js';
+import type { PacedReader, ReadPace } from './read-pace.js';
 import { pickEndToEndHeaders, getHeaderValue } from './http-headers.js';
 import type { ResetDetector } from './reset-detector.js';
 import type { ServerPool } from './server-pool.js';
@@ -16,6 +17,7 @@
 import {
   FIRST_FINAL_STATUS,
   FIRST_UNSUCCESSFUL_STATUS,
+  LAST_STATUS,
   STATUS_NOT_MODIFIED,
   STATUS_NO_CONTENT,
   STATUS_OK,
@@ -47,6 +49,8 @@
   writeEvents(bytes: Buffer, lastEventId: string | undefined): void;
   /** The id of the last event that was written. */
   getLastEventId(): string | undefined;
+  /** Whether the receiver is behind; `onDrain` is called once it has caught up. */
+  waitForDrain(onDrain: () => void): boolean;
 }
 
 /** An answer that was buffered until it was complete. */
@@ -61,6 +65,12 @@
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([STATUS_NO_CONTENT, STATUS_NOT_MODIFIED]);
 /** A buffered answer that gets longer is aborted. Bytes; it only protects the process's memory. */
 const MAXIMUM_BUFFERED_BYTES = 16 * 1024 * 1024;
+/** The same for the answer to a prefill, which is a short document. */
+const MAXIMUM_PREFILL_BYTES = 64 * 1024;
+/** Informational answers before the final one; more are invalid. */
+const MAXIMUM_INFORMATIONAL_ANSWERS = 16;
+/** Interval at which an attempt whose receiver is behind reports that it is not stalled. Milliseconds. */
+const DRAIN_REPORT_MS = 25;
 const NO_BYTES = Buffer.alloc(0);
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
@@ -70,6 +80,7 @@
   readonly pool: ServerPool;
   readonly dialect: BackendDialect;
   readonly resetDetector: ResetDetector;
+  readonly pace: ReadPace;
   readonly start: AttemptStart;
   readonly request: CallerRequest;
   /** Receives the parts of a streamed answer. */
@@ -79,7 +90,8 @@
 }
 
 /** Handler of one attempt. undici calls its methods in order. */
-export class AttemptHandler implements Dispatcher.DispatchHandler {
+export class AttemptHandler implements Dispatcher.DispatchHandler, PacedReader {
+  receivedBytes = 0;
   answer: BufferedAnswer | undefined;
   private controller: Dispatcher.DispatchController | undefined;
   private written = false;
@@ -96,20 +108,25 @@
   private framed = true;
   private readonly chunks: Buffer[] = [];
   private bufferedBytes = 0;
+  private informationalAnswers = 0;
+  private isPacePaused = false;
+  private drainTimer: NodeJS.Timeout | undefined;
   private splitter: EventSplitter | undefined;
 
   readonly pool: ServerPool;
   private readonly dialect: BackendDialect;
   private readonly resetDetector: ResetDetector;
+  private readonly pace: ReadPace;
   private readonly start: AttemptStart;
   private readonly request: CallerRequest;
   private readonly sink: StreamSink;
   private readonly onEvent: (event: ForwardAttemptEvent) => void;
 
-  constructor({ pool, dialect, resetDetector, start, request, sink, onEvent }: AttemptOptions) {
+  constructor({ pool, dialect, resetDetector, pace, start, request, sink, onEvent }: AttemptOptions) {
     this.pool = pool;
     this.dialect = dialect;
     this.resetDetector = resetDetector;
+    this.pace = pace;
     this.start = start;
     this.request = request;
     this.sink = sink;
@@ -118,14 +135,14 @@
 
   /** Closes the connection; no further event is reported. */
   abort(): void {
-    this.finished = true;
+    this.finish();
     this.controller?.abort(new Error('aborted'));
   }
 
   /** Ends the attempt as not sent, unless it has already been written. */
   abandon(): void {
     if (this.written || this.finished) return;
-    this.finished = true;
+    this.finish();
     this.onEvent({ kind: 'unreachable', reason: 'abandoned' });
   }
 
@@ -164,18 +181,28 @@
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
     this.responseStarted = true;
     this.progressAtCheck = this.pool.getCheckCount();
-    if (status < FIRST_FINAL_STATUS || this.finished) return;
+    if (this.finished) return;
+    if (status < FIRST_FINAL_STATUS) {
+      this.informationalAnswers += 1;
+      if (this.informationalAnswers > MAXIMUM_INFORMATIONAL_ANSWERS)
+        this.failInvalid('too many informational answers');
+      return;
+    }
+    if (status > LAST_STATUS) {
+      this.failInvalid('the status is invalid');
+      return;
+    }
     const raw = getRawHeaders(controller);
     this.status = status;
     const head = this.dialect.parseAnswerHead(status, raw, this.request.head, this.start.prefillOnly);
     if (head.kind === 'foreign') {
-      this.fail({ kind: 'broken', reason: head.reason, isInvalidAnswer: true });
+      this.failInvalid(head.reason);
       return;
     }
     this.signals = this.dialect.parseSignals(status, raw);
     if (head.kind === 'notExecuted') {
       const { signals } = this;
-      this.finished = true;
+      this.finish();
       this.onEvent({ kind: 'notExecuted', status, wrongIncarnation: head.wrongIncarnation, signals });
     } else {
       this.headers = pickEndToEndHeaders(raw, NO_HEADERS);
@@ -187,13 +214,56 @@
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.finished) return;
+    this.receivedBytes += chunk.length;
+    this.pool.addDelivered(chunk.length);
     if (this.splitter) this.writeStreamData(this.splitter, chunk);
-    else {
-      this.bufferedBytes += chunk.length;
-      if (this.bufferedBytes > MAXIMUM_BUFFERED_BYTES)
-        this.fail({ kind: 'broken', reason: 'the answer is too long', isInvalidAnswer: true });
-      else this.addChunk(chunk);
-    }
+    else if (this.tryBuffer(chunk.length)) this.addChunk(chunk);
+    else this.failInvalid('the answer is too long');
+    if (!this.finished) this.pace.addReceived(this, chunk.length);
+  }
+
+  /** Reserves memory for a part of an answer that is buffered. */
+  private tryBuffer(bytes: number): boolean {
+    const maximum = this.start.prefillOnly ? MAXIMUM_PREFILL_BYTES : MAXIMUM_BUFFERED_BYTES;
+    if (this.bufferedBytes + bytes > maximum || !this.pace.tryBuffer(bytes)) return false;
+    this.bufferedBytes += bytes;
+    return true;
+  }
+
+  pause(): void {
+    this.isPacePaused = true;
+    this.controller?.pause();
+  }
+
+  resume(): void {
+    this.isPacePaused = false;
+    this.resumeReading();
+  }
+
+  private resumeReading(): void {
+    if (!this.isPacePaused && !this.drainTimer && !this.finished) this.controller?.resume();
+  }
+
+  /** Reads no further while the receiver of the stream is behind. */
+  private waitForReceiver(): void {
+    if (this.drainTimer || !this.sink.waitForDrain(() => this.onDrain())) return;
+    this.drainTimer = setInterval(() => this.onEvent({ kind: 'answerProgress' }), DRAIN_REPORT_MS);
+    this.controller?.pause();
+  }
+
+  private onDrain(): void {
+    clearInterval(this.drainTimer);
+    this.drainTimer = undefined;
+    this.resumeReading();
+  }
+
+  /** Nothing is reported from now on. */
+  private finish(): void {
+    if (this.finished) return;
+    this.finished = true;
+    clearInterval(this.drainTimer);
+    this.pace.remove(this);
+    this.pace.release(this.bufferedBytes);
   }
 
   /** Adds a part of an answer that is buffered, and reports its arrival once between two checks. */
@@ -232,7 +302,7 @@
       this.fail({ kind: 'broken', reason: 'ended inside an event' });
       return;
     }
-    this.finished = true;
+    this.finish();
     const body = Buffer.concat(this.chunks);
     if (this.start.prefillOnly) {
       this.onPrefillEnd(body);
@@ -246,7 +316,7 @@
 
   onResponseError(_controller: Dispatcher.DispatchController | null, error: Error): void {
     if (this.finished) return;
-    this.finished = true;
+    this.finish();
     const reason = (error as NodeJS.ErrnoException).code ?? error.message;
     if (this.written) this.onEvent({ kind: 'broken', reason });
     else if (error instanceof TunnelError)
@@ -260,12 +330,13 @@
     const batch = splitter.push(chunk);
     if (!batch) return;
     if (batch.kind === 'invalid') {
-      this.fail({ kind: 'broken', reason: batch.reason, isInvalidAnswer: true });
+      this.failInvalid(batch.reason);
       return;
     }
     if (!this.claim()) return;
     this.sink.writeEvents(batch.bytes, batch.lastEventId);
     this.onEvent({ kind: 'streamProgress', lastEventId: batch.lastEventId });
+    this.waitForReceiver();
   }
 
   /** Claims the answer; ends the attempt if another one writes it. */
@@ -291,8 +362,12 @@
     else this.onEvent({ kind: 'prefilled', handle, signals: this.signals });
   }
 
+  private failInvalid(reason: string): void {
+    this.fail({ kind: 'broken', reason, isInvalidAnswer: true });
+  }
+
   private fail(event: ForwardAttemptEvent): void {
-    this.finished = true;
+    this.finish();
     this.onEvent(event);
     this.controller?.abort(new Error('invalid answer'));
   }
--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -19,6 +19,8 @@
 import { getFailureReason } from '../shared/failure-reason.js';
 import type { BackendCheck } from '../quarantine/crash-detector.js';
 import { checkListener, checkListenerThrough } from './listener-check.js';
+import { readBoundedText } from './bounded-body.js';
+import { ReadPace } from './read-pace.js';
 import { ResetDetector } from './reset-detector.js';
 import { ServerPool } from './server-pool.js';
 
@@ -106,6 +108,8 @@
   'connectionSilent',
   'sent',
 ]);
+/** Longest answer to an internal call; the changes of a KV cache are the longest. Bytes. */
+const MAXIMUM_CALL_BYTES = 1024 * 1024;
 /** Purposes of a back end's pools beside its default one. */
 const PROBE_POOL = 'probe';
 const ONCE_POOL = 'once';
@@ -118,6 +122,7 @@
   private readonly successors = new Map<ServerPool, ServerPool>();
   private readonly attempts = new Map<string, AttemptHandler>();
   private readonly resetDetector: ResetDetector;
+  private readonly pace = new ReadPace();
   private readonly timer: NodeJS.Timeout;
   private readonly silentChecks: number;
 
@@ -146,6 +151,7 @@
       pool,
       dialect: this.dialect,
       resetDetector: this.resetDetector,
+      pace: this.pace,
       start: resumed,
       request,
       sink,
@@ -336,7 +342,7 @@
       signal: AbortSignal.timeout(this.settings.callTimeoutMs + longPollMs),
       responseHeaders: 'raw',
     });
-    const text = await answer.body.text();
+    const text = await readBoundedText(answer.body, MAXIMUM_CALL_BYTES);
     return { status: answer.statusCode, headers: answer.headers as unknown as string[], body: text };
   }
 
--- a/src/adapters/event-splitter.ts
+++ b/src/adapters/event-splitter.ts
@@ -13,17 +13,28 @@
   /** The bytes are no event stream that could be resumed; nothing of this batch may be passed on. */
   | { readonly kind: 'invalid'; readonly reason: string };
 
+/** A longer event is invalid: a server in trouble may send one without end. Bytes. */
+const MAXIMUM_EVENT_BYTES = 1024 * 1024;
+/** Length of the end of an event, less its last byte. */
+const EVENT_END_BYTES = 3;
+const NO_BYTES = Buffer.alloc(0);
+
 /** Splitter of one stream. */
 export class EventSplitter {
-  private buffered: Buffer = Buffer.alloc(0);
+  /** What was received of the event that is not complete. */
+  private partial: Buffer[] = [];
+  private partialBytes = 0;
+  /** Its last bytes, since the end of an event may arrive in two parts. */
+  private tail: Buffer = NO_BYTES;
 
-  /** Adds bytes and returns the events that are now complete, or undefined when there are none. */
+  /** Adds bytes; returns undefined when no event is complete. */
   push(chunk: Buffer): EventBatch | undefined {
-    const all = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
-    const end = findEndOfLastEvent(all);
-    this.buffered = all.subarray(end);
-    if (end === 0) return undefined;
-    const bytes = all.subarray(0, end);
+    const end = findEndOfLastEvent(Buffer.concat([this.tail, chunk])) - this.tail.length;
+    const bytes = end > 0 ? Buffer.concat([...this.partial, chunk.subarray(0, end)]) : undefined;
+    if (bytes) this.clearPartial();
+    this.addPartial(bytes ? chunk.subarray(end) : chunk);
+    if (this.partialBytes > MAXIMUM_EVENT_BYTES) return { kind: 'invalid', reason: 'an event is too long' };
+    if (!bytes) return undefined;
     const lastEventId = findLastId(bytes);
     if (lastEventId !== undefined && !isEventId(lastEventId))
       return { kind: 'invalid', reason: 'an event has an invalid id' };
@@ -32,7 +43,19 @@
 
   /** Bytes after the last complete event. */
   getRemainder(): Buffer {
-    return this.buffered;
+    return Buffer.concat(this.partial);
+  }
+
+  private clearPartial(): void {
+    this.partial = [];
+    this.partialBytes = 0;
+    this.tail = NO_BYTES;
+  }
+
+  private addPartial(bytes: Buffer): void {
+    this.partial.push(bytes);
+    this.partialBytes += bytes.length;
+    this.tail = Buffer.concat([this.tail, bytes.subarray(-EVENT_END_BYTES)]).subarray(-EVENT_END_BYTES);
   }
 }
 
--- a/src/adapters/server-pool.ts
+++ b/src/adapters/server-pool.ts
@@ -32,6 +32,12 @@
  */
 const DEFAULT_KEEP_ALIVE_MS = 4000;
 
+/**
+ * A connection that receives more than this between two checks, mostly bytes that belong to no body, is closed: heads
+ * and the framing of bodies are small. Bytes.
+ */
+const MAXIMUM_UNDELIVERED_BYTES = 4 * 1024 * 1024;
+
 interface Connection {
   readonly socket: Socket;
   readonly openedAt: number;
@@ -45,6 +51,8 @@
   readonly pool: Pool;
   private readonly connections = new Set<Connection>();
   private checkCount = 0;
+  /** Bytes of bodies since the last check, on all connections. */
+  private deliveredBytes = 0;
 
   constructor(
     readonly settings: ServerPoolSettings,
@@ -79,9 +87,18 @@
     this.checkCount += 1;
     for (const connection of this.connections) {
       const { bytesRead } = connection.socket;
-      if (bytesRead !== connection.bytesRead) connection.receivedAtCheck = this.checkCount;
+      const received = bytesRead - connection.bytesRead;
+      if (received > 0) connection.receivedAtCheck = this.checkCount;
       connection.bytesRead = bytesRead;
+      if (received > MAXIMUM_UNDELIVERED_BYTES && received > 2 * this.deliveredBytes)
+        connection.socket.destroy(new Error('bytes that are no answer'));
     }
+    this.deliveredBytes = 0;
+  }
+
+  /** Counts bytes of a body that was received on one of the connections. */
+  addDelivered(bytes: number): void {
+    this.deliveredBytes += bytes;
   }
 
   /**
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -6,11 +6,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { startListening, stopListening, type ListenerEnd } from '../adapters/listen.js';
-import type { BufferedAnswer, StreamSink } from '../adapters/backend-client.js';
 import type { CallerLimits } from '../forwarding/routes/route.js';
 import { runAfterNextPoll, closeIfIdle } from './after-next-poll.js';
+import { CallerReply } from './caller-reply.js';
 import { STATUS_TOO_LARGE } from '../shared/http-status.js';
-import { SECOND_MS } from '../shared/units.js';
 
 /** A request whose head and body were read completely. */
 export interface ReceivedRequest {
@@ -31,13 +30,6 @@
   onRequest(request: ReceivedRequest, reply: CallerReply): void;
 }
 
-/** A failure that the daemon itself answers with, as opposed to a back end's response. */
-interface FailureAnswer {
-  readonly status: number;
-  readonly failure: string;
-  readonly retryAfterMs: number | undefined;
-}
-
 /** Length of the accept queue: connections that the kernel completes while the process is busy. */
 const BACKLOG = 1024;
 /**
@@ -58,133 +50,6 @@
  */
 const MINIMUM_IDLE_MS = 200;
 
-/** The reply to one request. It is finished once; what is written after that is ignored. */
-export class CallerReply implements StreamSink {
-  private lastId: string | undefined;
-  private finished = false;
-  /** Whether only the closing of the connection marks the end of the reply. */
-  private delimitedByClosing = false;
-  private headSent = false;
-  /** The attempt that writes the answer; undefined while any may. */
-  private owner: string | undefined;
-  /** Called when the caller disconnects before the reply is complete. */
-  onCallerGone: () => void = () => undefined;
-
-  constructor(
-    private readonly response: ServerResponse,
-    private readonly closing: () => boolean,
-    resumedAfter: string | undefined,
-  ) {
-    this.lastId = resumedAfter;
-    response.sendDate = false;
-    response.on('close', () => this.onConnectionClosed());
-  }
-
-  /** Whether nothing more will be written: the reply is complete, or was aborted. */
-  isFinished(): boolean {
-    return this.finished;
-  }
-
-  /** Called when the caller has closed its connection, or its side of it. */
-  onConnectionClosed(): void {
-    if (this.finished) return;
-    this.finished = true;
-    this.onCallerGone();
-  }
-
-  /** The id of the last event passed on to the caller; undefined before the head was sent. */
-  getLastEventId(): string | undefined {
-    return this.headSent ? this.lastId : undefined;
-  }
-
-  addAttempt(): void {
-    this.owner = undefined;
-  }
-
-  claimHead(attemptId: string): boolean {
-    return this.headSent || this.claim(attemptId);
-  }
-
-  claim(attemptId: string): boolean {
-    this.owner ??= attemptId;
-    return this.owner === attemptId;
-  }
-
-  /** Starts a streamed reply. Later heads, of back ends that resume the stream, are not passed on. */
-  writeHead(status: number, headers: string[], framed: boolean): void {
-    if (this.finished || this.headSent) return;
-    this.headSent = true;
-    this.disableKeepAliveWhenClosing();
-    if (!framed) this.delimitByClosing();
-    this.response.writeHead(status, createHeaderPairs(headers, new Set(['content-length'])));
-    this.response.flushHeaders();
-  }
-
-  /** Passes on complete events. */
-  writeEvents(bytes: Buffer, lastEventId: string | undefined): void {
-    if (this.finished) return;
-    if (lastEventId !== undefined) this.lastId = lastEventId;
-    this.response.write(bytes);
-  }
-
-  /** Finishes the reply: ends a stream that has begun, or sends a buffered answer. */
-  sendAnswer(answer: BufferedAnswer): void {
-    if (this.finished) return;
-    this.finished = true;
-    if (this.headSent) {
-      this.response.end();
-      return;
-    }
-    this.disableKeepAliveWhenClosing();
-    const headers = createHeaderPairs(answer.headers, new Set(['content-length']));
-    const bodiless = this.response.req.method === 'HEAD';
-    if (!answer.framed) this.delimitByClosing();
-    else if (!bodiless) headers.push(['Content-Length', String(answer.body.length)]);
-    this.response.writeHead(answer.status, headers);
-    this.response.end(answer.body);
-  }
-
-  /** Replies with a failure of the daemon itself; a reply that has begun is aborted instead. */
-  sendFailure(answer: FailureAnswer): void {
-    if (this.headSent) this.abort();
-    if (this.finished) return;
-    this.finished = true;
-    this.disableKeepAliveWhenClosing();
-    const body = JSON.stringify({ type: `urn:pulleyledge:${answer.failure}`, status: answer.status });
-    const headers: [string, string][] = [
-      ['Content-Type', 'application/problem+json'],
-      ['Content-Length', String(Buffer.byteLength(body))],
-    ];
-    if (answer.retryAfterMs !== undefined)
-      headers.push(['Retry-After', (answer.retryAfterMs / SECOND_MS).toFixed(3)]);
-    this.response.writeHead(answer.status, headers);
-    this.response.end(body);
-  }
-
-  /** Closes the connection of a reply that cannot be finished, so that it does not look complete. */
-  abort(): void {
-    if (!this.finished) this.destroy();
-  }
-
-  /** Closes the connection, whatever has been written. */
-  destroy(): void {
-    this.finished = true;
-    if (this.delimitedByClosing) this.response.socket?.resetAndDestroy();
-    this.response.destroy();
-  }
-
-  /** An answer that the back end delimited by closing its connection is delimited in the same way here. */
-  private delimitByClosing(): void {
-    this.delimitedByClosing = true;
-    this.response.useChunkedEncodingByDefault = false;
-    this.response.shouldKeepAlive = false;
-  }
-
-  private disableKeepAliveWhenClosing(): void {
-    if (this.closing()) this.response.shouldKeepAlive = false;
-  }
-}
-
 /** The server of one daemon. */
 export class ForwardServer {
   private readonly server: Server;
@@ -393,11 +258,3 @@
 function isLast(replies: ReadonlySet<CallerReply> | undefined, reply: CallerReply): boolean {
   return replies === undefined || [...replies].pop() === reply;
 }
-
-function createHeaderPairs(headers: readonly string[], dropped: ReadonlySet<string>): [string, string][] {
-  const list: [string, string][] = [];
-  for (let index = 0; index + 1 < headers.length; index += 2) {
-    if (!dropped.has(headers[index].toLowerCase())) list.push([headers[index], headers[index + 1]]);
-  }
-  return list;
-}
--- a/src/process/open-requests.ts
+++ b/src/process/open-requests.ts
@@ -7,7 +7,8 @@
 import type { BackendDialect } from '../adapters/backend-dialect.js';
 import type { ForwardingEffect, ForwardingEvent } from '../daemon/forwarding-messages.js';
 import type { AttemptStart } from '../forwarding/forward-messages.js';
-import type { CallerReply, ReceivedRequest } from '../gateway/forward-server.js';
+import type { CallerReply } from '../gateway/caller-reply.js';
+import type { ReceivedRequest } from '../gateway/forward-server.js';
 import { digestContent } from '../quarantine/request-key.js';
 
 /** Radix of the numbers that identify requests. */
--- a/src/shared/http-status.ts
+++ b/src/shared/http-status.ts
@@ -3,6 +3,8 @@
  * except 499, which is not registered. What a status means in a particular protocol is documented at its use.
  */
 
+/** The highest valid status (RFC 9110, 15). */
+export const LAST_STATUS = 599;
 /** Lowest status of a final response; those below (1xx) are interim responses. */
 export const FIRST_FINAL_STATUS = 200;
 export const STATUS_OK = 200;
--- a/test/forwarding-bytes.test.ts
+++ b/test/forwarding-bytes.test.ts
@@ -14,7 +14,7 @@
   type ForwardingSite,
 } from '../lab/forwarding-site.js';
 import { findHeader, ScriptedBackend, type BackendScript } from '../lab/scripted-backend.js';
-import { CallerReply } from '../src/gateway/forward-server.js';
+import { CallerReply } from '../src/gateway/caller-reply.js';
 import { delay } from '../src/shared/delay.js';
 import type { Route } from '../src/forwarding/routes/route.js';
 
