Check the addresses in peers' messages where they arrive

An address with a port out of range in a member update made createConnection throw (ERR_SOCKET_BAD_PORT) when the daemon answered or gossiped to it, which ended the process.

Addresses of members, hellos and back ends are an IP number and a port, or the line is rejected.

--- a/src/adapters/peer-codec.ts
+++ b/src/adapters/peer-codec.ts
@@ -19,13 +19,14 @@
 import { partMessageSchemas } from '../quarantine/prompt-parts/part-messages.js';
 import { quarantineMessageSchemas } from '../quarantine/quarantine-messages.js';
 import { quotaMessageSchemas } from '../quotas/quota-messages.js';
+import { peerAddressSchema } from '../shared/address.js';
 import { streamMessageSchemas } from '../streams/origin-messages.js';
 
 const text = z.string().max(512);
 const count = z.number().finite();
 const memberUpdate = z.tuple([
   text,
-  text,
+  peerAddressSchema,
   text,
   text,
   count,
@@ -107,7 +108,9 @@
     coordinator: text,
     relayTo: z.array(text),
     loads: z.array(z.tuple([text, phase, count, count, count])),
-    descriptions: z.array(z.object({ id: text, address: text, zone: text, report: engineReportSchema })),
+    descriptions: z.array(
+      z.object({ id: text, address: peerAddressSchema, zone: text, report: engineReportSchema }),
+    ),
   }),
   z.object({
     kind: z.literal('demandReport'),
@@ -122,7 +125,7 @@
   ...streamMessageSchemas,
 ]);
 
-const helloSchema = z.object({ kind: z.literal('hello'), id: text, address: text });
+const helloSchema = z.object({ kind: z.literal('hello'), id: text, address: peerAddressSchema });
 
 const announcementSchema = z.object({ kind: z.literal('announcement'), reads: z.array(text) });
 
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -3,6 +3,7 @@
 import * as z from "zod"
 import {routeConfigurationSchema} from "../forwarding/routes/route-schema.js"
 import type {BackendRecord} from "../forwarding/routes/route.js"
+import {peerAddressSchema} from "../shared/address.js"
 
 const text = z.string().max(512)
 const count = z.number().finite()
@@ -10,7 +11,7 @@
 const backendSchema = z.object({
   id: text,
   service: text,
-  address: text,
+  address: peerAddressSchema,
   zone: text,
   slots: count,
   state: z.enum(["ready", "draining"]),
--- a/test/peer-values.test.ts
+++ b/test/peer-values.test.ts
@@ -1,11 +1,30 @@
 /**
- * Guards against a line of a peer that ends or holds up a daemon: a sparse array of four thousand million items, or a number
- * of a million digits.
+ * Guards against a line of a peer that ends or holds up a daemon: a sparse array of four thousand million items, a number of a
+ * million digits, or an address to which no connection can be opened (createConnection throws on a port out of range).
  */
 import { expect } from 'chai';
-import { decodePeerMessage } from '../src/adapters/peer-codec.js';
+import { stringify } from 'devalue';
+import { decodeFirstLine, decodePeerMessage } from '../src/adapters/peer-codec.js';
 import { PeerProtocolError } from '../src/errors/index.js';
 
+describe('an address that a peer sends', () => {
+  const encode = (message: object): string => stringify(message);
+
+  for (const address of ['', 'a', '10.0.0.1', '10.0.0.1:99999', '10.0.0.1:-1', 'host:80', '10.0.0.1:8x']) {
+    it(`is rejected where no connection can be opened to it: "${address}"`, () => {
+      const update = ['d', address, 'z', 'r', 1, 'alive'];
+      const sync = { kind: 'sync', reply: false, members: [update] };
+      expect(() => decodePeerMessage(encode(sync))).to.throw(PeerProtocolError);
+      expect(() => decodeFirstLine(encode({ kind: 'hello', id: 'd', address }))).to.throw(PeerProtocolError);
+    });
+  }
+
+  it('is kept otherwise', () => {
+    const hello = { kind: 'hello', id: 'd', address: '10.0.0.1:80' };
+    expect(decodeFirstLine(encode(hello))).to.deep.equal(hello);
+  });
+});
+
 describe('what a peer sends', () => {
   for (const line of [
     '[[-7,4294967295]]',
