Soak: a phase of wrong and endless bytes on every link

The soak had no bytes that are no answer, no endless ones, no stop beside servers that are silent and full at once, and no restart of all daemons in turn under long streams. The new phase has them: back ends (requests, prefill calls, health checks and other calls), the store, and strangers on the ports for peers; a health check must be answered within a second.

The stand-in's signed heads count as executions, and complete answers that are garbled carry no signature: a signed complete answer is the server's word, whatever it says.

--- a/lab/soak/backend-stand-in.ts
+++ b/lab/soak/backend-stand-in.ts
@@ -6,11 +6,18 @@
 import {CRASHING_BODY} from "./crash-check.js"
 import {getHeader, sumTokens} from "./request-headers.js"
 import type {HandleRegistry} from "./handle-registry.js"
-import {delimitByClosing, HALF_EVENT_SHARE, isFaulty, type BackendBehavior} from "./backend-behavior.js"
+import {
+  delimitByClosing,
+  HALF_EVENT_SHARE,
+  isFaulty,
+  sendGarbled,
+  type BackendBehavior
+} from "./backend-behavior.js"
+import type {BackendIdentity} from "./backend-identity.js"
 import {findCrashingPart} from "./part-check.js"
 import type {ArrivalRecord} from "./retry-check.js"
-import {orderSchema, StageOrders, type Stage} from "./stage-orders.js"
-import {formatBody, type SoakRecord} from "./soak-record.js"
+import {orderSchema, StageOrders} from "./stage-orders.js"
+import {formatBody, type ExecutionRecord, type SoakRecord} from "./soak-record.js"
 import {formatEvent} from "./stream-events.js"
 import type {StoreStandIn} from "./store-stand-in.js"
 import {parseBody, readBody, STATUS_MALFORMED} from "./stray-calls.js"
@@ -33,16 +40,6 @@
 /// Time from the beginning of an answer to a request with a crashing part to the crash.
 const SHORTEST_PART_CRASH_MS = 30
 const LONGEST_PART_CRASH_MS = 80
-/// Identity of one incarnation.
-interface BackendIdentity {
-  readonly id: string
-  readonly service: string
-  readonly zone: string
-  readonly stage: Stage | undefined
-  /// Its software version; undefined for a record without one.
-  readonly version?: string | undefined
-}
-
 /// One incarnation of a back end.
 export class BackendStandIn {
   behavior: BackendBehavior = "well"
@@ -182,6 +179,11 @@
     request.on("error", () => undefined)
     const body = await readBody(request)
     if (body === undefined) return
+    if (this.behavior === "garbles" && isFaulty("garbles", this.random)) {
+      // Some of these have a valid head.
+      if (arrival.requestId !== "") this.record.executions.push(this.makeExecution(request, arrival))
+      return sendGarbled(request.socket, this.identity.id, arrival.requestId, this.random)
+    }
     if (request.url === "/v1/order") return this.onOrder(body, response)
     const path = request.url ?? "/"
     if (path === "/healthz") return this.reply(response, STATUS_OK, "", {"X-Instance-Id": this.identity.id})
@@ -210,6 +212,13 @@
     return arrival
   }
 
+  private makeExecution(request: IncomingMessage, {requestId, promptOnly}: ArrivalRecord): ExecutionRecord {
+    const {id: backend, service} = this.identity
+    const at = performance.now()
+    const tokens = sumTokens(getHeader(request, "x-token-usage"))
+    return {requestId, backend, service, at, promptOnly, tenant: getHeader(request, "x-tenant"), tokens}
+  }
+
   private onWorkRequest(
     request: IncomingMessage,
     response: ServerResponse,
@@ -231,15 +240,7 @@
     if (wrongStage || isChanging || behavior === "sheds" || behavior === "shedsMost")
       return reject(wrongStage ? STATUS_MISDIRECTED : STATUS_BUSY)
     if (behavior === "hangs") return
-    const execution = {
-      requestId: id,
-      backend: this.identity.id,
-      service: this.identity.service,
-      at: performance.now(),
-      promptOnly,
-      tenant: getHeader(request, "x-tenant"),
-      tokens: sumTokens(getHeader(request, "x-token-usage"))
-    }
+    const execution = this.makeExecution(request, arrival)
     if (getHeader(request, "x-api-key") !== undefined)
       this.record.observedViolations.push({
         promise: "no key goes past the daemon",
@@ -279,16 +280,14 @@
     this.onCrash()
   }
 
-  private runPrefill(execution: SoakRecord["executions"][number], response: ServerResponse): void {
+  private runPrefill(execution: ExecutionRecord, response: ServerResponse): void {
     this.record.executions.push(execution)
     this.handleCount += 1
     const handle = `${this.identity.id}h${this.handleCount}`
     this.registry.add(handle, execution.requestId)
     const body = JSON.stringify({kv_handle: handle, tokens: 1000, version: 1})
-    setTimeout(
-      () => this.reply(response, STATUS_OK, body, {"X-Attempt-Id": execution.requestId}),
-      PROCESSING_MS
-    )
+    const headers = {"X-Attempt-Id": execution.requestId}
+    setTimeout(() => this.reply(response, STATUS_OK, body, headers), PROCESSING_MS)
   }
 
   private checkHandle(source: string, id: string): boolean {
--- a/lab/soak/soak-phases.ts
+++ b/lab/soak/soak-phases.ts
@@ -4,6 +4,8 @@
 import {SeededRandom} from "../../src/shared/random.js"
 import type {CallerLoad, CallerTarget} from "./caller-load.js"
 import {makeCutPlan} from "./cut-faults.js"
+import {makeGarblePlan} from "./garble-faults.js"
+import {HealthChecks} from "./health-checks.js"
 import {BACKENDS} from "./disturbance.js"
 import {RestartFault} from "./faults.js"
 import {makePlan, makeSeriesPlan, makeSignalPlan, type PlannedFault} from "./fault-plan.js"
@@ -26,6 +28,9 @@
 /// Time between two events of a stream in the phase of silences, so that streams are under way when one begins.
 const SILENCE_EVENT_INTERVAL_MS = 100
 
+/// The same in the phase of garbled bytes: streams last over a second.
+const LONG_EVENT_INTERVAL_MS = 250
+
 /// Shares of the soaks in which two parts crash engines, and in which such a part stands first.
 const TWO_PARTS_SHARE = 0.4
 const BAD_FIRST_SHARE = 0.3
@@ -52,6 +57,9 @@
   /// Whether there is a phase with parts of prompts that crash engines, answers without a length, and most new
   /// connections at one daemon.
   readonly parts: boolean
+  /// Whether there is a phase with wrong and endless bytes on every link, a stop beside silent and full back ends, and
+  /// restarts of all daemons in turn under long streams.
+  readonly garbles: boolean
   /// Whether the drawn faults are left out; the other kinds of trouble remain.
   readonly calm: boolean
 }
@@ -63,7 +71,7 @@
   load: CallerLoad,
   seed: number,
   durationMs: number,
-  {series, signals, pauses, cuts, versions, parts, calm}: SoakOptions
+  {series, signals, pauses, cuts, versions, parts, garbles, calm}: SoakOptions
 ): Promise<void> {
   const daemons = site.daemons.map(daemon => daemon.name)
   const makeRandom = (offset: number) => {
@@ -74,7 +82,7 @@
   const seriesPlan = series ? makeSeriesPlan(daemons, PLACES_BY_SERVICE, durationMs, makeRandom(2)) : []
   const signalPlan = signals ? makeSignalPlan(PLACES_BY_SERVICE, durationMs, makeRandom(10)) : []
   await runPlan(site, mergePlans(plan, seriesPlan, signalPlan))
-  if (!pauses && !cuts && !versions && !parts) return
+  if (!pauses && !cuts && !versions && !parts && !garbles) return
   await wait(RECOVERY_MS)
   load.stopRepeating()
   if (pauses) {
@@ -102,6 +110,29 @@
     await wait(RECOVERY_MS)
     await runSkew(site, makeRandom(26))
   }
+  if (garbles) {
+    await wait(SETTLE_MS)
+    await runGarbles(
+      site,
+      makeGarblePlan(daemons, PLACES_BY_SERVICE, durationMs, makeRandom(27)),
+      makeRandom(28)
+    )
+  }
+}
+
+/// Runs the phase with garbled bytes, with long streams that are taken up.
+async function runGarbles(
+  site: SoakSite,
+  plan: readonly PlannedFault[],
+  random: () => number
+): Promise<void> {
+  const checks = new HealthChecks(site)
+  const checking = checks.run()
+  site.setEventInterval(LONG_EVENT_INTERVAL_MS)
+  await runVersions(site, plan, random)
+  site.setEventInterval(undefined)
+  checks.stop()
+  await checking
 }
 
 /// Runs the phase with parts of prompts that crash engines; sound requests come alone at first.
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -66,6 +66,7 @@
   cuts: false,
   versions: false,
   parts: false,
+  garbles: false,
   calm: false
 }
 /// The module that gives a daemon a source address of its own.
@@ -200,7 +201,7 @@
 
 async function main(): Promise<void> {
   const cli = meow(
-    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--no-signals] [--no-pauses] [--no-cuts] [--no-versions] [--no-parts] [--calm] [--keep] [--regressions]",
+    "Usage: npm run fault-soak -- [--seed N] [--count N] [--seconds S] [--rate N] [--daemons N] [--no-series] [--no-crashes] [--no-signals] [--no-pauses] [--no-cuts] [--no-versions] [--no-parts] [--no-garbles] [--calm] [--keep] [--regressions]",
     {
       importMeta: import.meta,
       flags: {
@@ -216,6 +217,7 @@
         cuts: {type: "boolean", default: true},
         versions: {type: "boolean", default: true},
         parts: {type: "boolean", default: true},
+        garbles: {type: "boolean", default: true},
         calm: {type: "boolean", default: false},
         keep: {type: "boolean", default: false},
         regressions: {type: "boolean", default: false}
@@ -235,11 +237,12 @@
     cuts,
     versions,
     parts,
+    garbles,
     calm,
     keep,
     regressions
   } = cli.flags
-  const options = {daemons, series, crashes, signals, pauses, cuts, versions, parts, calm}
+  const options = {daemons, series, crashes, signals, pauses, cuts, versions, parts, garbles, calm}
   const freshRuns = Array.from({length: count}, (_, i) => ({seed: seed + i, seconds, ...options}))
   const runs = regressions ? readRegressions() : freshRuns
   const program = buildProgram(join(process.cwd(), "bench-results", "program"))
@@ -256,6 +259,7 @@
       cuts: run.cuts ?? false,
       versions: run.versions ?? false,
       parts: run.parts ?? false,
+      garbles: run.garbles ?? false,
       calm: run.calm ?? false
     }
     const outcome = await runSoak(run.seed, run.seconds, rate, program, folder, soakOptions)
@@ -281,6 +285,7 @@
     cuts: z.boolean().optional(),
     versions: z.boolean().optional(),
     parts: z.boolean().optional(),
+    garbles: z.boolean().optional(),
     calm: z.boolean().optional(),
     cause: z.string()
   })
--- a/lab/soak/store-stand-in.ts
+++ b/lab/soak/store-stand-in.ts
@@ -4,11 +4,12 @@
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from "node:http"
 import type {AddressInfo} from "node:net"
 import * as z from "zod"
+import {sendGarbledAnswer} from "../garbled-bytes.js"
 import {parseBody, readBody, STATUS_MALFORMED, STATUS_UNKNOWN, StrayCalls} from "./stray-calls.js"
 
 /// What the store does with the calls of one caller: "serves" is correct, the others are faults.
 export type StoreBehavior =
-  "serves" | "refuses" | "throttles" | "silent" | "slow" | "losesAnswers" | "appliesLate"
+  "serves" | "refuses" | "throttles" | "silent" | "slow" | "losesAnswers" | "appliesLate" | "garbles"
 
 const STATUS_OK = 200
 const STATUS_CONFLICT = 412
@@ -48,6 +49,8 @@
   private history: Row[] = []
   private historyFrom = 0
   private version = 0
+  /// Number of answers that were garbled; each has another kind.
+  private garbled = 0
   private readonly behaviors = new Map<string, StoreBehavior>()
   private readonly servers: Server[] = []
   private readonly pendingPolls = new Set<() => void>()
@@ -105,6 +108,10 @@
     if (!PATHS.includes(url.pathname))
       return this.strayCalls.reject(STATUS_UNKNOWN, caller, request, response)
     if (behavior === "silent") return
+    if (behavior === "garbles") {
+      this.garbled += 1
+      return sendGarbledAnswer(request.socket, {"Content-Type": "application/json"}, this.garbled)
+    }
     if (behavior === "refuses") return answer(STATUS_BUSY, {})
     if (behavior === "throttles") return answer(STATUS_THROTTLED, {})
     if (url.pathname === FEED_PATH) return this.onFeed(url, answer)
--- a/test/endless-bytes.test.ts
+++ b/test/endless-bytes.test.ts
@@ -12,6 +12,7 @@
   startForwardingSite,
   type ForwardingSite,
 } from '../lab/forwarding-site.js';
+import { writeEndlessly } from '../lab/garbled-bytes.js';
 import { findHeader, ScriptedBackend } from '../lab/scripted-backend.js';
 import { PlatformConnection } from '../platform/platform-connection.js';
 import { StoreClient } from '../platform/store-client.js';
@@ -30,19 +31,6 @@
 const CHUNK = Buffer.alloc(64 * 1024, 'x');
 const SIGNED = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\nX-Server-Signature: s\r\n';
 
-/** Writes as fast as it is read, until the connection is closed. */
-function writeEndlessly(socket: Socket, chunk: Buffer | string): void {
-  const write = (): void => {
-    for (let index = 0; index < 16 && !socket.destroyed; index += 1)
-      if (!socket.write(chunk)) {
-        socket.once('drain', write);
-        return;
-      }
-    if (!socket.destroyed) setImmediate(write);
-  };
-  write();
-}
-
 /** Answers without end, by what has no end. */
 const ENDLESS: Readonly<Record<string, (socket: Socket) => void>> = {
   head: (socket) => {
