Judge a stream by the history of versions only on confirmed records

Its lookup failed as nobody answered, and the history counted on records confirmed up to 1.8 s ago. They must have been confirmed after the lookup began, for which it waits 1.2 s at most.

--- a/src/daemon/forwarding-machines.ts
+++ b/src/daemon/forwarding-machines.ts
@@ -279,6 +279,7 @@
       decideQuota: (requestId, decision) => manager.applyQuota(requestId, decision, context.getEventTime()),
       decideOrigin: (requestId, origin) => manager.applyOrigin(requestId, origin, context.getEventTime()),
       backendsMayBeStale: (at) => replica.mayBeStale('backends', at),
+      getBackendsAgeMs: (at) => replica.getAgeMs('backends', at),
       isFirstReader: () => context.isFirstReader(),
       getRoutes: () => context.getRoutes(),
       logChange: (event, fields) => context.logChange(event, fields),
--- a/src/parts/daemon-part.ts
+++ b/src/parts/daemon-part.ts
@@ -60,6 +60,8 @@
   getFleet(): FleetView
   /// Whether newer records of back ends than this daemon's may exist.
   backendsMayBeStale(now: number): boolean
+  /// Time since the copy of the records of back ends was last known to be up to date. Milliseconds.
+  getBackendsAgeMs(now: number): number
   /// Whether this daemon is the first in rank among the readers of the store, which maintains the records
   /// that the fleet shares there.
   isFirstReader(): boolean
--- a/src/parts/stream-part.ts
+++ b/src/parts/stream-part.ts
@@ -25,9 +25,9 @@
 
   constructor(private readonly context: PartContext) {
     super()
-    const {identity, getMembers, backendsMayBeStale, emit, decideOrigin} = context
+    const {identity, getMembers, backendsMayBeStale, getBackendsAgeMs, emit, decideOrigin} = context
     const {history} = this
-    const fleet = {selfAddress: identity.address, getMembers, history, backendsMayBeStale}
+    const fleet = {selfAddress: identity.address, getMembers, history, backendsMayBeStale, getBackendsAgeMs}
     this.manager = new OriginManager(fleet, effect => {
       if (effect.kind === "sendPeer") emit(effect)
       else decideOrigin(effect.requestId, effect.origin)
--- a/src/streams/origin-lookup.ts
+++ b/src/streams/origin-lookup.ts
@@ -23,7 +23,7 @@
     private readonly attemptId: string,
     private readonly keepers: OriginKeepers,
     private readonly sendAsk: (address: string) => void,
-    private readonly startedAt: number
+    readonly startedAt: number
   ) {
     this.startRound()
   }
--- a/src/streams/origin-manager.ts
+++ b/src/streams/origin-manager.ts
@@ -15,6 +15,10 @@
 /// How long an origin is kept before the first configuration. Milliseconds.
 const INITIAL_LIFETIME_MS = 30_000
 
+/// Longest time for which a failed lookup waits until the records of back ends are confirmed. Milliseconds; the
+/// store confirms them about twice a second.
+const CONFIRMATION_MS = 1200
+
 /// What the manager asks its daemon to do.
 export type OriginEffect =
   | {readonly kind: "sendPeer"; readonly address: string; readonly message: StreamMessage}
@@ -46,6 +50,8 @@
   readonly history: VersionHistory
   /// Whether newer records of back ends may exist.
   backendsMayBeStale(now: number): boolean
+  /// Time since the copy of the records was last known to be up to date. Milliseconds.
+  getBackendsAgeMs(now: number): number
 }
 
 /// The origins of one daemon. Times are monotonic milliseconds.
@@ -91,7 +97,7 @@
     const origin = this.store.find(attemptId, now)
     if (origin) return {kind: "known", origin}
     const lookup = this.lookups.get(attemptId) ?? this.createLookup(attemptId, now)
-    if (lookup.hasFailed()) return this.findByHistory(service, now)
+    if (lookup.hasFailed() && this.findVersion(service, now) === undefined) return this.makeUnknown()
     lookup.services.set(requestId, service)
     this.lookups.set(attemptId, lookup)
     return {kind: "waiting"}
@@ -99,19 +105,35 @@
 
   /// Finds the only version at which a stream of the service can have begun.
   private findByHistory(service: string | undefined, now: number): OriginOutcome {
-    const {history, backendsMayBeStale} = this.context
-    const version =
-      service === undefined || backendsMayBeStale(now)
-        ? undefined
-        : history.findOnly(service, this.lifetimeMs, now)
-    if (service === undefined || version === undefined) {
-      this.notFound += 1
-      return {kind: "unknown"}
-    }
+    const version = this.findVersion(service, now)
+    if (service === undefined || version === undefined) return this.makeUnknown()
     this.found += 1
     return {kind: "known", origin: {service, backendId: undefined, version}}
   }
 
+  private findVersion(service: string | undefined, now: number): string | undefined {
+    const {history, backendsMayBeStale} = this.context
+    if (service === undefined || backendsMayBeStale(now)) return undefined
+    return history.findOnly(service, this.lifetimeMs, now)
+  }
+
+  private makeUnknown(): OriginOutcome {
+    this.notFound += 1
+    return {kind: "unknown"}
+  }
+
+  /// Whether the records of back ends were known to be up to date after the lookup had begun, so that they hold
+  /// the back end that began its stream, whatever this daemon had missed before.
+  private isConfirmed({startedAt}: OriginLookup, now: number): boolean {
+    return this.context.getBackendsAgeMs(now) < now - startedAt
+  }
+
+  /// Whether the history may tell the version of a failed lookup once the records are confirmed.
+  private awaitsConfirmation(lookup: OriginLookup, now: number): boolean {
+    if (this.isConfirmed(lookup, now) || now - lookup.startedAt >= CONFIRMATION_MS) return false
+    return [...lookup.services.values()].some(service => this.findVersion(service, now) !== undefined)
+  }
+
   /// Receives a peer's message.
   receive(fromAddress: string, message: StreamMessage, now: number): void {
     const {attemptId} = message
@@ -135,7 +157,8 @@
     this.replicator.tick(now)
     this.context.history.removeOld(this.lifetimeMs, now)
     for (const [attemptId, lookup] of this.lookups)
-      if (lookup.tick(now)) this.finishLookup(attemptId, lookup, undefined, now)
+      if (lookup.tick(now) && !this.awaitsConfirmation(lookup, now))
+        this.finishLookup(attemptId, lookup, undefined, now)
   }
 
   /// Number of origins held, and of lookups that found one or failed.
@@ -169,7 +192,8 @@
       return
     }
     lookup.receiveUnknown(fromAddress)
-    if (lookup.hasFailed()) this.finishLookup(attemptId, lookup, undefined, now)
+    if (lookup.hasFailed() && !this.awaitsConfirmation(lookup, now))
+      this.finishLookup(attemptId, lookup, undefined, now)
   }
 
   private finishLookup(
@@ -180,8 +204,10 @@
   ): void {
     this.lookups.delete(attemptId)
     for (const [requestId, service] of lookup.services) {
-      const outcome = found ? undefined : this.findByHistory(service, now)
+      const isConfirmed = this.isConfirmed(lookup, now)
+      const outcome = found || !isConfirmed ? undefined : this.findByHistory(service, now)
       const origin = outcome?.kind === "known" ? outcome.origin : found
+      if (!found && !isConfirmed) this.notFound += 1
       if (found) this.found += 1
       this.emit({kind: "originDecided", requestId, origin})
     }
--- a/test/daemon-parts.test.ts
+++ b/test/daemon-parts.test.ts
@@ -37,6 +37,7 @@
     decideQuota: () => undefined,
     decideOrigin: () => undefined,
     backendsMayBeStale: () => false,
+    getBackendsAgeMs: () => 0,
     isFirstReader: () => true,
     getRoutes: () => undefined,
     logChange: () => undefined,
--- a/test/region-part.test.ts
+++ b/test/region-part.test.ts
@@ -52,6 +52,7 @@
     decideQuota: () => undefined,
     decideOrigin: () => undefined,
     backendsMayBeStale: () => false,
+    getBackendsAgeMs: () => 0,
     isFirstReader: () => true,
     getRoutes: () => undefined,
     logChange: () => undefined,
