--- a/src/streams/origin-manager.ts
+++ b/src/streams/origin-manager.ts
@@ -1,7 +1,7 @@
 /// Holds and finds the origins of streams across the fleet: each daemon sends the origin of every resumable
-/// stream that begins there to two keepers (origin-replicator.ts), and asks the keepers of a stream that its caller takes up here. Where
-/// nobody knows, or the caller names no attempt, the version is still known if the service had only one for as
-/// long as a stream may last. A daemon that cannot find out does not guess.
+/// stream that begins there to two keepers (origin-replicator.ts), and asks the keepers of a stream that its
+/// caller takes up here. Where nobody knows, or the caller names no attempt, the version is still known if the
+/// service had only one for as long as a stream may last. A daemon that cannot find out does not guess.
 import type {Member} from "../membership/membership-messages.js"
 import type {EffectSink} from "../shared/effect-sink.js"
 import {OriginKeepers} from "./origin-keepers.js"
