Frame answers without a length for the caller's connection

An answer with neither a length nor chunks was passed on in the same form, so that only the closing of the connection marked its end; the kernel closes the connections of a killed process in the same way.

Change: to callers of HTTP/1.1 streams go in chunks and buffered answers with their length. Streams to callers of HTTP/1.0 end with the connection as before.

--- a/src/adapters/attempt-handler.ts
+++ b/src/adapters/attempt-handler.ts
@@ -43,8 +43,8 @@
   claimHead(attemptId: string): boolean;
   /** Claims the rest of the answer; false if another attempt has claimed it. */
   claim(attemptId: string): boolean;
-  /** Writes the head. `framed` is false where only the closing of the connection marks the end of the answer. */
-  writeHead(status: number, headers: string[], framed: boolean): void;
+  /** Writes the head. */
+  writeHead(status: number, headers: string[]): void;
   /** Writes complete events. */
   writeEvents(bytes: Buffer, lastEventId: string | undefined): void;
   /** The id of the last event that was written. */
@@ -58,8 +58,6 @@
   readonly status: number;
   readonly headers: string[];
   readonly body: Buffer;
-  /** False where only the closing of the connection marked the end of the answer. */
-  readonly framed: boolean;
 }
 
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([STATUS_NO_CONTENT, STATUS_NOT_MODIFIED]);
@@ -310,7 +308,7 @@
     }
     if (this.splitter && !this.claim()) return;
     if (remainder.length > 0) this.sink.writeEvents(remainder, undefined);
-    this.answer = { status: this.status, headers: this.headers, body, framed: this.framed };
+    this.answer = { status: this.status, headers: this.headers, body };
     this.onEvent({ kind: 'whole', status: this.status, signals: this.signals });
   }
 
@@ -352,7 +350,7 @@
       return;
     }
     this.splitter = new EventSplitter();
-    this.sink.writeHead(this.status, this.headers, this.framed);
+    this.sink.writeHead(this.status, this.headers);
     this.onEvent({ kind: 'streamStarted', signals: this.signals });
   }
 
