Endless bytes through tunnels and of prefills: tests, and a cut in the soak

Cause: the soak's phase of garbled bytes had no daemon that sends through tunnels, endless bytes through a tunnel were never played, and the bound on a prefill's answer had no test.

Change: in the first half of that phase one or two daemons are cut off from all back ends (drawn after the other faults, whose plans stay as they were). test/endless-tunnels.test.ts: the five kinds of bytes without end as an answer and as a stream through a peer in a process of its own, beside sound requests; a prefill's answer past its bound. The table of endless answers moves to test/endless-answers.ts, unchanged but for the id of the attempt.

--- a/lab/soak/garble-faults.ts
+++ b/lab/soak/garble-faults.ts
@@ -1,10 +1,13 @@
-/// Back ends, the store and strangers on the ports for peers that send wrong bytes, or bytes without end, and the plan of
-/// such troubles beside planned work: restarts of all daemons in turn, and of one beside silent and full back ends.
+/// Back ends, the store and strangers on the ports for peers that send wrong bytes, or bytes without end, also through
+/// tunnels, and the plan of such troubles beside planned work: restarts of all daemons in turn, and of one beside silent
+/// and full back ends.
 import {connect, type Socket} from "node:net"
 import {splitAddress} from "../../src/shared/address.js"
 import {sendPeerGarbage} from "../garbled-bytes.js"
+import {CutFault} from "./cut-faults.js"
 import {BackendFault, Fault, RestartFault, StoreFault} from "./faults.js"
 import type {PlannedFault} from "./fault-plan.js"
+import type {CutKind} from "./fault-proxy.js"
 import {drawTimes, SilenceFault} from "./silence-faults.js"
 import type {SoakSite} from "./soak-site.js"
 
@@ -20,6 +23,11 @@
 /// From the stop of a daemon until a back end of each service falls silent, and until the others reject requests.
 const SILENCE_AT_MS = 500
 const FULL_MS = 3000
+/// From the start until daemons are cut off, and from the end of that until the restarts in turn.
+const CUT_AT_MS = 1000
+const CUT_GAP_MS = 500
+const CUT_KINDS: readonly CutKind[] = ["hangs", "resets", "refusesNew"]
+const MAXIMUM_CUT_DAEMONS = 2
 
 /// A stranger connects to a daemon's port for peers and sends garbage.
 export class PeerGarbageFault extends Fault {
@@ -50,7 +58,8 @@
   }
 }
 
-/// Draws garbled bytes on every link, then one stop beside silent and full back ends, and restarts of all in turn.
+/// Draws garbled bytes on every link, beside them one stop with silent and full back ends, a cut of some daemons, which
+/// send through tunnels meanwhile, and restarts of all in turn.
 export function makeGarblePlan(
   daemons: readonly string[],
   placesByService: readonly (readonly number[])[],
@@ -75,10 +84,28 @@
     atMs: Math.round(durationMs / 2 + i * TURN_MS),
     fault: new RestartFault(daemon)
   }))
-  const plan = [...garbles, ...peers, ...stores, ...makeFullStop(daemons, placesByService, pick), ...turns]
+  const fullStop = makeFullStop(daemons, placesByService, pick)
+  const stopped = fullStop.flatMap(({fault}) => fault.getDisturbedDaemons())
+  const others = daemons.filter(daemon => !stopped.includes(daemon))
+  const cut = makeCut(others, durationMs / 2, pick, random)
+  const plan = [...garbles, ...peers, ...stores, ...fullStop, cut, ...turns]
   return plan.sort((left, right) => left.atMs - right.atMs)
 }
 
+/// Some daemons are cut off from all back ends until shortly before `endMs`.
+function makeCut(
+  daemons: readonly string[],
+  endMs: number,
+  pick: <Item>(items: readonly Item[]) => Item,
+  random: () => number
+): PlannedFault {
+  const first = Math.floor(random() * daemons.length)
+  const count = Math.min(daemons.length - 1, 1 + Math.floor(random() * MAXIMUM_CUT_DAEMONS))
+  const cut = Array.from({length: count}, (_, i) => daemons[(first + i) % daemons.length])
+  const cutMs = Math.round(endMs - CUT_AT_MS - CUT_GAP_MS)
+  return {atMs: CUT_AT_MS, fault: new CutFault(cutMs, cut, pick(CUT_KINDS))}
+}
+
 /// A daemon is stopped; one back end of each service falls silent, and the others reject most requests.
 function makeFullStop(
   daemons: readonly string[],
--- a/test/endless-bytes.test.ts
+++ b/test/endless-bytes.test.ts
@@ -19,6 +19,7 @@
 import { EventSplitter } from '../src/adapters/event-splitter.js';
 import { LineSplitter } from '../src/adapters/line-splitter.js';
 import { delay } from '../src/shared/delay.js';
+import { ENDLESS } from './endless-answers.js';
 
 /** A health check that is not answered within this time takes a daemon out. Milliseconds. */
 const HEALTH_CHECK_LIMIT_MS = 1000;
@@ -31,27 +32,6 @@
 const CHUNK = Buffer.alloc(64 * 1024, 'x');
 const SIGNED = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\nX-Server-Signature: s\r\n';
 
-/** Answers without end, by what has no end. */
-const ENDLESS: Readonly<Record<string, (socket: Socket) => void>> = {
-  head: (socket) => {
-    socket.write('HTTP/1.1 200 OK\r\n');
-    writeEndlessly(socket, `X-Field: ${'x'.repeat(1000)}\r\n`);
-  },
-  'informational answers': (socket) => writeEndlessly(socket, 'HTTP/1.1 103 Early Hints\r\n\r\n'),
-  body: (socket) => {
-    socket.write(`${SIGNED}\r\n`);
-    writeEndlessly(socket, CHUNK);
-  },
-  'chunk extension': (socket) => {
-    socket.write(`${SIGNED}Transfer-Encoding: chunked\r\n\r\n5;`);
-    writeEndlessly(socket, CHUNK);
-  },
-  'chunked body': (socket) => {
-    socket.write(`${SIGNED}Transfer-Encoding: chunked\r\n\r\n`);
-    writeEndlessly(socket, `10000\r\n${'x'.repeat(65_536)}\r\n`);
-  },
-};
-
 describe('bytes without end', () => {
   const backends: ScriptedBackend[] = [];
   const servers: Server[] = [];
@@ -66,7 +46,11 @@
   });
 
   /** One back end spoils its answers on the paths that start with `path`, another one answers well. */
-  async function start(write: (socket: Socket) => void, stream: boolean, path = '/bad/'): Promise<void> {
+  async function start(
+    write: (socket: Socket, id: string) => void,
+    stream: boolean,
+    path = '/bad/',
+  ): Promise<void> {
     openSockets = 0;
     const bad = new ScriptedBackend(({ head }, socket) => {
       if (!head.split(' ')[1].startsWith(path)) {
@@ -75,7 +59,7 @@
       }
       openSockets += 1;
       socket.on('close', () => (openSockets -= 1));
-      write(socket);
+      write(socket, 'id1');
     });
     const sound = new ScriptedBackend(({ head }, socket) =>
       socket.write(
