Bound the answers that the completions program reads

Cause: engine, application and platform clients and the operator commands read whole bodies, so an answer without end grew the process until its time-out, or for ever where there is none.

Change: they end at 1, 16, 8 and 16 MB, as invalid answers or broken calls (readBoundedBytes, readBoundedJson beside readBoundedText).

--- a/src/adapters/application-client.ts
+++ b/src/adapters/application-client.ts
@@ -4,6 +4,7 @@
  */
 import { Agent, request } from 'undici';
 import type { ApplicationEvent } from '../routing/application-messages.js';
+import { readBoundedBytes } from './bounded-body.js';
 import { isConnectFailure } from './connect-failure.js';
 import { readRetryAfterMs, type UnreadableRetryAfterListener } from './retry-after-header.js';
 
@@ -36,6 +37,8 @@
 /** Set by a server that is shutting down. */
 const LEAVING_HEADER = 'pulleyledge-leaving';
 
+/** A longer answer is broken off. Bytes; it only protects the process's memory. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
 /** A connection attempt that takes longer counts as refused. Milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000;
 
@@ -72,7 +75,7 @@
         headers: payload.headers,
         body: hasBody ? payload.body : undefined,
       });
-      const bytes = new Uint8Array(await body.arrayBuffer());
+      const bytes = await readBoundedBytes(body, MAXIMUM_ANSWER_BYTES);
       const leaving = headers[LEAVING_HEADER] === 'true';
       const retryAfterMs = readRetryAfterMs(statusCode, headers, this.onUnreadable);
       if (headers[NOT_RUN_HEADER] === 'true') onEvent({ kind: 'refused', leaving, retryAfterMs });
--- a/src/adapters/bounded-body.ts
+++ b/src/adapters/bounded-body.ts
@@ -9,11 +9,11 @@
 }
 
 /**
- * Reads a body as UTF-8 text.
+ * Reads a body.
  * @param maximumBytes a longer body is not read to its end; its connection is closed
  * @throws ProtocolError when the body is longer.
  */
-export async function readBoundedText(body: AnswerBody, maximumBytes: number): Promise<string> {
+export async function readBoundedBytes(body: AnswerBody, maximumBytes: number): Promise<Buffer> {
   const chunks: Uint8Array[] = [];
   let length = 0;
   for await (const chunk of body) {
@@ -24,5 +24,18 @@
     }
     chunks.push(chunk);
   }
-  return Buffer.concat(chunks).toString('utf8');
+  return Buffer.concat(chunks);
+}
+
+/** Reads a body as UTF-8 text, otherwise as `readBoundedBytes`. */
+export async function readBoundedText(body: AnswerBody, maximumBytes: number): Promise<string> {
+  return (await readBoundedBytes(body, maximumBytes)).toString('utf8');
+}
+
+/**
+ * Reads a body as JSON, otherwise as `readBoundedBytes`.
+ * @throws SyntaxError when it is no JSON.
+ */
+export async function readBoundedJson(body: AnswerBody, maximumBytes: number): Promise<unknown> {
+  return JSON.parse(await readBoundedText(body, maximumBytes)) as unknown;
 }
--- a/src/adapters/engine-client.ts
+++ b/src/adapters/engine-client.ts
@@ -9,6 +9,7 @@
 } from '../contracts/engine-protocol.js';
 import type { AttemptStart } from '../routing/completion-effects.js';
 import { parseJson } from '../shared/json.js';
+import { readBoundedJson, readBoundedText } from './bounded-body.js';
 import { isConnectFailure } from './connect-failure.js';
 import { readRetryAfterMs, type UnreadableRetryAfterListener } from './retry-after-header.js';
 import { engineReportSchema } from './peer-codec.js';
@@ -26,6 +27,8 @@
 const CONTROL_TIMEOUT_MS = 1500;
 /** A connection attempt that takes longer counts as refused. Milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000;
+/** A longer answer to a control request, or refusal, is invalid. Bytes. */
+const MAXIMUM_ANSWER_BYTES = 1024 * 1024;
 /** A longer line of a stream fails the attempt. Characters; far above the length of any token. */
 const MAXIMUM_LINE_CHARACTERS = 1024 * 1024;
 
@@ -84,7 +87,7 @@
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(controlRequest),
       });
-      const parsed = controlResultSchema.safeParse(await body.json());
+      const parsed = controlResultSchema.safeParse(await readBoundedJson(body, MAXIMUM_ANSWER_BYTES));
       return parsed.success ? parsed.data : { kind: 'noAnswer', reason: 'the answer has an unknown form' };
     } catch (error) {
       return { kind: 'noAnswer', reason: (error as Error).message };
@@ -117,7 +120,10 @@
       });
       if (statusCode !== STATUS_OK) {
         const retryAfterMs = readRetryAfterMs(statusCode, headers, this.onUnreadable);
-        onEvent({ ...parseRefusal(statusCode, await body.text()), retryAfterMs });
+        onEvent({
+          ...parseRefusal(statusCode, await readBoundedText(body, MAXIMUM_ANSWER_BYTES)),
+          retryAfterMs,
+        });
         return;
       }
       const finished = await this.readStream(body, address, onEvent);
--- a/src/adapters/platform-client.ts
+++ b/src/adapters/platform-client.ts
@@ -5,6 +5,7 @@
 import type { MachineListing } from '../contracts/machine-list.js';
 import type { TableRequest, TableResult } from '../contracts/table-service.js';
 import { STATUS_OK, STATUS_TOO_MANY_REQUESTS } from '../shared/http-status.js';
+import { readBoundedJson } from './bounded-body.js';
 import { readRetryAfterMs, type UnreadableRetryAfterListener } from './retry-after-header.js';
 
 /** Client for the platform. Calls never reject: a failure is a result. */
@@ -19,6 +20,8 @@
 const TIMEOUT_MS = 1500;
 /** A connection attempt that takes longer counts as refused. Milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000;
+/** A longer answer is invalid. Bytes; above a page of any table. */
+const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Delay before a retry where the platform limits the rate without naming one. Milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 500;
 
@@ -71,7 +74,7 @@
   async sendTableRequest(tableRequest: TableRequest): Promise<TableResult> {
     try {
       const { statusCode, headers, body } = await this.post('/v1/table', tableRequest);
-      const value: unknown = await body.json();
+      const value: unknown = await readBoundedJson(body, MAXIMUM_ANSWER_BYTES);
       if (statusCode === STATUS_TOO_MANY_REQUESTS)
         return {
           kind: 'rateLimited',
@@ -88,7 +91,7 @@
   async listMachines(cells: readonly string[]): Promise<MachineListing | undefined> {
     try {
       const { statusCode, body } = await this.post('/v1/machines', { cells });
-      const parsed = listingSchema.safeParse(await body.json());
+      const parsed = listingSchema.safeParse(await readBoundedJson(body, MAXIMUM_ANSWER_BYTES));
       if (statusCode === STATUS_OK && parsed.success) return parsed.data;
       return this.addListingFailure(
         statusCode === STATUS_OK ? 'invalid machine list' : `status ${statusCode}`,
--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -1,5 +1,6 @@
 /** HTTP client for a daemon's operator server, used by the operator commands. Owns no state. */
 import { request } from 'undici';
+import { readBoundedJson } from '../adapters/bounded-body.js';
 import type { CompletionDaemonStatus, RowEdit } from '../daemon/completion-messages.js';
 import { ProtocolError, PulleyledgeError, TableUnavailableError } from '../errors/index.js';
 import type { ServicesResponse } from '../gateway/operator-server.js';
@@ -20,6 +21,8 @@
 
 /** Timeout of a call. Milliseconds; long, because an edit waits for a majority of daemons. */
 const TIMEOUT_MS = 15_000;
+/** A longer answer is not understood. Bytes. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Delay before a retry that the error for a missing answer suggests. Milliseconds. */
 const RETRY_AFTER_MS = 2000;
 
@@ -66,7 +69,10 @@
         headers: { 'content-type': 'application/json' },
         body: body === undefined ? undefined : JSON.stringify(body),
       });
-      return { status: response.statusCode, value: await response.body.json() };
+      return {
+        status: response.statusCode,
+        value: await readBoundedJson(response.body, MAXIMUM_ANSWER_BYTES),
+      };
     } catch (error) {
       const notRun = method === 'GET' ? 'true' : 'unknown';
       throw new TableUnavailableError(
