--- a/test/killed-daemon-child.ts
+++ b/test/daemon-child.ts
@@ -1,4 +1,7 @@
-/** A forwarding daemon in a process of its own, which its parent may kill. Argument: the address of its back end. */
+/**
+ * A forwarding daemon in a process of its own. Argument: the address of its back end. Sends its addresses for callers and
+ * for peers to its parent.
+ */
 import { makeLabBackend, makeLabRoute, startForwardingSite } from '../lab/forwarding-site.js';
 
 const [, , backend] = process.argv;
@@ -7,4 +10,4 @@
   makeLabRoute({ name: 'whole', pathPrefix: '/whole/' }),
 ];
 const site = await startForwardingSite(routes, [makeLabBackend('b1', backend)]);
-process.send?.(site.callers);
+process.send?.([site.callers, site.peers]);
--- a/test/killed-daemon.test.ts
+++ b/test/killed-daemon.test.ts
@@ -7,7 +7,7 @@
 import { ScriptedBackend } from '../lab/scripted-backend.js';
 import { delay } from '../src/shared/delay.js';
 
-const CHILD_MODULE = fileURLToPath(new URL('killed-daemon-child.js', import.meta.url));
+const CHILD_MODULE = fileURLToPath(new URL('daemon-child.js', import.meta.url));
 const HEAD = 'HTTP/1.1 200 OK\r\nX-Server-Signature: s1\r\nContent-Type: text/event-stream\r\n\r\n';
 const EVENTS = [1, 2, 3].map((id) => `id: ${id}\ndata: event ${id}\n\n`);
 /** More than the kernel buffers for a connection. Bytes. */
@@ -28,7 +28,7 @@
   beforeEach(async () => {
     backend = new ScriptedBackend(() => undefined);
     child = fork(CHILD_MODULE, [await backend.listen()]);
-    [callers] = (await once(child, 'message')) as [string];
+    [[callers]] = (await once(child, 'message')) as [[string]];
   });
 
   afterEach(() => {
