Pass buffered answers without a length on without one again

Cause: a back end that crashes closes its connections like one that has ended its answer.

Change: only streams are framed anew, which are told by an event that is cut.

--- a/src/adapters/attempt-handler.ts
+++ b/src/adapters/attempt-handler.ts
@@ -58,6 +58,8 @@
   readonly status: number;
   readonly headers: string[];
   readonly body: Buffer;
+  /** False where only the closing of the connection marked the end of the answer. */
+  readonly framed: boolean;
 }
 
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([STATUS_NO_CONTENT, STATUS_NOT_MODIFIED]);
@@ -308,7 +310,7 @@
     }
     if (this.splitter && !this.claim()) return;
     if (remainder.length > 0) this.sink.writeEvents(remainder, undefined);
-    this.answer = { status: this.status, headers: this.headers, body };
+    this.answer = { status: this.status, headers: this.headers, body, framed: this.framed };
     this.onEvent({ kind: 'whole', status: this.status, signals: this.signals });
   }
 
--- a/src/gateway/caller-reply.ts
+++ b/src/gateway/caller-reply.ts
@@ -20,6 +20,8 @@
 export class CallerReply implements StreamSink {
   private lastId: string | undefined;
   private finished = false;
+  /** Whether only the closing of the connection marks the end of the reply. */
+  private delimitedByClosing = false;
   private headSent = false;
   /** The attempt that writes the answer; undefined while any may. */
   private owner: string | undefined;
@@ -66,10 +68,15 @@
     return this.owner === attemptId;
   }
 
-  /** Starts a streamed reply. Later heads, of back ends that resume the stream, are not passed on. */
+  /**
+   * Starts a streamed reply. Later heads, of back ends that resume the stream, are not passed on. The stream goes in
+   * chunks whatever the back end's framing: the kernel closes the connections of a killed process as if they had ended.
+   */
   writeHead(status: number, headers: string[]): void {
     if (this.finished || this.headSent) return;
     this.headSent = true;
+    // Callers of HTTP/1.0 know no chunks.
+    this.delimitedByClosing = !this.response.useChunkedEncodingByDefault;
     this.disableKeepAliveWhenClosing();
     this.response.writeHead(status, createHeaderPairs(headers, new Set(['content-length'])));
     this.response.flushHeaders();
@@ -99,7 +106,8 @@
     this.disableKeepAliveWhenClosing();
     const headers = createHeaderPairs(answer.headers, new Set(['content-length']));
     const bodiless = this.response.req.method === 'HEAD';
-    if (!bodiless) headers.push(['Content-Length', String(answer.body.length)]);
+    if (!answer.framed) this.delimitByClosing();
+    else if (!bodiless) headers.push(['Content-Length', String(answer.body.length)]);
     this.response.writeHead(answer.status, headers);
     this.response.end(answer.body);
   }
@@ -129,13 +137,18 @@
   /** Closes the connection, whatever has been written. */
   destroy(): void {
     this.finished = true;
-    if (this.isDelimitedByClosing()) this.response.socket?.resetAndDestroy();
+    if (this.delimitedByClosing) this.response.socket?.resetAndDestroy();
     this.response.destroy();
   }
 
-  /** Whether only the closing of the connection marks the end of the reply: a stream to a caller of HTTP/1.0. */
-  private isDelimitedByClosing(): boolean {
-    return this.headSent && !this.response.useChunkedEncodingByDefault;
+  /**
+   * A buffered answer that the back end delimited by closing its connection is delimited in the same way here: a length
+   * would state that it is complete, which nobody knows if the back end has crashed.
+   */
+  private delimitByClosing(): void {
+    this.delimitedByClosing = true;
+    this.response.useChunkedEncodingByDefault = false;
+    this.response.shouldKeepAlive = false;
   }
 
   private disableKeepAliveWhenClosing(): void {
