Remember single crashes of back ends through restarts in turn

Cause: daemons that start learn crashes from digests that are compared, but these held only the crashes of requests with two or more. The first crash of a request was forgotten once the daemons of that moment had been restarted in turn, so that the next counted as a first one again.

The store holds those of requests with two or more only, as before.

--- a/src/quarantine/crash-history.ts
+++ b/src/quarantine/crash-history.ts
@@ -25,8 +25,8 @@
 
 /// Maximum number of crashes kept for a request or a caller: more would change no verdict.
 const MAXIMUM_CRASHES_KEPT = 8
-/// Number of crashes from which on those of a request are compared with peers and archived. A single one
-/// is common for harmless requests and not worth a message.
+/// Number of crashes from which on those of a request are archived. A single one is common for harmless requests and
+/// not worth a call to the table store.
 const NOTABLE_CRASHES = 2
 
 /// A peer dates a crash later than it was, by the delay of a message. An answer also discards crashes that
@@ -113,16 +113,19 @@
     return !this.wasAnsweredRecently(key, now) && this.hasManyCrashes(getCallerOfKey(key), now)
   }
 
-  /// Whether the crashes of the request are to be compared with peers and archived.
+  /// Whether the crashes of the request are to be archived.
   isNotable(key: string, now: number): boolean {
     return this.countCrashes(key) >= NOTABLE_CRASHES || this.hasManyCrashes(getCallerOfKey(key), now)
   }
 
-  /// Crashes of all requests whose crashes are notable.
-  getNotableCrashes(now: number): BackendCrash[] {
-    return this.getKeys()
-      .filter(key => this.isNotable(key, now))
-      .flatMap(key => this.getCrashes(key))
+  /// Up to `maximum` crashes to compare with peers: the newest of requests whose crashes are notable, then the newest
+  /// of others. A single crash is among them, as the daemons that know it may all be restarted before the next.
+  getSharedCrashes(maximum: number, now: number): BackendCrash[] {
+    const notable: BackendCrash[] = []
+    const others: BackendCrash[] = []
+    for (const key of this.getKeys())
+      (this.isNotable(key, now) ? notable : others).push(...this.getCrashes(key))
+    return [...sortNewestFirst(notable), ...sortNewestFirst(others)].slice(0, maximum)
   }
 
   /// Crashes of one request.
@@ -281,3 +284,7 @@
     if (crashes.size === 0) this.suspects.delete(subject)
   }
 }
+
+function sortNewestFirst(crashes: BackendCrash[]): BackendCrash[] {
+  return crashes.sort((left, right) => right.at - left.at)
+}
--- a/src/quarantine/quarantine-manager.ts
+++ b/src/quarantine/quarantine-manager.ts
@@ -335,7 +335,7 @@
     for (const address of this.peers.pickReceivers()) this.emit({kind: "sendPeer", address, message})
   }
 
-  /// Sends digests of the notable crashes to one peer. A daemon that has just started sends them too, to ask for the
+  /// Sends digests of the crashes to one peer. A daemon that has just started sends them too, to ask for the
   /// crashes of its peer.
   private sendDigestsIfDue(now: number): void {
     const isEarly = this.earlyComparisons < EARLY_COMPARISONS
@@ -365,14 +365,14 @@
   }
 
   private sendSync(address: string, reply: boolean, answers: QuarantineFacts["answers"], now: number): void {
-    const ends = this.history.getNotableCrashes(now).map(crash => makeCrashFact(crash, now))
+    const ends = this.history.getSharedCrashes(MAXIMUM_FACTS, now).map(crash => makeCrashFact(crash, now))
     const message: QuarantineMessage = {kind: "quarantineSync", reply, ...pickNewest({ends, answers})}
     this.emit({kind: "sendPeer", address, message})
   }
 
   /// Does not depend on the order in which crashes were learned; 0 without any.
   private getDigest(now: number): number {
-    const crashes = this.history.getNotableCrashes(now)
+    const crashes = this.history.getSharedCrashes(MAXIMUM_FACTS, now)
     return crashes.reduce((sum, {key, incarnation}) => (sum + hashText(`${key}/${incarnation}`)) >>> 0, 0)
   }
 }
--- a/src/quarantine/quarantine-messages.ts
+++ b/src/quarantine/quarantine-messages.ts
@@ -20,10 +20,10 @@
 /// Facts that are new to the sender.
 const newsSchema = z.object({kind: z.literal("quarantineNews"), ...facts})
 
-/// A digest of the sender's notable crashes; a receiver with another digest replies with its own crashes.
+/// A digest of the sender's crashes; a receiver with another digest replies with its own crashes.
 const digestSchema = z.object({kind: z.literal("quarantineDigest"), digest: count})
 
-/// All notable crashes of the sender; `reply` asks the receiver for its own.
+/// All crashes of the sender; `reply` asks the receiver for its own.
 const syncSchema = z.object({kind: z.literal("quarantineSync"), reply: z.boolean(), ...facts})
 
 /// The schemas of all messages of the quarantine.
--- a/test/crash-history.test.ts
+++ b/test/crash-history.test.ts
@@ -97,6 +97,19 @@
     expect(history.isIsolated(key, NOW)).to.equal(false);
   });
 
+  it('shares the crashes of requests with several first, then the newest of others', () => {
+    const history = makeHistory();
+    const repeated = makeRequestKey('repeated', '10.0.0.1');
+    const [older, newer, newest] = ['x', 'y', 'z'].map((content) => makeRequestKey(content, '10.0.0.2'));
+    history.addCrash({ key: newer, incarnation: 'b1', at: NOW - 2 }, NOW);
+    history.addCrash({ key: older, incarnation: 'b1', at: NOW - 3 }, NOW);
+    history.addCrash({ key: newest, incarnation: 'b2', at: NOW }, NOW);
+    addCrashes(history, repeated, 2, NOW - 5);
+    const keys = history.getSharedCrashes(4, NOW).map(({ key }) => key);
+    expect(keys).to.deep.equal([repeated, repeated, newest, newer]);
+    expect(history.getSharedCrashes(8, NOW)).to.have.length(5);
+  });
+
   it('counts crashes until they expire; then one more back end may be tried', () => {
     const history = makeHistory();
     const key = makeRequestKey('x', '10.0.0.1');
--- a/test/requests-that-crash-back-ends.test.ts
+++ b/test/requests-that-crash-back-ends.test.ts
@@ -118,6 +118,22 @@
     }
   });
 
+  it('does so where all daemons are restarted in turn between its retries', () => {
+    for (const seed of SEEDS) {
+      const site = new CrashSite(seed, { daemons: 5, attempts: 1 });
+      const roundMs = 8000;
+      for (let round = 0; round < 8; round += 1) {
+        site.send(CRASHING_PREFIX, CALLER);
+        for (const node of site.fleet.nodes) {
+          site.runTraffic(700, PER_SECOND);
+          site.kill(node, 400);
+        }
+        site.runTraffic(roundMs - 700 * site.fleet.nodes.length, PER_SECOND);
+      }
+      checkRetryLimit(site, `seed ${seed}`);
+    }
+  });
+
   it('does so where back ends restart with the same ids', () => {
     for (const seed of SEEDS) {
       const site = new CrashSite(seed, { keepsIds: true });
