Remember single crashes under parts of prompts through restarts in turn

Daemons compared crashes of parts with two or more only, so that a part with one crash in each round of restarts was never held.

What is archived is as before.

--- a/src/quarantine/prompt-parts/part-history.ts
+++ b/src/quarantine/prompt-parts/part-history.ts
@@ -49,7 +49,7 @@
 const MAXIMUM_CRASHES_KEPT = 24
 /// From this number on only crashes at other moments are kept, as these alone count for a part that was answered.
 const MAXIMUM_ADJACENT_CRASHES = 16
-/// Number of crashes from which on those of a part are compared with peers and archived.
+/// Number of crashes from which on those of a part are archived.
 const NOTABLE_CRASHES = 2
 /// A peer dates a crash later than it was, by the delay of a message. Milliseconds.
 const PEER_DELAY_MS = 100
@@ -156,17 +156,24 @@
     return this.explained.has(incarnation)
   }
 
-  /// Crashes that are to be compared with peers and archived; those of held parts come last.
-  getNotableCrashes(now: number): PartCrash[] {
+  /// Up to `maximum` crashes to compare with peers: those of parts with one crash give way first, and those of held
+  /// parts last.
+  getSharedCrashes(maximum: number, now: number): PartCrash[] {
     const held = this.findHeld(now)
-    const notable = [...this.suspects.keys()].filter(part => this.isNotable(part))
-    return notable
-      .sort((left, right) => Number(held.has(left)) - Number(held.has(right)))
+    const getRank = (part: string) => (held.has(part) ? 0 : this.isNotable(part) ? 1 : 2)
+    return [...this.suspects.keys()]
+      .sort((left, right) => getRank(left) - getRank(right))
       .flatMap(part => this.getCrashes(part))
+      .slice(0, maximum)
   }
 
-  /// Whether the crashes of the part are to be compared with peers and archived. A single one is common for sound
-  /// parts.
+  /// Whether a part has several crashes and is not held.
+  isUndecided(now: number): boolean {
+    const held = this.findHeld(now)
+    return [...this.suspects.keys()].some(part => this.isNotable(part) && !held.has(part))
+  }
+
+  /// Whether the crashes of the part are to be archived. A single one is common for sound parts.
   isNotable(part: string): boolean {
     return (this.suspects.get(part)?.crashes.size ?? 0) >= NOTABLE_CRASHES
   }
--- a/src/quarantine/prompt-parts/part-quarantine.ts
+++ b/src/quarantine/prompt-parts/part-quarantine.ts
@@ -105,7 +105,7 @@
 
   /// Whether a part has several crashes and is not held.
   isUndecided(now: number): boolean {
-    return this.history.getNotableCrashes(now).some(({part}) => !this.history.getHeld(part, now))
+    return this.history.isUndecided(now)
   }
 
   /// Adds crashes that this daemon has detected.
@@ -158,7 +158,7 @@
 
   /// Does not depend on the order in which facts were learned; 0 without any.
   getDigest(now: number): number {
-    const crashes = this.history.getNotableCrashes(now)
+    const crashes = this.history.getSharedCrashes(MAXIMUM_FACTS, now)
     const texts = [
       ...crashes.map(({part, incarnation}) => `${part}/${incarnation}`),
       ...this.history.getTrials().map(({part, count, begun}) => `${part}/${count}/${begun}`)
@@ -302,9 +302,9 @@
   }
 
   private sendSync(address: string, reply: boolean, now: number): void {
-    const notable = this.history.getNotableCrashes(now)
-    const crashes = notable.map(crash => makeCrashFact(crash, now))
-    const answers = this.getAnswersOf(new Set(notable.map(({part}) => part)), now)
+    const shared = this.history.getSharedCrashes(MAXIMUM_FACTS, now)
+    const crashes = shared.map(crash => makeCrashFact(crash, now))
+    const answers = this.getAnswersOf(new Set(shared.map(({part}) => part)), now)
     const trials = this.history.getTrials().map(entry => makeTrialsFact(entry, now))
     const message: PartMessage = {kind: "partSync", reply, ...pickNewest({crashes, answers, trials})}
     this.dependencies.emit({kind: "sendPeer", address, message})
--- a/test/prompt-parts-that-crash-back-ends.test.ts
+++ b/test/prompt-parts-that-crash-back-ends.test.ts
@@ -251,6 +251,23 @@
     }
   });
 
+  it('is found where all daemons are restarted in turn between the requests', () => {
+    for (const seed of SEEDS) {
+      const site = new CrashSite(seed, { daemons: 5, stages: true, attempts: 1 });
+      site.crashingParts.add(BAD);
+      for (let round = 0; round < 12; round += 1) {
+        site.send(`content ${round}`, CALLER, undefined, [FIRST, BAD, `own ${round}`]);
+        for (const node of site.fleet.nodes) {
+          site.runTraffic(700, OTHERS_PER_SECOND);
+          site.kill(node, 400);
+        }
+        site.runTraffic(4500, OTHERS_PER_SECOND);
+      }
+      expect(site.getCrashTimes(BAD).length, `seed ${seed}`).to.be.within(3, 5);
+      expect(site.countLateArrivals(BAD), `seed ${seed}`).to.be.at.most(ALLOWED_LATE_ARRIVALS);
+    }
+  });
+
   it('is found while the store is silent', () => {
     for (const seed of SEEDS) {
       const site = createSite(seed);
