Number the streams of all phases of a soak differently

Cause: the soak's own. The phases of versions and of garbled bytes both numbered their streams from one, so that the second seemed to repeat the first.

Change: streams are numbered over the whole soak.

--- a/lab/soak/stream-callers.ts
+++ b/lab/soak/stream-callers.ts
@@ -28,7 +28,6 @@
 /// The callers of one resumable route.
 export class StreamCallers {
   private running = true
-  private count = 0
 
   constructor(
     private readonly record: SoakRecord,
@@ -55,9 +54,10 @@
   }
 
   private async runStream(): Promise<void> {
-    this.count += 1
-    const stream: StreamRecord = {id: `s${this.count}`, versions: [], tries: []}
-    this.record.streams.push(stream)
+    const {streams} = this.record
+    // Two phases of a soak have such callers.
+    const stream: StreamRecord = {id: `s${streams.length + 1}`, versions: [], tries: []}
+    streams.push(stream)
     for (let resumptions = 0; resumptions <= MOST_RESUMPTIONS; resumptions += 1) {
       const {isComplete} = await this.runTry(stream)
       if (isComplete || stream.versions.length === 0) return
