Bound the cost of answers and requests in chunks of few bytes

Found when the changes of this issue were read again.

Cause: a chunk of one byte was kept as a buffer of its own, as a view that holds what its connection had received, and was paced as one byte; each interval resumed all answers that wait, of which each copies what its connection has received.

Change: ByteParts copies small pieces and joins them, for events, buffered answers, answers to calls, and callers' bodies. The pace counts a chunk as 512 bytes at least and resumes as many answers as it has bytes for.

--- a/src/adapters/attempt-handler.ts
+++ b/src/adapters/attempt-handler.ts
@@ -7,6 +7,7 @@
 import type { BackendSignals } from '../forwarding/backends/backend-signals.js';
 import type { AttemptStart, ForwardAttemptEvent } from '../forwarding/forward-messages.js';
 import type { BackendDialect, CallerHead, RawHeaders } from './backend-dialect.js';
+import { ByteParts } from './byte-parts.js';
 import { EventSplitter } from './event-splitter.js';
 import type { PacedReader, ReadPace } from './read-pace.js';
 import { pickEndToEndHeaders, getHeaderValue } from './http-headers.js';
@@ -91,7 +92,7 @@
 
 /** Handler of one attempt. undici calls its methods in order. */
 export class AttemptHandler implements Dispatcher.DispatchHandler, PacedReader {
-  receivedBytes = 0;
+  receivedCost = 0;
   answer: BufferedAnswer | undefined;
   private controller: Dispatcher.DispatchController | undefined;
   private written = false;
@@ -106,7 +107,7 @@
   private signals: BackendSignals | undefined;
   private headers: string[] = [];
   private framed = true;
-  private readonly chunks: Buffer[] = [];
+  private readonly chunks = new ByteParts();
   private bufferedBytes = 0;
   private informationalAnswers = 0;
   private isPacePaused = false;
@@ -214,7 +215,6 @@
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.finished) return;
-    this.receivedBytes += chunk.length;
     this.pool.addDelivered(chunk.length);
     if (this.splitter) this.writeStreamData(this.splitter, chunk);
     else if (this.tryBuffer(chunk.length)) this.addChunk(chunk);
@@ -268,7 +268,7 @@
 
   /** Adds a part of an answer that is buffered, and reports its arrival once between two checks. */
   private addChunk(chunk: Buffer): void {
-    this.chunks.push(Buffer.from(chunk));
+    this.chunks.add(chunk);
     const check = this.pool.getCheckCount();
     if (check === this.progressAtCheck) return;
     this.progressAtCheck = check;
@@ -303,7 +303,7 @@
       return;
     }
     this.finish();
-    const body = Buffer.concat(this.chunks);
+    const body = this.chunks.join();
     if (this.start.prefillOnly) {
       this.onPrefillEnd(body);
       return;
--- a/src/adapters/bounded-body.ts
+++ b/src/adapters/bounded-body.ts
@@ -2,6 +2,7 @@
  * Reads the bodies of answers up to a limit: a server in trouble may send bytes without end. Owns no state.
  */
 import { ProtocolError } from '../errors/index.js';
+import { ByteParts } from './byte-parts.js';
 
 /** The body of an answer, as undici gives it. */
 interface AnswerBody extends AsyncIterable<Uint8Array> {
@@ -14,17 +15,15 @@
  * @throws ProtocolError when the body is longer.
  */
 export async function readBoundedBytes(body: AnswerBody, maximumBytes: number): Promise<Buffer> {
-  const chunks: Uint8Array[] = [];
-  let length = 0;
+  const chunks = new ByteParts();
   for await (const chunk of body) {
-    length += chunk.length;
-    if (length > maximumBytes) {
+    if (chunks.length + chunk.length > maximumBytes) {
       body.destroy();
       throw new ProtocolError('the server', `an answer of over ${maximumBytes} bytes`);
     }
-    chunks.push(chunk);
+    chunks.add(chunk);
   }
-  return Buffer.concat(chunks);
+  return chunks.join();
 }
 
 /** Reads a body as UTF-8 text, otherwise as `readBoundedBytes`. */
--- a/src/adapters/event-splitter.ts
+++ b/src/adapters/event-splitter.ts
@@ -1,5 +1,6 @@
 /** Splits an event stream (text/event-stream) into complete events, so that no partial event is forwarded. */
 import { isEventId } from '../shared/header-text.js';
+import { ByteParts } from './byte-parts.js';
 
 /** Line terminators, as bytes. */
 const LINE_FEED = 10;
@@ -22,18 +23,16 @@
 /** Splitter of one stream. */
 export class EventSplitter {
   /** What was received of the event that is not complete. */
-  private partial: Buffer[] = [];
-  private partialBytes = 0;
+  private readonly partial = new ByteParts();
   /** Its last bytes, since the end of an event may arrive in two parts. */
   private tail: Buffer = NO_BYTES;
 
   /** Adds bytes; returns undefined when no event is complete. */
   push(chunk: Buffer): EventBatch | undefined {
     const end = findEndOfLastEvent(Buffer.concat([this.tail, chunk])) - this.tail.length;
-    const bytes = end > 0 ? Buffer.concat([...this.partial, chunk.subarray(0, end)]) : undefined;
-    if (bytes) this.clearPartial();
+    const bytes = end > 0 ? this.takeEvents(chunk.subarray(0, end)) : undefined;
     this.addPartial(bytes ? chunk.subarray(end) : chunk);
-    if (this.partialBytes > MAXIMUM_EVENT_BYTES) return { kind: 'invalid', reason: 'an event is too long' };
+    if (this.partial.length > MAXIMUM_EVENT_BYTES) return { kind: 'invalid', reason: 'an event is too long' };
     if (!bytes) return undefined;
     const lastEventId = findLastId(bytes);
     if (lastEventId !== undefined && !isEventId(lastEventId))
@@ -43,18 +42,20 @@
 
   /** Bytes after the last complete event. */
   getRemainder(): Buffer {
-    return Buffer.concat(this.partial);
+    return this.partial.join();
   }
 
-  private clearPartial(): void {
-    this.partial = [];
-    this.partialBytes = 0;
+  /** Removes what was received before the end of the last event, and returns it with that end. */
+  private takeEvents(end: Buffer): Buffer {
+    this.partial.add(end);
+    const bytes = this.partial.join();
+    this.partial.clear();
     this.tail = NO_BYTES;
+    return bytes;
   }
 
   private addPartial(bytes: Buffer): void {
-    this.partial.push(bytes);
-    this.partialBytes += bytes.length;
+    this.partial.add(bytes);
     this.tail = Buffer.concat([this.tail, bytes.subarray(-EVENT_END_BYTES)]).subarray(-EVENT_END_BYTES);
   }
 }
--- a/src/adapters/read-pace.ts
+++ b/src/adapters/read-pace.ts
@@ -9,13 +9,15 @@
 const INTERVAL_MS = 5;
 /** An answer is long from this size on; shorter ones are read at once. Bytes. */
 const SHORT_ANSWER_BYTES = 128 * 1024;
+/** What a shorter chunk counts as: handling one takes as long as reading so many bytes. */
+const MINIMUM_CHUNK_BYTES = 512;
 /** Memory for all buffered answers of a process. Bytes. */
 const MAXIMUM_TOTAL_BUFFERED_BYTES = 64 * 1024 * 1024;
 
 /** An answer that is being read. */
 export interface PacedReader {
-  /** Bytes received so far. */
-  readonly receivedBytes: number;
+  /** Bytes received so far, each chunk counted as at least `MINIMUM_CHUNK_BYTES`; written by the pace. */
+  receivedCost: number;
   pause(): void;
   resume(): void;
 }
@@ -29,8 +31,10 @@
 
   /** A reader has received a chunk; one that may not read on in this interval is paused. */
   addReceived(reader: PacedReader, bytes: number): void {
-    if (reader.receivedBytes <= SHORT_ANSWER_BYTES) return;
-    this.usedBytes += bytes;
+    const cost = Math.max(bytes, MINIMUM_CHUNK_BYTES);
+    reader.receivedCost += cost;
+    if (reader.receivedCost <= SHORT_ANSWER_BYTES) return;
+    this.usedBytes += cost;
     this.timer ??= setTimeout(() => this.startInterval(), INTERVAL_MS);
     if (this.usedBytes < BYTES_PER_INTERVAL) return;
     reader.pause();
@@ -54,11 +58,23 @@
     this.paused.delete(reader);
   }
 
+  /**
+   * Resumes as many readers as may read in this interval: one that is resumed and paused at once copies what its
+   * connection has received.
+   */
   private startInterval(): void {
     this.timer = undefined;
     this.usedBytes = 0;
-    const readers = [...this.paused];
+    const waiting = [...this.paused];
     this.paused.clear();
-    for (const reader of readers) reader.resume();
+    while (this.usedBytes < BYTES_PER_INTERVAL) {
+      const reader = waiting.shift();
+      if (!reader) break;
+      reader.resume();
+    }
+    const pausedAgain = [...this.paused];
+    this.paused.clear();
+    for (const reader of [...waiting, ...pausedAgain]) this.paused.add(reader);
+    if (this.paused.size > 0) this.timer ??= setTimeout(() => this.startInterval(), INTERVAL_MS);
   }
 }
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { ByteParts } from '../adapters/byte-parts.js';
 import { startListening, stopListening, type ListenerEnd } from '../adapters/listen.js';
 import type { CallerLimits } from '../forwarding/routes/route.js';
 import { runAfterNextPoll, closeIfIdle } from './after-next-poll.js';
@@ -220,11 +221,11 @@
       replies?.delete(reply);
       if (replies?.size === 0 && !socket.destroyed) this.idle.set(socket, this.clock());
     });
-    const chunks: Buffer[] = [];
+    const chunks = new ByteParts();
     let length = 0;
     request.on('data', (chunk: Buffer) => {
       length += chunk.length;
-      if (length <= this.maximumBodyBytes) chunks.push(chunk);
+      if (length <= this.maximumBodyBytes) chunks.add(chunk);
       else
         reply.sendFailure({
           status: STATUS_TOO_LARGE,
@@ -241,7 +242,7 @@
         path: request.url ?? '/',
         host: request.headers.host ?? '',
         headers: request.rawHeaders,
-        body: Buffer.concat(chunks),
+        body: chunks.join(),
         callerAddress: socket.remoteAddress ?? '',
         arrivedAt,
       };
--- a/src/gateway/read-body.ts
+++ b/src/gateway/read-body.ts
@@ -1,5 +1,6 @@
 /** Reads request bodies up to a limit. Owns no state. */
 import type { IncomingMessage } from 'node:http';
+import { ByteParts } from '../adapters/byte-parts.js';
 import { PayloadTooLargeError, ValidationError } from '../errors/index.js';
 import { parseJson } from '../shared/json.js';
 
@@ -9,19 +10,17 @@
  * disconnects before its end.
  */
 export async function readBody(message: IncomingMessage, limitBytes: number): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let length = 0;
+  const chunks = new ByteParts();
   try {
     for await (const chunk of message as AsyncIterable<Buffer>) {
-      length += chunk.length;
-      if (length > limitBytes) throw new PayloadTooLargeError(limitBytes);
-      chunks.push(chunk);
+      if (chunks.length + chunk.length > limitBytes) throw new PayloadTooLargeError(limitBytes);
+      chunks.add(chunk);
     }
   } catch (error) {
     if (error instanceof PayloadTooLargeError) throw error;
     throw new ValidationError('body', 'the connection broke before the body was whole');
   }
-  return Buffer.concat(chunks);
+  return chunks.join();
 }
 
 /**
--- a/test/endless-bytes.test.ts
+++ b/test/endless-bytes.test.ts
@@ -19,7 +19,7 @@
 import { EventSplitter } from '../src/adapters/event-splitter.js';
 import { LineSplitter } from '../src/adapters/line-splitter.js';
 import { delay } from '../src/shared/delay.js';
-import { ENDLESS } from './endless-answers.js';
+import { ENDLESS, writeOneByteChunks } from './endless-answers.js';
 
 /** A health check that is not answered within this time takes a daemon out. Milliseconds. */
 const HEALTH_CHECK_LIMIT_MS = 1000;
@@ -131,6 +131,16 @@
         expect(openSockets, 'connections to the server').to.equal(0);
       });
 
+  for (const kind of ['answer', 'stream'])
+    it(`in chunks of one byte of an ${kind === 'answer' ? 'answer' : 'answer to a stream'} hold up nobody else and end with the route's timeout`, async () => {
+      await start(writeOneByteChunks, kind === 'stream');
+      const asked = Promise.all(Array.from({ length: CONCURRENT }, () => ask('/bad/x')));
+      await checkOthers(asked);
+      for (const { ms } of await asked) expect(ms).to.be.lessThan(TIMEOUT_MS + 1000);
+      await delay(100);
+      expect(openSockets, 'connections to the server').to.equal(0);
+    });
+
   it('in the answers to health checks hold up nobody else', async () => {
     await start(ENDLESS.body, false, '/healthz');
     await checkOthers(delay(3000));
