--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -182,10 +182,8 @@
   /** Called for each attempt that a daemon starts. */
   onAttempt: (node: FleetNode, start: AttemptStart) => void = () => undefined;
 
-  /** Whether a process listens at the address of a back end. */
+  /** Whether a process listens at the address of a back end, and the delay of its check. Milliseconds. */
   isListening: (address: string, from: FleetNode) => boolean = () => true;
-
-  /** Delay of the check whether one does. Milliseconds. */
   checkDelayMs = 0;
 
   /** Sends the outcome of an attempt to its daemon. */
@@ -310,10 +308,9 @@
 
   private checkBackend(node: FleetNode, backend: BackendIncarnation, via: string | undefined): void {
     const carrier = via === undefined ? node : this.nodesByAddress.get(via);
-    this.time.after(2 * this.networkMs + this.checkDelayMs, () => {
-      const check = carrier && this.isListening(backend.address, carrier) ? 'answered' : 'ended';
-      this.handle(node, { kind: 'backendChecked', backend, check, via });
-    });
+    const check = () => (carrier && this.isListening(backend.address, carrier) ? 'answered' : 'ended');
+    const answer = (): void => this.handle(node, { kind: 'backendChecked', backend, check: check(), via });
+    this.time.after(2 * this.networkMs + this.checkDelayMs, answer);
   }
 
   /** Answers as an idle engine: without changes, when the long poll expires. */
--- a/src/quarantine/quarantine-manager.ts
+++ b/src/quarantine/quarantine-manager.ts
@@ -21,7 +21,13 @@
 import {PartQuarantine, type PartEffect, type PartHold} from "./prompt-parts/part-quarantine.js"
 import type {PartAnswer} from "./prompt-parts/unconfirmed-answers.js"
 import type {PartMessage} from "./prompt-parts/part-messages.js"
-import {MAXIMUM_FACTS, type QuarantineFacts, type QuarantineMessage} from "./quarantine-messages.js"
+import {
+  MAXIMUM_FACTS,
+  makeCrashFact,
+  pickNewest,
+  type QuarantineFacts,
+  type QuarantineMessage
+} from "./quarantine-messages.js"
 import {QuarantinePeers, type PeerContext} from "./quarantine-peers.js"
 import {getCallerOfKey} from "./request-key.js"
 import type {QuarantineSettings} from "./quarantine-settings.js"
@@ -342,8 +348,11 @@
   }
 
   private sendToPeers(facts: QuarantineFacts): void {
-    const message: QuarantineMessage = {kind: "quarantineNews", ...pickNewest(facts)}
-    for (const address of this.peers.pickReceivers()) this.emit({kind: "sendPeer", address, message})
+    for (const address of this.peers.pickReceivers()) this.sendNews(address, facts)
+  }
+
+  private sendNews(address: string, facts: QuarantineFacts): void {
+    this.emit({kind: "sendPeer", address, message: {kind: "quarantineNews", ...pickNewest(facts)}})
   }
 
   /// Sends digests of the crashes to one peer. A daemon that has just started sends them too, to ask for the
@@ -367,12 +376,7 @@
   private replyToSync(address: string, facts: QuarantineFacts & {reply: boolean}, now: number): void {
     const answers = this.getAnswersFor(facts, now)
     if (facts.reply) this.sendSync(address, false, answers, now)
-    else if (answers.length > 0)
-      this.emit({
-        kind: "sendPeer",
-        address,
-        message: {kind: "quarantineNews", ...pickNewest({ends: [], answers})}
-      })
+    else if (answers.length > 0) this.sendNews(address, {ends: [], answers})
   }
 
   private sendSync(address: string, reply: boolean, answers: QuarantineFacts["answers"], now: number): void {
@@ -392,12 +396,3 @@
   const {parts, backend, answeringSince = now} = report
   return {parts, incarnation: backend.incarnation, beganAt: answeringSince, endedAt: now}
 }
-
-function makeCrashFact({key, incarnation, at}: BackendCrash, now: number): [string, string, number] {
-  return [key, incarnation, Math.round(now - at)]
-}
-
-/// The newest facts, up to the maximum number in a message.
-function pickNewest({ends, answers}: QuarantineFacts): QuarantineFacts {
-  return {ends: ends.slice(-MAXIMUM_FACTS), answers: answers.slice(-MAXIMUM_FACTS)}
-}
--- a/src/quarantine/quarantine-messages.ts
+++ b/src/quarantine/quarantine-messages.ts
@@ -1,5 +1,6 @@
 /// The messages that daemons exchange about requests during whose execution back ends crashed.
 import * as z from "zod"
+import type {BackendCrash} from "./crash-history.js"
 
 const text = z.string().max(512)
 const count = z.number().finite()
@@ -34,3 +35,13 @@
   z.infer<typeof newsSchema> | z.infer<typeof digestSchema> | z.infer<typeof syncSchema>
 /// Crashes (`ends`) and answers in a message; their ages are milliseconds at the time of sending.
 export type QuarantineFacts = Pick<z.infer<typeof newsSchema>, "ends" | "answers">
+
+/// The newest facts, up to the maximum number in a message.
+export function pickNewest({ends, answers}: QuarantineFacts): QuarantineFacts {
+  return {ends: ends.slice(-MAXIMUM_FACTS), answers: answers.slice(-MAXIMUM_FACTS)}
+}
+
+/// A crash as it is sent.
+export function makeCrashFact({key, incarnation, at}: BackendCrash, now: number): [string, string, number] {
+  return [key, incarnation, Math.round(now - at)]
+}
