Apply one maximum length to a whole request

Callers saw neither an answer nor a refusal to a whole request whose body came in parts while a configuration with a lower maximum length came into force: between the last part and the end of the body. With a further part after the change the request was refused with 413 although it began within the limit.

Cause: the length was compared with the limit of the moment at each part, which refuses, and at the end, which relied on that refusal and only returned.

Change: the limit in force when the head arrives applies to the whole request.

Evidence: test/changed-caller-limits.test.ts, order forced. On two of three fail: expected [ '413' ] and expected [] to deeply equal [ '200' ]; the third passes on both. With the change all three pass.

--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -92,7 +92,7 @@
     return startListening(this.server, address, BACKLOG);
   }
 
-  /** Applies the limits of a configuration. */
+  /** Applies the limits of a configuration; a request whose head has arrived keeps the maximum length of its body. */
   setLimits(limits: CallerLimits): void {
     this.maximumBodyBytes = limits.maximumBodyBytes;
     this.server.headersTimeout = limits.headerTimeoutMs;
@@ -207,6 +207,8 @@
 
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = this.clock();
+    // Later limits apply to later requests: a request accepted in part is either read whole or rejected.
+    const { maximumBodyBytes } = this;
     const { socket } = request;
     const replies = this.connections.get(socket);
     const reply: CallerReply = new CallerReply(
@@ -225,7 +227,7 @@
     let length = 0;
     request.on('data', (chunk: Buffer) => {
       length += chunk.length;
-      if (length <= this.maximumBodyBytes) chunks.add(chunk);
+      if (length <= maximumBodyBytes) chunks.add(chunk);
       else
         reply.sendFailure({
           status: STATUS_TOO_LARGE,
@@ -236,7 +238,7 @@
     // A disconnect is detected by the end of the connection (see `onConnection`), which notifies the reply.
     request.on('error', () => undefined);
     request.on('end', () => {
-      if (!request.complete || length > this.maximumBodyBytes) return;
+      if (!request.complete || length > maximumBodyBytes) return;
       const received: ReceivedRequest = {
         method: request.method ?? 'GET',
         path: request.url ?? '/',
