Apply a longer idle timeout to connections at rest

Callers that reuse connections as long as the configuration in force allows found those closed that had their last answer before the timeout was made longer; a request sent at that moment had neither an answer nor a refusal.

Cause: Node.js starts the timer of a connection when an answer ends, with the timeout of that moment. A later value did not reach connections at rest.

Change: a longer timeout is set on them too. A shorter one begins with the next answer as before, since the last one told callers the longer one.

Evidence: test/changed-caller-limits.test.ts, order forced: on the code before, expected [ '200' ] to deeply equal [ '200', '200' ]; with the change all six of the file pass.

--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -96,7 +96,7 @@
   setLimits(limits: CallerLimits): void {
     this.maximumBodyBytes = limits.maximumBodyBytes;
     this.server.headersTimeout = limits.headerTimeoutMs;
-    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.setIdleTimeout(limits.idleTimeoutMs);
   }
 
   /** Makes all further replies ask callers to close their connections. */
@@ -205,6 +205,18 @@
     return undefined;
   }
 
+  /**
+   * Sets how long a connection may be idle after an answer (milliseconds). A longer timeout also applies to connections
+   * that are idle now, since their callers may know it already; a shorter one begins with the next answer, since the
+   * last one told callers the longer one.
+   */
+  private setIdleTimeout(timeoutMs: number): void {
+    this.server.keepAliveTimeout = timeoutMs;
+    // Node.js itself applies `keepAliveTimeout` only when an answer ends; before the first answer there is no timeout.
+    for (const socket of this.idle.keys())
+      if (socket.timeout && socket.timeout < timeoutMs) socket.setTimeout(timeoutMs);
+  }
+
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = this.clock();
     // Later limits apply to later requests: a request accepted in part is either read whole or rejected.
--- a/test/changed-caller-limits.test.ts
+++ b/test/changed-caller-limits.test.ts
@@ -1,4 +1,7 @@
-/** Tests that no request is left without an answer when the limits for callers change while it is read. */
+/**
+ * Tests that no request is left without an answer when the limits for callers change while it is read, or
+ * while its connection is at rest.
+ */
 import { expect } from 'chai';
 import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
@@ -18,6 +21,10 @@
 const SETTLE_MS = 50;
 /** An answer that has not arrived after this time is missing. Milliseconds. */
 const ANSWER_TIMEOUT_MS = 1000;
+const SHORT_IDLE_MS = 300;
+const LONG_IDLE_MS = 3000;
+/** Longer than the short idle timeout with the second that Node.js adds, and 0.8 of the long one. Milliseconds. */
+const REST_MS = 2400;
 
 describe('limits for callers that change', () => {
   let server: ForwardServer;
@@ -89,4 +96,38 @@
     expect(await getStatuses(1)).to.deep.equal(['413']);
     expect(bodies).to.deep.equal([]);
   });
+
+  it('a connection at rest is kept for the idle timeout in force after that became longer', async () => {
+    server.setLimits({ ...LIMITS, idleTimeoutMs: SHORT_IDLE_MS });
+    caller.write('GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n');
+    expect(await getStatuses(1)).to.deep.equal(['200']);
+    server.setLimits({ ...LIMITS, idleTimeoutMs: LONG_IDLE_MS });
+    await delay(REST_MS);
+    caller.write('GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n');
+    expect(await getStatuses(2)).to.deep.equal(['200', '200']);
+  });
+
+  it('a connection at rest is kept for the longest idle timeout since its last answer', async () => {
+    server.setLimits({ ...LIMITS, idleTimeoutMs: LONG_IDLE_MS });
+    caller.write('GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n');
+    expect(await getStatuses(1)).to.deep.equal(['200']);
+    server.setLimits({ ...LIMITS, idleTimeoutMs: SHORT_IDLE_MS });
+    server.setLimits({ ...LIMITS, idleTimeoutMs: 2 * SHORT_IDLE_MS });
+    await delay(REST_MS);
+    caller.write('GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n');
+    expect(await getStatuses(2)).to.deep.equal(['200', '200']);
+  });
+
+  it('a connection at rest is closed although configurations with the same idle timeout follow', async () => {
+    server.setLimits({ ...LIMITS, idleTimeoutMs: SHORT_IDLE_MS });
+    caller.write('GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n');
+    expect(await getStatuses(1)).to.deep.equal(['200']);
+    const repeat = setInterval(
+      () => server.setLimits({ ...LIMITS, idleTimeoutMs: SHORT_IDLE_MS }),
+      SHORT_IDLE_MS / 2,
+    );
+    await Promise.race([once(caller, 'close'), delay(LONG_IDLE_MS)]);
+    clearInterval(repeat);
+    expect(caller.destroyed).to.equal(true);
+  });
 });
