Known failure: an answer without a length cuts requests behind it

A buffered answer without a length ends by closing the caller's connection. Requests that were pipelined behind it have been passed on to sound back ends by then, and are never answered.

--- a/test/answers-without-a-length.test.ts
+++ b/test/answers-without-a-length.test.ts
@@ -93,3 +93,37 @@
     expect(parseChunks(body)).to.deep.equal({ text: EVENTS.join(''), isComplete: true });
   });
 });
+
+describe('a buffered answer without a length on a connection with pipelined requests', () => {
+  const SIGNED = 'HTTP/1.1 200 OK\r\nX-Server-Signature: s1\r\n';
+  let backend: ScriptedBackend;
+  let site: ForwardingSite;
+
+  beforeEach(async () => {
+    backend = new ScriptedBackend(({ head }, socket) => {
+      const id = findHeader(head, 'x-attempt-id') ?? '';
+      const named = `${SIGNED}X-Attempt-Id: ${id}\r\n`;
+      if (id === 'first') setTimeout(() => socket.end(`${named}\r\nfirst`), 50);
+      else setTimeout(() => socket.write(`${named}Content-Length: 6\r\n\r\nsecond`), 150);
+    });
+    site = await startForwardingSite([makeLabRoute({})], [makeLabBackend('b1', await backend.listen())]);
+  });
+
+  afterEach(async () => {
+    await site.daemon.close();
+    backend.close();
+  });
+
+  it('does not cut the answers to the requests behind it', async () => {
+    const { host, port } = splitAddress(site.callers);
+    const socket = connect(port, host);
+    let text = '';
+    socket.on('data', (chunk: Buffer) => (text += chunk.toString('latin1')));
+    const ended = new Promise((resolve) => socket.on('close', resolve));
+    for (const id of ['first', 'second'])
+      socket.write(`GET /a/x HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: ${id}\r\n\r\n`);
+    await Promise.race([ended, new Promise((resolve) => setTimeout(resolve, 1000))]);
+    socket.destroy();
+    expect(text).to.match(/second$/);
+  });
+});
