Metrics of unanswered requests and of idle connections that are closed

A request that is read and not handed on, and a connection that is closed at rest, left no line in the log and no figure, so these two hypotheses on lost requests could not be told from the others in a running daemon.

pulleyledge_caller_requests_unanswered counts the requests of callers without a complete answer; pulleyledge_caller_idle_connections_closed_total counts idle connections that the daemon closed, by reason.

--- a/src/gateway/after-next-poll.ts
+++ b/src/gateway/after-next-poll.ts
@@ -16,11 +16,13 @@
 /**
  * Closes a connection whose idle timeout has expired, unless data has arrived on it. Node.js itself closes
  * such a connection without reading it first, which after a process pause resets a request that was sent in
- * time.
+ * time. `onClosed` is called if it was closed here.
  */
-export function closeIfIdle(socket: Socket): void {
+export function closeIfIdle(socket: Socket, onClosed?: () => void): void {
   const { bytesRead } = socket;
   runAfterNextPoll(() => {
-    if (socket.bytesRead === bytesRead) socket.destroy();
+    if (socket.bytesRead !== bytesRead || socket.destroyed) return;
+    socket.destroy();
+    onClosed?.();
   });
 }
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -26,9 +26,14 @@
   readonly arrivedAt: number;
 }
 
+/** Why the server closed an idle connection: its timeout has expired, or a new one needed its place. */
+export type IdleCloseReason = 'timeout' | 'limit';
+
 /** Receives requests. */
 interface ForwardHandler {
   onRequest(request: ReceivedRequest, reply: CallerReply): void;
+  /** Called when the server has closed an idle connection. */
+  onIdleClosed?(reason: IdleCloseReason): void;
 }
 
 /** Length of the accept queue: connections that the kernel completes while the process is busy. */
@@ -81,7 +86,9 @@
     });
     this.server.on('request', (request, response) => this.onRequest(request, response));
     this.server.on('connection', (socket: Socket) => this.onConnection(socket));
-    this.server.on('timeout', closeIfIdle);
+    this.server.on('timeout', (socket: Socket) =>
+      closeIfIdle(socket, () => this.handler.onIdleClosed?.('timeout')),
+    );
   }
 
   /**
@@ -193,6 +200,7 @@
     if ((this.connections.get(socket)?.size ?? 0) > 0 || this.idle.has(socket)) return;
     this.connections.delete(socket);
     socket.destroy();
+    this.handler.onIdleClosed?.('limit');
   }
 
   /**
--- a/src/gateway/keep-alive-connections.ts
+++ b/src/gateway/keep-alive-connections.ts
@@ -35,7 +35,7 @@
     server.keepAliveTimeout = ADVERTISED_IDLE_MS + LATENCY_MARGIN_MS;
     server.on('connection', (socket: Socket) => this.addConnection(socket));
     server.prependListener('request', ({ socket }, response) => this.addPendingResponse(socket, response));
-    server.on('timeout', closeIfIdle);
+    server.on('timeout', (socket: Socket) => closeIfIdle(socket));
   }
 
   /** From now on responses ask callers to close their connections, including responses already pending. */
--- a/src/process/forwarding-metrics.ts
+++ b/src/process/forwarding-metrics.ts
@@ -6,6 +6,7 @@
 import type { ChangeEffect } from '../daemon/change-log.js';
 import type { ForwardEffect } from '../forwarding/forward-messages.js';
 import type { TunnelRefusal } from '../forwarding/tunnel-messages.js';
+import type { IdleCloseReason } from '../gateway/forward-server.js';
 import { addGauges, type GaugeDescription } from './add-gauges.js';
 import { SECOND_MS } from '../shared/units.js';
 
@@ -15,6 +16,8 @@
 interface ForwardingState {
   isReady(): boolean;
   getOpenRequestCount(): number;
+  /** Requests of callers without a complete answer; those that are still being read are not open yet. */
+  getUnansweredCount(): number;
   getConfigurationVersion(): number;
   /** Milliseconds. */
   getConfigurationAgeMs(): number;
@@ -44,6 +47,11 @@
     help: 'Requests in hand',
     read: (state) => state.getOpenRequestCount(),
   },
+  {
+    name: 'pulleyledge_caller_requests_unanswered',
+    help: 'Requests of callers without a complete answer, those included that are still being read',
+    read: (state) => state.getUnansweredCount(),
+  },
   {
     name: 'pulleyledge_configuration_version',
     help: 'Configuration in force',
@@ -83,6 +91,7 @@
   private readonly retries: Counter<'service' | 'outcome'>;
   private readonly tunnels: Counter<'outcome'>;
   private readonly tunnelBytes: Counter<'direction'>;
+  private readonly idleClosed: Counter<'reason'>;
 
   constructor(state: ForwardingState) {
     const registers = [this.registry];
@@ -135,6 +144,12 @@
       labelNames: ['event'],
       registers,
     });
+    this.idleClosed = new Counter({
+      name: 'pulleyledge_caller_idle_connections_closed_total',
+      help: 'Idle connections of callers that the daemon closed, by reason',
+      labelNames: ['reason'],
+      registers,
+    });
     addGauges(this.registry, GAUGES, () => state);
     addPartGauge(this.registry, state);
   }
@@ -175,6 +190,11 @@
     this.tunnelBytes.inc({ direction: 'fromBackend' }, fromBackend);
   }
 
+  /** Counts an idle connection of a caller that was closed. */
+  addIdleClosed(reason: IdleCloseReason): void {
+    this.idleClosed.inc({ reason });
+  }
+
   private addRetries({ service: name, taken, refused }: ChangeEffect['fields']): void {
     const service = this.getServiceLabel(name);
     this.retries.inc({ service, outcome: 'taken' }, Number(taken));
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -144,6 +144,7 @@
             () => this.requests.add(request, reply),
             () => reply.destroy(),
           ),
+        onIdleClosed: (reason) => this.metrics.addIdleClosed(reason),
       },
       now,
       settings.maximumCallerConnections,
@@ -192,6 +193,7 @@
     return new ForwardingMetrics({
       isReady: () => this.isReady(),
       getOpenRequestCount: () => this.daemon.countOpenRequests(),
+      getUnansweredCount: () => this.server.getOpenRequestCount(),
       getConfigurationVersion: () => this.daemon.configurationVersion(),
       getConfigurationAgeMs: () => this.daemon.configurationAgeMs(now()),
       getMemberCount: () => this.daemon.getMemberCount(),
--- a/test/changed-caller-limits.test.ts
+++ b/test/changed-caller-limits.test.ts
@@ -31,9 +31,11 @@
   let caller: Socket;
   let received: string;
   let bodies: string[];
+  let closedFor: string[];
 
   beforeEach(async () => {
     bodies = [];
+    closedFor = [];
     received = '';
     server = new ForwardServer(
       {
@@ -41,6 +43,7 @@
           bodies.push(body.toString('latin1'));
           reply.sendFailure({ status: 200, failure: 'none', retryAfterMs: undefined });
         },
+        onIdleClosed: (reason) => closedFor.push(reason),
       },
       () => performance.now(),
     );
@@ -129,5 +132,6 @@
     await Promise.race([once(caller, 'close'), delay(LONG_IDLE_MS)]);
     clearInterval(repeat);
     expect(caller.destroyed).to.equal(true);
+    expect(closedFor).to.deep.equal(['timeout']);
   });
 });
--- a/test/names.test.ts
+++ b/test/names.test.ts
@@ -112,6 +112,7 @@
     const forwarding = new ForwardingMetrics({
       isReady: () => true,
       getOpenRequestCount: () => 0,
+      getUnansweredCount: () => 0,
       getConfigurationVersion: () => 1,
       getConfigurationAgeMs: () => 1,
       getMemberCount: () => 1,
