Soak: change the limits for callers, and send some bodies in parts

No phase changed the limits that a configuration sets for callers, and each body came in one write, so neither of the two faults in reading requests could show. Successive versions now differ in their limits, all within what the callers send, and every ninth body comes in two parts 150 ms apart.

It is a guard, not a reproduction: a limit below the length of a body is left to test/changed-caller-limits.test.ts.

--- a/lab/soak/caller-load.ts
+++ b/lab/soak/caller-load.ts
@@ -14,6 +14,9 @@
 /// Callers close the connection this long after the route's timeout. Milliseconds.
 const CALLER_GRACE_MS = 4000
 const ABANDON_SHARE = 0.03
+/// One request of this many has its body sent in two parts, this long apart. Milliseconds.
+const PARTED_EVERY = 9
+const PART_INTERVAL_MS = 150
 /// Share of the requests with an unknown key, and share without a key.
 const UNKNOWN_KEY_SHARE = 0.03
 const KEYLESS_SHARE = 0.03
@@ -126,8 +129,10 @@
         end()
       })
       request.on("close", end)
-      request.end(crashingBody ?? `body of ${id}`)
       this.setNoDelay(request)
+      const body = crashingBody ?? `body of ${id}`
+      if (this.count % PARTED_EVERY === 0) sendInParts(request, body)
+      else request.end(body)
     })
   }
 
@@ -192,3 +197,10 @@
     request.on("socket", socket => socket.setNoDelay(true))
   }
 }
+
+/// Sends the body in two parts, the second one after a while.
+function sendInParts(request: ClientRequest, body: string): void {
+  const middle = Math.floor(body.length / 2)
+  request.write(body.slice(0, middle))
+  setTimeout(() => request.end(body.slice(middle)), PART_INTERVAL_MS)
+}
--- a/lab/soak/soak-routes.ts
+++ b/lab/soak/soak-routes.ts
@@ -92,6 +92,14 @@
   return route === MOVING_ROUTE ? movingService : SOAK_SERVICES.plain
 }
 
+/// Limits for callers that successive versions of the configuration choose from. Every request is within all of them.
+/// Lengths are bytes, times milliseconds.
+const CALLER_LIMITS = [
+  {max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3000, idle_timeout_ms: 15_000},
+  {max_header_bytes: 8192, max_body_bytes: 4096, header_timeout_ms: 1500, idle_timeout_ms: 2000},
+  {max_header_bytes: 8192, max_body_bytes: 16_384, header_timeout_ms: 5000, idle_timeout_ms: 5000}
+]
+
 /// Formats the operator's configuration, without the keys in `revokedKeys`; all routes allow `maxAttempts`.
 export function formatConfiguration(
   version: number,
@@ -114,12 +122,7 @@
       api_keys: keys.filter(key => !revokedKeys.has(key)),
       ...makeQuota(name)
     })),
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 65_536,
-      header_timeout_ms: 3000,
-      idle_timeout_ms: 15_000
-    }
+    limits: CALLER_LIMITS[version % CALLER_LIMITS.length]
   }
 }
 
