Treat a reset within an answer of an application server as broken

Cause: undici reports a reset as the end of an answer that has neither a length nor chunks, so a caller of the completions program got a success with an empty or short body and a length of its own. Seen in a trial of answers that end early: 2 of 8 tests of test/reset-answers.test.ts fail without the change (expected 'response' to equal 'broken'), 8 of 8 pass with it.

--- a/src/adapters/application-client.ts
+++ b/src/adapters/application-client.ts
@@ -2,10 +2,11 @@
  * Sends calls to application servers over HTTP. Each connection carries one call, so that a connection failure
  * belongs to exactly one call.
  */
-import { Agent, request } from 'undici';
+import { Agent, request, type Dispatcher } from 'undici';
 import type { ApplicationEvent } from '../routing/application-messages.js';
 import { readBoundedBytes } from './bounded-body.js';
 import { isConnectFailure } from './connect-failure.js';
+import { ResetDetector } from './reset-detector.js';
 import { readRetryAfterMs, type UnreadableRetryAfterListener } from './retry-after-header.js';
 
 /** A caller's call as it is forwarded. */
@@ -45,9 +46,15 @@
 /** Application client over HTTP. */
 export class HttpApplicationClient implements ApplicationClient {
   /** No pipelining and no keep-alive: a call can't be written to a connection that the server is closing. */
-  private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 0 });
+  private readonly agent: Agent;
+  /** An answer without a length that is cut by a reset does not look complete. */
+  private readonly dispatcher: Dispatcher;
 
-  constructor(private readonly onUnreadable: UnreadableRetryAfterListener = () => undefined) {}
+  constructor(private readonly onUnreadable: UnreadableRetryAfterListener = () => undefined) {
+    const resetDetector = new ResetDetector(CONNECT_TIMEOUT_MS);
+    this.agent = new Agent({ connect: resetDetector.createConnector(), pipelining: 0 });
+    this.dispatcher = this.agent.compose(resetDetector.createInterceptor());
+  }
 
   start(call: ApplicationServerCall, onEvent: (event: ApplicationEvent) => void): () => void {
     const abort = new AbortController();
@@ -68,7 +75,7 @@
       const hasBody = payload.method !== 'GET' && payload.method !== 'HEAD';
       const { statusCode, headers, body } = await request(`http://${address}${payload.path}`, {
         method: payload.method as 'GET',
-        dispatcher: this.agent,
+        dispatcher: this.dispatcher,
         signal,
         headersTimeout: remainingMs,
         bodyTimeout: remainingMs,
