--- a/src/forwarding/routes/route-schema.ts
+++ b/src/forwarding/routes/route-schema.ts
@@ -1,15 +1,16 @@
-/// Validates a route configuration.
+/// Validates a route configuration from a peer. It takes every configuration that is read from the store: a peer that
+/// rejected one would reject the whole message, with all records of back ends in it.
 import * as z from "zod"
 import type {RouteConfiguration} from "./route.js"
 
-const name = z.string().min(1).max(512)
+const name = z.string()
 const milliseconds = z.number().finite().min(0)
 const target = z.object({service: name, weight: z.number().finite().min(0)})
 
 const route = z.object({
   name,
   host: name,
-  pathPrefix: z.string().startsWith("/").max(4096),
+  pathPrefix: z.string(),
   kind: z.enum(["idempotent", "nonIdempotent", "stream"]),
   resumable: z.boolean(),
   timeoutMs: milliseconds,
@@ -17,7 +18,7 @@
   targetGapMs: milliseconds,
   priority: z.number().int().min(0),
   maximumAttempts: z.number().int().min(1),
-  targets: z.array(target).min(1),
+  targets: z.array(target),
   isPublic: z.boolean()
 })
 
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -4,8 +4,13 @@
  */
 import { expect } from 'chai';
 import { readConfiguration } from '../platform/records.js';
+import { decodePeerMessage, encodePeerMessage } from '../src/adapters/peer-codec.js';
 import { OwnedBucket } from '../src/quotas/owned-bucket.js';
 
+const ROUTE = { name: 'r', host: 'h', path_prefix: '/', route_kind: 'x', timeout_ms: 1, service: 's' };
+const ENGINE = { slots: 1, kv_capacity: 1 };
+const SCALING = { min: 0, max: 1, zone_prices: {} };
+const KNOWLEDGE = { complete: 1, changed: 1, ageMs: 0 };
 const BASE = { version: 1, routes: [], services: [] };
 
 describe('a quota with huge numbers', () => {
@@ -26,3 +31,77 @@
       expect(bucket.receiveAsk('daemon-1', { needs: [1], spent: 0 }, 20_000).granted).to.deep.equal([0]);
     });
 });
+
+describe('a configuration that the store holds', () => {
+  const huge = Number.MAX_VALUE;
+  const long = 'x'.repeat(5000);
+  const cases: Readonly<Record<string, object>> = {
+    'a route without a name': { routes: [{ ...ROUTE, name: '' }] },
+    'a route without a host': { routes: [{ ...ROUTE, host: '' }] },
+    'a route without a service': { routes: [{ ...ROUTE, service: undefined }] },
+    'a route with an empty split': { routes: [{ ...ROUTE, split: [] }] },
+    'a prefix that is no path': { routes: [{ ...ROUTE, path_prefix: 'a' }] },
+    'long texts': {
+      routes: [{ ...ROUTE, name: long, host: long, path_prefix: `/${long}`, service: long }],
+      services: [{ name: long, scaling: { ...SCALING, zone_prices: { [long]: 1 } } }],
+      tenants: [{ name: long }],
+    },
+    'a service and a zone without names': {
+      services: [{ name: '', scaling: { ...SCALING, zone_prices: { '': 1 } } }],
+    },
+    'a name that objects inherit': {
+      services: [
+        { name: '__proto__', scaling: { ...SCALING, zone_prices: JSON.parse('{"__proto__":1}') as object } },
+      ],
+    },
+    'huge numbers of routes': {
+      version: huge,
+      routes: [
+        {
+          ...ROUTE,
+          timeout_ms: huge,
+          target_latency_ms: huge,
+          target_itl_ms: huge,
+          priority: Number.MAX_SAFE_INTEGER,
+          max_attempts: Number.MAX_SAFE_INTEGER,
+          split: [{ service: 's', weight: huge }],
+        },
+      ],
+    },
+    'huge numbers of services': {
+      services: [
+        {
+          name: 's',
+          max_conns: Number.MAX_SAFE_INTEGER,
+          engine: {
+            slots: huge,
+            kv_capacity: huge,
+            kv_ttl_s: huge,
+            switch_s: huge,
+            kv_bytes: huge,
+            link_mbps: huge,
+          },
+          scaling: { min: 1e15, max: 1e15, boot_s: huge, spot_price: huge, zone_prices: { z: huge } },
+        },
+      ],
+    },
+    'the smallest numbers': {
+      version: -0,
+      routes: [{ ...ROUTE, timeout_ms: Number.MIN_VALUE, split: [{ service: 's', weight: -0 }] }],
+      services: [
+        { name: 's', engine: { ...ENGINE, kv_bytes: Number.MIN_VALUE, link_mbps: Number.MIN_VALUE } },
+      ],
+    },
+  };
+  for (const [name, change] of Object.entries(cases))
+    it(`is read by peers too, with the records beside it: ${name}`, () => {
+      const value = readConfiguration(JSON.stringify({ ...BASE, ...change }));
+      const snapshot = {
+        kind: 'recordsSnapshot' as const,
+        sequence: 1,
+        knowledge: { configuration: KNOWLEDGE, backends: KNOWLEDGE },
+        records: [{ collection: 'configuration' as const, revision: 1, value }],
+      };
+      expect(decodePeerMessage(encodePeerMessage(snapshot))).to.deep.include({ kind: 'recordsSnapshot' });
+    });
+});
