--- a/src/shared/header-text.ts
+++ b/src/shared/header-text.ts
@@ -4,7 +4,7 @@
  */
 
 /** Maximum length of an identifier. Characters; the same as of texts in messages between daemons. */
-const MAXIMUM_IDENTIFIER_LENGTH = 512;
+export const MAXIMUM_IDENTIFIER_LENGTH = 512;
 const IDENTIFIER = new RegExp(`^[\\x21-\\x7e]{1,${MAXIMUM_IDENTIFIER_LENGTH}}$`);
 /** Maximum length of an event id, which is sent back in a header. Characters. */
 const MAXIMUM_EVENT_ID_LENGTH = 4096;
