--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -5,6 +5,9 @@
 import { expect } from 'chai';
 import { readConfiguration } from '../platform/records.js';
 import { decodePeerMessage, encodePeerMessage } from '../src/adapters/peer-codec.js';
+import type { RouteTarget } from '../src/forwarding/routes/route.js';
+import { WeightedChoice } from '../src/forwarding/routes/weighted-choice.js';
+import { makeLabRoute } from '../lab/forwarding-site.js';
 import { OwnedBucket } from '../src/quotas/owned-bucket.js';
 
 const ROUTE = { name: 'r', host: 'h', path_prefix: '/', route_kind: 'x', timeout_ms: 1, service: 's' };
@@ -105,3 +108,39 @@
       expect(decodePeerMessage(encodePeerMessage(snapshot))).to.deep.include({ kind: 'recordsSnapshot' });
     });
 });
+
+describe('a split', () => {
+  /** Picks `count` services; how often each of them was picked. */
+  function pick(
+    choice: WeightedChoice,
+    count: number,
+    targets: readonly RouteTarget[],
+  ): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (let index = 0; index < count; index += 1) {
+      const service = choice.pickService(makeLabRoute({ targets })) ?? 'none';
+      counts[service] = (counts[service] ?? 0) + 1;
+    }
+    return counts;
+  }
+  const split = (a: number, b: number): RouteTarget[] => [
+    { service: 'a', weight: a },
+    { service: 'b', weight: b },
+  ];
+
+  it('holds its shares at once when its weights change', () => {
+    for (const before of [split(20_000, 10_000), split(1e300, 5e299), split(1e-300, 2e-300), split(1, 1e6)])
+      for (const picks of [1, 2, 7]) {
+        const choice = new WeightedChoice();
+        pick(choice, picks, before);
+        const { a = 0, b = 0 } = pick(choice, 100, split(1, 1));
+        expect(Math.abs(a - b), JSON.stringify(before)).to.be.at.most(4);
+      }
+  });
+
+  it('holds its shares with weights whose sum is infinite', () => {
+    const choice = new WeightedChoice();
+    const { a, b } = pick(choice, 300, split(Number.MAX_VALUE, Number.MAX_VALUE / 2));
+    expect(Math.abs(a - 200) + Math.abs(b - 100)).to.be.at.most(2);
+  });
+});
