Divide a split that names a service twice

The credits of the round-robin began anew with each request, so that the service named twice got all of them: the test saw 300 to 0, not 200 to 100.

--- a/src/forwarding/routes/weighted-choice.ts
+++ b/src/forwarding/routes/weighted-choice.ts
@@ -35,7 +35,8 @@
 
   private getCredits(name: string, targets: readonly RouteTarget[], total: number): Map<string, number> {
     const known = this.credits.get(name)
-    const same = known?.byService.size === targets.length
+    // A split may name a service several times.
+    const same = known?.byService.size === new Set(targets.map(target => target.service)).size
     if (known && same && targets.every(target => known.byService.has(target.service))) {
       rescale(known, total)
       return known.byService
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -143,4 +143,9 @@
     const { a, b } = pick(choice, 300, split(Number.MAX_VALUE, Number.MAX_VALUE / 2));
     expect(Math.abs(a - 200) + Math.abs(b - 100)).to.be.at.most(2);
   });
+
+  it('holds its shares when it names a service twice', () => {
+    const { a, b } = pick(new WeightedChoice(), 300, [...split(1, 1), { service: 'a', weight: 1 }]);
+    expect({ a, b }).to.deep.equal({ a: 200, b: 100 });
+  });
 });
