Limit the timeouts for callers to what a timer holds

An idle timeout of 2^31 ms or more wrote a warning of the runtime for each answer and told callers a number such as 1e+297 seconds.

--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -56,6 +56,12 @@
  */
 const MINIMUM_IDLE_MS = 200;
 
+/**
+ * Node.js holds timeouts in 31 bits, with a second that it adds to the idle timeout: it warns of a longer one at each
+ * answer, and tells callers a number that they can't read. Milliseconds.
+ */
+const MAXIMUM_TIMEOUT_MS = 2_000_000_000;
+
 /** The server of one daemon. */
 export class ForwardServer {
   private readonly server: Server;
@@ -102,8 +108,8 @@
   /** Applies the limits of a configuration; a request whose head has arrived keeps the maximum length of its body. */
   setLimits(limits: CallerLimits): void {
     this.maximumBodyBytes = limits.maximumBodyBytes;
-    this.server.headersTimeout = limits.headerTimeoutMs;
-    this.setIdleTimeout(limits.idleTimeoutMs);
+    this.server.headersTimeout = Math.min(limits.headerTimeoutMs, MAXIMUM_TIMEOUT_MS);
+    this.setIdleTimeout(Math.min(limits.idleTimeoutMs, MAXIMUM_TIMEOUT_MS));
   }
 
   /** Makes all further replies ask callers to close their connections. */
