Check the entries of the machine list one by one

One entry of another writer made the whole list invalid, so that the daemons of the completions program followed it no more. Addresses and ids that peers reject were taken.

--- a/src/adapters/platform-client.ts
+++ b/src/adapters/platform-client.ts
@@ -2,8 +2,10 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { Agent, request } from 'undici';
 import * as z from 'zod';
-import type { MachineListing } from '../contracts/machine-list.js';
+import type { Cell, Machine, MachineListing } from '../contracts/machine-list.js';
 import type { TableRequest, TableResult } from '../contracts/table-service.js';
+import { addressSchema } from '../shared/address.js';
+import { MAXIMUM_IDENTIFIER_LENGTH } from '../shared/header-text.js';
 import { STATUS_OK, STATUS_TOO_MANY_REQUESTS } from '../shared/http-status.js';
 import { readBoundedJson } from './bounded-body.js';
 import { readRetryAfterMs, type UnreadableRetryAfterListener } from './retry-after-header.js';
@@ -40,20 +42,21 @@
   z.object({ kind: z.literal('changes'), revision: z.number(), rows: z.array(rowSchema) }),
 ]);
 
-const listingSchema = z.object({
-  cells: z.array(z.object({ name: z.string(), zone: z.string() })),
-  machines: z.array(
-    z.object({
-      id: z.string(),
-      kind: z.enum(['engine', 'application']),
-      address: z.string(),
-      zone: z.string(),
-      cell: z.string(),
-      state: z.enum(['live', 'leaving']),
-    }),
-  ),
+/** Daemons send the fields of machines to their peers, which reject longer texts and other addresses. */
+const text = z.string().min(1).max(MAXIMUM_IDENTIFIER_LENGTH);
+const cellSchema = z.object({ name: text, zone: text });
+const machineSchema = z.object({
+  id: text,
+  kind: z.enum(['engine', 'application']),
+  address: addressSchema,
+  zone: text,
+  cell: text,
+  state: z.enum(['live', 'leaving']),
 });
 
+/** Entries are validated one by one, so that an invalid one does not affect the others. */
+const listingSchema = z.object({ cells: z.array(z.unknown()), machines: z.array(z.unknown()) });
+
 /** Platform client over HTTP. All addresses are equivalent; after a failure the next one is used. */
 export class HttpPlatformClient implements PlatformClient {
   private readonly agent = new Agent({
@@ -63,8 +66,12 @@
   });
   private addressIndex = 0;
   private listingFailures = 0;
+  private invalidEntries = 0;
 
-  /** `onListingFailure` receives the reason of each failure to read the machine list, and the failures so far. */
+  /**
+   * `onListingFailure` receives the reason of each failure to read the machine list, and the failures so far; a list
+   * with invalid entries, which are skipped, counts as one when their number changes.
+   */
   constructor(
     private readonly addresses: readonly string[],
     private readonly onListingFailure: (reason: string, count: number) => void,
@@ -92,7 +99,7 @@
     try {
       const { statusCode, body } = await this.post('/v1/machines', { cells });
       const parsed = listingSchema.safeParse(await readBoundedJson(body, MAXIMUM_ANSWER_BYTES));
-      if (statusCode === STATUS_OK && parsed.success) return parsed.data;
+      if (statusCode === STATUS_OK && parsed.success) return this.readListing(parsed.data);
       return this.addListingFailure(
         statusCode === STATUS_OK ? 'invalid machine list' : `status ${statusCode}`,
       );
@@ -117,6 +124,18 @@
     });
   }
 
+  private readListing({ cells, machines }: z.infer<typeof listingSchema>): MachineListing {
+    const listing: MachineListing = {
+      cells: readValid<Cell>(cellSchema, cells),
+      machines: readValid<Machine>(machineSchema, machines),
+    };
+    const invalid = cells.length + machines.length - listing.cells.length - listing.machines.length;
+    if (invalid > 0 && invalid !== this.invalidEntries)
+      this.addListingFailure(`${invalid} invalid entries in the machine list`);
+    this.invalidEntries = invalid;
+    return listing;
+  }
+
   private addListingFailure(reason: string): undefined {
     this.listingFailures += 1;
     this.onListingFailure(reason, this.listingFailures);
@@ -135,3 +154,10 @@
     return ms ?? DEFAULT_RETRY_AFTER_MS;
   }
 }
+
+function readValid<Entry>(schema: z.ZodType<Entry>, entries: readonly unknown[]): Entry[] {
+  return entries.flatMap((entry) => {
+    const result = schema.safeParse(entry);
+    return result.success ? [result.data] : [];
+  });
+}
