List a back end under the service that its record names now

A record that named another service under the same id and start left its view in the list of the former service: requests for the new service were refused with 503 (no back end) for as long as the back end ran, and a removed view stayed in the former list.

Before the change the tests failed with: expected [] to deeply equal [ BackendView ], and expected 'HTTP/1.1 503 Service Unavailable' to equal 'HTTP/1.1 200 OK'.

--- a/src/forwarding/backends/backend-directory.ts
+++ b/src/forwarding/backends/backend-directory.ts
@@ -41,7 +41,10 @@
     if (known) {
       if (known.record.address !== record.address) known.pace.reset()
       if (known.record.bornMs !== record.bornMs) known.signals = this.getSignals(record)
+      const isMoved = known.record.service !== record.service
+      if (isMoved) this.removeFromService(known)
       known.record = record
+      if (isMoved) this.addToService(known)
       return
     }
     const view = new BackendView(
@@ -52,9 +55,7 @@
       this.getSignals(record)
     )
     this.views.set(record.id, view)
-    const views = this.byService.get(record.service) ?? []
-    views.push(view)
-    this.byService.set(record.service, views)
+    this.addToService(view)
   }
 
   /// Removes a back end whose record was removed. Attempts that are in flight there are left to finish.
@@ -65,11 +66,23 @@
     this.views.delete(id)
     if (!view.signals.hasSignals()) this.signals.delete(getIncarnation(view.record))
     this.paces.remove(id)
-    const others = (this.byService.get(view.record.service) ?? []).filter(other => other !== view)
-    this.byService.set(view.record.service, others)
+    this.removeFromService(view)
     return view
   }
 
+  private addToService(view: BackendView): void {
+    const {service} = view.record
+    this.byService.set(service, [...this.ofService(service), view])
+  }
+
+  private removeFromService(view: BackendView): void {
+    const {service} = view.record
+    this.byService.set(
+      service,
+      this.ofService(service).filter(other => other !== view)
+    )
+  }
+
   private getSignals(record: BackendRecord): SignalState {
     const incarnation = getIncarnation(record)
     const known = this.signals.get(incarnation)
