--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -93,6 +93,7 @@
     const origin = this.streamOrigins.get(attemptId);
     return origin ? { kind: 'known', origin } : { kind: 'unknown' };
   };
+  private table: RouteTable | undefined;
   stale = false;
   /** Remaining quarantine of every request; undefined while none is quarantined. Milliseconds. */
   quarantineMs: number | undefined;
@@ -113,7 +114,7 @@
     slack = 50,
     regionByZone: RegionByZone = {},
   ) {
-    const table = new RouteTable(makeLabConfiguration(1, routes));
+    this.setRoutes(routes);
     for (const record of backends) this.directory.put(record);
     this.distance = makeDistance(regionByZone, this.roundTrips);
     const picker = new BackendPicker(
@@ -127,7 +128,7 @@
     this.manager = new ForwardManager(
       DEFAULT_FORWARD_SETTINGS,
       {
-        getRoutes: () => table,
+        getRoutes: () => this.table,
         tenants: this.tenants,
         configurationMayBeStale: () => this.stale,
         getOutageMs: () => 0,
@@ -156,6 +157,11 @@
     );
   }
 
+  /** Puts a configuration with these routes in force. */
+  setRoutes(routes: readonly Route[], services = makeLabConfiguration(1, routes).services): void {
+    this.table = new RouteTable({ ...makeLabConfiguration(1, routes), services });
+  }
+
   begin(fields: Partial<ForwardRequest> = {}, now = 0): void {
     this.manager.receiveRequest(
       {
