Answer whole requests before what is wrong behind them

Callers that pipeline got 408 or 400 in place of the answer to a request that a back end was executing, and the connection was closed: the head behind it took longer than a configuration that came into force meanwhile allows, or was no HTTP. A 408 also promises that the request has not run.

Cause: Node.js answers such an error at once, whatever waits on the connection.

Change: the connection is ended after the answers to the whole requests on it, with the status that Node.js gives. A late head that arrives before that is handled as usual.

Evidence: test/pipelined-bad-heads.test.ts, order forced. On three of five fail: expected [ '408' ] to deeply equal [] once, and [ '400' ] twice; the two without a whole request pass on both. With the change all five pass.

--- a/src/gateway/caller-reply.ts
+++ b/src/gateway/caller-reply.ts
@@ -43,6 +43,11 @@
     return this.finished;
   }
 
+  /** Whether the request has been read completely. */
+  isRequestWhole(): boolean {
+    return this.response.req.complete;
+  }
+
   /** Called when the caller has closed its connection, or its side of it. */
   onConnectionClosed(): void {
     if (this.finished) return;
--- /dev/null
+++ b/src/gateway/end-connection.ts
@@ -0,0 +1,24 @@
+/** Ends a caller's connection on which no further request can be read. */
+import { STATUS_CODES } from 'node:http';
+import type { Socket } from 'node:net';
+import {
+  STATUS_BAD_REQUEST,
+  STATUS_HEAD_TOO_LARGE,
+  STATUS_REQUEST_TIMEOUT,
+  STATUS_TOO_LARGE,
+} from '../shared/http-status.js';
+
+/** Statuses by the code of the error with which Node.js stopped reading; the rest are bad requests. */
+const STATUS_BY_CODE: ReadonlyMap<string | undefined, number> = new Map([
+  ['ERR_HTTP_REQUEST_TIMEOUT', STATUS_REQUEST_TIMEOUT],
+  ['HPE_CHUNK_EXTENSIONS_OVERFLOW', STATUS_TOO_LARGE],
+  ['HPE_HEADER_OVERFLOW', STATUS_HEAD_TOO_LARGE],
+]);
+
+/** Ends the connection after what has been written, with the status that Node.js itself answers to the error. */
+export function endConnection(socket: Socket, { code }: NodeJS.ErrnoException, isAnswered: boolean): void {
+  if (!socket.writable) return;
+  const status = STATUS_BY_CODE.get(code) ?? STATUS_BAD_REQUEST;
+  if (!isAnswered) socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+  socket.destroySoon();
+}
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -10,6 +10,7 @@
 import type { CallerLimits } from '../forwarding/routes/route.js';
 import { runAfterNextPoll, closeIfIdle } from './after-next-poll.js';
 import { CallerReply } from './caller-reply.js';
+import { endConnection } from './end-connection.js';
 import { STATUS_TOO_LARGE } from '../shared/http-status.js';
 
 /** A request whose head and body were read completely. */
@@ -67,6 +68,8 @@
   private readonly idle = new Map<Socket, number>();
   /** Connections on which no request has arrived yet. */
   private readonly unused = new Set<Socket>();
+  /** Connections that end after the answers to the whole requests on them, since what follows cannot be read. */
+  private readonly unreadable = new Map<Socket, Error>();
   private maximumBodyBytes = INITIAL_MAXIMUM_BODY_BYTES;
   private closing = false;
 
@@ -86,6 +89,7 @@
     });
     this.server.on('request', (request, response) => this.onRequest(request, response));
     this.server.on('connection', (socket: Socket) => this.onConnection(socket));
+    this.server.on('clientError', (error, socket) => this.onUnreadable(socket as Socket, error));
     this.server.on('timeout', (socket: Socket) =>
       closeIfIdle(socket, () => this.handler.onIdleClosed?.('timeout')),
     );
@@ -174,10 +178,27 @@
       this.connections.delete(socket);
       this.idle.delete(socket);
       this.unused.delete(socket);
+      this.unreadable.delete(socket);
       onClosed();
     });
   }
 
+  /**
+   * The next request on a connection is malformed or takes too long. Node.js itself would answer this at once, in the
+   * place of the answers to the requests before it, which back ends may be executing.
+   */
+  private onUnreadable(socket: Socket, error: Error): void {
+    const replies = [...(this.connections.get(socket) ?? [])];
+    const isCallerThere = !socket.readableEnded && !socket.destroyed;
+    if (isCallerThere && replies.some((reply) => reply.isRequestWhole())) this.unreadable.set(socket, error);
+    else
+      endConnection(
+        socket,
+        error,
+        replies.some((reply) => reply.isFinished()),
+      );
+  }
+
   /**
    * At the limit, the longest idle connection is closed in favor of a new one. Without a limit the process
    * could run out of file descriptors and would then accept nothing at all. Returns whether the new one may
@@ -239,9 +260,13 @@
     replies?.add(reply);
     this.idle.delete(socket);
     this.unused.delete(socket);
+    // A head that took too long has arrived after all, behind a request that is not answered yet.
+    this.unreadable.delete(socket);
     response.on('close', () => {
       replies?.delete(reply);
-      if (replies?.size === 0 && !socket.destroyed) this.idle.set(socket, this.clock());
+      const error = this.unreadable.get(socket);
+      if (error) this.onUnreadable(socket, error);
+      else if (replies?.size === 0 && !socket.destroyed) this.idle.set(socket, this.clock());
     });
     const chunks = new ByteParts();
     let length = 0;
--- a/src/shared/http-status.ts
+++ b/src/shared/http-status.ts
@@ -16,6 +16,7 @@
 export const STATUS_BAD_REQUEST = 400;
 export const STATUS_UNAUTHORIZED = 401;
 export const STATUS_NOT_FOUND = 404;
+export const STATUS_REQUEST_TIMEOUT = 408;
 export const STATUS_CONFLICT = 409;
 export const STATUS_GONE = 410;
 export const STATUS_PRECONDITION_FAILED = 412;
@@ -24,6 +25,7 @@
 export const STATUS_MISDIRECTED = 421;
 export const STATUS_UNPROCESSABLE = 422;
 export const STATUS_TOO_MANY_REQUESTS = 429;
+export const STATUS_HEAD_TOO_LARGE = 431;
 /** The caller closed its connection first: a convention of proxies, used in logs and metrics only. */
 export const STATUS_CALLER_CLOSED = 499;
 /** Lowest status of a server error. */
