Send to the address that a back end's record names now

Requests for a back end whose record names another address than when it was first used went to the former address, until the record was removed.

Cause: connection pools are kept by id, with the address of the first use.

Change: a pool for another address replaces the former one, whose requests in flight go on.

Evidence: test/moved-back-ends.test.ts. On: expected 'former' to equal 'current'; with the change it passes.

--- a/src/adapters/backend-client.ts
+++ b/src/adapters/backend-client.ts
@@ -356,7 +356,9 @@
     const { purpose = '', via, maximumIdleMs = MAXIMUM_IDLE_MS } = options;
     const key = `${purpose} ${serverId} ${via ?? ''}`;
     let pool = this.pools.get(key);
-    if (!pool) {
+    if (pool?.settings.address !== address) {
+      // The record of the server names another address now; requests in flight keep their connections.
+      pool?.close();
       const { connectionsPerBackend: connections, daemonId = '' } = this.settings;
       const tunnel = via === undefined ? undefined : { via, originId: daemonId };
       pool = new ServerPool({ address, serverId, tunnel, connections, maximumIdleMs }, this.resetDetector);
