Judge attempts by the address to which they were sent

A back end whose record came to name another address got no more work when another server at the former one answered 421, before or after that change; its requests were refused. A prompt computed at the former address was fetched from the new one.

Cause: the record was read again when the answer arrived, and the mark that the address belongs to another server outlasted the address.

Change: an attempt keeps its address; a record with another one ends the mark.

Evidence: test/moved-back-ends.test.ts. Without the change to src/forwarding three of four fail: 'r1' instead of 'r2', 'r1' instead of 'r3', and the address 10.9.9.9:9 instead of 10.0.1.1:2; with it all four pass.

--- a/src/forwarding/backends/backend-directory.ts
+++ b/src/forwarding/backends/backend-directory.ts
@@ -39,7 +39,10 @@
   put(record: BackendRecord): void {
     const known = this.views.get(record.id)
     if (known) {
-      if (known.record.address !== record.address) known.pace.reset()
+      if (known.record.address !== record.address) {
+        known.pace.reset()
+        known.removed = false
+      }
       if (known.record.bornMs !== record.bornMs) known.signals = this.getSignals(record)
       known.record = record
       return
--- a/src/forwarding/forward-session.ts
+++ b/src/forwarding/forward-session.ts
@@ -13,6 +13,8 @@
   readonly attemptId: string
   readonly choice: BackendChoice
   readonly startedAt: number
+  /// Address of the back end that it is sent to; its record may name another one later.
+  readonly address: string
   /// Start of the back-end incarnation that it is sent to; undefined if the platform does not report it.
   readonly bornMs: number | undefined
   /// Its software version at that time; null if it is not known.
@@ -172,6 +174,7 @@
     attemptId,
     choice,
     startedAt: now,
+    address: choice.backend.record.address,
     bornMs: choice.backend.record.bornMs,
     version: getSoftwareVersion(choice.backend.record),
     lastEventAt: now,
--- a/src/forwarding/retry/attempt-outcomes.ts
+++ b/src/forwarding/retry/attempt-outcomes.ts
@@ -154,8 +154,8 @@
     now: number
   ): void {
     const {backend} = attempt.choice
-    if (wrongIncarnation) backend.removed = true
-    else backend.health.addRejection(now)
+    if (!wrongIncarnation) backend.health.addRejection(now)
+    else if (backend.record.address === attempt.address) backend.removed = true
     removeAttempt(session, attempt)
     session.arrivals += 1
     session.excluded.add(backend.record.id)
@@ -178,7 +178,7 @@
     session.prefills += 1
     this.dependencies.picker.addPromptSample(attempt.choice, now - attempt.startedAt)
     this.addComputedPrompt(session, backend)
-    session.kvSource = {address: backend.record.address, handle}
+    session.kvSource = {address: attempt.address, handle}
     this.dependencies.answers.logDecision("request.prefilled", session, {
       backend: backend.record.id,
       afterMs: Math.round(now - attempt.startedAt)
--- a/test/moved-back-ends.test.ts
+++ b/test/moved-back-ends.test.ts
@@ -4,7 +4,9 @@
 import { makeLabBackend, makeLabRoute, startForwardingSite } from '../lab/forwarding-site.js';
 import { findHeader, ScriptedBackend } from '../lab/scripted-backend.js';
 import { delay } from '../src/shared/delay.js';
+import { ENGINES, ForwardingHarness, makePrompt, PLAIN } from './forwarding-harness.js';
 
+const NEW_ADDRESS = '10.9.9.9:9';
 /** A change of the store is in force after this time. Milliseconds. */
 const IN_FORCE_MS = 500;
 
@@ -39,4 +41,40 @@
       current.close();
     }
   });
+
+  it('keeps its work although another server at the former one answers to an older attempt', () => {
+    const [record] = PLAIN;
+    const site = new ForwardingHarness([makeLabRoute({ kind: 'idempotent' })], [record]);
+    site.begin();
+    site.directory.put({ ...record, address: NEW_ADDRESS });
+    site.event({ kind: 'notExecuted', status: 421, wrongIncarnation: true }, 5);
+    site.begin({ id: 'r2', callerId: 'c2' }, 10);
+    expect(site.getStarts().at(-1)).to.deep.include({ requestId: 'r2' });
+    expect(site.getStarts().at(-1)?.backend.address).to.equal(NEW_ADDRESS);
+  });
+
+  it('gets work again after another server answered at the former one', () => {
+    const [record] = PLAIN;
+    const site = new ForwardingHarness([makeLabRoute({ kind: 'idempotent' })], [record]);
+    site.begin();
+    site.event({ kind: 'notExecuted', status: 421, wrongIncarnation: true }, 5);
+    site.begin({ id: 'r2', callerId: 'c2' }, 10);
+    expect(site.getStarts()).to.have.length(1);
+    site.directory.put({ ...record, address: NEW_ADDRESS });
+    site.begin({ id: 'r3', callerId: 'c3' }, 20);
+    expect(site.getStarts().at(-1)).to.deep.include({ requestId: 'r3' });
+  });
+
+  it('is not taken for the holder of a prompt that was computed at the former one', () => {
+    const site = new ForwardingHarness([makeLabRoute({ timeoutMs: 60_000 })], ENGINES);
+    site.begin({ callerDeadlineMs: 60_000, prompt: makePrompt(2000, 8000) });
+    const [prefill] = site.getStarts();
+    expect(prefill.prefillOnly).to.equal(true);
+    site.directory.put({ ...prefill.backend, address: NEW_ADDRESS });
+    site.event({ kind: 'prefilled', handle: 'h' }, 10);
+    expect(site.getStarts().at(-1)?.kvSource).to.deep.equal({
+      address: prefill.backend.address,
+      handle: 'h',
+    });
+  });
 });
