Remove the former start of a back end whose record had lapsed

A back end that restarted under its id in an outage of the store, and whose record was gone when the store answered again, was taken for its former start within the grace period: its failures, cached prompts and connections were kept.

Cause: two records in a row are compared, and the removal between them is none.

Change: the last record of a lapsed back end is kept for the comparison.

Evidence: test/expired-records.test.ts. Before: expected [] to deeply equal [ 'a' ]; with the change all six of the file pass.

--- a/src/fleet/record-copy.ts
+++ b/src/fleet/record-copy.ts
@@ -10,6 +10,8 @@
   readonly revision: number
   /// Undefined after the removal.
   readonly value?: BackendRecord | undefined
+  /// The last value of a back end that keeps its work after the removal.
+  readonly lapsed?: BackendRecord | undefined
 }
 
 interface ApplyOptions {
@@ -60,8 +62,11 @@
 
   /// Removes the back ends whose records were not written again within the grace period after an outage.
   tick(now: number): void {
-    for (const id of this.expired.takeExpired(now))
+    for (const id of this.expired.takeExpired(now)) {
+      const known = this.backends.get(id)
+      if (known) this.backends.set(id, {...known, lapsed: undefined})
       this.emit({kind: "backendRemoved", id, revision: this.backendsRevision, source: STORE_SOURCE})
+    }
   }
 
   /// Applies one record from the store or a peer.
@@ -107,16 +112,19 @@
     const newer = !known || record.revision > known.revision || addsVersion(known, record)
     if (!newer && !(allowSameRevision && record.revision === known.revision)) return
     const {revision, value} = record
-    this.backends.set(id, {revision, value})
+    const previous = known?.value ?? known?.lapsed
+    const isLapsing = !value && known?.value?.state === "ready" && holdUntil !== undefined
+    const lapsed = isLapsing ? previous : known?.lapsed
+    this.backends.set(id, {revision, value, lapsed: value ? undefined : lapsed})
     this.backendsRevision = Math.max(this.backendsRevision, revision)
     if (value) {
       this.expired.remove(id)
       // A back end that was restarted under the same id has lost its state, so what is known of the previous
       // incarnation is removed first.
-      if (known?.value && isOtherIncarnation(known.value, value))
+      if (previous && isOtherIncarnation(previous, value))
         this.emit({kind: "backendRemoved", id, revision, source})
       this.emit({kind: "backendChanged", record: value, revision, source})
-    } else if (known?.value?.state === "ready" && holdUntil !== undefined) {
+    } else if (isLapsing) {
       this.expired.add(id, holdUntil)
       this.emit({kind: "backendLapsed", id, revision, source, holdUntil})
     } else if (known?.value) this.emit({kind: "backendRemoved", id, revision, source})
--- a/test/expired-records.test.ts
+++ b/test/expired-records.test.ts
@@ -81,6 +81,24 @@
     snapshot.check();
   });
 
+  it('a back end whose record is written again by a later start is removed first', () => {
+    const replica = new ReplicaHarness();
+    const write = (revision: number, bornMs: number): void => {
+      const value = { ...makeLabBackend('a', '10.0.0.1:80'), bornMs };
+      const records = [{ collection: 'backends' as const, id: 'a', revision, value }];
+      replica.fleet.receiveReadResult('backends', { kind: 'changes', revision, records }, 100 * revision);
+    };
+    write(4, 1000);
+    replica.failReads(500, 4000);
+    const gone = [makeRecord('a', 5, 'gone')];
+    replica.fleet.receiveReadResult('backends', { kind: 'changes', revision: 5, records: gone }, 4500);
+    expect(replica.getRemoved()).to.deep.equal([]);
+    write(50, 2000);
+    expect(replica.getRemoved()).to.deep.equal(['a']);
+    replica.fleet.tick(4500 + GRACE_MS);
+    expect(replica.getRemoved()).to.deep.equal(['a']);
+  });
+
   it('without an outage, or after a short one, a back end is removed immediately', () => {
     const undisturbed = new ReplicaHarness();
     undisturbed.fleet.receiveReadResult('backends', { kind: 'changes', revision: 6, records: GONE }, 4500);
