Answer whole completions before what is wrong behind them

Callers of the completions program that pipeline got 400 (408 for a slow head) in place of the answer to a whole request, or its answer was cut, as in the forwarding program. If a caller half-closes within the next head, neither program sends an answer in that place any more: the request may be executed.

Cause: Node.js answers the error at once, whatever waits on the connection.

Evidence: test/pipelined-bad-heads.test.ts, order forced. The test of the half-close was written with the change and not run without it.

--- a/src/gateway/end-connection.ts
+++ b/src/gateway/end-connection.ts
@@ -15,10 +15,13 @@
   ['HPE_HEADER_OVERFLOW', STATUS_HEAD_TOO_LARGE],
 ]);
 
-/** Ends the connection after what has been written, with the status that Node.js itself answers to the error. */
-export function endConnection(socket: Socket, { code }: NodeJS.ErrnoException, isAnswered: boolean): void {
+/**
+ * Ends the connection after what has been written; with `mayAnswer`, by the status that Node.js itself answers to the
+ * error.
+ */
+export function endConnection(socket: Socket, { code }: NodeJS.ErrnoException, mayAnswer: boolean): void {
   if (!socket.writable) return;
   const status = STATUS_BY_CODE.get(code) ?? STATUS_BAD_REQUEST;
-  if (!isAnswered) socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+  if (mayAnswer) socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
   socket.destroySoon();
 }
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -189,14 +189,10 @@
    */
   private onUnreadable(socket: Socket, error: Error): void {
     const replies = [...(this.connections.get(socket) ?? [])];
+    const isWholeWaiting = replies.some((reply) => reply.isRequestWhole());
     const isCallerThere = !socket.readableEnded && !socket.destroyed;
-    if (isCallerThere && replies.some((reply) => reply.isRequestWhole())) this.unreadable.set(socket, error);
-    else
-      endConnection(
-        socket,
-        error,
-        replies.some((reply) => reply.isFinished()),
-      );
+    if (isCallerThere && isWholeWaiting) this.unreadable.set(socket, error);
+    else endConnection(socket, error, !isWholeWaiting && !replies.some((reply) => reply.isFinished()));
   }
 
   /**
--- a/src/gateway/keep-alive-connections.ts
+++ b/src/gateway/keep-alive-connections.ts
@@ -9,6 +9,7 @@
 import type { Socket } from 'node:net';
 import { SECOND_MS } from '../shared/units.js';
 import { closeIfIdle } from './after-next-poll.js';
+import { endConnection } from './end-connection.js';
 
 /** How long a connection may be reused after a response, as advertised to the caller. Milliseconds. */
 const ADVERTISED_IDLE_MS = 5 * SECOND_MS;
@@ -24,6 +25,8 @@
   readonly pending: Set<ServerResponse>;
   /** The caller may send a further request until then. Monotonic milliseconds. */
   reusableUntil: number;
+  /** Why nothing more can be read on it; it ends after the responses to the whole requests. */
+  unreadable?: Error;
 }
 
 /** Tracks the keep-alive connections of one server. Creating it sets the server's `keepAliveTimeout`. */
@@ -36,6 +39,7 @@
     server.on('connection', (socket: Socket) => this.addConnection(socket));
     server.prependListener('request', ({ socket }, response) => this.addPendingResponse(socket, response));
     server.on('timeout', (socket: Socket) => closeIfIdle(socket));
+    server.on('clientError', (error, socket) => this.onUnreadable(socket as Socket, error));
   }
 
   /** From now on responses ask callers to close their connections, including responses already pending. */
@@ -69,12 +73,25 @@
     if (!connection) return;
     connection.pending.add(response);
     if (this.closing) closeAfterLast(connection.pending);
+    // A head that took too long has arrived after all.
+    delete connection.unreadable;
     response.on('close', () => {
       connection.pending.delete(response);
       connection.reusableUntil = this.getIdleDeadline();
+      if (connection.unreadable) this.onUnreadable(socket, connection.unreadable);
     });
   }
 
+  /** Node.js itself would answer the error at once, in the place of the responses to the requests before it. */
+  private onUnreadable(socket: Socket, error: Error): void {
+    const connection = this.connections.get(socket);
+    const pending = [...(connection?.pending ?? [])];
+    const isWholeWaiting = pending.some(({ req }) => req.complete);
+    const isCallerThere = !socket.readableEnded && !socket.destroyed;
+    if (connection && isCallerThere && isWholeWaiting) connection.unreadable = error;
+    else endConnection(socket, error, !isWholeWaiting && !pending.some(({ headersSent }) => headersSent));
+  }
+
   private getIdleDeadline(): number {
     return performance.now() + this.server.keepAliveTimeout;
   }
--- a/test/pipelined-bad-heads.test.ts
+++ b/test/pipelined-bad-heads.test.ts
@@ -1,11 +1,13 @@
 /** Tests that what arrives behind a whole request takes nothing from its answer. */
 import { expect } from 'chai';
 import { once } from 'node:events';
-import { connect, type Socket } from 'node:net';
+import { createServer, type Server, type ServerResponse } from 'node:http';
+import { connect, type AddressInfo, type Socket } from 'node:net';
 import { findFreeAddresses } from '../lab/free-ports.js';
 import type { CallerLimits } from '../src/forwarding/routes/route.js';
 import type { CallerReply } from '../src/gateway/caller-reply.js';
 import { ForwardServer } from '../src/gateway/forward-server.js';
+import { KeepAliveConnections } from '../src/gateway/keep-alive-connections.js';
 import { delay } from '../src/shared/delay.js';
 
 const LIMITS: CallerLimits = {
@@ -88,6 +90,14 @@
     expect(caller.readableEnded).to.equal(true);
   });
 
+  it('gets no other answer if its caller half-closes within the next head', async () => {
+    caller.end('POST /a/second HT');
+    await delay(SETTLE_MS);
+    expect(received).to.equal('');
+    expect(isGone).to.equal(true);
+    expect(server.getOpenConnectionCount()).to.equal(0);
+  });
+
   it('is answered although the body behind it is broken', async () => {
     caller.write('POST /a/second HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nno length\r\n');
     await delay(SETTLE_MS);
@@ -135,3 +145,52 @@
     expect(server.getOpenConnectionCount()).to.equal(0);
   });
 });
+
+describe('a whole completion request with something behind it on its connection', () => {
+  let server: Server;
+  let caller: Socket;
+  let received: string;
+  let responses: ServerResponse[];
+
+  beforeEach(async () => {
+    received = '';
+    responses = [];
+    server = createServer((request, response) => {
+      request.resume();
+      responses.push(response);
+    });
+    void new KeepAliveConnections(server);
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    caller.on('error', () => undefined);
+    caller.on('data', (bytes) => (received += bytes.toString('latin1')));
+    await once(caller, 'connect');
+    caller.write(FIRST);
+    await delay(SETTLE_MS);
+  });
+
+  afterEach(() => {
+    caller.destroy();
+    server.close();
+  });
+
+  it('is answered although the next head is no HTTP', async () => {
+    caller.write('no head\r\n\r\n');
+    await delay(SETTLE_MS);
+    expect(received).to.equal('');
+    responses[0].end('answer');
+    await delay(SETTLE_MS);
+    expect(received).to.match(/^HTTP\/1\.1 200 [^]*answerHTTP\/1\.1 400 /);
+    expect(caller.readableEnded).to.equal(true);
+  });
+
+  it('is answered whole although its answer has begun', async () => {
+    responses[0].write('first ');
+    caller.write('no head\r\n\r\n');
+    await delay(SETTLE_MS);
+    responses[0].end('last');
+    await delay(SETTLE_MS);
+    expect(received).to.match(/^HTTP\/1\.1 200 [^]*last\r\n0\r\n\r\nHTTP\/1\.1 400 /);
+  });
+});
