--- a/lab/soak/log-check.ts
+++ b/lab/soak/log-check.ts
@@ -96,7 +96,11 @@
     if (processes[processes.length - 1].isOfAnother(line)) processes.push(new ProcessLog())
     processes[processes.length - 1].receive(line)
   }
-  const outcomes = processes.map(log => log.makeOutcome(daemon, longestMs))
+  return addOutcomes(processes.map(log => log.makeOutcome(daemon, longestMs)))
+}
+
+/// The outcome of several logs together.
+export function addOutcomes(outcomes: readonly LogOutcome[]): LogOutcome {
   return {
     accepted: sum(outcomes.map(({accepted}) => accepted)),
     open: sum(outcomes.map(({open}) => open)),
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -12,6 +12,7 @@
 import {SeededRandom} from "../../src/shared/random.js"
 import {CallerLoad, type CallerTarget} from "./caller-load.js"
 import {CRASHING_BODY, type CrashOutcome} from "./crash-check.js"
+import {addOutcomes, checkLog, type LogOutcome} from "./log-check.js"
 import type {LimitWindow} from "./signal-check.js"
 import type {RetryWindow} from "./retry-check.js"
 import type {CallerRecord, Violation} from "./caller-record.js"
@@ -31,6 +32,8 @@
 const STATUS_OVER_QUOTA = 429
 const MIN_SERVED_AFTER_RECOVERY = 0.95
 const DAEMONS = 5
+/// A request without an outcome this long after the longest time-out is lost, whatever paused its daemon. Milliseconds.
+const LOST_AFTER_MS = 10_000
 
 /// The result of a soak, printed as one line of JSON.
 interface SoakOutcome {
@@ -54,6 +57,8 @@
   /// phase.
   readonly parts?: PartsOutcome
   readonly skew?: SkewOutcome
+  /// What the daemons' logs say of the requests that they accepted.
+  readonly logs: Omit<LogOutcome, "violations">
   readonly violations: readonly Violation[]
 }
 
@@ -113,7 +118,18 @@
       promise: "usage is reported again after faults",
       text: "no report in the last seconds"
     })
-  return makeOutcome(seed, record, recoveredFrom)
+  const {violations, ...logs} = checkLogs(site, folder)
+  record.observedViolations.push(...violations)
+  return makeOutcome(seed, record, recoveredFrom, logs)
+}
+
+/// Checks the logs of all daemons.
+function checkLogs({daemons}: SoakSite, folder: string): LogOutcome {
+  const longestMs = Math.max(...SOAK_ROUTES.map(({timeoutMs}) => timeoutMs)) + LOST_AFTER_MS
+  const outcomes = daemons.map(({name}) =>
+    checkLog(name, readFileSync(join(folder, `${name}.log`), "utf8").split("\n"), longestMs)
+  )
+  return addOutcomes(outcomes)
 }
 
 /// Logs the calls that weren't meant for the platform. One to a known path with an invalid body comes from a daemon
@@ -158,7 +174,12 @@
   return status === STATUS_OVER_QUOTA && findTenant(key) === OVER_QUOTA_TENANT
 }
 
-function makeOutcome(seed: number, record: SoakRecord, recoveredFrom: number): SoakOutcome {
+function makeOutcome(
+  seed: number,
+  record: SoakRecord,
+  recoveredFrom: number,
+  logs: SoakOutcome["logs"]
+): SoakOutcome {
   const violations = record.check()
   const requests = [...record.requests.values()].filter(({crashingBody}) => crashingBody === undefined)
   const isServed = ({status, complete}: {status?: number; complete?: boolean}) =>
@@ -189,6 +210,7 @@
     ...(record.streams.length > 0 && {versions: record.findVersionOutcome()}),
     ...(record.partRequests.length > 0 && {parts: record.findPartsOutcome()}),
     ...(record.skewedRequests.length > 0 && {skew: record.findSkewOutcome()}),
+    logs,
     violations
   }
 }
