Read the sockets before a head is rejected as over its time

A request that waited in its socket while the daemon was busy or paused for longer than the time for a head was answered with 408, and its connection was closed with the request unread, so that the 408 may be lost in a reset.

Cause: Node.js looks for such heads in the turn of the timers, before it reads.

Change: the connection ends only if the head is still incomplete after the next poll. With the handling of errors behind whole requests this also keeps a request in progress from getting a 408 in the place of its answer.

--- a/src/gateway/end-connection.ts
+++ b/src/gateway/end-connection.ts
@@ -8,9 +8,12 @@
   STATUS_TOO_LARGE,
 } from '../shared/http-status.js';
 
+/** Code of the error of Node.js for a head that is over its time. */
+export const HEAD_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 /** Statuses by the code of the error with which Node.js stopped reading; the rest are bad requests. */
 const STATUS_BY_CODE: ReadonlyMap<string | undefined, number> = new Map([
-  ['ERR_HTTP_REQUEST_TIMEOUT', STATUS_REQUEST_TIMEOUT],
+  [HEAD_TIMEOUT_CODE, STATUS_REQUEST_TIMEOUT],
   ['HPE_CHUNK_EXTENSIONS_OVERFLOW', STATUS_TOO_LARGE],
   ['HPE_HEADER_OVERFLOW', STATUS_HEAD_TOO_LARGE],
 ]);
--- a/src/gateway/forward-server.ts
+++ b/src/gateway/forward-server.ts
@@ -10,7 +10,7 @@
 import type { CallerLimits } from '../forwarding/routes/route.js';
 import { runAfterNextPoll, closeIfIdle } from './after-next-poll.js';
 import { CallerReply } from './caller-reply.js';
-import { endConnection } from './end-connection.js';
+import { endConnection, HEAD_TIMEOUT_CODE } from './end-connection.js';
 import { STATUS_TOO_LARGE } from '../shared/http-status.js';
 
 /** A request whose head and body were read completely. */
@@ -95,7 +95,7 @@
     });
     this.server.on('request', (request, response) => this.onRequest(request, response));
     this.server.on('connection', (socket: Socket) => this.onConnection(socket));
-    this.server.on('clientError', (error, socket) => this.onUnreadable(socket as Socket, error));
+    this.server.on('clientError', (error, socket) => this.onClientError(socket as Socket, error));
     this.server.on('timeout', (socket: Socket) =>
       closeIfIdle(socket, () => this.handler.onIdleClosed?.('timeout')),
     );
@@ -189,6 +189,21 @@
     });
   }
 
+  /**
+   * Node.js could not read a request. It checks the time for a head before it reads the sockets, so the rest of a head
+   * that is over its time may have waited there while this process was busy or paused.
+   */
+  private onClientError(socket: Socket, error: NodeJS.ErrnoException): void {
+    if (error.code !== HEAD_TIMEOUT_CODE) {
+      this.onUnreadable(socket, error);
+      return;
+    }
+    this.unreadable.set(socket, error);
+    runAfterNextPoll(() => {
+      if (this.unreadable.get(socket) === error) this.onUnreadable(socket, error);
+    });
+  }
+
   /**
    * The next request on a connection is malformed or takes too long. Node.js itself would answer this at once, in the
    * place of the answers to the requests before it, which back ends may be executing.
@@ -262,7 +277,7 @@
     replies?.add(reply);
     this.idle.delete(socket);
     this.unused.delete(socket);
-    // A head that took too long has arrived after all, behind a request that is not answered yet.
+    // A head that took too long has arrived after all.
     this.unreadable.delete(socket);
     response.on('close', () => {
       replies?.delete(reply);
