--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -4,10 +4,11 @@
  */
 import { expect } from 'chai';
 import { readConfiguration } from '../platform/records.js';
+import { HttpDialect } from '../platform/http-dialect.js';
 import { decodePeerMessage, encodePeerMessage } from '../src/adapters/peer-codec.js';
 import type { RouteTarget } from '../src/forwarding/routes/route.js';
 import { WeightedChoice } from '../src/forwarding/routes/weighted-choice.js';
-import { makeLabRoute } from '../lab/forwarding-site.js';
+import { makeLabBackend, makeLabRoute } from '../lab/forwarding-site.js';
 import { OwnedBucket } from '../src/quotas/owned-bucket.js';
 
 const ROUTE = { name: 'r', host: 'h', path_prefix: '/', route_kind: 'x', timeout_ms: 1, service: 's' };
@@ -149,3 +150,24 @@
     expect({ a, b }).to.deep.equal({ a: 200, b: 100 });
   });
 });
+
+describe('a timeout of a route', () => {
+  for (const remainingMs of [2 ** 31, 1e21, Number.MAX_VALUE])
+    it(`is sent to back ends as digits: ${remainingMs}`, () => {
+      const headers = new HttpDialect().createRequestHeaders([], {
+        requestId: 'r',
+        attemptId: 'r/1',
+        backend: makeLabBackend('b1', '10.0.0.1:80'),
+        tenant: undefined,
+        prefillOnly: false,
+        kvSource: undefined,
+        copyFrom: undefined,
+        remainingMs,
+        urgency: 0,
+        stream: true,
+        once: false,
+        resumeAfter: undefined,
+      });
+      expect(headers[headers.indexOf('X-Deadline-Ms') + 1]).to.match(/^\d+$/);
+    });
+});
