--- a/test/reset-answers.test.ts
+++ b/test/reset-answers.test.ts
@@ -34,6 +34,12 @@
         expect(event.kind).to.equal('broken');
       });
 
+  for (const framing of ['Content-Length: 20\r\n', 'Transfer-Encoding: chunked\r\n'])
+    it(`with ${framing.trim()} that is closed within its body is broken`, async () => {
+      const event = await call((_request, socket) => void socket.end(`${HEAD}${framing}\r\n4\r\nhalf\r\n`));
+      expect(event.kind).to.equal('broken');
+    });
+
   it('after an informational one is whole', async () => {
     const hints = 'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n';
     const event = await call(
