Grant permits for a service that its limited back ends name anew

Back ends that advertise a limit were announced to the permits once, under the service of that time. After their records named another service, no request for it asked for a permit, and all were refused with 503 (no-backend) until some limit changed.

The first requests may still be refused (backend-limit).

--- a/src/forwarding/permits/backend-limits.ts
+++ b/src/forwarding/permits/backend-limits.ts
@@ -21,8 +21,8 @@
 
 /// The limits that one daemon knows. Times are monotonic milliseconds.
 export class BackendLimits {
-  /// Back ends that have advertised a limit.
-  private readonly views = new Set<BackendView>()
+  /// Back ends that have advertised a limit, with the services for which the listener was told.
+  private readonly views = new Map<BackendView, string>()
 
   constructor(
     private readonly directory: BackendDirectory,
@@ -31,12 +31,13 @@
 
   /// The back ends that advertise a limit now.
   getLimited(): BackendView[] {
-    return [...this.views].filter(view => !view.removed && view.limit.get() !== undefined)
+    return [...this.views.keys()].filter(view => !view.removed && view.limit.get() !== undefined)
   }
 
-  /// The record of a back end was added, or added again after it had expired.
+  /// The record of a back end was added, or added again after it had expired, or names another service.
   applyRecord(view: BackendView, now: number): void {
-    if (view.limit.get() !== undefined && !this.views.has(view)) this.setChanged(view, now)
+    const isTold = this.views.get(view) === view.record.service
+    if (view.limit.get() !== undefined && !isTold) this.setChanged(view, now)
   }
 
   /// Applies the signals of an answer. Ignores a limit that cannot be read, and a missing one unless the
@@ -61,7 +62,7 @@
   /// The limits to report to peers.
   getForPeers(now: number): SharedLimit[] {
     const shared: SharedLimit[] = []
-    for (const {record, limit} of this.views) {
+    for (const {record, limit} of this.views.keys()) {
       const ageMs = Math.round(now - limit.getChangedAt())
       const perSecond = limit.get()
       if (perSecond === undefined && ageMs > END_PUBLISH_MS) continue
@@ -72,16 +73,16 @@
 
   /// The machine was suspended for `forMs`, which the monotonic clock did not count.
   onMachineSuspended(forMs: number): void {
-    for (const {limit} of this.views) limit.onMachineSuspended(forMs)
+    for (const {limit} of this.views.keys()) limit.onMachineSuspended(forMs)
   }
 
   /// Drops back ends that were removed.
   tick(): void {
-    for (const view of this.views) if (view.removed) this.views.delete(view)
+    for (const view of this.views.keys()) if (view.removed) this.views.delete(view)
   }
 
   private setChanged(view: BackendView, now: number): void {
-    this.views.add(view)
+    this.views.set(view, view.record.service)
     this.onChange(view, view.limit.get(), now)
   }
 }
--- a/test/renamed-services.test.ts
+++ b/test/renamed-services.test.ts
@@ -17,6 +17,8 @@
 
 /** Enough for a daemon to read a change from its store and apply it. Milliseconds. */
 const APPLIED_MS = 1000;
+/** A bucket of permits starts empty: the first requests may be refused for this long. Milliseconds. */
+const LONGEST_REFUSAL_MS = 1500;
 const RENAMED = makeLabRoute({ targets: [{ service: 'renamed', weight: 1 }] });
 
 describe('a back end whose record names another service than before', () => {
@@ -37,12 +39,14 @@
 describe('a service that is renamed', () => {
   let backend: ScriptedBackend;
   let record: BackendRecord;
+  let advertised: string;
   let site: ForwardingSite;
 
   beforeEach(async () => {
+    advertised = '';
     backend = new ScriptedBackend(({ head }, socket) => {
       const id = findHeader(head, 'x-attempt-id') ?? '';
-      const named = `HTTP/1.1 200 OK\r\nX-Server-Signature: s1\r\nX-Attempt-Id: ${id}\r\n`;
+      const named = `HTTP/1.1 200 OK\r\nX-Server-Signature: s1\r\nX-Attempt-Id: ${id}\r\n${advertised}`;
       socket.write(`${named}Content-Length: 2\r\n\r\nok`);
     });
     record = makeLabBackend('b1', await backend.listen());
@@ -69,8 +73,8 @@
     });
   }
 
-  it('is served by its back ends once their records name it', async () => {
-    expect(await getStatusLine()).to.equal('HTTP/1.1 200 OK');
+  /** Renames the service in the configuration and in the record of its back end. */
+  async function rename(): Promise<void> {
     const { services, ...rest } = makeLabConfiguration(2, [RENAMED]);
     const value = { ...rest, services: services.map((service) => ({ ...service, name: 'renamed' })) };
     site.store.put({
@@ -81,6 +85,24 @@
     });
     site.store.put({ collection: 'configuration', revision: 4, value });
     await delay(APPLIED_MS);
+  }
+
+  it('is served by its back ends once their records name it', async () => {
+    expect(await getStatusLine()).to.equal('HTTP/1.1 200 OK');
+    await rename();
+    expect(await getStatusLine()).to.equal('HTTP/1.1 200 OK');
+  });
+
+  it('is served by back ends that advertised limits before, once permits are granted for it', async () => {
+    advertised = 'Server-Limit: 100\r\n';
     expect(await getStatusLine()).to.equal('HTTP/1.1 200 OK');
+    await rename();
+    const until = performance.now() + LONGEST_REFUSAL_MS;
+    let status = await getStatusLine();
+    while (status !== 'HTTP/1.1 200 OK' && performance.now() < until) {
+      await delay(150);
+      status = await getStatusLine();
+    }
+    expect(status).to.equal('HTTP/1.1 200 OK');
   });
 });
