--- a/test/pipelined-bad-heads.test.ts
+++ b/test/pipelined-bad-heads.test.ts
@@ -3,12 +3,11 @@
 import { once } from 'node:events';
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
-import { findFreeAddresses } from '../lab/free-ports.js';
 import type { CallerLimits } from '../src/forwarding/routes/route.js';
 import type { CallerReply } from '../src/gateway/caller-reply.js';
-import { ForwardServer } from '../src/gateway/forward-server.js';
 import { KeepAliveConnections } from '../src/gateway/keep-alive-connections.js';
 import { delay } from '../src/shared/delay.js';
+import { ForwardServerCaller } from './forward-server-caller.js';
 
 const LIMITS: CallerLimits = {
   maximumHeaderBytes: 1000,
@@ -23,45 +22,29 @@
 const FIRST = 'POST /a/first HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody';
 
 describe('a whole request with something behind it on its connection', () => {
-  let server: ForwardServer;
-  let caller: Socket;
-  let received: string;
+  let site: ForwardServerCaller;
   let replies: CallerReply[];
   let isGone: boolean;
 
   beforeEach(async () => {
     replies = [];
-    received = '';
     isGone = false;
-    server = new ForwardServer(
+    site = new ForwardServerCaller(
       {
         onRequest: (_request, reply) => {
           replies.push(reply);
           reply.onCallerGone = () => (isGone = true);
         },
       },
-      () => performance.now(),
+      LIMITS,
     );
-    const [address] = await findFreeAddresses(1);
-    await server.listen(address);
-    server.setLimits(LIMITS);
-    caller = connect(Number(address.split(':')[1]), '127.0.0.1');
-    caller.on('error', () => undefined);
-    caller.on('data', (bytes) => (received += bytes.toString('latin1')));
-    await once(caller, 'connect');
-    caller.write(FIRST);
+    await site.open();
+    site.caller.write(FIRST);
     await delay(SETTLE_MS);
     expect(replies).to.have.length(1);
   });
 
-  afterEach(() => {
-    caller.destroy();
-    server.close();
-  });
-
-  function getStatuses(): string[] {
-    return [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status);
-  }
+  afterEach(() => site.close());
 
   async function answerFirst(): Promise<void> {
     replies[0].sendFailure({ status: 200, failure: 'none', retryAfterMs: undefined });
@@ -69,80 +52,71 @@
   }
 
   it('is answered although the time for a head falls while the next head arrives', async () => {
-    caller.write('POST /a/second HT');
+    site.caller.write('POST /a/second HT');
     await delay(SETTLE_MS);
-    server.setLimits({ ...LIMITS, headerTimeoutMs: 10 });
+    site.setLimits({ headerTimeoutMs: 10 });
     await delay(CHECKED_MS);
-    expect(getStatuses()).to.deep.equal([]);
+    expect(site.getStatuses()).to.deep.equal([]);
     expect(isGone).to.equal(false);
     await answerFirst();
-    expect(getStatuses()).to.deep.equal(['200', '408']);
-    expect(caller.readableEnded).to.equal(true);
+    expect(site.getStatuses()).to.deep.equal(['200', '408']);
+    expect(site.caller.readableEnded).to.equal(true);
   });
 
   it('is answered although the next head is no HTTP', async () => {
-    caller.write('no head\r\n\r\n');
+    site.caller.write('no head\r\n\r\n');
     await delay(SETTLE_MS);
-    expect(getStatuses()).to.deep.equal([]);
+    expect(site.getStatuses()).to.deep.equal([]);
     expect(isGone).to.equal(false);
     await answerFirst();
-    expect(getStatuses()).to.deep.equal(['200', '400']);
-    expect(caller.readableEnded).to.equal(true);
+    expect(site.getStatuses()).to.deep.equal(['200', '400']);
+    expect(site.caller.readableEnded).to.equal(true);
   });
 
   it('gets no other answer if its caller half-closes within the next head', async () => {
-    caller.end('POST /a/second HT');
+    site.caller.end('POST /a/second HT');
     await delay(SETTLE_MS);
-    expect(received).to.equal('');
+    expect(site.received).to.equal('');
     expect(isGone).to.equal(true);
-    expect(server.getOpenConnectionCount()).to.equal(0);
+    expect(site.server.getOpenConnectionCount()).to.equal(0);
   });
 
   it('is answered although the body behind it is broken', async () => {
-    caller.write('POST /a/second HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nno length\r\n');
+    site.caller.write(
+      'POST /a/second HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nno length\r\n',
+    );
     await delay(SETTLE_MS);
-    expect(getStatuses()).to.deep.equal([]);
+    expect(site.getStatuses()).to.deep.equal([]);
     await answerFirst();
-    expect(getStatuses()).to.deep.equal(['200', '400']);
+    expect(site.getStatuses()).to.deep.equal(['200', '400']);
     expect(replies).to.have.length(1);
-    expect(server.getOpenRequestCount()).to.equal(0);
+    expect(site.server.getOpenRequestCount()).to.equal(0);
   });
 });
 
 describe('a connection with nothing whole on it', () => {
-  let server: ForwardServer;
-  let caller: Socket;
-  let received: string;
+  let site: ForwardServerCaller;
 
   beforeEach(async () => {
-    received = '';
-    server = new ForwardServer({ onRequest: () => undefined }, () => performance.now());
-    const [address] = await findFreeAddresses(1);
-    await server.listen(address);
-    caller = connect(Number(address.split(':')[1]), '127.0.0.1');
-    caller.on('error', () => undefined);
-    caller.on('data', (bytes) => (received += bytes.toString('latin1')));
-    await once(caller, 'connect');
+    site = new ForwardServerCaller({ onRequest: () => undefined }, LIMITS);
+    await site.open();
   });
 
-  afterEach(() => {
-    caller.destroy();
-    server.close();
-  });
+  afterEach(() => site.close());
 
   it('is answered and closed at once if its head is no HTTP', async () => {
-    caller.write('no head\r\n\r\n');
+    site.caller.write('no head\r\n\r\n');
     await delay(SETTLE_MS);
-    expect(received).to.match(/^HTTP\/1\.1 400 /);
-    expect(server.getOpenConnectionCount()).to.equal(0);
+    expect(site.received).to.match(/^HTTP\/1\.1 400 /);
+    expect(site.server.getOpenConnectionCount()).to.equal(0);
   });
 
   it('is answered and closed if its head takes too long', async () => {
-    server.setLimits({ ...LIMITS, headerTimeoutMs: 10 });
-    caller.write('POST /a/x HT');
+    site.setLimits({ headerTimeoutMs: 10 });
+    site.caller.write('POST /a/x HT');
     await delay(CHECKED_MS);
-    expect(received).to.match(/^HTTP\/1\.1 408 /);
-    expect(server.getOpenConnectionCount()).to.equal(0);
+    expect(site.received).to.match(/^HTTP\/1\.1 408 /);
+    expect(site.server.getOpenConnectionCount()).to.equal(0);
   });
 });
 
