Soak: callers that send in parts wait for their answers

The trace: daemon-5 refused it 150 ms after a key was revoked, by the configuration of that revocation. q180 sent its body in two parts, 150 ms apart, and its caller was one of those that give up early, whose requests the checks take to end when they were sent: before the revocation. So the case is allowed, and came in with the bodies in parts.

The check stays. A caller that sends in parts no longer gives up early, so that its request ends with its answer.

--- a/lab/soak/caller-load.ts
+++ b/lab/soak/caller-load.ts
@@ -14,7 +14,8 @@
 /// Callers close the connection this long after the route's timeout. Milliseconds.
 const CALLER_GRACE_MS = 4000
 const ABANDON_SHARE = 0.03
-/// One request of this many has its body sent in two parts, this long apart. Milliseconds.
+/// One request of this many has its body sent in two parts, this long apart; its caller does not give up early, since
+/// the checks take such a request to end when it was sent. Milliseconds.
 const PARTED_EVERY = 9
 const PART_INTERVAL_MS = 150
 /// Share of the requests with an unknown key, and share without a key.
@@ -119,8 +120,11 @@
         method: "POST",
         headers: this.getHeaders(id, key, route)
       })
-      const callerTimeoutMs =
-        crashingBody === undefined ? this.getCallerTimeout(call, route) : route.timeoutMs + CALLER_GRACE_MS
+      const isParted = this.count % PARTED_EVERY === 0
+      const mayAbandon = crashingBody === undefined && !isParted
+      const callerTimeoutMs = mayAbandon
+        ? this.getCallerTimeout(call, route)
+        : route.timeoutMs + CALLER_GRACE_MS
       const timer = setTimeout(() => request.destroy(), callerTimeoutMs)
       let hasFailed = false
       request.on("response", response => this.receive(call, response, () => hasFailed, end))
@@ -131,7 +135,7 @@
       request.on("close", end)
       this.setNoDelay(request)
       const body = crashingBody ?? `body of ${id}`
-      if (this.count % PARTED_EVERY === 0) sendInParts(request, body)
+      if (isParted) sendInParts(request, body)
       else request.end(body)
     })
   }
