--- a/simulation/fleet-node.ts
+++ b/simulation/fleet-node.ts
@@ -33,6 +33,8 @@
   readonly removals: string[];
   /** Requests that the daemon refused itself, with the retry time that it gave. */
   readonly refusals: { requestId: string; status: number; retryAfterMs: number | undefined; at: number }[];
+  /** Its log lines about configurations that came into force and requests that it refused. */
+  readonly logLines: { event: string; fields: Readonly<Record<string, unknown>> }[];
 }
 
 /** An attempt that a daemon has started; it stays unanswered unless the test answers it. */
--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -21,6 +21,7 @@
 import { PlatformModel } from '../lab/platform-model.js';
 import { LAB_STAGES } from '../lab/stage-settings.js';
 import type { CallerFields, FleetNode, StartedAttempt } from './fleet-node.js';
+import { SimulatedRecordStore } from './simulated-record-store.js';
 import { VirtualTime } from './virtual-time.js';
 
 export type { CallerFields, FleetNode, StartedAttempt, StoreAccess } from './fleet-node.js';
@@ -50,14 +51,6 @@
   duties: undefined,
 };
 
-/** A long poll of a daemon that waits for changes. */
-interface WaitingRead {
-  readonly node: FleetNode;
-  readonly read: RecordRead;
-  readonly answer: () => void;
-  done: boolean;
-}
-
 /** The simulated fleet: daemons, the network between them, the record store and the table. */
 export class ForwardingFleet {
   /** All attempts that daemons have started, in order. */
@@ -77,10 +70,7 @@
   private readonly random: SeededRandom;
   private readonly seeds: readonly string[];
   private readonly nodesByAddress = new Map<string, FleetNode>();
-  private readonly records = new Map<string, StoredRecord>();
-  private readonly log: StoredRecord[] = [];
-  private readonly waitingReads = new Set<WaitingRead>();
-  private revision = 0;
+  private readonly store = new SimulatedRecordStore(this.time);
 
   constructor(
     count: number,
@@ -110,6 +100,7 @@
         backendStates: new Map(),
         removals: [],
         refusals: [],
+        logLines: [],
       };
       this.nodes.push(node);
       this.nodesByAddress.set(node.address, node);
@@ -162,14 +153,7 @@
 
   /** Writes a record to the store, or removes it if its value is undefined. Returns the new revision. */
   write(record: StoredRecord): number {
-    this.revision += 1;
-    const written = { ...record, revision: this.revision };
-    const key = written.collection === 'backends' ? written.id : 'configuration';
-    if (written.value === undefined) this.records.delete(key);
-    else this.records.set(key, written);
-    this.log.push(written);
-    for (const waiting of [...this.waitingReads]) waiting.answer();
-    return this.revision;
+    return this.store.write(record);
   }
 
   /** Sends a caller's request to a daemon. */
@@ -194,6 +178,9 @@
   /** One-way delay of messages. Milliseconds. */
   networkMs = 1.5;
 
+  /** How long a message between daemons takes; messages of one daemon to another arrive in order. Milliseconds. */
+  getTransitMs: (from: FleetNode, to: FleetNode, message: PeerMessage) => number = () => this.networkMs;
+
   /** Whether one daemon can reach another. */
   isLinked: (from: FleetNode, to: FleetNode) => boolean = () => true;
 
@@ -292,6 +279,7 @@
     } else if (effect.kind === 'configurationInForce')
       node.inForceAt.set(effect.configuration.version, this.time.now());
     else if (effect.kind === 'change') this.onChange(node, effect.event, effect.fields);
+    else if (effect.kind === 'decision' && effect.event === 'request.refused') node.logLines.push(effect);
   }
 
   private sendPeer(node: FleetNode, address: string, message: PeerMessage): void {
@@ -300,8 +288,9 @@
     if (message.kind === 'loadDigest' && message.scope === 'zone') this.zoneDigestSenders.add(node.id);
     if (target && this.getRegion(target.zone) !== this.getRegion(node.zone))
       countKind(this.regionMessageCounts, message.kind);
-    this.time.after(this.networkMs, () => {
-      if (target && !node.down && this.isLinked(node, target))
+    if (!target) return;
+    this.time.after(this.getTransitMs(node, target, message), () => {
+      if (!node.down && this.isLinked(node, target))
         this.handle(target, { kind: 'peerMessage', fromId: node.id, fromAddress: node.address, message });
     });
   }
@@ -344,6 +333,7 @@
   }
 
   private onChange(node: FleetNode, event: string, fields: Readonly<Record<string, unknown>>): void {
+    if (event === 'configuration.changed') node.logLines.push({ event, fields });
     const at = this.time.now();
     const id = String(fields.backend);
     if (event === 'backend.changed') node.backendStates.set(id, { state: String(fields.state), at });
@@ -357,41 +347,11 @@
     const { collection } = read;
     const reply = (result: RecordReadResult, delayMs: number): void =>
       this.time.after(delayMs, () => this.handle(node, { kind: 'recordsRead', collection, result }));
-    if (node.access === 'refuses') {
-      reply({ kind: 'rejected', status: STATUS_UNAVAILABLE }, STORE_MS);
-    } else if (node.silentConnections.delete(collection) || node.access !== 'serves') {
+    if (node.access === 'refuses') reply({ kind: 'rejected', status: STATUS_UNAVAILABLE }, STORE_MS);
+    else if (node.silentConnections.delete(collection) || node.access !== 'serves') {
       const waitedMs = read.after === undefined ? 0 : read.waitMs;
       reply({ kind: 'noAnswer', reason: 'TimeoutError' }, waitedMs + read.answerTimeoutMs);
-    } else if (read.after === undefined) {
-      const records = [...this.records.values()].filter((record) => record.collection === collection);
-      reply({ kind: 'snapshot', revision: this.revision, records, storeMs: this.time.now() }, STORE_MS);
-    } else this.readChanges(node, read, read.after, reply);
-  }
-
-  private readChanges(
-    node: FleetNode,
-    read: RecordRead,
-    after: number,
-    reply: (result: RecordReadResult, delayMs: number) => void,
-  ): void {
-    const changes = (): StoredRecord[] =>
-      this.log.filter((record) => record.collection === read.collection && record.revision > after);
-    const waiting: WaitingRead = {
-      node,
-      read,
-      done: false,
-      answer: () => {
-        if (waiting.done || (changes().length === 0 && this.time.now() < until)) return;
-        waiting.done = true;
-        this.waitingReads.delete(waiting);
-        const storeMs = this.time.now();
-        reply({ kind: 'changes', revision: this.revision, records: changes(), storeMs }, STORE_MS);
-      },
-    };
-    const until = this.time.now() + read.waitMs;
-    this.waitingReads.add(waiting);
-    this.time.after(read.waitMs, waiting.answer);
-    waiting.answer();
+    } else this.store.read(read, (result) => reply(result, STORE_MS));
   }
 }
 
