Log on which copy of the configuration a request is denied, and how a version came

A 404 in the log named no version, no age of the copy and no source, so that the hypotheses about a route denied seconds after it was added could not be told apart. request.refused with no-route, unknown-key or stale-configuration now has the version in force, the age of the copy as the daemon counts it, the longest age that is possible by the store's clock, and who confirmed the copy. configuration.changed has the revision, the way by which it came and how long ago the store had given it away. The longest age comes from StoreClock, which bounds the store's clock by the daemon's own calls, or by its pulls from peers; it decides nothing yet.

recordsChanged carries the store's clock at the answer (optional; older daemons ignore it).

--- a/src/daemon/change-log.ts
+++ b/src/daemon/change-log.ts
@@ -72,8 +72,8 @@
 export function makeFleetChange(effect: FleetChange): ChangeEffect {
   switch (effect.kind) {
     case 'configurationChanged': {
-      const { configuration, source } = effect;
-      return makeChange('configuration.changed', { version: configuration.version, source });
+      const { configuration, revision, origin } = effect;
+      return makeChange('configuration.changed', { version: configuration.version, revision, ...origin });
     }
     case 'backendChanged': {
       const { record, revision, source } = effect;
--- a/src/daemon/forwarding-machines.ts
+++ b/src/daemon/forwarding-machines.ts
@@ -201,6 +201,7 @@
       getRoutes: () => context.getRoutes(),
       tenants: context.tenants,
       configurationMayBeStale: (at) => replica.mayBeStale('configuration', at),
+      getConfigurationEvidence: (at) => ({ ...replica.getEvidence('configuration', at) }),
       getOutageMs: (at) => replica.getOutageMs('configuration', at),
       getDaemonCount: () => context.getDaemonCount(),
       permits,
--- a/src/fleet/fleet-effects.ts
+++ b/src/fleet/fleet-effects.ts
@@ -12,7 +12,8 @@
   | {
       readonly kind: "configurationChanged"
       readonly configuration: RouteConfiguration
-      readonly source: RecordSource
+      readonly revision: number
+      readonly origin: RecordOrigin
     }
   | {
       readonly kind: "backendChanged"
@@ -44,3 +45,13 @@
 
 /// The source of records that were read from the store.
 export const STORE_SOURCE = "store"
+
+/// Where a record came from, and how.
+export interface RecordOrigin {
+  readonly source: RecordSource
+  /// Read from the store by this daemon, published by the daemon that read it, or part of a peer's whole copy.
+  readonly way: "read" | "published" | "copied"
+  /// How long ago, at most, the store gave the record to the daemon that read it; undefined when that is unknown.
+  /// Milliseconds.
+  readonly readAgoMs?: number | undefined
+}
--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -111,6 +111,8 @@
   /// The store has just recovered from an outage: removed records may only have expired. Absent in messages
   /// of older daemons.
   lapsed: z.boolean().optional(),
+  /// The store's clock at the answer with these changes. Absent in messages of older daemons. Milliseconds.
+  storeMs: count.optional(),
   /// The receiving relay forwards the message to its zone. Absent in messages of older daemons, which send
   /// it to every peer themselves.
   passOn: z.boolean().optional()
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -7,24 +7,35 @@
 import type {RouteConfiguration} from "../forwarding/routes/route.js"
 import type {EffectSink} from "../shared/effect-sink.js"
 import type {RandomSource} from "../shared/random.js"
-import {STORE_SOURCE, type FleetEffect} from "./fleet-effects.js"
+import {STORE_SOURCE, type FleetEffect, type RecordOrigin} from "./fleet-effects.js"
 import type {FleetKnowledge, RecordsChanged} from "./fleet-messages.js"
 import type {FleetReplicaSettings} from "./fleet-replica-settings.js"
 import {RecordCopy} from "./record-copy.js"
-import type {RecordCollection, RecordReadResult, StoredRecord} from "./record-store.js"
-import {StoreFollower} from "./store-follower.js"
+import type {RecordAnswer, RecordCollection, RecordReadResult, StoredRecord} from "./record-store.js"
+import {StoreClock} from "./store-clock.js"
+import {StoreFollower, type CopyEvidence} from "./store-follower.js"
 
 export type {FleetEffect} from "./fleet-effects.js"
+export type {CopyEvidence} from "./store-follower.js"
 export {DEFAULT_FLEET_REPLICA_SETTINGS, type FleetReplicaSettings} from "./fleet-replica-settings.js"
 
 /// Larger changes are published without their records, and every daemon reads them from the store: a relay
 /// that forwards them to 30 daemons over a link of 20 Mbit/s would be busy for half a second. Characters.
 const MAXIMUM_PUBLISHED_LENGTH = 32_768
 
+/// The complete copy of a peer.
+export interface PeerCopy {
+  readonly knowledge: FleetKnowledge
+  readonly records: readonly StoredRecord[]
+  /// When this daemon asked for it; undefined when that is unknown.
+  readonly requestedAt?: number | undefined
+}
+
 /// The replica of one daemon. Times are monotonic milliseconds.
 export class FleetReplica {
   private readonly followers: Readonly<Record<RecordCollection, StoreFollower>>
   private readonly copy: RecordCopy
+  private readonly clock = new StoreClock()
 
   constructor(
     private readonly settings: FleetReplicaSettings,
@@ -33,8 +44,10 @@
     now: number
   ) {
     this.copy = new RecordCopy(emit)
-    const createFollower = (collection: RecordCollection): StoreFollower =>
-      new StoreFollower(collection, settings, random, () => this.copy.hasRecords(collection), emit, now)
+    const createFollower = (collection: RecordCollection): StoreFollower => {
+      const hasRecords = (): boolean => this.copy.hasRecords(collection)
+      return new StoreFollower(collection, settings, random, this.clock, hasRecords, emit, now)
+    }
     this.followers = {configuration: createFollower("configuration"), backends: createFollower("backends")}
   }
 
@@ -67,6 +80,11 @@
     return this.followers[collection].getAgeMs(now)
   }
 
+  /// On what the age of the copy is based, for the log.
+  getEvidence(collection: RecordCollection, now: number): CopyEvidence {
+    return this.followers[collection].getEvidence(now)
+  }
+
   /// Whether a peer has changes that are missing here.
   isBehind(collection: RecordCollection): boolean {
     return this.followers[collection].isBehind()
@@ -86,6 +104,7 @@
 
   /// The machine was suspended for a time that the monotonic clock did not count. Milliseconds.
   onMachineSuspended(forMs: number): void {
+    this.clock.onMachineSuspended(forMs)
     for (const follower of Object.values(this.followers)) follower.onMachineSuspended(forMs)
   }
 
@@ -106,11 +125,13 @@
     follower.receiveReadEnd(result.kind === "snapshot" || result.kind === "changes", now)
     switch (result.kind) {
       case "snapshot":
-        this.applySnapshot(follower, result.revision, result.records, now)
+        this.receiveStoreClock(follower, result.storeMs, now)
+        this.applySnapshot(follower, result, now)
         follower.receiveConfirmation(result.storeMs, follower.sentAt, 0, now)
         break
       case "changes": {
-        this.applyChanges(follower, result.revision, result.records, now)
+        this.receiveStoreClock(follower, result.storeMs, now)
+        this.applyChanges(follower, result, now)
         const pauseMs = result.records.length > 0 ? this.settings.batchDelayMs : 0
         follower.receiveConfirmation(result.storeMs, follower.getAnswerTime(now), pauseMs, now)
         break
@@ -131,7 +152,9 @@
   receiveChanges(peerId: string, message: RecordsChanged, now: number): void {
     const follower = this.followers[message.collection]
     const holdUntil = message.lapsed === true ? follower.getPeerHold(now) : undefined
-    for (const record of message.records) this.copy.apply(record, peerId, {holdUntil})
+    const readAgoMs = this.getLongestAgoMs(message.storeMs, now)
+    const origin: RecordOrigin = {source: peerId, way: "published", readAgoMs}
+    for (const record of message.records) this.copy.apply(record, origin, {holdUntil})
     const {cursor} = follower
     const isReadable = message.records.length > 0 && message.records.every(hasVersion)
     const isComplete = isReadable && cursor !== undefined && cursor >= message.from
@@ -140,61 +163,72 @@
   }
 
   /// Applies the complete copy of a peer.
-  receiveSnapshot(
-    peerId: string,
-    knowledge: FleetKnowledge,
-    records: readonly StoredRecord[],
-    now: number
-  ): void {
-    for (const record of records) this.copy.apply(record, peerId)
+  receiveSnapshot(peerId: string, {knowledge, records, requestedAt}: PeerCopy, now: number): void {
+    if (requestedAt !== undefined) this.receivePeerClock(knowledge, requestedAt)
+    const origin: RecordOrigin = {source: peerId, way: "copied"}
+    for (const record of records) this.copy.apply(record, origin)
     const {complete} = knowledge.backends
-    if (complete >= 0) this.copy.removeMissing(complete, records, peerId)
+    if (complete >= 0) this.copy.removeMissing(complete, records, origin)
     const {configuration, backends} = this.followers
     configuration.receiveCopy(knowledge.configuration)
     if (records.every(hasVersion)) backends.receiveCopy(knowledge.backends)
-    this.receiveKnowledge(knowledge, now)
+    this.receiveKnowledge(peerId, knowledge, now)
   }
 
   /// Applies the state of a peer's copies.
-  receiveKnowledge(knowledge: FleetKnowledge, now: number): void {
+  receiveKnowledge(peerId: string, knowledge: FleetKnowledge, now: number): void {
     for (const follower of Object.values(this.followers))
-      follower.receiveKnowledge(knowledge[follower.collection], now)
+      follower.receiveKnowledge(peerId, knowledge[follower.collection], now)
   }
 
-  private applySnapshot(
-    follower: StoreFollower,
-    revision: number,
-    records: readonly StoredRecord[],
-    now: number
-  ): void {
-    for (const record of records) this.copy.apply(record, STORE_SOURCE)
+  private receiveStoreClock(follower: StoreFollower, storeMs: number | undefined, now: number): void {
+    if (storeMs !== undefined) this.clock.receiveAnswer(storeMs, follower.sentAt, now)
+  }
+
+  /// The peer's copy was this old when it answered, so the store's clock shows what bounds it here.
+  private receivePeerClock(knowledge: FleetKnowledge, requestedAt: number): void {
+    for (const {complete, storeMs, ageMs} of Object.values(knowledge))
+      if (complete >= 0 && storeMs !== undefined) this.clock.receivePeerAnswer(storeMs + ageMs, requestedAt)
+  }
+
+  /// How long ago, at most, the store's clock showed this. Milliseconds; undefined when that is unknown.
+  private getLongestAgoMs(storeMs: number | undefined, now: number): number | undefined {
+    const earliest = storeMs === undefined ? undefined : this.clock.findEarliestTime(storeMs, now)
+    return earliest === undefined ? undefined : Math.ceil(now - earliest)
+  }
+
+  private getReadOrigin({storeMs}: RecordAnswer, now: number): RecordOrigin {
+    return {source: STORE_SOURCE, way: "read", readAgoMs: this.getLongestAgoMs(storeMs, now)}
+  }
+
+  private applySnapshot(follower: StoreFollower, answer: RecordAnswer, now: number): void {
+    const {revision, records} = answer
+    const origin = this.getReadOrigin(answer, now)
+    for (const record of records) this.copy.apply(record, origin)
     const holdUntil = follower.getReadHold(now)
-    if (follower.collection === "backends")
-      this.copy.removeMissing(revision, records, STORE_SOURCE, holdUntil)
+    if (follower.collection === "backends") this.copy.removeMissing(revision, records, origin, holdUntil)
     follower.receiveSnapshot(revision)
   }
 
-  private applyChanges(
-    follower: StoreFollower,
-    revision: number,
-    records: readonly StoredRecord[],
-    now: number
-  ): void {
+  private applyChanges(follower: StoreFollower, answer: RecordAnswer, now: number): void {
+    const {revision, records, storeMs} = answer
+    const origin = this.getReadOrigin(answer, now)
     const from = follower.cursor ?? 0
     const holdUntil = follower.getReadHold(now)
     let changed = 0
     for (const record of records) {
       if (record.revision > from) changed = Math.max(changed, record.revision)
-      this.copy.apply(record, STORE_SOURCE, {holdUntil})
+      this.copy.apply(record, origin, {holdUntil})
     }
     follower.setKnownRevision(revision)
     if (changed === 0 || !follower.isPublisher()) return
     const {collection} = follower
     const published = isSmall(records) ? [...records] : []
     const lapsed = holdUntil !== undefined
+    const range = {from, to: revision, changed}
     this.emit({
       kind: "tellPeers",
-      message: {kind: "recordsChanged", collection, from, to: revision, changed, records: published, lapsed}
+      message: {kind: "recordsChanged", collection, ...range, records: published, lapsed, storeMs}
     })
   }
 }
--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -110,7 +110,9 @@
 export class PeerExchange {
   private nextDigestAt: number
   private behindSince: number | undefined
+  /// Sequence number and time of the latest pull.
   private sequence = 0
+  private pulledAt = -Infinity
   private readonly relay = new LoadRelay()
   private rankedMembers: readonly Member[] = []
   private ranking: RelayRanking = NO_RELAYS
@@ -230,7 +232,7 @@
     switch (message.kind) {
       case "loadDigest":
         this.applyLoads(fromId, fromAddress, message, now)
-        this.replica.receiveKnowledge(message.knowledge, now)
+        this.replica.receiveKnowledge(fromId, message.knowledge, now)
         if (message.passOn === true) this.sendLoadsToRelays(message, now)
         this.sendPullWhenBehind(fromAddress, message.knowledge, now)
         break
@@ -241,9 +243,15 @@
         this.emit({address: fromAddress, message: {kind: "recordsSnapshot", sequence, knowledge, records}})
         break
       }
-      case "recordsSnapshot":
-        this.replica.receiveSnapshot(fromId, message.knowledge, message.records, now)
+      case "recordsSnapshot": {
+        const {sequence, knowledge, records} = message
+        this.replica.receiveSnapshot(
+          fromId,
+          {knowledge, records, requestedAt: this.getPullTime(sequence)},
+          now
+        )
         break
+      }
       case "recordsChanged":
         this.replica.receiveChanges(fromId, message, now)
         if (message.passOn === true)
@@ -292,9 +300,15 @@
     if (!isEmpty && now - this.behindSince < this.settings.pullDelayMs) return
     this.behindSince = now
     this.sequence += 1
+    this.pulledAt = now
     this.emit({address: fromAddress, message: {kind: "recordsPull", sequence: this.sequence}})
   }
 
+  /// When the pull with this sequence number was sent; undefined for an earlier one than the latest.
+  private getPullTime(sequence: number): number | undefined {
+    return sequence === this.sequence ? this.pulledAt : undefined
+  }
+
   private getRelayIntervalMs(): number {
     const {relayIntervalMs, relayIntervalPerDaemonMs, minimumRelayIntervalMs} = this.settings
     const ms = this.rankedMembers.length * relayIntervalPerDaemonMs
--- a/src/fleet/record-copy.ts
+++ b/src/fleet/record-copy.ts
@@ -2,7 +2,7 @@
 /// snapshot does not revert newer records, and a removed back end does not return with an older record.
 import type {BackendRecord, RouteConfiguration} from "../forwarding/routes/route.js"
 import type {EffectSink} from "../shared/effect-sink.js"
-import {STORE_SOURCE, type FleetEffect, type RecordSource} from "./fleet-effects.js"
+import {STORE_SOURCE, type FleetEffect, type RecordOrigin} from "./fleet-effects.js"
 import {ExpiredBackends} from "./expired-backends.js"
 import type {RecordCollection, StoredRecord} from "./record-store.js"
 
@@ -70,42 +70,42 @@
   }
 
   /// Applies one record from the store or a peer.
-  apply(record: StoredRecord, source: RecordSource, options: ApplyOptions = {}): void {
-    if (record.collection === "configuration") this.applyConfiguration(record.revision, record.value, source)
-    else this.applyBackend(record.id, record, source, options)
+  apply(record: StoredRecord, origin: RecordOrigin, options: ApplyOptions = {}): void {
+    if (record.collection === "configuration") this.applyConfiguration(record.revision, record.value, origin)
+    else this.applyBackend(record.id, record, origin, options)
   }
 
   /// Removes the back ends that are missing in a snapshot, except those whose record is newer.
   removeMissing(
     revision: number,
     records: readonly StoredRecord[],
-    source: RecordSource,
+    origin: RecordOrigin,
     holdUntil?: number
   ): void {
     const present = new Set(records.map(record => (record.collection === "backends" ? record.id : "")))
     for (const [id, known] of this.backends) {
       if (present.has(id) || known.value === undefined || known.revision > revision) continue
       const record = {collection: "backends" as const, id, revision, value: undefined}
-      this.apply(record, source, {allowSameRevision: true, holdUntil})
+      this.apply(record, origin, {allowSameRevision: true, holdUntil})
     }
   }
 
   private applyConfiguration(
     revision: number,
     value: RouteConfiguration | undefined,
-    source: RecordSource
+    origin: RecordOrigin
   ): void {
     if (!value || revision <= this.configurationRevision) return
     if (this.current && value.version < this.current.version) return
     this.configurationRevision = revision
     this.current = value
-    this.emit({kind: "configurationChanged", configuration: value, source})
+    this.emit({kind: "configurationChanged", configuration: value, revision, origin})
   }
 
   private applyBackend(
     id: string,
     record: {readonly revision: number; readonly value?: BackendRecord | undefined},
-    source: RecordSource,
+    {source}: RecordOrigin,
     {allowSameRevision = false, holdUntil}: ApplyOptions
   ): void {
     const known = this.backends.get(id)
--- a/src/fleet/record-store.ts
+++ b/src/fleet/record-store.ts
@@ -21,7 +21,7 @@
 }
 
 /// Records and revision of an answer of the store.
-interface RecordAnswer {
+export interface RecordAnswer {
   readonly revision: number
   readonly records: readonly StoredRecord[]
   /// The store's monotonic clock at the answer. Milliseconds. It orders answers to different daemons;
--- a/src/fleet/store-follower.ts
+++ b/src/fleet/store-follower.ts
@@ -8,10 +8,11 @@
 /// to age more slowly than it does.
 import type {EffectSink} from "../shared/effect-sink.js"
 import type {RandomSource} from "../shared/random.js"
-import type {FleetEffect} from "./fleet-effects.js"
+import {STORE_SOURCE, type FleetEffect, type RecordSource} from "./fleet-effects.js"
 import type {RecordKnowledge} from "./fleet-messages.js"
 import type {FleetReplicaSettings} from "./fleet-replica-settings.js"
 import type {RecordCollection} from "./record-store.js"
+import type {StoreClock} from "./store-clock.js"
 
 /// Limit of the doublings of the back-off; the longest back-off is reached before it.
 const MAXIMUM_BACKOFF_DOUBLINGS = 6
@@ -25,6 +26,16 @@
 /// about to arrive from the reader. The same as the reader's pause between answers with changes. Milliseconds.
 const PEER_CHANGE_DELAY_MS = 150
 
+/// On what the age of a copy is based.
+export interface CopyEvidence {
+  /// The age that the daemon assumes. Milliseconds.
+  readonly ageMs: number
+  /// The longest age that is possible by the store's clock; undefined when nothing bounds it. Milliseconds.
+  readonly longestAgeMs: number | undefined
+  /// The store, or the peer that passed the store's word on; undefined before any confirmation.
+  readonly confirmedBy: RecordSource | undefined
+}
+
 /// The follower of one collection. Times are monotonic milliseconds.
 export class StoreFollower {
   /// The copy is complete up to this revision; undefined until a snapshot was applied, and again after the
@@ -52,6 +63,8 @@
   private completeAt = -Infinity
   /// The store's clock at the newest answer that this daemon or a peer received.
   private storeMs = -Infinity
+  /// Who confirmed the copy last: the store, or the peer that passed the store's word on.
+  private confirmedBy: RecordSource | undefined
   /// The newest revision that a peer reported; this daemon may lack it.
   private peerRevision = 0
   private rank = 0
@@ -61,6 +74,7 @@
     readonly collection: RecordCollection,
     private readonly settings: FleetReplicaSettings,
     private readonly random: RandomSource,
+    private readonly clock: StoreClock,
     private readonly hasRecords: () => boolean,
     private readonly emit: EffectSink<FleetEffect>,
     now: number
@@ -111,6 +125,14 @@
     return now - this.completeAt
   }
 
+  /// On what the age of the copy is based, for the log: the age that this daemon assumes, the longest one that is
+  /// possible by the store's clock, and who confirmed the copy. Milliseconds.
+  getEvidence(now: number): CopyEvidence {
+    const earliest = this.clock.findEarliestTime(this.storeMs, now)
+    const longestAgeMs = earliest === undefined ? undefined : Math.ceil(now - earliest)
+    return {ageMs: Math.ceil(this.getAgeMs(now)), longestAgeMs, confirmedBy: this.confirmedBy}
+  }
+
   /// Whether a peer has changes that are missing here.
   isBehind(): boolean {
     return this.cursor === undefined || this.cursor < this.peerRevision
@@ -157,6 +179,7 @@
   /// The store has confirmed that the copy was complete at `completeAt`; the next read follows after `pauseMs`.
   receiveConfirmation(storeMs: number | undefined, completeAt: number, pauseMs: number, now: number): void {
     this.storeMs = storeMs ?? -Infinity
+    this.confirmedBy = STORE_SOURCE
     if (this.isReportedLost)
       this.emit({kind: "storeRegained", collection: this.collection, outageMs: this.getOutageMs(now)})
     this.isReportedLost = false
@@ -218,7 +241,7 @@
   /// this one: a copy that began later lacks earlier removals. Without this condition, a daemon that started
   /// while the store rejected the first reader made eight of nine daemons skip a removal permanently (virtual
   /// time).
-  receiveKnowledge(knowledge: RecordKnowledge, now: number): void {
+  receiveKnowledge(peerId: string, knowledge: RecordKnowledge, now: number): void {
     const {complete, changed, ageMs, storeMs = -Infinity, since = 0} = knowledge
     if (complete < 0 || this.cursor === undefined) return
     if (this.cursor < changed) {
@@ -229,6 +252,7 @@
     this.setKnownRevision(complete)
     if (storeMs <= this.storeMs) return
     this.storeMs = storeMs
+    this.confirmedBy = peerId
     this.updatePeerHold(now)
     this.completeAt = Math.max(this.completeAt, now - Math.max(0, ageMs))
   }
--- a/src/forwarding/admit/request-admission.ts
+++ b/src/forwarding/admit/request-admission.ts
@@ -1,6 +1,7 @@
 /// Decides whether a request is accepted: finds its route, the tenant of its caller and the service that
 /// handles it, or the reason why it is refused.
-import {STATUS_NOT_FOUND, STATUS_UNAUTHORIZED} from "../../shared/http-status.js"
+import {STATUS_NOT_FOUND, STATUS_UNAUTHORIZED, STATUS_UNAVAILABLE} from "../../shared/http-status.js"
+import type {DecisionFields, NotAccepted} from "../finish/forward-answers.js"
 import type {LimitContext} from "./forward-limits.js"
 import type {RetryAfter} from "./retry-after.js"
 import type {ForwardFailure} from "../forward-messages.js"
@@ -15,6 +16,8 @@
   readonly tenants: TenantDirectory
   /// Whether the configuration may be out of date, so that a missing route or key is not conclusive.
   configurationMayBeStale(now: number): boolean
+  /// On what that is based, for the log.
+  getConfigurationEvidence(now: number): DecisionFields
 }
 
 /// A request that is accepted.
@@ -26,13 +29,9 @@
   readonly configurationVersion: number
 }
 
-/// The decision about a request.
-export type AdmissionDecision =
-  | Admitted
-  /// The request has not been executed and will not be; the caller may retry after `retryAfterMs`.
-  | {readonly kind: "refused"; readonly failure: ForwardFailure; readonly retryAfterMs: number}
-  /// The configuration does not allow it.
-  | {readonly kind: "denied"; readonly status: number; readonly failure: ForwardFailure}
+/// The decision about a request. One that is not accepted is denied where the configuration does not allow it, and
+/// refused with a Retry-After where it may be accepted later.
+export type AdmissionDecision = Admitted | ({readonly kind: "notAccepted"} & NotAccepted)
 
 /// Admission of requests to one daemon. Times are monotonic milliseconds.
 export class RequestAdmission {
@@ -51,10 +50,9 @@
 
   /// Decides about a request that has just arrived.
   admit({host, path, keyDigest}: ForwardRequest, now: number): AdmissionDecision {
-    if (this.closed)
-      return {kind: "refused", failure: "stopping", retryAfterMs: this.retryAfter.getStoppingMs()}
+    if (this.closed) return refuse("stopping", this.retryAfter.getStoppingMs())
     const routes = this.context.getRoutes()
-    if (!routes) return this.refuse("no-configuration", now)
+    if (!routes) return refuse("no-configuration", this.retryAfter.getStaleConfigurationMs(now))
     const route = routes.findRoute(host, path)
     if (!route) return this.deny(STATUS_NOT_FOUND, "no-route", now)
     const caller = this.context.tenants.findCaller(route, keyDigest)
@@ -67,11 +65,18 @@
 
   /// Denies the request, or refuses it with a Retry-After where a newer configuration may allow it.
   private deny(status: number, failure: ForwardFailure, now: number): AdmissionDecision {
-    const mayBeAllowed = this.context.configurationMayBeStale(now)
-    return mayBeAllowed ? this.refuse("stale-configuration", now) : {kind: "denied", status, failure}
+    const configuration = this.context.getRoutes()?.configuration.version
+    const reasons = {configuration, ...this.context.getConfigurationEvidence(now)}
+    if (this.context.configurationMayBeStale(now))
+      return refuse("stale-configuration", this.retryAfter.getStaleConfigurationMs(now), reasons)
+    return {kind: "notAccepted", status, failure, retryAfterMs: undefined, reasons}
   }
+}
 
-  private refuse(failure: ForwardFailure, now: number): AdmissionDecision {
-    return {kind: "refused", failure, retryAfterMs: this.retryAfter.getStaleConfigurationMs(now)}
-  }
+function refuse(
+  failure: ForwardFailure,
+  retryAfterMs: number,
+  reasons: DecisionFields = {}
+): AdmissionDecision {
+  return {kind: "notAccepted", status: STATUS_UNAVAILABLE, failure, retryAfterMs, reasons}
 }
--- a/src/forwarding/finish/forward-answers.ts
+++ b/src/forwarding/finish/forward-answers.ts
@@ -31,6 +31,15 @@
 /// Values on which a decision is based, for the log.
 export type DecisionFields = Readonly<Record<string, unknown>>
 
+/// Why a request is not accepted.
+export interface NotAccepted {
+  readonly status: number
+  readonly failure: ForwardFailure
+  /// When the caller should retry; undefined if a retry is of no use. Milliseconds.
+  readonly retryAfterMs: number | undefined
+  readonly reasons: DecisionFields
+}
+
 /// Sends the answers that one daemon generates. Times are monotonic milliseconds.
 export class ForwardAnswers {
   constructor(private readonly emit: EffectSink<ForwardEffect>) {}
@@ -57,15 +66,13 @@
     })
   }
 
-  /// Refuses a request that has not been executed and will not be.
-  sendRefusal(
+  /// Answers a request that is not accepted: it has not been executed and will not be.
+  sendNotAccepted(
     request: ForwardRequest,
-    failure: ForwardFailure,
-    retryAfterMs: number,
-    now: number,
-    session?: Session
+    {status, failure, retryAfterMs, reasons}: NotAccepted,
+    now: number
   ): void {
-    this.sendFailure(request, STATUS_UNAVAILABLE, failure, retryAfterMs, now, session)
+    this.sendFailure(request, status, failure, retryAfterMs, now, undefined, reasons)
   }
 
   /// Breaks off an answer that has begun, so that it does not look complete.
--- a/src/forwarding/forward-manager.ts
+++ b/src/forwarding/forward-manager.ts
@@ -120,17 +120,8 @@
   /// Handles a request that has arrived completely.
   receiveRequest(request: ForwardRequest, now: number): void {
     const admission = this.admission.admit(request, now)
-    switch (admission.kind) {
-      case "refused":
-        this.answers.sendRefusal(request, admission.failure, admission.retryAfterMs, now)
-        break
-      case "denied":
-        this.answers.sendFailure(request, admission.status, admission.failure, undefined, now)
-        break
-      case "admitted":
-        this.startAdmitted(request, admission, now)
-        break
-    }
+    if (admission.kind === "admitted") this.startAdmitted(request, admission, now)
+    else this.answers.sendNotAccepted(request, admission, now)
   }
 
   /// Applies the quota decision for which a request waits.
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -87,7 +87,11 @@
       { kind: 'snapshot', revision: 6, records: [makeBackendRecord('a', 5), makeBackendRecord('b', 6)] },
       0,
     );
-    fleet.receiveSnapshot('peer', createKnowledge(-1, -1), [makeBackendRecord('c', 20)], 5);
+    fleet.receiveSnapshot(
+      'peer',
+      { knowledge: createKnowledge(-1, -1), records: [makeBackendRecord('c', 20)] },
+      5,
+    );
     fleet.receiveReadResult(
       'backends',
       { kind: 'snapshot', revision: 15, records: [makeBackendRecord('b', 6)] },
@@ -101,8 +105,10 @@
     fleet.receiveReadResult('configuration', { kind: 'noAnswer', reason: 'timeout' }, 0);
     fleet.receiveSnapshot(
       'peer',
-      createKnowledge(-1, -1),
-      [makeConfigurationRecord(10, 3), makeBackendRecord('a', 5)],
+      {
+        knowledge: createKnowledge(-1, -1),
+        records: [makeConfigurationRecord(10, 3), makeBackendRecord('a', 5)],
+      },
       50,
     );
     expect(fleet.getConfiguration()?.version).to.equal(3);
@@ -137,7 +143,8 @@
         let newest = 0;
         for (const { revision, fromPeer } of plan) {
           const records = [makeConfigurationRecord(revision, revision)];
-          if (fromPeer) fleet.receiveSnapshot('peer', createKnowledge(-1, -1), records, revision);
+          if (fromPeer)
+            fleet.receiveSnapshot('peer', { knowledge: createKnowledge(-1, -1), records }, revision);
           else fleet.receiveReadResult('configuration', { kind: 'snapshot', revision, records }, revision);
           newest = Math.max(newest, revision);
           expect(fleet.getConfiguration()?.version).to.equal(newest);
@@ -152,8 +159,10 @@
     const knowledge = createKnowledge(5, 5);
     fleet.receiveSnapshot(
       'peer',
-      { ...knowledge, backends: { complete: 5, changed: 9, ageMs: 0 } },
-      [makeConfigurationRecord(5, 1), makeBackendRecord('a', 9)],
+      {
+        knowledge: { ...knowledge, backends: { complete: 5, changed: 9, ageMs: 0 } },
+        records: [makeConfigurationRecord(5, 1), makeBackendRecord('a', 9)],
+      },
       50,
     );
     const message = {
--- a/test/forwarding-harness.ts
+++ b/test/forwarding-harness.ts
@@ -131,6 +131,7 @@
         getRoutes: () => this.table,
         tenants: this.tenants,
         configurationMayBeStale: () => this.stale,
+        getConfigurationEvidence: () => ({}),
         getOutageMs: () => 0,
         getDaemonCount: () => 1,
         onExecutionStarted: (tenant, at) => this.executionStarts.push([tenant, at]),
--- a/test/late-reads.test.ts
+++ b/test/late-reads.test.ts
@@ -98,7 +98,11 @@
     replica.receiveReadResult('backends', { kind: 'noAnswer', reason: 'timeout' }, 1500);
     const createKnowledge = (now: number) => ({ complete: 11, changed: 10, ageMs: 0, storeMs: now });
     for (let now = 2000; now < 20_000; now += 1000)
-      replica.receiveKnowledge({ configuration: createKnowledge(now), backends: createKnowledge(now) }, now);
+      replica.receiveKnowledge(
+        'peer',
+        { configuration: createKnowledge(now), backends: createKnowledge(now) },
+        now,
+      );
     replica.tick(22_000);
     replica.receiveReadResult('backends', { kind: 'noAnswer', reason: 'timeout' }, 22_350);
     replica.tick(23_000);
