Take the age of a peer's copy from the store's clock, not from its message

Callers got 404 for a route that the store had taken seconds before, from daemons in contact with the store and with their peers.

Cause: a digest tells how long ago its sender's copy was confirmed, and the receiver subtracted that from the time of receipt. The time for which the message waited (a full link, a relay without processor time, an actor's queue) was left out, so the copy looked current while the change waited in the same queue; the daemon neither read the store itself nor refused to deny.

Change: a digest names the store's clock at the answer that confirmed the copy. Each daemon bounds that clock by its own calls, or by its pulls from peers until the store has answered it, and so knows the earliest time at which the store's clock showed this. The age in the message only serves for the bound of a pull. A confirmation that cannot be placed by the store's clock is ignored.

Pinned effects change: daemons on slow ways read the store sooner.

--- a/src/fleet/store-follower.ts
+++ b/src/fleet/store-follower.ts
@@ -111,7 +111,7 @@
     if (cursor === undefined || completeAt === -Infinity) return {complete: -1, changed, ageMs: 0}
     const knownStoreMs = Number.isFinite(storeMs) ? storeMs : undefined
     const since = knowsRemovalsSince > 0 ? {since: knowsRemovalsSince} : {}
-    return {complete: cursor, changed, ageMs: Math.round(now - completeAt), storeMs: knownStoreMs, ...since}
+    return {complete: cursor, changed, ageMs: Math.ceil(now - completeAt), storeMs: knownStoreMs, ...since}
   }
 
   /// The machine was suspended for a time that the monotonic clock did not count, so the copy is older than
@@ -242,7 +242,7 @@
   /// while the store rejected the first reader made eight of nine daemons skip a removal permanently (virtual
   /// time).
   receiveKnowledge(peerId: string, knowledge: RecordKnowledge, now: number): void {
-    const {complete, changed, ageMs, storeMs = -Infinity, since = 0} = knowledge
+    const {complete, changed, storeMs = -Infinity, since = 0} = knowledge
     if (complete < 0 || this.cursor === undefined) return
     if (this.cursor < changed) {
       this.receivePeerRevision(changed, now)
@@ -251,10 +251,14 @@
     if (this.cursor < since) return
     this.setKnownRevision(complete)
     if (storeMs <= this.storeMs) return
+    // The age in the message leaves out how long the message took, and so would make a copy look current for as
+    // long as changes wait in the same queue.
+    const confirmedAt = this.clock.findEarliestTime(storeMs, now)
+    if (confirmedAt === undefined) return
     this.storeMs = storeMs
     this.confirmedBy = peerId
     this.updatePeerHold(now)
-    this.completeAt = Math.max(this.completeAt, now - Math.max(0, ageMs))
+    this.completeAt = Math.max(this.completeAt, confirmedAt)
   }
 
   /// Whether this daemon should read the store itself.
