Count the age of the store's answer from when it was made, not from when it was handled

A copy could deny a route up to the whole wait plus 0.3 s longer than allowed, and told its peers so: an answer that was handled at most that long after its read was sent counted as made at that moment. One with changes is made at once, so a reader that is slow to handle it (a full link, little processor time) looked that much more current, and with it the whole fleet.

Change: the store's clock in the answer, bounded by the daemon's own calls, tells when it was made at the earliest; at worst it was made when its read was sent. The first in rank, whose reads wait, renews the bound by a read that does not wait after some minutes. An answer that is handled after a peer's newer word no longer takes that back. The age in the log and the longest possible one are now the same, so the line of a denied request has one of them.

Test, which failed before: a store that falls silent after its answers took 700 ms, a change each 0.1 s; denied by a version replaced 2460 ms before, bound 2000 (test/late-configurations.test.ts). The test of the log line reads ageMs in place of longestAgeMs, which is gone; the bound is the same.

--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -127,13 +127,13 @@
       case "snapshot":
         this.receiveStoreClock(follower, result.storeMs, now)
         this.applySnapshot(follower, result, now)
-        follower.receiveConfirmation(result.storeMs, follower.sentAt, 0, now)
+        follower.receiveConfirmation(result.storeMs, 0, now)
         break
       case "changes": {
         this.receiveStoreClock(follower, result.storeMs, now)
         this.applyChanges(follower, result, now)
         const pauseMs = result.records.length > 0 ? this.settings.batchDelayMs : 0
-        follower.receiveConfirmation(result.storeMs, follower.getAnswerTime(now), pauseMs, now)
+        follower.receiveConfirmation(result.storeMs, pauseMs, now)
         break
       }
       case "historyGone":
--- a/src/fleet/store-clock.ts
+++ b/src/fleet/store-clock.ts
@@ -8,6 +8,9 @@
 /// Two steady clocks differ by at most this share of the time that passes: an oscillator's error and the adjustment by a
 /// time service, at both ends.
 const MAXIMUM_DRIFT = 0.001
+/// A bound is loose when it has grown by this much, well under the time in which a change must be in force.
+/// Milliseconds.
+const LOOSE_BOUND_MS = 200
 /// Clocks are read in whole milliseconds at both ends, so the bound may be exceeded by this much. Milliseconds.
 const ROUNDING_MS = 2
 
@@ -40,6 +43,12 @@
     return Math.min(now, storeMs - this.getLargestOffsetMs(now))
   }
 
+  /// Whether the bound has grown so much that a call that is answered at once should renew it. Never where the store
+  /// does not tell its clock.
+  isLoose(now: number): boolean {
+    return this.isMeasured && this.getDriftMs(now) > LOOSE_BOUND_MS
+  }
+
   /// The machine was suspended for a time that the monotonic clock did not count. Milliseconds.
   onMachineSuspended(forMs: number): void {
     this.largestOffsetMs += forMs
@@ -58,6 +67,10 @@
   }
 
   private getLargestOffsetMs(now: number): number {
-    return this.largestOffsetMs + Math.max(0, now - this.boundedAt) * MAXIMUM_DRIFT
+    return this.largestOffsetMs + this.getDriftMs(now)
+  }
+
+  private getDriftMs(now: number): number {
+    return Math.max(0, now - this.boundedAt) * MAXIMUM_DRIFT
   }
 }
--- a/src/fleet/store-follower.ts
+++ b/src/fleet/store-follower.ts
@@ -19,19 +19,14 @@
 /// Only daemons of these first ranks publish changes, so that an outage of the first one does not make every
 /// daemon send to every other one.
 const PUBLISHING_RANKS = 3
-/// When a read took this much longer than its wait, the time at which the store answered is unknown. A slow
-/// store answers in about 200. Milliseconds.
-const MAXIMUM_ANSWER_DELAY_MS = 300
 /// Delay of a read for a change of back ends that a peer reports, since in most cases the change itself is
 /// about to arrive from the reader. The same as the reader's pause between answers with changes. Milliseconds.
 const PEER_CHANGE_DELAY_MS = 150
 
 /// On what the age of a copy is based.
 export interface CopyEvidence {
-  /// The age that the daemon assumes. Milliseconds.
+  /// The longest time for which the store may have had something newer. Milliseconds.
   readonly ageMs: number
-  /// The longest age that is possible by the store's clock; undefined when nothing bounds it. Milliseconds.
-  readonly longestAgeMs: number | undefined
   /// The store, or the peer that passed the store's word on; undefined before any confirmation.
   readonly confirmedBy: RecordSource | undefined
 }
@@ -59,7 +54,7 @@
   private readHoldUntil = -Infinity
   /// The same for a removal that a peer has read after an outage.
   private peerHoldUntil = -Infinity
-  /// When the copy was last confirmed as complete, by the store or by a peer.
+  /// The earliest time at which the copy may have been complete last, as the store or a peer confirmed.
   private completeAt = -Infinity
   /// The store's clock at the newest answer that this daemon or a peer received.
   private storeMs = -Infinity
@@ -120,17 +115,14 @@
     this.completeAt -= forMs
   }
 
-  /// Time since the copy was last confirmed as complete. Milliseconds.
+  /// The longest time for which the store may have had something newer. Milliseconds.
   getAgeMs(now: number): number {
     return now - this.completeAt
   }
 
-  /// On what the age of the copy is based, for the log: the age that this daemon assumes, the longest one that is
-  /// possible by the store's clock, and who confirmed the copy. Milliseconds.
+  /// On what the age of the copy is based, for the log.
   getEvidence(now: number): CopyEvidence {
-    const earliest = this.clock.findEarliestTime(this.storeMs, now)
-    const longestAgeMs = earliest === undefined ? undefined : Math.ceil(now - earliest)
-    return {ageMs: Math.ceil(this.getAgeMs(now)), longestAgeMs, confirmedBy: this.confirmedBy}
+    return {ageMs: Math.ceil(this.getAgeMs(now)), confirmedBy: this.confirmedBy}
   }
 
   /// Whether a peer has changes that are missing here.
@@ -158,13 +150,6 @@
     return now < this.peerHoldUntil ? this.peerHoldUntil : undefined
   }
 
-  /// A lower bound of the time at which a read that waited for changes was answered: `now`, or the time at
-  /// which it was sent when the answer took too long.
-  getAnswerTime(now: number): number {
-    const isOnTime = now - this.sentAt <= this.lastWaitMs + MAXIMUM_ANSWER_DELAY_MS
-    return isOnTime ? now : this.sentAt
-  }
-
   /// Sends a read if one is due.
   tick(now: number): void {
     if (!this.inFlight && now >= this.nextAt && this.isDue(now)) this.read(now)
@@ -176,16 +161,22 @@
     if (answered && this.hasHadLongOutage(now)) this.readHoldUntil = this.getHoldAfterOutage(now)
   }
 
-  /// The store has confirmed that the copy was complete at `completeAt`; the next read follows after `pauseMs`.
-  receiveConfirmation(storeMs: number | undefined, completeAt: number, pauseMs: number, now: number): void {
-    this.storeMs = storeMs ?? -Infinity
-    this.confirmedBy = STORE_SOURCE
+  /// The store has confirmed with its answer that the copy is complete; the next read follows after `pauseMs`.
+  receiveConfirmation(storeMs: number | undefined, pauseMs: number, now: number): void {
+    // A newer answer to another daemon counts, unless the store's clock has been set back since.
+    const isNewest = (storeMs ?? -Infinity) > this.storeMs
+    if (isNewest || this.clock.findEarliestTime(this.storeMs, now) === undefined) {
+      this.storeMs = storeMs ?? -Infinity
+      this.confirmedBy = STORE_SOURCE
+    }
     if (this.isReportedLost)
       this.emit({kind: "storeRegained", collection: this.collection, outageMs: this.getOutageMs(now)})
     this.isReportedLost = false
     this.removeFailures()
     this.updatePeerHold(now)
-    this.completeAt = Math.max(this.completeAt, completeAt)
+    // An answer may be handled long after it was made, but it was made after its read was sent.
+    const answeredAt = storeMs === undefined ? undefined : this.clock.findEarliestTime(storeMs, now)
+    this.completeAt = Math.max(this.completeAt, answeredAt ?? this.sentAt, this.sentAt)
     // A read that does not wait is answered immediately, also by a store that lags behind the peers.
     const pause = this.lastWaitMs > 0 ? pauseMs : Math.max(pauseMs, this.settings.batchDelayMs)
     this.nextAt = now + pause
@@ -269,7 +260,7 @@
     return now - this.completeAt > delayMs
   }
 
-  /// Sends a read. The first in rank waits at the store for changes. The others read when their copy has not
+  /// Sends a read. The first in rank waits at the store for changes, unless it has to bound the store's clock anew. The others read when their copy has not
   /// been confirmed for long, and do not wait: the loss of a waiting read is detected so late that a daemon
   /// that its peers cannot reach would learn of a leaving back end after the bound.
   private read(now: number): void {
@@ -279,7 +270,7 @@
     this.inFlight = true
     this.lastSentAt = now
     const {collection, cursor, settings} = this
-    const follows = this.rank === 0
+    const follows = this.rank === 0 && !this.clock.isLoose(now)
     this.lastWaitMs = follows ? settings.waitMs : 0
     const answerTimeoutMs =
       follows || this.failures > 0 ? settings.answerTimeoutMs : settings.firstAnswerTimeoutMs
--- a/test/denied-requests.test.ts
+++ b/test/denied-requests.test.ts
@@ -23,7 +23,7 @@
     expect(line).to.include({ status: 404, failure: 'no-route', configuration: 1 });
     expect(fleet.nodes.map(({ id }) => id)).to.include(line?.confirmedBy);
     // The message that confirmed the copy took this long.
-    expect(line?.longestAgeMs).to.be.at.least(NETWORK_MS);
+    expect(line?.ageMs).to.be.at.least(NETWORK_MS);
   });
 
   it('tells why a request is not denied by a copy that is too old', () => {
--- a/test/late-configurations.test.ts
+++ b/test/late-configurations.test.ts
@@ -152,6 +152,16 @@
     });
   }
 
+  it('denies nothing by a configuration replaced before the bound, when a store falls silent whose answers took long', () => {
+    for (let slowMs = 2000; slowMs <= 4000; slowMs += 100) {
+      const delayed = new DelayedReplica(0);
+      delayed.run({ ...CALM, forMs: 3000 }, 10_000);
+      delayed.run({ ...CALM, forMs: slowMs, answerMs: 700, peerMs: 20_000 }, 100);
+      const silent = { ...CALM, forMs: 6000, storeAnswers: false, peerMs: 20_000 };
+      expect(delayed.run(silent, 100), `silent after ${slowMs} ms`).to.be.at.most(BOUND_MS);
+    }
+  });
+
   it('denies nothing by a configuration replaced before the bound, in drawn delays', () => {
     fc.assert(
       fc.property(
--- a/test/store-clock.test.ts
+++ b/test/store-clock.test.ts
@@ -55,6 +55,16 @@
     expect(clock.findEarliestTime(53_000, 3200)).to.be.within(2990, 2997);
   });
 
+  it('is loose some minutes after the last call that bounded it closely, until the next one', () => {
+    const clock = new StoreClock();
+    clock.receiveAnswer(50_000, 0, 4);
+    clock.receiveAnswer(51_000, 5, 1000);
+    expect(clock.isLoose(60_000)).to.equal(false);
+    expect(clock.isLoose(HOUR_MS)).to.equal(true);
+    clock.receiveAnswer(50_000 + HOUR_MS, HOUR_MS - 2, HOUR_MS + 2);
+    expect(clock.isLoose(HOUR_MS + 100)).to.equal(false);
+  });
+
   it('bounds nothing before a call', () => {
     expect(new StoreClock().findEarliestTime(1000, 50)).to.equal(undefined);
   });
