--- a/simulation/forwarding-fleet.ts
+++ b/simulation/forwarding-fleet.ts
@@ -2,7 +2,7 @@
  * A fleet of forwarding daemons in virtual time that share one record store. Runs the daemons' real state machines
  * without sockets; tests answer the attempts and health checks.
  */
-import { ForwardingDaemon, TICK_MS } from '../src/daemon/forwarding-daemon.js';
+import { ForwardingDaemon } from '../src/daemon/forwarding-daemon.js';
 import {
   DEFAULT_FORWARDING_SETTINGS,
   type ForwardingDaemonSettings,
@@ -12,6 +12,7 @@
 import type { BackendIncarnation } from '../src/quarantine/crash-detector.js';
 import type { RecordRead, RecordReadResult, StoredRecord } from '../src/fleet/record-store.js';
 import { SeededRandom } from '../src/shared/random.js';
+import { TICK_MS } from '../src/shared/tick-interval.js';
 import type { AttemptStart, ForwardAttemptEvent } from '../src/forwarding/forward-messages.js';
 import type { KvChangesCall } from '../src/forwarding/kv-cache/kv-follower.js';
 import type { BackendRecord } from '../src/forwarding/routes/route.js';
--- a/src/daemon/forwarding-daemon.ts
+++ b/src/daemon/forwarding-daemon.ts
@@ -25,11 +25,6 @@
  * daemons may be unknown.
  */
 const MINIMUM_ASSUMED_DAEMONS = 32;
-/**
- * Interval between ticks. Milliseconds. Whatever a tick triggers (a deadline, a stalled attempt, a digest) is
- * delayed by up to this time; each tick costs a process about 0.05 ms.
- */
-export const TICK_MS = 40;
 /**
  * Interval between scans of all back ends, for probes, followed caches and stages. Milliseconds. Every third
  * tick, since there may be hundreds of back ends.
--- a/src/process/forwarding-process.ts
+++ b/src/process/forwarding-process.ts
@@ -11,11 +11,12 @@
 import { startListening } from '../adapters/listen.js';
 import { PeerTransport } from '../adapters/peer-transport.js';
 import type { TunnelServer } from '../adapters/tunnel-server.js';
-import { ForwardingDaemon, TICK_MS } from '../daemon/forwarding-daemon.js';
+import { ForwardingDaemon } from '../daemon/forwarding-daemon.js';
 import type { ForwardingEffect, ForwardingEvent } from '../daemon/forwarding-messages.js';
 import { ListenError, type PulleyledgeError } from '../errors/index.js';
 import { ForwardServer } from '../gateway/forward-server.js';
 import { delay } from '../shared/delay.js';
+import { IDLE_TICK_MS, TICK_MS } from '../shared/tick-interval.js';
 import { SuspensionDetector } from '../shared/suspension-detector.js';
 import { createDaemonStart, type DaemonStart } from './daemon-identity.js';
 import { ForwardingMetrics } from './forwarding-metrics.js';
@@ -35,12 +36,6 @@
   readonly dialect: BackendDialect;
 }
 
-/**
- * Interval between ticks while no request is open. Milliseconds; under half of the gap that counts as a
- * process pause.
- */
-const IDLE_TICK_MS = 100;
-
 /** Settings of the connections to back ends. docs/design/silent-connections.md gives the reasons. */
 const BACKEND_CONNECTIONS: BackendClientSettings = {
   /** Many times the round trip between the most distant regions. */
--- a/test/late-configurations.test.ts
+++ b/test/late-configurations.test.ts
@@ -4,7 +4,7 @@
 import { makeLabConfiguration, makeLabRoute } from '../lab/forwarding-site.js';
 import { SimulatedRecordStore } from '../simulation/simulated-record-store.js';
 import { VirtualTime } from '../simulation/virtual-time.js';
-import { TICK_MS } from '../src/daemon/forwarding-daemon.js';
+import { TICK_MS } from '../src/shared/tick-interval.js';
 import type { FleetEffect } from '../src/fleet/fleet-effects.js';
 import { DEFAULT_FLEET_REPLICA_SETTINGS, FleetReplica } from '../src/fleet/fleet-replica.js';
 import type { RecordRead, RecordReadResult } from '../src/fleet/record-store.js';
--- a/test/waiting-requests-beside-a-change.test.ts
+++ b/test/waiting-requests-beside-a-change.test.ts
@@ -5,7 +5,8 @@
 import { expect } from 'chai';
 import { makeLabBackend, makeLabConfiguration, makeLabRoute } from '../lab/forwarding-site.js';
 import { LAB_STAGES } from '../lab/stage-settings.js';
-import { ForwardingDaemon, TICK_MS } from '../src/daemon/forwarding-daemon.js';
+import { ForwardingDaemon } from '../src/daemon/forwarding-daemon.js';
+import { TICK_MS } from '../src/shared/tick-interval.js';
 import { DEFAULT_FORWARDING_SETTINGS } from '../src/daemon/forwarding-daemon-settings.js';
 import type { ForwardingEffect, ForwardingEvent } from '../src/daemon/forwarding-messages.js';
 import type { RecordRead, StoredRecord } from '../src/fleet/record-store.js';
