Deny nothing behind a configuration that cannot be read, and let peers read it

Callers got 404 for routes of a configuration that one daemon had not been able to read: from that daemon until the next change, and from peers that could have read it.

Cause: the copy moved past the change and counted as complete, here and in what peers were told. Change: the store's client hands the row on as a record (isUnreadable); the copy remembers its revision, denies nothing until a newer one can be read, and counts to its peers as incomplete before it. Nothing is published with such a record, so daemons of older builds read the store as well.

--- a/src/fleet/fleet-messages.ts
+++ b/src/fleet/fleet-messages.ts
@@ -26,7 +26,9 @@
 const configurationRecordSchema = z.object({
   collection: z.literal("configuration"),
   revision: count,
-  value: routeConfigurationSchema.optional()
+  value: routeConfigurationSchema.optional(),
+  /// There is a value, and this daemon cannot read it. Never sent to peers, which may be able to.
+  isUnreadable: z.boolean().optional()
 })
 
 const backendRecordSchema = z.object({
@@ -36,7 +38,7 @@
   value: backendSchema.optional()
 })
 
-/// One record. The value is undefined when the record was removed or cannot be read.
+/// One record. The value is undefined when the record was removed, or is that of a back end and cannot be read.
 const storedRecordSchema = z.discriminatedUnion("collection", [
   configurationRecordSchema,
   backendRecordSchema
--- a/src/fleet/fleet-replica.ts
+++ b/src/fleet/fleet-replica.ts
@@ -8,7 +8,7 @@
 import type {EffectSink} from "../shared/effect-sink.js"
 import type {RandomSource} from "../shared/random.js"
 import {STORE_SOURCE, type FleetEffect, type RecordOrigin} from "./fleet-effects.js"
-import type {FleetKnowledge, RecordsChanged} from "./fleet-messages.js"
+import type {FleetKnowledge, RecordKnowledge, RecordsChanged} from "./fleet-messages.js"
 import type {FleetReplicaSettings} from "./fleet-replica-settings.js"
 import {RecordCopy} from "./record-copy.js"
 import type {RecordAnswer, RecordCollection, RecordReadResult, StoredRecord} from "./record-store.js"
@@ -70,7 +70,7 @@
   getKnowledge(now: number): FleetKnowledge {
     const {configuration, backends} = this.followers
     return {
-      configuration: configuration.getKnowledge(this.copy.getRevision("configuration"), now),
+      configuration: this.getConfigurationKnowledge(configuration, now),
       backends: backends.getKnowledge(this.copy.getRevision("backends"), now)
     }
   }
@@ -96,9 +96,15 @@
     return this.followers[collection].getOutageMs(now)
   }
 
+  /// Whether changes up to a revision are missing here.
+  lacks(collection: RecordCollection, revision: number): boolean {
+    return revision > (this.followers[collection].cursor ?? -1)
+  }
+
   /// Whether newer records of a collection may be known elsewhere.
   mayBeStale(collection: RecordCollection, now: number): boolean {
     if (!this.copy.hasRecords(collection) || this.isBehind(collection)) return true
+    if (collection === "configuration" && this.copy.findUnreadable() !== undefined) return true
     return this.getAgeMs(collection, now) > this.settings.staleMs
   }
 
@@ -156,9 +162,9 @@
     const origin: RecordOrigin = {source: peerId, way: "published", readAgoMs}
     for (const record of message.records) this.copy.apply(record, origin, {holdUntil})
     const {cursor} = follower
-    const isReadable = message.records.length > 0 && message.records.every(hasVersion)
-    const isComplete = isReadable && cursor !== undefined && cursor >= message.from
-    if (isComplete) follower.setKnownRevision(message.to)
+    const isReadable = message.records.length > 0 && message.records.every(isComplete)
+    const hasNoGap = isReadable && cursor !== undefined && cursor >= message.from
+    if (hasNoGap) follower.setKnownRevision(message.to)
     else follower.receivePeerRevision(message.changed, now)
   }
 
@@ -172,7 +178,7 @@
     const {complete} = knowledge.backends
     if (complete >= 0) this.copy.removeMissing(complete, records, origin, holdUntil)
     configuration.receiveCopy(knowledge.configuration)
-    if (records.every(hasVersion)) backends.receiveCopy(knowledge.backends)
+    if (records.every(isComplete)) backends.receiveCopy(knowledge.backends)
     this.receiveKnowledge(peerId, knowledge, now)
   }
 
@@ -182,6 +188,14 @@
       follower.receiveKnowledge(peerId, knowledge[follower.collection], now)
   }
 
+  /// A configuration that this daemon cannot read is missing in what it tells its peers, which may be able to.
+  private getConfigurationKnowledge(follower: StoreFollower, now: number): RecordKnowledge {
+    const knowledge = follower.getKnowledge(this.copy.getRevision("configuration"), now)
+    const unreadable = this.copy.findUnreadable()
+    if (unreadable === undefined || knowledge.complete < 0) return knowledge
+    return {...knowledge, complete: Math.min(knowledge.complete, unreadable - 1)}
+  }
+
   private receiveStoreClock(follower: StoreFollower, storeMs: number | undefined, now: number): void {
     if (storeMs !== undefined) this.clock.receiveAnswer(storeMs, follower.sentAt, now)
   }
@@ -224,7 +238,7 @@
     follower.setKnownRevision(revision)
     if (changed === 0 || !follower.isPublisher()) return
     const {collection} = follower
-    const published = isSmall(records) ? [...records] : []
+    const published = isSmall(records) && records.every(isComplete) ? [...records] : []
     const lapsed = holdUntil !== undefined
     const range = {from, to: revision, changed}
     this.emit({
@@ -234,10 +248,11 @@
   }
 }
 
-/// Whether a record names the version of its back end. Those of a daemon that does not pass versions on leave this
-/// copy incomplete, so that it is read from the store.
-function hasVersion(record: StoredRecord): boolean {
-  return record.collection !== "backends" || record.value?.version !== null
+/// Whether a record has all that the store has of it. A daemon that does not pass the versions of back ends on, or
+/// cannot read the configuration, leaves the copies of its peers incomplete, so that they read it from the store.
+function isComplete(record: StoredRecord): boolean {
+  if (record.collection === "configuration") return record.isUnreadable !== true
+  return record.value?.version !== null
 }
 
 function isSmall(records: readonly StoredRecord[]): boolean {
--- a/src/fleet/peer-exchange.ts
+++ b/src/fleet/peer-exchange.ts
@@ -291,7 +291,8 @@
   /// the pull waits for `pullDelayMs` unless nothing is known yet.
   private sendPullWhenBehind(fromAddress: string, knowledge: FleetKnowledge, now: number): void {
     const local = this.replica.getKnowledge(now)
-    const lacks = (collection: RecordCollection) => knowledge[collection].changed > local[collection].complete
+    const lacks = (collection: RecordCollection) =>
+      this.replica.lacks(collection, knowledge[collection].changed)
     const behind = this.replica.isBehind("configuration") || this.replica.isBehind("backends")
     if (!behind) this.behindSince = undefined
     if (!lacks("configuration") && !lacks("backends")) return
--- a/src/fleet/record-copy.ts
+++ b/src/fleet/record-copy.ts
@@ -14,6 +14,8 @@
   readonly lapsed?: BackendRecord | undefined
 }
 
+type ConfigurationRecord = Extract<StoredRecord, {collection: "configuration"}>
+
 interface ApplyOptions {
   /// A removal is also applied when its revision equals the known one.
   readonly allowSameRevision?: boolean
@@ -24,6 +26,8 @@
 /// The copy of the records. Times are monotonic milliseconds.
 export class RecordCopy {
   private configurationRevision = 0
+  /// The newest revision of the configuration that this daemon cannot read.
+  private unreadableRevision = 0
   private current: RouteConfiguration | undefined
   private backendsRevision = 0
   private readonly backends = new Map<string, KnownBackend>()
@@ -41,9 +45,16 @@
     return collection === "configuration" ? this.current !== undefined : this.backends.size > 0
   }
 
-  /// The newest revision among the records of a collection; 0 when there are none.
+  /// The newest revision among the records of a collection, also of those that cannot be read; 0 when there are none.
   getRevision(collection: RecordCollection): number {
-    return collection === "configuration" ? this.configurationRevision : this.backendsRevision
+    if (collection === "backends") return this.backendsRevision
+    return Math.max(this.configurationRevision, this.unreadableRevision)
+  }
+
+  /// The revision of a configuration that is newer than the one in force and cannot be read; undefined when there is
+  /// none.
+  findUnreadable(): number | undefined {
+    return this.unreadableRevision > this.configurationRevision ? this.unreadableRevision : undefined
   }
 
   /// All records, removals included.
@@ -71,7 +82,7 @@
 
   /// Applies one record from the store or a peer.
   apply(record: StoredRecord, origin: RecordOrigin, options: ApplyOptions = {}): void {
-    if (record.collection === "configuration") this.applyConfiguration(record.revision, record.value, origin)
+    if (record.collection === "configuration") this.applyConfiguration(record, origin)
     else this.applyBackend(record.id, record, origin, options)
   }
 
@@ -91,10 +102,10 @@
   }
 
   private applyConfiguration(
-    revision: number,
-    value: RouteConfiguration | undefined,
+    {revision, value, isUnreadable = false}: ConfigurationRecord,
     origin: RecordOrigin
   ): void {
+    if (isUnreadable) this.unreadableRevision = Math.max(this.unreadableRevision, revision)
     if (!value || revision <= this.configurationRevision) return
     if (this.current && value.version < this.current.version) return
     this.configurationRevision = revision
